--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which request runs when: classes, team limits, queues, server health, retry budget, suspects.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration document: types, checks, patch fold, snapshots.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command-line client.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, fencing numbers and orders to model engines.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reproducible load, checks of every answer, and comparisons.
--- /dev/null
+++ b/crates/names/src/event_kind.rs
@@ -0,0 +1,152 @@
+//! The closed list of numbered log events.
+
+/// What a log line reports. Numbers never change their meaning; gaps are left for kin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[repr(u16)]
+pub enum EventKind {
+    /// A process has started and listens.
+    ProcessStarted = 1001,
+    /// A process was told to stop and finishes what is open.
+    StopBegun = 1002,
+    /// A process has finished what was open.
+    StopEnded = 1003,
+    /// Settings were refused.
+    SettingsRefused = 1004,
+    /// The router is ready for traffic.
+    RouterReady = 1005,
+    /// A request was refused before it ran.
+    RequestRefused = 2001,
+    /// A request failed.
+    RequestFailed = 2002,
+    /// An attempt failed and another is made.
+    AttemptRetried = 2003,
+    /// An answer named another request and was dropped with its connection.
+    CrossedAnswer = 2004,
+    /// An answer was made by other weights or another incarnation than it had to be.
+    StaleAnswer = 2005,
+    /// A stream was continued after a break.
+    StreamResumed = 2006,
+    /// A request is suspected of crashing backend servers.
+    RequestSuspected = 2007,
+    /// A request was convicted of crashing backend servers.
+    RequestConvicted = 2008,
+    /// A caller hung up.
+    CallerGone = 2009,
+    /// A backend server was taken out of use for its failures.
+    ServerEjected = 3001,
+    /// A backend server is in use again.
+    ServerRestored = 3002,
+    /// A backend server leaves: it gets nothing new.
+    ServerLeaving = 3003,
+    /// A backend server has started anew and is empty.
+    ServerRestarted = 3004,
+    /// A gap in a server's cache events: what was believed is dropped.
+    EventGap = 3005,
+    /// A configuration came into force.
+    ConfigAccepted = 4001,
+    /// A patch was refused.
+    PatchRefused = 4002,
+    /// A record of the configuration stream could not be read.
+    ConfigUnreadable = 4003,
+    /// A snapshot of the configuration was written.
+    SnapshotWritten = 4004,
+    /// The log is out of reach.
+    LogOut = 4101,
+    /// The log is in reach again.
+    LogBack = 4102,
+    /// Records were lost to retention before they were read.
+    LogTruncated = 4103,
+    /// A claim was lost to an earlier one.
+    ClaimLost = 4201,
+    /// A peer was met.
+    PeerUp = 5001,
+    /// A peer is suspected to be gone.
+    PeerSuspected = 5002,
+    /// A peer is gone.
+    PeerDown = 5003,
+    /// A peer sent what cannot be read.
+    PeerUnreadable = 5004,
+    /// A lease was taken.
+    LeaseTaken = 6001,
+    /// A lease was lost or lapsed.
+    LeaseLost = 6002,
+    /// An order was given to an engine.
+    OrderGiven = 6003,
+    /// An engine refused an order.
+    OrderRefused = 6004,
+}
+
+/// One row of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct EventRow {
+    /// The event.
+    pub kind: EventKind,
+    /// Its name in log lines.
+    pub name: &'static str,
+}
+
+macro_rules! event_rows {
+    ($($kind:ident => $name:literal),* $(,)?) => {
+        /// The catalogue in numerical order.
+        const ROWS: &[EventRow] = &[$(EventRow { kind: EventKind::$kind, name: $name }),*];
+
+        impl EventKind {
+            /// The name in log lines.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(EventKind::$kind => $name),*
+                }
+            }
+        }
+    };
+}
+
+event_rows! {
+    ProcessStarted => "process_started",
+    StopBegun => "stop_begun",
+    StopEnded => "stop_ended",
+    SettingsRefused => "settings_refused",
+    RouterReady => "router_ready",
+    RequestRefused => "request_refused",
+    RequestFailed => "request_failed",
+    AttemptRetried => "attempt_retried",
+    CrossedAnswer => "crossed_answer",
+    StaleAnswer => "stale_answer",
+    StreamResumed => "stream_resumed",
+    RequestSuspected => "request_suspected",
+    RequestConvicted => "request_convicted",
+    CallerGone => "caller_gone",
+    ServerEjected => "server_ejected",
+    ServerRestored => "server_restored",
+    ServerLeaving => "server_leaving",
+    ServerRestarted => "server_restarted",
+    EventGap => "event_gap",
+    ConfigAccepted => "config_accepted",
+    PatchRefused => "patch_refused",
+    ConfigUnreadable => "config_unreadable",
+    SnapshotWritten => "snapshot_written",
+    LogOut => "log_out",
+    LogBack => "log_back",
+    LogTruncated => "log_truncated",
+    ClaimLost => "claim_lost",
+    PeerUp => "peer_up",
+    PeerSuspected => "peer_suspected",
+    PeerDown => "peer_down",
+    PeerUnreadable => "peer_unreadable",
+    LeaseTaken => "lease_taken",
+    LeaseLost => "lease_lost",
+    OrderGiven => "order_given",
+    OrderRefused => "order_refused",
+}
+
+impl EventKind {
+    /// The whole catalogue, for documents and tests.
+    pub fn rows() -> &'static [EventRow] {
+        ROWS
+    }
+
+    /// The event's number.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership and state exchange between routers.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Where a prompt goes: hash chain, preference lists, cache hints, cost, choice.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's log, weight store and host list.
--- /dev/null
+++ b/crates/proofs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Proofs under failure: whole deployments as separate processes.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: one process an entry host.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A process's own JSON settings, checked on load.
--- /dev/null
+++ b/crates/stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the backend servers.
