Add the operators' document and its checks

The router, admission and placement need the types before the rest of the crate stands. Names are kept to a few characters, since a slash in a model's name would let two teams' cache scopes read alike. Reading is entry by entry, so that a patch can later read only what it touches.

--- /dev/null
+++ b/crates/config/src/config_document.rs
@@ -0,0 +1,229 @@
+//! The whole document.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fulmargate_names::ClassName;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
+use fulmargate_names::TeamName;
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::ClassEntry;
+use crate::ClassRule;
+use crate::ConfigError;
+use crate::KeyHash;
+use crate::ModelEntry;
+use crate::PolicyKind;
+use crate::ServerEntry;
+use crate::ServiceEntry;
+use crate::TeamEntry;
+use crate::config_error::pointer_step;
+use crate::document_check;
+use crate::document_section::DocumentSection;
+use crate::document_section::read_part;
+
+/// The operators' document: only checked ones exist. Maps are in the order of their names.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ConfigDocument {
+    /// Who may call.
+    pub teams: IndexMap<TeamName, Arc<TeamEntry>>,
+    /// The backend servers.
+    pub servers: IndexMap<ServerName, Arc<ServerEntry>>,
+    /// The models.
+    pub models: IndexMap<ModelName, Arc<ModelEntry>>,
+    /// The plain services.
+    pub services: IndexMap<ServiceName, Arc<ServiceEntry>>,
+    /// The classes of traffic.
+    pub classes: IndexMap<ClassName, Arc<ClassEntry>>,
+    /// Which requests get another class than their team's; the first that matches decides.
+    pub rules: Vec<ClassRule>,
+    /// How requests to models are placed.
+    pub policy: PolicyKind,
+    /// Teams by the hash of each of their keys.
+    #[serde(skip)]
+    keys: HashMap<KeyHash, TeamName>,
+}
+
+impl ConfigDocument {
+    /// Reads and checks a whole document.
+    pub fn parse(text: &str) -> Result<ConfigDocument, ConfigError> {
+        let value = serde_json::from_str(text).map_err(|error| {
+            ConfigError::with_text("", text, &format!("a JSON document ({error})"))
+        })?;
+        ConfigDocument::from_value(&value)
+    }
+
+    /// Checks a whole document.
+    pub fn from_value(value: &Value) -> Result<ConfigDocument, ConfigError> {
+        let mut document = ConfigDocument::default();
+        let Some(sections) = value.as_object() else {
+            return Err(ConfigError::new("", value, "an object"));
+        };
+        for (name, part) in sections {
+            let section = DocumentSection::parse(name, part)?;
+            document.load_section(section, part)?;
+        }
+        document.finish()
+    }
+
+    /// The team that has this key.
+    pub fn team_by_key(&self, key: &KeyHash) -> Option<(&TeamName, &Arc<TeamEntry>)> {
+        let team = self.keys.get(key)?;
+        self.teams.get_key_value(team)
+    }
+
+    /// The class of a request: that of the first rule that matches, else the team's own.
+    pub fn class_of(
+        &self,
+        team: &TeamName,
+        model: Option<&ModelName>,
+        path: &str,
+    ) -> Option<(&ClassName, &Arc<ClassEntry>)> {
+        let rule = self.rules.iter().find(|rule| rule.matches(team, model, path));
+        let class = match rule {
+            Some(rule) => &rule.class,
+            None => &self.teams.get(team)?.class,
+        };
+        self.classes.get_key_value(class)
+    }
+
+    /// The engines that are to serve a model, drained ones too.
+    pub fn servers_of_model(
+        &self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&ServerName, &Arc<ServerEntry>)> {
+        self.servers.iter().filter(move |(_, server)| server.models().contains(model))
+    }
+
+    /// The replicas of a plain service, drained ones too.
+    pub fn servers_of_service(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&ServerName, &Arc<ServerEntry>)> {
+        self.servers.iter().filter(move |(_, server)| server.service() == Some(service))
+    }
+
+    /// Replaces a whole section by what is to stand there.
+    pub(crate) fn load_section(
+        &mut self,
+        section: DocumentSection,
+        part: &Value,
+    ) -> Result<(), ConfigError> {
+        match section {
+            DocumentSection::Teams => self.teams = read_map(section, part)?,
+            DocumentSection::Servers => self.servers = read_map(section, part)?,
+            DocumentSection::Models => self.models = read_map(section, part)?,
+            DocumentSection::Services => self.services = read_map(section, part)?,
+            DocumentSection::Classes => self.classes = read_map(section, part)?,
+            DocumentSection::Rules => self.rules = read_part("/rules", part)?,
+            DocumentSection::Policy => self.policy = read_part("/policy", part)?,
+        }
+        Ok(())
+    }
+
+    /// Empties a section.
+    pub(crate) fn clear_section(&mut self, section: DocumentSection) {
+        match section {
+            DocumentSection::Teams => self.teams.clear(),
+            DocumentSection::Servers => self.servers.clear(),
+            DocumentSection::Models => self.models.clear(),
+            DocumentSection::Services => self.services.clear(),
+            DocumentSection::Classes => self.classes.clear(),
+            DocumentSection::Rules => self.rules.clear(),
+            DocumentSection::Policy => self.policy = PolicyKind::default(),
+        }
+    }
+
+    /// Replaces one entry of a section that has names; `None` removes it.
+    pub(crate) fn load_entry(
+        &mut self,
+        section: DocumentSection,
+        name: &str,
+        part: Option<&Value>,
+    ) -> Result<(), ConfigError> {
+        match section {
+            DocumentSection::Teams => set_entry(&mut self.teams, section, name, part),
+            DocumentSection::Servers => set_entry(&mut self.servers, section, name, part),
+            DocumentSection::Models => set_entry(&mut self.models, section, name, part),
+            DocumentSection::Services => set_entry(&mut self.services, section, name, part),
+            DocumentSection::Classes => set_entry(&mut self.classes, section, name, part),
+            DocumentSection::Rules | DocumentSection::Policy => Ok(()),
+        }
+    }
+
+    /// Checks what spans entries and builds the lookups.
+    pub(crate) fn finish(mut self) -> Result<ConfigDocument, ConfigError> {
+        self.keys = document_check::check(&self)?;
+        Ok(self)
+    }
+}
+
+impl PartialEq for ConfigDocument {
+    fn eq(&self, other: &ConfigDocument) -> bool {
+        self.teams == other.teams
+            && self.servers == other.servers
+            && self.models == other.models
+            && self.services == other.services
+            && self.classes == other.classes
+            && self.rules == other.rules
+            && self.policy == other.policy
+    }
+}
+
+fn read_map<K, V>(
+    section: DocumentSection,
+    part: &Value,
+) -> Result<IndexMap<K, Arc<V>>, ConfigError>
+where
+    K: for<'a> From<&'a str> + Ord + std::hash::Hash,
+    V: DeserializeOwned,
+{
+    let Some(entries) = part.as_object() else {
+        return Err(ConfigError::new(&format!("/{}", section.name()), part, "an object"));
+    };
+    let mut map = IndexMap::with_capacity(entries.len());
+    for (name, value) in entries {
+        let path = entry_path(section, name);
+        map.insert(read_name(&path, name)?, Arc::new(read_part(&path, value)?));
+    }
+    // The order of names, not that of the text: every reader must have the same document,
+    // whether it came to it by patches or by a snapshot.
+    map.sort_keys();
+    Ok(map)
+}
+
+fn set_entry<K, V>(
+    map: &mut IndexMap<K, Arc<V>>,
+    section: DocumentSection,
+    name: &str,
+    part: Option<&Value>,
+) -> Result<(), ConfigError>
+where
+    K: for<'a> From<&'a str> + Ord + std::hash::Hash,
+    V: DeserializeOwned,
+{
+    let path = entry_path(section, name);
+    match part {
+        Some(value) => {
+            map.insert_sorted(read_name(&path, name)?, Arc::new(read_part(&path, value)?));
+        }
+        None => {
+            map.shift_remove(&K::from(name));
+        }
+    }
+    Ok(())
+}
+
+fn entry_path(section: DocumentSection, name: &str) -> String {
+    format!("/{}/{}", section.name(), pointer_step(name))
+}
+
+fn read_name<K: for<'a> From<&'a str>>(path: &str, name: &str) -> Result<K, ConfigError> {
+    document_check::check_name(path, name)?;
+    Ok(K::from(name))
+}
--- /dev/null
+++ b/crates/config/src/model_entry.rs
@@ -0,0 +1,17 @@
+//! Models.
+
+use fulmargate_names::AdapterName;
+use fulmargate_names::WeightsVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What is to be served under a model's name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelEntry {
+    /// The weights version wanted on every server of the model.
+    pub weights: WeightsVersion,
+    /// The adapters wanted beside it.
+    #[serde(default)]
+    pub adapters: Vec<AdapterName>,
+}
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -17,6 +17,7 @@
 pub use event_kind::EventRow;
 pub use header::*;
 pub use name::AdapterName;
+pub use name::ClassName;
 pub use name::HostName;
 pub use name::ModelName;
 pub use name::RequestId;
--- a/crates/names/src/name.rs
+++ b/crates/names/src/name.rs
@@ -80,6 +80,10 @@
     /// A plain service, as callers ask for it.
     ServiceName
 }
+name_type! {
+    /// A class of traffic, such as `urgent` or `batch`.
+    ClassName
+}
 name_type! {
     /// One request of a caller; attempts at backend servers append `.N` to it.
     RequestId
