Keep no lock over an await in the log client's test

Cause: clippy denies a guard held across an await point. Ruled out: an async lock (nothing waits while it holds it). Change: the counts are taken in a block.

--- a/crates/platform/tests/log_client.rs
+++ b/crates/platform/tests/log_client.rs
@@ -203,14 +203,11 @@
         let deadline = Instant::now() + Duration::from_secs(30);
         let fate = client.append_settled(STREAM, "a", "x", LogOffset(0), deadline).await;
         assert_eq!(fate, case.fate, "{:?}", case.steps);
-        let script = shared.lock().unwrap();
-        assert_eq!(
-            (script.records.len(), script.appends),
-            (case.records, case.appends),
-            "{:?}",
-            case.steps
-        );
-        drop(script);
+        let counts = {
+            let script = shared.lock().unwrap();
+            (script.records.len(), script.appends)
+        };
+        assert_eq!(counts, (case.records, case.appends), "{:?}", case.steps);
         handle.stop(false).await;
     }
 }
