--- /dev/null
+++ b/crates/relay/benches/streams.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/relay/src/stream_guard.rs
@@ -0,0 +1,179 @@
+//! Checks that a stream is the attempt's own, in order and whole.
+
+use std::ops::Range;
+
+use crate::StreamEvent;
+use crate::StreamFault;
+use crate::StreamPlace;
+use crate::StreamRest;
+use crate::UsageChunk;
+use crate::chunk_head::ChoiceState;
+use crate::chunk_head::ChunkHead;
+use crate::chunk_head::ErrorState;
+use crate::event_reader::UNNAMED;
+
+/// Data of the event that ends a stream.
+pub(crate) const DONE: &str = "[DONE]";
+const ERROR_EVENT: &str = "error";
+const MAX_SHOWN_ID: usize = 80;
+
+/// What an event that passed is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PassedEvent {
+    /// The token that was due.
+    Token {
+        /// Where the chunk's id stands in the data, with its quotes.
+        id_span: Range<usize>,
+    },
+    /// A chunk without a token, such as the usage.
+    Extra {
+        /// Where the chunk's id stands in the data, with its quotes.
+        id_span: Range<usize>,
+    },
+    /// The end.
+    Done,
+}
+
+/// Whether the end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamState {
+    /// More is due.
+    Open,
+    /// The end has come.
+    Done,
+}
+
+/// Checks one stream of one attempt, from the first token wanted on.
+#[derive(Debug)]
+pub struct StreamGuard {
+    attempt_id: String,
+    quoted_id: String,
+    place: StreamPlace,
+    usage: UsageChunk,
+    state: StreamState,
+}
+
+impl StreamGuard {
+    /// `place` is where the stream has to begin: the default for a new one.
+    pub fn new(attempt_id: &str, place: StreamPlace, usage: UsageChunk) -> StreamGuard {
+        StreamGuard {
+            attempt_id: attempt_id.to_owned(),
+            quoted_id: quote(attempt_id),
+            place,
+            usage,
+            state: StreamState::Open,
+        }
+    }
+
+    /// How far the stream has come.
+    pub fn place(&self) -> StreamPlace {
+        self.place
+    }
+
+    /// Whether the usage has passed.
+    pub fn usage(&self) -> UsageChunk {
+        self.usage
+    }
+
+    /// What the caller is still owed.
+    pub fn rest(&self) -> StreamRest {
+        StreamRest::at(self.place, self.usage)
+    }
+
+    /// Whether the end has come.
+    pub fn state(&self) -> StreamState {
+        self.state
+    }
+
+    /// Judges the next event.
+    pub fn pass(&mut self, event: &StreamEvent) -> Result<PassedEvent, StreamFault> {
+        if self.state == StreamState::Done {
+            return Err(StreamFault::AfterDone);
+        }
+        match &*event.name {
+            UNNAMED => {}
+            ERROR_EVENT => return Err(StreamFault::ServerError),
+            _ => return Err(StreamFault::Unreadable),
+        }
+        if event.data == DONE {
+            return self.pass_done();
+        }
+        let head = ChunkHead::parse(&event.data).map_err(|_| StreamFault::Unreadable)?;
+        if head.error == ErrorState::Present {
+            return Err(StreamFault::ServerError);
+        }
+        let id_span = self.check_id(&event.data, &head)?;
+        match head.choices {
+            ChoiceState::Absent => {
+                self.pass_extra();
+                return Ok(PassedEvent::Extra { id_span });
+            }
+            ChoiceState::Going => self.place = self.check_index(event)?,
+            ChoiceState::Finished => self.place = self.check_index(event)?.finished(),
+        }
+        Ok(PassedEvent::Token { id_span })
+    }
+
+    /// Judges the end of the body: without the end of the stream it is a cut.
+    pub fn end_of_body(&self) -> Result<(), StreamFault> {
+        match self.state {
+            StreamState::Open => Err(StreamFault::Cut),
+            StreamState::Done => Ok(()),
+        }
+    }
+
+    fn pass_extra(&mut self) {
+        if self.place.is_finished() && self.usage == UsageChunk::Due {
+            self.usage = UsageChunk::Passed;
+        }
+    }
+
+    /// An engine that gives up in the middle may still close its stream in good form. The caller
+    /// would take a part for the whole, so the end counts only after a reason for finishing.
+    fn pass_done(&mut self) -> Result<PassedEvent, StreamFault> {
+        if !self.place.is_finished() {
+            return Err(StreamFault::Unfinished);
+        }
+        self.state = StreamState::Done;
+        Ok(PassedEvent::Done)
+    }
+
+    /// A late or crossed answer brings chunks of another attempt on this attempt's connection; the
+    /// caller would read another request's text. Attempt ids are never used twice, so the id tells.
+    fn check_id(&self, data: &str, head: &ChunkHead<'_>) -> Result<Range<usize>, StreamFault> {
+        let raw = head.id.ok_or(StreamFault::Unreadable)?.get();
+        if raw != self.quoted_id && !self.is_escaped_id(raw) {
+            let found = raw.trim_matches('"').chars().take(MAX_SHOWN_ID).collect();
+            return Err(StreamFault::Crossed { found });
+        }
+        // The id borrows from the data, so the distance of the two is its position.
+        let start = raw.as_ptr() as usize - data.as_ptr() as usize;
+        Ok(start..start + raw.len())
+    }
+
+    /// The same id can be written with escapes.
+    fn is_escaped_id(&self, raw: &str) -> bool {
+        raw.contains('\\')
+            && serde_json::from_str(raw).is_ok_and(|id: String| id == self.attempt_id)
+    }
+
+    /// An event without an id keeps the id before it, so an unnumbered token shows as a repeat, or
+    /// as unnumbered when it is the first.
+    fn check_index(&self, event: &StreamEvent) -> Result<StreamPlace, StreamFault> {
+        let id = event.id.as_deref().ok_or(StreamFault::Unnumbered)?;
+        let found: u32 = id.parse().map_err(|_| StreamFault::Unnumbered)?;
+        let wanted = self.place.next_index();
+        if found < wanted {
+            return Err(StreamFault::Repeat { wanted, found });
+        }
+        if wanted < found {
+            return Err(StreamFault::Gap { wanted, found });
+        }
+        StreamPlace::before(found + 1).ok_or(StreamFault::TooLong)
+    }
+}
+
+/// The text as JSON writes it, with quotes.
+pub(crate) fn quote(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
