Stand-ins: model engine, plain service and log, each alone

Cause: the router needs something to run against. Ruled out: one process for all stand-ins only (the rig must crash them apart); a stand-in that keeps its connections over a simulated crash (nobody would see a crash). Each life is a server thread of its own: its end drops all connections and all memory, and a bound socket that never listens keeps the port while callers are refused.

--- a/crates/stand/src/deployment/plan.rs
+++ b/crates/stand/src/deployment/plan.rs
@@ -26,6 +26,8 @@
     pub batch_limit: usize,
     /// Blocks that the prefix cache holds.
     pub cache_blocks: usize,
+    /// Tokens of cached blocks taken in from elsewhere in a millisecond.
+    pub import_tokens_per_ms: f64,
     /// Time to load new weights while at most two load at once.
     pub load_ms: u64,
 }
@@ -177,6 +179,7 @@
                 decode_step_ms: 5.0,
                 batch_limit: 16,
                 cache_blocks: 3_750,
+                import_tokens_per_ms: 400.0,
                 load_ms: seed.load_ms,
             },
         }
--- /dev/null
+++ b/crates/stand/src/engine/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the engine without sockets.
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -6,6 +6,27 @@
 pub mod deployment;
 pub mod token;
 
+mod block_cache;
+mod clock;
 mod completion_body;
+mod engine;
+mod fault_desk;
+mod fault_order;
+mod kv_run;
+mod plain_service;
+mod platform_log;
+mod port_holder;
+mod server_answer;
+mod stand_server;
 
 pub use completion_body::CompletionBody;
+pub use engine::EngineSettings;
+pub use engine::engine_server;
+pub use fault_desk::FaultDesk;
+pub use fault_desk::FaultState;
+pub use fault_order::FaultOrder;
+pub use plain_service::ServiceSettings;
+pub use plain_service::service_server;
+pub use platform_log::LogSettings;
+pub use platform_log::log_server;
+pub use stand_server::StandServer;
