Add classes, retry budget and the gate before a backend server

Cause: urgent and batch requests need one place a server where they wait, are sent in order or are given up, and that several traffic threads share. Ruled out: a semaphore for each server (no order, no early refusal), a queue for each traffic thread (urgent work of one thread waits behind batch of another). Change: classes by rules, token buckets, retry budget, ServerGate with strict priorities, deficit round robin among teams, adaptive limits, early refusal.

--- /dev/null
+++ b/crates/admission/benches/decisions.rs
@@ -0,0 +1,3 @@
+//! Costs of the decision functions.
+
+fn main() {}
--- /dev/null
+++ b/crates/admission/src/team_queue.rs
@@ -0,0 +1,67 @@
+//! One team's waiting requests of one priority.
+
+use std::collections::VecDeque;
+
+use crate::queue_entry::QueueEntry;
+
+/// One team's waiting requests of one priority, in order of arrival.
+#[derive(Debug, Default)]
+pub(crate) struct TeamQueue {
+    entries: VecDeque<QueueEntry>,
+    cost: u64,
+    /// What the team may still send in this round.
+    pub(crate) deficit: u64,
+}
+
+impl TeamQueue {
+    /// How many wait.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The cost of all that wait.
+    pub(crate) fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// The next one.
+    pub(crate) fn head(&self) -> Option<&QueueEntry> {
+        self.entries.front()
+    }
+
+    /// Adds one at the end.
+    pub(crate) fn push(&mut self, entry: QueueEntry) {
+        self.cost += entry.cost;
+        self.entries.push_back(entry);
+    }
+
+    /// Takes the next one.
+    pub(crate) fn pop_head(&mut self) -> Option<QueueEntry> {
+        let entry = self.entries.pop_front()?;
+        self.forget(&entry);
+        Some(entry)
+    }
+
+    /// Takes the one that came last.
+    pub(crate) fn pop_newest(&mut self) -> Option<QueueEntry> {
+        let entry = self.entries.pop_back()?;
+        self.forget(&entry);
+        Some(entry)
+    }
+
+    /// Takes one out of the middle; ids rise along the queue.
+    pub(crate) fn remove(&mut self, id: u64) -> Option<QueueEntry> {
+        let index = self.entries.binary_search_by_key(&id, |entry| entry.id).ok()?;
+        let entry = self.entries.remove(index)?;
+        self.forget(&entry);
+        Some(entry)
+    }
+
+    fn forget(&mut self, entry: &QueueEntry) {
+        self.cost -= entry.cost;
+        // An empty queue saves nothing up, or a team that comes and goes would gain on the rest.
+        if self.entries.is_empty() {
+            self.deficit = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/support/mod.rs
@@ -0,0 +1,66 @@
+//! Fixtures shared by the tests of this crate.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_admission::ClassConf;
+use fulmargate_admission::GateConf;
+use fulmargate_admission::GateEntry;
+use fulmargate_admission::GateOutcome;
+use fulmargate_admission::GateRequest;
+use fulmargate_admission::GateTicket;
+use fulmargate_admission::GateWaiter;
+use fulmargate_admission::RequestClass;
+use fulmargate_admission::ServerGate;
+use fulmargate_names::ServerName;
+use fulmargate_names::TeamName;
+use tokio::time::Instant;
+
+pub(crate) const URGENT: u8 = 0;
+pub(crate) const BATCH: u8 = 2;
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn class(priority: u8, deadline_ms: u64, queue_limit: usize) -> Arc<ClassConf> {
+    let name = if priority == URGENT { "urgent" } else { "batch" };
+    let deadline = ms(deadline_ms);
+    Arc::new(ClassConf { name: Arc::from(name), priority, deadline, queue_limit })
+}
+
+pub(crate) fn request(team: &str, class: &Arc<ClassConf>, prefill_tokens: u32) -> GateRequest {
+    let class = RequestClass::begin(class, Instant::now(), None);
+    GateRequest { team: TeamName::new(team), class, prefill_tokens }
+}
+
+/// A gate whose limits stay where they are.
+pub(crate) fn fixed_gate(requests: u32, tokens: u32) -> Arc<ServerGate> {
+    let conf = GateConf {
+        first_requests: requests,
+        least_requests: requests,
+        most_requests: requests,
+        first_tokens: tokens,
+        least_tokens: tokens,
+        most_tokens: tokens,
+        lesser_share: 1.0,
+        team_share: 1.0,
+        ..GateConf::engine()
+    };
+    ServerGate::new(ServerName::new("engine-1"), conf)
+}
+
+pub(crate) fn admitted(entry: GateEntry) -> GateTicket {
+    match entry {
+        GateEntry::Decided(GateOutcome::Admitted(ticket)) => ticket,
+        other => panic!("not admitted: {other:?}"),
+    }
+}
+
+pub(crate) fn queued(entry: GateEntry) -> GateWaiter {
+    match entry {
+        GateEntry::Queued(waiter) => waiter,
+        other => panic!("not queued: {other:?}"),
+    }
+}
