Add the fold of claim streams

Cause: a call that may not run twice needs a claim that all routers judge alike, whenever they began to read the log. Ruled out: judging a key's age by a router's clock or settings (readers would differ); keeping bodies in the book (they outweigh all else, the log has them); tombstones for releases (a bound on a release's landing does without). Change: ClaimBook, record layout 1, key hashes with age. A claimer's record numbers void records that land twice or late.

--- /dev/null
+++ b/crates/ledger/src/held_claim.rs
@@ -0,0 +1,49 @@
+//! One key in the book.
+
+use fulmargate_names::LogOffset;
+
+use crate::RequestPrint;
+use crate::claimer_table::ClaimerIndex;
+
+/// A claim that holds its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeldClaim {
+    /// The request that it came with.
+    pub(crate) print: RequestPrint,
+    /// The claimer's number of the claim.
+    pub(crate) number: u64,
+    /// Whose claim it is.
+    pub(crate) claimer: ClaimerIndex,
+    /// How long after its landing it can be released; 0 once it is renewed.
+    pub(crate) release_within_ms: u32,
+    /// When it landed.
+    pub(crate) claimed_ms: u64,
+    /// To when it is remembered.
+    pub(crate) until_ms: u64,
+    /// When the latest record landed that tells of it.
+    pub(crate) standing_ms: u64,
+    /// What is known of its call.
+    pub(crate) state: HeldState,
+}
+
+/// What is known of a claimed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeldState {
+    /// No outcome yet.
+    Pending,
+    /// It may have run.
+    Unknown,
+    /// It ran.
+    Ran(RanPlace),
+}
+
+/// What the book keeps of a call that ran. The body stays in the log: kept here, the bodies would outweigh all else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RanPlace {
+    /// HTTP status.
+    pub status: u16,
+    /// The place of its outcome's entry in its record.
+    pub position: u16,
+    /// The record that holds its outcome; `None` when the claim was renewed after the body's time.
+    pub offset: Option<LogOffset>,
+}
