Serve a request from end to end, thin, as separate processes

Cause: everything else is measured on a running path. Change: router daemon with one control thread (configuration from the log) and traffic threads (actix-web, awc); model requests placed by least open requests, streams checked and resumed by the relay crate; planned stop. The streamed answer ended with a typed error: the relay refuses the closing chunk that stands alone without a token, as the stand-in (and OpenAI's API) sends it.

--- /dev/null
+++ b/crates/router/src/attempt/stream_pump.rs
@@ -0,0 +1,288 @@
+//! Carries a stream from engines to its caller, over breaks.
+
+use std::num::NonZeroUsize;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use fulmargate_names::ErrorKind;
+use fulmargate_names::EventKind;
+use fulmargate_names::WeightsVersion;
+use fulmargate_relay::AttemptStream;
+use fulmargate_relay::BreakCause;
+use fulmargate_relay::BufferLimits;
+use fulmargate_relay::BufferStep;
+use fulmargate_relay::CallerBuffer;
+use fulmargate_relay::ChunkWriter;
+use fulmargate_relay::DeliveredPart;
+use fulmargate_relay::EqualServers;
+use fulmargate_relay::ResumeStep;
+use fulmargate_relay::ResumeToken;
+use fulmargate_relay::SameServer;
+use fulmargate_relay::StreamBreak;
+use fulmargate_relay::StreamPlace;
+use fulmargate_relay::StreamState;
+use fulmargate_relay::TokenMinter;
+use fulmargate_relay::UsageChunk;
+use fulmargate_relay::error_event;
+use fulmargate_relay::plan_resume;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::attempt::AttemptFailure;
+use crate::attempt::EngineRunner;
+use crate::attempt::OpenAttempt;
+use crate::attempt::stream_body::StreamBody;
+use crate::attempt::stream_body::StreamSink;
+use crate::attempt::stream_body::stream_body;
+use crate::state::OpenGuard;
+
+const MAX_EVENT_BYTES: NonZeroUsize = NonZeroUsize::new(256 * 1024).unwrap();
+/// An engine that sends nothing for so long is taken for frozen.
+const SERVER_STALL: Duration = Duration::from_secs(2);
+/// How long a stream may stand still over a break, attempts included.
+const STANDSTILL: Duration = Duration::from_secs(10);
+const LIMITS: BufferLimits = BufferLimits {
+    max_bytes: 256 * 1024,
+    max_held_ms: 5_000,
+    forgiven_percent: 20,
+    drain_ms: 20_000,
+};
+
+/// Begins to carry a stream; the pump runs until the stream has ended or the caller is gone.
+pub(crate) fn start_stream(
+    runner: EngineRunner,
+    open: OpenAttempt,
+    place: StreamPlace,
+    guard: OpenGuard,
+) -> StreamBody {
+    let (sink, body) = stream_body();
+    let pump = StreamPump {
+        weights: open.weights,
+        stream: attempt_stream(&runner, &open, place, runner.call.usage),
+        buffer: CallerBuffer::new(LIMITS, runner.state.now_ms()),
+        idle_attempts: 1,
+        last_place: place,
+        runner,
+        open,
+        sink,
+    };
+    actix_rt::spawn(async move {
+        pump.run().await;
+        drop(guard);
+    });
+    body
+}
+
+struct StreamPump {
+    runner: EngineRunner,
+    open: OpenAttempt,
+    weights: WeightsVersion,
+    stream: AttemptStream,
+    buffer: CallerBuffer,
+    sink: StreamSink,
+    /// Attempts at this server since the stream last moved on.
+    idle_attempts: u32,
+    last_place: StreamPlace,
+}
+
+/// Why the pump stopped reading an attempt.
+enum PumpStop {
+    Done,
+    CallerGone,
+    CallerSlow,
+    Broken(BreakCause),
+}
+
+/// What came of an attempt to go on after a break.
+enum Resumed {
+    GoesOn,
+    Finished,
+}
+
+impl StreamPump {
+    async fn run(mut self) {
+        loop {
+            match self.carry().await {
+                PumpStop::Done => return,
+                PumpStop::CallerGone => {
+                    return self.log(EventKind::CallerGone, "the caller hung up");
+                }
+                PumpStop::CallerSlow => return self.end(ErrorKind::SlowCaller).await,
+                PumpStop::Broken(cause) => match self.resume(cause).await {
+                    Ok(Resumed::GoesOn) => {}
+                    Ok(Resumed::Finished) => return,
+                    Err(kind) => return self.end(kind).await,
+                },
+            }
+        }
+    }
+
+    /// Carries one attempt until it ends or breaks.
+    async fn carry(&mut self) -> PumpStop {
+        let mut stall = Instant::now() + SERVER_STALL;
+        loop {
+            let now_ms = self.runner.state.now_ms();
+            self.buffer.take(self.sink.take_count(), now_ms);
+            if self.sink.is_gone() {
+                return PumpStop::CallerGone;
+            }
+            let reads = match self.buffer.step(now_ms) {
+                BufferStep::Read => true,
+                BufferStep::Wait => false,
+                BufferStep::LetGo | BufferStep::Drain | BufferStep::CutOff => {
+                    return PumpStop::CallerSlow;
+                }
+            };
+            let wake = self.wake_at(stall, reads, now_ms);
+            tokio::select! {
+                chunk = self.open.body.next(), if reads => {
+                    stall = Instant::now() + SERVER_STALL;
+                    if let Some(stop) = self.take_chunk(chunk) {
+                        return stop;
+                    }
+                }
+                () = self.sink.changed() => {}
+                () = sleep_until(wake) => {
+                    if reads {
+                        return PumpStop::Broken(BreakCause::Cut);
+                    }
+                }
+            }
+        }
+    }
+
+    fn wake_at(&self, stall: Instant, reads: bool, now_ms: u64) -> Instant {
+        if reads {
+            return stall;
+        }
+        let wake_ms = self.buffer.wake_at().unwrap_or(now_ms);
+        Instant::now() + Duration::from_millis(wake_ms.saturating_sub(now_ms))
+    }
+
+    fn take_chunk(
+        &mut self,
+        chunk: Option<Result<bytes::Bytes, awc::error::PayloadError>>,
+    ) -> Option<PumpStop> {
+        let Some(Ok(chunk)) = chunk else {
+            return Some(match self.stream.end_of_body() {
+                Ok(()) => PumpStop::Done,
+                Err(fault) => PumpStop::Broken(fault.cause()),
+            });
+        };
+        let mut out = BytesMut::new();
+        let fed = self.stream.feed(chunk, &mut out);
+        self.buffer.add(out.len(), self.runner.state.now_ms());
+        self.sink.push(out.freeze());
+        match fed {
+            Ok(StreamState::Open) => None,
+            Ok(StreamState::Done) => Some(PumpStop::Done),
+            Err(fault) => {
+                let kind = EventKind::CrossedAnswer;
+                tracing::warn!(event = kind.number(), name = kind.name(), server = %self.open.server.name, "{fault}");
+                Some(PumpStop::Broken(fault.cause()))
+            }
+        }
+    }
+
+    /// Goes on with another attempt after a break, or says how the stream ends.
+    async fn resume(&mut self, cause: BreakCause) -> Result<Resumed, ErrorKind> {
+        let give_up = Instant::now() + STANDSTILL;
+        self.count_idle();
+        let mut cause = cause;
+        loop {
+            let step = plan_resume(&self.facts(cause, give_up));
+            let server = match step {
+                ResumeStep::Finish => {
+                    self.sink.push(bytes::Bytes::from_static(b"data: [DONE]\n\n"));
+                    return Ok(Resumed::Finished);
+                }
+                ResumeStep::End(reason) => return Err(reason.error_kind()),
+                ResumeStep::ResumeSame => self.open.server.clone(),
+                ResumeStep::StartAgain | ResumeStep::ResumeElsewhere => {
+                    self.runner.note_failure(AttemptFailure::Broken, &self.open.server.clone());
+                    self.idle_attempts = 0;
+                    self.runner.pick_other().ok_or(ErrorKind::StreamBroken)?
+                }
+            };
+            self.idle_attempts += 1;
+            let place = self.stream.place();
+            match self.runner.open_rest(&server, self.weights, place, SERVER_STALL).await {
+                Ok(open) => {
+                    self.stream = attempt_stream(&self.runner, &open, place, self.stream.usage());
+                    self.open = open;
+                    self.log(EventKind::StreamResumed, "the stream goes on");
+                    return Ok(Resumed::GoesOn);
+                }
+                Err(failure) => {
+                    self.runner.note_failure(failure, &server);
+                    cause = BreakCause::Fault;
+                }
+            }
+        }
+    }
+
+    fn count_idle(&mut self) {
+        let place = self.stream.place();
+        if place != self.last_place {
+            self.idle_attempts = 1;
+            self.last_place = place;
+        }
+    }
+
+    fn facts(&self, cause: BreakCause, give_up: Instant) -> StreamBreak {
+        let now_ms = self.runner.state.now_ms();
+        let left = give_up.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let is_same = self.open.server.incarnation() == self.open.incarnation;
+        let equal = match self.runner.pick_other() {
+            Some(_) => EqualServers::InReach,
+            None => EqualServers::OutOfReach,
+        };
+        StreamBreak {
+            delivered: DeliveredPart::Some,
+            rest: self.stream.rest(),
+            cause,
+            same: if is_same { SameServer::Alive } else { SameServer::Unusable },
+            idle_attempts: self.idle_attempts,
+            equal,
+            attempts_left: self.runner.attempts_left,
+            now_ms,
+            give_up_ms: now_ms + left,
+        }
+    }
+
+    /// Tells the caller that the stream ends here: an end without `[DONE]` is never silent.
+    async fn end(&mut self, kind: ErrorKind) {
+        self.sink.push(error_event(kind));
+        self.log(EventKind::RequestFailed, kind.row().code);
+    }
+
+    fn log(&self, kind: EventKind, message: &str) {
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            request = %self.runner.call.request_id,
+            server = %self.open.server.name,
+            "{message}"
+        );
+    }
+}
+
+fn attempt_stream(
+    runner: &EngineRunner,
+    open: &OpenAttempt,
+    place: StreamPlace,
+    usage: UsageChunk,
+) -> AttemptStream {
+    let call = &runner.call;
+    let token = ResumeToken {
+        server: open.server.name.clone(),
+        incarnation: open.incarnation,
+        weights: open.weights,
+        request_id: call.request_id.clone(),
+        place,
+    };
+    let minter = TokenMinter::new(&runner.state.secrets, &call.binding, &token);
+    let writer = ChunkWriter::new(&call.request_id, minter);
+    AttemptStream::new(MAX_EVENT_BYTES, &open.attempt_id, place, usage, writer)
+}
--- /dev/null
+++ b/crates/router/src/caller/model_handler.rs
@@ -0,0 +1,37 @@
+//! Lists the models that the caller's team may use.
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use fulmargate_names::ErrorKind;
+use serde_json::json;
+
+use crate::caller::CallerContext;
+use crate::caller::RequestError;
+use crate::caller::caller_identity::CallerIdentity;
+use crate::caller::caller_identity::request_id;
+
+/// `GET /v1/models`.
+pub(crate) async fn handle(
+    request: HttpRequest,
+    context: web::Data<CallerContext>,
+) -> HttpResponse {
+    match list(&request, &context) {
+        Ok(response) => response,
+        Err(err) => err.respond(&request_id(&request)),
+    }
+}
+
+fn list(request: &HttpRequest, context: &CallerContext) -> Result<HttpResponse, RequestError> {
+    let table = context.state.routes.load_full();
+    let table = table.ok_or_else(|| RequestError::new(ErrorKind::NotReady))?;
+    let caller = CallerIdentity::identify(request, &table.document)?;
+    let models: Vec<serde_json::Value> = table
+        .document
+        .models
+        .keys()
+        .filter(|model| caller.entry.may_use_model(model))
+        .map(|model| json!({"id": model, "object": "model", "owned_by": "fulmargate"}))
+        .collect();
+    Ok(HttpResponse::Ok().json(json!({"object": "list", "data": models})))
+}
--- /dev/null
+++ b/crates/router/src/state/mod.rs
@@ -0,0 +1,15 @@
+//! What traffic threads share with the control thread.
+
+mod open_count;
+mod route_table;
+mod router_phase;
+mod router_state;
+mod server_route;
+
+pub(crate) use open_count::OpenCount;
+pub(crate) use open_count::OpenGuard;
+pub(crate) use route_table::RouteTable;
+pub(crate) use router_phase::PhaseCell;
+pub(crate) use router_phase::RouterPhase;
+pub(crate) use router_state::RouterState;
+pub(crate) use server_route::ServerRoute;
--- a/crates/settings/src/router_settings.rs
+++ b/crates/settings/src/router_settings.rs
@@ -38,7 +38,10 @@
     /// Form of log lines.
     #[serde(default)]
     pub log_format: LogFormat,
-    /// How long a planned stop waits for open requests, in milliseconds.
+    /// How long a planned stop goes on serving after it has said that it is not ready, in milliseconds.
+    #[serde(default = "default_stop_lead_ms")]
+    pub stop_lead_ms: u64,
+    /// How long a planned stop then waits for open requests, in milliseconds.
     #[serde(default = "default_stop_grace_ms")]
     pub stop_grace_ms: u64,
 }
@@ -109,6 +112,10 @@
     Json,
 }
 
+fn default_stop_lead_ms() -> u64 {
+    3_000
+}
+
 fn default_stop_grace_ms() -> u64 {
     30_000
 }
@@ -166,6 +173,7 @@
             100,
             600_000,
         )?;
+        check_range(file, "stop_lead_ms", self.stop_lead_ms, 0, 600_000)?;
         check_range(file, "stop_grace_ms", self.stop_grace_ms, 0, 3_600_000)?;
         check_range(
             file,
