--- /dev/null
+++ b/crates/load/src/calls/caller.rs
@@ -0,0 +1,317 @@
+//! Sends calls as callers do: to one address after the other, again when a connection breaks.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use awc::Client;
+use awc::ClientRequest;
+use awc::Connector;
+use bytes::Bytes;
+use fulmargate_names as names;
+use fulmargate_stand::CompletionBody;
+use fulmargate_stand::deployment::Deployment;
+use fulmargate_stand::token;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::answer_check::AnswerCheck;
+use super::answer_check::ExpectedAnswer;
+use super::answer_head::AnswerHead;
+use super::call_record::AnswerFault;
+use super::call_record::CallRecord;
+use super::call_record::KeyHistory;
+use super::call_record::KeySend;
+use super::call_record::Verdict;
+use super::sse_reader::SseReader;
+use crate::workload::CallKind;
+use crate::workload::PlannedCall;
+use crate::workload::PromptCall;
+use crate::workload::PromptLibrary;
+use crate::workload::ServiceUse;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a caller tries again after a broken connection.
+const TRIES_AGAIN: u32 = 4;
+const PAUSE_BEFORE_TRY: Duration = Duration::from_millis(100);
+const ERROR_BODY_LIMIT: usize = 64 << 10;
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Who is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallTarget {
+    /// Routers, as callers see them.
+    Routers,
+    /// Engines themselves, to know what a router adds.
+    Engines,
+}
+
+/// How one send of a prompt ended.
+enum SendEnd {
+    Final(Verdict),
+    /// The connection broke; the caller may go on elsewhere.
+    Broken,
+}
+
+/// A population of callers.
+pub struct Caller {
+    client: Client,
+    target: CallTarget,
+    addresses: Vec<String>,
+    next: Cell<usize>,
+    deployment: Rc<Deployment>,
+    library: PromptLibrary,
+    run: String,
+    start: Instant,
+    start_unix_ms: u64,
+    patience: Duration,
+}
+
+impl Caller {
+    /// Callers of these addresses; `start` is the beginning of the run.
+    pub fn new(
+        target: CallTarget,
+        addresses: Vec<String>,
+        deployment: Rc<Deployment>,
+        library: PromptLibrary,
+        patience: Duration,
+    ) -> Caller {
+        let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+        let start_unix_ms =
+            SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis() as u64);
+        Caller {
+            client: Client::builder().connector(connector).disable_timeout().finish(),
+            target,
+            addresses,
+            next: Cell::new(0),
+            deployment,
+            library,
+            run: format!("load-{start_unix_ms:x}"),
+            start: Instant::now(),
+            start_unix_ms,
+            patience,
+        }
+    }
+
+    /// The beginning of the run.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// Makes one call and returns what became of it.
+    pub async fn call(&self, call: &PlannedCall) -> CallRecord {
+        let mut record = CallRecord::new(call);
+        match &call.kind {
+            CallKind::Prompt(prompt) => {
+                let answered = self.call_model(call, prompt, &mut record);
+                let _ = timeout(self.patience, answered).await;
+            }
+            CallKind::Service(service_use) => {
+                self.call_service(call, service_use, &mut record).await;
+            }
+        }
+        record.took = self.start.elapsed().saturating_sub(call.at);
+        record
+    }
+
+    async fn call_model(&self, call: &PlannedCall, prompt: &PromptCall, record: &mut CallRecord) {
+        let body = Bytes::from(self.library.body(prompt, call.number).to_string());
+        let mut check = AnswerCheck::new(self.expected(call, &body));
+        for _ in 0..=TRIES_AGAIN {
+            match self.send_prompt(call, &body, &mut check, record).await {
+                SendEnd::Final(verdict) => {
+                    record.verdict = verdict;
+                    (record.prompt_tokens, record.cached_tokens) = check.usage();
+                    return;
+                }
+                SendEnd::Broken => {
+                    record.tries_again += 1;
+                    sleep(PAUSE_BEFORE_TRY).await;
+                }
+            }
+        }
+    }
+
+    fn expected(&self, call: &PlannedCall, body: &[u8]) -> ExpectedAnswer {
+        let body = CompletionBody::parse(body).expect("the library's bodies are well formed");
+        ExpectedAnswer {
+            request_id: self.request_id(call),
+            prompt_hash: token::prompt_hash(&body.model, &body.prompt_text()),
+            tokens: body.answer_tokens(),
+            weights: 1..=1,
+        }
+    }
+
+    async fn send_prompt(
+        &self,
+        call: &PlannedCall,
+        body: &Bytes,
+        check: &mut AnswerCheck,
+        record: &mut CallRecord,
+    ) -> SendEnd {
+        let mut request = self.request(call, "POST", "/v1/chat/completions");
+        if let Some(id) = check.last_id() {
+            request = request.insert_header((LAST_EVENT_ID, id));
+        }
+        if self.target == CallTarget::Engines {
+            let scope =
+                format!("{}/{}/", self.deployment.teams[call.team()].name, self.deployment.model);
+            request = request.insert_header((names::CACHE_SCOPE, scope));
+        }
+        let Ok(mut response) = request.send_body(body.clone()).await else {
+            return SendEnd::Broken;
+        };
+        let head = AnswerHead::read(response.status(), response.headers());
+        head.note_in(record);
+        if !response.status().is_success() {
+            let body = response.body().limit(ERROR_BODY_LIMIT).await;
+            return body
+                .map_or(SendEnd::Broken, |body| SendEnd::Final(head.refusal(&body, self.target)));
+        }
+        if let Some(fault) = head.fault(check.expected(), self.target) {
+            return SendEnd::Final(Verdict::Faulty(fault));
+        }
+        let mut reader = SseReader::default();
+        let mut last_token = None;
+        while let Some(bytes) = response.next().await {
+            let Ok(bytes) = bytes else { return SendEnd::Broken };
+            for event in reader.read(&bytes) {
+                if event.name.as_deref() == Some("error") {
+                    return SendEnd::Final(AnswerHead::stream_error(&event.data, record));
+                }
+                let before = check.tokens();
+                if let Err(fault) = check.take(&event) {
+                    return SendEnd::Final(Verdict::Faulty(fault));
+                }
+                if before < check.tokens() {
+                    self.note_token(call, &mut last_token, record);
+                }
+            }
+        }
+        match check.is_done() && !reader.is_within_event() {
+            true => SendEnd::Final(Verdict::Whole),
+            false => SendEnd::Final(Verdict::Faulty(AnswerFault::Truncated)),
+        }
+    }
+
+    fn note_token(&self, call: &PlannedCall, last: &mut Option<Instant>, record: &mut CallRecord) {
+        let now = Instant::now();
+        match last.replace(now) {
+            Some(last) => record.token_gaps.push(now - last),
+            None if record.first_token.is_none() => {
+                record.first_token = Some((now - self.start).saturating_sub(call.at));
+            }
+            None => {}
+        }
+    }
+
+    /// Calls the plain service, and with the plan's share sends the key once more meanwhile.
+    async fn call_service(
+        &self,
+        call: &PlannedCall,
+        service_use: &ServiceUse,
+        record: &mut CallRecord,
+    ) {
+        let service_call = self.deployment.calls[usize::from(service_use.call)];
+        let unix_ms = self.start_unix_ms + call.at.as_millis() as u64;
+        let key = service_use.idempotency_key(unix_ms).to_string();
+        let mut second = CallRecord::new(call);
+        let mut history = KeyHistory { key, sends: Vec::new() };
+        let first = self.send_key(call, &history.key, Duration::ZERO, record);
+        match service_use.sent_again_after.filter(|_| !service_call.repeatable) {
+            None => history.sends = first.await,
+            Some(after) => {
+                let again = self.send_key(call, &history.key, after, &mut second);
+                let (mut sends, more) = tokio::join!(first, again);
+                sends.extend(more);
+                history.sends = sends;
+            }
+        }
+        if second.verdict == Verdict::Whole {
+            record.verdict = Verdict::Whole;
+        }
+        record.key = (!service_call.repeatable).then_some(history);
+    }
+
+    /// Sends the call until a whole answer comes; each send is kept, for the judge.
+    async fn send_key(
+        &self,
+        call: &PlannedCall,
+        key: &str,
+        after: Duration,
+        record: &mut CallRecord,
+    ) -> Vec<KeySend> {
+        sleep(after).await;
+        let mut sends = Vec::new();
+        for _ in 0..=TRIES_AGAIN {
+            let began = self.start.elapsed();
+            record.disposition = None;
+            let sent = timeout(self.patience, self.send_service_call(call, key, record)).await;
+            let ended = self.start.elapsed();
+            sends.push(KeySend { began, ended, disposition: record.disposition });
+            match sent {
+                Ok(SendEnd::Final(verdict)) => {
+                    record.verdict = verdict;
+                    return sends;
+                }
+                Ok(SendEnd::Broken) | Err(_) => {
+                    record.tries_again += 1;
+                    sleep(PAUSE_BEFORE_TRY).await;
+                }
+            }
+        }
+        sends
+    }
+
+    async fn send_service_call(
+        &self,
+        call: &PlannedCall,
+        key: &str,
+        record: &mut CallRecord,
+    ) -> SendEnd {
+        let CallKind::Service(service_use) = &call.kind else { return SendEnd::Broken };
+        let service_call = self.deployment.calls[usize::from(service_use.call)];
+        let path = format!("/services/{}{}", self.deployment.service, service_call.path);
+        let mut request = self.request(call, service_call.method, &path);
+        if !service_call.repeatable {
+            request = request.insert_header((names::IDEMPOTENCY_KEY, key));
+        }
+        let body = format!("{{\"order\":{}}}", call.number);
+        let Ok(mut response) = request.content_type("application/json").send_body(body).await
+        else {
+            return SendEnd::Broken;
+        };
+        let head = AnswerHead::read(response.status(), response.headers());
+        let Ok(body) = response.body().limit(ERROR_BODY_LIMIT).await else {
+            return SendEnd::Broken;
+        };
+        head.note_in(record);
+        if !response.status().is_success() {
+            return SendEnd::Final(head.refusal(&body, self.target));
+        }
+        let fault = head.service_fault(&self.request_id(call));
+        SendEnd::Final(fault.map_or(Verdict::Whole, Verdict::Faulty))
+    }
+
+    fn request(&self, call: &PlannedCall, method: &str, path: &str) -> ClientRequest {
+        let turn = self.next.get();
+        self.next.set((turn + 1) % self.addresses.len());
+        let url = format!("http://{}{path}", self.addresses[turn]);
+        let request = match method {
+            "GET" => self.client.get(url),
+            "PUT" => self.client.put(url),
+            _ => self.client.post(url),
+        };
+        request
+            .bearer_auth(&self.deployment.teams[call.team()].key)
+            .insert_header((names::REQUEST_ID, self.request_id(call)))
+            .content_type("application/json")
+    }
+
+    fn request_id(&self, call: &PlannedCall) -> String {
+        format!("{}-{}", self.run, call.number)
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,24 @@
-//! Reproducible load, checks of every answer, and comparisons.
+//! Reproducible load, checks of every answer, and comparisons of policies under load and faults.
+
+mod calls;
+mod workload;
+
+pub use calls::AnswerCheck;
+pub use calls::AnswerFault;
+pub use calls::CallRecord;
+pub use calls::CallTarget;
+pub use calls::Caller;
+pub use calls::ExpectedAnswer;
+pub use calls::KeyHistory;
+pub use calls::KeySend;
+pub use calls::SseEvent;
+pub use calls::SseReader;
+pub use calls::Verdict;
+pub use workload::CallKind;
+pub use workload::LevelSizes;
+pub use workload::PlannedCall;
+pub use workload::PrefixKey;
+pub use workload::PromptCall;
+pub use workload::PromptLibrary;
+pub use workload::ServiceUse;
+pub use workload::WorkloadPlan;
