--- a/crates/relay/src/resume_plan.rs
+++ b/crates/relay/src/resume_plan.rs
@@ -31,7 +31,8 @@
     Unusable,
 }
 
-/// Other servers that have the weights the stream began with.
+/// Other servers that have the weights the stream began with. The same server counts here once it
+/// has started anew with these weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EqualServers {
     /// At least one can be sent to.
@@ -112,31 +113,33 @@
     if facts.rest == StreamRest::End {
         return ResumeStep::Finish;
     }
+    if is_stranded(facts) {
+        return ResumeStep::End(EndReason::WeightsGone);
+    }
     if facts.attempts_left == 0 {
         return ResumeStep::End(EndReason::OutOfAttempts);
     }
     if facts.give_up_ms <= facts.now_ms {
         return ResumeStep::End(EndReason::OutOfTime);
     }
-    match facts.delivered {
-        DeliveredPart::Nothing => ResumeStep::StartAgain,
-        DeliveredPart::Some => plan_bound(facts),
-    }
-}
-
-/// The plan for a stream that is bound to its weights.
-fn plan_bound(facts: &StreamBreak) -> ResumeStep {
-    match (facts.same, facts.equal) {
-        (SameServer::Alive, EqualServers::InReach) if is_suspect(facts) => {
+    match (facts.delivered, facts.same, facts.equal) {
+        (DeliveredPart::Nothing, _, _) => ResumeStep::StartAgain,
+        (_, SameServer::Alive, EqualServers::InReach) if is_suspect(facts) => {
             ResumeStep::ResumeElsewhere
         }
-        (SameServer::Alive, _) => ResumeStep::ResumeSame,
-        (SameServer::Unusable, EqualServers::InReach) => ResumeStep::ResumeElsewhere,
-        (SameServer::Unusable, EqualServers::OutOfReach) => ResumeStep::End(EndReason::OutOfReach),
-        (SameServer::Unusable, EqualServers::Gone) => ResumeStep::End(EndReason::WeightsGone),
+        (_, SameServer::Alive, _) => ResumeStep::ResumeSame,
+        (_, SameServer::Unusable, EqualServers::InReach) => ResumeStep::ResumeElsewhere,
+        (_, SameServer::Unusable, _) => ResumeStep::End(EndReason::OutOfReach),
     }
 }
 
+/// Whether the stream is bound to weights that no server has any more.
+fn is_stranded(facts: &StreamBreak) -> bool {
+    facts.delivered == DeliveredPart::Some
+        && facts.same == SameServer::Unusable
+        && facts.equal == EqualServers::Gone
+}
+
 /// A server that breaks the protocol, or twice breaks off without a token in between, would likely
 /// do so again; another one costs a prefill.
 fn is_suspect(facts: &StreamBreak) -> bool {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -85,8 +85,12 @@
 }
 
 pub(crate) fn stream_at(attempt: &str, place: StreamPlace) -> AttemptStream {
+    stream_with(attempt, place, UsageChunk::NotAsked)
+}
+
+pub(crate) fn stream_with(attempt: &str, place: StreamPlace, usage: UsageChunk) -> AttemptStream {
     let limit = NonZeroUsize::new(1024).unwrap();
-    AttemptStream::new(limit, attempt, place, UsageChunk::NotAsked, writer())
+    AttemptStream::new(limit, attempt, place, usage, writer())
 }
 
 /// Relays a body given in chunks; what the caller got, and how it ended.
--- a/crates/relay/tests/stream_order.rs
+++ b/crates/relay/tests/stream_order.rs
@@ -14,9 +14,11 @@
 use common::whole;
 use fulmargate_relay::StreamFault;
 use fulmargate_relay::StreamPlace;
+use fulmargate_relay::StreamRest;
 use fulmargate_relay::StreamState;
 use fulmargate_relay::StreamTranscript;
 use fulmargate_relay::StreamVerdict;
+use fulmargate_relay::UsageChunk;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -219,3 +221,22 @@
     let out = String::from_utf8(out.to_vec()).unwrap();
     assert_eq!(lines(&out), lines(&body.replace(ATTEMPT, REQUEST)));
 }
+
+/// A break after the last token would cost a prefill for nothing. What is still owed is known.
+#[test]
+fn what_is_owed_is_known() {
+    let (due, passed) = (UsageChunk::Due, UsageChunk::Passed);
+    let cases = [
+        (due, tokens(ATTEMPT, 0), due, StreamRest::Usage),
+        (due, usage(ATTEMPT) + &tokens(ATTEMPT, 0), due, StreamRest::Usage),
+        (due, tokens(ATTEMPT, 0) + &usage(ATTEMPT), passed, StreamRest::End),
+        (due, usage(ATTEMPT), due, StreamRest::Tokens),
+        (UsageChunk::NotAsked, tokens(ATTEMPT, 0), UsageChunk::NotAsked, StreamRest::End),
+    ];
+    for (asked, body, left, rest) in cases {
+        let mut stream = common::stream_with(ATTEMPT, StreamPlace::default(), asked);
+        let (_, end) = relay(&mut stream, [body.as_bytes()]);
+        assert_eq!(end, Err(StreamFault::Cut), "{body}");
+        assert_eq!((stream.usage(), stream.rest()), (left, rest), "{body}");
+    }
+}
