--- a/crates/load/src/workload/prompt_library.rs
+++ b/crates/load/src/workload/prompt_library.rs
@@ -10,6 +10,9 @@
 use super::planned_call::PromptCall;
 use super::workload_plan::LevelSizes;
 
+/// Roles of a prompt's messages, one a level and one for the question.
+const ROLES: [&str; 4] = ["system", "system", "user", "user"];
+
 /// Gives the text of each level as a function of its key.
 #[derive(Clone, Debug)]
 pub struct PromptLibrary {
@@ -40,10 +43,10 @@
         json!({
             "model": self.model,
             "messages": [
-                { "role": "system", "content": tenant },
-                { "role": "system", "content": service },
-                { "role": "user", "content": record },
-                { "role": "user", "content": question },
+                { "role": ROLES[0], "content": tenant },
+                { "role": ROLES[1], "content": service },
+                { "role": ROLES[2], "content": record },
+                { "role": ROLES[3], "content": question },
             ],
             "max_tokens": call.max_tokens,
             "stream": true,
@@ -51,17 +54,16 @@
         })
     }
 
-    /// Lengths in bytes of the prompt's text up to the end of what each level shares, and of the
+    /// Lengths in bytes of a prompt's text up to the end of what each level shares, and of the
     /// whole. The role of the next message is shared with the level before it.
-    pub fn level_ends(&self, call: &PromptCall, number: u32) -> [usize; 4] {
-        let body = self.body(call, number);
-        let messages = body["messages"].as_array().expect("a body has messages");
-        let length =
-            |level: usize, part: &str| Some(messages.get(level)?[part].as_str()?.len() + 1);
-        let mut end = length(0, "role").unwrap_or_default();
+    pub fn level_ends(&self) -> [usize; 4] {
+        let sizes = &self.sizes;
+        let tokens =
+            [sizes.tenant_tokens, sizes.service_tokens, sizes.record_tokens, sizes.question_tokens];
+        let mut end = ROLES[0].len() + 1;
         std::array::from_fn(|level| {
-            end += length(level, "content").unwrap_or_default();
-            end += length(level + 1, "role").unwrap_or_default();
+            end += tokens[level] * TOKEN_BYTES + 1;
+            end += ROLES.get(level + 1).map_or(0, |role| role.len() + 1);
             end
         })
     }
--- a/crates/load/tests/workload.rs
+++ b/crates/load/tests/workload.rs
@@ -128,7 +128,7 @@
         CompletionBody::parse(body.as_bytes()).unwrap().prompt_text()
     };
     let (first, second) = (text(1), text(2));
-    let ends = library.level_ends(&prompt, 1);
+    let ends = library.level_ends();
     assert_eq!(ends[3], first.len());
     assert_eq!(first[..ends[2]], second[..ends[2]]);
     let [mut a, mut b] = [&first, &second].map(|text| token::block_hashes("t/m/", 1, text));
