Load tool: commands run and overhead

Change: run against routers or engines with tables and JSON; overhead sends direct and routed at the same time, then routed alone for tokens a core-second. Ruled out: planned times for overhead (the tool's own lag would count twice), equal arrival times of both ways (one would always wait for the other). Measured: nothing yet.

--- a/crates/load/src/calls/call_record.rs
+++ b/crates/load/src/calls/call_record.rs
@@ -110,6 +110,8 @@
     pub class: TeamClass,
     /// When it was to be sent, from the start of the run.
     pub at: Duration,
+    /// How much later than planned the tool sent it.
+    pub sent_late: Duration,
     /// Whether a model was called, and not the plain service.
     pub is_prompt: bool,
     /// How it ended.
@@ -144,6 +146,7 @@
             team: call.team(),
             class: call.class,
             at: call.at,
+            sent_late: Duration::ZERO,
             is_prompt: matches!(call.kind, CallKind::Prompt(_)),
             verdict: Verdict::Faulty(AnswerFault::Lost),
             disposition: None,
--- a/crates/load/src/calls/caller.rs
+++ b/crates/load/src/calls/caller.rs
@@ -104,6 +104,7 @@
     /// Makes one call and returns what became of it.
     pub async fn call(&self, call: &PlannedCall) -> CallRecord {
         let mut record = CallRecord::new(call);
+        record.sent_late = self.start.elapsed().saturating_sub(call.at);
         match &call.kind {
             CallKind::Prompt(prompt) => {
                 let answered = self.call_model(call, prompt, &mut record);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,7 +1,9 @@
 //! Reproducible load, checks of every answer, and comparisons of policies under load and faults.
 
 mod calls;
+mod commands;
 mod figures;
+mod load_error;
 mod runs;
 mod workload;
 
@@ -16,6 +18,8 @@
 pub use calls::SseEvent;
 pub use calls::SseReader;
 pub use calls::Verdict;
+pub use commands::CommandEnd;
+pub use commands::LoadArgs;
 pub use figures::BoundFigures;
 pub use figures::CacheJudge;
 pub use figures::EvictionRule;
@@ -25,8 +29,13 @@
 pub use figures::RunReport;
 pub use figures::SegmentUse;
 pub use figures::replay_bound;
+pub use load_error::LoadError;
 pub use runs::LoadRun;
+pub use runs::OverheadFigures;
+pub use runs::OverheadRun;
+pub use runs::PathTimes;
 pub use runs::RunLimits;
+pub use runs::processor_ticks;
 pub use workload::CallKind;
 pub use workload::LevelSizes;
 pub use workload::PlannedCall;
--- a/crates/load/src/runs.rs
+++ b/crates/load/src/runs.rs
@@ -1,6 +1,11 @@
 //! Runs of a plan against a deployment.
 
 mod load_run;
+mod overhead_run;
 
 pub use load_run::LoadRun;
 pub use load_run::RunLimits;
+pub use overhead_run::OverheadFigures;
+pub use overhead_run::OverheadRun;
+pub use overhead_run::PathTimes;
+pub use overhead_run::processor_ticks;
--- a/crates/load/src/workload/workload_plan.rs
+++ b/crates/load/src/workload/workload_plan.rs
@@ -23,7 +23,7 @@
 const DEFAULT_ZIPF_EXPONENT: f64 = 0.9;
 const DEFAULT_SERVICE_SHARE: f64 = 0.05;
 const DEFAULT_RESENT_SHARE: f64 = 0.1;
-const ANSWER_TOKENS: usize = 16;
+const DEFAULT_ANSWER_TOKENS: usize = 16;
 /// Longest time after which a caller sends a key again.
 const RESEND_WITHIN_MS: u64 = 300;
 
@@ -90,6 +90,8 @@
     pub resent_share: f64,
     /// After each such time other records are the popular ones.
     pub shift_every: Option<Duration>,
+    /// Tokens of an answer.
+    pub answer_tokens: usize,
     /// Sizes of prompts.
     pub sizes: LevelSizes,
 }
@@ -105,6 +107,7 @@
             service_share: DEFAULT_SERVICE_SHARE,
             resent_share: DEFAULT_RESENT_SHARE,
             shift_every: None,
+            answer_tokens: DEFAULT_ANSWER_TOKENS,
             sizes: LevelSizes::of(deployment),
         }
     }
@@ -199,7 +202,7 @@
             service: (record % services) as u16,
             record: record as u16,
         };
-        PromptCall { prefix, max_tokens: ANSWER_TOKENS }
+        PromptCall { prefix, max_tokens: plan.answer_tokens }
     }
 
     fn draw_service_use(&mut self, team: usize) -> ServiceUse {
