--- a/crates/config/src/config_document.rs
+++ b/crates/config/src/config_document.rs
@@ -191,8 +191,8 @@
         let path = entry_path(section, name);
         map.insert(read_name(&path, name)?, Arc::new(read_part(&path, value)?));
     }
-    // The order of names, not that of the text: every reader must have the same document,
-    // whether it came to it by patches or by a snapshot.
+    // The order of names, not that of the text (which serde_json's `preserve_order` would keep):
+    // readers that came by patches and by a snapshot must have the same document.
     map.sort_keys();
     Ok(map)
 }
--- a/crates/config/src/config_error.rs
+++ b/crates/config/src/config_error.rs
@@ -1,13 +1,15 @@
 //! What is wrong with a document.
 
 use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
 
 /// Longest piece of a refused value that an error repeats, in characters.
 const VALUE_CHARS: usize = 80;
 
 /// Where a document is wrong, what stands there, and what is allowed.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, Error, Serialize, Deserialize)]
 #[display("{path}: {value} is refused; allowed: {allowed}")]
 pub struct ConfigError {
     /// JSON pointer to the place; empty for the whole document.
