--- a/crates/ledger/src/claim_book.rs
+++ b/crates/ledger/src/claim_book.rs
@@ -24,6 +24,7 @@
 use crate::RECORD_LAYOUT;
 use crate::RanPlace;
 use crate::RecordEffect;
+use crate::RenewPlan;
 use crate::RenewedClaim;
 use crate::RenewedState;
 use crate::RequestPrint;
@@ -264,22 +265,10 @@
         }
     }
 
-    /// The claims that tell of themselves in records from before `standing_ms` and must be remembered beyond `beyond_ms`, as
-    /// entries to write anew. None that could still be released: its release may lie beyond what this book has read.
-    pub fn to_renew(
-        &self,
-        standing_ms: u64,
-        beyond_ms: u64,
-        complete_ms: u64,
-        limit: usize,
-    ) -> Vec<RenewedClaim> {
-        let due = self.held.iter().filter(|(_, held)| {
-            let releasable_to = held.claimed_ms + u64::from(held.release_within_ms);
-            held.standing_ms < standing_ms
-                && beyond_ms < held.until_ms
-                && releasable_to < complete_ms
-        });
-        due.take(limit).map(|(key, held)| self.renewed(*key, held)).collect()
+    /// The claims that have to be written anew.
+    pub fn to_renew(&self, plan: &RenewPlan) -> Vec<RenewedClaim> {
+        let due = self.held.iter().filter(|(_, held)| plan.includes(held));
+        due.take(plan.limit).map(|(key, held)| self.renewed(*key, held)).collect()
     }
 
     fn renewed(&self, key: KeyHash, held: &HeldClaim) -> RenewedClaim {
--- /dev/null
+++ b/crates/ledger/src/desk_settings.rs
@@ -0,0 +1,124 @@
+//! The numbers that a claim desk works by.
+
+use std::time::Duration;
+
+/// What a desk that is cut off from the log says of a call whose key its book does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutOffRule {
+    /// `not-run` speaks of this call: it was not sent and won't be. An earlier call under the key, claimed through another
+    /// router since the book was last read, is not spoken of; its own answer tells of it.
+    CallOnly,
+    /// `not-run` would speak of the key, which a desk without the log cannot know: it says `unknown`.
+    KeyToo,
+}
+
+/// The numbers that a claim desk works by. Those in milliseconds of the log's clock (`_ms`) must be equal on all routers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeskSettings {
+    /// How long the log keeps records.
+    pub retention_ms: u64,
+    /// A key that carries its age is refused from this age on.
+    pub remember_ms: u64,
+    /// How far a key's own time may lie ahead of the log's for its age to count.
+    pub ahead_ms: u64,
+    /// How long a key without an age is remembered.
+    pub opaque_ms: u64,
+    /// The age of a record from which its claims are written anew, if they must outlive it.
+    pub renew_after_ms: u64,
+    /// How long after its landing a claim can be released.
+    pub release_within_ms: u32,
+    /// The age from which a claim without an outcome counts as unknown.
+    pub pending_ms: u64,
+    /// How long a won claim may be sent, by the claimer's clock.
+    pub ticket_life: Duration,
+    /// How long a claim waits for its append before it is refused.
+    pub append_patience: Duration,
+    /// How long an outcome waits for a claim to share its append with.
+    pub outcome_linger: Duration,
+    /// Appends a second of groups that are not full.
+    pub appends_per_s: u32,
+    /// Appends that may follow each other at once after a quiet time.
+    pub append_burst: u32,
+    /// Claims in a group that goes at once.
+    pub full_group: usize,
+    /// The largest record.
+    pub group_bytes: usize,
+    /// The largest body of an answer that is kept.
+    pub body_limit: usize,
+    /// What the desk says when it is cut off from the log.
+    pub cut_off: CutOffRule,
+}
+
+/// Why settings are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum DeskSettingsError {
+    /// Keys with an age would be remembered longer than the log keeps their claims.
+    #[display("remember_ms + ahead_ms must be at most nine tenths of retention_ms")]
+    RememberTooLong,
+    /// Keys without an age would be forgotten before keys with one.
+    #[display("opaque_ms must be at least remember_ms + ahead_ms")]
+    OpaqueTooShort,
+    /// Claims would be written anew while they can be released, or too late.
+    #[display(
+        "renew_after_ms must lie between twice release_within_ms and six tenths of retention_ms"
+    )]
+    RenewMisplaced,
+    /// A number that must not be 0.
+    #[display("appends_per_s, append_burst, full_group and group_bytes must not be 0")]
+    Zero,
+}
+
+const MINUTE_MS: u64 = 60_000;
+const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
+
+impl DeskSettings {
+    /// Settings for a log that keeps records for so long.
+    pub fn for_retention(retention: Duration) -> DeskSettings {
+        let retention_ms = retention.as_millis() as u64;
+        let remember_ms = (retention_ms / 5 * 4).min(DAY_MS);
+        let ahead_ms = (retention_ms / 20).min(5 * MINUTE_MS);
+        DeskSettings {
+            retention_ms,
+            remember_ms,
+            ahead_ms,
+            opaque_ms: DAY_MS.max(remember_ms + ahead_ms),
+            renew_after_ms: retention_ms / 2,
+            release_within_ms: (retention_ms / 10).min(2 * MINUTE_MS) as u32,
+            pending_ms: MINUTE_MS,
+            ticket_life: Duration::from_secs(10),
+            append_patience: Duration::from_secs(1),
+            outcome_linger: Duration::from_millis(100),
+            appends_per_s: 20,
+            append_burst: 5,
+            full_group: 25,
+            group_bytes: 64 << 10,
+            body_limit: 2 << 10,
+            cut_off: CutOffRule::CallOnly,
+        }
+    }
+
+    /// Refuses settings under which a claim could be forgotten while its key is still accepted.
+    pub fn check(&self) -> Result<(), DeskSettingsError> {
+        if self.outlived_ms() < self.remember_ms + self.ahead_ms {
+            return Err(DeskSettingsError::RememberTooLong);
+        }
+        if self.opaque_ms < self.remember_ms + self.ahead_ms {
+            return Err(DeskSettingsError::OpaqueTooShort);
+        }
+        let earliest_ms = 2 * u64::from(self.release_within_ms);
+        let latest_ms = self.retention_ms / 10 * 6;
+        if self.renew_after_ms < earliest_ms || latest_ms < self.renew_after_ms {
+            return Err(DeskSettingsError::RenewMisplaced);
+        }
+        let zero = self.appends_per_s == 0
+            || self.append_burst == 0
+            || self.full_group == 0
+            || self.group_bytes == 0;
+        if zero { Err(DeskSettingsError::Zero) } else { Ok(()) }
+    }
+
+    /// How long a record is trusted to last: a tenth less than the log keeps it.
+    pub(crate) fn outlived_ms(&self) -> u64 {
+        self.retention_ms - self.retention_ms / 10
+    }
+}
--- a/crates/ledger/src/held_claim.rs
+++ b/crates/ledger/src/held_claim.rs
@@ -1,7 +1,13 @@
 //! One key in the book.
 
 use fulmargate_names::LogOffset;
+use fulmargate_platform::LogRecord;
 
+use crate::CallOutcome;
+use crate::ClaimEntry;
+use crate::ClaimOutcome;
+use crate::ClaimRecord;
+use crate::RanOutcome;
 use crate::RequestPrint;
 use crate::claimer_table::ClaimerIndex;
 
@@ -47,3 +53,21 @@
     /// The record that holds its outcome; `None` when the claim was renewed after the body's time.
     pub offset: Option<LogOffset>,
 }
+
+impl RanPlace {
+    /// What is known without the log.
+    pub fn without_body(&self) -> RanOutcome {
+        RanOutcome { status: self.status, digest: None, body: None }
+    }
+
+    /// What the record at `offset` says of the call.
+    pub fn outcome_in(&self, record: &LogRecord) -> RanOutcome {
+        let parsed = serde_json::from_str::<ClaimRecord>(&record.data).ok();
+        let entry =
+            parsed.and_then(|parsed| parsed.entries.into_iter().nth(usize::from(self.position)));
+        match entry {
+            Some(ClaimEntry::Outcome(ClaimOutcome { outcome: CallOutcome::Ran(ran), .. })) => ran,
+            _ => self.without_body(),
+        }
+    }
+}
--- a/crates/ledger/tests/claim_book.rs
+++ b/crates/ledger/tests/claim_book.rs
@@ -19,6 +19,7 @@
 use fulmargate_ledger::RanOutcome;
 use fulmargate_ledger::RanPlace;
 use fulmargate_ledger::RecordEffect;
+use fulmargate_ledger::RenewPlan;
 use fulmargate_ledger::RenewedClaim;
 use fulmargate_ledger::RenewedState;
 use fulmargate_ledger::RequestPrint;
@@ -326,18 +327,20 @@
     book.fold(&record(0, &landed)).unwrap();
     struct RenewCase(&'static str, u64, u64, u64, usize);
     let cases = [
-        RenewCase("due", 2_000, 3_000, 5_000, 1),
-        RenewCase("its record is young", 1_000, 3_000, 5_000, 0),
-        RenewCase("forgotten before its record goes", 2_000, 11_000, 5_000, 0),
-        RenewCase("a release may be on its way", 2_000, 3_000, 1_100, 0),
+        RenewCase("due", 2_000, 9_000, 5_000, 1),
+        RenewCase("its record is young", 1_000, 9_000, 5_000, 0),
+        RenewCase("forgotten before its record goes", 2_000, 10_000, 5_000, 0),
+        RenewCase("a release may be on its way", 2_000, 9_000, 1_100, 0),
     ];
-    for RenewCase(name, standing_ms, beyond_ms, complete_ms, count) in cases {
-        assert_eq!(book.to_renew(standing_ms, beyond_ms, complete_ms, 10).len(), count, "{name}");
+    for RenewCase(name, standing_before_ms, lasting_ms, complete_ms, count) in cases {
+        let plan = RenewPlan { standing_before_ms, lasting_ms, complete_ms, limit: 10 };
+        assert_eq!(book.to_renew(&plan).len(), count, "{name}");
     }
-    let entries =
-        book.to_renew(2_000, 3_000, 5_000, 10).into_iter().map(ClaimEntry::Renew).collect();
+    let plan =
+        RenewPlan { standing_before_ms: 2_000, lasting_ms: 9_000, complete_ms: 5_000, limit: 10 };
+    let entries = book.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
     book.fold(&record(1, &Landed("b", 1, 2_500, entries))).unwrap();
-    assert_eq!(book.to_renew(2_000, 3_000, 5_000, 10).len(), 0);
+    assert_eq!(book.to_renew(&plan).len(), 0);
 }
 
 #[test]
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use uuid::Uuid;
 
 use crate::AppendFate;
 use crate::Landing;
@@ -50,9 +51,10 @@
 }
 
 impl LogTimeouts {
-    /// The pauses between tries.
+    /// The pauses between tries, drawn by chance.
     pub fn pauses(&self) -> PausePlan {
-        PausePlan::new(self.shortest_pause, self.longest_pause)
+        let (seed, _) = Uuid::new_v4().as_u64_pair();
+        PausePlan::new(self.shortest_pause, self.longest_pause, seed)
     }
 }
 
