--- a/crates/config/src/config_keeper.rs
+++ b/crates/config/src/config_keeper.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fulmargate_names::ConfigVersion;
 use fulmargate_names::EventKind;
 use fulmargate_names::LogOffset;
 use fulmargate_platform::LogError;
@@ -15,7 +16,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::BatchOutcome;
-use crate::ConfigPosition;
 use crate::ConfigRecord;
 use crate::KeeperSettings;
 use crate::LogAccess;
@@ -36,7 +36,6 @@
     pub(crate) settings: KeeperSettings,
     pub(crate) state: RefCell<KeeperState>,
     published: watch::Sender<PublishedConfig>,
-    position: watch::Sender<ConfigPosition>,
     role: watch::Sender<ReaderRole>,
     /// Wakes the loops of `run` when what they wait for may have changed.
     changed: watch::Sender<()>,
@@ -58,7 +57,6 @@
             settings,
             state: RefCell::new(KeeperState::new(role, Instant::now())),
             published: watch::Sender::new(PublishedConfig::default()),
-            position: watch::Sender::new(ConfigPosition::default()),
             role: watch::Sender::new(role),
             changed: watch::Sender::new(()),
             snapshot_prefix: format!("snapshot-{writer}").into(),
@@ -71,11 +69,6 @@
         self.shared.published.subscribe()
     }
 
-    /// How far this router has come, now and as it changes: for peers.
-    pub fn subscribe_position(&self) -> watch::Receiver<ConfigPosition> {
-        self.shared.position.subscribe()
-    }
-
     /// Who reads the log has changed.
     pub fn set_role(&self, role: ReaderRole) {
         self.shared.state.borrow_mut().set_role(role, Instant::now());
@@ -83,12 +76,18 @@
         self.shared.changed.send_replace(());
     }
 
-    /// A peer told how far it has come.
-    pub fn hear_position(&self, position: ConfigPosition) {
-        self.shared.state.borrow_mut().hear(position, Instant::now());
+    /// A peer told the version it has in force; 0 if none. If it is newer than this router's, its
+    /// `records_from(wanted_offset())` is wanted here.
+    pub fn hear_version(&self, version: ConfigVersion) {
+        self.shared.state.borrow_mut().hear(version, Instant::now());
         self.shared.after_change();
     }
 
+    /// This process did not run for a while.
+    pub fn note_pause(&self) {
+        self.shared.state.borrow_mut().note_break();
+    }
+
     /// A peer sent records, asked for or not.
     pub fn offer_records(&self, batch: RecordBatch) -> BatchOutcome {
         let mut state = self.shared.state.borrow_mut();
@@ -114,9 +113,18 @@
             () = cancel.cancelled() => {}
             () = self.follow() => {}
             () = self.renew_snapshots() => {}
+            () = self.settle() => {}
         }
     }
 
+    /// What waits for the end of the first moments is published then, though nothing new comes.
+    async fn settle(&self) {
+        let settled_at = self.shared.state.borrow().settled_at(&self.shared.settings);
+        sleep_until(settled_at).await;
+        self.shared.after_change();
+        std::future::pending().await
+    }
+
     async fn follow(&self) {
         let settings = &self.shared.settings;
         let mut pauses = PausePlan::new(settings.shortest_pause, settings.longest_pause);
@@ -201,7 +209,7 @@
     async fn read_page(&self, wait: Duration) -> Result<usize, LogError> {
         let from = self.state.borrow().fold.next_offset();
         let read = (self.log.read)(from, self.settings.page_records, wait).await;
-        let page = read.inspect_err(|_| self.state.borrow_mut().note_failure())?;
+        let page = read.inspect_err(|_| self.state.borrow_mut().note_break())?;
         let count = page.records.len();
         self.state.borrow_mut().take_page(page, &self.settings, Instant::now());
         self.after_change();
@@ -227,14 +235,10 @@
 
     /// Publishes what may come into force, and wakes the loops.
     pub(crate) fn after_change(&self) {
-        let (published, position) = {
-            let mut state = self.state.borrow_mut();
-            (state.publish(&self.settings, Instant::now()), state.position())
-        };
+        let published = self.state.borrow_mut().publish(&self.settings, Instant::now());
         if let Some(published) = published {
             self.published.send_replace(published);
         }
-        self.position.send_if_modified(|current| std::mem::replace(current, position) != position);
         self.changed.send_replace(());
     }
 }
--- a/crates/config/src/keeper_settings.rs
+++ b/crates/config/src/keeper_settings.rs
@@ -31,9 +31,12 @@
     pub quiet_limit: Duration,
     /// A follower reads the log when a peer is ahead and its records have not come for so long.
     pub offer_limit: Duration,
-    /// A direct reader that has just started takes a peer's state as enough when the log has not
-    /// been read to its end for so long.
+    /// A direct reader that has just started leaves the log so long to be read to its end; after
+    /// that it takes what peers have as enough.
     pub first_read_limit: Duration,
+    /// A follower that has just started leaves its peers so long to tell their versions, before it
+    /// takes what one of them has as enough.
+    pub first_hear_limit: Duration,
     /// The pause after a first failed call; later pauses double.
     pub shortest_pause: Duration,
     /// No pause is longer.
@@ -50,7 +53,8 @@
             page_records: 1_000,
             quiet_limit: Duration::from_secs(3),
             offer_limit: Duration::from_millis(500),
-            first_read_limit: Duration::from_millis(500),
+            first_read_limit: Duration::from_millis(300),
+            first_hear_limit: Duration::from_millis(150),
             shortest_pause: Duration::from_millis(20),
             longest_pause: Duration::from_secs(1),
         }
--- a/crates/config/src/keeper_state.rs
+++ b/crates/config/src/keeper_state.rs
@@ -13,7 +13,6 @@
 use crate::BatchOutcome;
 use crate::ConfigDocument;
 use crate::ConfigFold;
-use crate::ConfigPosition;
 use crate::FoldEvent;
 use crate::KeeperSettings;
 use crate::PatchVerdict;
@@ -43,7 +42,6 @@
     published: ConfigVersion,
     /// The newest version that a peer has told of.
     heard_version: ConfigVersion,
-    heard_next: LogOffset,
     heard_at: Instant,
     /// Since when a peer is known to be ahead.
     behind_since: Option<Instant>,
@@ -66,7 +64,6 @@
             awaited: HashMap::new(),
             published: ConfigVersion(0),
             heard_version: ConfigVersion(0),
-            heard_next: LogOffset(0),
             heard_at: now,
             behind_since: Some(now),
             began: now,
@@ -86,21 +83,13 @@
         }
     }
 
-    /// What peers are told.
-    pub(crate) fn position(&self) -> ConfigPosition {
-        match self.published {
-            ConfigVersion(0) => ConfigPosition::default(),
-            version => ConfigPosition { version, next: self.fold.next_offset() },
-        }
-    }
-
     /// Whether reads may wait for news: until the end is known they must not.
     pub(crate) fn is_live(&self) -> bool {
         self.is_live
     }
 
-    /// A read failed.
-    pub(crate) fn note_failure(&mut self) {
+    /// A read failed, or the process did not run for a while: what is read next may be old.
+    pub(crate) fn note_break(&mut self) {
         self.is_live = false;
     }
 
@@ -235,16 +224,16 @@
         }
     }
 
-    /// What a peer told of itself.
-    pub(crate) fn hear(&mut self, position: ConfigPosition, now: Instant) {
+    /// A peer told the version it has in force.
+    pub(crate) fn hear(&mut self, version: ConfigVersion, now: Instant) {
         self.heard_at = now;
-        self.heard_version = self.heard_version.max(position.version);
-        self.heard_next = self.heard_next.max(position.next);
+        self.heard_version = self.heard_version.max(version);
         self.mind_distance(now);
     }
 
     fn mind_distance(&mut self, now: Instant) {
-        let is_behind = self.fold.next_offset() < self.heard_next || self.published.0 == 0;
+        let version = self.fold.version();
+        let is_behind = version < self.heard_version || version == ConfigVersion(0);
         match is_behind {
             true => _ = self.behind_since.get_or_insert(now),
             false => self.behind_since = None,
@@ -292,8 +281,15 @@
         if self.fold.version() < self.heard_version {
             return false;
         }
-        let waited = self.began + settings.first_read_limit <= now;
-        self.reached_end || self.adopted && (self.role == ReaderRole::Follower || waited)
+        self.reached_end || self.adopted && self.settled_at(settings) <= now
+    }
+
+    /// Until when a router that has just started waits for the log's end, or for all its peers.
+    pub(crate) fn settled_at(&self, settings: &KeeperSettings) -> Instant {
+        match self.role {
+            ReaderRole::Direct { .. } => self.began + settings.first_read_limit,
+            ReaderRole::Follower => self.began + settings.first_hear_limit,
+        }
     }
 
     /// Whether a version is in force here, be it 0 because the log holds none.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -75,7 +75,6 @@
 pub use path_pattern::PathPattern;
 pub use policy_kind::PolicyKind;
 pub use record_batch::BatchOutcome;
-pub use record_batch::ConfigPosition;
 pub use record_batch::RecordBatch;
 pub use server_entry::ServerEntry;
 pub use server_entry::ServerKind;
--- a/crates/config/src/record_batch.rs
+++ b/crates/config/src/record_batch.rs
@@ -8,15 +8,6 @@
 
 use crate::SnapshotRecord;
 
-/// How far a router has come; peers tell each other.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigPosition {
-    /// The version in force there; 0 while there is none.
-    pub version: ConfigVersion,
-    /// The offset of the record it wants next; 0 while no version is in force.
-    pub next: LogOffset,
-}
-
 /// All patches of a range of the stream. Snapshot records are left out: a router that follows
 /// another has no use for them, and they are the greater part of the stream's bytes.
 #[derive(Debug, Serialize, Deserialize)]
