--- a/crates/config/src/config_keeper.rs
+++ b/crates/config/src/config_keeper.rs
@@ -1,5 +1,6 @@
 //! Keeps a router's configuration in step with the log and with its peers.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,13 +40,15 @@
     role: watch::Sender<ReaderRole>,
     /// Wakes the loops of `run` when what they wait for may have changed.
     changed: watch::Sender<()>,
-    /// Draws the ids of this router's snapshots apart from those of others.
-    snapshot_prefix: Box<str>,
+    /// Names this router's incarnation.
+    writer: Box<str>,
+    /// Pause plans made so far.
+    plans: Cell<u64>,
 }
 
 impl ConfigKeeper {
-    /// A keeper that knows nothing yet. `writer` names this router's incarnation in the ids of the
-    /// snapshots that it writes.
+    /// A keeper that knows nothing yet. `writer` names this router's incarnation: it stands in the
+    /// ids of the snapshots that it writes, and sets its pauses apart from those of others.
     pub fn new(
         writer: &str,
         log: LogAccess,
@@ -59,7 +62,8 @@
             published: watch::Sender::new(PublishedConfig::default()),
             role: watch::Sender::new(role),
             changed: watch::Sender::new(()),
-            snapshot_prefix: format!("snapshot-{writer}").into(),
+            writer: writer.into(),
+            plans: Cell::new(0),
         };
         ConfigKeeper { shared: Rc::new(shared) }
     }
@@ -126,8 +130,7 @@
     }
 
     async fn follow(&self) {
-        let settings = &self.shared.settings;
-        let mut pauses = PausePlan::new(settings.shortest_pause, settings.longest_pause);
+        let mut pauses = self.shared.pauses();
         let mut role = self.shared.role.subscribe();
         loop {
             let current = *role.borrow_and_update();
@@ -193,7 +196,7 @@
             state.fold.snapshot()
         };
         let covers = snapshot.covers_offset;
-        let id = format!("{}-{covers}", self.shared.snapshot_prefix);
+        let id = format!("snapshot-{}-{covers}", self.shared.writer);
         let data = ConfigRecord::Snapshot(snapshot).to_data();
         let bytes = data.len();
         if (self.shared.log.append)(id.into(), data.into()).await.is_ok() {
@@ -205,6 +208,14 @@
 }
 
 impl KeeperShared {
+    pub(crate) fn pauses(&self) -> PausePlan {
+        let plan = self.plans.get();
+        self.plans.set(plan + 1);
+        let seed =
+            self.writer.bytes().fold(plan, |seed, byte| seed.rotate_left(7) ^ u64::from(byte));
+        PausePlan::new(self.settings.shortest_pause, self.settings.longest_pause, seed)
+    }
+
     /// Reads on from the wanted offset; gives how many records came.
     async fn read_page(&self, wait: Duration) -> Result<usize, LogError> {
         let from = self.state.borrow().fold.next_offset();
--- a/crates/config/src/patch_submission.rs
+++ b/crates/config/src/patch_submission.rs
@@ -6,7 +6,6 @@
 use fulmargate_names::ServerName;
 use fulmargate_platform::Landing;
 use fulmargate_platform::LogError;
-use fulmargate_platform::PausePlan;
 use serde_json::json;
 use sha2::Digest;
 use sha2::Sha256;
@@ -208,8 +207,7 @@
     /// again. A copy that comes late out of a slow connection does no harm: of two copies at most
     /// one finds its base current.
     async fn settle(mut self) -> SubmitOutcome {
-        let settings = &self.shared.settings;
-        let mut pauses = PausePlan::new(settings.shortest_pause, settings.longest_pause);
+        let mut pauses = self.shared.pauses();
         let mut may_append = true;
         loop {
             if may_append && self.landed.is_none() {
