--- /dev/null
+++ b/crates/placement/src/baseline.rs
@@ -0,0 +1,49 @@
+//! The policies that the cost policy is compared with.
+
+use crate::Choice;
+use crate::ChoiceReason;
+use crate::chooser::Chooser;
+use crate::estimate::Estimate;
+
+/// Servers of a list looked at when those before are out of use.
+const LISTED: usize = 8;
+
+impl Chooser<'_> {
+    /// Each usable server in turn.
+    pub(crate) fn round_robin(&self) -> Option<Choice> {
+        let near = self.view.near();
+        let turn = self.placer.next_turn();
+        let index = (0..near.len())
+            .map(|step| near[(turn + step) % near.len()])
+            .find(|index| self.is_usable(*index));
+        self.baseline(index, ChoiceReason::RoundRobin)
+    }
+
+    /// The usable server with the fewest requests.
+    pub(crate) fn least_load(&self) -> Option<Choice> {
+        let index = self
+            .view
+            .near()
+            .iter()
+            .copied()
+            .filter(|index| self.is_usable(*index))
+            .min_by(|a, b| self.occupancy(*a).total_cmp(&self.occupancy(*b)));
+        self.baseline(index, ChoiceReason::LeastLoad)
+    }
+
+    /// The first usable server of the anchor's list; of the whole prompt's, if it is short.
+    pub(crate) fn prefix_hash(&self) -> Option<Choice> {
+        let anchor = self.chain.anchor().map(|anchor| anchor.hash.0);
+        let key = anchor.unwrap_or(self.chain.request_hash());
+        let list = self.view.ring().list(key, LISTED);
+        let near = self.view.near().iter();
+        let index =
+            list.as_slice().iter().chain(near).copied().find(|index| self.is_usable(*index));
+        self.baseline(index, ChoiceReason::PrefixHash)
+    }
+
+    fn baseline(&self, index: Option<u32>, reason: ChoiceReason) -> Option<Choice> {
+        let Some(index) = index else { return self.far_away() };
+        Some(Estimate::unknown(self, index).choice(self, index, reason))
+    }
+}
--- /dev/null
+++ b/crates/placement/src/chooser.rs
@@ -0,0 +1,213 @@
+//! The choice of one request by least estimated cost.
+
+use crate::Choice;
+use crate::ChoiceReason;
+use crate::ClassWeights;
+use crate::FleetView;
+use crate::PlaceRequest;
+use crate::Placer;
+use crate::PrefixLevel;
+use crate::PromptChain;
+use crate::estimate::Estimate;
+use crate::mix::mix;
+use crate::mix::unit;
+use crate::preference::Preference;
+use crate::server_list::ServerList;
+use crate::warm_set::WarmSet;
+
+/// A server elsewhere is warm enough to look at if it has so many tokens more.
+const WARM_TOKENS: f64 = 256.0;
+/// A shorter wait at home is not worth looking for a detour.
+const DETOUR_WAIT_MS: f64 = 20.0;
+/// Detours differ by up to this much from request to request, so that routers that see the same
+/// report do not all send to the same server.
+const DETOUR_JITTER_MS: f64 = 5.0;
+/// Servers of the group's list looked at besides its members.
+const NEXT_LISTED: usize = 2;
+/// Servers drawn from all for a detour or a prompt without a home.
+const DRAWN: u64 = 2;
+/// Servers of a list looked at when those before are out of use.
+const FALLBACKS: usize = 8;
+
+/// What one choice looks at.
+pub(crate) struct Chooser<'a> {
+    pub(crate) placer: &'a Placer,
+    pub(crate) view: &'a FleetView,
+    pub(crate) chain: &'a PromptChain,
+    pub(crate) request: &'a PlaceRequest<'a>,
+}
+
+impl Chooser<'_> {
+    /// Home, unless it is out of use, another server is known to be warmer, or waiting there would
+    /// cost more than going elsewhere.
+    pub(crate) fn by_cost(&self) -> Option<Choice> {
+        let (Some(anchor), Some(preference)) = (self.chain.anchor(), self.preference()) else {
+            return self.without_home();
+        };
+        let warm = WarmSet::new(self.placer.hints(), self.view, self.chain, self.request.now_ms);
+        let Some((home, reason)) = self.home(&preference, anchor) else {
+            return self.fallback(&warm);
+        };
+        let at_home = Estimate::at_home(self, &warm, home);
+        if let Some(choice) = self.warmer(&warm, home, &at_home) {
+            return Some(choice);
+        }
+        if let Some(choice) = self.detour(&preference, &warm, home, &at_home) {
+            return Some(choice);
+        }
+        Some(at_home.choice(self, home, reason))
+    }
+
+    pub(crate) fn weights(&self) -> ClassWeights {
+        self.request.weights
+    }
+
+    pub(crate) fn is_usable(&self, index: u32) -> bool {
+        let meter = &self.view.at(index).meter;
+        meter.is_usable(self.request.now_ms) && !self.request.excluded.contains(&meter.id())
+    }
+
+    /// Requests there, told apart by the request's hash where they are equal.
+    pub(crate) fn occupancy(&self, index: u32) -> f64 {
+        self.view.at(index).meter.occupancy(self.request.now_ms) + self.jitter(index)
+    }
+
+    fn jitter(&self, index: u32) -> f64 {
+        unit(mix(self.chain.request_hash(), u64::from(index)))
+    }
+
+    fn preference(&self) -> Option<Preference> {
+        let placer = self.placer;
+        let width = || {
+            let group = self.chain.group().map(|level| level.hash).unwrap_or_default();
+            let share = placer.groups().share(group, self.request.now_ms);
+            share * self.view.near().len() as f64 * placer.conf().width_factor
+        };
+        Preference::new(self.view, self.chain, width)
+    }
+
+    /// The least occupied of the servers that keep the prefix: one, and more if it is hot.
+    fn home(&self, preference: &Preference, anchor: PrefixLevel) -> Option<(u32, ChoiceReason)> {
+        let members = preference.members();
+        let copies = self.copies(anchor).min(members.len());
+        let first = *members.first()?;
+        let kept = members[..copies].iter().copied().filter(|index| self.is_usable(*index));
+        let least = kept.min_by(|a, b| self.occupancy(*a).total_cmp(&self.occupancy(*b)));
+        if let Some(home) = least {
+            let reason = if home == first { ChoiceReason::Home } else { ChoiceReason::Spread };
+            return Some((home, reason));
+        }
+        let next = members[copies..].iter().copied().find(|index| self.is_usable(*index));
+        next.map(|index| (index, ChoiceReason::Fallback))
+    }
+
+    /// On how many servers the anchor is kept. A prefix that is a large part of one server's work
+    /// costs little to keep twice, and then evens out the load of both.
+    fn copies(&self, anchor: PrefixLevel) -> usize {
+        let share = self.placer.anchors().share(anchor.hash, self.request.now_ms);
+        let servers = self.view.near().len() as f64;
+        (1.0 + share * servers * self.placer.conf().hot_factor) as usize
+    }
+
+    /// A server that has more of the prompt than home: the rest of a conversation that was once
+    /// sent elsewhere, or a prefix whose home has just started anew.
+    fn warmer(&self, warm: &WarmSet, home: u32, at_home: &Estimate) -> Option<Choice> {
+        let limit = at_home.cost(self);
+        let best = warm
+            .iter()
+            .filter(|warm| warm.index != home && at_home.cached + WARM_TOKENS <= warm.tokens.into())
+            .filter(|warm| self.is_usable(warm.index))
+            .map(|warm| (warm.index, Estimate::at_warm(self, warm)))
+            .min_by(|a, b| a.1.cost(self).total_cmp(&b.1.cost(self)))?;
+        let (index, estimate) = best;
+        (estimate.cost(self) < limit).then(|| estimate.choice(self, index, ChoiceReason::Warm))
+    }
+
+    /// A server with little to do, where computing the prompt anew costs less than the wait.
+    fn detour(
+        &self,
+        preference: &Preference,
+        warm: &WarmSet,
+        home: u32,
+        at_home: &Estimate,
+    ) -> Option<Choice> {
+        if at_home.wait_ms < DETOUR_WAIT_MS {
+            return None;
+        }
+        let limit = at_home.cost(self);
+        let (cost, index, estimate) = self
+            .alternatives(preference)
+            .as_slice()
+            .iter()
+            .filter(|index| **index != home && self.is_usable(**index))
+            .map(|index| {
+                let estimate = Estimate::elsewhere(self, warm, preference, *index);
+                let jitter = DETOUR_JITTER_MS * (1.0 + self.jitter(*index));
+                (estimate.cost(self) + self.weights().ttft * jitter, *index, estimate)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let extra = (estimate.uncached - at_home.uncached).max(0.0);
+        if limit <= cost || !self.placer.budget().spend(extra) {
+            return None;
+        }
+        Some(estimate.choice(self, index, ChoiceReason::Detour))
+    }
+
+    fn alternatives(&self, preference: &Preference) -> ServerList {
+        let mut list = ServerList::new();
+        for index in preference.members().iter().take(FALLBACKS) {
+            list.push(*index);
+        }
+        let group = self.chain.group().map(|level| level.hash.0).unwrap_or_default();
+        for index in self.view.ring().list(group, NEXT_LISTED + 1).as_slice() {
+            list.push(*index);
+        }
+        self.draw(self.view.near(), &mut list);
+        list
+    }
+
+    /// All members are out of use: the next server of the group's list, so that the group stays
+    /// together, then any near one, then any at all.
+    fn fallback(&self, warm: &WarmSet) -> Option<Choice> {
+        let group = self.chain.group().map(|level| level.hash.0).unwrap_or_default();
+        let list = self.view.ring().list(group, FALLBACKS);
+        let near = self.view.near().iter();
+        let index = list.as_slice().iter().chain(near).find(|index| self.is_usable(**index));
+        let Some(index) = index.copied() else { return self.far_away() };
+        let estimate = match warm.get(index) {
+            Some(warm) => Estimate::at_warm(self, warm),
+            None => Estimate::cold(self, warm, index),
+        };
+        Some(estimate.choice(self, index, ChoiceReason::Fallback))
+    }
+
+    /// The less occupied of two near servers drawn by the request's hash.
+    fn without_home(&self) -> Option<Choice> {
+        let index = self.least_of_drawn(self.view.near());
+        let Some(index) = index else { return self.far_away() };
+        Some(Estimate::unknown(self, index).choice(self, index, ChoiceReason::ShortPrompt))
+    }
+
+    pub(crate) fn far_away(&self) -> Option<Choice> {
+        let index = self.least_of_drawn(self.view.far())?;
+        Some(Estimate::unknown(self, index).choice(self, index, ChoiceReason::FarZone))
+    }
+
+    fn least_of_drawn(&self, servers: &[u32]) -> Option<u32> {
+        let mut drawn = ServerList::new();
+        self.draw(servers, &mut drawn);
+        let usable = drawn.as_slice().iter().copied().filter(|index| self.is_usable(*index));
+        let least = usable.min_by(|a, b| self.occupancy(*a).total_cmp(&self.occupancy(*b)));
+        least.or_else(|| servers.iter().copied().find(|index| self.is_usable(*index)))
+    }
+
+    fn draw(&self, servers: &[u32], list: &mut ServerList) {
+        if servers.is_empty() {
+            return;
+        }
+        for turn in 0..DRAWN {
+            let hash = mix(self.chain.request_hash(), turn);
+            list.push(servers[(hash % servers.len() as u64) as usize]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/estimate.rs
@@ -0,0 +1,153 @@
+//! What sending a request to one server would take.
+
+use crate::Choice;
+use crate::ChoiceReason;
+use crate::ImportConf;
+use crate::KvSource;
+use crate::StoreUse;
+use crate::choice::CacheBelief;
+use crate::chooser::Chooser;
+use crate::preference::Preference;
+use crate::warm_set::WarmServer;
+use crate::warm_set::WarmSet;
+
+/// A hint that is not too old is right about this often.
+const HINT_TRUST: f64 = 0.95;
+/// A group's prefix is cached about this often on the servers that keep the group.
+const GROUP_TRUST: f64 = 0.9;
+
+/// The estimated time of a request at one server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    pub(crate) wait_ms: f64,
+    /// Tokens expected in the server's cache.
+    pub(crate) cached: f64,
+    /// Tokens expected to be computed.
+    pub(crate) uncached: f64,
+    compute_ms: f64,
+    import_ms: f64,
+    zone_ms: f64,
+    source: Option<ImportSource>,
+    belief: CacheBelief,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ImportSource {
+    Server(u32),
+    Store,
+}
+
+impl Estimate {
+    /// At the server that keeps the prompt.
+    pub(crate) fn at_home(chooser: &Chooser<'_>, warm: &WarmSet, home: u32) -> Estimate {
+        if let Some(warm) = warm.get(home) {
+            return Estimate::at_warm(chooser, warm);
+        }
+        let tokens = chooser.chain.anchor().map_or(0, |anchor| anchor.tokens);
+        let cached = f64::from(tokens) * chooser.view.at(home).meter.home_hit();
+        Estimate::new(chooser, home, cached, CacheBelief::Home { tokens }).imported(chooser, warm)
+    }
+
+    /// At a server that a hint names.
+    pub(crate) fn at_warm(chooser: &Chooser<'_>, warm: WarmServer) -> Estimate {
+        let cached = f64::from(warm.tokens) * HINT_TRUST;
+        Estimate::new(chooser, warm.index, cached, warm.belief())
+    }
+
+    /// At a server other than home.
+    pub(crate) fn elsewhere(
+        chooser: &Chooser<'_>,
+        warm: &WarmSet,
+        preference: &Preference,
+        index: u32,
+    ) -> Estimate {
+        if let Some(warm) = warm.get(index) {
+            return Estimate::at_warm(chooser, warm);
+        }
+        if !preference.members().contains(&index) {
+            return Estimate::cold(chooser, warm, index);
+        }
+        let group = chooser.chain.group().map_or(0, |group| group.tokens);
+        let anchor = chooser.chain.anchor().map_or(0, |anchor| anchor.tokens);
+        let cached = if group < anchor { f64::from(group) * GROUP_TRUST } else { 0.0 };
+        Estimate::new(chooser, index, cached, CacheBelief::None).imported(chooser, warm)
+    }
+
+    /// At a server that has nothing of the prompt.
+    pub(crate) fn cold(chooser: &Chooser<'_>, warm: &WarmSet, index: u32) -> Estimate {
+        Estimate::new(chooser, index, 0.0, CacheBelief::None).imported(chooser, warm)
+    }
+
+    /// At a server of which nothing is expected.
+    pub(crate) fn unknown(chooser: &Chooser<'_>, index: u32) -> Estimate {
+        Estimate::new(chooser, index, 0.0, CacheBelief::None)
+    }
+
+    fn new(chooser: &Chooser<'_>, index: u32, cached: f64, belief: CacheBelief) -> Estimate {
+        let server = chooser.view.at(index);
+        let uncached = (f64::from(chooser.chain.tokens()) - cached).max(0.0);
+        let band = chooser.weights().band();
+        Estimate {
+            wait_ms: server.meter.wait_ms(band, chooser.request.now_ms),
+            cached,
+            uncached,
+            compute_ms: uncached / server.meter.prefill_rate(),
+            import_ms: 0.0,
+            zone_ms: server.zone_ms,
+            source: None,
+            belief,
+        }
+    }
+
+    /// With what is missing imported, if that takes less time than computing it.
+    fn imported(mut self, chooser: &Chooser<'_>, warm: &WarmSet) -> Estimate {
+        let Some(import) = chooser.placer.conf().import else { return self };
+        let deepest = chooser.chain.levels().last().map_or(0, |level| level.tokens);
+        let warmest = warm.iter().max_by_key(|warm| warm.tokens);
+        let (tokens, source) = match (warmest, import.store) {
+            (Some(warm), _) => (warm.tokens, ImportSource::Server(warm.index)),
+            (None, StoreUse::Ask) => (deepest, ImportSource::Store),
+            (None, StoreUse::None) => return self,
+        };
+        let missing = (f64::from(tokens) - self.cached).max(0.0);
+        let saved_ms = missing * self.compute_ms / self.uncached.max(1.0);
+        let import_ms = import_ms(import, missing);
+        if import_ms < saved_ms {
+            self.source = Some(source);
+            self.import_ms = import_ms;
+            self.uncached -= missing;
+            self.compute_ms -= saved_ms;
+        }
+        self
+    }
+
+    /// The cost in the class's weights.
+    pub(crate) fn cost(&self, chooser: &Chooser<'_>) -> f64 {
+        let weights = chooser.weights();
+        let price = chooser.placer.conf().recompute_price;
+        weights.ttft * self.ttft_ms() + weights.recompute * price * self.compute_ms
+    }
+
+    pub(crate) fn choice(&self, chooser: &Chooser<'_>, index: u32, reason: ChoiceReason) -> Choice {
+        let kv_source = self.source.map(|source| match source {
+            ImportSource::Server(index) => KvSource::Server(chooser.view.at(index).name().clone()),
+            ImportSource::Store => KvSource::Store,
+        });
+        Choice {
+            server: chooser.view.at(index).clone(),
+            reason,
+            predicted_cached: chooser.chain.tokens().saturating_sub(self.uncached as u32),
+            predicted_ttft_ms: self.ttft_ms(),
+            kv_source,
+            belief: self.belief,
+        }
+    }
+
+    fn ttft_ms(&self) -> f64 {
+        self.wait_ms + self.compute_ms + self.import_ms + self.zone_ms
+    }
+}
+
+fn import_ms(import: ImportConf, tokens: f64) -> f64 {
+    import.ask_ms + tokens / import.tokens_per_ms
+}
--- /dev/null
+++ b/crates/placement/src/fleet_view.rs
@@ -0,0 +1,154 @@
+//! The servers that serve one model with one weights version, at one moment.
+
+use std::sync::Arc;
+
+use fulmargate_names::PromptHash;
+use fulmargate_names::ServerName;
+use fulmargate_names::ZoneName;
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::PlacementConf;
+use crate::ServerId;
+use crate::ServerMeter;
+use crate::SpreadPlan;
+use crate::hash_ring::HashRing;
+
+/// One server in a view.
+#[derive(Clone, Debug)]
+pub struct FleetServer {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Time to the server and back.
+    pub zone_ms: f64,
+    /// Its live data.
+    pub meter: Arc<ServerMeter>,
+}
+
+impl FleetServer {
+    /// The server's name.
+    pub fn name(&self) -> &ServerName {
+        self.meter.name()
+    }
+}
+
+/// An immutable snapshot. Control makes a new one on each change of members or of the plan and
+/// swaps it in; what is measured lives in the meters, which snapshots share.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    servers: Arc<ServerSet>,
+    plan: Option<Arc<PlanTable>>,
+}
+
+#[derive(Debug)]
+struct ServerSet {
+    servers: IndexMap<ServerName, Arc<FleetServer>>,
+    /// Hashes of the names, by index.
+    keys: Vec<u64>,
+    by_id: Vec<(ServerId, u32)>,
+    near: Vec<u32>,
+    far: Vec<u32>,
+    ring: HashRing,
+}
+
+/// The plan with servers as indexes of the view.
+#[derive(Debug, Default)]
+struct PlanTable {
+    groups: Vec<(PromptHash, u32, u32)>,
+    shares: Vec<(u32, f64)>,
+}
+
+impl FleetView {
+    /// The view of these servers, without a plan.
+    pub fn new(conf: &PlacementConf, servers: Vec<FleetServer>) -> FleetView {
+        let mut by_name: IndexMap<ServerName, Arc<FleetServer>> =
+            servers.into_iter().map(|server| (server.name().clone(), Arc::new(server))).collect();
+        // The order of the names makes the views of all routers equal.
+        by_name.sort_unstable_keys();
+        let mut by_id: Vec<(ServerId, u32)> =
+            by_name.values().zip(0..).map(|(server, index)| (server.meter.id(), index)).collect();
+        by_id.sort_unstable();
+        let is_near = |index: &u32| by_name[*index as usize].zone_ms <= conf.near_ms;
+        let (near, far): (Vec<u32>, Vec<u32>) = (0..by_name.len() as u32).partition(is_near);
+        let named: Vec<(u32, &ServerName)> =
+            near.iter().map(|index| (*index, by_name[*index as usize].name())).collect();
+        let ring = HashRing::new(&named);
+        let keys = by_name.keys().map(|name| xxh3_64(name.as_str().as_bytes())).collect();
+        let servers = Arc::new(ServerSet { servers: by_name, keys, by_id, near, far, ring });
+        FleetView { servers, plan: None }
+    }
+
+    /// The same servers under another plan. Servers that the view does not have lose their shares
+    /// to the others of the group.
+    pub fn with_plan(&self, plan: &SpreadPlan) -> FleetView {
+        let mut table = PlanTable::default();
+        for spread in &plan.spreads {
+            let start = table.shares.len();
+            for share in &spread.shares {
+                if let Some(index) = self.servers.servers.get_index_of(&share.server) {
+                    table.shares.push((index as u32, share.share));
+                }
+            }
+            if start < table.shares.len() {
+                table.groups.push((spread.group, start as u32, table.shares.len() as u32));
+            }
+        }
+        table.groups.sort_unstable_by_key(|(group, ..)| *group);
+        FleetView { servers: self.servers.clone(), plan: Some(Arc::new(table)) }
+    }
+
+    /// All servers, by name.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<FleetServer>> {
+        self.servers.servers.values()
+    }
+
+    /// The server of this name.
+    pub fn server(&self, name: &ServerName) -> Option<&Arc<FleetServer>> {
+        self.servers.servers.get(name)
+    }
+
+    /// Names of the first servers of a prefix's preference list.
+    pub fn preferred(&self, prefix: PromptHash, wanted: usize) -> Vec<ServerName> {
+        let list = self.ring().list(prefix.0, wanted);
+        list.as_slice().iter().map(|index| self.at(*index).name().clone()).collect()
+    }
+
+    pub(crate) fn at(&self, index: u32) -> &Arc<FleetServer> {
+        &self.servers.servers[index as usize]
+    }
+
+    /// What is drawn by about the server: the same in all views and routers.
+    pub(crate) fn key(&self, index: u32) -> u64 {
+        self.servers.keys[index as usize]
+    }
+
+    pub(crate) fn index_of(&self, id: ServerId) -> Option<u32> {
+        let by_id = &self.servers.by_id;
+        let place = by_id.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(by_id[place].1)
+    }
+
+    pub(crate) fn near(&self) -> &[u32] {
+        &self.servers.near
+    }
+
+    pub(crate) fn far(&self) -> &[u32] {
+        &self.servers.far
+    }
+
+    pub(crate) fn ring(&self) -> &HashRing {
+        &self.servers.ring
+    }
+
+    pub(crate) fn has_plan(&self) -> bool {
+        self.plan.is_some()
+    }
+
+    /// Servers and shares that the plan gives the group.
+    pub(crate) fn planned(&self, group: PromptHash) -> Option<&[(u32, f64)]> {
+        let table = self.plan.as_ref()?;
+        let place = table.groups.binary_search_by_key(&group, |(group, ..)| *group).ok()?;
+        let (_, start, end) = table.groups[place];
+        Some(&table.shares[start as usize..end as usize])
+    }
+}
--- /dev/null
+++ b/crates/placement/src/hash_ring.rs
@@ -0,0 +1,85 @@
+//! Preference lists without state: a hash ring.
+
+use fulmargate_names::ServerName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::mix::mix;
+use crate::server_list::MAX_LISTED;
+use crate::server_list::ServerList;
+
+/// Points of a server on the ring at least.
+const LEAST_POINTS: usize = 64;
+/// Points of all servers together, if there are few of them.
+const POINTS: usize = 4_096;
+/// Probes for each server wanted before the list is filled from the ring's order.
+const PROBES: usize = 8;
+
+/// Each server has points on a ring, drawn from its name. A key's list is found by probing the
+/// ring at places drawn from the key. A server that goes takes only its own places with it, and
+/// the cost of a list does not depend on the number of servers.
+#[derive(Debug)]
+pub(crate) struct HashRing {
+    /// Place and server, by place.
+    points: Vec<(u64, u32)>,
+    /// Where the points of each part of the ring begin; parts are equal and a power of two.
+    starts: Vec<u32>,
+    shift: u32,
+    servers: usize,
+}
+
+impl HashRing {
+    /// The ring of servers given by index and name.
+    pub(crate) fn new(servers: &[(u32, &ServerName)]) -> HashRing {
+        let each = LEAST_POINTS.max(POINTS / servers.len().max(1));
+        let mut points = Vec::with_capacity(servers.len() * each);
+        for (index, name) in servers {
+            let hash = xxh3_64(name.as_str().as_bytes());
+            points.extend((0..each as u64).map(|point| (mix(hash, point), *index)));
+        }
+        points.sort_unstable();
+        let bits = points.len().max(2).ilog2();
+        let shift = u64::BITS - bits;
+        let mut starts = vec![0; (1 << bits) + 1];
+        for (place, _) in &points {
+            starts[(place >> shift) as usize + 1] += 1;
+        }
+        for part in 1..starts.len() {
+            starts[part] += starts[part - 1];
+        }
+        HashRing { points, starts, shift, servers: servers.len() }
+    }
+
+    /// The first servers of the key's preference list.
+    pub(crate) fn list(&self, key: u64, wanted: usize) -> ServerList {
+        let mut list = ServerList::new();
+        let wanted = wanted.min(self.servers).min(MAX_LISTED);
+        for probe in 0..(wanted * PROBES) as u64 {
+            if wanted <= list.len() {
+                return list;
+            }
+            list.push(self.points[self.successor(mix(key, probe))].1);
+        }
+        let mut place = self.successor(key);
+        while list.len() < wanted {
+            list.push(self.points[place].1);
+            place = (place + 1) % self.points.len();
+        }
+        list
+    }
+
+    /// The first server of the key's preference list.
+    pub(crate) fn first(&self, key: u64) -> Option<u32> {
+        if self.points.is_empty() {
+            return None;
+        }
+        Some(self.points[self.successor(mix(key, 0))].1)
+    }
+
+    fn successor(&self, place: u64) -> usize {
+        let mut index = self.starts[(place >> self.shift) as usize] as usize;
+        while index < self.points.len() && self.points[index].0 < place {
+            index += 1;
+        }
+        if index == self.points.len() { 0 } else { index }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/hint_table.rs
@@ -0,0 +1,102 @@
+//! Which servers are believed to have a prefix cached.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use fulmargate_names::PromptHash;
+
+use crate::ServerId;
+
+/// Servers remembered for prefixes that fall into the same set.
+const WAYS: usize = 8;
+const TAG_BITS: u32 = 20;
+const ID_BITS: u32 = 20;
+const TIME_BITS: u32 = 24;
+const ID_MASK: u64 = (1 << ID_BITS) - 1;
+const TIME_MASK: u64 = (1 << TIME_BITS) - 1;
+/// Time is kept in units of 16 ms and wraps after three days.
+const TIME_SHIFT: u32 = 4;
+
+/// A bounded table of beliefs, each one word, without locks. It may be wrong at any time: it only
+/// says where to ask first. An entry names one life of one server, so that a new incarnation
+/// starts without any, and what comes late about the old one is never read again.
+#[derive(Debug)]
+pub(crate) struct HintTable {
+    slots: Vec<AtomicU64>,
+}
+
+/// A server believed to have a prefix cached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WarmHint {
+    pub(crate) server: ServerId,
+    /// Time since this router last knew of a use.
+    pub(crate) age_ms: u64,
+}
+
+impl HintTable {
+    /// An empty table; the number of slots is a power of two.
+    pub(crate) fn new(slots: usize) -> HintTable {
+        let slots = slots.next_power_of_two().max(WAYS);
+        HintTable { slots: (0..slots).map(|_| AtomicU64::new(0)).collect() }
+    }
+
+    /// The prefix was used at the server.
+    pub(crate) fn touch(&self, prefix: PromptHash, server: ServerId, now_ms: u64) {
+        let word = entry(prefix, server, now_ms);
+        let set = self.set(prefix);
+        let same =
+            set.iter().find(|slot| slot.load(Ordering::Relaxed) >> TIME_BITS == word >> TIME_BITS);
+        let age = |slot: &AtomicU64| match slot.load(Ordering::Relaxed) {
+            0 => u64::MAX,
+            word => age_ms(word, now_ms),
+        };
+        let Some(slot) = same.or_else(|| set.iter().max_by_key(|slot| age(slot))) else { return };
+        slot.store(word, Ordering::Relaxed);
+    }
+
+    /// The prefix is no longer cached at the server.
+    pub(crate) fn forget(&self, prefix: PromptHash, server: ServerId) {
+        let key = entry(prefix, server, 0) >> TIME_BITS;
+        for slot in self.set(prefix) {
+            if slot.load(Ordering::Relaxed) >> TIME_BITS == key {
+                slot.store(0, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Servers believed to have the prefix cached.
+    pub(crate) fn lookup(
+        &self,
+        prefix: PromptHash,
+        now_ms: u64,
+    ) -> impl Iterator<Item = WarmHint> + '_ {
+        let tag = prefix.0 >> (u64::BITS - TAG_BITS);
+        self.set(prefix).iter().filter_map(move |slot| {
+            let word = slot.load(Ordering::Relaxed);
+            if word == 0 || word >> (u64::BITS - TAG_BITS) != tag {
+                return None;
+            }
+            let server = ServerId(((word >> TIME_BITS) & ID_MASK) as u32);
+            Some(WarmHint { server, age_ms: age_ms(word, now_ms) })
+        })
+    }
+
+    fn set(&self, prefix: PromptHash) -> &[AtomicU64] {
+        let sets = self.slots.len() / WAYS;
+        let set = (prefix.0 as usize) & (sets - 1);
+        &self.slots[set * WAYS..(set + 1) * WAYS]
+    }
+}
+
+fn entry(prefix: PromptHash, server: ServerId, now_ms: u64) -> u64 {
+    let tag = prefix.0 >> (u64::BITS - TAG_BITS);
+    let id = u64::from(server.0) & ID_MASK;
+    let time = (now_ms >> TIME_SHIFT) & TIME_MASK;
+    (tag << (u64::BITS - TAG_BITS)) | (id << TIME_BITS) | time
+}
+
+/// A time that lies a little ahead, since threads read the clock in turns, counts as now.
+fn age_ms(word: u64, now_ms: u64) -> u64 {
+    let age = (now_ms >> TIME_SHIFT).wrapping_sub(word & TIME_MASK) & TIME_MASK;
+    if age < TIME_MASK / 2 { age << TIME_SHIFT } else { 0 }
+}
--- /dev/null
+++ b/crates/placement/src/learned_cell.rs
@@ -0,0 +1,25 @@
+//! A number learned from samples, shared by threads.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+/// A number that moves towards each sample by a given part of the way.
+#[derive(Debug)]
+pub(crate) struct LearnedCell(AtomicU32);
+
+impl LearnedCell {
+    pub(crate) fn new(value: f64) -> LearnedCell {
+        LearnedCell(AtomicU32::new((value as f32).to_bits()))
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        f64::from(f32::from_bits(self.0.load(Ordering::Relaxed)))
+    }
+
+    /// Two threads at once may lose one sample, which does no harm to an average.
+    pub(crate) fn learn(&self, sample: f64, part: f64) {
+        let value = self.value();
+        let bits = ((value + (sample - value) * part) as f32).to_bits();
+        self.0.store(bits, Ordering::Relaxed);
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,75 @@
 //! Where a prompt goes: hash chain, preference lists, cache hints, cost, choice.
+//!
+//! No I/O and no clock: callers pass monotonic milliseconds. [`Placer::choose`] is the decision,
+//! [`Placer::begin`] and [`Placer::first_token`] the feedback; [`PlanMaker`] runs on the control
+//! thread of one router. `docs/design/placement.md` says why it is built in this way.
+
+mod baseline;
+mod cache_events;
+mod choice;
+mod choice_reason;
+mod chooser;
+mod class_weights;
+mod decayed_cell;
+mod demand_sketch;
+mod detour_budget;
+mod estimate;
+mod fleet_view;
+mod hash_ring;
+mod hint_table;
+mod learned_cell;
+mod meter_book;
+mod mix;
+mod open_request;
+mod placement_conf;
+mod placer;
+mod plan_draft;
+mod plan_maker;
+mod policy_kind;
+mod preference;
+mod prompt_chain;
+mod prompt_scope;
+mod server_list;
+mod server_meter;
+mod spread_plan;
+mod warm_set;
+
+pub use cache_events::CacheEvent;
+pub use cache_events::CacheEventKind;
+pub use cache_events::CacheEvents;
+pub use cache_events::EventBreak;
+pub use cache_events::EventNews;
+pub use cache_events::EventPage;
+pub use choice::Choice;
+pub use choice::KvSource;
+pub use choice::PlaceRequest;
+pub use choice_reason::ChoiceReason;
+pub use choice_reason::ReasonCounts;
+pub use class_weights::ClassWeights;
+pub use demand_sketch::PrefixDemand;
+pub use fleet_view::FleetServer;
+pub use fleet_view::FleetView;
+pub use meter_book::MeterBook;
+pub use open_request::OpenRequest;
+pub use open_request::ReplyVerdict;
+pub use placement_conf::ImportConf;
+pub use placement_conf::PlacementConf;
+pub use placement_conf::StoreUse;
+pub use placer::DemandReport;
+pub use placer::Placer;
+pub use plan_maker::PlanMaker;
+pub use policy_kind::PolicyError;
+pub use policy_kind::PolicyKind;
+pub use prompt_chain::ANCHOR_LEVELS;
+pub use prompt_chain::ChainBuilder;
+pub use prompt_chain::MAX_LEVELS;
+pub use prompt_chain::PrefixLevel;
+pub use prompt_chain::PromptChain;
+pub use prompt_scope::PromptScope;
+pub use server_meter::ReplyFacts;
+pub use server_meter::ServerId;
+pub use server_meter::ServerMeter;
+pub use server_meter::ServerStanding;
+pub use spread_plan::PrefixSpread;
+pub use spread_plan::ServerShare;
+pub use spread_plan::SpreadPlan;
--- /dev/null
+++ b/crates/placement/src/open_request.rs
@@ -0,0 +1,124 @@
+//! A request on its way.
+
+use std::sync::Arc;
+
+use crate::Choice;
+use crate::PromptChain;
+use crate::ReplyFacts;
+use crate::ServerMeter;
+use crate::choice::CacheBelief;
+use crate::server_meter::IsCached;
+
+/// Part of the expected tokens that must be cached for an expectation to have been right.
+const RIGHT_SHARE: f64 = 0.9;
+
+/// A request that counts as load of its server until this is dropped, however it ends.
+#[derive(Debug)]
+pub struct OpenRequest {
+    meter: Arc<ServerMeter>,
+    chain: PromptChain,
+    band: usize,
+    uncached: u64,
+    state: OpenState,
+    lesson: Lesson,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OpenState {
+    /// The first token is owed.
+    Waiting,
+    /// Tokens come.
+    Streaming,
+}
+
+/// What the answer's cached tokens teach.
+#[derive(Clone, Copy, Debug)]
+enum Lesson {
+    /// Nothing: no expectation, or cached tokens that may have been imported.
+    None,
+    /// How well home keeps its prompts, or how long a prefix stays cached.
+    Belief(CacheBelief),
+}
+
+/// Whether an answer came from the life of the server that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyVerdict {
+    /// It did.
+    Expected,
+    /// Another life answered; the control thread has to be told.
+    OtherLife,
+}
+
+impl OpenRequest {
+    pub(crate) fn new(
+        choice: &Choice,
+        chain: &PromptChain,
+        band: usize,
+        uncached: u32,
+        now_ms: u64,
+    ) -> OpenRequest {
+        let meter = choice.server.meter.clone();
+        let uncached = u64::from(uncached);
+        meter.begin(band, uncached, now_ms);
+        let lesson = match choice.kv_source {
+            Some(_) => Lesson::None,
+            None => Lesson::Belief(choice.belief),
+        };
+        let state = OpenState::Waiting;
+        OpenRequest { meter, chain: chain.clone(), band, uncached, state, lesson }
+    }
+
+    /// The meter of the server it went to.
+    pub fn meter(&self) -> &ServerMeter {
+        &self.meter
+    }
+
+    pub(crate) fn chain(&self) -> &PromptChain {
+        &self.chain
+    }
+
+    pub(crate) fn first_token(&mut self, reply: &ReplyFacts, now_ms: u64) -> ReplyVerdict {
+        if self.state == OpenState::Streaming {
+            return ReplyVerdict::Expected;
+        }
+        self.end_wait();
+        if reply.incarnation != self.meter.incarnation() {
+            return ReplyVerdict::OtherLife;
+        }
+        self.meter.learn_reply(self.band, reply, now_ms);
+        self.learn_cached(reply);
+        ReplyVerdict::Expected
+    }
+
+    fn learn_cached(&self, reply: &ReplyFacts) {
+        let Lesson::Belief(belief) = self.lesson else { return };
+        match belief {
+            CacheBelief::None => {}
+            CacheBelief::Home { tokens } => {
+                let share = f64::from(reply.cached_tokens) / f64::from(tokens.max(1));
+                self.meter.learn_home_hit(share.min(1.0));
+            }
+            CacheBelief::Hint { age_ms, tokens } => {
+                let is_right = f64::from(tokens) * RIGHT_SHARE <= f64::from(reply.cached_tokens);
+                let is_cached = if is_right { IsCached::Yes } else { IsCached::No };
+                self.meter.learn_lifetime(age_ms as f64, is_cached);
+            }
+        }
+    }
+
+    fn end_wait(&mut self) {
+        if self.state == OpenState::Waiting {
+            self.state = OpenState::Streaming;
+            self.meter.end_wait(self.band, self.uncached);
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    /// A request that fails, is cancelled or whose caller hangs up takes this path as well. Load
+    /// that was never given back would make the server look busy for ever.
+    fn drop(&mut self) {
+        self.end_wait();
+        self.meter.end();
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy_kind.rs
@@ -0,0 +1,51 @@
+//! Which rule places prompts.
+
+use std::str::FromStr;
+
+/// The rule that places prompts; all but the first are kept to be compared with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum PolicyKind {
+    /// Least estimated cost, weighed by class.
+    #[default]
+    Cost,
+    /// Each server in turn.
+    RoundRobin,
+    /// The server with the fewest requests.
+    LeastLoad,
+    /// The server that the hash of the prompt's anchor names.
+    PrefixHash,
+}
+
+impl PolicyKind {
+    /// All policies.
+    pub const ALL: [PolicyKind; 4] =
+        [PolicyKind::Cost, PolicyKind::RoundRobin, PolicyKind::LeastLoad, PolicyKind::PrefixHash];
+
+    /// The name in the configuration.
+    pub fn name(self) -> &'static str {
+        match self {
+            PolicyKind::Cost => "cost",
+            PolicyKind::RoundRobin => "round_robin",
+            PolicyKind::LeastLoad => "least_load",
+            PolicyKind::PrefixHash => "prefix_hash",
+        }
+    }
+}
+
+/// The text names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("unknown policy `{text}`; known are cost, round_robin, least_load, prefix_hash")]
+pub struct PolicyError {
+    text: String,
+}
+
+impl FromStr for PolicyKind {
+    type Err = PolicyError;
+
+    fn from_str(text: &str) -> Result<PolicyKind, PolicyError> {
+        PolicyKind::ALL
+            .into_iter()
+            .find(|policy| policy.name() == text)
+            .ok_or_else(|| PolicyError { text: text.to_owned() })
+    }
+}
--- /dev/null
+++ b/crates/placement/src/server_list.rs
@@ -0,0 +1,33 @@
+//! A short list of servers of a view.
+
+/// Longest list.
+pub(crate) const MAX_LISTED: usize = 48;
+
+/// Indexes of servers of a view, each at most once, without allocation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerList {
+    items: [u32; MAX_LISTED],
+    len: usize,
+}
+
+impl ServerList {
+    pub(crate) fn new() -> ServerList {
+        ServerList { items: [0; MAX_LISTED], len: 0 }
+    }
+
+    pub(crate) fn as_slice(&self) -> &[u32] {
+        &self.items[..self.len]
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a server that is not in the list yet, if there is room.
+    pub(crate) fn push(&mut self, index: u32) {
+        if self.len < MAX_LISTED && !self.as_slice().contains(&index) {
+            self.items[self.len] = index;
+            self.len += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/server_meter.rs
@@ -0,0 +1,272 @@
+//! What a router knows at this moment of one life of a backend server.
+
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use fulmargate_names::Incarnation;
+use fulmargate_names::ServerName;
+
+use crate::decayed_cell::DecayedCell;
+use crate::learned_cell::LearnedCell;
+
+/// Bands of priority in which own load is counted: the most urgent, and all others.
+pub(crate) const BANDS: usize = 2;
+/// Time over which observed waits are averaged.
+const WAIT_WINDOW_MS: f64 = 100.0;
+/// Time after which an observed wait says little of the present.
+const WAIT_FADE_MS: f64 = 300.0;
+/// Least weight of a new observed wait.
+const WAIT_WEIGHT: f64 = 0.1;
+/// Time after which a reported number of requests says little of the present.
+const REPORT_FADE_MS: f64 = 1_000.0;
+/// A server that has owed first tokens for this long, besides what its queue explains, is passed over.
+const STALL_MS: f64 = 500.0;
+/// Prompts shorter than this say nothing of the prefill rate.
+const RATE_TOKENS: f64 = 512.0;
+const RATE_RISE: f64 = 0.1;
+const RATE_FALL: f64 = 0.002;
+/// Before anything is learned, a prefix is rather not expected to be cached at home.
+const FIRST_HOME_HIT: f64 = 0.3;
+const HOME_HIT_PART: f64 = 0.02;
+const FIRST_LIFETIME_MS: f64 = 2_000.0;
+const LEAST_LIFETIME_MS: f64 = 100.0;
+const LIFETIME_PART: f64 = 0.05;
+
+/// Names one incarnation of one server within a router. A new incarnation gets a new id, so that
+/// no belief about the old one's cache can be mistaken for one about the new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServerId(pub(crate) u32);
+
+/// Whether a server gets new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ServerStanding {
+    /// It does.
+    InUse = 0,
+    /// It does not: ejected, leaving or drained.
+    OutOfUse = 1,
+}
+
+/// What an answer says of the server that gave it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReplyFacts {
+    /// The life of the server that answered.
+    pub incarnation: Incarnation,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    /// How many of the prompt's tokens were cached.
+    pub cached_tokens: u32,
+    /// Uncached tokens that wait for prefill there.
+    pub queue_tokens: u32,
+    /// Requests there that have not ended.
+    pub running: u32,
+    /// Time from the sending of the request to its first token.
+    pub ttft_ms: f64,
+}
+
+/// Live data of one incarnation of a server, shared by all snapshots of the fleet and all threads.
+/// Each number stands for itself: readers may see one new and another old.
+#[derive(Debug)]
+pub struct ServerMeter {
+    id: ServerId,
+    name: ServerName,
+    incarnation: Incarnation,
+    standing: AtomicU8,
+    own_requests: AtomicU32,
+    own_waiting: AtomicU32,
+    own_tokens: [AtomicU64; BANDS],
+    /// Reported requests, and own requests at the time of the report.
+    report: AtomicU64,
+    report_ms: AtomicU64,
+    queue_tokens: AtomicU32,
+    /// When the server last gave a first token, or began to owe one.
+    progress_ms: AtomicU64,
+    waits: [DecayedCell; BANDS],
+    rate: LearnedCell,
+    home_hit: LearnedCell,
+    lifetime_ms: LearnedCell,
+    beliefs_from_ms: AtomicU64,
+}
+
+impl ServerMeter {
+    pub(crate) fn new(
+        id: ServerId,
+        name: ServerName,
+        incarnation: Incarnation,
+        tokens_per_ms: f64,
+    ) -> ServerMeter {
+        ServerMeter {
+            id,
+            name,
+            incarnation,
+            standing: AtomicU8::new(ServerStanding::InUse as u8),
+            own_requests: AtomicU32::new(0),
+            own_waiting: AtomicU32::new(0),
+            own_tokens: Default::default(),
+            report: AtomicU64::new(0),
+            report_ms: AtomicU64::new(0),
+            queue_tokens: AtomicU32::new(0),
+            progress_ms: AtomicU64::new(0),
+            waits: Default::default(),
+            rate: LearnedCell::new(tokens_per_ms),
+            home_hit: LearnedCell::new(FIRST_HOME_HIT),
+            lifetime_ms: LearnedCell::new(FIRST_LIFETIME_MS),
+            beliefs_from_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// The id of this life of the server.
+    pub fn id(&self) -> ServerId {
+        self.id
+    }
+
+    /// The server's name.
+    pub fn name(&self) -> &ServerName {
+        &self.name
+    }
+
+    /// The life that is measured.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Puts the server in use or out of it; in force at the next choice of any thread.
+    pub fn set_standing(&self, standing: ServerStanding) {
+        self.standing.store(standing as u8, Ordering::Relaxed);
+    }
+
+    /// Own requests that have not ended.
+    pub fn own_requests(&self) -> u32 {
+        self.own_requests.load(Ordering::Relaxed)
+    }
+
+    /// Uncached tokens of own requests that wait for their first token.
+    pub fn own_tokens(&self) -> u64 {
+        self.own_tokens.iter().map(|tokens| tokens.load(Ordering::Relaxed)).sum()
+    }
+
+    /// Uncached tokens that waited at the server when it last answered.
+    pub fn queue_tokens(&self) -> u32 {
+        self.queue_tokens.load(Ordering::Relaxed)
+    }
+
+    /// Learned tokens of prefill in a millisecond.
+    pub fn prefill_rate(&self) -> f64 {
+        self.rate.value()
+    }
+
+    /// Learned share of an anchor's tokens that is cached when the prompt comes home.
+    pub fn home_hit(&self) -> f64 {
+        self.home_hit.value()
+    }
+
+    /// Learned time that a prefix stays cached after its last use by this router.
+    pub fn lifetime_ms(&self) -> f64 {
+        self.lifetime_ms.value()
+    }
+
+    /// Requests there, as far as known: the last report, and what this router did since.
+    pub fn occupancy(&self, now_ms: u64) -> f64 {
+        let word = self.report.load(Ordering::Relaxed);
+        let own = f64::from(self.own_requests());
+        let own_then = f64::from((word >> 32) as u32);
+        let others = (f64::from(word as u32) - own_then).max(0.0);
+        let age = now_ms.saturating_sub(self.report_ms.load(Ordering::Relaxed));
+        own + others * (-(age as f64) / REPORT_FADE_MS).exp()
+    }
+
+    /// How long a request of the band would wait before its own prefill.
+    pub(crate) fn wait_ms(&self, band: usize, now_ms: u64) -> f64 {
+        let observed = self.waits[band].value(now_ms, WAIT_FADE_MS);
+        let ahead: u64 =
+            self.own_tokens[..=band].iter().map(|tokens| tokens.load(Ordering::Relaxed)).sum();
+        observed.max(ahead as f64 / self.prefill_rate())
+    }
+
+    /// Whether the server is in use and answers.
+    pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        let is_in_use = self.standing.load(Ordering::Relaxed) == ServerStanding::InUse as u8;
+        is_in_use && !self.is_stalled(now_ms)
+    }
+
+    /// A frozen server owes first tokens and gives none. Its reports stay as they were, so that
+    /// it would look idle for ever; passing it over until it gives one token ends that.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        if self.own_waiting.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
+        let owed = now_ms.saturating_sub(self.progress_ms.load(Ordering::Relaxed)) as f64;
+        let queued = self.own_tokens() as f64 + f64::from(self.queue_tokens());
+        STALL_MS + 2.0 * queued / self.prefill_rate() < owed
+    }
+
+    pub(crate) fn begin(&self, band: usize, tokens: u64, now_ms: u64) {
+        self.own_requests.fetch_add(1, Ordering::Relaxed);
+        self.own_tokens[band].fetch_add(tokens, Ordering::Relaxed);
+        if self.own_waiting.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.progress_ms.store(now_ms, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn end_wait(&self, band: usize, tokens: u64) {
+        self.own_tokens[band].fetch_sub(tokens, Ordering::Relaxed);
+        self.own_waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn end(&self) {
+        self.own_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Learns load and speed from an answer.
+    pub(crate) fn learn_reply(&self, band: usize, reply: &ReplyFacts, now_ms: u64) {
+        let report = u64::from(reply.running) | (u64::from(self.own_requests()) << 32);
+        self.report.store(report, Ordering::Relaxed);
+        self.report_ms.store(now_ms, Ordering::Relaxed);
+        self.queue_tokens.store(reply.queue_tokens, Ordering::Relaxed);
+        self.progress_ms.store(now_ms, Ordering::Relaxed);
+        let uncached = f64::from(reply.prompt_tokens.saturating_sub(reply.cached_tokens));
+        if RATE_TOKENS <= uncached && 0.0 < reply.ttft_ms {
+            // A wait makes the rate look lower, nothing makes it look higher: follow upwards fast.
+            let sample = uncached / reply.ttft_ms;
+            let part = if self.prefill_rate() < sample { RATE_RISE } else { RATE_FALL };
+            self.rate.learn(sample, part);
+        }
+        let wait = (reply.ttft_ms - uncached / self.prefill_rate()).max(0.0);
+        self.waits[band].blend(wait, now_ms, WAIT_WINDOW_MS, WAIT_WEIGHT);
+    }
+
+    /// Learns how often prompts are found cached at home.
+    pub(crate) fn learn_home_hit(&self, share: f64) {
+        self.home_hit.learn(share, HOME_HIT_PART);
+    }
+
+    /// Learns from a prefix last used here `age_ms` ago that was still cached, or was not.
+    pub(crate) fn learn_lifetime(&self, age_ms: f64, is_cached: IsCached) {
+        let lifetime = self.lifetime_ms();
+        let agrees = match is_cached {
+            IsCached::Yes => age_ms <= lifetime,
+            IsCached::No => lifetime <= age_ms,
+        };
+        if !agrees {
+            self.lifetime_ms.learn(age_ms.max(LEAST_LIFETIME_MS), LIFETIME_PART);
+        }
+    }
+
+    /// Beliefs about the cache from before are void.
+    pub(crate) fn drop_beliefs(&self, now_ms: u64) {
+        self.beliefs_from_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn beliefs_from_ms(&self) -> u64 {
+        self.beliefs_from_ms.load(Ordering::Relaxed)
+    }
+}
+
+/// Whether a prefix was found in the cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IsCached {
+    Yes,
+    No,
+}
--- /dev/null
+++ b/crates/placement/src/warm_set.rs
@@ -0,0 +1,71 @@
+//! Servers believed to have parts of one prompt cached.
+
+use crate::FleetView;
+use crate::PromptChain;
+use crate::choice::CacheBelief;
+use crate::hint_table::HintTable;
+
+/// Most servers kept.
+const MOST: usize = 8;
+
+/// A server of the view and how much of the prompt it is believed to have.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WarmServer {
+    pub(crate) index: u32,
+    pub(crate) tokens: u32,
+    pub(crate) age_ms: u64,
+}
+
+impl WarmServer {
+    pub(crate) fn belief(self) -> CacheBelief {
+        CacheBelief::Hint { age_ms: self.age_ms, tokens: self.tokens }
+    }
+}
+
+/// What the hints say of a prompt: at most one entry a server, the deepest.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WarmSet {
+    servers: [Option<WarmServer>; MOST],
+}
+
+impl WarmSet {
+    /// Looks the anchor and all deeper levels up, deepest first. Hints older than the server's
+    /// blocks usually live, or from before its beliefs were dropped, are left out.
+    pub(crate) fn new(
+        hints: &HintTable,
+        view: &FleetView,
+        chain: &PromptChain,
+        now_ms: u64,
+    ) -> WarmSet {
+        let mut set = WarmSet { servers: [None; MOST] };
+        for level in chain.belief_levels().iter().rev() {
+            for hint in hints.lookup(level.hash, now_ms) {
+                let Some(index) = view.index_of(hint.server) else { continue };
+                let meter = &view.at(index).meter;
+                let is_void = now_ms.saturating_sub(hint.age_ms) < meter.beliefs_from_ms();
+                if is_void || meter.lifetime_ms() < hint.age_ms as f64 {
+                    continue;
+                }
+                set.add(WarmServer { index, tokens: level.tokens, age_ms: hint.age_ms });
+            }
+        }
+        set
+    }
+
+    pub(crate) fn get(&self, index: u32) -> Option<WarmServer> {
+        self.iter().find(|warm| warm.index == index)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = WarmServer> + '_ {
+        self.servers.iter().flatten().copied()
+    }
+
+    fn add(&mut self, warm: WarmServer) {
+        if self.get(warm.index).is_some() {
+            return;
+        }
+        if let Some(free) = self.servers.iter_mut().find(|slot| slot.is_none()) {
+            *free = Some(warm);
+        }
+    }
+}
