Load tool: a rig that runs a whole deployment in one process

Cause: policies are compared on equal ground, so each gets fresh stand-ins, fresh routers and the same arrivals. Ruled out: clearing caches of running stand-ins (routers keep what they learnt). Measured: nothing yet.

--- a/crates/load/src/commands/run_command.rs
+++ b/crates/load/src/commands/run_command.rs
@@ -88,7 +88,11 @@
                 (CallTarget::Engines, plan_options::addresses("direct", direct)?)
             }
             _ => {
-                return Err(plan_options::bad_option("routers", "", "either --routers or --direct"));
+                return Err(plan_options::bad_option(
+                    "routers",
+                    "",
+                    "either --routers or --direct",
+                ));
             }
         };
         let limits = RunLimits { max_calls: self.max_calls, ..RunLimits::default() };
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod figures;
 mod load_error;
+mod rig;
 mod runs;
 mod workload;
 
@@ -30,6 +31,9 @@
 pub use figures::SegmentUse;
 pub use figures::replay_bound;
 pub use load_error::LoadError;
+pub use rig::OPERATOR_KEY;
+pub use rig::Rig;
+pub use rig::RigRouter;
 pub use runs::LoadRun;
 pub use runs::OverheadFigures;
 pub use runs::OverheadRun;
