--- a/crates/config/src/config_keeper.rs
+++ b/crates/config/src/config_keeper.rs
@@ -126,7 +126,7 @@
         let settled_at = self.shared.state.borrow().settled_at(&self.shared.settings);
         sleep_until(settled_at).await;
         self.shared.after_change();
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     async fn follow(&self) {
--- a/crates/config/tests/config/main.rs
+++ b/crates/config/tests/config/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the configuration: documents, the fold and the keeper.
 
+mod cluster;
 mod common;
 mod document;
+mod fake_log;
 mod fold;
+mod keeper;
