Place, admit, claim and keep the configuration in the router

Cause: the thin path chose by open requests only and had no services, operators or claims. Change: routes built by control from the keeper and from what servers tell; placement, gates, suspects and retry budget on the request path; streams resumed on the same server, then on one with equal weights, also by Last-Event-ID; plain services with claims before the send; operators' listener; metrics per team and class. Ruled out: an upfront not-run refusal of keyed calls (it would speak of the key without the ledger's word). Conclusion: the parts are joined; proofs and tuning come next.

--- /dev/null
+++ b/crates/router/src/attempt/attempt_hold.rs
@@ -0,0 +1,45 @@
+//! What an attempt holds of its server.
+
+use fulmargate_admission::EngineReport;
+use fulmargate_admission::GateTicket;
+use fulmargate_admission::SuspectRun;
+use fulmargate_placement::OpenRequest;
+use fulmargate_placement::Placer;
+use fulmargate_placement::ReplyFacts;
+use tokio::time::Instant;
+
+/// What an attempt holds of its server: its place at the gate, its load and its entry in the book
+/// of suspects. Dropping it gives all of them back, however the attempt ends.
+pub(crate) struct AttemptHold {
+    pub(crate) load: OpenRequest,
+    pub(crate) ticket: GateTicket,
+    pub(crate) run: SuspectRun,
+}
+
+impl AttemptHold {
+    /// The first token has come.
+    pub(crate) fn first_token(&mut self, placer: &Placer, facts: &ReplyFacts, now_ms: u64) {
+        placer.first_token(&mut self.load, facts, now_ms);
+        let report = EngineReport {
+            prompt_tokens: facts.prompt_tokens,
+            cached_tokens: facts.cached_tokens,
+            queue_tokens: facts.queue_tokens,
+        };
+        self.ticket.first_token(&report, Instant::now());
+    }
+
+    /// The whole answer came.
+    pub(crate) fn ended_well(self) {
+        self.run.ended_well();
+    }
+
+    /// The connection broke before the whole answer came.
+    pub(crate) fn broke(self) {
+        self.run.broke();
+    }
+
+    /// The server refused the request for its load.
+    pub(crate) fn overloaded(self) {
+        self.ticket.overloaded(Instant::now());
+    }
+}
--- a/crates/router/src/attempt/stream_pump.rs
+++ b/crates/router/src/attempt/stream_pump.rs
@@ -29,9 +29,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use crate::attempt::AttemptFailure;
 use crate::attempt::EngineRunner;
 use crate::attempt::OpenAttempt;
+use crate::attempt::engine_runner::MAX_ATTEMPTS;
 use crate::attempt::stream_body::StreamBody;
 use crate::attempt::stream_body::StreamSink;
 use crate::attempt::stream_body::stream_body;
@@ -108,7 +108,10 @@
                 PumpStop::CallerGone => {
                     return self.log(EventKind::CallerGone, "the caller hung up");
                 }
-                PumpStop::CallerSlow => return self.end(ErrorKind::SlowCaller).await,
+                PumpStop::CallerSlow => {
+                    self.open.cancel();
+                    return self.end(ErrorKind::SlowCaller).await;
+                }
                 PumpStop::Broken(cause) => match self.resume(cause).await {
                     Ok(Resumed::GoesOn) => {}
                     Ok(Resumed::Finished) => return,
@@ -176,7 +179,10 @@
         self.sink.push(out.freeze());
         match fed {
             Ok(StreamState::Open) => None,
-            Ok(StreamState::Done) => Some(PumpStop::Done),
+            Ok(StreamState::Done) => {
+                self.open.ended_well();
+                Some(PumpStop::Done)
+            }
             Err(fault) => {
                 let kind = EventKind::CrossedAnswer;
                 tracing::warn!(event = kind.number(), name = kind.name(), server = %self.open.server.name, "{fault}");
@@ -188,36 +194,41 @@
     /// Goes on with another attempt after a break, or says how the stream ends.
     async fn resume(&mut self, cause: BreakCause) -> Result<Resumed, ErrorKind> {
         let give_up = Instant::now() + STANDSTILL;
+        self.open.broke();
+        self.open.cancel();
+        self.runner.state.tell_trouble(&self.open.server.name);
         self.count_idle();
         let mut cause = cause;
         loop {
-            let step = plan_resume(&self.facts(cause, give_up));
-            let server = match step {
+            let server = self.open.server.name.clone();
+            let placed = match plan_resume(&self.facts(cause, give_up)) {
                 ResumeStep::Finish => {
                     self.sink.push(bytes::Bytes::from_static(b"data: [DONE]\n\n"));
                     return Ok(Resumed::Finished);
                 }
                 ResumeStep::End(reason) => return Err(reason.error_kind()),
-                ResumeStep::ResumeSame => self.open.server.clone(),
+                ResumeStep::ResumeSame => self.runner.place_at(&server).await,
                 ResumeStep::StartAgain | ResumeStep::ResumeElsewhere => {
-                    self.runner.note_failure(AttemptFailure::Broken, &self.open.server.clone());
+                    self.runner.failed.push(server);
                     self.idle_attempts = 0;
-                    self.runner.pick_other().ok_or(ErrorKind::StreamBroken)?
+                    self.runner.place().await
                 }
             };
             self.idle_attempts += 1;
+            let Ok(placed) = placed else {
+                cause = BreakCause::Fault;
+                self.runner.attempts_left = self.runner.attempts_left.saturating_sub(1);
+                continue;
+            };
             let place = self.stream.place();
-            match self.runner.open_rest(&server, self.weights, place, SERVER_STALL).await {
+            match self.runner.open_rest(placed, self.weights, place).await {
                 Ok(open) => {
                     self.stream = attempt_stream(&self.runner, &open, place, self.stream.usage());
                     self.open = open;
                     self.log(EventKind::StreamResumed, "the stream goes on");
                     return Ok(Resumed::GoesOn);
                 }
-                Err(failure) => {
-                    self.runner.note_failure(failure, &server);
-                    cause = BreakCause::Fault;
-                }
+                Err(_) => cause = BreakCause::Fault,
             }
         }
     }
@@ -227,16 +238,20 @@
         if place != self.last_place {
             self.idle_attempts = 1;
             self.last_place = place;
+            self.runner.attempts_left = MAX_ATTEMPTS;
+            self.runner.failed.clear();
         }
+        // The deadline of the first token is met; from here the standstill is what is bounded.
+        self.runner.call.class.deadline = Instant::now() + STANDSTILL;
     }
 
     fn facts(&self, cause: BreakCause, give_up: Instant) -> StreamBreak {
         let now_ms = self.runner.state.now_ms();
         let left = give_up.saturating_duration_since(Instant::now()).as_millis() as u64;
         let is_same = self.open.server.incarnation() == self.open.incarnation;
-        let equal = match self.runner.pick_other() {
-            Some(_) => EqualServers::InReach,
-            None => EqualServers::OutOfReach,
+        let equal = match self.runner.has_other(&self.open.server.name) {
+            true => EqualServers::InReach,
+            false => EqualServers::OutOfReach,
         };
         StreamBreak {
             delivered: DeliveredPart::Some,
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -7,6 +7,8 @@
 use actix_web::HttpResponseBuilder;
 use actix_web::web;
 use bytes::Bytes;
+use fulmargate_admission::Fingerprint;
+use fulmargate_admission::RequestClass;
 use fulmargate_names::CACHED_TOKENS;
 use fulmargate_names::DEADLINE_MS;
 use fulmargate_names::DISPOSITION;
@@ -17,7 +19,9 @@
 use fulmargate_names::RequestId;
 use fulmargate_names::SERVER;
 use fulmargate_names::WEIGHTS_VERSION;
-use fulmargate_relay::StreamPlace;
+use fulmargate_placement::PromptChain;
+use fulmargate_placement::PromptScope;
+use fulmargate_relay::ResumeToken;
 use fulmargate_relay::TokenBinding;
 use fulmargate_relay::UsageChunk;
 use tokio::time::Instant;
@@ -33,7 +37,10 @@
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
 use crate::state::OpenGuard;
+use crate::telemetry::RequestMetrics;
 
+/// Where a caller says how far it has come with a stream.
+const LAST_EVENT_ID: &str = "last-event-id";
 /// An engine that sends nothing for so long is taken for frozen.
 const WHOLE_STALL: Duration = Duration::from_secs(5);
 
@@ -58,17 +65,56 @@
     id: RequestId,
     guard: OpenGuard,
 ) -> Result<HttpResponse, RequestError> {
-    let call = read_call(request, body, context, id)?;
+    let mut call = read_call(request, body, context, id)?;
+    let resumed = read_token(request, context, &call)?;
+    if let Some(token) = &resumed {
+        call.request_id = token.request_id.clone();
+        call.streams = true;
+    }
     let mut runner = EngineRunner::new(context.state.clone(), context.client.clone(), call);
-    let open = runner.open_first().await?;
+    let opened = match &resumed {
+        Some(token) => runner.open_resumed(token).await,
+        None => runner.open_first().await,
+    };
+    let open = opened.inspect_err(|err| count_error(&runner, err))?;
+    count_first_token(&runner, &open);
     if runner.call.streams {
+        let place = resumed.map(|token| token.place).unwrap_or_default();
         let mut head = answer_head(&runner.call.request_id, &open);
         head.content_type("text/event-stream").insert_header(("cache-control", "no-cache"));
-        return Ok(head.body(start_stream(runner, open, StreamPlace::default(), guard)));
+        return Ok(head.body(start_stream(runner, open, place, guard)));
     }
     whole(runner, open).await
 }
 
+/// The token of a caller that comes back for the rest of a stream.
+fn read_token(
+    request: &HttpRequest,
+    context: &CallerContext,
+    call: &EngineCall,
+) -> Result<Option<ResumeToken>, RequestError> {
+    let Some(value) = request.headers().get(LAST_EVENT_ID) else {
+        return Ok(None);
+    };
+    let refused = |detail: String| RequestError::new(ErrorKind::ResumeRefused).detail(detail);
+    let text = value.to_str().map_err(|err| refused(err.to_string()))?;
+    let token = ResumeToken::verify(&context.state.secrets, &call.binding, text);
+    token.map(Some).map_err(|err| refused(err.to_string()))
+}
+
+fn request_metrics(runner: &EngineRunner) -> RequestMetrics<'_> {
+    RequestMetrics { team: &runner.call.team, class: &runner.call.class.conf.name }
+}
+
+fn count_first_token(runner: &EngineRunner, open: &OpenAttempt) {
+    let ttft = runner.call.arrived.elapsed();
+    request_metrics(runner).first_token(ttft, open.facts.prompt_tokens, open.facts.cached_tokens);
+}
+
+fn count_error(runner: &EngineRunner, err: &RequestError) {
+    request_metrics(runner).refused(err.kind.row().code, err.disposition);
+}
+
 async fn whole(runner: EngineRunner, mut open: OpenAttempt) -> Result<HttpResponse, RequestError> {
     let body = read_whole(&mut open.body, WHOLE_STALL).await.map_err(|failure| {
         RequestError::new(ErrorKind::StreamBroken)
@@ -97,25 +143,35 @@
     if !caller.entry.may_use_model(&prompt.model) {
         return Err(RequestError::new(ErrorKind::Forbidden));
     }
-    let (class, entry) = table
-        .document
+    let (_, class) = table
         .class_of(&caller.team, Some(&prompt.model), request.path())
         .ok_or_else(|| RequestError::new(ErrorKind::Internal))?;
-    let patience =
-        deadline_header(request)?.map_or(entry.deadline(), |asked| asked.min(entry.deadline()));
+    let model = table.models.get(&prompt.model);
+    let weights = model.map(|route| route.weights).unwrap_or_default();
+    let scope = PromptScope::new(&caller.team, &prompt.model, None, weights);
+    let segments: Vec<&str> = prompt.segments.iter().map(String::as_str).collect();
+    let asked = deadline_header(request)?.map(|asked| asked.min(class.conf.deadline));
     Ok(EngineCall {
         request_id,
         binding: TokenBinding::new(&caller.team, request.path(), &body),
+        print: Fingerprint::of(
+            context.state.print_seed,
+            &caller.team,
+            prompt.model.as_str(),
+            &body,
+        ),
+        chain: PromptChain::new(&scope, &segments),
+        cache_scope: scope.as_str().to_owned(),
         team: caller.team,
+        entry: caller.entry,
         model: prompt.model,
-        class: class.clone(),
-        priority: entry.priority,
+        class: RequestClass::begin(&class.conf, arrived, asked),
+        weights: class.weights,
         path: request.uri().clone(),
         body,
         streams: prompt.streams,
         usage: if prompt.wants_usage { UsageChunk::Due } else { UsageChunk::NotAsked },
         arrived,
-        deadline: arrived + patience,
     })
 }
 
@@ -138,11 +194,7 @@
         .insert_header((SERVER, open.server.name.as_str()))
         .insert_header((DISPOSITION, Disposition::Ran.as_str()))
         .insert_header((WEIGHTS_VERSION, open.weights.to_string()));
-    if let Some(tokens) = open.facts.prompt_tokens {
-        head.insert_header((PROMPT_TOKENS, tokens.to_string()));
-    }
-    if let Some(tokens) = open.facts.cached_tokens {
-        head.insert_header((CACHED_TOKENS, tokens.to_string()));
-    }
+    head.insert_header((PROMPT_TOKENS, open.facts.prompt_tokens.to_string()))
+        .insert_header((CACHED_TOKENS, open.facts.cached_tokens.to_string()));
     head
 }
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -2,10 +2,12 @@
 
 mod answer;
 mod caller_identity;
+mod claim_replay;
 mod engine_handler;
 mod model_handler;
 mod prompt_body;
 mod routes;
+mod service_handler;
 
 pub(crate) use answer::RequestError;
 pub(crate) use prompt_body::PromptBody;
--- a/crates/router/src/caller/routes.rs
+++ b/crates/router/src/caller/routes.rs
@@ -12,6 +12,7 @@
 use crate::caller::caller_identity::request_id;
 use crate::caller::engine_handler;
 use crate::caller::model_handler;
+use crate::caller::service_handler;
 use crate::state::RouterState;
 
 /// What a traffic thread has at hand for each request.
@@ -19,6 +20,8 @@
     pub(crate) state: Arc<RouterState>,
     /// Keeps connections open, for engines.
     pub(crate) client: Client,
+    /// Makes a connection for each call, for calls that may not run twice.
+    pub(crate) fresh_client: Client,
 }
 
 /// Sets the callers' paths.
@@ -26,6 +29,8 @@
     conf.route("/v1/chat/completions", web::post().to(engine_handler::handle))
         .route("/v1/completions", web::post().to(engine_handler::handle))
         .route("/v1/models", web::get().to(model_handler::handle))
+        .route("/services/{name}", web::to(service_handler::handle))
+        .route("/services/{name}/{path:.*}", web::to(service_handler::handle))
         .default_service(web::to(unknown_path));
 }
 
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -8,160 +8,155 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use actix_web::App;
-use actix_web::HttpServer;
-use actix_web::dev::Server;
-use actix_web::web;
+use actix::Actor;
+use actix::Context;
+use actix_web::dev::ServerHandle;
 use awc::Client;
 use awc::Connector;
+use fulmargate_config::ConfigKeeper;
+use fulmargate_config::KeeperSettings;
+use fulmargate_config::LogAccess;
+use fulmargate_config::PublishedConfig;
+use fulmargate_config::ReaderRole;
+use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimLog;
+use fulmargate_ledger::ClaimerId;
+use fulmargate_ledger::CutOffRule;
+use fulmargate_ledger::DeskSettings;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
+use fulmargate_platform::LogClient;
+use fulmargate_platform::LogTimeouts;
 use fulmargate_relay::TokenSecrets;
 use fulmargate_settings::RouterSettings;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::caller::CallerContext;
-use crate::caller::caller_routes;
+use crate::control::ControlActor;
 use crate::control::RouterAddresses;
 use crate::control::RunningRouter;
 use crate::control::StartError;
-use crate::control::config_task;
+use crate::control::control_message::ConfigPublished;
+use crate::control::listeners::BoundListeners;
+use crate::control::listeners::caller_server;
+use crate::control::listeners::operator_server;
 use crate::control::stop_plan;
-use crate::operator::OperatorContext;
-use crate::operator::operator_routes;
 use crate::state::RouterState;
+use crate::telemetry::install_metrics;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const KEEP_ALIVE: Duration = Duration::from_secs(30);
-const CONNECTIONS_PER_WORKER: usize = 1024;
-/// Left to actix once no request is open.
-const SHUTDOWN_TIMEOUT_S: u64 = 1;
-
-/// Listeners taken before any thread starts, so that a port in use is told at once.
-struct BoundListeners {
-    callers: TcpListener,
-    operators: TcpListener,
-    peers: TcpListener,
-}
+const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts a router in threads of this process; cancelling the token begins a planned stop.
 pub fn start(
     settings: RouterSettings,
     token: CancellationToken,
 ) -> Result<RunningRouter, StartError> {
-    let listeners = bind_all(&settings)?;
+    let listeners = BoundListeners::bind(&settings)?;
     let addresses = listeners.addresses()?;
     let secrets = TokenSecrets::new(&settings.stream_secrets)
         .map_err(|err| StartError::Thread { reason: err.to_string() })?;
-    let state = RouterState::new(settings, draw_incarnation(), secrets);
     let (ready, wait) = mpsc::channel();
     let thread = thread::Builder::new()
-        .name(format!("control-{}", state.host))
-        .spawn(move || actix_rt::System::new().block_on(run(state, listeners, token, ready)))
+        .name(format!("control-{}", settings.host))
+        .spawn(move || {
+            let system = actix_rt::System::new();
+            system.block_on(run(settings, secrets, listeners, token, ready));
+        })
         .map_err(|err| StartError::Thread { reason: err.to_string() })?;
-    wait.recv().map_err(|err| StartError::Thread { reason: err.to_string() })?;
-    Ok(RunningRouter { addresses, thread })
+    match wait.recv() {
+        Ok(Ok(())) => Ok(RunningRouter { addresses, thread }),
+        Ok(Err(reason)) => Err(StartError::Thread { reason }),
+        Err(err) => Err(StartError::Thread { reason: err.to_string() }),
+    }
 }
 
 async fn run(
-    state: Arc<RouterState>,
+    settings: RouterSettings,
+    secrets: TokenSecrets,
     listeners: BoundListeners,
     token: CancellationToken,
-    ready: mpsc::Sender<()>,
+    ready: mpsc::Sender<Result<(), String>>,
 ) {
-    let callers = caller_server(&state, listeners.callers);
-    let operators = operator_server(&state, listeners.operators);
-    let (callers, operators) = match (callers, operators) {
-        (Ok(callers), Ok(operators)) => (callers, operators),
-        (Err(err), _) | (_, Err(err)) => {
-            tracing::error!("{err}");
+    install_metrics();
+    let control = CancellationToken::new();
+    let started = start_all(settings, secrets, listeners, &control);
+    let (state, handles, desk) = match started {
+        Ok(started) => started,
+        Err(reason) => {
+            let _start_waits_no_more = ready.send(Err(reason));
             return;
         }
     };
-    let handles = [callers.handle(), operators.handle()];
-    actix_rt::spawn(callers);
-    actix_rt::spawn(operators);
-    let control = CancellationToken::new();
-    actix_rt::spawn(config_task::run(Arc::clone(&state), control.child_token()));
     log_started(&state);
-    let _start_waits_no_more = ready.send(());
+    let _start_waits_no_more = ready.send(Ok(()));
     token.cancelled().await;
     stop_plan::run(&state, &handles).await;
     control.cancel();
+    desk.ended().await;
 }
 
-fn caller_server(state: &Arc<RouterState>, listener: TcpListener) -> std::io::Result<Server> {
-    let state = Arc::clone(state);
-    let callers = state.settings.callers.clone();
-    let server = HttpServer::new(move || {
-        let context = CallerContext { state: Arc::clone(&state), client: engine_client() };
-        App::new()
-            .app_data(web::Data::new(context))
-            .app_data(web::PayloadConfig::new(state.settings.callers.body_limit_bytes))
-            .configure(caller_routes)
+fn start_all(
+    settings: RouterSettings,
+    secrets: TokenSecrets,
+    listeners: BoundListeners,
+    control: &CancellationToken,
+) -> Result<(Arc<RouterState>, Vec<ServerHandle>, ClaimDesk), String> {
+    let incarnation = draw_incarnation();
+    let log = LogClient::new(&settings.platform.log.to_string(), LogTimeouts::default());
+    let retention = Duration::from_secs(settings.platform.log_retention_s);
+    let me = ClaimerId { host: settings.host.clone(), incarnation };
+    let desk_settings =
+        DeskSettings { cut_off: CutOffRule::KeyToo, ..DeskSettings::for_retention(retention) };
+    let claim_log = ClaimLog::over(&log);
+    let shards = settings.platform.claim_shards;
+    let (desk, claims) = ClaimDesk::start(claim_log, &desk_settings, shards, &me, control)
+        .map_err(|err| format!("platform.log_retention_s: {err}"))?;
+    let writer = format!("{}-{incarnation}", settings.host);
+    let keeper_settings = KeeperSettings { retention, ..KeeperSettings::default() };
+    let role = ReaderRole::Direct { rank: 0 };
+    let keeper = ConfigKeeper::new(&writer, LogAccess::of_client(&log), keeper_settings, role);
+    let mut made = None;
+    let addr = ControlActor::create(|ctx: &mut Context<ControlActor>| {
+        let addr = actix::AsyncContext::address(ctx);
+        let state = RouterState::new(settings, incarnation, secrets, claims, addr);
+        made = Some(Arc::clone(&state));
+        ControlActor::new(state, keeper.clone(), log, probe_client())
     });
-    let timeout = Duration::from_millis(callers.request_timeout_ms);
-    Ok(server
-        .workers(callers.workers)
-        .client_request_timeout(timeout)
-        .keep_alive(KEEP_ALIVE)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-        .disable_signals()
-        .listen(listener)?
-        .run())
+    let state = made.ok_or("the control actor was not made")?;
+    actix_rt::spawn(pass_on_config(keeper.subscribe(), addr, control.clone()));
+    let cancel = control.clone();
+    actix_rt::spawn(async move { keeper.run(cancel).await });
+    let callers = caller_server(&state, listeners.callers).map_err(|err| err.to_string())?;
+    let operators = operator_server(&state, listeners.operators).map_err(|err| err.to_string())?;
+    let handles = vec![callers.handle(), operators.handle()];
+    actix_rt::spawn(callers);
+    actix_rt::spawn(operators);
+    Ok((state, handles, desk))
 }
 
-fn operator_server(state: &Arc<RouterState>, listener: TcpListener) -> std::io::Result<Server> {
-    let state = Arc::clone(state);
-    let server = HttpServer::new(move || {
-        let context = OperatorContext { state: Arc::clone(&state) };
-        App::new().app_data(web::Data::new(context)).configure(operator_routes)
-    });
-    Ok(server
-        .workers(1)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-        .disable_signals()
-        .listen(listener)?
-        .run())
+/// Passes each configuration that comes into force to the control actor.
+async fn pass_on_config(
+    mut published: watch::Receiver<PublishedConfig>,
+    control: actix::Addr<ControlActor>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let config = published.borrow_and_update().clone();
+        if config.document.is_some() {
+            control.do_send(ConfigPublished { published: config });
+        }
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            changed = published.changed() => if changed.is_err() { return },
+        }
+    }
 }
 
-fn engine_client() -> Client {
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(KEEP_ALIVE)
-        .limit(CONNECTIONS_PER_WORKER);
+fn probe_client() -> Client {
+    let connector = Connector::new().timeout(PROBE_CONNECT_TIMEOUT);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
-fn bind_all(settings: &RouterSettings) -> Result<BoundListeners, StartError> {
-    Ok(BoundListeners {
-        callers: bind("callers.listen", settings.callers.listen)?,
-        operators: bind("operators.listen", settings.operators.listen)?,
-        peers: bind("peers.listen", settings.peers.listen)?,
-    })
-}
-
-fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).map_err(|err| StartError::Listen {
-        key,
-        address,
-        reason: err.to_string(),
-    })
-}
-
-impl BoundListeners {
-    fn addresses(&self) -> Result<RouterAddresses, StartError> {
-        let address = |listener: &TcpListener| {
-            listener.local_addr().map_err(|err| StartError::Thread { reason: err.to_string() })
-        };
-        Ok(RouterAddresses {
-            callers: address(&self.callers)?,
-            operators: address(&self.operators)?,
-            peers: address(&self.peers)?,
-        })
-    }
-}
-
 /// Milliseconds since 1970: a later start has a higher one as long as the host's clock does not go
 /// back by more than the time between two starts.
 fn draw_incarnation() -> Incarnation {
@@ -180,3 +175,32 @@
         "router started"
     );
 }
+
+impl BoundListeners {
+    fn bind(settings: &RouterSettings) -> Result<BoundListeners, StartError> {
+        Ok(BoundListeners {
+            callers: bind("callers.listen", settings.callers.listen)?,
+            operators: bind("operators.listen", settings.operators.listen)?,
+            peers: bind("peers.listen", settings.peers.listen)?,
+        })
+    }
+
+    fn addresses(&self) -> Result<RouterAddresses, StartError> {
+        let address = |listener: &TcpListener| {
+            listener.local_addr().map_err(|err| StartError::Thread { reason: err.to_string() })
+        };
+        Ok(RouterAddresses {
+            callers: address(&self.callers)?,
+            operators: address(&self.operators)?,
+            peers: address(&self.peers)?,
+        })
+    }
+}
+
+fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|err| StartError::Listen {
+        key,
+        address,
+        reason: err.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/router/src/control/operator_call.rs
@@ -0,0 +1,219 @@
+//! What operators ask of the control thread.
+
+use std::time::Duration;
+
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::MessageResult;
+use actix::ResponseFuture;
+use fulmargate_config::ConfigAnswer;
+use fulmargate_config::HistoryAnswer;
+use fulmargate_config::HostReach;
+use fulmargate_config::HostRow;
+use fulmargate_config::HostsAnswer;
+use fulmargate_config::PatchRecord;
+use fulmargate_config::ServerHealth;
+use fulmargate_config::ServerRow;
+use fulmargate_config::ServerState;
+use fulmargate_config::ServersAnswer;
+use fulmargate_config::StatusAnswer;
+use fulmargate_config::SubmitOutcome;
+use fulmargate_names::ConfigVersion;
+use fulmargate_names::ServerName;
+use tokio::time::Instant;
+
+use crate::control::ControlActor;
+use crate::state::RouterPhase;
+
+/// How long an operator waits for the log's verdict on a patch.
+const PATCH_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The configuration in force; `None` while it is not known.
+#[derive(Message)]
+#[rtype(result = "Option<ConfigAnswer>")]
+pub(crate) struct ReadConfig;
+
+/// What became of the newest patches.
+#[derive(Message)]
+#[rtype(result = "HistoryAnswer")]
+pub(crate) struct ReadHistory;
+
+/// The entry hosts and the version in force on each.
+#[derive(Message)]
+#[rtype(result = "HostsAnswer")]
+pub(crate) struct ReadHosts;
+
+/// The backend servers as this router finds them.
+#[derive(Message)]
+#[rtype(result = "ServersAnswer")]
+pub(crate) struct ReadServers;
+
+/// This router's own state.
+#[derive(Message)]
+#[rtype(result = "StatusAnswer")]
+pub(crate) struct ReadStatus;
+
+/// Submits a patch.
+#[derive(Message)]
+#[rtype(result = "SubmitOutcome")]
+pub(crate) struct PatchConfig {
+    pub(crate) patch: PatchRecord,
+}
+
+/// Drains a server or lets it have work again.
+#[derive(Message)]
+#[rtype(result = "SubmitOutcome")]
+pub(crate) struct SetServerState {
+    pub(crate) server: ServerName,
+    pub(crate) wanted: ServerState,
+    pub(crate) id: String,
+    pub(crate) author: String,
+}
+
+impl Handler<ReadConfig> for ControlActor {
+    type Result = Option<ConfigAnswer>;
+
+    fn handle(
+        &mut self,
+        _message: ReadConfig,
+        _ctx: &mut Context<ControlActor>,
+    ) -> Option<ConfigAnswer> {
+        self.keeper.answer()
+    }
+}
+
+impl Handler<ReadHistory> for ControlActor {
+    type Result = MessageResult<ReadHistory>;
+
+    fn handle(
+        &mut self,
+        _message: ReadHistory,
+        _ctx: &mut Context<ControlActor>,
+    ) -> MessageResult<ReadHistory> {
+        let history = self.keeper.history();
+        MessageResult(history)
+    }
+}
+
+impl Handler<PatchConfig> for ControlActor {
+    type Result = ResponseFuture<SubmitOutcome>;
+
+    fn handle(&mut self, message: PatchConfig, _ctx: &mut Context<ControlActor>) -> Self::Result {
+        let keeper = self.keeper.clone();
+        Box::pin(async move { keeper.submit(message.patch, Instant::now() + PATCH_PATIENCE).await })
+    }
+}
+
+impl Handler<SetServerState> for ControlActor {
+    type Result = ResponseFuture<SubmitOutcome>;
+
+    fn handle(
+        &mut self,
+        message: SetServerState,
+        _ctx: &mut Context<ControlActor>,
+    ) -> Self::Result {
+        let keeper = self.keeper.clone();
+        Box::pin(async move {
+            let deadline = Instant::now() + PATCH_PATIENCE;
+            let SetServerState { server, wanted, id, author } = message;
+            keeper.set_server_state(&server, wanted, &id, &author, deadline).await
+        })
+    }
+}
+
+impl Handler<ReadHosts> for ControlActor {
+    type Result = MessageResult<ReadHosts>;
+
+    fn handle(
+        &mut self,
+        _message: ReadHosts,
+        _ctx: &mut Context<ControlActor>,
+    ) -> MessageResult<ReadHosts> {
+        let own = HostRow {
+            host: self.state.host.clone(),
+            zone: self.state.zone.clone(),
+            version: self.version(),
+            state: HostReach::Own,
+            incarnation: self.state.incarnation,
+            heard_ms_ago: 0,
+        };
+        let answer = HostsAnswer { hosts: vec![own] };
+        MessageResult(answer)
+    }
+}
+
+impl Handler<ReadServers> for ControlActor {
+    type Result = MessageResult<ReadServers>;
+
+    fn handle(
+        &mut self,
+        _message: ReadServers,
+        _ctx: &mut Context<ControlActor>,
+    ) -> MessageResult<ReadServers> {
+        let names: Vec<ServerName> =
+            self.routes.servers().map(|route| route.name.clone()).collect();
+        let rows = names.iter().filter_map(|name| self.server_row(name)).collect();
+        let answer = ServersAnswer { servers: rows };
+        MessageResult(answer)
+    }
+}
+
+impl Handler<ReadStatus> for ControlActor {
+    type Result = MessageResult<ReadStatus>;
+
+    fn handle(
+        &mut self,
+        _message: ReadStatus,
+        _ctx: &mut Context<ControlActor>,
+    ) -> MessageResult<ReadStatus> {
+        let phase = self.state.phase.get();
+        let answer = StatusAnswer {
+            host: self.state.host.clone(),
+            zone: self.state.zone.clone(),
+            incarnation: self.state.incarnation,
+            version: self.version(),
+            ready: phase == RouterPhase::Serving,
+            stopping: matches!(phase, RouterPhase::Leaving | RouterPhase::Closing),
+            log_reachable: self.log_reachable(),
+            config_gap: self.keeper.has_gap(),
+            peers_up: 0,
+            open_requests: self.state.open.open() as u64,
+            uptime_s: self.state.uptime_s(),
+        };
+        MessageResult(answer)
+    }
+}
+
+impl ControlActor {
+    fn version(&self) -> ConfigVersion {
+        self.state.routes.load().as_ref().map(|table| table.version).unwrap_or_default()
+    }
+
+    fn server_row(&mut self, name: &ServerName) -> Option<ServerRow> {
+        let document = self.routes.document()?.clone();
+        let entry = document.servers.get(name)?;
+        let meter = self.routes.meter(name);
+        let route = self.routes.server(name)?;
+        let health = if route.is_leaving() {
+            ServerHealth::Leaving
+        } else if self.down.contains(name) {
+            ServerHealth::Ejected
+        } else if route.incarnation().0 == 0 {
+            ServerHealth::Unknown
+        } else {
+            ServerHealth::Up
+        };
+        Some(ServerRow {
+            server: name.clone(),
+            zone: entry.zone.clone(),
+            address: entry.address,
+            models: entry.models().to_vec(),
+            service: entry.service().cloned(),
+            state: entry.state,
+            health,
+            open_requests: u64::from(route.gate.figures().under_way),
+            queue_tokens: entry.service().is_none().then(|| u64::from(meter.queue_tokens())),
+        })
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/route_keeper.rs
@@ -0,0 +1,248 @@
+//! Builds the table of routes from the configuration and from what is known of servers.
+
+use std::sync::Arc;
+
+use fulmargate_config::ConfigDocument;
+use fulmargate_config::PolicyKind as ConfigPolicy;
+use fulmargate_config::PublishedConfig;
+use fulmargate_config::ServerState;
+use fulmargate_names::Incarnation;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
+use fulmargate_names::ZoneName;
+use fulmargate_placement::FleetServer;
+use fulmargate_placement::FleetView;
+use fulmargate_placement::MeterBook;
+use fulmargate_placement::PlacementConf;
+use fulmargate_placement::Placer;
+use fulmargate_placement::PolicyKind;
+use fulmargate_placement::SpreadPlan;
+use indexmap::IndexMap;
+
+use crate::state::ClassRoute;
+use crate::state::ModelRoute;
+use crate::state::RouteTable;
+use crate::state::ServerRoute;
+
+/// Time to a server of another zone and back.
+const OTHER_ZONE_MS: f64 = 1.0;
+
+/// Builds the table of routes; keeps what outlives a table.
+pub(crate) struct RouteKeeper {
+    zone: ZoneName,
+    conf: PlacementConf,
+    published: PublishedConfig,
+    servers: IndexMap<ServerName, KeptServer>,
+    meters: MeterBook,
+    models: IndexMap<ModelName, KeptModel>,
+}
+
+struct KeptServer {
+    route: Arc<ServerRoute>,
+    /// Weights that the server says are in use.
+    weights: IndexMap<ModelName, WeightsVersion>,
+}
+
+struct KeptModel {
+    placer: Arc<Placer>,
+    plan: Option<SpreadPlan>,
+    /// The newest weights that any server has confirmed; never falls.
+    confirmed: WeightsVersion,
+}
+
+impl RouteKeeper {
+    pub(crate) fn new(zone: &ZoneName) -> RouteKeeper {
+        let conf = PlacementConf::default();
+        RouteKeeper {
+            zone: zone.clone(),
+            meters: MeterBook::new(&conf),
+            conf,
+            published: PublishedConfig::default(),
+            servers: IndexMap::new(),
+            models: IndexMap::new(),
+        }
+    }
+
+    /// Takes a configuration over.
+    pub(crate) fn set_config(&mut self, published: PublishedConfig) {
+        let Some(document) = published.document.clone() else {
+            return;
+        };
+        self.published = published;
+        self.keep_servers(&document);
+        self.meters.retain(|name| document.servers.contains_key(name));
+        let conf = &self.conf;
+        self.models.retain(|model, _| document.models.contains_key(model));
+        for model in document.models.keys() {
+            self.models.entry(model.clone()).or_insert_with(|| KeptModel::new(conf));
+        }
+    }
+
+    /// The server's route.
+    pub(crate) fn server(&self, name: &ServerName) -> Option<&Arc<ServerRoute>> {
+        Some(&self.servers.get(name)?.route)
+    }
+
+    /// All servers.
+    pub(crate) fn servers(&self) -> impl Iterator<Item = &Arc<ServerRoute>> {
+        self.servers.values().map(|kept| &kept.route)
+    }
+
+    /// The document in force.
+    pub(crate) fn document(&self) -> Option<&Arc<ConfigDocument>> {
+        self.published.document.as_ref()
+    }
+
+    #[allow(dead_code, reason = "the exchange with peers uses it next")]
+    /// The placers, by model.
+    pub(crate) fn placers(&self) -> impl Iterator<Item = (&ModelName, &Arc<Placer>)> {
+        self.models.iter().map(|(model, kept)| (model, &kept.placer))
+    }
+
+    #[allow(dead_code, reason = "the exchange with peers uses it next")]
+    /// Sets the plan that spreads a model's hot prefixes.
+    pub(crate) fn set_plan(&mut self, model: &ModelName, plan: SpreadPlan) {
+        if let Some(kept) = self.models.get_mut(model) {
+            kept.plan = Some(plan);
+        }
+    }
+
+    /// The present life's meter of a server.
+    pub(crate) fn meter(&mut self, name: &ServerName) -> Arc<fulmargate_placement::ServerMeter> {
+        let known = self.servers.get(name).map(|kept| kept.route.incarnation());
+        self.meters.meter(name, known.unwrap_or(Incarnation(0)))
+    }
+
+    /// Takes in which weights a server says are in use; tells whether that changes the table.
+    pub(crate) fn note_weights(
+        &mut self,
+        name: &ServerName,
+        weights: &IndexMap<ModelName, WeightsVersion>,
+    ) -> bool {
+        let Some(kept) = self.servers.get_mut(name) else {
+            return false;
+        };
+        if kept.weights == *weights {
+            return false;
+        }
+        kept.weights.clone_from(weights);
+        for (model, version) in weights {
+            if let Some(kept) = self.models.get_mut(model) {
+                kept.confirmed = kept.confirmed.max(*version);
+            }
+        }
+        true
+    }
+
+    /// The table, once there is a configuration.
+    pub(crate) fn build(&mut self) -> Option<RouteTable> {
+        let document = self.published.document.clone()?;
+        let models: Vec<ModelName> = document.models.keys().cloned().collect();
+        let mut routes = IndexMap::new();
+        for model in models {
+            let route = self.model_route(&document, &model);
+            routes.insert(model, route);
+        }
+        let classes = document.classes.iter();
+        let classes = classes.map(|(name, entry)| (name.clone(), ClassRoute::new(name, entry)));
+        let servers = self.servers.iter();
+        Some(RouteTable {
+            version: self.published.version,
+            policy: policy_of(document.policy),
+            classes: classes.collect(),
+            servers: servers.map(|(name, kept)| (name.clone(), Arc::clone(&kept.route))).collect(),
+            models: routes,
+            services: self.service_routes(&document),
+            document,
+        })
+    }
+
+    fn model_route(&mut self, document: &ConfigDocument, model: &ModelName) -> ModelRoute {
+        let wanted = document.models.get(model).map(|entry| entry.weights).unwrap_or_default();
+        let confirmed = self.models.get(model).map(|kept| kept.confirmed).unwrap_or_default();
+        // Until a server has confirmed the wanted weights, older ones go on serving.
+        let oldest = if wanted <= confirmed { wanted } else { WeightsVersion(0) };
+        let names = document.servers_of_model(model);
+        let names: Vec<ServerName> = names
+            .filter(|(name, entry)| entry.state == ServerState::Active && self.takes_work(name))
+            .filter(|(name, _)| self.has_weights(name, model, oldest))
+            .map(|(name, _)| name.clone())
+            .collect();
+        let servers = names.iter().filter_map(|name| self.fleet_server(name)).collect();
+        let view = FleetView::new(&self.conf, servers);
+        let conf = &self.conf;
+        let kept = self.models.entry(model.clone()).or_insert_with(|| KeptModel::new(conf));
+        ModelRoute {
+            view: match &kept.plan {
+                Some(plan) => view.with_plan(plan),
+                None => view,
+            },
+            placer: Arc::clone(&kept.placer),
+            oldest_weights: oldest,
+            weights: if wanted <= confirmed { wanted } else { confirmed },
+        }
+    }
+
+    fn fleet_server(&mut self, name: &ServerName) -> Option<FleetServer> {
+        let meter = self.meter(name);
+        let route = &self.servers.get(name)?.route;
+        let zone_ms = if route.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
+        Some(FleetServer { zone: route.zone.clone(), zone_ms, meter })
+    }
+
+    fn takes_work(&self, name: &ServerName) -> bool {
+        self.servers.get(name).is_some_and(|kept| !kept.route.is_leaving())
+    }
+
+    /// A server that has not told its weights yet is trusted: its answers tell.
+    fn has_weights(&self, name: &ServerName, model: &ModelName, oldest: WeightsVersion) -> bool {
+        let told = self.servers.get(name).and_then(|kept| kept.weights.get(model));
+        told.is_none_or(|told| oldest <= *told)
+    }
+
+    fn service_routes(
+        &self,
+        document: &ConfigDocument,
+    ) -> IndexMap<fulmargate_names::ServiceName, Vec<Arc<ServerRoute>>> {
+        let route_of = |service| {
+            document
+                .servers_of_service(service)
+                .filter(|(name, entry)| entry.state == ServerState::Active && self.takes_work(name))
+                .filter_map(|(name, _)| Some(Arc::clone(&self.servers.get(name)?.route)))
+                .collect()
+        };
+        document.services.keys().map(|service| (service.clone(), route_of(service))).collect()
+    }
+
+    fn keep_servers(&mut self, document: &ConfigDocument) {
+        let mut before = std::mem::take(&mut self.servers);
+        for (name, entry) in &document.servers {
+            let kept = before.swap_remove(name).filter(|kept| kept.route.address == entry.address);
+            let kept = kept.unwrap_or_else(|| KeptServer {
+                route: ServerRoute::new(name, entry),
+                weights: IndexMap::new(),
+            });
+            self.servers.insert(name.clone(), kept);
+        }
+    }
+}
+
+impl KeptModel {
+    fn new(conf: &PlacementConf) -> KeptModel {
+        KeptModel {
+            placer: Arc::new(Placer::new(conf.clone())),
+            plan: None,
+            confirmed: WeightsVersion(0),
+        }
+    }
+}
+
+fn policy_of(policy: ConfigPolicy) -> PolicyKind {
+    match policy {
+        ConfigPolicy::Cost => PolicyKind::Cost,
+        ConfigPolicy::RoundRobin => PolicyKind::RoundRobin,
+        ConfigPolicy::LeastLoad => PolicyKind::LeastLoad,
+        ConfigPolicy::PrefixHash => PolicyKind::PrefixHash,
+    }
+}
--- a/crates/router/src/operator/health_handler.rs
+++ b/crates/router/src/operator/health_handler.rs
@@ -6,6 +6,7 @@
 
 use crate::operator::OperatorContext;
 use crate::state::RouterPhase;
+use crate::telemetry::render_metrics;
 
 /// `GET /health`: the process lives.
 pub(crate) async fn health() -> HttpResponse {
@@ -27,3 +28,10 @@
         HttpResponse::ServiceUnavailable().json(body)
     }
 }
+
+/// `GET /metrics`: Prometheus text.
+pub(crate) async fn metrics(context: web::Data<OperatorContext>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(render_metrics(&context.state))
+}
--- a/crates/router/src/state/mod.rs
+++ b/crates/router/src/state/mod.rs
@@ -1,11 +1,15 @@
 //! What traffic threads share with the control thread.
 
+mod class_route;
+mod model_route;
 mod open_count;
 mod route_table;
 mod router_phase;
 mod router_state;
 mod server_route;
 
+pub(crate) use class_route::ClassRoute;
+pub(crate) use model_route::ModelRoute;
 pub(crate) use open_count::OpenCount;
 pub(crate) use open_count::OpenGuard;
 pub(crate) use route_table::RouteTable;
--- a/crates/router/src/state/open_count.rs
+++ b/crates/router/src/state/open_count.rs
@@ -11,7 +11,7 @@
 /// actix-web cuts what is open once its own shutdown timeout passes; the router
 /// stops it only when this count is zero, so that a planned stop cuts no stream.
 #[derive(Clone, Default)]
-pub struct OpenCount {
+pub(crate) struct OpenCount {
     inner: Arc<OpenInner>,
 }
 
@@ -22,24 +22,24 @@
 }
 
 /// One open request; dropping it closes it.
-pub struct OpenGuard {
+pub(crate) struct OpenGuard {
     inner: Arc<OpenInner>,
 }
 
 impl OpenCount {
     /// Counts one request until the guard is dropped.
-    pub fn enter(&self) -> OpenGuard {
+    pub(crate) fn enter(&self) -> OpenGuard {
         self.inner.open.fetch_add(1, Ordering::SeqCst);
         OpenGuard { inner: Arc::clone(&self.inner) }
     }
 
     /// How many are open now.
-    pub fn open(&self) -> usize {
+    pub(crate) fn open(&self) -> usize {
         self.inner.open.load(Ordering::SeqCst)
     }
 
     /// Waits until none is open.
-    pub async fn emptied(&self) {
+    pub(crate) async fn emptied(&self) {
         loop {
             let emptied = self.inner.emptied.notified();
             if self.open() == 0 {
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -5,14 +5,26 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use actix::Addr;
 use arc_swap::ArcSwapOption;
+use fulmargate_admission::RetryBudget;
+use fulmargate_admission::RetryConf;
+use fulmargate_admission::SuspectBook;
+use fulmargate_admission::SuspectConf;
+use fulmargate_ledger::ClaimHandle;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::RequestId;
+use fulmargate_names::ServerName;
 use fulmargate_names::ZoneName;
 use fulmargate_relay::TokenSecrets;
 use fulmargate_settings::RouterSettings;
+use sha2::Digest;
+use sha2::Sha256;
 
+use crate::control::ControlActor;
+use crate::control::ServerLife;
+use crate::control::ServerTrouble;
 use crate::state::OpenCount;
 use crate::state::PhaseCell;
 use crate::state::RouteTable;
@@ -27,6 +39,12 @@
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) phase: PhaseCell,
     pub(crate) open: OpenCount,
+    pub(crate) budget: RetryBudget,
+    pub(crate) suspects: Arc<SuspectBook>,
+    pub(crate) claims: ClaimHandle,
+    pub(crate) control: Addr<ControlActor>,
+    /// Seed of the fingerprints of requests, shared by all routers and kept from callers.
+    pub(crate) print_seed: u64,
     attempts: AtomicU64,
     started: Instant,
 }
@@ -36,6 +54,8 @@
         settings: RouterSettings,
         incarnation: Incarnation,
         secrets: TokenSecrets,
+        claims: ClaimHandle,
+        control: Addr<ControlActor>,
     ) -> Arc<RouterState> {
         Arc::new(RouterState {
             host: settings.host.clone(),
@@ -45,6 +65,11 @@
             routes: ArcSwapOption::empty(),
             phase: PhaseCell::default(),
             open: OpenCount::default(),
+            budget: RetryBudget::new(RetryConf::default()),
+            suspects: SuspectBook::new(SuspectConf::default()),
+            claims,
+            control,
+            print_seed: print_seed(&settings),
             attempts: AtomicU64::new(0),
             started: Instant::now(),
             settings,
@@ -62,4 +87,34 @@
     pub(crate) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
+
+    /// Seconds since the router's start.
+    pub(crate) fn uptime_s(&self) -> u64 {
+        self.started.elapsed().as_secs()
+    }
+
+    /// Tells control that a connection to a server broke or could not be made.
+    pub(crate) fn tell_trouble(&self, server: &ServerName) {
+        self.control.do_send(ServerTrouble { server: server.clone() });
+    }
+
+    /// Tells control which incarnation of a server answered.
+    pub(crate) fn tell_life(
+        &self,
+        server: &ServerName,
+        incarnation: Incarnation,
+        is_leaving: bool,
+    ) {
+        self.control.do_send(ServerLife { server: server.clone(), incarnation, is_leaving });
+    }
+}
+
+/// From the oldest of the shared secrets: while secrets are rotated, hosts differ in the newest.
+fn print_seed(settings: &RouterSettings) -> u64 {
+    let secret = settings.stream_secrets.last().map_or("", String::as_str);
+    let digest =
+        Sha256::new().chain_update(b"fulmargate fingerprint 1\0").chain_update(secret).finalize();
+    let mut seed = [0; 8];
+    seed.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(seed)
 }
--- a/crates/router/src/state/server_route.rs
+++ b/crates/router/src/state/server_route.rs
@@ -3,49 +3,67 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use fulmargate_admission::GateConf;
+use fulmargate_admission::ServerGate;
 use fulmargate_config::ServerEntry;
-use fulmargate_config::ServerState;
+use fulmargate_config::ServerKind;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use fulmargate_names::ZoneName;
 
-/// A backend server as traffic sees it. It survives changes of configuration that leave its address as it is.
+/// A backend server as traffic sees it. It outlives changes of configuration that leave its address as it is.
 pub(crate) struct ServerRoute {
     pub(crate) name: ServerName,
     pub(crate) zone: ZoneName,
     pub(crate) address: SocketAddr,
-    /// Requests of this router that are open there.
-    pub(crate) open: AtomicUsize,
+    pub(crate) gate: Arc<ServerGate>,
     incarnation: AtomicU64,
+    leaving: AtomicU64,
 }
 
 impl ServerRoute {
     /// A server of which nothing is known yet.
     pub(crate) fn new(name: &ServerName, entry: &ServerEntry) -> Arc<ServerRoute> {
+        let conf = match entry.kind {
+            ServerKind::Engine { .. } => GateConf::engine(),
+            ServerKind::Service { .. } => GateConf::service(),
+        };
         Arc::new(ServerRoute {
             name: name.clone(),
             zone: entry.zone.clone(),
             address: entry.address,
-            open: AtomicUsize::new(0),
+            gate: ServerGate::new(name.clone(), conf),
             incarnation: AtomicU64::new(0),
+            leaving: AtomicU64::new(0),
         })
     }
 
-    /// The highest incarnation that was met.
+    /// The highest incarnation that was met; 0 if none.
     pub(crate) fn incarnation(&self) -> Incarnation {
         Incarnation(self.incarnation.load(Ordering::Acquire))
     }
 
-    /// Notes an incarnation; an older one changes nothing.
-    pub(crate) fn note_incarnation(&self, incarnation: Incarnation) {
-        self.incarnation.fetch_max(incarnation.0, Ordering::AcqRel);
+    /// Notes an incarnation; an older one changes nothing. Says which one was known before.
+    pub(crate) fn note_incarnation(&self, incarnation: Incarnation) -> Incarnation {
+        Incarnation(self.incarnation.fetch_max(incarnation.0, Ordering::AcqRel))
     }
 
-    /// Whether the operators let it have new work.
-    pub(crate) fn is_active(entry: &ServerEntry) -> bool {
-        entry.state == ServerState::Active
+    /// Notes that an incarnation leaves. It stays so whatever a lagging list says later; only a
+    /// later incarnation gets new work again.
+    pub(crate) fn note_leaving(&self, incarnation: Incarnation) {
+        self.leaving.fetch_max(incarnation.0.max(1), Ordering::AcqRel);
+    }
+
+    /// Whether the newest incarnation leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let leaving = self.leaving.load(Ordering::Acquire);
+        0 < leaving && self.incarnation().0 <= leaving
+    }
+
+    /// The incarnation that leaves; 0 if none.
+    pub(crate) fn leaving_incarnation(&self) -> Incarnation {
+        Incarnation(self.leaving.load(Ordering::Acquire))
     }
 }
--- a/crates/router/src/telemetry/mod.rs
+++ b/crates/router/src/telemetry/mod.rs
@@ -1,5 +1,9 @@
 //! What the router tells of itself.
 
 mod logging;
+mod metric_book;
 
 pub use logging::install_logging;
+pub(crate) use metric_book::RequestMetrics;
+pub(crate) use metric_book::install_metrics;
+pub(crate) use metric_book::render_metrics;
