--- /dev/null
+++ b/crates/peers/src/wire.rs
@@ -0,0 +1,22 @@
+//! What goes over a link: frames, messages, their encoding.
+
+mod frame_codec;
+mod item_codec;
+mod message_codec;
+mod name_codec;
+mod peer_message;
+mod record_codec;
+
+pub use frame_codec::FRAME_LIMIT;
+pub use frame_codec::FrameError;
+pub use frame_codec::FrameReader;
+pub use frame_codec::LENGTH_BYTES;
+pub use frame_codec::PROTOCOL_VERSION;
+pub use frame_codec::decode_frame;
+pub use frame_codec::encode_frame;
+pub use peer_message::PeerFrame;
+pub use peer_message::PeerMessage;
+pub use peer_message::PeerRecord;
+pub use peer_message::SummaryEntry;
+pub use peer_message::WelcomePart;
+pub(crate) use record_codec::encoded_len;
--- /dev/null
+++ b/crates/peers/src/wire/message_codec.rs
@@ -0,0 +1,191 @@
+//! Hand-written encoding of frames and messages.
+
+use bincode::BorrowDecode;
+use bincode::Encode;
+use bincode::de::BorrowDecoder;
+use bincode::enc::Encoder;
+use bincode::error::DecodeError;
+use bincode::error::EncodeError;
+use fulmargate_names::ConfigVersion;
+
+use crate::RecordKind;
+use crate::record_key::RecordKey;
+use crate::wire::name_codec::put_name;
+use crate::wire::name_codec::take_name;
+use crate::wire::name_codec::take_number;
+use crate::wire::name_codec::take_tag;
+use crate::wire::name_codec::unknown_tag;
+use crate::wire::peer_message::PeerFrame;
+use crate::wire::peer_message::PeerMessage;
+use crate::wire::peer_message::SummaryEntry;
+use crate::wire::peer_message::WelcomePart;
+use crate::wire::record_codec::decode_member;
+use crate::wire::record_codec::decode_records;
+use crate::wire::record_codec::encode_records;
+
+const HELLO: u8 = 0;
+const PROBE: u8 = 1;
+const PROBE_ACK: u8 = 2;
+const PROBE_VIA: u8 = 3;
+const JOIN: u8 = 4;
+const WELCOME: u8 = 5;
+const DIGEST: u8 = 6;
+const SUMMARY: u8 = 7;
+const WANT: u8 = 8;
+const UPDATE: u8 = 9;
+
+impl Encode for PeerFrame {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.in_force.0.encode(encoder)?;
+        self.message.encode(encoder)
+    }
+}
+
+impl<'de, C> BorrowDecode<'de, C> for PeerFrame {
+    fn borrow_decode<D: BorrowDecoder<'de, Context = C>>(
+        decoder: &mut D,
+    ) -> Result<Self, DecodeError> {
+        Ok(PeerFrame {
+            in_force: ConfigVersion(take_number(decoder)?),
+            message: decode_message(decoder)?,
+        })
+    }
+}
+
+impl Encode for PeerMessage {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        match self {
+            PeerMessage::Hello { fleet, member } => {
+                HELLO.encode(encoder)?;
+                put_name(encoder, fleet)?;
+                member.encode(encoder)
+            }
+            PeerMessage::Probe { number, digest } => {
+                (PROBE, *number, digest.to_le_bytes()).encode(encoder)
+            }
+            PeerMessage::ProbeAck { number } => (PROBE_ACK, *number).encode(encoder),
+            PeerMessage::ProbeVia { number, host, address } => {
+                (PROBE_VIA, *number).encode(encoder)?;
+                put_name(encoder, host.as_str())?;
+                address.encode(encoder)
+            }
+            PeerMessage::Join => JOIN.encode(encoder),
+            PeerMessage::Welcome { part, records } => {
+                (WELCOME, *part as u8).encode(encoder)?;
+                encode_records(records, encoder)
+            }
+            PeerMessage::Digest { buckets } => {
+                DIGEST.encode(encoder)?;
+                encode_buckets(buckets, encoder)
+            }
+            PeerMessage::Summary { buckets, entries } => {
+                SUMMARY.encode(encoder)?;
+                buckets.encode(encoder)?;
+                entries.encode(encoder)
+            }
+            PeerMessage::Want { keys } => {
+                WANT.encode(encoder)?;
+                keys.encode(encoder)
+            }
+            PeerMessage::Update { records } => {
+                UPDATE.encode(encoder)?;
+                encode_records(records, encoder)
+            }
+        }
+    }
+}
+
+fn decode_message<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<PeerMessage, DecodeError> {
+    let message = match take_tag(decoder)? {
+        HELLO => PeerMessage::Hello { fleet: take_name(decoder)?, member: decode_member(decoder)? },
+        PROBE => PeerMessage::Probe { number: take_number(decoder)?, digest: take_hash(decoder)? },
+        PROBE_ACK => PeerMessage::ProbeAck { number: take_number(decoder)? },
+        PROBE_VIA => PeerMessage::ProbeVia {
+            number: take_number(decoder)?,
+            host: take_name(decoder)?,
+            address: BorrowDecode::borrow_decode(decoder)?,
+        },
+        JOIN => PeerMessage::Join,
+        WELCOME => {
+            PeerMessage::Welcome { part: decode_part(decoder)?, records: decode_records(decoder)? }
+        }
+        DIGEST => PeerMessage::Digest { buckets: decode_buckets(decoder)? },
+        SUMMARY => PeerMessage::Summary {
+            buckets: BorrowDecode::borrow_decode(decoder)?,
+            entries: decode_entries(decoder)?,
+        },
+        WANT => PeerMessage::Want { keys: decode_keys(decoder)? },
+        UPDATE => PeerMessage::Update { records: decode_records(decoder)? },
+        tag => return unknown_tag(tag, UPDATE),
+    };
+    Ok(message)
+}
+
+fn decode_part<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<WelcomePart, DecodeError> {
+    match take_tag(decoder)? {
+        0 => Ok(WelcomePart::More),
+        1 => Ok(WelcomePart::Last),
+        2 => Ok(WelcomePart::Sample),
+        tag => unknown_tag(tag, 2),
+    }
+}
+
+/// Hashes use all their bits: a fixed length is the shorter one.
+fn encode_buckets<E: Encoder>(buckets: &[u32], encoder: &mut E) -> Result<(), EncodeError> {
+    (buckets.len() as u64).encode(encoder)?;
+    buckets.iter().try_for_each(|hash| hash.to_le_bytes().encode(encoder))
+}
+
+fn take_hash<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<u32, DecodeError> {
+    Ok(u32::from_le_bytes(BorrowDecode::borrow_decode(decoder)?))
+}
+
+fn decode_buckets<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<Vec<u32>, DecodeError> {
+    let count = take_number(decoder)?;
+    (0..count).map(|_| take_hash(decoder)).collect()
+}
+
+impl Encode for RecordKey {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        (self.kind as u8).encode(encoder)?;
+        self.id.to_le_bytes().encode(encoder)
+    }
+}
+
+impl Encode for SummaryEntry {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.key.encode(encoder)?;
+        self.stamp.to_le_bytes().encode(encoder)
+    }
+}
+
+/// Keys of kinds that a newer release has added are skipped.
+fn decode_keys<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<Vec<RecordKey>, DecodeError> {
+    let count = take_number(decoder)?;
+    let mut keys = Vec::new();
+    for _ in 0..count {
+        keys.extend(decode_key(decoder)?);
+    }
+    Ok(keys)
+}
+
+fn decode_key<'de, D: BorrowDecoder<'de>>(
+    decoder: &mut D,
+) -> Result<Option<RecordKey>, DecodeError> {
+    let tag = take_tag(decoder)?;
+    let id = u64::from_le_bytes(BorrowDecode::borrow_decode(decoder)?);
+    Ok(RecordKind::from_tag(tag).map(|kind| RecordKey { kind, id }))
+}
+
+fn decode_entries<'de, D: BorrowDecoder<'de>>(
+    decoder: &mut D,
+) -> Result<Vec<SummaryEntry>, DecodeError> {
+    let count = take_number(decoder)?;
+    let mut entries = Vec::new();
+    for _ in 0..count {
+        let key = decode_key(decoder)?;
+        let stamp = take_hash(decoder)?;
+        entries.extend(key.map(|key| SummaryEntry { key, stamp }));
+    }
+    Ok(entries)
+}
