Find the request that crashes servers among all that were under way

Cause: now and then one request crashes each server that runs it and is sent again; all that ran beside it look the same at first. Suspects run apart, with a fixed order of routers at each server; a second crash convicts once the others of that crash are cleared. Conclusion: one crashing request costs two servers in each history tried.

--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures shared by the tests of this crate.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub(crate) mod crash_world;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/admission/tests/suspects.rs
@@ -0,0 +1,473 @@
+//! Requests that crash the servers that run them.
+
+mod support;
+
+use fulmargate_admission::CrashId;
+use fulmargate_admission::CrashProof;
+use fulmargate_admission::CrashSighting;
+use fulmargate_admission::Fingerprint;
+use fulmargate_admission::RunRefusal;
+use fulmargate_admission::SuspectBook;
+use fulmargate_admission::SuspectConf;
+use fulmargate_admission::SuspectStanding;
+use fulmargate_admission::SuspectVerdict;
+use fulmargate_admission::VerdictStanding;
+use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
+use fulmargate_names::ServerName;
+use fulmargate_names::TeamName;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use support::crash_world::CrashWorld;
+use support::crash_world::Nature;
+use support::crash_world::crashing_number;
+use support::crash_world::paused;
+use support::crash_world::random_history;
+use support::ms;
+use tokio::time::Instant;
+use tokio::time::advance;
+
+/// Crashing requests that come among harmless ones. The callers of the latter see their whole
+/// answers, later than usual; those of the former are refused once they cost two servers each.
+struct HistoryCase {
+    name: &'static str,
+    routers: usize,
+    servers: usize,
+    /// Harmless requests under way from the start.
+    harmless: u128,
+    /// Step and router at which each crashing request comes; the same number comes again.
+    crashing: &'static [(u32, u128, usize)],
+    /// Steps at which a router restarts.
+    restarts: &'static [(u32, usize)],
+    /// Steps at which a server crashes of itself.
+    failures: &'static [(u32, usize)],
+    /// Servers lost to each crashing request.
+    lost: u32,
+}
+
+const A: u128 = 1_000_003;
+const B: u128 = 1_000_009;
+
+const HISTORIES: &[HistoryCase] = &[
+    HistoryCase {
+        name: "one, through one router",
+        routers: 1,
+        servers: 4,
+        harmless: 8,
+        crashing: &[(1, A, 0)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "with sixteen under way on its server",
+        routers: 6,
+        servers: 1,
+        harmless: 16,
+        crashing: &[(1, A, 0)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "sent again to each router in turn",
+        routers: 6,
+        servers: 12,
+        harmless: 40,
+        crashing: &[(1, A, 0), (20, A, 1), (40, A, 2), (41, A, 3), (80, A, 4), (200, A, 5)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "sent again to another router while the first runs it apart",
+        routers: 3,
+        servers: 6,
+        harmless: 20,
+        crashing: &[(1, A, 0), (4, A, 1), (5, A, 2)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "two at once on one server",
+        routers: 2,
+        servers: 1,
+        harmless: 6,
+        crashing: &[(1, A, 0), (1, B, 1)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "two at once on several servers",
+        routers: 6,
+        servers: 12,
+        harmless: 60,
+        crashing: &[(1, A, 0), (1, B, 1)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "the second while suspects of the first run apart",
+        routers: 6,
+        servers: 6,
+        harmless: 40,
+        crashing: &[(1, A, 0), (4, B, 1)],
+        restarts: &[],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "its router restarts after the first crash",
+        routers: 3,
+        servers: 6,
+        harmless: 20,
+        crashing: &[(1, A, 0), (30, A, 0)],
+        restarts: &[(4, 0)],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "its router restarts after the conviction",
+        routers: 3,
+        servers: 6,
+        harmless: 20,
+        crashing: &[(1, A, 0), (60, A, 0)],
+        restarts: &[(50, 0)],
+        failures: &[],
+        lost: 2,
+    },
+    HistoryCase {
+        name: "four of twelve servers fail one after the other and no request is to blame",
+        routers: 6,
+        servers: 12,
+        harmless: 60,
+        crashing: &[],
+        restarts: &[],
+        failures: &[(3, 0), (4, 1), (5, 2), (6, 3)],
+        lost: 0,
+    },
+    HistoryCase {
+        name: "a third of the servers fail beside a crashing request",
+        routers: 6,
+        servers: 12,
+        harmless: 60,
+        crashing: &[(1, A, 0)],
+        restarts: &[],
+        failures: &[(20, 0), (20, 4), (21, 8), (21, 11)],
+        lost: 2,
+    },
+];
+
+#[tokio::test(start_paused = true)]
+async fn crashing_requests_cost_two_servers_and_no_innocent_is_refused() {
+    for case in HISTORIES {
+        check_history(case).await;
+    }
+}
+
+async fn check_history(case: &HistoryCase) {
+    let mut world = CrashWorld::new(case.routers, case.servers);
+    for number in 0..case.harmless {
+        world.send(number, Nature::Harmless, number as usize % case.routers);
+    }
+    for step in 0..600 {
+        for (_, number, router) in case.crashing.iter().filter(|(at, ..)| *at == step) {
+            world.send(*number, Nature::Crashing, *router);
+        }
+        case.restarts.iter().filter(|(at, _)| *at == step).for_each(|(_, router)| {
+            world.restart_router(*router);
+        });
+        case.failures.iter().filter(|(at, _)| *at == step).for_each(|(_, server)| {
+            world.crash(*server);
+        });
+        world.step().await;
+    }
+    assert_eq!(world.refused(Nature::Harmless), 0, "{}: innocents refused", case.name);
+    assert_eq!(world.done(Nature::Harmless) as u128, case.harmless, "{}: answers", case.name);
+    assert_eq!(world.refused(Nature::Crashing), case.crashing.len(), "{}: refusals", case.name);
+    let mut lost: Vec<u32> =
+        case.crashing.iter().map(|(_, number, _)| world.lost_to(*number)).collect();
+    lost.retain(|lost| *lost > case.lost);
+    assert!(lost.is_empty(), "{}: servers lost {lost:?}", case.name);
+}
+
+/// Histories drawn by chance: a crashing request, or two, among others that keep coming; callers
+/// send again once they are refused, and routers restart.
+#[test]
+fn one_crashing_request_costs_two_servers_in_any_history() {
+    fn check(seed: u64) -> bool {
+        let world = paused(random_history(seed, 1, 6, 12));
+        world.refused(Nature::Harmless) == 0 && world.lost_to(crashing_number(0)) == 2
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 41))
+        .tests(20)
+        .quickcheck(check as fn(_) -> _);
+}
+
+#[test]
+fn two_crashing_requests_refuse_no_innocent_in_any_history() {
+    fn check(seed: u64) -> bool {
+        let world = paused(random_history(seed, 2, 6, 12));
+        let lost = [0, 1].map(|index| world.lost_to(crashing_number(index)));
+        world.refused(Nature::Harmless) == 0 && lost.iter().all(|lost| *lost <= 2)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 42))
+        .tests(20)
+        .quickcheck(check as fn(_) -> _);
+}
+
+/// One book, one request and what happens to it.
+struct BookCase {
+    name: &'static str,
+    events: &'static [BookEvent],
+    expected: SuspectStanding,
+}
+
+enum BookEvent {
+    /// The request runs on a server, under an incarnation, and its connection breaks.
+    Broke(&'static str, u64),
+    /// It runs, and its caller hangs up.
+    HungUp(&'static str, u64),
+    /// It runs, and its whole answer comes.
+    EndedWell(&'static str, u64),
+    Crashed(&'static str, u64),
+    Seen(&'static str, u64),
+    Pass(u64),
+    /// Another router's word: crashes and cleared ones.
+    Learn(VerdictStanding, &'static [(&'static str, u64)], &'static [(&'static str, u64)]),
+}
+
+use BookEvent::Broke;
+use BookEvent::Crashed;
+use BookEvent::EndedWell;
+use BookEvent::HungUp;
+use BookEvent::Learn;
+use BookEvent::Pass;
+use BookEvent::Seen;
+
+const BOOKS: &[BookCase] = &[
+    BookCase {
+        name: "a broken connection brings suspicion before any proof",
+        events: &[Broke("a", 1)],
+        expected: SuspectStanding::Suspect,
+    },
+    BookCase {
+        name: "the server lives: the network broke",
+        events: &[Broke("a", 1), Seen("a", 1)],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "the server lives under another incarnation: it crashed",
+        events: &[Broke("a", 1), Seen("a", 2), Seen("a", 2)],
+        expected: SuspectStanding::Suspect,
+    },
+    BookCase {
+        name: "a break without proof counts for a while only",
+        events: &[Broke("a", 1), Pass(11_000)],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "two breaks without proof convict nobody",
+        events: &[Broke("a", 1), Broke("b", 1), Pass(2_000)],
+        expected: SuspectStanding::Held,
+    },
+    BookCase {
+        name: "the caller hung up just before the crash was known",
+        events: &[HungUp("a", 1), Crashed("a", 1)],
+        expected: SuspectStanding::Suspect,
+    },
+    BookCase {
+        name: "the caller hung up long before the crash",
+        events: &[HungUp("a", 1), Pass(3_000), Crashed("a", 1)],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "a crash of the next incarnation is another crash",
+        events: &[EndedWell("a", 1), Crashed("a", 2)],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "one crash and a whole answer",
+        events: &[Broke("a", 1), Crashed("a", 1), EndedWell("b", 1)],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "two crashes, just now",
+        events: &[Broke("a", 1), Crashed("a", 1), Broke("b", 1), Crashed("b", 1)],
+        expected: SuspectStanding::Held,
+    },
+    BookCase {
+        name: "two crashes, and nobody else was there",
+        events: &[Broke("a", 1), Crashed("a", 1), Broke("b", 1), Crashed("b", 1), Pass(500)],
+        expected: SuspectStanding::Convicted,
+    },
+    BookCase {
+        name: "one crash here, one at another router",
+        events: &[
+            Learn(VerdictStanding::Suspect, &[("a", 1)], &[]),
+            Broke("b", 1),
+            Crashed("b", 1),
+            Pass(500),
+        ],
+        expected: SuspectStanding::Convicted,
+    },
+    BookCase {
+        name: "the same crash, here and at another router",
+        events: &[
+            Learn(VerdictStanding::Suspect, &[("a", 1)], &[]),
+            Broke("a", 1),
+            Crashed("a", 1),
+            Pass(500),
+        ],
+        expected: SuspectStanding::Suspect,
+    },
+    BookCase {
+        name: "convicted by another router",
+        events: &[Learn(VerdictStanding::Convicted, &[("a", 1), ("b", 1)], &[])],
+        expected: SuspectStanding::Convicted,
+    },
+    BookCase {
+        name: "late news of a crash that it was cleared of",
+        events: &[
+            Broke("a", 1),
+            Crashed("a", 1),
+            EndedWell("b", 1),
+            Learn(VerdictStanding::Suspect, &[("a", 1)], &[]),
+        ],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "cleared by another router before the news of the crash",
+        events: &[
+            Learn(VerdictStanding::Innocent, &[], &[("a", 1)]),
+            Learn(VerdictStanding::Suspect, &[("a", 1)], &[]),
+        ],
+        expected: SuspectStanding::Innocent,
+    },
+    BookCase {
+        name: "a suspicion that nobody renewed",
+        events: &[Broke("a", 1), Crashed("a", 1), Pass(601_000)],
+        expected: SuspectStanding::Innocent,
+    },
+];
+
+#[tokio::test(start_paused = true)]
+async fn a_book_holds_what_it_saw_and_heard() {
+    for case in BOOKS {
+        check_book(case).await;
+    }
+}
+
+async fn check_book(case: &BookCase) {
+    let book = SuspectBook::new(SuspectConf::default());
+    let print = Fingerprint(7);
+    let run = |server: &str, incarnation: &u64| {
+        let incarnation = Incarnation(*incarnation);
+        book.begin(print, &ServerName::new(server), incarnation, Instant::now())
+            .expect("it may run")
+    };
+    for event in case.events {
+        let now = Instant::now();
+        match event {
+            Broke(server, incarnation) => run(server, incarnation).broke(),
+            HungUp(server, incarnation) => drop(run(server, incarnation)),
+            EndedWell(server, incarnation) => run(server, incarnation).ended_well(),
+            Crashed(server, incarnation) => {
+                book.crashed(&ServerName::new(server), Incarnation(*incarnation), now);
+            }
+            Seen(server, incarnation) => {
+                book.seen(&ServerName::new(server), Incarnation(*incarnation), now);
+            }
+            Pass(millis) => advance(ms(*millis)).await,
+            Learn(standing, crashes, cleared) => {
+                let verdict = verdict(print, *standing, crashes, cleared);
+                book.learn(&verdict, &HostName::new("entry-9"), now);
+            }
+        }
+        // Control asks for news all the time.
+        book.news(Instant::now());
+    }
+    assert_eq!(book.standing(print, Instant::now()), case.expected, "{}", case.name);
+}
+
+/// The caller's second try reaches another router while the first runs the suspect. It must wait
+/// there: run twice at a time, a crashing request would take a second and a third server at once.
+#[tokio::test(start_paused = true)]
+async fn a_suspect_that_runs_elsewhere_waits() {
+    let book = SuspectBook::new(SuspectConf::default());
+    let print = Fingerprint(7);
+    let from = HostName::new("entry-9");
+    let mut word = verdict(print, VerdictStanding::Suspect, &[("a", 1)], &[]);
+    word.running_on = Some(ServerName::new("b"));
+    book.learn(&word, &from, Instant::now());
+    let begin = |number: u128, server: &str| {
+        let run = book.begin(
+            Fingerprint(number),
+            &ServerName::new(server),
+            Incarnation(1),
+            Instant::now(),
+        );
+        run.map(drop)
+    };
+    assert_eq!(begin(7, "c"), Err(RunRefusal::Busy));
+    assert_eq!(begin(8, "b"), Ok(()), "the innocent run anywhere");
+    assert!(book.has_suspect(&ServerName::new("b"), Instant::now()));
+    word.running_on = None;
+    book.learn(&word, &from, Instant::now());
+    assert_eq!(begin(7, "c"), Ok(()));
+}
+
+/// Many requests are suspected in turn. The book keeps the newest, and convictions longest.
+#[tokio::test(start_paused = true)]
+async fn memory_is_bounded() {
+    let conf = SuspectConf { most_records: 16, ..SuspectConf::default() };
+    let book = SuspectBook::new(conf);
+    let from = HostName::new("entry-9");
+    let guilty = verdict(Fingerprint(0), VerdictStanding::Convicted, &[("a", 1), ("b", 1)], &[]);
+    book.learn(&guilty, &from, Instant::now());
+    for number in 1..200 {
+        advance(ms(1)).await;
+        let word = verdict(Fingerprint(number), VerdictStanding::Suspect, &[("c", 1)], &[]);
+        book.learn(&word, &from, Instant::now());
+    }
+    assert_eq!(book.verdicts(Instant::now()).len(), 16);
+    assert_eq!(book.standing(Fingerprint(0), Instant::now()), SuspectStanding::Convicted);
+    assert_eq!(book.standing(Fingerprint(199), Instant::now()), SuspectStanding::Suspect);
+}
+
+#[test]
+fn fingerprints_tell_team_model_and_body_apart() {
+    let print = |team: &str, model: &str, body: &str| {
+        Fingerprint::of(1, &TeamName::new(team), model, body.as_bytes())
+    };
+    assert_eq!(print("a", "m", "x"), print("a", "m", "x"));
+    let others = [print("b", "m", "x"), print("a", "n", "x"), print("a", "m", "y")];
+    let shifted = [print("am", "", "x"), print("a", "mx", ""), print("", "am", "x")];
+    assert!(others.iter().chain(&shifted).all(|other| *other != print("a", "m", "x")));
+    assert_ne!(print("a", "m", "x"), Fingerprint::of(2, &TeamName::new("a"), "m", b"x"));
+}
+
+fn verdict(
+    print: Fingerprint,
+    standing: VerdictStanding,
+    crashes: &[(&str, u64)],
+    cleared: &[(&str, u64)],
+) -> SuspectVerdict {
+    let crash = |(server, incarnation): &(&str, u64)| CrashId {
+        server: ServerName::new(server),
+        incarnation: Incarnation(*incarnation),
+    };
+    let sighting = |crash| CrashSighting { crash, age: ms(20), proof: CrashProof::Confirmed };
+    SuspectVerdict {
+        print,
+        standing,
+        running_on: None,
+        crashes: crashes.iter().map(crash).map(sighting).collect(),
+        cleared: cleared.iter().map(crash).collect(),
+    }
+}
