Name three events of the exchange between routers

Cause: a process that is superseded, was paused, or has dropped a slow peer's link must be seen by operators. Measured: tests of the names crate pass. Conclusion: the list stays in order.

--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -66,6 +66,12 @@
     PeerDown = 5003,
     /// A peer sent what cannot be read.
     PeerUnreadable = 5004,
+    /// A later process runs under this host's name.
+    PeerSuperseded = 5005,
+    /// This process was not run for a while.
+    HostPaused = 5006,
+    /// A peer read too slowly: its link was dropped.
+    PeerOverrun = 5007,
     /// A lease was taken.
     LeaseTaken = 6001,
     /// A lease was lost or lapsed.
@@ -133,6 +139,9 @@
     PeerSuspected => "peer_suspected",
     PeerDown => "peer_down",
     PeerUnreadable => "peer_unreadable",
+    PeerSuperseded => "peer_superseded",
+    HostPaused => "host_paused",
+    PeerOverrun => "peer_overrun",
     LeaseTaken => "lease_taken",
     LeaseLost => "lease_lost",
     OrderGiven => "order_given",
