Judge a key's age by its claim's landing alone

(1) After a quiet time longer than retention a fresh router had no log time, took an old UUIDv7 key for one from the future, remembered it anew and would have run it again. (2) `known` said free, and so not-run, of a key whose claim had gone from the log. Ruled out: the hosts' wall clocks (a wrong one would do the same harm); an append at each start to learn the time. Change: a record carries its memory rule and a claim its key's time; the fold judges at the landing. A book tells from when on it is whole, and proves nothing of keys made before that or too old. Conclusion: age is one rule for all readers.

--- a/crates/ledger/src/claim_book.rs
+++ b/crates/ledger/src/claim_book.rs
@@ -13,13 +13,13 @@
 use crate::BookError;
 use crate::CallOutcome;
 use crate::ClaimEntry;
-use crate::ClaimMemory;
 use crate::ClaimOutcome;
 use crate::ClaimRecord;
 use crate::ClaimRelease;
 use crate::ClaimerGone;
 use crate::KeyHash;
 use crate::KeyView;
+use crate::MemoryRule;
 use crate::NewClaim;
 use crate::RECORD_LAYOUT;
 use crate::RanPlace;
@@ -40,9 +40,11 @@
 ///
 /// What a record does depends on the records before it and on itself alone, so all readers agree, whenever they began and
 /// whatever their clocks and settings say. The lowest offset wins a key, then the first entry of a record.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ClaimBook {
     next: LogOffset,
+    /// All records that landed later than this were read; `None` while that isn't known of any time.
+    whole_from_ms: Option<u64>,
     log_time_ms: u64,
     held: IndexMap<KeyHash, HeldClaim>,
     claimers: ClaimerTable,
@@ -52,7 +54,20 @@
 impl ClaimBook {
     /// A book that begins at `first`, the oldest offset that the log keeps.
     pub fn new(first: LogOffset) -> ClaimBook {
-        ClaimBook { next: first, ..ClaimBook::default() }
+        let whole_from_ms = (first == LogOffset(0)).then_some(0);
+        ClaimBook {
+            next: first,
+            whole_from_ms,
+            log_time_ms: 0,
+            held: IndexMap::new(),
+            claimers: ClaimerTable::default(),
+            forget: BinaryHeap::new(),
+        }
+    }
+
+    /// From when on the book has read every record; `None` while it has read none and older ones are gone.
+    pub fn whole_from_ms(&self) -> Option<u64> {
+        self.whole_from_ms
     }
 
     /// The offset that the book has to read next.
@@ -111,6 +126,7 @@
         }
         let parsed = parse_record(record)?;
         self.next = LogOffset(record.offset.0 + 1);
+        self.whole_from_ms.get_or_insert(record.time_ms);
         self.log_time_ms = record.time_ms.max(self.log_time_ms);
         let Some(parsed) = parsed else {
             return Ok(RecordEffect::Unreadable);
@@ -126,7 +142,7 @@
                 offset: record.offset,
                 time_ms: record.time_ms,
                 position: position as u16,
-                release_within_ms: parsed.release_within_ms,
+                memory: parsed.memory,
             };
             changes.extend(self.fold_entry(entry, place));
         }
@@ -148,10 +164,7 @@
 
     fn fold_claim(&mut self, claim: &NewClaim, place: EntryPlace) -> BookChange {
         let NewClaim { key, number, .. } = *claim;
-        let until_ms = match claim.memory {
-            ClaimMemory::Until(until_ms) => until_ms,
-            ClaimMemory::For(length_ms) => place.time_ms + length_ms,
-        };
+        let until_ms = place.memory.until_ms(claim.made_ms, place.time_ms);
         // The first claim of an old key may be forgotten or out of retention. Its age is judged by the record's own time, so
         // a claim that took long to land is void for every reader.
         if until_ms <= place.time_ms {
@@ -164,7 +177,7 @@
             print: claim.print,
             number,
             claimer: place.claimer,
-            release_within_ms: place.release_within_ms,
+            release_ms: place.memory.release_ms,
             claimed_ms: place.time_ms,
             until_ms,
             standing_ms: place.time_ms,
@@ -194,7 +207,7 @@
     fn fold_release(&mut self, release: &ClaimRelease, place: EntryPlace) -> Option<BookChange> {
         let ClaimRelease { key, number } = *release;
         let held = self.pending_of(key, number, place.claimer)?;
-        if held.claimed_ms + u64::from(held.release_within_ms) <= place.time_ms {
+        if held.claimed_ms + u64::from(held.release_ms) <= place.time_ms {
             return None;
         }
         self.held.swap_remove(&key);
@@ -223,7 +236,7 @@
         {
             if held.claimer == claimer && held.number == renewed.number {
                 held.standing_ms = place.time_ms.max(held.standing_ms);
-                held.release_within_ms = 0;
+                held.release_ms = 0;
             }
             return;
         }
@@ -238,7 +251,7 @@
             print: renewed.print,
             number: renewed.number,
             claimer,
-            release_within_ms: 0,
+            release_ms: 0,
             claimed_ms: renewed.claimed_ms,
             until_ms: renewed.until_ms,
             standing_ms: place.time_ms,
@@ -295,7 +308,7 @@
     offset: LogOffset,
     time_ms: u64,
     position: u16,
-    release_within_ms: u32,
+    memory: MemoryRule,
 }
 
 /// The record's content, or `None` if it is not of this stream.
--- a/crates/ledger/src/claim_call.rs
+++ b/crates/ledger/src/claim_call.rs
@@ -28,8 +28,8 @@
 /// A router that is about to say `not-run` of a key.
 #[derive(Debug)]
 pub struct KnownCall {
-    /// The key.
-    pub key: KeyHash,
+    /// The caller's key.
+    pub key: ClaimKey,
     /// When the answer must be given.
     pub deadline: Instant,
     /// Where the answer goes.
--- a/crates/ledger/src/claim_handle.rs
+++ b/crates/ledger/src/claim_handle.rs
@@ -48,9 +48,9 @@
 
     /// To be asked before `not-run` is answered to a call that brings a key but was not claimed, such as one that meets a full
     /// queue: an earlier try of it may have run through any router.
-    pub async fn known(&self, key: KeyHash, deadline: Instant) -> KnownKey {
+    pub async fn known(&self, key: ClaimKey, deadline: Instant) -> KnownKey {
         let (reply, answer) = oneshot::channel();
-        let _ = self.shard(key).send(DeskCommand::Known(KnownCall { key, deadline, reply }));
+        let _ = self.shard(key.hash).send(DeskCommand::Known(KnownCall { key, deadline, reply }));
         answer.await.unwrap_or(KnownKey::Blind)
     }
 
--- a/crates/ledger/src/claim_record.rs
+++ b/crates/ledger/src/claim_record.rs
@@ -37,9 +37,9 @@
     /// second of two equal ones.
     #[serde(rename = "n")]
     pub sequence: u64,
-    /// How long after its landing a claim of this record can be released.
-    #[serde(rename = "r")]
-    pub release_within_ms: u32,
+    /// How long its claims are remembered.
+    #[serde(rename = "m")]
+    pub memory: MemoryRule,
     /// The entries, in their order.
     #[serde(rename = "e")]
     pub entries: Vec<ClaimEntry>,
@@ -74,20 +74,40 @@
     /// The claimer's number of the claim, unique in this stream.
     #[serde(rename = "c")]
     pub number: u64,
-    /// How long the claim is remembered.
-    #[serde(flatten)]
-    pub memory: ClaimMemory,
+    /// When the caller made the key, where the key says so.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub made_ms: Option<u64>,
 }
 
-/// How long a claim is remembered, by the log's clock.
+/// How long claims are remembered, by the log's clock. It stands in each record, so that all readers judge alike whatever
+/// their own settings say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimMemory {
-    /// To this moment, given by the age that the key carries. A claim that lands later is void: the key is too old.
-    #[serde(rename = "u")]
-    Until(u64),
-    /// For so long after it landed, since the key carries no age.
-    #[serde(rename = "d")]
-    For(u64),
+pub struct MemoryRule {
+    /// A key that tells its age is refused from this age on, and remembered up to it.
+    #[serde(rename = "a")]
+    pub remember_ms: u64,
+    /// A key made later than this after its claim's landing tells no age.
+    #[serde(rename = "f")]
+    pub ahead_ms: u64,
+    /// A key that tells no age is remembered for so long after the landing of its claim.
+    #[serde(rename = "o")]
+    pub opaque_ms: u64,
+    /// A claim can be released for so long after its landing.
+    #[serde(rename = "r")]
+    pub release_ms: u32,
+}
+
+impl MemoryRule {
+    /// To when a claim that lands at `landed_ms` is remembered.
+    ///
+    /// Whether the key's time counts is judged by the landing alone. A router's own idea of the time will not do: one that
+    /// believes an old key to be new would have it remembered anew, and run again.
+    pub fn until_ms(&self, made_ms: Option<u64>, landed_ms: u64) -> u64 {
+        match made_ms {
+            Some(made_ms) if made_ms <= landed_ms + self.ahead_ms => made_ms + self.remember_ms,
+            _ => landed_ms + self.opaque_ms,
+        }
+    }
 }
 
 /// Says what became of a claimed call. Only the claimer's own word counts.
--- a/crates/ledger/src/claim_verdict.rs
+++ b/crates/ledger/src/claim_verdict.rs
@@ -25,13 +25,15 @@
     LogOut(Disposition),
 }
 
-/// What can be said of a key for which the router is about to answer `not-run`.
+/// What can be said of a key of which the router is about to answer `not-run`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KnownKey {
     /// No claim holds it.
     Free,
     /// A claim holds it: `not-run` would be false, or may be.
     Claimed,
+    /// The key is older than what the ledger remembers, so this isn't known.
+    TooOld,
     /// The log cannot be reached, so this isn't known.
     Blind,
 }
--- a/crates/ledger/src/desk_settings.rs
+++ b/crates/ledger/src/desk_settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::MemoryRule;
+
 /// What a desk that is cut off from the log says of a call whose key its book does not hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutOffRule {
@@ -17,16 +19,10 @@
 pub struct DeskSettings {
     /// How long the log keeps records.
     pub retention_ms: u64,
-    /// A key that carries its age is refused from this age on.
-    pub remember_ms: u64,
-    /// How far a key's own time may lie ahead of the log's for its age to count.
-    pub ahead_ms: u64,
-    /// How long a key without an age is remembered.
-    pub opaque_ms: u64,
+    /// How long claims are remembered.
+    pub memory: MemoryRule,
     /// The age of a record from which its claims are written anew, if they must outlive it.
     pub renew_after_ms: u64,
-    /// How long after its landing a claim can be released.
-    pub release_within_ms: u32,
     /// The age from which a claim without an outcome counts as unknown.
     pub pending_ms: u64,
     /// How long a won claim may be sent, by the claimer's clock.
@@ -59,9 +55,7 @@
     #[display("opaque_ms must be at least remember_ms + ahead_ms")]
     OpaqueTooShort,
     /// Claims would be written anew while they can be released, or too late.
-    #[display(
-        "renew_after_ms must lie between twice release_within_ms and six tenths of retention_ms"
-    )]
+    #[display("renew_after_ms must lie between twice release_ms and six tenths of retention_ms")]
     RenewMisplaced,
     /// A number that must not be 0.
     #[display("appends_per_s, append_burst, full_group and group_bytes must not be 0")]
@@ -79,11 +73,13 @@
         let ahead_ms = (retention_ms / 20).min(5 * MINUTE_MS);
         DeskSettings {
             retention_ms,
-            remember_ms,
-            ahead_ms,
-            opaque_ms: DAY_MS.max(remember_ms + ahead_ms),
+            memory: MemoryRule {
+                remember_ms,
+                ahead_ms,
+                opaque_ms: DAY_MS.max(remember_ms + ahead_ms),
+                release_ms: (retention_ms / 10).min(2 * MINUTE_MS) as u32,
+            },
             renew_after_ms: retention_ms / 2,
-            release_within_ms: (retention_ms / 10).min(2 * MINUTE_MS) as u32,
             pending_ms: MINUTE_MS,
             ticket_life: Duration::from_secs(10),
             append_patience: Duration::from_secs(1),
@@ -99,13 +95,14 @@
 
     /// Refuses settings under which a claim could be forgotten while its key is still accepted.
     pub fn check(&self) -> Result<(), DeskSettingsError> {
-        if self.outlived_ms() < self.remember_ms + self.ahead_ms {
+        let aged_ms = self.memory.remember_ms + self.memory.ahead_ms;
+        if self.outlived_ms() < aged_ms {
             return Err(DeskSettingsError::RememberTooLong);
         }
-        if self.opaque_ms < self.remember_ms + self.ahead_ms {
+        if self.memory.opaque_ms < aged_ms {
             return Err(DeskSettingsError::OpaqueTooShort);
         }
-        let earliest_ms = 2 * u64::from(self.release_within_ms);
+        let earliest_ms = 2 * u64::from(self.memory.release_ms);
         let latest_ms = self.retention_ms / 10 * 6;
         if self.renew_after_ms < earliest_ms || latest_ms < self.renew_after_ms {
             return Err(DeskSettingsError::RenewMisplaced);
--- a/crates/ledger/src/held_claim.rs
+++ b/crates/ledger/src/held_claim.rs
@@ -21,7 +21,7 @@
     /// Whose claim it is.
     pub(crate) claimer: ClaimerIndex,
     /// How long after its landing it can be released; 0 once it is renewed.
-    pub(crate) release_within_ms: u32,
+    pub(crate) release_ms: u32,
     /// When it landed.
     pub(crate) claimed_ms: u64,
     /// To when it is remembered.
--- a/crates/ledger/src/renew_plan.rs
+++ b/crates/ledger/src/renew_plan.rs
@@ -18,7 +18,7 @@
 impl RenewPlan {
     /// A claim that can still be released is left out: its release may lie beyond what the book has read.
     pub(crate) fn includes(&self, held: &HeldClaim) -> bool {
-        let releasable_to_ms = held.claimed_ms + u64::from(held.release_within_ms);
+        let releasable_to_ms = held.claimed_ms + u64::from(held.release_ms);
         held.standing_ms < self.standing_before_ms
             && held.standing_ms + self.lasting_ms < held.until_ms
             && releasable_to_ms < self.complete_ms
--- a/crates/ledger/src/shard_desk.rs
+++ b/crates/ledger/src/shard_desk.rs
@@ -16,7 +16,7 @@
 use crate::ClaimBook;
 use crate::ClaimCall;
 use crate::ClaimEntry;
-use crate::ClaimMemory;
+use crate::ClaimKey;
 use crate::ClaimOutcome;
 use crate::ClaimRelease;
 use crate::ClaimTicket;
@@ -30,6 +30,7 @@
 use crate::KeyHash;
 use crate::KeyView;
 use crate::KnownCall;
+use crate::KnownKey;
 use crate::NewClaim;
 use crate::RanPlace;
 use crate::group_queue::GroupQueue;
@@ -182,7 +183,7 @@
     /// Gives up waits that are over, and writes old claims anew. To be called when `wake_at` has come.
     pub fn tick(&mut self, now: Instant) {
         for number in self.own.overdue(now) {
-            self.give_up(number);
+            self.give_up(number, now);
         }
         self.expire_parked(now);
         self.expire_waiters(now);
@@ -227,40 +228,56 @@
     }
 
     fn start_claim(&mut self, call: ClaimCall, now: Instant) {
-        let Some(memory) = self.memory_for(call.key.made_ms) else {
+        if self.is_too_old(call.key.made_ms, now) {
             return answer(call.reply, ClaimVerdict::TooOld);
-        };
+        }
         let patience = self.settings.append_patience;
         if self.appends_out.is_settled(patience, now) || self.reads_out.is_long(patience, now) {
-            let said = self.said_when_cut_off(call.key.hash);
+            let said = self.said_when_cut_off(call.key, now);
             return answer(call.reply, ClaimVerdict::LogOut(said));
         }
         self.number += 1;
-        let entry = NewClaim { key: call.key.hash, print: call.print, number: self.number, memory };
+        let entry = NewClaim {
+            key: call.key.hash,
+            print: call.print,
+            number: self.number,
+            made_ms: call.key.made_ms,
+        };
         let append_by = call.deadline.min(now + patience);
         self.queue.push_claim(entry.clone());
         self.own.insert(OwnClaim { entry, call: Some(call), append_by, sequence: None });
     }
 
-    /// How long a claim is remembered; `None` for a key that is certainly too old. Time is the log's, as last seen: it is
-    /// never ahead of the log's present, so a key whose age counts is forgotten before its record goes.
-    fn memory_for(&self, made_ms: Option<u64>) -> Option<ClaimMemory> {
-        let log_ms = self.book.log_time_ms();
-        match made_ms {
-            Some(made_ms) if made_ms <= log_ms + self.settings.ahead_ms => {
-                let until_ms = made_ms + self.settings.remember_ms;
-                (log_ms < until_ms).then_some(ClaimMemory::Until(until_ms))
-            }
-            _ => Some(ClaimMemory::For(self.settings.opaque_ms)),
+    /// Whether the key is certainly too old: the log's clock is at least as late as the desk believes.
+    fn is_too_old(&self, made_ms: Option<u64>, now: Instant) -> bool {
+        let memory = &self.settings.memory;
+        made_ms.is_some_and(|made_ms| made_ms + memory.remember_ms <= self.clock.log_ms(now))
+    }
+
+    /// What the book proves of a key, when it has met the stream's end. That it holds no claim of the key proves nothing if a
+    /// claim may be forgotten, or may have gone from the log before the book was begun.
+    fn known_by_book(&self, key: ClaimKey, now: Instant) -> KnownKey {
+        if self.book.holds(key.hash) || self.own.of_key(key.hash).is_some() {
+            return KnownKey::Claimed;
+        }
+        let ahead_ms = self.settings.memory.ahead_ms;
+        let begun_too_late = key.made_ms.is_some_and(|made_ms| match self.book.whole_from_ms() {
+            Some(0) => false,
+            Some(whole_from_ms) => made_ms < whole_from_ms + ahead_ms,
+            None => true,
+        });
+        if begun_too_late || self.is_too_old(key.made_ms, now) {
+            KnownKey::TooOld
+        } else {
+            KnownKey::Free
         }
     }
 
-    /// What can be said of a call that was not sent, without the log. `not-run` only if the book was read to its end, holds no
-    /// claim of the key, and no append of this desk may have brought one.
-    fn said_when_cut_off(&self, key: KeyHash) -> Disposition {
-        let in_doubt = self.own.of_key(key).is_some_and(|claim| claim.sequence.is_some());
-        let unclaimed = self.phase == BookPhase::Complete && !self.book.holds(key) && !in_doubt;
-        if unclaimed && self.settings.cut_off == CutOffRule::CallOnly {
+    /// What can be said of a call that was not sent, without the log.
+    fn said_when_cut_off(&self, key: ClaimKey, now: Instant) -> Disposition {
+        let is_free =
+            self.phase == BookPhase::Complete && self.known_by_book(key, now) == KnownKey::Free;
+        if is_free && self.settings.cut_off == CutOffRule::CallOnly {
             Disposition::NotRun
         } else {
             Disposition::Unknown
--- a/crates/ledger/src/shard_desk/append_side.rs
+++ b/crates/ledger/src/shard_desk/append_side.rs
@@ -139,7 +139,7 @@
             layout: RECORD_LAYOUT,
             claimer: self.me.clone(),
             sequence,
-            release_within_ms: self.settings.release_within_ms,
+            memory: self.settings.memory,
             entries: entries.clone(),
         };
         let data = serde_json::to_string(&record).expect("a record is plain data");
--- a/crates/ledger/src/shard_desk/read_side.rs
+++ b/crates/ledger/src/shard_desk/read_side.rs
@@ -141,11 +141,10 @@
             }
         };
         for call in calls {
-            let claimed = self.book.holds(call.key) || self.own.of_key(call.key).is_some();
-            let known = match (claimed, met_end) {
-                (true, _) => KnownKey::Claimed,
-                (false, true) => KnownKey::Free,
-                (false, false) => KnownKey::Blind,
+            let known = match self.known_by_book(call.key, now) {
+                KnownKey::Claimed => KnownKey::Claimed,
+                known if met_end => known,
+                _ => KnownKey::Blind,
             };
             let _ = call.reply.send(known);
         }
--- a/crates/ledger/src/shard_desk/wait_side.rs
+++ b/crates/ledger/src/shard_desk/wait_side.rs
@@ -16,7 +16,7 @@
 
 impl ShardDesk {
     /// Gives up the wait for a claim. One that may have landed stays known, and is released if it is found to have won.
-    pub(super) fn give_up(&mut self, number: u64) {
+    pub(super) fn give_up(&mut self, number: u64, now: Instant) {
         let Some(claim) = self.own.get_mut(number) else {
             return;
         };
@@ -28,7 +28,7 @@
         }
         self.queue.remove_claim(number);
         self.own.remove(number);
-        let said = self.said_when_cut_off(call.key.hash);
+        let said = self.said_when_cut_off(call.key, now);
         answer(call.reply, ClaimVerdict::LogOut(said));
     }
 
--- a/crates/ledger/tests/claim_book.rs
+++ b/crates/ledger/tests/claim_book.rs
@@ -6,7 +6,6 @@
 use fulmargate_ledger::ClaimBook;
 use fulmargate_ledger::ClaimEntry;
 use fulmargate_ledger::ClaimKey;
-use fulmargate_ledger::ClaimMemory;
 use fulmargate_ledger::ClaimOutcome;
 use fulmargate_ledger::ClaimRecord;
 use fulmargate_ledger::ClaimRelease;
@@ -14,6 +13,7 @@
 use fulmargate_ledger::ClaimerId;
 use fulmargate_ledger::KeyHash;
 use fulmargate_ledger::KeyView;
+use fulmargate_ledger::MemoryRule;
 use fulmargate_ledger::NewClaim;
 use fulmargate_ledger::RECORD_LAYOUT;
 use fulmargate_ledger::RanOutcome;
@@ -31,15 +31,15 @@
 
 const KEY: KeyHash = KeyHash([7; 16]);
 const PRINT: RequestPrint = RequestPrint([1; 8]);
-const RELEASE_WITHIN_MS: u32 = 100;
-const DAY: ClaimMemory = ClaimMemory::For(86_400_000);
+const MEMORY: MemoryRule =
+    MemoryRule { remember_ms: 1_000, ahead_ms: 100, opaque_ms: 900, release_ms: 100 };
 
 fn claimer(host: &str, incarnation: u64) -> ClaimerId {
     ClaimerId { host: HostName::new(host), incarnation: Incarnation(incarnation) }
 }
 
-fn claim(number: u64, memory: ClaimMemory) -> ClaimEntry {
-    ClaimEntry::Claim(NewClaim { key: KEY, print: PRINT, number, memory })
+fn claim(number: u64, made_ms: Option<u64>) -> ClaimEntry {
+    ClaimEntry::Claim(NewClaim { key: KEY, print: PRINT, number, made_ms })
 }
 
 fn release(number: u64) -> ClaimEntry {
@@ -76,7 +76,7 @@
         layout: RECORD_LAYOUT,
         claimer: claimer(host, 1),
         sequence: *sequence,
-        release_within_ms: RELEASE_WITHIN_MS,
+        memory: MEMORY,
         entries: entries.clone(),
     };
     LogRecord {
@@ -141,40 +141,40 @@
         FoldCase {
             name: "the lowest offset wins",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, DAY)]),
-                Landed("b", 1, 1, vec![claim(1, DAY)]),
+                Landed("a", 1, 0, vec![claim(1, None)]),
+                Landed("b", 1, 1, vec![claim(1, None)]),
             ],
             effects: vec!["won 1", "lost 1"],
             view: "pending",
         },
         FoldCase {
             name: "within a record the first entry wins",
-            records: vec![Landed("a", 1, 0, vec![claim(1, DAY), claim(2, DAY)])],
+            records: vec![Landed("a", 1, 0, vec![claim(1, None), claim(2, None)])],
             effects: vec!["won 1, lost 2"],
             view: "pending",
         },
         FoldCase {
             name: "a record that landed twice counts once, so that a released claim doesn't come back",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, DAY)]),
+                Landed("a", 1, 0, vec![claim(1, None)]),
                 Landed("a", 2, 1, vec![release(1)]),
-                Landed("a", 1, 2, vec![claim(1, DAY)]),
-                Landed("b", 1, 3, vec![claim(9, DAY)]),
+                Landed("a", 1, 2, vec![claim(1, None)]),
+                Landed("b", 1, 3, vec![claim(9, None)]),
             ],
             effects: vec!["won 1", "released", "Void", "won 9"],
             view: "pending",
         },
         FoldCase {
             name: "a record that lands after a later one of its claimer is void",
-            records: vec![Landed("a", 2, 0, vec![]), Landed("a", 1, 1, vec![claim(1, DAY)])],
+            records: vec![Landed("a", 2, 0, vec![]), Landed("a", 1, 1, vec![claim(1, None)])],
             effects: vec!["", "Void"],
             view: "free",
         },
         FoldCase {
             name: "the outcome of the holder settles the key, and later words change nothing",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, DAY)]),
-                Landed("b", 1, 1, vec![claim(1, DAY), ran(1, 500), release(1)]),
+                Landed("a", 1, 0, vec![claim(1, None)]),
+                Landed("b", 1, 1, vec![claim(1, None), ran(1, 500), release(1)]),
                 Landed("a", 2, 2, vec![unknown(2), ran(1, 200), unknown(1), release(1)]),
             ],
             effects: vec!["won 1", "lost 1", "ran 200"],
@@ -183,7 +183,7 @@
         FoldCase {
             name: "an unknown end stays unknown",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, DAY)]),
+                Landed("a", 1, 0, vec![claim(1, None)]),
                 Landed("a", 2, 1, vec![unknown(1), ran(1, 200)]),
             ],
             effects: vec!["won 1", "unknown"],
@@ -192,7 +192,7 @@
         FoldCase {
             name: "a release that lands late is void",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, DAY)]),
+                Landed("a", 1, 0, vec![claim(1, None)]),
                 Landed("a", 2, 100, vec![release(1)]),
             ],
             effects: vec!["won 1", ""],
@@ -202,20 +202,19 @@
 }
 
 fn age_cases() -> Vec<FoldCase> {
-    let until = ClaimMemory::Until;
     vec![
         FoldCase {
             name: "a key that is too old when its claim lands is refused",
-            records: vec![Landed("a", 1, 50, vec![claim(1, until(50))])],
+            records: vec![Landed("a", 1, 1_050, vec![claim(1, Some(50))])],
             effects: vec!["old 1"],
             view: "free",
         },
         FoldCase {
             name: "a key with its age is held up to the age at which it is refused",
             records: vec![
-                Landed("a", 1, 10, vec![claim(1, until(50))]),
-                Landed("b", 1, 49, vec![claim(1, until(50))]),
-                Landed("b", 2, 50, vec![claim(2, until(50))]),
+                Landed("a", 1, 10, vec![claim(1, Some(50))]),
+                Landed("b", 1, 1_049, vec![claim(1, Some(50))]),
+                Landed("b", 2, 1_050, vec![claim(2, Some(50))]),
             ],
             effects: vec!["won 1", "lost 1", "old 2"],
             view: "pending",
@@ -223,9 +222,19 @@
         FoldCase {
             name: "a key without an age is held for its time from the landing",
             records: vec![
-                Landed("a", 1, 10, vec![claim(1, ClaimMemory::For(30))]),
-                Landed("b", 1, 39, vec![claim(1, ClaimMemory::For(30))]),
-                Landed("b", 2, 40, vec![claim(2, ClaimMemory::For(30))]),
+                Landed("a", 1, 10, vec![claim(1, None)]),
+                Landed("b", 1, 909, vec![claim(1, None)]),
+                Landed("b", 2, 910, vec![claim(2, None)]),
+            ],
+            effects: vec!["won 1", "lost 1", "won 2"],
+            view: "pending",
+        },
+        FoldCase {
+            name: "a key from far ahead of the log's clock counts as one without an age",
+            records: vec![
+                Landed("a", 1, 10, vec![claim(1, Some(111))]),
+                Landed("b", 1, 909, vec![claim(1, Some(111))]),
+                Landed("b", 2, 910, vec![claim(2, Some(111))]),
             ],
             effects: vec!["won 1", "lost 1", "won 2"],
             view: "pending",
@@ -234,8 +243,8 @@
             name: "a renewed claim holds its key for a reader that began after it",
             records: vec![
                 Landed("c", 1, 500, vec![renew("a", 1, 900, RenewedState::Ran(201))]),
-                Landed("b", 1, 600, vec![claim(1, DAY)]),
-                Landed("b", 2, 900, vec![claim(2, DAY)]),
+                Landed("b", 1, 600, vec![claim(1, None)]),
+                Landed("b", 2, 900, vec![claim(2, None)]),
             ],
             effects: vec!["", "lost 1", "won 2"],
             view: "pending",
@@ -243,7 +252,7 @@
         FoldCase {
             name: "renewing takes nothing from the holder and nothing back, twice or late",
             records: vec![
-                Landed("a", 1, 0, vec![claim(1, ClaimMemory::For(900)), ran(1, 200)]),
+                Landed("a", 1, 0, vec![claim(1, None), ran(1, 200)]),
                 Landed(
                     "c",
                     1,
@@ -272,7 +281,7 @@
 fn a_claimer_that_started_anew_is_gone() {
     // The claimer crashed with its call under way. Its host's next start shows in the stream, or a peer tells of the end.
     // No outcome will come, so a re-send must not wait for one.
-    let landed = Landed("a", 1, 0, vec![claim(1, DAY)]);
+    let landed = Landed("a", 1, 0, vec![claim(1, None)]);
     let mut by_peer = ClaimBook::new(LogOffset(0));
     by_peer.fold(&record(0, &landed)).unwrap();
     let mut by_log = by_peer.clone();
@@ -285,7 +294,7 @@
         layout: RECORD_LAYOUT,
         claimer: claimer("a", 2),
         sequence: 1,
-        release_within_ms: RELEASE_WITHIN_MS,
+        memory: MEMORY,
         entries: vec![],
     };
     let data = serde_json::to_string(&anew).unwrap();
@@ -323,23 +332,23 @@
 #[test]
 fn only_claims_that_outlive_their_record_are_renewed() {
     let mut book = ClaimBook::new(LogOffset(0));
-    let landed = Landed("a", 1, 1_000, vec![claim(1, ClaimMemory::For(10_000))]);
+    let landed = Landed("a", 1, 1_000, vec![claim(1, None)]);
     book.fold(&record(0, &landed)).unwrap();
     struct RenewCase(&'static str, u64, u64, u64, usize);
     let cases = [
-        RenewCase("due", 2_000, 9_000, 5_000, 1),
-        RenewCase("its record is young", 1_000, 9_000, 5_000, 0),
-        RenewCase("forgotten before its record goes", 2_000, 10_000, 5_000, 0),
-        RenewCase("a release may be on its way", 2_000, 9_000, 1_100, 0),
+        RenewCase("due", 2_000, 800, 5_000, 1),
+        RenewCase("its record is young", 1_000, 800, 5_000, 0),
+        RenewCase("forgotten before its record goes", 2_000, 900, 5_000, 0),
+        RenewCase("a release may be on its way", 2_000, 800, 1_100, 0),
     ];
     for RenewCase(name, standing_before_ms, lasting_ms, complete_ms, count) in cases {
         let plan = RenewPlan { standing_before_ms, lasting_ms, complete_ms, limit: 10 };
         assert_eq!(book.to_renew(&plan).len(), count, "{name}");
     }
     let plan =
-        RenewPlan { standing_before_ms: 2_000, lasting_ms: 9_000, complete_ms: 5_000, limit: 10 };
+        RenewPlan { standing_before_ms: 1_500, lasting_ms: 800, complete_ms: 5_000, limit: 10 };
     let entries = book.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
-    book.fold(&record(1, &Landed("b", 1, 2_500, entries))).unwrap();
+    book.fold(&record(1, &Landed("b", 1, 1_600, entries))).unwrap();
     assert_eq!(book.to_renew(&plan).len(), 0);
 }
 
--- a/crates/ledger/tests/desk/at_most_once.rs
+++ b/crates/ledger/tests/desk/at_most_once.rs
@@ -94,14 +94,14 @@
 }
 
 /// The routers of a run, each in its present start.
-struct Fleet {
+pub(crate) struct Fleet {
     world: RunWorld,
     routers: RefCell<Vec<RouterBox>>,
     starts: RefCell<u64>,
 }
 
 impl Fleet {
-    fn start(world: &RunWorld) -> Rc<Fleet> {
+    pub(crate) fn start(world: &RunWorld) -> Rc<Fleet> {
         let routers = HOSTS
             .iter()
             .zip(1..)
@@ -150,7 +150,7 @@
         }
     }
 
-    async fn kill(&self, routers: &[usize], length: Duration) {
+    pub(crate) async fn kill(&self, routers: &[usize], length: Duration) {
         for router in routers {
             self.routers.borrow()[*router].kill();
         }
@@ -161,7 +161,7 @@
     }
 
     /// One try of a call. The caller waits a little longer than its deadline.
-    async fn try_call(&self, key: ClaimKey) -> Told {
+    pub(crate) async fn try_call(&self, key: ClaimKey) -> Told {
         let router = self.world.dice.borrow_mut().below(HOSTS.len() as u64) as usize;
         let wait = self.world.millis(50, 1_500);
         let (reply, told) = oneshot::channel();
@@ -333,7 +333,7 @@
     String::from_utf8(bytes.unwrap()).unwrap().parse().unwrap()
 }
 
-fn block_on<T>(future: impl Future<Output = T>) -> T {
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
--- a/crates/ledger/tests/desk/desk_bench.rs
+++ b/crates/ledger/tests/desk/desk_bench.rs
@@ -31,6 +31,9 @@
 pub(crate) const PRINT: RequestPrint = RequestPrint([1; 8]);
 pub(crate) const OTHER_PRINT: RequestPrint = RequestPrint([2; 8]);
 
+/// When the first record of a test lands.
+pub(crate) const BEGAN_MS: u64 = 1_700_000_000_000;
+
 pub(crate) type Verdict = oneshot::Receiver<ClaimVerdict>;
 
 pub(crate) struct DeskBench {
@@ -90,10 +93,8 @@
     pub(crate) fn ask_known(&mut self, text: &str) -> oneshot::Receiver<KnownKey> {
         let (reply, known) = oneshot::channel();
         let deadline = self.now + Duration::from_secs(1);
-        self.desk.command(
-            DeskCommand::Known(KnownCall { key: key(text).hash, deadline, reply }),
-            self.now,
-        );
+        self.desk
+            .command(DeskCommand::Known(KnownCall { key: key(text), deadline, reply }), self.now);
         known
     }
 
@@ -130,29 +131,32 @@
         entries: Vec<ClaimEntry>,
     ) {
         let record =
-            ClaimRecord { layout: 1, claimer, sequence, release_within_ms: 1_000, entries };
+            ClaimRecord { layout: 1, claimer, sequence, memory: settings().memory, entries };
         self.land_data("other", serde_json::to_string(&record).unwrap());
     }
 
     fn land_data(&mut self, id: &str, data: String) {
         let offset = LogOffset(self.first + self.records.len() as u64);
-        let time_ms = 1_700_000_000_000 + offset.0;
+        let time_ms = BEGAN_MS + offset.0;
         self.records.push(LogRecord { offset, time_ms, id: String::from(id), data });
     }
 
+    /// What a read gives now: one record at a time.
     pub(crate) fn page(&self) -> LogPage {
         let from = self.desk.next_offset();
-        let records: Vec<LogRecord> =
-            self.records.iter().filter(|record| from <= record.offset).cloned().collect();
-        let next = LogOffset(self.first + self.records.len() as u64);
-        LogPage { first: LogOffset(self.first), next, records }
+        let record = self.records.iter().find(|record| from <= record.offset).cloned();
+        let next = record.as_ref().map_or(from, |record| LogOffset(record.offset.0 + 1));
+        LogPage { first: LogOffset(self.first), next, records: Vec::from_iter(record) }
     }
 
     /// The desk reads to the stream's end.
     pub(crate) fn read(&mut self) {
-        for _ in 0..2 {
+        loop {
             let page = self.page();
             self.desk.take_page(&page, self.now, self.now);
+            if page.records.is_empty() {
+                return;
+            }
         }
     }
 
--- a/crates/ledger/tests/desk/fake_log.rs
+++ b/crates/ledger/tests/desk/fake_log.rs
@@ -108,9 +108,6 @@
         let mut world = self.world.borrow_mut();
         let offset = LogOffset(world.records.len() as u64);
         world.records.push(LogRecord { offset, time_ms, id: group.id, data: group.data });
-        while world.records[world.first as usize].time_ms + world.retention_ms <= time_ms {
-            world.first += 1;
-        }
         self.news.notify_waiters();
         offset
     }
@@ -186,7 +183,11 @@
     }
 
     fn page(&self, from: LogOffset, max: usize) -> LogPage {
-        let world = self.world.borrow();
+        let now_ms = self.now_ms();
+        let mut world = self.world.borrow_mut();
+        let kept_ms = now_ms.saturating_sub(world.retention_ms);
+        let gone = world.records.iter().take_while(|record| record.time_ms <= kept_ms).count();
+        world.first = gone as u64;
         let start = from.0.max(world.first).min(world.records.len() as u64);
         let records: Vec<LogRecord> =
             world.records.iter().skip(start as usize).take(max).cloned().collect();
--- a/crates/ledger/tests/desk/main.rs
+++ b/crates/ledger/tests/desk/main.rs
@@ -4,5 +4,6 @@
 mod desk_bench;
 mod fake_log;
 mod history;
+mod retention;
 mod router_box;
 mod single_faults;
--- a/crates/ledger/tests/desk/router_box.rs
+++ b/crates/ledger/tests/desk/router_box.rs
@@ -204,12 +204,12 @@
     let record = |op| world.recorder.record(key, began, world.recorder.step(), op);
     if world.percent(8) {
         // The queue is full: the router has to know the key before it says not-run.
-        let told = match handle.known(key, call.deadline).await {
+        let told = match handle.known(call.key, call.deadline).await {
             KnownKey::Free => {
                 record(KeyOp::Free);
                 Told::NotRun
             }
-            KnownKey::Claimed | KnownKey::Blind => Told::Unknown,
+            KnownKey::Claimed | KnownKey::TooOld | KnownKey::Blind => Told::Unknown,
         };
         let _ = call.reply.send(told);
         return;
--- a/crates/ledger/tests/desk/single_faults.rs
+++ b/crates/ledger/tests/desk/single_faults.rs
@@ -2,13 +2,13 @@
 
 use fulmargate_ledger::BookPhase;
 use fulmargate_ledger::ClaimEntry;
-use fulmargate_ledger::ClaimMemory;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::CutOffRule;
 use fulmargate_ledger::DeskCommand;
 use fulmargate_ledger::DeskSettings;
 use fulmargate_ledger::DeskSettingsError;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::MemoryRule;
 use fulmargate_ledger::NewClaim;
 use fulmargate_names::Disposition;
 use fulmargate_names::HostName;
@@ -16,6 +16,7 @@
 use fulmargate_names::LogOffset;
 use fulmargate_platform::LogError;
 
+use crate::desk_bench::BEGAN_MS;
 use crate::desk_bench::DeskBench;
 use crate::desk_bench::OTHER_PRINT;
 use crate::desk_bench::PRINT;
@@ -26,8 +27,7 @@
 use crate::desk_bench::told;
 
 fn other_claim(text: &str, number: u64) -> ClaimEntry {
-    let memory = ClaimMemory::For(86_400_000);
-    ClaimEntry::Claim(NewClaim { key: key(text).hash, print: PRINT, number, memory })
+    ClaimEntry::Claim(NewClaim { key: key(text).hash, print: PRINT, number, made_ms: None })
 }
 
 fn is_release(entry: &ClaimEntry) -> bool {
@@ -187,6 +187,7 @@
     // A call ran through another router and its answer was lost. The re-send meets a full queue here, where the other's claim
     // has not been read yet: only a read that begins now can tell.
     let mut bench = DeskBench::new(settings());
+    bench.land_other(claimer("ps-1", 8), 1, vec![other_claim("c", 1)]);
     bench.land_other(claimer("be-1", 7), 1, vec![other_claim("a", 1)]);
     for (text, expected) in [("a", KnownKey::Claimed), ("b", KnownKey::Free)] {
         let mut known = bench.ask_known(text);
@@ -199,6 +200,46 @@
     }
 }
 
+#[test]
+fn not_run_is_not_said_of_a_key_that_may_be_forgotten() {
+    // The key's claim may have gone from the log before this router began to read, or be so old that the book let it go. That
+    // the book holds no claim then proves nothing: `not-run` would be false if the call ran.
+    struct AgeCase(&'static str, u64, u64, Option<u64>, KnownKey);
+    let began = BEGAN_MS;
+    let cases = [
+        AgeCase("whole stream, new key", 0, 1, Some(began + 1), KnownKey::Free),
+        AgeCase(
+            "whole stream, key before its first record",
+            0,
+            1,
+            Some(began - 60_000),
+            KnownKey::Free,
+        ),
+        AgeCase("whole stream, old key", 0, 1, Some(began - 3_600_000), KnownKey::TooOld),
+        AgeCase("nothing left of the stream", 50, 0, Some(began), KnownKey::TooOld),
+        AgeCase("key before the oldest record left", 50, 1, Some(began - 1), KnownKey::TooOld),
+        AgeCase("key after the oldest record left", 50, 1, Some(began + 200_000), KnownKey::Free),
+        AgeCase("key without an age", 50, 0, None, KnownKey::Free),
+    ];
+    for AgeCase(name, first, records, made_ms, expected) in cases {
+        let mut bench = DeskBench::unread(settings());
+        bench.first = first;
+        for sequence in 0..records {
+            bench.land_other(claimer("be-1", 7), sequence, vec![]);
+        }
+        bench.read();
+        let text = made_ms.map(|made_ms| {
+            uuid::Builder::from_unix_timestamp_millis(made_ms, &[1; 10]).into_uuid()
+        });
+        let mut known =
+            bench.ask_known(&text.map_or(String::from("order-1"), |uuid| uuid.to_string()));
+        bench.desk.next_barrier();
+        let page = bench.page();
+        bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+        assert_eq!(known.try_recv().unwrap(), expected, "{name}");
+    }
+}
+
 #[test]
 fn a_re_send_gets_the_first_answer_or_what_is_known() {
     let mut bench = DeskBench::new(settings());
@@ -289,13 +330,17 @@
 #[test]
 fn settings_that_forget_too_early_are_refused() {
     let good = settings();
+    let with_memory = |memory| DeskSettings { memory, ..settings() };
     let cases = [
         (good.clone(), Ok(())),
         (
-            DeskSettings { remember_ms: good.retention_ms, ..good.clone() },
+            with_memory(MemoryRule { remember_ms: good.retention_ms, ..good.memory }),
             Err(DeskSettingsError::RememberTooLong),
         ),
-        (DeskSettings { opaque_ms: 1_000, ..good.clone() }, Err(DeskSettingsError::OpaqueTooShort)),
+        (
+            with_memory(MemoryRule { opaque_ms: 1_000, ..good.memory }),
+            Err(DeskSettingsError::OpaqueTooShort),
+        ),
         (
             DeskSettings { renew_after_ms: good.retention_ms - 1, ..good.clone() },
             Err(DeskSettingsError::RenewMisplaced),
