--- a/crates/config/src/keeper_state.rs
+++ b/crates/config/src/keeper_state.rs
@@ -187,6 +187,8 @@
             self.take_record(record, settings, now);
         }
         self.fold.pass_to(batch.next);
+        // A peer with nothing in force may itself be on its way through the log: what it has is
+        // taken over, but not for the newest.
         if ConfigVersion(0) < batch.in_force && batch.in_force <= self.fold.version() {
             self.adopted = true;
         }
@@ -197,23 +199,19 @@
         }
     }
 
-    /// What a peer that has come to `from` needs. A router that has nothing in force gives nothing:
-    /// it may have read a part of the log only, and a peer would take that for the newest.
+    /// What a peer that has come to `from` needs. It says what is in force here: a router on its way
+    /// through the log knows more than that, but not all.
     pub(crate) fn batch_from(&self, from: LogOffset) -> RecordBatch {
         let in_force = self.published;
-        let range =
-            |from, next, state, records| RecordBatch { in_force, from, next, state, records };
-        if in_force == ConfigVersion(0) {
-            return range(LogOffset(0), LogOffset(0), None, Vec::new());
-        }
         let next = self.fold.next_offset();
         let recent = self.recent.since(from).filter(|_| !self.fold.has_gap());
         if let Some(records) = recent {
-            return range(from.min(next), next, None, records);
+            return RecordBatch { in_force, from: from.min(next), next, state: None, records };
         }
         let state = self.fold.snapshot();
         let covers = state.covers_offset;
-        range(covers, covers, Some(state), Vec::new())
+        let records = Vec::new();
+        RecordBatch { in_force, from: covers, next: covers, state: Some(state), records }
     }
 
     /// From where a peer's batch would help: after a gap only a state does.
--- a/crates/config/tests/config/fake_log.rs
+++ b/crates/config/tests/config/fake_log.rs
@@ -51,6 +51,9 @@
 pub(crate) struct LogLink {
     log: Rc<FakeLog>,
     pub(crate) is_cut: Cell<bool>,
+    /// Reads fail though appends do not.
+    pub(crate) is_deaf: Cell<bool>,
+    pub(crate) latency: Cell<Duration>,
     pub(crate) faults: RefCell<VecDeque<AppendFault>>,
     pub(crate) reads: Cell<u64>,
 }
@@ -107,6 +110,8 @@
         Rc::new(LogLink {
             log: Rc::clone(log),
             is_cut: Cell::new(false),
+            is_deaf: Cell::new(false),
+            latency: Cell::new(LATENCY),
             faults: RefCell::new(VecDeque::new()),
             reads: Cell::new(0),
         })
@@ -136,7 +141,7 @@
     }
 
     async fn append(&self, id: &str, data: &str) -> Result<LogOffset, LogError> {
-        sleep(LATENCY).await;
+        sleep(self.latency.get()).await;
         self.check()?;
         let fault = self.faults.borrow_mut().pop_front();
         match fault {
@@ -159,14 +164,14 @@
             }
         }
         let offset = self.log.push(id, data);
-        sleep(LATENCY).await;
+        sleep(self.latency.get()).await;
         // A link that is cut between the two ways loses the answer.
         self.check().map(|()| offset).map_err(|_| LogError::Lost)
     }
 
     async fn read(&self, from: LogOffset, max: usize, wait: Duration) -> Result<LogPage, LogError> {
         self.reads.set(self.reads.get() + 1);
-        sleep(LATENCY).await;
+        sleep(self.latency.get()).await;
         self.check()?;
         let news = async {
             while self.log.page(from, max).records.is_empty() {
@@ -175,6 +180,9 @@
         };
         let _ = timeout(wait, news).await;
         self.check()?;
+        if self.is_deaf.get() {
+            return Err(LogError::Lost);
+        }
         Ok(self.log.page(from, max))
     }
 }
--- a/crates/config/tests/config/keeper.rs
+++ b/crates/config/tests/config/keeper.rs
@@ -128,6 +128,39 @@
     });
 }
 
+/// The log takes appends and answers no reads: without reading back, nothing is appended again.
+#[test]
+fn nothing_is_appended_again_unread() {
+    run(async {
+        let cluster = Cluster::seeded(2, 1).await;
+        let count = cluster.log.records().len();
+        let link = Rc::clone(&cluster.host(0).link);
+        link.is_deaf.set(true);
+        link.faults.borrow_mut().push_back(AppendFault::AnswerLost);
+        assert_eq!(cluster.submit(0, "p", 1, marked(1)).await, SubmitOutcome::Unknown);
+        assert_eq!(cluster.log.records().len(), count + 1);
+    });
+}
+
+/// The record is lost with its answer, and another operator's patch moves the version before it can
+/// be sent again. Wherever a copy may land now, it is stale: that is certain, not unknown.
+#[test]
+fn doubt_ends_when_the_version_moves_on() {
+    run(async {
+        let cluster = Cluster::seeded(2, 2).await;
+        let link = Rc::clone(&cluster.host(0).link);
+        link.faults.borrow_mut().push_back(AppendFault::RecordLost);
+        link.faults.borrow_mut().extend([AppendFault::Throttled; 1000]);
+        let later = async {
+            sleep(Duration::from_millis(10)).await;
+            cluster.submit(1, "b", 1, marked(2)).await
+        };
+        let (first, second) = tokio::join!(cluster.submit(0, "a", 1, marked(1)), later);
+        assert_eq!(first, SubmitOutcome::Stale { current: ConfigVersion(2) });
+        assert_eq!(second, accepted(2));
+    });
+}
+
 /// A script sends one id with each of its patches. Each must be judged for itself.
 #[test]
 fn one_id_on_two_patches_is_no_repetition() {
@@ -250,19 +283,45 @@
     }
 }
 
-/// A whole herd restarts. A reader that is still on its way through the log must not hand on what it
-/// has so far: a follower would bring that into force.
+/// A router that restarts hears of a version that no peer in reach can hand on any more. Serving the
+/// older one that a peer has could bring back what it had withdrawn; it waits for the log.
 #[test]
-fn a_router_with_nothing_in_force_hands_nothing_on() {
+fn a_version_that_was_heard_of_is_waited_for() {
+    run(async {
+        let cluster = Cluster::seeded(2, 1).await;
+        cluster.restart(1, ReaderRole::Follower);
+        let host = cluster.host(1);
+        host.link.is_cut.set(true);
+        host.keeper.hear_version(ConfigVersion(2));
+        sleep(5 * SECOND).await;
+        assert_eq!(host.version(), ConfigVersion(0));
+        assert!(host.keeper.answer().is_none());
+        assert_eq!(cluster.submit(0, "p", 1, marked(1)).await, accepted(2));
+        sleep(SECOND).await;
+        assert_eq!(host.version(), ConfigVersion(2));
+    });
+}
+
+/// A whole herd restarts. A follower gets what a reader has that is still on its way through the
+/// log, and must not take that for the newest.
+#[test]
+fn what_a_router_with_nothing_in_force_hands_on_is_not_the_newest() {
     run(async {
         let cluster = Cluster::seeded(2, 1).await;
         for base in 1..30 {
             assert_eq!(cluster.submit(0, "p", base, marked(base)).await, accepted(base + 1));
         }
         cluster.log.page_limit.set(1);
-        cluster.restart(0, role_of(0, 1));
-        cluster.restart(1, role_of(1, 1));
-        sleep(SECOND).await;
+        for index in 0..2 {
+            cluster.restart(index, role_of(index, 1));
+            cluster.host(index).link.latency.set(Duration::from_millis(20));
+        }
+        let (reader, follower) = (cluster.host(0), cluster.host(1));
+        for _ in 0..1000 {
+            sleep(Duration::from_millis(1)).await;
+            let batch = reader.keeper.records_from(follower.keeper.wanted_offset());
+            follower.keeper.offer_records(batch);
+        }
         for index in 0..2 {
             let first = cluster.host(index).published.borrow().first().map(|version| version.0);
             assert_eq!(first, Some(30), "host {index}");
@@ -317,6 +376,24 @@
     });
 }
 
+/// Readers are replaced more often than they would renew a snapshot of their own. None knows the age
+/// of the snapshot that it met as it started, so the first of them writes at once.
+#[test]
+fn readers_that_live_shortly_renew_snapshots_too() {
+    run(async {
+        let cluster = Cluster::seeded(2, 2).await;
+        for step in 0..12 {
+            sleep(RETENTION / 3).await;
+            for index in 0..2 {
+                cluster.restart(index, role_of(index, 2));
+                cluster.host(index).side.set(10 + 2 * step + index as u32);
+            }
+        }
+        sleep(SECOND).await;
+        assert_eq!(cluster.host(0).version(), ConfigVersion(1));
+    });
+}
+
 /// A reader comes back after its link was cut, and finds a snapshot that is nearly as old as the
 /// records live. Taken for a new one, it would expire before the reader writes its own.
 #[test]
