--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod item_record;
 mod member_record;
+mod net;
 mod peer_conf;
 mod peer_core;
 mod peer_counters;
@@ -18,6 +19,10 @@
 pub use item_record::ItemRecord;
 pub use member_record::MemberRecord;
 pub use member_record::MemberState;
+pub use net::AskError;
+pub use net::PeerHandle;
+pub use net::PeerNet;
+pub use net::PeerQuestion;
 pub use peer_conf::PeerConf;
 pub use peer_core::CoreOutput;
 pub use peer_core::PeerCore;
--- a/crates/peers/src/peer_core.rs
+++ b/crates/peers/src/peer_core.rs
@@ -46,6 +46,12 @@
     },
     /// Tell the router.
     News(PeerNews),
+    /// Close the links to a peer that does not answer: after a cut a new connection gets through
+    /// long before an old one tries again.
+    DropLink {
+        /// Where the peer listens.
+        to: SocketAddr,
+    },
     /// Close all links: what they still hold is old.
     DropLinks,
 }
--- a/crates/peers/src/peer_core/probing.rs
+++ b/crates/peers/src/peer_core/probing.rs
@@ -6,6 +6,7 @@
 use rand::seq::IndexedRandom;
 
 use super::PeerCore;
+use crate::CoreOutput;
 use crate::MemberRecord;
 use crate::MemberState;
 use crate::OverCause;
@@ -113,6 +114,7 @@
     fn suspect(&mut self, target: u64, now_ms: u64) {
         let suspicion_ms = self.pace.suspicion_ms(self.members.present());
         if let Some(record) = self.members.suspect(target, now_ms, suspicion_ms) {
+            self.outputs.push(CoreOutput::DropLink { to: record.address });
             self.tell_record(record.address, target, now_ms);
             self.rumor_member(target, None);
             self.news(PeerNews::Member { member: record });
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -188,6 +188,9 @@
                     }
                     self.nodes[index].news.push((self.now_ms, news));
                 }
+                CoreOutput::DropLink { to } => {
+                    self.hellos.swap_remove(&(index, index_of(to)));
+                }
                 CoreOutput::DropLinks => {
                     self.hellos.retain(|(from, to), _| *from != index && *to != index);
                 }
