--- a/crates/admission/tests/support/crash_world.rs
+++ b/crates/admission/tests/support/crash_world.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use tokio::time::advance;
 
+use super::Dice;
 use super::ms;
 
 /// Time from one step to the next; news of one step reaches the other routers in the next.
@@ -282,14 +283,3 @@
     }
     world
 }
-
-/// Random numbers that are the same in each run.
-pub(crate) struct Dice(u64);
-
-impl Dice {
-    pub(crate) fn below(&mut self, bound: usize) -> usize {
-        let product = self.0.wrapping_mul(6_364_136_223_846_793_005);
-        self.0 = product.wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) as usize % bound
-    }
-}
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub(crate) mod crash_world;
+pub(crate) mod limit_world;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,3 +67,14 @@
         other => panic!("not queued: {other:?}"),
     }
 }
+
+/// Random numbers that are the same in each run.
+pub(crate) struct Dice(pub(crate) u64);
+
+impl Dice {
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        let product = self.0.wrapping_mul(6_364_136_223_846_793_005);
+        self.0 = product.wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % bound
+    }
+}
