Peers: take a new host among the neighbours at once

Cause: the slow peer's socket test failed since neighbours were filled up once a period only: news did not go to a host met since. Ruled out: the queue's bound. Change: while the set is not full, each host met fills it.

--- a/crates/peers/src/peer_core/taking.rs
+++ b/crates/peers/src/peer_core/taking.rs
@@ -67,6 +67,9 @@
         match self.members.merge(record, now_ms, suspicion_ms) {
             MemberMerge::Accepted { previous } => {
                 self.rumor_member(id, Some(from.id()));
+                if !self.neighbors.is_full() {
+                    self.neighbors.refresh(&self.members, &mut self.rng);
+                }
                 self.tell_member_news(id, previous.as_ref());
             }
             MemberMerge::Known => self.rumors.heard_again(key, from.id()),
--- a/crates/peers/src/state/neighbor_set.rs
+++ b/crates/peers/src/state/neighbor_set.rs
@@ -46,6 +46,10 @@
         self.ids.choose_multiple(rng, count).copied().collect()
     }
 
+    pub(crate) fn is_full(&self) -> bool {
+        self.ids.len() >= LOCAL_NEIGHBORS + CROSS_NEIGHBORS
+    }
+
     pub(crate) fn ids(&self) -> &[u64] {
         &self.ids
     }
