Take a closing chunk without a token as the finish of a stream

Cause: OpenAI's API (and the stand-in) may end a stream by a chunk that carries the reason for finishing and no text; it has no id of its own, so the guard read the id of the event before it as a repeated token and broke the stream. Ruled out: changing the stand-in only (real engines do both). Change: the chunk's head tells whether a finishing choice carries text; one without text and without a new index finishes.

--- a/crates/relay/src/chunk_head.rs
+++ b/crates/relay/src/chunk_head.rs
@@ -28,8 +28,10 @@
     Absent,
     /// At least one, and none finishes.
     Going,
-    /// At least one gives a reason for finishing.
+    /// At least one gives a reason for finishing, and carries text.
     Finished,
+    /// They give a reason for finishing and carry no text.
+    Closing,
 }
 
 /// Whether the chunk is an error object.
@@ -61,6 +63,8 @@
 #[serde(field_identifier, rename_all = "snake_case")]
 enum ChoiceKey {
     FinishReason,
+    Text,
+    Delta,
     #[serde(other)]
     Other,
 }
@@ -103,6 +107,18 @@
     }
 }
 
+impl ChoiceState {
+    /// What two choices of one chunk say together.
+    fn joined(self, other: ChoiceState) -> ChoiceState {
+        match (self, other) {
+            (ChoiceState::Absent, state) | (state, ChoiceState::Absent) => state,
+            (ChoiceState::Closing, ChoiceState::Closing) => ChoiceState::Closing,
+            (ChoiceState::Going, ChoiceState::Going) => ChoiceState::Going,
+            _ => ChoiceState::Finished,
+        }
+    }
+}
+
 impl<'de> Deserialize<'de> for ChoiceState {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChoiceState, D::Error> {
         deserializer.deserialize_seq(ChoicesVisitor)
@@ -121,9 +137,7 @@
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<ChoiceState, A::Error> {
         let mut choices = ChoiceState::Absent;
         while let Some(ChoiceHead { state }) = seq.next_element()? {
-            if choices != ChoiceState::Finished {
-                choices = state;
-            }
+            choices = choices.joined(state);
         }
         Ok(choices)
     }
@@ -149,19 +163,108 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<ChoiceHead, A::Error> {
-        let mut state = ChoiceState::Going;
+        let mut is_finished = false;
+        let mut text = TextState::Absent;
         while let Some(key) = map.next_key()? {
             match key {
                 ChoiceKey::FinishReason => {
-                    if map.next_value::<Option<IgnoredAny>>()?.is_some() {
-                        state = ChoiceState::Finished;
-                    }
+                    is_finished |= map.next_value::<Option<IgnoredAny>>()?.is_some();
                 }
+                ChoiceKey::Text | ChoiceKey::Delta => text = text.joined(map.next_value()?),
                 ChoiceKey::Other => {
                     map.next_value::<IgnoredAny>()?;
                 }
             }
         }
+        let state = match (is_finished, text) {
+            (false, _) => ChoiceState::Going,
+            (true, TextState::Present) => ChoiceState::Finished,
+            (true, TextState::Absent) => ChoiceState::Closing,
+        };
         Ok(ChoiceHead { state })
     }
 }
+
+/// Whether a choice carries anything for the caller to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TextState {
+    Absent,
+    Present,
+}
+
+impl TextState {
+    fn joined(self, other: TextState) -> TextState {
+        if self == TextState::Present { self } else { other }
+    }
+}
+
+impl<'de> Deserialize<'de> for TextState {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<TextState, D::Error> {
+        deserializer.deserialize_any(TextVisitor)
+    }
+}
+
+/// Takes a completion's text or a chat's delta. What is neither a string nor an object, such as a
+/// list of tool calls, counts as text.
+struct TextVisitor;
+
+impl<'de> Visitor<'de> for TextVisitor {
+    type Value = TextState;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a text or a delta")
+    }
+
+    fn visit_unit<E>(self) -> Result<TextState, E> {
+        Ok(TextState::Absent)
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<TextState, E> {
+        Ok(if text.is_empty() { TextState::Absent } else { TextState::Present })
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<TextState, A::Error> {
+        let mut text = TextState::Absent;
+        while let Some(key) = map.next_key()? {
+            match key {
+                DeltaKey::Role => {
+                    map.next_value::<IgnoredAny>()?;
+                }
+                DeltaKey::Other => text = text.joined(map.next_value()?),
+            }
+        }
+        Ok(text)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<TextState, A::Error> {
+        let mut text = TextState::Absent;
+        while seq.next_element::<IgnoredAny>()?.is_some() {
+            text = TextState::Present;
+        }
+        Ok(text)
+    }
+
+    fn visit_bool<E>(self, _value: bool) -> Result<TextState, E> {
+        Ok(TextState::Present)
+    }
+
+    fn visit_u64<E>(self, _value: u64) -> Result<TextState, E> {
+        Ok(TextState::Present)
+    }
+
+    fn visit_i64<E>(self, _value: i64) -> Result<TextState, E> {
+        Ok(TextState::Present)
+    }
+
+    fn visit_f64<E>(self, _value: f64) -> Result<TextState, E> {
+        Ok(TextState::Present)
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(field_identifier, rename_all = "snake_case")]
+enum DeltaKey {
+    Role,
+    #[serde(other)]
+    Other,
+}
--- a/crates/relay/src/stream_guard.rs
+++ b/crates/relay/src/stream_guard.rs
@@ -110,6 +110,11 @@
             }
             ChoiceState::Going => self.place = self.check_index(event)?,
             ChoiceState::Finished => self.place = self.check_index(event)?.finished(),
+            ChoiceState::Closing if self.adds_no_token(event) => {
+                self.place = self.place.finished();
+                return Ok(PassedEvent::Extra { id_span });
+            }
+            ChoiceState::Closing => self.place = self.check_index(event)?.finished(),
         }
         Ok(PassedEvent::Token { id_span })
     }
@@ -157,6 +162,15 @@
             && serde_json::from_str(raw).is_ok_and(|id: String| id == self.attempt_id)
     }
 
+    /// A closing chunk has no id of its own: it shows that of the last token, or none when it is all
+    /// that a resumed stream owes.
+    fn adds_no_token(&self, event: &StreamEvent) -> bool {
+        let Some(id) = event.id.as_deref() else {
+            return true;
+        };
+        id.parse().is_ok_and(|found: u32| found.checked_add(1) == Some(self.place.next_index()))
+    }
+
     /// An event without an id keeps the id before it, so an unnumbered token shows as a repeat, or
     /// as unnumbered when it is the first.
     fn check_index(&self, event: &StreamEvent) -> Result<StreamPlace, StreamFault> {
