Load tool: compare policies on the same arrivals beside the bound

Ruled out: capacity by pooled LRU of the whole cache (no placement without copies reaches it), by round robin (the product would idle). Change: compare with capacity from a replay of half the fleet's cache, five disturbances, effects and cached tokens judged after each run.

--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -1,5 +1,6 @@
 //! The commands of `fulmargate-load`.
 
+mod compare_command;
 mod overhead_command;
 mod plan_options;
 mod report_table;
@@ -8,6 +9,7 @@
 use argh::FromArgs;
 
 use crate::load_error::LoadError;
+use compare_command::CompareCommand;
 use overhead_command::OverheadCommand;
 use run_command::RunCommand;
 
@@ -33,6 +35,7 @@
 enum LoadCommand {
     Run(RunCommand),
     Overhead(OverheadCommand),
+    Compare(CompareCommand),
 }
 
 impl LoadArgs {
@@ -41,6 +44,7 @@
         match self.command {
             LoadCommand::Run(command) => command.execute().await,
             LoadCommand::Overhead(command) => command.execute().await,
+            LoadCommand::Compare(command) => command.execute().await,
         }
     }
 }
--- a/crates/load/src/figures/run_report.rs
+++ b/crates/load/src/figures/run_report.rs
@@ -45,6 +45,8 @@
     pub prompt_tokens: usize,
     /// Prompt tokens computed that had been computed before in this run.
     pub recomputed_tokens: usize,
+    /// Recomputed tokens by prompt tokens, comparable where policies refuse differing numbers.
+    pub recomputed_share: f64,
     /// 99th percentile of the time to the first token, by class.
     pub ttft_p99_ms: IndexMap<String, f64>,
     /// Answers by what they said of the call.
@@ -73,6 +75,8 @@
         let answered = || prompts().filter(|record| record.verdict == Verdict::Whole);
         let prompt_tokens: usize = answered().map(|record| record.prompt_tokens).sum();
         let cached_tokens: usize = answered().map(|record| record.cached_tokens).sum();
+        let recomputed_tokens: usize =
+            answered().filter_map(|record| recomputed.get(&record.number)).sum();
         let seconds = scope.duration.saturating_sub(scope.warm_up).as_secs_f64();
         RunReport {
             calls: measured.len(),
@@ -81,7 +85,8 @@
             goodput: whole as f64 / seconds.max(1e-3),
             hit_rate: cached_tokens as f64 / prompt_tokens.max(1) as f64,
             prompt_tokens,
-            recomputed_tokens: answered().filter_map(|record| recomputed.get(&record.number)).sum(),
+            recomputed_tokens,
+            recomputed_share: recomputed_tokens as f64 / prompt_tokens.max(1) as f64,
             ttft_p99_ms: classes
                 .iter()
                 .map(|(class, figures)| (class.clone(), figures.ttft_p99_ms))
--- a/crates/load/src/rig.rs
+++ b/crates/load/src/rig.rs
@@ -1,7 +1,9 @@
 //! A whole deployment in threads of this process, on loopback, for comparisons on equal ground.
 
 mod running_stands;
+mod stand_control;
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -24,8 +26,14 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::calls::CallRecord;
+use crate::figures::CacheJudge;
+use crate::figures::PromptTouch;
+use crate::figures::judge_effects;
 use crate::load_error::LoadError;
 use running_stands::RunningStands;
+pub use stand_control::StandControl;
+pub use stand_control::StandCounts;
 
 /// The operators' key of every rig.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-rig";
@@ -53,6 +61,8 @@
     pub deployment: Deployment,
     /// The routers, in the order of the deployment's entry hosts.
     pub routers: Vec<RigRouter>,
+    /// Control of the stand-ins.
+    pub control: StandControl,
     stands: RunningStands,
 }
 
@@ -67,8 +77,19 @@
         let stands = RunningStands::start(deployment)?;
         let mut document = deployment.config_document(&stands.servers);
         document["policy"] = json!(policy);
+        // The document's check takes `fenced` for engines only.
+        for replica in &deployment.replicas {
+            if let Some(entry) = document["servers"][replica.name.as_str()].as_object_mut() {
+                entry.remove("fenced");
+            }
+        }
         publish_first_version(&stands.log, &document).await?;
-        let mut rig = Rig { deployment: deployment.clone(), routers: Vec::new(), stands };
+        let mut rig = Rig {
+            deployment: deployment.clone(),
+            routers: Vec::new(),
+            control: StandControl::default(),
+            stands,
+        };
         for host in &deployment.hosts {
             let router = rig.start_router(host)?;
             rig.routers.push(router);
@@ -92,6 +113,25 @@
         &self.stands.log
     }
 
+    /// Judges the records of a run by what the stand-ins know: effects, and work that was given to
+    /// leaving servers. The caches must have been empty at its start.
+    pub async fn judge(
+        &self,
+        touches: &HashMap<u32, PromptTouch>,
+        records: &mut [CallRecord],
+    ) -> Result<(), LoadError> {
+        CacheJudge::new(touches).mark_foreign(records);
+        let mut effects = HashMap::new();
+        for replica in &self.deployment.replicas {
+            let Some(address) = self.server_address(replica.name.as_str()) else { continue };
+            for (key, count) in self.control.effects(address).await? {
+                *effects.entry(key).or_insert(0) += count;
+            }
+        }
+        judge_effects(records, &effects);
+        Ok(())
+    }
+
     /// Stops the routers, then the stand-ins.
     pub fn stop(self) {
         for router in &self.routers {
@@ -106,7 +146,8 @@
     fn start_router(&self, host: &HostPlan) -> Result<RigRouter, LoadError> {
         let settings = self.router_settings(host)?;
         let stop = CancellationToken::new();
-        let running = fulmargate_router::start(settings, stop.clone()).map_err(|error| failed_router(&error))?;
+        let running = fulmargate_router::start(settings, stop.clone())
+            .map_err(|error| failed_router(&error))?;
         let addresses = running.addresses();
         Ok(RigRouter {
             zone: host.zone.to_string(),
@@ -173,20 +214,25 @@
     LoadError::Failed { what: "router", reason: error.to_string() }
 }
 
-/// Puts the document into the log as version 1, before any router reads it.
+/// Puts the document into the log as a patch of nothing, before any router reads it.
 async fn publish_first_version(log: &str, document: &Value) -> Result<(), LoadError> {
-    let snapshot =
-        json!({ "snapshot": { "covers_offset": 0, "version": 1, "document": document } });
-    let record = json!({ "id": "first-version", "data": snapshot.to_string() });
+    let id = "first-version";
+    let patch = json!({ "patch": { "id": id, "base": 0, "author": "rig", "patch": document } });
+    let record = json!({ "id": id, "data": patch.to_string() });
     let url = format!("http://{log}/v1/streams/config/records");
-    let unanswered = |reason: String| LoadError::Unanswered { address: log.to_owned(), reason };
-    let answer = Client::default()
-        .post(&url)
-        .send_json(&record)
-        .await
-        .map_err(|error| unanswered(error.to_string()))?;
-    match answer.status().is_success() {
-        true => Ok(()),
-        false => Err(unanswered(answer.status().to_string())),
+    let client = Client::default();
+    let deadline = Instant::now() + READY_WITHIN;
+    loop {
+        // The stand-in's thread may not listen yet; a second copy is refused as stale.
+        let answer = client.post(&url).send_json(&record).await;
+        let reason = match answer {
+            Ok(answer) if answer.status().is_success() => return Ok(()),
+            Ok(answer) => answer.status().to_string(),
+            Err(error) => error.to_string(),
+        };
+        if deadline < Instant::now() {
+            return Err(LoadError::Unanswered { address: log.to_owned(), reason });
+        }
+        sleep(POLL_EVERY).await;
     }
 }
