--- a/crates/config/tests/config/cluster.rs
+++ b/crates/config/tests/config/cluster.rs
@@ -25,6 +25,7 @@
 
 /// How often peers tell each other their versions.
 const GOSSIP: Duration = Duration::from_millis(20);
+pub(crate) const SECOND: Duration = Duration::from_secs(1);
 pub(crate) const RETENTION: Duration = Duration::from_secs(60);
 
 /// One entry host.
@@ -42,14 +43,16 @@
 pub(crate) struct Cluster {
     pub(crate) log: Rc<FakeLog>,
     pub(crate) hosts: RefCell<Vec<Rc<HostRig>>>,
-    starts: Cell<u32>,
+    /// All that ever started.
+    pub(crate) incarnations: RefCell<Vec<Rc<HostRig>>>,
 }
 
 impl Cluster {
     /// The first `readers` hosts read the log, the others follow them.
     pub(crate) fn start(hosts: usize, readers: usize) -> Rc<Cluster> {
         let log = FakeLog::new(RETENTION);
-        let cluster = Rc::new(Cluster { log, hosts: RefCell::default(), starts: Cell::new(0) });
+        let cluster =
+            Rc::new(Cluster { log, hosts: RefCell::default(), incarnations: RefCell::default() });
         for index in 0..hosts {
             let rig = cluster.new_host(role_of(index, readers));
             cluster.hosts.borrow_mut().push(rig);
@@ -83,8 +86,7 @@
 
     pub(crate) fn new_host(&self, role: ReaderRole) -> Rc<HostRig> {
         let link = LogLink::new(&self.log);
-        self.starts.set(self.starts.get() + 1);
-        let writer = format!("w{}", self.starts.get());
+        let writer = format!("w{}", self.incarnations.borrow().len());
         let keeper = ConfigKeeper::new(&writer, link.access(), Cluster::settings(), role);
         let token = CancellationToken::new();
         let published = Rc::new(RefCell::new(Vec::new()));
@@ -102,7 +104,9 @@
                 }
             }
         });
-        Rc::new(HostRig { keeper, link, side: Cell::new(0), token, published })
+        let rig = Rc::new(HostRig { keeper, link, side: Cell::new(0), token, published });
+        self.incarnations.borrow_mut().push(Rc::clone(&rig));
+        rig
     }
 
     /// Stops a host for good, without a word to anyone.
@@ -205,6 +209,10 @@
     }
 }
 
+pub(crate) fn accepted(version: u64) -> SubmitOutcome {
+    SubmitOutcome::Accepted { version: ConfigVersion(version) }
+}
+
 /// Runs a test on one thread with its time paused.
 pub(crate) fn run<F: Future>(test: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/config/tests/config/main.rs
+++ b/crates/config/tests/config/main.rs
@@ -5,4 +5,7 @@
 mod document;
 mod fake_log;
 mod fold;
+mod histories;
 mod keeper;
+mod restarts;
+mod snapshots;
