Read for a landed claim that the waiting read does not bring

Cause: after a partition the read that waits for news can hang on a dead connection until its timeout (up to 7 s), while appends pass: won claims run out of time, are told unknown, and are released. Ruled out: a shorter wait of the tail (more reads at rest, and the same hang). Change: 50 ms after an answered append whose record the fold has not met, the desk reads without waiting. Conclusion: a partition's end costs a claim 50 ms, not its deadline.

--- a/crates/ledger/src/shard_desk.rs
+++ b/crates/ledger/src/shard_desk.rs
@@ -86,6 +86,8 @@
     queue: GroupQueue,
     flight: Option<FlightGroup>,
     fence_due: bool,
+    /// The latest record whose append was answered and that the fold has not met, and when it was last asked for.
+    unfolded: Option<(u64, Instant)>,
     own: OwnClaims,
     waiters: IndexMap<KeyHash, Vec<ClaimCall>>,
     parked: Vec<ClaimCall>,
@@ -119,6 +121,7 @@
             queue: GroupQueue::new(&settings, now),
             flight: None,
             fence_due: false,
+            unfolded: None,
             own: OwnClaims::default(),
             waiters: IndexMap::new(),
             parked: Vec::new(),
--- a/crates/ledger/src/shard_desk/append_side.rs
+++ b/crates/ledger/src/shard_desk/append_side.rs
@@ -92,13 +92,17 @@
             return;
         }
         match result {
-            Ok(_) => self.flight_landed(),
+            Ok(_) => {
+                self.unfolded = Some((self.sequence, now));
+                self.flight_landed();
+            }
             Err(error) => self.flight_failed(error, now),
         }
     }
 
     /// Takes in that the fold has met the desk's own record. It may come before the append's answer, or in place of it.
     pub(super) fn flight_folded(&mut self, sequence: u64) {
+        self.unfolded.take_if(|(landed, _)| *landed <= sequence);
         if self.flight.as_ref().is_some_and(|flight| flight.sequence <= sequence) {
             self.flight_landed();
         }
--- a/crates/ledger/src/shard_desk/read_side.rs
+++ b/crates/ledger/src/shard_desk/read_side.rs
@@ -33,6 +33,9 @@
 /// How far the log's clock may step back without a release being overlooked.
 const CLOCK_SLACK_MS: u64 = 100;
 
+/// How long the fold waits for the desk's own record once it has landed, before the desk reads for itself.
+const OVERDUE: Duration = Duration::from_millis(50);
+
 /// What the log's clock shows, never ahead of it.
 #[derive(Debug)]
 pub(super) struct LogClock {
@@ -108,16 +111,26 @@
         self.reads_out.retry_at()
     }
 
-    /// Where a read without waiting has to begin, if somebody waits for one. A key may have been claimed through another router
-    /// at any moment before the question, so only a read that begins after the question tells.
-    pub fn next_barrier(&mut self) -> Option<LogOffset> {
-        if self.barrier.is_some() || self.knowns.is_empty() {
+    /// Where a read without waiting has to begin, if one is due.
+    ///
+    /// Somebody may wait for one: a key may have been claimed through another router at any moment before the question, so
+    /// only a read that begins after it tells. Or the desk's own record has landed and the waiting read has not brought it:
+    /// after a partition that read may hang on a dead connection until its timeout, while claims that are won run out of time.
+    pub fn next_barrier(&mut self, now: Instant) -> Option<LogOffset> {
+        if self.barrier.is_some() || (self.knowns.is_empty() && !self.is_overdue(now)) {
             return None;
         }
+        if let Some((_, asked)) = &mut self.unfolded {
+            *asked = now;
+        }
         self.barrier = Some(std::mem::take(&mut self.knowns));
         Some(self.book.next_offset())
     }
 
+    fn is_overdue(&self, now: Instant) -> bool {
+        self.unfolded.is_some_and(|(_, asked)| asked + OVERDUE <= now)
+    }
+
     /// Takes in how that read ended.
     pub fn barrier_ended(
         &mut self,
--- a/crates/ledger/src/shard_driver.rs
+++ b/crates/ledger/src/shard_driver.rs
@@ -121,7 +121,7 @@
             let future = (self.log.read)(&self.stream, self.desk.next_offset(), wait);
             self.tail = Some(ReadSlot { asked: now, future });
         }
-        if let Some(from) = self.desk.next_barrier() {
+        if let Some(from) = self.desk.next_barrier(now) {
             let future = (self.log.read)(&self.stream, from, Duration::ZERO);
             self.barrier = Some(ReadSlot { asked: now, future });
         }
--- a/crates/ledger/tests/desk/single_faults.rs
+++ b/crates/ledger/tests/desk/single_faults.rs
@@ -173,7 +173,7 @@
     let mut bench = DeskBench::unread(settings());
     let verdict = bench.claim("a");
     let mut known = bench.ask_known("a");
-    assert!(bench.desk.next_barrier().is_some());
+    assert!(bench.desk.next_barrier(bench.now).is_some());
     bench.desk.barrier_ended(Err(LogError::Out), bench.now, bench.now);
     assert_eq!(known.try_recv().unwrap(), KnownKey::Blind);
     bench.pass(1_000);
@@ -191,7 +191,7 @@
     bench.land_other(claimer("be-1", 7), 1, vec![other_claim("a", 1)]);
     for (text, expected) in [("a", KnownKey::Claimed), ("b", KnownKey::Free)] {
         let mut known = bench.ask_known(text);
-        while bench.desk.next_barrier().is_some() {
+        while bench.desk.next_barrier(bench.now).is_some() {
             assert!(known.try_recv().is_err());
             let page = bench.page();
             bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
@@ -233,13 +233,32 @@
         });
         let mut known =
             bench.ask_known(&text.map_or(String::from("order-1"), |uuid| uuid.to_string()));
-        bench.desk.next_barrier();
+        bench.desk.next_barrier(bench.now);
         let page = bench.page();
         bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
         assert_eq!(known.try_recv().unwrap(), expected, "{name}");
     }
 }
 
+#[test]
+fn a_record_that_the_waiting_read_does_not_bring_is_read_for() {
+    // A partition has healed. Appends pass, but the read that waits for news hangs on a dead connection for seconds. The
+    // desk's record is in the log; the desk reads for itself, so that its callers don't run out of time.
+    let mut bench = DeskBench::new(settings());
+    let verdict = bench.claim("a");
+    let group = bench.append();
+    bench.land(&group);
+    bench.desk.append_ended(&group.id, Ok(LogOffset(0)), bench.now);
+    assert_eq!(bench.desk.next_barrier(bench.now), None);
+    bench.pass(50);
+    assert_eq!(bench.desk.next_barrier(bench.now), Some(LogOffset(0)));
+    let page = bench.page();
+    bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+    assert!(matches!(told(verdict), ClaimVerdict::Won(_)));
+    bench.pass(50);
+    assert_eq!(bench.desk.next_barrier(bench.now), None);
+}
+
 #[test]
 fn a_re_send_gets_the_first_answer_or_what_is_known() {
     let mut bench = DeskBench::new(settings());
