--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -6,17 +6,14 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use fulmargate_stand::EngineSettings;
-use fulmargate_stand::LogSettings;
-use fulmargate_stand::ServiceSettings;
 use fulmargate_stand::StandServer;
-use fulmargate_stand::engine_server;
-use fulmargate_stand::log_server;
-use fulmargate_stand::service_server;
 use serde::de::DeserializeOwned;
 use tokio_util::sync::CancellationToken;
+use tracing_subscriber::EnvFilter;
 
-/// Stand-ins for the platform and the backend servers. They listen on loopback and keep nothing.
+/// Stand-ins for the platform and the backend servers. They listen where their settings say, keep
+/// nothing, and are for tests and first looks only. A stand-in started alone prints `listening
+/// ADDRESS` as its first line and runs until an interrupt.
 #[derive(FromArgs)]
 struct StandArgs {
     #[argh(subcommand)]
@@ -29,6 +26,9 @@
     Engine(EngineArgs),
     Service(ServiceArgs),
     Log(LogArgs),
+    Weights(WeightsArgs),
+    Hosts(HostsArgs),
+    Kv(KvArgs),
 }
 
 /// A model engine.
@@ -40,7 +40,7 @@
     settings: PathBuf,
 }
 
-/// A replica of a plain service.
+/// A replica of a plain service that counts its effects.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "service")]
 struct ServiceArgs {
@@ -49,7 +49,7 @@
     settings: PathBuf,
 }
 
-/// The platform's log.
+/// The platform's append-only log.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "log")]
 struct LogArgs {
@@ -58,17 +58,39 @@
     settings: PathBuf,
 }
 
+/// The rate-limited weight store.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "weights")]
+struct WeightsArgs {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// The platform's lagging list of hosts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hosts")]
+struct HostsArgs {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// The KV store.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "kv")]
+struct KvArgs {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 #[actix_rt::main]
 async fn main() -> ExitCode {
     let args: StandArgs = argh::from_env();
-    let result = match args.command {
-        StandCommand::Engine(args) => serve::<EngineSettings>(&args.settings, engine_server).await,
-        StandCommand::Service(args) => {
-            serve::<ServiceSettings>(&args.settings, service_server).await
-        }
-        StandCommand::Log(args) => serve::<LogSettings>(&args.settings, log_server).await,
-    };
-    match result {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).init();
+    match run(args.command).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("fulmargate-stand: {message}");
@@ -77,6 +99,21 @@
     }
 }
 
+async fn run(command: StandCommand) -> Result<(), String> {
+    match command {
+        StandCommand::Engine(args) => serve(&args.settings, fulmargate_stand::engine_server).await,
+        StandCommand::Service(args) => {
+            serve(&args.settings, fulmargate_stand::service_server).await
+        }
+        StandCommand::Log(args) => serve(&args.settings, fulmargate_stand::log_server).await,
+        StandCommand::Weights(args) => serve(&args.settings, fulmargate_stand::weight_server).await,
+        StandCommand::Hosts(args) => {
+            serve(&args.settings, fulmargate_stand::host_list_server).await
+        }
+        StandCommand::Kv(args) => serve(&args.settings, fulmargate_stand::kv_server).await,
+    }
+}
+
 /// Serves until an interrupt. The first line on the standard output says where.
 async fn serve<T: DeserializeOwned>(
     path: &Path,
--- a/crates/stand/src/stand_server.rs
+++ b/crates/stand/src/stand_server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,9 +33,10 @@
 /// Registers a stand-in's paths; called at the start of each life, in the thread that serves it.
 pub(crate) type AppSetup = Arc<dyn Fn(&mut ServiceConfig) + Send + Sync>;
 
-/// A stand-in that has its port and is ready to serve.
+/// A stand-in that listens and is ready to serve.
 pub struct StandServer {
     holder: PortHolder,
+    listener: TcpListener,
     desk: FaultDesk,
     setup: AppSetup,
 }
@@ -45,7 +47,9 @@
         desk: FaultDesk,
         setup: AppSetup,
     ) -> io::Result<StandServer> {
-        Ok(StandServer { holder: PortHolder::bind(address)?, desk, setup })
+        let holder = PortHolder::bind(address)?;
+        let listener = holder.listen()?;
+        Ok(StandServer { holder, listener, desk, setup })
     }
 
     /// Where it listens.
@@ -61,14 +65,15 @@
     /// Serves life after life until cancelled. A crash ends the thread that holds all connections
     /// and all memory of the life, as the death of a process would.
     pub async fn serve(self, cancellation: CancellationToken) -> io::Result<()> {
+        let StandServer { holder, mut listener, desk, setup } = self;
         loop {
-            self.desk.begin_life();
-            let server = self.start_life()?;
+            desk.begin_life();
+            let server = start_life(listener, &desk, &setup)?;
             let handle = server.handle();
             let life = actix_rt::spawn(server);
             let down = tokio::select! {
                 () = cancellation.cancelled() => None,
-                down = self.desk.crashed() => Some(down),
+                down = desk.crashed() => Some(down),
             };
             handle.stop(false).await;
             life.await.map_err(io::Error::other)??;
@@ -78,32 +83,33 @@
             if cancellation.run_until_cancelled(tokio::time::sleep(down)).await.is_none() {
                 return Ok(());
             }
+            listener = holder.listen()?;
         }
     }
+}
 
-    fn start_life(&self) -> io::Result<Server> {
-        let desk = self.desk.clone();
-        let setup = Arc::clone(&self.setup);
-        let app = move || {
-            let setup = Arc::clone(&setup);
-            App::new()
-                .app_data(Data::new(desk.clone()))
-                .app_data(web::PayloadConfig::new(BODY_LIMIT))
-                .app_data(web::JsonConfig::default().limit(BODY_LIMIT))
-                .configure(move |config| setup(config))
-                .route(FAULTS_PATH, web::get().to(show_faults))
-                .route(FAULTS_PATH, web::post().to(order_faults))
-                .wrap(from_fn(gate))
-        };
-        let server = HttpServer::new(app)
-            .workers(1)
-            .disable_signals()
-            .keep_alive(KEEP_ALIVE)
-            .h1_allow_half_closed(false)
-            .listen(self.holder.listen()?)?
-            .run();
-        Ok(server)
-    }
+fn start_life(listener: TcpListener, desk: &FaultDesk, setup: &AppSetup) -> io::Result<Server> {
+    let desk = desk.clone();
+    let setup = Arc::clone(setup);
+    let app = move || {
+        let setup = Arc::clone(&setup);
+        App::new()
+            .app_data(Data::new(desk.clone()))
+            .app_data(web::PayloadConfig::new(BODY_LIMIT))
+            .app_data(web::JsonConfig::default().limit(BODY_LIMIT))
+            .configure(move |config| setup(config))
+            .route(FAULTS_PATH, web::get().to(show_faults))
+            .route(FAULTS_PATH, web::post().to(order_faults))
+            .wrap(from_fn(gate))
+    };
+    let server = HttpServer::new(app)
+        .workers(1)
+        .disable_signals()
+        .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
+        .listen(listener)?
+        .run();
+    Ok(server)
 }
 
 /// Nothing but the faults can be reached while the stand-in is frozen or out.
