Test the bound of shared limits on links that fail one way

Cause: random cuts alone stayed green without the check of who sees whom and without the views of the last while: the burst hid what they let through. Change: a short burst in these tests, and a table of cuts, a star and one-way links.

--- a/crates/admission/src/limiter_conf.rs
+++ b/crates/admission/src/limiter_conf.rs
@@ -9,7 +9,8 @@
     pub burst: Duration,
     /// A router that was not heard for this long counts as out of reach.
     pub stale_after: Duration,
-    /// The longest time from one report to the next and on to each router.
+    /// The longest time from one report to the next and on to each router; reports go out once a
+    /// second.
     pub delivery: Duration,
     /// Most teams in a report.
     pub report_teams: usize,
@@ -36,7 +37,7 @@
         LimiterConf {
             burst: Duration::from_secs(2),
             stale_after: Duration::from_secs(3),
-            delivery: Duration::from_secs(1),
+            delivery: Duration::from_millis(1_500),
             report_teams: 32,
             forget_after: Duration::from_secs(60),
             most_teams: 16_384,
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -13,6 +13,7 @@
 use support::limit_world::LIMIT;
 use support::limit_world::LimitWorld;
 use support::limit_world::PROMPT;
+use support::limit_world::conf;
 use support::ms;
 use tokio::time::Instant;
 
@@ -23,7 +24,7 @@
 
 /// The bound that the limiter states: the burst, and two requests (or one prompt) a router.
 fn bound(routers: usize) -> f64 {
-    LIMIT * LimiterConf::default().burst.as_secs_f64() + 2.0 * routers as f64
+    LIMIT * conf().burst.as_secs_f64() + 2.0 * routers as f64
 }
 
 /// Traffic of one team at several routers, and what the last five seconds of it came to.
@@ -99,6 +100,97 @@
     assert!(excess <= bound(case.demand.len()), "{}: excess {excess}", case.name);
 }
 
+/// The team's callers see more answers than its limit allows. Links fail just when its traffic
+/// moves from some routers to others; each router could think that the rest still stand back.
+struct BoundCase {
+    name: &'static str,
+    phases: &'static [(u64, Links, [f64; 6])],
+}
+
+#[derive(Clone, Copy)]
+enum Links {
+    Whole,
+    /// Routers below the index are cut from the rest.
+    Cut(usize),
+    /// All hear the first router and it hears all; no other hears another.
+    Star,
+    /// A router hears those before it and is heard by those after it.
+    Downhill,
+}
+
+const BOUNDS: &[BoundCase] = &[
+    BoundCase {
+        name: "both sides of a cut begin to ask",
+        phases: &[
+            (20, Links::Whole, [0.0; 6]),
+            (20, Links::Cut(3), [400.0, 0.0, 0.0, 400.0, 0.0, 0.0]),
+        ],
+    },
+    BoundCase {
+        name: "the others notice before the router that had the whole",
+        phases: &[
+            (20, Links::Whole, [400.0, 0.0, 0.0, 0.0, 0.0, 0.0]),
+            (20, Links::Cut(1), [400.0; 6]),
+        ],
+    },
+    BoundCase {
+        name: "the router that had the whole is the last in turn",
+        phases: &[
+            (20, Links::Whole, [0.0, 0.0, 0.0, 0.0, 0.0, 400.0]),
+            (20, Links::Cut(5), [400.0; 6]),
+        ],
+    },
+    BoundCase {
+        name: "a middle that all hear, and ends that don't hear each other",
+        phases: &[
+            (20, Links::Whole, [0.0; 6]),
+            (30, Links::Star, [0.0, 400.0, 400.0, 400.0, 400.0, 400.0]),
+        ],
+    },
+    BoundCase {
+        name: "links that carry one way only",
+        phases: &[
+            (20, Links::Whole, [0.0; 6]),
+            (30, Links::Downhill, [1.0, 5.0, 20.0, 80.0, 300.0, 900.0]),
+        ],
+    },
+    BoundCase {
+        name: "cut, healed and cut elsewhere",
+        phases: &[
+            (20, Links::Cut(2), [0.0, 400.0, 0.0, 0.0, 400.0, 0.0]),
+            (3, Links::Whole, [0.0, 400.0, 0.0, 0.0, 400.0, 0.0]),
+            (20, Links::Cut(4), [400.0, 0.0, 400.0, 400.0, 0.0, 400.0]),
+            (4, Links::Whole, [0.0, 0.0, 0.0, 0.0, 0.0, 400.0]),
+            (20, Links::Cut(5), [400.0; 6]),
+        ],
+    },
+];
+
+#[test]
+fn links_that_fail_stay_within_the_bound() {
+    for case in BOUNDS {
+        for seed in 0..8 {
+            check_bound(case, seed);
+        }
+    }
+}
+
+fn check_bound(case: &BoundCase, seed: u64) {
+    let mut world = LimitWorld::new(6, BY_REQUESTS, seed);
+    for (seconds, links, demand) in case.phases {
+        match links {
+            Links::Whole => world.cut(0),
+            Links::Cut(at) => world.cut(*at),
+            Links::Star => world.link(|to, from| to == 0 || from == 0),
+            Links::Downhill => world.link(|to, from| from < to),
+        }
+        world.demand = demand.to_vec();
+        world.run(*seconds);
+    }
+    let excess = world.worst_excess();
+    assert!(excess <= bound(6), "{}: excess {excess}", case.name);
+}
+
 /// The team's callers see more answers than its limit allows. Routers lose each other just when
 /// its traffic moves from one to the next; each could think that the others still stand back.
 /// Claims that no other router could have heard must not count, on either side.
--- a/crates/admission/tests/support/limit_world.rs
+++ b/crates/admission/tests/support/limit_world.rs
@@ -52,12 +52,17 @@
     report: UsageReport,
 }
 
+/// A short burst, so that an excess of a moment shows.
+pub(crate) fn conf() -> LimiterConf {
+    LimiterConf { burst: ms(100), ..LimiterConf::default() }
+}
+
 impl LimitWorld {
     pub(crate) fn new(routers: usize, limit: TeamLimit, seed: u64) -> LimitWorld {
         let hosts: Vec<HostName> =
             (0..routers).map(|index| HostName::new(&format!("entry-{index}"))).collect();
         let limiter = |host: &HostName| {
-            let limiter = TeamLimiter::new(host.clone(), LimiterConf::default());
+            let limiter = TeamLimiter::new(host.clone(), conf());
             limiter.set_routers(&hosts);
             limiter
         };
@@ -80,11 +85,14 @@
 
     /// Cuts the routers below `at` from the rest, both ways.
     pub(crate) fn cut(&mut self, at: usize) {
-        for (to, row) in self.hears.iter_mut().enumerate() {
-            for (from, hears) in row.iter_mut().enumerate() {
-                *hears = (to < at) == (from < at);
-            }
-        }
+        self.link(|to, from| (to < at) == (from < at));
+    }
+
+    /// Says which routers hear which.
+    pub(crate) fn link(&mut self, hears: impl Fn(usize, usize) -> bool) {
+        let routers = self.limiters.len();
+        let row = |to| (0..routers).map(|from| hears(to, from)).collect();
+        self.hears = (0..routers).map(row).collect();
     }
 
     pub(crate) fn run(&mut self, seconds: u64) {
