Close the gaps that broken safeguards showed in the stream tests

Cause: each safeguard was broken in a scratch copy, one at a time; of 52 breaks 4 passed the tests: data of several lines joined, the request's digest left out of the code, the path left out of the binding, and a usage chunk of another request in a transcript. Change: a case for each; the colliding names are found once and kept.

--- a/crates/relay/tests/resume_tokens.rs
+++ b/crates/relay/tests/resume_tokens.rs
@@ -9,7 +9,6 @@
 use common::first_secret;
 use common::secrets;
 use fulmargate_names::Incarnation;
-use fulmargate_names::TeamName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_relay::MAX_INDEX;
 use fulmargate_relay::ResumeToken;
@@ -23,8 +22,8 @@
 use quickcheck::QuickCheck;
 
 const OLD: &str = "the secret of last week";
-/// Characters that hold the format and the team's hint.
-const HINT_CHARS: usize = 7;
+/// Characters that hold the format and both hints.
+const HINT_CHARS: usize = 12;
 const NEW: &str = "the secret of this week";
 
 struct TokenCase {
@@ -55,7 +54,7 @@
         ("own", old(), old(), binding(), None),
         ("other team", old(), old(), bound("utility", path, BODY), Some(other_team)),
         ("other body", old(), old(), bound("shop", path, b"{}"), Some(other_request)),
-        ("other path", old(), old(), bound("shop", "/v1/chat", BODY), Some(other_request)),
+        ("other path", old(), old(), bound("shop", "/v2/completions", BODY), Some(other_request)),
         ("rotated", old(), secrets(&[NEW, OLD]), binding(), None),
         ("ahead of its host", secrets(&[NEW, OLD]), secrets(&[OLD, NEW]), binding(), None),
         ("retired", old(), secrets(&[NEW]), binding(), Some(TokenRefusal::Forged)),
@@ -95,29 +94,27 @@
     }
 }
 
-/// Hints of four bytes only name the reason: a team whose hint is the same is refused by the code.
+/// Two names whose digests begin alike pass the hints, which only name the reason of a refusal. The
+/// code covers the digests whole, so the other team or body is refused all the same.
 #[test]
 fn equal_hints_do_not_authenticate() {
-    let mut seen = std::collections::HashMap::new();
-    let (first, second) = (0..)
-        .find_map(|number: u32| {
-            let team = TeamName::new(&format!("team-{number}"));
-            let minter = TokenMinter::new(
-                &first_secret(),
-                &TokenBinding::new(&team, "", BODY),
-                &begun(REQUEST),
-            );
-            let hint = minter.mint(StreamPlace::default())[..HINT_CHARS].to_owned();
-            seen.insert(hint, number).map(|earlier| (earlier, number))
-        })
-        .unwrap();
-    let bound =
-        |number: u32| TokenBinding::new(&format!("team-{number}").as_str().into(), "", BODY);
-    let text = TokenMinter::new(&first_secret(), &bound(first), &begun(REQUEST))
-        .mint(StreamPlace::default());
-    assert!(ResumeToken::verify(&first_secret(), &bound(first), &text).is_ok());
-    let read = ResumeToken::verify(&first_secret(), &bound(second), &text);
-    assert_eq!(read, Err(TokenRefusal::Forged));
+    let bound = |team: &str, body: &str| {
+        TokenBinding::new(&team.into(), "/v1/completions", body.as_bytes())
+    };
+    let pairs = [
+        (bound("team-21198", ""), bound("team-102730", "")),
+        (bound("shop", "body-96099"), bound("shop", "body-97320")),
+    ];
+    for (own, other) in pairs {
+        let mint = |binding: &TokenBinding| {
+            TokenMinter::new(&first_secret(), binding, &begun(REQUEST)).mint(StreamPlace::default())
+        };
+        let text = mint(&own);
+        assert_eq!(text[..HINT_CHARS], mint(&other)[..HINT_CHARS]);
+        assert!(ResumeToken::verify(&first_secret(), &own, &text).is_ok());
+        let read = ResumeToken::verify(&first_secret(), &other, &text);
+        assert_eq!(read, Err(TokenRefusal::Forged));
+    }
 }
 
 /// Whatever a token says is read back, also unauthenticated.
--- a/crates/relay/tests/stream_order.rs
+++ b/crates/relay/tests/stream_order.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::num::NonZeroUsize;
+
+use bytes::Bytes;
 use common::ATTEMPT;
 use common::DONE;
 use common::REQUEST;
@@ -12,6 +15,7 @@
 use common::tokens;
 use common::usage;
 use common::whole;
+use fulmargate_relay::EventReader;
 use fulmargate_relay::StreamFault;
 use fulmargate_relay::StreamPlace;
 use fulmargate_relay::StreamRest;
@@ -210,16 +214,22 @@
         .quickcheck(property as fn(Vec<u8>) -> bool);
 }
 
-/// All bytes of the data but the chunk's id reach the caller as they came.
+/// All bytes of the data but the chunk's id reach the caller as they came, also over several lines.
 #[test]
 fn only_the_id_is_replaced() {
-    let body = whole(ATTEMPT, 0);
-    let (out, _) = relay(&mut stream_at(ATTEMPT, StreamPlace::default()), [body.as_bytes()]);
-    let lines = |text: &str| -> Vec<String> {
-        text.lines().filter(|line| line.starts_with("data")).map(str::to_owned).collect()
-    };
-    let out = String::from_utf8(out.to_vec()).unwrap();
-    assert_eq!(lines(&out), lines(&body.replace(ATTEMPT, REQUEST)));
+    let plain = whole(ATTEMPT, 0);
+    for body in [plain.clone(), plain.replace(",\"object\"", "\ndata: ,\ndata:\ndata: \"object\"")]
+    {
+        let (out, end) = relay(&mut stream_at(ATTEMPT, StreamPlace::default()), [body.as_bytes()]);
+        assert_eq!(end, Ok(StreamState::Done));
+        assert_eq!(all_data(&out), all_data(body.replace(ATTEMPT, REQUEST).as_bytes()));
+    }
+}
+
+fn all_data(body: &[u8]) -> Vec<String> {
+    let mut reader = EventReader::new(NonZeroUsize::MAX);
+    let mut chunk = Bytes::copy_from_slice(body);
+    std::iter::from_fn(|| reader.next_event(&mut chunk).unwrap()).map(|event| event.data).collect()
 }
 
 /// A break after the last token would cost a prefill for nothing. What is still owed is known.
--- a/crates/relay/tests/transcripts.rs
+++ b/crates/relay/tests/transcripts.rs
@@ -100,6 +100,11 @@
             vec![join(0..1) + &all[1].replace(REQUEST, "x")],
             broken(StreamFlaw::OtherRequest),
         ),
+        (
+            "other usage",
+            vec![join(0..4) + &all[4].replace(REQUEST, "x")],
+            broken(StreamFlaw::OtherRequest),
+        ),
         ("other weights", vec![join(0..1) + &newer], broken(StreamFlaw::WeightsChanged)),
         ("engine's own ids", vec![whole(ATTEMPT, 0)], broken(StreamFlaw::Unnumbered)),
         ("no JSON", vec!["data: x\n\n".to_owned()], broken(StreamFlaw::Unreadable)),
