Bring the role, the reason for finishing and the usage once each

Cause: with a closing chunk written without an event id, a caller that came back after it had an id that said "not finished", the transcript checker took such a stream for broken, and a break after the closing chunk brought it twice. A role chunk before the first token came twice as well. Ruled out: another bit in the token for the role; it is held back until the first token instead, so nothing has been sent before it. Change: the closing chunk moves the event id to "finished"; a resumed stream skips what has been had; the chunk's head tells content from none by one rule for text, deltas and tool calls; the checker knows closing chunks. Measured: the new test (a cut at each byte of a stream with role, closing chunk and usage) failed before the role was held back ("role, cut at 248"), green after.

--- a/crates/relay/src/attempt_stream.rs
+++ b/crates/relay/src/attempt_stream.rs
@@ -21,6 +21,9 @@
     reader: EventReader,
     guard: StreamGuard,
     writer: ChunkWriter,
+    /// The preface, until the first token comes: were it sent at once and the stream then begun
+    /// again, the caller would get a second one.
+    preface: BytesMut,
 }
 
 impl AttemptStream {
@@ -36,6 +39,7 @@
             reader: EventReader::new(max_event_bytes),
             guard: StreamGuard::new(attempt_id, place, usage),
             writer,
+            preface: BytesMut::new(),
         }
     }
 
@@ -49,12 +53,19 @@
     ) -> Result<StreamState, StreamFault> {
         while let Some(event) = self.reader.next_event(&mut chunk)? {
             match self.guard.pass(&event)? {
-                PassedEvent::Token { id_span } => {
+                PassedEvent::Preface { id_span } => {
+                    self.preface.clear();
+                    self.writer.write_extra(&event.data, id_span, &mut self.preface);
+                }
+                PassedEvent::Token { id_span } | PassedEvent::Closing { id_span } => {
+                    out.extend_from_slice(&self.preface);
+                    self.preface.clear();
                     self.writer.write_token(&event.data, id_span, self.guard.place(), out);
                 }
                 PassedEvent::Extra { id_span } => {
                     self.writer.write_extra(&event.data, id_span, out);
                 }
+                PassedEvent::Skipped => {}
                 PassedEvent::Done => self.writer.write_done(out),
             }
         }
--- a/crates/relay/src/chunk_head.rs
+++ b/crates/relay/src/chunk_head.rs
@@ -16,22 +16,35 @@
 pub(crate) struct ChunkHead<'a> {
     /// The id's text with its quotes.
     pub(crate) id: Option<&'a RawValue>,
-    pub(crate) choices: ChoiceState,
+    pub(crate) choices: ChoicesHead,
     pub(crate) error: ErrorState,
 }
 
-/// What a chunk's choices say.
+/// What the choices of a chunk say together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum ChoiceState {
-    /// There are none: a chunk with the usage only.
+pub(crate) struct ChoicesHead {
+    pub(crate) content: ContentState,
+    pub(crate) finish: FinishState,
+}
+
+/// What there is for the caller to read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ContentState {
+    /// There are no choices: a chunk with the usage only.
+    #[default]
+    Absent,
+    /// Choices without content: a role, or the reason for finishing.
+    Empty,
+    /// Content.
+    Present,
+}
+
+/// Whether a choice gives a reason for finishing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum FinishState {
     #[default]
     Absent,
-    /// At least one, and none finishes.
-    Going,
-    /// At least one gives a reason for finishing, and carries text.
-    Finished,
-    /// They give a reason for finishing and carry no text.
-    Closing,
+    Given,
 }
 
 /// Whether the chunk is an error object.
@@ -69,6 +82,14 @@
     Other,
 }
 
+#[derive(Deserialize)]
+#[serde(field_identifier, rename_all = "snake_case")]
+enum DeltaKey {
+    Role,
+    #[serde(other)]
+    Other,
+}
+
 impl<'de> Deserialize<'de> for ChunkHead<'de> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChunkHead<'de>, D::Error> {
         deserializer.deserialize_map(ChunkVisitor)
@@ -107,20 +128,8 @@
     }
 }
 
-impl ChoiceState {
-    /// What two choices of one chunk say together.
-    fn joined(self, other: ChoiceState) -> ChoiceState {
-        match (self, other) {
-            (ChoiceState::Absent, state) | (state, ChoiceState::Absent) => state,
-            (ChoiceState::Closing, ChoiceState::Closing) => ChoiceState::Closing,
-            (ChoiceState::Going, ChoiceState::Going) => ChoiceState::Going,
-            _ => ChoiceState::Finished,
-        }
-    }
-}
-
-impl<'de> Deserialize<'de> for ChoiceState {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChoiceState, D::Error> {
+impl<'de> Deserialize<'de> for ChoicesHead {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChoicesHead, D::Error> {
         deserializer.deserialize_seq(ChoicesVisitor)
     }
 }
@@ -128,23 +137,25 @@
 struct ChoicesVisitor;
 
 impl<'de> Visitor<'de> for ChoicesVisitor {
-    type Value = ChoiceState;
+    type Value = ChoicesHead;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("a list of choices")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<ChoiceState, A::Error> {
-        let mut choices = ChoiceState::Absent;
-        while let Some(ChoiceHead { state }) = seq.next_element()? {
-            choices = choices.joined(state);
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<ChoicesHead, A::Error> {
+        let mut choices = ChoicesHead::default();
+        while let Some(ChoiceHead { content, finish }) = seq.next_element()? {
+            choices.content = choices.content.max(content);
+            choices.finish = choices.finish.max(finish);
         }
         Ok(choices)
     }
 }
 
 struct ChoiceHead {
-    state: ChoiceState,
+    content: ContentState,
+    finish: FinishState,
 }
 
 impl<'de> Deserialize<'de> for ChoiceHead {
@@ -163,108 +174,66 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<ChoiceHead, A::Error> {
-        let mut is_finished = false;
-        let mut text = TextState::Absent;
+        let mut choice = ChoiceHead { content: ContentState::Empty, finish: FinishState::Absent };
         while let Some(key) = map.next_key()? {
             match key {
                 ChoiceKey::FinishReason => {
-                    is_finished |= map.next_value::<Option<IgnoredAny>>()?.is_some();
+                    if map.next_value::<Option<IgnoredAny>>()?.is_some() {
+                        choice.finish = FinishState::Given;
+                    }
+                }
+                ChoiceKey::Text => choice.content = content_of(map.next_value()?),
+                ChoiceKey::Delta => {
+                    if let Some(DeltaHead { content }) = map.next_value()? {
+                        choice.content = content;
+                    }
                 }
-                ChoiceKey::Text | ChoiceKey::Delta => text = text.joined(map.next_value()?),
                 ChoiceKey::Other => {
                     map.next_value::<IgnoredAny>()?;
                 }
             }
         }
-        let state = match (is_finished, text) {
-            (false, _) => ChoiceState::Going,
-            (true, TextState::Present) => ChoiceState::Finished,
-            (true, TextState::Absent) => ChoiceState::Closing,
-        };
-        Ok(ChoiceHead { state })
+        Ok(choice)
     }
 }
 
-/// Whether a choice carries anything for the caller to read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TextState {
-    Absent,
-    Present,
-}
-
-impl TextState {
-    fn joined(self, other: TextState) -> TextState {
-        if self == TextState::Present { self } else { other }
-    }
+struct DeltaHead {
+    content: ContentState,
 }
 
-impl<'de> Deserialize<'de> for TextState {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<TextState, D::Error> {
-        deserializer.deserialize_any(TextVisitor)
+impl<'de> Deserialize<'de> for DeltaHead {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<DeltaHead, D::Error> {
+        deserializer.deserialize_map(DeltaVisitor)
     }
 }
 
-/// Takes a completion's text or a chat's delta. What is neither a string nor an object, such as a
-/// list of tool calls, counts as text.
-struct TextVisitor;
+/// Whatever a delta holds besides the role is content: text, tool calls, reasoning.
+struct DeltaVisitor;
 
-impl<'de> Visitor<'de> for TextVisitor {
-    type Value = TextState;
+impl<'de> Visitor<'de> for DeltaVisitor {
+    type Value = DeltaHead;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a text or a delta")
-    }
-
-    fn visit_unit<E>(self) -> Result<TextState, E> {
-        Ok(TextState::Absent)
-    }
-
-    fn visit_str<E>(self, text: &str) -> Result<TextState, E> {
-        Ok(if text.is_empty() { TextState::Absent } else { TextState::Present })
+        f.write_str("a delta")
     }
 
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<TextState, A::Error> {
-        let mut text = TextState::Absent;
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<DeltaHead, A::Error> {
+        let mut content = ContentState::Empty;
         while let Some(key) = map.next_key()? {
             match key {
                 DeltaKey::Role => {
                     map.next_value::<IgnoredAny>()?;
                 }
-                DeltaKey::Other => text = text.joined(map.next_value()?),
+                DeltaKey::Other => content = content.max(content_of(map.next_value()?)),
             }
         }
-        Ok(text)
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<TextState, A::Error> {
-        let mut text = TextState::Absent;
-        while seq.next_element::<IgnoredAny>()?.is_some() {
-            text = TextState::Present;
-        }
-        Ok(text)
-    }
-
-    fn visit_bool<E>(self, _value: bool) -> Result<TextState, E> {
-        Ok(TextState::Present)
-    }
-
-    fn visit_u64<E>(self, _value: u64) -> Result<TextState, E> {
-        Ok(TextState::Present)
-    }
-
-    fn visit_i64<E>(self, _value: i64) -> Result<TextState, E> {
-        Ok(TextState::Present)
-    }
-
-    fn visit_f64<E>(self, _value: f64) -> Result<TextState, E> {
-        Ok(TextState::Present)
+        Ok(DeltaHead { content })
     }
 }
 
-#[derive(Deserialize)]
-#[serde(field_identifier, rename_all = "snake_case")]
-enum DeltaKey {
-    Role,
-    #[serde(other)]
-    Other,
+fn content_of(value: &RawValue) -> ContentState {
+    match value.get() {
+        "null" | r#""""# | "[]" | "{}" => ContentState::Empty,
+        _ => ContentState::Present,
+    }
 }
--- a/crates/relay/src/chunk_writer.rs
+++ b/crates/relay/src/chunk_writer.rs
@@ -11,7 +11,7 @@
 use crate::stream_guard::quote;
 
 /// Writes the events of one attempt: the caller's request id in place of the attempt's, and a
-/// resume token as the id of each token event. All other bytes of the data stay as they are.
+/// resume token as the id of each event that moves the stream on. All other bytes of the data stay as they are.
 pub struct ChunkWriter {
     quoted_id: String,
     minter: TokenMinter,
@@ -23,7 +23,7 @@
         ChunkWriter { quoted_id: quote(request_id.as_str()), minter }
     }
 
-    /// Writes a token event, after which the stream stands at `place`.
+    /// Writes an event with a resume token, after which the stream stands at `place`.
     pub fn write_token(
         &self,
         data: &str,
--- a/crates/relay/src/stream_guard.rs
+++ b/crates/relay/src/stream_guard.rs
@@ -7,9 +7,11 @@
 use crate::StreamPlace;
 use crate::StreamRest;
 use crate::UsageChunk;
-use crate::chunk_head::ChoiceState;
+use crate::chunk_head::ChoicesHead;
 use crate::chunk_head::ChunkHead;
+use crate::chunk_head::ContentState;
 use crate::chunk_head::ErrorState;
+use crate::chunk_head::FinishState;
 use crate::event_reader::UNNAMED;
 
 /// Data of the event that ends a stream.
@@ -20,16 +22,28 @@
 /// What an event that passed is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PassedEvent {
+    /// A chunk before the first token, such as one that gives only the role.
+    Preface {
+        /// Where the chunk's id stands in the data, with its quotes.
+        id_span: Range<usize>,
+    },
     /// The token that was due.
     Token {
         /// Where the chunk's id stands in the data, with its quotes.
         id_span: Range<usize>,
     },
+    /// The chunk that finishes the answer, when it brings no token.
+    Closing {
+        /// Where the chunk's id stands in the data, with its quotes.
+        id_span: Range<usize>,
+    },
     /// A chunk without a token, such as the usage.
     Extra {
         /// Where the chunk's id stands in the data, with its quotes.
         id_span: Range<usize>,
     },
+    /// Nothing that the caller has not had already.
+    Skipped,
     /// The end.
     Done,
 }
@@ -48,6 +62,7 @@
 pub struct StreamGuard {
     attempt_id: String,
     quoted_id: String,
+    start: StreamPlace,
     place: StreamPlace,
     usage: UsageChunk,
     state: StreamState,
@@ -59,6 +74,7 @@
         StreamGuard {
             attempt_id: attempt_id.to_owned(),
             quoted_id: quote(attempt_id),
+            start: place,
             place,
             usage,
             state: StreamState::Open,
@@ -103,20 +119,23 @@
             return Err(StreamFault::ServerError);
         }
         let id_span = self.check_id(&event.data, &head)?;
-        match head.choices {
-            ChoiceState::Absent => {
+        let ChoicesHead { content, finish } = head.choices;
+        match content {
+            ContentState::Absent => {
                 self.pass_extra();
-                return Ok(PassedEvent::Extra { id_span });
+                Ok(PassedEvent::Extra { id_span })
             }
-            ChoiceState::Going => self.place = self.check_index(event)?,
-            ChoiceState::Finished => self.place = self.check_index(event)?.finished(),
-            ChoiceState::Closing if self.adds_no_token(event) => {
-                self.place = self.place.finished();
-                return Ok(PassedEvent::Extra { id_span });
+            ContentState::Empty if self.adds_no_token(event) => {
+                Ok(self.pass_empty(finish, id_span))
+            }
+            ContentState::Empty | ContentState::Present => {
+                self.place = self.check_index(event)?;
+                if finish == FinishState::Given {
+                    self.place = self.place.finished();
+                }
+                Ok(PassedEvent::Token { id_span })
             }
-            ChoiceState::Closing => self.place = self.check_index(event)?.finished(),
         }
-        Ok(PassedEvent::Token { id_span })
     }
 
     /// Judges the end of the body: without the end of the stream it is a cut.
@@ -133,6 +152,19 @@
         }
     }
 
+    /// Some engines begin with a chunk that gives only the role and end with one that gives only the
+    /// reason for finishing. A resumed stream would bring them a second time.
+    fn pass_empty(&mut self, finish: FinishState, id_span: Range<usize>) -> PassedEvent {
+        match finish {
+            FinishState::Absent if self.place.next_index() == 0 => PassedEvent::Preface { id_span },
+            FinishState::Given if !self.start.is_finished() => {
+                self.place = self.place.finished();
+                PassedEvent::Closing { id_span }
+            }
+            FinishState::Absent | FinishState::Given => PassedEvent::Skipped,
+        }
+    }
+
     /// An engine that gives up in the middle may still close its stream in good form. The caller
     /// would take a part for the whole, so the end counts only after a reason for finishing.
     fn pass_done(&mut self) -> Result<PassedEvent, StreamFault> {
@@ -162,8 +194,7 @@
             && serde_json::from_str(raw).is_ok_and(|id: String| id == self.attempt_id)
     }
 
-    /// A closing chunk has no id of its own: it shows that of the last token, or none when it is all
-    /// that a resumed stream owes.
+    /// A chunk without an id of its own shows that of the last token, or none before the first.
     fn adds_no_token(&self, event: &StreamEvent) -> bool {
         let Some(id) = event.id.as_deref() else {
             return true;
--- a/crates/relay/src/stream_transcript.rs
+++ b/crates/relay/src/stream_transcript.rs
@@ -167,9 +167,9 @@
         }
         let chunk: CallerChunk = parse(&event.data)?;
         self.check_request(&chunk.id)?;
-        if !chunk.choices.is_empty() {
+        if !chunk.choices.is_empty() && !self.is_preface(event, &chunk) {
             self.check_token(event, &chunk)?;
-            self.text.extend(chunk.choices.into_iter().map(ChunkChoice::into_text));
+            self.text.extend(chunk.choices.iter().map(ChunkChoice::text));
         }
         Ok(())
     }
@@ -179,13 +179,20 @@
         if first == id { Ok(()) } else { Err(StreamFlaw::OtherRequest) }
     }
 
+    /// A chunk that gives only the role, and has no event id of its own.
+    fn is_preface(&self, event: &StreamEvent, chunk: &CallerChunk) -> bool {
+        chunk.is_empty() && !chunk.finishes() && event.id.as_deref() == self.last_token()
+    }
+
     fn check_token(&mut self, event: &StreamEvent, chunk: &CallerChunk) -> Result<(), StreamFlaw> {
         let token = event.id.as_deref().ok_or(StreamFlaw::Unnumbered)?;
         let claims = ResumeToken::peek(token).ok_or(StreamFlaw::Unnumbered)?;
         let wanted = self.last_claims.as_ref().map_or(0, |last| last.place.next_index());
         let found = claims.place.next_index();
-        // The event id stands after its token, so the first one says 1.
-        if found != wanted + 1 {
+        let finishes = chunk.finishes();
+        // An event id stands after its token, so the first one says 1; a closing chunk brings none.
+        let is_closing = finishes && chunk.is_empty() && found == wanted;
+        if !is_closing && found != wanted + 1 {
             return Err(StreamFlaw::Disordered { wanted, found: found.saturating_sub(1) });
         }
         if claims.request_id.as_str() != chunk.id {
@@ -194,7 +201,6 @@
         if self.last_claims.as_ref().is_some_and(|last| last.weights != claims.weights) {
             return Err(StreamFlaw::WeightsChanged);
         }
-        let finishes = chunk.choices.iter().any(|choice| choice.finish_reason.is_some());
         if finishes != claims.place.is_finished() {
             return Err(StreamFlaw::Unfinished);
         }
@@ -229,9 +235,20 @@
     finish_reason: Option<String>,
 }
 
+impl CallerChunk {
+    fn is_empty(&self) -> bool {
+        self.choices.iter().all(|choice| choice.text().is_empty())
+    }
+
+    fn finishes(&self) -> bool {
+        self.choices.iter().any(|choice| choice.finish_reason.is_some())
+    }
+}
+
 impl ChunkChoice {
-    fn into_text(self) -> String {
-        self.text.or_else(|| self.delta?.content).unwrap_or_default()
+    fn text(&self) -> &str {
+        let content = || self.delta.as_ref()?.content.as_deref();
+        self.text.as_deref().or_else(content).unwrap_or_default()
     }
 }
 
--- a/crates/relay/tests/closing_chunk.rs
+++ b/crates/relay/tests/closing_chunk.rs
@@ -5,12 +5,19 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use common::ATTEMPT;
+use common::DONE;
+use common::relay;
+use common::stream_at;
+use common::stream_with;
+use common::usage;
 use fulmargate_relay::StreamFault;
 use fulmargate_relay::StreamPlace;
+use fulmargate_relay::StreamRest;
 use fulmargate_relay::StreamState;
-
-use crate::common::ATTEMPT;
-use crate::common::stream_at;
+use fulmargate_relay::StreamTranscript;
+use fulmargate_relay::StreamVerdict;
+use fulmargate_relay::UsageChunk;
 
 const TOKEN: &str =
     r#"{"id":"ID","choices":[{"index":0,"delta":{"content":" a"},"finish_reason":null}]}"#;
@@ -19,6 +26,11 @@
     r#"{"id":"ID","choices":[{"index":0,"text":"","finish_reason":"stop"}]}"#;
 const LAST: &str =
     r#"{"id":"ID","choices":[{"index":0,"delta":{"content":" b"},"finish_reason":"stop"}]}"#;
+const ROLE: &str =
+    r#"{"id":"ID","choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}"#;
+const EMPTY: &str =
+    r#"{"id":"ID","choices":[{"index":0,"delta":{"content":""},"finish_reason":null}]}"#;
+const TOOL: &str = r#"{"id":"ID","choices":[{"index":0,"delta":{"tool_calls":[{"index":0}]},"finish_reason":"tool_calls"}]}"#;
 
 struct ClosingCase {
     what: &'static str,
@@ -65,6 +77,18 @@
         events: &[(Some(0), TOKEN), (Some(2), CLOSING)],
         end: Err(StreamFault::Gap { wanted: 1, found: 2 }),
     },
+    ClosingCase {
+        what: "a chunk with the role, then a token without text",
+        from: 0,
+        events: &[(None, ROLE), (Some(0), EMPTY), (Some(1), LAST), (None, "[DONE]")],
+        end: Ok(StreamState::Done),
+    },
+    ClosingCase {
+        what: "a tool call without an id is no closing chunk",
+        from: 0,
+        events: &[(Some(0), TOKEN), (None, TOOL)],
+        end: Err(StreamFault::Repeat { wanted: 1, found: 0 }),
+    },
     ClosingCase {
         what: "the end without a closing chunk",
         from: 0,
@@ -95,3 +119,52 @@
     }
     assert_eq!(end, case.end, "{}", case.what);
 }
+
+/// A stream of an engine that begins with the role and ends with a closing chunk and the usage.
+fn closing_body(attempt: &str, from: u32) -> String {
+    let tokens = (from..2).map(|index| format!("id: {index}\ndata: {TOKEN}\n\n"));
+    let body = format!("data: {ROLE}\n\n{}data: {CLOSING}\n\n", tokens.collect::<String>());
+    body.replace("ID", attempt) + &usage(attempt) + DONE
+}
+
+/// The caller reads the role, a reason for finishing or the usage twice, or none of it, after a break.
+/// The engine's connection is cut at some byte; the router goes on with what is still owed, and
+/// writes the end by itself when that is all.
+#[test]
+fn a_cut_brings_nothing_twice() {
+    let body = closing_body(ATTEMPT, 0);
+    for cut in 0..body.len() - 1 {
+        let mut stream = stream_with(ATTEMPT, StreamPlace::default(), UsageChunk::Due);
+        let (mut out, _) = relay(&mut stream, [&body.as_bytes()[..cut]]);
+        let place = stream.place();
+        let mut second = stream_with("second.2", place, stream.usage());
+        if stream.rest() == StreamRest::End {
+            out.extend_from_slice(DONE.as_bytes());
+        } else {
+            let rest = closing_body("second.2", place.next_index());
+            let (rest, end) = relay(&mut second, [rest.as_bytes()]);
+            assert_eq!(end, Ok(StreamState::Done), "cut at {cut}");
+            out.extend_from_slice(&rest);
+        }
+        let mut transcript = StreamTranscript::new();
+        transcript.feed(&out);
+        assert_eq!(transcript.verdict(), &StreamVerdict::Whole, "cut at {cut}");
+        assert_eq!(transcript.text(), " a a", "cut at {cut}");
+        let text = String::from_utf8(out.to_vec()).unwrap();
+        for once in ["role", "length", "usage"] {
+            assert_eq!(text.matches(once).count(), 1, "{once}, cut at {cut}");
+        }
+    }
+}
+
+/// The caller comes back after the closing chunk: its event id says that the answer is finished.
+#[test]
+fn a_closing_chunk_moves_the_event_id_on() {
+    let body = closing_body(ATTEMPT, 0);
+    let (out, _) = relay(&mut stream_at(ATTEMPT, StreamPlace::default()), [body.as_bytes()]);
+    let mut transcript = StreamTranscript::new();
+    transcript.feed(&out);
+    assert_eq!(transcript.verdict(), &StreamVerdict::Whole);
+    let place = transcript.last_claims().unwrap().place;
+    assert_eq!((place.next_index(), place.is_finished()), (2, true));
+}
