--- a/crates/config/tests/config/keeper.rs
+++ b/crates/config/tests/config/keeper.rs
@@ -135,6 +135,28 @@
     });
 }
 
+/// Both copies of a patch come to its router at once, out of a peer's hands. The second copy is
+/// stale, since the first was accepted; the operator must hear of the first.
+#[test]
+fn the_first_copy_of_a_patch_is_its_verdict() {
+    run(async {
+        let cluster = Cluster::seeded(2, 2).await;
+        let link = Rc::clone(&cluster.host(0).link);
+        link.is_deaf.set(true);
+        link.faults.borrow_mut().push_back(AppendFault::AnswerLost);
+        cluster.host(0).side.set(1);
+        let copy = async {
+            sleep(Duration::from_millis(100)).await;
+            let record = cluster.log.records().pop().expect("the first copy");
+            cluster.log.push(&record.id, &record.data);
+            sleep(Duration::from_millis(100)).await;
+            cluster.host(0).side.set(0);
+        };
+        let (outcome, ()) = tokio::join!(cluster.submit(0, "p", 1, marked(1)), copy);
+        assert_eq!(outcome, accepted(2));
+    });
+}
+
 /// The record is lost with its answer, and another operator's patch moves the version before it can
 /// be sent again. Wherever a copy may land now, it is stale: that is certain, not unknown.
 #[test]
