Let a host tell the others a word about a topic

Cause: suspects, team use, demand for prefixes and the spread plan are types of other crates, which the exchange need not read. Ruled out: a typed item for each (the crate would depend on placement and admission). Change: PeerItem::HostWord with a closed list of topics, bounded bytes; four kinds in the table; start on a taken listener. Conclusion: the router can join.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -36,6 +36,8 @@
 pub use peer_item::TeamRate;
 pub use peer_item::VERDICT_SERVERS;
 pub use peer_item::VerdictState;
+pub use peer_item::WORD_BYTES;
+pub use peer_item::WordTopic;
 pub use peer_news::OverCause;
 pub use peer_news::PeerNews;
 pub use peer_pace::PeerPace;
--- a/crates/peers/src/net/peer_handle.rs
+++ b/crates/peers/src/net/peer_handle.rs
@@ -45,7 +45,15 @@
         conf: &PeerConf,
         cancellation: CancellationToken,
     ) -> io::Result<(PeerHandle, mpsc::UnboundedReceiver<PeerNews>)> {
-        let listener = std::net::TcpListener::bind(conf.listen)?;
+        PeerNet::start_on(std::net::TcpListener::bind(conf.listen)?, conf, cancellation)
+    }
+
+    /// Does what `start` does, on a listener that was taken before.
+    pub fn start_on(
+        listener: std::net::TcpListener,
+        conf: &PeerConf,
+        cancellation: CancellationToken,
+    ) -> io::Result<(PeerHandle, mpsc::UnboundedReceiver<PeerNews>)> {
         listener.set_nonblocking(true)?;
         let address = conf.advertise.unwrap_or(listener.local_addr()?);
         let listener = TcpListener::from_std(listener)?;
--- a/crates/peers/src/peer_item.rs
+++ b/crates/peers/src/peer_item.rs
@@ -1,5 +1,6 @@
 //! What routers tell each other.
 
+use bytes::Bytes;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -16,6 +17,8 @@
 
 /// Teams named in one usage record.
 pub const TOP_TEAMS: usize = 16;
+/// Longest word of a host.
+pub const WORD_BYTES: usize = 3_072;
 /// Backend servers named in one verdict.
 pub const VERDICT_SERVERS: usize = 8;
 
@@ -84,6 +87,53 @@
         /// The newest incarnation that is over.
         incarnation: Incarnation,
     },
+    /// What one host tells the others about a topic, in bytes that this crate does not read. Each
+    /// host puts only its own.
+    HostWord {
+        /// What it is about.
+        topic: WordTopic,
+        /// The host.
+        host: HostName,
+        /// Which part of the topic; the newest word of each part is kept.
+        part: u64,
+        /// What is told, `WORD_BYTES` at most.
+        bytes: Bytes,
+    },
+}
+
+/// What a host's word is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum WordTopic {
+    /// A request that may crash backend servers.
+    Suspect,
+    /// What teams ask of the host.
+    TeamUse,
+    /// What prefixes are asked for at the host.
+    PrefixDemand,
+    /// Where hot prefixes are kept.
+    SpreadPlan,
+}
+
+impl WordTopic {
+    /// The kind under which the topic's words travel.
+    pub fn kind(self) -> RecordKind {
+        match self {
+            WordTopic::Suspect => RecordKind::SuspectWord,
+            WordTopic::TeamUse => RecordKind::TeamUseWord,
+            WordTopic::PrefixDemand => RecordKind::DemandWord,
+            WordTopic::SpreadPlan => RecordKind::PlanWord,
+        }
+    }
+
+    pub(crate) fn of_kind(kind: RecordKind) -> Option<WordTopic> {
+        let topics = [
+            WordTopic::Suspect,
+            WordTopic::TeamUse,
+            WordTopic::PrefixDemand,
+            WordTopic::SpreadPlan,
+        ];
+        topics.into_iter().find(|topic| topic.kind() == kind)
+    }
 }
 
 /// What is believed of a request that may crash backend servers.
@@ -121,6 +171,7 @@
             PeerItem::HotPrefix { .. } => RecordKind::HotPrefix,
             PeerItem::ServerSeen { .. } => RecordKind::ServerSeen,
             PeerItem::ClaimerGone { .. } => RecordKind::ClaimerGone,
+            PeerItem::HostWord { topic, .. } => topic.kind(),
         }
     }
 
@@ -136,6 +187,7 @@
             PeerItem::CrashVerdict { fingerprint, .. } => *fingerprint,
             PeerItem::ZoneUsage { zone, .. } => name_id(zone.as_str()),
             PeerItem::HotPrefix { prefix, server, .. } => pair_id(prefix.0, server.as_str()),
+            PeerItem::HostWord { host, part, .. } => pair_id(*part, host.as_str()),
         };
         RecordKey { kind: self.kind(), id }
     }
--- a/crates/peers/src/record_kind.rs
+++ b/crates/peers/src/record_kind.rs
@@ -22,6 +22,14 @@
     ServerSeen = 7,
     /// An entry host's incarnation whose claims nobody will complete.
     ClaimerGone = 8,
+    /// A host's word of a request that may crash backend servers.
+    SuspectWord = 9,
+    /// A host's word of what teams ask of it.
+    TeamUseWord = 10,
+    /// A host's word of the prefixes asked for.
+    DemandWord = 11,
+    /// A host's word of where hot prefixes are kept.
+    PlanWord = 12,
 }
 
 /// Who gets a record.
@@ -101,7 +109,7 @@
 use SpreadUrgency::Urgent;
 
 /// How many kinds there are.
-pub const RECORD_KINDS: usize = 9;
+pub const RECORD_KINDS: usize = 13;
 
 /// The table, in the order of the list.
 #[rustfmt::skip]
@@ -115,6 +123,10 @@
     KindRow { kind: RecordKind::HotPrefix, name: "hot_prefix", ttl_ms: MINUTE, limit: 1024, scope: Zone, urgency: Lazy, group: Group::None, order: HigherValue },
     KindRow { kind: RecordKind::ServerSeen, name: "server_seen", ttl_ms: 6 * HOUR, limit: 4096, scope: Fleet, urgency: Urgent, group: Group::Steady, order: HigherValue },
     KindRow { kind: RecordKind::ClaimerGone, name: "claimer_gone", ttl_ms: 6 * HOUR, limit: 4096, scope: Fleet, urgency: Urgent, group: Group::Steady, order: HigherValue },
+    KindRow { kind: RecordKind::SuspectWord, name: "suspect_word", ttl_ms: HOUR, limit: 1024, scope: Fleet, urgency: Urgent, group: Group::Moving, order: SingleWriter },
+    KindRow { kind: RecordKind::TeamUseWord, name: "team_use_word", ttl_ms: 10_000, limit: 1024, scope: Fleet, urgency: Lazy, group: Group::None, order: SingleWriter },
+    KindRow { kind: RecordKind::DemandWord, name: "demand_word", ttl_ms: 10_000, limit: 1024, scope: Fleet, urgency: Lazy, group: Group::None, order: SingleWriter },
+    KindRow { kind: RecordKind::PlanWord, name: "plan_word", ttl_ms: MINUTE, limit: 256, scope: Fleet, urgency: Lazy, group: Group::None, order: SingleWriter },
 ];
 
 impl RecordKind {
--- a/crates/peers/src/state/lazy_queue.rs
+++ b/crates/peers/src/state/lazy_queue.rs
@@ -64,6 +64,9 @@
     match kind {
         RecordKind::ConfigInForce => hosts * 1_000 / FLEET_RECORDS_PER_S,
         RecordKind::HotPrefix => zone_hosts * 1_000 / ZONE_RECORDS_PER_S,
+        RecordKind::TeamUseWord | RecordKind::DemandWord => {
+            (hosts * 1_000 / FLEET_RECORDS_PER_S).max(900)
+        }
         RecordKind::TeamUsage => (zone_hosts * 1_000 / USAGE_RECORDS_PER_S).max(1_000),
         _ => 0,
     }
--- a/crates/peers/src/wire/item_codec.rs
+++ b/crates/peers/src/wire/item_codec.rs
@@ -6,6 +6,7 @@
 use bincode::enc::Encoder;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
+use bytes::Bytes;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::Incarnation;
 use fulmargate_names::PromptHash;
@@ -16,6 +17,7 @@
 use crate::RecordKind;
 use crate::TeamRate;
 use crate::VerdictState;
+use crate::WordTopic;
 use crate::wire::name_codec::put_name;
 use crate::wire::name_codec::take_name;
 use crate::wire::name_codec::take_number;
@@ -84,6 +86,11 @@
             put_name(encoder, host.as_str())?;
             incarnation.0.encode(encoder)
         }
+        PeerItem::HostWord { host, part, bytes, .. } => {
+            put_name(encoder, host.as_str())?;
+            part.to_le_bytes().encode(encoder)?;
+            (&bytes[..]).encode(encoder)
+        }
     }
 }
 
@@ -128,10 +135,29 @@
             host: take_name(decoder)?,
             incarnation: Incarnation(take_number(decoder)?),
         },
+        RecordKind::SuspectWord
+        | RecordKind::TeamUseWord
+        | RecordKind::DemandWord
+        | RecordKind::PlanWord => decode_word(kind, decoder)?,
     };
     Ok(item)
 }
 
+fn decode_word<'de, D: BorrowDecoder<'de>>(
+    kind: RecordKind,
+    decoder: &mut D,
+) -> Result<PeerItem, DecodeError> {
+    let Some(topic) = WordTopic::of_kind(kind) else {
+        return unknown_tag(kind as u8, kind as u8);
+    };
+    Ok(PeerItem::HostWord {
+        topic,
+        host: take_name(decoder)?,
+        part: u64::from_le_bytes(BorrowDecode::borrow_decode(decoder)?),
+        bytes: Bytes::copy_from_slice(<&[u8]>::borrow_decode(decoder)?),
+    })
+}
+
 fn decode_state<'de, D: BorrowDecoder<'de>>(decoder: &mut D) -> Result<VerdictState, DecodeError> {
     match take_tag(decoder)? {
         0 => Ok(VerdictState::Cleared),
