--- a/crates/config/src/config_document.rs
+++ b/crates/config/src/config_document.rs
@@ -26,6 +26,7 @@
 use crate::document_check;
 use crate::document_section::DocumentSection;
 use crate::document_section::read_part;
+use crate::document_state::DocumentState;
 
 /// The operators' document: only checked ones exist. Maps are in the order of their names.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -71,6 +72,14 @@
         document.finish()
     }
 
+    /// What a patch would make of a document that is in force, or of the empty object before the
+    /// first version; submits nothing.
+    pub fn patched(document: &Value, patch: &Value) -> Result<ConfigDocument, ConfigError> {
+        let mut state = DocumentState::of_value(document.clone());
+        state.accept(patch)?;
+        ConfigDocument::from_value(state.value())
+    }
+
     /// The team that has this key.
     pub fn team_by_key(&self, key: &KeyHash) -> Option<(&TeamName, &Arc<TeamEntry>)> {
         let team = self.keys.get(key)?;
--- a/crates/config/src/document_state.rs
+++ b/crates/config/src/document_state.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// A document whose version does not matter; it is checked with the first patch.
+    pub(crate) fn of_value(value: Value) -> DocumentState {
+        DocumentState { version: ConfigVersion(0), value, document: None }
+    }
+
     /// Reads a document that was accepted before.
     pub(crate) fn read(version: ConfigVersion, text: &str) -> Result<DocumentState, ConfigError> {
         let value = serde_json::from_str(text)
