--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -44,6 +44,6 @@
 
     fn baseline(&self, index: Option<u32>, reason: ChoiceReason) -> Option<Choice> {
         let Some(index) = index else { return self.far_away() };
-        Some(Estimate::unknown(self, index).choice(self, index, reason))
+        Some(Estimate::cold(self, index).choice(self, index, reason))
     }
 }
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -55,7 +55,7 @@
         if let Some(choice) = self.detour(&preference, &warm, home, &at_home) {
             return Some(choice);
         }
-        Some(at_home.choice(self, home, reason))
+        Some(at_home.imported(self, &warm).choice(self, home, reason))
     }
 
     pub(crate) fn weights(&self) -> ClassWeights {
@@ -81,7 +81,8 @@
         let width = || {
             let group = self.chain.group().map(|level| level.hash).unwrap_or_default();
             let share = placer.groups().share(group, self.request.now_ms);
-            share * self.view.near().len() as f64 * placer.conf().width_factor
+            let servers = self.view.near().len() as f64;
+            (share * servers * placer.conf().width_factor).max(placer.conf().least_width)
         };
         Preference::new(self.view, self.chain, width)
     }
@@ -109,18 +110,21 @@
         (1.0 + share * servers * self.placer.conf().hot_factor) as usize
     }
 
-    /// A server that has more of the prompt than home: the rest of a conversation that was once
-    /// sent elsewhere, or a prefix whose home has just started anew.
+    /// A server that has more of the prompt than its anchor, such as the rest of a conversation that
+    /// was once sent elsewhere. A hint that the anchor itself is cached elsewhere does not count:
+    /// all routers know home, and only this one the hint, and home would never get warm.
     fn warmer(&self, warm: &WarmSet, home: u32, at_home: &Estimate) -> Option<Choice> {
+        let anchor = self.chain.anchor().map_or(0, |anchor| anchor.tokens);
+        let had = f64::from(anchor).max(at_home.cached);
         let limit = at_home.cost(self);
-        let best = warm
+        let (index, estimate) = warm
             .iter()
-            .filter(|warm| warm.index != home && at_home.cached + WARM_TOKENS <= warm.tokens.into())
+            .filter(|warm| warm.index != home && had + WARM_TOKENS <= f64::from(warm.tokens))
             .filter(|warm| self.is_usable(warm.index))
             .map(|warm| (warm.index, Estimate::at_warm(self, warm)))
             .min_by(|a, b| a.1.cost(self).total_cmp(&b.1.cost(self)))?;
-        let (index, estimate) = best;
-        (estimate.cost(self) < limit).then(|| estimate.choice(self, index, ChoiceReason::Warm))
+        let is_better = estimate.cost(self) < limit;
+        is_better.then(|| estimate.choice(self, index, ChoiceReason::Warm))
     }
 
     /// A server with little to do, where computing the prompt anew costs less than the wait.
@@ -146,11 +150,17 @@
                 (estimate.cost(self) + self.weights().ttft * jitter, *index, estimate)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let extra = (estimate.uncached - at_home.uncached).max(0.0);
-        if limit <= cost || !self.placer.budget().spend(extra) {
+        if limit <= cost || !self.placer.budget().spend(self.copy_tokens()) {
             return None;
         }
-        Some(estimate.choice(self, index, ChoiceReason::Detour))
+        Some(estimate.imported(self, warm).choice(self, index, ChoiceReason::Detour))
+    }
+
+    /// What a detour costs the fleet. It counts in full even if the other server is believed to
+    /// have the prompt: keeping a second copy of it there pushes others out, and detours that look
+    /// free would keep all copies they ever made.
+    fn copy_tokens(&self) -> f64 {
+        f64::from(self.chain.anchor().map_or(0, |anchor| anchor.tokens))
     }
 
     fn alternatives(&self, preference: &Preference) -> ServerList {
@@ -176,7 +186,7 @@
         let Some(index) = index.copied() else { return self.far_away() };
         let estimate = match warm.get(index) {
             Some(warm) => Estimate::at_warm(self, warm),
-            None => Estimate::cold(self, warm, index),
+            None => Estimate::cold(self, index).imported(self, warm),
         };
         Some(estimate.choice(self, index, ChoiceReason::Fallback))
     }
@@ -185,12 +195,12 @@
     fn without_home(&self) -> Option<Choice> {
         let index = self.least_of_drawn(self.view.near());
         let Some(index) = index else { return self.far_away() };
-        Some(Estimate::unknown(self, index).choice(self, index, ChoiceReason::ShortPrompt))
+        Some(Estimate::cold(self, index).choice(self, index, ChoiceReason::ShortPrompt))
     }
 
     pub(crate) fn far_away(&self) -> Option<Choice> {
         let index = self.least_of_drawn(self.view.far())?;
-        Some(Estimate::unknown(self, index).choice(self, index, ChoiceReason::FarZone))
+        Some(Estimate::cold(self, index).choice(self, index, ChoiceReason::FarZone))
     }
 
     fn least_of_drawn(&self, servers: &[u32]) -> Option<u32> {
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -45,7 +45,7 @@
         }
         let tokens = chooser.chain.anchor().map_or(0, |anchor| anchor.tokens);
         let cached = f64::from(tokens) * chooser.view.at(home).meter.home_hit();
-        Estimate::new(chooser, home, cached, CacheBelief::Home { tokens }).imported(chooser, warm)
+        Estimate::new(chooser, home, cached, CacheBelief::Home { tokens })
     }
 
     /// At a server that a hint names.
@@ -65,21 +65,16 @@
             return Estimate::at_warm(chooser, warm);
         }
         if !preference.members().contains(&index) {
-            return Estimate::cold(chooser, warm, index);
+            return Estimate::cold(chooser, index);
         }
         let group = chooser.chain.group().map_or(0, |group| group.tokens);
         let anchor = chooser.chain.anchor().map_or(0, |anchor| anchor.tokens);
         let cached = if group < anchor { f64::from(group) * GROUP_TRUST } else { 0.0 };
-        Estimate::new(chooser, index, cached, CacheBelief::None).imported(chooser, warm)
+        Estimate::new(chooser, index, cached, CacheBelief::None)
     }
 
     /// At a server that has nothing of the prompt.
-    pub(crate) fn cold(chooser: &Chooser<'_>, warm: &WarmSet, index: u32) -> Estimate {
-        Estimate::new(chooser, index, 0.0, CacheBelief::None).imported(chooser, warm)
-    }
-
-    /// At a server of which nothing is expected.
-    pub(crate) fn unknown(chooser: &Chooser<'_>, index: u32) -> Estimate {
+    pub(crate) fn cold(chooser: &Chooser<'_>, index: u32) -> Estimate {
         Estimate::new(chooser, index, 0.0, CacheBelief::None)
     }
 
@@ -99,8 +94,10 @@
         }
     }
 
-    /// With what is missing imported, if that takes less time than computing it.
-    fn imported(mut self, chooser: &Chooser<'_>, warm: &WarmSet) -> Estimate {
+    /// With what is missing imported, if that takes less time than computing it. Only for a server
+    /// that is chosen already: an import may fail, and choices that counted on it would then scatter
+    /// prompts over servers that compute them anew.
+    pub(crate) fn imported(mut self, chooser: &Chooser<'_>, warm: &WarmSet) -> Estimate {
         let Some(import) = chooser.placer.conf().import else { return self };
         let deepest = chooser.chain.levels().last().map_or(0, |level| level.tokens);
         let warmest = warm.iter().max_by_key(|warm| warm.tokens);
--- a/crates/placement/src/placement_conf.rs
+++ b/crates/placement/src/placement_conf.rs
@@ -11,6 +11,8 @@
     pub demand_window_ms: f64,
     /// Servers of a group without a plan, as a multiple of its share of the fleet.
     pub width_factor: f64,
+    /// Servers of such a group at least; more than there are means all.
+    pub least_width: f64,
     /// Servers of a hot prefix besides the first, as a multiple of its share of the fleet.
     pub hot_factor: f64,
     /// Weight of recomputation against time, before the weights of the class.
@@ -30,11 +32,12 @@
         PlacementConf {
             prefill_tokens_per_ms: 40.0,
             request_tokens: 250.0,
-            demand_window_ms: 10_000.0,
+            demand_window_ms: 3_000.0,
             width_factor: 1.5,
-            hot_factor: 6.0,
+            least_width: f64::INFINITY,
+            hot_factor: 3.0,
             recompute_price: 30.0,
-            detour_share: 0.03,
+            detour_share: 0.2,
             near_ms: 5.0,
             hint_slots: 1 << 16,
             import: None,
--- a/crates/placement/src/plan_draft.rs
+++ b/crates/placement/src/plan_draft.rs
@@ -13,17 +13,13 @@
 const PLANNED_LOAD: f64 = 0.05;
 const DROPPED_LOAD: f64 = 0.01;
 /// Above this multiple of the mean load a plan is packed anew, at once and with all its cost.
-const PACK_LOAD: f64 = 1.5;
+const PACK_LOAD: f64 = 1.3;
 /// How full a server is packed.
 const PACKED_FULL: f64 = 1.02;
 /// Above this multiple of the mean load something is moved away.
 const MOVE_LOAD: f64 = 1.1;
 /// Up to this multiple of the mean load something is moved to a server.
 const FILL_LOAD: f64 = 1.03;
-/// Moves of one step, and the part of all load that they may move: prompts that move are computed
-/// once more.
-const MOST_MOVES: usize = 2;
-const MOST_MOVED: f64 = 0.03;
 /// Least load worth a move, in parts of the mean.
 const LEAST_MOVE: f64 = 0.02;
 /// Least part of a group, or of a server, that is worth another copy of the group's prefix.
@@ -36,10 +32,10 @@
 const IDLE: usize = 4;
 /// What a move must be worth, in parts of the mean, for another copy of the group's prefix; for
 /// moving a group as a whole; less, if a server loses a copy; and for each place down the list.
-const SPLIT_PENALTY: f64 = 0.1;
+const SPLIT_PENALTY: f64 = 0.3;
 const WHOLE_PENALTY: f64 = 0.02;
 const JOIN_BONUS: f64 = 0.05;
-const RANK_PENALTY: f64 = 0.002;
+const RANK_PENALTY: f64 = 0.02;
 
 /// The work that a group's requests are, in tokens of prefill a second.
 #[derive(Clone, Copy, Debug)]
@@ -106,12 +102,12 @@
         Some(draft)
     }
 
-    /// A few moves that even out the load, or a new packing if it is far from even.
+    /// A move that evens out the load, or a new packing if it is far from even.
     pub(crate) fn improved(mut self) -> Vec<PrefixSpread> {
         if PACK_LOAD * self.mean < self.loads[self.fullest() as usize] {
             self.pack();
         } else {
-            self.move_some();
+            self.move_one();
         }
         let view = self.view;
         self.groups.iter().map(|(group, draft)| spread(view, *group, draft)).collect()
@@ -199,17 +195,14 @@
         shares
     }
 
-    fn move_some(&mut self) {
-        let mut moved = 0.0;
-        let most = MOST_MOVED * self.mean * self.view.near().len() as f64;
-        for _ in 0..MOST_MOVES {
-            let from = self.fullest();
-            if self.load(from) <= MOVE_LOAD * self.mean || most <= moved {
-                return;
-            }
-            let Some(best) = self.best_move(from) else { return };
+    /// One move a step: what moves is computed once more, and its effect has to be seen first.
+    fn move_one(&mut self) {
+        let from = self.fullest();
+        if self.load(from) <= MOVE_LOAD * self.mean {
+            return;
+        }
+        if let Some(best) = self.best_move(from) {
             self.carry_out(from, best);
-            moved += best.amount;
         }
     }
 
