Join the routers: members, configuration, suspects, team use and the spread plan

Cause: each router stood alone; health was a set of servers that failed one probe. Change: the exchange runs on the control thread; peers hand on configuration records, incarnations, leaving servers, what is held of suspects, team use, demand for prefixes and the plan of the first live host; health from results with a floor, where a server kept by the floor is used only while no better one of its pool is left.

--- a/crates/router/src/attempt/attempt_failure.rs
+++ b/crates/router/src/attempt/attempt_failure.rs
@@ -2,6 +2,7 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
+use fulmargate_admission::ServerResult;
 use fulmargate_relay::IdentityFault;
 
 /// Why one attempt at a backend server failed, and with it what the server may have done.
@@ -43,4 +44,17 @@
     pub(crate) fn is_not_run(&self) -> bool {
         matches!(self, AttemptFailure::NotSent | AttemptFailure::Refused { .. })
     }
+
+    /// What it says of the server's health; a refusal for load says nothing.
+    pub(crate) fn server_result(&self) -> Option<ServerResult> {
+        match self {
+            AttemptFailure::NotSent => Some(ServerResult::Closed),
+            AttemptFailure::Broken => Some(ServerResult::Broken),
+            AttemptFailure::Late => Some(ServerResult::TimedOut),
+            AttemptFailure::Foreign(_) | AttemptFailure::ServerError(_) => {
+                Some(ServerResult::Failed)
+            }
+            AttemptFailure::Refused { .. } | AttemptFailure::Answered { .. } => None,
+        }
+    }
 }
--- a/crates/router/src/attempt/engine_runner.rs
+++ b/crates/router/src/attempt/engine_runner.rs
@@ -5,6 +5,7 @@
 
 use awc::Client;
 use fulmargate_admission::RetryGrant;
+use fulmargate_admission::ServerResult;
 use fulmargate_names::Disposition;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
@@ -170,6 +171,7 @@
                     self.state.tell_life(&server.name, head.facts.incarnation, head.is_leaving);
                 }
                 server.note_incarnation(head.facts.incarnation);
+                self.state.note_result(&server, ServerResult::Answered);
                 Ok(OpenAttempt::new(attempt_id, server, head, hold))
             }
             Err(failure) => {
@@ -178,6 +180,9 @@
                     AttemptFailure::Refused { code } if code == "overloaded" => hold.overloaded(),
                     _ => drop(hold),
                 }
+                if let Some(result) = failure.server_result() {
+                    self.state.note_result(&server, result);
+                }
                 self.note_failure(&failure, &server.name);
                 Err(failure)
             }
--- a/crates/router/src/attempt/service_runner.rs
+++ b/crates/router/src/attempt/service_runner.rs
@@ -8,6 +8,7 @@
 use fulmargate_admission::GateRequest;
 use fulmargate_admission::GateTicket;
 use fulmargate_admission::RetryGrant;
+use fulmargate_admission::ServerResult;
 use fulmargate_ledger::ClaimTicket;
 use fulmargate_ledger::NotRunProof;
 use fulmargate_ledger::SentTicket;
@@ -105,6 +106,13 @@
     ) -> Result<ServiceAnswer, AttemptFailure> {
         let attempt_id = self.state.attempt_id(&self.call.request_id);
         let result = send_call(client, &self.call, server, &attempt_id).await;
+        let told = match &result {
+            Ok(_) => Some(ServerResult::Answered),
+            Err(failure) => failure.server_result(),
+        };
+        if let Some(told) = told {
+            self.state.note_result(server, told);
+        }
         if let Err(failure) = &result {
             let kind = match failure {
                 AttemptFailure::Foreign(fault) => fault.event_kind(),
--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -9,22 +9,36 @@
 use actix::Context;
 use actix::Handler;
 use awc::Client;
+use fulmargate_admission::DrainState;
+use fulmargate_admission::HealthChange;
+use fulmargate_admission::HealthNews;
 use fulmargate_admission::MoveReason;
+use fulmargate_admission::ServerResult;
+use fulmargate_admission::ServerSpot;
+use fulmargate_admission::ServerUse;
 use fulmargate_config::ConfigKeeper;
+use fulmargate_config::ServerEntry;
+use fulmargate_config::ServerKind;
 use fulmargate_config::ServerState;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
+use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
+use fulmargate_peers::PeerHandle;
+use fulmargate_peers::PeerItem;
 use fulmargate_placement::ServerStanding;
 use fulmargate_platform::LogClient;
 use fulmargate_platform::LogState;
+use indexmap::IndexMap;
 use tokio::time::Instant;
 
 use crate::control::control_message::ConfigPublished;
+use crate::control::control_message::HealthTold;
 use crate::control::control_message::ProbeFinding;
 use crate::control::control_message::ProbeResult;
 use crate::control::control_message::ServerLife;
 use crate::control::control_message::ServerTrouble;
+use crate::control::peer_desk::PeerDesk;
 use crate::control::route_keeper::RouteKeeper;
 use crate::control::server_probe::probe;
 use crate::state::RouterPhase;
@@ -44,8 +58,7 @@
     log: LogClient,
     client: Client,
     probing: HashSet<ServerName>,
-    /// Servers that get nothing new because they do not answer.
-    pub(crate) down: HashSet<ServerName>,
+    pub(crate) peers: PeerDesk,
 }
 
 impl ControlActor {
@@ -54,6 +67,7 @@
         keeper: ConfigKeeper,
         log: LogClient,
         client: Client,
+        peers: PeerHandle,
     ) -> ControlActor {
         ControlActor {
             routes: RouteKeeper::new(&state.zone),
@@ -62,7 +76,7 @@
             log,
             client,
             probing: HashSet::new(),
-            down: HashSet::new(),
+            peers: PeerDesk::new(peers),
         }
     }
 
@@ -70,12 +84,16 @@
         matches!(self.log.state(), LogState::Up)
     }
 
-    fn publish(&mut self) {
+    pub(crate) fn publish(&mut self) {
         let Some(table) = self.routes.build() else {
             return;
         };
         let version = table.version;
         let before = self.state.routes.swap(Some(Arc::new(table)));
+        if before.as_ref().is_none_or(|before| before.version < version) {
+            let host = self.state.host.clone();
+            self.peers.handle.put(PeerItem::ConfigInForce { host, version });
+        }
         if before.is_none() {
             self.state.phase.advance(RouterPhase::Serving);
             let kind = EventKind::RouterReady;
@@ -91,17 +109,17 @@
         }
     }
 
-    fn watch_down(&mut self, ctx: &mut Context<ControlActor>) {
-        let down: Vec<ServerName> = self.down.iter().cloned().collect();
-        for name in down {
+    /// Servers that are out of use are probed until they answer again.
+    fn try_again(&mut self, ctx: &mut Context<ControlActor>) {
+        for name in self.state.health.trial_due(Instant::now()) {
             self.start_probe(&name, ctx);
         }
+        self.set_standings();
     }
 
     /// One probe of a server at a time: a herd of broken connections asks once.
     fn start_probe(&mut self, name: &ServerName, ctx: &mut Context<ControlActor>) {
         let Some(route) = self.routes.server(name) else {
-            self.down.remove(name);
             return;
         };
         if !self.probing.insert(name.clone()) {
@@ -119,71 +137,133 @@
     }
 
     /// Notes a life of a server; tells whether the table changes.
-    fn note_life(&mut self, route: &Arc<ServerRoute>, incarnation: Incarnation) -> bool {
+    pub(crate) fn note_life(&mut self, route: &Arc<ServerRoute>, incarnation: Incarnation) -> bool {
         let before = route.note_incarnation(incarnation);
         if incarnation <= before {
             return false;
         }
         let now = Instant::now();
         self.state.suspects.seen(&route.name, incarnation, now);
+        let news = self.state.health.seen(&route.name, incarnation, now);
         if 0 < before.0 {
             route.gate.restart(now);
             let kind = EventKind::ServerRestarted;
             tracing::info!(event = kind.number(), name = kind.name(), server = %route.name, %incarnation);
+            let server = route.name.clone();
+            self.peers.handle.put(PeerItem::ServerSeen { server, incarnation });
         }
-        if !route.is_leaving() && !self.down.contains(&route.name) {
-            route.gate.open();
-        }
+        self.take_health(&news);
         true
     }
 
-    fn note_leaving(&mut self, route: &Arc<ServerRoute>, incarnation: Incarnation) -> bool {
+    pub(crate) fn note_leaving(
+        &mut self,
+        route: &Arc<ServerRoute>,
+        incarnation: Incarnation,
+    ) -> bool {
         if incarnation <= route.leaving_incarnation() {
             return false;
         }
         route.note_leaving(incarnation);
+        self.state.health.leaving(&route.name, incarnation);
         route.gate.close(MoveReason::Leaving, Instant::now());
+        let server = route.name.clone();
+        self.peers.handle.put(PeerItem::ServerLeaving { server, incarnation });
         let kind = EventKind::ServerLeaving;
         tracing::info!(event = kind.number(), name = kind.name(), server = %route.name, %incarnation);
         true
     }
 
-    fn note_up(&mut self, route: &Arc<ServerRoute>) {
-        if !self.down.remove(&route.name) {
+    fn note_result(&mut self, route: &Arc<ServerRoute>, known: Incarnation, result: ServerResult) {
+        let known = (0 < known.0).then_some(known);
+        let news = self.state.health.note(&route.name, known, result, Instant::now());
+        self.take_health(&news);
+    }
+
+    /// Logs changes of health and carries them out.
+    fn take_health(&mut self, news: &[HealthNews]) {
+        if news.is_empty() {
             return;
         }
-        self.routes.meter(&route.name).set_standing(ServerStanding::InUse);
-        if !route.is_leaving() {
-            route.gate.open();
+        for HealthNews { server, change } in news {
+            let kind = match change {
+                HealthChange::Ejected | HealthChange::KeptByFloor => EventKind::ServerEjected,
+                HealthChange::Restored | HealthChange::Restarted => EventKind::ServerRestored,
+                HealthChange::Leaving => EventKind::ServerLeaving,
+            };
+            tracing::warn!(event = kind.number(), name = kind.name(), %server, ?change);
         }
-        let kind = EventKind::ServerRestored;
-        tracing::info!(event = kind.number(), name = kind.name(), server = %route.name);
+        self.set_standings();
     }
 
-    fn note_down(&mut self, route: &Arc<ServerRoute>) {
-        if !self.down.insert(route.name.clone()) {
-            return;
+    /// Opens and closes gates, and puts servers in use or out of it. A server that fails but is
+    /// kept by the floor is used only while no better one of its pool is left: a zone that is cut
+    /// off would else hold on to half of its share of requests.
+    fn set_standings(&mut self) {
+        let now = Instant::now();
+        let uses: IndexMap<ServerName, ServerUse> =
+            self.state.health.all_in_use(now).into_iter().collect();
+        let spots = self.spots();
+        let has_better = |spot: &ServerSpot| {
+            let beside = spots.iter().filter(|other| other.pool == spot.pool);
+            beside.into_iter().any(|other| {
+                matches!(uses.get(&other.server), Some(ServerUse::Open | ServerUse::Warming { .. }))
+            })
+        };
+        for spot in &spots {
+            let found = uses.get(&spot.server).copied().unwrap_or(ServerUse::Drained);
+            let closed = match found {
+                ServerUse::LastResort if has_better(spot) => Some(MoveReason::Ejected),
+                found if found.takes_new() => None,
+                ServerUse::Leaving | ServerUse::Drained => Some(MoveReason::Leaving),
+                _ => Some(MoveReason::Ejected),
+            };
+            self.set_standing(&spot.server, closed, now);
         }
-        self.routes.meter(&route.name).set_standing(ServerStanding::OutOfUse);
-        route.gate.close(MoveReason::Ejected, Instant::now());
-        let kind = EventKind::ServerEjected;
-        tracing::warn!(event = kind.number(), name = kind.name(), server = %route.name);
     }
 
-    /// Gates of drained servers turn waiting requests away; those drained no more take them again.
-    fn set_gates(&mut self) {
-        let Some(document) = self.routes.document().cloned() else {
+    fn set_standing(&mut self, name: &ServerName, closed: Option<MoveReason>, now: Instant) {
+        let meter = self.routes.meter(name);
+        let Some(route) = self.routes.server(name) else {
             return;
         };
-        for route in self.routes.servers() {
-            let state = document.servers.get(&route.name).map(|entry| entry.state);
-            if state != Some(ServerState::Active) {
-                route.gate.close(MoveReason::Leaving, Instant::now());
-            } else if !route.is_leaving() && !self.down.contains(&route.name) {
+        if route.gate.figures().closed == closed {
+            return;
+        }
+        match closed {
+            Some(reason) => {
+                meter.set_standing(ServerStanding::OutOfUse);
+                route.gate.close(reason, now);
+            }
+            None => {
+                meter.set_standing(ServerStanding::InUse);
                 route.gate.open();
             }
         }
     }
+
+    fn spots(&self) -> Vec<ServerSpot> {
+        let Some(document) = self.routes.document() else {
+            return Vec::new();
+        };
+        document.servers.iter().map(|(name, entry)| server_spot(name, entry)).collect()
+    }
+}
+
+fn server_spot(name: &ServerName, entry: &ServerEntry) -> ServerSpot {
+    let pool = match &entry.kind {
+        ServerKind::Engine { models, .. } => models.first().map(ModelName::to_string),
+        ServerKind::Service { service } => Some(service.to_string()),
+    };
+    ServerSpot {
+        server: name.clone(),
+        zone: entry.zone.clone(),
+        pool: Arc::from(pool.unwrap_or_default()),
+        drain: match entry.state {
+            ServerState::Active => DrainState::InUse,
+            ServerState::Drained => DrainState::Drained,
+        },
+    }
 }
 
 impl Actor for ControlActor {
@@ -191,7 +271,8 @@
 
     fn started(&mut self, ctx: &mut Context<ControlActor>) {
         ctx.run_interval(WATCH_PERIOD, ControlActor::watch_all);
-        ctx.run_interval(TROUBLE_PERIOD, ControlActor::watch_down);
+        ctx.run_interval(TROUBLE_PERIOD, ControlActor::try_again);
+        self.start_telling(ctx);
     }
 }
 
@@ -200,8 +281,10 @@
 
     fn handle(&mut self, message: ConfigPublished, ctx: &mut Context<ControlActor>) {
         self.routes.set_config(message.published);
-        self.set_gates();
+        let news = self.state.health.set_servers(&self.spots(), Instant::now());
+        self.take_health(&news);
         self.publish();
+        self.set_standings();
         self.watch_all(ctx);
     }
 }
@@ -214,6 +297,14 @@
     }
 }
 
+impl Handler<HealthTold> for ControlActor {
+    type Result = ();
+
+    fn handle(&mut self, message: HealthTold, _ctx: &mut Context<ControlActor>) {
+        self.take_health(&message.news);
+    }
+}
+
 impl Handler<ServerLife> for ControlActor {
     type Result = ();
 
@@ -245,7 +336,7 @@
             ProbeFinding::Answered(report) => {
                 let mut is_changed = self.note_life(&route, report.incarnation);
                 self.state.suspects.seen(&route.name, report.incarnation, now);
-                self.note_up(&route);
+                self.note_result(&route, message.known, ServerResult::Answered);
                 if report.leaving {
                     is_changed |= self.note_leaving(&route, report.incarnation);
                 }
@@ -256,9 +347,11 @@
             }
             ProbeFinding::Closed => {
                 self.state.suspects.crashed(&route.name, message.known, now);
-                self.note_down(&route);
+                self.note_result(&route, message.known, ServerResult::Closed);
+            }
+            ProbeFinding::Silent => {
+                self.note_result(&route, message.known, ServerResult::TimedOut);
             }
-            ProbeFinding::Silent => self.note_down(&route),
         }
     }
 }
--- a/crates/router/src/control/control_message.rs
+++ b/crates/router/src/control/control_message.rs
@@ -1,6 +1,7 @@
 //! What the control thread is told.
 
 use actix::Message;
+use fulmargate_admission::HealthNews;
 use fulmargate_config::PublishedConfig;
 use fulmargate_fleet::ServerReport;
 use fulmargate_names::Incarnation;
@@ -13,6 +14,13 @@
     pub(crate) server: ServerName,
 }
 
+/// Results of requests changed how far servers are in use.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct HealthTold {
+    pub(crate) news: Vec<HealthNews>,
+}
+
 /// A server answered under this incarnation; 0 if it did not say.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -3,16 +3,18 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::mpsc;
+use std::sync::mpsc as std_mpsc;
 use std::thread;
 use std::time::Duration;
 use std::time::SystemTime;
 
 use actix::Actor;
+use actix::Addr;
 use actix::Context;
 use actix_web::dev::ServerHandle;
 use awc::Client;
 use awc::Connector;
+use bytes::Bytes;
 use fulmargate_config::ConfigKeeper;
 use fulmargate_config::KeeperSettings;
 use fulmargate_config::LogAccess;
@@ -25,12 +27,20 @@
 use fulmargate_ledger::DeskSettings;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
+use fulmargate_peers::PeerConf;
+use fulmargate_peers::PeerHandle;
+use fulmargate_peers::PeerNet;
+use fulmargate_peers::PeerNews;
+use fulmargate_peers::PeerPace;
+use fulmargate_peers::PeerQuestion;
 use fulmargate_platform::LogClient;
 use fulmargate_platform::LogTimeouts;
 use fulmargate_relay::TokenSecrets;
 use fulmargate_settings::RouterSettings;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::control::ControlActor;
 use crate::control::RouterAddresses;
@@ -40,10 +50,14 @@
 use crate::control::listeners::BoundListeners;
 use crate::control::listeners::caller_server;
 use crate::control::listeners::operator_server;
+use crate::control::peer_desk::PeerTold;
+use crate::control::peer_desk::SuspectsChanged;
 use crate::control::stop_plan;
 use crate::state::RouterState;
 use crate::telemetry::install_metrics;
 
+/// Routers of other fleets are turned away.
+const FLEET: &str = "fulmargate";
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts a router in threads of this process; cancelling the token begins a planned stop.
@@ -55,7 +69,7 @@
     let addresses = listeners.addresses()?;
     let secrets = TokenSecrets::new(&settings.stream_secrets)
         .map_err(|err| StartError::Thread { reason: err.to_string() })?;
-    let (ready, wait) = mpsc::channel();
+    let (ready, wait) = std_mpsc::channel();
     let thread = thread::Builder::new()
         .name(format!("control-{}", settings.host))
         .spawn(move || {
@@ -70,17 +84,25 @@
     }
 }
 
+/// What a running router is made of.
+struct StartedParts {
+    state: Arc<RouterState>,
+    handles: Vec<ServerHandle>,
+    desk: ClaimDesk,
+    peers: PeerHandle,
+}
+
 async fn run(
     settings: RouterSettings,
     secrets: TokenSecrets,
     listeners: BoundListeners,
     token: CancellationToken,
-    ready: mpsc::Sender<Result<(), String>>,
+    ready: std_mpsc::Sender<Result<(), String>>,
 ) {
     install_metrics();
     let control = CancellationToken::new();
     let started = start_all(settings, secrets, listeners, &control);
-    let (state, handles, desk) = match started {
+    let StartedParts { state, handles, desk, peers } = match started {
         Ok(started) => started,
         Err(reason) => {
             let _start_waits_no_more = ready.send(Err(reason));
@@ -91,6 +113,7 @@
     let _start_waits_no_more = ready.send(Ok(()));
     token.cancelled().await;
     stop_plan::run(&state, &handles).await;
+    peers.leave().await;
     control.cancel();
     desk.ended().await;
 }
@@ -100,7 +123,7 @@
     secrets: TokenSecrets,
     listeners: BoundListeners,
     control: &CancellationToken,
-) -> Result<(Arc<RouterState>, Vec<ServerHandle>, ClaimDesk), String> {
+) -> Result<StartedParts, String> {
     let incarnation = draw_incarnation();
     let log = LogClient::new(&settings.platform.log.to_string(), LogTimeouts::default());
     let retention = Duration::from_secs(settings.platform.log_retention_s);
@@ -115,15 +138,27 @@
     let keeper_settings = KeeperSettings { retention, ..KeeperSettings::default() };
     let role = ReaderRole::Direct { rank: 0 };
     let keeper = ConfigKeeper::new(&writer, LogAccess::of_client(&log), keeper_settings, role);
+    let conf = peer_conf(&settings, incarnation);
+    let (peers, peer_news) = PeerNet::start_on(listeners.peers, &conf, control.clone())
+        .map_err(|err| err.to_string())?;
+    let answering = keeper.clone();
+    peers.set_answerer(move |question| match question {
+        PeerQuestion::ConfigRecords { from_offset } => {
+            Some(Bytes::from(answering.records_from(from_offset).to_bytes()))
+        }
+        PeerQuestion::WarmState => None,
+    });
     let mut made = None;
     let addr = ControlActor::create(|ctx: &mut Context<ControlActor>| {
         let addr = actix::AsyncContext::address(ctx);
         let state = RouterState::new(settings, incarnation, secrets, claims, addr);
         made = Some(Arc::clone(&state));
-        ControlActor::new(state, keeper.clone(), log, probe_client())
+        ControlActor::new(state, keeper.clone(), log, probe_client(), peers.clone())
     });
     let state = made.ok_or("the control actor was not made")?;
-    actix_rt::spawn(pass_on_config(keeper.subscribe(), addr, control.clone()));
+    actix_rt::spawn(pass_on_config(keeper.subscribe(), addr.clone(), control.clone()));
+    actix_rt::spawn(pass_on_news(peer_news, addr.clone()));
+    actix_rt::spawn(pass_on_suspects(state.suspects.changes(), addr, control.clone()));
     let cancel = control.clone();
     actix_rt::spawn(async move { keeper.run(cancel).await });
     let callers = caller_server(&state, listeners.callers).map_err(|err| err.to_string())?;
@@ -131,13 +166,49 @@
     let handles = vec![callers.handle(), operators.handle()];
     actix_rt::spawn(callers);
     actix_rt::spawn(operators);
-    Ok((state, handles, desk))
+    Ok(StartedParts { state, handles, desk, peers })
+}
+
+fn peer_conf(settings: &RouterSettings, incarnation: Incarnation) -> PeerConf {
+    PeerConf {
+        fleet: FLEET.to_owned(),
+        host: settings.host.clone(),
+        incarnation,
+        zone: settings.zone.clone(),
+        listen: settings.peers.listen,
+        advertise: None,
+        seeds: settings.peers.seeds.clone(),
+        random_seed: incarnation.0 ^ xxh3_64(settings.host.as_str().as_bytes()),
+        pace: PeerPace::default(),
+    }
+}
+
+/// Passes the news of the exchange to the control actor.
+async fn pass_on_news(mut news: mpsc::UnboundedReceiver<PeerNews>, control: Addr<ControlActor>) {
+    while let Some(news) = news.recv().await {
+        control.do_send(PeerTold { news });
+    }
+}
+
+/// Tells the control actor when the book of suspects has changed.
+async fn pass_on_suspects(
+    mut changes: watch::Receiver<u64>,
+    control: Addr<ControlActor>,
+    cancel: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            changed = changes.changed() => if changed.is_err() { return },
+        }
+        control.do_send(SuspectsChanged);
+    }
 }
 
 /// Passes each configuration that comes into force to the control actor.
 async fn pass_on_config(
     mut published: watch::Receiver<PublishedConfig>,
-    control: actix::Addr<ControlActor>,
+    control: Addr<ControlActor>,
     cancel: CancellationToken,
 ) {
     loop {
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -5,13 +5,16 @@
 mod control_thread;
 mod listeners;
 mod operator_call;
+mod peer_desk;
 mod route_keeper;
 mod running_router;
 mod server_probe;
 mod start_error;
 mod stop_plan;
+mod word_codec;
 
 pub(crate) use control_actor::ControlActor;
+pub(crate) use control_message::HealthTold;
 pub(crate) use control_message::ServerLife;
 pub(crate) use control_message::ServerTrouble;
 pub(crate) use operator_call::PatchConfig;
--- a/crates/router/src/control/operator_call.rs
+++ b/crates/router/src/control/operator_call.rs
@@ -1,5 +1,6 @@
 //! What operators ask of the control thread.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use actix::Context;
@@ -7,6 +8,7 @@
 use actix::Message;
 use actix::MessageResult;
 use actix::ResponseFuture;
+use fulmargate_admission::ServerUse;
 use fulmargate_config::ConfigAnswer;
 use fulmargate_config::HistoryAnswer;
 use fulmargate_config::HostReach;
@@ -20,7 +22,12 @@
 use fulmargate_config::StatusAnswer;
 use fulmargate_config::SubmitOutcome;
 use fulmargate_names::ConfigVersion;
+use fulmargate_names::HostName;
 use fulmargate_names::ServerName;
+use fulmargate_peers::ItemRecord;
+use fulmargate_peers::MemberRecord;
+use fulmargate_peers::MemberState;
+use fulmargate_peers::PeerItem;
 use tokio::time::Instant;
 
 use crate::control::ControlActor;
@@ -130,15 +137,26 @@
         _message: ReadHosts,
         _ctx: &mut Context<ControlActor>,
     ) -> MessageResult<ReadHosts> {
-        let own = HostRow {
-            host: self.state.host.clone(),
-            zone: self.state.zone.clone(),
-            version: self.version(),
-            state: HostReach::Own,
-            incarnation: self.state.incarnation,
-            heard_ms_ago: 0,
+        let versions = self.versions_of_peers();
+        let own = self.version();
+        let row = |member: MemberRecord| {
+            let is_own = member.host == self.state.host;
+            HostRow {
+                version: if is_own {
+                    own
+                } else {
+                    versions.get(&member.host).copied().unwrap_or_default()
+                },
+                state: if is_own { HostReach::Own } else { reach_of(member.state) },
+                incarnation: member.incarnation,
+                heard_ms_ago: if is_own { 0 } else { member.age_ms },
+                zone: member.zone,
+                host: member.host,
+            }
         };
-        let answer = HostsAnswer { hosts: vec![own] };
+        let mut hosts: Vec<HostRow> = self.peers.handle.members().into_iter().map(row).collect();
+        hosts.sort_by(|one, other| one.host.cmp(&other.host));
+        let answer = HostsAnswer { hosts };
         MessageResult(answer)
     }
 }
@@ -177,7 +195,7 @@
             stopping: matches!(phase, RouterPhase::Leaving | RouterPhase::Closing),
             log_reachable: self.log_reachable(),
             config_gap: self.keeper.has_gap(),
-            peers_up: 0,
+            peers_up: self.peers_up(),
             open_requests: self.state.open.open() as u64,
             uptime_s: self.state.uptime_s(),
         };
@@ -185,7 +203,33 @@
     }
 }
 
+fn reach_of(state: MemberState) -> HostReach {
+    match state {
+        MemberState::Alive => HostReach::Up,
+        MemberState::Suspected => HostReach::Suspected,
+        MemberState::Gone => HostReach::Down,
+        MemberState::Left => HostReach::Leaving,
+    }
+}
+
 impl ControlActor {
+    fn peers_up(&self) -> usize {
+        let members = self.peers.handle.members();
+        let is_up = |member: &&MemberRecord| {
+            member.state == MemberState::Alive && member.host != self.state.host
+        };
+        members.iter().filter(is_up).count()
+    }
+
+    fn versions_of_peers(&self) -> HashMap<HostName, ConfigVersion> {
+        let items = self.peers.handle.items().into_iter();
+        let version = |record: ItemRecord| match record.item {
+            PeerItem::ConfigInForce { host, version } => Some((host, version)),
+            _ => None,
+        };
+        items.filter_map(version).collect()
+    }
+
     fn version(&self) -> ConfigVersion {
         self.state.routes.load().as_ref().map(|table| table.version).unwrap_or_default()
     }
@@ -195,14 +239,11 @@
         let entry = document.servers.get(name)?;
         let meter = self.routes.meter(name);
         let route = self.routes.server(name)?;
-        let health = if route.is_leaving() {
-            ServerHealth::Leaving
-        } else if self.down.contains(name) {
-            ServerHealth::Ejected
-        } else if route.incarnation().0 == 0 {
-            ServerHealth::Unknown
-        } else {
-            ServerHealth::Up
+        let health = match self.state.health.in_use(name, Instant::now()) {
+            ServerUse::Leaving => ServerHealth::Leaving,
+            ServerUse::Ejected | ServerUse::Trial | ServerUse::LastResort => ServerHealth::Ejected,
+            _ if route.incarnation().0 == 0 => ServerHealth::Unknown,
+            _ => ServerHealth::Up,
         };
         Some(ServerRow {
             server: name.clone(),
--- /dev/null
+++ b/crates/router/src/control/peer_desk.rs
@@ -0,0 +1,287 @@
+//! The control actor's side of the exchange with other routers.
+
+use std::time::Duration;
+
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use fulmargate_config::ReaderRole;
+use fulmargate_config::RecordBatch;
+use fulmargate_names::HostName;
+use fulmargate_names::ModelName;
+use fulmargate_peers::MemberState;
+use fulmargate_peers::PeerHandle;
+use fulmargate_peers::PeerItem;
+use fulmargate_peers::PeerNews;
+use fulmargate_peers::PeerQuestion;
+use fulmargate_peers::WordTopic;
+use fulmargate_placement::PlanMaker;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::control::ControlActor;
+use crate::control::word_codec::decode_demand;
+use crate::control::word_codec::decode_plan;
+use crate::control::word_codec::decode_usage;
+use crate::control::word_codec::decode_verdict;
+use crate::control::word_codec::encode_demand;
+use crate::control::word_codec::encode_plan;
+use crate::control::word_codec::encode_usage;
+use crate::control::word_codec::encode_verdict;
+use crate::control::word_codec::verdict_part;
+
+/// Hosts that read the log; all others get its records from them.
+const MOST_READERS: usize = 8;
+const USAGE_PERIOD: Duration = Duration::from_secs(1);
+const DEMAND_PERIOD: Duration = Duration::from_secs(2);
+const PLAN_PERIOD: Duration = Duration::from_millis(500);
+/// How often a plan that has not changed is told again, for hosts that have just started.
+const PLAN_REFRESH: Duration = Duration::from_secs(10);
+/// Groups told in a report of demand.
+const DEMAND_GROUPS: usize = 24;
+
+/// What the control actor keeps for the exchange.
+pub(crate) struct PeerDesk {
+    pub(crate) handle: PeerHandle,
+    makers: IndexMap<ModelName, PlanMaker>,
+    plans_told: Instant,
+}
+
+impl PeerDesk {
+    pub(crate) fn new(handle: PeerHandle) -> PeerDesk {
+        PeerDesk { handle, makers: IndexMap::new(), plans_told: Instant::now() }
+    }
+}
+
+/// The exchange has news.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct PeerTold {
+    pub(crate) news: PeerNews,
+}
+
+/// The book of suspects has changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct SuspectsChanged;
+
+impl ControlActor {
+    /// Starts what is told at intervals.
+    pub(crate) fn start_telling(&mut self, ctx: &mut Context<ControlActor>) {
+        ctx.run_interval(USAGE_PERIOD, |actor, _ctx| actor.tell_usage());
+        ctx.run_interval(DEMAND_PERIOD, |actor, _ctx| actor.tell_demand());
+        ctx.run_interval(PLAN_PERIOD, |actor, _ctx| actor.make_plans());
+    }
+
+    fn tell_usage(&mut self) {
+        let report = self.state.limiter.usage(Instant::now());
+        self.put_word(WordTopic::TeamUse, 0, encode_usage(&report));
+    }
+
+    fn tell_demand(&mut self) {
+        let now_ms = self.state.now_ms();
+        let placers = self.routes.placers();
+        let reports: Vec<(ModelName, fulmargate_placement::DemandReport)> = placers
+            .map(|(model, placer)| (model.clone(), placer.demand(DEMAND_GROUPS, now_ms)))
+            .collect();
+        for (model, report) in reports {
+            let host = self.state.host.clone();
+            self.put_word(WordTopic::PrefixDemand, model_part(&model), encode_demand(&report));
+            self.maker(&model).hear(&host, report, now_ms);
+        }
+    }
+
+    /// The first live host by name makes the plans. Two makers, in a partition or while a host's
+    /// end is not known everywhere, do no harm: a plan only says where a prefix is likely cached.
+    fn make_plans(&mut self) {
+        if self.plan_maker_host().as_ref() != Some(&self.state.host) {
+            return;
+        }
+        let Some(table) = self.state.routes.load_full() else {
+            return;
+        };
+        let now_ms = self.state.now_ms();
+        let is_refresh = PLAN_REFRESH <= self.peers.plans_told.elapsed();
+        let mut is_changed = false;
+        for (model, route) in &table.models {
+            let maker = self.maker(model);
+            let next = maker.next(&route.view, now_ms);
+            let plan = maker.plan().clone();
+            if next.is_none() && !is_refresh {
+                continue;
+            }
+            self.put_word(WordTopic::SpreadPlan, model_part(model), encode_plan(&plan));
+            if next.is_some() {
+                self.routes.set_plan(model, plan);
+                is_changed = true;
+            }
+        }
+        if is_refresh {
+            self.peers.plans_told = Instant::now();
+        }
+        if is_changed {
+            self.publish();
+        }
+    }
+
+    fn maker(&mut self, model: &ModelName) -> &mut PlanMaker {
+        let conf = self.routes.placement_conf();
+        let makers = &mut self.peers.makers;
+        makers.entry(model.clone()).or_insert_with(|| PlanMaker::new(conf))
+    }
+
+    fn plan_maker_host(&self) -> Option<HostName> {
+        let members = self.peers.handle.members();
+        let live = members.into_iter().filter(|member| member.state == MemberState::Alive);
+        live.map(|member| member.host).min()
+    }
+
+    fn put_word(&self, topic: WordTopic, part: u64, bytes: bytes::Bytes) {
+        let host = self.state.host.clone();
+        self.peers.handle.put(PeerItem::HostWord { topic, host, part, bytes });
+    }
+
+    /// Who reads the log and who shares team limits follows from the members.
+    fn note_members(&mut self) {
+        let members = self.peers.handle.members();
+        let mut live: Vec<HostName> = Vec::new();
+        let mut known: Vec<HostName> = Vec::new();
+        for member in &members {
+            if member.state != MemberState::Left {
+                known.push(member.host.clone());
+            }
+            if matches!(member.state, MemberState::Alive | MemberState::Suspected) {
+                live.push(member.host.clone());
+            }
+        }
+        live.sort_unstable();
+        let rank = live.iter().position(|host| *host == self.state.host).unwrap_or(0);
+        self.keeper.set_role(match rank {
+            rank if rank < MOST_READERS => ReaderRole::Direct { rank: rank as u32 },
+            _ => ReaderRole::Follower,
+        });
+        self.state.limiter.set_routers(&known);
+        self.state.suspects.set_routers(&self.state.host, &live);
+    }
+
+    /// Asks a peer for the records of the configuration that are missing here.
+    fn fetch_config(&self, from: HostName) {
+        let handle = self.peers.handle.clone();
+        let keeper = self.keeper.clone();
+        actix_rt::spawn(async move {
+            let question = PeerQuestion::ConfigRecords { from_offset: keeper.wanted_offset() };
+            let Ok(bytes) = handle.ask(&from, question).await else {
+                return;
+            };
+            if let Some(batch) = RecordBatch::from_bytes(&bytes) {
+                keeper.offer_records(batch);
+            }
+        });
+    }
+
+    fn take_item(&mut self, origin: &HostName, item: PeerItem) {
+        let now = Instant::now();
+        match item {
+            PeerItem::ServerLeaving { server, incarnation } => {
+                let Some(route) = self.routes.server(&server).cloned() else { return };
+                if self.note_leaving(&route, incarnation) {
+                    self.publish();
+                }
+            }
+            PeerItem::ServerSeen { server, incarnation } => {
+                let Some(route) = self.routes.server(&server).cloned() else { return };
+                if self.note_life(&route, incarnation) {
+                    self.publish();
+                }
+            }
+            PeerItem::HostWord { topic: WordTopic::TeamUse, bytes, .. } => {
+                if let Some(report) = decode_usage(&bytes) {
+                    self.state.limiter.peer_usage(origin, &report, now);
+                }
+            }
+            PeerItem::HostWord { topic: WordTopic::Suspect, bytes, .. } => {
+                if let Some(verdict) = decode_verdict(&bytes) {
+                    self.state.suspects.learn(&verdict, origin, now);
+                }
+            }
+            PeerItem::HostWord { topic: WordTopic::PrefixDemand, part, bytes, .. } => {
+                self.take_demand(origin, part, &bytes);
+            }
+            PeerItem::HostWord { topic: WordTopic::SpreadPlan, part, bytes, .. } => {
+                self.take_plan(origin, part, &bytes);
+            }
+            _ => {}
+        }
+    }
+
+    fn take_demand(&mut self, origin: &HostName, part: u64, bytes: &[u8]) {
+        let now_ms = self.state.now_ms();
+        let (Some(model), Some(report)) = (self.model_of(part), decode_demand(bytes)) else {
+            return;
+        };
+        self.maker(&model).hear(origin, report, now_ms);
+    }
+
+    fn take_plan(&mut self, origin: &HostName, part: u64, bytes: &[u8]) {
+        if self.plan_maker_host().as_ref() != Some(origin) || *origin == self.state.host {
+            return;
+        }
+        let (Some(model), Some(plan)) = (self.model_of(part), decode_plan(bytes)) else {
+            return;
+        };
+        let maker = self.maker(&model);
+        if *maker.plan() == plan {
+            return;
+        }
+        maker.follow(plan.clone());
+        self.routes.set_plan(&model, plan);
+        self.publish();
+    }
+
+    fn model_of(&self, part: u64) -> Option<ModelName> {
+        let mut placers = self.routes.placers();
+        placers.find(|(model, _)| model_part(model) == part).map(|(model, _)| model.clone())
+    }
+}
+
+impl Handler<PeerTold> for ControlActor {
+    type Result = ();
+
+    fn handle(&mut self, message: PeerTold, _ctx: &mut Context<ControlActor>) {
+        match message.news {
+            PeerNews::Joined { from } => {
+                self.note_members();
+                self.fetch_config(from);
+            }
+            PeerNews::ConfigAhead { host, version } => {
+                self.keeper.hear_version(version);
+                self.fetch_config(host);
+            }
+            PeerNews::Member { .. } => self.note_members(),
+            PeerNews::IncarnationOver { host, incarnation, .. } => {
+                self.state.claims.claimer_gone(&host, incarnation);
+            }
+            PeerNews::Item { record } => self.take_item(&record.origin, record.item),
+            PeerNews::Paused { .. } => self.keeper.note_pause(),
+            PeerNews::Superseded { by } => {
+                tracing::error!(host = %self.state.host, %by, "another process runs under this host's name");
+            }
+        }
+    }
+}
+
+impl Handler<SuspectsChanged> for ControlActor {
+    type Result = ();
+
+    fn handle(&mut self, _message: SuspectsChanged, _ctx: &mut Context<ControlActor>) {
+        for verdict in self.state.suspects.news(Instant::now()) {
+            self.put_word(WordTopic::Suspect, verdict_part(&verdict), encode_verdict(&verdict));
+        }
+    }
+}
+
+fn model_part(model: &ModelName) -> u64 {
+    xxh3_64(model.as_str().as_bytes())
+}
--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -89,18 +89,21 @@
         self.servers.values().map(|kept| &kept.route)
     }
 
+    /// The constants of the placement.
+    pub(crate) fn placement_conf(&self) -> &PlacementConf {
+        &self.conf
+    }
+
     /// The document in force.
     pub(crate) fn document(&self) -> Option<&Arc<ConfigDocument>> {
         self.published.document.as_ref()
     }
 
-    #[allow(dead_code, reason = "the exchange with peers uses it next")]
     /// The placers, by model.
     pub(crate) fn placers(&self) -> impl Iterator<Item = (&ModelName, &Arc<Placer>)> {
         self.models.iter().map(|(model, kept)| (model, &kept.placer))
     }
 
-    #[allow(dead_code, reason = "the exchange with peers uses it next")]
     /// Sets the plan that spreads a model's hot prefixes.
     pub(crate) fn set_plan(&mut self, model: &ModelName, plan: SpreadPlan) {
         if let Some(kept) = self.models.get_mut(model) {
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -7,9 +7,12 @@
 
 use actix::Addr;
 use arc_swap::ArcSwapOption;
+use fulmargate_admission::HealthBook;
+use fulmargate_admission::HealthConf;
 use fulmargate_admission::LimiterConf;
 use fulmargate_admission::RetryBudget;
 use fulmargate_admission::RetryConf;
+use fulmargate_admission::ServerResult;
 use fulmargate_admission::SuspectBook;
 use fulmargate_admission::SuspectConf;
 use fulmargate_admission::TeamLimiter;
@@ -25,11 +28,13 @@
 use sha2::Sha256;
 
 use crate::control::ControlActor;
+use crate::control::HealthTold;
 use crate::control::ServerLife;
 use crate::control::ServerTrouble;
 use crate::state::OpenCount;
 use crate::state::PhaseCell;
 use crate::state::RouteTable;
+use crate::state::ServerRoute;
 
 /// What traffic threads share with the control thread. Nothing here is locked across a request.
 pub(crate) struct RouterState {
@@ -43,6 +48,7 @@
     pub(crate) open: OpenCount,
     pub(crate) budget: RetryBudget,
     pub(crate) limiter: TeamLimiter,
+    pub(crate) health: HealthBook,
     pub(crate) suspects: Arc<SuspectBook>,
     pub(crate) claims: ClaimHandle,
     pub(crate) control: Addr<ControlActor>,
@@ -69,6 +75,7 @@
             phase: PhaseCell::default(),
             open: OpenCount::default(),
             budget: RetryBudget::new(RetryConf::default()),
+            health: HealthBook::new(HealthConf::default()),
             limiter: TeamLimiter::new(settings.host.clone(), LimiterConf::default()),
             suspects: SuspectBook::new(SuspectConf::default()),
             claims,
@@ -97,6 +104,17 @@
         self.started.elapsed().as_secs()
     }
 
+    /// Takes in what an attempt says of its server.
+    pub(crate) fn note_result(&self, server: &ServerRoute, result: ServerResult) {
+        let incarnation = server.incarnation();
+        let incarnation = (0 < incarnation.0).then_some(incarnation);
+        let now = tokio::time::Instant::now();
+        let news = self.health.note(&server.name, incarnation, result, now);
+        if !news.is_empty() {
+            self.control.do_send(HealthTold { news });
+        }
+    }
+
     /// Tells control that a connection to a server broke or could not be made.
     pub(crate) fn tell_trouble(&self, server: &ServerName) {
         self.control.do_send(ServerTrouble { server: server.clone() });
