Stand-ins: settings of a whole deployment, and a document that the check accepts

Cause: the rig needs settings files for all processes; and the deployment's document said 'fenced' of plain services, which the document's check refuses (found by the load tool, which cut the field out). 'fenced' only for engines.

--- a/crates/stand/src/deployment/document.rs
+++ b/crates/stand/src/deployment/document.rs
@@ -68,7 +68,7 @@
             let address = addresses.get(replica.name.as_str())?;
             let document = json!({
                 "zone": replica.zone, "address": address, "kind": "service",
-                "service": self.service, "fenced": false, "state": "active",
+                "service": self.service, "state": "active",
             });
             Some((replica.name.to_string(), document))
         });
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -3,6 +3,7 @@
 //! `token` and `deployment` are pure: load tools and test rigs use them to know what a
 //! stand-in must have answered and what a deployment consists of.
 
+pub mod deploy;
 pub mod deployment;
 pub mod token;
 
