Judge closing chunks in transcripts strictly

Cause: of 65 safeguards broken one at a time in a scratch copy, 2 in the transcript's checker passed the tests: text under an unmoved event id, and a closing chunk without an event id. Change: a case for each.

--- a/crates/relay/tests/transcripts.rs
+++ b/crates/relay/tests/transcripts.rs
@@ -57,9 +57,8 @@
 }
 
 /// A token event whose id was minted for another stream.
-fn alien(event: &str, index: u32, begun: &ResumeToken) -> String {
-    let place = StreamPlace::before(index + 1).unwrap();
-    let token = TokenMinter::new(&first_secret(), &binding(), begun).mint(place);
+fn alien(event: &str, claims: &ResumeToken) -> String {
+    let token = TokenMinter::new(&first_secret(), &binding(), claims).mint(claims.place);
     let (_, data) = event.split_once('\n').unwrap();
     format!("id: {token}\n{data}")
 }
@@ -69,9 +68,14 @@
     let all = events();
     let join = |range: std::ops::Range<usize>| all[range].concat();
     let last = all.len();
-    let other = alien(&all[1], 1, &begun("other"));
-    let newer = alien(&all[1], 1, &ResumeToken { weights: WeightsVersion(301), ..begun(REQUEST) });
-    let early = alien(&all[3], 3, &begun(REQUEST));
+    let place = |index| StreamPlace::before(index).unwrap();
+    let own = |place| ResumeToken { place, ..begun(REQUEST) };
+    let other = alien(&all[1], &ResumeToken { place: place(2), ..begun("other") });
+    let newer = alien(&all[1], &ResumeToken { weights: WeightsVersion(301), ..own(place(2)) });
+    let early = alien(&all[3], &own(place(4)));
+    let unmoved = alien(&all[3], &own(place(3).finished()));
+    let (_, closing) = all[3].split_once('\n').unwrap();
+    let closing = closing.replace(" tø3", "");
     let error = String::from_utf8(error_event(ErrorKind::StreamBroken).to_vec()).unwrap();
     let ended = || StreamVerdict::Ended { code: "stream_broken".to_owned() };
     let broken = |flaw| StreamVerdict::Broken { flaw };
@@ -100,6 +104,16 @@
             vec![join(0..1) + &all[1].replace(REQUEST, "x")],
             broken(StreamFlaw::OtherRequest),
         ),
+        (
+            "text that moves no index",
+            vec![join(0..3) + &unmoved],
+            broken(StreamFlaw::Disordered { wanted: 3, found: 2 }),
+        ),
+        (
+            "closing chunk without an event id",
+            vec![join(0..3) + &closing],
+            broken(StreamFlaw::Unfinished),
+        ),
         (
             "other usage",
             vec![join(0..4) + &all[4].replace(REQUEST, "x")],
