Check in place what a patch touches

Now the state is changed in place and undone on a fault, entries on which nothing else depends are checked alone, and the document is copied when it is published.

The client names a patch that the history calls refused.

--- a/crates/config/examples/slopes.rs
+++ b/crates/config/examples/slopes.rs
@@ -1,5 +1,8 @@
 //! What a patch and a snapshot cost as the document grows: bytes, and microseconds of one core.
 //!
+//! Columns: a patch judged in a row of others, a patch judged after the document was published, the
+//! publishing of it, a stale patch, writing a snapshot, passing one by, and starting from one.
+//!
 //! `cargo run --release -p fulmargate-config --example slopes`
 
 use std::time::Instant;
@@ -51,12 +54,14 @@
 
 fn main() {
     println!(
-        "{:>7} {:>8} {:>12} {:>11} {:>11} {:>11} {:>12} {:>12} {:>12} {:>12} {:>9}",
+        "{:>7} {:>8} {:>12} {:>9} {:>10} {:>10} {:>11} {:>10} {:>12} {:>9} {:>8} {:>9} {:>8}",
         "teams",
         "servers",
         "document B",
         "patch B",
+        "replay us",
         "accept us",
+        "publish us",
         "refuse us",
         "snapshot B",
         "write us",
@@ -82,8 +87,16 @@
         json!({ "teams": { team: { "requests_per_s": n + 1 } } })
     };
     let patch_bytes = patch_data(1, patch(1)).len();
-    let accept: Vec<f64> = (1..=PATCHES).map(|n| timed.apply(patch_data(n, patch(n)))).collect();
-    assert_eq!(timed.fold.version(), ConfigVersion(PATCHES + 1));
+    let replay: Vec<f64> = (1..=PATCHES).map(|n| timed.apply(patch_data(n, patch(n)))).collect();
+    let mut accept = Vec::new();
+    let mut publish = Vec::new();
+    for n in PATCHES + 1..=2 * PATCHES {
+        accept.push(timed.apply(patch_data(n, patch(n))));
+        let began = Instant::now();
+        assert!(timed.fold.document().is_some());
+        publish.push(micros(began));
+    }
+    assert_eq!(timed.fold.version(), ConfigVersion(2 * PATCHES + 1));
     let refuse: Vec<f64> = (1..=PATCHES).map(|n| timed.apply(patch_data(n, patch(n)))).collect();
 
     let mut write = Vec::new();
@@ -103,10 +116,12 @@
         assert_eq!(fresh.fold.version(), timed.fold.version());
     }
     println!(
-        "{:>7} {:>8} {document_bytes:>12} {patch_bytes:>11} {:>11.0} {:>11.1} {snapshot_bytes:>12} {:>12.0} {:>12.0} {:>12.0} {memory:>9.1}",
+        "{:>7} {:>8} {document_bytes:>12} {patch_bytes:>9} {:>10.1} {:>10.1} {:>11.1} {:>10.1} {snapshot_bytes:>12} {:>9.0} {:>8.0} {:>9.0} {memory:>8.1}",
         size.teams,
         size.servers,
+        median(replay),
         median(accept),
+        median(publish),
         median(refuse),
         median(write),
         median(pass),
--- a/crates/config/src/config_document.rs
+++ b/crates/config/src/config_document.rs
@@ -1,6 +1,7 @@
 //! The whole document.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use fulmargate_names::ClassName;
@@ -27,6 +28,7 @@
 use crate::document_section::DocumentSection;
 use crate::document_section::read_part;
 use crate::document_state::DocumentState;
+use crate::entry_change::EntryChange;
 
 /// The operators' document: only checked ones exist. Maps are in the order of their names.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -45,9 +47,17 @@
     pub rules: Vec<ClassRule>,
     /// How requests to models are placed.
     pub policy: PolicyKind,
-    /// Teams by the hash of each of their keys.
     #[serde(skip)]
-    keys: HashMap<KeyHash, TeamName>,
+    index: DocumentIndex,
+}
+
+/// Lookups that go with a document.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DocumentIndex {
+    /// Teams by the hash of each of their keys.
+    pub(crate) keys: HashMap<KeyHash, TeamName>,
+    /// Servers by where they listen.
+    pub(crate) addresses: HashMap<SocketAddr, ServerName>,
 }
 
 impl ConfigDocument {
@@ -77,12 +87,12 @@
     pub fn patched(document: &Value, patch: &Value) -> Result<ConfigDocument, ConfigError> {
         let mut state = DocumentState::of_value(document.clone());
         state.accept(patch)?;
-        ConfigDocument::from_value(state.value())
+        Ok(state.into_document().unwrap_or_default())
     }
 
     /// The team that has this key.
     pub fn team_by_key(&self, key: &KeyHash) -> Option<(&TeamName, &Arc<TeamEntry>)> {
-        let team = self.keys.get(key)?;
+        let team = self.index.keys.get(key)?;
         self.teams.get_key_value(team)
     }
 
@@ -135,40 +145,91 @@
         Ok(())
     }
 
-    /// Empties a section.
-    pub(crate) fn clear_section(&mut self, section: DocumentSection) {
-        match section {
-            DocumentSection::Teams => self.teams.clear(),
-            DocumentSection::Servers => self.servers.clear(),
-            DocumentSection::Models => self.models.clear(),
-            DocumentSection::Services => self.services.clear(),
-            DocumentSection::Classes => self.classes.clear(),
-            DocumentSection::Rules => self.rules.clear(),
-            DocumentSection::Policy => self.policy = PolicyKind::default(),
+    /// Checks what spans entries and builds the lookups.
+    pub(crate) fn finish(mut self) -> Result<ConfigDocument, ConfigError> {
+        self.index = document_check::check(&self)?;
+        Ok(self)
+    }
+
+    /// Takes the entry that stands under a change's name into the lookups.
+    pub(crate) fn index(&mut self, change: &EntryChange) -> Result<(), ConfigError> {
+        match change {
+            EntryChange::Team(team, _) => match self.teams.get(team) {
+                Some(entry) => self.index.add_team(team, entry),
+                None => Ok(()),
+            },
+            EntryChange::Server(server, _) => match self.servers.get(server) {
+                Some(entry) => self.index.add_server(server, entry),
+                None => Ok(()),
+            },
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes the entry that stands under a change's name out of the lookups.
+    pub(crate) fn forget_index(&mut self, change: &EntryChange) {
+        match change {
+            EntryChange::Team(team, _) => {
+                if let Some(entry) = self.teams.get(team) {
+                    self.index.forget_team(team, entry);
+                }
+            }
+            EntryChange::Server(server, _) => {
+                if let Some(entry) = self.servers.get(server) {
+                    self.index.forget_server(server, entry);
+                }
+            }
+            _ => {}
         }
     }
+}
 
-    /// Replaces one entry of a section that has names; `None` removes it.
-    pub(crate) fn load_entry(
+impl DocumentIndex {
+    /// Takes in a team's keys; one that another team has is refused.
+    pub(crate) fn add_team(
         &mut self,
-        section: DocumentSection,
-        name: &str,
-        part: Option<&Value>,
+        team: &TeamName,
+        entry: &TeamEntry,
     ) -> Result<(), ConfigError> {
-        match section {
-            DocumentSection::Teams => set_entry(&mut self.teams, section, name, part),
-            DocumentSection::Servers => set_entry(&mut self.servers, section, name, part),
-            DocumentSection::Models => set_entry(&mut self.models, section, name, part),
-            DocumentSection::Services => set_entry(&mut self.services, section, name, part),
-            DocumentSection::Classes => set_entry(&mut self.classes, section, name, part),
-            DocumentSection::Rules | DocumentSection::Policy => Ok(()),
+        for (index, hash) in entry.key_sha256.iter().enumerate() {
+            if let Some(other) = self.keys.get(hash) {
+                let path = format!("/teams/{team}/key_sha256/{index}");
+                let allowed = format!("a key of its own; team `{other}` has this one");
+                return Err(ConfigError::new(&path, &Value::from(hash.to_string()), &allowed));
+            }
+            self.keys.insert(*hash, team.clone());
         }
+        Ok(())
     }
 
-    /// Checks what spans entries and builds the lookups.
-    pub(crate) fn finish(mut self) -> Result<ConfigDocument, ConfigError> {
-        self.keys = document_check::check(&self)?;
-        Ok(self)
+    /// Takes in a server's address; one that another server has is refused.
+    pub(crate) fn add_server(
+        &mut self,
+        server: &ServerName,
+        entry: &ServerEntry,
+    ) -> Result<(), ConfigError> {
+        if let Some(other) = self.addresses.get(&entry.address) {
+            let path = format!("/servers/{server}/address");
+            let allowed = format!("an address of its own; `{other}` has this one");
+            return Err(ConfigError::new(&path, &Value::from(entry.address.to_string()), &allowed));
+        }
+        self.addresses.insert(entry.address, server.clone());
+        Ok(())
+    }
+
+    fn forget_team(&mut self, team: &TeamName, entry: &TeamEntry) {
+        for hash in &entry.key_sha256 {
+            // The key may be another team's, which is why this one was refused.
+            if self.keys.get(hash) == Some(team) {
+                self.keys.remove(hash);
+            }
+        }
+    }
+
+    fn forget_server(&mut self, server: &ServerName, entry: &ServerEntry) {
+        if self.addresses.get(&entry.address) == Some(server) {
+            self.addresses.remove(&entry.address);
+        }
     }
 }
 
@@ -206,33 +267,14 @@
     Ok(map)
 }
 
-fn set_entry<K, V>(
-    map: &mut IndexMap<K, Arc<V>>,
-    section: DocumentSection,
-    name: &str,
-    part: Option<&Value>,
-) -> Result<(), ConfigError>
-where
-    K: for<'a> From<&'a str> + Ord + std::hash::Hash,
-    V: DeserializeOwned,
-{
-    let path = entry_path(section, name);
-    match part {
-        Some(value) => {
-            map.insert_sorted(read_name(&path, name)?, Arc::new(read_part(&path, value)?));
-        }
-        None => {
-            map.shift_remove(&K::from(name));
-        }
-    }
-    Ok(())
-}
-
-fn entry_path(section: DocumentSection, name: &str) -> String {
+pub(crate) fn entry_path(section: DocumentSection, name: &str) -> String {
     format!("/{}/{}", section.name(), pointer_step(name))
 }
 
-fn read_name<K: for<'a> From<&'a str>>(path: &str, name: &str) -> Result<K, ConfigError> {
+pub(crate) fn read_name<K: for<'a> From<&'a str>>(
+    path: &str,
+    name: &str,
+) -> Result<K, ConfigError> {
     document_check::check_name(path, name)?;
     Ok(K::from(name))
 }
--- a/crates/config/src/document_check.rs
+++ b/crates/config/src/document_check.rs
@@ -1,23 +1,19 @@
 //! Checks that span a document's entries.
 
-use std::collections::HashMap;
-
 use fulmargate_names::ClassName;
+use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
 use fulmargate_names::TeamName;
 use serde_json::Value;
 
 use crate::BATCH_CLASS;
-use crate::ClassEntry;
 use crate::ClassRule;
 use crate::ConfigDocument;
 use crate::ConfigError;
-use crate::KeyHash;
 use crate::PathPattern;
-use crate::ServerEntry;
-use crate::ServiceEntry;
-use crate::TeamEntry;
 use crate::URGENT_CLASS;
+use crate::config_document::DocumentIndex;
 
 /// Longest name in bytes.
 const NAME_BYTES: usize = 64;
@@ -42,25 +38,26 @@
     !name.is_empty() && name.len() <= NAME_BYTES && name.bytes().all(is_allowed)
 }
 
-/// Checks a document whose entries are each well-formed; gives the teams by key.
-pub(crate) fn check(document: &ConfigDocument) -> Result<HashMap<KeyHash, TeamName>, ConfigError> {
-    check_classes(document)?;
-    for (model, entry) in &document.models {
-        for (index, adapter) in entry.adapters.iter().enumerate() {
-            check_name(&format!("/models/{model}/adapters/{index}"), adapter.as_str())?;
-        }
-    }
-    for (service, entry) in &document.services {
-        check_service(&format!("/services/{service}"), entry)?;
+/// Checks a document whose entries are each well-formed; gives its lookups.
+pub(crate) fn check(document: &ConfigDocument) -> Result<DocumentIndex, ConfigError> {
+    let mut index = DocumentIndex::default();
+    check_needed_classes(document)?;
+    document.classes.keys().try_for_each(|class| check_class(document, class))?;
+    document.models.keys().try_for_each(|model| check_model(document, model))?;
+    document.services.keys().try_for_each(|service| check_service(document, service))?;
+    for (server, entry) in &document.servers {
+        check_server(document, server)?;
+        index.add_server(server, entry)?;
     }
-    check_servers(document)?;
-    for (index, rule) in document.rules.iter().enumerate() {
-        check_rule(document, &format!("/rules/{index}"), rule)?;
+    check_rules(document)?;
+    for (team, entry) in &document.teams {
+        check_team(document, team)?;
+        index.add_team(team, entry)?;
     }
-    check_teams(document)
+    Ok(index)
 }
 
-fn check_classes(document: &ConfigDocument) -> Result<(), ConfigError> {
+fn check_needed_classes(document: &ConfigDocument) -> Result<(), ConfigError> {
     for needed in [URGENT_CLASS, BATCH_CLASS] {
         if !document.classes.contains_key(needed) {
             let allowed = format!("an object with at least `{URGENT_CLASS}` and `{BATCH_CLASS}`");
@@ -71,13 +68,14 @@
             ));
         }
     }
-    for (class, entry) in &document.classes {
-        check_class(class, entry)?;
-    }
     Ok(())
 }
 
-fn check_class(class: &ClassName, entry: &ClassEntry) -> Result<(), ConfigError> {
+/// Checks the class of this name, if there is one; the checks below likewise.
+pub(crate) fn check_class(document: &ConfigDocument, class: &ClassName) -> Result<(), ConfigError> {
+    let Some(entry) = document.classes.get(class) else {
+        return Ok(());
+    };
     let path = format!("/classes/{class}");
     check_positive(&path, "deadline_ms", entry.deadline_ms)?;
     check_positive(&path, "queue_limit", u64::from(entry.queue_limit))?;
@@ -85,8 +83,25 @@
     check_amount(&path, "weight_recompute", entry.weight_recompute)
 }
 
-fn check_service(path: &str, entry: &ServiceEntry) -> Result<(), ConfigError> {
-    check_positive(path, "timeout_ms", entry.timeout_ms)?;
+pub(crate) fn check_model(document: &ConfigDocument, model: &ModelName) -> Result<(), ConfigError> {
+    let Some(entry) = document.models.get(model) else {
+        return Ok(());
+    };
+    for (index, adapter) in entry.adapters.iter().enumerate() {
+        check_name(&format!("/models/{model}/adapters/{index}"), adapter.as_str())?;
+    }
+    Ok(())
+}
+
+pub(crate) fn check_service(
+    document: &ConfigDocument,
+    service: &ServiceName,
+) -> Result<(), ConfigError> {
+    let Some(entry) = document.services.get(service) else {
+        return Ok(());
+    };
+    let path = format!("/services/{service}");
+    check_positive(&path, "timeout_ms", entry.timeout_ms)?;
     for (index, rule) in entry.calls.iter().enumerate() {
         let path = format!("{path}/calls/{index}");
         if !METHODS.contains(&rule.method.as_str()) {
@@ -97,24 +112,13 @@
     Ok(())
 }
 
-fn check_servers(document: &ConfigDocument) -> Result<(), ConfigError> {
-    let mut addresses = HashMap::with_capacity(document.servers.len());
-    for (server, entry) in &document.servers {
-        check_server(document, server, entry)?;
-        if let Some(other) = addresses.insert(entry.address, server) {
-            let allowed = format!("an address of its own; `{other}` has this one");
-            let path = format!("/servers/{server}/address");
-            return Err(refuse(&path, &entry.address.to_string(), &allowed));
-        }
-    }
-    Ok(())
-}
-
-fn check_server(
+pub(crate) fn check_server(
     document: &ConfigDocument,
     server: &ServerName,
-    entry: &ServerEntry,
 ) -> Result<(), ConfigError> {
+    let Some(entry) = document.servers.get(server) else {
+        return Ok(());
+    };
     let path = |field: &str| format!("/servers/{server}/{field}");
     if !is_name(entry.zone.as_str()) {
         return Err(refuse(&path("zone"), entry.zone.as_str(), NAME_RULE));
@@ -136,6 +140,13 @@
     }
 }
 
+pub(crate) fn check_rules(document: &ConfigDocument) -> Result<(), ConfigError> {
+    for (index, rule) in document.rules.iter().enumerate() {
+        check_rule(document, &format!("/rules/{index}"), rule)?;
+    }
+    Ok(())
+}
+
 fn check_rule(document: &ConfigDocument, path: &str, rule: &ClassRule) -> Result<(), ConfigError> {
     if let Some(team) = &rule.team
         && !document.teams.contains_key(team)
@@ -156,26 +167,10 @@
     Ok(())
 }
 
-fn check_teams(document: &ConfigDocument) -> Result<HashMap<KeyHash, TeamName>, ConfigError> {
-    let mut keys = HashMap::with_capacity(document.teams.len());
-    for (team, entry) in &document.teams {
-        check_team(document, team, entry)?;
-        for (index, hash) in entry.key_sha256.iter().enumerate() {
-            if let Some(other) = keys.insert(*hash, team.clone()) {
-                let allowed = format!("a key of its own; team `{other}` has this one");
-                let path = format!("/teams/{team}/key_sha256/{index}");
-                return Err(refuse(&path, &hash.to_string(), &allowed));
-            }
-        }
-    }
-    Ok(keys)
-}
-
-fn check_team(
-    document: &ConfigDocument,
-    team: &TeamName,
-    entry: &TeamEntry,
-) -> Result<(), ConfigError> {
+pub(crate) fn check_team(document: &ConfigDocument, team: &TeamName) -> Result<(), ConfigError> {
+    let Some(entry) = document.teams.get(team) else {
+        return Ok(());
+    };
     // Paths are written on a fault only: the check runs over all teams for each patch.
     let path = |field: &str| format!("/teams/{team}/{field}");
     let item = |field: &str, index: usize| format!("/teams/{team}/{field}/{index}");
--- a/crates/config/src/document_state.rs
+++ b/crates/config/src/document_state.rs
@@ -1,5 +1,6 @@
 //! A document under a version, and how a patch changes it.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 
 use fulmargate_names::ConfigVersion;
@@ -10,6 +11,9 @@
 use crate::ConfigDocument;
 use crate::ConfigError;
 use crate::document_section::DocumentSection;
+use crate::entry_change::EntryChange;
+use crate::entry_change::change_entries;
+use crate::entry_change::put_back;
 use crate::patch_place::PatchPlace;
 use crate::patch_place::SavedPlace;
 use crate::patch_place::places_of_merge;
@@ -22,27 +26,39 @@
 const COPY_RULE: &str = "copies of at most 1000 values in one patch";
 const PATCH_RULE: &str = "a JSON Patch (array) or a merge patch (object)";
 
-/// A document under a version, as JSON and as checked types.
+/// A document under a version, as JSON and as checked types. Patches change both in place.
 #[derive(Clone, Debug)]
 pub(crate) struct DocumentState {
     pub(crate) version: ConfigVersion,
     value: Value,
-    document: Option<Arc<ConfigDocument>>,
+    document: Option<ConfigDocument>,
+    /// The document as it was last asked for. It is copied when it is asked for and not with each
+    /// patch, so that replaying many costs what they change.
+    shared: OnceCell<Arc<ConfigDocument>>,
+}
+
+/// What undoes a change.
+struct DocumentUndo {
+    value: Vec<SavedPlace>,
+    document: TypedUndo,
+}
+
+/// What undoes a change of the checked types.
+enum TypedUndo {
+    Whole(Option<Box<ConfigDocument>>),
+    Entries(Vec<EntryChange>),
 }
 
 impl DocumentState {
     /// Version 0: an empty object and nothing in force.
     pub(crate) fn empty() -> DocumentState {
-        DocumentState {
-            version: ConfigVersion(0),
-            value: Value::Object(serde_json::Map::new()),
-            document: None,
-        }
+        DocumentState::of_value(Value::Object(serde_json::Map::new()))
     }
 
     /// A document whose version does not matter; it is checked with the first patch.
     pub(crate) fn of_value(value: Value) -> DocumentState {
-        DocumentState { version: ConfigVersion(0), value, document: None }
+        let version = ConfigVersion(0);
+        DocumentState { version, value, document: None, shared: OnceCell::new() }
     }
 
     /// Reads a document that was accepted before.
@@ -52,8 +68,8 @@
         if version == ConfigVersion(0) {
             return Ok(DocumentState::empty());
         }
-        let document = Some(Arc::new(ConfigDocument::from_value(&value)?));
-        Ok(DocumentState { version, value, document })
+        let document = Some(ConfigDocument::from_value(&value)?);
+        Ok(DocumentState { version, value, document, shared: OnceCell::new() })
     }
 
     pub(crate) fn value(&self) -> &Value {
@@ -61,66 +77,79 @@
     }
 
     pub(crate) fn document(&self) -> Option<&Arc<ConfigDocument>> {
-        self.document.as_ref()
+        let document = self.document.as_ref()?;
+        Some(self.shared.get_or_init(|| Arc::new(document.clone())))
+    }
+
+    pub(crate) fn into_document(self) -> Option<ConfigDocument> {
+        self.document
     }
 
     /// Applies a patch and takes the next version, or changes nothing.
     pub(crate) fn accept(&mut self, patch: &Value) -> Result<(), ConfigError> {
-        let (document, _) = self.change(patch)?;
-        self.document = Some(Arc::new(document));
+        self.change(patch)?;
+        self.shared = OnceCell::new();
         self.version.0 += 1;
         Ok(())
     }
 
     /// Whether `accept` would take the patch; changes nothing.
     pub(crate) fn check(&mut self, patch: &Value) -> Result<(), ConfigError> {
-        let (_, saved) = self.change(patch)?;
-        restore_all(saved, &mut self.value);
+        let undo = self.change(patch)?;
+        restore_all(undo.value, &mut self.value);
+        match (undo.document, &mut self.document) {
+            (TypedUndo::Whole(before), document) => *document = before.map(|it| *it),
+            (TypedUndo::Entries(reverse), Some(document)) => put_back(document, reverse),
+            (TypedUndo::Entries(_), None) => {}
+        }
         Ok(())
     }
 
-    /// Changes `value` and checks the result; on a fault it is as before.
-    fn change(&mut self, patch: &Value) -> Result<(ConfigDocument, Vec<SavedPlace>), ConfigError> {
+    /// Changes value and document; on a fault both are as before.
+    fn change(&mut self, patch: &Value) -> Result<DocumentUndo, ConfigError> {
         let change = PatchChange::read(patch, &self.value)?;
-        let saved: Vec<SavedPlace> =
+        let value: Vec<SavedPlace> =
             change.places.iter().map(|place| place.save(&self.value)).collect();
-        let result = change.apply(&mut self.value).and_then(|()| self.checked(&change.places));
-        match result {
-            Ok(document) => Ok((document, saved)),
+        let applied = change.apply(&mut self.value);
+        match applied.and_then(|()| self.change_document(&change.places)) {
+            Ok(document) => Ok(DocumentUndo { value, document }),
             Err(error) => {
-                restore_all(saved, &mut self.value);
+                restore_all(value, &mut self.value);
                 Err(error)
             }
         }
     }
 
-    /// Reads the changed places anew, the rest is shared with the document in force.
-    fn checked(&self, places: &[PatchPlace]) -> Result<ConfigDocument, ConfigError> {
-        let Some(old) = self.document.as_deref().filter(|_| !places.contains(&PatchPlace::Root))
-        else {
-            return ConfigDocument::from_value(&self.value);
+    /// Reads the changed places anew. If they are entries on which nothing else depends, only they
+    /// are checked, else the whole document is.
+    fn change_document(&mut self, places: &[PatchPlace]) -> Result<TypedUndo, ConfigError> {
+        let entries = read_entries(places, &self.value)?;
+        if let (Some(document), Some(entries)) = (&mut self.document, entries) {
+            return change_entries(document, entries).map(TypedUndo::Entries);
+        }
+        let document = ConfigDocument::from_value(&self.value)?;
+        Ok(TypedUndo::Whole(self.document.replace(document).map(Box::new)))
+    }
+}
+
+/// The entries at these places; `None` if not all of them are entries that can be checked alone.
+fn read_entries(
+    places: &[PatchPlace],
+    value: &Value,
+) -> Result<Option<Vec<EntryChange>>, ConfigError> {
+    let mut entries = Vec::with_capacity(places.len());
+    for place in places {
+        let PatchPlace::Entry(section, name) = place else {
+            return Ok(None);
         };
-        let mut document = old.clone();
-        for place in places {
-            match place {
-                PatchPlace::Root => {}
-                PatchPlace::Section(name) => match self.value.get(name) {
-                    Some(part) => {
-                        document.load_section(DocumentSection::parse(name, part)?, part)?;
-                    }
-                    None => {
-                        document.clear_section(DocumentSection::parse(name, &Value::Null)?);
-                    }
-                },
-                PatchPlace::Entry(section, name) => {
-                    let part = self.value.get(section).and_then(|map| map.get(name));
-                    let section = DocumentSection::parse(section, &Value::Null)?;
-                    document.load_entry(section, name, part)?;
-                }
-            }
+        let part = value.get(section).and_then(|map| map.get(name));
+        let section = DocumentSection::parse(section, &Value::Null)?;
+        match EntryChange::read(section, name, part)? {
+            Some(entry) if entry.is_local() => entries.push(entry),
+            _ => return Ok(None),
         }
-        document.finish()
     }
+    Ok(Some(entries))
 }
 
 fn restore_all(saved: Vec<SavedPlace>, value: &mut Value) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod document_check;
 mod document_section;
 mod document_state;
+mod entry_change;
 mod fold_event;
 mod keeper_settings;
 mod keeper_state;
--- a/crates/config/tests/config/main.rs
+++ b/crates/config/tests/config/main.rs
@@ -7,5 +7,6 @@
 mod fold;
 mod histories;
 mod keeper;
+mod part_checks;
 mod restarts;
 mod snapshots;
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -4,6 +4,7 @@
 use derive_more::Error;
 use fulmargate_config::ConfigError;
 use fulmargate_config::RefusalAnswer;
+use fulmargate_config::RefusalEntry;
 use fulmargate_names::Disposition;
 use fulmargate_names::ErrorKind;
 use serde_json::Value;
@@ -62,6 +63,12 @@
     /// A change that may have been made although no clear answer came.
     #[display("{_0}; it may have been done all the same")]
     InDoubt(#[error(not(source))] Box<CtlError>),
+    /// The history names the patch as refused.
+    #[display("{}", entry.reason)]
+    PatchRefused {
+        /// What it says of it.
+        entry: Box<RefusalEntry>,
+    },
     /// What became of a patch could not be found out.
     #[display("patch {id} may have been accepted; look for it in `config history`")]
     PatchUnknown {
@@ -79,6 +86,8 @@
             CtlError::NoAnswer { .. } => ExitKind::Unreachable,
             CtlError::InDoubt(_) | CtlError::PatchUnknown { .. } => ExitKind::Unknown,
             CtlError::Unreadable { .. } => ExitKind::Refused,
+            CtlError::PatchRefused { entry } if entry.base != entry.current => ExitKind::Stale,
+            CtlError::PatchRefused { .. } => ExitKind::Invalid,
             CtlError::Refused { answer, .. } => exit_of_code(&answer.error.code),
         }
     }
@@ -117,6 +126,9 @@
                 (None, Some(current)) => format!("{self}\ncurrent version: {current}"),
                 (None, None) => self.to_string(),
             },
+            CtlError::PatchRefused { entry } => {
+                format!("{self}\ncurrent version: {}", entry.current)
+            }
             CtlError::Invalid(fault) => format!("not valid\n{}", fault_text(fault)),
             _ => self.to_string(),
         }
--- a/crates/ctl/src/patch_command.rs
+++ b/crates/ctl/src/patch_command.rs
@@ -45,10 +45,14 @@
 async fn look_up(client: &RouterClient, id: &str) -> Result<ConfigVersion, CtlError> {
     for _ in 0..LOOKS {
         let history: Result<HistoryAnswer, CtlError> = client.get("/config/history").await;
-        if let Ok(HistoryAnswer { history, .. }) = history
-            && let Some(accepted) = history.versions.iter().find(|it| is_patch(&it.id, id))
-        {
-            return Ok(accepted.version);
+        if let Ok(HistoryAnswer { history, .. }) = history {
+            if let Some(accepted) = history.versions.iter().find(|it| is_patch(&it.id, id)) {
+                return Ok(accepted.version);
+            }
+            // Its first copy was refused; so is any later one, since versions only grow.
+            if let Some(refused) = history.refusals.iter().find(|it| is_patch(&it.id, id)) {
+                return Err(CtlError::PatchRefused { entry: Box::new(refused.clone()) });
+            }
         }
         sleep(LOOK_PAUSE).await;
     }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -77,8 +77,10 @@
         }
         let is_last = self.answers.len() == 1;
         let mut next = if is_last { self.answers[0].clone() } else { self.answers.remove(0) };
-        if let Some(found) = next.body.pointer_mut("/versions/0/id") {
-            *found = json!(format!("{}-00ff", self.patch_id));
+        for place in ["/versions/0/id", "/refusals/0/id"] {
+            if let Some(found) = next.body.pointer_mut(place).filter(|id| **id == "OWN") {
+                *found = json!(format!("{}-00ff", self.patch_id));
+            }
         }
         HttpResponse::build(StatusCode::from_u16(next.status).expect("a status"))
             .insert_header(("x-fulmargate-disposition", next.disposition))
@@ -168,9 +170,12 @@
     let fault = json!({"fault": {"path": "/teams/a", "value": "3", "allowed": "an object"}});
     let history = json!({
         "version": 8, "unreadable": 2,
-        "versions": [{"version": 8, "id": "p8", "author": "ada", "offset": 11, "time_ms": 5}],
+        "versions": [{"version": 8, "id": "OWN", "author": "ada", "offset": 11, "time_ms": 5}],
         "refusals": [{"id": "p7", "author": "bob", "base": 7, "current": 8, "reason": "not current", "offset": 12, "time_ms": 6}],
     });
+    let mut refused = history.clone();
+    refused["versions"] = json!([]);
+    refused["refusals"][0]["id"] = json!("OWN");
     let host = |name, version| json!({"host": name, "zone": "z", "version": version, "state": "up", "incarnation": 1, "heard_ms_ago": 3});
     let server = json!({"server": "e1", "zone": "z", "address": "127.0.0.1:1", "models": ["m"], "state": "drained", "health": "leaving", "open_requests": 4, "queue_tokens": 77});
     let team = json!({"team": "shop", "class": "urgent", "keys": 2, "requests_per_s": 5.0, "prompt_tokens_per_s": 9.0, "models": [], "services": ["checkout"]});
@@ -184,6 +189,7 @@
         case("invalid patch", PATCH, vec![refusal(422, "not-run", "invalid_patch", fault)], Invalid, &["at:      /teams/a", "found:   3", "allowed: an object"], ASKS_PATCH),
         case("log out", PATCH, vec![refusal(503, "not-run", "ledger_out", json!({}))], Unreachable, &["because ledger_out"], ASKS_PATCH),
         case("doubt, then found", PATCH, vec![refusal(503, "unknown", "ledger_out", json!({})), ok(history.clone())], Done, &["version 8 is in force"], ASKS_PATCH),
+        case("doubt, then refused", PATCH, vec![refusal(503, "unknown", "ledger_out", json!({})), ok(refused)], Stale, &["not current", "current version: 8"], ASKS_PATCH),
         case("wrong key", &["status"], vec![refusal(401, "not-run", "unauthorized", json!({}))], Unauthorized, &["because unauthorized"], "GET /status"),
         case("not ready", &["config", "show"], vec![refusal(503, "not-run", "not_ready", json!({}))], Unreachable, &["because not_ready"], "GET /config"),
         case("other refusal", &["drain", "e9"], vec![refusal(404, "not-run", "unknown_path", json!({}))], Refused, &["because unknown_path"], "POST /servers/e9/drain"),
