Make no plan without most of the hosts' reports

Change: the maker waits for more than half of the live hosts; the last plan stays in force. The replay counts every level's token that is computed as recomputed; it had counted only those the same engine had seen. Window of demand 5 s.

--- a/crates/placement/examples/replay/engine.rs
+++ b/crates/placement/examples/replay/engine.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use fulmargate_placement::PromptChain;
@@ -20,10 +19,9 @@
     clock: u64,
     kept: HashMap<u64, (u32, u64)>,
     by_use: BTreeMap<u64, u64>,
-    seen: HashSet<u64>,
 }
 
-/// How much of a prompt was cached, and how much was computed that had been before.
+/// How much of a prompt was cached, and how much of its levels was computed again.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Served {
     pub(crate) cached: u32,
@@ -51,12 +49,10 @@
         let cached: u32 =
             parts.iter().take_while(|(hash, _)| self.kept.contains_key(hash)).map(|(_, n)| n).sum();
         parts.push((chain.request_hash(), chain.tokens() - before));
-        let seen: u32 =
-            parts.iter().filter(|(hash, _)| !self.seen.insert(*hash)).map(|(_, n)| n).sum();
         for (hash, tokens) in parts.iter().rev() {
             self.touch(*hash, *tokens);
         }
-        Served { cached, recomputed: seen.saturating_sub(cached) }
+        Served { cached, recomputed: before - cached }
     }
 
     fn touch(&mut self, hash: u64, tokens: u32) {
--- a/crates/placement/examples/replay/fleet.rs
+++ b/crates/placement/examples/replay/fleet.rs
@@ -89,10 +89,10 @@
     }
     if mode == PlanMode::Shared {
         let router = &mut routers[0];
-        return router.maker.next(&router.view, now_ms);
+        return router.maker.next(&router.view, ROUTERS, now_ms);
     }
     for router in routers {
-        if let Some(plan) = router.maker.next(&router.view, now_ms) {
+        if let Some(plan) = router.maker.next(&router.view, 1, now_ms) {
             router.view = router.view.with_plan(&plan);
         }
     }
--- a/crates/placement/src/placement_conf.rs
+++ b/crates/placement/src/placement_conf.rs
@@ -32,7 +32,7 @@
         PlacementConf {
             prefill_tokens_per_ms: 40.0,
             request_tokens: 250.0,
-            demand_window_ms: 3_000.0,
+            demand_window_ms: 5_000.0,
             width_factor: 1.5,
             least_width: f64::INFINITY,
             hot_factor: 3.0,
--- a/crates/placement/src/plan_maker.rs
+++ b/crates/placement/src/plan_maker.rs
@@ -16,7 +16,7 @@
 
 /// Makes the plan on the control thread of one router: that of the first live entry host by name.
 /// Others keep one too and let it follow, so that any of them can go on. In a network partition
-/// each side has a maker, and each plan is right for the traffic its side sees.
+/// the side with most of the hosts makes the plan, and the other keeps the last one.
 #[derive(Debug)]
 pub struct PlanMaker {
     request_tokens: f64,
@@ -46,9 +46,17 @@
         &self.plan
     }
 
-    /// A better plan, if there is one. To be called about twice a second.
-    pub fn next(&mut self, view: &FleetView, now_ms: u64) -> Option<SpreadPlan> {
+    /// A better plan, if there is one. To be called about twice a second with the number of entry
+    /// hosts that are believed to be live.
+    ///
+    /// No plan is made while half of them or more have not been heard: routers that cannot hear
+    /// each other would each make one, and the same prefix would be kept by different servers for
+    /// each of them. The old plan, which all have, stays in force.
+    pub fn next(&mut self, view: &FleetView, hosts: usize, now_ms: u64) -> Option<SpreadPlan> {
         self.reports.retain(|_, (_, heard_ms)| now_ms <= *heard_ms + REPORT_LIFE_MS);
+        if self.reports.len() * 2 <= hosts {
+            return None;
+        }
         let (groups, others) = self.loads();
         let spreads = PlanDraft::new(view, groups, others, &self.plan)?.improved();
         if spreads == self.plan.spreads {
