--- a/crates/ledger/examples/claim_costs.rs
+++ b/crates/ledger/examples/claim_costs.rs
@@ -23,6 +23,7 @@
 use fulmargate_ledger::NewClaim;
 use fulmargate_ledger::RECORD_LAYOUT;
 use fulmargate_ledger::RanOutcome;
+use fulmargate_ledger::RenewPlan;
 use fulmargate_ledger::RequestPrint;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -52,6 +53,7 @@
         "book: remembered claims, bytes of memory each (resident), processor time to fold each (us)"
     );
     measure_book(&[100_000, 200_000, 400_000]);
+    println!("bytes of a claim written anew: {}", renewal_bytes());
     println!(
         "load: {ROUTERS} routers, 1 stream, round trip {ROUND_TRIP:?}, calls of {CALL_TIME:?}, bodies of {} bytes",
         BODY.len()
@@ -199,6 +201,18 @@
     }
 }
 
+fn renewal_bytes() -> usize {
+    let mut book = ClaimBook::new(LogOffset(0));
+    for sequence in 0..2 {
+        book.fold(&full_record(sequence)).expect("the records are in order");
+    }
+    let plan =
+        RenewPlan { standing_before_ms: u64::MAX, lasting_ms: 0, complete_ms: u64::MAX, limit: 25 };
+    let entries: Vec<ClaimEntry> =
+        book.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
+    serde_json::to_string(&entries).expect("entries are plain data").len() / entries.len()
+}
+
 /// A record of 25 claims and the outcomes of the 25 before.
 fn full_record(sequence: u64) -> LogRecord {
     let key = |number: u64| ClaimKey::new(&TeamName::new("shop"), &number.to_string()).hash;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 mod claim_ticket;
 mod claim_verdict;
 mod claimer_table;
+mod desk_metrics;
 mod desk_settings;
 mod desk_stats;
 mod group_queue;
--- a/crates/ledger/src/shard_desk/read_side.rs
+++ b/crates/ledger/src/shard_desk/read_side.rs
@@ -23,8 +23,9 @@
 use crate::RenewPlan;
 use crate::RequestPrint;
 
-/// Records that each read of a stream asks for. Only an empty page has met the stream's end, for the log may give fewer.
-pub const PAGE_LEN: usize = 1_000;
+/// Records that each read of a stream asks for. So many of the largest are half of what the log client reads at once. Only an
+/// empty page has met the stream's end, for the log may give fewer.
+pub const PAGE_LEN: usize = 500;
 
 /// Claims that one look writes anew.
 const RENEW_LIMIT: usize = 200;
@@ -117,7 +118,9 @@
     /// only a read that begins after it tells. Or the desk's own record has landed and the waiting read has not brought it:
     /// after a partition that read may hang on a dead connection until its timeout, while claims that are won run out of time.
     pub fn next_barrier(&mut self, now: Instant) -> Option<LogOffset> {
-        if self.barrier.is_some() || (self.knowns.is_empty() && !self.is_overdue(now)) {
+        let wanted = !self.knowns.is_empty() || self.is_overdue(now);
+        // While the book is read for the first time, the tail does it without waiting.
+        if self.barrier.is_some() || self.phase == BookPhase::Reading || !wanted {
             return None;
         }
         if let Some((_, asked)) = &mut self.unfolded {
@@ -229,6 +232,8 @@
     fn own_lost(&mut self, number: u64, now: Instant) {
         let call = self.own.remove(number).and_then(|claim| claim.call);
         if let Some(call) = call {
+            let kind = EventKind::ClaimLost;
+            tracing::info!(event = kind.number(), name = kind.name(), key = ?call.key.hash);
             self.decide(call, now);
         }
     }
--- a/crates/ledger/src/shard_desk/wait_side.rs
+++ b/crates/ledger/src/shard_desk/wait_side.rs
@@ -81,9 +81,10 @@
     }
 
     pub(super) fn expire_knowns(&mut self, now: Instant) {
+        let no_use = self.reads_out.is_long(self.settings.append_patience, now);
         let in_flight = self.barrier.iter_mut();
         for calls in in_flight.chain([&mut self.knowns]) {
-            for call in calls.extract_if(.., |call| call.deadline <= now) {
+            for call in calls.extract_if(.., |call| no_use || call.deadline <= now) {
                 let _ = call.reply.send(KnownKey::Blind);
             }
         }
--- a/crates/ledger/src/shard_driver.rs
+++ b/crates/ledger/src/shard_driver.rs
@@ -25,6 +25,7 @@
 use crate::ShardDesk;
 use crate::claim_log::AppendFuture;
 use crate::claim_log::ReadFuture;
+use crate::desk_metrics::DeskMetrics;
 
 /// How long a read asks the log to wait for news.
 const TAIL_WAIT: Duration = Duration::from_secs(5);
@@ -51,6 +52,7 @@
 /// The task that runs one shard's desk: it carries appends, reads and answers between the desk and the log.
 pub(crate) struct ShardDriver {
     desk: ShardDesk,
+    metrics: DeskMetrics,
     log: Rc<ClaimLog>,
     stream: String,
     commands: UnboundedReceiver<DeskCommand>,
@@ -69,6 +71,7 @@
     ) -> ShardDriver {
         ShardDriver {
             desk,
+            metrics: DeskMetrics::new(&stream),
             log,
             stream,
             commands,
@@ -84,6 +87,7 @@
         loop {
             let now = Instant::now();
             self.desk.tick(now);
+            self.metrics.tell(&self.desk);
             if stop_at.is_some_and(|at| at <= now || self.is_drained()) {
                 return *self.desk.stats();
             }
