Test placement: chains, choices, beliefs, plans

Cause: the crate had no tests. Found by them: a server that is known to have the prompt was given itself as the source of an import. Change: no import where a hint names the chosen server; tables of cases in test files.

--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -99,6 +99,10 @@
     /// prompts over servers that compute them anew.
     pub(crate) fn imported(mut self, chooser: &Chooser<'_>, warm: &WarmSet) -> Estimate {
         let Some(import) = chooser.placer.conf().import else { return self };
+        if matches!(self.belief, CacheBelief::Hint { .. }) {
+            // The server is believed to have it; asking another would only cost time.
+            return self;
+        }
         let deepest = chooser.chain.levels().last().map_or(0, |level| level.tokens);
         let warmest = warm.iter().max_by_key(|warm| warm.tokens);
         let (tokens, source) = match (warmest, import.store) {
--- /dev/null
+++ b/crates/placement/tests/choices.rs
@@ -0,0 +1,269 @@
+//! Which server a prompt goes to, and why.
+
+mod support;
+
+use fulmargate_names::Incarnation;
+use fulmargate_names::PromptHash;
+use fulmargate_placement::ChoiceReason;
+use fulmargate_placement::FleetServer;
+use fulmargate_placement::FleetView;
+use fulmargate_placement::ImportConf;
+use fulmargate_placement::KvSource;
+use fulmargate_placement::PlacementConf;
+use fulmargate_placement::PolicyKind;
+use fulmargate_placement::PrefixSpread;
+use fulmargate_placement::ServerShare;
+use fulmargate_placement::ServerStanding;
+use fulmargate_placement::SpreadPlan;
+use fulmargate_placement::StoreUse;
+use support::BATCH;
+use support::TestRouter;
+use support::name_of;
+use support::prompt;
+use support::reply;
+use support::server_name;
+
+const PROMPTS: usize = 300;
+
+fn homes(router: &TestRouter) -> Vec<String> {
+    (0..PROMPTS).map(|record| name_of(&router.choose(&prompt(0, 0, record, 0), 0))).collect()
+}
+
+/// A router that restarts must serve at once: with no memory at all it sends a prompt where a
+/// router that has served thousands sends it.
+#[test]
+fn a_router_without_memory_chooses_as_a_warm_one() {
+    let (warm, fresh) = (TestRouter::new(12), TestRouter::new(12));
+    for request in 0..3_000 {
+        warm.serve(&prompt(request % 7, request % 3, request % PROMPTS, request), request as u64);
+    }
+    let homes = (0..PROMPTS).map(|record| prompt(record % 7, record % 3, record, 1));
+    let same = homes.filter(|chain| {
+        name_of(&warm.choose(chain, 3_000)) == name_of(&fresh.choose(chain, 3_000))
+    });
+    assert_eq!(same.count(), PROMPTS);
+}
+
+/// A server that goes takes only its own prompts with it, and they spread over the others.
+#[test]
+fn a_lost_server_moves_only_its_own_prompts() {
+    let mut router = TestRouter::new(12);
+    let before = homes(&router);
+    let mut lives = [1; 12];
+    lives[3] = 0;
+    router.renew(&lives);
+    let after = homes(&router);
+    let mut heirs: Vec<&String> = Vec::new();
+    for (old, new) in before.iter().zip(&after) {
+        match old.as_str() {
+            "server3" => heirs.push(new),
+            _ => assert_eq!(old, new),
+        }
+    }
+    heirs.sort_unstable();
+    heirs.dedup();
+    assert!(4 <= heirs.len(), "{heirs:?}");
+}
+
+#[test]
+fn a_planned_group_stays_on_its_servers_in_its_shares() {
+    let mut router = TestRouter::new(12);
+    let group = prompt(0, 0, 0, 0).group().expect("a group").hash;
+    let share = |server, share| ServerShare { server: server_name(server), share };
+    let shares = vec![share(2, 0.75), share(7, 0.25)];
+    let spreads = vec![PrefixSpread { group, shares }];
+    router.view = router.view.with_plan(&SpreadPlan { version: 1, spreads });
+    let homes = homes(&router);
+    let count = |name: &str| homes.iter().filter(|home| *home == name).count();
+    assert_eq!(count("server2") + count("server7"), PROMPTS);
+    assert!((50..=100).contains(&count("server7")), "{}", count("server7"));
+}
+
+struct PolicyCase {
+    policy: PolicyKind,
+    /// What five requests of one prompt, none of which ends, make of three servers.
+    servers: usize,
+    reason: ChoiceReason,
+}
+
+const POLICY_CASES: &[PolicyCase] = &[
+    PolicyCase { policy: PolicyKind::Cost, servers: 1, reason: ChoiceReason::Home },
+    PolicyCase { policy: PolicyKind::RoundRobin, servers: 3, reason: ChoiceReason::RoundRobin },
+    PolicyCase { policy: PolicyKind::LeastLoad, servers: 3, reason: ChoiceReason::LeastLoad },
+    PolicyCase { policy: PolicyKind::PrefixHash, servers: 1, reason: ChoiceReason::PrefixHash },
+];
+
+#[test]
+fn each_policy_goes_its_way_and_counts_its_reason() {
+    for case in POLICY_CASES {
+        let mut router = TestRouter::new(3);
+        router.policy = case.policy;
+        let mut open = Vec::new();
+        let mut names = Vec::new();
+        for question in 0..5 {
+            let chain = prompt(0, 0, 0, question);
+            let choice = router.choose(&chain, 0);
+            open.push(router.begin(&choice, &chain, 0));
+            names.push(name_of(&choice));
+        }
+        names.sort_unstable();
+        names.dedup();
+        assert_eq!(names.len(), case.servers, "{:?}", case.policy);
+        assert_eq!(router.placer.reasons().count(case.reason), 5, "{:?}", case.policy);
+        assert_eq!(case.policy.name().parse(), Ok(case.policy));
+    }
+    assert!("fastest".parse::<PolicyKind>().is_err());
+}
+
+/// An ejected or leaving server, one that this request failed on, and one that owes first tokens
+/// get nothing, under each policy; the group's prompts go on together.
+#[test]
+fn servers_out_of_use_are_passed_over() {
+    for policy in PolicyKind::ALL {
+        let mut router = TestRouter::new(4);
+        router.policy = policy;
+        let chain = prompt(0, 0, 0, 0);
+        let home = router.choose(&chain, 0);
+        home.server.meter.set_standing(ServerStanding::OutOfUse);
+        let second = router.choose(&chain, 0);
+        assert_ne!(name_of(&home), name_of(&second), "{policy:?}");
+        router.excluded.push(second.server.meter.id());
+        for _ in 0..8 {
+            let third = name_of(&router.choose(&chain, 0));
+            assert!(third != name_of(&home) && third != name_of(&second), "{policy:?}");
+        }
+    }
+}
+
+/// A server freezes. Its caller sees no first token; its last report says that it is idle, so that
+/// by the reports alone it would be chosen for ever. It is passed over until it gives a token.
+#[test]
+fn a_frozen_server_is_passed_over_until_it_answers() {
+    let router = TestRouter::new(4);
+    let chain = prompt(0, 0, 0, 0);
+    let home = router.serve(&chain, 0);
+    let mut open = router.begin(&home, &chain, 10);
+    assert_eq!(name_of(&router.choose(&chain, 400)), name_of(&home));
+    let other = router.choose(&chain, 5_000);
+    assert_ne!(name_of(&other), name_of(&home));
+    assert_eq!(other.reason, ChoiceReason::Fallback);
+    router.placer.first_token(&mut open, &reply(&home, &chain), 5_100);
+    assert_eq!(name_of(&router.choose(&chain, 5_200)), name_of(&home));
+}
+
+/// Waits at home make detours look cheap. If all requests took them, each would compute its
+/// prompt anew on a server that then has to wait too, and the fleet would stay overloaded. What
+/// detours compute is a part of what is computed anyway.
+#[test]
+fn detours_are_a_part_of_the_work() {
+    let router = TestRouter::new(12);
+    let chain = prompt(0, 0, 0, 0);
+    let home = router.choose(&chain, 0);
+    let mut slow = reply(&home, &chain);
+    slow.ttft_ms = 2_000.0;
+    let mut uncached = 0;
+    let mut detoured = 0;
+    for question in 0..2_000 {
+        let other = prompt(1, question % 3, question, 0);
+        let mut busy = router.begin(&home, &other, question as u64);
+        router.placer.first_token(&mut busy, &slow, question as u64);
+        let chain = prompt(0, 0, 0, question);
+        let choice = router.choose(&chain, question as u64);
+        uncached += other.tokens().saturating_sub(home.predicted_cached);
+        if choice.reason == ChoiceReason::Detour {
+            detoured += chain.anchor().expect("an anchor").tokens;
+        }
+    }
+    assert!(0 < detoured);
+    assert!(f64::from(detoured) <= 0.2 * f64::from(uncached) + 30_000.0, "{detoured} {uncached}");
+}
+
+/// A batch request may wait for its warm server where an urgent one takes a detour.
+#[test]
+fn a_batch_request_waits_at_home() {
+    for (weights, wanted) in [(support::URGENT, ChoiceReason::Detour), (BATCH, ChoiceReason::Home)]
+    {
+        let mut router = TestRouter::new(12);
+        router.weights = weights;
+        let chain = prompt(0, 0, 0, 0);
+        let home = router.choose(&chain, 0);
+        let mut slow = reply(&home, &chain);
+        slow.ttft_ms = 2_000.0;
+        for now_ms in 0..500 {
+            let other = prompt(1, 0, now_ms as usize, 0);
+            let mut open = router.begin(&home, &other, now_ms);
+            router.placer.first_token(&mut open, &slow, now_ms);
+        }
+        assert_eq!(router.choose(&chain, 500).reason, wanted);
+    }
+}
+
+/// A prefix that gets a large part of all requests is kept on several of its group's servers.
+#[test]
+fn a_hot_prefix_is_spread_and_narrows_again() {
+    let mut router = TestRouter::new(12);
+    let group = prompt(0, 0, 0, 0).group().expect("a group").hash;
+    let shares: Vec<ServerShare> =
+        (0..4).map(|server| ServerShare { server: server_name(server), share: 0.25 }).collect();
+    let spreads = vec![PrefixSpread { group, shares }];
+    router.view = router.view.with_plan(&SpreadPlan { version: 1, spreads });
+    let servers = |router: &TestRouter, now_ms: u64| {
+        let chains = (0..40).map(|question| prompt(0, 0, 0, question));
+        let mut names: Vec<String> =
+            chains.map(|chain| name_of(&router.choose(&chain, now_ms))).collect();
+        names.sort_unstable();
+        names.dedup();
+        names.len()
+    };
+    assert_eq!(servers(&router, 0), 1);
+    for question in 0..200 {
+        router.serve(&prompt(0, 0, 0, question), question as u64);
+    }
+    assert!(3 <= servers(&router, 200));
+    for question in 0..2_000 {
+        router.serve(&prompt(1, question % 5, question, 0), 60_000 + question as u64);
+    }
+    assert_eq!(servers(&router, 62_000), 1);
+}
+
+/// What is missing at the chosen server is imported from where it is believed to be.
+#[test]
+fn missing_blocks_are_imported() {
+    let import = ImportConf { ask_ms: 2.0, tokens_per_ms: 400.0, store: StoreUse::Ask };
+    let conf = PlacementConf { import: Some(import), ..PlacementConf::default() };
+    let mut router = TestRouter::with_conf(4, conf);
+    let chain = prompt(0, 0, 0, 0);
+    let first = router.serve(&chain, 0);
+    assert_eq!(first.kv_source, Some(KvSource::Store));
+    assert_eq!(router.choose(&chain, 10).kv_source, None, "home is known to have it");
+    router.excluded.push(first.server.meter.id());
+    let source = router.choose(&chain, 10).kv_source;
+    assert_eq!(source, Some(KvSource::Server(first.server.name().clone())));
+    assert_eq!(source.expect("a source").as_str(), name_of(&first));
+    assert_eq!(KvSource::Store.as_str(), "kv-store");
+}
+
+/// Far servers serve only while no near one can, and a view without servers gives none.
+#[test]
+fn far_zones_are_a_last_resort() {
+    let mut router = TestRouter::new(2);
+    let far = FleetServer {
+        zone: "south".into(),
+        zone_ms: 40.0,
+        meter: router.meters.meter(&"distant".into(), Incarnation(1)),
+    };
+    let mut servers: Vec<FleetServer> =
+        router.view.servers().map(|server| (**server).clone()).collect();
+    servers.push(far);
+    router.view = FleetView::new(&router.conf, servers);
+    let chain = prompt(0, 0, 0, 0);
+    assert_ne!(name_of(&router.choose(&chain, 0)), "distant");
+    for server in router.view.servers().filter(|server| server.zone_ms < 40.0) {
+        server.meter.set_standing(ServerStanding::OutOfUse);
+    }
+    let choice = router.choose(&chain, 0);
+    assert_eq!((name_of(&choice).as_str(), choice.reason), ("distant", ChoiceReason::FarZone));
+    assert_eq!(router.choose(&chain, 0).server.name(), &"distant".into());
+    let view = FleetView::new(&router.conf, Vec::new());
+    assert!(view.preferred(PromptHash(1), 3).is_empty());
+}
