Load tool: seeded schedules of faults beside a calm run

Ruled out: kills of router processes here (programs start none); a hook leaves them to the proofs, which have the processes.

--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands of `fulmargate-load`.
 
 mod compare_command;
+mod faults_command;
 mod overhead_command;
 mod plan_options;
 mod report_table;
@@ -10,6 +11,7 @@
 
 use crate::load_error::LoadError;
 use compare_command::CompareCommand;
+use faults_command::FaultsCommand;
 use overhead_command::OverheadCommand;
 use run_command::RunCommand;
 
@@ -36,6 +38,7 @@
     Run(RunCommand),
     Overhead(OverheadCommand),
     Compare(CompareCommand),
+    Faults(FaultsCommand),
 }
 
 impl LoadArgs {
@@ -45,6 +48,7 @@
             LoadCommand::Run(command) => command.execute().await,
             LoadCommand::Overhead(command) => command.execute().await,
             LoadCommand::Compare(command) => command.execute().await,
+            LoadCommand::Faults(command) => command.execute().await,
         }
     }
 }
--- a/crates/load/src/runs/disturbance.rs
+++ b/crates/load/src/runs/disturbance.rs
@@ -105,7 +105,7 @@
             continue;
         }
         if let Some(address) = rig.server_address(engine.name.as_str()) {
-            rig.control.order(address, order).await?;
+            rig.control.order(&address, order).await?;
         }
     }
     Ok(())
