--- a/crates/ledger/examples/claim_costs.rs
+++ b/crates/ledger/examples/claim_costs.rs
@@ -70,10 +70,6 @@
                 .block_on(&runtime.expect("a runtime starts"), run_load(rate, appends_per_s));
         }
     }
-    println!(
-        "book: remembered claims, bytes of memory each (resident), processor time to fold each (us)"
-    );
-    measure_book(&[100_000, 200_000, 400_000]);
 }
 
 #[derive(Default)]
--- a/crates/ledger/examples/claim_start.rs
+++ b/crates/ledger/examples/claim_start.rs
@@ -1,8 +1,11 @@
-//! Measures how long a router that has just started reads a claim stream before it can judge keys: over sockets, from the
-//! stand-in log, at three lengths. Wall-clock times of one machine: take the slope, not the values.
+//! Measures how long a router that has just started reads a claim stream before it can judge keys: over sockets, from a
+//! log on loopback, at three lengths. Wall-clock times of one machine: take the slope, not the values.
 //!
 //! `cargo run --release -p fulmargate-ledger --example claim_start`
 
+#[path = "../tests/support/loopback_log.rs"]
+mod loopback_log;
+
 use std::time::Duration;
 use std::time::Instant as WallInstant;
 
@@ -25,8 +28,6 @@
 use fulmargate_names::TeamName;
 use fulmargate_platform::LogClient;
 use fulmargate_platform::LogTimeouts;
-use fulmargate_stand::LogSettings;
-use fulmargate_stand::log_server;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -79,11 +80,7 @@
 
 #[actix_rt::main]
 async fn main() {
-    let settings = r#"{"listen":"127.0.0.1:0","appends_per_s":1e9,"append_ms":0}"#;
-    let settings: LogSettings = serde_json::from_str(settings).expect("the settings are good");
-    let server = log_server(settings).expect("a port is free");
-    let address = server.address().expect("the log listens").to_string();
-    actix_rt::spawn(server.serve(CancellationToken::new()));
+    let address = loopback_log::start_log(0);
     let client = LogClient::new(&address, LogTimeouts::default());
     println!("records of {CALLS} calls  bytes of records  time until keys can be judged");
     let (mut sequence, mut bytes) = (0, 0);
--- a/crates/ledger/tests/loopback.rs
+++ b/crates/ledger/tests/loopback.rs
@@ -1,4 +1,7 @@
-//! The desk over the log client and the stand-in log, by sockets on loopback.
+//! The desk over the log client, by sockets on loopback.
+
+#[path = "support/loopback_log.rs"]
+mod loopback_log;
 
 use std::time::Duration;
 
@@ -18,9 +21,6 @@
 use fulmargate_names::TeamName;
 use fulmargate_platform::LogClient;
 use fulmargate_platform::LogTimeouts;
-use fulmargate_stand::FaultOrder;
-use fulmargate_stand::LogSettings;
-use fulmargate_stand::log_server;
 use futures_util::future::join_all;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -74,15 +74,9 @@
 
 #[actix_rt::test]
 async fn three_routers_run_each_call_once_over_sockets() {
-    // Each call comes to three routers at once while the log loses the answers to three in ten of its appends. One router
+    // Each call comes to three routers at once while the log loses the answer to each third append. One router
     // runs it, and the others give that one's answer. Routers started anew give it too, from the log.
-    let settings: LogSettings = serde_json::from_str(r#"{"listen":"127.0.0.1:0"}"#).unwrap();
-    let server = log_server(settings).unwrap();
-    let address = server.address().unwrap().to_string();
-    server.desk().apply(&FaultOrder { lose_answers: Some(0.3), ..FaultOrder::default() });
-    let log_cancel = CancellationToken::new();
-    let log = actix_rt::spawn(server.serve(log_cancel.clone()));
-
+    let address = loopback_log::start_log(3);
     let mut answers = vec![None; KEYS];
     for incarnation in 1..=2 {
         let cancel = CancellationToken::new();
@@ -110,6 +104,4 @@
             assert_eq!(desk.ended().await.len(), SHARDS as usize);
         }
     }
-    log_cancel.cancel();
-    log.await.unwrap().unwrap();
 }
