Stand-ins: try a whole deployment in one process

Ruled out: the samples in the load tool (it measures; these say in a table what each kind of request gets); a short shared prompt in the samples (recomputing it costs 3 ms, and a router may rightly place it anywhere). Wrong: GET /v1/models carries neither request id nor disposition (router), and right after the start the second router may place a 1,400-token prompt elsewhere than the first (seen in one of two runs, utility). Conclusion: the path works through all stand-ins; both faults are reported, no check is eased.

--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -6,7 +6,11 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use fulmargate_stand::RunningDeployment;
 use fulmargate_stand::StandServer;
+use fulmargate_stand::deployment::Deployment;
+use fulmargate_stand::run_samples;
+use fulmargate_stand::sample_table;
 use serde::de::DeserializeOwned;
 use tokio_util::sync::CancellationToken;
 use tracing_subscriber::EnvFilter;
@@ -29,6 +33,22 @@
     Weights(WeightsArgs),
     Hosts(HostsArgs),
     Kv(KvArgs),
+    Try(TryArgs),
+}
+
+/// All stand-ins of a deployment and six routers in one process on loopback: prints addresses, a
+/// team's key and curl lines, and stays up until an interrupt.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "try")]
+struct TryArgs {
+    /// which one: `shop` (default) or `utility`
+    #[argh(option, default = "String::from(\"shop\")")]
+    deployment: String,
+
+    /// send a representative set of requests, print what came back, and exit: 0 if all is as it
+    /// must be
+    #[argh(switch)]
+    once: bool,
 }
 
 /// A model engine.
@@ -111,6 +131,7 @@
             serve(&args.settings, fulmargate_stand::host_list_server).await
         }
         StandCommand::Kv(args) => serve(&args.settings, fulmargate_stand::kv_server).await,
+        StandCommand::Try(args) => try_deployment(&args).await,
     }
 }
 
@@ -130,3 +151,32 @@
     });
     server.serve(cancellation).await.map_err(|error| error.to_string())
 }
+
+async fn try_deployment(args: &TryArgs) -> Result<(), String> {
+    let deployment = Deployment::named(&args.deployment).ok_or_else(|| {
+        format!("--deployment: `{}`; allowed are `shop` and `utility`", args.deployment)
+    })?;
+    let running = RunningDeployment::start(deployment).await.map_err(|error| error.to_string())?;
+    let result = match args.once {
+        true => try_once(&running).await,
+        false => stay_up(&running).await,
+    };
+    running.stop().await;
+    result
+}
+
+async fn try_once(running: &RunningDeployment) -> Result<(), String> {
+    let rows = run_samples(running).await;
+    println!("{}", sample_table(&rows));
+    let faults = rows.iter().filter(|row| row.fault.is_some()).count();
+    println!("{} requests, {faults} not as they must be", rows.len());
+    match faults {
+        0 => Ok(()),
+        _ => Err(format!("{faults} answers are wrong")),
+    }
+}
+
+async fn stay_up(running: &RunningDeployment) -> Result<(), String> {
+    println!("{}", running.directions());
+    tokio::signal::ctrl_c().await.map_err(|error| error.to_string())
+}
