Leave groups that the hash places well out of the plan; bench choices

Cause: 400 equal small groups lay uneven, since groups under a twentieth of a server's load were never moved; a plan held entries that only repeated the hash. Change: groups count from a hundredth on, the plan names only those that were moved, and an empty plan is one.

--- /dev/null
+++ b/crates/placement/benches/choice.rs
@@ -0,0 +1,173 @@
+//! Time of a choice, of its feedback, of a prompt's chain and of a step of the plan.
+
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::Bencher;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
+use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
+use fulmargate_names::ZoneName;
+use fulmargate_placement::ChainBuilder;
+use fulmargate_placement::Choice;
+use fulmargate_placement::ClassWeights;
+use fulmargate_placement::FleetServer;
+use fulmargate_placement::FleetView;
+use fulmargate_placement::MeterBook;
+use fulmargate_placement::PlaceRequest;
+use fulmargate_placement::PlacementConf;
+use fulmargate_placement::Placer;
+use fulmargate_placement::PlanMaker;
+use fulmargate_placement::PolicyKind;
+use fulmargate_placement::PromptChain;
+use fulmargate_placement::PromptScope;
+use fulmargate_placement::ReplyFacts;
+
+const SIZES: [usize; 3] = [12, 1_200, 12_000];
+const WEIGHTS: ClassWeights = ClassWeights { priority: 0, ttft: 1.0, recompute: 0.1 };
+/// Groups in a router's report of its demand.
+const REPORTED: usize = 256;
+
+fn view(conf: &PlacementConf, servers: usize) -> FleetView {
+    let mut meters = MeterBook::new(conf);
+    let server = |number: usize| FleetServer {
+        zone: ZoneName::new("north"),
+        zone_ms: 1.0,
+        meter: meters.meter(&ServerName::new(&format!("server{number}")), Incarnation(1)),
+    };
+    FleetView::new(conf, (0..servers).map(server).collect())
+}
+
+fn chain(group: usize, record: usize) -> PromptChain {
+    let scope = PromptScope::from_text("team/m/".to_owned(), WeightsVersion(1));
+    let (tenant, service) = ("tenant.".repeat(300), format!("service {group:06}").repeat(300));
+    let record = format!("record {record:06}").repeat(500);
+    PromptChain::new(&scope, &[&tenant, &service, &record, "What is it?"])
+}
+
+fn reply(choice: &Choice) -> ReplyFacts {
+    ReplyFacts {
+        incarnation: choice.server.meter.incarnation(),
+        prompt_tokens: 3_000,
+        cached_tokens: 2_900,
+        queue_tokens: 0,
+        running: 8,
+        ttft_ms: 12.0,
+    }
+}
+
+/// A placer that has served requests of 40 groups, and a view with the plan that came of it.
+fn warm_placer(servers: usize, chains: &[PromptChain]) -> (Placer, FleetView) {
+    let conf = PlacementConf::default();
+    let placer = Placer::new(conf.clone());
+    let view = view(&conf, servers);
+    for turn in 0..10 * chains.len() {
+        serve(&placer, &view, &chains[turn % chains.len()], turn as u64);
+    }
+    let mut maker = PlanMaker::new(&conf);
+    maker.hear(&HostName::new("host"), placer.demand(REPORTED, 5_000), 5_000);
+    let plan = maker.next(&view, 1, 5_000).expect("a plan");
+    (placer, view.with_plan(&plan))
+}
+
+fn serve(placer: &Placer, view: &FleetView, chain: &PromptChain, now_ms: u64) {
+    let policy = PolicyKind::Cost;
+    let request = PlaceRequest { policy, weights: WEIGHTS, excluded: &[], now_ms };
+    let choice = placer.choose(view, chain, &request).expect("a server");
+    let mut open = placer.begin(&choice, chain, WEIGHTS, now_ms);
+    placer.first_token(&mut open, &reply(&choice), now_ms);
+}
+
+fn bench_choices(criterion: &mut Criterion) {
+    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 40, number)).collect();
+    for policy in PolicyKind::ALL {
+        let mut group = criterion.benchmark_group(format!("choose/{}", policy.name()));
+        for servers in SIZES {
+            let (placer, view) = warm_placer(servers, &chains);
+            let id = BenchmarkId::from_parameter(servers);
+            group.bench_function(id, |bencher| choose(bencher, &placer, &view, policy, &chains));
+        }
+    }
+    let mut group = criterion.benchmark_group("choose/cost without a plan");
+    for servers in SIZES {
+        let (placer, _) = warm_placer(servers, &chains);
+        let view = view(placer.conf(), servers);
+        let id = BenchmarkId::from_parameter(servers);
+        group.bench_function(id, |bencher| {
+            choose(bencher, &placer, &view, PolicyKind::Cost, &chains);
+        });
+    }
+}
+
+fn choose(
+    bencher: &mut Bencher<'_>,
+    placer: &Placer,
+    view: &FleetView,
+    policy: PolicyKind,
+    chains: &[PromptChain],
+) {
+    let request = PlaceRequest { policy, weights: WEIGHTS, excluded: &[], now_ms: 5_000 };
+    let mut turn = 0;
+    bencher.iter(|| {
+        turn = (turn + 1) % chains.len();
+        black_box(placer.choose(view, &chains[turn], &request))
+    });
+}
+
+fn bench_feedback(criterion: &mut Criterion) {
+    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 40, number)).collect();
+    let mut group = criterion.benchmark_group("choose and feedback");
+    for servers in SIZES {
+        let (placer, view) = warm_placer(servers, &chains);
+        let mut turn = 0;
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter(|| {
+                turn += 1;
+                serve(&placer, &view, &chains[turn % chains.len()], 5_000 + turn as u64 / 100);
+            });
+        });
+    }
+}
+
+fn bench_chain(criterion: &mut Criterion) {
+    let scope = PromptScope::from_text("team/m/".to_owned(), WeightsVersion(1));
+    let texts: Vec<String> = [2_048, 4_096, 10_000, 240].map(|bytes| "a".repeat(bytes)).to_vec();
+    criterion.bench_function("chain of 16 KB", |bencher| {
+        bencher.iter(|| {
+            let mut builder = ChainBuilder::new(&scope);
+            for text in &texts {
+                builder.push(black_box(text));
+            }
+            black_box(builder.finish())
+        });
+    });
+}
+
+fn bench_control(criterion: &mut Criterion) {
+    let conf = PlacementConf::default();
+    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 100, number)).collect();
+    let mut group = criterion.benchmark_group("control");
+    group.sample_size(10);
+    for servers in SIZES {
+        let (placer, warm_view) = warm_placer(servers, &chains);
+        let report = Arc::new(placer.demand(REPORTED, 5_000));
+        group.bench_function(BenchmarkId::new("plan step", servers), |bencher| {
+            bencher.iter(|| {
+                let mut maker = PlanMaker::new(&conf);
+                maker.hear(&HostName::new("host"), (*report).clone(), 5_000);
+                black_box(maker.next(&warm_view, 1, 5_000))
+            });
+        });
+        group.bench_function(BenchmarkId::new("new view", servers), |bencher| {
+            bencher.iter(|| black_box(view(&conf, servers)));
+        });
+    }
+}
+
+criterion_group!(benches, bench_choices, bench_feedback, bench_chain, bench_control);
+criterion_main!(benches);
--- a/crates/placement/src/plan_draft.rs
+++ b/crates/placement/src/plan_draft.rs
@@ -10,8 +10,8 @@
 
 /// A group is planned from this part of a server's mean load on, and left out again below a fifth
 /// of it. Smaller ones lie where the hash puts them.
-const PLANNED_LOAD: f64 = 0.05;
-const DROPPED_LOAD: f64 = 0.01;
+const PLANNED_LOAD: f64 = 0.01;
+const DROPPED_LOAD: f64 = 0.002;
 /// Above this multiple of the mean load a plan is packed anew, at once and with all its cost.
 const PACK_LOAD: f64 = 1.3;
 /// How full a server is packed.
@@ -109,8 +109,14 @@
         } else {
             self.move_one();
         }
-        let view = self.view;
-        self.groups.iter().map(|(group, draft)| spread(view, *group, draft)).collect()
+        let moved = self.groups.iter().filter(|(group, draft)| self.is_moved(**group, draft));
+        moved.map(|(group, draft)| spread(self.view, *group, draft)).collect()
+    }
+
+    /// Groups that lie where the hash puts them need no place in the plan.
+    fn is_moved(&self, group: PromptHash, draft: &GroupDraft) -> bool {
+        let first = self.view.ring().first(group.0);
+        !matches!(draft.shares[..], [(index, _)] if Some(index) == first)
     }
 
     fn shares_so_far(&self, plan: &SpreadPlan, group: PromptHash) -> Vec<(u32, f64)> {
--- a/crates/placement/src/plan_maker.rs
+++ b/crates/placement/src/plan_maker.rs
@@ -46,7 +46,8 @@
         &self.plan
     }
 
-    /// A better plan, if there is one. To be called about twice a second with the number of entry
+    /// A better plan, if there is one; the first one may be empty, which says that the hash alone
+    /// spreads the load evenly. To be called about twice a second with the number of entry
     /// hosts that are believed to be live.
     ///
     /// No plan is made while half of them or more have not been heard: routers that cannot hear
@@ -59,7 +60,7 @@
         }
         let (groups, others) = self.loads();
         let spreads = PlanDraft::new(view, groups, others, &self.plan)?.improved();
-        if spreads == self.plan.spreads {
+        if spreads == self.plan.spreads && 0 < self.plan.version {
             return None;
         }
         self.plan = SpreadPlan { version: self.plan.version + 1, spreads };
--- a/crates/placement/tests/beliefs.rs
+++ b/crates/placement/tests/beliefs.rs
@@ -123,16 +123,22 @@
     let mut router = TestRouter::new(1);
     let chain = prompt(0, 0, 0, 0);
     let old = router.serve(&chain, 0).server.meter.clone();
+    for _ in 0..5 {
+        router.serve(&chain, 0);
+    }
     assert!(believes(&router, 100));
     router.renew(&[2]);
     assert!(!believes(&router, 100));
     let mut reader = CacheEvents::new(Incarnation(2));
     let hash = chain.anchor().expect("an anchor").hash;
     let events = vec![CacheEvent { seq: 0, kind: CacheEventKind::Stored, hash }];
-    let late = reader.apply(&EventPage { incarnation: Incarnation(1), next: 1, events });
+    let page = EventPage { incarnation: Incarnation(1), next: 1, events };
+    let late = reader.apply(&page);
+    let slow_reader = CacheEvents::new(Incarnation(1)).apply(&page);
     let new = router.view.server(old.name()).expect("the server").meter.clone();
     router.placer.learn_events(&new, &late, 150);
     router.placer.learn_events(&old, &late, 150);
+    router.placer.learn_events(&new, &slow_reader, 150);
     router.placer.learn_hint(hash, &old, 150);
     assert!(!believes(&router, 200));
     let incarnation = router.meters.meter(old.name(), Incarnation(1)).incarnation();
--- a/crates/placement/tests/choices.rs
+++ b/crates/placement/tests/choices.rs
@@ -72,11 +72,15 @@
     let share = |server, share| ServerShare { server: server_name(server), share };
     let shares = vec![share(2, 0.75), share(7, 0.25)];
     let spreads = vec![PrefixSpread { group, shares }];
-    router.view = router.view.with_plan(&SpreadPlan { version: 1, spreads });
-    let homes = homes(&router);
-    let count = |name: &str| homes.iter().filter(|home| *home == name).count();
-    assert_eq!(count("server2") + count("server7"), PROMPTS);
-    assert!((50..=100).contains(&count("server7")), "{}", count("server7"));
+    let plan = SpreadPlan { version: 1, spreads };
+    router.view = router.view.with_plan(&plan);
+    let count =
+        |router: &TestRouter, name| homes(router).iter().filter(|home| *home == name).count();
+    assert_eq!(count(&router, "server2") + count(&router, "server7"), PROMPTS);
+    assert!((50..=100).contains(&count(&router, "server7")), "{}", count(&router, "server7"));
+    router.renew(&[1, 1, 1, 1, 1, 1, 1, 0, 1, 1, 1, 1]);
+    router.view = router.view.with_plan(&plan);
+    assert_eq!(count(&router, "server2"), PROMPTS);
 }
 
 struct PolicyCase {
--- a/crates/placement/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -69,7 +69,7 @@
 #[test]
 fn a_plan_evens_out_the_load_with_few_copies() {
     let router = TestRouter::new(SERVERS);
-    for rates in [zipf(24), zipf(200), vec![100.0], vec![1.0; 60]] {
+    for rates in [zipf(24), zipf(200), vec![100.0], vec![1.0; 60], vec![1.0; 400]] {
         let mut maker = maker(&router, &rates, 0..6);
         for _ in 0..30 {
             maker.next(&router.view, 6, 0);
@@ -114,6 +114,15 @@
     assert_eq!(maker.next(&router.view, 6, 60_000), None);
 }
 
+/// Where the hash alone spreads the load evenly there is a plan too: it says that each group is
+/// kept by the first server of its list. Without one, routers would spread each over all servers.
+#[test]
+fn an_empty_plan_is_a_plan() {
+    let router = TestRouter::new(1);
+    let plan = maker(&router, &zipf(24), 0..6).next(&router.view, 6, 0);
+    assert_eq!(plan, Some(SpreadPlan { version: 1, spreads: Vec::new() }));
+}
+
 /// Another router may take over the making at any time: from the same reports, in whatever order
 /// they came, it makes the same plan.
 #[test]
