Let a request wait a moment for a starting router's first configuration

Ruled out: listening later (the balancer's port check would fail and the port could be lost). Change: requests wait up to a second for the first table; control publishes it through a watch.

--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -38,6 +38,7 @@
 use crate::caller::caller_identity::request_id;
 use crate::caller::team_gate::admit_team;
 use crate::state::OpenGuard;
+use crate::state::RouteTable;
 use crate::telemetry::RequestMetrics;
 
 /// Where a caller says how far it has come with a stream.
@@ -66,7 +67,9 @@
     id: RequestId,
     guard: OpenGuard,
 ) -> Result<HttpResponse, RequestError> {
-    let mut call = read_call(request, body, context, id)?;
+    let table = context.state.table_soon().await;
+    let table = table.ok_or_else(|| RequestError::new(ErrorKind::NotReady))?;
+    let mut call = read_call(request, body, context, &table, id)?;
     let resumed = read_token(request, context, &call)?;
     if let Some(token) = &resumed {
         call.request_id = token.request_id.clone();
@@ -149,11 +152,10 @@
     request: &HttpRequest,
     body: Bytes,
     context: &CallerContext,
+    table: &RouteTable,
     request_id: RequestId,
 ) -> Result<EngineCall, RequestError> {
     let arrived = Instant::now();
-    let table = context.state.routes.load_full();
-    let table = table.ok_or_else(|| RequestError::new(ErrorKind::NotReady))?;
     let caller = CallerIdentity::identify(request, &table.document)?;
     let prompt = PromptBody::parse(&body)
         .map_err(|err| RequestError::new(ErrorKind::BadRequest).detail(err.to_string()))?;
--- a/crates/router/src/caller/model_handler.rs
+++ b/crates/router/src/caller/model_handler.rs
@@ -1,5 +1,7 @@
 //! Lists the models that the caller's team may use.
 
+use std::sync::Arc;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
@@ -10,20 +12,24 @@
 use crate::caller::RequestError;
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
+use crate::state::RouteTable;
 
 /// `GET /v1/models`.
 pub(crate) async fn handle(
     request: HttpRequest,
     context: web::Data<CallerContext>,
 ) -> HttpResponse {
-    match list(&request, &context) {
+    let table = context.state.table_soon().await;
+    match list(&request, table) {
         Ok(response) => response,
         Err(err) => err.respond(&request_id(&request)),
     }
 }
 
-fn list(request: &HttpRequest, context: &CallerContext) -> Result<HttpResponse, RequestError> {
-    let table = context.state.routes.load_full();
+fn list(
+    request: &HttpRequest,
+    table: Option<Arc<RouteTable>>,
+) -> Result<HttpResponse, RequestError> {
     let table = table.ok_or_else(|| RequestError::new(ErrorKind::NotReady))?;
     let caller = CallerIdentity::identify(request, &table.document)?;
     let models: Vec<serde_json::Value> = table
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -28,6 +28,7 @@
 use crate::caller::caller_identity::request_id;
 use crate::caller::claim_replay::replay;
 use crate::caller::team_gate::admit_team;
+use crate::state::RouteTable;
 
 const MAX_KEY: usize = 256;
 
@@ -51,7 +52,8 @@
     context: &CallerContext,
     id: &RequestId,
 ) -> Result<HttpResponse, RequestError> {
-    let (runner, is_repeatable) = read_call(request, body, context, id)?;
+    let table = context.state.table_soon().await.ok_or_else(|| not_ready(request))?;
+    let (runner, is_repeatable) = read_call(request, body, context, &table, id)?;
     if is_repeatable {
         admit_team(&context.state, &runner.call.team, &runner.call.entry, 0)?;
         return Ok(pass_on(id, runner.run_repeatable().await?));
@@ -89,10 +91,9 @@
     request: &HttpRequest,
     body: Bytes,
     context: &CallerContext,
+    table: &RouteTable,
     id: &RequestId,
 ) -> Result<(ServiceRunner, bool), RequestError> {
-    let table = context.state.routes.load_full();
-    let table = table.ok_or_else(|| not_ready(request))?;
     let caller = CallerIdentity::identify(request, &table.document)?;
     let name = request.match_info().get("name").unwrap_or_default();
     let service = ServiceName::new(name);
--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -89,7 +89,7 @@
             return;
         };
         let version = table.version;
-        let before = self.state.routes.swap(Some(Arc::new(table)));
+        let before = self.state.publish(table);
         if before.as_ref().is_none_or(|before| before.version < version) {
             let host = self.state.host.clone();
             self.peers.handle.put(PeerItem::ConfigInForce { host, version });
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use actix::Addr;
@@ -26,6 +27,8 @@
 use fulmargate_settings::RouterSettings;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::control::ControlActor;
 use crate::control::HealthTold;
@@ -36,6 +39,9 @@
 use crate::state::RouteTable;
 use crate::state::ServerRoute;
 
+/// How long a request waits for a configuration at a router that has just started.
+const START_PATIENCE: Duration = Duration::from_secs(1);
+
 /// What traffic threads share with the control thread. Nothing here is locked across a request.
 pub(crate) struct RouterState {
     pub(crate) host: HostName,
@@ -54,6 +60,8 @@
     pub(crate) control: Addr<ControlActor>,
     /// Seed of the fingerprints of requests, shared by all routers and kept from callers.
     pub(crate) print_seed: u64,
+    /// Turns true with the first table of routes.
+    ready: watch::Sender<bool>,
     attempts: AtomicU64,
     started: Instant,
 }
@@ -81,12 +89,33 @@
             claims,
             control,
             print_seed: print_seed(&settings),
+            ready: watch::Sender::new(false),
             attempts: AtomicU64::new(0),
             started: Instant::now(),
             settings,
         })
     }
 
+    /// Publishes a table of routes; gives back the one before.
+    pub(crate) fn publish(&self, table: RouteTable) -> Option<Arc<RouteTable>> {
+        let before = self.routes.swap(Some(Arc::new(table)));
+        self.ready.send_replace(true);
+        before
+    }
+
+    /// The table in force. A router that has just started waits a moment for its first one: its
+    /// peers or the log send it within a few round trips, and a refusal would make a restart show.
+    pub(crate) async fn table_soon(&self) -> Option<Arc<RouteTable>> {
+        let table = self.routes.load_full();
+        if table.is_some() {
+            return table;
+        }
+        let mut ready = self.ready.subscribe();
+        let _none_came_in_time =
+            timeout(START_PATIENCE, ready.wait_for(|is_ready| *is_ready)).await;
+        self.routes.load_full()
+    }
+
     /// A new attempt's id. Callers may send one request id twice, also to two routers; the
     /// incarnation and a count make each attempt's id its own, so that a crossed answer shows.
     pub(crate) fn attempt_id(&self, request_id: &RequestId) -> String {
