Peers: an answer counts only from whom it was asked of

Cause: red first: a killed host stayed alive for all when another host got its address, since any answer with the probe's number counted. Conclusion: reused addresses keep nobody alive.

--- a/crates/peers/src/peer_core.rs
+++ b/crates/peers/src/peer_core.rs
@@ -199,9 +199,9 @@
         match frame.message {
             PeerMessage::Hello { .. } => {}
             PeerMessage::Probe { number, digest } => {
-                self.answer_probe(from, number, digest, now_ms);
+                self.answer_probe(from, number, digest);
             }
-            PeerMessage::ProbeAck { number } => self.settle_probe(from, number, now_ms),
+            PeerMessage::ProbeAck { number } => self.settle_probe(from, number),
             PeerMessage::ProbeVia { number, host, address } => {
                 self.probe_for(from, number, &host, address, now_ms);
             }
@@ -209,7 +209,7 @@
             PeerMessage::Welcome { part, records } => {
                 self.take_welcome(from, part, records, now_ms);
             }
-            PeerMessage::Digest { buckets } => self.answer_digest(from, &buckets, now_ms),
+            PeerMessage::Digest { buckets } => self.answer_digest(from, &buckets),
             PeerMessage::Summary { buckets, entries } => {
                 self.answer_summary(from, &buckets, &entries, now_ms);
             }
--- a/crates/peers/src/peer_core/exchange.rs
+++ b/crates/peers/src/peer_core/exchange.rs
@@ -52,8 +52,7 @@
         self.members.cells().joined(self.items.cells())
     }
 
-    pub(super) fn answer_digest(&mut self, from: &MemberRecord, theirs: &[u32], now_ms: u64) {
-        self.tell_accused(from, now_ms);
+    pub(super) fn answer_digest(&mut self, from: &MemberRecord, theirs: &[u32]) {
         let start = self.rng.random_range(0..CELLS);
         let (buckets, entries) = self.summary_of(&round_buckets(&self.buckets(), theirs, start));
         if !buckets.is_empty() && self.allowance.left() > 0 {
--- a/crates/peers/src/peer_core/joining.rs
+++ b/crates/peers/src/peer_core/joining.rs
@@ -70,7 +70,6 @@
     }
 
     pub(super) fn welcome(&mut self, from: &MemberRecord, now_ms: u64) {
-        self.tell_accused(from, now_ms);
         if self.welcomes_left == 0 {
             let records = self.sample(now_ms);
             self.send(from.address, PeerMessage::Welcome { part: WelcomePart::Sample, records });
--- a/crates/peers/src/peer_core/probing.rs
+++ b/crates/peers/src/peer_core/probing.rs
@@ -45,23 +45,16 @@
         }
     }
 
-    pub(super) fn answer_probe(
-        &mut self,
-        from: &MemberRecord,
-        number: u64,
-        digest: u32,
-        now_ms: u64,
-    ) {
+    pub(super) fn answer_probe(&mut self, from: &MemberRecord, number: u64, digest: u32) {
         self.send(from.address, PeerMessage::ProbeAck { number });
-        self.tell_accused(from, now_ms);
         self.compare_probed(from, digest);
     }
 
-    pub(super) fn settle_probe(&mut self, from: &MemberRecord, number: u64, now_ms: u64) {
-        if let ProbeAnswer::Relay { asker, number } = self.probes.answered(number) {
+    pub(super) fn settle_probe(&mut self, from: &MemberRecord, number: u64) {
+        let answer = self.probes.answered(number, from.id());
+        if let ProbeAnswer::Relay { asker, number } = answer {
             self.send(asker, PeerMessage::ProbeAck { number });
         }
-        self.tell_accused(from, now_ms);
     }
 
     pub(super) fn probe_for(
@@ -105,6 +98,7 @@
                 helpers.push(other);
             }
         }
+        self.probes.note_helpers(number, helpers.iter().map(|helper| helper.id()).collect());
         for helper in helpers {
             let (host, address) = (record.host.clone(), record.address);
             self.send(helper.address, PeerMessage::ProbeVia { number, host, address });
@@ -130,18 +124,6 @@
         }
     }
 
-    /// A host that speaks and is held to be suspected or gone is told so at once.
-    pub(super) fn tell_accused(&mut self, from: &MemberRecord, now_ms: u64) {
-        let held = self.members.get(from.id());
-        let accused = held.is_some_and(|held| {
-            held.incarnation == from.incarnation
-                && matches!(held.state, MemberState::Suspected | MemberState::Gone)
-        });
-        if accused {
-            self.tell_record(from.address, from.id(), now_ms);
-        }
-    }
-
     pub(super) fn tell_record(&mut self, to: SocketAddr, id: u64, now_ms: u64) {
         if let Some(record) = self.members.aged(id, now_ms) {
             self.send(to, PeerMessage::Update { records: vec![PeerRecord::Member(record)] });
--- a/crates/peers/src/state/probe_book.rs
+++ b/crates/peers/src/state/probe_book.rs
@@ -26,7 +26,8 @@
 struct ProbeEntry {
     target: u64,
     cause: ProbeCause,
-    others_asked: bool,
+    /// Hosts that were asked to probe too; `None` before that.
+    helpers: Option<Vec<u64>>,
     started_ms: u64,
 }
 
@@ -71,7 +72,7 @@
         self.next_number += 1;
         self.open.insert(
             self.next_number,
-            ProbeEntry { target, cause, others_asked: false, started_ms: now_ms },
+            ProbeEntry { target, cause, helpers: None, started_ms: now_ms },
         );
         self.next_number
     }
@@ -82,7 +83,16 @@
             .any(|entry| entry.target == target && matches!(entry.cause, ProbeCause::Own))
     }
 
-    pub(crate) fn answered(&mut self, number: u64) -> ProbeAnswer {
+    /// An answer counts when the target itself or a helper gives it. Another host may have the
+    /// target's address by now, and must not keep it alive.
+    pub(crate) fn answered(&mut self, number: u64, from: u64) -> ProbeAnswer {
+        let is_wanted = self.open.get(&number).is_some_and(|entry| {
+            let helpers = entry.helpers.as_deref().unwrap_or_default();
+            entry.target == from || helpers.contains(&from)
+        });
+        if !is_wanted {
+            return ProbeAnswer::Unknown;
+        }
         match self.open.swap_remove(&number).map(|entry| entry.cause) {
             Some(ProbeCause::Own) => ProbeAnswer::Settled,
             Some(ProbeCause::Relayed { asker, number }) => ProbeAnswer::Relay { asker, number },
@@ -90,13 +100,20 @@
         }
     }
 
+    /// These hosts were asked to probe the same target.
+    pub(crate) fn note_helpers(&mut self, number: u64, helpers: Vec<u64>) {
+        if let Some(entry) = self.open.get_mut(&number) {
+            entry.helpers = Some(helpers);
+        }
+    }
+
     /// Own probes that others are to be asked to make too, each once: number and target.
     pub(crate) fn take_late(&mut self, now_ms: u64, timeout_ms: u64) -> Vec<(u64, u64)> {
         let mut late = Vec::new();
         for (&number, entry) in &mut self.open {
             let is_own = matches!(entry.cause, ProbeCause::Own);
-            if is_own && !entry.others_asked && now_ms >= entry.started_ms + timeout_ms {
-                entry.others_asked = true;
+            if is_own && entry.helpers.is_none() && now_ms >= entry.started_ms + timeout_ms {
+                entry.helpers = Some(Vec::new());
                 late.push((number, entry.target));
             }
         }
