--- a/crates/config/tests/config/restarts.rs
+++ b/crates/config/tests/config/restarts.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use fulmargate_config::ReaderRole;
+use fulmargate_config::choose_role;
 use fulmargate_names::ConfigVersion;
+use fulmargate_names::HostName;
+use fulmargate_names::ZoneName;
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
@@ -176,3 +179,18 @@
         assert!(reads < follower.link.reads.get());
     });
 }
+
+/// Two readers a zone; the first ranks are spread over the zones.
+#[test]
+fn the_first_hosts_of_each_zone_read() {
+    let hosts = [("b", "h5"), ("a", "h3"), ("a", "h1"), ("b", "h4"), ("a", "h2"), ("c", "h6")];
+    let role = |own: &str| {
+        let hosts = hosts.iter().map(|(zone, host)| (ZoneName::new(zone), HostName::new(host)));
+        choose_role(&HostName::new(own), hosts, 2)
+    };
+    let direct = |rank| ReaderRole::Direct { rank };
+    let roles = ["h1", "h4", "h6", "h2", "h5", "h3", "h7"].map(role);
+    let expected = [direct(0), direct(1), direct(2), direct(3), direct(4)];
+    assert_eq!(roles[..5], expected);
+    assert_eq!(roles[5..], [ReaderRole::Follower; 2]);
+}
--- a/crates/ctl/src/answer_table.rs
+++ b/crates/ctl/src/answer_table.rs
@@ -2,7 +2,8 @@
 
 use comfy_table::CellAlignment;
 use comfy_table::Table;
-use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::TableComponent;
+use comfy_table::presets::NOTHING;
 use fulmargate_config::HistoryAnswer;
 use fulmargate_config::HostsAnswer;
 use fulmargate_config::ServerState;
@@ -12,6 +13,7 @@
 
 /// Stands where there is nothing to say.
 const NONE: &str = "-";
+const HEADER_LINE: char = '─';
 
 /// Accepted and refused patches in the order of the log.
 pub(crate) fn history_table(answer: &HistoryAnswer) -> String {
@@ -120,7 +122,7 @@
         ("incarnation", answer.incarnation.to_string()),
     ];
     let mut table = Table::new();
-    table.load_preset(comfy_table::presets::NOTHING);
+    table.load_preset(NOTHING);
     for (name, value) in lines {
         table.add_row([name.to_owned(), value]);
     }
@@ -129,7 +131,10 @@
 
 fn new_table(heads: &[&str], numbers: &[usize]) -> Table {
     let mut table = Table::new();
-    table.load_preset(UTF8_HORIZONTAL_ONLY).set_header(heads);
+    table.load_preset(NOTHING).set_header(heads);
+    for part in [TableComponent::HeaderLines, TableComponent::MiddleHeaderIntersections] {
+        table.set_style(part, HEADER_LINE);
+    }
     for index in numbers {
         if let Some(column) = table.column_mut(*index) {
             column.set_cell_alignment(CellAlignment::Right);
--- a/crates/ctl/src/check_command.rs
+++ b/crates/ctl/src/check_command.rs
@@ -1,7 +1,5 @@
 //! `config check`.
 
-use std::io::Read;
-
 use fulmargate_config::ConfigAnswer;
 use fulmargate_config::ConfigDocument;
 use serde_json::Value;
@@ -12,11 +10,11 @@
 use crate::command_end::OutputForm;
 use crate::router_client::RouterClient;
 
-/// Stands for standard input.
-const STANDARD_INPUT: &str = "-";
+/// What errors call standard input.
+const STANDARD_INPUT: &str = "standard input";
 
 /// Checks a document, without a router.
-pub(crate) fn check_document(file: &str, form: OutputForm) -> Result<CommandEnd, CtlError> {
+pub(crate) fn check_document(file: Option<&str>, form: OutputForm) -> Result<CommandEnd, CtlError> {
     let document = ConfigDocument::from_value(&read_json(file)?).map_err(CtlError::Invalid)?;
     Ok(valid(&document, form))
 }
@@ -24,7 +22,7 @@
 /// Checks a patch against the document in force.
 pub(crate) async fn check_patch(
     client: &RouterClient,
-    file: &str,
+    file: Option<&str>,
     form: OutputForm,
 ) -> Result<CommandEnd, CtlError> {
     let patch = read_json(file)?;
@@ -46,15 +44,13 @@
     }))
 }
 
-/// Reads a JSON file.
-pub(crate) fn read_json(file: &str) -> Result<Value, CtlError> {
-    let refuse = |reason: String| CtlError::File { file: file.to_owned(), reason };
+/// Reads a JSON file, or standard input.
+pub(crate) fn read_json(file: Option<&str>) -> Result<Value, CtlError> {
+    let name = file.unwrap_or(STANDARD_INPUT);
+    let refuse = |reason: String| CtlError::File { file: name.to_owned(), reason };
     let text = match file {
-        STANDARD_INPUT => {
-            let mut text = String::new();
-            std::io::stdin().read_to_string(&mut text).map(|_| text)
-        }
-        _ => std::fs::read_to_string(file),
+        Some(file) => std::fs::read_to_string(file),
+        None => std::io::read_to_string(std::io::stdin()),
     };
     let text = text.map_err(|error| refuse(error.to_string()))?;
     serde_json::from_str(&text).map_err(|error| refuse(format!("no JSON: {error}")))
--- a/crates/ctl/src/ctl_args.rs
+++ b/crates/ctl/src/ctl_args.rs
@@ -80,9 +80,9 @@
     /// who submits it, for the history (else USER)
     #[argh(option)]
     pub(crate) author: Option<String>,
-    /// a JSON Patch (array) or a merge patch (object); - for standard input
+    /// a JSON Patch (array) or a merge patch (object); else standard input is read
     #[argh(positional)]
-    pub(crate) file: String,
+    pub(crate) file: Option<String>,
 }
 
 /// Checks a document without a router, or with --patch a patch against the document in force.
@@ -93,9 +93,9 @@
     /// the file is a patch
     #[argh(switch)]
     pub(crate) patch: bool,
-    /// the document or the patch; - for standard input
+    /// the document or the patch; else standard input is read
     #[argh(positional)]
-    pub(crate) file: String,
+    pub(crate) file: Option<String>,
 }
 
 /// Prints the newest accepted and refused patches.
@@ -162,9 +162,9 @@
             ConfigCommand::History(_) => config_command::history(&self.client()?, form).await,
             ConfigCommand::Patch(args) => patch_command::patch(&self.client()?, args, form).await,
             ConfigCommand::Check(args) if args.patch => {
-                check_command::check_patch(&self.client()?, &args.file, form).await
+                check_command::check_patch(&self.client()?, args.file.as_deref(), form).await
             }
-            ConfigCommand::Check(args) => check_command::check_document(&args.file, form),
+            ConfigCommand::Check(args) => check_command::check_document(args.file.as_deref(), form),
         }
     }
 
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -21,7 +21,7 @@
     /// A file could not be read, or is no JSON.
     #[display("{file}: {reason}")]
     File {
-        /// The file, `-` for standard input.
+        /// The file, or `standard input`.
         file: String,
         /// Why.
         reason: String,
--- a/crates/ctl/src/patch_command.rs
+++ b/crates/ctl/src/patch_command.rs
@@ -26,7 +26,7 @@
     args: &PatchArgs,
     form: OutputForm,
 ) -> Result<CommandEnd, CtlError> {
-    let patch = read_json(&args.file)?;
+    let patch = read_json(args.file.as_deref())?;
     let id = Uuid::now_v7().to_string();
     let author = args.author_name();
     let call = PatchCall { id: &id, base: args.base_version(), author: &author, patch: &patch };
