Let callers tell a cut answer from one that ended

Cause: the tool's callers used awc, which ends a chunked body cut between two chunks as if it were whole; streams of a killed router were judged truncated in silence (6 of 304). Ruled out: a router that ends streams without an error (each of these had its router killed). Change: the callers' client is hyper.

--- a/crates/load/src/calls.rs
+++ b/crates/load/src/calls.rs
@@ -2,6 +2,7 @@
 
 mod answer_check;
 mod answer_head;
+mod call_client;
 mod call_record;
 mod caller;
 mod sse_reader;
--- a/crates/load/src/calls/caller.rs
+++ b/crates/load/src/calls/caller.rs
@@ -5,15 +5,11 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use awc::Client;
-use awc::ClientRequest;
-use awc::Connector;
 use bytes::Bytes;
 use fulmargate_names as names;
 use fulmargate_stand::CompletionBody;
 use fulmargate_stand::deployment::Deployment;
 use fulmargate_stand::token;
-use futures_util::StreamExt;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -21,6 +17,8 @@
 use super::answer_check::AnswerCheck;
 use super::answer_check::ExpectedAnswer;
 use super::answer_head::AnswerHead;
+use super::call_client::CallClient;
+use super::call_client::CallRequest;
 use super::call_record::AnswerFault;
 use super::call_record::CallRecord;
 use super::call_record::KeyHistory;
@@ -58,7 +56,7 @@
 
 /// A population of callers.
 pub struct Caller {
-    client: Client,
+    client: CallClient,
     target: CallTarget,
     addresses: Vec<String>,
     next: Cell<usize>,
@@ -79,11 +77,10 @@
         library: PromptLibrary,
         patience: Duration,
     ) -> Caller {
-        let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
         let start_unix_ms =
             SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis() as u64);
         Caller {
-            client: Client::builder().connector(connector).disable_timeout().finish(),
+            client: CallClient::new(CONNECT_TIMEOUT),
             target,
             addresses,
             next: Cell::new(0),
@@ -154,21 +151,22 @@
         record: &mut CallRecord,
     ) -> SendEnd {
         let mut request = self.request(call, "POST", "/v1/chat/completions");
+        request.body = body.clone();
         if let Some(id) = check.last_id() {
-            request = request.insert_header((LAST_EVENT_ID, id));
+            request.headers.push((LAST_EVENT_ID, id.to_string()));
         }
         if self.target == CallTarget::Engines {
             let scope =
                 format!("{}/{}/", self.deployment.teams[call.team()].name, self.deployment.model);
-            request = request.insert_header((names::CACHE_SCOPE, scope));
+            request.headers.push((names::CACHE_SCOPE, scope));
         }
-        let Ok(mut response) = request.send_body(body.clone()).await else {
+        let Ok(mut response) = self.client.send(request).await else {
             return SendEnd::Broken;
         };
-        let head = AnswerHead::read(response.status(), response.headers());
+        let head = AnswerHead::read(response.status, &response.headers);
         head.note_in(record);
-        if !response.status().is_success() {
-            let body = response.body().limit(ERROR_BODY_LIMIT).await;
+        if !response.status.is_success() {
+            let body = response.read_body(ERROR_BODY_LIMIT).await;
             return body
                 .map_or(SendEnd::Broken, |body| SendEnd::Final(head.refusal(&body, self.target)));
         }
@@ -177,7 +175,7 @@
         }
         let mut reader = SseReader::default();
         let mut last_token = None;
-        while let Some(bytes) = response.next().await {
+        while let Some(bytes) = response.next_bytes().await {
             let Ok(bytes) = bytes else { return SendEnd::Broken };
             for event in reader.read(&bytes) {
                 if event.name.as_deref() == Some("error") {
@@ -278,38 +276,39 @@
         let path = format!("/services/{}{}", self.deployment.service, service_call.path);
         let mut request = self.request(call, service_call.method, &path);
         if !service_call.repeatable {
-            request = request.insert_header((names::IDEMPOTENCY_KEY, key));
+            request.headers.push((names::IDEMPOTENCY_KEY, key.to_owned()));
         }
-        let body = format!("{{\"order\":{}}}", call.number);
-        let Ok(mut response) = request.content_type("application/json").send_body(body).await
-        else {
+        request.body = Bytes::from(format!("{{\"order\":{}}}", call.number));
+        let Ok(response) = self.client.send(request).await else {
             return SendEnd::Broken;
         };
-        let head = AnswerHead::read(response.status(), response.headers());
-        let Ok(body) = response.body().limit(ERROR_BODY_LIMIT).await else {
+        let head = AnswerHead::read(response.status, &response.headers);
+        let is_success = response.status.is_success();
+        let Ok(body) = response.read_body(ERROR_BODY_LIMIT).await else {
             return SendEnd::Broken;
         };
         head.note_in(record);
-        if !response.status().is_success() {
+        if !is_success {
             return SendEnd::Final(head.refusal(&body, self.target));
         }
         let fault = head.service_fault(&self.request_id(call));
         SendEnd::Final(fault.map_or(Verdict::Whole, Verdict::Faulty))
     }
 
-    fn request(&self, call: &PlannedCall, method: &str, path: &str) -> ClientRequest {
+    fn request(&self, call: &PlannedCall, method: &'static str, path: &str) -> CallRequest {
         let turn = self.next.get();
         self.next.set((turn + 1) % self.addresses.len());
-        let url = format!("http://{}{path}", self.addresses[turn]);
-        let request = match method {
-            "GET" => self.client.get(url),
-            "PUT" => self.client.put(url),
-            _ => self.client.post(url),
-        };
-        request
-            .bearer_auth(&self.deployment.teams[call.team()].key)
-            .insert_header((names::REQUEST_ID, self.request_id(call)))
-            .content_type("application/json")
+        let key = &self.deployment.teams[call.team()].key;
+        CallRequest {
+            method,
+            url: format!("http://{}{path}", self.addresses[turn]),
+            headers: vec![
+                ("authorization", format!("Bearer {key}")),
+                (names::REQUEST_ID, self.request_id(call)),
+                ("content-type", "application/json".to_owned()),
+            ],
+            body: Bytes::new(),
+        }
     }
 
     fn request_id(&self, call: &PlannedCall) -> String {
