--- a/crates/config/examples/slopes.rs
+++ b/crates/config/examples/slopes.rs
@@ -99,36 +99,48 @@
     assert_eq!(timed.fold.version(), ConfigVersion(2 * PATCHES + 1));
     let refuse: Vec<f64> = (1..=PATCHES).map(|n| timed.apply(patch_data(n, patch(n)))).collect();
 
-    let mut write = Vec::new();
-    let mut pass = Vec::new();
-    let mut start = Vec::new();
-    let mut snapshot_bytes = 0;
-    for _ in 0..SNAPSHOTS {
-        let began = Instant::now();
-        let data = ConfigRecord::Snapshot(timed.fold.snapshot()).to_data();
-        write.push(micros(began));
-        snapshot_bytes = data.len();
-        let mut fresh = TimedFold { fold: ConfigFold::new(), next: timed.next };
-        fresh.fold.skip_to(LogOffset(timed.next));
-        pass.push(timed.apply(data.clone()));
-        // A start at this snapshot: it covers all that stands before it.
-        start.push(fresh.apply(data));
-        assert_eq!(fresh.fold.version(), timed.fold.version());
-    }
+    let snapshots = measure_snapshots(&mut timed);
     println!(
-        "{:>7} {:>8} {document_bytes:>12} {patch_bytes:>9} {:>10.1} {:>10.1} {:>11.1} {:>10.1} {snapshot_bytes:>12} {:>9.0} {:>8.0} {:>9.0} {memory:>8.1}",
+        "{:>7} {:>8} {document_bytes:>12} {patch_bytes:>9} {:>10.1} {:>10.1} {:>11.1} {:>10.1} {:>12} {:>9.0} {:>8.0} {:>9.0} {memory:>8.1}",
         size.teams,
         size.servers,
         median(replay),
         median(accept),
         median(publish),
         median(refuse),
-        median(write),
-        median(pass),
-        median(start),
+        snapshots.bytes,
+        median(snapshots.write),
+        median(snapshots.pass),
+        median(snapshots.start),
     );
 }
 
+/// Microseconds of each snapshot.
+#[derive(Default)]
+struct SnapshotTimes {
+    bytes: usize,
+    write: Vec<f64>,
+    pass: Vec<f64>,
+    start: Vec<f64>,
+}
+
+fn measure_snapshots(timed: &mut TimedFold) -> SnapshotTimes {
+    let mut times = SnapshotTimes::default();
+    for _ in 0..SNAPSHOTS {
+        let began = Instant::now();
+        let data = ConfigRecord::Snapshot(timed.fold.snapshot()).to_data();
+        times.write.push(micros(began));
+        times.bytes = data.len();
+        let mut fresh = TimedFold { fold: ConfigFold::new(), next: timed.next };
+        fresh.fold.skip_to(LogOffset(timed.next));
+        times.pass.push(timed.apply(data.clone()));
+        // A start at this snapshot: it covers all that stands before it.
+        times.start.push(fresh.apply(data));
+        assert_eq!(fresh.fold.version(), timed.fold.version());
+    }
+    times
+}
+
 fn patch_data(base: u64, patch: Value) -> String {
     let record = PatchRecord {
         id: format!("0197c0de-0000-7000-8000-{base:012}"),
