--- a/crates/placement/benches/choice.rs
+++ b/crates/placement/benches/choice.rs
@@ -30,6 +30,9 @@
 
 const SIZES: [usize; 3] = [12, 1_200, 12_000];
 const WEIGHTS: ClassWeights = ClassWeights { priority: 0, ttft: 1.0, recompute: 0.1 };
+/// Groups for each server, and prompts of each group.
+const GROUPS: usize = 2;
+const PROMPTS: usize = 4;
 /// Groups in a router's report of its demand.
 const REPORTED: usize = 256;
 
@@ -43,11 +46,16 @@
     FleetView::new(conf, (0..servers).map(server).collect())
 }
 
-fn chain(group: usize, record: usize) -> PromptChain {
+/// Prompts of 3,000 tokens, in an order in which neighbours have nothing in common.
+fn chains(servers: usize) -> Vec<PromptChain> {
     let scope = PromptScope::from_text("team/m/".to_owned(), WeightsVersion(1));
-    let (tenant, service) = ("tenant.".repeat(300), format!("service {group:06}").repeat(300));
-    let record = format!("record {record:06}").repeat(500);
-    PromptChain::new(&scope, &[&tenant, &service, &record, "What is it?"])
+    let tenant = "tenant.".repeat(300);
+    let chain = |number: usize| {
+        let service = format!("service {:06}", number % (GROUPS * servers)).repeat(300);
+        let record = format!("record {number:06}").repeat(500);
+        PromptChain::new(&scope, &[&tenant, &service, &record, "What is it?"])
+    };
+    (0..GROUPS * PROMPTS * servers).map(chain).collect()
 }
 
 fn reply(choice: &Choice) -> ReplyFacts {
@@ -61,13 +69,14 @@
     }
 }
 
-/// A placer that has served requests of 40 groups, and a view with the plan that came of it.
+/// A placer that has served each prompt, and a view with the plan that came of it.
 fn warm_placer(servers: usize, chains: &[PromptChain]) -> (Placer, FleetView) {
     let conf = PlacementConf::default();
     let placer = Placer::new(conf.clone());
     let view = view(&conf, servers);
-    for turn in 0..10 * chains.len() {
-        serve(&placer, &view, &chains[turn % chains.len()], turn as u64);
+    for turn in 0..4 * chains.len() {
+        let now_ms = (turn * 1_000 / chains.len()) as u64;
+        serve(&placer, &view, &chains[turn % chains.len()], now_ms);
     }
     let mut maker = PlanMaker::new(&conf);
     maker.hear(&HostName::new("host"), placer.demand(REPORTED, 5_000), 5_000);
@@ -84,10 +93,10 @@
 }
 
 fn bench_choices(criterion: &mut Criterion) {
-    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 40, number)).collect();
     for policy in PolicyKind::ALL {
         let mut group = criterion.benchmark_group(format!("choose/{}", policy.name()));
         for servers in SIZES {
+            let chains = chains(servers);
             let (placer, view) = warm_placer(servers, &chains);
             let id = BenchmarkId::from_parameter(servers);
             group.bench_function(id, |bencher| choose(bencher, &placer, &view, policy, &chains));
@@ -95,6 +104,7 @@
     }
     let mut group = criterion.benchmark_group("choose/cost without a plan");
     for servers in SIZES {
+        let chains = chains(servers);
         let (placer, _) = warm_placer(servers, &chains);
         let view = view(placer.conf(), servers);
         let id = BenchmarkId::from_parameter(servers);
@@ -120,9 +130,9 @@
 }
 
 fn bench_feedback(criterion: &mut Criterion) {
-    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 40, number)).collect();
     let mut group = criterion.benchmark_group("choose and feedback");
     for servers in SIZES {
+        let chains = chains(servers);
         let (placer, view) = warm_placer(servers, &chains);
         let mut turn = 0;
         group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
@@ -150,11 +160,10 @@
 
 fn bench_control(criterion: &mut Criterion) {
     let conf = PlacementConf::default();
-    let chains: Vec<PromptChain> = (0..1_000).map(|number| chain(number % 100, number)).collect();
     let mut group = criterion.benchmark_group("control");
     group.sample_size(10);
     for servers in SIZES {
-        let (placer, warm_view) = warm_placer(servers, &chains);
+        let (placer, warm_view) = warm_placer(servers, &chains(servers));
         let report = Arc::new(placer.demand(REPORTED, 5_000));
         group.bench_function(BenchmarkId::new("plan step", servers), |bencher| {
             bencher.iter(|| {
--- a/crates/placement/src/fleet_view.rs
+++ b/crates/placement/src/fleet_view.rs
@@ -85,8 +85,8 @@
         for spread in &plan.spreads {
             let start = table.shares.len();
             for share in &spread.shares {
-                if let Some(index) = self.servers.servers.get_index_of(&share.server) {
-                    table.shares.push((index as u32, share.share));
+                if let Some(index) = self.named(&share.server) {
+                    table.shares.push((index, share.share));
                 }
             }
             if start < table.shares.len() {
@@ -128,6 +128,10 @@
         Some(by_id[place].1)
     }
 
+    pub(crate) fn named(&self, name: &ServerName) -> Option<u32> {
+        self.servers.servers.get_index_of(name).map(|index| index as u32)
+    }
+
     pub(crate) fn near(&self) -> &[u32] {
         &self.servers.near
     }
--- a/crates/placement/src/placement_conf.rs
+++ b/crates/placement/src/placement_conf.rs
@@ -34,7 +34,7 @@
             request_tokens: 250.0,
             demand_window_ms: 5_000.0,
             width_factor: 1.5,
-            least_width: f64::INFINITY,
+            least_width: 12.0,
             hot_factor: 3.0,
             recompute_price: 30.0,
             detour_share: 0.2,
--- a/crates/placement/src/plan_draft.rs
+++ b/crates/placement/src/plan_draft.rs
@@ -7,6 +7,7 @@
 use crate::PrefixSpread;
 use crate::ServerShare;
 use crate::SpreadPlan;
+use crate::server_list::MAX_LISTED;
 
 /// A group is planned from this part of a server's mean load on, and left out again below a fifth
 /// of it. Smaller ones lie where the hash puts them.
@@ -122,8 +123,9 @@
     fn shares_so_far(&self, plan: &SpreadPlan, group: PromptHash) -> Vec<(u32, f64)> {
         let mut shares = Vec::new();
         for share in plan.spread(group).map_or(&[][..], |spread| &spread.shares) {
-            let index = self.view.near().iter().find(|i| *self.view.at(**i).name() == share.server);
-            shares.extend(index.map(|index| (*index, share.share)));
+            let index = self.view.named(&share.server);
+            let near = index.filter(|index| self.load(*index).is_finite());
+            shares.extend(near.map(|index| (index, share.share)));
         }
         if shares.is_empty() {
             shares.extend(self.view.ring().first(group.0).map(|index| (index, 1.0)));
@@ -141,11 +143,15 @@
         self.loads[index as usize]
     }
 
-    /// The servers with the least load, least first.
-    fn idlest(&self) -> Vec<u32> {
+    /// So many servers with the least load, least first.
+    fn idlest(&self, wanted: usize) -> Vec<u32> {
         let mut near = self.view.near().to_vec();
-        near.sort_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
-        near.truncate(IDLE);
+        let order = |a: &u32, b: &u32| self.load(*a).total_cmp(&self.load(*b)).then(a.cmp(b));
+        if wanted < near.len() {
+            near.select_nth_unstable_by(wanted, order);
+            near.truncate(wanted);
+        }
+        near.sort_unstable_by(order);
         near
     }
 
@@ -180,15 +186,15 @@
         if let Some(index) = wanted.iter().find(|index| load <= room(**index)) {
             return vec![(*index, 1.0)];
         }
-        let mut idle = self.view.near().to_vec();
-        idle.sort_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
+        let idle = self.idlest(MAX_LISTED.min((load / full) as usize + IDLE));
         let least = (LEAST_SHARE * load).min(LEAST_ROOM * full);
         let mut rest = load;
         let mut shares: Vec<(u32, f64)> = Vec::new();
         for index in wanted.iter().chain(&idle).copied() {
             let part = rest.min(room(index));
             let is_listed = shares.iter().any(|(listed, _)| *listed == index);
-            if is_listed || (part < least && part < rest) || part <= 0.0 {
+            let is_full = shares.len() == MAX_LISTED;
+            if is_full || is_listed || (part < least && part < rest) || part <= 0.0 {
                 continue;
             }
             shares.push((index, part / load));
@@ -213,7 +219,7 @@
     }
 
     fn best_move(&self, from: u32) -> Option<GroupMove> {
-        let idlest = self.idlest();
+        let idlest = self.idlest(IDLE);
         let mut best: Option<GroupMove> = None;
         for (group, draft) in &self.groups {
             let Some((_, share)) = draft.shares.iter().find(|(index, _)| *index == from) else {
