Give back a claim whose caller has left

Ruled out: a fault of the recorder alone (the win did belong to a call that had ended); keeping the hand-over with the older beginning written into the ticket (more to explain for two appends saved in a rare case). Change: such a claim is released; the waiting try claims anew. A ticket's life is at most half the time for releases. Conclusion: one claim, one caller.

--- a/crates/ledger/src/desk_settings.rs
+++ b/crates/ledger/src/desk_settings.rs
@@ -63,6 +63,7 @@
 }
 
 const MINUTE_MS: u64 = 60_000;
+const LONGEST_TICKET: Duration = Duration::from_secs(10);
 const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 
 impl DeskSettings {
@@ -71,17 +72,19 @@
         let retention_ms = retention.as_millis() as u64;
         let remember_ms = (retention_ms / 5 * 4).min(DAY_MS);
         let ahead_ms = (retention_ms / 20).min(5 * MINUTE_MS);
+        let release_ms = (retention_ms / 10).min(2 * MINUTE_MS);
         DeskSettings {
             retention_ms,
             memory: MemoryRule {
                 remember_ms,
                 ahead_ms,
                 opaque_ms: DAY_MS.max(remember_ms + ahead_ms),
-                release_ms: (retention_ms / 10).min(2 * MINUTE_MS) as u32,
+                release_ms: release_ms as u32,
             },
             renew_after_ms: retention_ms / 2,
             pending_ms: MINUTE_MS,
-            ticket_life: Duration::from_secs(10),
+            // A ticket that runs out unsent has to be released in time.
+            ticket_life: Duration::from_millis(release_ms / 2).min(LONGEST_TICKET),
             append_patience: Duration::from_secs(1),
             outcome_linger: Duration::from_millis(100),
             appends_per_s: 20,
--- a/crates/ledger/src/shard_desk.rs
+++ b/crates/ledger/src/shard_desk.rs
@@ -299,12 +299,13 @@
         }
     }
 
-    /// Hands a won claim to whoever waits for it; gives it back if nobody does.
+    /// Hands a won claim to the caller it was made for; gives it back if that one has left. It is not handed to another try of
+    /// the call: that one may have begun after others were told that the key is claimed, and would then win it unreleased.
     fn grant(&mut self, claim: OwnClaim, now: Instant) {
-        let NewClaim { key, print, number, .. } = claim.entry;
+        let NewClaim { key, number, .. } = claim.entry;
         // A process that was frozen finds callers whose time is over: to send for them would be to send late.
         let waiting = claim.call.filter(|call| now < call.deadline && !call.reply.is_closed());
-        let Some(call) = waiting.or_else(|| self.next_waiter(key, print, now)) else {
+        let Some(call) = waiting else {
             return self.release(key, number, now);
         };
         self.stats.wins += 1;
--- a/crates/ledger/src/shard_desk/wait_side.rs
+++ b/crates/ledger/src/shard_desk/wait_side.rs
@@ -7,12 +7,10 @@
 use super::ShardDesk;
 use super::answer;
 use crate::CallOutcome;
-use crate::ClaimCall;
 use crate::ClaimVerdict;
 use crate::KeyHash;
 use crate::KeyView;
 use crate::KnownKey;
-use crate::RequestPrint;
 
 impl ShardDesk {
     /// Gives up the wait for a claim. One that may have landed stays known, and is released if it is found to have won.
@@ -90,19 +88,6 @@
         }
     }
 
-    pub(super) fn next_waiter(
-        &mut self,
-        key: KeyHash,
-        print: RequestPrint,
-        now: Instant,
-    ) -> Option<ClaimCall> {
-        let calls = self.waiters.get_mut(&key)?;
-        let index = calls.iter().position(|call| {
-            call.print == print && now < call.deadline && !call.reply.is_closed()
-        })?;
-        Some(calls.swap_remove(index))
-    }
-
     pub(super) fn settle_key(&mut self, key: KeyHash, outcome: &CallOutcome) {
         for call in self.waiters.swap_remove(&key).unwrap_or_default() {
             let verdict = match (self.book.view(key, call.print), outcome) {
--- a/crates/ledger/tests/desk/single_faults.rs
+++ b/crates/ledger/tests/desk/single_faults.rs
@@ -65,6 +65,25 @@
     assert!(entries(&bench.append()).iter().all(is_release));
 }
 
+#[test]
+fn a_claim_whose_caller_has_left_is_given_back() {
+    // A caller leaves while its claim is appended, and another try of the call waits for the same key. The claim belongs to a
+    // call that others were told of as busy before this try began, so it isn't handed on: the try gets a claim of its own.
+    let mut bench = DeskBench::new(settings());
+    let first = bench.claim("a");
+    let group = bench.append();
+    drop(first);
+    let mut second = bench.claim("a");
+    bench.land(&group);
+    bench.read();
+    bench.pass(200);
+    assert!(second.try_recv().is_err());
+    assert!(entries(&bench.settle()).iter().all(is_release));
+    bench.settle();
+    let ClaimVerdict::Won(ticket) = told(second) else { panic!("not won") };
+    assert_eq!(ticket.number(), 2);
+}
+
 #[test]
 fn an_expired_ticket_is_not_sent_but_released() {
     let mut bench = DeskBench::new(settings());
