--- a/crates/load/src/commands/report_table.rs
+++ b/crates/load/src/commands/report_table.rs
@@ -50,7 +50,8 @@
     for (fault, count) in &report.faults {
         add(&format!("FAULT {fault:?}"), count.to_string());
     }
-    format!("{counts}\n\nTimes in milliseconds:\n{latency}")
+    let examples: String = report.examples.iter().map(|example| format!("\n{example}")).collect();
+    format!("{counts}{examples}\n\nTimes in milliseconds:\n{latency}")
 }
 
 fn latency_row(name: &str, figures: &LatencyFigures) -> Vec<String> {
--- a/crates/load/src/figures/run_report.rs
+++ b/crates/load/src/figures/run_report.rs
@@ -16,6 +16,8 @@
 use crate::calls::CallRecord;
 use crate::calls::Verdict;
 
+const MAX_EXAMPLES: usize = 20;
+
 /// What a report is about.
 pub struct ReportScope<'a> {
     /// The deployment that was called.
@@ -55,6 +57,8 @@
     pub codes: BTreeMap<String, usize>,
     /// What must never happen, counted.
     pub faults: BTreeMap<AnswerFault, usize>,
+    /// The first few of them, for whoever looks for the cause.
+    pub examples: Vec<String>,
     /// Calls that were sent again or resumed after a broken connection.
     pub tried_again: usize,
     /// Times by class.
@@ -99,6 +103,12 @@
                 Verdict::Faulty(fault) => Some(fault),
                 _ => None,
             })),
+            examples: records
+                .iter()
+                .filter(|record| matches!(record.verdict, Verdict::Faulty(_)))
+                .take(MAX_EXAMPLES)
+                .map(example)
+                .collect(),
             tried_again: measured.iter().filter(|record| 0 < record.tries_again).count(),
             classes,
             teams: by_name(prompts(), |record| {
@@ -113,6 +123,14 @@
     }
 }
 
+fn example(record: &CallRecord) -> String {
+    let CallRecord { number, at, verdict, server, error, disposition, key, .. } = record;
+    let at = at.as_secs_f64();
+    let answer = format!("{disposition:?}, error {error:?}, server {server:?}");
+    let tokens = format!("{} cached of {}", record.cached_tokens, record.prompt_tokens);
+    format!("call {number} at {at:.3} s: {verdict:?}; {answer}; {tokens}; {key:?}")
+}
+
 fn counted<T: Ord>(items: impl Iterator<Item = T>) -> BTreeMap<T, usize> {
     let mut counts = BTreeMap::new();
     for item in items {
--- a/crates/load/tests/figures.rs
+++ b/crates/load/tests/figures.rs
@@ -162,6 +162,7 @@
         case("cached tokens that nobody sent", &[(1, 0, 1)], 0, 1),
         case("cached tokens of a record that nobody sent", &[(1, 0, 0), (2, 100, 7)], 0, 1),
         case("cached tokens of a later prompt", &[(1, 0, 7), (1, 100, 7)], 0, 1),
+        case("cached own tokens of a failed attempt", &[(1, 0, 8)], 0, 0),
         case("cached tokens of a prompt on its way", &[(1, 0, 0), (1, 40, 7)], 0, 0),
     ];
     cases.iter().for_each(JudgeCase::check);
