Look for content only in chunks that are not the next token

Cause: to tell closing chunks, the content of each token's chunk was judged, which made the guard dearer. Ruled out: reading the content by visitors in the hot path (kept so far). Change: an event with the index that is due is a token, whatever it holds; only the others have their content read, by plain derived types.

--- a/crates/relay/src/chunk_head.rs
+++ b/crates/relay/src/chunk_head.rs
@@ -16,35 +16,20 @@
 pub(crate) struct ChunkHead<'a> {
     /// The id's text with its quotes.
     pub(crate) id: Option<&'a RawValue>,
-    pub(crate) choices: ChoicesHead,
+    pub(crate) choices: ChoiceState,
     pub(crate) error: ErrorState,
 }
 
-/// What the choices of a chunk say together.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ChoicesHead {
-    pub(crate) content: ContentState,
-    pub(crate) finish: FinishState,
-}
-
-/// What there is for the caller to read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum ContentState {
-    /// There are no choices: a chunk with the usage only.
-    #[default]
-    Absent,
-    /// Choices without content: a role, or the reason for finishing.
-    Empty,
-    /// Content.
-    Present,
-}
-
-/// Whether a choice gives a reason for finishing.
+/// What a chunk's choices say.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum FinishState {
+pub(crate) enum ChoiceState {
+    /// There are none: a chunk with the usage only.
     #[default]
     Absent,
-    Given,
+    /// At least one, and none finishes.
+    Going,
+    /// At least one gives a reason for finishing.
+    Finished,
 }
 
 /// Whether the chunk is an error object.
@@ -76,16 +61,6 @@
 #[serde(field_identifier, rename_all = "snake_case")]
 enum ChoiceKey {
     FinishReason,
-    Text,
-    Delta,
-    #[serde(other)]
-    Other,
-}
-
-#[derive(Deserialize)]
-#[serde(field_identifier, rename_all = "snake_case")]
-enum DeltaKey {
-    Role,
     #[serde(other)]
     Other,
 }
@@ -128,8 +103,8 @@
     }
 }
 
-impl<'de> Deserialize<'de> for ChoicesHead {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChoicesHead, D::Error> {
+impl<'de> Deserialize<'de> for ChoiceState {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ChoiceState, D::Error> {
         deserializer.deserialize_seq(ChoicesVisitor)
     }
 }
@@ -137,25 +112,23 @@
 struct ChoicesVisitor;
 
 impl<'de> Visitor<'de> for ChoicesVisitor {
-    type Value = ChoicesHead;
+    type Value = ChoiceState;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("a list of choices")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<ChoicesHead, A::Error> {
-        let mut choices = ChoicesHead::default();
-        while let Some(ChoiceHead { content, finish }) = seq.next_element()? {
-            choices.content = choices.content.max(content);
-            choices.finish = choices.finish.max(finish);
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<ChoiceState, A::Error> {
+        let mut choices = ChoiceState::Absent;
+        while let Some(ChoiceHead { state }) = seq.next_element()? {
+            choices = choices.max(state);
         }
         Ok(choices)
     }
 }
 
 struct ChoiceHead {
-    content: ContentState,
-    finish: FinishState,
+    state: ChoiceState,
 }
 
 impl<'de> Deserialize<'de> for ChoiceHead {
@@ -174,18 +147,12 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<ChoiceHead, A::Error> {
-        let mut choice = ChoiceHead { content: ContentState::Empty, finish: FinishState::Absent };
+        let mut state = ChoiceState::Going;
         while let Some(key) = map.next_key()? {
             match key {
                 ChoiceKey::FinishReason => {
                     if map.next_value::<Option<IgnoredAny>>()?.is_some() {
-                        choice.finish = FinishState::Given;
-                    }
-                }
-                ChoiceKey::Text => choice.content = content_of(map.next_value()?),
-                ChoiceKey::Delta => {
-                    if let Some(DeltaHead { content }) = map.next_value()? {
-                        choice.content = content;
+                        state = ChoiceState::Finished;
                     }
                 }
                 ChoiceKey::Other => {
@@ -193,47 +160,6 @@
                 }
             }
         }
-        Ok(choice)
-    }
-}
-
-struct DeltaHead {
-    content: ContentState,
-}
-
-impl<'de> Deserialize<'de> for DeltaHead {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<DeltaHead, D::Error> {
-        deserializer.deserialize_map(DeltaVisitor)
-    }
-}
-
-/// Whatever a delta holds besides the role is content: text, tool calls, reasoning.
-struct DeltaVisitor;
-
-impl<'de> Visitor<'de> for DeltaVisitor {
-    type Value = DeltaHead;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a delta")
-    }
-
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<DeltaHead, A::Error> {
-        let mut content = ContentState::Empty;
-        while let Some(key) = map.next_key()? {
-            match key {
-                DeltaKey::Role => {
-                    map.next_value::<IgnoredAny>()?;
-                }
-                DeltaKey::Other => content = content.max(content_of(map.next_value()?)),
-            }
-        }
-        Ok(DeltaHead { content })
-    }
-}
-
-fn content_of(value: &RawValue) -> ContentState {
-    match value.get() {
-        "null" | r#""""# | "[]" | "{}" => ContentState::Empty,
-        _ => ContentState::Present,
+        Ok(ChoiceHead { state })
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt_stream;
 mod caller_buffer;
+mod chunk_content;
 mod chunk_head;
 mod chunk_writer;
 mod error_body;
--- a/crates/relay/src/stream_guard.rs
+++ b/crates/relay/src/stream_guard.rs
@@ -7,11 +7,10 @@
 use crate::StreamPlace;
 use crate::StreamRest;
 use crate::UsageChunk;
-use crate::chunk_head::ChoicesHead;
+use crate::chunk_content::is_empty_chunk;
+use crate::chunk_head::ChoiceState;
 use crate::chunk_head::ChunkHead;
-use crate::chunk_head::ContentState;
 use crate::chunk_head::ErrorState;
-use crate::chunk_head::FinishState;
 use crate::event_reader::UNNAMED;
 
 /// Data of the event that ends a stream.
@@ -119,22 +118,22 @@
             return Err(StreamFault::ServerError);
         }
         let id_span = self.check_id(&event.data, &head)?;
-        let ChoicesHead { content, finish } = head.choices;
-        match content {
-            ContentState::Absent => {
-                self.pass_extra();
-                Ok(PassedEvent::Extra { id_span })
-            }
-            ContentState::Empty if self.adds_no_token(event) => {
-                Ok(self.pass_empty(finish, id_span))
-            }
-            ContentState::Empty | ContentState::Present => {
-                self.place = self.check_index(event)?;
-                if finish == FinishState::Given {
-                    self.place = self.place.finished();
+        if head.choices == ChoiceState::Absent {
+            self.pass_extra();
+            return Ok(PassedEvent::Extra { id_span });
+        }
+        match self.check_index(event) {
+            Ok(place) => {
+                self.place = place;
+                if head.choices == ChoiceState::Finished {
+                    self.place = place.finished();
                 }
                 Ok(PassedEvent::Token { id_span })
             }
+            Err(_) if self.adds_no_token(event) && is_empty_chunk(&event.data) => {
+                Ok(self.pass_empty(head.choices, id_span))
+            }
+            Err(fault) => Err(fault),
         }
     }
 
@@ -154,15 +153,15 @@
 
     /// Some engines begin with a chunk that gives only the role and end with one that gives only the
     /// reason for finishing. A resumed stream would bring them a second time.
-    fn pass_empty(&mut self, finish: FinishState, id_span: Range<usize>) -> PassedEvent {
-        match finish {
-            FinishState::Absent if self.place.next_index() == 0 => PassedEvent::Preface { id_span },
-            FinishState::Given if !self.start.is_finished() => {
-                self.place = self.place.finished();
-                PassedEvent::Closing { id_span }
-            }
-            FinishState::Absent | FinishState::Given => PassedEvent::Skipped,
+    fn pass_empty(&mut self, choices: ChoiceState, id_span: Range<usize>) -> PassedEvent {
+        if choices == ChoiceState::Finished && !self.start.is_finished() {
+            self.place = self.place.finished();
+            return PassedEvent::Closing { id_span };
+        }
+        if choices == ChoiceState::Going && self.place.next_index() == 0 {
+            return PassedEvent::Preface { id_span };
         }
+        PassedEvent::Skipped
     }
 
     /// An engine that gives up in the middle may still close its stream in good form. The caller
--- a/crates/relay/tests/stream_order.rs
+++ b/crates/relay/tests/stream_order.rs
@@ -149,6 +149,20 @@
             Ok(StreamState::Done),
             TOKENS,
         ),
+        (
+            "the first of two choices finishes",
+            0,
+            whole(ATTEMPT, 0).replace("}]}", "},{\"finish_reason\":null}]}"),
+            Ok(StreamState::Done),
+            TOKENS,
+        ),
+        (
+            "a choice goes on after another one finished",
+            0,
+            first.replace("null", "\"stop\"") + &token(ATTEMPT, 1) + DONE,
+            Err(StreamFault::Unfinished),
+            2,
+        ),
     ];
     for (name, from, body, end, passed) in cases {
         check(&FaultCase { name, from, body, end, passed });
