--- a/crates/relay/benches/streams.rs
+++ b/crates/relay/benches/streams.rs
@@ -5,11 +5,13 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use criterion::BenchmarkGroup;
 use criterion::BenchmarkId;
 use criterion::Criterion;
 use criterion::Throughput;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use criterion::measurement::WallTime;
 use fulmargate_names::Incarnation;
 use fulmargate_names::RequestId;
 use fulmargate_names::TeamName;
@@ -71,15 +73,22 @@
 
 fn bench_relay(criterion: &mut Criterion) {
     let chunks: Vec<Bytes> = (0..TOKENS).map(token_event).collect();
-    let binding = binding(b"{}");
-    let writer = || ChunkWriter::new(&RequestId::new(REQUEST), minter(&binding));
-    let guard = || StreamGuard::new(ATTEMPT, StreamPlace::default(), UsageChunk::NotAsked);
     let mut group = criterion.benchmark_group("token");
     group.throughput(Throughput::Elements(u64::from(TOKENS)));
+    bench_reading(&mut group, &chunks);
+    bench_writing(&mut group, &chunks);
+    group.finish();
+}
+
+fn guard() -> StreamGuard {
+    StreamGuard::new(ATTEMPT, StreamPlace::default(), UsageChunk::NotAsked)
+}
+
+fn bench_reading(group: &mut BenchmarkGroup<'_, WallTime>, chunks: &[Bytes]) {
     group.bench_function("copy", |bencher| {
         bencher.iter(|| {
             let mut out = BytesMut::new();
-            for chunk in &chunks {
+            for chunk in chunks {
                 out.clear();
                 out.extend_from_slice(black_box(chunk));
             }
@@ -88,14 +97,14 @@
     });
     group.bench_function("read", |bencher| {
         bencher.iter(|| {
-            read_all(&chunks, |event| {
+            read_all(chunks, |event| {
                 black_box(event);
             });
         });
     });
     group.bench_function("read, parse whole", |bencher| {
         bencher.iter(|| {
-            read_all(&chunks, |event| {
+            read_all(chunks, |event| {
                 let value: serde_json::Value = serde_json::from_str(&event.data).expect("JSON");
                 drop(black_box(value));
             });
@@ -104,13 +113,18 @@
     group.bench_function("read, guard", |bencher| {
         bencher.iter(|| {
             let mut guard = guard();
-            read_all(&chunks, |event| drop(black_box(guard.pass(event))));
+            read_all(chunks, |event| drop(black_box(guard.pass(event))));
         });
     });
+}
+
+fn bench_writing(group: &mut BenchmarkGroup<'_, WallTime>, chunks: &[Bytes]) {
+    let binding = binding(b"{}");
+    let writer = || ChunkWriter::new(&RequestId::new(REQUEST), minter(&binding));
     group.bench_function("read, guard, rewrite id", |bencher| {
         bencher.iter(|| {
             let (mut guard, writer, mut out) = (guard(), writer(), BytesMut::new());
-            read_all(&chunks, |event| {
+            read_all(chunks, |event| {
                 out.clear();
                 if let Ok(PassedEvent::Token { id_span }) = guard.pass(event) {
                     writer.write_extra(&event.data, id_span, &mut out);
@@ -125,14 +139,13 @@
             let mut stream =
                 AttemptStream::new(LIMIT, ATTEMPT, start, UsageChunk::NotAsked, writer());
             let mut out = BytesMut::new();
-            for chunk in &chunks {
+            for chunk in chunks {
                 out.clear();
                 stream.feed(chunk.clone(), &mut out).expect("in order");
             }
             out
         });
     });
-    group.finish();
 }
 
 fn bench_tokens(criterion: &mut Criterion) {
--- a/crates/relay/tests/caller_buffers.rs
+++ b/crates/relay/tests/caller_buffers.rs
@@ -48,40 +48,16 @@
 
 #[test]
 fn a_caller_is_waited_for_within_bounds() {
+    #[rustfmt::skip]
     let cases = [
         ("keeps up", vec![(1, Add(99), Read), (2, Take(99), Read), (9, Add(99), Read)], None),
         ("full", vec![(5, Add(100), Wait)], Some(1005)),
-        (
-            "stays full until half is taken",
-            vec![(5, Add(120), Wait), (6, Take(69), Wait), (7, Take(1), Read)],
-            None,
-        ),
-        (
-            "stopped",
-            vec![(5, Add(100), Wait), (1004, Nothing, Wait), (1005, Nothing, LetGo)],
-            Some(1005),
-        ),
+        ("stays full until half is taken", vec![(5, Add(120), Wait), (6, Take(69), Wait), (7, Take(1), Read)], None),
+        ("stopped", vec![(5, Add(100), Wait), (1004, Nothing, Wait), (1005, Nothing, LetGo)], Some(1005)),
         ("taken too late", vec![(5, Add(100), Wait), (1005, Take(100), LetGo)], Some(1005)),
-        (
-            "drains",
-            vec![
-                (5, Add(100), Wait),
-                (1005, Close, Drain),
-                (1504, Take(10), Drain),
-                (1505, Nothing, CutOff),
-            ],
-            Some(1505),
-        ),
-        (
-            "waits add up",
-            vec![(0, Add(100), Wait), (900, Take(100), Read), (900, Add(100), Wait)],
-            Some(1000),
-        ),
-        (
-            "keeping up is credited",
-            vec![(0, Add(100), Wait), (900, Take(100), Read), (4900, Add(100), Wait)],
-            Some(5400),
-        ),
+        ("drains", vec![(5, Add(100), Wait), (1005, Close, Drain), (1504, Take(10), Drain), (1505, Nothing, CutOff)], Some(1505)),
+        ("waits add up", vec![(0, Add(100), Wait), (900, Take(100), Read), (900, Add(100), Wait)], Some(1000)),
+        ("keeping up is credited", vec![(0, Add(100), Wait), (900, Take(100), Read), (4900, Add(100), Wait)], Some(5400)),
         ("credit is bounded", vec![(99_000, Add(100), Wait)], Some(100_000)),
     ];
     for (name, acts, wake_at) in cases {
--- a/crates/relay/tests/reply_identities.rs
+++ b/crates/relay/tests/reply_identities.rs
@@ -33,72 +33,23 @@
 fn only_the_own_answer_passes() {
     let v3 = WeightsVersion(3);
     let v4 = WeightsVersion(4);
+    #[rustfmt::skip]
     let cases = [
         ("own", Exactly(v3), OWN, Ok(ReplyNews::AsKnown)),
         ("own, newer weights", AtLeast(WeightsVersion(2)), OWN, Ok(ReplyNews::AsKnown)),
         ("plain service", Absent, ReplyIdentity { weights: None, ..OWN }, Ok(ReplyNews::AsKnown)),
-        (
-            "restarted",
-            Exactly(v3),
-            ReplyIdentity { incarnation: Some(Incarnation(6)), ..OWN },
-            Ok(ReplyNews::Restarted(Incarnation(6))),
-        ),
-        (
-            "late",
-            Exactly(v3),
-            ReplyIdentity { attempt_id: Some("request.1"), ..OWN },
-            Err(IdentityFault::Crossed),
-        ),
-        (
-            "other server",
-            Exactly(v3),
-            ReplyIdentity { server: Some("brescia-est-2"), ..OWN },
-            Err(IdentityFault::OtherServer),
-        ),
-        (
-            "dead incarnation",
-            Exactly(v3),
-            ReplyIdentity { incarnation: Some(Incarnation(4)), ..OWN },
-            Err(IdentityFault::OlderIncarnation),
-        ),
+        ("restarted", Exactly(v3), ReplyIdentity { incarnation: Some(Incarnation(6)), ..OWN }, Ok(ReplyNews::Restarted(Incarnation(6)))),
+        ("late", Exactly(v3), ReplyIdentity { attempt_id: Some("request.1"), ..OWN }, Err(IdentityFault::Crossed)),
+        ("other server", Exactly(v3), ReplyIdentity { server: Some("brescia-est-2"), ..OWN }, Err(IdentityFault::OtherServer)),
+        ("dead incarnation", Exactly(v3), ReplyIdentity { incarnation: Some(Incarnation(4)), ..OWN }, Err(IdentityFault::OlderIncarnation)),
         ("older weights", AtLeast(v4), OWN, Err(IdentityFault::OtherWeights)),
         ("older weights than the stream's", Exactly(v4), OWN, Err(IdentityFault::OtherWeights)),
-        (
-            "newer weights than the stream's",
-            Exactly(WeightsVersion(2)),
-            OWN,
-            Err(IdentityFault::OtherWeights),
-        ),
-        (
-            "no id",
-            Absent,
-            ReplyIdentity { attempt_id: None, ..OWN },
-            Err(IdentityFault::Unidentified),
-        ),
-        (
-            "no server",
-            Absent,
-            ReplyIdentity { server: None, ..OWN },
-            Err(IdentityFault::Unidentified),
-        ),
-        (
-            "no incarnation",
-            Absent,
-            ReplyIdentity { incarnation: None, ..OWN },
-            Err(IdentityFault::Unidentified),
-        ),
-        (
-            "no weights",
-            Exactly(v3),
-            ReplyIdentity { weights: None, ..OWN },
-            Err(IdentityFault::Unidentified),
-        ),
-        (
-            "no weights at all",
-            AtLeast(v3),
-            ReplyIdentity { weights: None, ..OWN },
-            Err(IdentityFault::Unidentified),
-        ),
+        ("newer weights than the stream's", Exactly(WeightsVersion(2)), OWN, Err(IdentityFault::OtherWeights)),
+        ("no id", Absent, ReplyIdentity { attempt_id: None, ..OWN }, Err(IdentityFault::Unidentified)),
+        ("no server", Absent, ReplyIdentity { server: None, ..OWN }, Err(IdentityFault::Unidentified)),
+        ("no incarnation", Absent, ReplyIdentity { incarnation: None, ..OWN }, Err(IdentityFault::Unidentified)),
+        ("no weights", Exactly(v3), ReplyIdentity { weights: None, ..OWN }, Err(IdentityFault::Unidentified)),
+        ("no weights at all", AtLeast(v3), ReplyIdentity { weights: None, ..OWN }, Err(IdentityFault::Unidentified)),
     ];
     for (name, weights, reply, verdict) in cases {
         let case = IdentityCase { name, weights, reply, verdict };
--- a/crates/relay/tests/resume_plans.rs
+++ b/crates/relay/tests/resume_plans.rs
@@ -54,59 +54,24 @@
 #[test]
 fn a_break_is_mended_or_ended() {
     let usual = facts(Part, Cut, Alive, InReach);
+    #[rustfmt::skip]
     let cases = [
         ("cut", usual, ResumeStep::ResumeSame),
         ("cut, alone", facts(Part, Cut, Alive, Gone), ResumeStep::ResumeSame),
-        (
-            "cut twice without a token",
-            StreamBreak { idle_attempts: 2, ..usual },
-            ResumeStep::ResumeElsewhere,
-        ),
-        (
-            "cut twice, alone",
-            StreamBreak { idle_attempts: 2, ..facts(Part, Cut, Alive, Gone) },
-            ResumeStep::ResumeSame,
-        ),
+        ("cut twice without a token", StreamBreak { idle_attempts: 2, ..usual }, ResumeStep::ResumeElsewhere),
+        ("cut twice, alone", StreamBreak { idle_attempts: 2, ..facts(Part, Cut, Alive, Gone) }, ResumeStep::ResumeSame),
         ("fault", facts(Part, Fault, Alive, InReach), ResumeStep::ResumeElsewhere),
-        (
-            "fault, others out of reach",
-            facts(Part, Fault, Alive, OutOfReach),
-            ResumeStep::ResumeSame,
-        ),
+        ("fault, others out of reach", facts(Part, Fault, Alive, OutOfReach), ResumeStep::ResumeSame),
         ("server gone", facts(Part, Cut, Unusable, InReach), ResumeStep::ResumeElsewhere),
-        (
-            "all out of reach",
-            facts(Part, Cut, Unusable, OutOfReach),
-            ResumeStep::End(EndReason::OutOfReach),
-        ),
+        ("all out of reach", facts(Part, Cut, Unusable, OutOfReach), ResumeStep::End(EndReason::OutOfReach)),
         ("weights gone", facts(Part, Cut, Unusable, Gone), ResumeStep::End(EndReason::WeightsGone)),
-        (
-            "weights gone and no attempts",
-            StreamBreak { attempts_left: 0, ..facts(Part, Cut, Unusable, Gone) },
-            ResumeStep::End(EndReason::WeightsGone),
-        ),
+        ("weights gone and no attempts", StreamBreak { attempts_left: 0, ..facts(Part, Cut, Unusable, Gone) }, ResumeStep::End(EndReason::WeightsGone)),
         ("weights gone before a byte", facts(Nothing, Cut, Unusable, Gone), ResumeStep::StartAgain),
         ("before a byte", facts(Nothing, Fault, Alive, InReach), ResumeStep::StartAgain),
-        (
-            "no attempts",
-            StreamBreak { attempts_left: 0, ..usual },
-            ResumeStep::End(EndReason::OutOfAttempts),
-        ),
+        ("no attempts", StreamBreak { attempts_left: 0, ..usual }, ResumeStep::End(EndReason::OutOfAttempts)),
         ("no time", StreamBreak { now_ms: 1000, ..usual }, ResumeStep::End(EndReason::OutOfTime)),
-        (
-            "no time before a byte",
-            StreamBreak { now_ms: 1000, delivered: Nothing, ..usual },
-            ResumeStep::End(EndReason::OutOfTime),
-        ),
-        (
-            "only the end is owed",
-            StreamBreak {
-                rest: StreamRest::End,
-                attempts_left: 0,
-                ..facts(Part, Cut, Unusable, Gone)
-            },
-            ResumeStep::Finish,
-        ),
+        ("no time before a byte", StreamBreak { now_ms: 1000, delivered: Nothing, ..usual }, ResumeStep::End(EndReason::OutOfTime)),
+        ("only the end is owed", StreamBreak { rest: StreamRest::End, attempts_left: 0, ..facts(Part, Cut, Unusable, Gone) }, ResumeStep::Finish),
         ("usage is owed", StreamBreak { rest: StreamRest::Usage, ..usual }, ResumeStep::ResumeSame),
     ];
     for (name, facts, step) in cases {
--- a/crates/relay/tests/transcripts.rs
+++ b/crates/relay/tests/transcripts.rs
@@ -81,6 +81,7 @@
     let broken = |flaw| StreamVerdict::Broken { flaw };
     let gap = broken(StreamFlaw::Disordered { wanted: 1, found: 2 });
     let again = broken(StreamFlaw::Disordered { wanted: 1, found: 0 });
+    #[rustfmt::skip]
     let cases = [
         ("whole", vec![join(0..last)], StreamVerdict::Whole),
         ("nothing", vec![], StreamVerdict::Cut),
@@ -99,26 +100,10 @@
         ("end twice", vec![join(0..last) + DONE], broken(StreamFlaw::AfterEnd)),
         ("token after an error", vec![join(0..1) + &error + &all[1]], broken(StreamFlaw::AfterEnd)),
         ("other token", vec![join(0..1) + &other], broken(StreamFlaw::OtherRequest)),
-        (
-            "other chunk",
-            vec![join(0..1) + &all[1].replace(REQUEST, "x")],
-            broken(StreamFlaw::OtherRequest),
-        ),
-        (
-            "text that moves no index",
-            vec![join(0..3) + &unmoved],
-            broken(StreamFlaw::Disordered { wanted: 3, found: 2 }),
-        ),
-        (
-            "closing chunk without an event id",
-            vec![join(0..3) + &closing],
-            broken(StreamFlaw::Unfinished),
-        ),
-        (
-            "other usage",
-            vec![join(0..4) + &all[4].replace(REQUEST, "x")],
-            broken(StreamFlaw::OtherRequest),
-        ),
+        ("other chunk", vec![join(0..1) + &all[1].replace(REQUEST, "x")], broken(StreamFlaw::OtherRequest)),
+        ("text that moves no index", vec![join(0..3) + &unmoved], broken(StreamFlaw::Disordered { wanted: 3, found: 2 })),
+        ("closing chunk without an event id", vec![join(0..3) + &closing], broken(StreamFlaw::Unfinished)),
+        ("other usage", vec![join(0..4) + &all[4].replace(REQUEST, "x")], broken(StreamFlaw::OtherRequest)),
         ("other weights", vec![join(0..1) + &newer], broken(StreamFlaw::WeightsChanged)),
         ("engine's own ids", vec![whole(ATTEMPT, 0)], broken(StreamFlaw::Unnumbered)),
         ("no JSON", vec!["data: x\n\n".to_owned()], broken(StreamFlaw::Unreadable)),
