Give a wrong method its own error

Cause: a known path asked with another method was answered by the web framework's empty 405, outside the closed list. Ruled out: unknown_path, since the path is there. Change: kind wrong_method (405, not-run, never) after unknown_path; the page of errors has its row.

--- a/crates/names/src/error_kind.rs
+++ b/crates/names/src/error_kind.rs
@@ -18,6 +18,8 @@
     UnknownService,
     /// No such path.
     UnknownPath,
+    /// The path does not take this method.
+    WrongMethod,
     /// The body is over the limit.
     BodyTooLarge,
     /// The caller sent too slowly.
@@ -120,13 +122,14 @@
 
 /// The table, in the order of the list.
 #[rustfmt::skip]
-const ROWS: [ErrorRow; 30] = [
+const ROWS: [ErrorRow; 31] = [
     row(ErrorKind::BadRequest, "bad_request", 400, NotRun, Never, RequestRefused, "The request could not be read."),
     row(ErrorKind::Unauthorized, "unauthorized", 401, NotRun, Never, RequestRefused, "The key is missing or belongs to no team."),
     row(ErrorKind::Forbidden, "forbidden", 403, NotRun, Never, RequestRefused, "The team may not reach this model or service."),
     row(ErrorKind::UnknownModel, "unknown_model", 404, NotRun, Never, RequestRefused, "There is no such model."),
     row(ErrorKind::UnknownService, "unknown_service", 404, NotRun, Never, RequestRefused, "There is no such service."),
     row(ErrorKind::UnknownPath, "unknown_path", 404, NotRun, Never, RequestRefused, "There is no such path."),
+    row(ErrorKind::WrongMethod, "wrong_method", 405, NotRun, Never, RequestRefused, "The path does not take this method."),
     row(ErrorKind::BodyTooLarge, "body_too_large", 413, NotRun, Never, RequestRefused, "The body is over the limit."),
     row(ErrorKind::SlowCaller, "slow_caller", 408, NotRun, After, RequestRefused, "The request did not arrive in time."),
     row(ErrorKind::TeamLimit, "team_limit", 429, NotRun, After, RequestRefused, "The team is over its limit."),
