Import cached blocks where a model's engines can

Ruled out: guessing support from headers (an engine that ignores the header would make every estimate wrong). Change: models.NAME.kv_import in the configuration; placement of that model weighs asking a neighbour or the store against computing; hosts of each zone that read the log follow choose_role (two a zone).

--- a/crates/config/src/document_check.rs
+++ b/crates/config/src/document_check.rs
@@ -19,6 +19,8 @@
 const NAME_BYTES: usize = 64;
 const NAME_RULE: &str = "1 to 64 of the characters A-Z a-z 0-9 . _ : @ -";
 const AMOUNT_RULE: &str = "a number from 0";
+/// An import slower than this is none.
+const LEAST_IMPORT_RATE: f64 = 0.001;
 const PATH_RULE: &str = "a path from its first /, with * at its end only";
 /// Methods a call rule may name.
 const METHODS: [&str; 7] = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"];
@@ -90,7 +92,19 @@
     for (index, adapter) in entry.adapters.iter().enumerate() {
         check_name(&format!("/models/{model}/adapters/{index}"), adapter.as_str())?;
     }
-    Ok(())
+    let Some(import) = entry.kv_import else {
+        return Ok(());
+    };
+    let path = format!("/models/{model}/kv_import");
+    check_import_number(&path, "ask_ms", import.ask_ms, 0.0)?;
+    check_import_number(&path, "tokens_per_ms", import.tokens_per_ms, LEAST_IMPORT_RATE)
+}
+
+fn check_import_number(path: &str, key: &str, number: f64, least: f64) -> Result<(), ConfigError> {
+    if number.is_finite() && least <= number {
+        return Ok(());
+    }
+    Err(refuse(&format!("{path}/{key}"), &number.to_string(), &format!("a number from {least}")))
 }
 
 pub(crate) fn check_service(
--- a/crates/config/src/model_entry.rs
+++ b/crates/config/src/model_entry.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::KvImport;
+
 /// What is to be served under a model's name.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -14,4 +16,7 @@
     /// The adapters wanted beside it.
     #[serde(default)]
     pub adapters: Vec<AdapterName>,
+    /// Import of cached blocks; absent: its engines cannot.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kv_import: Option<KvImport>,
 }
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -6,10 +6,11 @@
 use actix::Context;
 use actix::Handler;
 use actix::Message;
-use fulmargate_config::ReaderRole;
 use fulmargate_config::RecordBatch;
+use fulmargate_config::choose_role;
 use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
+use fulmargate_names::ZoneName;
 use fulmargate_peers::MemberState;
 use fulmargate_peers::PeerHandle;
 use fulmargate_peers::PeerItem;
@@ -32,8 +33,8 @@
 use crate::control::word_codec::encode_verdict;
 use crate::control::word_codec::verdict_part;
 
-/// Hosts that read the log; all others get its records from them.
-const MOST_READERS: usize = 8;
+/// Hosts of each zone that read the log; all others get its records from them.
+const READERS_PER_ZONE: usize = 2;
 const USAGE_PERIOD: Duration = Duration::from_secs(1);
 const DEMAND_PERIOD: Duration = Duration::from_secs(2);
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
@@ -153,6 +154,7 @@
     fn note_members(&mut self) {
         let members = self.peers.handle.members();
         let mut live: Vec<HostName> = Vec::new();
+        let mut spots: Vec<(ZoneName, HostName)> = Vec::new();
         let mut known: Vec<HostName> = Vec::new();
         for member in &members {
             if member.state != MemberState::Left {
@@ -160,14 +162,12 @@
             }
             if matches!(member.state, MemberState::Alive | MemberState::Suspected) {
                 live.push(member.host.clone());
+                spots.push((member.zone.clone(), member.host.clone()));
             }
         }
         live.sort_unstable();
-        let rank = live.iter().position(|host| *host == self.state.host).unwrap_or(0);
-        self.keeper.set_role(match rank {
-            rank if rank < MOST_READERS => ReaderRole::Direct { rank: rank as u32 },
-            _ => ReaderRole::Follower,
-        });
+        let own = self.state.host.clone();
+        self.keeper.set_role(choose_role(&own, spots.into_iter(), READERS_PER_ZONE));
         self.state.limiter.set_routers(&known);
         self.state.suspects.set_routers(&self.state.host, &live);
     }
--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fulmargate_config::ConfigDocument;
+use fulmargate_config::KvImport;
 use fulmargate_config::PolicyKind as ConfigPolicy;
 use fulmargate_config::PublishedConfig;
 use fulmargate_config::ServerState;
@@ -13,11 +14,13 @@
 use fulmargate_names::ZoneName;
 use fulmargate_placement::FleetServer;
 use fulmargate_placement::FleetView;
+use fulmargate_placement::ImportConf;
 use fulmargate_placement::MeterBook;
 use fulmargate_placement::PlacementConf;
 use fulmargate_placement::Placer;
 use fulmargate_placement::PolicyKind;
 use fulmargate_placement::SpreadPlan;
+use fulmargate_placement::StoreUse;
 use indexmap::IndexMap;
 
 use crate::state::ClassRoute;
@@ -72,10 +75,15 @@
         self.published = published;
         self.keep_servers(&document);
         self.meters.retain(|name| document.servers.contains_key(name));
-        let conf = &self.conf;
         self.models.retain(|model, _| document.models.contains_key(model));
-        for model in document.models.keys() {
-            self.models.entry(model.clone()).or_insert_with(|| KeptModel::new(conf));
+        for (model, entry) in &document.models {
+            let conf =
+                PlacementConf { import: entry.kv_import.map(import_conf), ..self.conf.clone() };
+            let kept = self.models.entry(model.clone()).or_insert_with(|| KeptModel::new(&conf));
+            if *kept.placer.conf() != conf {
+                // What placement has learned may be lost: it chooses without memory as well.
+                kept.placer = Arc::new(Placer::new(conf));
+            }
         }
     }
 
@@ -241,6 +249,14 @@
     }
 }
 
+fn import_conf(import: KvImport) -> ImportConf {
+    ImportConf {
+        ask_ms: import.ask_ms,
+        tokens_per_ms: import.tokens_per_ms,
+        store: if import.store { StoreUse::Ask } else { StoreUse::None },
+    }
+}
+
 fn policy_of(policy: ConfigPolicy) -> PolicyKind {
     match policy {
         ConfigPolicy::Cost => PolicyKind::Cost,
--- a/crates/stand/src/deployment/document.rs
+++ b/crates/stand/src/deployment/document.rs
@@ -11,6 +11,9 @@
 use super::plan::TeamPlan;
 use super::plan::TeamSize;
 
+/// Time to ask a KV store or a neighbour for cached blocks.
+const IMPORT_ASK_MS: f64 = 2.0;
+
 impl Deployment {
     /// The configuration document; `addresses` gives `HOST:PORT` by server name, and a server
     /// without an address is left out.
@@ -18,7 +21,13 @@
         json!({
             "teams": self.team_documents(),
             "servers": self.server_documents(addresses),
-            "models": { self.model.as_str(): { "weights": 1, "adapters": [] } },
+            "models": { self.model.as_str(): {
+                "weights": 1, "adapters": [],
+                "kv_import": {
+                    "ask_ms": IMPORT_ASK_MS, "store": true,
+                    "tokens_per_ms": self.rates.import_tokens_per_ms,
+                },
+            } },
             "services": { self.service.as_str(): self.service_document() },
             "classes": {
                 "urgent": {
