--- a/crates/stand/src/engine/completion.rs
+++ b/crates/stand/src/engine/completion.rs
@@ -66,16 +66,12 @@
     request: HttpRequest,
     bytes: Bytes,
 ) -> HttpResponse {
-    let body = match CompletionBody::parse(&bytes) {
-        Ok(body) if body.answer_tokens() <= MAX_ANSWER_TOKENS => body,
-        Ok(_) => return bad_request("`max_tokens` is too large"),
+    let body = match read_body(&bytes) {
+        Ok(body) => body,
         Err(reason) => return bad_request(&reason),
     };
-    if desk.faults.state().refuse {
-        return refused(JobRefusal::Overloaded);
-    }
-    if !desk.faults.admits_work() {
-        return refused(JobRefusal::Leaving);
+    if let Some(refusal) = refusal_at_the_door(&desk) {
+        return refused(refusal);
     }
     let (sender, news) = mpsc::unbounded_channel();
     let job = new_job(&request, &body, sender);
@@ -92,6 +88,9 @@
         Some(JobNews::Refused(refusal)) => return refused(refusal),
         _ => return lost_answer(),
     };
+    if desk.faults.loses_answer() {
+        return lost_answer();
+    }
     let answer = AnswerStream {
         line,
         writer: new_writer(&desk, &request, &body, &prompt, start.weights),
@@ -113,6 +112,21 @@
     }
 }
 
+fn read_body(bytes: &[u8]) -> Result<CompletionBody, String> {
+    let body = CompletionBody::parse(bytes)?;
+    if MAX_ANSWER_TOKENS < body.answer_tokens() {
+        return Err(format!("`max_tokens`: at most {MAX_ANSWER_TOKENS} are allowed"));
+    }
+    Ok(body)
+}
+
+fn refusal_at_the_door(desk: &EngineDesk) -> Option<JobRefusal> {
+    if desk.faults.state().refuse {
+        return Some(JobRefusal::Overloaded);
+    }
+    (!desk.faults.admits_work()).then_some(JobRefusal::Leaving)
+}
+
 fn new_job(
     request: &HttpRequest,
     body: &CompletionBody,
--- a/crates/stand/src/fault_desk.rs
+++ b/crates/stand/src/fault_desk.rs
@@ -1,5 +1,8 @@
 //! The faults in force at one stand-in, kept across its simulated crashes.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/crates/stand/tests/sockets/engine.rs
+++ b/crates/stand/tests/sockets/engine.rs
@@ -117,6 +117,26 @@
     assert_ne!(crossed[0], EngineCall::new("p").expected("crossed-r.1", 0)[0], "other text too");
 }
 
+/// The caller gets no answer although the engine ran its prompt, as the cached blocks show.
+#[actix_rt::test]
+async fn a_lost_answer_ran() {
+    let engine = start_engine();
+    engine.fault(&FaultOrder { lose_answers: Some(1.0), ..FaultOrder::default() }).await;
+    assert!(EngineCall::new(LONG).send(&engine).await.is_err());
+    let page = engine.get("/control/events?from=0").await;
+    assert_eq!(page["events"].as_array().unwrap().len(), 4);
+}
+
+/// The caller waits while the engine is frozen and gets its stream whole afterwards.
+#[actix_rt::test]
+async fn a_frozen_engine_goes_on_after_its_thaw() {
+    let engine = start_engine();
+    let call = EngineCall { max_tokens: 30, ..EngineCall::new("p") };
+    let mut answer = call.send(&engine).await.unwrap();
+    engine.fault(&FaultOrder { freeze_ms: Some(100), ..FaultOrder::default() }).await;
+    assert_eq!(events(&answer.body().await.unwrap()), call.expected("r.1", 0));
+}
+
 #[actix_rt::test]
 async fn a_resumed_stream_goes_on_at_its_index() {
     let engine = start_engine();
