Load tool: overhead by itself, with the router's threads' processor time

Cause: overhead had to be pointed at processes with a one-engine configuration. Change: without addresses it starts one engine and one router here and counts the processor time of the threads that the router started. Ruled out: differing texts for both ways (together they outgrew one cache).

--- a/crates/load/src/calls/call_client.rs
+++ b/crates/load/src/calls/call_client.rs
@@ -11,6 +11,7 @@
 use awc::http::header::HeaderValue;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use http_body_util::Collected;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
@@ -87,6 +88,6 @@
     /// The whole body.
     pub(super) async fn read_body(self, limit: usize) -> Result<Bytes, CallBroken> {
         let body = Limited::new(self.body, limit).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|_| CallBroken)
+        body.map(Collected::to_bytes).map_err(|_| CallBroken)
     }
 }
--- a/crates/load/src/commands/overhead_command.rs
+++ b/crates/load/src/commands/overhead_command.rs
@@ -3,16 +3,22 @@
 use std::rc::Rc;
 
 use argh::FromArgs;
+use fulmargate_stand::deployment::Deployment;
 
 use super::CommandEnd;
 use super::plan_options;
 use super::report_table;
 use crate::load_error::LoadError;
+use crate::rig::ProcessorClock;
+use crate::rig::Rig;
 use crate::runs::OverheadFigures;
 use crate::runs::OverheadRun;
 
-/// Measure what a router adds to an engine's own answer, in one run. The router's configuration
-/// must have that engine only.
+const POLICY: &str = "cost";
+
+/// Measure what a router adds to an engine's own answer, in one run. Without addresses one engine
+/// and one router are started in this process; else the router's configuration must have that
+/// engine only.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "overhead")]
 pub(super) struct OverheadCommand {
@@ -22,13 +28,13 @@
     /// seed of all that is drawn (default: 1)
     #[argh(option, default = "1")]
     seed: u64,
-    /// address of the engine
+    /// address of a running engine
     #[argh(option)]
-    engine: String,
-    /// address of the router
+    engine: Option<String>,
+    /// address of a running router
     #[argh(option)]
-    router: String,
-    /// process id of the router, for its processor time
+    router: Option<String>,
+    /// process id of the running router, for its processor time
     #[argh(option)]
     router_pid: Option<u32>,
     /// calls a second, direct and routed together (default: 40)
@@ -47,23 +53,59 @@
 
 impl OverheadCommand {
     pub(super) async fn execute(self) -> Result<CommandEnd, LoadError> {
-        let run = OverheadRun {
-            deployment: Rc::new(plan_options::deployment(&self.deployment)?),
-            seed: self.seed,
-            engine: self.engine,
-            router: self.router,
-            router_pid: self.router_pid,
-            rate: plan_options::positive("rate", self.rate)?,
-            seconds: plan_options::positive("seconds", self.seconds)?,
-            answer_tokens: self.answer_tokens,
+        let mut deployment = plan_options::deployment(&self.deployment)?;
+        deployment.engines.truncate(1);
+        deployment.hosts.truncate(1);
+        let figures = match (&self.engine, &self.router) {
+            (Some(engine), Some(router)) => {
+                let clock = self.router_pid.map(ProcessorClock::of_process);
+                let run = self.overhead_run(deployment, engine.clone(), router.clone(), clock)?;
+                run.run().await
+            }
+            (None, None) => {
+                let rig = Rig::start(&deployment, POLICY).await?;
+                let engine = rig.server_address(deployment.engines[0].name.as_str());
+                let router = rig.caller_addresses().swap_remove(0);
+                let clock = Some(rig.router_clock.clone());
+                let run =
+                    self.overhead_run(deployment, engine.unwrap_or_default(), router, clock)?;
+                let figures = run.run().await;
+                rig.stop();
+                figures
+            }
+            _ => {
+                return Err(plan_options::bad_option(
+                    "router",
+                    "",
+                    "both --engine and --router, or none",
+                ));
+            }
         };
-        let figures = run.run().await?;
         match self.json {
             true => plan_options::print_json(&figures)?,
             false => println!("{}", overhead_text(&figures)),
         }
         Ok(plan_options::end_of(figures.faults))
     }
+
+    fn overhead_run(
+        &self,
+        deployment: Deployment,
+        engine: String,
+        router: String,
+        clock: Option<ProcessorClock>,
+    ) -> Result<OverheadRun, LoadError> {
+        Ok(OverheadRun {
+            deployment: Rc::new(deployment),
+            seed: self.seed,
+            engine,
+            router,
+            clock,
+            rate: plan_options::positive("rate", self.rate)?,
+            seconds: plan_options::positive("seconds", self.seconds)?,
+            answer_tokens: self.answer_tokens,
+        })
+    }
 }
 
 fn overhead_text(figures: &OverheadFigures) -> String {
--- a/crates/load/src/rig.rs
+++ b/crates/load/src/rig.rs
@@ -1,5 +1,6 @@
 //! A whole deployment in threads of this process, on loopback, for comparisons on equal ground.
 
+mod processor_clock;
 mod running_stands;
 mod stand_control;
 
@@ -23,6 +24,8 @@
 use crate::figures::PromptTouch;
 use crate::figures::judge_effects;
 use crate::load_error::LoadError;
+pub use processor_clock::ProcessorClock;
+pub use processor_clock::processor_ticks;
 use running_stands::RunningStands;
 pub use stand_control::StandControl;
 pub use stand_control::StandCounts;
@@ -44,6 +47,8 @@
     pub addresses: AddressPlan,
     /// Control of the stand-ins.
     pub control: StandControl,
+    /// Processor time of the routers' threads; a restart starts threads that it does not know.
+    pub router_clock: ProcessorClock,
     routers: Vec<RigRouter>,
     stands: RunningStands,
 }
@@ -57,15 +62,20 @@
             .map_err(|error| failed("settings", &error))?;
         settings.document["policy"] = json!(policy);
         let stands = RunningStands::start(&settings)?;
+        let control = StandControl::default();
+        wait_for_stands(&addresses, &control).await?;
         publish_first_version(&addresses, &settings).await?;
+        let others = ProcessorClock::threads_of_process()?;
         let mut routers = Vec::new();
         for settings in settings.routers {
             let running = RefCell::new(Some(start_router(&settings)?));
             routers.push(RigRouter { settings, running });
         }
-        let control = StandControl::default();
-        let rig = Rig { deployment: deployment.clone(), addresses, control, routers, stands };
+        let deployment = deployment.clone();
+        let router_clock = ProcessorClock::default();
+        let mut rig = Rig { deployment, addresses, control, router_clock, routers, stands };
         rig.wait_until_ready().await?;
+        rig.router_clock = ProcessorClock::of_new_threads(&others)?;
         Ok(rig)
     }
 
@@ -163,6 +173,22 @@
     LoadError::Failed { what, reason: error.to_string() }
 }
 
+/// Waits until each stand-in answers, so that all their threads have started.
+async fn wait_for_stands(addresses: &AddressPlan, control: &StandControl) -> Result<(), LoadError> {
+    let platform = [addresses.log, addresses.weights, addresses.hosts, addresses.kv];
+    let deadline = Instant::now() + READY_WITHIN;
+    for address in platform.iter().chain(addresses.servers.values()) {
+        let address = address.to_string();
+        while let Err(error) = control.counts(&address).await {
+            if deadline < Instant::now() {
+                return Err(error);
+            }
+            sleep(POLL_EVERY).await;
+        }
+    }
+    Ok(())
+}
+
 /// Puts the document into the log, before any router reads it.
 async fn publish_first_version(
     addresses: &AddressPlan,
@@ -175,7 +201,7 @@
     let client = Client::default();
     let deadline = Instant::now() + READY_WITHIN;
     loop {
-        // The stand-in's thread may not listen yet; a second copy is refused as stale.
+        // A second copy is refused as stale.
         let reason = match client.post(&url).send_json(&record).await {
             Ok(answer) if answer.status().is_success() => return Ok(()),
             Ok(answer) => answer.status().to_string(),
--- a/crates/load/src/runs.rs
+++ b/crates/load/src/runs.rs
@@ -16,4 +16,3 @@
 pub use overhead_run::OverheadFigures;
 pub use overhead_run::OverheadRun;
 pub use overhead_run::PathTimes;
-pub use overhead_run::processor_ticks;
--- a/crates/load/src/runs/load_run.rs
+++ b/crates/load/src/runs/load_run.rs
@@ -71,7 +71,7 @@
 
     /// The texts of the plan's prompts.
     pub fn library(&self) -> PromptLibrary {
-        PromptLibrary::new(&self.deployment, self.plan.sizes, self.plan.seed)
+        PromptLibrary::new(&self.deployment, self.plan.sizes, self.plan.text_seed)
     }
 
     /// The prompts' use of blocks by the numbers of their calls.
--- a/crates/load/src/runs/overhead_run.rs
+++ b/crates/load/src/runs/overhead_run.rs
@@ -1,6 +1,5 @@
 //! What a router adds to an engine's own answer, direct and routed in one run.
 
-use std::fs;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,14 +12,12 @@
 use crate::calls::CallRecord;
 use crate::calls::CallTarget;
 use crate::calls::Verdict;
-use crate::load_error::LoadError;
+use crate::rig::ProcessorClock;
 use crate::workload::WorkloadPlan;
 
 /// Few enough to be cached whole by one engine.
-const RECORDS: u16 = 16;
+const RECORDS: u16 = 8;
 const WARM_UP_SECONDS: f64 = 3.0;
-/// Ticks a second in `/proc`, on all platforms that the C library supports today.
-const TICKS_PER_S: f64 = 100.0;
 const LONGEST_US: u64 = 60_000_000;
 
 /// One engine, one router before it, and how hard both are driven.
@@ -33,8 +30,8 @@
     pub engine: String,
     /// Address of the router, whose configuration has this engine only.
     pub router: String,
-    /// Process of the router.
-    pub router_pid: Option<u32>,
+    /// Processor time of the router.
+    pub clock: Option<ProcessorClock>,
     /// Calls a second, direct and routed together.
     pub rate: f64,
     /// Seconds of each part.
@@ -77,7 +74,7 @@
 
 impl OverheadRun {
     /// First both ways at once with short answers, then routed only with long ones.
-    pub async fn run(&self) -> Result<OverheadFigures, LoadError> {
+    pub async fn run(&self) -> OverheadFigures {
         let direct = self.load_run(CallTarget::Engines, self.rate / 2.0);
         let routed = self.load_run(CallTarget::Routers, self.rate / 2.0);
         let (direct_calls, routed_calls) = (direct.calls(), routed.calls());
@@ -88,13 +85,14 @@
 
         let mut relayed = self.load_run(CallTarget::Routers, self.rate);
         relayed.plan.answer_tokens = self.answer_tokens;
-        let before = self.processor_seconds()?;
+        let seconds = || self.clock.as_ref().map(ProcessorClock::seconds);
+        let before = seconds();
         let relayed_records = relayed.run(&relayed.calls()).await;
-        let spent = self.processor_seconds()?.zip(before).map(|(after, before)| after - before);
+        let spent = seconds().zip(before).map(|(after, before)| after - before);
         let tokens = (whole(&relayed_records).count() * self.answer_tokens) as f64;
 
         let all = || direct_records.iter().chain(&routed_records).chain(&relayed_records);
-        Ok(OverheadFigures {
+        OverheadFigures {
             direct,
             routed,
             added_p50_ms: routed.ttft_p50_ms - direct.ttft_p50_ms,
@@ -103,7 +101,7 @@
             tokens_per_core_s: spent.filter(|spent| 0.0 < *spent).map(|spent| tokens / spent),
             errors: all().filter(|record| record.verdict != Verdict::Whole).count(),
             faults: all().filter(|record| matches!(record.verdict, Verdict::Faulty(_))).count(),
-        })
+        }
     }
 
     fn load_run(&self, target: CallTarget, rate: f64) -> LoadRun {
@@ -112,6 +110,8 @@
         plan.duration = Duration::from_secs_f64(self.seconds + WARM_UP_SECONDS);
         plan.service_share = 0.0;
         plan.sizes.records = RECORDS;
+        plan.sizes.large_services = 1;
+        plan.sizes.small_services = 1;
         let address = match target {
             CallTarget::Engines => {
                 // Other times than the routed calls, for at equal times one waits for the other.
@@ -128,26 +128,6 @@
             limits: RunLimits::default(),
         }
     }
-
-    /// Processor time of the router so far.
-    fn processor_seconds(&self) -> Result<Option<f64>, LoadError> {
-        let Some(pid) = self.router_pid else { return Ok(None) };
-        let failed = |reason: String| LoadError::Failed { what: "processor time", reason };
-        let text = fs::read_to_string(format!("/proc/{pid}/stat"))
-            .map_err(|error| failed(error.to_string()))?;
-        let ticks = processor_ticks(&text).ok_or_else(|| failed("unreadable stat".to_owned()))?;
-        Ok(Some(ticks as f64 / TICKS_PER_S))
-    }
-}
-
-/// User and system time of a line of `/proc/PID/stat`.
-pub fn processor_ticks(stat: &str) -> Option<u64> {
-    // The name of the program may hold blanks and brackets, so fields count from its end.
-    let (_, rest) = stat.rsplit_once(')')?;
-    let mut fields = rest.split_whitespace().skip(11);
-    let user: u64 = fields.next()?.parse().ok()?;
-    let system: u64 = fields.next()?.parse().ok()?;
-    Some(user + system)
 }
 
 fn whole(records: &[CallRecord]) -> impl Iterator<Item = &CallRecord> {
--- a/crates/load/src/workload/workload_plan.rs
+++ b/crates/load/src/workload/workload_plan.rs
@@ -78,6 +78,8 @@
 pub struct WorkloadPlan {
     /// Seed of all that is drawn.
     pub seed: u64,
+    /// Seed of the texts; plans with equal ones share their prefixes.
+    pub text_seed: u64,
     /// How long calls are sent.
     pub duration: Duration,
     /// Calls a second on average; arrivals are a Poisson process.
@@ -101,6 +103,7 @@
     pub fn new(deployment: &Deployment, seed: u64) -> WorkloadPlan {
         WorkloadPlan {
             seed,
+            text_seed: seed,
             duration: Duration::from_secs(DEFAULT_SECONDS),
             rate: DEFAULT_RATE,
             zipf_exponent: DEFAULT_ZIPF_EXPONENT,
