--- a/crates/placement/src/placement_conf.rs
+++ b/crates/placement/src/placement_conf.rs
@@ -37,7 +37,7 @@
             least_width: 12.0,
             hot_factor: 3.0,
             recompute_price: 30.0,
-            detour_share: 0.2,
+            detour_share: 0.1,
             near_ms: 5.0,
             hint_slots: 1 << 16,
             import: None,
