Mend five faults of the stream pump that its reader found

Cause: found by reading (the author of the relay): an event after the end led to a second [DONE]; a stream whose weights no server has any more ended as stream_broken; a slow caller's kept bytes had no bound in time and the sentence was that of a slow request; every stream fault was logged as a crossed answer; resuming a finished stream asked a server for nothing. Change: what follows the end is dropped; servers' told weights decide between in reach, out of reach and gone; a slow caller's server is let go at once and what is kept is drained or the connection cut; the event follows the fault; a finished stream gets its end from the router.

--- a/crates/router/src/attempt/engine_placing.rs
+++ b/crates/router/src/attempt/engine_placing.rs
@@ -13,10 +13,12 @@
 use fulmargate_admission::SuspectStanding;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
 use fulmargate_placement::Choice;
 use fulmargate_placement::OpenRequest;
 use fulmargate_placement::PlaceRequest;
 use fulmargate_placement::ServerId;
+use fulmargate_relay::EqualServers;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -99,14 +101,29 @@
         }
     }
 
-    /// Whether another server could be chosen for this request.
-    pub(crate) fn has_other(&self, server: &ServerName) -> bool {
-        let Ok(table) = self.table() else { return false };
-        let Some(route) = table.models.get(&self.call.model) else { return false };
-        let mut names = route.view.servers().map(|other| other.name());
-        names.any(|name| {
-            name != server && !self.failed.contains(name) && self.call.entry.may_reach(name)
-        })
+    /// Whether a server may have these weights: it has told so, or has told nothing yet.
+    pub(crate) fn may_have_weights(&self, server: &ServerName, weights: WeightsVersion) -> bool {
+        let Ok(table) = self.table() else { return true };
+        table.servers.get(server).is_some_and(|route| route.may_have(&self.call.model, weights))
+    }
+
+    /// Whether other servers than this one can go on with a stream that began under these weights.
+    pub(crate) fn equal_servers(
+        &self,
+        server: &ServerName,
+        weights: WeightsVersion,
+    ) -> EqualServers {
+        let Ok(table) = self.table() else { return EqualServers::OutOfReach };
+        let Some(route) = table.models.get(&self.call.model) else { return EqualServers::Gone };
+        let others = route.view.servers().map(|other| other.name());
+        let others = others.filter(|name| *name != server && self.call.entry.may_reach(name));
+        let equal: Vec<&ServerName> =
+            others.filter(|name| self.may_have_weights(name, weights)).collect();
+        match equal.iter().any(|name| !self.failed.contains(name)) {
+            true => EqualServers::InReach,
+            false if equal.is_empty() => EqualServers::Gone,
+            false => EqualServers::OutOfReach,
+        }
     }
 
     async fn place_once(
--- a/crates/router/src/attempt/stream_body.rs
+++ b/crates/router/src/attempt/stream_body.rs
@@ -14,6 +14,11 @@
 use futures_util::task::AtomicWaker;
 use tokio::sync::Notify;
 
+/// The caller took too long over what was kept for it.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("the caller reads too slowly")]
+pub(crate) struct CallerCutOff;
+
 /// What both ends share. The pump keeps the account of bytes, so the queue itself has no bound.
 #[derive(Default)]
 struct StreamShared {
@@ -22,6 +27,7 @@
     taken: Cell<usize>,
     ended: Cell<bool>,
     gone: Cell<bool>,
+    is_cut: Cell<bool>,
     body_waker: AtomicWaker,
     pump_waker: Notify,
 }
@@ -62,6 +68,18 @@
         self.shared.gone.get()
     }
 
+    /// Whether the caller has taken all.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.shared.queue.borrow().is_empty()
+    }
+
+    /// Drops what is kept and breaks the caller's connection.
+    pub(crate) fn cut_off(&self) {
+        self.shared.queue.borrow_mut().clear();
+        self.shared.is_cut.set(true);
+        self.shared.body_waker.wake();
+    }
+
     /// Waits until the caller has taken bytes or hung up.
     pub(crate) async fn changed(&self) {
         self.shared.pump_waker.notified().await;
@@ -83,7 +101,7 @@
 }
 
 impl MessageBody for StreamBody {
-    type Error = std::convert::Infallible;
+    type Error = CallerCutOff;
 
     fn size(&self) -> BodySize {
         BodySize::Stream
@@ -94,6 +112,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
         self.shared.body_waker.register(cx.waker());
+        if self.shared.is_cut.get() {
+            return Poll::Ready(Some(Err(CallerCutOff)));
+        }
         if let Some(bytes) = self.shared.queue.borrow_mut().pop_front() {
             self.shared.taken.set(self.shared.taken.get() + bytes.len());
             self.shared.pump_waker.notify_one();
--- a/crates/router/src/attempt/stream_pump.rs
+++ b/crates/router/src/attempt/stream_pump.rs
@@ -14,16 +14,17 @@
 use fulmargate_relay::CallerBuffer;
 use fulmargate_relay::ChunkWriter;
 use fulmargate_relay::DeliveredPart;
-use fulmargate_relay::EqualServers;
 use fulmargate_relay::ResumeStep;
 use fulmargate_relay::ResumeToken;
 use fulmargate_relay::SameServer;
 use fulmargate_relay::StreamBreak;
+use fulmargate_relay::StreamFault;
 use fulmargate_relay::StreamPlace;
 use fulmargate_relay::StreamState;
 use fulmargate_relay::TokenMinter;
 use fulmargate_relay::UsageChunk;
 use fulmargate_relay::error_event;
+use fulmargate_relay::error_event_saying;
 use fulmargate_relay::plan_resume;
 use futures_util::StreamExt;
 use tokio::time::Instant;
@@ -40,6 +41,9 @@
 const MAX_EVENT_BYTES: NonZeroUsize = NonZeroUsize::new(256 * 1024).unwrap();
 /// An engine that sends nothing for so long is taken for frozen.
 const SERVER_STALL: Duration = Duration::from_secs(2);
+/// Said to a caller that reads too slowly.
+const SLOW_READER: &str =
+    "The stream was read too slowly; resume it with the id of its last event.";
 /// How long a stream may stand still over a break, attempts included.
 const STANDSTILL: Duration = Duration::from_secs(10);
 const LIMITS: BufferLimits = BufferLimits {
@@ -108,10 +112,7 @@
                 PumpStop::CallerGone => {
                     return self.log(EventKind::CallerGone, "the caller hung up");
                 }
-                PumpStop::CallerSlow => {
-                    self.open.cancel();
-                    return self.end(ErrorKind::SlowCaller).await;
-                }
+                PumpStop::CallerSlow => return self.let_go().await,
                 PumpStop::Broken(cause) => match self.resume(cause).await {
                     Ok(Resumed::GoesOn) => {}
                     Ok(Resumed::Finished) => return,
@@ -183,14 +184,27 @@
                 self.open.ended_well();
                 Some(PumpStop::Done)
             }
+            // What comes after the end belongs to nobody; the caller's stream is whole.
+            Err(_) if self.stream.state() == StreamState::Done => {
+                self.open.ended_well();
+                Some(PumpStop::Done)
+            }
             Err(fault) => {
-                let kind = EventKind::CrossedAnswer;
-                tracing::warn!(event = kind.number(), name = kind.name(), server = %self.open.server.name, "{fault}");
+                self.log_fault(&fault);
                 Some(PumpStop::Broken(fault.cause()))
             }
         }
     }
 
+    fn log_fault(&self, fault: &StreamFault) {
+        let kind = match fault {
+            StreamFault::Crossed { .. } => EventKind::CrossedAnswer,
+            _ => EventKind::AttemptRetried,
+        };
+        let server = &self.open.server.name;
+        tracing::warn!(event = kind.number(), name = kind.name(), %server, "{fault}");
+    }
+
     /// Goes on with another attempt after a break, or says how the stream ends.
     async fn resume(&mut self, cause: BreakCause) -> Result<Resumed, ErrorKind> {
         let give_up = Instant::now() + STANDSTILL;
@@ -248,11 +262,11 @@
     fn facts(&self, cause: BreakCause, give_up: Instant) -> StreamBreak {
         let now_ms = self.runner.state.now_ms();
         let left = give_up.saturating_duration_since(Instant::now()).as_millis() as u64;
-        let is_same = self.open.server.incarnation() == self.open.incarnation;
-        let equal = match self.runner.has_other(&self.open.server.name) {
-            true => EqualServers::InReach,
-            false => EqualServers::OutOfReach,
-        };
+        let server = &self.open.server;
+        let is_same = server.incarnation() == self.open.incarnation
+            && !server.is_leaving()
+            && self.runner.may_have_weights(&server.name, self.weights);
+        let equal = self.runner.equal_servers(&server.name, self.weights);
         StreamBreak {
             delivered: DeliveredPart::Some,
             rest: self.stream.rest(),
@@ -266,6 +280,30 @@
         }
     }
 
+    /// The caller reads too slowly: the server is let go at once, and what is kept is written out as
+    /// long as the caller takes it. It can come back for the rest with its last event's id.
+    async fn let_go(&mut self) {
+        self.open.cancel();
+        self.buffer.close_server(self.runner.state.now_ms());
+        self.sink.push(error_event_saying(ErrorKind::SlowCaller, SLOW_READER));
+        self.log(EventKind::RequestFailed, SLOW_READER);
+        loop {
+            let now_ms = self.runner.state.now_ms();
+            self.buffer.take(self.sink.take_count(), now_ms);
+            if self.sink.is_gone() || self.sink.is_empty() {
+                return;
+            }
+            if self.buffer.step(now_ms) == BufferStep::CutOff {
+                return self.sink.cut_off();
+            }
+            let wake = self.wake_at(Instant::now(), false, now_ms);
+            tokio::select! {
+                () = self.sink.changed() => {}
+                () = sleep_until(wake) => {}
+            }
+        }
+    }
+
     /// Tells the caller that the stream ends here: an end without `[DONE]` is never silent.
     async fn end(&mut self, kind: ErrorKind) {
         self.sink.push(error_event(kind));
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -22,6 +22,7 @@
 use fulmargate_placement::PromptChain;
 use fulmargate_placement::PromptScope;
 use fulmargate_relay::ResumeToken;
+use fulmargate_relay::StreamRest;
 use fulmargate_relay::TokenBinding;
 use fulmargate_relay::UsageChunk;
 use tokio::time::Instant;
@@ -36,7 +37,9 @@
 use crate::caller::RequestError;
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
+use crate::caller::read_body;
 use crate::caller::team_gate::admit_team;
+use crate::caller::team_gate::count_answer;
 use crate::state::OpenGuard;
 use crate::state::RouteTable;
 use crate::telemetry::RequestMetrics;
@@ -49,15 +52,16 @@
 /// `POST /v1/chat/completions` and `POST /v1/completions`.
 pub(crate) async fn handle(
     request: HttpRequest,
-    body: Bytes,
+    payload: web::Payload,
     context: web::Data<CallerContext>,
 ) -> HttpResponse {
     let id = request_id(&request);
     let guard = context.state.open.enter();
-    match serve(&request, body, &context, id.clone(), guard).await {
-        Ok(response) => response,
-        Err(err) => err.respond(&id),
-    }
+    let served = match read_body(payload, context.body_bounds()).await {
+        Ok(body) => serve(&request, body, &context, id.clone(), guard).await,
+        Err(err) => Err(err),
+    };
+    served.unwrap_or_else(|err| err.respond(&id))
 }
 
 async fn serve(
@@ -75,6 +79,11 @@
         call.request_id = token.request_id.clone();
         call.streams = true;
     }
+    if let Some(token) = &resumed
+        && StreamRest::at(token.place, call.usage) == StreamRest::End
+    {
+        return Ok(finished_stream(&call.request_id, token));
+    }
     let tokens = call.chain.tokens();
     admit_team(&context.state, &call.team, &call.entry, tokens)?;
     let mut runner = EngineRunner::new(context.state.clone(), context.client.clone(), call);
@@ -82,6 +91,7 @@
         Some(token) => runner.open_resumed(token).await,
         None => runner.open_first().await,
     };
+    count_answer(&context.state, &runner.call.team, opened.as_ref().err());
     let open = opened.inspect_err(|err| {
         count_error(&runner, err);
         if err.disposition == Disposition::NotRun {
@@ -98,6 +108,17 @@
     whole(runner, open).await
 }
 
+/// Only the end is owed: no server is needed.
+fn finished_stream(request_id: &RequestId, token: &ResumeToken) -> HttpResponse {
+    HttpResponse::Ok()
+        .insert_header((REQUEST_ID, request_id.as_str()))
+        .insert_header((SERVER, token.server.as_str()))
+        .insert_header((DISPOSITION, Disposition::Ran.as_str()))
+        .insert_header((WEIGHTS_VERSION, token.weights.to_string()))
+        .content_type("text/event-stream")
+        .body("data: [DONE]\n\n")
+}
+
 /// The token of a caller that comes back for the rest of a stream.
 fn read_token(
     request: &HttpRequest,
--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -43,8 +43,6 @@
 
 struct KeptServer {
     route: Arc<ServerRoute>,
-    /// Weights that the server says are in use.
-    weights: IndexMap<ModelName, WeightsVersion>,
 }
 
 struct KeptModel {
@@ -131,13 +129,12 @@
         name: &ServerName,
         weights: &IndexMap<ModelName, WeightsVersion>,
     ) -> bool {
-        let Some(kept) = self.servers.get_mut(name) else {
+        let Some(kept) = self.servers.get(name) else {
             return false;
         };
-        if kept.weights == *weights {
+        if !kept.route.note_weights(weights) {
             return false;
         }
-        kept.weights.clone_from(weights);
         for (model, version) in weights {
             if let Some(kept) = self.models.get_mut(model) {
                 kept.confirmed = kept.confirmed.max(*version);
@@ -208,8 +205,8 @@
 
     /// A server that has not told its weights yet is trusted: its answers tell.
     fn has_weights(&self, name: &ServerName, model: &ModelName, oldest: WeightsVersion) -> bool {
-        let told = self.servers.get(name).and_then(|kept| kept.weights.get(model));
-        told.is_none_or(|told| oldest <= *told)
+        let told = self.servers.get(name).and_then(|kept| kept.route.told_weights(model));
+        told.is_none_or(|told| oldest <= told)
     }
 
     fn service_routes(
@@ -230,10 +227,7 @@
         let mut before = std::mem::take(&mut self.servers);
         for (name, entry) in &document.servers {
             let kept = before.swap_remove(name).filter(|kept| kept.route.address == entry.address);
-            let kept = kept.unwrap_or_else(|| KeptServer {
-                route: ServerRoute::new(name, entry),
-                weights: IndexMap::new(),
-            });
+            let kept = kept.unwrap_or_else(|| KeptServer { route: ServerRoute::new(name, entry) });
             self.servers.insert(name.clone(), kept);
         }
     }
--- a/crates/router/src/state/server_route.rs
+++ b/crates/router/src/state/server_route.rs
@@ -5,13 +5,17 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use arc_swap::ArcSwap;
 use fulmargate_admission::GateConf;
 use fulmargate_admission::ServerGate;
 use fulmargate_config::ServerEntry;
 use fulmargate_config::ServerKind;
 use fulmargate_names::Incarnation;
+use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
+use indexmap::IndexMap;
 
 /// A backend server as traffic sees it. It outlives changes of configuration that leave its address as it is.
 pub(crate) struct ServerRoute {
@@ -21,6 +25,8 @@
     pub(crate) gate: Arc<ServerGate>,
     incarnation: AtomicU64,
     leaving: AtomicU64,
+    /// Weights that the server says are in use, by model; empty until it has told.
+    weights: ArcSwap<IndexMap<ModelName, WeightsVersion>>,
 }
 
 impl ServerRoute {
@@ -37,6 +43,7 @@
             gate: ServerGate::new(name.clone(), conf),
             incarnation: AtomicU64::new(0),
             leaving: AtomicU64::new(0),
+            weights: ArcSwap::default(),
         })
     }
 
@@ -66,4 +73,23 @@
     pub(crate) fn leaving_incarnation(&self) -> Incarnation {
         Incarnation(self.leaving.load(Ordering::Acquire))
     }
+
+    /// Takes in which weights the server says are in use; tells whether that is news.
+    pub(crate) fn note_weights(&self, weights: &IndexMap<ModelName, WeightsVersion>) -> bool {
+        if **self.weights.load() == *weights {
+            return false;
+        }
+        self.weights.store(Arc::new(weights.clone()));
+        true
+    }
+
+    /// The weights that the server has told of for a model.
+    pub(crate) fn told_weights(&self, model: &ModelName) -> Option<WeightsVersion> {
+        self.weights.load().get(model).copied()
+    }
+
+    /// Whether it has these weights or has told nothing yet.
+    pub(crate) fn may_have(&self, model: &ModelName, weights: WeightsVersion) -> bool {
+        self.told_weights(model).is_none_or(|told| told == weights)
+    }
 }
