--- a/crates/stand/src/engine/tests.rs
+++ b/crates/stand/src/engine/tests.rs
@@ -1,11 +1,14 @@
 //! Tests of the engine's core under a clock of their own.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
+use super::EngineSettings;
 use super::engine_core::EngineCore;
+use super::engine_desk::EngineDesk;
 use super::engine_job::EngineJob;
 use super::engine_job::JobNews;
 use super::engine_job::JobRefusal;
@@ -182,6 +185,32 @@
     assert_eq!(bench.core.feed.page(910.0, 0, 100).next, 3, "two stored, one cleared");
 }
 
+/// A frozen process computes nothing: after its thaw an engine goes on where it stood.
+#[actix_rt::test]
+async fn a_frozen_engine_does_not_age() {
+    tokio::time::pause();
+    let settings = EngineSettings {
+        name: "e".into(),
+        zone: "z".into(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        models: IndexMap::new(),
+        fenced: true,
+        rates: RATES,
+        event_delay_ms: 0.0,
+        report_ms: 100,
+        weight_store: None,
+        kv_store: None,
+        neighbours: IndexMap::new(),
+    };
+    let faults = FaultDesk::default();
+    let desk = EngineDesk::new(Arc::new(settings), faults.clone());
+    for (freeze_ms, passed_ms, age_ms) in [(0, 10, 10.0), (100, 50, 10.0), (0, 30, 40.0)] {
+        faults.apply(&FaultOrder { freeze_ms: Some(freeze_ms), ..FaultOrder::default() });
+        tokio::time::advance(Duration::from_millis(passed_ms)).await;
+        assert!((desk.now_ms() - age_ms).abs() < 1e-6, "{freeze_ms}: {}", desk.now_ms());
+    }
+}
+
 /// The callers of a running, a prefilling and a waiting request hang up.
 #[test]
 fn requests_of_callers_that_left_are_dropped_everywhere() {
--- a/crates/stand/src/samples.rs
+++ b/crates/stand/src/samples.rs
@@ -4,6 +4,8 @@
 mod sample_client;
 mod sample_list;
 mod sample_row;
+#[cfg(test)]
+mod tests;
 
 pub use sample_list::run_samples;
 pub use sample_row::SampleRow;
