Bound callers' bodies in size and time; errors of one shape; count teams' requests

Cause, each found by a test of the router's two listeners that was red first: - A caller that sent its body slowly was never let go: the framework's request timeout ends with the head. - A body over the limit got the framework's text, without id, disposition or code; the connection was closed with bytes unread. A patch over 256 KB (some 1,000 teams) got the same. - A wrong method got unknown_path on the callers' side and an empty 404 on the operators', as an unknown path did. - GET /v1/models named neither request nor disposition. - Error types differed between an answer and a stream (401 was invalid_request_error in one). - GET /teams showed admitted and refused as 0 always. Ruled out: the framework's payload settings, which bound the size only and answer in their own words. Change: read_body reads a body with one bound on its size and one on its whole time, and throws away what a caller still sends after a refusal, so that the refusal is not lost in a reset. Bodies of errors come from the relay crate in both places. Left: too large or slow a head is answered by the framework, with a status and no body.

--- a/crates/router/src/caller/answer.rs
+++ b/crates/router/src/caller/answer.rs
@@ -12,7 +12,7 @@
 use fulmargate_names::RetryAdvice;
 use fulmargate_names::SERVER;
 use fulmargate_names::ServerName;
-use serde_json::json;
+use fulmargate_relay::error_body_saying;
 
 const DEFAULT_RETRY_AFTER_S: u64 = 1;
 
@@ -82,13 +82,6 @@
         )
     }
 
-    /// The body in the shape of OpenAI's errors.
-    pub(crate) fn body(&self) -> serde_json::Value {
-        let row = self.kind.row();
-        let class = if row.status < 500 { "invalid_request_error" } else { "server_error" };
-        json!({"error": {"message": self.message(), "type": class, "code": row.code, "param": null}})
-    }
-
     /// The whole answer.
     pub(crate) fn respond(&self, request_id: &RequestId) -> HttpResponse {
         let row = self.kind.row();
@@ -103,6 +96,7 @@
         if let Some(seconds) = self.retry_after_s() {
             builder.insert_header((header::RETRY_AFTER, seconds.to_string()));
         }
-        builder.json(self.body())
+        // The same body as within a stream.
+        builder.content_type("application/json").body(error_body_saying(self.kind, &self.message()))
     }
 }
--- /dev/null
+++ b/crates/router/src/caller/body_reader.rs
@@ -0,0 +1,64 @@
+//! Reads a request's body within bounds of size and time.
+
+use std::time::Duration;
+
+use actix_web::web::Payload;
+use bytes::Bytes;
+use bytes::BytesMut;
+use fulmargate_names::ErrorKind;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::caller::RequestError;
+
+/// What is read beyond the limit and thrown away. A connection that is closed with bytes unread is
+/// reset, and a caller that is still sending would find the reset in place of the answer.
+const THROWN_AWAY_BYTES: usize = 16 * 1024 * 1024;
+
+/// How large a body may be, and how long it may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyBounds {
+    pub(crate) most_bytes: usize,
+    /// For the whole body: a byte now and then would renew a bound on each wait for ever.
+    pub(crate) patience: Duration,
+}
+
+/// Reads the body to its end.
+pub(crate) async fn read_body(
+    mut payload: Payload,
+    bounds: BodyBounds,
+) -> Result<Bytes, RequestError> {
+    let deadline = Instant::now() + bounds.patience;
+    let Ok(read) = timeout_at(deadline, read_within(&mut payload, bounds.most_bytes)).await else {
+        return Err(RequestError::new(ErrorKind::SlowCaller));
+    };
+    if read.as_ref().is_err_and(|err| err.kind == ErrorKind::BodyTooLarge) {
+        let _answered_either_way = timeout_at(deadline, throw_away(&mut payload)).await;
+    }
+    read
+}
+
+async fn read_within(payload: &mut Payload, most_bytes: usize) -> Result<Bytes, RequestError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|err| {
+            RequestError::new(ErrorKind::BadRequest).detail(format!("The body broke off: {err}."))
+        })?;
+        if most_bytes < body.len() + chunk.len() {
+            let detail = format!("At most {most_bytes} bytes are taken.");
+            return Err(RequestError::new(ErrorKind::BodyTooLarge).detail(detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+async fn throw_away(payload: &mut Payload) {
+    let mut left = THROWN_AWAY_BYTES;
+    while let Some(Ok(chunk)) = payload.next().await
+        && chunk.len() <= left
+    {
+        left -= chunk.len();
+    }
+}
--- a/crates/router/src/caller/model_handler.rs
+++ b/crates/router/src/caller/model_handler.rs
@@ -5,7 +5,11 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
+use fulmargate_names::DISPOSITION;
+use fulmargate_names::Disposition;
 use fulmargate_names::ErrorKind;
+use fulmargate_names::REQUEST_ID;
+use fulmargate_names::RequestId;
 use serde_json::json;
 
 use crate::caller::CallerContext;
@@ -20,14 +24,13 @@
     context: web::Data<CallerContext>,
 ) -> HttpResponse {
     let table = context.state.table_soon().await;
-    match list(&request, table) {
-        Ok(response) => response,
-        Err(err) => err.respond(&request_id(&request)),
-    }
+    let id = request_id(&request);
+    list(&request, &id, table).unwrap_or_else(|err| err.respond(&id))
 }
 
 fn list(
     request: &HttpRequest,
+    id: &RequestId,
     table: Option<Arc<RouteTable>>,
 ) -> Result<HttpResponse, RequestError> {
     let table = table.ok_or_else(|| RequestError::new(ErrorKind::NotReady))?;
@@ -39,5 +42,8 @@
         .filter(|model| caller.entry.may_use_model(model))
         .map(|model| json!({"id": model, "object": "model", "owned_by": "fulmargate"}))
         .collect();
-    Ok(HttpResponse::Ok().json(json!({"object": "list", "data": models})))
+    Ok(HttpResponse::Ok()
+        .insert_header((REQUEST_ID, id.as_str()))
+        .insert_header((DISPOSITION, Disposition::Ran.as_str()))
+        .json(json!({"object": "list", "data": models})))
 }
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -27,7 +27,9 @@
 use crate::caller::caller_identity::CallerIdentity;
 use crate::caller::caller_identity::request_id;
 use crate::caller::claim_replay::replay;
+use crate::caller::read_body;
 use crate::caller::team_gate::admit_team;
+use crate::caller::team_gate::count_answer;
 use crate::state::RouteTable;
 
 const MAX_KEY: usize = 256;
@@ -35,15 +37,16 @@
 /// Any method on `/services/NAME/...`.
 pub(crate) async fn handle(
     request: HttpRequest,
-    body: Bytes,
+    payload: web::Payload,
     context: web::Data<CallerContext>,
 ) -> HttpResponse {
     let id = request_id(&request);
     let _guard = context.state.open.enter();
-    match serve(&request, body, &context, &id).await {
-        Ok(response) => response,
-        Err(err) => err.respond(&id),
-    }
+    let served = match read_body(payload, context.body_bounds()).await {
+        Ok(body) => serve(&request, body, &context, &id).await,
+        Err(err) => Err(err),
+    };
+    served.unwrap_or_else(|err| err.respond(&id))
 }
 
 async fn serve(
@@ -56,7 +59,9 @@
     let (runner, is_repeatable) = read_call(request, body, context, &table, id)?;
     if is_repeatable {
         admit_team(&context.state, &runner.call.team, &runner.call.entry, 0)?;
-        return Ok(pass_on(id, runner.run_repeatable().await?));
+        let answered = runner.run_repeatable().await;
+        count_answer(&context.state, &runner.call.team, answered.as_ref().err());
+        return Ok(pass_on(id, answered?));
     }
     let key = claim_key(request, &runner.call)?;
     run_once(&runner, key, id).await
@@ -81,7 +86,9 @@
         ClaimVerdict::Won(ticket) => {
             // A refusal here drops the ticket, which gives the key back.
             admit_team(&runner.state, &call.team, &call.entry, 0)?;
-            Ok(pass_on(id, runner.run_claimed(ticket).await?))
+            let answered = runner.run_claimed(ticket).await;
+            count_answer(&runner.state, &call.team, answered.as_ref().err());
+            Ok(pass_on(id, answered?))
         }
         _ => Err(RequestError::new(ErrorKind::Internal)),
     }
--- a/crates/router/src/operator/config_handler.rs
+++ b/crates/router/src/operator/config_handler.rs
@@ -1,15 +1,18 @@
 //! The configuration.
 
+use std::time::Duration;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::http::header;
 use actix_web::web;
-use bytes::Bytes;
 use fulmargate_config::PatchRecord;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::ErrorKind;
 use uuid::Uuid;
 
+use crate::caller::BodyBounds;
+use crate::caller::read_body;
 use crate::control::PatchConfig;
 use crate::control::ReadConfig;
 use crate::control::ReadHistory;
@@ -23,6 +26,10 @@
 /// The patch's own id; the same patch sent again under it is accepted once.
 const PATCH_ID: &str = "x-patch-id";
 
+/// A patch may be the whole document: 11,000 teams are some megabytes.
+const PATCH_BOUNDS: BodyBounds =
+    BodyBounds { most_bytes: 16 * 1024 * 1024, patience: Duration::from_secs(10) };
+
 /// `GET /config`.
 pub(crate) async fn read(
     request: HttpRequest,
@@ -57,12 +64,16 @@
 /// `PATCH /config`.
 pub(crate) async fn patch(
     request: HttpRequest,
-    body: Bytes,
+    payload: web::Payload,
     context: web::Data<OperatorContext>,
 ) -> HttpResponse {
     if let Err(response) = check_key(&request, &context) {
         return response;
     }
+    let body = match read_body(payload, PATCH_BOUNDS).await {
+        Ok(body) => body,
+        Err(err) => return refuse(err.kind, err.detail),
+    };
     let patch = match read_patch(&request, &body) {
         Ok(patch) => patch,
         Err(detail) => return refuse(ErrorKind::BadRequest, Some(detail)),
--- a/crates/router/src/operator/status_handler.rs
+++ b/crates/router/src/operator/status_handler.rs
@@ -7,10 +7,12 @@
 use actix_web::HttpResponse;
 use actix_web::web;
 use fulmargate_config::ServerState;
+use fulmargate_config::TeamEntry;
 use fulmargate_config::TeamRow;
 use fulmargate_config::TeamsAnswer;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::ServerName;
+use fulmargate_names::TeamName;
 use serde::Serialize;
 use uuid::Uuid;
 
@@ -23,6 +25,8 @@
 use crate::operator::operator_answer::check_key;
 use crate::operator::operator_answer::refuse;
 use crate::operator::operator_answer::submitted;
+use crate::state::RouterState;
+use crate::telemetry::TeamCounts;
 
 /// `GET /hosts`.
 pub(crate) async fn hosts(
@@ -59,7 +63,14 @@
     let Some(table) = context.state.routes.load_full() else {
         return refuse(ErrorKind::NotReady, None);
     };
-    let rows = table.document.teams.iter().map(|(team, entry)| TeamRow {
+    let state = &context.state;
+    let rows = table.document.teams.iter().map(|(team, entry)| team_row(state, team, entry));
+    HttpResponse::Ok().json(TeamsAnswer { teams: rows.collect() })
+}
+
+fn team_row(state: &RouterState, team: &TeamName, entry: &TeamEntry) -> TeamRow {
+    let TeamCounts { admitted, refused } = TeamCounts::of(state, team);
+    TeamRow {
         team: team.clone(),
         class: entry.class.clone(),
         keys: entry.key_sha256.len(),
@@ -67,10 +78,9 @@
         prompt_tokens_per_s: entry.prompt_tokens_per_s,
         models: entry.models.clone(),
         services: entry.services.clone(),
-        admitted: 0,
-        refused: 0,
-    });
-    HttpResponse::Ok().json(TeamsAnswer { teams: rows.collect() })
+        admitted,
+        refused,
+    }
 }
 
 /// `POST /servers/NAME/drain`.
