--- a/crates/placement/examples/replay.rs
+++ b/crates/placement/examples/replay/main.rs
@@ -6,33 +6,31 @@
 //! all, 1 by each, 0 none), `shift` of popularity in ms, `restarts` of servers, `hot`, `detour`,
 //! `width` and `price` as in `PlacementConf`.
 
+mod cache;
+mod prompts;
+mod router;
+
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
-use fulmargate_names::ServerName;
-use fulmargate_names::WeightsVersion;
-use fulmargate_placement::Choice;
 use fulmargate_placement::ChoiceReason;
 use fulmargate_placement::ClassWeights;
-use fulmargate_placement::FleetServer;
-use fulmargate_placement::FleetView;
-use fulmargate_placement::MeterBook;
 use fulmargate_placement::OpenRequest;
-use fulmargate_placement::PlaceRequest;
-use fulmargate_placement::PlacementConf;
-use fulmargate_placement::Placer;
-use fulmargate_placement::PlanMaker;
 use fulmargate_placement::PolicyKind;
 use fulmargate_placement::PromptChain;
-use fulmargate_placement::PromptScope;
 use fulmargate_placement::ReplyFacts;
 use fulmargate_placement::SpreadPlan;
 
+use cache::Cache;
+use prompts::prompt;
+use prompts::unit;
+use prompts::word;
+use router::Router;
+
 const SERVERS: usize = 12;
 const ROUTERS: usize = 6;
 const CACHED_TOKENS: u32 = 60_000;
@@ -43,8 +41,6 @@
 const TICK_MS: f64 = 500.0;
 /// Part of the run that is not counted.
 const COUNTED: f64 = 0.3;
-/// Teams, services of a team, records of a service: count and exponent of popularity.
-const LEVELS: [(usize, f64); 3] = [(8, 1.1), (3, 0.8), (40, 1.0)];
 const WEIGHTS: [ClassWeights; 2] = [
     ClassWeights { priority: 0, ttft: 1.0, recompute: 0.1 },
     ClassWeights { priority: 2, ttft: 0.1, recompute: 1.0 },
@@ -55,74 +51,6 @@
     std::env::args().find_map(value).unwrap_or(default)
 }
 
-/// A random word for a place in a sequence (splitmix64).
-fn word(seed: u64, place: u64) -> u64 {
-    let mut word = (seed << 40).wrapping_add(place).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    word ^ (word >> 31)
-}
-
-fn unit(word: u64) -> f64 {
-    ((word >> 12) as f64 + 0.5) / (1_u64 << 52) as f64
-}
-
-/// A prompt and its band: 0 urgent, 1 batch. At a shift other services and records are popular.
-fn prompt(seed: u64, number: u64, now: f64) -> (PromptChain, usize) {
-    let [team, service, record] = [0, 1, 2].map(|level| {
-        let (count, exponent) = LEVELS[level];
-        let weights = (1..=count).map(|rank| (rank as f64).powf(-exponent));
-        let mut left = unit(word(seed, 4 * number + level as u64)) * weights.clone().sum::<f64>();
-        let passed = weights.take_while(|weight| (left -= weight, 0.0 < left).1);
-        passed.count().min(count - 1)
-    });
-    let epoch = (now / arg("shift", f64::INFINITY)) as u64;
-    let turn = word(seed, (epoch << 20) + ((team as u64) << 10)) as usize;
-    let names = [(500, team), (1_000, (service + turn) % 3), (1_500, (record + (turn >> 8)) % 40)];
-    let mut texts = names.map(|(tokens, name)| format!("{name:08}").repeat(tokens / 2)).to_vec();
-    texts.push(format!("{number:0160}"));
-    let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
-    let scope = PromptScope::from_text(format!("team{team}/m/"), WeightsVersion(seed));
-    (PromptChain::new(&scope, &texts), team % 2)
-}
-
-/// Prefixes cached by level, and their time of use.
-#[derive(Default)]
-struct Cache {
-    clock: u64,
-    used: u32,
-    kept: HashMap<u64, (u32, u64)>,
-    by_use: BTreeMap<u64, u64>,
-}
-
-impl Cache {
-    /// Cached tokens, and tokens of the levels that are computed again.
-    fn serve(&mut self, chain: &PromptChain, room: u32) -> (u32, u32) {
-        let mut parts: Vec<(u64, u32)> = Vec::new();
-        let mut before = 0;
-        for level in chain.levels() {
-            parts.push((level.hash.0, level.tokens - before));
-            before = level.tokens;
-        }
-        let kept = parts.iter().take_while(|(hash, _)| self.kept.contains_key(hash));
-        let cached: u32 = kept.map(|(_, tokens)| tokens).sum();
-        parts.push((chain.request_hash(), chain.tokens() - before));
-        for (hash, tokens) in parts.into_iter().rev() {
-            self.clock += 1;
-            match self.kept.insert(hash, (tokens, self.clock)) {
-                Some((_, last)) => drop(self.by_use.remove(&last)),
-                None => self.used += tokens,
-            }
-            self.by_use.insert(self.clock, hash);
-        }
-        while let Some((_, oldest)) = (room < self.used).then(|| self.by_use.pop_first()).flatten()
-        {
-            self.used -= self.kept.remove(&oldest).map_or(0, |(tokens, _)| tokens);
-        }
-        (cached, before - cached)
-    }
-}
-
 #[derive(Default)]
 struct Engine {
     cache: Cache,
@@ -132,47 +60,6 @@
     life: u64,
 }
 
-struct Router {
-    placer: Placer,
-    meters: MeterBook,
-    view: FleetView,
-    maker: PlanMaker,
-}
-
-impl Router {
-    fn new() -> Router {
-        let mut conf = PlacementConf::default();
-        conf.hot_factor = arg("hot", conf.hot_factor);
-        conf.detour_share = arg("detour", conf.detour_share);
-        conf.least_width = arg("width", conf.least_width);
-        conf.recompute_price = arg("price", conf.recompute_price);
-        let (view, maker) = (FleetView::new(&conf, Vec::new()), PlanMaker::new(&conf));
-        let meters = MeterBook::new(&conf);
-        let mut router = Router { placer: Placer::new(conf), meters, view, maker };
-        router.renew(&[0; SERVERS], None);
-        router
-    }
-
-    fn renew(&mut self, lives: &[u64], plan: Option<&SpreadPlan>) {
-        let server = |(number, life): (usize, &u64)| {
-            let name = ServerName::new(&format!("server{number}"));
-            let meter = self.meters.meter(&name, Incarnation(*life));
-            FleetServer { zone: "north".into(), zone_ms: 1.0, meter }
-        };
-        let servers = lives.iter().enumerate().map(server).collect();
-        self.view = FleetView::new(self.placer.conf(), servers);
-        if let Some(plan) = plan {
-            self.view = self.view.with_plan(plan);
-        }
-    }
-
-    fn choose(&self, policy: PolicyKind, chain: &PromptChain, band: usize, now: f64) -> Choice {
-        let (weights, now_ms) = (WEIGHTS[band], now as u64);
-        let request = PlaceRequest { policy, weights, excluded: &[], now_ms };
-        self.placer.choose(&self.view, chain, &request).expect("a server")
-    }
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
