--- a/crates/load/src/commands/overhead_command.rs
+++ b/crates/load/src/commands/overhead_command.rs
@@ -37,14 +37,14 @@
     /// process id of the running router, for its processor time
     #[argh(option)]
     router_pid: Option<u32>,
-    /// calls a second, direct and routed together (default: 40)
-    #[argh(option, default = "40.0")]
+    /// calls a second, direct and routed together (default: 80)
+    #[argh(option, default = "80.0")]
     rate: f64,
     /// how long each of the two parts takes (default: 15)
     #[argh(option, default = "15.0")]
     seconds: f64,
-    /// tokens of an answer in the second part (default: 64)
-    #[argh(option, default = "64")]
+    /// tokens of an answer in the second part (default: 32)
+    #[argh(option, default = "32")]
     answer_tokens: usize,
     /// one JSON object instead of a table
     #[argh(switch)]
--- a/crates/load/src/faults/fault_schedule.rs
+++ b/crates/load/src/faults/fault_schedule.rs
@@ -14,7 +14,7 @@
 const SECOND_AFTER: f64 = 0.15;
 
 /// How the faults of a slot meet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultPhase {
     /// One fault.
