Let a restarted plan maker go on from the plan that others hold

Change: a plan of version 0 is replaced by any that comes; hosts that are out of reach count; 48 groups in integers.

--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -38,6 +38,7 @@
 use crate::control::control_message::ProbeResult;
 use crate::control::control_message::ServerLife;
 use crate::control::control_message::ServerTrouble;
+use crate::control::orders::OrderDesk;
 use crate::control::peer_desk::PeerDesk;
 use crate::control::route_keeper::RouteKeeper;
 use crate::control::server_probe::probe;
@@ -59,6 +60,7 @@
     client: Client,
     probing: HashSet<ServerName>,
     pub(crate) peers: PeerDesk,
+    pub(crate) orders: OrderDesk,
 }
 
 impl ControlActor {
@@ -71,6 +73,7 @@
     ) -> ControlActor {
         ControlActor {
             routes: RouteKeeper::new(&state.zone),
+            orders: OrderDesk::new(&state),
             state,
             keeper,
             log,
@@ -273,6 +276,7 @@
         ctx.run_interval(WATCH_PERIOD, ControlActor::watch_all);
         ctx.run_interval(TROUBLE_PERIOD, ControlActor::try_again);
         self.start_telling(ctx);
+        self.start_orders(self.log.clone(), self.client.clone(), ctx);
     }
 }
 
@@ -340,6 +344,7 @@
                 if report.leaving {
                     is_changed |= self.note_leaving(&route, report.incarnation);
                 }
+                self.orders.note_report(&route.name, &report);
                 is_changed |= self.routes.note_weights(&route.name, &report.weights);
                 if is_changed {
                     self.publish();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod control_thread;
 mod listeners;
 mod operator_call;
+mod orders;
 mod peer_desk;
 mod route_keeper;
 mod running_router;
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -41,7 +41,7 @@
 /// How often a plan that has not changed is told again, for hosts that have just started.
 const PLAN_REFRESH: Duration = Duration::from_secs(10);
 /// Groups told in a report of demand.
-const DEMAND_GROUPS: usize = 24;
+const DEMAND_GROUPS: usize = 48;
 
 /// What the control actor keeps for the exchange.
 pub(crate) struct PeerDesk {
@@ -94,8 +94,9 @@
         }
     }
 
-    /// The first live host by name makes the plans. Two makers, in a partition or while a host's
-    /// end is not known everywhere, do no harm: a plan only says where a prefix is likely cached.
+    /// The first live host by name makes the plans, as long as it hears more than half of all. Two
+    /// makers would send one prefix to different servers, which costs hits and breaks nothing: a
+    /// plan only says where a prefix is likely cached.
     fn make_plans(&mut self) {
         if self.plan_maker_host().as_ref() != Some(&self.state.host) {
             return;
@@ -104,14 +105,15 @@
             return;
         };
         let now_ms = self.state.now_ms();
-        let hosts = self.live_hosts();
+        let hosts = self.known_hosts();
         let is_refresh = PLAN_REFRESH <= self.peers.plans_told.elapsed();
         let mut is_changed = false;
         for (model, route) in &table.models {
             let maker = self.maker(model);
             let next = maker.next(&route.view, hosts, now_ms);
             let plan = maker.plan().clone();
-            if next.is_none() && !is_refresh {
+            let is_told = next.is_some() || (is_refresh && 0 < plan.version);
+            if !is_told {
                 continue;
             }
             self.put_word(WordTopic::SpreadPlan, model_part(model), encode_plan(&plan));
@@ -134,9 +136,11 @@
         makers.entry(model.clone()).or_insert_with(|| PlanMaker::new(conf))
     }
 
-    fn live_hosts(&self) -> usize {
+    /// Hosts that have not left, in reach or not: a router that is cut off from the others must not
+    /// take itself for the whole fleet and plan alone.
+    fn known_hosts(&self) -> usize {
         let members = self.peers.handle.members();
-        members.iter().filter(|member| member.state == MemberState::Alive).count()
+        members.iter().filter(|member| member.state != MemberState::Left).count()
     }
 
     fn plan_maker_host(&self) -> Option<HostName> {
@@ -231,14 +235,16 @@
     }
 
     fn take_plan(&mut self, origin: &HostName, part: u64, bytes: &[u8]) {
-        if self.plan_maker_host().as_ref() != Some(origin) || *origin == self.state.host {
-            return;
-        }
+        let is_other_maker =
+            self.plan_maker_host().as_ref() == Some(origin) && *origin != self.state.host;
         let (Some(model), Some(plan)) = (self.model_of(part), decode_plan(bytes)) else {
             return;
         };
         let maker = self.maker(&model);
-        if *maker.plan() == plan {
+        // A first host that has just started goes on from the plan that the others still hold,
+        // also its own earlier one: a plan made from nothing would move every group at once.
+        let is_wanted = is_other_maker || maker.plan().version == 0;
+        if !is_wanted || *maker.plan() == plan {
             return;
         }
         maker.follow(plan.clone());
--- a/crates/router/src/control/word_codec.rs
+++ b/crates/router/src/control/word_codec.rs
@@ -45,7 +45,8 @@
 #[derive(Encode, Decode)]
 struct DemandWire {
     requests_per_s: f32,
-    groups: Vec<(u64, f32, f32)>,
+    /// Prefix, requests in 100 seconds, uncached tokens of a request.
+    groups: Vec<(u64, u32, u32)>,
 }
 
 #[derive(Encode, Decode)]
@@ -134,7 +135,7 @@
 /// Writes what prefixes are asked for here.
 pub(crate) fn encode_demand(report: &DemandReport) -> Bytes {
     let group = |demand: &PrefixDemand| {
-        (demand.prefix.0, demand.requests_per_s as f32, demand.uncached_tokens as f32)
+        (demand.prefix.0, (demand.requests_per_s * 100.0) as u32, demand.uncached_tokens as u32)
     };
     encode(DemandWire {
         requests_per_s: report.requests_per_s as f32,
@@ -145,9 +146,9 @@
 /// Reads what prefixes are asked for at another router.
 pub(crate) fn decode_demand(bytes: &[u8]) -> Option<DemandReport> {
     let wire: DemandWire = decode(bytes)?;
-    let group = |(prefix, requests, uncached): (u64, f32, f32)| PrefixDemand {
+    let group = |(prefix, requests, uncached): (u64, u32, u32)| PrefixDemand {
         prefix: PromptHash(prefix),
-        requests_per_s: f64::from(requests),
+        requests_per_s: f64::from(requests) / 100.0,
         uncached_tokens: f64::from(uncached),
     };
     Some(DemandReport {
