--- a/crates/router/src/state/router_phase.rs
+++ b/crates/router/src/state/router_phase.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 /// How far a router is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
 pub(crate) enum RouterPhase {
     /// No configuration is in force yet.
