Peers: ask a host that is said to be gone; draw neighbors anew as the fleet grows

Cause: at 740 hosts on the virtual clock a cut-off zone took 34.00 s after the cut's end until all held all to be alive, for each accusation was handed on to all; and when all started at once, seeds received 2.96 MB in 15.2 s, being everybody's neighbors. Ruled out: fewer sends of each record while much is new (33.10 s and 13.15 s). Change: 'gone' from others leads to a probe and a word to that host, 8 a period; neighbors are drawn anew whenever the members known have doubled. Red first: the new test without the probe.

--- a/crates/peers/src/peer_core.rs
+++ b/crates/peers/src/peer_core.rs
@@ -76,6 +76,7 @@
     lazy: LazyQueue,
     probes: ProbeBook,
     doubted: Vec<u64>,
+    accusations_left: u32,
     neighbors: NeighborSet,
     allowance: ByteAllowance,
     seeds: Vec<SocketAddr>,
@@ -123,6 +124,7 @@
             lazy: LazyQueue::default(),
             probes: ProbeBook::default(),
             doubted: Vec::new(),
+            accusations_left: probing::ACCUSATIONS_PER_PERIOD,
             neighbors: NeighborSet::default(),
             allowance: ByteAllowance::new(pace.bytes_per_s, pace.burst_bytes, now_ms),
             seeds: conf.seeds.clone(),
@@ -168,6 +170,7 @@
 
     fn run_period(&mut self, now_ms: u64) {
         self.welcomes_left = joining::WELCOMES_PER_PERIOD;
+        self.accusations_left = probing::ACCUSATIONS_PER_PERIOD;
         self.items.expire(now_ms);
         self.rumors.expire(now_ms);
         self.may_compare = true;
@@ -226,7 +229,8 @@
         }
         let held =
             self.members.others().find(|record| record.address == address).map(MemberRecord::id);
-        let known = held.filter(|id| !self.doubted.contains(id));
+        let is_full = self.doubted.len() >= probing::DOUBTED_LIMIT;
+        let known = held.filter(|id| !is_full && !self.doubted.contains(id));
         self.doubted.extend(known);
         if !self.joined && self.join_tries < joining::QUICK_TRIES {
             self.call_on_someone();
--- a/crates/peers/src/peer_core/probing.rs
+++ b/crates/peers/src/peer_core/probing.rs
@@ -21,6 +21,11 @@
 /// Probes in a period beyond the regular one, of hosts whose links failed.
 const DOUBTED_PER_PERIOD: usize = 2;
 
+/// Hosts that wait to be probed out of turn.
+pub(super) const DOUBTED_LIMIT: usize = 64;
+/// Hosts told in a period that another one holds them to be gone: each may need a new link.
+pub(super) const ACCUSATIONS_PER_PERIOD: u32 = 8;
+
 impl PeerCore {
     /// One probe a period, whatever the size of the fleet, and a few where a link has just failed.
     pub(super) fn probe_someone(&mut self, now_ms: u64) {
@@ -115,6 +120,20 @@
         }
     }
 
+    /// A host is said to be gone. It is told so, that it may refute, and probed soon. When a partition
+    /// ends this is said of many at once: some are told now, the rest when it is said again.
+    pub(super) fn doubt(&mut self, record: &MemberRecord) {
+        let id = record.id();
+        let is_full = self.doubted.len() >= DOUBTED_LIMIT;
+        if self.accusations_left == 0 || is_full || self.doubted.contains(&id) {
+            return;
+        }
+        self.accusations_left -= 1;
+        self.doubted.push(id);
+        let records = vec![PeerRecord::Member(record.clone())];
+        self.send(record.address, PeerMessage::Update { records });
+    }
+
     pub(super) fn expire_members(&mut self, now_ms: u64) {
         for member in self.members.expire(now_ms) {
             self.rumors.remove(member.key());
--- a/crates/peers/src/peer_core/taking.rs
+++ b/crates/peers/src/peer_core/taking.rs
@@ -26,7 +26,7 @@
     /// Takes note of who speaks; false when it is not to be listened to.
     pub(super) fn meet(&mut self, from: &MemberRecord, now_ms: u64) -> bool {
         if from.host == self.members.own().host {
-            self.take_member(from, from.clone(), now_ms);
+            self.take_member(from, from, now_ms);
             return false;
         }
         let held = self.members.get(from.id()).map(|held| held.incarnation);
@@ -38,7 +38,7 @@
             }
             Some(incarnation) if incarnation == from.incarnation => true,
             _ => {
-                self.take_member(from, from.clone(), now_ms);
+                self.take_member(from, from, now_ms);
                 true
             }
         }
@@ -55,16 +55,16 @@
                 return;
             }
             match record {
-                PeerRecord::Member(member) => self.take_member(from, member, now_ms),
+                PeerRecord::Member(member) => self.take_member(from, &member, now_ms),
                 PeerRecord::Item(item) => self.take_item(from, item, now_ms),
             }
         }
     }
 
-    fn take_member(&mut self, from: &MemberRecord, record: MemberRecord, now_ms: u64) {
+    fn take_member(&mut self, from: &MemberRecord, record: &MemberRecord, now_ms: u64) {
         let (id, key, heartbeat) = (record.id(), record.key(), record.heartbeat);
         let suspicion_ms = self.pace.suspicion_ms(self.members.present());
-        match self.members.merge(record, now_ms, suspicion_ms) {
+        match self.members.merge(record.clone(), now_ms, suspicion_ms) {
             MemberMerge::Accepted { previous } => {
                 self.rumor_member(id, Some(from.id()));
                 if !self.neighbors.is_full() {
@@ -74,6 +74,7 @@
             }
             MemberMerge::Known => self.rumors.heard_again(key, from.id()),
             MemberMerge::Stale => {}
+            MemberMerge::Doubted => self.doubt(record),
             MemberMerge::Accused => {
                 self.refute(heartbeat);
                 self.tell_record(from.address, id, now_ms);
--- a/crates/peers/src/state/member_table.rs
+++ b/crates/peers/src/state/member_table.rs
@@ -31,6 +31,8 @@
     Known,
     /// What is held is newer.
     Stale,
+    /// It says that a host is gone which is alive as far as is known here: that host is to be asked.
+    Doubted,
     /// It says that this host is suspected or gone.
     Accused,
     /// It shows a later process under this host's name.
@@ -79,6 +81,7 @@
                 Judgement::Take(taken) => taken,
                 Judgement::Known => return MemberMerge::Known,
                 Judgement::Stale => return MemberMerge::Stale,
+                Judgement::Doubt => return MemberMerge::Doubted,
             },
             None if self.make_room() => record,
             None => return MemberMerge::Stale,
@@ -240,6 +243,7 @@
     Take(MemberRecord),
     Known,
     Stale,
+    Doubt,
 }
 
 fn judge(held: &MemberRecord, record: MemberRecord) -> Judgement {
@@ -257,24 +261,15 @@
     match record.heartbeat.cmp(&held.heartbeat).then(record.state.cmp(&held.state)) {
         Ordering::Less => Judgement::Stale,
         Ordering::Equal => Judgement::Known,
-        Ordering::Greater
-            if record.heartbeat == held.heartbeat && held.state == MemberState::Suspected =>
-        {
-            Judgement::Known
-        }
-        Ordering::Greater => Judgement::Take(doubt(held, record)),
-    }
-}
-
-/// "Gone" is a conclusion that each host draws itself, from its own clock.
-///
-/// After a partition each side holds the other to be gone, and one side's word would make the other
-/// side's hosts drop their own neighbours until each of them has refuted. Taken as a suspicion it
-/// gives them that time while they stay in use. Nothing is lost: a host that is truly gone does not
-/// refute, and the suspicion had been handed on before anyway.
-fn doubt(held: &MemberRecord, mut record: MemberRecord) -> MemberRecord {
-    if record.state == MemberState::Gone && held.is_present() {
-        record.state = MemberState::Suspected;
+        // "Gone" is a conclusion that each host draws itself. After a partition each side holds the
+        // other to be gone, and one side's word would make the other side's hosts drop their own
+        // neighbors, which never failed, until each of them had refuted. Nothing is lost by asking
+        // the host instead: one that is truly gone does not answer.
+        Ordering::Greater if record.state == MemberState::Gone => match held.state {
+            MemberState::Alive => Judgement::Doubt,
+            MemberState::Suspected => Judgement::Known,
+            MemberState::Gone | MemberState::Left => Judgement::Take(record),
+        },
+        Ordering::Greater => Judgement::Take(record),
     }
-    record
 }
--- a/crates/peers/src/state/neighbor_set.rs
+++ b/crates/peers/src/state/neighbor_set.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct NeighborSet {
     ids: Vec<u64>,
+    drawn_from: usize,
 }
 
 impl NeighborSet {
@@ -27,6 +28,13 @@
         let local: Vec<u64> = members.others().filter(is_local).map(MemberRecord::id).collect();
         let cross: Vec<u64> =
             members.others().filter(|record| !is_local(record)).map(MemberRecord::id).collect();
+        // Drawn among the few that a newcomer knows first, all neighbors would be seeds, and when all
+        // hosts start at once the seeds would get everybody's news.
+        let known = local.len() + cross.len();
+        if known >= 2 * self.drawn_from {
+            self.drawn_from = known;
+            self.ids.clear();
+        }
         let local_count = local.len().min(LOCAL_NEIGHBORS);
         let cross_count = CROSS_NEIGHBORS.max(LOCAL_NEIGHBORS + CROSS_NEIGHBORS - local_count);
         let mut ids = fill(&self.ids, &local, local_count, rng);
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -4,6 +4,7 @@
 
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::Incarnation;
+use fulmargate_peers::CoreOutput;
 use fulmargate_peers::MemberState;
 use fulmargate_peers::OverCause;
 use fulmargate_peers::PeerNews;
@@ -421,3 +422,39 @@
         assert!(net.all_alive(), "seed {seed}");
     }
 }
+
+/// A host has missed the news that another died, and by now all others hold that one to be gone: nobody
+/// probes it any more, and its turn here may be far. When the host hears of it by comparing, it must ask
+/// the dead one itself, soon, and come to its own conclusion.
+#[test]
+fn a_host_that_is_said_to_be_gone_is_asked() {
+    for said in [0, 1] {
+        let mut net = SimNet::new(96, 1, 3);
+        net.run(20_000);
+        let mut gone = net.nodes[50].core.own().clone();
+        let teller = net.nodes[1].core.own().clone();
+        gone.state = MemberState::Gone;
+        net.nodes[0].core.take_outputs();
+        let records = vec![PeerRecord::Member(gone.clone()); said];
+        let frame =
+            PeerFrame { in_force: ConfigVersion(0), message: PeerMessage::Update { records } };
+        let mut asked = 0;
+        let mut told = 0;
+        let now_ms = net.now_ms;
+        let core = &mut net.nodes[0].core;
+        core.receive(&teller, frame, now_ms);
+        assert_eq!(core.member(&gone.host).map(|held| held.state), Some(MemberState::Alive));
+        for tick in 1..=6 {
+            core.tick(now_ms + tick * 200);
+            for output in core.take_outputs() {
+                let CoreOutput::Send { to, frame } = output else { continue };
+                let is_to_it = to == gone.address;
+                asked +=
+                    usize::from(is_to_it && matches!(frame.message, PeerMessage::Probe { .. }));
+                told +=
+                    usize::from(is_to_it && matches!(frame.message, PeerMessage::Update { .. }));
+            }
+        }
+        assert_eq!((asked, told > 0), (said, said == 1));
+    }
+}
