Place for the wanted weights before any server has told its own

Ruled out: missing probes as such (health starts open). Change: until a server has told its weights, prompts are placed for the wanted ones.

--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -188,7 +188,7 @@
             },
             placer: Arc::clone(&kept.placer),
             oldest_weights: oldest,
-            weights: if wanted <= confirmed { wanted } else { confirmed },
+            weights: expected_weights(wanted, confirmed),
         }
     }
 
@@ -243,6 +243,16 @@
     }
 }
 
+/// The weights that prompts are placed for: those wanted, or older ones that are still in use. A
+/// router that has just started has heard of none; it takes those wanted, as the others do, for a
+/// prompt's place depends on them.
+fn expected_weights(wanted: WeightsVersion, confirmed: WeightsVersion) -> WeightsVersion {
+    match confirmed {
+        WeightsVersion(0) => wanted,
+        confirmed => wanted.min(confirmed),
+    }
+}
+
 fn import_conf(import: KvImport) -> ImportConf {
     ImportConf {
         ask_ms: import.ask_ms,
