--- a/crates/load/src/calls/caller.rs
+++ b/crates/load/src/calls/caller.rs
@@ -1,6 +1,7 @@
 //! Sends calls as callers do: to one address after the other, again when a connection breaks.
 
 use std::cell::Cell;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -66,6 +67,7 @@
     start: Instant,
     start_unix_ms: u64,
     patience: Duration,
+    weights: RangeInclusive<u64>,
 }
 
 impl Caller {
@@ -90,9 +92,16 @@
             start: Instant::now(),
             start_unix_ms,
             patience,
+            weights: 1..=1,
         }
     }
 
+    /// Callers that take answers of these weights; else of version 1 only.
+    pub fn expect_weights(mut self, weights: RangeInclusive<u64>) -> Caller {
+        self.weights = weights;
+        self
+    }
+
     /// The beginning of the run.
     pub fn start(&self) -> Instant {
         self.start
@@ -139,7 +148,7 @@
             request_id: self.request_id(call),
             prompt_hash: token::prompt_hash(&body.model, &body.prompt_text()),
             tokens: body.answer_tokens(),
-            weights: 1..=1,
+            weights: self.weights.clone(),
         }
     }
 
--- a/crates/load/src/runs/load_run.rs
+++ b/crates/load/src/runs/load_run.rs
@@ -35,6 +35,10 @@
     pub max_open: usize,
     /// How long a caller waits for the end of an answer.
     pub patience: Duration,
+    /// An answer of older weights is stale.
+    pub oldest_weights: u64,
+    /// No answer may be of newer weights.
+    pub newest_weights: u64,
 }
 
 impl Default for RunLimits {
@@ -43,6 +47,8 @@
             max_calls: DEFAULT_MAX_CALLS,
             max_open: DEFAULT_MAX_OPEN,
             patience: DEFAULT_PATIENCE,
+            oldest_weights: 1,
+            newest_weights: 1,
         }
     }
 }
@@ -83,13 +89,15 @@
 
     /// Sends the calls and returns what became of each, in the order of the plan.
     pub async fn run(&self, calls: &[PlannedCall]) -> Vec<CallRecord> {
-        let caller = Rc::new(Caller::new(
+        let caller = Caller::new(
             self.target,
             self.addresses.clone(),
             Rc::clone(&self.deployment),
             self.library(),
             self.limits.patience,
-        ));
+        );
+        let weights = self.limits.oldest_weights..=self.limits.newest_weights;
+        let caller = Rc::new(caller.expect_weights(weights));
         let (sender, ended) = mpsc::unbounded_channel();
         let mut progress = RunProgress::new(caller.start(), ended);
         for call in calls {
