Show the bytes of the exchange by kind in the metrics

Cause: control traffic has a budget (21 KB/s a host) that operators could not see. Change: fulmargate_peer_bytes_total by kind and direction.

--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -151,7 +151,8 @@
     let mut made = None;
     let addr = ControlActor::create(|ctx: &mut Context<ControlActor>| {
         let addr = actix::AsyncContext::address(ctx);
-        let state = RouterState::new(settings, incarnation, secrets, claims, addr);
+        let state =
+            RouterState::new(settings, incarnation, secrets, claims, addr, peers.counters());
         made = Some(Arc::clone(&state));
         ControlActor::new(state, keeper.clone(), log, probe_client(), peers.clone())
     });
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -23,6 +23,7 @@
 use fulmargate_names::RequestId;
 use fulmargate_names::ServerName;
 use fulmargate_names::ZoneName;
+use fulmargate_peers::PeerCounters;
 use fulmargate_relay::TokenSecrets;
 use fulmargate_settings::RouterSettings;
 use sha2::Digest;
@@ -58,6 +59,8 @@
     pub(crate) suspects: Arc<SuspectBook>,
     pub(crate) claims: ClaimHandle,
     pub(crate) control: Addr<ControlActor>,
+    /// Bytes exchanged with other routers, by kind.
+    pub(crate) peer_bytes: Arc<PeerCounters>,
     /// Seed of the fingerprints of requests, shared by all routers and kept from callers.
     pub(crate) print_seed: u64,
     /// Turns true with the first table of routes.
@@ -73,6 +76,7 @@
         secrets: TokenSecrets,
         claims: ClaimHandle,
         control: Addr<ControlActor>,
+        peer_bytes: Arc<PeerCounters>,
     ) -> Arc<RouterState> {
         Arc::new(RouterState {
             host: settings.host.clone(),
@@ -88,6 +92,7 @@
             suspects: SuspectBook::new(SuspectConf::default()),
             claims,
             control,
+            peer_bytes,
             print_seed: print_seed(&settings),
             ready: watch::Sender::new(false),
             attempts: AtomicU64::new(0),
--- a/crates/router/src/telemetry/metric_book.rs
+++ b/crates/router/src/telemetry/metric_book.rs
@@ -61,6 +61,7 @@
     let host = state.host.to_string();
     metrics::gauge!("fulmargate_open_requests", "host" => host.clone())
         .set(state.open.open() as f64);
+    tell_peer_bytes(state);
     if let Some(table) = state.routes.load_full() {
         metrics::gauge!("fulmargate_config_version", "host" => host).set(table.version.0 as f64);
         for (model, route) in &table.models {
@@ -76,3 +77,17 @@
         _ => String::new(),
     }
 }
+
+fn tell_peer_bytes(state: &RouterState) {
+    for row in state.peer_bytes.rows() {
+        for (direction, bytes) in [("sent", row.sent), ("received", row.received)] {
+            metrics::counter!(
+                "fulmargate_peer_bytes_total",
+                "host" => state.host.to_string(),
+                "kind" => row.kind.name(),
+                "direction" => direction
+            )
+            .absolute(bytes);
+        }
+    }
+}
