--- a/crates/admission/src/class_queue.rs
+++ b/crates/admission/src/class_queue.rs
@@ -1,11 +1,13 @@
 //! The waiting requests of one priority, fair among teams.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use fulmargate_names::TeamName;
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::drain_rate::DrainRate;
 use crate::gate_load::GateRoom;
 use crate::queue_entry::QueueEntry;
 use crate::team_queue::TeamQueue;
@@ -26,6 +28,8 @@
     quantum: u64,
     len: usize,
     cost: u64,
+    /// How fast this priority's requests leave; more urgent ones that overtake make it slower.
+    pace: DrainRate,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,36 +58,39 @@
         self.len
     }
 
-    /// The cost of all that wait.
-    pub(crate) fn cost(&self) -> u64 {
-        self.cost
-    }
-
     /// How many of this team wait.
     pub(crate) fn team_len(&self, team: &TeamName) -> usize {
         self.teams.get(team).map_or(0, TeamQueue::len)
     }
 
-    /// The cost that probably goes before a new request of this team: each other team sends about
-    /// as much as this one before it is its turn.
-    pub(crate) fn cost_before(&self, team: &TeamName, cost: u64) -> u64 {
-        let own = self.teams.get(team).map_or(0, TeamQueue::cost);
-        let others = (self.cost - own).min((own + cost) * self.teams.len() as u64);
-        own + others
+    /// How long a new request of this team will probably wait; `None` while nothing is known.
+    ///
+    /// By the team's own pace, for others keep coming and take their turns; for a team of which
+    /// little has left yet, by what waits before it.
+    pub(crate) fn wait_for(&self, team: &TeamName, cost: u64, now: Instant) -> Option<Duration> {
+        let own = self.teams.get(team).and_then(|queue| queue.wait_for(cost, now));
+        own.or_else(|| self.pace.time_for(self.cost_before(team, cost) + cost, now))
+    }
+
+    /// What was learnt of the pace holds no more.
+    pub(crate) fn forget_pace(&mut self) {
+        self.pace = DrainRate::default();
+        self.teams.values_mut().for_each(TeamQueue::forget_pace);
     }
 
     /// Adds a request at the end of its team's queue.
-    pub(crate) fn push(&mut self, entry: QueueEntry) {
+    pub(crate) fn push(&mut self, entry: QueueEntry, now: Instant) {
         if self.len == 0 {
             self.quantum = 0;
         }
+        self.pace.begin(now);
         self.quantum = self.quantum.max(entry.cost);
         self.len += 1;
         self.cost += entry.cost;
         if !self.teams.contains_key(&entry.team) {
             self.ring.push_back(entry.team.clone());
         }
-        self.teams.entry(entry.team.clone()).or_default().push(entry);
+        self.teams.entry(entry.team.clone()).or_default().push(entry, now);
     }
 
     /// Takes the next request if it fits.
@@ -121,6 +128,8 @@
             }
             if cost <= queue.deficit {
                 queue.deficit -= cost;
+                queue.granted(cost, now);
+                self.pace.granted(cost, now);
                 return self.pop_head(QueueStep::Next);
             }
             self.pass_turn();
@@ -183,5 +192,16 @@
     fn forget(&mut self, entry: &QueueEntry) {
         self.len -= 1;
         self.cost -= entry.cost;
+        if self.len == 0 {
+            self.pace.end();
+        }
+    }
+
+    /// The cost that probably goes before a new request of this team: each other team sends about
+    /// as much as this one before it is its turn.
+    fn cost_before(&self, team: &TeamName, cost: u64) -> u64 {
+        let own = self.teams.get(team).map_or(0, TeamQueue::cost);
+        let others = (self.cost - own).min((own + cost) * self.teams.len() as u64);
+        own + others
     }
 }
--- a/crates/admission/src/drain_rate.rs
+++ b/crates/admission/src/drain_rate.rs
@@ -25,11 +25,14 @@
 impl DrainRate {
     /// Someone waits from now on.
     pub(crate) fn begin(&mut self, now: Instant) {
+        if self.busy_since.is_some() {
+            return;
+        }
         let old = self.last.is_some_and(|last| now.saturating_duration_since(last) > FORGET_AFTER);
         if old {
             *self = DrainRate::default();
         }
-        self.busy_since.get_or_insert(now);
+        self.busy_since = Some(now);
     }
 
     /// A waiting request was sent.
--- a/crates/admission/src/gate_conf.rs
+++ b/crates/admission/src/gate_conf.rs
@@ -40,7 +40,7 @@
             first_tokens: 8_192,
             least_tokens: 512,
             most_tokens: 1 << 20,
-            target_wait: Duration::from_millis(100),
+            target_wait: Duration::from_millis(300),
             urgent_priority: 0,
             lesser_share: 0.8,
             team_share: 0.9,
--- a/crates/admission/src/gate_queue.rs
+++ b/crates/admission/src/gate_queue.rs
@@ -1,6 +1,7 @@
 //! All that waits at one gate.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use fulmargate_names::TeamName;
 use tokio::time::Instant;
@@ -32,11 +33,20 @@
         self.classes.entry(priority).or_default()
     }
 
-    /// The cost that probably goes before a new request.
-    pub(crate) fn cost_before(&self, priority: u8, team: &TeamName, cost: u64) -> u64 {
-        let urgent: u64 = self.classes.range(..priority).map(|(_, class)| class.cost()).sum();
-        let own = self.classes.get(&priority).map_or(0, |class| class.cost_before(team, cost));
-        urgent + own
+    /// How long a new request will probably wait; `None` while nothing is known.
+    pub(crate) fn wait_for(
+        &self,
+        priority: u8,
+        team: &TeamName,
+        cost: u64,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.classes.get(&priority)?.wait_for(team, cost, now)
+    }
+
+    /// What was learnt of the pace holds no more.
+    pub(crate) fn forget_pace(&mut self) {
+        self.classes.values_mut().for_each(ClassQueue::forget_pace);
     }
 
     /// Takes the next request if it fits. While a more urgent one waits for room, no other goes.
--- a/crates/admission/src/gate_state.rs
+++ b/crates/admission/src/gate_state.rs
@@ -14,7 +14,6 @@
 use crate::MoveReason;
 use crate::adaptive_limit::AdaptiveLimit;
 use crate::class_queue::QueueStep;
-use crate::drain_rate::DrainRate;
 use crate::gate_load::GateLoad;
 use crate::gate_load::GateRoom;
 use crate::gate_queue::GateQueue;
@@ -32,7 +31,6 @@
     limit: AdaptiveLimit,
     load: GateLoad,
     queue: GateQueue,
-    drain: DrainRate,
     closed: Option<MoveReason>,
     epoch: u64,
     next_id: u64,
@@ -79,7 +77,6 @@
             limit: AdaptiveLimit::new(conf),
             load: GateLoad::default(),
             queue: GateQueue::default(),
-            drain: DrainRate::default(),
             closed: None,
             epoch: 0,
             next_id: 0,
@@ -121,16 +118,13 @@
                 .queue
                 .next(now, |priority, team, tokens| load.room(conf, limit, team, priority, tokens));
             match step {
-                QueueStep::Empty => {
-                    self.drain.end();
-                    return decisions;
-                }
+                QueueStep::Empty => return decisions,
                 QueueStep::Blocked(room) => {
                     self.limit.hold_back(room);
                     return decisions;
                 }
                 QueueStep::Expired(entry) => decisions.push(self.expire(entry, now)),
-                QueueStep::Next(entry) => decisions.push(self.grant(entry, now)),
+                QueueStep::Next(entry) => decisions.push(self.grant(entry)),
             }
         }
     }
@@ -142,17 +136,12 @@
         team: &fulmargate_names::TeamName,
         id: u64,
     ) -> Option<QueueEntry> {
-        let entry = self.queue.class(priority).remove(team, id);
-        if self.queue.len() == 0 {
-            self.drain.end();
-        }
-        entry
+        self.queue.class(priority).remove(team, id)
     }
 
     /// When a request that has been given up may come again.
     pub(crate) fn refusal(&self, kind: ErrorKind, entry: &QueueEntry, now: Instant) -> GateRefusal {
-        let before = self.queue.cost_before(entry.priority, &entry.team, entry.cost);
-        let wait = self.drain.time_for(before + entry.cost, now);
+        let wait = self.queue.wait_for(entry.priority, &entry.team, entry.cost, now);
         GateRefusal { kind, retry_after: wait.unwrap_or(UNKNOWN_WAIT) }
     }
 
@@ -185,7 +174,6 @@
     /// Nothing new; all that wait are asked to move.
     pub(crate) fn close(&mut self, reason: MoveReason) -> Vec<QueueDecision> {
         self.closed = Some(reason);
-        self.drain.end();
         let moved = |entry| QueueDecision { entry, fate: QueueFate::Move(reason) };
         self.queue.drain().into_iter().map(moved).collect()
     }
@@ -201,7 +189,7 @@
         self.epoch += 1;
         self.load = GateLoad::default();
         self.limit = AdaptiveLimit::new(self.conf);
-        self.drain = DrainRate::default();
+        self.queue.forget_pace();
     }
 
     /// How long a new request would probably wait here.
@@ -247,9 +235,8 @@
     }
 
     fn wait_of(&self, request: &GateRequest, now: Instant) -> Option<Duration> {
-        let cost = self.cost(request);
-        let before = self.queue.cost_before(request.class.conf.priority, &request.team, cost);
-        self.drain.time_for(before + cost, now)
+        let priority = request.class.conf.priority;
+        self.queue.wait_for(priority, &request.team, self.cost(request), now)
     }
 
     /// Queues a request, unless its deadline can't be met or its team fills the queue.
@@ -300,12 +287,11 @@
             give_up,
             sender,
         };
-        self.queue.class(priority).push(entry);
-        self.drain.begin(now);
+        self.queue.class(priority).push(entry, now);
         id
     }
 
-    fn grant(&mut self, entry: QueueEntry, now: Instant) -> QueueDecision {
+    fn grant(&mut self, entry: QueueEntry) -> QueueDecision {
         let slot = GateSlot {
             epoch: self.epoch,
             team: entry.team.clone(),
@@ -313,7 +299,6 @@
             prefill_tokens: entry.prefill_tokens,
         };
         self.load.take(&self.conf, &slot);
-        self.drain.granted(entry.cost, now);
         QueueDecision { entry, fate: QueueFate::Admit(slot) }
     }
 
--- a/crates/admission/src/team_queue.rs
+++ b/crates/admission/src/team_queue.rs
@@ -1,7 +1,11 @@
 //! One team's waiting requests of one priority.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
+use tokio::time::Instant;
+
+use crate::drain_rate::DrainRate;
 use crate::queue_entry::QueueEntry;
 
 /// One team's waiting requests of one priority, in order of arrival.
@@ -11,6 +15,8 @@
     cost: u64,
     /// What the team may still send in this round.
     pub(crate) deficit: u64,
+    /// How fast this team's requests leave.
+    pace: DrainRate,
 }
 
 impl TeamQueue {
@@ -29,8 +35,24 @@
         self.entries.front()
     }
 
+    /// How long a further request will probably wait; `None` while little has left.
+    pub(crate) fn wait_for(&self, cost: u64, now: Instant) -> Option<Duration> {
+        self.pace.time_for(self.cost + cost, now)
+    }
+
+    /// One was sent.
+    pub(crate) fn granted(&mut self, cost: u64, now: Instant) {
+        self.pace.granted(cost, now);
+    }
+
+    /// What was learnt of the pace holds no more.
+    pub(crate) fn forget_pace(&mut self) {
+        self.pace = DrainRate::default();
+    }
+
     /// Adds one at the end.
-    pub(crate) fn push(&mut self, entry: QueueEntry) {
+    pub(crate) fn push(&mut self, entry: QueueEntry, now: Instant) {
+        self.pace.begin(now);
         self.cost += entry.cost;
         self.entries.push_back(entry);
     }
@@ -59,5 +81,8 @@
 
     fn forget(&mut self, entry: &QueueEntry) {
         self.cost -= entry.cost;
+        if self.entries.is_empty() {
+            self.pace.end();
+        }
     }
 }
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -226,6 +226,37 @@
     assert!(matches!(other, GateEntry::Queued(_)), "another team does not wait behind the crowd");
 }
 
+/// Another team keeps coming and takes every second turn, though little of it waits at any moment.
+/// A request of the team that waits longer is refused on arrival by its own team's pace; by the
+/// queue alone its deadline would seem in reach, and it would wait in vain.
+#[tokio::test(start_paused = true)]
+async fn a_team_is_judged_by_its_own_pace() {
+    let gate = fixed_gate(1, 100_000);
+    let patient = class(BATCH, 60_000, 99);
+    let mut under_way = Some(admitted(enter(&gate, "z", &patient, 0)));
+    let (sender, mut granted) = tokio::sync::mpsc::unbounded_channel();
+    let wait = |team: &'static str| {
+        let (waiter, sender) = (queued(enter(&gate, team, &patient, 0)), sender.clone());
+        tokio::spawn(async move { sender.send((team, waiter.wait().await)) });
+    };
+    (0..12).for_each(|_| wait("long"));
+    wait("other");
+    for _ in 0..12 {
+        advance(ms(100)).await;
+        drop(under_way.take());
+        let (team, outcome) = granted.recv().await.expect("one is next");
+        let GateOutcome::Admitted(ticket) = outcome else { panic!("not sent") };
+        under_way = Some(ticket);
+        if team == "other" {
+            wait("other");
+        }
+    }
+    // Six of its own are left, and six turns of the other team will come between them.
+    let hasty = enter(&gate, "long", &class(BATCH, 1_000, 99), 0);
+    assert!(matches!(hasty, GateEntry::Decided(GateOutcome::Refused(_))), "{hasty:?}");
+    queued(enter(&gate, "other", &class(BATCH, 1_000, 99), 0));
+}
+
 /// A server restarts with two requests under way. Their tickets end later; they must not free
 /// room that they no longer take, or the fresh server would get more than its limit.
 #[tokio::test(start_paused = true)]
--- a/crates/admission/tests/suspects.rs
+++ b/crates/admission/tests/suspects.rs
@@ -54,6 +54,17 @@
 const A: u128 = 1_000_003;
 const B: u128 = 1_000_009;
 
+const CALM: HistoryCase = HistoryCase {
+    name: "",
+    routers: 6,
+    servers: 12,
+    harmless: 60,
+    crashing: &[],
+    restarts: &[],
+    failures: &[],
+    lost: 2,
+};
+
 const HISTORIES: &[HistoryCase] = &[
     HistoryCase {
         name: "one, through one router",
@@ -61,9 +72,7 @@
         servers: 4,
         harmless: 8,
         crashing: &[(1, A, 0)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "with sixteen under way on its server",
@@ -71,19 +80,13 @@
         servers: 1,
         harmless: 16,
         crashing: &[(1, A, 0)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "sent again to each router in turn",
-        routers: 6,
-        servers: 12,
         harmless: 40,
         crashing: &[(1, A, 0), (20, A, 1), (40, A, 2), (41, A, 3), (80, A, 4), (200, A, 5)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "sent again to another router while the first runs it apart",
@@ -91,9 +94,7 @@
         servers: 6,
         harmless: 20,
         crashing: &[(1, A, 0), (4, A, 1), (5, A, 2)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "two at once on one server",
@@ -101,19 +102,12 @@
         servers: 1,
         harmless: 6,
         crashing: &[(1, A, 0), (1, B, 1)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "two at once on several servers",
-        routers: 6,
-        servers: 12,
-        harmless: 60,
         crashing: &[(1, A, 0), (1, B, 1)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "the second while suspects of the first run apart",
@@ -121,9 +115,7 @@
         servers: 6,
         harmless: 40,
         crashing: &[(1, A, 0), (4, B, 1)],
-        restarts: &[],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "its router restarts after the first crash",
@@ -132,8 +124,7 @@
         harmless: 20,
         crashing: &[(1, A, 0), (30, A, 0)],
         restarts: &[(4, 0)],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "its router restarts after the conviction",
@@ -142,26 +133,16 @@
         harmless: 20,
         crashing: &[(1, A, 0), (60, A, 0)],
         restarts: &[(50, 0)],
-        failures: &[],
-        lost: 2,
+        ..CALM
     },
     HistoryCase {
         name: "four of twelve servers fail one after the other and no request is to blame",
-        routers: 6,
-        servers: 12,
-        harmless: 60,
-        crashing: &[],
-        restarts: &[],
         failures: &[(3, 0), (4, 1), (5, 2), (6, 3)],
-        lost: 0,
+        ..CALM
     },
     HistoryCase {
         name: "servers go on failing beside a crashing request",
-        routers: 6,
-        servers: 12,
-        harmless: 60,
         crashing: &[(3, A, 0)],
-        restarts: &[],
         failures: &[
             (2, 1),
             (4, 2),
@@ -178,16 +159,13 @@
             (50, 5),
         ],
         lost: 3,
+        ..CALM
     },
     HistoryCase {
         name: "a third of the servers fail beside a crashing request",
-        routers: 6,
-        servers: 12,
-        harmless: 60,
         crashing: &[(1, A, 0)],
-        restarts: &[],
         failures: &[(20, 0), (20, 4), (21, 8), (21, 11)],
-        lost: 2,
+        ..CALM
     },
 ];
 
