--- a/crates/proofs/tests/failures/watched_load.rs
+++ b/crates/proofs/tests/failures/watched_load.rs
@@ -71,6 +71,13 @@
         self
     }
 
+    /// Takes answers of these weights only.
+    pub(crate) fn weights(mut self, oldest: u64, newest: u64) -> WatchedLoad {
+        self.run.limits.oldest_weights = oldest;
+        self.run.limits.newest_weights = newest;
+        self
+    }
+
     /// Sends all calls and returns what became of each.
     pub(crate) async fn send(&self) -> Vec<CallRecord> {
         self.run.run(&self.calls).await
--- a/crates/router/src/control/orders/order_desk.rs
+++ b/crates/router/src/control/orders/order_desk.rs
@@ -17,6 +17,7 @@
 use fulmargate_fleet::ServerReport;
 use fulmargate_fleet::WantedModel;
 use fulmargate_fleet::WantedServer;
+use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
@@ -43,7 +44,7 @@
     pace: OrderPace,
     seen: IndexMap<ServerName, SeenServer>,
     /// The number of the lease that the plan's orders were given under.
-    lease: Option<OwnLease>,
+    fence: Option<FencingNumber>,
     count: u64,
 }
 
@@ -55,7 +56,7 @@
             plan: OrderPlan::new(pace),
             pace,
             seen: IndexMap::new(),
-            lease: None,
+            fence: None,
             count: 0,
         }
     }
@@ -70,14 +71,12 @@
 
     /// The orders to give now.
     fn next(&mut self, zone: &ZoneName, table: &RouteTable) -> Vec<OrderCall> {
-        let own = self.view.acting();
-        if own.map(|own| own.fence) != self.lease.map(|own| own.fence) {
-            self.plan.clear();
-        }
-        self.lease = own;
-        let Some(own) = own else {
+        let Some(own) = self.view.acting() else {
             return Vec::new();
         };
+        if self.fence.replace(own.fence) != Some(own.fence) {
+            self.plan.clear();
+        }
         let wanted = wanted_servers(zone, &table.document);
         let orders = self.plan.next(&wanted, &self.seen, Instant::now().into_std());
         orders
