Tell demand often enough that the plan's maker counts it

Cause: worked out on the capacity page: 48 groups paced at 1,000 bytes/s for six hosts came each 4.4 s, and a report counts for five; one lost word took a host out of the count, and without more than half of them no plan is made. Ruled out: a longer life of reports (the plan would follow a shift later). Change: 40 groups (about 600 bytes), 1,600 bytes/s for all hosts: each 2.3 s at six hosts. Measured: tests of the exchange green; bytes are in fulmargate_peer_bytes_total. Conclusion: kept; at hosts x models = 26 it is too slow again, see docs/CAPACITY.md.

--- a/crates/peers/src/state/lazy_queue.rs
+++ b/crates/peers/src/state/lazy_queue.rs
@@ -63,7 +63,9 @@
 fn spacing_ms(item: &PeerItem, size: FleetSize) -> u64 {
     let (writers, bytes_per_s) = match item.kind() {
         RecordKind::ConfigInForce => (size.hosts, 500),
-        RecordKind::TeamUseWord | RecordKind::DemandWord => (size.hosts, 1_000),
+        RecordKind::TeamUseWord => (size.hosts, 1_000),
+        // Reports of demand count for five seconds: six hosts tell theirs each 2.3 s.
+        RecordKind::DemandWord => (size.hosts, 1_600),
         RecordKind::HotPrefix => (size.zone_hosts, 500),
         RecordKind::TeamUsage => (size.zone_hosts, 2_500),
         // One host of the fleet writes these.
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -41,7 +41,7 @@
 /// How often a plan that has not changed is told again, for hosts that have just started.
 const PLAN_REFRESH: Duration = Duration::from_secs(10);
 /// Groups told in a report of demand.
-const DEMAND_GROUPS: usize = 48;
+const DEMAND_GROUPS: usize = 40;
 
 /// What the control actor keeps for the exchange.
 pub(crate) struct PeerDesk {
