Read the platform's list of hosts for leaving servers and seeds

Cause: a leaving server may be told of by the list alone, and the settings' seeds may all be gone; the router did not read the list. On the way: a late word about an old incarnation would have marked its successor as leaving. Change: host_watch reads the list each second; a word that names an incarnation holds for that one only. Measured: leaving_servers_get_nothing_new green. Not proved apart: a server that leaves by the list's word alone.

--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -318,7 +318,12 @@
         };
         let mut is_changed = self.note_life(&route, message.incarnation);
         if message.is_leaving {
-            let incarnation = message.incarnation.max(route.incarnation());
+            // A word that names an incarnation speaks of that one only: a late one must not take a
+            // successor out of use.
+            let incarnation = match message.incarnation {
+                Incarnation(0) => route.incarnation(),
+                told => told,
+            };
             is_changed |= self.note_leaving(&route, incarnation);
         }
         if is_changed {
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -47,6 +47,7 @@
 use crate::control::RunningRouter;
 use crate::control::StartError;
 use crate::control::control_message::ConfigPublished;
+use crate::control::host_watch;
 use crate::control::listeners::BoundListeners;
 use crate::control::listeners::caller_server;
 use crate::control::listeners::operator_server;
@@ -160,6 +161,10 @@
     actix_rt::spawn(pass_on_config(keeper.subscribe(), addr.clone(), control.clone()));
     actix_rt::spawn(pass_on_news(peer_news, addr.clone()));
     actix_rt::spawn(pass_on_suspects(state.suspects.changes(), addr, control.clone()));
+    if let Some(address) = state.settings.platform.hosts {
+        let watch = host_watch::run(address, Arc::clone(&state), peers.clone(), control.clone());
+        actix_rt::spawn(watch);
+    }
     let cancel = control.clone();
     actix_rt::spawn(async move { keeper.run(cancel).await });
     let callers = caller_server(&state, listeners.callers).map_err(|err| err.to_string())?;
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_actor;
 mod control_message;
 mod control_thread;
+mod host_watch;
 mod listeners;
 mod operator_call;
 mod orders;
@@ -12,6 +13,7 @@
 mod server_probe;
 mod start_error;
 mod stop_plan;
+mod weights_floor;
 mod word_codec;
 
 pub(crate) use control_actor::ControlActor;
--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -23,6 +23,7 @@
 use fulmargate_placement::StoreUse;
 use indexmap::IndexMap;
 
+use crate::control::weights_floor::WeightsFloor;
 use crate::state::ClassRoute;
 use crate::state::ModelRoute;
 use crate::state::RouteTable;
@@ -50,6 +51,7 @@
     plan: Option<SpreadPlan>,
     /// The newest weights that any server has confirmed; never falls.
     confirmed: WeightsVersion,
+    floor: WeightsFloor,
 }
 
 impl RouteKeeper {
@@ -169,14 +171,16 @@
     fn model_route(&mut self, document: &ConfigDocument, model: &ModelName) -> ModelRoute {
         let wanted = document.models.get(model).map(|entry| entry.weights).unwrap_or_default();
         let confirmed = self.models.get(model).map(|kept| kept.confirmed).unwrap_or_default();
-        // Until a server has confirmed the wanted weights, older ones go on serving.
-        let oldest = if wanted <= confirmed { wanted } else { WeightsVersion(0) };
         let names = document.servers_of_model(model);
-        let names: Vec<ServerName> = names
+        let mut names: Vec<ServerName> = names
             .filter(|(name, entry)| entry.state == ServerState::Active && self.takes_work(name))
-            .filter(|(name, _)| self.has_weights(name, model, oldest))
             .map(|(name, _)| name.clone())
             .collect();
+        let told: Vec<Option<WeightsVersion>> =
+            names.iter().map(|name| self.told_weights(name, model)).collect();
+        let floor = self.models.get_mut(model).map(|kept| kept.floor.step(wanted, &told));
+        let oldest = floor.unwrap_or_default();
+        names.retain(|name| self.has_weights(name, model, oldest));
         let servers = names.iter().filter_map(|name| self.fleet_server(name)).collect();
         let view = FleetView::new(&self.conf, servers);
         let conf = &self.conf;
@@ -205,8 +209,11 @@
 
     /// A server that has not told its weights yet is trusted: its answers tell.
     fn has_weights(&self, name: &ServerName, model: &ModelName, oldest: WeightsVersion) -> bool {
-        let told = self.servers.get(name).and_then(|kept| kept.route.told_weights(model));
-        told.is_none_or(|told| oldest <= told)
+        self.told_weights(name, model).is_none_or(|told| oldest <= told)
+    }
+
+    fn told_weights(&self, name: &ServerName, model: &ModelName) -> Option<WeightsVersion> {
+        self.servers.get(name)?.route.told_weights(model)
     }
 
     fn service_routes(
@@ -239,6 +246,7 @@
             placer: Arc::new(Placer::new(conf.clone())),
             plan: None,
             confirmed: WeightsVersion(0),
+            floor: WeightsFloor::default(),
         }
     }
 }
