Date the reports of shared limits by when they were told

Cause: the exchange paces lazy words by their size and the number of hosts, so a report may be seconds old when it arrives; counted as new, it outlives the hold and the bound with it. Three checks that changed nothing are gone. Conclusion: the router has to pass the age of each record.

--- a/crates/admission/src/reach_book.rs
+++ b/crates/admission/src/reach_book.rs
@@ -32,7 +32,7 @@
 /// A router's last report.
 #[derive(Debug)]
 struct HeardRouter {
-    at: Instant,
+    told: Instant,
     reach: u64,
     teams: IndexMap<TeamName, TeamRate>,
 }
@@ -52,9 +52,10 @@
         self.known.len()
     }
 
-    /// Takes in another router's report.
-    pub(crate) fn hear(&mut self, host: &HostName, report: &UsageReport, now: Instant) {
-        if *host == self.own || !self.known.contains(host) {
+    /// Takes in what another router told at a time; one that came late changes nothing.
+    pub(crate) fn hear(&mut self, host: &HostName, report: &UsageReport, told: Instant) {
+        let is_late = self.heard.get(host).is_some_and(|heard| told < heard.told);
+        if *host == self.own || !self.known.contains(host) || is_late {
             return;
         }
         let rate = |usage: &crate::TeamUsage| TeamRate {
@@ -62,22 +63,23 @@
             tokens: f64::from(usage.prompt_tokens_per_s),
         };
         let teams = report.teams.iter().map(|usage| (usage.team.clone(), rate(usage))).collect();
-        let heard = HeardRouter { at: now, reach: report.reach, teams };
+        let heard = HeardRouter { told, reach: report.reach, teams };
         self.heard.insert(host.clone(), heard);
     }
 
     /// Works out with whom the limits are shared now; gives back what to tell the others.
     pub(crate) fn renew(&mut self, conf: &LimiterConf, now: Instant) -> u64 {
-        let fresh =
-            |heard: &HeardRouter| now.saturating_duration_since(heard.at) < conf.stale_after;
+        let stale_after = conf.stale_among(self.known.len());
+        let fresh = |heard: &HeardRouter| now.saturating_duration_since(heard.told) < stale_after;
         let is_heard =
             |host: &HostName| *host == self.own || self.heard.get(host).is_some_and(fresh);
         let heard = self.known.iter().filter(|host| is_heard(host));
         let reach = digest(self.known.iter()) ^ digest(heard).rotate_left(1);
+        // Whoever tells the same reach hears this router and is heard by it.
         let mut members: Vec<HostName> = self
             .heard
             .iter()
-            .filter(|(_, heard)| fresh(heard) && heard.reach == reach)
+            .filter(|(_, heard)| heard.reach == reach)
             .map(|(host, _)| host.clone())
             .collect();
         members.sort_unstable();
@@ -113,7 +115,8 @@
         if self.views.back().is_some_and(|(_, last)| *last != view) {
             self.views.push_back((now, view));
         }
-        let is_over = |since: Instant| now.saturating_duration_since(since) >= conf.hold();
+        let hold = conf.hold_among(self.known.len());
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= hold;
         while self.views.get(1).is_some_and(|(since, _)| is_over(*since)) {
             self.views.pop_front();
         }
--- a/crates/admission/src/team_limiter.rs
+++ b/crates/admission/src/team_limiter.rs
@@ -110,9 +110,10 @@
         };
         let (known, elapsed) = self.begin_step(&spread, now);
         let teams = self.most_asking(known, elapsed, now);
+        let step = ShareStep { spread, hold: self.conf.hold_among(known), now };
         for shard in &self.shards {
             for (name, state) in lock(shard).iter_mut() {
-                self.renew_share(&spread, name, state, teams.get(name), now);
+                self.renew_share(&step, name, state, teams.get(name));
             }
         }
         let usage = |(team, rate): (TeamName, ToldRate)| TeamUsage {
@@ -123,9 +124,10 @@
         UsageReport { reach, teams: teams.into_iter().map(usage).collect() }
     }
 
-    /// Takes in another router's report.
-    pub fn peer_usage(&self, host: &HostName, report: &UsageReport, now: Instant) {
-        lock(&self.reach).hear(host, report, now);
+    /// Takes in what another router told, and when: now less the time that it was under way. A
+    /// report that counted as new on arrival would outlive the hold, and with it the bound.
+    pub fn peer_usage(&self, host: &HostName, report: &UsageReport, told: Instant) {
+        lock(&self.reach).hear(host, report, told);
     }
 
     /// Teams kept at this moment.
@@ -202,21 +204,20 @@
 
     fn renew_share(
         &self,
-        spread: &UsageSpread,
+        step: &ShareStep,
         name: &TeamName,
         state: &mut TeamState,
         told: Option<&ToldRate>,
-        now: Instant,
     ) {
-        if told.is_none() && state.is_quiet() && !spread.knows(name) {
+        if told.is_none() && !step.spread.knows(name) {
             state.end_share();
             return;
         }
         let told = told.copied().map(ToldRate::rate).unwrap_or_default();
-        let own = state.tell(told, self.conf.hold(), now);
-        let rate = spread.rate(name, &self.own_part(&state.limit), own);
+        let own = state.tell(told, step.hold, step.now);
+        let rate = step.spread.rate(name, &self.own_part(&state.limit), own);
         state.set_share(rate);
-        state.set_rate(rate, &self.conf, now);
+        state.set_rate(rate, &self.conf, step.now);
     }
 
     /// Forgets the team of a shard that asked least recently when there are too many: only a
@@ -237,6 +238,13 @@
     }
 }
 
+/// What one step goes by.
+struct ShareStep {
+    spread: Arc<UsageSpread>,
+    hold: Duration,
+    now: Instant,
+}
+
 /// What the others are told of a team, in the precision in which they hear it.
 #[derive(Clone, Copy, Debug)]
 struct ToldRate {
--- a/crates/admission/src/team_state.rs
+++ b/crates/admission/src/team_state.rs
@@ -132,13 +132,8 @@
         self.share.get_or_insert_default().rate = rate;
     }
 
-    /// Whether nothing is told of the team any more, and nothing was told over the hold.
-    pub(crate) fn is_quiet(&self) -> bool {
-        let nothing = TeamRate::default();
-        self.share.as_ref().is_none_or(|share| share.told.iter().all(|(_, told)| *told == nothing))
-    }
-
-    /// Ends sharing by use: an equal part from now on.
+    /// Ends sharing by use: an equal part from now on. What was told counts no more, as it would
+    /// not anyway once nothing has been told.
     pub(crate) fn end_share(&mut self) {
         self.share = None;
     }
--- a/crates/admission/src/token_bucket.rs
+++ b/crates/admission/src/token_bucket.rs
@@ -30,7 +30,6 @@
         self.refill(now);
         self.per_second = per_second;
         self.capacity = capacity;
-        self.level = self.level.min(capacity);
     }
 
     /// Whether `cost` may be taken now; nothing is taken yet.
