Do not count attempts at engines that load

Cause: in a rollout two engines of each zone load at once, 6 of 12; four attempts could each meet one, and the caller got servers_failed. Ruled out: more attempts for all (a slow fleet would get more load); a fault of the watch (the callers' own records show the refusals). Change: a refusal for loading gives the attempt back; each engine is asked once, so attempts stay bounded. The proof prints first tokens of rollout and calm run.

--- a/crates/proofs/tests/failures/rollout.rs
+++ b/crates/proofs/tests/failures/rollout.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use awc::Client;
+use fulmargate_load::CallRecord;
 use fulmargate_stand::FaultOrder;
 use fulmargate_stand::deployment::Deployment;
 use serde_json::Value;
@@ -32,6 +33,7 @@
         watch.wait_until(fleet.engine_names().len(), 2).await;
     };
     let (records, ()) = tokio::join!(load.send(), rollout);
+    print_first_tokens("rollout", &records);
     load.judge(&fleet, records).await.must_be_unharmed();
     must_answer_with(&fleet, 2).await;
     watch.must_be_orderly();
@@ -93,9 +95,18 @@
     sleep(Duration::from_secs(1)).await;
     let load = WatchedLoad::new(fleet, 40.0, 3, 0.0).weights(weights, weights);
     let records = load.send().await;
+    print_first_tokens("calm", &records);
     load.judge(fleet, records).await.must_be_unharmed();
 }
 
+/// A figure beside the verdict; nothing is asserted of it.
+fn print_first_tokens(run: &str, records: &[CallRecord]) {
+    let mut times: Vec<Duration> = records.iter().filter_map(|record| record.first_token).collect();
+    times.sort_unstable();
+    let part = |percent: usize| times.get(times.len() * percent / 100).copied().unwrap_or_default();
+    println!("{run}: first token p50 {:?}, p95 {:?}, p99 {:?}", part(50), part(95), part(99));
+}
+
 /// Who wrote the last record of a zone's leases.
 async fn holder(fleet: &ProcessFleet, zone: &str) -> String {
     let log = fleet.address("log");
--- a/crates/router/src/attempt/engine_runner.rs
+++ b/crates/router/src/attempt/engine_runner.rs
@@ -36,6 +36,8 @@
 const SECOND_PATIENCE: Duration = Duration::from_secs(1);
 /// An engine's refusal when it has other weights than asked for.
 const WEIGHTS_MISMATCH: &str = "weights_mismatch";
+/// An engine's refusal while it loads weights.
+const LOADING: &str = "loading";
 const LEAST_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Makes attempts for one request and remembers which servers failed it.
@@ -206,6 +208,12 @@
                     self.state.note_result(&server, result);
                 }
                 self.note_failure(&failure, &server.name);
+                // In a rollout half of the engines may load at once, and four that do would use all
+                // attempts up: the caller would be refused. None of them ran anything, and each is
+                // asked once only, so that not counting them keeps the attempts bounded.
+                if matches!(&failure, AttemptFailure::Refused { code } if code == LOADING) {
+                    self.attempts_left += 1;
+                }
                 Err(failure)
             }
         }
