Mend what the linter finds in the router

Change: reports of probes are boxed; the operators' key check gives the refusal itself. Measured: clippy -D warnings on the router.

--- a/crates/router/src/control/control_message.rs
+++ b/crates/router/src/control/control_message.rs
@@ -50,7 +50,7 @@
 /// What a probe of a server found.
 pub(crate) enum ProbeFinding {
     /// It answered.
-    Answered(ServerReport),
+    Answered(Box<ServerReport>),
     /// Its port is closed: the process has ended.
     Closed,
     /// It cannot be reached or does not answer: frozen, cut off, or gone with its host.
--- a/crates/router/src/control/host_watch.rs
+++ b/crates/router/src/control/host_watch.rs
@@ -43,7 +43,8 @@
 }
 
 fn seeds(hosts: &[HostEntry]) -> Vec<SocketAddr> {
-    let live = hosts.iter().filter(|host| host.kind == HostKind::Entry && host.state == HostState::Live);
+    let live =
+        hosts.iter().filter(|host| host.kind == HostKind::Entry && host.state == HostState::Live);
     live.filter_map(|host| host.address.parse().ok()).collect()
 }
 
--- a/crates/router/src/control/server_probe.rs
+++ b/crates/router/src/control/server_probe.rs
@@ -31,7 +31,7 @@
     };
     match timeout(PROBE_TIMEOUT, call).await {
         Ok(Ok(report)) if report.server.as_ref().is_none_or(|name| name == server) => {
-            ProbeFinding::Answered(report)
+            ProbeFinding::Answered(Box::new(report))
         }
         Ok(Err(finding)) => finding,
         Ok(Ok(_)) | Err(_) => ProbeFinding::Silent,
--- a/crates/router/src/operator/config_handler.rs
+++ b/crates/router/src/operator/config_handler.rs
@@ -17,8 +17,8 @@
 use crate::control::ReadConfig;
 use crate::control::ReadHistory;
 use crate::operator::OperatorContext;
-use crate::operator::operator_answer::check_key;
 use crate::operator::operator_answer::refuse;
+use crate::operator::operator_answer::refuse_without_key;
 use crate::operator::operator_answer::submitted;
 
 /// Who made a patch, for the history.
@@ -35,7 +35,7 @@
     request: HttpRequest,
     context: web::Data<OperatorContext>,
 ) -> HttpResponse {
-    if let Err(response) = check_key(&request, &context) {
+    if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
     match context.state.control.send(ReadConfig).await {
@@ -52,7 +52,7 @@
     request: HttpRequest,
     context: web::Data<OperatorContext>,
 ) -> HttpResponse {
-    if let Err(response) = check_key(&request, &context) {
+    if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
     match context.state.control.send(ReadHistory).await {
@@ -67,7 +67,7 @@
     payload: web::Payload,
     context: web::Data<OperatorContext>,
 ) -> HttpResponse {
-    if let Err(response) = check_key(&request, &context) {
+    if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
     let body = match read_body(payload, PATCH_BOUNDS).await {
--- a/crates/router/src/operator/operator_answer.rs
+++ b/crates/router/src/operator/operator_answer.rs
@@ -21,18 +21,18 @@
 const BEARER: &str = "Bearer ";
 const RETRY_AFTER_S: u64 = 1;
 
-/// Refuses who does not have the operators' key.
-pub(crate) fn check_key(
+/// The refusal of who does not have the operators' key; `None` for who has it.
+pub(crate) fn refuse_without_key(
     request: &HttpRequest,
     context: &OperatorContext,
-) -> Result<(), HttpResponse> {
+) -> Option<HttpResponse> {
     let text = request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
     let key = text.and_then(|text| text.strip_prefix(BEARER));
     let wanted = KeyHash::parse(&context.state.settings.operators.key_sha256).ok();
     if key.is_some() && key.map(KeyHash::of_key) == wanted {
-        return Ok(());
+        return None;
     }
-    Err(refuse(ErrorKind::Unauthorized, None))
+    Some(refuse(ErrorKind::Unauthorized, None))
 }
 
 /// A refusal by the table, with a sentence of one's own where there is one.
--- a/crates/router/src/operator/status_handler.rs
+++ b/crates/router/src/operator/status_handler.rs
@@ -22,8 +22,8 @@
 use crate::control::ReadStatus;
 use crate::control::SetServerState;
 use crate::operator::OperatorContext;
-use crate::operator::operator_answer::check_key;
 use crate::operator::operator_answer::refuse;
+use crate::operator::operator_answer::refuse_without_key;
 use crate::operator::operator_answer::submitted;
 use crate::state::RouterState;
 use crate::telemetry::TeamCounts;
@@ -57,7 +57,7 @@
     request: HttpRequest,
     context: web::Data<OperatorContext>,
 ) -> HttpResponse {
-    if let Err(response) = check_key(&request, &context) {
+    if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
     let Some(table) = context.state.routes.load_full() else {
@@ -107,7 +107,7 @@
     wanted: ServerState,
     context: &OperatorContext,
 ) -> HttpResponse {
-    if let Err(response) = check_key(request, context) {
+    if let Some(response) = refuse_without_key(request, context) {
         return response;
     }
     let table = context.state.routes.load_full();
@@ -133,7 +133,7 @@
     ControlActor: Handler<M>,
     <ControlActor as actix::Actor>::Context: ToEnvelope<ControlActor, M>,
 {
-    if let Err(response) = check_key(request, context) {
+    if let Some(response) = refuse_without_key(request, context) {
         return response;
     }
     match context.state.control.send(message).await {
