--- a/crates/admission/tests/gate_limits.rs
+++ b/crates/admission/tests/gate_limits.rs
@@ -11,6 +11,7 @@
 use fulmargate_admission::GateEntry;
 use fulmargate_admission::GateOutcome;
 use fulmargate_admission::ServerGate;
+use fulmargate_names::ErrorKind;
 use fulmargate_names::ServerName;
 use support::BATCH;
 use support::URGENT;
@@ -49,7 +50,8 @@
     let _under_way = admitted(enter(&gate, "a", &class(URGENT, 60_000, 9), 900));
     let large = queued(enter(&gate, "b", &class(URGENT, 1_000, 9), 500));
     let small = queued(enter(&gate, "c", &class(URGENT, 5_000, 9), 50));
-    assert!(matches!(large.wait().await, GateOutcome::Refused(_)));
+    let GateOutcome::Refused(refusal) = large.wait().await else { panic!("not refused") };
+    assert_eq!(refusal.kind, ErrorKind::DeadlineUnmet);
     assert_eq!(gate.figures().waiting, 0);
     assert!(matches!(small.wait().await, GateOutcome::Admitted(_)));
 }
