Send tokens without delay, see callers that left, wait for answers in one piece

Cause: found by the tests of the listeners. (2) Half-closed connections were kept, so callers that had left while queued or waiting were not noticed and their calls were sent. (3) Answers in one piece had to begin within the first token's deadline, though engines may send their head only at the end: 400 tokens got no_server. Ruled out: the relay's own work (1.1 us a token); shorter queues. Change: tcp_nodelay, no half-closed connections; answers in one piece are waited for while their server is in use, their server is not taken for stalled meanwhile, and their time teaches nothing of first tokens.

--- a/crates/placement/src/open_request.rs
+++ b/crates/placement/src/open_request.rs
@@ -73,6 +73,13 @@
         &self.meter
     }
 
+    /// Takes the first token for given. An answer in one piece shows nothing before its end; counted
+    /// as owing a first token all that time, its server would look stalled and be passed over.
+    pub fn assume_first_token(&mut self, now_ms: u64) {
+        self.end_wait();
+        self.meter.note_progress(now_ms);
+    }
+
     pub(crate) fn chain(&self) -> &PromptChain {
         &self.chain
     }
--- a/crates/placement/src/server_meter.rs
+++ b/crates/placement/src/server_meter.rs
@@ -215,6 +215,10 @@
         self.own_waiting.fetch_sub(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn note_progress(&self, now_ms: u64) {
+        self.progress_ms.store(now_ms, Ordering::Relaxed);
+    }
+
     pub(crate) fn end(&self) {
         self.own_requests.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/router/src/attempt/attempt_hold.rs
+++ b/crates/router/src/attempt/attempt_hold.rs
@@ -28,6 +28,13 @@
         self.ticket.first_token(&report, Instant::now());
     }
 
+    /// The head of an answer in one piece has come, which says nothing of the time to its first
+    /// token: only what was cached is learned.
+    pub(crate) fn whole_head(&mut self, placer: &Placer, facts: &ReplyFacts, now_ms: u64) {
+        self.load.assume_first_token(now_ms);
+        placer.first_token(&mut self.load, facts, now_ms);
+    }
+
     /// The whole answer came.
     pub(crate) fn ended_well(self) {
         self.run.ended_well();
--- a/crates/router/src/attempt/engine_runner.rs
+++ b/crates/router/src/attempt/engine_runner.rs
@@ -16,9 +16,11 @@
 use fulmargate_relay::ResumeToken;
 use fulmargate_relay::StreamPlace;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::attempt::AttemptFailure;
+use crate::attempt::AttemptHold;
 use crate::attempt::EngineCall;
 use crate::attempt::OpenAttempt;
 use crate::attempt::PlacedAttempt;
@@ -32,6 +34,10 @@
 pub(crate) const MAX_ATTEMPTS: u32 = 4;
 /// A first token that is late by so much more than expected means trouble at the server.
 const PATIENCE_FACTOR: f64 = 4.0;
+/// How long an answer in one piece may take.
+pub(crate) const WHOLE_PATIENCE: Duration = Duration::from_secs(300);
+/// How often it is asked meanwhile whether its server is still in use.
+pub(crate) const WHOLE_LOOK: Duration = Duration::from_millis(250);
 /// How long a second whole answer may take to begin when the first one broke off late.
 const SECOND_PATIENCE: Duration = Duration::from_secs(1);
 /// An engine's refusal when it has other weights than asked for.
@@ -183,13 +189,21 @@
             + Duration::from_secs_f64(
                 PATIENCE_FACTOR * choice.predicted_ttft_ms.clamp(0.0, 600_000.0) / 1_000.0,
             );
-        match self.await_head(attempt, patience).await {
+        let mut hold = hold;
+        let awaited = match self.call.streams {
+            true => self.await_head(attempt, patience).await,
+            false => self.await_whole(attempt, &mut hold, patience).await,
+        };
+        match awaited {
             Ok(head) => {
-                let mut hold = hold;
                 if let Ok(table) = self.table()
                     && let Some(route) = table.models.get(&self.call.model)
                 {
-                    hold.first_token(&route.placer, &head.facts, self.state.now_ms());
+                    let now_ms = self.state.now_ms();
+                    match self.call.streams {
+                        true => hold.first_token(&route.placer, &head.facts, now_ms),
+                        false => hold.whole_head(&route.placer, &head.facts, now_ms),
+                    }
                 }
                 if head.is_leaving || head.news != ReplyNews::AsKnown {
                     self.state.tell_life(&server.name, head.facts.incarnation, head.is_leaving);
@@ -241,6 +255,30 @@
         timeout_at(deadline, &mut sending).await.unwrap_or(Err(AttemptFailure::Late))
     }
 
+    /// An engine may send the head of an answer in one piece only when all of it is there, long
+    /// after the first token. So it is waited for as long as the server is in use.
+    async fn await_whole(
+        &self,
+        attempt: EngineAttempt<'_>,
+        hold: &mut AttemptHold,
+        patience: Duration,
+    ) -> Result<EngineHead, AttemptFailure> {
+        let server = attempt.server;
+        let sent = Instant::now();
+        let mut sending = std::pin::pin!(attempt.send(&self.client));
+        loop {
+            if let Ok(head) = timeout(WHOLE_LOOK, &mut sending).await {
+                return head;
+            }
+            if server.is_out_of_use() || WHOLE_PATIENCE <= sent.elapsed() {
+                return Err(AttemptFailure::Late);
+            }
+            if patience <= sent.elapsed() + WHOLE_LOOK {
+                hold.load.assume_first_token(self.state.now_ms());
+            }
+        }
+    }
+
     /// Whether another attempt may follow; else the final answer.
     fn may_retry(
         &mut self,
--- a/crates/router/src/attempt/whole_answer.rs
+++ b/crates/router/src/attempt/whole_answer.rs
@@ -1,27 +1,33 @@
 //! Reads an answer that is not streamed.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use serde::de::IgnoredAny;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::attempt::AttemptFailure;
 use crate::attempt::ServerBody;
+use crate::attempt::engine_runner::WHOLE_LOOK;
+use crate::attempt::engine_runner::WHOLE_PATIENCE;
+use crate::state::ServerRoute;
 
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
-/// Reads the body to its end; `stall` bounds each wait for more.
+/// Reads the body to its end, as long as its server is in use.
 pub(crate) async fn read_whole(
     body: &mut ServerBody,
-    stall: Duration,
+    server: &ServerRoute,
 ) -> Result<Bytes, AttemptFailure> {
     let mut whole = BytesMut::new();
+    let began = Instant::now();
     loop {
-        let Ok(next) = timeout(stall, body.next()).await else {
-            return Err(AttemptFailure::Late);
+        let Ok(next) = timeout(WHOLE_LOOK, body.next()).await else {
+            if server.is_out_of_use() || WHOLE_PATIENCE <= began.elapsed() {
+                return Err(AttemptFailure::Late);
+            }
+            continue;
         };
         let Some(chunk) = next else {
             return whole_json(whole.freeze());
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -46,8 +46,6 @@
 
 /// Where a caller says how far it has come with a stream.
 const LAST_EVENT_ID: &str = "last-event-id";
-/// An engine that sends nothing for so long is taken for frozen.
-const WHOLE_STALL: Duration = Duration::from_secs(5);
 
 /// `POST /v1/chat/completions` and `POST /v1/completions`.
 pub(crate) async fn handle(
@@ -154,7 +152,7 @@
     mut open: OpenAttempt,
 ) -> Result<HttpResponse, RequestError> {
     loop {
-        let failure = match read_whole(&mut open.body, WHOLE_STALL).await {
+        let failure = match read_whole(&mut open.body, &open.server).await {
             Ok(body) => {
                 open.ended_well();
                 let mut head = answer_head(&runner.call.request_id, &open);
--- a/crates/router/src/control/listeners.rs
+++ b/crates/router/src/control/listeners.rs
@@ -46,6 +46,11 @@
         .workers(callers.workers)
         .client_request_timeout(Duration::from_millis(callers.request_timeout_ms))
         .keep_alive(KEEP_ALIVE)
+        // A token is a small write: held back until the one before it is acknowledged, it would come
+        // some 40 ms late to a caller that acknowledges late.
+        .tcp_nodelay(true)
+        // A caller that has gone while its request waits shows by its half-closed connection only.
+        .h1_allow_half_closed(false)
         .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
         .disable_signals()
         .listen(listener)?
--- a/crates/router/src/state/server_route.rs
+++ b/crates/router/src/state/server_route.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use fulmargate_admission::GateConf;
+use fulmargate_admission::MoveReason;
 use fulmargate_admission::ServerGate;
 use fulmargate_config::ServerEntry;
 use fulmargate_config::ServerKind;
@@ -63,6 +64,11 @@
         self.leaving.fetch_max(incarnation.0.max(1), Ordering::AcqRel);
     }
 
+    /// Whether it gets nothing because it fails; one that leaves still finishes what it has.
+    pub(crate) fn is_out_of_use(&self) -> bool {
+        self.gate.figures().closed == Some(MoveReason::Ejected)
+    }
+
     /// Whether the newest incarnation leaves.
     pub(crate) fn is_leaving(&self) -> bool {
         let leaving = self.leaving.load(Ordering::Acquire);
--- a/crates/router/tests/edges/router_bench.rs
+++ b/crates/router/tests/edges/router_bench.rs
@@ -6,6 +6,7 @@
 use fulmargate_names::HostName;
 use fulmargate_router::RunningRouter;
 use fulmargate_router::StartError;
+use fulmargate_stand::FaultOrder;
 use fulmargate_stand::StandServer;
 use fulmargate_stand::deploy::AddressPlan;
 use fulmargate_stand::deploy::DeploymentSettings;
@@ -101,6 +102,22 @@
         fulmargate_router::start(settings, self.stop.clone()).err()
     }
 
+    /// Brings a fault about at the replica.
+    pub(crate) async fn replica_fault(&self, order: &FaultOrder) {
+        let url = format!("http://{}/faults", self.settings.replicas[0].listen);
+        let answer = self.client.post(url).send_json(order).await.expect("the replica answers");
+        assert!(answer.status().is_success());
+    }
+
+    /// Calls that the router has sent to the replica.
+    pub(crate) async fn under_way_at_replica(&self) -> u64 {
+        let servers = self.operator_json("/servers").await;
+        let rows = servers["servers"].as_array().cloned().unwrap_or_default();
+        let name = self.settings.replicas[0].name.as_str();
+        let row = rows.into_iter().find(|row| row["server"] == name).expect("the replica's row");
+        row["open_requests"].as_u64().expect("a count")
+    }
+
     /// What the operators' listener shows.
     pub(crate) async fn operator_json(&self, path: &str) -> Value {
         let url = format!("http://{}{path}", self.operators());
