Count reports of team use from when they were told

Cause: found by the author of the limits: a report taken as new on arrival outlives the time for which shares may rely on it. Change: the record's remaining life gives its age.

--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -11,6 +11,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
 use fulmargate_names::ZoneName;
+use fulmargate_peers::ItemRecord;
 use fulmargate_peers::MemberState;
 use fulmargate_peers::PeerHandle;
 use fulmargate_peers::PeerItem;
@@ -191,7 +192,17 @@
         });
     }
 
-    fn take_item(&mut self, origin: &HostName, item: PeerItem) {
+    fn take_record(&mut self, record: ItemRecord) {
+        let now = Instant::now();
+        let ttl_ms = record.item.kind().row().ttl_ms;
+        let age = Duration::from_millis(ttl_ms.saturating_sub(record.remaining_ms));
+        let told = now.checked_sub(age).unwrap_or(now);
+        self.take_item(&record.origin, record.item, told);
+    }
+
+    /// `told` is when the origin said it: a report that was long on its way must not count as new,
+    /// or team limits would be shared by what is no longer so.
+    fn take_item(&mut self, origin: &HostName, item: PeerItem, told: Instant) {
         let now = Instant::now();
         match item {
             PeerItem::ServerLeaving { server, incarnation } => {
@@ -208,7 +219,7 @@
             }
             PeerItem::HostWord { topic: WordTopic::TeamUse, bytes, .. } => {
                 if let Some(report) = decode_usage(&bytes) {
-                    self.state.limiter.peer_usage(origin, &report, now);
+                    self.state.limiter.peer_usage(origin, &report, told);
                 }
             }
             PeerItem::HostWord { topic: WordTopic::Suspect, bytes, .. } => {
@@ -275,7 +286,7 @@
             PeerNews::IncarnationOver { host, incarnation, .. } => {
                 self.state.claims.claimer_gone(&host, incarnation);
             }
-            PeerNews::Item { record } => self.take_item(&record.origin, record.item),
+            PeerNews::Item { record } => self.take_record(record),
             PeerNews::Paused { .. } => self.keeper.note_pause(),
             PeerNews::Superseded { by } => {
                 tracing::error!(host = %self.state.host, %by, "another process runs under this host's name");
--- a/crates/router/tests/edges/hang_ups.rs
+++ b/crates/router/tests/edges/hang_ups.rs
@@ -112,7 +112,12 @@
     let bench = RouterBench::start().await;
     for tokens in [100, 400, 1_600] {
         let answer = RawCall::completion("a long answer", tokens).send(bench.callers()).await;
-        println!("{tokens}: {} {:?} {:.200}", answer.status, answer.header("x-fulmargate-error"), answer.body);
+        println!(
+            "{tokens}: {} {:?} {:.200}",
+            answer.status,
+            answer.header("x-fulmargate-error"),
+            answer.body
+        );
     }
     for tokens in [100, 400, 1_600] {
         let answer = RawCall::completion("a long answer", tokens).send(bench.callers()).await;
