Keep deployments apart by their secret; a superseded router stops being ready

Cause: found by the author of the exchange: the fleet's name was a constant, so two deployments that reuse an address would join; a process whose host name runs elsewhere went on as ready with its exchange silent. Change: the name comes from the oldest shared secret; a superseded router leaves as in a planned stop, but goes on serving.

--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -37,6 +37,8 @@
 use fulmargate_platform::LogTimeouts;
 use fulmargate_relay::TokenSecrets;
 use fulmargate_settings::RouterSettings;
+use sha2::Digest;
+use sha2::Sha256;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -57,8 +59,6 @@
 use crate::state::RouterState;
 use crate::telemetry::install_metrics;
 
-/// Routers of other fleets are turned away.
-const FLEET: &str = "fulmargate";
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts a router in threads of this process; cancelling the token begins a planned stop.
@@ -177,7 +177,7 @@
 
 fn peer_conf(settings: &RouterSettings, incarnation: Incarnation) -> PeerConf {
     PeerConf {
-        fleet: FLEET.to_owned(),
+        fleet: fleet_name(settings),
         host: settings.host.clone(),
         incarnation,
         zone: settings.zone.clone(),
@@ -189,6 +189,17 @@
     }
 }
 
+/// Routers of other deployments are turned away: those that do not share the oldest secret. An
+/// address that was given to another deployment must not join the two.
+fn fleet_name(settings: &RouterSettings) -> String {
+    let secret = settings.stream_secrets.last().map_or("", String::as_str);
+    let digest =
+        Sha256::new().chain_update(b"fulmargate fleet 1\0").chain_update(secret).finalize();
+    let mut name = [0; 8];
+    name.copy_from_slice(&digest[..8]);
+    format!("fulmargate-{:016x}", u64::from_be_bytes(name))
+}
+
 /// Passes the news of the exchange to the control actor.
 async fn pass_on_news(mut news: mpsc::UnboundedReceiver<PeerNews>, control: Addr<ControlActor>) {
     while let Some(news) = news.recv().await {
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -33,6 +33,7 @@
 use crate::control::word_codec::encode_usage;
 use crate::control::word_codec::encode_verdict;
 use crate::control::word_codec::verdict_part;
+use crate::state::RouterPhase;
 
 /// Hosts of each zone that read the log; all others get its records from them.
 const READERS_PER_ZONE: usize = 2;
@@ -289,6 +290,8 @@
             PeerNews::Item { record } => self.take_record(record),
             PeerNews::Paused { .. } => self.keeper.note_pause(),
             PeerNews::Superseded { by } => {
+                // The exchange is silent from here on; the balancer should send to the later process.
+                self.state.phase.advance(RouterPhase::Leaving);
                 tracing::error!(host = %self.state.host, %by, "another process runs under this host's name");
             }
         }
