--- a/crates/router/src/caller/answer.rs
+++ b/crates/router/src/caller/answer.rs
@@ -7,6 +7,7 @@
 use fulmargate_names::Disposition;
 use fulmargate_names::ERROR;
 use fulmargate_names::ErrorKind;
+use fulmargate_names::EventKind;
 use fulmargate_names::REQUEST_ID;
 use fulmargate_names::RequestId;
 use fulmargate_names::RetryAdvice;
@@ -82,8 +83,22 @@
         )
     }
 
+    /// Refusals come by the thousand under overload, so that they are told only on demand.
+    fn log(&self, request: &RequestId) {
+        let row = self.kind.row();
+        let (event, name, code) = (row.event.number(), row.event.name(), row.code);
+        let disposition = self.disposition.as_str();
+        match row.event {
+            EventKind::RequestRefused => {
+                tracing::debug!(event, name, %request, code, disposition);
+            }
+            _ => tracing::info!(event, name, %request, code, disposition),
+        }
+    }
+
     /// The whole answer.
     pub(crate) fn respond(&self, request_id: &RequestId) -> HttpResponse {
+        self.log(request_id);
         let row = self.kind.row();
         let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut builder = HttpResponse::build(status);
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -6,8 +6,11 @@
 use actix::Context;
 use actix::Handler;
 use actix::Message;
+use fulmargate_admission::SuspectVerdict;
+use fulmargate_admission::VerdictStanding;
 use fulmargate_config::RecordBatch;
 use fulmargate_config::choose_role;
+use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
 use fulmargate_names::ZoneName;
@@ -303,11 +306,25 @@
 
     fn handle(&mut self, _message: SuspectsChanged, _ctx: &mut Context<ControlActor>) {
         for verdict in self.state.suspects.news(Instant::now()) {
+            log_verdict(&verdict);
             self.put_word(WordTopic::Suspect, verdict_part(&verdict), encode_verdict(&verdict));
         }
     }
 }
 
+fn log_verdict(verdict: &SuspectVerdict) {
+    let kind = match verdict.standing {
+        VerdictStanding::Innocent => return,
+        VerdictStanding::Suspect => EventKind::RequestSuspected,
+        VerdictStanding::Convicted => EventKind::RequestConvicted,
+    };
+    let (event, name) = (kind.number(), kind.name());
+    let fingerprint = format!("{:032x}", verdict.print.0);
+    let servers: Vec<&str> =
+        verdict.crashes.iter().map(|sighting| sighting.crash.server.as_str()).collect();
+    tracing::warn!(event, name, fingerprint, ?servers);
+}
+
 fn model_part(model: &ModelName) -> u64 {
     xxh3_64(model.as_str().as_bytes())
 }
