Close no gate for a late word of an earlier incarnation

Cause: found by reading: the list of hosts lags; its word that an earlier incarnation leaves closed the successor's gate until the next look at the standings, a tenth of a second later, and was told to all peers. Change: the word is kept, and nothing is closed or told when the newest incarnation does not leave.

--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -169,6 +169,10 @@
         }
         route.note_leaving(incarnation);
         self.state.health.leaving(&route.name, incarnation);
+        // A late word of an earlier incarnation closes nothing for its successor.
+        if !route.is_leaving() {
+            return false;
+        }
         route.gate.close(MoveReason::Leaving, Instant::now());
         let server = route.name.clone();
         self.peers.handle.put(PeerItem::ServerLeaving { server, incarnation });
