--- a/crates/load/src/commands/compare_command.rs
+++ b/crates/load/src/commands/compare_command.rs
@@ -10,6 +10,7 @@
 use super::report_table;
 use crate::figures::RunReport;
 use crate::load_error::LoadError;
+use crate::rig::ImportSources;
 use crate::runs::Comparison;
 use crate::runs::ComparisonCell;
 use crate::runs::Disturbance;
@@ -42,6 +43,9 @@
     /// seconds that are measured (default: 20)
     #[argh(option, default = "20.0")]
     seconds: f64,
+    /// no KV store and no imports from other engines, so that the bound is one
+    #[argh(switch)]
+    without_store: bool,
     /// one JSON object instead of tables
     #[argh(switch)]
     json: bool,
@@ -55,6 +59,7 @@
             policies: policies(&self.policies)?,
             loads: loads(&self.load)?,
             disturbances: disturbances(&self.disturbances)?,
+            imports: if self.without_store { ImportSources::None } else { ImportSources::All },
             warm_up: Duration::from_secs_f64(plan_options::positive("warm-up", self.warm_up)?),
             measured: Duration::from_secs_f64(plan_options::positive("seconds", self.seconds)?),
         };
@@ -122,7 +127,12 @@
         "errors",
         "faults",
     ]);
-    for (name, bound) in [("bound", &cell.bound), ("pooled LRU", &cell.pooled_lru)] {
+    let bounds = [
+        ("bound", &cell.bound),
+        ("bound with store", &cell.bound_with_store),
+        ("pooled LRU", &cell.pooled_lru),
+    ];
+    for (name, bound) in bounds {
         table.add_row(vec![
             name.to_owned(),
             format!("{:.4}", bound.hit_rate),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -47,6 +47,7 @@
 pub use figures::judge_effects;
 pub use figures::replay_bound;
 pub use load_error::LoadError;
+pub use rig::ImportSources;
 pub use rig::ProcessorClock;
 pub use rig::Rig;
 pub use rig::StandControl;
--- a/crates/load/src/rig.rs
+++ b/crates/load/src/rig.rs
@@ -33,6 +33,15 @@
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const POLL_EVERY: Duration = Duration::from_millis(20);
 
+/// Where engines may import cached blocks from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ImportSources {
+    /// The KV store and the other engines, as in the deployments.
+    All,
+    /// Nowhere: each engine has what it computed itself.
+    None,
+}
+
 /// A router of a rig; none while it is being restarted.
 struct RigRouter {
     settings: RouterSettings,
@@ -56,11 +65,26 @@
 impl Rig {
     /// Starts all stand-ins with empty caches, then all routers, and waits until they are ready.
     pub async fn start(deployment: &Deployment, policy: &str) -> Result<Rig, LoadError> {
+        Rig::start_with(deployment, policy, ImportSources::All).await
+    }
+
+    /// As `start`, with the choice of where engines import from.
+    pub async fn start_with(
+        deployment: &Deployment,
+        policy: &str,
+        imports: ImportSources,
+    ) -> Result<Rig, LoadError> {
         let addresses =
             AddressPlan::reserve(deployment).map_err(|error| failed("ports", &error))?;
         let mut settings = DeploymentSettings::new(deployment, &addresses)
             .map_err(|error| failed("settings", &error))?;
         settings.document["policy"] = json!(policy);
+        if imports == ImportSources::None {
+            for engine in &mut settings.engines {
+                engine.kv_store = None;
+                engine.neighbours.clear();
+            }
+        }
         let stands = RunningStands::start(&settings)?;
         let control = StandControl::default();
         wait_for_stands(&addresses, &control).await?;
--- a/crates/load/src/runs/comparison.rs
+++ b/crates/load/src/runs/comparison.rs
@@ -20,6 +20,7 @@
 use crate::figures::RunReport;
 use crate::figures::replay_bound;
 use crate::load_error::LoadError;
+use crate::rig::ImportSources;
 use crate::rig::Rig;
 use crate::workload::PlannedCall;
 use crate::workload::WorkloadPlan;
@@ -43,6 +44,8 @@
     pub loads: Vec<f64>,
     /// Disturbances; each is a run of its own.
     pub disturbances: Vec<Disturbance>,
+    /// Where engines may import from.
+    pub imports: ImportSources,
     /// Sent and checked, not measured.
     pub warm_up: Duration,
     /// Sent, checked and measured.
@@ -69,8 +72,10 @@
     pub rate: f64,
     /// The disturbance's name.
     pub disturbance: &'static str,
-    /// No placement can do better without importing blocks.
+    /// No placement can do better without importing blocks from a store.
     pub bound: BoundReport,
+    /// No placement can do better with a store that holds everything.
+    pub bound_with_store: BoundReport,
     /// One cache of the fleet's size that evicts as engines do.
     pub pooled_lru: BoundReport,
     /// Reports by policy.
@@ -133,7 +138,8 @@
         plan.duration = self.warm_up + self.measured;
         disturbance.prepare(&mut plan);
         let touches = counted_touches(&self.load_run(plan.clone(), Vec::new()), self.warm_up);
-        let bound = |rule| BoundReport::new(&replay_bound(&touches, self.fleet_blocks(), rule));
+        let bound = |blocks, rule| BoundReport::new(&replay_bound(&touches, blocks, rule));
+        let fleet = self.fleet_blocks();
         let mut policies = IndexMap::new();
         for policy in &self.policies {
             tell(&format!("load {load}, {}, {policy}", disturbance.name()));
@@ -144,8 +150,9 @@
             load,
             rate,
             disturbance: disturbance.name(),
-            bound: bound(EvictionRule::FurthestUse),
-            pooled_lru: bound(EvictionRule::LeastRecent),
+            bound: bound(fleet, EvictionRule::FurthestUse),
+            bound_with_store: bound(usize::MAX, EvictionRule::FurthestUse),
+            pooled_lru: bound(fleet, EvictionRule::LeastRecent),
             policies,
         })
     }
@@ -156,7 +163,7 @@
         plan: &WorkloadPlan,
         disturbance: Disturbance,
     ) -> Result<RunReport, LoadError> {
-        let rig = Rig::start(&self.deployment, policy).await?;
+        let rig = Rig::start_with(&self.deployment, policy, self.imports).await?;
         let run = self.load_run(plan.clone(), rig.caller_addresses());
         let calls = run.calls();
         let touches = run.touches(&calls);
