--- a/crates/load/src/calls/caller.rs
+++ b/crates/load/src/calls/caller.rs
@@ -18,6 +18,7 @@
 use super::answer_check::AnswerCheck;
 use super::answer_check::ExpectedAnswer;
 use super::answer_head::AnswerHead;
+use super::call_client::CallAnswer;
 use super::call_client::CallClient;
 use super::call_client::CallRequest;
 use super::call_record::AnswerFault;
@@ -169,7 +170,7 @@
                 format!("{}/{}/", self.deployment.teams[call.team()].name, self.deployment.model);
             request.headers.push((names::CACHE_SCOPE, scope));
         }
-        let Ok(mut response) = self.client.send(request).await else {
+        let Ok(response) = self.client.send(request).await else {
             return SendEnd::Broken;
         };
         let head = AnswerHead::read(response.status, &response.headers);
@@ -182,6 +183,17 @@
         if let Some(fault) = head.fault(check.expected(), self.target) {
             return SendEnd::Final(Verdict::Faulty(fault));
         }
+        self.read_stream(call, response, check, record).await
+    }
+
+    /// Reads a stream to its end, checking each event as it comes.
+    async fn read_stream(
+        &self,
+        call: &PlannedCall,
+        mut response: CallAnswer,
+        check: &mut AnswerCheck,
+        record: &mut CallRecord,
+    ) -> SendEnd {
         let mut reader = SseReader::default();
         let mut last_token = None;
         while let Some(bytes) = response.next_bytes().await {
