--- /dev/null
+++ b/crates/dispatch/src/lease_desk.rs
@@ -0,0 +1,108 @@
+//! Who gives orders to engines.
+
+use std::time::Duration;
+
+use fulmargate_names::FencingNumber;
+use fulmargate_names::HostName;
+use fulmargate_names::LogOffset;
+
+use crate::BootTime;
+use crate::FleetFold;
+use crate::HeldLease;
+
+/// The holder stops this long before its lease ends: clocks of two hosts may drift, and an order is
+/// on its way for a while. A lost packet is sent again within 200 ms; the rest is allowance.
+const STOP_EARLY: Duration = Duration::from_millis(500);
+/// The last holder is let go first, so that the lease does not move with each piece of work. Its
+/// renewal takes one append, some 10 ms; the rest covers a busy host.
+const HOLDER_FIRST: Duration = Duration::from_millis(400);
+
+/// What to do now about the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Orders may be given; each asks for its number when it is sent.
+    Act,
+    /// Append a lease record, on condition that the topic still ends here.
+    Append {
+        /// The end that all decisions rest on.
+        at: LogOffset,
+    },
+    /// Look again after this time at the latest.
+    Wait(Duration),
+}
+
+/// This router's side of the lease.
+///
+/// The store accepts a record only at the end that its writer has read to, so of two routers that
+/// want the lease one wins and the other reads the winner's record. A lease that was not renewed
+/// ends by time, counted on clocks that go on through suspensions: the holder counts from before
+/// its append was sent, all others from when they read the record, which is later.
+#[derive(Debug)]
+pub struct LeaseDesk {
+    host: HostName,
+    length: Duration,
+    own: Option<OwnLease>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OwnLease {
+    fence: FencingNumber,
+    sent: BootTime,
+}
+
+impl LeaseDesk {
+    /// A router without a lease.
+    pub fn new(host: HostName, length: Duration) -> LeaseDesk {
+        LeaseDesk { host, length, own: None }
+    }
+
+    /// What to do when there has been work for the holder since `work_since`.
+    pub fn step(&self, fold: &FleetFold, work_since: BootTime, now: BootTime) -> LeaseStep {
+        let newest = fold.lease();
+        if let Some(own) = self.own.filter(|own| self.is_newest(newest, own.fence)) {
+            if now.since(own.sent) < self.length / 2 {
+                return LeaseStep::Act;
+            }
+            // Renewed by a record with a higher number: nobody else has acted in between.
+            return LeaseStep::Append { at: fold.end() };
+        }
+        let Some(lease) = newest else {
+            return LeaseStep::Append { at: fold.end() };
+        };
+        let free = lease.seen.after(self.length);
+        let turn = work_since.after(HOLDER_FIRST);
+        // The last holder's host is the same holder also after a restart: nobody acted in between.
+        let from = if lease.host == self.host { now } else { free.max(turn) };
+        if now < from {
+            return LeaseStep::Wait(from.since(now));
+        }
+        LeaseStep::Append { at: fold.end() }
+    }
+
+    /// The append that was sent at `sent` was accepted at this offset.
+    pub fn appended(&mut self, fence: FencingNumber, sent: BootTime) {
+        self.own = Some(OwnLease { fence, sent });
+    }
+
+    /// An engine has seen a higher number: somebody else holds the lease, whatever was read.
+    pub fn refused(&mut self) {
+        self.own = None;
+    }
+
+    /// The number for an order that is sent at this moment; none without the lease. To be asked
+    /// right before each: the process may have been suspended since the last step.
+    pub fn usable_fence(&self, now: BootTime) -> Option<FencingNumber> {
+        let own = self.own.filter(|own| now.since(own.sent) + STOP_EARLY < self.length)?;
+        Some(own.fence)
+    }
+
+    /// Whether this router holds the lease as far as it knows.
+    pub fn is_holder(&self) -> bool {
+        self.own.is_some()
+    }
+
+    fn is_newest(&self, newest: Option<&HeldLease>, fence: FencingNumber) -> bool {
+        // The own record may not have been read back yet.
+        newest.is_none_or(|lease| lease.fence <= fence)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,75 @@
+//! Decisions on calls to backend servers whose list and configuration come from a shared store.
+//!
+//! Nothing here does I/O or asks a clock: callers pass `now` and what they observed, and get a
+//! decision. `docs/design/platform.md` says why it is built in this way.
+
+mod boot_time;
+mod call_facts;
+mod call_progress;
+mod config_proof;
+mod crash_book;
+mod engine_choice;
+mod event_splitter;
+mod fleet_fold;
+mod fleet_record;
+mod lease_desk;
+mod order_wave;
+mod part_memory;
+mod repeat_budget;
+mod route_rule;
+mod route_table;
+mod routing_config;
+mod salt_maker;
+mod server_book;
+mod server_entry;
+mod server_state;
+mod server_table;
+mod service_rule;
+mod team_rule;
+mod weights_table;
+
+pub use boot_time::BootTime;
+pub use call_facts::CallFacts;
+pub use call_facts::PromptPart;
+pub use call_progress::CallProgress;
+pub use call_progress::NextStep;
+pub use call_progress::SendEnd;
+pub use config_proof::ConfigProof;
+pub use crash_book::CrashBook;
+pub use crash_book::CrashConf;
+pub use engine_choice::ChoiceReason;
+pub use engine_choice::EngineChoice;
+pub use engine_choice::EngineRequest;
+pub use event_splitter::EventSplitter;
+pub use fleet_fold::FleetFold;
+pub use fleet_fold::HeldLease;
+pub use fleet_record::FleetRecord;
+pub use lease_desk::LeaseDesk;
+pub use lease_desk::LeaseStep;
+pub use order_wave::OrderWave;
+pub use order_wave::WaveConf;
+pub use order_wave::WaveServer;
+pub use part_memory::PartMemory;
+pub use repeat_budget::RepeatBudget;
+pub use repeat_budget::RepeatConf;
+pub use route_rule::RouteKind;
+pub use route_rule::RouteRule;
+pub use route_rule::ServiceShare;
+pub use route_rule::StreamRule;
+pub use route_table::RouteTable;
+pub use routing_config::CallerLimits;
+pub use routing_config::RoutingConfig;
+pub use salt_maker::SaltMaker;
+pub use server_book::ServerBook;
+pub use server_book::SendTicket;
+pub use server_entry::ServerEntry;
+pub use server_entry::ServerStage;
+pub use server_state::LoadReport;
+pub use server_state::ServerState;
+pub use server_table::ServerTable;
+pub use service_rule::CacheStore;
+pub use service_rule::EngineRule;
+pub use service_rule::ServiceRule;
+pub use team_rule::TeamRule;
+pub use weights_table::WeightsTable;
+pub use weights_table::WeightsTarget;
--- /dev/null
+++ b/crates/dispatch/src/server_book.rs
@@ -0,0 +1,322 @@
+//! All backend servers as this router sees them, and the choice among them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
+use fulmargate_names::WeightsVersion;
+use fulmargate_names::ZoneName;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use tokio::time::Instant;
+
+use crate::CallFacts;
+use crate::ChoiceReason;
+use crate::EngineChoice;
+use crate::EngineRequest;
+use crate::LoadReport;
+use crate::PartMemory;
+use crate::ServerEntry;
+use crate::ServerState;
+use crate::engine_choice::Candidate;
+use crate::engine_choice::scope_of;
+
+/// A server that is full takes requests again after about this time; one request of it has ended.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// An engine under an order turns requests away for about this time: the load and what it finishes
+/// before.
+const LOADING_PAUSE: Duration = Duration::from_millis(350);
+/// What a way to another zone costs a plain call, as time.
+const ZONE_MS: f64 = 2.0;
+/// What a failure of a plain call costs, as time.
+const FAILURE_MS: f64 = 150.0;
+
+/// What a server that is still slow after its start costs, as time.
+const COLD_MS: f64 = 30.0;
+/// A shorter shared beginning is read in less time than an import takes to begin.
+const LEAST_IMPORT_TOKENS: u32 = 1_000;
+
+/// A request that is under way at a server.
+#[derive(Clone, Debug)]
+pub struct SendTicket {
+    /// The server.
+    pub server: ServerName,
+    tokens: f64,
+    is_awaited: bool,
+    sent: Instant,
+}
+
+/// Beliefs about all servers of the list.
+#[derive(Debug, Default)]
+pub struct ServerBook {
+    servers: IndexMap<ServerName, ServerState>,
+    /// What the store of cached prompts has been told to keep.
+    kept: PartMemory,
+    hosts: usize,
+    /// Servers whose address another server answered at. Names are never used twice.
+    gone: IndexSet<ServerName>,
+}
+
+impl ServerBook {
+    /// Takes over the list's servers; those that are no longer in it are forgotten.
+    pub fn sync(&mut self, entries: &[Arc<ServerEntry>], now: Instant) {
+        self.servers.retain(|name, _| entries.iter().any(|entry| entry.name == *name));
+        self.gone.retain(|name| entries.iter().any(|entry| entry.name == *name));
+        for entry in entries.iter().filter(|entry| !self.gone.contains(&entry.name)) {
+            match self.servers.get_mut(&entry.name) {
+                Some(state) => state.update(entry),
+                None => {
+                    let state = ServerState::new(entry.clone(), now);
+                    self.servers.insert(entry.name.clone(), state);
+                }
+            }
+        }
+    }
+
+    /// Routers that send to the same engines.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts;
+    }
+
+    /// One server.
+    pub fn state(&self, name: &ServerName) -> Option<&ServerState> {
+        self.servers.get(name)
+    }
+
+    /// All servers.
+    pub fn states(&self) -> impl Iterator<Item = &ServerState> {
+        self.servers.values()
+    }
+
+    /// The server of a plain service that is expected to answer first.
+    pub fn choose_plain(
+        &self,
+        service: &ServiceName,
+        zone: &ZoneName,
+        excluded: &[ServerName],
+        now: Instant,
+    ) -> Option<Arc<ServerEntry>> {
+        let of_service = |state: &&ServerState| {
+            state.entry.service == *service && !excluded.contains(&state.entry.name)
+        };
+        let cost = |state: &ServerState| {
+            let slots = f64::from(state.entry.slots.max(1));
+            let load = 1.0 + f64::from(state.occupancy(now)) / slots;
+            let away = if state.entry.zone == *zone { 0.0 } else { ZONE_MS };
+            let cold = state.entry.warm_up.as_secs_f64().min(1.0) * COLD_MS;
+            state.latency_ms(now) * load + state.failure_share(now) * FAILURE_MS + away + cold
+        };
+        let least = |states: Vec<&ServerState>| {
+            let best = states.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            best.map(|state| state.entry.clone())
+        };
+        let open = self.servers.values().filter(of_service).filter(|state| state.is_open(now));
+        least(open.collect()).or_else(|| least(self.servers.values().filter(of_service).collect()))
+    }
+
+    /// The engine that costs least, by waiting, by what it would read anew, and by its weights.
+    pub fn choose_engine(&self, request: &EngineRequest<'_>) -> Option<EngineChoice> {
+        let allowed: Vec<(&ServerState, WeightsVersion)> = self
+            .servers
+            .values()
+            .filter_map(|state| Some((state, request.allows(state)?)))
+            .collect();
+        let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
+        let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
+        for (state, weights) in allowed {
+            let is_home = request.home_score(state) == home;
+            let candidate = request.candidate(state, weights, is_home);
+            rated.push((candidate, state.is_open(request.now)));
+        }
+        let by_cost = |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| {
+            a.0.cost.total_cmp(&b.0.cost)
+        };
+        let open = rated.iter().filter(|(_, is_open)| *is_open).min_by(by_cost);
+        let (best, is_open) = open.or_else(|| rated.iter().min_by(by_cost))?;
+        let reason = match (is_open, best.is_home) {
+            (false, _) => ChoiceReason::LastResort,
+            (true, true) => ChoiceReason::Home,
+            (true, false) => ChoiceReason::Cheaper,
+        };
+        Some(self.choice(request, best, reason))
+    }
+
+    fn choice(
+        &self,
+        request: &EngineRequest<'_>,
+        best: &Candidate<'_>,
+        reason: ChoiceReason,
+    ) -> EngineChoice {
+        let (fetch_from, save_to) = self.imports(request, best);
+        EngineChoice {
+            server: best.state.entry.clone(),
+            weights: best.weights,
+            salt: best.salt.clone(),
+            fetch_from,
+            save_to,
+            reason,
+            estimate_ms: best.estimate_ms,
+            cached_tokens: best.cached,
+        }
+    }
+
+    /// Whether to ask the store for what is missing, and whether to leave there what is read.
+    fn imports(
+        &self,
+        request: &EngineRequest<'_>,
+        best: &Candidate<'_>,
+    ) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let Some(store) = request.table.cache_store() else { return (None, None) };
+        let shared = request.call.shared_parts();
+        let shared_tokens = request.call.shared_tokens();
+        if shared_tokens < LEAST_IMPORT_TOKENS {
+            return (None, None);
+        }
+        let scope = scope_of(&best.salt);
+        let kept = self.kept.cached_tokens(scope, shared, store.cache_tokens as f64);
+        let known =
+            best.state.memory.cached_tokens(scope, &request.call.prompt, request.capacity());
+        let fetch = (known < shared_tokens).then_some(store.address);
+        let save = (kept < shared_tokens).then_some(store.address);
+        (fetch, save)
+    }
+
+    /// The call goes to the server.
+    pub fn begin(&mut self, call: &CallFacts, server: &ServerName, now: Instant) -> SendTicket {
+        let tokens = f64::from(call.prompt_tokens());
+        if let Some(state) = self.servers.get_mut(server) {
+            state.open += 1;
+            state.backlog_tokens += tokens;
+        }
+        SendTicket { server: server.clone(), tokens, is_awaited: true, sent: now }
+    }
+
+    /// The call's prompt goes to the chosen engine.
+    pub fn begin_prompt(
+        &mut self,
+        call: &CallFacts,
+        choice: &EngineChoice,
+        now: Instant,
+    ) -> SendTicket {
+        let missing = f64::from(call.prompt_tokens().saturating_sub(choice.cached_tokens));
+        let scope = scope_of(&choice.salt);
+        let hosts = self.hosts.max(1) as f64;
+        if let Some(state) = self.servers.get_mut(&choice.server.name) {
+            state.open += 1;
+            state.backlog_tokens += missing;
+            state.memory.read(scope, &call.prompt, missing * hosts);
+        }
+        if choice.save_to.is_some() {
+            self.kept.read(scope, call.shared_parts(), missing * hosts);
+        }
+        SendTicket {
+            server: choice.server.name.clone(),
+            tokens: missing,
+            is_awaited: true,
+            sent: now,
+        }
+    }
+
+    /// The first of the answer has come.
+    pub fn answered(&mut self, ticket: &mut SendTicket, load: Option<LoadReport>, now: Instant) {
+        if let Some(state) = self.servers.get_mut(&ticket.server) {
+            if ticket.is_awaited {
+                state.backlog_tokens = (state.backlog_tokens - ticket.tokens).max(0.0);
+            }
+            state.heard(load, now);
+        }
+        ticket.is_awaited = false;
+    }
+
+    /// The request has left the server, whatever became of it.
+    pub fn left(&mut self, ticket: &SendTicket) {
+        if let Some(state) = self.servers.get_mut(&ticket.server) {
+            state.open = state.open.saturating_sub(1);
+            if ticket.is_awaited {
+                state.backlog_tokens = (state.backlog_tokens - ticket.tokens).max(0.0);
+            }
+        }
+    }
+
+    /// The whole answer came and was good.
+    pub fn succeeded(&mut self, ticket: &SendTicket, now: Instant) {
+        let took = now.saturating_duration_since(ticket.sent);
+        if let Some(state) = self.servers.get_mut(&ticket.server) {
+            state.succeeded(took, now);
+        }
+    }
+
+    /// The server failed the request.
+    pub fn failed(&mut self, server: &ServerName, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.failed(now);
+        }
+    }
+
+    /// No connection could be had.
+    pub fn unreachable(&mut self, server: &ServerName, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.unreachable(now);
+        }
+    }
+
+    /// The server turned a plain request away.
+    pub fn turned_away(&mut self, server: &ServerName, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.full(FULL_PAUSE, now);
+        }
+    }
+
+    /// An engine turned a prompt away. If newer weights are wanted, it is most likely loading them.
+    pub fn turned_away_prompt(
+        &mut self,
+        server: &ServerName,
+        model: &ModelName,
+        wanted: Option<WeightsVersion>,
+        now: Instant,
+    ) {
+        let Some(state) = self.servers.get_mut(server) else { return };
+        let is_behind = wanted.is_some_and(|wanted| {
+            state.weights(model).is_some_and(|weights| weights < wanted)
+        });
+        if !is_behind {
+            state.full(FULL_PAUSE, now);
+            return;
+        }
+        state.full(LOADING_PAUSE, now);
+        if let Some(wanted) = wanted {
+            state.assume_weights(model, wanted);
+        }
+    }
+
+    /// The engine runs other weights than expected: the newest, unless these were expected.
+    pub fn misjudged_weights(
+        &mut self,
+        server: &ServerName,
+        model: &ModelName,
+        sent: WeightsVersion,
+        wanted: Option<WeightsVersion>,
+    ) {
+        let Some(state) = self.servers.get_mut(server) else { return };
+        match wanted {
+            Some(wanted) if sent < wanted => state.assume_weights(model, wanted),
+            _ => state.drop_assumption(),
+        }
+    }
+
+    /// An answer names the weights in use.
+    pub fn learn_weights(&mut self, server: &ServerName, model: &ModelName, seen: WeightsVersion) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.learn_weights(model, seen);
+        }
+    }
+
+    /// Another server answered at the address: this one is gone from there.
+    pub fn forget(&mut self, server: &ServerName) {
+        self.servers.swap_remove(server);
+        self.gone.insert(server.clone());
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/server_entry.rs
@@ -0,0 +1,46 @@
+//! What the platform's list says of a backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
+use fulmargate_names::WeightsVersion;
+use fulmargate_names::ZoneName;
+use indexmap::IndexMap;
+
+/// One start of a backend server. Its name is new at each start, so that a name never stands for
+/// two incarnations.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// Name of this start.
+    pub name: ServerName,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens. The address may later belong to another server.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub stage: ServerStage,
+    /// How much longer it is slow after its start.
+    pub warm_up: Duration,
+    /// Models and the versions of their weights, as of the entry's writing.
+    pub models: IndexMap<ModelName, WeightsVersion>,
+}
+
+/// Whether a server takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerStage {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// Entries are shared by snapshots.
+pub(crate) type SharedEntry = Arc<ServerEntry>;
--- /dev/null
+++ b/crates/dispatch/src/server_state.rs
@@ -0,0 +1,214 @@
+//! What this router has seen of one backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::PartMemory;
+use crate::ServerEntry;
+
+/// Weight of a new observation in the averages.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// An average loses half of its distance to the common value in this time without observations, so
+/// that a server that was slow is tried again.
+const FORGET_HALF: Duration = Duration::from_secs(4);
+/// A report counts this long; later it says nothing of the server's load.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// A server's own word on its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// An average that fades towards a common value.
+#[derive(Clone, Copy, Debug)]
+struct FadingMean {
+    value: f64,
+    common: f64,
+    at: Instant,
+}
+
+impl FadingMean {
+    fn new(common: f64, now: Instant) -> FadingMean {
+        FadingMean { value: common, common, at: now }
+    }
+
+    fn get(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / FORGET_HALF.as_secs_f64());
+        self.common + (self.value - self.common) * kept
+    }
+
+    fn add(&mut self, observed: f64, now: Instant) {
+        let value = self.get(now);
+        self.value = value + (observed - value) * NEWEST_WEIGHT;
+        self.at = now;
+    }
+}
+
+/// Beliefs about one server. All of them may be lost.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    pub(crate) entry: Arc<ServerEntry>,
+    /// This router's requests that are under way there.
+    pub(crate) open: u32,
+    /// Prompt tokens of those whose first event is awaited.
+    pub(crate) backlog_tokens: f64,
+    report: Option<(LoadReport, Instant)>,
+    latency_ms: FadingMean,
+    failures: FadingMean,
+    /// No connection could be had: not tried again before this moment.
+    shut_until: Option<Instant>,
+    shut_times: u32,
+    /// It turned requests away.
+    full_until: Option<Instant>,
+    /// Weights that the list or an answer named.
+    weights: IndexMap<ModelName, WeightsVersion>,
+    /// Weights that it most likely loads now, for requests only: an engine that is wrongly thought
+    /// to be up to date would never be ordered to load.
+    assumed: IndexMap<ModelName, WeightsVersion>,
+    pub(crate) memory: PartMemory,
+}
+
+/// Expected time of a plain call while nothing is known, in milliseconds.
+const COMMON_LATENCY_MS: f64 = 20.0;
+/// A server without a connection is left alone for this long, twice as long each time.
+const SHUT_FIRST: Duration = Duration::from_millis(400);
+/// And for this long at most.
+const SHUT_MOST: Duration = Duration::from_millis(1_600);
+
+impl ServerState {
+    pub(crate) fn new(entry: Arc<ServerEntry>, now: Instant) -> ServerState {
+        let weights = entry.models.clone();
+        ServerState {
+            entry,
+            open: 0,
+            backlog_tokens: 0.0,
+            report: None,
+            latency_ms: FadingMean::new(COMMON_LATENCY_MS, now),
+            failures: FadingMean::new(0.0, now),
+            shut_until: None,
+            shut_times: 0,
+            full_until: None,
+            weights,
+            assumed: IndexMap::new(),
+            memory: PartMemory::default(),
+        }
+    }
+
+    /// The list's entry.
+    pub fn entry(&self) -> &Arc<ServerEntry> {
+        &self.entry
+    }
+
+    /// The list has a newer entry. Versions only rise: the list lags behind answers.
+    pub(crate) fn update(&mut self, entry: &Arc<ServerEntry>) {
+        for (model, version) in &entry.models {
+            self.learn_weights(model, *version);
+        }
+        self.entry = entry.clone();
+    }
+
+    /// An answer or the list names the weights in use.
+    pub(crate) fn learn_weights(&mut self, model: &ModelName, version: WeightsVersion) {
+        let known = self.weights.entry(model.clone()).or_insert(version);
+        if *known < version {
+            *known = version;
+            // Loading discards what the engine had cached.
+            self.memory.clear();
+        }
+    }
+
+    /// It most likely loads these weights.
+    pub(crate) fn assume_weights(&mut self, model: &ModelName, version: WeightsVersion) {
+        self.assumed.insert(model.clone(), version);
+    }
+
+    /// What was assumed of its weights was wrong.
+    pub(crate) fn drop_assumption(&mut self) {
+        self.assumed.clear();
+    }
+
+    /// The weights that the list, an answer or a report named.
+    pub fn confirmed_weights(&self, model: &ModelName) -> Option<WeightsVersion> {
+        self.weights.get(model).copied()
+    }
+
+    /// The weights that a request sent now is expected to run on.
+    pub fn weights(&self, model: &ModelName) -> Option<WeightsVersion> {
+        let confirmed = self.confirmed_weights(model)?;
+        let assumed = self.assumed.get(model).copied();
+        Some(assumed.map_or(confirmed, |assumed| assumed.max(confirmed)))
+    }
+
+    /// The server answered: it can be reached.
+    pub(crate) fn heard(&mut self, report: Option<LoadReport>, now: Instant) {
+        self.shut_until = None;
+        self.shut_times = 0;
+        if let Some(report) = report {
+            self.report = Some((report, now));
+        }
+    }
+
+    /// No connection could be had, or it fell silent.
+    pub(crate) fn unreachable(&mut self, now: Instant) {
+        let wait = SHUT_FIRST * 2_u32.pow(self.shut_times.min(4));
+        self.shut_until = Some(now + wait.min(SHUT_MOST));
+        self.shut_times += 1;
+    }
+
+    /// It turned a request away.
+    pub(crate) fn full(&mut self, wait: Duration, now: Instant) {
+        self.full_until = Some(now + wait);
+    }
+
+    /// Whether it may be chosen.
+    pub fn is_open(&self, now: Instant) -> bool {
+        let is_past = |until: Option<Instant>| until.is_none_or(|until| until <= now);
+        is_past(self.shut_until) && is_past(self.full_until)
+    }
+
+    pub(crate) fn succeeded(&mut self, took: Duration, now: Instant) {
+        self.latency_ms.add(took.as_secs_f64() * 1_000.0, now);
+        self.failures.add(0.0, now);
+    }
+
+    pub(crate) fn failed(&mut self, now: Instant) {
+        self.failures.add(1.0, now);
+    }
+
+    pub(crate) fn latency_ms(&self, now: Instant) -> f64 {
+        self.latency_ms.get(now)
+    }
+
+    /// Share of requests that fail.
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        self.failures.get(now)
+    }
+
+    /// Requests that wait at the server, by its last report if that is fresh.
+    pub(crate) fn waiting(&self, now: Instant) -> u32 {
+        self.fresh_report(now).map_or(0, |report| report.waiting)
+    }
+
+    /// Requests that are there: the larger of the server's word and this router's count.
+    pub fn occupancy(&self, now: Instant) -> u32 {
+        let reported = self.fresh_report(now).map_or(0, |report| report.running + report.waiting);
+        reported.max(self.open)
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
+        let (report, at) = self.report?;
+        (now.saturating_duration_since(at) < REPORT_AGE).then_some(report)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/server_table.rs
@@ -0,0 +1,125 @@
+//! Which backend servers there are, from the platform's list as it is read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_names::ServerName;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::BootTime;
+use crate::ServerEntry;
+use crate::ServerStage;
+use crate::server_entry::SharedEntry;
+
+/// Without an answer of the store for so long, entries may have lapsed though their servers live.
+/// A third of the three missed heartbeats after which the store drops an entry.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+/// Servers that live are listed again within about two seconds of the store's return; the rest is
+/// allowance for the pace of reading.
+const RETURN_GRACE: Duration = Duration::from_millis(2_400);
+/// Names of servers that drained are kept for so many, against entries that arrive late.
+const MOST_DRAINED: usize = 4_096;
+
+/// The fold over the list's records.
+///
+/// An entry that disappears means that the server has left, but not right after an outage of the
+/// store: heartbeats could not be written, and all entries lapse at once. A router that believed
+/// it then would refuse every request. Such entries are kept until the grace time is over.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    servers: IndexMap<ServerName, SharedEntry>,
+    drained: IndexSet<ServerName>,
+    lapsed: IndexSet<ServerName>,
+    last_contact: Option<BootTime>,
+    returned: Option<BootTime>,
+}
+
+impl ServerTable {
+    /// The store has answered a read that was sent at `sent`. To be told before the read's records
+    /// are applied. Returns whether this ended an outage.
+    pub fn contact(&mut self, sent: BootTime, now: BootTime) -> bool {
+        let was_out = self.last_contact.is_some_and(|last| OUTAGE <= sent.since(last));
+        if was_out {
+            self.returned = Some(now);
+        }
+        self.last_contact = Some(now);
+        was_out
+    }
+
+    /// An entry was written.
+    pub fn put(&mut self, mut entry: ServerEntry) {
+        // A server that has said it drains stays draining: an older entry that is read later, or
+        // one written by a confused server, would bring it requests that it cuts off when it ends.
+        if self.drained.contains(&entry.name) {
+            entry.stage = ServerStage::Draining;
+        }
+        if entry.stage == ServerStage::Draining {
+            self.note_drained(&entry.name);
+        }
+        self.lapsed.swap_remove(&entry.name);
+        self.servers.insert(entry.name.clone(), Arc::new(entry));
+    }
+
+    /// An entry was removed.
+    pub fn remove(&mut self, name: &ServerName, now: BootTime) {
+        if self.in_grace(now) && self.servers.contains_key(name) {
+            self.lapsed.insert(name.clone());
+            return;
+        }
+        self.drop_server(name);
+    }
+
+    /// The whole list was read because records were lost: what is not in it was removed.
+    pub fn retain_listed(&mut self, listed: &IndexSet<ServerName>, now: BootTime) {
+        let missing: Vec<ServerName> =
+            self.servers.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        for name in &missing {
+            self.remove(name, now);
+        }
+    }
+
+    /// Drops what has not come back in time. Returns the names.
+    pub fn expire(&mut self, now: BootTime) -> Vec<ServerName> {
+        if self.in_grace(now) || self.lapsed.is_empty() {
+            return Vec::new();
+        }
+        let gone: Vec<ServerName> = self.lapsed.drain(..).collect();
+        for name in &gone {
+            self.drop_server(name);
+        }
+        gone
+    }
+
+    /// Servers that may get requests.
+    pub fn usable(&self) -> Vec<Arc<ServerEntry>> {
+        let ready = self.servers.values().filter(|entry| entry.stage == ServerStage::Ready);
+        ready.cloned().collect()
+    }
+
+    /// All entries, draining ones included.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<ServerEntry>> {
+        self.servers.values()
+    }
+
+    /// Whether an entry is kept although the list has dropped it.
+    pub fn is_lapsed(&self, name: &ServerName) -> bool {
+        self.lapsed.contains(name)
+    }
+
+    fn in_grace(&self, now: BootTime) -> bool {
+        self.returned.is_some_and(|returned| now.since(returned) < RETURN_GRACE)
+    }
+
+    fn drop_server(&mut self, name: &ServerName) {
+        self.lapsed.swap_remove(name);
+        self.servers.swap_remove(name);
+    }
+
+    fn note_drained(&mut self, name: &ServerName) {
+        if MOST_DRAINED <= self.drained.len() {
+            self.drained.shift_remove_index(0);
+        }
+        self.drained.insert(name.clone());
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/weights_table.rs
@@ -0,0 +1,70 @@
+//! Which weights the operators want of each model.
+
+use std::time::Duration;
+
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
+use indexmap::IndexMap;
+
+use crate::BootTime;
+
+/// Versions remembered of one model. Each has its own bound, so the older ones matter until all
+/// engines have passed them.
+const MOST_NAMED: usize = 64;
+
+/// A version that was named, and when this router learned of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WeightsTarget {
+    /// The version.
+    pub version: WeightsVersion,
+    /// When it was learned of.
+    pub learned: BootTime,
+}
+
+/// The versions named of each model. They only rise.
+#[derive(Clone, Debug, Default)]
+pub struct WeightsTable {
+    named: IndexMap<ModelName, Vec<WeightsTarget>>,
+}
+
+impl WeightsTable {
+    /// A version was named. Returns whether it is new.
+    pub fn name_version(
+        &mut self,
+        model: &ModelName,
+        version: WeightsVersion,
+        now: BootTime,
+    ) -> bool {
+        let named = self.named.entry(model.clone()).or_default();
+        if named.last().is_some_and(|target| version <= target.version) {
+            return false;
+        }
+        if MOST_NAMED <= named.len() {
+            named.remove(0);
+        }
+        named.push(WeightsTarget { version, learned: now });
+        true
+    }
+
+    /// The newest version of a model.
+    pub fn target(&self, model: &ModelName) -> Option<WeightsTarget> {
+        self.named.get(model)?.last().copied()
+    }
+
+    /// The newest version of each model.
+    pub fn targets(&self) -> impl Iterator<Item = (&ModelName, WeightsTarget)> {
+        self.named.iter().filter_map(|(model, named)| Some((model, *named.last()?)))
+    }
+
+    /// For how long a newer version than this one has been wanted; zero if it is the newest.
+    pub fn outdated_for(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+        now: BootTime,
+    ) -> Duration {
+        let named = self.named.get(model).map_or(&[][..], Vec::as_slice);
+        let newer = named.iter().find(|target| version < target.version);
+        newer.map_or(Duration::ZERO, |target| now.since(target.learned))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,13 @@
+//! The control thread: what is agreed and known.
+
+mod control_thread;
+mod fleet_codec;
+mod fleet_desk;
+mod operator_watch;
+mod order_desk;
+mod order_run;
+mod pages;
+mod server_watch;
+mod store_contact;
+
+pub(crate) use control_thread::ControlThread;
--- /dev/null
+++ b/crates/entry/src/control/control_thread.rs
@@ -0,0 +1,153 @@
+//! Starts the tasks of the control thread and runs the planned stop.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_web::rt::System;
+use fulmargate_consortium::StoreClient;
+use fulmargate_names::EventKind;
+use fulmargate_settings::EntrySettings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::fleet_desk::FleetDesk;
+use crate::control::operator_watch::OperatorWatch;
+use crate::control::order_desk::OrderDesk;
+use crate::control::pages::serve_pages;
+use crate::control::server_watch::ServerWatch;
+use crate::daemon::StartError;
+use crate::daemon::StopTokens;
+use crate::state::CrashSighting;
+use crate::state::SharedState;
+use crate::telemetry::render_metrics;
+
+/// The balancer asks once a second and takes a host out after two misses; until then it still
+/// sends new connections.
+const STOP_LEAD: Duration = Duration::from_millis(2_600);
+/// Before the time for a stop is over, so that the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// How often the stop looks for open connections.
+const STOP_PACE: Duration = Duration::from_millis(50);
+/// The recorder's samples are put into buckets at this pace, which bounds their memory.
+const UPKEEP_PACE: Duration = Duration::from_secs(5);
+
+/// The control thread: an actix system with the tasks that talk to the store and to engines.
+pub(crate) struct ControlThread {
+    pub(crate) state: Arc<SharedState>,
+    pub(crate) stop: StopTokens,
+    pub(crate) path: PathBuf,
+}
+
+impl ControlThread {
+    /// Runs until the planned stop is over.
+    pub(crate) fn run(
+        self,
+        readiness: TcpListener,
+        metrics: TcpListener,
+        crashes: UnboundedReceiver<CrashSighting>,
+    ) -> Result<(), StartError> {
+        System::new().block_on(async move {
+            let pages = serve_pages(self.state.clone(), self.stop.clone(), readiness, metrics)
+                .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
+            actix_rt::spawn(pages);
+            self.start_tasks(crashes);
+            self.serve_signals().await?;
+            self.end().await;
+            Ok(())
+        })
+    }
+
+    fn start_tasks(&self, crashes: UnboundedReceiver<CrashSighting>) {
+        let client = StoreClient::new(self.state.settings.store);
+        let token = self.stop.ended.clone();
+        let operator = OperatorWatch::new(self.state.clone(), client.clone());
+        spawn_until(&token, operator.run());
+        let servers = ServerWatch::new(self.state.clone(), client.clone());
+        spawn_until(&token, servers.run());
+        let fleet = FleetDesk::new(self.state.clone(), client.clone());
+        let fold = fleet.fold();
+        spawn_until(&token, fleet.run(crashes));
+        let orders = OrderDesk::new(self.state.clone(), client, fold);
+        // A host that leaves gives no more orders: another takes the lease.
+        spawn_until(&self.stop.begun, orders.run());
+        spawn_until(&token, keep_metrics(self.state.clone()));
+    }
+
+    /// Waits for the signal to stop. SIGHUP only compares settings: an unhandled one would end the
+    /// process and cut all requests.
+    async fn serve_signals(&self) -> Result<(), StartError> {
+        let open = |kind: SignalKind| {
+            signal(kind)
+                .map_err(|err| StartError::Thread { what: "signals", reason: err.to_string() })
+        };
+        let mut terminate = open(SignalKind::terminate())?;
+        let mut interrupt = open(SignalKind::interrupt())?;
+        let mut hangup = open(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return Ok(()),
+                _ = interrupt.recv() => return Ok(()),
+                _ = hangup.recv() => self.reread(),
+            }
+        }
+    }
+
+    fn reread(&self) {
+        let kind = EventKind::SettingsReread;
+        match EntrySettings::load(&self.path) {
+            Ok(settings) => {
+                let is_changed = settings != self.state.settings;
+                tracing::info!(event = kind.number(), name = kind.name(), is_changed);
+            }
+            Err(err) => {
+                tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
+            }
+        }
+    }
+
+    /// First the balancer learns that nothing new should come, then idle connections are closed,
+    /// then the process waits for what is open.
+    async fn end(&self) {
+        let begun = EventKind::StopBegun;
+        let open = self.state.open_requests.load(Ordering::Relaxed);
+        tracing::info!(event = begun.number(), name = begun.name(), open);
+        self.stop.begun.cancel();
+        sleep(STOP_LEAD).await;
+        self.stop.closing.cancel();
+        let rest = self.state.settings.bounds.stop_grace() - STOP_LEAD;
+        let wait = rest.saturating_sub(STOP_MARGIN);
+        let all_ended = tokio::time::timeout(wait, self.all_closed()).await.is_ok();
+        let ended = EventKind::StopEnded;
+        tracing::info!(event = ended.number(), name = ended.name(), all_ended);
+        self.stop.ended.cancel();
+    }
+
+    async fn all_closed(&self) {
+        while 0 < self.state.open_connections.load(Ordering::Relaxed) {
+            sleep(STOP_PACE).await;
+        }
+    }
+}
+
+fn spawn_until(token: &CancellationToken, task: impl Future<Output = ()> + 'static) {
+    let token = token.clone();
+    actix_rt::spawn(async move {
+        tokio::select! {
+            () = token.cancelled() => {}
+            () = task => {}
+        }
+    });
+}
+
+async fn keep_metrics(state: Arc<SharedState>) {
+    loop {
+        sleep(UPKEEP_PACE).await;
+        render_metrics(&state);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/operator_watch.rs
@@ -0,0 +1,174 @@
+//! Follows what operators write.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::KeyedRecord;
+use fulmargate_consortium::OperatorRecord;
+use fulmargate_consortium::RecordPage;
+use fulmargate_consortium::StoreClient;
+use fulmargate_consortium::StoreError;
+use fulmargate_consortium::StoreTopic;
+use fulmargate_consortium::decode_operator;
+use fulmargate_consortium::split_keyed;
+use fulmargate_dispatch::RouteTable;
+use fulmargate_dispatch::RoutingConfig;
+use fulmargate_names::EventKind;
+use fulmargate_names::LogOffset;
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
+
+use crate::control::store_contact::StoreContact;
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// A read waits this long for a record. Until it returns nothing is proved, so the wait is well
+/// below the bound on taken keys (5 s); a shorter one costs more calls.
+const READ_WAIT: Duration = Duration::from_millis(1_200);
+/// A read that waits is given up after this time more: the store's answers take 4 ms, and 250 ms
+/// when it is slow.
+const READ_ALLOWANCE: Duration = Duration::from_millis(700);
+/// A read that does not wait.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Keeps the configuration and the weights wanted.
+pub(crate) struct OperatorWatch {
+    state: Arc<SharedState>,
+    client: StoreClient,
+    contact: StoreContact,
+    /// Where to read on; nothing before the whole topic was read, or after records were lost.
+    next: Option<LogOffset>,
+    was_proven: bool,
+}
+
+impl OperatorWatch {
+    /// Knows nothing yet.
+    pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> OperatorWatch {
+        let contact = StoreContact::new("operator");
+        OperatorWatch { state, client, contact, next: None, was_proven: false }
+    }
+
+    /// Reads on and on.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let result = match self.next {
+                Some(from) => self.read_on(from).await,
+                None => self.read_all().await,
+            };
+            match result {
+                Ok(()) => self.contact.held(),
+                Err(StoreError::Deleted { first }) => {
+                    let lost = EventKind::LogTruncated;
+                    tracing::warn!(event = lost.number(), name = lost.name(), topic = "operator", %first);
+                    self.next = None;
+                }
+                Err(err) => self.contact.lost(&err).await,
+            }
+            self.tell_proof();
+        }
+    }
+
+    async fn read_on(&mut self, from: LogOffset) -> Result<(), StoreError> {
+        let sent = boot_now();
+        let timeout = READ_WAIT + READ_ALLOWANCE;
+        let page = self.client.read(StoreTopic::Operator, from, READ_WAIT, timeout).await?;
+        self.apply_page(&page);
+        let next = LogOffset(from.0 + page.records.len() as u64);
+        self.next = Some(next);
+        // A page may end before the topic does; only the whole proves that nothing is newer.
+        if page.end <= next {
+            self.state.proof().renew(sent);
+        }
+        Ok(())
+    }
+
+    /// The newest record of each key. Pages are no snapshot, so reading goes on from where the
+    /// topic ended when the first page was made.
+    async fn read_all(&mut self) -> Result<(), StoreError> {
+        let sent = boot_now();
+        let mut end = None;
+        let mut after: Option<String> = None;
+        loop {
+            let topic = StoreTopic::Operator;
+            let page = self.client.newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
+            end = end.or(Some(page.end));
+            for record in &page.records {
+                self.apply(record);
+            }
+            after = page.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.next = end;
+        if self.state.table.load().is_some() {
+            self.state.proof().renew(sent);
+        }
+        Ok(())
+    }
+
+    fn apply_page(&self, page: &RecordPage) {
+        for record in &page.records {
+            match split_keyed(record) {
+                Ok(record) => self.apply(&record),
+                Err(err) => tell_unreadable(&err),
+            }
+        }
+    }
+
+    fn apply(&self, record: &KeyedRecord) {
+        match decode_operator(record) {
+            Ok(OperatorRecord::Config(config)) => self.put_in_force(*config),
+            Ok(OperatorRecord::Weights(model, version)) => self.name_weights(&model, version),
+            Ok(OperatorRecord::Other) => {}
+            Err(err) => tell_unreadable(&err),
+        }
+    }
+
+    /// A configuration is swapped in whole. An older one, which a page that was made earlier may
+    /// hold, never replaces a newer one.
+    fn put_in_force(&self, config: RoutingConfig) {
+        let current = self.state.table.load().as_ref().map(|table| table.version());
+        if current.is_some_and(|current| config.version <= current) {
+            return;
+        }
+        let table = Arc::new(RouteTable::new(config));
+        let (routes, hosts, keys) = table.sizes();
+        let accepted = EventKind::ConfigAccepted;
+        tracing::info!(
+            event = accepted.number(),
+            name = accepted.name(),
+            version = %table.version(),
+            routes,
+            hosts,
+            keys,
+        );
+        self.state.table.store(Some(table));
+    }
+
+    fn name_weights(&self, model: &ModelName, version: WeightsVersion) {
+        let mut weights = (**self.state.weights.load()).clone();
+        if !weights.name_version(model, version, boot_now()) {
+            return;
+        }
+        self.state.weights.store(Arc::new(weights));
+        let named = EventKind::WeightsNamed;
+        tracing::info!(event = named.number(), name = named.name(), %model, %version);
+    }
+
+    fn tell_proof(&mut self) {
+        let is_proven = self.state.admits_keys();
+        if is_proven == self.was_proven {
+            return;
+        }
+        self.was_proven = is_proven;
+        let age_ms = self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64);
+        let kind = if is_proven { EventKind::ConfigProven } else { EventKind::ConfigUnproven };
+        tracing::warn!(event = kind.number(), name = kind.name(), age_ms);
+    }
+}
+
+fn tell_unreadable(err: &StoreError) {
+    let unreadable = EventKind::ConfigUnreadable;
+    tracing::error!(event = unreadable.number(), name = unreadable.name(), reason = %err);
+}
--- /dev/null
+++ b/crates/entry/src/control/order_desk.rs
@@ -0,0 +1,198 @@
+//! Brings engines to the weights wanted, while this router holds the lease.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::AppendAnswer;
+use fulmargate_consortium::EngineClient;
+use fulmargate_consortium::StoreClient;
+use fulmargate_consortium::StoreTopic;
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::LeaseDesk;
+use fulmargate_dispatch::LeaseStep;
+use fulmargate_dispatch::OrderWave;
+use fulmargate_dispatch::WaveServer;
+use fulmargate_dispatch::WeightsTarget;
+use fulmargate_names::EventKind;
+use fulmargate_names::FencingNumber;
+use fulmargate_names::LogOffset;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use indexmap::IndexSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::control::fleet_codec::encode_record;
+use crate::control::fleet_desk::SharedFold;
+use crate::control::order_run::OrderRun;
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// How often the desk looks for work; a version must be in place within seconds.
+const IDLE_PACE: Duration = Duration::from_millis(100);
+/// How often it looks while engines load; a load takes some 300 ms.
+const BUSY_PACE: Duration = Duration::from_millis(25);
+/// An append takes 4 ms, and 250 ms when the store is slow.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What the order runs share with the desk.
+pub(crate) struct DeskState {
+    pub(crate) lease: RefCell<LeaseDesk>,
+    /// Engines with an order under way.
+    pub(crate) under_way: RefCell<IndexSet<ServerName>>,
+}
+
+/// The desk.
+pub(crate) struct OrderDesk {
+    state: Arc<SharedState>,
+    store: StoreClient,
+    engines: EngineClient,
+    fold: SharedFold,
+    desk: Rc<DeskState>,
+    wave: OrderWave,
+}
+
+/// Weights that some engines lack.
+struct OpenWork {
+    model: ModelName,
+    target: WeightsTarget,
+    servers: Vec<WaveServer>,
+}
+
+impl OrderDesk {
+    /// A desk without the lease.
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        store: StoreClient,
+        fold: SharedFold,
+    ) -> OrderDesk {
+        let host = state.settings.host.clone();
+        let lease = LeaseDesk::new(host, state.settings.bounds.lease());
+        let desk = DeskState { lease: RefCell::new(lease), under_way: RefCell::default() };
+        OrderDesk {
+            state,
+            store,
+            engines: EngineClient::new(),
+            fold,
+            desk: Rc::new(desk),
+            wave: OrderWave::default(),
+        }
+    }
+
+    /// Looks for work on and on.
+    pub(crate) async fn run(self) {
+        loop {
+            let pause = match self.next_work() {
+                Some(work) => self.work_on(work).await,
+                None => IDLE_PACE,
+            };
+            sleep(pause).await;
+        }
+    }
+
+    fn next_work(&self) -> Option<OpenWork> {
+        let weights = self.state.weights.load_full();
+        let mut open = weights.targets().map(|(model, target)| self.work_of(model, target));
+        open.find(|work| {
+            work.servers.iter().any(|server| server.version < work.target.version)
+        })
+    }
+
+    fn work_of(&self, model: &ModelName, target: WeightsTarget) -> OpenWork {
+        let under_way = self.desk.under_way.borrow();
+        let book = self.state.book();
+        let now = Instant::now();
+        let servers = book
+            .states()
+            .filter_map(|state| {
+                Some(WaveServer {
+                    name: state.entry().name.clone(),
+                    zone: state.entry().zone.clone(),
+                    version: state.confirmed_weights(model)?,
+                    load: state.occupancy(now),
+                    is_ordered: under_way.contains(&state.entry().name),
+                    is_open: state.is_open(now),
+                })
+            })
+            .collect();
+        OpenWork { model: model.clone(), target, servers }
+    }
+
+    /// Takes or keeps the lease and gives the next orders. Returns how long to wait.
+    async fn work_on(&self, work: OpenWork) -> Duration {
+        let now = boot_now();
+        let step = {
+            let fold = self.fold.borrow();
+            self.desk.lease.borrow().step(&fold, work.target.learned, now)
+        };
+        match step {
+            LeaseStep::Act => {
+                self.give_orders(&work);
+                BUSY_PACE
+            }
+            LeaseStep::Append { at } => {
+                self.take_lease(at).await;
+                BUSY_PACE
+            }
+            LeaseStep::Wait(wait) => wait.clamp(BUSY_PACE, IDLE_PACE),
+        }
+    }
+
+    /// The append counts from before it was sent. If its answer is lost, the record is read back
+    /// like another's and renewed with a number that is known.
+    async fn take_lease(&self, at: LogOffset) {
+        let record = FleetRecord::Lease {
+            host: self.state.settings.host.clone(),
+            incarnation: self.state.incarnation,
+        };
+        let bytes = match encode_record(&record) {
+            Ok(bytes) => bytes,
+            Err(err) => {
+                tracing::error!("a lease record cannot be written: {err}");
+                return;
+            }
+        };
+        let sent = boot_now();
+        let topic = StoreTopic::Fleet;
+        match self.store.append(topic, Some(at), &[bytes], APPEND_TIMEOUT).await {
+            Ok(AppendAnswer::Written(offset)) => self.hold(offset, &record, sent),
+            Ok(AppendAnswer::Moved) => self.tell_lost("the topic moved on"),
+            Err(err) => self.tell_lost(&err.to_string()),
+        }
+    }
+
+    fn hold(&self, offset: LogOffset, record: &FleetRecord, sent: BootTime) {
+        let mut fold = self.fold.borrow_mut();
+        // The reader may be behind; it applies this record again, which changes nothing.
+        if fold.end() == offset {
+            fold.apply(offset, record, sent);
+        }
+        self.desk.lease.borrow_mut().appended(FencingNumber(offset.0), sent);
+        let taken = EventKind::LeaseTaken;
+        tracing::info!(event = taken.number(), name = taken.name(), fence = offset.0);
+    }
+
+    fn tell_lost(&self, reason: &str) {
+        let lost = EventKind::LeaseLost;
+        tracing::info!(event = lost.number(), name = lost.name(), reason);
+    }
+
+    fn give_orders(&self, work: &OpenWork) {
+        for name in self.wave.next(&work.servers, work.target.version) {
+            let entry = self.state.book().state(&name).map(|state| state.entry().clone());
+            let Some(entry) = entry else { continue };
+            self.desk.under_way.borrow_mut().insert(name);
+            let run = OrderRun {
+                state: self.state.clone(),
+                engines: self.engines.clone(),
+                desk: self.desk.clone(),
+                entry,
+                model: work.model.clone(),
+            };
+            actix_rt::spawn(run.run());
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/order_run.rs
@@ -0,0 +1,143 @@
+//! One engine's way to new weights.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::EngineClient;
+use fulmargate_consortium::EngineOrder;
+use fulmargate_consortium::EngineReport;
+use fulmargate_consortium::OrderAnswer;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::EventKind;
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::control::order_desk::DeskState;
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// A report takes some milliseconds; an engine that is cut off gives none.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// An answer to an order comes at once, or the order is treated as lost.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Reports are some hundred milliseconds old; asking sooner tells nothing new.
+const REPORT_PACE: Duration = Duration::from_millis(150);
+/// An engine loads in some 300 ms after its runs have ended.
+const LOAD_PAUSE: Duration = Duration::from_millis(350);
+/// After this long the engine is given back to the desk, which chooses anew.
+const LONGEST_RUN: Duration = Duration::from_secs(4);
+
+/// Asks the engine for its state, orders, and asks until the weights are in place.
+pub(crate) struct OrderRun {
+    pub(crate) state: Arc<SharedState>,
+    pub(crate) engines: EngineClient,
+    pub(crate) desk: Rc<DeskState>,
+    pub(crate) entry: Arc<ServerEntry>,
+    pub(crate) model: ModelName,
+}
+
+/// Why a run is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunEnd {
+    InPlace(WeightsVersion),
+    NotHolder,
+    Gone,
+    Silent,
+}
+
+impl OrderRun {
+    /// Runs to its end.
+    pub(crate) async fn run(self) {
+        let timeout = tokio::time::timeout(LONGEST_RUN, self.bring_up()).await;
+        let end = timeout.unwrap_or(RunEnd::Silent);
+        let name = &self.entry.name;
+        let kind = match end {
+            RunEnd::InPlace(version) => {
+                self.state.book().learn_weights(name, &self.model, version);
+                EventKind::WeightsInPlace
+            }
+            RunEnd::Silent => {
+                self.state.book().unreachable(name, Instant::now());
+                EventKind::OrderRefused
+            }
+            RunEnd::NotHolder | RunEnd::Gone => EventKind::OrderRefused,
+        };
+        let model = &self.model;
+        tracing::info!(event = kind.number(), name = kind.name(), server = %name, %model, end = ?end);
+        self.desk.under_way.borrow_mut().swap_remove(name);
+    }
+
+    async fn bring_up(&self) -> RunEnd {
+        loop {
+            let Some(report) = self.report().await else { return RunEnd::Silent };
+            // The newest at this moment: a version that was overtaken meanwhile is skipped.
+            let Some(wanted) = self.state.weights.load().target(&self.model) else {
+                return RunEnd::Gone;
+            };
+            let held = report.weights.get(&self.model).copied();
+            if let Some(held) = held.filter(|held| wanted.version <= *held) {
+                return RunEnd::InPlace(held);
+            }
+            if report.is_busy {
+                sleep(REPORT_PACE).await;
+                continue;
+            }
+            match self.order(&report, wanted.version).await {
+                Some(OrderAnswer::Holds) => return RunEnd::InPlace(wanted.version),
+                Some(OrderAnswer::Accepted) => sleep(LOAD_PAUSE).await,
+                Some(OrderAnswer::Superseded) => {
+                    self.desk.lease.borrow_mut().refused();
+                    return RunEnd::NotHolder;
+                }
+                Some(OrderAnswer::Misdirected) => return RunEnd::Gone,
+                // An order without an answer may be under way: the report tells, and the count of
+                // orders in the next one keeps a late one from being carried out after it. Without
+                // the lease the desk renews it, or another router goes on.
+                Some(OrderAnswer::Busy | OrderAnswer::Refused(_)) | None => {
+                    sleep(REPORT_PACE).await;
+                }
+            }
+        }
+    }
+
+    async fn report(&self) -> Option<EngineReport> {
+        match self.engines.report(self.entry.address, REPORT_TIMEOUT).await {
+            Ok(report) => Some(report),
+            Err(err) => {
+                let kind = EventKind::OrderRefused;
+                tracing::warn!(event = kind.number(), name = kind.name(), server = %self.entry.name, reason = %err);
+                None
+            }
+        }
+    }
+
+    /// Gives the order if the lease still holds at this very moment; none without an answer.
+    async fn order(&self, report: &EngineReport, version: WeightsVersion) -> Option<OrderAnswer> {
+        let fence = self.desk.lease.borrow().usable_fence(boot_now())?;
+        let order = EngineOrder {
+            model: self.model.clone(),
+            version,
+            holder: self.state.settings.host.clone(),
+            fence,
+            orders_before: report.orders,
+        };
+        let entry = &self.entry;
+        let answer = self.engines.order(entry.address, &entry.name, &order, ORDER_TIMEOUT).await;
+        let kind = EventKind::OrderGiven;
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            server = %entry.name,
+            model = %self.model,
+            %version,
+            %fence,
+            orders_before = report.orders,
+            running = report.running,
+            answer = ?answer,
+        );
+        answer.ok()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/server_watch.rs
@@ -0,0 +1,177 @@
+//! Follows the list of backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::KeyedRecord;
+use fulmargate_consortium::StoreClient;
+use fulmargate_consortium::StoreError;
+use fulmargate_consortium::StoreTopic;
+use fulmargate_consortium::decode_server;
+use fulmargate_consortium::split_keyed;
+use fulmargate_dispatch::ServerStage;
+use fulmargate_dispatch::ServerTable;
+use fulmargate_names::EventKind;
+use fulmargate_names::LogOffset;
+use fulmargate_names::ServerName;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::control::store_contact::StoreContact;
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// Pause between reads. All servers write about once a second, so a read that waited for a record
+/// would return some 20 times a second on each host. A server that drains must get nothing new
+/// within 2 s: pause, timeout and repeat stay below that.
+const READ_PACE: Duration = Duration::from_millis(700);
+/// The store's answers take 4 ms, and 250 ms when it is slow.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// A page of the whole list.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Keeps the table of servers and hands it to the book.
+pub(crate) struct ServerWatch {
+    state: Arc<SharedState>,
+    client: StoreClient,
+    contact: StoreContact,
+    table: ServerTable,
+    known: IndexMap<ServerName, ServerStage>,
+    next: Option<LogOffset>,
+}
+
+impl ServerWatch {
+    /// Knows nothing yet.
+    pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> ServerWatch {
+        ServerWatch {
+            state,
+            client,
+            contact: StoreContact::new("servers"),
+            table: ServerTable::default(),
+            known: IndexMap::new(),
+            next: None,
+        }
+    }
+
+    /// Reads on and on.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let result = match self.next {
+                Some(from) => self.read_on(from).await,
+                None => self.read_all().await,
+            };
+            match result {
+                Ok(is_all) => {
+                    self.contact.held();
+                    self.publish();
+                    if is_all {
+                        sleep(READ_PACE).await;
+                    }
+                }
+                Err(StoreError::Deleted { .. }) => self.next = None,
+                Err(err) => self.contact.lost(&err).await,
+            }
+        }
+    }
+
+    /// Returns whether all records were read.
+    async fn read_on(&mut self, from: LogOffset) -> Result<bool, StoreError> {
+        let sent = boot_now();
+        let topic = StoreTopic::Servers;
+        let page = self.client.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
+        self.note_contact(sent);
+        for record in &page.records {
+            match split_keyed(record) {
+                Ok(record) => self.apply(&record),
+                Err(err) => tell_unreadable(&err),
+            }
+        }
+        let next = LogOffset(from.0 + page.records.len() as u64);
+        self.next = Some(next);
+        Ok(page.end <= next)
+    }
+
+    async fn read_all(&mut self) -> Result<bool, StoreError> {
+        let sent = boot_now();
+        let mut end = None;
+        let mut after: Option<String> = None;
+        let mut listed = IndexSet::new();
+        let mut records = Vec::new();
+        loop {
+            let topic = StoreTopic::Servers;
+            let page = self.client.newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
+            end = end.or(Some(page.end));
+            after = page.next;
+            records.extend(page.records);
+            if after.is_none() {
+                break;
+            }
+        }
+        self.note_contact(sent);
+        for record in &records {
+            listed.insert(ServerName::new(&record.key));
+            self.apply(record);
+        }
+        self.table.retain_listed(&listed, boot_now());
+        self.next = end;
+        Ok(true)
+    }
+
+    fn note_contact(&mut self, sent: fulmargate_dispatch::BootTime) {
+        if self.table.contact(sent, boot_now()) {
+            let kind = EventKind::ServersLapsed;
+            let servers = self.known.len();
+            tracing::warn!(event = kind.number(), name = kind.name(), servers);
+        }
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        let name = ServerName::new(&record.key);
+        let Some(value) = &record.value else {
+            self.table.remove(&name, boot_now());
+            return;
+        };
+        match decode_server(&record.key, value) {
+            Ok(entry) => self.table.put(entry),
+            Err(err) => tell_unreadable(&err),
+        }
+    }
+
+    fn publish(&mut self) {
+        self.table.expire(boot_now());
+        self.state.book().sync(&self.table.usable(), Instant::now());
+        self.tell_changes();
+    }
+
+    fn tell_changes(&mut self) {
+        let mut stages = IndexMap::new();
+        for entry in self.table.entries() {
+            stages.insert(entry.name.clone(), entry.stage);
+            let kind = match (self.known.get(&entry.name), entry.stage) {
+                (None, ServerStage::Ready) => EventKind::ServerListed,
+                (Some(ServerStage::Ready), ServerStage::Draining) => EventKind::ServerLeaving,
+                _ => continue,
+            };
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                server = %entry.name,
+                service = %entry.service,
+                zone = %entry.zone,
+                address = %entry.address,
+            );
+        }
+        for name in self.known.keys().filter(|name| !stages.contains_key(*name)) {
+            let kind = EventKind::ServerGone;
+            tracing::info!(event = kind.number(), name = kind.name(), server = %name);
+        }
+        self.known = stages;
+    }
+}
+
+fn tell_unreadable(err: &StoreError) {
+    let unreadable = EventKind::ConfigUnreadable;
+    tracing::error!(event = unreadable.number(), name = unreadable.name(), reason = %err);
+}
--- /dev/null
+++ b/crates/entry/src/control/store_contact.rs
@@ -0,0 +1,51 @@
+//! Whether the store answers, for one topic.
+
+use std::time::Duration;
+
+use fulmargate_consortium::StoreError;
+use fulmargate_names::EventKind;
+use tokio::time::sleep;
+
+/// The first repeat after a failed call comes after this time, on a new connection: a connection
+/// may have fallen silent while new ones work.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// And the last ones after this time. Each of some ten hosts then calls three topics four times a
+/// second, well below the store's rates.
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Counts failures in a row, tells of the first and of the end, and spaces out repeats.
+#[derive(Debug)]
+pub(crate) struct StoreContact {
+    topic: &'static str,
+    failures: u32,
+}
+
+impl StoreContact {
+    /// A contact that holds.
+    pub(crate) fn new(topic: &'static str) -> StoreContact {
+        StoreContact { topic, failures: 0 }
+    }
+
+    /// A call was answered.
+    pub(crate) fn held(&mut self) {
+        if 0 < self.failures {
+            let back = EventKind::LogBack;
+            let failures = self.failures;
+            tracing::info!(event = back.number(), name = back.name(), topic = self.topic, failures);
+        }
+        self.failures = 0;
+    }
+
+    /// A call failed: waits before the next.
+    pub(crate) async fn lost(&mut self, err: &StoreError) {
+        if self.failures == 0 {
+            let out = EventKind::LogOut;
+            tracing::warn!(event = out.number(), name = out.name(), topic = self.topic, reason = %err);
+        }
+        self.failures += 1;
+        let pause = FIRST_PAUSE * self.failures.min(LONGEST_FACTOR);
+        sleep(pause.min(LONGEST_PAUSE)).await;
+    }
+}
+
+const LONGEST_FACTOR: u32 = 8;
--- /dev/null
+++ b/crates/entry/src/state/shared_state.rs
@@ -0,0 +1,122 @@
+//! Snapshots and books shared by control and traffic.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use fulmargate_dispatch::ConfigProof;
+use fulmargate_dispatch::CrashBook;
+use fulmargate_dispatch::CrashConf;
+use fulmargate_dispatch::RepeatBudget;
+use fulmargate_dispatch::RepeatConf;
+use fulmargate_dispatch::RouteTable;
+use fulmargate_dispatch::ServerBook;
+use fulmargate_dispatch::WeightsTable;
+use fulmargate_names::Incarnation;
+use fulmargate_names::ServerName;
+use fulmargate_settings::EntrySettings;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use crate::state::boot_now;
+use crate::telemetry::LineBudget;
+
+/// Requests with a key are refused this much before the bound on taken keys: clocks of two hosts
+/// drift apart by less than a thousandth, 5 ms in 5 s; the rest is allowance for a busy host.
+const PROOF_MARGIN: Duration = Duration::from_millis(100);
+
+/// All that both threads use. Each lock is held for one short step.
+pub(crate) struct SharedState {
+    pub(crate) settings: EntrySettings,
+    /// Drawn at each start.
+    pub(crate) incarnation: Incarnation,
+    /// The configuration in force.
+    pub(crate) table: ArcSwapOption<RouteTable>,
+    /// The weights wanted.
+    pub(crate) weights: ArcSwap<WeightsTable>,
+    /// Requests that callers wait for.
+    pub(crate) open_requests: AtomicUsize,
+    /// Connections of callers.
+    pub(crate) open_connections: AtomicUsize,
+    /// Crashes seen here, to be told to the other routers.
+    pub(crate) crash_sender: UnboundedSender<CrashSighting>,
+    /// Bounds the log.
+    pub(crate) lines: LineBudget,
+    proof: Mutex<ConfigProof>,
+    book: Mutex<ServerBook>,
+    budget: Mutex<RepeatBudget>,
+    crashes: Mutex<CrashBook>,
+}
+
+/// A server that crashed while it ran a request.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashSighting {
+    /// Fingerprint of the request.
+    pub(crate) print: u128,
+    /// The server.
+    pub(crate) server: ServerName,
+}
+
+impl SharedState {
+    /// Nothing is known yet.
+    pub(crate) fn new(
+        settings: EntrySettings,
+        crash_sender: UnboundedSender<CrashSighting>,
+    ) -> SharedState {
+        let bounds = settings.bounds;
+        let repeats = RepeatConf {
+            ratio: bounds.repeat_ratio,
+            slack: bounds.repeat_slack,
+            window: bounds.repeat_window(),
+        };
+        let proof = ConfigProof::new(bounds.key_revoke().saturating_sub(PROOF_MARGIN));
+        SharedState {
+            settings,
+            incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
+            table: ArcSwapOption::empty(),
+            weights: ArcSwap::default(),
+            open_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
+            crash_sender,
+            lines: LineBudget::default(),
+            proof: Mutex::new(proof),
+            book: Mutex::default(),
+            budget: Mutex::new(RepeatBudget::new(repeats, Instant::now())),
+            crashes: Mutex::new(CrashBook::new(CrashConf::default())),
+        }
+    }
+
+    /// The age of the proof that the configuration is the newest.
+    pub(crate) fn proof(&self) -> MutexGuard<'_, ConfigProof> {
+        lock(&self.proof)
+    }
+
+    /// Whether requests with a key may be admitted at this moment.
+    pub(crate) fn admits_keys(&self) -> bool {
+        self.proof().admits(boot_now())
+    }
+
+    /// Beliefs about servers.
+    pub(crate) fn book(&self) -> MutexGuard<'_, ServerBook> {
+        lock(&self.book)
+    }
+
+    /// The budget of repeats.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+        lock(&self.budget)
+    }
+
+    /// Requests that crash servers.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashBook> {
+        lock(&self.crashes)
+    }
+}
+
+/// A book is whole after each step, so that a thread that panicked leaves a usable one.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/entry/src/telemetry/metric_book.rs
@@ -0,0 +1,70 @@
+//! Metrics in Prometheus text.
+
+use std::sync::OnceLock;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::RouteKind;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// Upper bounds in seconds; 11,000 teams make their number the cost of a histogram.
+const TIME_BUCKETS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder of the process.
+pub(crate) fn install_metrics() {
+    HANDLE.get_or_init(|| {
+        let builder = PrometheusBuilder::new();
+        let seconds = Matcher::Suffix("_seconds".to_owned());
+        builder.set_buckets_for_metric(seconds, &TIME_BUCKETS).ok()?.install_recorder().ok()
+    });
+}
+
+/// A request goes to a server.
+pub(crate) fn count_send(reason: &'static str) {
+    metrics::counter!("fulmargate_sends_total", "reason" => reason).increment(1);
+}
+
+/// A request got its answer, or a stream its first event.
+pub(crate) fn record_answer(call: &CallFacts, status: u16, took: Duration) {
+    let team = call.team.as_ref().map_or("none", |team| team.as_str()).to_owned();
+    let kind = kind_name(call.route.kind);
+    let labels = [("team", team), ("kind", kind.to_owned())];
+    metrics::histogram!("fulmargate_answer_seconds", &labels).record(took.as_secs_f64());
+    metrics::counter!("fulmargate_answers_total", "kind" => kind, "status" => status.to_string())
+        .increment(1);
+}
+
+/// The metrics as text. Also empties the recorder's samples, which grow until then.
+pub(crate) fn render_metrics(state: &SharedState) -> String {
+    metrics::gauge!("fulmargate_open_requests")
+        .set(state.open_requests.load(Ordering::Relaxed) as f64);
+    metrics::gauge!("fulmargate_open_connections")
+        .set(state.open_connections.load(Ordering::Relaxed) as f64);
+    if let Some(table) = state.table.load_full() {
+        metrics::gauge!("fulmargate_config_version").set(table.version().0 as f64);
+    }
+    if let Some(age) = state.proof().age(boot_now()) {
+        metrics::gauge!("fulmargate_config_proof_age_seconds").set(age.as_secs_f64());
+    }
+    metrics::gauge!("fulmargate_servers").set(state.book().states().count() as f64);
+    match HANDLE.get() {
+        Some(Some(handle)) => handle.render(),
+        _ => String::new(),
+    }
+}
+
+fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Stream(_) => "stream",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic.rs
@@ -0,0 +1,14 @@
+//! The traffic thread: callers' requests and the backend servers' answers.
+
+mod answer;
+mod call_decoder;
+mod call_run;
+mod caller_body;
+mod caller_edge;
+mod channel;
+mod open_send;
+mod send_attempt;
+mod stream_relay;
+mod traffic_thread;
+
+pub(crate) use traffic_thread::TrafficThread;
--- /dev/null
+++ b/crates/entry/src/traffic/call_run.rs
@@ -0,0 +1,536 @@
+//! A call from its first send to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::AnswerHead;
+use fulmargate_consortium::SendHead;
+use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::CallProgress;
+use fulmargate_dispatch::ChoiceReason;
+use fulmargate_dispatch::EngineRequest;
+use fulmargate_dispatch::NextStep;
+use fulmargate_dispatch::RouteKind;
+use fulmargate_dispatch::SendEnd;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::ErrorKind;
+use fulmargate_names::EventKind;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
+use fulmargate_names::WeightsVersion;
+use http::Response;
+use http::StatusCode;
+use http::response::Parts;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::CrashSighting;
+use crate::state::SharedState;
+use crate::state::boot_now;
+use crate::telemetry::count_send;
+use crate::telemetry::record_answer;
+use crate::traffic::answer::CallFailure;
+use crate::traffic::call_decoder::DecodedCall;
+use crate::traffic::call_decoder::admit;
+use crate::traffic::caller_body::CallerBody;
+use crate::traffic::channel::Channel;
+use crate::traffic::open_send::OpenSend;
+use crate::traffic::send_attempt::OpenAnswer;
+use crate::traffic::send_attempt::SendFault;
+use crate::traffic::send_attempt::SendPlan;
+use crate::traffic::send_attempt::send_call;
+use crate::traffic::stream_relay::relay_stream;
+
+/// Requests may not begin on older weights this long before the bound: the store's answer and the
+/// send take some milliseconds, a busy host more.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Pause before a call that was turned away is sent again, longer each time.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(15);
+/// An idempotent call that has not been answered in this share of its target latency is sent to
+/// another server: nearly all answers of a sound server have come by then.
+const HEDGE_SHARE: f64 = 0.6;
+/// A stream that may be resumed goes elsewhere if nothing came in so many target latencies.
+const STREAM_PATIENCE: f64 = 2.5;
+
+/// The state of one call.
+pub(crate) struct CallRun {
+    pub(crate) state: Arc<SharedState>,
+    pub(crate) call: DecodedCall,
+    progress: CallProgress,
+    excluded: Vec<ServerName>,
+    /// A server's own failure, for the caller if no other server does better.
+    failed: Option<Response<CallerBody>>,
+}
+
+/// Where a stream goes on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ResumePoint {
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<String>,
+    /// The weights of the stream so far.
+    pub(crate) weights: Option<WeightsVersion>,
+}
+
+impl CallRun {
+    /// A call that was sent nowhere yet.
+    pub(crate) fn new(state: Arc<SharedState>, call: DecodedCall) -> CallRun {
+        let progress = CallProgress::default();
+        CallRun { state, call, progress, excluded: Vec::new(), failed: None }
+    }
+
+    /// What the call is.
+    pub(crate) fn facts(&self) -> &CallFacts {
+        &self.call.facts
+    }
+
+    /// Sends until there is an answer or nothing more may be done.
+    pub(crate) async fn answer(mut self) -> Result<Response<CallerBody>, CallFailure> {
+        let result = self.first_answer().await;
+        match result {
+            Ok(answer) if is_relayed(&answer, self.facts()) => Ok(relay_stream(self, answer)),
+            Ok(answer) => self.pass_whole(answer).await,
+            Err(failure) => self.fail(failure),
+        }
+    }
+
+    async fn first_answer(&mut self) -> Result<OpenAnswer, CallFailure> {
+        if self.state.crashes().is_convicted(self.facts().print) {
+            return Err(self.failure(ErrorKind::CrashingRequest));
+        }
+        self.next_answer(&ResumePoint::default()).await
+    }
+
+    /// The next answer whose head may go to the caller.
+    pub(crate) async fn next_answer(
+        &mut self,
+        point: &ResumePoint,
+    ) -> Result<OpenAnswer, CallFailure> {
+        loop {
+            if self.facts().deadline <= Instant::now() {
+                return Err(self.failure(self.progress.timeout()));
+            }
+            self.readmit()?;
+            self.take_budget()?;
+            let plan = self.plan(point).ok_or_else(|| self.failure(self.progress.failure()))?;
+            let server = plan.server.clone();
+            let weights = plan.weights;
+            let fault = match send_call(&self.call, plan).await {
+                Ok(answer) => match self.judge(answer).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(fault) => fault,
+                },
+                Err(fault) => fault,
+            };
+            self.after(&fault, &server, weights).await?;
+        }
+    }
+
+    /// The configuration may have changed while the body was read or another server was tried; a
+    /// route that moved or a key that was taken counts from now on.
+    fn readmit(&mut self) -> Result<(), CallFailure> {
+        let current = self.state.table.load().as_ref().map(|table| table.version());
+        if current == Some(self.call.table.version()) {
+            let needs_key = self.call.table.needs_key(&self.facts().route);
+            if needs_key && !self.state.admits_keys() {
+                return Err(self.failure(self.unproven()).closing());
+            }
+            return Ok(());
+        }
+        let admitted = admit(&self.state, &self.call.parts).map_err(|mut failure| {
+            // Of a call that may have run, nothing but that can be said.
+            if self.progress.may_have_run() {
+                failure.kind = ErrorKind::OutcomeUnknown;
+            }
+            failure
+        })?;
+        self.call.facts.team = admitted.team.as_ref().map(|team| team.name.clone());
+        self.call.facts.route = admitted.route;
+        self.call.table = admitted.table;
+        Ok(())
+    }
+
+    fn unproven(&self) -> ErrorKind {
+        if self.progress.may_have_run() { ErrorKind::OutcomeUnknown } else { ErrorKind::NotReady }
+    }
+
+    fn take_budget(&mut self) -> Result<(), CallFailure> {
+        let Some(service) = self.service() else {
+            return Err(self.failure(ErrorKind::NoServer));
+        };
+        let now = Instant::now();
+        if self.progress.sends() == 0 {
+            self.state.budget().first(&service, now);
+            return Ok(());
+        }
+        if self.state.budget().try_repeat(&service, now) {
+            return Ok(());
+        }
+        Err(self.failure(self.progress.failure()).saying("the budget of repeats is spent".to_owned()))
+    }
+
+    fn service(&self) -> Option<ServiceName> {
+        let draw = xxh3_64(self.facts().id.as_str().as_bytes());
+        self.facts().route.service_for(draw).cloned()
+    }
+
+    /// Chooses a server; those already tried only if there is no other.
+    fn plan(&mut self, point: &ResumePoint) -> Option<SendPlan> {
+        let service = self.service()?;
+        let is_engine = self.call.table.service(&service).is_some_and(|rule| rule.engine.is_some());
+        let model = self.facts().model.clone().filter(|_| is_engine);
+        let choose = |run: &CallRun| match &model {
+            Some(model) => run.plan_prompt(&service, model, point),
+            None => run.plan_plain(&service),
+        };
+        let plan = choose(self);
+        if plan.is_some() || self.excluded.is_empty() {
+            return plan;
+        }
+        self.excluded.clear();
+        choose(self)
+    }
+
+    fn plan_plain(&self, service: &ServiceName) -> Option<SendPlan> {
+        let now = Instant::now();
+        let mut book = self.state.book();
+        let zone = &self.state.settings.zone;
+        let server = book.choose_plain(service, zone, &self.excluded, now)?;
+        let ticket = book.begin(self.facts(), &server.name, now);
+        drop(book);
+        let head = self.send_head(&server);
+        let open = OpenSend::new(self.state.clone(), ticket);
+        let until = self.attempt_deadline();
+        count_send("plain");
+        self.tell_sent(&server, "plain", None, 0.0);
+        Some(SendPlan { server, head, weights: None, until, open })
+    }
+
+    fn plan_prompt(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        point: &ResumePoint,
+    ) -> Option<SendPlan> {
+        let now = Instant::now();
+        let weights = self.state.weights.load_full();
+        let request = EngineRequest {
+            call: self.facts(),
+            service,
+            model,
+            table: &self.call.table,
+            weights: &weights,
+            weights_bound: self.state.settings.bounds.weights().saturating_sub(WEIGHTS_MARGIN),
+            zone: &self.state.settings.zone,
+            only_weights: point.weights,
+            excluded: &self.excluded,
+            now,
+            boot_now: boot_now(),
+        };
+        let mut book = self.state.book();
+        let choice = book.choose_engine(&request)?;
+        let ticket = book.begin_prompt(self.facts(), &choice, now);
+        drop(book);
+        let reason = reason_name(choice.reason);
+        count_send(reason);
+        self.tell_sent(&choice.server, reason, Some(choice.weights), choice.estimate_ms);
+        let mut head = self.send_head(&choice.server);
+        head.weights = Some(choice.weights);
+        head.salt = Some(choice.salt);
+        head.fetch_from = choice.fetch_from;
+        head.save_to = choice.save_to;
+        head.priority = Some(self.facts().priority.min(9));
+        head.last_event.clone_from(&point.last_event);
+        Some(SendPlan {
+            server: choice.server,
+            head,
+            weights: Some(choice.weights),
+            until: self.attempt_deadline(),
+            open: OpenSend::new(self.state.clone(), ticket),
+        })
+    }
+
+    fn send_head(&self, server: &ServerEntry) -> SendHead {
+        let facts = self.facts();
+        SendHead {
+            server: server.name.clone(),
+            time_left: facts.deadline.saturating_duration_since(Instant::now()),
+            team: facts.team.clone(),
+            weights: None,
+            salt: None,
+            fetch_from: None,
+            save_to: None,
+            priority: None,
+            last_event: None,
+        }
+    }
+
+    /// When an attempt is given up. A call that may run once only is waited for to the end.
+    fn attempt_deadline(&self) -> Instant {
+        let facts = self.facts();
+        let route = &facts.route;
+        let is_last = route.max_attempts <= self.progress.possible_runs() + 1;
+        if is_last || !route.may_repeat() {
+            return facts.deadline;
+        }
+        let share = match route.kind {
+            RouteKind::Stream(_) => STREAM_PATIENCE,
+            _ => HEDGE_SHARE,
+        };
+        facts.deadline.min(Instant::now() + route.target_latency.mul_f64(share))
+    }
+
+    /// Whether the answer is one for the caller.
+    async fn judge(&mut self, answer: OpenAnswer) -> Result<OpenAnswer, SendFault> {
+        let fault = |end, reason: &str| Err(SendFault { end, reason: reason.to_owned() });
+        let status = answer.parts.status;
+        if answer.head.is_misdirected {
+            return fault(SendEnd::Misdirected, &misdirection(&answer));
+        }
+        if answer.head.is_not_run {
+            return fault(SendEnd::Refused, status.as_str());
+        }
+        if let (Some(model), Some(seen)) = (&self.facts().model, answer.head.weights) {
+            self.state.book().learn_weights(&answer.server.name, model, seen);
+        }
+        if status.is_success() && !answer.head.is_signed {
+            return fault(SendEnd::Broken, "a success without the server's signature");
+        }
+        if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+            return self.keep_failure(answer).await;
+        }
+        Ok(answer)
+    }
+
+    /// A server failed the request. Its answer is kept in case no other server does better.
+    async fn keep_failure(&mut self, answer: OpenAnswer) -> Result<OpenAnswer, SendFault> {
+        self.state.book().failed(&answer.server.name, Instant::now());
+        let status = answer.parts.status;
+        let parts = copy_head(&answer.parts);
+        let body = answer.read_body(self.facts().deadline).await?;
+        // These promise that nothing ran, which the server has not said.
+        let is_false_promise =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        if !is_false_promise {
+            self.failed = Some(whole_answer(&parts, body));
+        }
+        Err(SendFault { end: SendEnd::Broken, reason: format!("the server answered {status}") })
+    }
+
+    async fn after(
+        &mut self,
+        fault: &SendFault,
+        server: &Arc<ServerEntry>,
+        weights: Option<WeightsVersion>,
+    ) -> Result<(), CallFailure> {
+        self.learn(fault, server, weights);
+        self.tell_fault(fault, server);
+        let route = self.call.facts.route.clone();
+        let step = self.progress.after(fault.end, &route);
+        self.excluded.push(server.name.clone());
+        match step {
+            NextStep::GiveUp(kind) => Err(self.failure(kind).saying(fault.reason.clone())),
+            NextStep::SendAgain => {
+                if fault.end == SendEnd::Refused {
+                    sleep(TURNED_AWAY_PAUSE * self.progress.sends()).await;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn learn(&self, fault: &SendFault, server: &Arc<ServerEntry>, sent: Option<WeightsVersion>) {
+        let now = Instant::now();
+        let name = &server.name;
+        let wanted = self.facts().model.as_ref().and_then(|model| {
+            self.state.weights.load().target(model).map(|target| target.version)
+        });
+        match fault.end {
+            SendEnd::NotSent => self.state.book().unreachable(name, now),
+            SendEnd::Refused => match &self.facts().model {
+                Some(model) => self.state.book().turned_away_prompt(name, model, wanted, now),
+                None => self.state.book().turned_away(name, now),
+            },
+            SendEnd::Misdirected => match (&self.facts().model, sent) {
+                (Some(model), Some(sent)) if fault.reason == OTHER_WEIGHTS => {
+                    self.state.book().misjudged_weights(name, model, sent, wanted);
+                }
+                _ => self.state.book().forget(name),
+            },
+            SendEnd::TimedOut => self.state.book().failed(name, now),
+            SendEnd::Broken => {
+                self.state.book().failed(name, now);
+                if self.failed.is_none() {
+                    self.check_crash(server);
+                }
+            }
+        }
+    }
+
+    /// A server that broke off and cannot be reached any more has crashed, maybe by this request.
+    pub(crate) fn check_crash(&self, server: &Arc<ServerEntry>) {
+        let state = self.state.clone();
+        let print = self.facts().print;
+        let id = self.facts().id.clone();
+        let server = server.clone();
+        tokio::task::spawn_local(async move {
+            let Err(fault) = Channel::connect(server.address).await else { return };
+            state.book().unreachable(&server.name, Instant::now());
+            state.crashes().note(print, &server.name, Instant::now());
+            let kind = EventKind::ServerCrashed;
+            if state.lines.allows(kind, Instant::now()) {
+                tracing::warn!(event = kind.number(), name = kind.name(), %id, server = %server.name, reason = %fault);
+            }
+            let sighting = CrashSighting { print, server: server.name.clone() };
+            if state.crash_sender.send(sighting).is_err() {
+                tracing::debug!("the process stops: a crash is not told to others");
+            }
+        });
+    }
+
+    async fn pass_whole(self, answer: OpenAnswer) -> Result<Response<CallerBody>, CallFailure> {
+        let parts = copy_head(&answer.parts);
+        let server = answer.server.clone();
+        let until = self.facts().deadline;
+        let mut run = self;
+        match answer.read_body(until).await {
+            Ok(body) => {
+                run.state.crashes().acquit(run.facts().print);
+                run.tell_ended(EventKind::RequestEnded, parts.status, None);
+                Ok(whole_answer(&parts, body))
+            }
+            Err(fault) => match run.after(&fault, &server, None).await {
+                Ok(()) => Box::pin(run.answer()).await,
+                Err(failure) => run.fail(failure),
+            },
+        }
+    }
+
+    fn fail(&mut self, failure: CallFailure) -> Result<Response<CallerBody>, CallFailure> {
+        if let Some(answer) = self.failed.take() {
+            self.tell_ended(EventKind::RequestEnded, answer.status(), None);
+            return Ok(answer);
+        }
+        self.tell_ended(EventKind::RequestFailed, failure.status(), Some(&failure));
+        Err(failure)
+    }
+
+    pub(crate) fn failure(&self, kind: ErrorKind) -> CallFailure {
+        let deadline = self.facts().deadline;
+        CallFailure::new(kind, deadline.saturating_duration_since(Instant::now()))
+    }
+
+    /// A stream's attempt broke: whether another may follow.
+    pub(crate) async fn after_break(
+        &mut self,
+        reason: &str,
+        server: &Arc<ServerEntry>,
+    ) -> Result<(), CallFailure> {
+        let fault = SendFault { end: SendEnd::Broken, reason: reason.to_owned() };
+        self.after(&fault, server, None).await
+    }
+
+    fn tell_sent(
+        &self,
+        server: &ServerEntry,
+        reason: &'static str,
+        weights: Option<WeightsVersion>,
+        estimate_ms: f64,
+    ) {
+        let kind = EventKind::RequestSent;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        let proof_ms = self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64);
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            server = %server.name,
+            reason,
+            send = self.progress.sends() + 1,
+            weights = weights.map(|weights| weights.0),
+            estimate_ms = estimate_ms as u64,
+            config_version = self.call.table.version().0,
+            config_proof_ms = proof_ms,
+        );
+    }
+
+    fn tell_fault(&self, fault: &SendFault, server: &ServerEntry) {
+        let kind = EventKind::AttemptRetried;
+        if self.state.lines.allows(kind, Instant::now()) {
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                id = %self.facts().id,
+                server = %server.name,
+                end = ?fault.end,
+                reason = fault.reason,
+                took_ms = self.facts().arrived.elapsed().as_millis() as u64,
+            );
+        }
+    }
+
+    pub(crate) fn tell_ended(
+        &self,
+        kind: EventKind,
+        status: StatusCode,
+        failure: Option<&CallFailure>,
+    ) {
+        let facts = self.facts();
+        record_answer(facts, status.as_u16(), facts.arrived.elapsed());
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %facts.id,
+            route = facts.route.name,
+            team = facts.team.as_ref().map(|team| team.as_str()),
+            status = status.as_u16(),
+            error = failure.map(|failure| failure.kind.row().code),
+            detail = failure.map(|failure| failure.detail.as_str()),
+            sends = self.progress.sends() + 1,
+            took_ms = facts.arrived.elapsed().as_millis() as u64,
+        );
+    }
+}
+
+const OTHER_WEIGHTS: &str = "other weights are in use";
+const OTHER_SERVER: &str = "another server is at the address";
+
+/// A server that names itself as the one expected has other weights.
+fn misdirection(answer: &OpenAnswer) -> String {
+    let is_expected = answer.head.server.as_ref().is_none_or(|name| *name == answer.server.name);
+    let text =
+        if is_expected && answer.weights.is_some() { OTHER_WEIGHTS } else { OTHER_SERVER };
+    text.to_owned()
+}
+
+fn is_relayed(answer: &OpenAnswer, facts: &CallFacts) -> bool {
+    answer.parts.status.is_success() && matches!(facts.route.kind, RouteKind::Stream(_))
+}
+
+fn copy_head(parts: &Parts) -> Parts {
+    let mut copy = Response::new(()).into_parts().0;
+    copy.status = parts.status;
+    copy.headers = parts.headers.clone();
+    copy
+}
+
+fn whole_answer(parts: &Parts, body: bytes::Bytes) -> Response<CallerBody> {
+    let mut answer = Response::new(CallerBody::whole(body));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = AnswerHead::passed_on(parts);
+    answer
+}
+
+fn reason_name(reason: ChoiceReason) -> &'static str {
+    match reason {
+        ChoiceReason::Home => "home",
+        ChoiceReason::Cheaper => "cheaper",
+        ChoiceReason::LastResort => "last_resort",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic/open_send.rs
@@ -0,0 +1,38 @@
+//! A request that is under way at a server.
+
+use std::sync::Arc;
+
+use fulmargate_dispatch::LoadReport;
+use fulmargate_dispatch::SendTicket;
+use tokio::time::Instant;
+
+use crate::state::SharedState;
+
+/// Counts at the server until it is dropped, also when its caller leaves.
+pub(crate) struct OpenSend {
+    state: Arc<SharedState>,
+    ticket: SendTicket,
+}
+
+impl OpenSend {
+    /// Takes over the book's ticket.
+    pub(crate) fn new(state: Arc<SharedState>, ticket: SendTicket) -> OpenSend {
+        OpenSend { state, ticket }
+    }
+
+    /// The first of the answer has come.
+    pub(crate) fn answered(&mut self, load: Option<LoadReport>) {
+        self.state.book().answered(&mut self.ticket, load, Instant::now());
+    }
+
+    /// The whole answer came and was good.
+    pub(crate) fn succeeded(&self) {
+        self.state.book().succeeded(&self.ticket, Instant::now());
+    }
+}
+
+impl Drop for OpenSend {
+    fn drop(&mut self) {
+        self.state.book().left(&self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -0,0 +1,111 @@
+//! One send of a call to a backend server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fulmargate_consortium::AnswerHead;
+use fulmargate_consortium::SendHead;
+use fulmargate_dispatch::SendEnd;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::WeightsVersion;
+use http::Request;
+use http::Uri;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::traffic::call_decoder::DecodedCall;
+use crate::traffic::channel::Channel;
+use crate::traffic::open_send::OpenSend;
+
+/// Largest answer that is held whole; plain services answer with some KB.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// Where a call goes and under which terms.
+pub(crate) struct SendPlan {
+    pub(crate) server: Arc<ServerEntry>,
+    pub(crate) head: SendHead,
+    /// The weights that it is to run on.
+    pub(crate) weights: Option<WeightsVersion>,
+    /// The answer's head must have come by then.
+    pub(crate) until: Instant,
+    pub(crate) open: OpenSend,
+}
+
+/// An answer whose head has come.
+pub(crate) struct OpenAnswer {
+    pub(crate) parts: Parts,
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Incoming,
+    /// The connection; dropping it ends the request at the server.
+    pub(crate) _channel: Channel,
+    pub(crate) open: OpenSend,
+    pub(crate) server: Arc<ServerEntry>,
+    pub(crate) weights: Option<WeightsVersion>,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub(crate) struct SendFault {
+    pub(crate) end: SendEnd,
+    pub(crate) reason: String,
+}
+
+impl SendFault {
+    fn new(end: SendEnd, reason: impl ToString) -> SendFault {
+        SendFault { end, reason: reason.to_string() }
+    }
+}
+
+/// Sends the call and waits for the answer's head.
+pub(crate) async fn send_call(
+    call: &DecodedCall,
+    mut plan: SendPlan,
+) -> Result<OpenAnswer, SendFault> {
+    let mut channel = Channel::connect(plan.server.address)
+        .await
+        .map_err(|fault| SendFault::new(SendEnd::NotSent, fault))?;
+    let request = encode_request(call, &plan)?;
+    let sending = timeout_at(plan.until, channel.send(request)).await;
+    let answer = sending
+        .map_err(|_| SendFault::new(SendEnd::TimedOut, "no answer in time"))?
+        .map_err(|err| SendFault::new(SendEnd::Broken, err))?;
+    let (parts, body) = answer.into_parts();
+    let head = AnswerHead::decode(&parts);
+    plan.open.answered(head.load);
+    let is_own = head.request.as_deref() == Some(call.facts.id.as_str());
+    if !is_own && !head.is_misdirected {
+        return Err(SendFault::new(SendEnd::Broken, "the answer names another request"));
+    }
+    let SendPlan { server, weights, open, .. } = plan;
+    Ok(OpenAnswer { parts, head, body, _channel: channel, open, server, weights })
+}
+
+impl OpenAnswer {
+    /// Reads the whole body.
+    pub(crate) async fn read_body(self, until: Instant) -> Result<Bytes, SendFault> {
+        let reading = timeout_at(until, Limited::new(self.body, MOST_ANSWER_BYTES).collect()).await;
+        let body = reading
+            .map_err(|_| SendFault::new(SendEnd::TimedOut, "the answer did not end in time"))?
+            .map_err(|err| SendFault::new(SendEnd::Broken, err))?;
+        if self.parts.status.is_success() {
+            self.open.succeeded();
+        }
+        Ok(body.to_bytes())
+    }
+}
+
+/// Method, path, query and body go on byte by byte.
+fn encode_request(call: &DecodedCall, plan: &SendPlan) -> Result<Request<Full<Bytes>>, SendFault> {
+    let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri: Uri = path.parse().map_err(|err| SendFault::new(SendEnd::NotSent, err))?;
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = plan.head.encode(&call.parts.headers);
+    Ok(request)
+}
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -14,6 +14,8 @@
     SettingsRefused = 1004,
     /// The router is ready for traffic.
     RouterReady = 1005,
+    /// The settings were read again and compared with those in force.
+    SettingsReread = 1006,
     /// A request was refused before it ran.
     RequestRefused = 2001,
     /// A request failed.
@@ -32,6 +34,12 @@
     RequestConvicted = 2008,
     /// A caller hung up.
     CallerGone = 2009,
+    /// A request goes to a backend server.
+    RequestSent = 2010,
+    /// A request got its final answer.
+    RequestEnded = 2011,
+    /// A backend server was found dead after it broke off a request.
+    ServerCrashed = 2012,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -42,6 +50,12 @@
     ServerRestarted = 3004,
     /// A gap in a server's cache events: what was believed is dropped.
     EventGap = 3005,
+    /// A backend server is new in the platform's list.
+    ServerListed = 3006,
+    /// A backend server is no longer in the platform's list.
+    ServerGone = 3007,
+    /// Entries lapsed during an outage of the store; they are kept for a while.
+    ServersLapsed = 3008,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -50,6 +64,10 @@
     ConfigUnreadable = 4003,
     /// A snapshot of the configuration was written.
     SnapshotWritten = 4004,
+    /// The configuration is not proved to be the newest any more: requests with a key are refused.
+    ConfigUnproven = 4005,
+    /// The configuration is proved to be the newest again.
+    ConfigProven = 4006,
     /// The log is out of reach.
     LogOut = 4101,
     /// The log is in reach again.
@@ -80,6 +98,10 @@
     OrderGiven = 6003,
     /// An engine refused an order.
     OrderRefused = 6004,
+    /// New weights of a model are wanted.
+    WeightsNamed = 6005,
+    /// An engine has the weights wanted.
+    WeightsInPlace = 6006,
 }
 
 /// One row of the catalogue.
@@ -113,6 +135,7 @@
     StopEnded => "stop_ended",
     SettingsRefused => "settings_refused",
     RouterReady => "router_ready",
+    SettingsReread => "settings_reread",
     RequestRefused => "request_refused",
     RequestFailed => "request_failed",
     AttemptRetried => "attempt_retried",
@@ -122,15 +145,23 @@
     RequestSuspected => "request_suspected",
     RequestConvicted => "request_convicted",
     CallerGone => "caller_gone",
+    RequestSent => "request_sent",
+    RequestEnded => "request_ended",
+    ServerCrashed => "server_crashed",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
     ServerRestarted => "server_restarted",
     EventGap => "event_gap",
+    ServerListed => "server_listed",
+    ServerGone => "server_gone",
+    ServersLapsed => "servers_lapsed",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
     SnapshotWritten => "snapshot_written",
+    ConfigUnproven => "config_unproven",
+    ConfigProven => "config_proven",
     LogOut => "log_out",
     LogBack => "log_back",
     LogTruncated => "log_truncated",
@@ -146,6 +177,8 @@
     LeaseLost => "lease_lost",
     OrderGiven => "order_given",
     OrderRefused => "order_refused",
+    WeightsNamed => "weights_named",
+    WeightsInPlace => "weights_in_place",
 }
 
 impl EventKind {
--- /dev/null
+++ b/crates/settings/src/entry_settings.rs
@@ -0,0 +1,139 @@
+//! Settings of the daemon on an entry host of the platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use fulmargate_names::HostName;
+use fulmargate_names::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::SettingsError;
+use crate::load;
+use crate::parse;
+
+/// Everything one entry daemon is told at its start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the entry host, distinct among all.
+    pub host: HostName,
+    /// Availability zone of the entry host.
+    pub zone: ZoneName,
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for the balancer's question whether the daemon is ready.
+    pub readiness: SocketAddr,
+    /// Listener for metrics.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Times and shares that the operators have agreed on with their users.
+    pub bounds: EntryBounds,
+}
+
+/// Times and shares that the operators have agreed on with their users.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryBounds {
+    /// A key that was taken away works for so long at most, in milliseconds.
+    pub key_revoke_ms: u64,
+    /// A planned stop is over after so long, in seconds.
+    pub stop_grace_s: f64,
+    /// The lease on orders to engines, in milliseconds.
+    pub lease_ms: u64,
+    /// No request begins on older weights after so long, in milliseconds.
+    pub weights_ms: u64,
+    /// Repeated sends per first send, of all routers together.
+    pub repeat_ratio: f64,
+    /// Repeated sends in a window beside these.
+    pub repeat_slack: f64,
+    /// The window, in seconds.
+    pub repeat_window_s: f64,
+}
+
+impl EntrySettings {
+    /// Loads and checks a settings file.
+    pub fn load(path: &Path) -> Result<EntrySettings, SettingsError> {
+        let settings: EntrySettings = load(path)?;
+        settings.check(&path.display().to_string())?;
+        Ok(settings)
+    }
+
+    /// Reads and checks settings from a text; `file` is for messages only.
+    pub fn parse(file: &str, text: &str) -> Result<EntrySettings, SettingsError> {
+        let settings: EntrySettings = parse(file, text)?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let refuse = |key: &str, reason: String| Err(SettingsError::key(file, key, reason));
+        if self.host.as_str().is_empty() {
+            return refuse("host", "is empty; give a name that no other entry host has".to_owned());
+        }
+        let bounds = &self.bounds;
+        let times = [
+            ("bounds.key_revoke_ms", bounds.key_revoke_ms),
+            ("bounds.lease_ms", bounds.lease_ms),
+            ("bounds.weights_ms", bounds.weights_ms),
+        ];
+        for (key, value) in times {
+            if value < LEAST_BOUND_MS {
+                return refuse(key, format!("{value} is too short; {LEAST_BOUND_MS} or more"));
+            }
+        }
+        let shares = [
+            ("bounds.repeat_ratio", bounds.repeat_ratio),
+            ("bounds.repeat_slack", bounds.repeat_slack),
+        ];
+        for (key, value) in shares {
+            if !value.is_finite() || value < 0.0 {
+                return refuse(key, format!("{value} is not allowed; 0 or more"));
+            }
+        }
+        let spans = [
+            ("bounds.stop_grace_s", bounds.stop_grace_s),
+            ("bounds.repeat_window_s", bounds.repeat_window_s),
+        ];
+        for (key, value) in spans {
+            if !value.is_finite() || value < LEAST_SPAN_S {
+                return refuse(key, format!("{value} is too short; {LEAST_SPAN_S} or more"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Shorter bounds than this could not be kept: a read of the store is repeated about once a second.
+const LEAST_BOUND_MS: u64 = 1_500;
+/// The balancer needs two questions, a second apart, to see that a daemon is not ready.
+const LEAST_SPAN_S: f64 = 3.0;
+
+impl EntryBounds {
+    /// See the field.
+    pub fn key_revoke(&self) -> Duration {
+        Duration::from_millis(self.key_revoke_ms)
+    }
+
+    /// See the field.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_s)
+    }
+
+    /// See the field.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    /// See the field.
+    pub fn weights(&self) -> Duration {
+        Duration::from_millis(self.weights_ms)
+    }
+
+    /// See the field.
+    pub fn repeat_window(&self) -> Duration {
+        Duration::from_secs_f64(self.repeat_window_s)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,10 +2,13 @@
 //!
 //! Unknown keys are refused. An error names the file, the key, and what is allowed.
 
+mod entry_settings;
 mod load;
 mod router_settings;
 mod settings_error;
 
+pub use entry_settings::EntryBounds;
+pub use entry_settings::EntrySettings;
 pub use load::load;
 pub use load::parse;
 pub use router_settings::CallerSettings;
