A stopping host refuses at once what it could not finish

The balancer goes on sending to a zone's only host. Ruled out: a longer stop; the grace time is the platform's.

--- a/crates/entry/src/traffic/caller_edge.rs
+++ b/crates/entry/src/traffic/caller_edge.rs
@@ -3,7 +3,9 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use http::Request;
 use http::Response;
@@ -11,14 +13,17 @@
 use http::header::HeaderValue;
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
+use crate::daemon::StopTokens;
 use crate::state::SharedState;
 use crate::traffic::answer::CallFailure;
 use crate::traffic::call_decoder::decode_call;
 use crate::traffic::call_run::CallRun;
 use crate::traffic::caller_body::CallerBody;
 
+/// Time that callers of a stopping host are taken to have: their heads are not read any more.
+const STOPPING_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Counts a request while its caller waits for the answer's head.
 struct OpenRequest(Arc<SharedState>);
 
@@ -39,17 +44,22 @@
 /// the server.
 pub(crate) async fn serve_request(
     state: Arc<SharedState>,
-    stopping: CancellationToken,
+    stop: StopTokens,
     request: Request<Incoming>,
 ) -> Result<Response<CallerBody>, Infallible> {
     let _open = OpenRequest::new(state.clone());
+    // A request that is taken now may outlast the time for the stop and would then be cut off. Its
+    // caller is told at once to come back, on a connection that leads elsewhere.
+    if stop.closing.is_cancelled() {
+        return Ok(CallFailure::new(ErrorKind::Stopping, STOPPING_PATIENCE).closing().answer());
+    }
     let mut answer = match run_request(&state, request).await {
         Ok(answer) => answer,
         Err(failure) => failure.answer(),
     };
     // While the process stops, each answer announces the close of its connection, so that callers
     // do not send on one that is about to be closed.
-    if stopping.is_cancelled() {
+    if stop.begun.is_cancelled() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -81,10 +81,9 @@
         tracing::debug!("a caller's connection cannot be watched: {err}");
     }
     let idle = state.table.load().as_ref().map_or(COMMON_IDLE, |table| table.limits().idle_timeout);
-    let (state_of_calls, begun) = (state.clone(), stop.begun.clone());
-    let service = service_fn(move |request| {
-        serve_request(state_of_calls.clone(), begun.clone(), request)
-    });
+    let (call_state, call_stop) = (state.clone(), stop.clone());
+    let service =
+        service_fn(move |request| serve_request(call_state.clone(), call_stop.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Also bounds the time between requests, which is the longer one.
