Routers tell each other of requests under way, prompts sent and engines that load

Ruled out: more budget; it is the platform's. Change: h2 streams with bincode between routers, about six messages a second, at once when an engine is about to load; lost ones are harmless.

--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -26,9 +26,9 @@
 const WAITING_TOKENS: f64 = 2_500.0;
 /// A request that runs slows the others down by about this time.
 const RUNNING_MS: f64 = 0.8;
-/// The home of a prompt is believed to have it cached this often when nothing is known: other
-/// routers send it there, too.
-const HOME_TRUST: f64 = 0.6;
+/// The home of a prompt is believed to have this share of it cached when nothing is known: routers
+/// that could not tell of it send it there, too. It also gives a new prompt its first engine.
+const HOME_TRUST: f64 = 0.3;
 /// A way to another zone and back.
 const ZONE_MS: f64 = 2.0;
 /// Requests on older weights lose worth from here on; well before it, newer engines are preferred.
@@ -101,6 +101,13 @@
     pub cached_tokens: u32,
 }
 
+/// What other routers have under way at an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OthersLoad {
+    pub(crate) open: u32,
+    pub(crate) backlog_tokens: f64,
+}
+
 /// One engine with its estimated cost.
 pub(crate) struct Candidate<'a> {
     pub(crate) state: &'a ServerState,
@@ -138,6 +145,7 @@
         state: &'a ServerState,
         weights: WeightsVersion,
         is_home: bool,
+        others: OthersLoad,
     ) -> Candidate<'a> {
         let salt = self.table.salts().salt(self.call.team.as_ref(), self.model, weights);
         let scope = scope_of(&salt);
@@ -149,7 +157,7 @@
         let own = f64::from(self.call.prompt_tokens() - shared);
         let read_ms = missing_shared / PREFILL_TOKENS_PER_MS;
         let shared_ms = self.import_ms(missing_shared).map_or(read_ms, |ms| ms.min(read_ms));
-        let wait_ms = self.wait_ms(state);
+        let wait_ms = self.wait_ms(state, others);
         let estimate_ms = wait_ms + own / PREFILL_TOKENS_PER_MS + shared_ms;
         let mut cost = estimate_ms + shared_ms * (WASTE_FACTOR - 1.0);
         if state.entry.zone != *self.zone {
@@ -163,10 +171,12 @@
         Candidate { state, weights, salt, cached, is_home, estimate_ms, cost }
     }
 
-    fn wait_ms(&self, state: &ServerState) -> f64 {
+    /// The engine's own report is as old as its last answer; what routers have under way is newer.
+    fn wait_ms(&self, state: &ServerState, others: OthersLoad) -> f64 {
         let waiting = f64::from(state.waiting(self.now)) * WAITING_TOKENS;
-        let tokens = state.backlog_tokens.max(waiting);
-        tokens / PREFILL_TOKENS_PER_MS + f64::from(state.occupancy(self.now)) * RUNNING_MS
+        let tokens = (state.backlog_tokens + others.backlog_tokens).max(waiting);
+        let running = state.occupancy(self.now).max(state.open + others.open);
+        tokens / PREFILL_TOKENS_PER_MS + f64::from(running) * RUNNING_MS
     }
 
     fn import_ms(&self, tokens: f64) -> Option<f64> {
--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -1,5 +1,7 @@
 //! What the routers' own topic says.
 
+use std::net::SocketAddr;
+
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -25,7 +27,7 @@
 /// The fold over the topic's records.
 #[derive(Debug, Default)]
 pub struct FleetFold {
-    members: IndexMap<HostName, Incarnation>,
+    members: IndexMap<HostName, SocketAddr>,
     lease: Option<HeldLease>,
     end: LogOffset,
 }
@@ -35,8 +37,8 @@
     pub fn apply(&mut self, offset: LogOffset, record: &FleetRecord, now: BootTime) {
         self.end = LogOffset(offset.0 + 1);
         match record {
-            FleetRecord::Joined { host, incarnation } => {
-                self.members.insert(host.clone(), *incarnation);
+            FleetRecord::Joined { host, address, .. } => {
+                self.members.insert(host.clone(), *address);
             }
             FleetRecord::Lease { host, incarnation } => {
                 self.lease = Some(HeldLease {
@@ -70,8 +72,8 @@
         self.members.len()
     }
 
-    /// The members and their newest starts.
-    pub fn members(&self) -> impl Iterator<Item = (&HostName, &Incarnation)> {
+    /// The members and where they listen for other routers.
+    pub fn members(&self) -> impl Iterator<Item = (&HostName, &SocketAddr)> {
         self.members.iter()
     }
 }
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -1,5 +1,7 @@
 //! What routers tell each other through the store.
 
+use std::net::SocketAddr;
+
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
@@ -15,6 +17,8 @@
         host: HostName,
         /// This start.
         incarnation: Incarnation,
+        /// Where it listens for other routers.
+        address: SocketAddr,
     },
     /// A router takes or keeps the lease on orders to engines. The record's offset is the fencing
     /// number, so that it rises with every holder and is never shared.
--- a/crates/dispatch/src/order_wave.rs
+++ b/crates/dispatch/src/order_wave.rs
@@ -52,10 +52,8 @@
     pub fn next(&self, servers: &[WaveServer], wanted: WeightsVersion) -> Vec<ServerName> {
         let under_way = servers.iter().filter(|server| server.is_ordered).count();
         let mut free = self.conf.at_once.saturating_sub(under_way);
-        let mut open: Vec<&WaveServer> = servers
-            .iter()
-            .filter(|server| server.version < wanted && !server.is_ordered)
-            .collect();
+        let mut open: Vec<&WaveServer> =
+            servers.iter().filter(|server| server.version < wanted && !server.is_ordered).collect();
         let mut chosen: Vec<&WaveServer> = Vec::new();
         while 0 < free && !open.is_empty() {
             let out_in = |zone: &ZoneName| {
--- a/crates/dispatch/src/part_memory.rs
+++ b/crates/dispatch/src/part_memory.rs
@@ -30,12 +30,11 @@
         parts.iter().take_while(is_kept).map(|part| part.tokens).sum()
     }
 
-    /// The engine has read these parts; `taken` tokens of them were new to it, by all routers'
-    /// requests together.
-    pub fn read(&mut self, scope: u64, parts: &[PromptPart], taken: f64) {
+    /// The engine has read parts with these hashes; `taken` tokens were new to it.
+    pub fn read(&mut self, scope: u64, parts: impl Iterator<Item = u64>, taken: f64) {
         self.taken += taken;
-        for part in parts {
-            let key = scope ^ part.hash;
+        for hash in parts {
+            let key = scope ^ hash;
             self.used.shift_remove(&key);
             self.used.insert(key, self.taken);
         }
--- /dev/null
+++ b/crates/dispatch/src/peer_board.rs
@@ -0,0 +1,59 @@
+//! What other routers have said of their requests under way.
+
+use std::time::Duration;
+
+use fulmargate_names::HostName;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::PeerLoad;
+use crate::ServerKey;
+
+/// A router's word counts this long. Routers speak several times a second; one that fell silent
+/// may have ended, and its requests with it.
+const WORD_AGE: Duration = Duration::from_millis(1_000);
+
+/// The newest word of each router, and the sums by server.
+#[derive(Debug, Default)]
+pub struct PeerBoard {
+    words: IndexMap<HostName, PeerWord>,
+}
+
+#[derive(Debug)]
+struct PeerWord {
+    at: Instant,
+    loads: IndexMap<ServerKey, PeerLoad>,
+}
+
+impl PeerBoard {
+    /// A router has spoken.
+    pub fn hear(&mut self, host: &HostName, loads: &[PeerLoad], now: Instant) {
+        let loads = loads.iter().map(|load| (load.server, *load)).collect();
+        self.words.insert(host.clone(), PeerWord { at: now, loads });
+        self.words.retain(|_, word| now.saturating_duration_since(word.at) < WORD_AGE);
+    }
+
+    /// Routers that have spoken lately.
+    pub fn heard(&self, now: Instant) -> usize {
+        self.fresh(now).count()
+    }
+
+    /// Requests of all of them at a server.
+    pub fn open(&self, server: ServerKey, now: Instant) -> u32 {
+        self.loads(server, now).map(|load| load.open).sum()
+    }
+
+    /// Their prompt tokens whose first event is awaited.
+    pub fn backlog_tokens(&self, server: ServerKey, now: Instant) -> f64 {
+        self.loads(server, now).map(|load| f64::from(load.backlog_tokens)).sum()
+    }
+
+    fn loads(&self, server: ServerKey, now: Instant) -> impl Iterator<Item = &PeerLoad> {
+        self.fresh(now).filter_map(move |word| word.loads.get(&server))
+    }
+
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerWord> {
+        let is_fresh = move |word: &&PeerWord| now.saturating_duration_since(word.at) < WORD_AGE;
+        self.words.values().filter(is_fresh)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/peer_news.rs
@@ -0,0 +1,72 @@
+//! What routers tell each other directly, often, and without care for losses.
+
+use fulmargate_names::HostName;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A server's name in messages: names are long and new at each start of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServerKey(pub u64);
+
+impl ServerKey {
+    /// The key of a name.
+    pub fn of(name: &ServerName) -> ServerKey {
+        ServerKey(xxh3_64(name.as_str().as_bytes()))
+    }
+}
+
+/// One message. Each replaces what the sender said before, but for the prompts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeerNews {
+    /// The sender's host; none in a message that was not filled in.
+    pub host: Option<HostName>,
+    /// The sender's requests under way, by server.
+    pub loads: Vec<PeerLoad>,
+    /// Engines that the sender has ordered to load, if it holds the lease.
+    pub loading: Vec<LoadingNotice>,
+    /// Prompts that the sender has sent since its last message.
+    pub prompts: Vec<PromptNotice>,
+}
+
+/// A sender's requests at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerLoad {
+    /// The server.
+    pub server: ServerKey,
+    /// Requests under way.
+    pub open: u32,
+    /// Prompt tokens whose first event is awaited.
+    pub backlog_tokens: u32,
+}
+
+/// An engine that loads weights, or is about to, and turns requests away meanwhile.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadingNotice {
+    /// The engine.
+    pub server: ServerKey,
+    /// The model.
+    pub model: ModelName,
+    /// The weights.
+    pub version: WeightsVersion,
+    /// Whether they are in place by now.
+    pub is_done: bool,
+}
+
+/// A prompt's shared parts that an engine has now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptNotice {
+    /// The engine.
+    pub server: ServerKey,
+    /// Hash of the salt.
+    pub scope: u64,
+    /// Hashes of the shared parts in order.
+    pub parts: Vec<u64>,
+    /// Tokens that were new to the engine.
+    pub taken_tokens: u32,
+    /// They are in the store of cached prompts, too.
+    pub is_stored: bool,
+}
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -19,9 +19,15 @@
 use crate::EngineRequest;
 use crate::LoadReport;
 use crate::PartMemory;
+use crate::PeerBoard;
+use crate::PeerLoad;
+use crate::PeerNews;
+use crate::PromptNotice;
 use crate::ServerEntry;
+use crate::ServerKey;
 use crate::ServerState;
 use crate::engine_choice::Candidate;
+use crate::engine_choice::OthersLoad;
 use crate::engine_choice::scope_of;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
@@ -34,6 +40,8 @@
 /// What a failure of a plain call costs, as time.
 const FAILURE_MS: f64 = 150.0;
 
+/// Prompts that wait to be told; what is beyond is a guess that the others lack.
+const MOST_UNTOLD: usize = 256;
 /// What a server that is still slow after its start costs, as time.
 const COLD_MS: f64 = 30.0;
 /// A shorter shared beginning is read in less time than an import takes to begin.
@@ -55,7 +63,10 @@
     servers: IndexMap<ServerName, ServerState>,
     /// What the store of cached prompts has been told to keep.
     kept: PartMemory,
-    hosts: usize,
+    /// What the other routers have under way.
+    peers: PeerBoard,
+    /// Prompts sent since the others were last told.
+    untold: Vec<PromptNotice>,
     /// Servers whose address another server answered at. Names are never used twice.
     gone: IndexSet<ServerName>,
 }
@@ -76,11 +87,6 @@
         }
     }
 
-    /// Routers that send to the same engines.
-    pub fn set_hosts(&mut self, hosts: usize) {
-        self.hosts = hosts;
-    }
-
     /// One server.
     pub fn state(&self, name: &ServerName) -> Option<&ServerState> {
         self.servers.get(name)
@@ -104,7 +110,8 @@
         };
         let cost = |state: &ServerState| {
             let slots = f64::from(state.entry.slots.max(1));
-            let load = 1.0 + f64::from(state.occupancy(now)) / slots;
+            let open = state.occupancy(now).max(state.open + self.peers.open(state.key(), now));
+            let load = 1.0 + f64::from(open) / slots;
             let away = if state.entry.zone == *zone { 0.0 } else { ZONE_MS };
             let cold = state.entry.warm_up.as_secs_f64().min(1.0) * COLD_MS;
             state.latency_ms(now) * load + state.failure_share(now) * FAILURE_MS + away + cold
@@ -128,12 +135,15 @@
         let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
         for (state, weights) in allowed {
             let is_home = request.home_score(state) == home;
-            let candidate = request.candidate(state, weights, is_home);
+            let others = OthersLoad {
+                open: self.peers.open(state.key(), request.now),
+                backlog_tokens: self.peers.backlog_tokens(state.key(), request.now),
+            };
+            let candidate = request.candidate(state, weights, is_home, others);
             rated.push((candidate, state.is_open(request.now)));
         }
-        let by_cost = |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| {
-            a.0.cost.total_cmp(&b.0.cost)
-        };
+        let by_cost =
+            |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| a.0.cost.total_cmp(&b.0.cost);
         let open = rated.iter().filter(|(_, is_open)| *is_open).min_by(by_cost);
         let (best, is_open) = open.or_else(|| rated.iter().min_by(by_cost))?;
         let reason = match (is_open, best.is_home) {
@@ -203,14 +213,24 @@
     ) -> SendTicket {
         let missing = f64::from(call.prompt_tokens().saturating_sub(choice.cached_tokens));
         let scope = scope_of(&choice.salt);
-        let hosts = self.hosts.max(1) as f64;
+        let hashes = || call.prompt.iter().map(|part| part.hash);
         if let Some(state) = self.servers.get_mut(&choice.server.name) {
             state.open += 1;
             state.backlog_tokens += missing;
-            state.memory.read(scope, &call.prompt, missing * hosts);
+            state.memory.read(scope, hashes(), missing);
         }
+        let shared: Vec<u64> = call.shared_parts().iter().map(|part| part.hash).collect();
         if choice.save_to.is_some() {
-            self.kept.read(scope, call.shared_parts(), missing * hosts);
+            self.kept.read(scope, shared.iter().copied(), missing);
+        }
+        if self.untold.len() < MOST_UNTOLD {
+            self.untold.push(PromptNotice {
+                server: ServerKey::of(&choice.server.name),
+                scope,
+                parts: shared,
+                taken_tokens: missing as u32,
+                is_stored: choice.save_to.is_some(),
+            });
         }
         SendTicket {
             server: choice.server.name.clone(),
@@ -279,9 +299,8 @@
         now: Instant,
     ) {
         let Some(state) = self.servers.get_mut(server) else { return };
-        let is_behind = wanted.is_some_and(|wanted| {
-            state.weights(model).is_some_and(|weights| weights < wanted)
-        });
+        let is_behind = wanted
+            .is_some_and(|wanted| state.weights(model).is_some_and(|weights| weights < wanted));
         if !is_behind {
             state.full(FULL_PAUSE, now);
             return;
@@ -314,6 +333,58 @@
         }
     }
 
+    /// What the other routers are told of this one's requests. Prompts are told once.
+    pub fn take_news(&mut self) -> PeerNews {
+        let busy = self.servers.values().filter(|state| 0 < state.open);
+        let loads = busy
+            .map(|state| PeerLoad {
+                server: state.key(),
+                open: state.open,
+                backlog_tokens: state.backlog_tokens as u32,
+            })
+            .collect();
+        let prompts = std::mem::take(&mut self.untold);
+        PeerNews { loads, prompts, ..PeerNews::default() }
+    }
+
+    /// Another router's message.
+    pub fn hear(&mut self, news: &PeerNews, now: Instant) {
+        let Some(host) = &news.host else { return };
+        self.peers.hear(host, &news.loads, now);
+        for notice in &news.loading {
+            let loading = self.servers.values_mut().find(|state| state.key() == notice.server);
+            let Some(state) = loading else { continue };
+            match notice.is_done {
+                true => state.loaded(&notice.model, notice.version),
+                false => state.loads(now),
+            }
+        }
+        for notice in &news.prompts {
+            let read = self.servers.values_mut().find(|state| state.key() == notice.server);
+            let taken = f64::from(notice.taken_tokens);
+            if let Some(state) = read {
+                state.memory.read(notice.scope, notice.parts.iter().copied(), taken);
+            }
+            if notice.is_stored {
+                self.kept.read(notice.scope, notice.parts.iter().copied(), taken);
+            }
+        }
+    }
+
+    /// This router, which holds the lease, has an engine load weights.
+    pub fn order_given(&mut self, server: &ServerName, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.loads(now);
+        }
+    }
+
+    /// The engine has the weights by its own word.
+    pub fn order_done(&mut self, server: &ServerName, model: &ModelName, seen: WeightsVersion) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.loaded(model, seen);
+        }
+    }
+
     /// Another server answered at the address: this one is gone from there.
     pub fn forget(&mut self, server: &ServerName) {
         self.servers.swap_remove(server);
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -10,6 +10,7 @@
 
 use crate::PartMemory;
 use crate::ServerEntry;
+use crate::ServerKey;
 
 /// Weight of a new observation in the averages.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -60,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct ServerState {
     pub(crate) entry: Arc<ServerEntry>,
+    key: ServerKey,
     /// This router's requests that are under way there.
     pub(crate) open: u32,
     /// Prompt tokens of those whose first event is awaited.
@@ -72,6 +74,8 @@
     shut_times: u32,
     /// It turned requests away.
     full_until: Option<Instant>,
+    /// The holder of the lease has said that it loads weights.
+    loading_until: Option<Instant>,
     /// Weights that the list or an answer named.
     weights: IndexMap<ModelName, WeightsVersion>,
     /// Weights that it most likely loads now, for requests only: an engine that is wrongly thought
@@ -86,11 +90,14 @@
 const SHUT_FIRST: Duration = Duration::from_millis(400);
 /// And for this long at most.
 const SHUT_MOST: Duration = Duration::from_millis(1_600);
+/// An engine finishes what runs, some 1 to 2 s, and loads in some 300 ms.
+const LONGEST_LOADING: Duration = Duration::from_millis(2_500);
 
 impl ServerState {
     pub(crate) fn new(entry: Arc<ServerEntry>, now: Instant) -> ServerState {
         let weights = entry.models.clone();
         ServerState {
+            key: ServerKey::of(&entry.name),
             entry,
             open: 0,
             backlog_tokens: 0.0,
@@ -100,6 +107,7 @@
             shut_until: None,
             shut_times: 0,
             full_until: None,
+            loading_until: None,
             weights,
             assumed: IndexMap::new(),
             memory: PartMemory::default(),
@@ -124,6 +132,7 @@
         let known = self.weights.entry(model.clone()).or_insert(version);
         if *known < version {
             *known = version;
+            self.loading_until = None;
             // Loading discards what the engine had cached.
             self.memory.clear();
         }
@@ -175,7 +184,19 @@
     /// Whether it may be chosen.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_past = |until: Option<Instant>| until.is_none_or(|until| until <= now);
-        is_past(self.shut_until) && is_past(self.full_until)
+        is_past(self.shut_until) && is_past(self.full_until) && is_past(self.loading_until)
+    }
+
+    /// It loads weights, or is about to. The notice may be lost when they are in place, so that it
+    /// counts for a while only.
+    pub(crate) fn loads(&mut self, now: Instant) {
+        self.loading_until = Some(now + LONGEST_LOADING);
+    }
+
+    /// The weights are in place.
+    pub(crate) fn loaded(&mut self, model: &ModelName, version: WeightsVersion) {
+        self.loading_until = None;
+        self.learn_weights(model, version);
     }
 
     pub(crate) fn succeeded(&mut self, took: Duration, now: Instant) {
@@ -207,6 +228,11 @@
         reported.max(self.open)
     }
 
+    /// Its name in messages.
+    pub fn key(&self) -> ServerKey {
+        self.key
+    }
+
     fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
         let (report, at) = self.report?;
         (now.saturating_duration_since(at) < REPORT_AGE).then_some(report)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,7 +7,10 @@
 mod order_desk;
 mod order_run;
 mod pages;
+mod peer_links;
+mod peer_listener;
 mod server_watch;
 mod store_contact;
 
+pub(crate) use control_thread::ControlListeners;
 pub(crate) use control_thread::ControlThread;
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -20,6 +20,8 @@
 use crate::control::operator_watch::OperatorWatch;
 use crate::control::order_desk::OrderDesk;
 use crate::control::pages::serve_pages;
+use crate::control::peer_links::PeerLinks;
+use crate::control::peer_listener::PeerListener;
 use crate::control::server_watch::ServerWatch;
 use crate::daemon::StartError;
 use crate::daemon::StopTokens;
@@ -37,6 +39,16 @@
 /// The recorder's samples are put into buckets at this pace, which bounds their memory.
 const UPKEEP_PACE: Duration = Duration::from_secs(5);
 
+/// Listeners of the control thread.
+pub(crate) struct ControlListeners {
+    /// For the balancer.
+    pub(crate) readiness: TcpListener,
+    /// For readers of metrics.
+    pub(crate) metrics: TcpListener,
+    /// For other routers.
+    pub(crate) peers: TcpListener,
+}
+
 /// The control thread: an actix system with the tasks that talk to the store and to engines.
 pub(crate) struct ControlThread {
     pub(crate) state: Arc<SharedState>,
@@ -48,14 +60,17 @@
     /// Runs until the planned stop is over.
     pub(crate) fn run(
         self,
-        readiness: TcpListener,
-        metrics: TcpListener,
+        listeners: ControlListeners,
         crashes: UnboundedReceiver<CrashSighting>,
     ) -> Result<(), StartError> {
         System::new().block_on(async move {
+            let ControlListeners { readiness, metrics, peers } = listeners;
             let pages = serve_pages(self.state.clone(), self.stop.clone(), readiness, metrics)
                 .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
             actix_rt::spawn(pages);
+            let listener = PeerListener::new(self.state.clone(), peers)
+                .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
+            spawn_until(&self.stop.ended, listener.run());
             self.start_tasks(crashes);
             self.serve_signals().await?;
             self.end().await;
@@ -73,6 +88,8 @@
         let fleet = FleetDesk::new(self.state.clone(), client.clone());
         let fold = fleet.fold();
         spawn_until(&token, fleet.run(crashes));
+        let links = PeerLinks::new(self.state.clone(), fold.clone());
+        spawn_until(&token, links.run());
         let orders = OrderDesk::new(self.state.clone(), client, fold);
         // A host that leaves gives no more orders: another takes the lease.
         spawn_until(&self.stop.begun, orders.run());
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -4,6 +4,7 @@
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
 use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::PeerNews;
 
 /// The bytes of a record.
 pub(crate) fn encode_record(record: &FleetRecord) -> Result<Vec<u8>, EncodeError> {
@@ -14,3 +15,19 @@
 pub(crate) fn decode_record(bytes: &[u8]) -> Result<FleetRecord, DecodeError> {
     bincode::serde::decode_from_slice(bytes, config::standard()).map(|(record, _)| record)
 }
+
+/// Bytes of a message's length, which goes before it.
+pub(crate) const LENGTH_BYTES: usize = 4;
+
+/// A message between routers with its length before it.
+pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
+    let message = bincode::serde::encode_to_vec(news, config::standard())?;
+    let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&message);
+    Ok(bytes)
+}
+
+/// Reads a message without its length.
+pub(crate) fn decode_news(bytes: &[u8]) -> Result<PeerNews, DecodeError> {
+    bincode::serde::decode_from_slice(bytes, config::standard()).map(|(news, _)| news)
+}
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -75,6 +75,7 @@
         let record = FleetRecord::Joined {
             host: self.state.settings.host.clone(),
             incarnation: self.state.incarnation,
+            address: self.state.settings.peers,
         };
         loop {
             match append_records(&self.client, std::slice::from_ref(&record)).await {
@@ -92,7 +93,6 @@
         }
         let hosts = self.fold.borrow().hosts();
         self.state.budget().set_hosts(hosts);
-        self.state.book().set_hosts(hosts);
         Ok(())
     }
 
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -64,11 +64,7 @@
 
 impl OrderDesk {
     /// A desk without the lease.
-    pub(crate) fn new(
-        state: Arc<SharedState>,
-        store: StoreClient,
-        fold: SharedFold,
-    ) -> OrderDesk {
+    pub(crate) fn new(state: Arc<SharedState>, store: StoreClient, fold: SharedFold) -> OrderDesk {
         let host = state.settings.host.clone();
         let lease = LeaseDesk::new(host, state.settings.bounds.lease());
         let desk = DeskState { lease: RefCell::new(lease), under_way: RefCell::default() };
@@ -96,9 +92,7 @@
     fn next_work(&self) -> Option<OpenWork> {
         let weights = self.state.weights.load_full();
         let mut open = weights.targets().map(|(model, target)| self.work_of(model, target));
-        open.find(|work| {
-            work.servers.iter().any(|server| server.version < work.target.version)
-        })
+        open.find(|work| work.servers.iter().any(|server| server.version < work.target.version))
     }
 
     fn work_of(&self, model: &ModelName, target: WeightsTarget) -> OpenWork {
@@ -184,7 +178,9 @@
         for name in self.wave.next(&work.servers, work.target.version) {
             let entry = self.state.book().state(&name).map(|state| state.entry().clone());
             let Some(entry) = entry else { continue };
-            self.desk.under_way.borrow_mut().insert(name);
+            self.desk.under_way.borrow_mut().insert(name.clone());
+            self.state.book().order_given(&name, Instant::now());
+            self.state.loading.begin(&name, &work.model, work.target.version);
             let run = OrderRun {
                 state: self.state.clone(),
                 engines: self.engines.clone(),
--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -56,14 +56,19 @@
         let name = &self.entry.name;
         let kind = match end {
             RunEnd::InPlace(version) => {
-                self.state.book().learn_weights(name, &self.model, version);
+                self.state.book().order_done(name, &self.model, version);
+                self.state.loading.done(name, version);
                 EventKind::WeightsInPlace
             }
             RunEnd::Silent => {
                 self.state.book().unreachable(name, Instant::now());
+                self.state.loading.drop_notice(name);
+                EventKind::OrderRefused
+            }
+            RunEnd::NotHolder | RunEnd::Gone => {
+                self.state.loading.drop_notice(name);
                 EventKind::OrderRefused
             }
-            RunEnd::NotHolder | RunEnd::Gone => EventKind::OrderRefused,
         };
         let model = &self.model;
         tracing::info!(event = kind.number(), name = kind.name(), server = %name, %model, end = ?end);
--- /dev/null
+++ b/crates/entry/src/control/peer_links.rs
@@ -0,0 +1,188 @@
+//! Tells the other routers what this one has under way.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use fulmargate_dispatch::PeerNews;
+use fulmargate_names::EventKind;
+use fulmargate_names::HostName;
+use h2::SendStream;
+use http::Request;
+use indexmap::IndexMap;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::control::fleet_codec::encode_news;
+use crate::control::fleet_desk::SharedFold;
+use crate::sockets::watch_peer;
+use crate::state::SharedState;
+
+/// Pause between messages. An engine reads a prompt in some 100 ms, so older word of its backlog
+/// is of little use; a message costs some 50 us of processor time at both ends.
+const NEWS_PACE: Duration = Duration::from_millis(150);
+/// And this much more for each other router, so that large fleets do not drown in messages.
+const PACE_PER_PEER: Duration = Duration::from_millis(10);
+/// A router in another zone answers in 2 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Messages that a router's host does not confirm for so long break the link.
+const SILENT_PEER: Duration = Duration::from_millis(1_000);
+/// A router that could not be reached is tried again after this time.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Messages that may wait in a link, in bytes. A router that reads slower misses some.
+const MOST_WAITING_BYTES: usize = 16 * 1024;
+
+/// A stream of messages to one router.
+struct PeerLink {
+    stream: SendStream<Bytes>,
+    _task: AbortOnDropHandle<()>,
+}
+
+/// Why there is no link.
+#[derive(Debug, Display, Error, From)]
+enum LinkFault {
+    #[display("{_0}")]
+    Io(std::io::Error),
+    #[display("{_0}")]
+    Stream(h2::Error),
+    #[display("no connection in time")]
+    TimedOut,
+}
+
+/// One link for each other router, opened when there is something to say.
+pub(crate) struct PeerLinks {
+    state: Arc<SharedState>,
+    fold: SharedFold,
+    links: IndexMap<HostName, PeerLink>,
+    failed: IndexMap<HostName, Instant>,
+}
+
+impl PeerLinks {
+    /// No links yet.
+    pub(crate) fn new(state: Arc<SharedState>, fold: SharedFold) -> PeerLinks {
+        PeerLinks { state, fold, links: IndexMap::new(), failed: IndexMap::new() }
+    }
+
+    /// Tells on and on: at a pace, and at once when an engine is about to load.
+    pub(crate) async fn run(mut self) {
+        let mut was_busy = false;
+        loop {
+            let peers = self.peers();
+            let pace = NEWS_PACE + PACE_PER_PEER * peers.len() as u32;
+            tokio::select! {
+                () = sleep(pace) => {}
+                () = self.state.loading.changed() => {}
+            }
+            let news = self.news();
+            let is_busy = is_worth_telling(&news);
+            // The last of it is said, too: that nothing is under way any more.
+            if is_busy || was_busy {
+                self.tell(&peers, &news).await;
+            }
+            was_busy = is_busy;
+        }
+    }
+
+    fn peers(&self) -> Vec<(HostName, SocketAddr)> {
+        let fold = self.fold.borrow();
+        let own = &self.state.settings.host;
+        let others = fold.members().filter(|(host, _)| *host != own);
+        others.map(|(host, address)| (host.clone(), *address)).collect()
+    }
+
+    fn news(&self) -> PeerNews {
+        let mut news = self.state.book().take_news();
+        news.host = Some(self.state.settings.host.clone());
+        news.loading = self.state.loading.notices();
+        news
+    }
+
+    async fn tell(&mut self, peers: &[(HostName, SocketAddr)], news: &PeerNews) {
+        let message = match encode_news(news) {
+            Ok(message) => Bytes::from(message),
+            Err(err) => {
+                tracing::error!("a message cannot be written: {err}");
+                return;
+            }
+        };
+        self.links.retain(|host, _| peers.iter().any(|(peer, _)| peer == host));
+        for (host, address) in peers {
+            self.tell_one(host, *address, &message).await;
+        }
+    }
+
+    async fn tell_one(&mut self, host: &HostName, address: SocketAddr, message: &Bytes) {
+        if !self.links.contains_key(host) && !self.open(host, address).await {
+            return;
+        }
+        let Some(link) = self.links.get_mut(host) else { return };
+        link.stream.reserve_capacity(MOST_WAITING_BYTES);
+        if link.stream.capacity() < message.len() {
+            return;
+        }
+        if let Err(err) = link.stream.send_data(message.clone(), false) {
+            self.links.swap_remove(host);
+            self.note_failure(host, &err.to_string());
+        }
+    }
+
+    /// Opens a link unless that has just failed.
+    async fn open(&mut self, host: &HostName, address: SocketAddr) -> bool {
+        let failed = self.failed.get(host);
+        if failed.is_some_and(|at| at.elapsed() < RETRY_PAUSE) {
+            return false;
+        }
+        match connect(address).await {
+            Ok(link) => {
+                self.links.insert(host.clone(), link);
+                if self.failed.swap_remove(host).is_some() {
+                    let up = EventKind::PeerUp;
+                    tracing::info!(event = up.number(), name = up.name(), peer = %host);
+                }
+                true
+            }
+            Err(fault) => {
+                self.note_failure(host, &fault.to_string());
+                false
+            }
+        }
+    }
+
+    fn note_failure(&mut self, host: &HostName, reason: &str) {
+        if self.failed.insert(host.clone(), Instant::now()).is_none() {
+            let down = EventKind::PeerDown;
+            tracing::info!(event = down.number(), name = down.name(), peer = %host, reason);
+        }
+    }
+}
+
+fn is_worth_telling(news: &PeerNews) -> bool {
+    !news.loads.is_empty() || !news.loading.is_empty() || !news.prompts.is_empty()
+}
+
+async fn connect(address: SocketAddr) -> Result<PeerLink, LinkFault> {
+    let connecting = timeout(CONNECT_TIMEOUT, open_stream(address)).await;
+    connecting.map_err(|_| LinkFault::TimedOut)?
+}
+
+async fn open_stream(address: SocketAddr) -> Result<PeerLink, LinkFault> {
+    let stream = TcpStream::connect(address).await?;
+    watch_peer(&stream, SILENT_PEER)?;
+    let (mut client, connection) = h2::client::handshake(stream).await?;
+    let task = actix_rt::spawn(async move {
+        if let Err(err) = connection.await {
+            tracing::debug!("a link to a router has ended: {err}");
+        }
+    });
+    let request = Request::post(format!("http://{address}/news")).body(());
+    let request = request.unwrap_or_default();
+    let (_answer, stream) = client.send_request(request, false)?;
+    Ok(PeerLink { stream, _task: AbortOnDropHandle::new(task) })
+}
--- /dev/null
+++ b/crates/entry/src/control/peer_listener.rs
@@ -0,0 +1,120 @@
+//! Hears the other routers.
+
+use std::io;
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_names::EventKind;
+use h2::RecvStream;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::control::fleet_codec::LENGTH_BYTES;
+use crate::control::fleet_codec::decode_news;
+use crate::sockets::watch_peer;
+use crate::state::SharedState;
+
+/// A link whose other end fell silent is dropped after some of these.
+const SILENT_PEER: Duration = Duration::from_secs(5);
+/// Largest message; a fleet of 12,000 servers at 16 bytes each stays below.
+const MOST_MESSAGE_BYTES: usize = 256 * 1024;
+/// Pause after a failed accept: without free descriptors the next one fails, too.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The listener.
+pub(crate) struct PeerListener {
+    state: Arc<SharedState>,
+    listener: TcpListener,
+}
+
+impl PeerListener {
+    /// Takes over the listening socket.
+    pub(crate) fn new(state: Arc<SharedState>, listener: StdListener) -> io::Result<PeerListener> {
+        Ok(PeerListener { state, listener: TcpListener::from_std(listener)? })
+    }
+
+    /// Accepts links on and on.
+    pub(crate) async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    actix_rt::spawn(serve_link(self.state.clone(), stream));
+                }
+                Err(err) => {
+                    tracing::warn!("a link could not be accepted: {err}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve_link(state: Arc<SharedState>, stream: TcpStream) {
+    if let Err(err) = watch_peer(&stream, SILENT_PEER) {
+        tracing::debug!("a link cannot be watched: {err}");
+    }
+    let mut connection = match h2::server::handshake(stream).await {
+        Ok(connection) => connection,
+        Err(err) => {
+            tracing::debug!("a link was not opened: {err}");
+            return;
+        }
+    };
+    while let Some(next) = connection.accept().await {
+        match next {
+            // The connection is driven by this loop, so that messages are heard beside it.
+            Ok((request, respond)) => {
+                actix_rt::spawn(hear(state.clone(), request.into_body(), respond));
+            }
+            Err(err) => {
+                tracing::debug!("a link has ended: {err}");
+                return;
+            }
+        }
+    }
+}
+
+async fn hear(
+    state: Arc<SharedState>,
+    mut body: RecvStream,
+    // Kept until the stream ends: dropped without an answer it would reset the stream.
+    _respond: h2::server::SendResponse<bytes::Bytes>,
+) {
+    let mut waiting: Vec<u8> = Vec::new();
+    while let Some(Ok(piece)) = body.data().await {
+        if let Err(err) = body.flow_control().release_capacity(piece.len()) {
+            tracing::debug!("a link cannot go on: {err}");
+            return;
+        }
+        waiting.extend_from_slice(&piece);
+        while let Some(message) = take_message(&mut waiting) {
+            match decode_news(&message) {
+                Ok(news) => state.book().hear(&news, Instant::now()),
+                Err(err) => {
+                    let kind = EventKind::PeerUnreadable;
+                    tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
+                    return;
+                }
+            }
+        }
+        if MOST_MESSAGE_BYTES < waiting.len() {
+            return;
+        }
+    }
+}
+
+/// Takes a whole message off the front.
+fn take_message(waiting: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let length = waiting.first_chunk::<LENGTH_BYTES>()?;
+    let length = u32::from_be_bytes(*length) as usize;
+    if waiting.len() < LENGTH_BYTES + length {
+        return None;
+    }
+    let rest = waiting.split_off(LENGTH_BYTES + length);
+    let mut message = std::mem::replace(waiting, rest);
+    message.drain(..LENGTH_BYTES);
+    Some(message)
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::ControlListeners;
 use crate::control::ControlThread;
 use crate::state::SharedState;
 use crate::telemetry::install_logging;
@@ -48,6 +49,7 @@
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let metrics = listen(settings.metrics)?;
+    let peers = listen(settings.peers)?;
     let (crash_sender, crash_receiver) = unbounded_channel();
     let state = Arc::new(SharedState::new(settings, crash_sender));
     tracing::info!(
@@ -65,7 +67,7 @@
         .spawn(move || traffic.run(callers))
         .map_err(|err| StartError::Thread { what: "traffic thread", reason: err.to_string() })?;
     let control = ControlThread { state, stop, path: path.to_owned() };
-    control.run(readiness, metrics, crash_receiver)?;
+    control.run(ControlListeners { readiness, metrics, peers }, crash_receiver)?;
     match handle.join() {
         Ok(result) => result,
         Err(_) => Err(StartError::Thread { what: "traffic thread", reason: "panicked".to_owned() }),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod daemon;
+mod sockets;
 mod state;
 mod telemetry;
 mod traffic;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,10 @@
 //! What the threads share.
 
 mod boot_clock;
+mod loading_board;
 mod shared_state;
 
 pub(crate) use boot_clock::boot_now;
+pub(crate) use loading_board::LoadingBoard;
 pub(crate) use shared_state::CrashSighting;
 pub(crate) use shared_state::SharedState;
--- /dev/null
+++ b/crates/entry/src/state/loading_board.rs
@@ -0,0 +1,71 @@
+//! Engines that this router has ordered to load.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use fulmargate_dispatch::LoadingNotice;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_names::ModelName;
+use fulmargate_names::ServerName;
+use fulmargate_names::WeightsVersion;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A notice that weights are in place is repeated this long, against lost messages.
+const DONE_AGE: Duration = Duration::from_millis(600);
+
+/// The notices that go to the other routers, so that they send nothing to an engine that would turn
+/// it away: without them, each load cost some ten refused sends, and the budget of repeats was
+/// spent on those.
+#[derive(Debug, Default)]
+pub(crate) struct LoadingBoard {
+    notices: Mutex<IndexMap<ServerKey, (LoadingNotice, Instant)>>,
+    changed: Notify,
+}
+
+impl LoadingBoard {
+    /// An engine is about to get an order.
+    pub(crate) fn begin(&self, server: &ServerName, model: &ModelName, version: WeightsVersion) {
+        let server = ServerKey::of(server);
+        let notice = LoadingNotice { server, model: model.clone(), version, is_done: false };
+        self.lock().insert(server, (notice, Instant::now()));
+        self.changed.notify_one();
+    }
+
+    /// Its weights are in place.
+    pub(crate) fn done(&self, server: &ServerName, version: WeightsVersion) {
+        if let Some((notice, at)) = self.lock().get_mut(&ServerKey::of(server)) {
+            notice.is_done = true;
+            notice.version = version;
+            *at = Instant::now();
+        }
+        self.changed.notify_one();
+    }
+
+    /// It could not be brought up, for the time being.
+    pub(crate) fn drop_notice(&self, server: &ServerName) {
+        self.lock().swap_remove(&ServerKey::of(server));
+    }
+
+    /// All notices that still matter.
+    pub(crate) fn notices(&self) -> Vec<LoadingNotice> {
+        let now = Instant::now();
+        let mut notices = self.lock();
+        notices.retain(|_, (notice, at)| {
+            !notice.is_done || now.saturating_duration_since(*at) < DONE_AGE
+        });
+        notices.values().map(|(notice, _)| notice.clone()).collect()
+    }
+
+    /// Waits for a change.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<ServerKey, (LoadingNotice, Instant)>> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 
+use crate::state::LoadingBoard;
 use crate::state::boot_now;
 use crate::telemetry::LineBudget;
 
@@ -44,6 +45,8 @@
     pub(crate) open_connections: AtomicUsize,
     /// Crashes seen here, to be told to the other routers.
     pub(crate) crash_sender: UnboundedSender<CrashSighting>,
+    /// Engines under order by this router, for the others.
+    pub(crate) loading: LoadingBoard,
     /// Bounds the log.
     pub(crate) lines: LineBudget,
     proof: Mutex<ConfigProof>,
@@ -82,6 +85,7 @@
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             crash_sender,
+            loading: LoadingBoard::default(),
             lines: LineBudget::default(),
             proof: Mutex::new(proof),
             book: Mutex::default(),
--- a/crates/entry/src/telemetry/line_budget.rs
+++ b/crates/entry/src/telemetry/line_budget.rs
@@ -30,8 +30,7 @@
     /// Whether a line of this kind may be written now.
     pub(crate) fn allows(&self, kind: EventKind, now: Instant) -> bool {
         let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
-        let count =
-            kinds.entry(kind).or_insert(KindCount { since: now, lines: 0, left_out: 0 });
+        let count = kinds.entry(kind).or_insert(KindCount { since: now, lines: 0, left_out: 0 });
         if SECOND <= now.saturating_duration_since(count.since) {
             let left_out = std::mem::take(&mut count.left_out);
             count.since = now;
--- a/crates/entry/src/traffic/call_decoder.rs
+++ b/crates/entry/src/traffic/call_decoder.rs
@@ -92,11 +92,7 @@
     Ok(AdmittedHead { head, table, route, team })
 }
 
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    deadline: Instant,
-) -> Result<Bytes, CallFailure> {
+async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, CallFailure> {
     let time_left = deadline.saturating_duration_since(Instant::now());
     let reading = timeout_at(deadline, Limited::new(body, limit).collect()).await;
     let read = reading.map_err(|_| CallFailure::new(ErrorKind::SlowCaller, time_left).closing())?;
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -167,7 +167,9 @@
         if self.state.budget().try_repeat(&service, now) {
             return Ok(());
         }
-        Err(self.failure(self.progress.failure()).saying("the budget of repeats is spent".to_owned()))
+        Err(self
+            .failure(self.progress.failure())
+            .saying("the budget of repeats is spent".to_owned()))
     }
 
     fn service(&self) -> Option<ServiceName> {
@@ -343,9 +345,10 @@
     fn learn(&self, fault: &SendFault, server: &Arc<ServerEntry>, sent: Option<WeightsVersion>) {
         let now = Instant::now();
         let name = &server.name;
-        let wanted = self.facts().model.as_ref().and_then(|model| {
-            self.state.weights.load().target(model).map(|target| target.version)
-        });
+        let wanted =
+            self.facts().model.as_ref().and_then(|model| {
+                self.state.weights.load().target(model).map(|target| target.version)
+            });
         match fault.end {
             SendEnd::NotSent => self.state.book().unreachable(name, now),
             SendEnd::Refused => match &self.facts().model {
@@ -504,8 +507,7 @@
 /// A server that names itself as the one expected has other weights.
 fn misdirection(answer: &OpenAnswer) -> String {
     let is_expected = answer.head.server.as_ref().is_none_or(|name| *name == answer.server.name);
-    let text =
-        if is_expected && answer.weights.is_some() { OTHER_WEIGHTS } else { OTHER_SERVER };
+    let text = if is_expected && answer.weights.is_some() { OTHER_WEIGHTS } else { OTHER_SERVER };
     text.to_owned()
 }
 
--- a/crates/entry/src/traffic/caller_edge.rs
+++ b/crates/entry/src/traffic/caller_edge.rs
@@ -87,8 +87,7 @@
     if !state.lines.allows(kind, Instant::now()) {
         return;
     }
-    let proof_ms =
-        state.proof().age(crate::state::boot_now()).map(|age| age.as_millis() as u64);
+    let proof_ms = state.proof().age(crate::state::boot_now()).map(|age| age.as_millis() as u64);
     let version = state.table.load().as_ref().map(|table| table.version().0);
     tracing::info!(
         event = kind.number(),
--- a/crates/entry/src/traffic/channel.rs
+++ b/crates/entry/src/traffic/channel.rs
@@ -1,8 +1,6 @@
 //! Connections to backend servers.
 
-use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,12 +11,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use nix::sys::socket::setsockopt;
-use nix::sys::socket::sockopt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::sockets::watch_peer;
+
 /// A server in another zone answers in 2 ms; an opening packet that was lost is sent again after a
 /// second, when another server has long answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -69,12 +67,3 @@
         self.sender.send_request(request).await
     }
 }
-
-/// Sends without delay, and has the system notice a peer that fell silent: no reset would ever
-/// come, and what waits for it would wait for ever.
-pub(crate) fn watch_peer(stream: &TcpStream, silence: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let millis = silence.as_millis() as u32;
-    setsockopt(&stream.as_fd(), sockopt::TcpUserTimeout, &millis)?;
-    Ok(())
-}
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -117,7 +117,11 @@
                 None => {
                     let rest = self.splitter.finish();
                     answer.open.succeeded();
-                    return if self.pass(rest).await { PartEnd::Whole } else { PartEnd::CallerGone };
+                    return if self.pass(rest).await {
+                        PartEnd::Whole
+                    } else {
+                        PartEnd::CallerGone
+                    };
                 }
             };
             let whole = self.splitter.push(&bytes);
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -17,9 +17,9 @@
 
 use crate::daemon::StartError;
 use crate::daemon::StopTokens;
+use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::traffic::caller_edge::serve_request;
-use crate::traffic::channel::watch_peer;
 
 /// Until a configuration is known.
 const COMMON_IDLE: Duration = Duration::from_secs(15);
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -27,6 +27,8 @@
     pub readiness: SocketAddr,
     /// Listener for metrics.
     pub metrics: SocketAddr,
+    /// Listener for other entry daemons.
+    pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// Times and shares that the operators have agreed on with their users.
