Engines fetch shared parts from each other; no prompt begins late on old weights

Change: links are metered, engines are sources too, a silent server is only asked whether it is there, old weights are left 1.2 s and the expected wait before the bound.

--- a/crates/dispatch/src/call_progress.rs
+++ b/crates/dispatch/src/call_progress.rs
@@ -21,6 +21,8 @@
     Broken,
     /// Nothing came in time.
     TimedOut,
+    /// Nothing came, and no new connection could be had either.
+    Unreachable,
 }
 
 /// What to do next.
@@ -53,7 +55,7 @@
                 }
                 NextStep::SendAgain
             }
-            SendEnd::Broken | SendEnd::TimedOut => {
+            SendEnd::Broken | SendEnd::TimedOut | SendEnd::Unreachable => {
                 self.possible_runs += 1;
                 let may_run = route.may_repeat() && self.possible_runs < route.max_attempts;
                 if may_run && self.sends < MOST_SENDS {
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -14,10 +14,13 @@
 
 use crate::BootTime;
 use crate::CallFacts;
+use crate::EngineRule;
 use crate::RouteTable;
 use crate::ServerEntry;
+use crate::ServerKey;
 use crate::ServerState;
 use crate::WeightsTable;
+use crate::prompt_source::PromptSource;
 
 /// Prompt tokens an engine reads in a millisecond; the order of size of the engines in use. It
 /// scales all costs alike, so that the choice hardly depends on it.
@@ -26,9 +29,11 @@
 const WAITING_TOKENS: f64 = 2_500.0;
 /// A request that runs slows the others down by about this time.
 const RUNNING_MS: f64 = 0.8;
-/// The home of a prompt is believed to have this share of it cached when nothing is known: routers
-/// that could not tell of it send it there, too. It also gives a new prompt its first engine.
-const HOME_TRUST: f64 = 0.3;
+/// A prompt that no engine has goes to its home unless that costs this much more: all routers draw
+/// the same home before they hear of each other's sends.
+const HOME_MS: f64 = 60.0;
+/// What a second copy of shared parts costs, as time: it pushes other parts out of the engine.
+const COPY_MS: f64 = 100.0;
 /// A way to another zone and back.
 const ZONE_MS: f64 = 2.0;
 /// Requests on older weights lose worth from here on; well before it, newer engines are preferred.
@@ -37,10 +42,13 @@
 const OLD_WEIGHTS_MS: f64 = 250.0;
 /// What a failure costs, as time.
 const FAILURE_MS: f64 = 600.0;
-/// Reading anew what another engine or the store has is also wasted work of the engine.
-const WASTE_FACTOR: f64 = 1.5;
-/// Time for an import to begin.
-const IMPORT_SETUP_MS: f64 = 2.0;
+/// What reading a token anew costs, as time, if another engine or the store has it. It is work done
+/// twice, which the users count higher than a late answer: 1,000 tokens weigh as 300 ms, beside the
+/// 25 ms that reading takes.
+const REREAD_MS_PER_TOKEN: f64 = 0.3;
+
+/// Fewer tokens are read in less time than a fetch takes to begin.
+const LEAST_FETCH_TOKENS: u32 = 400;
 
 /// What a choice is made from.
 #[derive(Debug)]
@@ -89,16 +97,25 @@
     pub weights: WeightsVersion,
     /// The salt that it is cached under.
     pub salt: String,
-    /// Where what is missing can be fetched from.
-    pub fetch_from: Option<SocketAddr>,
+    /// Where what is missing is fetched from.
+    pub fetch: Option<PromptFetch>,
     /// Where what was read is kept for others.
     pub save_to: Option<SocketAddr>,
     /// Why this engine.
     pub reason: ChoiceReason,
     /// Estimated time to the first event.
     pub estimate_ms: f64,
-    /// Prompt tokens believed to be cached there.
-    pub cached_tokens: u32,
+    /// Prompt tokens that the engine has to read.
+    pub read_tokens: f64,
+}
+
+/// A fetch of cached parts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PromptFetch {
+    /// The engine or store that has them.
+    pub from: SocketAddr,
+    pub(crate) source: ServerKey,
+    pub(crate) transfer_ms: f64,
 }
 
 /// What other routers have under way at an engine.
@@ -113,12 +130,32 @@
     pub(crate) state: &'a ServerState,
     pub(crate) weights: WeightsVersion,
     pub(crate) salt: String,
-    pub(crate) cached: u32,
+    pub(crate) fetch: Option<PromptFetch>,
+    pub(crate) read_tokens: f64,
     pub(crate) is_home: bool,
     pub(crate) estimate_ms: f64,
     pub(crate) cost: f64,
 }
 
+/// What is known of an engine besides its own state.
+pub(crate) struct Surroundings<'a> {
+    pub(crate) is_home: bool,
+    pub(crate) others: OthersLoad,
+    /// Engines and the store with parts of this prompt under the same salt.
+    pub(crate) sources: &'a [PromptSource],
+}
+
+/// How an engine comes by shared parts that it lacks.
+#[derive(Clone, Debug, Default)]
+struct PromptSupply {
+    fetch: Option<PromptFetch>,
+    /// Tokens at the prompt's beginning that it has after the fetch.
+    fetched_up_to: u32,
+    fetch_ms: f64,
+    /// Tokens that it reads although others have them.
+    reread_tokens: f64,
+}
+
 impl EngineRequest<'_> {
     /// Whether the engine may begin this call at all.
     pub(crate) fn allows(&self, state: &ServerState) -> Option<WeightsVersion> {
@@ -130,7 +167,8 @@
             return None;
         }
         let age = self.weights.outdated_for(self.model, weights, self.boot_now);
-        (age < self.weights_bound).then_some(weights)
+        let wait = Duration::from_secs_f64(self.wait_ms(state, OthersLoad::default()) / 1_000.0);
+        (age + wait < self.weights_bound || age.is_zero()).then_some(weights)
     }
 
     /// The engine that the prompt's shared parts live on, the same for all routers.
@@ -139,27 +177,37 @@
         mix(key, xxh3_64(state.entry.name.as_str().as_bytes()))
     }
 
+    /// The salt under these weights.
+    pub(crate) fn salt(&self, weights: WeightsVersion) -> String {
+        self.table.salts().salt(self.call.team.as_ref(), self.model, weights)
+    }
+
+    /// Tokens at the prompt's beginning that the engine is believed to have.
+    pub(crate) fn known_tokens(&self, state: &ServerState, scope: u64) -> u32 {
+        state.memory.cached_tokens(scope, &self.call.prompt, self.capacity())
+    }
+
     /// Rates one engine.
     pub(crate) fn candidate<'a>(
         &self,
         state: &'a ServerState,
         weights: WeightsVersion,
-        is_home: bool,
-        others: OthersLoad,
+        around: &Surroundings<'_>,
     ) -> Candidate<'a> {
-        let salt = self.table.salts().salt(self.call.team.as_ref(), self.model, weights);
-        let scope = scope_of(&salt);
-        let shared = self.call.shared_tokens();
-        let known = state.memory.cached_tokens(scope, &self.call.prompt, self.capacity());
-        let trusted = if is_home { f64::from(shared) * HOME_TRUST } else { 0.0 };
-        let cached = f64::from(known).max(trusted);
-        let missing_shared = (f64::from(shared) - cached).max(0.0);
-        let own = f64::from(self.call.prompt_tokens() - shared);
-        let read_ms = missing_shared / PREFILL_TOKENS_PER_MS;
-        let shared_ms = self.import_ms(missing_shared).map_or(read_ms, |ms| ms.min(read_ms));
-        let wait_ms = self.wait_ms(state, others);
-        let estimate_ms = wait_ms + own / PREFILL_TOKENS_PER_MS + shared_ms;
-        let mut cost = estimate_ms + shared_ms * (WASTE_FACTOR - 1.0);
+        let salt = self.salt(weights);
+        let known = self.known_tokens(state, scope_of(&salt));
+        let total = self.call.prompt_tokens();
+        let supply = self.supply(state, known, around.sources);
+        let read_tokens = f64::from(total.saturating_sub(known.max(supply.fetched_up_to)));
+        let wait_ms = self.wait_ms(state, around.others);
+        let estimate_ms = wait_ms + supply.fetch_ms + read_tokens / PREFILL_TOKENS_PER_MS;
+        let mut cost = estimate_ms + supply.reread_tokens * REREAD_MS_PER_TOKEN;
+        if 0 < supply.fetched_up_to {
+            cost += COPY_MS;
+        }
+        if !around.is_home && known == 0 && 0 < self.call.shared_tokens() {
+            cost += HOME_MS;
+        }
         if state.entry.zone != *self.zone {
             cost += ZONE_MS;
         }
@@ -167,8 +215,40 @@
             cost += OLD_WEIGHTS_MS;
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
-        let cached = cached as u32;
-        Candidate { state, weights, salt, cached, is_home, estimate_ms, cost }
+        let (fetch, is_home) = (supply.fetch, around.is_home);
+        Candidate { state, weights, salt, fetch, read_tokens, is_home, estimate_ms, cost }
+    }
+
+    /// How the engine would come by the shared parts that it lacks.
+    fn supply(&self, state: &ServerState, known: u32, sources: &[PromptSource]) -> PromptSupply {
+        let shared = self.call.shared_tokens();
+        let token_bytes = self.engine_rule().map_or(0.0, |engine| engine.token_bytes as f64);
+        let zone = &state.entry.zone;
+        let mut best = PromptSupply::default();
+        let mut held = 0;
+        for source in sources.iter().filter(|source| source.key != state.key()) {
+            let up_to = source.tokens.min(shared);
+            held = held.max(up_to);
+            if up_to < known + LEAST_FETCH_TOKENS {
+                continue;
+            }
+            let tokens = f64::from(up_to - known);
+            let fetch_ms = source.fetch_ms(tokens, token_bytes, zone, self.now);
+            let Some(fetch_ms) = fetch_ms else { continue };
+            let is_better = (best.fetched_up_to, -best.fetch_ms) < (up_to, -fetch_ms);
+            if !is_better {
+                continue;
+            }
+            best.fetched_up_to = up_to;
+            best.fetch_ms = fetch_ms;
+            best.fetch = Some(PromptFetch {
+                from: source.address,
+                source: source.key,
+                transfer_ms: source.transfer_ms(tokens, token_bytes, zone),
+            });
+        }
+        best.reread_tokens = f64::from(held.saturating_sub(known.max(best.fetched_up_to)));
+        best
     }
 
     /// The engine's own report is as old as its last answer; what routers have under way is newer.
@@ -179,18 +259,14 @@
         tokens / PREFILL_TOKENS_PER_MS + f64::from(running) * RUNNING_MS
     }
 
-    fn import_ms(&self, tokens: f64) -> Option<f64> {
-        let store = self.table.cache_store()?;
-        let engine = self.table.service(self.service)?.engine.clone()?;
-        let bits = tokens * engine.token_bytes as f64 * 8.0;
-        Some(IMPORT_SETUP_MS + bits / (store.link_mbps.max(1.0) * 1_000.0))
+    /// Sizes of the service's engines.
+    pub(crate) fn engine_rule(&self) -> Option<&EngineRule> {
+        self.table.service(self.service)?.engine.as_ref()
     }
 
     /// Tokens that an engine can cache.
     pub(crate) fn capacity(&self) -> f64 {
-        let service = self.table.service(self.service);
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(0.0, |engine| engine.cache_tokens as f64)
+        self.engine_rule().map_or(0.0, |engine| engine.cache_tokens as f64)
     }
 }
 
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -13,6 +13,9 @@
 pub struct ServerKey(pub u64);
 
 impl ServerKey {
+    /// Stands for the store of cached prompts.
+    pub const STORE: ServerKey = ServerKey(0);
+
     /// The key of a name.
     pub fn of(name: &ServerName) -> ServerKey {
         ServerKey(xxh3_64(name.as_str().as_bytes()))
@@ -69,4 +72,8 @@
     pub taken_tokens: u32,
     /// They are in the store of cached prompts, too.
     pub is_stored: bool,
+    /// Where the engine fetches the rest from.
+    pub source: Option<ServerKey>,
+    /// Time that the fetch takes on the source's link, in milliseconds.
+    pub transfer_ms: u32,
 }
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -28,7 +28,10 @@
 use crate::ServerState;
 use crate::engine_choice::Candidate;
 use crate::engine_choice::OthersLoad;
+use crate::engine_choice::Surroundings;
 use crate::engine_choice::scope_of;
+use crate::link_meter::LinkMeter;
+use crate::prompt_source::PromptSource;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -44,8 +47,8 @@
 const MOST_UNTOLD: usize = 256;
 /// What a server that is still slow after its start costs, as time.
 const COLD_MS: f64 = 30.0;
-/// A shorter shared beginning is read in less time than an import takes to begin.
-const LEAST_IMPORT_TOKENS: u32 = 1_000;
+/// A shorter shared beginning is read in less time than a fetch takes.
+const LEAST_SAVED_TOKENS: u32 = 1_000;
 
 /// A request that is under way at a server.
 #[derive(Clone, Debug)]
@@ -63,6 +66,8 @@
     servers: IndexMap<ServerName, ServerState>,
     /// What the store of cached prompts has been told to keep.
     kept: PartMemory,
+    /// The store's link to the engines.
+    store_link: LinkMeter,
     /// What the other routers have under way.
     peers: PeerBoard,
     /// Prompts sent since the others were last told.
@@ -132,14 +137,17 @@
             .filter_map(|state| Some((state, request.allows(state)?)))
             .collect();
         let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
+        let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
         let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
         for (state, weights) in allowed {
-            let is_home = request.home_score(state) == home;
+            let sources = sources.entry(weights).or_insert_with(|| self.sources(request, weights));
             let others = OthersLoad {
                 open: self.peers.open(state.key(), request.now),
                 backlog_tokens: self.peers.backlog_tokens(state.key(), request.now),
             };
-            let candidate = request.candidate(state, weights, is_home, others);
+            let is_home = request.home_score(state) == home;
+            let around = Surroundings { is_home, others, sources };
+            let candidate = request.candidate(state, weights, &around);
             rated.push((candidate, state.is_open(request.now)));
         }
         let by_cost =
@@ -151,47 +159,59 @@
             (true, true) => ChoiceReason::Home,
             (true, false) => ChoiceReason::Cheaper,
         };
-        Some(self.choice(request, best, reason))
-    }
-
-    fn choice(
-        &self,
-        request: &EngineRequest<'_>,
-        best: &Candidate<'_>,
-        reason: ChoiceReason,
-    ) -> EngineChoice {
-        let (fetch_from, save_to) = self.imports(request, best);
-        EngineChoice {
+        Some(EngineChoice {
             server: best.state.entry.clone(),
             weights: best.weights,
             salt: best.salt.clone(),
-            fetch_from,
-            save_to,
+            fetch: best.fetch,
+            save_to: self.save_to(request, &best.salt),
             reason,
             estimate_ms: best.estimate_ms,
-            cached_tokens: best.cached,
+            read_tokens: best.read_tokens,
+        })
+    }
+
+    /// Who has parts of the prompt under the salt of these weights.
+    fn sources(&self, request: &EngineRequest<'_>, weights: WeightsVersion) -> Vec<PromptSource> {
+        let scope = scope_of(&request.salt(weights));
+        let link_mbps = request.engine_rule().map_or(0.0, |engine| engine.link_mbps);
+        let of_service = self.servers.values().filter(|state| {
+            state.entry.service == *request.service && state.is_reachable(request.now)
+        });
+        let engine = |state: &ServerState| PromptSource {
+            key: state.key(),
+            address: state.entry.address,
+            zone: state.entry.zone.clone(),
+            tokens: request.known_tokens(state, scope),
+            link_mbps,
+            link: state.link,
+        };
+        let mut sources: Vec<PromptSource> = of_service.map(engine).collect();
+        if let Some(store) = request.table.cache_store() {
+            let shared = request.call.shared_parts();
+            sources.push(PromptSource {
+                key: ServerKey::STORE,
+                address: store.address,
+                zone: store.zone.clone(),
+                tokens: self.kept.cached_tokens(scope, shared, store.cache_tokens as f64),
+                link_mbps: store.link_mbps,
+                link: self.store_link,
+            });
         }
+        sources.retain(|source| 0 < source.tokens);
+        sources
     }
 
-    /// Whether to ask the store for what is missing, and whether to leave there what is read.
-    fn imports(
-        &self,
-        request: &EngineRequest<'_>,
-        best: &Candidate<'_>,
-    ) -> (Option<SocketAddr>, Option<SocketAddr>) {
-        let Some(store) = request.table.cache_store() else { return (None, None) };
-        let shared = request.call.shared_parts();
-        let shared_tokens = request.call.shared_tokens();
-        if shared_tokens < LEAST_IMPORT_TOKENS {
-            return (None, None);
+    /// The store, if it does not have the shared parts yet.
+    fn save_to(&self, request: &EngineRequest<'_>, salt: &str) -> Option<SocketAddr> {
+        let store = request.table.cache_store()?;
+        let shared = request.call.shared_tokens();
+        if shared < LEAST_SAVED_TOKENS {
+            return None;
         }
-        let scope = scope_of(&best.salt);
-        let kept = self.kept.cached_tokens(scope, shared, store.cache_tokens as f64);
-        let known =
-            best.state.memory.cached_tokens(scope, &request.call.prompt, request.capacity());
-        let fetch = (known < shared_tokens).then_some(store.address);
-        let save = (kept < shared_tokens).then_some(store.address);
-        (fetch, save)
+        let parts = request.call.shared_parts();
+        let kept = self.kept.cached_tokens(scope_of(salt), parts, store.cache_tokens as f64);
+        (kept < shared).then_some(store.address)
     }
 
     /// The call goes to the server.
@@ -211,35 +231,58 @@
         choice: &EngineChoice,
         now: Instant,
     ) -> SendTicket {
-        let missing = f64::from(call.prompt_tokens().saturating_sub(choice.cached_tokens));
-        let scope = scope_of(&choice.salt);
-        let hashes = || call.prompt.iter().map(|part| part.hash);
+        let notice = PromptNotice {
+            server: ServerKey::of(&choice.server.name),
+            scope: scope_of(&choice.salt),
+            parts: call.shared_parts().iter().map(|part| part.hash).collect(),
+            taken_tokens: choice.read_tokens as u32,
+            is_stored: choice.save_to.is_some(),
+            source: choice.fetch.map(|fetch| fetch.source),
+            transfer_ms: choice.fetch.map_or(0, |fetch| fetch.transfer_ms as u32),
+        };
+        self.note_prompt(&notice, now);
+        if self.untold.len() < MOST_UNTOLD {
+            self.untold.push(notice);
+        }
         if let Some(state) = self.servers.get_mut(&choice.server.name) {
             state.open += 1;
-            state.backlog_tokens += missing;
-            state.memory.read(scope, hashes(), missing);
-        }
-        let shared: Vec<u64> = call.shared_parts().iter().map(|part| part.hash).collect();
-        if choice.save_to.is_some() {
-            self.kept.read(scope, shared.iter().copied(), missing);
-        }
-        if self.untold.len() < MOST_UNTOLD {
-            self.untold.push(PromptNotice {
-                server: ServerKey::of(&choice.server.name),
-                scope,
-                parts: shared,
-                taken_tokens: missing as u32,
-                is_stored: choice.save_to.is_some(),
-            });
+            state.backlog_tokens += choice.read_tokens;
         }
         SendTicket {
             server: choice.server.name.clone(),
-            tokens: missing,
+            tokens: choice.read_tokens,
             is_awaited: true,
             sent: now,
         }
     }
 
+    /// A prompt goes to an engine, through this router or another.
+    fn note_prompt(&mut self, notice: &PromptNotice, now: Instant) {
+        let parts = || notice.parts.iter().copied();
+        let taken = f64::from(notice.taken_tokens);
+        if let Some(state) = self.by_key(notice.server) {
+            state.memory.read(notice.scope, parts(), taken);
+        }
+        if notice.is_stored || notice.source == Some(ServerKey::STORE) {
+            let stored = if notice.is_stored { taken } else { 0.0 };
+            self.kept.read(notice.scope, parts(), stored);
+        }
+        let transfer_ms = f64::from(notice.transfer_ms);
+        match notice.source {
+            Some(ServerKey::STORE) => self.store_link.add(transfer_ms, now),
+            Some(source) => {
+                if let Some(state) = self.by_key(source) {
+                    state.link.add(transfer_ms, now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn by_key(&mut self, key: ServerKey) -> Option<&mut ServerState> {
+        self.servers.values_mut().find(|state| state.key() == key)
+    }
+
     /// The first of the answer has come.
     pub fn answered(&mut self, ticket: &mut SendTicket, load: Option<LoadReport>, now: Instant) {
         if let Some(state) = self.servers.get_mut(&ticket.server) {
@@ -352,22 +395,14 @@
         let Some(host) = &news.host else { return };
         self.peers.hear(host, &news.loads, now);
         for notice in &news.loading {
-            let loading = self.servers.values_mut().find(|state| state.key() == notice.server);
-            let Some(state) = loading else { continue };
+            let Some(state) = self.by_key(notice.server) else { continue };
             match notice.is_done {
                 true => state.loaded(&notice.model, notice.version),
                 false => state.loads(now),
             }
         }
         for notice in &news.prompts {
-            let read = self.servers.values_mut().find(|state| state.key() == notice.server);
-            let taken = f64::from(notice.taken_tokens);
-            if let Some(state) = read {
-                state.memory.read(notice.scope, notice.parts.iter().copied(), taken);
-            }
-            if notice.is_stored {
-                self.kept.read(notice.scope, notice.parts.iter().copied(), taken);
-            }
+            self.note_prompt(notice, now);
         }
     }
 
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -11,6 +11,7 @@
 use crate::PartMemory;
 use crate::ServerEntry;
 use crate::ServerKey;
+use crate::link_meter::LinkMeter;
 
 /// Weight of a new observation in the averages.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -82,6 +83,8 @@
     /// to be up to date would never be ordered to load.
     assumed: IndexMap<ModelName, WeightsVersion>,
     pub(crate) memory: PartMemory,
+    /// Its link to other engines.
+    pub(crate) link: LinkMeter,
 }
 
 /// Expected time of a plain call while nothing is known, in milliseconds.
@@ -111,6 +114,7 @@
             weights,
             assumed: IndexMap::new(),
             memory: PartMemory::default(),
+            link: LinkMeter::default(),
         }
     }
 
@@ -181,6 +185,11 @@
         self.full_until = Some(now + wait);
     }
 
+    /// Whether a connection may be had.
+    pub(crate) fn is_reachable(&self, now: Instant) -> bool {
+        self.shut_until.is_none_or(|until| until <= now)
+    }
+
     /// Whether it may be chosen.
     pub fn is_open(&self, now: Instant) -> bool {
         let is_past = |until: Option<Instant>| until.is_none_or(|until| until <= now);
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -43,16 +43,19 @@
 use crate::traffic::send_attempt::send_call;
 use crate::traffic::stream_relay::relay_stream;
 
-/// Requests may not begin on older weights this long before the bound: the store's answer and the
-/// send take some milliseconds, a busy host more.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Requests go to engines with older weights until this long before the bound. A request may wait
+/// at the engine before it begins, and the bound is on its beginning.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_200);
+/// One that has not begun this long before the bound is given up.
+const WEIGHTS_LAST: Duration = Duration::from_millis(150);
 /// Pause before a call that was turned away is sent again, longer each time.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(15);
 /// An idempotent call that has not been answered in this share of its target latency is sent to
 /// another server: nearly all answers of a sound server have come by then.
 const HEDGE_SHARE: f64 = 0.6;
-/// A stream that may be resumed goes elsewhere if nothing came in so many target latencies.
-const STREAM_PATIENCE: f64 = 2.5;
+/// A silent server is asked whether it is still there each time so many target latencies have
+/// passed.
+const PROBE_SHARE: f64 = 1.0;
 
 /// The state of one call.
 pub(crate) struct CallRun {
@@ -206,7 +209,8 @@
         let until = self.attempt_deadline();
         count_send("plain");
         self.tell_sent(&server, "plain", None, 0.0);
-        Some(SendPlan { server, head, weights: None, until, open })
+        let probe_pace = self.probe_pace();
+        Some(SendPlan { server, head, weights: None, until, probe_pace, open })
     }
 
     fn plan_prompt(
@@ -237,10 +241,11 @@
         let reason = reason_name(choice.reason);
         count_send(reason);
         self.tell_sent(&choice.server, reason, Some(choice.weights), choice.estimate_ms);
+        let begin_by = self.begin_by(model, choice.weights);
         let mut head = self.send_head(&choice.server);
         head.weights = Some(choice.weights);
         head.salt = Some(choice.salt);
-        head.fetch_from = choice.fetch_from;
+        head.fetch_from = choice.fetch.map(|fetch| fetch.from);
         head.save_to = choice.save_to;
         head.priority = Some(self.facts().priority.min(9));
         head.last_event.clone_from(&point.last_event);
@@ -248,7 +253,8 @@
             server: choice.server,
             head,
             weights: Some(choice.weights),
-            until: self.attempt_deadline(),
+            until: self.attempt_deadline().min(begin_by),
+            probe_pace: self.probe_pace(),
             open: OpenSend::new(self.state.clone(), ticket),
         })
     }
@@ -268,19 +274,35 @@
         }
     }
 
-    /// When an attempt is given up. A call that may run once only is waited for to the end.
+    /// When an attempt is given up though its server is there. Only a call that costs little may run
+    /// at two servers; prompts that were sent again while engines were busy made them busier.
     fn attempt_deadline(&self) -> Instant {
         let facts = self.facts();
         let route = &facts.route;
         let is_last = route.max_attempts <= self.progress.possible_runs() + 1;
-        if is_last || !route.may_repeat() {
+        if is_last || route.kind != RouteKind::Idempotent {
             return facts.deadline;
         }
-        let share = match route.kind {
-            RouteKind::Stream(_) => STREAM_PATIENCE,
-            _ => HEDGE_SHARE,
-        };
-        facts.deadline.min(Instant::now() + route.target_latency.mul_f64(share))
+        facts.deadline.min(Instant::now() + route.target_latency.mul_f64(HEDGE_SHARE))
+    }
+
+    /// When a request on these weights must have begun.
+    fn begin_by(&self, model: &ModelName, weights: WeightsVersion) -> Instant {
+        let age = self.state.weights.load().outdated_for(model, weights, boot_now());
+        if age.is_zero() {
+            return self.facts().deadline;
+        }
+        let bound = self.state.settings.bounds.weights().saturating_sub(WEIGHTS_LAST);
+        Instant::now() + bound.saturating_sub(age)
+    }
+
+    /// How often a silent server is asked. A call that may run once only is waited for to the end.
+    fn probe_pace(&self) -> Duration {
+        let route = &self.facts().route;
+        match route.may_repeat() {
+            true => route.target_latency.mul_f64(PROBE_SHARE),
+            false => route.timeout,
+        }
     }
 
     /// Whether the answer is one for the caller.
@@ -350,7 +372,7 @@
                 self.state.weights.load().target(model).map(|target| target.version)
             });
         match fault.end {
-            SendEnd::NotSent => self.state.book().unreachable(name, now),
+            SendEnd::NotSent | SendEnd::Unreachable => self.state.book().unreachable(name, now),
             SendEnd::Refused => match &self.facts().model {
                 Some(model) => self.state.book().turned_away_prompt(name, model, wanted, now),
                 None => self.state.book().turned_away(name, now),
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a call to a backend server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use fulmargate_consortium::AnswerHead;
@@ -9,6 +10,7 @@
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_names::WeightsVersion;
 use http::Request;
+use http::Response;
 use http::Uri;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -33,6 +35,8 @@
     pub(crate) weights: Option<WeightsVersion>,
     /// The answer's head must have come by then.
     pub(crate) until: Instant,
+    /// Before that, the server is asked at this pace whether it is still there.
+    pub(crate) probe_pace: Duration,
     pub(crate) open: OpenSend,
 }
 
@@ -70,10 +74,7 @@
         .await
         .map_err(|fault| SendFault::new(SendEnd::NotSent, fault))?;
     let request = encode_request(call, &plan)?;
-    let sending = timeout_at(plan.until, channel.send(request)).await;
-    let answer = sending
-        .map_err(|_| SendFault::new(SendEnd::TimedOut, "no answer in time"))?
-        .map_err(|err| SendFault::new(SendEnd::Broken, err))?;
+    let answer = wait_for_head(&mut channel, request, &plan).await?;
     let (parts, body) = answer.into_parts();
     let head = AnswerHead::decode(&parts);
     plan.open.answered(head.load);
@@ -85,6 +86,30 @@
     Ok(OpenAnswer { parts, head, body, _channel: channel, open, server, weights })
 }
 
+/// A server that is busy answers late; sending the request elsewhere too would only add to the work
+/// of all. One whose host is gone never answers, and takes no new connection either.
+async fn wait_for_head(
+    channel: &mut Channel,
+    request: Request<Full<Bytes>>,
+    plan: &SendPlan,
+) -> Result<Response<Incoming>, SendFault> {
+    let mut sending = std::pin::pin!(channel.send(request));
+    loop {
+        let pause = plan.until.min(Instant::now() + plan.probe_pace);
+        match timeout_at(pause, &mut sending).await {
+            Ok(answer) => return answer.map_err(|err| SendFault::new(SendEnd::Broken, err)),
+            Err(_) if plan.until <= pause => {
+                return Err(SendFault::new(SendEnd::TimedOut, "no answer in time"));
+            }
+            Err(_) => {}
+        }
+        if let Err(fault) = Channel::connect(plan.server.address).await {
+            let reason = format!("silent, and {fault}");
+            return Err(SendFault::new(SendEnd::Unreachable, reason));
+        }
+    }
+}
+
 impl OpenAnswer {
     /// Reads the whole body.
     pub(crate) async fn read_body(self, until: Instant) -> Result<Bytes, SendFault> {
