One router reads each cache's events and tells the others

Ruled out: every router reading every engine (a source takes 12 calls at once; fine for 6 hosts, not for 91).

--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -107,6 +107,8 @@
     pub estimate_ms: f64,
     /// Prompt tokens that the engine has to read.
     pub read_tokens: f64,
+    /// Prompt tokens that are new to it, fetched ones included.
+    pub(crate) taken_tokens: f64,
 }
 
 /// A fetch of cached parts.
@@ -132,6 +134,7 @@
     pub(crate) salt: String,
     pub(crate) fetch: Option<PromptFetch>,
     pub(crate) read_tokens: f64,
+    pub(crate) taken_tokens: f64,
     pub(crate) is_home: bool,
     pub(crate) estimate_ms: f64,
     pub(crate) cost: f64,
@@ -215,8 +218,17 @@
             cost += OLD_WEIGHTS_MS;
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
-        let (fetch, is_home) = (supply.fetch, around.is_home);
-        Candidate { state, weights, salt, fetch, read_tokens, is_home, estimate_ms, cost }
+        Candidate {
+            state,
+            weights,
+            salt,
+            fetch: supply.fetch,
+            read_tokens,
+            taken_tokens: f64::from(total.saturating_sub(known)),
+            is_home: around.is_home,
+            estimate_ms,
+            cost,
+        }
     }
 
     /// How the engine would come by the shared parts that it lacks.
@@ -270,8 +282,8 @@
     }
 }
 
-/// The scope of parts in memories.
-pub(crate) fn scope_of(salt: &str) -> u64 {
+/// The scope of parts in memories: the hash of the salt.
+pub fn scope_of(salt: &str) -> u64 {
     xxh3_64(salt.as_bytes())
 }
 
--- a/crates/dispatch/src/part_memory.rs
+++ b/crates/dispatch/src/part_memory.rs
@@ -1,22 +1,31 @@
-//! Which parts of prompts an engine is believed to have cached.
+//! Which parts of prompts an engine or the store is believed to have cached.
 
 use indexmap::IndexMap;
 
 use crate::PromptPart;
 
 /// Parts remembered of one engine; the least recently used go first.
-const MOST_PARTS: usize = 512;
-/// Share of an engine's memory within which a part is believed to be kept. The rest is taken by
-/// requests that run.
+const MOST_PARTS: usize = 1_024;
+/// Share of an engine's memory within which a part is believed to be kept when nothing is heard of
+/// it. The rest is taken by requests that run.
 const KEPT_SHARE: f64 = 0.75;
 
-/// A belief, kept by what this router sent: parts yield to newer ones when the engine's memory is
-/// full, so a part's age is counted in tokens that went to the engine since its last use.
+/// A belief: what was sent there, corrected by the engine's own events. Parts yield to newer ones
+/// when the memory is full, so a part's age is counted in tokens taken in since its last use.
+/// Events arrive late and some never do; neither source alone was right under load.
 #[derive(Clone, Debug, Default)]
 pub struct PartMemory {
-    /// Tokens that the engine has taken in.
+    /// Tokens taken in.
     taken: f64,
-    used: IndexMap<u64, f64>,
+    parts: IndexMap<u64, KnownPart>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownPart {
+    /// Tokens stored by the engine's own word; none while there is no word.
+    tokens: Option<u32>,
+    /// Tokens that had been taken in at the last use.
+    used: f64,
 }
 
 impl PartMemory {
@@ -24,27 +33,53 @@
     /// counts only if all parts before it do.
     pub fn cached_tokens(&self, scope: u64, parts: &[PromptPart], capacity: f64) -> u32 {
         let kept = capacity * KEPT_SHARE;
-        let is_kept = |part: &&PromptPart| {
-            self.used.get(&(scope ^ part.hash)).is_some_and(|used| self.taken - used < kept)
-        };
-        parts.iter().take_while(is_kept).map(|part| part.tokens).sum()
+        let mut cached = 0;
+        for part in parts {
+            let known = self.parts.get(&(scope ^ part.hash));
+            let Some(known) = known.filter(|known| self.taken - known.used < kept) else { break };
+            let tokens = known.tokens.unwrap_or(part.tokens).min(part.tokens);
+            cached += tokens;
+            if tokens < part.tokens {
+                break;
+            }
+        }
+        cached
     }
 
-    /// The engine has read parts with these hashes; `taken` tokens were new to it.
+    /// A prompt with these parts was sent there; `taken` tokens were new.
     pub fn read(&mut self, scope: u64, parts: impl Iterator<Item = u64>, taken: f64) {
         self.taken += taken;
         for hash in parts {
             let key = scope ^ hash;
-            self.used.shift_remove(&key);
-            self.used.insert(key, self.taken);
+            self.parts.shift_remove(&key);
+            self.parts.insert(key, KnownPart { tokens: None, used: self.taken });
         }
-        while MOST_PARTS < self.used.len() {
-            self.used.shift_remove_index(0);
+        self.bound();
+    }
+
+    /// By its own word so many tokens of a part are stored now.
+    pub fn hear(&mut self, key: u64, tokens: u32) {
+        if tokens == 0 {
+            self.parts.shift_remove(&key);
+            return;
         }
+        match self.parts.get_mut(&key) {
+            Some(part) => part.tokens = Some(tokens),
+            None => {
+                self.parts.insert(key, KnownPart { tokens: Some(tokens), used: self.taken });
+            }
+        }
+        self.bound();
     }
 
-    /// The engine has started anew or loaded other weights.
+    /// It has started anew or loaded other weights.
     pub fn clear(&mut self) {
-        self.used.clear();
+        self.parts.clear();
+    }
+
+    fn bound(&mut self) {
+        while MOST_PARTS < self.parts.len() {
+            self.parts.shift_remove_index(0);
+        }
     }
 }
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -34,8 +34,9 @@
     }
 
     /// Routers that have spoken lately.
-    pub fn heard(&self, now: Instant) -> usize {
-        self.fresh(now).count()
+    pub fn hosts(&self, now: Instant) -> impl Iterator<Item = &HostName> {
+        let is_fresh = move |word: &PeerWord| now.saturating_duration_since(word.at) < WORD_AGE;
+        self.words.iter().filter(move |(_, word)| is_fresh(word)).map(|(host, _)| host)
     }
 
     /// Requests of all of them at a server.
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A server's name in messages: names are long and new at each start of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServerKey(pub u64);
 
 impl ServerKey {
@@ -33,6 +33,19 @@
     pub loading: Vec<LoadingNotice>,
     /// Prompts that the sender has sent since its last message.
     pub prompts: Vec<PromptNotice>,
+    /// What engines and the store have said of their caches to the sender.
+    pub caches: Vec<CacheNotice>,
+}
+
+/// What an engine or the store says of its cache.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheNotice {
+    /// The engine or the store.
+    pub server: ServerKey,
+    /// What was believed before is void: it has started anew, or events were lost.
+    pub is_reset: bool,
+    /// Parts by the key they are remembered under, and the tokens stored now.
+    pub parts: Vec<(u64, u32)>,
 }
 
 /// A sender's requests at one server.
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
@@ -13,6 +14,7 @@
 use indexmap::IndexSet;
 use tokio::time::Instant;
 
+use crate::CacheNotice;
 use crate::CallFacts;
 use crate::ChoiceReason;
 use crate::EngineChoice;
@@ -72,6 +74,8 @@
     peers: PeerBoard,
     /// Prompts sent since the others were last told.
     untold: Vec<PromptNotice>,
+    /// And what caches have said since.
+    untold_caches: Vec<CacheNotice>,
     /// Servers whose address another server answered at. Names are never used twice.
     gone: IndexSet<ServerName>,
 }
@@ -168,6 +172,7 @@
             reason,
             estimate_ms: best.estimate_ms,
             read_tokens: best.read_tokens,
+            taken_tokens: best.taken_tokens,
         })
     }
 
@@ -235,7 +240,7 @@
             server: ServerKey::of(&choice.server.name),
             scope: scope_of(&choice.salt),
             parts: call.shared_parts().iter().map(|part| part.hash).collect(),
-            taken_tokens: choice.read_tokens as u32,
+            taken_tokens: choice.taken_tokens as u32,
             is_stored: choice.save_to.is_some(),
             source: choice.fetch.map(|fetch| fetch.source),
             transfer_ms: choice.fetch.map_or(0, |fetch| fetch.transfer_ms as u32),
@@ -387,7 +392,8 @@
             })
             .collect();
         let prompts = std::mem::take(&mut self.untold);
-        PeerNews { loads, prompts, ..PeerNews::default() }
+        let caches = std::mem::take(&mut self.untold_caches);
+        PeerNews { loads, prompts, caches, ..PeerNews::default() }
     }
 
     /// Another router's message.
@@ -404,6 +410,36 @@
         for notice in &news.prompts {
             self.note_prompt(notice, now);
         }
+        for notice in &news.caches {
+            self.note_cache(notice);
+        }
+    }
+
+    /// An engine or the store has told this router of its cache.
+    pub fn hear_cache(&mut self, notice: CacheNotice) {
+        self.note_cache(&notice);
+        if self.untold_caches.len() < MOST_UNTOLD {
+            self.untold_caches.push(notice);
+        }
+    }
+
+    fn note_cache(&mut self, notice: &CacheNotice) {
+        let memory = match notice.server {
+            ServerKey::STORE => Some(&mut self.kept),
+            server => self.by_key(server).map(|state| &mut state.memory),
+        };
+        let Some(memory) = memory else { return };
+        if notice.is_reset {
+            memory.clear();
+        }
+        for (key, tokens) in &notice.parts {
+            memory.hear(*key, *tokens);
+        }
+    }
+
+    /// Routers that have spoken lately.
+    pub fn live_peers(&self, now: Instant) -> Vec<HostName> {
+        self.peers.hosts(now).cloned().collect()
     }
 
     /// This router, which holds the lease, has an engine load weights.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: what is agreed and known.
 
+mod cache_watch;
 mod control_thread;
 mod fleet_codec;
 mod fleet_desk;
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::cache_watch::CacheWatch;
 use crate::control::fleet_desk::FleetDesk;
 use crate::control::operator_watch::OperatorWatch;
 use crate::control::order_desk::OrderDesk;
@@ -90,6 +91,7 @@
         spawn_until(&token, fleet.run(crashes));
         let links = PeerLinks::new(self.state.clone(), fold.clone());
         spawn_until(&token, links.run());
+        spawn_until(&token, CacheWatch::new(self.state.clone()).run());
         let orders = OrderDesk::new(self.state.clone(), client, fold);
         // A host that leaves gives no more orders: another takes the lease.
         spawn_until(&self.stop.begun, orders.run());
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -164,7 +164,10 @@
 }
 
 fn is_worth_telling(news: &PeerNews) -> bool {
-    !news.loads.is_empty() || !news.loading.is_empty() || !news.prompts.is_empty()
+    !news.loads.is_empty()
+        || !news.loading.is_empty()
+        || !news.prompts.is_empty()
+        || !news.caches.is_empty()
 }
 
 async fn connect(address: SocketAddr) -> Result<PeerLink, LinkFault> {
