Engines are idle before they are ordered to load

Cause: an order to a busy engine made it turn away what waited there, and finish what ran for 1.3 to 2 s meanwhile. Ruled out: cutting streams (each is worth more than the load).

--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -101,6 +101,12 @@
         self.servers.get(name)
     }
 
+    /// Requests of all routers at a server.
+    pub fn open_at(&self, name: &ServerName, now: Instant) -> u32 {
+        let Some(state) = self.servers.get(name) else { return 0 };
+        state.open + self.peers.open(state.key(), now)
+    }
+
     /// All servers.
     pub fn states(&self) -> impl Iterator<Item = &ServerState> {
         self.servers.values()
--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -27,6 +27,10 @@
 const REPORT_PACE: Duration = Duration::from_millis(150);
 /// An engine loads in some 300 ms after its runs have ended.
 const LOAD_PAUSE: Duration = Duration::from_millis(350);
+/// Streams of a busy engine end within about a second when nothing new comes.
+const LONGEST_DRAIN: Duration = Duration::from_millis(900);
+/// Other routers tell of their requests some six times a second.
+const DRAIN_PACE: Duration = Duration::from_millis(25);
 /// After this long the engine is given back to the desk, which chooses anew.
 const LONGEST_RUN: Duration = Duration::from_secs(4);
 
@@ -75,7 +79,19 @@
         self.desk.under_way.borrow_mut().swap_remove(name);
     }
 
+    /// Waits for the requests that routers have under way there; they send no more, since they were
+    /// told. An order that comes earlier has the engine turn away what waits there.
+    async fn wait_until_idle(&self) {
+        let until = Instant::now() + LONGEST_DRAIN;
+        while Instant::now() < until
+            && 0 < self.state.book().open_at(&self.entry.name, Instant::now())
+        {
+            sleep(DRAIN_PACE).await;
+        }
+    }
+
     async fn bring_up(&self) -> RunEnd {
+        self.wait_until_idle().await;
         loop {
             let Some(report) = self.report().await else { return RunEnd::Silent };
             // The newest at this moment: a version that was overtaken meanwhile is skipped.
