A router that has started since a version was named takes it for old

Ruled out: the margin before the bound (1.2 s and the wait were kept). Change: what a new process reads was named at an unknown time; the other routers tell its age.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -63,6 +63,7 @@
 pub use peer_news::PeerNews;
 pub use peer_news::PromptNotice;
 pub use peer_news::ServerKey;
+pub use peer_news::WeightsAge;
 pub use repeat_budget::RepeatBudget;
 pub use repeat_budget::RepeatConf;
 pub use route_rule::RouteKind;
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -33,10 +33,23 @@
     pub loading: Vec<LoadingNotice>,
     /// Prompts that the sender has sent since its last message.
     pub prompts: Vec<PromptNotice>,
+    /// The newest weights that the sender knows of and how long it has, if it saw them named.
+    pub weights: Vec<WeightsAge>,
     /// What engines and the store have said of their caches to the sender.
     pub caches: Vec<CacheNotice>,
 }
 
+/// How long ago a version was named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsAge {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: WeightsVersion,
+    /// Milliseconds since it was named.
+    pub age_ms: u64,
+}
+
 /// What an engine or the store says of its cache.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheNotice {
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -46,6 +46,26 @@
         true
     }
 
+    /// Another router learned of a version so long ago. A router that has started since cannot know,
+    /// and takes a version for old until it is told. Returns whether this is news.
+    pub fn correct_age(
+        &mut self,
+        model: &ModelName,
+        version: WeightsVersion,
+        age: Duration,
+        now: BootTime,
+    ) -> bool {
+        let named = self.named.get_mut(model).map_or(&mut [][..], Vec::as_mut_slice);
+        let Some(target) = named.iter_mut().find(|target| target.version == version) else {
+            return false;
+        };
+        if target.learned != BootTime::default() {
+            return false;
+        }
+        target.learned = BootTime(now.0.saturating_sub(age.as_millis() as u64));
+        true
+    }
+
     /// The newest version of a model.
     pub fn target(&self, model: &ModelName) -> Option<WeightsTarget> {
         self.named.get(model)?.last().copied()
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -11,6 +11,7 @@
 use fulmargate_consortium::StoreTopic;
 use fulmargate_consortium::decode_operator;
 use fulmargate_consortium::split_keyed;
+use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::RoutingConfig;
 use fulmargate_names::EventKind;
@@ -38,6 +39,8 @@
     contact: StoreContact,
     /// Where to read on; nothing before the whole topic was read, or after records were lost.
     next: Option<LogOffset>,
+    /// What is read next was written after this moment; nothing at the start of the process.
+    written_after: Option<BootTime>,
     was_proven: bool,
 }
 
@@ -45,7 +48,7 @@
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> OperatorWatch {
         let contact = StoreContact::new("operator");
-        OperatorWatch { state, client, contact, next: None, was_proven: false }
+        OperatorWatch { state, client, contact, next: None, written_after: None, was_proven: false }
     }
 
     /// Reads on and on.
@@ -56,7 +59,10 @@
                 None => self.read_all().await,
             };
             match result {
-                Ok(()) => self.contact.held(),
+                Ok(()) => {
+                    self.contact.held();
+                    self.written_after = Some(boot_now());
+                }
                 Err(StoreError::Deleted { first }) => {
                     let lost = EventKind::LogTruncated;
                     tracing::warn!(event = lost.number(), name = lost.name(), topic = "operator", %first);
@@ -72,6 +78,10 @@
         let sent = boot_now();
         let timeout = READ_WAIT + READ_ALLOWANCE;
         let page = self.client.read(StoreTopic::Operator, from, READ_WAIT, timeout).await?;
+        if !self.contact.is_lost() {
+            // The read was waiting for these records.
+            self.written_after = Some(boot_now());
+        }
         self.apply_page(&page);
         let next = LogOffset(from.0 + page.records.len() as u64);
         self.next = Some(next);
@@ -148,7 +158,11 @@
 
     fn name_weights(&self, model: &ModelName, version: WeightsVersion) {
         let mut weights = (**self.state.weights.load()).clone();
-        if !weights.name_version(model, version, boot_now()) {
+        // Requests must not begin on older weights long after the naming. What is read after an
+        // outage, or by a process that has just started, may have been named long ago; the other
+        // routers say when.
+        let named = self.written_after.unwrap_or_default();
+        if !weights.name_version(model, version, named) {
             return;
         }
         self.state.weights.store(Arc::new(weights));
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -9,6 +9,7 @@
 use derive_more::Error;
 use derive_more::From;
 use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::WeightsAge;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use h2::SendStream;
@@ -24,6 +25,7 @@
 use crate::control::fleet_desk::SharedFold;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
+use crate::state::boot_now;
 
 /// Pause between messages. An engine reads a prompt in some 100 ms, so older word of its backlog
 /// is of little use; a message costs some 50 us of processor time at both ends.
@@ -101,9 +103,23 @@
         let mut news = self.state.book().take_news();
         news.host = Some(self.state.settings.host.clone());
         news.loading = self.state.loading.notices();
+        news.weights = self.weights_ages();
         news
     }
 
+    /// Versions named lately; of older ones everybody knows that they are old.
+    fn weights_ages(&self) -> Vec<WeightsAge> {
+        let now = boot_now();
+        let weights = self.state.weights.load();
+        let ages = weights.targets().map(|(model, target)| WeightsAge {
+            model: model.clone(),
+            version: target.version,
+            age_ms: now.since(target.learned).as_millis() as u64,
+        });
+        let longest = self.state.settings.bounds.weights_ms;
+        ages.filter(|age| age.age_ms < longest).collect()
+    }
+
     async fn tell(&mut self, peers: &[(HostName, SocketAddr)], news: &PeerNews) {
         let message = match encode_news(news) {
             Ok(message) => Bytes::from(message),
@@ -168,6 +184,7 @@
         || !news.loading.is_empty()
         || !news.prompts.is_empty()
         || !news.caches.is_empty()
+        || !news.weights.is_empty()
 }
 
 async fn connect(address: SocketAddr) -> Result<PeerLink, LinkFault> {
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_dispatch::PeerNews;
 use fulmargate_names::EventKind;
 use h2::RecvStream;
 use tokio::net::TcpListener;
@@ -16,6 +17,7 @@
 use crate::control::fleet_codec::decode_news;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
+use crate::state::boot_now;
 
 /// A link whose other end fell silent is dropped after some of these.
 const SILENT_PEER: Duration = Duration::from_secs(5);
@@ -92,7 +94,7 @@
         waiting.extend_from_slice(&piece);
         while let Some(message) = take_message(&mut waiting) {
             match decode_news(&message) {
-                Ok(news) => state.book().hear(&news, Instant::now()),
+                Ok(news) => take_news(&state, &news),
                 Err(err) => {
                     let kind = EventKind::PeerUnreadable;
                     tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
@@ -106,6 +108,19 @@
     }
 }
 
+fn take_news(state: &SharedState, news: &PeerNews) {
+    state.book().hear(news, Instant::now());
+    let mut weights = (**state.weights.load()).clone();
+    let mut is_changed = false;
+    for age in &news.weights {
+        let ago = Duration::from_millis(age.age_ms);
+        is_changed |= weights.correct_age(&age.model, age.version, ago, boot_now());
+    }
+    if is_changed {
+        state.weights.store(Arc::new(weights));
+    }
+}
+
 /// Takes a whole message off the front.
 fn take_message(waiting: &mut Vec<u8>) -> Option<Vec<u8>> {
     let length = waiting.first_chunk::<LENGTH_BYTES>()?;
--- a/crates/entry/src/control/store_contact.rs
+++ b/crates/entry/src/control/store_contact.rs
@@ -36,6 +36,11 @@
         self.failures = 0;
     }
 
+    /// Whether the last call failed.
+    pub(crate) fn is_lost(&self) -> bool {
+        0 < self.failures
+    }
+
     /// A call failed: waits before the next.
     pub(crate) async fn lost(&mut self, err: &StoreError) {
         if self.failures == 0 {
