--- /dev/null
+++ b/crates/dispatch/tests/choices.rs
@@ -0,0 +1,244 @@
+//! Which server a call goes to.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::CacheNotice;
+use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::EngineChoice;
+use fulmargate_dispatch::EngineRequest;
+use fulmargate_dispatch::LoadReport;
+use fulmargate_dispatch::LoadingNotice;
+use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::RouteTable;
+use fulmargate_dispatch::ServerBook;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::WeightsTable;
+use fulmargate_dispatch::scope_of;
+use fulmargate_names::HostName;
+use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
+use fulmargate_names::WeightsVersion;
+use support::DESK;
+use support::ENGINES;
+use support::engines;
+use support::model;
+use support::prompt_call;
+use support::server;
+use support::table;
+use support::zone;
+use tokio::time::Instant;
+
+const RECORD: &[(u64, u32)] = &[(11, 2_500), (12, 3_800)];
+const NAMES: &[&str] = &["e1", "e2", "e3", "e4"];
+
+struct ChoiceWorld {
+    book: ServerBook,
+    table: RouteTable,
+    weights: WeightsTable,
+    now: Instant,
+    boot_now: BootTime,
+}
+
+impl ChoiceWorld {
+    fn new() -> ChoiceWorld {
+        let now = Instant::now();
+        let mut book = ServerBook::default();
+        book.sync(&engines(NAMES), now);
+        let table = table(Vec::new(), Vec::new());
+        let weights = WeightsTable::default();
+        ChoiceWorld { book, table, weights, now, boot_now: BootTime(100_000) }
+    }
+
+    fn choose(&self, call: &CallFacts, excluded: &[ServerName]) -> Option<EngineChoice> {
+        self.book.choose_engine(&EngineRequest {
+            call,
+            service: &ServiceName::new(ENGINES),
+            model: &model(),
+            table: &self.table,
+            weights: &self.weights,
+            weights_bound: Duration::from_millis(4_800),
+            zone: &zone(),
+            only_weights: None,
+            excluded,
+            now: self.now,
+            boot_now: self.boot_now,
+        })
+    }
+
+    fn send(&mut self, id: &str) -> EngineChoice {
+        let call = prompt_call(id, RECORD, self.now);
+        let choice = self.choose(&call, &[]).expect("an engine");
+        self.book.begin_prompt(&call, &choice, self.now);
+        choice
+    }
+
+    fn name(choice: &EngineChoice) -> String {
+        choice.server.name.to_string()
+    }
+}
+
+/// Two routers that know nothing send the same prompt to the same engine.
+#[test]
+fn routers_agree_on_a_home() {
+    let call = prompt_call("c", RECORD, Instant::now());
+    let first = ChoiceWorld::new().choose(&call, &[]).expect("an engine");
+    let second = ChoiceWorld::new().choose(&call, &[]).expect("an engine");
+    assert_eq!(first.server.name, second.server.name);
+}
+
+/// Prompts wait behind others at their home while engines beside it are idle.
+/// A long backlog sends them elsewhere, and what home has read is fetched, not read again.
+#[test]
+fn a_busy_home_is_left_and_asked_for_its_parts() {
+    let mut world = ChoiceWorld::new();
+    let home = ChoiceWorld::name(&world.send("c1"));
+    let choices: Vec<EngineChoice> = (0..6).map(|turn| world.send(&format!("d{turn}"))).collect();
+    let left = choices.iter().find(|choice| ChoiceWorld::name(choice) != home);
+    let left = left.expect("another engine");
+    assert!(left.fetch.is_some(), "its parts are fetched");
+    assert_eq!(left.read_tokens, 2_000.0, "only its own tokens are read");
+}
+
+/// An engine evicts a part; routers that believe otherwise send prompts to be read anew.
+#[test]
+fn events_correct_beliefs() {
+    let mut world = ChoiceWorld::new();
+    let first = world.send("c1");
+    let call = prompt_call("c2", RECORD, world.now);
+    assert_eq!(world.choose(&call, &[]).expect("an engine").read_tokens, 2_000.0);
+    let scope = scope_of(&first.salt);
+    let parts = vec![(scope ^ 11, 0), (scope ^ 12, 0)];
+    for server in [ServerKey::of(&first.server.name), ServerKey::STORE] {
+        world.book.hear_cache(CacheNotice { server, is_reset: false, parts: parts.clone() });
+    }
+    assert_eq!(world.choose(&call, &[]).expect("an engine").read_tokens, 8_300.0);
+}
+
+/// An engine that is ordered to load turns requests away, and each costs the budget a repeat.
+/// The holder of the lease tells; no router sends there until the weights are in place.
+#[test]
+fn engines_that_load_get_nothing() {
+    let mut world = ChoiceWorld::new();
+    let call = prompt_call("c", RECORD, world.now);
+    let home = world.choose(&call, &[]).expect("an engine").server.name.clone();
+    let notice = |is_done| PeerNews {
+        host: Some(HostName::new("holder")),
+        loading: vec![LoadingNotice {
+            server: ServerKey::of(&home),
+            model: model(),
+            version: WeightsVersion(2),
+            is_done,
+        }],
+        ..PeerNews::default()
+    };
+    world.book.hear(&notice(false), world.now);
+    assert_ne!(world.choose(&call, &[]).expect("an engine").server.name, home);
+    world.book.hear(&notice(true), world.now);
+    let choice = world.choose(&call, &[]).expect("an engine");
+    assert_eq!((&choice.server.name, choice.weights), (&home, WeightsVersion(2)));
+}
+
+struct WeightsCase {
+    name: &'static str,
+    /// Milliseconds since version 2 was named.
+    age_ms: u64,
+    usable: bool,
+}
+
+const WEIGHTS: &[WeightsCase] = &[
+    WeightsCase { name: "just named", age_ms: 10, usable: true },
+    WeightsCase { name: "well within the bound", age_ms: 4_000, usable: true },
+    WeightsCase { name: "near the bound", age_ms: 4_790, usable: false },
+    WeightsCase { name: "long ago", age_ms: 60_000, usable: false },
+];
+
+/// A request begins on weights that were replaced long ago, after it waited at its engine.
+/// It was sent within the bound to an engine with a backlog of 200 ms.
+/// The expected wait is taken off the bound.
+#[test]
+fn old_weights_are_left_in_time() {
+    for case in WEIGHTS {
+        let mut world = ChoiceWorld::new();
+        let named = BootTime(world.boot_now.0 - case.age_ms);
+        world.weights.name_version(&model(), WeightsVersion(2), named);
+        let busy = world.send("w1").server.name.clone();
+        let call = prompt_call("w2", RECORD, world.now);
+        let mut others: Vec<ServerName> = NAMES.iter().map(|name| ServerName::new(name)).collect();
+        others.retain(|name| *name != busy);
+        let choice = world.choose(&call, &others);
+        assert_eq!(choice.is_some(), case.usable, "{}", case.name);
+    }
+}
+
+/// A router that has just started reads that new weights are wanted, but not since when.
+/// It takes them for old until another router tells.
+#[test]
+fn ages_of_versions_are_told_to_new_routers() {
+    let now = BootTime(50_000);
+    let mut weights = WeightsTable::default();
+    weights.name_version(&model(), WeightsVersion(1), BootTime::default());
+    weights.name_version(&model(), WeightsVersion(2), BootTime::default());
+    let age = |weights: &WeightsTable| weights.outdated_for(&model(), WeightsVersion(1), now);
+    assert_eq!(age(&weights), Duration::from_millis(50_000));
+    assert!(weights.correct_age(&model(), WeightsVersion(2), Duration::from_millis(300), now));
+    assert_eq!(age(&weights), Duration::from_millis(300));
+    assert!(!weights.correct_age(&model(), WeightsVersion(2), Duration::ZERO, now));
+    assert_eq!(age(&weights), Duration::from_millis(300), "the first word counts");
+}
+
+#[test]
+fn unreachable_engines_are_a_last_resort() {
+    let mut world = ChoiceWorld::new();
+    let call = prompt_call("c", RECORD, world.now);
+    let home = world.choose(&call, &[]).expect("an engine").server.name.clone();
+    world.book.unreachable(&home, world.now);
+    assert_ne!(world.choose(&call, &[]).expect("an engine").server.name, home);
+    for name in NAMES {
+        world.book.unreachable(&ServerName::new(name), world.now);
+    }
+    assert!(world.choose(&call, &[]).is_some());
+    let all: Vec<ServerName> = NAMES.iter().map(|name| ServerName::new(name)).collect();
+    assert!(world.choose(&call, &all).is_none());
+}
+
+/// Another server answers at the address of one that has ended: it is not chosen again, although
+/// the list still has it.
+#[test]
+fn a_server_whose_address_is_taken_is_forgotten() {
+    let mut world = ChoiceWorld::new();
+    world.book.forget(&ServerName::new("e1"));
+    world.book.sync(&engines(NAMES), world.now);
+    assert!(world.book.state(&ServerName::new("e1")).is_none());
+    world.book.sync(&engines(&["e2", "e3"]), world.now);
+    world.book.sync(&engines(NAMES), world.now);
+    assert!(
+        world.book.state(&ServerName::new("e1")).is_some(),
+        "the list had dropped it meanwhile"
+    );
+}
+
+#[test]
+fn plain_calls_go_where_they_are_answered_first() {
+    let now = Instant::now();
+    let mut book = ServerBook::default();
+    let entries: Vec<_> = ["d1", "d2", "d3"].map(|name| Arc::new(server(name, DESK))).into();
+    book.sync(&entries, now);
+    let service = ServiceName::new(DESK);
+    let choose = |book: &ServerBook| {
+        let server = book.choose_plain(&service, &zone(), &[], now).expect("a server");
+        server.name.to_string()
+    };
+    let call = prompt_call("p", &[], now);
+    let mut ticket = book.begin(&call, &ServerName::new("d1"), now);
+    let busy = LoadReport { running: 8, waiting: 9, slots: 8 };
+    book.answered(&mut ticket, Some(busy), now);
+    assert_ne!(choose(&book), "d1", "full");
+    for _ in 0..5 {
+        book.failed(&ServerName::new("d2"), now);
+    }
+    assert_eq!(choose(&book), "d3", "d2 fails");
+}
--- /dev/null
+++ b/crates/dispatch/tests/leases.rs
@@ -0,0 +1,178 @@
+//! Who may give orders to engines, over histories of several routers.
+
+use std::time::Duration;
+
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::FleetFold;
+use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::LeaseDesk;
+use fulmargate_dispatch::LeaseStep;
+use fulmargate_names::FencingNumber;
+use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
+use fulmargate_names::LogOffset;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const LEASE: Duration = Duration::from_millis(3_000);
+const HOSTS: [&str; 3] = ["h0", "h1", "h2"];
+
+fn lease_record(host: &str) -> FleetRecord {
+    FleetRecord::Lease { host: HostName::new(host), incarnation: Incarnation(1) }
+}
+
+/// A router that may be suspended: it reads the topic and decides only when it runs.
+struct TestRouter {
+    host: &'static str,
+    fold: FleetFold,
+    desk: LeaseDesk,
+}
+
+impl TestRouter {
+    fn new(host: &'static str) -> TestRouter {
+        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        TestRouter { host, fold: FleetFold::default(), desk }
+    }
+
+    fn read(&mut self, topic: &[FleetRecord], now: BootTime) {
+        let from = self.fold.end().0 as usize;
+        for (offset, record) in topic.iter().enumerate().skip(from) {
+            self.fold.apply(LogOffset(offset as u64), record, now);
+        }
+    }
+}
+
+/// An order that left a router.
+#[derive(Clone, Copy, Debug)]
+struct SentOrder {
+    host: &'static str,
+    fence: FencingNumber,
+    at: BootTime,
+}
+
+/// Plays steps of random routers: to read, to decide, to send. Returns the orders.
+fn play(steps: &[(u8, u8, u16)]) -> Vec<SentOrder> {
+    let mut routers: Vec<TestRouter> = HOSTS.into_iter().map(TestRouter::new).collect();
+    let mut topic: Vec<FleetRecord> = Vec::new();
+    let mut orders = Vec::new();
+    let mut now = BootTime(10_000);
+    for (who, what, pause) in steps {
+        now = now.after(Duration::from_millis(u64::from(*pause) % 1_200));
+        let router = &mut routers[usize::from(*who) % HOSTS.len()];
+        match what % 4 {
+            0 => router.read(&topic, now),
+            1 | 2 => decide(router, &mut topic, *what, now),
+            _ => {
+                if let Some(fence) = router.desk.usable_fence(now) {
+                    orders.push(SentOrder { host: router.host, fence, at: now });
+                }
+            }
+        }
+    }
+    orders
+}
+
+/// An append is accepted only at the topic's end; for odd steps its answer is lost.
+fn decide(router: &mut TestRouter, topic: &mut Vec<FleetRecord>, what: u8, now: BootTime) {
+    let LeaseStep::Append { at } = router.desk.step(&router.fold, BootTime(0), now) else {
+        return;
+    };
+    if at.0 != topic.len() as u64 {
+        return;
+    }
+    topic.push(lease_record(router.host));
+    if what % 4 == 1 {
+        router.desk.appended(FencingNumber(at.0), now);
+    }
+}
+
+/// Two routers order the same engines by turns, and weights go back and forth.
+/// A holder is suspended after its lease was granted, another takes over, the first wakes and sends.
+/// Numbers rise with each holder, and between orders of two hosts lies the rest of the lease.
+#[test]
+fn holders_do_not_overlap() {
+    fn property(steps: Vec<(u8, u8, u16)>) -> bool {
+        let orders = play(&steps);
+        orders.windows(2).all(|pair| {
+            let (first, second) = (pair[0], pair[1]);
+            if first.host == second.host {
+                return first.fence <= second.fence;
+            }
+            // The new holder read the record after it was written, and waited the whole lease.
+            first.fence < second.fence && Duration::from_millis(400) <= second.at.since(first.at)
+        })
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .rng(Gen::from_size_and_seed(120, 5))
+        .quickcheck(property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+#[test]
+fn a_history_of_three_hosts_has_orders() {
+    let steps: Vec<(u8, u8, u16)> =
+        (0..400_u16).map(|turn| ((turn / 40) as u8, [0, 1, 3, 3][turn as usize % 4], 90)).collect();
+    let orders = play(&steps);
+    let hosts: std::collections::BTreeSet<&str> = orders.iter().map(|order| order.host).collect();
+    assert!(1 < hosts.len(), "the histories above would prove nothing otherwise");
+}
+
+struct StepCase {
+    name: &'static str,
+    /// The newest record's host and when it was read.
+    lease: Option<(&'static str, u64)>,
+    now: u64,
+    step: LeaseStep,
+}
+
+fn step_cases() -> Vec<StepCase> {
+    let append = |end| LeaseStep::Append { at: LogOffset(end) };
+    vec![
+        StepCase { name: "nobody has it", lease: None, now: 100, step: append(0) },
+        StepCase {
+            name: "another's is young",
+            lease: Some(("h1", 1_000)),
+            now: 2_000,
+            step: LeaseStep::Wait(Duration::from_millis(2_000)),
+        },
+        StepCase {
+            name: "another's has ended",
+            lease: Some(("h1", 1_000)),
+            now: 4_000,
+            step: append(1),
+        },
+        StepCase {
+            name: "this host's, from before its restart",
+            lease: Some(("h0", 1_000)),
+            now: 1_001,
+            step: append(1),
+        },
+    ]
+}
+
+#[test]
+fn steps_by_the_newest_record() {
+    for case in step_cases() {
+        let mut fold = FleetFold::default();
+        if let Some((host, seen)) = case.lease {
+            fold.apply(LogOffset(0), &lease_record(host), BootTime(seen));
+        }
+        let desk = LeaseDesk::new(HostName::new("h0"), LEASE);
+        let step = desk.step(&fold, BootTime(0), BootTime(case.now));
+        assert_eq!(step, case.step, "{}", case.name);
+    }
+}
+
+/// Other routers wait a moment when new weights are named, so that the last holder goes first.
+#[test]
+fn the_last_holder_goes_first() {
+    let mut fold = FleetFold::default();
+    fold.apply(LogOffset(0), &lease_record("h1"), BootTime(1_000));
+    let work_since = BootTime(20_000);
+    let step = |host: &str, now: u64| {
+        LeaseDesk::new(HostName::new(host), LEASE).step(&fold, work_since, BootTime(now))
+    };
+    assert_eq!(step("h1", 20_001), LeaseStep::Append { at: LogOffset(1) });
+    assert!(matches!(step("h0", 20_001), LeaseStep::Wait(_)));
+    assert_eq!(step("h0", 20_400), LeaseStep::Append { at: LogOffset(1) });
+}
--- /dev/null
+++ b/crates/dispatch/tests/progress.rs
@@ -0,0 +1,150 @@
+//! What may follow a send without an answer.
+
+mod support;
+
+use fulmargate_dispatch::CallProgress;
+use fulmargate_dispatch::NextStep;
+use fulmargate_dispatch::RouteKind;
+use fulmargate_dispatch::SendEnd;
+use fulmargate_names::Disposition;
+use fulmargate_names::ErrorKind;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use support::DESK;
+use support::route;
+use support::stream;
+
+struct ProgressCase {
+    name: &'static str,
+    kind: RouteKind,
+    max_attempts: u32,
+    ends: &'static [SendEnd],
+    last: NextStep,
+}
+
+const OUTCOME_UNKNOWN: NextStep = NextStep::GiveUp(ErrorKind::OutcomeUnknown);
+
+fn cases() -> Vec<ProgressCase> {
+    use SendEnd::*;
+    vec![
+        ProgressCase {
+            name: "a charge whose connection broke is over",
+            kind: RouteKind::NonIdempotent,
+            max_attempts: 3,
+            ends: &[Broken],
+            last: OUTCOME_UNKNOWN,
+        },
+        ProgressCase {
+            name: "a charge that never left goes elsewhere",
+            kind: RouteKind::NonIdempotent,
+            max_attempts: 1,
+            ends: &[NotSent, Refused, Misdirected],
+            last: NextStep::SendAgain,
+        },
+        ProgressCase {
+            name: "a charge is over after the first unknown, whatever came before",
+            kind: RouteKind::NonIdempotent,
+            max_attempts: 3,
+            ends: &[Refused, Unreachable],
+            last: OUTCOME_UNKNOWN,
+        },
+        ProgressCase {
+            name: "an idempotent call uses its attempts",
+            kind: RouteKind::Idempotent,
+            max_attempts: 2,
+            ends: &[TimedOut],
+            last: NextStep::SendAgain,
+        },
+        ProgressCase {
+            name: "and no more than these",
+            kind: RouteKind::Idempotent,
+            max_attempts: 2,
+            ends: &[TimedOut, TimedOut],
+            last: NextStep::GiveUp(ErrorKind::ServerTimeout),
+        },
+        ProgressCase {
+            name: "refusals are no attempts",
+            kind: RouteKind::Idempotent,
+            max_attempts: 2,
+            ends: &[Refused, Broken],
+            last: NextStep::SendAgain,
+        },
+        ProgressCase {
+            name: "a service that refuses again and again is left alone",
+            kind: RouteKind::Idempotent,
+            max_attempts: 2,
+            ends: &[Refused, Refused, Refused, Refused],
+            last: NextStep::GiveUp(ErrorKind::NoServer),
+        },
+        ProgressCase {
+            name: "a stream that may not be resumed is over",
+            kind: stream(false),
+            max_attempts: 2,
+            ends: &[Broken],
+            last: OUTCOME_UNKNOWN,
+        },
+        ProgressCase {
+            name: "a stream that may be resumed goes on",
+            kind: stream(true),
+            max_attempts: 2,
+            ends: &[Broken],
+            last: NextStep::SendAgain,
+        },
+    ]
+}
+
+#[test]
+fn steps_after_ends() {
+    for case in cases() {
+        let route = route(case.kind, DESK, case.max_attempts);
+        let mut progress = CallProgress::default();
+        let steps: Vec<NextStep> =
+            case.ends.iter().map(|end| progress.after(*end, &route)).collect();
+        assert_eq!(steps.last(), Some(&case.last), "{}", case.name);
+    }
+}
+
+/// The caller of a charge is told "not run" though a server had it.
+/// A connection breaks after the request was written; later sends are refused.
+/// The caller takes the promise, sends again, and is charged twice.
+/// Once a server may have run a call, no answer may say that it has not run.
+#[test]
+fn not_run_is_said_only_if_certain() {
+    const ENDS: [SendEnd; 6] = [
+        SendEnd::NotSent,
+        SendEnd::Refused,
+        SendEnd::Misdirected,
+        SendEnd::Broken,
+        SendEnd::TimedOut,
+        SendEnd::Unreachable,
+    ];
+    fn property(picks: Vec<u8>) -> bool {
+        for kind in [RouteKind::NonIdempotent, RouteKind::Idempotent, stream(true)] {
+            let route = route(kind, DESK, 2);
+            let mut progress = CallProgress::default();
+            let mut may_have_run = false;
+            for pick in &picks {
+                let end = ENDS[usize::from(*pick) % ENDS.len()];
+                may_have_run |=
+                    matches!(end, SendEnd::Broken | SendEnd::TimedOut | SendEnd::Unreachable);
+                let step = progress.after(end, &route);
+                let mut kinds = vec![progress.failure(), progress.timeout()];
+                if let NextStep::GiveUp(kind) = step {
+                    kinds.push(kind);
+                }
+                let says_not_run =
+                    kinds.iter().any(|kind| kind.row().disposition == Disposition::NotRun);
+                if may_have_run && says_not_run {
+                    return false;
+                }
+                if step != NextStep::SendAgain {
+                    break;
+                }
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 11))
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/crates/dispatch/tests/servers.rs
@@ -0,0 +1,132 @@
+//! Which servers are used as the platform's list is read.
+
+mod support;
+
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerStage;
+use fulmargate_dispatch::ServerTable;
+use fulmargate_names::ServerName;
+use indexmap::IndexSet;
+use support::DESK;
+use support::server;
+
+/// One step of a story; times in milliseconds.
+enum ListStep {
+    Contact { sent: u64, now: u64 },
+    Put(&'static str, ServerStage),
+    Remove(&'static str, u64),
+    Listed(&'static [&'static str], u64),
+    Expire(u64),
+}
+
+struct ListCase {
+    name: &'static str,
+    steps: &'static [ListStep],
+    usable: &'static [&'static str],
+}
+
+use ListStep::*;
+use ServerStage::*;
+
+const CASES: &[ListCase] = &[
+    ListCase {
+        name: "an entry that is removed is gone at once",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 1_700, now: 1_705 },
+            Remove("a", 1_705),
+            Expire(1_705),
+        ],
+        usable: &["b"],
+    },
+    ListCase {
+        name: "draining is for good, also if an older entry is read later",
+        steps: &[Put("a", Draining), Put("a", Ready)],
+        usable: &[],
+    },
+    ListCase {
+        name: "entries that lapse during an outage are kept for a while",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Contact { sent: 6_000, now: 6_005 },
+            Remove("a", 6_005),
+            Expire(8_300),
+        ],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "and dropped if they do not come back",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Contact { sent: 6_000, now: 6_005 },
+            Remove("a", 6_005),
+            Expire(8_500),
+        ],
+        usable: &[],
+    },
+    ListCase {
+        name: "a server that came back is no longer on trial",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Contact { sent: 6_000, now: 6_005 },
+            Remove("a", 6_005),
+            Put("a", Ready),
+            Expire(9_000),
+        ],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "after a loss of history the whole list counts",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 1_700, now: 1_705 },
+            Listed(&["b"], 1_705),
+            Expire(1_705),
+        ],
+        usable: &["b"],
+    },
+];
+
+fn entry(name: &str, stage: ServerStage) -> ServerEntry {
+    ServerEntry { stage, ..server(name, DESK) }
+}
+
+fn play(steps: &[ListStep]) -> ServerTable {
+    let mut table = ServerTable::default();
+    for step in steps {
+        match step {
+            Contact { sent, now } => {
+                table.contact(BootTime(*sent), BootTime(*now));
+            }
+            Put(name, stage) => table.put(entry(name, *stage)),
+            Remove(name, now) => table.remove(&ServerName::new(name), BootTime(*now)),
+            Listed(names, now) => {
+                let listed: IndexSet<ServerName> =
+                    names.iter().map(|name| ServerName::new(name)).collect();
+                table.retain_listed(&listed, BootTime(*now));
+            }
+            Expire(now) => {
+                table.expire(BootTime(*now));
+            }
+        }
+    }
+    table
+}
+
+#[test]
+fn usable_servers() {
+    for case in CASES {
+        let table = play(case.steps);
+        let usable: Vec<String> =
+            table.usable().iter().map(|entry| entry.name.to_string()).collect();
+        assert_eq!(usable, case.usable, "{}", case.name);
+    }
+}
