--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -163,9 +163,9 @@
 fn old_weights_are_left_in_time() {
     for case in WEIGHTS {
         let mut world = ChoiceWorld::new();
+        let busy = world.send("w1").server.name.clone();
         let named = BootTime(world.boot_now.0 - case.age_ms);
         world.weights.name_version(&model(), WeightsVersion(2), named);
-        let busy = world.send("w1").server.name.clone();
         let call = prompt_call("w2", RECORD, world.now);
         let mut others: Vec<ServerName> = NAMES.iter().map(|name| ServerName::new(name)).collect();
         others.retain(|name| *name != busy);
