Requests that cannot be answered in time go behind those that can

Cause: in a burst engines took requests in the order of arrival and answered nearly all of them late.

--- /dev/null
+++ b/crates/dispatch/src/backlog.rs
@@ -0,0 +1,61 @@
+//! Prompt tokens that wait at an engine, by urgency.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Levels of urgency that engines know.
+pub(crate) const LEVELS: usize = 10;
+/// Levels of requests that can still be answered in time.
+const TIMELY_LEVELS: u8 = 5;
+
+/// Rank of a request at an engine, 0 first.
+///
+/// A request that cannot be answered in time any more goes behind all that can. In a burst, or
+/// with a third of the engines out, engines that took requests in the order of arrival answered
+/// nearly all of them late; so they answer in time as many as they can.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency(u8);
+
+impl Urgency {
+    /// Of a request that can be answered in time.
+    pub fn timely(priority: u8) -> Urgency {
+        Urgency(priority.min(TIMELY_LEVELS - 1))
+    }
+
+    /// Of one that cannot.
+    pub fn late(priority: u8) -> Urgency {
+        Urgency(Urgency::timely(priority).0 + TIMELY_LEVELS)
+    }
+
+    /// The level, 0 first.
+    pub fn level(self) -> u8 {
+        self.0
+    }
+}
+
+/// Tokens whose first event is awaited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Backlog([f32; LEVELS]);
+
+impl Backlog {
+    /// More tokens wait.
+    pub fn add(&mut self, urgency: Urgency, tokens: f64) {
+        self.0[usize::from(urgency.0)] += tokens as f32;
+    }
+
+    /// They wait no more.
+    pub fn take(&mut self, urgency: Urgency, tokens: f64) {
+        let level = &mut self.0[usize::from(urgency.0)];
+        *level = (*level - tokens as f32).max(0.0);
+    }
+
+    /// Tokens that are read before a request of this urgency.
+    pub fn before(&self, urgency: Urgency) -> f64 {
+        self.0[..=usize::from(urgency.0)].iter().copied().map(f64::from).sum()
+    }
+
+    /// All tokens.
+    pub fn total(&self) -> f64 {
+        self.0.iter().copied().map(f64::from).sum()
+    }
+}
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -19,6 +19,7 @@
 use crate::ServerEntry;
 use crate::ServerKey;
 use crate::ServerState;
+use crate::Urgency;
 use crate::WeightsTable;
 use crate::prompt_source::PromptSource;
 
@@ -34,6 +35,9 @@
 const HOME_MS: f64 = 60.0;
 /// What a second copy of shared parts costs, as time: it pushes other parts out of the engine.
 const COPY_MS: f64 = 100.0;
+/// An estimate is taken for timely up to this share of the target latency: it leaves out the way to
+/// the caller and errs by some ten per cent.
+const TIMELY_SHARE: f64 = 0.85;
 /// A way to another zone and back.
 const ZONE_MS: f64 = 2.0;
 /// Requests on older weights lose worth from here on; well before it, newer engines are preferred.
@@ -103,6 +107,8 @@
     pub save_to: Option<SocketAddr>,
     /// Why this engine.
     pub reason: ChoiceReason,
+    /// Its rank at the engine.
+    pub urgency: Urgency,
     /// Estimated time to the first event.
     pub estimate_ms: f64,
     /// Prompt tokens that the engine has to read.
@@ -124,7 +130,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OthersLoad {
     pub(crate) open: u32,
-    pub(crate) backlog_tokens: f64,
+    /// Prompt tokens that are read before this request.
+    pub(crate) tokens_before: f64,
 }
 
 /// One engine with its estimated cost.
@@ -143,6 +150,7 @@
 /// What is known of an engine besides its own state.
 pub(crate) struct Surroundings<'a> {
     pub(crate) is_home: bool,
+    pub(crate) urgency: Urgency,
     pub(crate) others: OthersLoad,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
@@ -170,7 +178,9 @@
             return None;
         }
         let age = self.weights.outdated_for(self.model, weights, self.boot_now);
-        let wait = Duration::from_secs_f64(self.wait_ms(state, OthersLoad::default()) / 1_000.0);
+        let wait = Duration::from_secs_f64(
+            self.wait_ms(state, Urgency::late(9), OthersLoad::default()) / 1_000.0,
+        );
         (age + wait < self.weights_bound || age.is_zero()).then_some(weights)
     }
 
@@ -202,7 +212,7 @@
         let total = self.call.prompt_tokens();
         let supply = self.supply(state, known, around.sources);
         let read_tokens = f64::from(total.saturating_sub(known.max(supply.fetched_up_to)));
-        let wait_ms = self.wait_ms(state, around.others);
+        let wait_ms = self.wait_ms(state, around.urgency, around.others);
         let estimate_ms = wait_ms + supply.fetch_ms + read_tokens / PREFILL_TOKENS_PER_MS;
         let mut cost = estimate_ms + supply.reread_tokens * REREAD_MS_PER_TOKEN;
         if 0 < supply.fetched_up_to {
@@ -263,14 +273,24 @@
         best
     }
 
-    /// The engine's own report is as old as its last answer; what routers have under way is newer.
-    fn wait_ms(&self, state: &ServerState, others: OthersLoad) -> f64 {
-        let waiting = f64::from(state.waiting(self.now)) * WAITING_TOKENS;
-        let tokens = (state.backlog_tokens + others.backlog_tokens).max(waiting);
+    /// What routers have under way is newer than the engine's own report, and tells of urgency. The
+    /// report counts where nothing is heard of other routers.
+    fn wait_ms(&self, state: &ServerState, urgency: Urgency, others: OthersLoad) -> f64 {
+        let mut tokens = state.backlog.before(urgency) + others.tokens_before;
+        if others.open == 0 {
+            tokens = tokens.max(f64::from(state.waiting(self.now)) * WAITING_TOKENS);
+        }
         let running = state.occupancy(self.now).max(state.open + others.open);
         tokens / PREFILL_TOKENS_PER_MS + f64::from(running) * RUNNING_MS
     }
 
+    /// Whether an answer that takes so long is in time.
+    pub(crate) fn is_timely(&self, estimate_ms: f64) -> bool {
+        let waited = self.now.saturating_duration_since(self.call.arrived);
+        let target = self.call.route.target_latency.mul_f64(TIMELY_SHARE);
+        estimate_ms + waited.as_secs_f64() * 1_000.0 < target.as_secs_f64() * 1_000.0
+    }
+
     /// Sizes of the service's engines.
     pub(crate) fn engine_rule(&self) -> Option<&EngineRule> {
         self.table.service(self.service)?.engine.as_ref()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or asks a clock: callers pass `now` and what they observed, and get a
 //! decision. `docs/design/platform.md` says why it is built in this way.
 
+mod backlog;
 mod boot_time;
 mod call_facts;
 mod call_progress;
@@ -32,6 +33,8 @@
 mod team_rule;
 mod weights_table;
 
+pub use backlog::Backlog;
+pub use backlog::Urgency;
 pub use boot_time::BootTime;
 pub use call_facts::CallFacts;
 pub use call_facts::PromptPart;
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -8,6 +8,7 @@
 
 use crate::PeerLoad;
 use crate::ServerKey;
+use crate::Urgency;
 
 /// A router's word counts this long. Routers speak several times a second; one that fell silent
 /// may have ended, and its requests with it.
@@ -44,9 +45,9 @@
         self.loads(server, now).map(|load| load.open).sum()
     }
 
-    /// Their prompt tokens whose first event is awaited.
-    pub fn backlog_tokens(&self, server: ServerKey, now: Instant) -> f64 {
-        self.loads(server, now).map(|load| f64::from(load.backlog_tokens)).sum()
+    /// Their prompt tokens that are read before a request of this urgency.
+    pub fn tokens_before(&self, server: ServerKey, urgency: Urgency, now: Instant) -> f64 {
+        self.loads(server, now).map(|load| load.backlog.before(urgency)).sum()
     }
 
     fn loads(&self, server: ServerKey, now: Instant) -> impl Iterator<Item = &PeerLoad> {
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::Backlog;
+
 /// A server's name in messages: names are long and new at each start of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServerKey(pub u64);
@@ -62,14 +64,14 @@
 }
 
 /// A sender's requests at one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerLoad {
     /// The server.
     pub server: ServerKey,
     /// Requests under way.
     pub open: u32,
     /// Prompt tokens whose first event is awaited.
-    pub backlog_tokens: u32,
+    pub backlog: Backlog,
 }
 
 /// An engine that loads weights, or is about to, and turns requests away meanwhile.
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -28,6 +28,7 @@
 use crate::ServerEntry;
 use crate::ServerKey;
 use crate::ServerState;
+use crate::Urgency;
 use crate::engine_choice::Candidate;
 use crate::engine_choice::OthersLoad;
 use crate::engine_choice::Surroundings;
@@ -58,6 +59,7 @@
     /// The server.
     pub server: ServerName,
     tokens: f64,
+    urgency: Urgency,
     is_awaited: bool,
     sent: Instant,
 }
@@ -139,8 +141,22 @@
         least(open.collect()).or_else(|| least(self.servers.values().filter(of_service).collect()))
     }
 
-    /// The engine that costs least, by waiting, by what it would read anew, and by its weights.
+    /// The engine that costs least, by waiting, by what it would read anew, and by its weights. If
+    /// it could not answer in time, the request goes behind those that can be.
     pub fn choose_engine(&self, request: &EngineRequest<'_>) -> Option<EngineChoice> {
+        let priority = request.call.priority;
+        let choice = self.cheapest_engine(request, Urgency::timely(priority))?;
+        if request.is_timely(choice.estimate_ms) {
+            return Some(choice);
+        }
+        self.cheapest_engine(request, Urgency::late(priority))
+    }
+
+    fn cheapest_engine(
+        &self,
+        request: &EngineRequest<'_>,
+        urgency: Urgency,
+    ) -> Option<EngineChoice> {
         let allowed: Vec<(&ServerState, WeightsVersion)> = self
             .servers
             .values()
@@ -151,14 +167,15 @@
         let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
         for (state, weights) in allowed {
             let sources = sources.entry(weights).or_insert_with(|| self.sources(request, weights));
+            let (key, now) = (state.key(), request.now);
             let others = OthersLoad {
-                open: self.peers.open(state.key(), request.now),
-                backlog_tokens: self.peers.backlog_tokens(state.key(), request.now),
+                open: self.peers.open(key, now),
+                tokens_before: self.peers.tokens_before(key, urgency, now),
             };
             let is_home = request.home_score(state) == home;
-            let around = Surroundings { is_home, others, sources };
+            let around = Surroundings { is_home, urgency, others, sources };
             let candidate = request.candidate(state, weights, &around);
-            rated.push((candidate, state.is_open(request.now)));
+            rated.push((candidate, state.is_open(now)));
         }
         let by_cost =
             |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| a.0.cost.total_cmp(&b.0.cost);
@@ -176,6 +193,7 @@
             fetch: best.fetch,
             save_to: self.save_to(request, &best.salt),
             reason,
+            urgency,
             estimate_ms: best.estimate_ms,
             read_tokens: best.read_tokens,
             taken_tokens: best.taken_tokens,
@@ -228,11 +246,12 @@
     /// The call goes to the server.
     pub fn begin(&mut self, call: &CallFacts, server: &ServerName, now: Instant) -> SendTicket {
         let tokens = f64::from(call.prompt_tokens());
+        let urgency = Urgency::timely(call.priority);
         if let Some(state) = self.servers.get_mut(server) {
             state.open += 1;
-            state.backlog_tokens += tokens;
+            state.backlog.add(urgency, tokens);
         }
-        SendTicket { server: server.clone(), tokens, is_awaited: true, sent: now }
+        SendTicket { server: server.clone(), tokens, urgency, is_awaited: true, sent: now }
     }
 
     /// The call's prompt goes to the chosen engine.
@@ -257,11 +276,12 @@
         }
         if let Some(state) = self.servers.get_mut(&choice.server.name) {
             state.open += 1;
-            state.backlog_tokens += choice.read_tokens;
+            state.backlog.add(choice.urgency, choice.read_tokens);
         }
         SendTicket {
             server: choice.server.name.clone(),
             tokens: choice.read_tokens,
+            urgency: choice.urgency,
             is_awaited: true,
             sent: now,
         }
@@ -298,7 +318,7 @@
     pub fn answered(&mut self, ticket: &mut SendTicket, load: Option<LoadReport>, now: Instant) {
         if let Some(state) = self.servers.get_mut(&ticket.server) {
             if ticket.is_awaited {
-                state.backlog_tokens = (state.backlog_tokens - ticket.tokens).max(0.0);
+                state.backlog.take(ticket.urgency, ticket.tokens);
             }
             state.heard(load, now);
         }
@@ -310,7 +330,7 @@
         if let Some(state) = self.servers.get_mut(&ticket.server) {
             state.open = state.open.saturating_sub(1);
             if ticket.is_awaited {
-                state.backlog_tokens = (state.backlog_tokens - ticket.tokens).max(0.0);
+                state.backlog.take(ticket.urgency, ticket.tokens);
             }
         }
     }
@@ -391,11 +411,7 @@
     pub fn take_news(&mut self) -> PeerNews {
         let busy = self.servers.values().filter(|state| 0 < state.open);
         let loads = busy
-            .map(|state| PeerLoad {
-                server: state.key(),
-                open: state.open,
-                backlog_tokens: state.backlog_tokens as u32,
-            })
+            .map(|state| PeerLoad { server: state.key(), open: state.open, backlog: state.backlog })
             .collect();
         let prompts = std::mem::take(&mut self.untold);
         let caches = std::mem::take(&mut self.untold_caches);
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::Backlog;
 use crate::PartMemory;
 use crate::ServerEntry;
 use crate::ServerKey;
@@ -66,7 +67,7 @@
     /// This router's requests that are under way there.
     pub(crate) open: u32,
     /// Prompt tokens of those whose first event is awaited.
-    pub(crate) backlog_tokens: f64,
+    pub(crate) backlog: Backlog,
     report: Option<(LoadReport, Instant)>,
     latency_ms: FadingMean,
     failures: FadingMean,
@@ -103,7 +104,7 @@
             key: ServerKey::of(&entry.name),
             entry,
             open: 0,
-            backlog_tokens: 0.0,
+            backlog: Backlog::default(),
             report: None,
             latency_ms: FadingMean::new(COMMON_LATENCY_MS, now),
             failures: FadingMean::new(0.0, now),
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -8,6 +8,7 @@
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::ChoiceReason;
+use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::EngineRequest;
 use fulmargate_dispatch::NextStep;
 use fulmargate_dispatch::RouteKind;
@@ -208,7 +209,7 @@
         let open = OpenSend::new(self.state.clone(), ticket);
         let until = self.attempt_deadline();
         count_send("plain");
-        self.tell_sent(&server, "plain", None, 0.0);
+        self.tell_sent(&server, "plain");
         let probe_pace = self.probe_pace();
         Some(SendPlan { server, head, weights: None, until, probe_pace, open })
     }
@@ -240,14 +241,14 @@
         drop(book);
         let reason = reason_name(choice.reason);
         count_send(reason);
-        self.tell_sent(&choice.server, reason, Some(choice.weights), choice.estimate_ms);
+        self.tell_prompt(&choice, reason);
         let begin_by = self.begin_by(model, choice.weights);
         let mut head = self.send_head(&choice.server);
         head.weights = Some(choice.weights);
         head.salt = Some(choice.salt);
         head.fetch_from = choice.fetch.map(|fetch| fetch.from);
         head.save_to = choice.save_to;
-        head.priority = Some(self.facts().priority.min(9));
+        head.priority = Some(choice.urgency.level());
         head.last_event.clone_from(&point.last_event);
         Some(SendPlan {
             server: choice.server,
@@ -456,18 +457,11 @@
         self.after(&fault, server, None).await
     }
 
-    fn tell_sent(
-        &self,
-        server: &ServerEntry,
-        reason: &'static str,
-        weights: Option<WeightsVersion>,
-        estimate_ms: f64,
-    ) {
+    fn tell_sent(&self, server: &ServerEntry, reason: &'static str) {
         let kind = EventKind::RequestSent;
         if !self.state.lines.allows(kind, Instant::now()) {
             return;
         }
-        let proof_ms = self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64);
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
@@ -475,13 +469,38 @@
             server = %server.name,
             reason,
             send = self.progress.sends() + 1,
-            weights = weights.map(|weights| weights.0),
-            estimate_ms = estimate_ms as u64,
             config_version = self.call.table.version().0,
-            config_proof_ms = proof_ms,
+            config_proof_ms = self.proof_ms(),
         );
     }
 
+    fn tell_prompt(&self, choice: &EngineChoice, reason: &'static str) {
+        let kind = EventKind::RequestSent;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            server = %choice.server.name,
+            reason,
+            send = self.progress.sends() + 1,
+            weights = choice.weights.0,
+            urgency = choice.urgency.level(),
+            prompt_tokens = self.facts().prompt_tokens(),
+            read_tokens = choice.read_tokens as u32,
+            is_fetched = choice.fetch.is_some(),
+            estimate_ms = choice.estimate_ms as u64,
+            config_version = self.call.table.version().0,
+            config_proof_ms = self.proof_ms(),
+        );
+    }
+
+    fn proof_ms(&self) -> Option<u64> {
+        self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64)
+    }
+
     fn tell_fault(&self, fault: &SendFault, server: &ServerEntry) {
         let kind = EventKind::AttemptRetried;
         if self.state.lines.allows(kind, Instant::now()) {
