Chats fill few engines, long prompts avoid them

Cause: streams of a doubled burst began in 150 ms but were late for pauses over 500 ms: an event carries six tokens, and an engine that reads long prompts puts a piece of up to 93 ms before each token. Ruled out: urgency (it orders what begins, not what runs).

--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -17,6 +17,9 @@
 pub struct Urgency(u8);
 
 impl Urgency {
+    /// Behind all others.
+    pub(crate) const LAST: Urgency = Urgency(LEVELS as u8 - 1);
+
     /// Of a request that can be answered in time.
     pub fn timely(priority: u8) -> Urgency {
         Urgency(priority.min(TIMELY_LEVELS - 1))
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -14,6 +14,7 @@
 
 use crate::BootTime;
 use crate::CallFacts;
+use crate::CallShape;
 use crate::EngineRule;
 use crate::RouteTable;
 use crate::ServerEntry;
@@ -46,6 +47,15 @@
 const OLD_WEIGHTS_MS: f64 = 250.0;
 /// What a failure costs, as time.
 const FAILURE_MS: f64 = 600.0;
+/// Each engine further down the order costs a chat this much: it is passed over while an earlier one
+/// has no more than some ten streams.
+const CHAT_RANK_MS: f64 = 8.0;
+/// Share of the prompts' reading time by which a chat beside them is late.
+const STALL_SHARE: f64 = 0.5;
+/// What a long prompt does to each chat beside it, as time.
+const CHAT_STALL_MS: f64 = 40.0;
+/// And to all of them at most.
+const MOST_STALL_MS: f64 = 400.0;
 /// What reading a token anew costs, as time, if another engine or the store has it. It is work done
 /// twice, which the users count higher than a late answer: 1,000 tokens weigh as 300 ms, beside the
 /// 25 ms that reading takes.
@@ -109,6 +119,8 @@
     pub reason: ChoiceReason,
     /// Its rank at the engine.
     pub urgency: Urgency,
+    /// What it does to the others there.
+    pub shape: CallShape,
     /// Estimated time to the first event.
     pub estimate_ms: f64,
     /// Prompt tokens that the engine has to read.
@@ -130,8 +142,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OthersLoad {
     pub(crate) open: u32,
+    pub(crate) chats: u32,
     /// Prompt tokens that are read before this request.
     pub(crate) tokens_before: f64,
+    /// All prompt tokens that wait.
+    pub(crate) tokens: f64,
 }
 
 /// One engine with its estimated cost.
@@ -151,6 +166,9 @@
 pub(crate) struct Surroundings<'a> {
     pub(crate) is_home: bool,
     pub(crate) urgency: Urgency,
+    pub(crate) shape: CallShape,
+    /// Place in the order in which engines are filled with chats.
+    pub(crate) chat_rank: usize,
     pub(crate) others: OthersLoad,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
@@ -228,6 +246,7 @@
             cost += OLD_WEIGHTS_MS;
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
+        cost += self.company_ms(state, around);
         Candidate {
             state,
             weights,
@@ -241,6 +260,29 @@
         }
     }
 
+    /// What the call and the streams there do to each other. Chats fill the engines in a fixed order,
+    /// so that few engines have any and long prompts find the others.
+    fn company_ms(&self, state: &ServerState, around: &Surroundings<'_>) -> f64 {
+        match around.shape {
+            CallShape::Chat => {
+                let waiting = state.backlog.total() + around.others.tokens;
+                let rank = around.chat_rank as f64 * CHAT_RANK_MS;
+                rank + waiting / PREFILL_TOKENS_PER_MS * STALL_SHARE
+            }
+            CallShape::Heavy => {
+                let chats = f64::from(state.chats + around.others.chats);
+                (chats * CHAT_STALL_MS).min(MOST_STALL_MS)
+            }
+            CallShape::Plain => 0.0,
+        }
+    }
+
+    /// The order in which engines are filled with chats, the same for all routers.
+    pub(crate) fn chat_score(&self, state: &ServerState) -> u64 {
+        let key = xxh3_64(self.model.as_str().as_bytes());
+        mix(key, xxh3_64(state.entry.name.as_str().as_bytes()))
+    }
+
     /// How the engine would come by the shared parts that it lacks.
     fn supply(&self, state: &ServerState, known: u32, sources: &[PromptSource]) -> PromptSupply {
         let shared = self.call.shared_tokens();
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -45,6 +45,11 @@
         self.loads(server, now).map(|load| load.open).sum()
     }
 
+    /// Chats of all of them at a server.
+    pub fn chats(&self, server: ServerKey, now: Instant) -> u32 {
+        self.loads(server, now).map(|load| load.chats).sum()
+    }
+
     /// Their prompt tokens that are read before a request of this urgency.
     pub fn tokens_before(&self, server: ServerKey, urgency: Urgency, now: Instant) -> f64 {
         self.loads(server, now).map(|load| load.backlog.before(urgency)).sum()
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -70,6 +70,8 @@
     pub server: ServerKey,
     /// Requests under way.
     pub open: u32,
+    /// Those of them that are chats.
+    pub chats: u32,
     /// Prompt tokens whose first event is awaited.
     pub backlog: Backlog,
 }
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -16,6 +16,7 @@
 
 use crate::CacheNotice;
 use crate::CallFacts;
+use crate::CallShape;
 use crate::ChoiceReason;
 use crate::EngineChoice;
 use crate::EngineRequest;
@@ -60,6 +61,7 @@
     pub server: ServerName,
     tokens: f64,
     urgency: Urgency,
+    shape: CallShape,
     is_awaited: bool,
     sent: Instant,
 }
@@ -163,6 +165,8 @@
             .filter_map(|state| Some((state, request.allows(state)?)))
             .collect();
         let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
+        let shape = CallShape::of(request.call, request.engine_rule()?);
+        let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
         let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
         let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
         for (state, weights) in allowed {
@@ -170,10 +174,14 @@
             let (key, now) = (state.key(), request.now);
             let others = OthersLoad {
                 open: self.peers.open(key, now),
+                chats: self.peers.chats(key, now),
                 tokens_before: self.peers.tokens_before(key, urgency, now),
+                tokens: self.peers.tokens_before(key, Urgency::LAST, now),
             };
             let is_home = request.home_score(state) == home;
-            let around = Surroundings { is_home, urgency, others, sources };
+            let score = request.chat_score(state);
+            let chat_rank = scores.iter().filter(|other| score < **other).count();
+            let around = Surroundings { is_home, urgency, shape, chat_rank, others, sources };
             let candidate = request.candidate(state, weights, &around);
             rated.push((candidate, state.is_open(now)));
         }
@@ -194,6 +202,7 @@
             save_to: self.save_to(request, &best.salt),
             reason,
             urgency,
+            shape,
             estimate_ms: best.estimate_ms,
             read_tokens: best.read_tokens,
             taken_tokens: best.taken_tokens,
@@ -251,7 +260,14 @@
             state.open += 1;
             state.backlog.add(urgency, tokens);
         }
-        SendTicket { server: server.clone(), tokens, urgency, is_awaited: true, sent: now }
+        SendTicket {
+            server: server.clone(),
+            tokens,
+            urgency,
+            shape: CallShape::Plain,
+            is_awaited: true,
+            sent: now,
+        }
     }
 
     /// The call's prompt goes to the chosen engine.
@@ -276,12 +292,14 @@
         }
         if let Some(state) = self.servers.get_mut(&choice.server.name) {
             state.open += 1;
+            state.chats += u32::from(choice.shape == CallShape::Chat);
             state.backlog.add(choice.urgency, choice.read_tokens);
         }
         SendTicket {
             server: choice.server.name.clone(),
             tokens: choice.read_tokens,
             urgency: choice.urgency,
+            shape: choice.shape,
             is_awaited: true,
             sent: now,
         }
@@ -329,6 +347,8 @@
     pub fn left(&mut self, ticket: &SendTicket) {
         if let Some(state) = self.servers.get_mut(&ticket.server) {
             state.open = state.open.saturating_sub(1);
+            let chats = u32::from(ticket.shape == CallShape::Chat);
+            state.chats = state.chats.saturating_sub(chats);
             if ticket.is_awaited {
                 state.backlog.take(ticket.urgency, ticket.tokens);
             }
@@ -411,7 +431,12 @@
     pub fn take_news(&mut self) -> PeerNews {
         let busy = self.servers.values().filter(|state| 0 < state.open);
         let loads = busy
-            .map(|state| PeerLoad { server: state.key(), open: state.open, backlog: state.backlog })
+            .map(|state| PeerLoad {
+                server: state.key(),
+                open: state.open,
+                chats: state.chats,
+                backlog: state.backlog,
+            })
             .collect();
         let prompts = std::mem::take(&mut self.untold);
         let caches = std::mem::take(&mut self.untold_caches);
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -66,6 +66,8 @@
     key: ServerKey,
     /// This router's requests that are under way there.
     pub(crate) open: u32,
+    /// Those of them that are chats.
+    pub(crate) chats: u32,
     /// Prompt tokens of those whose first event is awaited.
     pub(crate) backlog: Backlog,
     report: Option<(LoadReport, Instant)>,
@@ -104,6 +106,7 @@
             key: ServerKey::of(&entry.name),
             entry,
             open: 0,
+            chats: 0,
             backlog: Backlog::default(),
             report: None,
             latency_ms: FadingMean::new(COMMON_LATENCY_MS, now),
--- a/crates/dispatch/src/service_rule.rs
+++ b/crates/dispatch/src/service_rule.rs
@@ -30,6 +30,8 @@
     pub token_bytes: u64,
     /// Rate of an engine's link in Mbit/s.
     pub link_mbps: f64,
+    /// Tokens that an event of a stream carries.
+    pub event_tokens: u32,
     /// Models served.
     pub models: Vec<ModelName>,
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -94,6 +94,7 @@
         cache_tokens: 96_000,
         token_bytes: 163_840,
         link_mbps: 530_000.0,
+        event_tokens: 6,
         models: vec![model()],
     };
     let store = CacheStore {
