--- a/crates/entry/tests/daemon/requests.rs
+++ b/crates/entry/tests/daemon/requests.rs
@@ -3,6 +3,7 @@
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::RawHead;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ServerStand;
 use fulmargate_consortium_stand::open_stream;
 use fulmargate_consortium_stand::send_raw;
 
@@ -23,7 +24,7 @@
     let answer = deployment.send(&request.forging("blue")).await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
     assert!(answer.is_signed());
-    let seen: Vec<_> = deployment.desks.iter().flat_map(|desk| desk.seen()).collect();
+    let seen: Vec<_> = deployment.desks.iter().flat_map(ServerStand::seen).collect();
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].line, "POST /charge/a%2Fb//c?x=%20&y");
     assert_eq!(&seen[0].body[..], b"17 EUR");
@@ -217,7 +218,7 @@
     let outer = RawHead::of("POST /charge/x", framing).text() + "0\r\n\r\n" + &inner;
     send_raw(&outer, deployment.callers).await.expect("an answer");
     let lines: Vec<String> =
-        deployment.desks.iter().flat_map(|desk| desk.seen()).map(|seen| seen.line).collect();
+        deployment.desks.iter().flat_map(ServerStand::seen).map(|seen| seen.line).collect();
     assert!(!lines.iter().any(|line| line.contains("hidden")), "{lines:?}");
 }
 
--- a/crates/entry/tests/daemon/streams.rs
+++ b/crates/entry/tests/daemon/streams.rs
@@ -2,6 +2,7 @@
 
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ServerStand;
 
 use crate::support::TestDeployment;
 
@@ -34,7 +35,7 @@
     let resumed: Vec<String> = deployment
         .engines
         .iter()
-        .flat_map(|engine| engine.seen())
+        .flat_map(ServerStand::seen)
         .map(|seen| seen.last_event().to_owned())
         .filter(|event| !event.is_empty())
         .collect();
@@ -58,7 +59,7 @@
 async fn prompts_carry_salt_and_weights() {
     let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
     deployment.send(&CallerRequest::prompt("/chat/x", "s-3")).await;
-    let seen: Vec<_> = deployment.engines.iter().flat_map(|engine| engine.seen()).collect();
+    let seen: Vec<_> = deployment.engines.iter().flat_map(ServerStand::seen).collect();
     assert!(seen[0].salt().starts_with("m/1/"), "{}", seen[0].salt());
     assert_eq!(seen[0].expected_weights(), "1");
 }
--- a/crates/entry/tests/daemon/weights.rs
+++ b/crates/entry/tests/daemon/weights.rs
@@ -2,6 +2,7 @@
 
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ServerStand;
 use fulmargate_consortium_stand::StoreFault;
 
 use crate::support::DaemonProcess;
@@ -34,7 +35,7 @@
     })
     .await;
     deployment.send(&CallerRequest::prompt("/chat/x", "w")).await;
-    let seen: Vec<_> = deployment.engines.iter().flat_map(|engine| engine.seen()).collect();
+    let seen: Vec<_> = deployment.engines.iter().flat_map(ServerStand::seen).collect();
     assert!(seen[0].salt().starts_with("m/5/"), "{}", seen[0].salt());
 }
 
@@ -51,7 +52,7 @@
     })
     .await;
     let holders = |version: u64| {
-        let orders = deployment.engines.iter().flat_map(|engine| engine.orders());
+        let orders = deployment.engines.iter().flat_map(ServerStand::orders);
         let of_version = orders.filter(|order| order.version == version);
         let mut holders: Vec<String> = of_version.map(|order| order.holder).collect();
         holders.dedup();
