fulmargate-ctl: the state of an entry daemon, and the lines of one request

Operators see configuration and proof, weights, members, lease and servers of a daemon; 'explain ID' puts the lines of several daemons' logs in order of time. Found by the test of the page: a lock guard made within a struct literal lives to the literal's end; the next lock of the same book waited for itself and stopped all threads (traced with a debugger on the hung test). Ruled out: the store and the callers, which were idle.

--- a/crates/ctl/src/answer_table.rs
+++ b/crates/ctl/src/answer_table.rs
@@ -129,7 +129,7 @@
     table.trim_fmt()
 }
 
-fn new_table(heads: &[&str], numbers: &[usize]) -> Table {
+pub(crate) fn new_table(heads: &[&str], numbers: &[usize]) -> Table {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(heads);
     for part in [TableComponent::HeaderLines, TableComponent::MiddleHeaderIntersections] {
--- a/crates/ctl/src/ctl_args.rs
+++ b/crates/ctl/src/ctl_args.rs
@@ -8,6 +8,8 @@
 use crate::check_command;
 use crate::command_end::OutputForm;
 use crate::config_command;
+use crate::entry_command;
+use crate::explain_command;
 use crate::fleet_command;
 use crate::patch_command;
 use crate::router_client::RouterClient;
@@ -46,6 +48,8 @@
     Drain(DrainArgs),
     Undrain(UndrainArgs),
     Status(StatusArgs),
+    Entry(EntryArgs),
+    Explain(ExplainArgs),
 }
 
 /// The configuration.
@@ -141,12 +145,36 @@
 #[argh(subcommand, name = "status")]
 struct StatusArgs {}
 
+/// Prints the state of an entry daemon on the platform: configuration and its proof, weights,
+/// members, lease, servers. Needs no key.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "entry")]
+struct EntryArgs {
+    /// address of the daemon's metrics listener
+    #[argh(positional)]
+    address: String,
+}
+
+/// Prints what log lines say of one request, in order of time, from the logs of several daemons.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArgs {
+    /// the request's id
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// log files; else standard input is read
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
+}
+
 impl CtlArgs {
     /// Does what the command line says.
     pub async fn execute(&self) -> CommandEnd {
         let form = if self.json { OutputForm::Json } else { OutputForm::Human };
         let result = match &self.command {
             CtlCommand::Config(args) => self.execute_config(&args.command, form).await,
+            CtlCommand::Entry(args) => entry_command::status(&args.address, form).await,
+            CtlCommand::Explain(args) => explain_command::explain(args, form),
             command => self.execute_fleet(command, form).await,
         };
         result.unwrap_or_else(|error| error.into_end(form))
@@ -176,6 +204,8 @@
         let client = self.client()?;
         match command {
             CtlCommand::Config(args) => Box::pin(self.execute_config(&args.command, form)).await,
+            CtlCommand::Entry(args) => entry_command::status(&args.address, form).await,
+            CtlCommand::Explain(args) => explain_command::explain(args, form),
             CtlCommand::Hosts(_) => fleet_command::hosts(&client, form).await,
             CtlCommand::Servers(_) => fleet_command::servers(&client, form).await,
             CtlCommand::Teams(_) => fleet_command::teams(&client, form).await,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,8 @@
 mod config_command;
 mod ctl_args;
 mod ctl_error;
+mod entry_command;
+mod explain_command;
 mod fleet_command;
 mod patch_command;
 mod router_client;
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -20,6 +20,7 @@
 use crate::control::fleet_codec::encode_record;
 use crate::control::store_contact::StoreContact;
 use crate::state::CrashSighting;
+use crate::state::FleetView;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
@@ -91,8 +92,11 @@
         for (record, offset) in page.records.iter().zip(from.0..) {
             self.apply(LogOffset(offset), record);
         }
-        let hosts = self.fold.borrow().hosts();
-        self.state.budget().set_hosts(hosts);
+        let fold = self.fold.borrow();
+        self.state.budget().set_hosts(fold.hosts());
+        let members = fold.members().map(|(host, _)| host.clone()).collect();
+        let view = FleetView { members, lease: fold.lease().cloned() };
+        self.state.fleet.store(Arc::new(view));
         Ok(())
     }
 
--- a/crates/entry/src/control/pages.rs
+++ b/crates/entry/src/control/pages.rs
@@ -1,4 +1,4 @@
-//! Readiness for the balancer, and metrics.
+//! Readiness for the balancer, metrics, and status for operators.
 
 use std::io;
 use std::net::TcpListener;
@@ -12,6 +12,7 @@
 
 use crate::daemon::StopTokens;
 use crate::state::SharedState;
+use crate::state::entry_status;
 use crate::telemetry::render_metrics;
 
 /// Connections that wait to be accepted: the balancer has one, a reader of metrics another.
@@ -35,6 +36,7 @@
             .app_data(page.clone())
             .route("/ready", web::get().to(ready))
             .route("/metrics", web::get().to(metrics_page))
+            .route("/status", web::get().to(status_page))
     });
     let server = server.workers(1).backlog(MOST_PENDING).disable_signals();
     Ok(server.listen(readiness)?.listen(metrics)?.run())
@@ -55,3 +57,7 @@
 async fn metrics_page(page: web::Data<PageState>) -> HttpResponse {
     HttpResponse::Ok().content_type("text/plain").body(render_metrics(&page.state))
 }
+
+async fn status_page(page: web::Data<PageState>) -> HttpResponse {
+    HttpResponse::Ok().json(entry_status(&page.state))
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,8 +3,11 @@
 mod boot_clock;
 mod loading_board;
 mod shared_state;
+mod status;
 
 pub(crate) use boot_clock::boot_now;
 pub(crate) use loading_board::LoadingBoard;
 pub(crate) use shared_state::CrashSighting;
+pub(crate) use shared_state::FleetView;
 pub(crate) use shared_state::SharedState;
+pub(crate) use status::entry_status;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -11,11 +11,13 @@
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::CrashBook;
 use fulmargate_dispatch::CrashConf;
+use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::RepeatBudget;
 use fulmargate_dispatch::RepeatConf;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::WeightsTable;
+use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use fulmargate_settings::EntrySettings;
@@ -39,6 +41,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// The weights wanted.
     pub(crate) weights: ArcSwap<WeightsTable>,
+    /// Members and lease, for status.
+    pub(crate) fleet: ArcSwap<FleetView>,
     /// Requests that callers wait for.
     pub(crate) open_requests: AtomicUsize,
     /// Connections of callers.
@@ -55,6 +59,15 @@
     crashes: Mutex<CrashBook>,
 }
 
+/// What the routers' own topic says, for status.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetView {
+    /// Hosts whose start was read.
+    pub(crate) members: Vec<HostName>,
+    /// The newest lease.
+    pub(crate) lease: Option<HeldLease>,
+}
+
 /// A server that crashed while it ran a request.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashSighting {
@@ -82,6 +95,7 @@
             incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
             table: ArcSwapOption::empty(),
             weights: ArcSwap::default(),
+            fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             crash_sender,
--- /dev/null
+++ b/crates/entry/src/state/status.rs
@@ -0,0 +1,74 @@
+//! The daemon's word on itself.
+
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::EntryStatus;
+use fulmargate_dispatch::HeldLease;
+use fulmargate_dispatch::LeaseStatus;
+use fulmargate_dispatch::ServerState;
+use fulmargate_dispatch::ServerStatus;
+use fulmargate_dispatch::WantedWeights;
+use tokio::time::Instant;
+
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// All that operators ask for, at this moment.
+///
+/// Each lock is taken in a statement of its own. A guard made within the literal below would be held
+/// to the literal's end, and the next lock of the same book would wait for itself for ever, and all
+/// other threads with it.
+pub(crate) fn entry_status(state: &SharedState) -> EntryStatus {
+    let now = boot_now();
+    let proof_age = state.proof().age(now);
+    let admits_keys = state.admits_keys();
+    let heard = state.book().live_peers(Instant::now());
+    let servers = server_list(state);
+    let fleet = state.fleet.load();
+    let weights = state.weights.load();
+    let targets = weights.targets().map(|(model, target)| WantedWeights {
+        model: model.clone(),
+        version: target.version,
+        age_ms: now.since(target.learned).as_millis() as u64,
+    });
+    EntryStatus {
+        host: state.settings.host.clone(),
+        zone: state.settings.zone.clone(),
+        config_version: state.table.load().as_ref().map(|table| table.version()),
+        config_proof_ms: proof_age.map(|age| age.as_millis() as u64),
+        admits_keys,
+        weights: targets.collect(),
+        members: fleet.members.clone(),
+        heard,
+        lease: fleet.lease.as_ref().map(|lease| lease_status(lease, now)),
+        servers,
+    }
+}
+
+fn lease_status(lease: &HeldLease, now: BootTime) -> LeaseStatus {
+    LeaseStatus {
+        host: lease.host.clone(),
+        fence: lease.fence,
+        age_ms: now.since(lease.seen).as_millis() as u64,
+    }
+}
+
+fn server_list(state: &SharedState) -> Vec<ServerStatus> {
+    let now = Instant::now();
+    let book = state.book();
+    let status = |server: &ServerState| {
+        let entry = server.entry();
+        let models = entry.models.keys();
+        ServerStatus {
+            server: entry.name.clone(),
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            is_open: server.is_open(now),
+            open: book.open_at(&entry.name, now),
+            failure_share: server.failure_share(now),
+            weights: models
+                .filter_map(|model| Some((model.clone(), server.weights(model)?)))
+                .collect(),
+        }
+    };
+    book.states().map(status).collect()
+}
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -107,3 +107,20 @@
     deployment.store.remove_server(&leaving.name);
     until("it is gone", || !deployment.daemon.events("server_gone").is_empty()).await;
 }
+
+/// An operator asks a daemon what it believes.
+#[tokio::test]
+async fn status_tells_what_is_believed() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    deployment.store.name_weights(2);
+    until("weights are in place", || deployment.daemon.events("weights_in_place").len() == 2).await;
+    let metrics = deployment.daemon.address("metrics").await;
+    let status = CallerRequest::new("/status", "s").send(metrics).await.expect("status");
+    let status: serde_json::Value = serde_json::from_str(&status.body).expect("JSON");
+    assert_eq!(status["config_version"], 1);
+    assert_eq!(status["admits_keys"], true);
+    assert_eq!(status["weights"][0]["version"], 2);
+    assert_eq!(status["servers"].as_array().map(Vec::len), Some(4));
+    let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
+    assert!(page.body.contains("fulmargate_config_version 1"), "{}", page.body);
+}
--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -82,7 +82,7 @@
         lines.iter().filter(|line| line["name"] == name).cloned().collect()
     }
 
-    async fn address(&self, listener: &str) -> SocketAddr {
+    pub(crate) async fn address(&self, listener: &str) -> SocketAddr {
         until("the daemon listens", || !self.events("process_started").is_empty()).await;
         let text = self.events("process_started")[0][listener].as_str().unwrap_or("").to_owned();
         text.parse().expect("an address")
