--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -51,9 +51,15 @@
 const CROWDED_SHARE: f64 = 0.7;
 /// Each request beyond that costs this much: without a slot it waits for a whole stream to end.
 const CROWDED_MS: f64 = 15.0;
-/// Each engine further down the order costs a chat this much: it is passed over while an earlier one
-/// has no more than some ten streams.
+/// Share of the engines that chats go to first.
+const CHAT_SHARE: f64 = 0.25;
+/// Each engine further down the order costs a chat this much: it is passed over while those have no
+/// more than some ten streams more.
 const CHAT_RANK_MS: f64 = 8.0;
+/// Costs of equal requests differ by up to this much for each other router. Routers hear of each
+/// other's sends late, the later the more they are, and would all choose the same engine: with 91
+/// the busiest got four times the mean.
+const SPREAD_MS: f64 = 1.5;
 /// Share of the prompts' reading time by which a chat beside them is late.
 const STALL_SHARE: f64 = 0.5;
 /// What a long prompt does to each chat beside it, as time.
@@ -173,6 +179,10 @@
     pub(crate) shape: CallShape,
     /// Place in the order in which engines are filled with chats.
     pub(crate) chat_rank: usize,
+    /// Engines that may be chosen.
+    pub(crate) engines: usize,
+    /// Other routers that choose at the same time.
+    pub(crate) routers: usize,
     pub(crate) others: OthersLoad,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
@@ -251,6 +261,7 @@
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
         cost += self.company_ms(state, around);
+        cost += self.spread(state) * around.routers as f64 * SPREAD_MS;
         Candidate {
             state,
             weights,
@@ -270,7 +281,9 @@
         match around.shape {
             CallShape::Chat => {
                 let waiting = state.backlog.total() + around.others.tokens;
-                let rank = around.chat_rank as f64 * CHAT_RANK_MS;
+                let engines = around.engines as f64;
+                let beyond = around.chat_rank as f64 + 1.0 - (engines * CHAT_SHARE).ceil();
+                let rank = beyond.max(0.0) * CHAT_RANK_MS;
                 rank + waiting / PREFILL_TOKENS_PER_MS * STALL_SHARE
             }
             CallShape::Heavy => {
@@ -281,6 +294,13 @@
         }
     }
 
+    /// Between 0 and 1, drawn by the call and the engine.
+    fn spread(&self, state: &ServerState) -> f64 {
+        let call = xxh3_64(self.call.id.as_str().as_bytes());
+        let engine = xxh3_64(state.entry.name.as_str().as_bytes());
+        (mix(call, engine) >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
     /// The order in which engines are filled with chats, the same for all routers.
     pub(crate) fn chat_score(&self, state: &ServerState) -> u64 {
         let key = xxh3_64(self.model.as_str().as_bytes());
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -166,6 +166,7 @@
             .collect();
         let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
         let shape = CallShape::of(request.call, request.engine_rule()?);
+        let routers = self.peers.hosts(request.now).count();
         let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
         let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
         let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
@@ -181,7 +182,16 @@
             let is_home = request.home_score(state) == home;
             let score = request.chat_score(state);
             let chat_rank = scores.iter().filter(|other| score < **other).count();
-            let around = Surroundings { is_home, urgency, shape, chat_rank, others, sources };
+            let around = Surroundings {
+                is_home,
+                urgency,
+                shape,
+                chat_rank,
+                engines: scores.len(),
+                routers,
+                others,
+                sources,
+            };
             let candidate = request.candidate(state, weights, &around);
             rated.push((candidate, state.is_open(now)));
         }
