In large zones two hosts read the store for all

Ruled out: slower reads (a draining server must get nothing after 2 s). Change: beyond six hosts a zone, two drawn by name read; the others ask them over h2, with the age of the reader's proof counted from the question; old or missing answers fall back to the store. Idle routers speak now and then so that they are known.

--- /dev/null
+++ b/crates/dispatch/src/log_cache.rs
@@ -0,0 +1,95 @@
+//! Records of a topic of the store that a router keeps for others.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use fulmargate_names::LogOffset;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BootTime;
+
+/// Topics of the store that routers follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum LogTopic {
+    /// What operators write: the configuration and the weights wanted.
+    Operator,
+    /// The list of backend servers.
+    Servers,
+    /// What routers tell each other.
+    Fleet,
+}
+
+/// A router asks another for records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogQuestion {
+    /// The topic.
+    pub topic: LogTopic,
+    /// The first record wanted.
+    pub from: LogOffset,
+    /// How long to wait for a record, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The records, and how old they are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogAnswer {
+    /// The records from the one asked for on.
+    pub records: Vec<Vec<u8>>,
+    /// Milliseconds since the read was sent that proved that there were no more.
+    pub age_ms: u64,
+}
+
+/// Bytes of records kept of one topic: 20 s of heartbeats of 1,000 servers at 300 bytes.
+const MOST_BYTES: usize = 6 << 20;
+
+/// The newest records of a topic, as read from the store.
+#[derive(Debug, Default)]
+pub struct LogCache {
+    /// Offset of the first record here.
+    start: LogOffset,
+    records: VecDeque<Vec<u8>>,
+    bytes: usize,
+    /// When the read was sent that proved that there are no more.
+    proven: Option<BootTime>,
+}
+
+impl LogCache {
+    /// Records that the store has given from an offset on. A gap drops what was kept before.
+    pub fn add(&mut self, from: LogOffset, records: &[Vec<u8>]) {
+        if from != self.end() {
+            *self = LogCache { start: from, ..LogCache::default() };
+        }
+        for record in records {
+            self.bytes += record.len();
+            self.records.push_back(record.clone());
+        }
+        while MOST_BYTES < self.bytes {
+            let Some(oldest) = self.records.pop_front() else { break };
+            self.bytes -= oldest.len();
+            self.start.0 += 1;
+        }
+    }
+
+    /// A read sent at this moment has shown that there are no more.
+    pub fn prove(&mut self, sent: BootTime) {
+        self.proven = self.proven.max(Some(sent));
+    }
+
+    /// Where the next record will be.
+    pub fn end(&self) -> LogOffset {
+        LogOffset(self.start.0 + self.records.len() as u64)
+    }
+
+    /// The records from an offset on; none if they are not here, or if how old they are is not known
+    /// or over `longest`: whoever asks then reads for himself.
+    pub fn answer(&self, from: LogOffset, longest: Duration, now: BootTime) -> Option<LogAnswer> {
+        let age = now.since(self.proven?);
+        if from < self.start || self.end() < from || longest < age {
+            return None;
+        }
+        let skipped = (from.0 - self.start.0) as usize;
+        let records = self.records.iter().skip(skipped).cloned().collect();
+        Some(LogAnswer { records, age_ms: age.as_millis() as u64 })
+    }
+}
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_names::HostName;
+use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
@@ -23,14 +24,21 @@
 #[derive(Debug)]
 struct PeerWord {
     at: Instant,
+    zone: Option<ZoneName>,
     loads: IndexMap<ServerKey, PeerLoad>,
 }
 
 impl PeerBoard {
     /// A router has spoken.
-    pub fn hear(&mut self, host: &HostName, loads: &[PeerLoad], now: Instant) {
+    pub fn hear(
+        &mut self,
+        host: &HostName,
+        zone: Option<&ZoneName>,
+        loads: &[PeerLoad],
+        now: Instant,
+    ) {
         let loads = loads.iter().map(|load| (load.server, *load)).collect();
-        self.words.insert(host.clone(), PeerWord { at: now, loads });
+        self.words.insert(host.clone(), PeerWord { at: now, zone: zone.cloned(), loads });
         self.words.retain(|_, word| now.saturating_duration_since(word.at) < WORD_AGE);
     }
 
@@ -40,6 +48,14 @@
         self.words.iter().filter(move |(_, word)| is_fresh(word)).map(|(host, _)| host)
     }
 
+    /// Those of one availability zone.
+    pub fn zone_hosts(&self, zone: &ZoneName, now: Instant) -> impl Iterator<Item = &HostName> {
+        let is_there = move |word: &PeerWord| {
+            word.zone.as_ref() == Some(zone) && now.saturating_duration_since(word.at) < WORD_AGE
+        };
+        self.words.iter().filter(move |(_, word)| is_there(word)).map(|(host, _)| host)
+    }
+
     /// Requests of all of them at a server.
     pub fn open(&self, server: ServerKey, now: Instant) -> u32 {
         self.loads(server, now).map(|load| load.open).sum()
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -4,6 +4,7 @@
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
+use fulmargate_names::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -29,6 +30,8 @@
 pub struct PeerNews {
     /// The sender's host; none in a message that was not filled in.
     pub host: Option<HostName>,
+    /// Its availability zone.
+    pub zone: Option<ZoneName>,
     /// The sender's requests under way, by server.
     pub loads: Vec<PeerLoad>,
     /// Engines that the sender has ordered to load, if it holds the lease.
--- /dev/null
+++ b/crates/dispatch/src/reader_choice.rs
@@ -0,0 +1,32 @@
+//! Who reads the store, and who asks those.
+
+use fulmargate_names::HostName;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Readers of an availability zone: one may fail, and its zone can be cut off from the others.
+const READERS: usize = 2;
+
+/// Where a router gets the store's records from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordSource {
+    /// The store.
+    Store,
+    /// A router that reads it.
+    Router(HostName),
+}
+
+/// The source of a host. In a small fleet all read: it costs little and nothing depends on others. In
+/// a large one two hosts of each zone do, drawn by their names, and the others ask one of them.
+pub fn record_source(own: &HostName, zone_peers: &[HostName], few_hosts: usize) -> RecordSource {
+    let mut hosts: Vec<&HostName> = zone_peers.iter().chain([own]).collect();
+    if hosts.len() <= few_hosts {
+        return RecordSource::Store;
+    }
+    hosts.sort_unstable_by_key(|host| xxh3_64(host.as_str().as_bytes()));
+    hosts.truncate(READERS);
+    if hosts.contains(&own) {
+        return RecordSource::Store;
+    }
+    let turn = xxh3_64(own.as_str().as_bytes()) as usize % hosts.len();
+    RecordSource::Router(hosts[turn].clone())
+}
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -456,7 +456,7 @@
     /// Another router's message.
     pub fn hear(&mut self, news: &PeerNews, now: Instant) {
         let Some(host) = &news.host else { return };
-        self.peers.hear(host, &news.loads, now);
+        self.peers.hear(host, news.zone.as_ref(), &news.loads, now);
         for notice in &news.loading {
             let Some(state) = self.by_key(notice.server) else { continue };
             match notice.is_done {
@@ -499,6 +499,11 @@
         self.peers.hosts(now).cloned().collect()
     }
 
+    /// Those of one availability zone.
+    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<HostName> {
+        self.peers.zone_hosts(zone, now).cloned().collect()
+    }
+
     /// This router, which holds the lease, has an engine load weights.
     pub fn order_given(&mut self, server: &ServerName, now: Instant) {
         if let Some(state) = self.servers.get_mut(server) {
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,6 +19,9 @@
 
 use crate::control::cache_watch::CacheWatch;
 use crate::control::fleet_desk::FleetDesk;
+use crate::control::fleet_desk::SharedFold;
+use crate::control::log_source::LogShelf;
+use crate::control::log_source::LogSource;
 use crate::control::operator_watch::OperatorWatch;
 use crate::control::order_desk::OrderDesk;
 use crate::control::pages::serve_pages;
@@ -69,25 +73,29 @@
             let pages = serve_pages(self.state.clone(), self.stop.clone(), readiness, metrics)
                 .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
             actix_rt::spawn(pages);
-            let listener = PeerListener::new(self.state.clone(), peers)
+            let shelf = Rc::new(LogShelf::default());
+            let listener = PeerListener::new(self.state.clone(), shelf.clone(), peers)
                 .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
             spawn_until(&self.stop.ended, listener.run());
-            self.start_tasks(crashes);
+            self.start_tasks(shelf, crashes);
             self.serve_signals().await?;
             self.end().await;
             Ok(())
         })
     }
 
-    fn start_tasks(&self, crashes: UnboundedReceiver<CrashSighting>) {
+    fn start_tasks(&self, shelf: Rc<LogShelf>, crashes: UnboundedReceiver<CrashSighting>) {
         let client = StoreClient::new(self.state.settings.store);
         let token = self.stop.ended.clone();
-        let operator = OperatorWatch::new(self.state.clone(), client.clone());
+        let fold = SharedFold::default();
+        // Each watcher has a link of its own to the router that it asks.
+        let source =
+            || LogSource::new(self.state.clone(), client.clone(), fold.clone(), shelf.clone());
+        let operator = OperatorWatch::new(self.state.clone(), source());
         spawn_until(&token, operator.run());
-        let servers = ServerWatch::new(self.state.clone(), client.clone());
+        let servers = ServerWatch::new(self.state.clone(), source());
         spawn_until(&token, servers.run());
-        let fleet = FleetDesk::new(self.state.clone(), client.clone());
-        let fold = fleet.fold();
+        let fleet = FleetDesk::new(self.state.clone(), source(), fold.clone());
         spawn_until(&token, fleet.run(crashes));
         let links = PeerLinks::new(self.state.clone(), fold.clone());
         spawn_until(&token, links.run());
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -5,6 +5,8 @@
 use bincode::error::EncodeError;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::PeerNews;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// The bytes of a record.
 pub(crate) fn encode_record(record: &FleetRecord) -> Result<Vec<u8>, EncodeError> {
@@ -19,6 +21,16 @@
 /// Bytes of a message's length, which goes before it.
 pub(crate) const LENGTH_BYTES: usize = 4;
 
+/// A question for records, or its answer.
+pub(crate) fn encode_plain<T: Serialize>(value: &T) -> Result<Vec<u8>, EncodeError> {
+    bincode::serde::encode_to_vec(value, config::standard())
+}
+
+/// Reads a question or an answer.
+pub(crate) fn decode_plain<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    bincode::serde::decode_from_slice(bytes, config::standard()).map(|(value, _)| value)
+}
+
 /// A message between routers with its length before it.
 pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
     let message = bincode::serde::encode_to_vec(news, config::standard())?;
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -7,9 +7,9 @@
 
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
-use fulmargate_consortium::StoreTopic;
 use fulmargate_dispatch::FleetFold;
 use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::LogTopic;
 use fulmargate_names::EventKind;
 use fulmargate_names::LogOffset;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -18,6 +18,7 @@
 
 use crate::control::fleet_codec::decode_record;
 use crate::control::fleet_codec::encode_record;
+use crate::control::log_source::LogSource;
 use crate::control::store_contact::StoreContact;
 use crate::state::CrashSighting;
 use crate::state::FleetView;
@@ -39,27 +40,21 @@
 /// Reads the topic and tells of crashes.
 pub(crate) struct FleetDesk {
     state: Arc<SharedState>,
-    client: StoreClient,
+    source: LogSource,
     contact: StoreContact,
     fold: SharedFold,
 }
 
 impl FleetDesk {
     /// Knows nothing yet.
-    pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> FleetDesk {
-        let contact = StoreContact::new("fleet");
-        FleetDesk { state, client, contact, fold: SharedFold::default() }
-    }
-
-    /// What has been read so far.
-    pub(crate) fn fold(&self) -> SharedFold {
-        self.fold.clone()
+    pub(crate) fn new(state: Arc<SharedState>, source: LogSource, fold: SharedFold) -> FleetDesk {
+        FleetDesk { state, source, contact: StoreContact::new("fleet"), fold }
     }
 
     /// Says that this router is there, then reads on and tells of crashes.
     pub(crate) async fn run(mut self, crashes: UnboundedReceiver<CrashSighting>) {
         self.join().await;
-        actix_rt::spawn(tell_crashes(self.client.clone(), crashes));
+        actix_rt::spawn(tell_crashes(self.source.store().clone(), crashes));
         loop {
             let from = self.fold.borrow().end();
             match self.read_on(from).await {
@@ -79,7 +74,7 @@
             address: self.state.settings.peers,
         };
         loop {
-            match append_records(&self.client, std::slice::from_ref(&record)).await {
+            match append_records(self.source.store(), std::slice::from_ref(&record)).await {
                 Ok(()) => return,
                 Err(err) => self.contact.lost(&err).await,
             }
@@ -87,8 +82,7 @@
     }
 
     async fn read_on(&mut self, from: LogOffset) -> Result<(), StoreError> {
-        let timeout = READ_WAIT + READ_ALLOWANCE;
-        let page = self.client.read(StoreTopic::Fleet, from, READ_WAIT, timeout).await?;
+        let page = self.source.read(LogTopic::Fleet, from, READ_WAIT, READ_ALLOWANCE).await?;
         for (record, offset) in page.records.iter().zip(from.0..) {
             self.apply(LogOffset(offset), record);
         }
@@ -153,5 +147,5 @@
             Err(err) => tracing::error!("a record cannot be written: {err}"),
         }
     }
-    client.append(StoreTopic::Fleet, None, &bytes, APPEND_TIMEOUT).await.map(|_| ())
+    client.append(LogTopic::Fleet, None, &bytes, APPEND_TIMEOUT).await.map(|_| ())
 }
--- /dev/null
+++ b/crates/entry/src/control/log_source.rs
@@ -0,0 +1,270 @@
+//! Records of the store, from the store itself or from a router that reads it.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use fulmargate_consortium::StoreClient;
+use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::LogAnswer;
+use fulmargate_dispatch::LogCache;
+use fulmargate_dispatch::LogQuestion;
+use fulmargate_dispatch::LogTopic;
+use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::record_source;
+use fulmargate_names::HostName;
+use fulmargate_names::LogOffset;
+use h2::client::SendRequest;
+use http::Request;
+use http::StatusCode;
+use indexmap::IndexMap;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::control::fleet_codec::decode_plain;
+use crate::control::fleet_codec::encode_plain;
+use crate::control::fleet_desk::SharedFold;
+use crate::sockets::watch_peer;
+use crate::state::SharedState;
+use crate::state::boot_now;
+
+/// What a router keeps for others must be younger than this; else they read for themselves. Its own
+/// reads come back at least each 1.9 s.
+const LONGEST_AGE: Duration = Duration::from_millis(2_500);
+/// A router of the same zone answers within some milliseconds after the wait it was asked for.
+const ASK_ALLOWANCE: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const SILENT_PEER: Duration = Duration::from_millis(1_000);
+
+/// Records, and the moment at which nothing more had been written.
+pub(crate) struct ProvenPage {
+    pub(crate) records: Vec<Vec<u8>>,
+    /// When the question was sent that proves it; none if there is more to read.
+    pub(crate) proven: Option<BootTime>,
+}
+
+/// The topics that this router reads, kept for those that ask.
+#[derive(Default)]
+pub(crate) struct LogShelf {
+    caches: RefCell<IndexMap<LogTopic, LogCache>>,
+    changed: Notify,
+}
+
+/// Why another router gave no records.
+#[derive(Debug, Display, Error, From)]
+enum AskFault {
+    #[display("{_0}")]
+    Io(std::io::Error),
+    #[display("{_0}")]
+    Stream(h2::Error),
+    #[display("{_0}")]
+    Encode(bincode::error::EncodeError),
+    #[display("{_0}")]
+    Decode(bincode::error::DecodeError),
+    #[display("no answer in time")]
+    TimedOut,
+    #[display("it has not got them")]
+    NotThere,
+}
+
+struct AskLink {
+    address: SocketAddr,
+    client: SendRequest<Bytes>,
+    _task: AbortOnDropHandle<()>,
+}
+
+/// Where watchers read.
+#[derive(Clone)]
+pub(crate) struct LogSource {
+    state: Arc<SharedState>,
+    client: StoreClient,
+    fold: SharedFold,
+    shelf: Rc<LogShelf>,
+    link: Rc<RefCell<Option<AskLink>>>,
+}
+
+impl LogSource {
+    /// A source that keeps what it reads on the shelf.
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        client: StoreClient,
+        fold: SharedFold,
+        shelf: Rc<LogShelf>,
+    ) -> LogSource {
+        LogSource { state, client, fold, shelf, link: Rc::default() }
+    }
+
+    /// The store's client, for what only the store can tell.
+    pub(crate) fn store(&self) -> &StoreClient {
+        &self.client
+    }
+
+    /// Records from an offset on, as soon as there are any or the wait is over.
+    pub(crate) async fn read(
+        &self,
+        topic: LogTopic,
+        from: LogOffset,
+        wait: Duration,
+        allowance: Duration,
+    ) -> Result<ProvenPage, StoreError> {
+        if let Some(address) = self.asked() {
+            let question = LogQuestion { topic, from, wait_ms: wait.as_millis() as u64 };
+            let asked = boot_now();
+            match self.ask(address, question).await {
+                Ok(answer) => {
+                    metrics::counter!("fulmargate_log_reads_total", "source" => "router")
+                        .increment(1);
+                    // The answer was true before the question was sent, and no younger than it says.
+                    let proven = BootTime(asked.0.saturating_sub(answer.age_ms));
+                    return Ok(ProvenPage { records: answer.records, proven: Some(proven) });
+                }
+                Err(fault) => tracing::debug!("records are read from the store: {fault}"),
+            }
+        }
+        self.read_store(topic, from, wait, allowance).await
+    }
+
+    async fn read_store(
+        &self,
+        topic: LogTopic,
+        from: LogOffset,
+        wait: Duration,
+        allowance: Duration,
+    ) -> Result<ProvenPage, StoreError> {
+        let sent = boot_now();
+        let page = self.client.read(topic, from, wait, wait + allowance).await?;
+        metrics::counter!("fulmargate_log_reads_total", "source" => "store").increment(1);
+        let next = LogOffset(from.0 + page.records.len() as u64);
+        let is_all = page.end <= next;
+        if self.is_asked() {
+            self.shelf.put(topic, from, &page.records, is_all.then_some(sent));
+        }
+        Ok(ProvenPage { records: page.records, proven: is_all.then_some(sent) })
+    }
+
+    /// Whether others may ask this host: only then are records kept.
+    fn is_asked(&self) -> bool {
+        let settings = &self.state.settings;
+        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
+        settings.few_hosts < peers.len() + 1
+    }
+
+    /// Whom to ask; nobody where this host reads the store.
+    fn asked(&self) -> Option<SocketAddr> {
+        let settings = &self.state.settings;
+        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
+        match record_source(&settings.host, &peers, settings.few_hosts) {
+            RecordSource::Store => None,
+            RecordSource::Router(host) => self.address_of(&host),
+        }
+    }
+
+    fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let fold = self.fold.borrow();
+        fold.members().find(|(member, _)| *member == host).map(|(_, address)| *address)
+    }
+
+    async fn ask(&self, address: SocketAddr, question: LogQuestion) -> Result<LogAnswer, AskFault> {
+        let longest = Duration::from_millis(question.wait_ms) + ASK_ALLOWANCE;
+        let asking = timeout(longest, self.ask_on_link(address, question)).await;
+        let result = asking.unwrap_or(Err(AskFault::TimedOut));
+        if result.is_err() {
+            // A link that has fallen silent gives no answer; the next question opens another.
+            self.link.borrow_mut().take();
+        }
+        result
+    }
+
+    async fn ask_on_link(
+        &self,
+        address: SocketAddr,
+        question: LogQuestion,
+    ) -> Result<LogAnswer, AskFault> {
+        let open = self
+            .link
+            .borrow()
+            .as_ref()
+            .filter(|link| link.address == address)
+            .map(|link| link.client.clone());
+        let client = match open {
+            Some(client) => client,
+            None => {
+                let link = connect(address).await?;
+                let client = link.client.clone();
+                *self.link.borrow_mut() = Some(link);
+                client
+            }
+        };
+        let mut client = client.ready().await?;
+        let request = Request::post(format!("http://{address}/log")).body(());
+        let (answer, mut body) = client.send_request(request.unwrap_or_default(), false)?;
+        body.send_data(Bytes::from(encode_plain(&question)?), true)?;
+        let answer = answer.await?;
+        if answer.status() != StatusCode::OK {
+            return Err(AskFault::NotThere);
+        }
+        let mut body = answer.into_body();
+        let mut bytes = Vec::new();
+        while let Some(piece) = body.data().await {
+            let piece = piece?;
+            body.flow_control().release_capacity(piece.len())?;
+            bytes.extend_from_slice(&piece);
+        }
+        Ok(decode_plain(&bytes)?)
+    }
+}
+
+impl LogShelf {
+    fn put(&self, topic: LogTopic, from: LogOffset, records: &[Vec<u8>], proven: Option<BootTime>) {
+        let mut caches = self.caches.borrow_mut();
+        let cache = caches.entry(topic).or_default();
+        cache.add(from, records);
+        if let Some(sent) = proven {
+            cache.prove(sent);
+        }
+        drop(caches);
+        self.changed.notify_waiters();
+    }
+
+    /// Answers another router, as soon as there is a record or its wait is over.
+    pub(crate) async fn answer(&self, question: LogQuestion) -> Option<LogAnswer> {
+        let until = Instant::now() + Duration::from_millis(question.wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            let answer = self.now(question)?;
+            if !answer.records.is_empty() || until <= Instant::now() {
+                return Some(answer);
+            }
+            let _changed_or_over = timeout_at(until, changed).await;
+        }
+    }
+
+    fn now(&self, question: LogQuestion) -> Option<LogAnswer> {
+        let caches = self.caches.borrow();
+        caches.get(&question.topic)?.answer(question.from, LONGEST_AGE, boot_now())
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<AskLink, AskFault> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connecting.map_err(|_| AskFault::TimedOut)??;
+    watch_peer(&stream, SILENT_PEER)?;
+    let (client, connection) = h2::client::handshake(stream).await?;
+    let task = actix_rt::spawn(async move {
+        if let Err(err) = connection.await {
+            tracing::debug!("a link to a reader has ended: {err}");
+        }
+    });
+    Ok(AskLink { address, client, _task: AbortOnDropHandle::new(task) })
+}
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -5,13 +5,11 @@
 
 use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::OperatorRecord;
-use fulmargate_consortium::RecordPage;
-use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
-use fulmargate_consortium::StoreTopic;
 use fulmargate_consortium::decode_operator;
 use fulmargate_consortium::split_keyed;
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::RoutingConfig;
 use fulmargate_names::EventKind;
@@ -19,6 +17,8 @@
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 
+use crate::control::log_source::LogSource;
+use crate::control::log_source::ProvenPage;
 use crate::control::store_contact::StoreContact;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -35,7 +35,7 @@
 /// Keeps the configuration and the weights wanted.
 pub(crate) struct OperatorWatch {
     state: Arc<SharedState>,
-    client: StoreClient,
+    source: LogSource,
     contact: StoreContact,
     /// Where to read on; nothing before the whole topic was read, or after records were lost.
     next: Option<LogOffset>,
@@ -46,9 +46,9 @@
 
 impl OperatorWatch {
     /// Knows nothing yet.
-    pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> OperatorWatch {
+    pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatch {
         let contact = StoreContact::new("operator");
-        OperatorWatch { state, client, contact, next: None, written_after: None, was_proven: false }
+        OperatorWatch { state, source, contact, next: None, written_after: None, was_proven: false }
     }
 
     /// Reads on and on.
@@ -75,18 +75,16 @@
     }
 
     async fn read_on(&mut self, from: LogOffset) -> Result<(), StoreError> {
-        let sent = boot_now();
-        let timeout = READ_WAIT + READ_ALLOWANCE;
-        let page = self.client.read(StoreTopic::Operator, from, READ_WAIT, timeout).await?;
+        let topic = LogTopic::Operator;
+        let page = self.source.read(topic, from, READ_WAIT, READ_ALLOWANCE).await?;
         if !self.contact.is_lost() {
             // The read was waiting for these records.
             self.written_after = Some(boot_now());
         }
         self.apply_page(&page);
-        let next = LogOffset(from.0 + page.records.len() as u64);
-        self.next = Some(next);
+        self.next = Some(LogOffset(from.0 + page.records.len() as u64));
         // A page may end before the topic does; only the whole proves that nothing is newer.
-        if page.end <= next {
+        if let Some(sent) = page.proven {
             self.state.proof().renew(sent);
         }
         Ok(())
@@ -99,8 +97,8 @@
         let mut end = None;
         let mut after: Option<String> = None;
         loop {
-            let topic = StoreTopic::Operator;
-            let page = self.client.newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
+            let topic = LogTopic::Operator;
+            let page = self.source.store().newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
             end = end.or(Some(page.end));
             for record in &page.records {
                 self.apply(record);
@@ -117,7 +115,7 @@
         Ok(())
     }
 
-    fn apply_page(&self, page: &RecordPage) {
+    fn apply_page(&self, page: &ProvenPage) {
         for record in &page.records {
             match split_keyed(record) {
                 Ok(record) => self.apply(&record),
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -8,11 +8,11 @@
 use fulmargate_consortium::AppendAnswer;
 use fulmargate_consortium::EngineClient;
 use fulmargate_consortium::StoreClient;
-use fulmargate_consortium::StoreTopic;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::LeaseDesk;
 use fulmargate_dispatch::LeaseStep;
+use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::OrderWave;
 use fulmargate_dispatch::WaveServer;
 use fulmargate_dispatch::WaveTime;
@@ -151,7 +151,7 @@
             }
         };
         let sent = boot_now();
-        let topic = StoreTopic::Fleet;
+        let topic = LogTopic::Fleet;
         match self.store.append(topic, Some(at), &[bytes], APPEND_TIMEOUT).await {
             Ok(AppendAnswer::Written(offset)) => self.hold(offset, &record, sent),
             Ok(AppendAnswer::Moved) => self.tell_lost("the topic moved on"),
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -32,6 +32,8 @@
 const NEWS_PACE: Duration = Duration::from_millis(150);
 /// And this much more for each other router, so that large fleets do not drown in messages.
 const PACE_PER_PEER: Duration = Duration::from_millis(5);
+/// A router that has nothing to say says so at this pace; a word counts for 1.2 s.
+const IDLE_PACE: Duration = Duration::from_millis(400);
 /// A router in another zone answers in 2 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Messages that a router's host does not confirm for so long break the link.
@@ -75,6 +77,7 @@
     /// Tells on and on: at a pace, and at once when an engine is about to load.
     pub(crate) async fn run(mut self) {
         let mut was_busy = false;
+        let mut told = Instant::now();
         loop {
             let peers = self.peers();
             let pace = NEWS_PACE + PACE_PER_PEER * peers.len() as u32;
@@ -84,9 +87,11 @@
             }
             let news = self.news();
             let is_busy = is_worth_telling(&news);
-            // The last of it is said, too: that nothing is under way any more.
-            if is_busy || was_busy {
+            // The last of it is said, too: that nothing is under way any more. After that a word now
+            // and then, so that the others know who is there.
+            if is_busy || was_busy || IDLE_PACE <= told.elapsed() {
                 self.tell(&peers, &news).await;
+                told = Instant::now();
             }
             was_busy = is_busy;
         }
@@ -102,6 +107,7 @@
     fn news(&self) -> PeerNews {
         let mut news = self.state.book().take_news();
         news.host = Some(self.state.settings.host.clone());
+        news.zone = Some(self.state.settings.zone.clone());
         news.loading = self.state.loading.notices();
         news.weights = self.weights_ages();
         news
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -2,12 +2,18 @@
 
 use std::io;
 use std::net::TcpListener as StdListener;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::PeerNews;
 use fulmargate_names::EventKind;
 use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Response;
+use http::StatusCode;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -15,6 +21,9 @@
 
 use crate::control::fleet_codec::LENGTH_BYTES;
 use crate::control::fleet_codec::decode_news;
+use crate::control::fleet_codec::decode_plain;
+use crate::control::fleet_codec::encode_plain;
+use crate::control::log_source::LogShelf;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -23,19 +32,26 @@
 const SILENT_PEER: Duration = Duration::from_secs(5);
 /// Largest message; a fleet of 12,000 servers at 16 bytes each stays below.
 const MOST_MESSAGE_BYTES: usize = 256 * 1024;
+/// A question is some 20 bytes.
+const MOST_QUESTION_BYTES: usize = 1_024;
 /// Pause after a failed accept: without free descriptors the next one fails, too.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The listener.
 pub(crate) struct PeerListener {
     state: Arc<SharedState>,
+    shelf: Rc<LogShelf>,
     listener: TcpListener,
 }
 
 impl PeerListener {
     /// Takes over the listening socket.
-    pub(crate) fn new(state: Arc<SharedState>, listener: StdListener) -> io::Result<PeerListener> {
-        Ok(PeerListener { state, listener: TcpListener::from_std(listener)? })
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        shelf: Rc<LogShelf>,
+        listener: StdListener,
+    ) -> io::Result<PeerListener> {
+        Ok(PeerListener { state, shelf, listener: TcpListener::from_std(listener)? })
     }
 
     /// Accepts links on and on.
@@ -43,7 +59,7 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    actix_rt::spawn(serve_link(self.state.clone(), stream));
+                    actix_rt::spawn(serve_link(self.state.clone(), self.shelf.clone(), stream));
                 }
                 Err(err) => {
                     tracing::warn!("a link could not be accepted: {err}");
@@ -54,7 +70,7 @@
     }
 }
 
-async fn serve_link(state: Arc<SharedState>, stream: TcpStream) {
+async fn serve_link(state: Arc<SharedState>, shelf: Rc<LogShelf>, stream: TcpStream) {
     if let Err(err) = watch_peer(&stream, SILENT_PEER) {
         tracing::debug!("a link cannot be watched: {err}");
     }
@@ -68,6 +84,9 @@
     while let Some(next) = connection.accept().await {
         match next {
             // The connection is driven by this loop, so that messages are heard beside it.
+            Ok((request, respond)) if request.uri().path() == "/log" => {
+                actix_rt::spawn(answer_question(shelf.clone(), request.into_body(), respond));
+            }
             Ok((request, respond)) => {
                 actix_rt::spawn(hear(state.clone(), request.into_body(), respond));
             }
@@ -79,11 +98,47 @@
     }
 }
 
+/// Records for a router that does not read the store. Without them it is told so and reads itself.
+async fn answer_question(
+    shelf: Rc<LogShelf>,
+    mut body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+) {
+    let mut bytes = Vec::new();
+    while let Some(Ok(piece)) = body.data().await {
+        bytes.extend_from_slice(&piece);
+        if MOST_QUESTION_BYTES < bytes.len() {
+            return;
+        }
+    }
+    let answer = match decode_plain::<LogQuestion>(&bytes) {
+        Ok(question) => shelf.answer(question).await,
+        Err(err) => {
+            let kind = EventKind::PeerUnreadable;
+            tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
+            None
+        }
+    };
+    let encoded = answer.and_then(|answer| encode_plain(&answer).ok());
+    let mut head = Response::new(());
+    if encoded.is_none() {
+        *head.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    let sent = respond.send_response(head, encoded.is_none());
+    let sent = sent.and_then(|mut stream| match encoded {
+        Some(encoded) => stream.send_data(Bytes::from(encoded), true),
+        None => Ok(()),
+    });
+    if let Err(err) = sent {
+        tracing::debug!("a router that asked has left: {err}");
+    }
+}
+
 async fn hear(
     state: Arc<SharedState>,
     mut body: RecvStream,
     // Kept until the stream ends: dropped without an answer it would reset the stream.
-    _respond: h2::server::SendResponse<bytes::Bytes>,
+    _respond: SendResponse<Bytes>,
 ) {
     let mut waiting: Vec<u8> = Vec::new();
     while let Some(Ok(piece)) = body.data().await {
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use fulmargate_consortium::KeyedRecord;
-use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
-use fulmargate_consortium::StoreTopic;
 use fulmargate_consortium::decode_server;
 use fulmargate_consortium::split_keyed;
+use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
 use fulmargate_names::EventKind;
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::control::log_source::LogSource;
 use crate::control::store_contact::StoreContact;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -35,7 +36,7 @@
 /// Keeps the table of servers and hands it to the book.
 pub(crate) struct ServerWatch {
     state: Arc<SharedState>,
-    client: StoreClient,
+    source: LogSource,
     contact: StoreContact,
     table: ServerTable,
     known: IndexMap<ServerName, ServerStage>,
@@ -44,10 +45,10 @@
 
 impl ServerWatch {
     /// Knows nothing yet.
-    pub(crate) fn new(state: Arc<SharedState>, client: StoreClient) -> ServerWatch {
+    pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> ServerWatch {
         ServerWatch {
             state,
-            client,
+            source,
             contact: StoreContact::new("servers"),
             table: ServerTable::default(),
             known: IndexMap::new(),
@@ -78,19 +79,17 @@
 
     /// Returns whether all records were read.
     async fn read_on(&mut self, from: LogOffset) -> Result<bool, StoreError> {
-        let sent = boot_now();
-        let topic = StoreTopic::Servers;
-        let page = self.client.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
-        self.note_contact(sent);
+        let topic = LogTopic::Servers;
+        let page = self.source.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
+        self.note_contact(page.proven.unwrap_or_else(boot_now));
         for record in &page.records {
             match split_keyed(record) {
                 Ok(record) => self.apply(&record),
                 Err(err) => tell_unreadable(&err),
             }
         }
-        let next = LogOffset(from.0 + page.records.len() as u64);
-        self.next = Some(next);
-        Ok(page.end <= next)
+        self.next = Some(LogOffset(from.0 + page.records.len() as u64));
+        Ok(page.proven.is_some())
     }
 
     async fn read_all(&mut self) -> Result<bool, StoreError> {
@@ -100,8 +99,8 @@
         let mut listed = IndexSet::new();
         let mut records = Vec::new();
         loop {
-            let topic = StoreTopic::Servers;
-            let page = self.client.newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
+            let topic = LogTopic::Servers;
+            let page = self.source.store().newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
             end = end.or(Some(page.end));
             after = page.next;
             records.extend(page.records);
@@ -119,7 +118,7 @@
         Ok(true)
     }
 
-    fn note_contact(&mut self, sent: fulmargate_dispatch::BootTime) {
+    fn note_contact(&mut self, sent: BootTime) {
         if self.table.contact(sent, boot_now()) {
             let kind = EventKind::ServersLapsed;
             let servers = self.known.len();
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -8,6 +8,7 @@
 use fulmargate_consortium_stand::StoreFault;
 use tokio::time::sleep;
 
+use crate::support::DaemonProcess;
 use crate::support::TestDeployment;
 use crate::support::first_config;
 use crate::support::until;
@@ -124,3 +125,41 @@
     let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
     assert!(page.body.contains("fulmargate_config_version 1"), "{}", page.body);
 }
+
+/// In a large fleet most hosts do not read the store. Two of five do; the others ask them, learn of a
+/// new configuration as fast, and hold proofs that are as good. When the readers are killed, the
+/// others go on.
+#[tokio::test]
+async fn few_hosts_read_the_store_for_many() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let mut daemons: Vec<DaemonProcess> =
+        (0..5).map(|_| DaemonProcess::start_among(deployment.store.address, 2)).collect();
+    let mut asks = vec![false; daemons.len()];
+    for _ in 0..400 {
+        for (asks, daemon) in asks.iter_mut().zip(&daemons) {
+            let metrics = daemon.address("metrics").await;
+            let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
+            *asks |= page.body.contains("fulmargate_log_reads_total{source=\"router\"}");
+        }
+        if 3 <= asks.iter().filter(|asks| **asks).count() {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(asks.iter().filter(|asks| **asks).count(), 3, "{asks:?}");
+    let mut config = first_config();
+    config.version = 4;
+    deployment.store.put_config(&config);
+    let knows = |daemon: &DaemonProcess, version: &str| {
+        daemon.events("config_accepted").iter().any(|line| line["version"] == version)
+    };
+    until("all know the next configuration", || daemons.iter().all(|daemon| knows(daemon, "4")))
+        .await;
+    let mut asking = asks.into_iter();
+    daemons.retain(|_| asking.next().unwrap_or(true));
+    config.version = 5;
+    deployment.store.put_config(&config);
+    until("the others know the one after", || daemons.iter().all(|daemon| knows(daemon, "5")))
+        .await;
+    assert!(daemons.iter().all(|daemon| daemon.events("config_unproven").is_empty()));
+}
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -31,10 +31,18 @@
     pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// With more hosts than this in its zone, a host has two of them read the store for all.
+    #[serde(default = "default_few_hosts")]
+    pub few_hosts: usize,
     /// Times and shares that the operators have agreed on with their users.
     pub bounds: EntryBounds,
 }
 
+/// Up to here reads cost less than the words between hosts that would save them.
+fn default_few_hosts() -> usize {
+    6
+}
+
 /// Times and shares that the operators have agreed on with their users.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
