--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -1,15 +1,14 @@
 //! All backend servers as this router sees them, and the choice among them.
 
-use std::net::SocketAddr;
+mod choices;
+mod news;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmargate_names::HostName;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
-use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
-use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
@@ -17,42 +16,23 @@
 use crate::CacheNotice;
 use crate::CallFacts;
 use crate::CallShape;
-use crate::ChoiceReason;
 use crate::EngineChoice;
-use crate::EngineRequest;
 use crate::LoadReport;
 use crate::PartMemory;
 use crate::PeerBoard;
-use crate::PeerLoad;
-use crate::PeerNews;
 use crate::PromptNotice;
 use crate::ServerEntry;
 use crate::ServerKey;
 use crate::ServerState;
 use crate::Urgency;
-use crate::engine_choice::Candidate;
-use crate::engine_choice::OthersLoad;
-use crate::engine_choice::Surroundings;
 use crate::engine_choice::scope_of;
 use crate::link_meter::LinkMeter;
-use crate::prompt_source::PromptSource;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// An engine under an order turns requests away for about this time: the load and what it finishes
 /// before.
 const LOADING_PAUSE: Duration = Duration::from_millis(350);
-/// What a way to another zone costs a plain call, as time.
-const ZONE_MS: f64 = 2.0;
-/// What a failure of a plain call costs, as time.
-const FAILURE_MS: f64 = 150.0;
-
-/// Prompts that wait to be told; what is beyond is a guess that the others lack.
-const MOST_UNTOLD: usize = 256;
-/// What a server that is still slow after its start costs, as time.
-const COLD_MS: f64 = 30.0;
-/// A shorter shared beginning is read in less time than a fetch takes.
-const LEAST_SAVED_TOKENS: u32 = 1_000;
 
 /// A request that is under way at a server.
 #[derive(Clone, Debug)]
@@ -116,152 +96,6 @@
         self.servers.values()
     }
 
-    /// The server of a plain service that is expected to answer first.
-    pub fn choose_plain(
-        &self,
-        service: &ServiceName,
-        zone: &ZoneName,
-        excluded: &[ServerName],
-        now: Instant,
-    ) -> Option<Arc<ServerEntry>> {
-        let of_service = |state: &&ServerState| {
-            state.entry.service == *service && !excluded.contains(&state.entry.name)
-        };
-        let cost = |state: &ServerState| {
-            let slots = f64::from(state.entry.slots.max(1));
-            let open = state.occupancy(now).max(state.open + self.peers.open(state.key(), now));
-            let load = 1.0 + f64::from(open) / slots;
-            let away = if state.entry.zone == *zone { 0.0 } else { ZONE_MS };
-            let cold = state.entry.warm_up.as_secs_f64().min(1.0) * COLD_MS;
-            state.latency_ms(now) * load + state.failure_share(now) * FAILURE_MS + away + cold
-        };
-        let least = |states: Vec<&ServerState>| {
-            let best = states.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-            best.map(|state| state.entry.clone())
-        };
-        let open = self.servers.values().filter(of_service).filter(|state| state.is_open(now));
-        least(open.collect()).or_else(|| least(self.servers.values().filter(of_service).collect()))
-    }
-
-    /// The engine that costs least, by waiting, by what it would read anew, and by its weights. If
-    /// it could not answer in time, the request goes behind those that can be.
-    pub fn choose_engine(&self, request: &EngineRequest<'_>) -> Option<EngineChoice> {
-        let priority = request.call.priority;
-        let choice = self.cheapest_engine(request, Urgency::timely(priority))?;
-        if request.is_timely(choice.estimate_ms) {
-            return Some(choice);
-        }
-        self.cheapest_engine(request, Urgency::late(priority))
-    }
-
-    fn cheapest_engine(
-        &self,
-        request: &EngineRequest<'_>,
-        urgency: Urgency,
-    ) -> Option<EngineChoice> {
-        let allowed: Vec<(&ServerState, WeightsVersion)> = self
-            .servers
-            .values()
-            .filter_map(|state| Some((state, request.allows(state)?)))
-            .collect();
-        let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
-        let shape = CallShape::of(request.call, request.engine_rule()?);
-        let routers = self.peers.hosts(request.now).count();
-        let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
-        let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
-        let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
-        for (state, weights) in allowed {
-            let sources = sources.entry(weights).or_insert_with(|| self.sources(request, weights));
-            let (key, now) = (state.key(), request.now);
-            let others = OthersLoad {
-                open: self.peers.open(key, now),
-                chats: self.peers.chats(key, now),
-                tokens_before: self.peers.tokens_before(key, urgency, now),
-                tokens: self.peers.tokens_before(key, Urgency::LAST, now),
-            };
-            let is_home = request.home_score(state) == home;
-            let score = request.chat_score(state);
-            let chat_rank = scores.iter().filter(|other| score < **other).count();
-            let around = Surroundings {
-                is_home,
-                urgency,
-                shape,
-                chat_rank,
-                engines: scores.len(),
-                routers,
-                others,
-                sources,
-            };
-            let candidate = request.candidate(state, weights, &around);
-            rated.push((candidate, state.is_open(now)));
-        }
-        let by_cost =
-            |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| a.0.cost.total_cmp(&b.0.cost);
-        let open = rated.iter().filter(|(_, is_open)| *is_open).min_by(by_cost);
-        let (best, is_open) = open.or_else(|| rated.iter().min_by(by_cost))?;
-        let reason = match (is_open, best.is_home) {
-            (false, _) => ChoiceReason::LastResort,
-            (true, true) => ChoiceReason::Home,
-            (true, false) => ChoiceReason::Cheaper,
-        };
-        Some(EngineChoice {
-            server: best.state.entry.clone(),
-            weights: best.weights,
-            salt: best.salt.clone(),
-            fetch: best.fetch,
-            save_to: self.save_to(request, &best.salt),
-            reason,
-            urgency,
-            shape,
-            estimate_ms: best.estimate_ms,
-            read_tokens: best.read_tokens,
-            taken_tokens: best.taken_tokens,
-        })
-    }
-
-    /// Who has parts of the prompt under the salt of these weights.
-    fn sources(&self, request: &EngineRequest<'_>, weights: WeightsVersion) -> Vec<PromptSource> {
-        let scope = scope_of(&request.salt(weights));
-        let link_mbps = request.engine_rule().map_or(0.0, |engine| engine.link_mbps);
-        let of_service = self.servers.values().filter(|state| {
-            state.entry.service == *request.service && state.is_reachable(request.now)
-        });
-        let engine = |state: &ServerState| PromptSource {
-            key: state.key(),
-            address: state.entry.address,
-            zone: state.entry.zone.clone(),
-            tokens: request.known_tokens(state, scope),
-            link_mbps,
-            link: state.link,
-        };
-        let mut sources: Vec<PromptSource> = of_service.map(engine).collect();
-        if let Some(store) = request.table.cache_store() {
-            let shared = request.call.shared_parts();
-            sources.push(PromptSource {
-                key: ServerKey::STORE,
-                address: store.address,
-                zone: store.zone.clone(),
-                tokens: self.kept.cached_tokens(scope, shared, store.cache_tokens as f64),
-                link_mbps: store.link_mbps,
-                link: self.store_link,
-            });
-        }
-        sources.retain(|source| 0 < source.tokens);
-        sources
-    }
-
-    /// The store, if it does not have the shared parts yet.
-    fn save_to(&self, request: &EngineRequest<'_>, salt: &str) -> Option<SocketAddr> {
-        let store = request.table.cache_store()?;
-        let shared = request.call.shared_tokens();
-        if shared < LEAST_SAVED_TOKENS {
-            return None;
-        }
-        let parts = request.call.shared_parts();
-        let kept = self.kept.cached_tokens(scope_of(salt), parts, store.cache_tokens as f64);
-        (kept < shared).then_some(store.address)
-    }
-
     /// The call goes to the server.
     pub fn begin(&mut self, call: &CallFacts, server: &ServerName, now: Instant) -> SendTicket {
         let tokens = f64::from(call.prompt_tokens());
@@ -297,7 +131,7 @@
             transfer_ms: choice.fetch.map_or(0, |fetch| fetch.transfer_ms as u32),
         };
         self.note_prompt(&notice, now);
-        if self.untold.len() < MOST_UNTOLD {
+        if self.untold.len() < news::MOST_UNTOLD {
             self.untold.push(notice);
         }
         if let Some(state) = self.servers.get_mut(&choice.server.name) {
@@ -315,29 +149,6 @@
         }
     }
 
-    /// A prompt goes to an engine, through this router or another.
-    fn note_prompt(&mut self, notice: &PromptNotice, now: Instant) {
-        let parts = || notice.parts.iter().copied();
-        let taken = f64::from(notice.taken_tokens);
-        if let Some(state) = self.by_key(notice.server) {
-            state.memory.read(notice.scope, parts(), taken);
-        }
-        if notice.is_stored || notice.source == Some(ServerKey::STORE) {
-            let stored = if notice.is_stored { taken } else { 0.0 };
-            self.kept.read(notice.scope, parts(), stored);
-        }
-        let transfer_ms = f64::from(notice.transfer_ms);
-        match notice.source {
-            Some(ServerKey::STORE) => self.store_link.add(transfer_ms, now),
-            Some(source) => {
-                if let Some(state) = self.by_key(source) {
-                    state.link.add(transfer_ms, now);
-                }
-            }
-            None => {}
-        }
-    }
-
     fn by_key(&mut self, key: ServerKey) -> Option<&mut ServerState> {
         self.servers.values_mut().find(|state| state.key() == key)
     }
@@ -437,73 +248,6 @@
         }
     }
 
-    /// What the other routers are told of this one's requests. Prompts are told once.
-    pub fn take_news(&mut self) -> PeerNews {
-        let busy = self.servers.values().filter(|state| 0 < state.open);
-        let loads = busy
-            .map(|state| PeerLoad {
-                server: state.key(),
-                open: state.open,
-                chats: state.chats,
-                backlog: state.backlog,
-            })
-            .collect();
-        let prompts = std::mem::take(&mut self.untold);
-        let caches = std::mem::take(&mut self.untold_caches);
-        PeerNews { loads, prompts, caches, ..PeerNews::default() }
-    }
-
-    /// Another router's message.
-    pub fn hear(&mut self, news: &PeerNews, now: Instant) {
-        let Some(host) = &news.host else { return };
-        self.peers.hear(host, news.zone.as_ref(), &news.loads, now);
-        for notice in &news.loading {
-            let Some(state) = self.by_key(notice.server) else { continue };
-            match notice.is_done {
-                true => state.loaded(&notice.model, notice.version),
-                false => state.loads(now),
-            }
-        }
-        for notice in &news.prompts {
-            self.note_prompt(notice, now);
-        }
-        for notice in &news.caches {
-            self.note_cache(notice);
-        }
-    }
-
-    /// An engine or the store has told this router of its cache.
-    pub fn hear_cache(&mut self, notice: CacheNotice) {
-        self.note_cache(&notice);
-        if self.untold_caches.len() < MOST_UNTOLD {
-            self.untold_caches.push(notice);
-        }
-    }
-
-    fn note_cache(&mut self, notice: &CacheNotice) {
-        let memory = match notice.server {
-            ServerKey::STORE => Some(&mut self.kept),
-            server => self.by_key(server).map(|state| &mut state.memory),
-        };
-        let Some(memory) = memory else { return };
-        if notice.is_reset {
-            memory.clear();
-        }
-        for (key, tokens) in &notice.parts {
-            memory.hear(*key, *tokens);
-        }
-    }
-
-    /// Routers that have spoken lately.
-    pub fn live_peers(&self, now: Instant) -> Vec<HostName> {
-        self.peers.hosts(now).cloned().collect()
-    }
-
-    /// Those of one availability zone.
-    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<HostName> {
-        self.peers.zone_hosts(zone, now).cloned().collect()
-    }
-
     /// This router, which holds the lease, has an engine load weights.
     pub fn order_given(&mut self, server: &ServerName, now: Instant) {
         if let Some(state) = self.servers.get_mut(server) {
--- /dev/null
+++ b/crates/dispatch/src/server_book/news.rs
@@ -0,0 +1,107 @@
+//! What routers tell each other of servers.
+
+use fulmargate_names::HostName;
+use fulmargate_names::ZoneName;
+use tokio::time::Instant;
+
+use crate::CacheNotice;
+use crate::PeerLoad;
+use crate::PeerNews;
+use crate::PromptNotice;
+use crate::ServerBook;
+use crate::ServerKey;
+
+/// Prompts that wait to be told; what is beyond is a guess that the others lack.
+pub(super) const MOST_UNTOLD: usize = 256;
+
+impl ServerBook {
+    /// What the other routers are told of this one's requests. Prompts are told once.
+    pub fn take_news(&mut self) -> PeerNews {
+        let busy = self.servers.values().filter(|state| 0 < state.open);
+        let loads = busy
+            .map(|state| PeerLoad {
+                server: state.key(),
+                open: state.open,
+                chats: state.chats,
+                backlog: state.backlog,
+            })
+            .collect();
+        let prompts = std::mem::take(&mut self.untold);
+        let caches = std::mem::take(&mut self.untold_caches);
+        PeerNews { loads, prompts, caches, ..PeerNews::default() }
+    }
+
+    /// Another router's message.
+    pub fn hear(&mut self, news: &PeerNews, now: Instant) {
+        let Some(host) = &news.host else { return };
+        self.peers.hear(host, news.zone.as_ref(), &news.loads, now);
+        for notice in &news.loading {
+            let Some(state) = self.by_key(notice.server) else { continue };
+            match notice.is_done {
+                true => state.loaded(&notice.model, notice.version),
+                false => state.loads(now),
+            }
+        }
+        for notice in &news.prompts {
+            self.note_prompt(notice, now);
+        }
+        for notice in &news.caches {
+            self.note_cache(notice);
+        }
+    }
+
+    /// An engine or the store has told this router of its cache.
+    pub fn hear_cache(&mut self, notice: CacheNotice) {
+        self.note_cache(&notice);
+        if self.untold_caches.len() < MOST_UNTOLD {
+            self.untold_caches.push(notice);
+        }
+    }
+
+    fn note_cache(&mut self, notice: &CacheNotice) {
+        let memory = match notice.server {
+            ServerKey::STORE => Some(&mut self.kept),
+            server => self.by_key(server).map(|state| &mut state.memory),
+        };
+        let Some(memory) = memory else { return };
+        if notice.is_reset {
+            memory.clear();
+        }
+        for (key, tokens) in &notice.parts {
+            memory.hear(*key, *tokens);
+        }
+    }
+
+    /// A prompt goes to an engine, through this router or another.
+    pub(super) fn note_prompt(&mut self, notice: &PromptNotice, now: Instant) {
+        let parts = || notice.parts.iter().copied();
+        let taken = f64::from(notice.taken_tokens);
+        if let Some(state) = self.by_key(notice.server) {
+            state.memory.read(notice.scope, parts(), taken);
+        }
+        if notice.is_stored || notice.source == Some(ServerKey::STORE) {
+            let stored = if notice.is_stored { taken } else { 0.0 };
+            self.kept.read(notice.scope, parts(), stored);
+        }
+        let transfer_ms = f64::from(notice.transfer_ms);
+        match notice.source {
+            Some(ServerKey::STORE) => self.store_link.add(transfer_ms, now),
+            Some(source) => {
+                if let Some(state) = self.by_key(source) {
+                    state.link.add(transfer_ms, now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Routers that have spoken lately.
+    pub fn live_peers(&self, now: Instant) -> Vec<HostName> {
+        self.peers.hosts(now).cloned().collect()
+    }
+
+    /// Those of one availability zone.
+    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<HostName> {
+        self.peers.zone_hosts(zone, now).cloned().collect()
+    }
+}
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -10,6 +10,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
+use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::BootTime;
@@ -44,6 +45,8 @@
 const LONGEST_AGE: Duration = Duration::from_millis(2_500);
 /// A router of the same zone answers within some milliseconds after the wait it was asked for.
 const ASK_ALLOWANCE: Duration = Duration::from_millis(300);
+/// A page of the newest records; it does not wait.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 const SILENT_PEER: Duration = Duration::from_millis(1_000);
 
@@ -54,6 +57,16 @@
     pub(crate) proven: Option<BootTime>,
 }
 
+/// The newest record of each key of a topic.
+pub(crate) struct NewestRecords {
+    pub(crate) records: Vec<KeyedRecord>,
+    /// Where to read on: pages are no snapshot, so this is where the topic ended when the first of
+    /// them was made.
+    pub(crate) end: LogOffset,
+    /// When the first page was asked for.
+    pub(crate) sent: BootTime,
+}
+
 /// The topics that this router reads, kept for those that ask.
 #[derive(Default)]
 pub(crate) struct LogShelf {
@@ -110,6 +123,19 @@
         &self.client
     }
 
+    /// The newest record of each key, from the store.
+    pub(crate) async fn read_newest(&self, topic: LogTopic) -> Result<NewestRecords, StoreError> {
+        let sent = boot_now();
+        let first = self.client.newest(topic, None, PAGE_TIMEOUT).await?;
+        let (end, mut next, mut records) = (first.end, first.next, first.records);
+        while let Some(after) = next {
+            let page = self.client.newest(topic, Some(&after), PAGE_TIMEOUT).await?;
+            records.extend(page.records);
+            next = page.next;
+        }
+        Ok(NewestRecords { records, end, sent })
+    }
+
     /// Records from an offset on, as soon as there are any or the wait is over.
     pub(crate) async fn read(
         &self,
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -29,8 +29,6 @@
 /// A read that waits is given up after this time more: the store's answers take 4 ms, and 250 ms
 /// when it is slow.
 const READ_ALLOWANCE: Duration = Duration::from_millis(700);
-/// A read that does not wait.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Keeps the configuration and the weights wanted.
 pub(crate) struct OperatorWatch {
@@ -90,27 +88,14 @@
         Ok(())
     }
 
-    /// The newest record of each key. Pages are no snapshot, so reading goes on from where the
-    /// topic ended when the first page was made.
     async fn read_all(&mut self) -> Result<(), StoreError> {
-        let sent = boot_now();
-        let mut end = None;
-        let mut after: Option<String> = None;
-        loop {
-            let topic = LogTopic::Operator;
-            let page = self.source.store().newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
-            end = end.or(Some(page.end));
-            for record in &page.records {
-                self.apply(record);
-            }
-            after = page.next;
-            if after.is_none() {
-                break;
-            }
+        let newest = self.source.read_newest(LogTopic::Operator).await?;
+        for record in &newest.records {
+            self.apply(record);
         }
-        self.next = end;
+        self.next = Some(newest.end);
         if self.state.table.load().is_some() {
-            self.state.proof().renew(sent);
+            self.state.proof().renew(newest.sent);
         }
         Ok(())
     }
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -30,8 +30,6 @@
 const READ_PACE: Duration = Duration::from_millis(700);
 /// The store's answers take 4 ms, and 250 ms when it is slow.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
-/// A page of the whole list.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Keeps the table of servers and hands it to the book.
 pub(crate) struct ServerWatch {
@@ -93,28 +91,15 @@
     }
 
     async fn read_all(&mut self) -> Result<bool, StoreError> {
-        let sent = boot_now();
-        let mut end = None;
-        let mut after: Option<String> = None;
-        let mut listed = IndexSet::new();
-        let mut records = Vec::new();
-        loop {
-            let topic = LogTopic::Servers;
-            let page = self.source.store().newest(topic, after.as_deref(), PAGE_TIMEOUT).await?;
-            end = end.or(Some(page.end));
-            after = page.next;
-            records.extend(page.records);
-            if after.is_none() {
-                break;
-            }
-        }
-        self.note_contact(sent);
-        for record in &records {
-            listed.insert(ServerName::new(&record.key));
+        let newest = self.source.read_newest(LogTopic::Servers).await?;
+        self.note_contact(newest.sent);
+        let listed: IndexSet<ServerName> =
+            newest.records.iter().map(|record| ServerName::new(&record.key)).collect();
+        for record in &newest.records {
             self.apply(record);
         }
         self.table.retain_listed(&listed, boot_now());
-        self.next = end;
+        self.next = Some(newest.end);
         Ok(true)
     }
 
--- /dev/null
+++ b/crates/entry/src/traffic/call_run/log.rs
@@ -0,0 +1,103 @@
+//! What is told of a call: one line for each decision.
+
+use fulmargate_dispatch::EngineChoice;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::EventKind;
+use fulmargate_names::TeamName;
+use http::StatusCode;
+use tokio::time::Instant;
+
+use crate::state::boot_now;
+use crate::telemetry::record_answer;
+use crate::traffic::answer::CallFailure;
+use crate::traffic::call_run::CallRun;
+use crate::traffic::send_attempt::SendFault;
+
+impl CallRun {
+    pub(super) fn tell_sent(&self, server: &ServerEntry, reason: &'static str) {
+        let kind = EventKind::RequestSent;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            server = %server.name,
+            reason,
+            send = self.progress.sends() + 1,
+            config_version = self.call.table.version().0,
+            config_proof_ms = self.proof_ms(),
+        );
+    }
+
+    pub(super) fn tell_prompt(&self, choice: &EngineChoice, reason: &'static str) {
+        let kind = EventKind::RequestSent;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            server = %choice.server.name,
+            reason,
+            send = self.progress.sends() + 1,
+            weights = choice.weights.0,
+            urgency = choice.urgency.level(),
+            prompt_tokens = self.facts().prompt_tokens(),
+            read_tokens = choice.read_tokens as u32,
+            is_fetched = choice.fetch.is_some(),
+            estimate_ms = choice.estimate_ms as u64,
+            config_version = self.call.table.version().0,
+            config_proof_ms = self.proof_ms(),
+        );
+    }
+
+    fn proof_ms(&self) -> Option<u64> {
+        self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64)
+    }
+
+    pub(super) fn tell_fault(&self, fault: &SendFault, server: &ServerEntry) {
+        let kind = EventKind::AttemptRetried;
+        if self.state.lines.allows(kind, Instant::now()) {
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                id = %self.facts().id,
+                server = %server.name,
+                end = ?fault.end,
+                reason = fault.reason,
+                took_ms = self.facts().arrived.elapsed().as_millis() as u64,
+            );
+        }
+    }
+
+    pub(crate) fn tell_ended(
+        &self,
+        kind: EventKind,
+        status: StatusCode,
+        failure: Option<&CallFailure>,
+    ) {
+        let facts = self.facts();
+        record_answer(facts, status.as_u16(), facts.arrived.elapsed());
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        let first_event = self.pace.first_event.map(|at| at.duration_since(facts.arrived));
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %facts.id,
+            route = facts.route.name,
+            first_event_ms = first_event.map(|wait| wait.as_millis() as u64),
+            longest_pause_ms = first_event.map(|_| self.pace.longest_pause.as_millis() as u64),
+            team = facts.team.as_ref().map(TeamName::as_str),
+            status = status.as_u16(),
+            error = failure.map(|failure| failure.kind.row().code),
+            detail = failure.map(|failure| failure.detail.as_str()),
+            sends = self.progress.sends() + 1,
+            took_ms = facts.arrived.elapsed().as_millis() as u64,
+        );
+    }
+}
