--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -77,14 +77,14 @@
             let listener = PeerListener::new(self.state.clone(), shelf.clone(), peers)
                 .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
             spawn_until(&self.stop.ended, listener.run());
-            self.start_tasks(shelf, crashes);
+            self.start_tasks(&shelf, crashes);
             self.serve_signals().await?;
             self.end().await;
             Ok(())
         })
     }
 
-    fn start_tasks(&self, shelf: Rc<LogShelf>, crashes: UnboundedReceiver<CrashSighting>) {
+    fn start_tasks(&self, shelf: &Rc<LogShelf>, crashes: UnboundedReceiver<CrashSighting>) {
         let client = StoreClient::new(self.state.settings.store);
         let token = self.stop.ended.clone();
         let fold = SharedFold::default();
