--- a/crates/dispatch/src/call_progress.rs
+++ b/crates/dispatch/src/call_progress.rs
@@ -15,8 +15,10 @@
     NotSent,
     /// The server said that it did not run the request.
     Refused,
-    /// Another server answered at the address, or weights differ: it did not run.
-    Misdirected,
+    /// Another server answered at the address: it did not run.
+    OtherServer,
+    /// The engine has other weights than those asked for: it did not run.
+    OtherWeights,
     /// The connection broke, or what came was no answer to this request.
     Broken,
     /// Nothing came in time.
@@ -44,12 +46,12 @@
 impl CallProgress {
     /// A send has ended.
     ///
-    /// Only three ends prove that nothing ran. After any other, a call that may run once only is
+    /// Only the first ends prove that nothing ran. After any other, a call that may run once only is
     /// over: a second send could charge the caller twice, and "not run" could be a lie.
     pub fn after(&mut self, end: SendEnd, route: &RouteRule) -> NextStep {
         self.sends += 1;
         match end {
-            SendEnd::NotSent | SendEnd::Refused | SendEnd::Misdirected => {
+            SendEnd::NotSent | SendEnd::Refused | SendEnd::OtherServer | SendEnd::OtherWeights => {
                 if MOST_SENDS <= self.sends {
                     return NextStep::GiveUp(self.failure());
                 }
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -8,6 +8,10 @@
 
 use crate::BootTime;
 
+/// A request that has not begun this long before the bound is given up: a busy host learns of a
+/// version some 350 ms after it was named, and the bound counts from the naming.
+const BEGIN_MARGIN: Duration = Duration::from_millis(500);
+
 /// Versions remembered of one model. Each has its own bound, so the older ones matter until all
 /// engines have passed them.
 const MOST_NAMED: usize = 64;
@@ -87,4 +91,20 @@
         let newer = named.iter().find(|target| version < target.version);
         newer.map_or(Duration::ZERO, |target| now.since(target.learned))
     }
+
+    /// How long a request sent now to an engine with these weights may wait there before it begins;
+    /// any time on the newest.
+    pub fn time_to_begin(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+        bound: Duration,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let age = self.outdated_for(model, version, now);
+        if age.is_zero() {
+            return None;
+        }
+        Some(bound.saturating_sub(BEGIN_MARGIN).saturating_sub(age))
+    }
 }
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -242,3 +242,33 @@
     }
     assert_eq!(choose(&book), "d3", "d2 fails");
 }
+
+struct BeginCase {
+    name: &'static str,
+    /// Milliseconds since version 2 was named.
+    age_ms: u64,
+    version: u64,
+    time_ms: Option<u64>,
+}
+
+const BEGINS: &[BeginCase] = &[
+    BeginCase { name: "the newest", age_ms: 5_000, version: 2, time_ms: None },
+    BeginCase { name: "just replaced", age_ms: 100, version: 1, time_ms: Some(7_400) },
+    BeginCase { name: "nearly over", age_ms: 7_450, version: 1, time_ms: Some(50) },
+    BeginCase { name: "over", age_ms: 20_000, version: 1, time_ms: Some(0) },
+];
+
+/// A request waits at a busy engine and begins on weights that are too old.
+/// It was sent in time; this router learned of the version late, and the bound counts from its naming.
+/// It is given up while there is still time, half a second before the bound.
+#[test]
+fn a_request_that_has_not_begun_is_given_up_in_time() {
+    for case in BEGINS {
+        let now = BootTime(100_000);
+        let mut weights = WeightsTable::default();
+        weights.name_version(&model(), WeightsVersion(2), BootTime(now.0 - case.age_ms));
+        let bound = Duration::from_secs(8);
+        let time = weights.time_to_begin(&model(), WeightsVersion(case.version), bound, now);
+        assert_eq!(time.map(|time| time.as_millis() as u64), case.time_ms, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/progress.rs
+++ b/crates/dispatch/tests/progress.rs
@@ -38,7 +38,14 @@
             name: "a charge that never left goes elsewhere",
             kind: RouteKind::NonIdempotent,
             max_attempts: 1,
-            ends: &[NotSent, Refused, Misdirected],
+            ends: &[NotSent, Refused, OtherServer],
+            last: NextStep::SendAgain,
+        },
+        ProgressCase {
+            name: "other weights are no run either",
+            kind: RouteKind::NonIdempotent,
+            max_attempts: 1,
+            ends: &[OtherWeights],
             last: NextStep::SendAgain,
         },
         ProgressCase {
@@ -110,10 +117,11 @@
 /// Once a server may have run a call, no answer may say that it has not run.
 #[test]
 fn not_run_is_said_only_if_certain() {
-    const ENDS: [SendEnd; 6] = [
+    const ENDS: [SendEnd; 7] = [
         SendEnd::NotSent,
         SendEnd::Refused,
-        SendEnd::Misdirected,
+        SendEnd::OtherServer,
+        SendEnd::OtherWeights,
         SendEnd::Broken,
         SendEnd::TimedOut,
         SendEnd::Unreachable,
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -101,21 +101,13 @@
 
     /// Sends until there is an answer or nothing more may be done.
     pub(crate) async fn answer(mut self) -> Result<Response<CallerBody>, CallFailure> {
-        let result = self.first_answer().await;
-        match result {
+        match self.next_answer(&ResumePoint::default()).await {
             Ok(answer) if is_relayed(&answer, self.facts()) => Ok(relay_stream(self, answer)),
             Ok(answer) => self.pass_whole(answer).await,
             Err(failure) => self.fail(failure),
         }
     }
 
-    async fn first_answer(&mut self) -> Result<OpenAnswer, CallFailure> {
-        if self.state.crashes().is_convicted(self.facts().print) {
-            return Err(self.failure(ErrorKind::CrashingRequest));
-        }
-        self.next_answer(&ResumePoint::default()).await
-    }
-
     /// The next answer whose head may go to the caller.
     pub(crate) async fn next_answer(
         &mut self,
@@ -125,6 +117,7 @@
             if self.facts().deadline <= Instant::now() {
                 return Err(self.failure(self.progress.timeout()));
             }
+            self.refuse_convicted()?;
             self.readmit()?;
             self.take_budget()?;
             let plan = self.plan(point).ok_or_else(|| self.failure(self.progress.failure()))?;
@@ -141,6 +134,17 @@
         }
     }
 
+    /// A request that crashes what runs it is sent nowhere any more, also not by a call that has just
+    /// lost a server to it.
+    fn refuse_convicted(&self) -> Result<(), CallFailure> {
+        let is_convicted = self.state.crashes().is_convicted(self.facts().print);
+        match (is_convicted, self.progress.may_have_run()) {
+            (false, _) => Ok(()),
+            (true, false) => Err(self.failure(ErrorKind::CrashingRequest)),
+            (true, true) => Err(self.failure(ErrorKind::OutcomeUnknown)),
+        }
+    }
+
     /// The configuration may have changed while the body was read or another server was tried; a
     /// route that moved or a key that was taken counts from now on.
     fn readmit(&mut self) -> Result<(), CallFailure> {
@@ -196,7 +200,7 @@
         let fault = |end, reason: &str| Err(SendFault { end, reason: reason.to_owned() });
         let status = answer.parts.status;
         if answer.head.is_misdirected {
-            return fault(SendEnd::Misdirected, &misdirection(&answer));
+            return Err(misdirection(&answer));
         }
         if answer.head.is_not_run {
             return fault(SendEnd::Refused, status.as_str());
@@ -263,12 +267,12 @@
                 Some(model) => self.state.book().turned_away_prompt(name, model, wanted, now),
                 None => self.state.book().turned_away(name, now),
             },
-            SendEnd::Misdirected => match (&self.facts().model, sent) {
-                (Some(model), Some(sent)) if fault.reason == OTHER_WEIGHTS => {
+            SendEnd::OtherServer => self.state.book().forget(name),
+            SendEnd::OtherWeights => {
+                if let (Some(model), Some(sent)) = (&self.facts().model, sent) {
                     self.state.book().misjudged_weights(name, model, sent, wanted);
                 }
-                _ => self.state.book().forget(name),
-            },
+            }
             SendEnd::TimedOut => self.state.book().failed(name, now),
             SendEnd::Broken => {
                 self.state.book().failed(name, now);
@@ -343,14 +347,14 @@
     }
 }
 
-const OTHER_WEIGHTS: &str = "other weights are in use";
-const OTHER_SERVER: &str = "another server is at the address";
-
 /// A server that names itself as the one expected has other weights.
-fn misdirection(answer: &OpenAnswer) -> String {
+fn misdirection(answer: &OpenAnswer) -> SendFault {
     let is_expected = answer.head.server.as_ref().is_none_or(|name| *name == answer.server.name);
-    let text = if is_expected && answer.weights.is_some() { OTHER_WEIGHTS } else { OTHER_SERVER };
-    text.to_owned()
+    let (end, reason) = match is_expected && answer.weights.is_some() {
+        true => (SendEnd::OtherWeights, "other weights are in use"),
+        false => (SendEnd::OtherServer, "another server is at the address"),
+    };
+    SendFault { end, reason: reason.to_owned() }
 }
 
 fn is_relayed(answer: &OpenAnswer, facts: &CallFacts) -> bool {
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -22,9 +22,6 @@
 /// Requests go to engines with older weights until this long before the bound. A request may wait
 /// at the engine before it begins, and the bound is on its beginning.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_200);
-/// One that has not begun this long before the bound is given up: a busy host learns of a version
-/// some 300 ms after it was named, and the bound counts from the naming.
-const WEIGHTS_LAST: Duration = Duration::from_millis(500);
 /// An idempotent call that has not been answered in this share of its target latency is sent to
 /// another server: nearly all answers of a sound server have come by then.
 const HEDGE_SHARE: f64 = 0.6;
@@ -141,12 +138,12 @@
 
     /// When a request on these weights must have begun.
     fn begin_by(&self, model: &ModelName, weights: WeightsVersion) -> Instant {
-        let age = self.state.weights.load().outdated_for(model, weights, boot_now());
-        if age.is_zero() {
-            return self.facts().deadline;
+        let bound = self.state.settings.bounds.weights();
+        let named = self.state.weights.load();
+        match named.time_to_begin(model, weights, bound, boot_now()) {
+            Some(time) => Instant::now() + time,
+            None => self.facts().deadline,
         }
-        let bound = self.state.settings.bounds.weights().saturating_sub(WEIGHTS_LAST);
-        Instant::now() + bound.saturating_sub(age)
     }
 
     /// How often a silent server is asked. A call that may run once only is waited for to the end.
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -167,6 +167,9 @@
 
     fn tell_resumed(&self, answer: &OpenAnswer, last_event: Option<&str>) {
         let kind = EventKind::StreamResumed;
+        if !self.run.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
