A configuration that cannot be read proves nothing

Cause, found by reading: a record in an unknown form was logged and passed over, and the read renewed the proof of the configuration before it, so that a key that it takes away went on to work. Ruled out: stopping the watch (the next one may be readable). Change: no proof is renewed until one that can be read is in force. Test: red before, keys were served for ever.

--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -40,13 +40,23 @@
     /// What is read next was written after this moment; nothing at the start of the process.
     written_after: Option<BootTime>,
     was_proven: bool,
+    /// A record could not be read since the configuration in force was: it may have taken keys away.
+    is_blind: bool,
 }
 
 impl OperatorWatch {
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatch {
         let contact = StoreContact::new("operator");
-        OperatorWatch { state, source, contact, next: None, written_after: None, was_proven: false }
+        OperatorWatch {
+            state,
+            source,
+            contact,
+            next: None,
+            written_after: None,
+            was_proven: false,
+            is_blind: false,
+        }
     }
 
     /// Reads on and on.
@@ -83,7 +93,7 @@
         self.next = Some(LogOffset(from.0 + page.records.len() as u64));
         // A page may end before the topic does; only the whole proves that nothing is newer.
         if let Some(sent) = page.proven {
-            self.state.proof().renew(sent);
+            self.renew_proof(sent);
         }
         Ok(())
     }
@@ -94,37 +104,44 @@
             self.apply(record);
         }
         self.next = Some(newest.end);
-        if self.state.table.load().is_some() {
-            self.state.proof().renew(newest.sent);
-        }
+        self.renew_proof(newest.sent);
         Ok(())
     }
 
-    fn apply_page(&self, page: &ProvenPage) {
+    /// Nothing newer had been written at this moment. That proves the configuration in force only if
+    /// all that was written could be read.
+    fn renew_proof(&self, sent: BootTime) {
+        if self.state.table.load().is_some() && !self.is_blind {
+            self.state.proof().renew(sent);
+        }
+    }
+
+    fn apply_page(&mut self, page: &ProvenPage) {
         for record in &page.records {
             match split_keyed(record) {
                 Ok(record) => self.apply(&record),
-                Err(err) => tell_unreadable(&err),
+                Err(err) => self.note_unreadable(&err),
             }
         }
     }
 
-    fn apply(&self, record: &KeyedRecord) {
+    fn apply(&mut self, record: &KeyedRecord) {
         match decode_operator(record) {
             Ok(OperatorRecord::Config(config)) => self.put_in_force(*config),
             Ok(OperatorRecord::Weights(model, version)) => self.name_weights(&model, version),
             Ok(OperatorRecord::Other) => {}
-            Err(err) => tell_unreadable(&err),
+            Err(err) => self.note_unreadable(&err),
         }
     }
 
     /// A configuration is swapped in whole. An older one, which a page that was made earlier may
     /// hold, never replaces a newer one.
-    fn put_in_force(&self, config: RoutingConfig) {
+    fn put_in_force(&mut self, config: RoutingConfig) {
         let current = self.state.table.load().as_ref().map(|table| table.version());
         if current.is_some_and(|current| config.version <= current) {
             return;
         }
+        self.is_blind = false;
         let table = Arc::new(RouteTable::new(config));
         let (routes, hosts, keys) = table.sizes();
         let accepted = EventKind::ConfigAccepted;
@@ -163,9 +180,10 @@
         let kind = if is_proven { EventKind::ConfigProven } else { EventKind::ConfigUnproven };
         tracing::warn!(event = kind.number(), name = kind.name(), age_ms);
     }
-}
 
-fn tell_unreadable(err: &StoreError) {
-    let unreadable = EventKind::ConfigUnreadable;
-    tracing::error!(event = unreadable.number(), name = unreadable.name(), reason = %err);
+    fn note_unreadable(&mut self, err: &StoreError) {
+        self.is_blind = true;
+        let unreadable = EventKind::ConfigUnreadable;
+        tracing::error!(event = unreadable.number(), name = unreadable.name(), reason = %err);
+    }
 }
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -78,6 +78,21 @@
     }
 }
 
+/// A configuration comes in a form that this router cannot read; it may take keys away.
+/// The store answers, but what is in force is not proved to be the newest: keys are refused until a
+/// configuration comes that can be read.
+#[tokio::test]
+async fn an_unreadable_configuration_proves_nothing() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let request = CallerRequest::new("/look/x", "u");
+    deployment.store.put_strange_config();
+    until_status(&deployment, &request, 503).await;
+    let mut config = first_config();
+    config.version = 3;
+    deployment.store.put_config(&config);
+    until_status(&deployment, &request, 200).await;
+}
+
 /// The store forgets its history. The newest of each key is still there and is read.
 #[tokio::test]
 async fn a_lost_history_is_read_anew() {
