A call looks at few engines where routers are many

Change: a call draws some eight engines beside its home and the holders of its parts; where routers are few it draws all. Test: 90 routers that are heard spread 100 calls, five do not.

--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -56,6 +56,8 @@
 /// Each engine further down the order costs a chat this much: it is passed over while those have no
 /// more than some ten streams more.
 const CHAT_RANK_MS: f64 = 8.0;
+/// Engines that a call draws where there are as many routers as engines; in a small fleet all.
+const DRAWN_ENGINES: f64 = 8.0;
 /// Costs of equal requests differ by up to this much for each other router. Routers hear of each
 /// other's sends late, the later the more they are, and would all choose the same engine: with 91
 /// the busiest got four times the mean.
@@ -294,6 +296,23 @@
         }
     }
 
+    /// Whether the call looks at this engine at all. Routers hear of each other's sends late, the later
+    /// the more they are; if each took the least busy of all engines, all would take the same few. So
+    /// each call draws a few, more of those that chats go to first, beside its home and the engines
+    /// that have its parts.
+    pub(crate) fn draws(&self, state: &ServerState, around: &Surroundings<'_>) -> bool {
+        let mut share = DRAWN_ENGINES / around.routers.max(1) as f64;
+        let chat_engines = (around.engines as f64 * CHAT_SHARE).ceil();
+        if around.shape == CallShape::Chat {
+            if chat_engines <= around.chat_rank as f64 && share < 1.0 {
+                return false;
+            }
+            share /= CHAT_SHARE;
+        }
+        let holds = || around.sources.iter().any(|source| source.key == state.key());
+        around.is_home || self.spread(state) < share || holds()
+    }
+
     /// Between 0 and 1, drawn by the call and the engine.
     fn spread(&self, state: &ServerState) -> f64 {
         let call = xxh3_64(self.call.id.as_str().as_bytes());
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -88,7 +88,7 @@
         let routers = self.peers.hosts(request.now).count();
         let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
         let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
-        let mut rated: Vec<(Candidate<'_>, bool)> = Vec::with_capacity(allowed.len());
+        let mut rated: Vec<RatedEngine<'_>> = Vec::with_capacity(allowed.len());
         for (state, weights) in allowed {
             let sources = sources.entry(weights).or_insert_with(|| self.sources(request, weights));
             let (key, now) = (state.key(), request.now);
@@ -111,13 +111,13 @@
                 others,
                 sources,
             };
-            let candidate = request.candidate(state, weights, &around);
-            rated.push((candidate, state.is_open(now)));
+            rated.push(RatedEngine {
+                candidate: request.candidate(state, weights, &around),
+                is_open: state.is_open(now),
+                is_drawn: request.draws(state, &around),
+            });
         }
-        let by_cost =
-            |a: &&(Candidate<'_>, bool), b: &&(Candidate<'_>, bool)| a.0.cost.total_cmp(&b.0.cost);
-        let open = rated.iter().filter(|(_, is_open)| *is_open).min_by(by_cost);
-        let (best, is_open) = open.or_else(|| rated.iter().min_by(by_cost))?;
+        let (best, is_open) = cheapest(&rated)?;
         let reason = match (is_open, best.is_home) {
             (false, _) => ChoiceReason::LastResort,
             (true, true) => ChoiceReason::Home,
@@ -181,3 +181,25 @@
         (kept < shared).then_some(store.address)
     }
 }
+
+/// An engine with its cost.
+struct RatedEngine<'a> {
+    candidate: Candidate<'a>,
+    is_open: bool,
+    is_drawn: bool,
+}
+
+/// The cheapest of the open engines that the call draws, else of all that are open, else of all; and
+/// whether it is open.
+fn cheapest<'a, 'b>(rated: &'b [RatedEngine<'a>]) -> Option<(&'b Candidate<'a>, bool)> {
+    let least = |wanted: fn(&RatedEngine<'_>) -> bool| {
+        let wanted = rated.iter().filter(|engine| wanted(engine));
+        wanted.map(|engine| &engine.candidate).min_by(|a, b| a.cost.total_cmp(&b.cost))
+    };
+    let drawn = least(|engine| engine.is_open && engine.is_drawn);
+    let open = drawn.or_else(|| least(|engine| engine.is_open));
+    match open {
+        Some(candidate) => Some((candidate, true)),
+        None => least(|_| true).map(|candidate| (candidate, false)),
+    }
+}
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -272,3 +272,44 @@
         assert_eq!(time.map(|time| time.as_millis() as u64), case.time_ms, "{}", case.name);
     }
 }
+
+struct HerdCase {
+    name: &'static str,
+    /// Other routers that are heard.
+    routers: usize,
+    /// Engines that calls for one record go to before anybody hears of them.
+    least: usize,
+    most: usize,
+}
+
+const HERDS: &[HerdCase] = &[
+    HerdCase { name: "a small fleet agrees on the home", routers: 5, least: 1, most: 1 },
+    HerdCase { name: "a large one spreads", routers: 90, least: 8, most: 40 },
+];
+
+/// All routers of a large fleet send to the engine that looked least busy half a second ago.
+/// They hear of each other's sends too late to see that it is not so any more.
+/// So each call draws its engines, and the sends of that half second are spread.
+#[test]
+fn large_fleets_do_not_herd() {
+    for case in HERDS {
+        let mut world = ChoiceWorld::new();
+        let names: Vec<String> = (0..40).map(|number| format!("e{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        world.book.sync(&engines(&names), world.now);
+        for number in 0..case.routers {
+            let host = Some(HostName::new(&format!("host-{number}")));
+            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
+        }
+        let mut chosen: Vec<ServerName> = (0..100)
+            .filter_map(|turn| {
+                let call = prompt_call(&format!("call-{turn}"), RECORD, world.now);
+                Some(world.choose(&call, &[])?.server.name.clone())
+            })
+            .collect();
+        chosen.sort_unstable();
+        chosen.dedup();
+        let count = chosen.len();
+        assert!(case.least <= count && count <= case.most, "{}: {count}", case.name);
+    }
+}
