--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -78,45 +78,8 @@
         request: &EngineRequest<'_>,
         urgency: Urgency,
     ) -> Option<EngineChoice> {
-        let allowed: Vec<(&ServerState, WeightsVersion)> = self
-            .servers
-            .values()
-            .filter_map(|state| Some((state, request.allows(state)?)))
-            .collect();
-        let home = allowed.iter().map(|(state, _)| request.home_score(state)).max()?;
         let shape = CallShape::of(request.call, request.engine_rule()?);
-        let routers = self.peers.hosts(request.now).count();
-        let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
-        let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
-        let mut rated: Vec<RatedEngine<'_>> = Vec::with_capacity(allowed.len());
-        for (state, weights) in allowed {
-            let sources = sources.entry(weights).or_insert_with(|| self.sources(request, weights));
-            let (key, now) = (state.key(), request.now);
-            let others = OthersLoad {
-                open: self.peers.open(key, now),
-                chats: self.peers.chats(key, now),
-                tokens_before: self.peers.tokens_before(key, urgency, now),
-                tokens: self.peers.tokens_before(key, Urgency::LAST, now),
-            };
-            let is_home = request.home_score(state) == home;
-            let score = request.chat_score(state);
-            let chat_rank = scores.iter().filter(|other| score < **other).count();
-            let around = Surroundings {
-                is_home,
-                urgency,
-                shape,
-                chat_rank,
-                engines: scores.len(),
-                routers,
-                others,
-                sources,
-            };
-            rated.push(RatedEngine {
-                candidate: request.candidate(state, weights, &around),
-                is_open: state.is_open(now),
-                is_drawn: request.draws(state, &around),
-            });
-        }
+        let rated = self.rate_engines(request, urgency, shape);
         let (best, is_open) = cheapest(&rated)?;
         let reason = match (is_open, best.is_home) {
             (false, _) => ChoiceReason::LastResort,
@@ -138,6 +101,52 @@
         })
     }
 
+    fn rate_engines(
+        &self,
+        request: &EngineRequest<'_>,
+        urgency: Urgency,
+        shape: CallShape,
+    ) -> Vec<RatedEngine<'_>> {
+        let allowed: Vec<(&ServerState, WeightsVersion)> = self
+            .servers
+            .values()
+            .filter_map(|state| Some((state, request.allows(state)?)))
+            .collect();
+        let home = allowed.iter().map(|(state, _)| request.home_score(state)).max();
+        let scores: Vec<u64> = allowed.iter().map(|(state, _)| request.chat_score(state)).collect();
+        let routers = self.peers.hosts(request.now).count();
+        let mut sources: IndexMap<WeightsVersion, Vec<PromptSource>> = IndexMap::new();
+        let mut rated = Vec::with_capacity(allowed.len());
+        for ((state, weights), score) in allowed.into_iter().zip(&scores) {
+            let around = Surroundings {
+                is_home: Some(request.home_score(state)) == home,
+                urgency,
+                shape,
+                chat_rank: scores.iter().filter(|other| score < *other).count(),
+                engines: scores.len(),
+                routers,
+                others: self.others_load(state, urgency, request.now),
+                sources: sources.entry(weights).or_insert_with(|| self.sources(request, weights)),
+            };
+            rated.push(RatedEngine {
+                candidate: request.candidate(state, weights, &around),
+                is_open: state.is_open(request.now),
+                is_drawn: request.draws(state, &around),
+            });
+        }
+        rated
+    }
+
+    fn others_load(&self, state: &ServerState, urgency: Urgency, now: Instant) -> OthersLoad {
+        let key = state.key();
+        OthersLoad {
+            open: self.peers.open(key, now),
+            chats: self.peers.chats(key, now),
+            tokens_before: self.peers.tokens_before(key, urgency, now),
+            tokens: self.peers.tokens_before(key, Urgency::LAST, now),
+        }
+    }
+
     /// Who has parts of the prompt under the salt of these weights.
     fn sources(&self, request: &EngineRequest<'_>, weights: WeightsVersion) -> Vec<PromptSource> {
         let scope = scope_of(&request.salt(weights));
