Requests that other routers have not told of yet are estimated from own demand

Cause: at the start and after each version of the grown shop all routers sent prompts with a common part to the one engine that had read it: 27 of 90 routers within half a second, 188k tokens, four seconds of reading, while a copy to another engine takes 10 ms. Each knew who had the part, none knew of the others' sends (words are 0.6 s apart). Ruled out: the draw of eight engines (all holders are drawn beside them). Sources that are alike are now asked in turn. Test: a_part_that_all_ask_for_spreads, failed before (share 1.0 at the holder).

--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -15,6 +15,7 @@
 use crate::BootTime;
 use crate::CallFacts;
 use crate::CallShape;
+use crate::DemandMeter;
 use crate::EngineRule;
 use crate::PeerSum;
 use crate::RouteTable;
@@ -24,6 +25,7 @@
 use crate::Urgency;
 use crate::WeightsTable;
 use crate::prompt_source::PromptSource;
+use crate::word_pace;
 
 /// Prompt tokens an engine reads in a millisecond; the order of size of the engines in use. It
 /// scales all costs alike, so that the choice hardly depends on it.
@@ -69,6 +71,10 @@
 const CHAT_STALL_MS: f64 = 40.0;
 /// And to all of them at most.
 const MOST_STALL_MS: f64 = 400.0;
+/// A word is on average half as old as the pause between two.
+const UNHEARD_SHARE: f64 = 0.5;
+/// What is not heard yet counts for so much at most: an estimate from a few requests errs.
+const MOST_UNHEARD_MS: f64 = 2_000.0;
 /// What reading a token anew costs, as time, if another engine or the store has it. It is work done
 /// twice, which the users count higher than a late answer: 1,000 tokens weigh as 300 ms, beside the
 /// 25 ms that reading takes.
@@ -178,6 +184,8 @@
     pub(crate) others: PeerSum,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
+    /// How often parts are asked for here.
+    pub(crate) demand: &'a DemandMeter,
 }
 
 /// How an engine comes by shared parts that it lacks.
@@ -253,6 +261,7 @@
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
         cost += self.company_ms(state, around);
+        cost += self.unheard_ms(known, read_tokens, around);
         cost += self.spread(state) * around.routers as f64 * SPREAD_MS;
         Candidate {
             state,
@@ -286,6 +295,30 @@
         }
     }
 
+    /// What the other routers have sent to an engine for the same parts since they last spoke, as time.
+    ///
+    /// They all know who has a part, and nobody knows yet who is sending there. Of 90 routers 27 sent to
+    /// the one engine that had a common part within half a second, four seconds of reading, while a copy
+    /// takes ten milliseconds. This router's own callers tell how often the part is asked for.
+    fn unheard_ms(&self, known: u32, read_tokens: f64, around: &Surroundings<'_>) -> f64 {
+        let Some(part) = self.deepest_part(known) else { return 0.0 };
+        let rate = around.demand.rate(part, self.now) * around.routers as f64;
+        let lag = word_pace(around.routers).as_secs_f64() * UNHEARD_SHARE;
+        let holders = around.sources.iter().filter(|source| known <= source.tokens).count();
+        let reading_ms = read_tokens / PREFILL_TOKENS_PER_MS;
+        (rate * lag * reading_ms / holders.max(1) as f64).min(MOST_UNHEARD_MS)
+    }
+
+    /// The last shared part that an engine with so many tokens of the prompt has.
+    fn deepest_part(&self, known: u32) -> Option<u64> {
+        let mut tokens = 0;
+        let held = self.call.shared_parts().iter().take_while(|part| {
+            tokens += part.tokens;
+            tokens <= known
+        });
+        held.last().map(|part| part.hash)
+    }
+
     /// Whether the call looks at this engine at all. Routers hear of each other's sends late, the later
     /// the more they are; if each took the least busy of all engines, all would take the same few. So
     /// each call draws a few, more of those that chats go to first, beside its home and the engines
@@ -323,7 +356,11 @@
         let zone = &state.entry.zone;
         let mut best = PromptSupply::default();
         let mut held = 0;
-        for source in sources.iter().filter(|source| source.key != state.key()) {
+        // Equal ones are taken in turn: all calls would ask the same one otherwise.
+        let turn = xxh3_64(self.call.id.as_str().as_bytes()) as usize % sources.len().max(1);
+        let (before, after) = sources.split_at(turn.min(sources.len()));
+        let others = after.iter().chain(before).filter(|source| source.key != state.key());
+        for source in others {
             let up_to = source.tokens.min(shared);
             held = held.max(up_to);
             if up_to < known + LEAST_FETCH_TOKENS {
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -15,6 +15,17 @@
 /// fell silent may have ended, and its requests with it.
 const WORD_AGE: Duration = Duration::from_millis(1_200);
 
+/// Pause between two words of a router. An engine reads a prompt in some 100 ms, so older word of its
+/// backlog is of little use.
+const WORD_PACE: Duration = Duration::from_millis(150);
+/// And this much more for each other router, so that large fleets do not drown in words.
+const PACE_PER_PEER: Duration = Duration::from_millis(5);
+
+/// How often a router tells each of so many others.
+pub fn word_pace(peers: usize) -> Duration {
+    WORD_PACE + PACE_PER_PEER * peers as u32
+}
+
 /// The newest word of each router, and the sums by server.
 ///
 /// A choice asks for every engine what all routers have there. Summed up anew each time, that was a
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -16,6 +16,7 @@
 use crate::CacheNotice;
 use crate::CallFacts;
 use crate::CallShape;
+use crate::DemandMeter;
 use crate::EngineChoice;
 use crate::LoadReport;
 use crate::PartMemory;
@@ -56,6 +57,8 @@
     store_link: LinkMeter,
     /// What the other routers have under way.
     peers: PeerBoard,
+    /// How often this router's callers ask for parts.
+    demand: DemandMeter,
     /// Prompts sent since the others were last told.
     untold: Vec<PromptNotice>,
     /// And what caches have said since.
@@ -136,6 +139,9 @@
             transfer_ms: choice.fetch.map_or(0, |fetch| fetch.transfer_ms as u32),
         };
         self.note_prompt(&notice, now);
+        for part in call.shared_parts() {
+            self.demand.note(part.hash, now);
+        }
         if self.untold.len() < news::MOST_UNTOLD {
             self.untold.push(notice);
         }
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -90,6 +90,7 @@
             routers,
             others: self.peers.sum(engine.state.key()),
             sources: sources.get(&engine.weights).map_or(&[][..], Vec::as_slice),
+            demand: &self.demand,
         };
         let draws = |engine: &AllowedEngine<'_>| request.draws(engine.state, &around(engine));
         let (engines, is_open) = looked_at(&allowed, request.now, draws);
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -323,3 +323,61 @@
         assert!(case.least <= count && count <= case.most, "{}: {count}", case.name);
     }
 }
+
+struct CommonCase {
+    name: &'static str,
+    routers: usize,
+    /// Sends of this router for the part within a second.
+    sends: usize,
+    /// Share of the calls that go to the engine that has the part.
+    least: f64,
+    most: f64,
+}
+
+const COMMON: &[CommonCase] = &[
+    CommonCase {
+        name: "asked for once, it stays there",
+        routers: 90,
+        sends: 1,
+        least: 0.5,
+        most: 1.0,
+    },
+    CommonCase {
+        name: "asked for by all, it spreads",
+        routers: 90,
+        sends: 4,
+        least: 0.0,
+        most: 0.3,
+    },
+    CommonCase { name: "a small fleet hears in time", routers: 5, sends: 4, least: 0.5, most: 1.0 },
+];
+
+/// All heavy prompts of a kind wait for seconds at one engine while others idle.
+/// It was the first to read the part that they share; each router knows that, and none knows yet that
+/// the others send there as well. What this router's own callers ask for tells how many that are.
+#[test]
+fn a_part_that_all_ask_for_spreads() {
+    for case in COMMON {
+        let mut world = ChoiceWorld::new();
+        let names: Vec<String> = (0..40).map(|number| format!("e{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        world.book.sync(&engines(&names), world.now);
+        for number in 0..case.routers {
+            let host = Some(HostName::new(&format!("host-{number}")));
+            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
+        }
+        let first = world.choose(&prompt_call("first", RECORD, world.now), &[]).expect("an engine");
+        let holder = first.server.name.clone();
+        for turn in 0..case.sends {
+            let call = prompt_call(&format!("sent-{turn}"), RECORD, world.now);
+            let ticket = world.book.begin_prompt(&call, &first, world.now);
+            world.book.left(&ticket);
+        }
+        let calls = (0..50).map(|turn| prompt_call(&format!("call-{turn}"), RECORD, world.now));
+        let there = calls.filter(|call| {
+            world.choose(call, &[]).is_some_and(|choice| choice.server.name == holder)
+        });
+        let share = there.count() as f64 / 50.0;
+        assert!(case.least <= share && share <= case.most, "{}: {share}", case.name);
+    }
+}
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -12,6 +12,7 @@
 use derive_more::From;
 use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::WeightsAge;
+use fulmargate_dispatch::word_pace;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use h2::SendStream;
@@ -31,11 +32,6 @@
 use crate::state::SharedState;
 use crate::state::boot_now;
 
-/// Pause between messages. An engine reads a prompt in some 100 ms, so older word of its backlog
-/// is of little use.
-const NEWS_PACE: Duration = Duration::from_millis(150);
-/// And this much more for each other router, so that large fleets do not drown in messages.
-const PACE_PER_PEER: Duration = Duration::from_millis(5);
 /// Pause before a message that an engine is about to load. A wave orders some 20 engines within some
 /// milliseconds; told one by one to 90 routers, they kept a host with an eighth of a core busy for two
 /// seconds, and its reports and its lease timed out.
@@ -101,7 +97,7 @@
         let mut waited = Instant::now();
         loop {
             let peers = self.peers();
-            let pace = NEWS_PACE + PACE_PER_PEER * peers.len() as u32;
+            let pace = word_pace(peers.len());
             let urgent_pace = URGENT_PACE + URGENT_PER_PEER * peers.len() as u32;
             tokio::select! {
                 () = sleep(pace) => {}
