--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -3,6 +3,7 @@
 mod log;
 mod plan;
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,16 @@
     failed: Option<Response<CallerBody>>,
     /// When a stream's events came.
     pub(crate) pace: StreamPace,
+    /// Its end was told. A run that is dropped before has lost its caller.
+    is_told: Cell<bool>,
+}
+
+impl Drop for CallRun {
+    fn drop(&mut self) {
+        if !self.is_told.get() {
+            self.tell_caller_gone();
+        }
+    }
 }
 
 /// When a stream's events came, to tell why it was late.
@@ -91,6 +102,7 @@
             excluded: Vec::new(),
             failed: None,
             pace: StreamPace::default(),
+            is_told: Cell::new(false),
         }
     }
 
--- a/crates/entry/src/traffic/call_run/log.rs
+++ b/crates/entry/src/traffic/call_run/log.rs
@@ -73,12 +73,34 @@
         }
     }
 
+    /// The caller left, or the process ends. Without this line a request that a silent connection holds
+    /// up is sent and never heard of again.
+    pub(super) fn tell_caller_gone(&self) {
+        let kind = EventKind::CallerGone;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        let facts = self.facts();
+        let since = |at: Instant| at.duration_since(facts.arrived).as_millis() as u64;
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %facts.id,
+            route = facts.route.name,
+            first_event_ms = self.pace.first_event.map(since),
+            last_event_ms = self.pace.last_event.map(since),
+            sends = self.progress.sends() + 1,
+            took_ms = facts.arrived.elapsed().as_millis() as u64,
+        );
+    }
+
     pub(crate) fn tell_ended(
         &self,
         kind: EventKind,
         status: StatusCode,
         failure: Option<&CallFailure>,
     ) {
+        self.is_told.set(true);
         let facts = self.facts();
         record_answer(facts, status.as_u16(), facts.arrived.elapsed());
         if !self.state.lines.allows(kind, Instant::now()) {
--- a/crates/entry/tests/daemon/requests.rs
+++ b/crates/entry/tests/daemon/requests.rs
@@ -122,7 +122,8 @@
     assert!(other.seen().is_empty());
 }
 
-/// A caller hangs up while its request runs. The server is told by its connection's close.
+/// A caller hangs up while its request runs. The server is told by its connection's close, and the log
+/// says how far the request was: one that is sent and never heard of again cannot be explained.
 #[tokio::test]
 async fn a_caller_that_leaves_cancels() {
     let deployment = TestDeployment::start(ServerMode::Hang).await;
@@ -131,6 +132,10 @@
     until("the request runs", || deployment.desks.iter().any(|desk| !desk.seen().is_empty())).await;
     sending.abort();
     until("the server is told", || deployment.desks.iter().any(|desk| 0 < desk.left())).await;
+    until("the log has its end", || {
+        deployment.daemon.events("caller_gone").iter().any(|line| line["id"] == "gone")
+    })
+    .await;
 }
 
 /// A server is silent. The caller gets its final answer when its time is over, and nothing earlier
