A silent engine is given up only for another one

Silence now ends an answer only if another attempt and the budget allow one. Test: a_silent_server_is_given_up_only_for_another. The line of a sent prompt names the prompt, so that its copies can be followed over hosts.

--- a/crates/dispatch/src/call_progress.rs
+++ b/crates/dispatch/src/call_progress.rs
@@ -61,8 +61,7 @@
             }
             SendEnd::Broken | SendEnd::TimedOut | SendEnd::Unreachable => {
                 self.possible_runs += 1;
-                let may_run = route.may_repeat() && self.possible_runs < route.max_attempts;
-                if may_run && self.sends < MOST_SENDS {
+                if self.has_attempts(route) && self.sends < MOST_SENDS {
                     return NextStep::SendAgain;
                 }
                 NextStep::GiveUp(match end {
@@ -73,6 +72,19 @@
         }
     }
 
+    /// Whether another server may run it after those that may have.
+    fn has_attempts(&self, route: &RouteRule) -> bool {
+        route.may_repeat() && self.possible_runs < route.max_attempts
+    }
+
+    /// Whether the server that has it now may be given up for another one. If not, its silence is no
+    /// reason to end the answer: a busy server is silent for a while and takes no new connection, and
+    /// what cannot be had elsewhere is worth waiting for.
+    pub fn may_go_elsewhere(&self, route: &RouteRule) -> bool {
+        let with_this = CallProgress { possible_runs: self.possible_runs + 1, ..*self };
+        with_this.has_attempts(route) && self.sends + 1 < MOST_SENDS
+    }
+
     /// The error for a call that cannot be sent again: "not run" only where that is certain.
     pub fn failure(&self) -> ErrorKind {
         if self.possible_runs == 0 { ErrorKind::NoServer } else { ErrorKind::OutcomeUnknown }
--- a/crates/dispatch/src/repeat_budget.rs
+++ b/crates/dispatch/src/repeat_budget.rs
@@ -66,17 +66,23 @@
 
     /// Takes one repeat if the budget has it.
     pub fn try_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let has_repeat = self.has_repeat(service, now);
+        if has_repeat {
+            let part = self.part(now);
+            self.count(service, part).repeats[(part % PARTS as u64) as usize] += 1;
+        }
+        has_repeat
+    }
+
+    /// Whether the budget has a repeat.
+    pub fn has_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
         let allowed = self.conf.ratio * CAUTION;
         let slack = self.slack(now);
         let part = self.part(now);
         let count = self.count(service, part);
         let firsts: u32 = count.firsts.iter().sum();
         let repeats: u32 = count.repeats.iter().sum();
-        if allowed * f64::from(firsts) + slack < f64::from(repeats + 1) {
-            return false;
-        }
-        count.repeats[(part % PARTS as u64) as usize] += 1;
-        true
+        f64::from(repeats + 1) <= allowed * f64::from(firsts) + slack
     }
 
     fn slack(&self, now: Instant) -> f64 {
--- a/crates/dispatch/tests/progress.rs
+++ b/crates/dispatch/tests/progress.rs
@@ -184,3 +184,40 @@
         assert_eq!(progress.arrivals(), case.arrivals, "{}", case.name);
     }
 }
+
+struct ElsewhereCase {
+    name: &'static str,
+    kind: RouteKind,
+    max_attempts: u32,
+    ends: &'static [SendEnd],
+    may: bool,
+}
+
+fn elsewheres() -> Vec<ElsewhereCase> {
+    use SendEnd::*;
+    let case =
+        |name, kind, max_attempts, ends, may| ElsewhereCase { name, kind, max_attempts, ends, may };
+    vec![
+        case("a stream that may go on", stream(true), 2, &[], true),
+        case("its attempts are used up", stream(true), 2, &[Unreachable], false),
+        case("turned away is no attempt", stream(true), 2, &[Refused, NotSent], true),
+        case("its sends are used up", stream(true), 3, &[Refused, Refused, Refused], false),
+        case("a stream that may not go on", stream(false), 3, &[], false),
+        case("a charge", RouteKind::NonIdempotent, 3, &[], false),
+    ]
+}
+
+/// A visitor's answer is cut off in the middle, and nobody goes on with it.
+/// Its first engine was given up; the second was silent for a second and took no new connection, being
+/// busy. It was given up as well, though the route allowed no third: now it is waited for.
+#[test]
+fn a_silent_server_is_given_up_only_for_another() {
+    for case in elsewheres() {
+        let route = route(case.kind, DESK, case.max_attempts);
+        let mut progress = CallProgress::default();
+        for end in case.ends {
+            progress.after(*end, &route);
+        }
+        assert_eq!(progress.may_go_elsewhere(&route), case.may, "{}", case.name);
+    }
+}
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -206,6 +206,13 @@
             .saying("the budget of repeats is spent".to_owned()))
     }
 
+    /// Whether the server that has the call now may be given up for another one.
+    pub(crate) fn may_go_elsewhere(&self) -> bool {
+        let has_repeat = |service| self.state.budget().has_repeat(&service, Instant::now());
+        self.progress.may_go_elsewhere(&self.facts().route)
+            && self.service().is_some_and(has_repeat)
+    }
+
     fn service(&self) -> Option<ServiceName> {
         let draw = xxh3_64(self.facts().id.as_str().as_bytes());
         self.facts().route.service_for(draw).cloned()
--- a/crates/entry/src/traffic/call_run/log.rs
+++ b/crates/entry/src/traffic/call_run/log.rs
@@ -2,6 +2,7 @@
 
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
 use fulmargate_names::TeamName;
 use http::StatusCode;
@@ -44,6 +45,7 @@
             reason,
             send = self.progress.sends() + 1,
             weights = choice.weights.0,
+            prompt = self.facts().home_key().map(|key| format!("{:016x}", scope_of(&choice.salt) ^ key)),
             urgency = choice.urgency.level(),
             prompt_tokens = self.facts().prompt_tokens(),
             read_tokens = choice.read_tokens as u32,
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -146,10 +146,10 @@
         }
     }
 
-    /// How often a silent server is asked. A call that may run once only is waited for to the end.
+    /// How often a silent server is asked. A call that cannot go elsewhere is waited for to the end.
     fn probe_pace(&self) -> Duration {
         let route = &self.facts().route;
-        match route.may_repeat() {
+        match self.progress.may_go_elsewhere(route) {
             true => route.target_latency.mul_f64(PROBE_SHARE),
             false => route.timeout,
         }
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -135,10 +135,9 @@
     }
 
     /// Whether a silent server is gone. Only a stream that another server may go on with is given up
-    /// for it: a busy server may be silent and take no new connection for a while, and an answer
-    /// that cannot be had elsewhere is worth waiting for.
+    /// for it.
     async fn is_lost(&self, answer: &OpenAnswer) -> Option<String> {
-        if !self.run.facts().route.may_repeat() {
+        if !self.run.may_go_elsewhere() {
             return None;
         }
         let fault = Channel::connect(answer.server.address).await.err()?;
