Fewer engines looked at by a call of a large fleet; demand of all routers; the store keeps what was asked for before

Cause: on the grown shop an engine that had just loaded got 15 requests within 0.2 s: all holders of a part were looked at by every call, and a common part is nearly everywhere. A call now looks at 4 engines, and at 3 of those that have most of its prompt. Demand is counted from the words of all routers. With each first prompt saved, the store kept a part for 1.5 s. Test: a_part_that_all_ask_for_spreads, its cases by sends of all routers (60 instead of 4 of this one).

--- a/crates/dispatch/src/demand_meter.rs
+++ b/crates/dispatch/src/demand_meter.rs
@@ -5,13 +5,16 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
-/// Requests count less with time; after so long, by a factor of e. Long enough to see a part that a
-/// router meets once in two seconds, short enough to follow a burst.
+/// Requests count less with time; after so long, by a factor of e. About as long as an engine keeps a
+/// part that nobody asks for, and short enough to follow a burst.
 const MEMORY: Duration = Duration::from_secs(4);
-/// Parts counted; the least recently asked for go first.
-const MOST_PARTS: usize = 1_024;
+/// Parts counted; beyond, those hardly asked for any more go. Enough for 2,000 records and as many
+/// sessions; an entry takes some 40 bytes.
+const MOST_PARTS: usize = 8_192;
+/// What remains of a count is forgotten below this.
+const LEAST_COUNT: f64 = 0.2;
 
-/// This router's own requests by shared part, as a fading count.
+/// Requests of all routers by shared part, as far as they have told of them, as fading counts.
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     parts: IndexMap<u64, FadingCount>,
@@ -24,19 +27,23 @@
 }
 
 impl DemandMeter {
-    /// A request with this part goes out.
+    /// A request with this part was sent.
     pub fn note(&mut self, part: u64, now: Instant) {
-        let count = self.parts.shift_remove(&part).map_or(0.0, |known| known.get(now));
-        self.parts.insert(part, FadingCount { count: count + 1.0, at: now });
+        let count = self.parts.entry(part).or_insert(FadingCount { count: 0.0, at: now });
+        *count = FadingCount { count: count.get(now) + 1.0, at: now };
         if MOST_PARTS < self.parts.len() {
-            self.parts.shift_remove_index(0);
+            self.parts.retain(|_, count| LEAST_COUNT < count.get(now));
         }
     }
 
-    /// Requests a second lately. A single one tells nothing of a rate.
+    /// Requests lately, later ones for more.
+    pub fn count(&self, part: u64, now: Instant) -> f64 {
+        self.parts.get(&part).map_or(0.0, |known| known.get(now))
+    }
+
+    /// Requests a second lately.
     pub fn rate(&self, part: u64, now: Instant) -> f64 {
-        let count = self.parts.get(&part).map_or(0.0, |known| known.get(now));
-        (count - 1.0).max(0.0) / MEMORY.as_secs_f64()
+        self.count(part, now) / MEMORY.as_secs_f64()
     }
 }
 
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -59,8 +59,11 @@
 /// Each engine further down the order costs a chat this much: it is passed over while those have no
 /// more than some ten streams more.
 const CHAT_RANK_MS: f64 = 8.0;
-/// Engines that a call draws where there are as many routers as engines; in a small fleet all.
-const DRAWN_ENGINES: f64 = 8.0;
+/// Engines that a call draws where there are as many routers as engines; in a small fleet all. The more
+/// it draws, the more calls meet at the engine that looked best half a second ago.
+const DRAWN_ENGINES: f64 = 4.0;
+/// Engines that a call draws of those that have most of its prompt.
+const DRAWN_HOLDERS: f64 = 3.0;
 /// Costs of equal requests differ by up to this much for each other router. Routers hear of each
 /// other's sends late, the later the more they are, and would all choose the same engine: with 91
 /// the busiest got four times the mean.
@@ -184,7 +187,7 @@
     pub(crate) others: PeerSum,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
-    /// How often parts are asked for here.
+    /// How often parts are asked for.
     pub(crate) demand: &'a DemandMeter,
 }
 
@@ -304,12 +307,14 @@
     ///
     /// They all know who has a part, and nobody knows yet who is sending there. Of 90 routers 27 sent to
     /// the one engine that had a common part within half a second, four seconds of reading, while a copy
-    /// takes ten milliseconds. This router's own callers tell how often the part is asked for.
+    /// takes ten milliseconds. How often the part was asked for lately tells how many are to be expected.
     fn unheard_ms(&self, known: u32, read_tokens: f64, around: &Surroundings<'_>) -> f64 {
         let Some(part) = self.deepest_part(known) else { return 0.0 };
-        let rate = around.demand.rate(part, self.now) * around.routers as f64;
+        let rate = around.demand.rate(part, self.now);
         let lag = word_pace(around.routers).as_secs_f64() * UNHEARD_SHARE;
-        let holders = around.sources.iter().filter(|source| known <= source.tokens).count();
+        let is_holder =
+            |source: &&PromptSource| source.key != ServerKey::STORE && known <= source.tokens;
+        let holders = around.sources.iter().filter(is_holder).count();
         let reading_ms = read_tokens / PREFILL_TOKENS_PER_MS;
         (rate * lag * reading_ms / holders.max(1) as f64).min(MOST_UNHEARD_MS)
     }
@@ -337,8 +342,18 @@
             }
             share /= CHAT_SHARE;
         }
-        let holds = || around.sources.iter().any(|source| source.key == state.key());
-        around.is_home || self.spread(state) < share || holds()
+        around.is_home || self.spread(state) < share || self.draws_holder(state, around)
+    }
+
+    /// Whether the call looks at this engine for what it has of the prompt: at the few that have most,
+    /// or at some of many. A part that all prompts of a kind share is nearly everywhere; looked at for
+    /// it, an engine that had just loaded got fifteen requests within a fifth of a second.
+    fn draws_holder(&self, state: &ServerState, around: &Surroundings<'_>) -> bool {
+        let engines = || around.sources.iter().filter(|source| source.key != ServerKey::STORE);
+        let most = engines().map(|source| source.tokens).max().unwrap_or_default();
+        let deepest = || engines().filter(|source| source.tokens == most);
+        let is_deepest = deepest().any(|source| source.key == state.key());
+        is_deepest && self.spread(state) < DRAWN_HOLDERS / deepest().count() as f64
     }
 
     /// Between 0 and 1, drawn by the call and the engine.
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -61,7 +61,7 @@
     store_link: LinkMeter,
     /// What the other routers have under way.
     peers: PeerBoard,
-    /// How often this router's callers ask for parts.
+    /// How often callers of all routers ask for parts.
     demand: DemandMeter,
     /// Prompts sent since the others were last told.
     untold: Vec<PromptNotice>,
@@ -144,9 +144,6 @@
             transfer_ms: choice.fetch.map_or(0, |fetch| fetch.transfer_ms as u32),
         };
         self.note_prompt(&notice, now);
-        for part in call.shared_parts() {
-            self.demand.note(part.hash, now);
-        }
         if self.untold.len() < news::MOST_UNTOLD {
             self.untold.push(notice);
         }
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -30,6 +30,8 @@
 const FAILURE_MS: f64 = 150.0;
 /// What a server that is still slow after its start costs, as time.
 const COLD_MS: f64 = 30.0;
+/// What is left of one request's count after 6 s.
+const ASKED_LATELY: f64 = 0.2;
 /// A shorter shared beginning is read in less time than a fetch takes.
 const LEAST_SAVED_TOKENS: u32 = 1_000;
 
@@ -184,7 +186,8 @@
         sources
     }
 
-    /// The store, if it does not have the shared parts yet.
+    /// The store, if it does not have the shared parts yet and they were asked for lately. It takes all of
+    /// a prompt, its own part too: with every first prompt sent there, it kept a part for 1.5 s.
     fn save_to(&self, request: &EngineRequest<'_>, salt: &str) -> Option<SocketAddr> {
         let store = request.table.cache_store()?;
         let shared = request.call.shared_tokens();
@@ -192,6 +195,10 @@
             return None;
         }
         let parts = request.call.shared_parts();
+        let asked = parts.last().map_or(0.0, |part| self.demand.count(part.hash, request.now));
+        if asked < ASKED_LATELY {
+            return None;
+        }
         let kept = self.kept.cached_tokens(scope_of(salt), parts, store.cache_tokens as f64);
         (kept < shared).then_some(store.address)
     }
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -80,6 +80,7 @@
     /// A prompt goes to an engine, through this router or another.
     pub(super) fn note_prompt(&mut self, notice: &PromptNotice, now: Instant) {
         let parts = || notice.parts.iter().copied();
+        parts().for_each(|part| self.demand.note(part, now));
         let taken = f64::from(notice.taken_tokens);
         let ready = now + Duration::from_millis(u64::from(notice.ready_ms));
         if let Some(state) = self.servers.get_mut(&notice.server) {
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -366,7 +366,7 @@
 struct CommonCase {
     name: &'static str,
     routers: usize,
-    /// Sends of this router for the part within a second.
+    /// Sends of all routers for the part a second ago.
     sends: usize,
     /// Share of the calls that go to the engine that has the part.
     least: f64,
@@ -384,16 +384,22 @@
     CommonCase {
         name: "asked for by all, it spreads",
         routers: 90,
-        sends: 4,
+        sends: 60,
         least: 0.0,
         most: 0.3,
     },
-    CommonCase { name: "a small fleet hears in time", routers: 5, sends: 4, least: 0.5, most: 1.0 },
+    CommonCase {
+        name: "a small fleet hears in time",
+        routers: 5,
+        sends: 60,
+        least: 0.5,
+        most: 1.0,
+    },
 ];
 
 /// All heavy prompts of a kind wait for seconds at one engine while others idle.
 /// It was the first to read the part that they share; each router knows that, and none knows yet that
-/// the others send there as well. What this router's own callers ask for tells how many that are.
+/// the others send there as well. How often the part was asked for lately tells how many that are.
 #[test]
 fn a_part_that_all_ask_for_spreads() {
     for case in COMMON {
@@ -413,7 +419,8 @@
             world.book.left(&ticket);
         }
         world.now += Duration::from_secs(1);
-        let calls = (0..50).map(|turn| prompt_call(&format!("call-{turn}"), RECORD, world.now));
+        let calls =
+            (0..50).map(|turn| prompt_call(&format!("later-call-{turn}"), RECORD, world.now));
         let there = calls.filter(|call| {
             world.choose(call, &[]).is_some_and(|choice| choice.server.name == holder)
         });
