After a lost or refused append the topic is read at once; hosts try for the lease one after the other

Engines came to the new weights after the bound, and prompts were refused (503, not run). Ruled out: the lease's rules (nobody else held it), the engines.

--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -33,8 +33,12 @@
 }
 
 impl FleetFold {
-    /// Takes in a record. Crashes are for the crash book; they only move the end here.
+    /// Takes in a record. Two readers may give the same one; it counts once. Crashes are for the crash
+    /// book; they only move the end here.
     pub fn apply(&mut self, offset: LogOffset, record: &FleetRecord, now: BootTime) {
+        if offset < self.end {
+            return;
+        }
         self.end = LogOffset(offset.0 + 1);
         match record {
             FleetRecord::Joined { host, address, .. } => {
--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_desk.rs
@@ -5,6 +5,7 @@
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::BootTime;
 use crate::FleetFold;
@@ -17,6 +18,10 @@
 /// renewal takes one append, some 10 ms; the rest covers a busy host.
 const HOLDER_FIRST: Duration = Duration::from_millis(400);
 
+/// Others try one after the other, within this time for each host there is. All at once they made 60
+/// calls of the store, of which one could succeed.
+const TURN_PER_HOST: Duration = Duration::from_millis(20);
+
 /// What to do now about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -66,19 +71,26 @@
             // Renewed by a record with a higher number: nobody else has acted in between.
             return LeaseStep::Append { at: fold.end() };
         }
-        let Some(lease) = newest else {
-            return LeaseStep::Append { at: fold.end() };
+        let turn = work_since.after(self.turn(fold));
+        let from = match newest {
+            None => turn,
+            // The last holder's host is the same holder also after a restart: nobody acted in between.
+            Some(lease) if lease.host == self.host => now,
+            Some(lease) => lease.seen.after(self.length).max(turn.after(HOLDER_FIRST)),
         };
-        let free = lease.seen.after(self.length);
-        let turn = work_since.after(HOLDER_FIRST);
-        // The last holder's host is the same holder also after a restart: nobody acted in between.
-        let from = if lease.host == self.host { now } else { free.max(turn) };
         if now < from {
             return LeaseStep::Wait(from.since(now));
         }
         LeaseStep::Append { at: fold.end() }
     }
 
+    /// How long this host waits for others to try first. Drawn anew for each record of the topic.
+    fn turn(&self, fold: &FleetFold) -> Duration {
+        let draw = xxh3_64(format!("{}/{}", self.host, fold.end()).as_bytes());
+        let share = (draw >> 11) as f64 / (1_u64 << 53) as f64;
+        (TURN_PER_HOST * fold.hosts() as u32).mul_f64(share)
+    }
+
     /// The append that was sent at `sent` was accepted at this offset.
     pub fn appended(&mut self, fence: FencingNumber, sent: BootTime) {
         self.own = Some(OwnLease { fence, sent });
--- a/crates/dispatch/src/part_memory.rs
+++ b/crates/dispatch/src/part_memory.rs
@@ -9,7 +9,7 @@
 const MOST_PARTS: usize = 1_024;
 /// Share of an engine's memory within which a part is believed to be kept when nothing is heard of
 /// it. The rest is taken by requests that run.
-const KEPT_SHARE: f64 = 0.75;
+const KEPT_SHARE: f64 = 1.5;
 
 /// A belief: what was sent there, corrected by the engine's own events. Parts yield to newer ones
 /// when the memory is full, so a part's age is counted in tokens taken in since its last use.
--- a/crates/dispatch/src/reader_choice.rs
+++ b/crates/dispatch/src/reader_choice.rs
@@ -11,8 +11,8 @@
 pub enum RecordSource {
     /// The store.
     Store,
-    /// A router that reads it.
-    Router(HostName),
+    /// The routers that read it, the one to be asked first in front.
+    Routers(Vec<HostName>),
 }
 
 /// The source of a host. In a small fleet all read: it costs little and nothing depends on others. In
@@ -28,5 +28,6 @@
         return RecordSource::Store;
     }
     let turn = xxh3_64(own.as_str().as_bytes()) as usize % hosts.len();
-    RecordSource::Router(hosts[turn].clone())
+    hosts.rotate_left(turn);
+    RecordSource::Routers(hosts.into_iter().cloned().collect())
 }
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -176,3 +176,58 @@
     assert!(matches!(step("h0", 20_001), LeaseStep::Wait(_)));
     assert_eq!(step("h0", 20_400), LeaseStep::Append { at: LogOffset(1) });
 }
+
+struct TurnCase {
+    name: &'static str,
+    hosts: usize,
+    /// Milliseconds since there is work.
+    after_ms: u64,
+    least: usize,
+    most: usize,
+}
+
+const TURNS: &[TurnCase] = &[
+    TurnCase { name: "few hosts, soon", hosts: 6, after_ms: 125, least: 6, most: 6 },
+    TurnCase { name: "many hosts, at first", hosts: 90, after_ms: 100, least: 1, most: 15 },
+    TurnCase { name: "many hosts, in the end", hosts: 90, after_ms: 1_850, least: 90, most: 90 },
+];
+
+/// Each new version costs as many calls of the store as there are hosts.
+/// All of them saw at the same moment that nobody holds the lease, and appended; one could succeed.
+/// They try one after the other, and the others read the first one's record before it is their turn.
+#[test]
+fn hosts_do_not_all_try_at_once() {
+    for case in TURNS {
+        let hosts: Vec<String> = (0..case.hosts).map(|number| format!("host-{number}")).collect();
+        let mut fold = FleetFold::default();
+        for (offset, host) in hosts.iter().enumerate() {
+            let record = FleetRecord::Joined {
+                host: HostName::new(host),
+                incarnation: Incarnation(1),
+                address: "127.0.0.1:1".parse().expect("an address"),
+            };
+            fold.apply(LogOffset(offset as u64), &record, BootTime(0));
+        }
+        let (work_since, now) = (BootTime(10_000), BootTime(10_000 + case.after_ms));
+        let tries = |host: &&String| {
+            let step = LeaseDesk::new(HostName::new(host), LEASE).step(&fold, work_since, now);
+            matches!(step, LeaseStep::Append { .. })
+        };
+        let count = hosts.iter().filter(tries).count();
+        assert!(case.least <= count && count <= case.most, "{}: {count}", case.name);
+    }
+}
+
+/// A router takes a lease for younger than it is, or an older one for the newest.
+/// Two reads of the same records come back after each other, the second one late.
+/// A record counts when it is read first, and the fold never goes back.
+#[test]
+fn a_record_that_is_read_twice_counts_once() {
+    let mut fold = FleetFold::default();
+    fold.apply(LogOffset(0), &lease_record("h0"), BootTime(1_000));
+    fold.apply(LogOffset(1), &lease_record("h1"), BootTime(2_000));
+    fold.apply(LogOffset(0), &lease_record("h0"), BootTime(9_000));
+    let lease = fold.lease().expect("a lease");
+    assert_eq!((lease.host.as_str(), lease.seen), ("h1", BootTime(2_000)));
+    assert_eq!(fold.end(), LogOffset(2));
+}
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -19,6 +19,7 @@
 
 use crate::control::cache_watch::CacheWatch;
 use crate::control::fleet_desk::FleetDesk;
+use crate::control::fleet_desk::FleetReader;
 use crate::control::fleet_desk::SharedFold;
 use crate::control::log_source::LogShelf;
 use crate::control::log_source::LogSource;
@@ -95,12 +96,12 @@
         spawn_until(&token, operator.run());
         let servers = ServerWatch::new(self.state.clone(), source());
         spawn_until(&token, servers.run());
-        let fleet = FleetDesk::new(self.state.clone(), source(), fold.clone());
-        spawn_until(&token, fleet.run(crashes));
+        let reader = FleetReader::new(self.state.clone(), source(), fold.clone());
+        spawn_until(&token, FleetDesk::new(reader.clone()).run(crashes));
         let links = PeerLinks::new(self.state.clone(), fold.clone());
         spawn_until(&token, links.run());
         spawn_until(&token, CacheWatch::new(self.state.clone()).run());
-        let orders = OrderDesk::new(self.state.clone(), client, fold);
+        let orders = OrderDesk::new(self.state.clone(), client, fold, reader);
         // A host that leaves gives no more orders: another takes the lease.
         spawn_until(&self.stop.begun, orders.run());
         spawn_until(&token, keep_metrics(self.state.clone()));
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -37,29 +37,34 @@
 /// The fold, shared by the tasks of the control thread.
 pub(crate) type SharedFold = Rc<RefCell<FleetFold>>;
 
-/// Reads the topic and tells of crashes.
-pub(crate) struct FleetDesk {
+/// Reads the topic into the fold.
+#[derive(Clone)]
+pub(crate) struct FleetReader {
     state: Arc<SharedState>,
     source: LogSource,
-    contact: StoreContact,
     fold: SharedFold,
 }
 
+/// Reads the topic on and on and tells of crashes.
+pub(crate) struct FleetDesk {
+    reader: FleetReader,
+    contact: StoreContact,
+}
+
 impl FleetDesk {
     /// Knows nothing yet.
-    pub(crate) fn new(state: Arc<SharedState>, source: LogSource, fold: SharedFold) -> FleetDesk {
-        FleetDesk { state, source, contact: StoreContact::new("fleet"), fold }
+    pub(crate) fn new(reader: FleetReader) -> FleetDesk {
+        FleetDesk { reader, contact: StoreContact::new("fleet") }
     }
 
     /// Says that this router is there, then reads on and tells of crashes.
     pub(crate) async fn run(mut self, crashes: UnboundedReceiver<CrashSighting>) {
         self.join().await;
-        actix_rt::spawn(tell_crashes(self.source.store().clone(), crashes));
+        actix_rt::spawn(tell_crashes(self.reader.source.store().clone(), crashes));
         loop {
-            let from = self.fold.borrow().end();
-            match self.read_on(from).await {
+            match self.reader.read_on().await {
                 Ok(()) => self.contact.held(),
-                Err(StoreError::Deleted { first }) => self.fold.borrow_mut().skip_to(first),
+                Err(StoreError::Deleted { first }) => self.reader.skip_to(first),
                 Err(err) => self.contact.lost(&err).await,
             }
         }
@@ -69,21 +74,51 @@
     /// counts once.
     async fn join(&mut self) {
         let record = FleetRecord::Joined {
-            host: self.state.settings.host.clone(),
-            incarnation: self.state.incarnation,
-            address: self.state.settings.peers,
+            host: self.reader.state.settings.host.clone(),
+            incarnation: self.reader.state.incarnation,
+            address: self.reader.state.settings.peers,
         };
         loop {
-            match append_records(self.source.store(), std::slice::from_ref(&record)).await {
+            match append_records(self.reader.source.store(), std::slice::from_ref(&record)).await {
                 Ok(()) => return,
                 Err(err) => self.contact.lost(&err).await,
             }
         }
     }
+}
 
-    async fn read_on(&mut self, from: LogOffset) -> Result<(), StoreError> {
+impl FleetReader {
+    /// A reader into this fold.
+    pub(crate) fn new(state: Arc<SharedState>, source: LogSource, fold: SharedFold) -> FleetReader {
+        FleetReader { state, source, fold }
+    }
+
+    /// Waits for records and takes them in.
+    async fn read_on(&self) -> Result<(), StoreError> {
+        let from = self.fold.borrow().end();
         let page = self.source.read(LogTopic::Fleet, from, READ_WAIT, READ_ALLOWANCE).await?;
-        for (record, offset) in page.records.iter().zip(from.0..) {
+        self.take_in(from, &page.records);
+        Ok(())
+    }
+
+    /// Takes in what the store has now, on a call of its own: one that waits may have fallen silent.
+    /// Without it a router that had lost the answer to its own append took seconds to see it, and
+    /// tried again 30 times a second.
+    pub(crate) async fn catch_up(&self) -> Result<(), StoreError> {
+        let from = self.fold.borrow().end();
+        let (topic, allowance) = (LogTopic::Fleet, READ_ALLOWANCE);
+        let page = self.source.read_store(topic, from, Duration::ZERO, allowance).await?;
+        self.take_in(from, &page.records);
+        Ok(())
+    }
+
+    /// Records before this one are deleted.
+    fn skip_to(&self, first: LogOffset) {
+        self.fold.borrow_mut().skip_to(first);
+    }
+
+    fn take_in(&self, from: LogOffset, records: &[Vec<u8>]) {
+        for (record, offset) in records.iter().zip(from.0..) {
             self.apply(LogOffset(offset), record);
         }
         let fold = self.fold.borrow();
@@ -91,10 +126,12 @@
         let members = fold.members().map(|(host, _)| host.clone()).collect();
         let view = FleetView { members, lease: fold.lease().cloned() };
         self.state.fleet.store(Arc::new(view));
-        Ok(())
     }
 
     fn apply(&self, offset: LogOffset, bytes: &[u8]) {
+        if offset < self.fold.borrow().end() {
+            return;
+        }
         let record = match decode_record(bytes) {
             Ok(record) => record,
             Err(err) => {
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -50,6 +50,9 @@
 const ASK_ALLOWANCE: Duration = Duration::from_millis(300);
 /// A page of the newest records; it does not wait.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A reader that gave no answer is asked again after this time; until then the other one is. A host
+/// that is cut off would else cost each host of its zone a call of the store for each read.
+const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 const SILENT_PEER: Duration = Duration::from_millis(1_000);
 
@@ -108,6 +111,8 @@
     fold: SharedFold,
     shelf: Rc<LogShelf>,
     link: Rc<RefCell<Option<AskLink>>>,
+    /// Readers that gave no answer, and when.
+    failed: Rc<RefCell<IndexMap<HostName, Instant>>>,
 }
 
 impl LogSource {
@@ -118,7 +123,7 @@
         fold: SharedFold,
         shelf: Rc<LogShelf>,
     ) -> LogSource {
-        LogSource { state, client, fold, shelf, link: Rc::default() }
+        LogSource { state, client, fold, shelf, link: Rc::default(), failed: Rc::default() }
     }
 
     /// The store's client, for what only the store can tell.
@@ -147,7 +152,7 @@
         wait: Duration,
         allowance: Duration,
     ) -> Result<ProvenPage, StoreError> {
-        if let Some(address) = self.asked() {
+        if let Some((reader, address)) = self.asked() {
             let question = question(topic, from, wait);
             let asked = boot_now();
             match self.ask(address, question).await {
@@ -157,13 +162,17 @@
                     let proven = Some(answer.proven(asked));
                     return Ok(ProvenPage { records: answer.records, proven });
                 }
-                Err(fault) => tracing::debug!("records are read from the store: {fault}"),
+                Err(fault) => {
+                    tracing::debug!("{reader} gave no records, the store is read: {fault}");
+                    self.failed.borrow_mut().insert(reader, Instant::now());
+                }
             }
         }
         self.read_store(topic, from, wait, allowance).await
     }
 
-    async fn read_store(
+    /// The same from the store itself.
+    pub(crate) async fn read_store(
         &self,
         topic: LogTopic,
         from: LogOffset,
@@ -188,14 +197,19 @@
         settings.few_hosts < peers.len() + 1
     }
 
-    /// Whom to ask; nobody where this host reads the store.
-    fn asked(&self) -> Option<SocketAddr> {
+    /// Whom to ask; nobody where this host reads the store, or no reader has answered lately.
+    fn asked(&self) -> Option<(HostName, SocketAddr)> {
         let settings = &self.state.settings;
         let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
-        match record_source(&settings.host, &peers, settings.few_hosts) {
-            RecordSource::Store => None,
-            RecordSource::Router(host) => self.address_of(&host),
-        }
+        let readers = match record_source(&settings.host, &peers, settings.few_hosts) {
+            RecordSource::Store => return None,
+            RecordSource::Routers(readers) => readers,
+        };
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, at| at.elapsed() < FAILED_PAUSE);
+        let reader = readers.into_iter().find(|reader| !failed.contains_key(reader))?;
+        let address = self.address_of(&reader)?;
+        Some((reader, address))
     }
 
     fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -27,6 +27,7 @@
 use tokio::time::sleep;
 
 use crate::control::fleet_codec::encode_record;
+use crate::control::fleet_desk::FleetReader;
 use crate::control::fleet_desk::SharedFold;
 use crate::control::order_run::OrderRun;
 use crate::state::SharedState;
@@ -39,6 +40,9 @@
 /// An append takes 4 ms, and 250 ms when the store is slow.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Records that others wrote come within this time by the read that waits for them.
+const MOVED_PAUSE: Duration = Duration::from_millis(100);
+
 /// What the order runs share with the desk.
 pub(crate) struct DeskState {
     pub(crate) lease: RefCell<LeaseDesk>,
@@ -52,6 +56,7 @@
     store: StoreClient,
     engines: EngineClient,
     fold: SharedFold,
+    reader: FleetReader,
     desk: Rc<DeskState>,
     wave: OrderWave,
 }
@@ -65,7 +70,12 @@
 
 impl OrderDesk {
     /// A desk without the lease.
-    pub(crate) fn new(state: Arc<SharedState>, store: StoreClient, fold: SharedFold) -> OrderDesk {
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        store: StoreClient,
+        fold: SharedFold,
+        reader: FleetReader,
+    ) -> OrderDesk {
         let host = state.settings.host.clone();
         let lease = LeaseDesk::new(host, state.settings.bounds.lease());
         let desk = DeskState { lease: RefCell::new(lease), under_way: RefCell::default() };
@@ -74,6 +84,7 @@
             store,
             engines: EngineClient::new(),
             fold,
+            reader,
             desk: Rc::new(desk),
             wave: OrderWave::default(),
         }
@@ -154,8 +165,22 @@
         let topic = LogTopic::Fleet;
         match self.store.append(topic, Some(at), &[bytes], APPEND_TIMEOUT).await {
             Ok(AppendAnswer::Written(offset)) => self.hold(offset, &record, sent),
-            Ok(AppendAnswer::Moved) => self.tell_lost("the topic moved on"),
-            Err(err) => self.tell_lost(&err.to_string()),
+            Ok(AppendAnswer::Moved) => self.look_again(at, "the topic moved on").await,
+            // It may have been written.
+            Err(err) => self.look_again(at, &err.to_string()).await,
+        }
+    }
+
+    /// Waits until the topic is read beyond what the append rested on. Another try before that would
+    /// fail like the last one.
+    async fn look_again(&self, at: LogOffset, reason: &str) {
+        self.tell_lost(reason);
+        sleep(MOVED_PAUSE).await;
+        if at < self.fold.borrow().end() {
+            return;
+        }
+        if let Err(err) = self.reader.catch_up().await {
+            self.tell_lost(&err.to_string());
         }
     }
 
