Hosts that ask readers call a failing store more rarely; words between routers are at most 0.6 s apart

Those that ask a reader now pause up to a second. In a fleet of 300 routers the pause between words, 1.65 s, was longer than the age at which they count, 1.2 s: found in reading; now bounded by half of it. Test: peers.rs words_come_before_the_last_one_is_old, failed before.

--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -20,10 +20,13 @@
 const WORD_PACE: Duration = Duration::from_millis(150);
 /// And this much more for each other router, so that large fleets do not drown in words.
 const PACE_PER_PEER: Duration = Duration::from_millis(5);
+/// But at most so long, half the age of a word: beyond, each router would take all others for gone
+/// between two of their words, and all would read the store and the engines' events themselves.
+const LONGEST_PACE: Duration = Duration::from_millis(600);
 
 /// How often a router tells each of so many others.
 pub fn word_pace(peers: usize) -> Duration {
-    WORD_PACE + PACE_PER_PEER * peers as u32
+    (WORD_PACE + PACE_PER_PEER * peers as u32).min(LONGEST_PACE)
 }
 
 /// The newest word of each router, and the sums by server.
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -8,6 +8,7 @@
 use fulmargate_dispatch::PeerSum;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::Urgency;
+use fulmargate_dispatch::word_pace;
 use fulmargate_names::HostName;
 use indexmap::IndexMap;
 use quickcheck::Gen;
@@ -66,3 +67,13 @@
     let property = sums_are_those_of_fresh_words as fn(Vec<SpokenWord>) -> bool;
     QuickCheck::new().tests(300).rng(generator).quickcheck(property);
 }
+
+/// In a fleet of hundreds routers take each other for gone, and all read the store themselves.
+/// The pause between two words grew with the fleet beyond the age at which a word counts.
+#[test]
+fn words_come_before_the_last_one_is_old() {
+    for peers in [0, 5, 90, 300, 740] {
+        let pace_ms = word_pace(peers).as_millis() as u64;
+        assert!(2 * pace_ms <= WORD_AGE_MS, "{peers}: {pace_ms} ms");
+    }
+}
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -65,7 +65,7 @@
             match self.reader.read_on().await {
                 Ok(()) => self.contact.held(),
                 Err(StoreError::Deleted { first }) => self.reader.skip_to(first),
-                Err(err) => self.contact.lost(&err).await,
+                Err(err) => self.contact.lost(&err, self.reader.source.longest_pause()).await,
             }
         }
     }
@@ -81,7 +81,7 @@
         loop {
             match append_records(self.reader.source.store(), std::slice::from_ref(&record)).await {
                 Ok(()) => return,
-                Err(err) => self.contact.lost(&err).await,
+                Err(err) => self.contact.lost(&err, self.reader.source.longest_pause()).await,
             }
         }
     }
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -50,6 +50,12 @@
 const ASK_ALLOWANCE: Duration = Duration::from_millis(300);
 /// A page of the newest records; it does not wait.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A host that reads for itself or for others calls a store that fails this often: ten of them call
+/// three topics four times a second, well below the store's rates.
+const READER_PAUSE: Duration = Duration::from_millis(250);
+/// One that asks others learns from them when the store is back. With 90 hosts calling four times a
+/// second, an outage of eight seconds took 8,000 calls.
+const ASKER_PAUSE: Duration = Duration::from_millis(1_000);
 /// A reader that gave no answer is asked again after this time; until then the other one is. A host
 /// that is cut off would else cost each host of its zone a call of the store for each read.
 const FAILED_PAUSE: Duration = Duration::from_millis(2_000);
@@ -131,6 +137,20 @@
         &self.client
     }
 
+    /// The longest pause between calls that fail.
+    pub(crate) fn longest_pause(&self) -> Duration {
+        match self.record_source() {
+            RecordSource::Store => READER_PAUSE,
+            RecordSource::Routers(_) => ASKER_PAUSE,
+        }
+    }
+
+    fn record_source(&self) -> RecordSource {
+        let settings = &self.state.settings;
+        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
+        record_source(&settings.host, &peers, settings.few_hosts)
+    }
+
     /// The newest record of each key, from the store.
     pub(crate) async fn read_newest(&self, topic: LogTopic) -> Result<NewestRecords, StoreError> {
         let sent = boot_now();
@@ -199,12 +219,7 @@
 
     /// Whom to ask; nobody where this host reads the store, or no reader has answered lately.
     fn asked(&self) -> Option<(HostName, SocketAddr)> {
-        let settings = &self.state.settings;
-        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
-        let readers = match record_source(&settings.host, &peers, settings.few_hosts) {
-            RecordSource::Store => return None,
-            RecordSource::Routers(readers) => readers,
-        };
+        let RecordSource::Routers(readers) = self.record_source() else { return None };
         let mut failed = self.failed.borrow_mut();
         failed.retain(|_, at| at.elapsed() < FAILED_PAUSE);
         let reader = readers.into_iter().find(|reader| !failed.contains_key(reader))?;
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -76,7 +76,7 @@
                     tracing::warn!(event = lost.number(), name = lost.name(), topic = "operator", %first);
                     self.next = None;
                 }
-                Err(err) => self.contact.lost(&err).await,
+                Err(err) => self.contact.lost(&err, self.source.longest_pause()).await,
             }
             self.tell_proof();
         }
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -70,7 +70,7 @@
                     }
                 }
                 Err(StoreError::Deleted { .. }) => self.next = None,
-                Err(err) => self.contact.lost(&err).await,
+                Err(err) => self.contact.lost(&err, self.source.longest_pause()).await,
             }
         }
     }
--- a/crates/entry/src/control/store_contact.rs
+++ b/crates/entry/src/control/store_contact.rs
@@ -9,9 +9,8 @@
 /// The first repeat after a failed call comes after this time, on a new connection: a connection
 /// may have fallen silent while new ones work.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// And the last ones after this time. Each of some ten hosts then calls three topics four times a
-/// second, well below the store's rates.
-const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+/// The share of the longest pause that each failure in a row adds to the pause.
+const PAUSE_STEPS: u32 = 5;
 
 /// Counts failures in a row, tells of the first and of the end, and spaces out repeats.
 #[derive(Debug)]
@@ -41,16 +40,15 @@
         0 < self.failures
     }
 
-    /// A call failed: waits before the next.
-    pub(crate) async fn lost(&mut self, err: &StoreError) {
+    /// A call failed: waits before the next, longer each time.
+    pub(crate) async fn lost(&mut self, err: &StoreError, longest: Duration) {
         if self.failures == 0 {
             let out = EventKind::LogOut;
             tracing::warn!(event = out.number(), name = out.name(), topic = self.topic, reason = %err);
         }
         self.failures += 1;
-        let pause = FIRST_PAUSE * self.failures.min(LONGEST_FACTOR);
-        sleep(pause.min(LONGEST_PAUSE)).await;
+        let step = (longest / PAUSE_STEPS).max(FIRST_PAUSE);
+        let pause = FIRST_PAUSE + step * (self.failures.min(PAUSE_STEPS) - 1);
+        sleep(pause.min(longest)).await;
     }
 }
-
-const LONGEST_FACTOR: u32 = 8;
