--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -1,5 +1,9 @@
 //! Which engine a prompt goes to.
 
+mod company;
+mod draw;
+mod supply;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +29,6 @@
 use crate::Urgency;
 use crate::WeightsTable;
 use crate::prompt_source::PromptSource;
-use crate::word_pace;
 
 /// Prompt tokens an engine reads in a millisecond; the order of size of the engines in use. It
 /// scales all costs alike, so that the choice hardly depends on it.
@@ -54,38 +57,15 @@
 const CROWDED_SHARE: f64 = 0.7;
 /// Each request beyond that costs this much: without a slot it waits for a whole stream to end.
 const CROWDED_MS: f64 = 15.0;
-/// Share of the engines that chats go to first.
-const CHAT_SHARE: f64 = 0.25;
-/// Each engine further down the order costs a chat this much: it is passed over while those have no
-/// more than some ten streams more.
-const CHAT_RANK_MS: f64 = 8.0;
-/// Engines that a call draws where there are as many routers as engines; in a small fleet all. The more
-/// it draws, the more calls meet at the engine that looked best half a second ago.
-const DRAWN_ENGINES: f64 = 4.0;
-/// Engines that a call draws of those that have most of its prompt.
-const DRAWN_HOLDERS: f64 = 3.0;
 /// Costs of equal requests differ by up to this much for each other router. Routers hear of each
 /// other's sends late, the later the more they are, and would all choose the same engine: with 91
 /// the busiest got four times the mean.
 const SPREAD_MS: f64 = 1.5;
-/// Share of the prompts' reading time by which a chat beside them is late.
-const STALL_SHARE: f64 = 0.5;
-/// What a long prompt does to each chat beside it, as time.
-const CHAT_STALL_MS: f64 = 40.0;
-/// And to all of them at most.
-const MOST_STALL_MS: f64 = 400.0;
-/// A word is on average half as old as the pause between two.
-const UNHEARD_SHARE: f64 = 0.5;
-/// What is not heard yet counts for so much at most: an estimate from a few requests errs.
-const MOST_UNHEARD_MS: f64 = 2_000.0;
 /// What reading a token anew costs, as time, if another engine or the store has it. It is work done
 /// twice, which the users count higher than a late answer: 1,000 tokens weigh as 300 ms, beside the
 /// 25 ms that reading takes.
 const REREAD_MS_PER_TOKEN: f64 = 0.3;
 
-/// Fewer tokens are read in less time than a fetch takes to begin.
-const LEAST_FETCH_TOKENS: u32 = 400;
-
 /// What a choice is made from.
 #[derive(Debug)]
 pub struct EngineRequest<'a> {
@@ -191,17 +171,6 @@
     pub(crate) demand: &'a DemandMeter,
 }
 
-/// How an engine comes by shared parts that it lacks.
-#[derive(Clone, Debug, Default)]
-struct PromptSupply {
-    fetch: Option<PromptFetch>,
-    /// Tokens at the prompt's beginning that it has after the fetch.
-    fetched_up_to: u32,
-    fetch_ms: f64,
-    /// Tokens that it reads although others have them.
-    reread_tokens: f64,
-}
-
 impl EngineRequest<'_> {
     /// Whether the engine may begin this call at all.
     pub(crate) fn allows(&self, state: &ServerState) -> Option<WeightsVersion> {
@@ -219,12 +188,6 @@
         (age + wait < self.weights_bound || age.is_zero()).then_some(weights)
     }
 
-    /// The engine that the prompt's shared parts live on, the same for all routers.
-    pub(crate) fn home_score(&self, state: &ServerState) -> u64 {
-        let key = self.call.home_key().unwrap_or_default();
-        mix(key, xxh3_64(state.entry.name.as_str().as_bytes()))
-    }
-
     /// The salt under these weights.
     pub(crate) fn salt(&self, weights: WeightsVersion) -> String {
         self.table.salts().salt(self.call.team.as_ref(), self.model, weights)
@@ -284,127 +247,6 @@
         }
     }
 
-    /// What the call and the streams there do to each other. Chats fill the engines in a fixed order,
-    /// so that few engines have any and long prompts find the others.
-    fn company_ms(&self, state: &ServerState, around: &Surroundings<'_>) -> f64 {
-        match around.shape {
-            CallShape::Chat => {
-                let waiting = state.backlog.total() + around.others.backlog.total();
-                let engines = around.engines as f64;
-                let beyond = around.chat_rank as f64 + 1.0 - (engines * CHAT_SHARE).ceil();
-                let rank = beyond.max(0.0) * CHAT_RANK_MS;
-                rank + waiting / PREFILL_TOKENS_PER_MS * STALL_SHARE
-            }
-            CallShape::Heavy => {
-                let chats = f64::from(state.chats + around.others.chats);
-                (chats * CHAT_STALL_MS).min(MOST_STALL_MS)
-            }
-            CallShape::Plain => 0.0,
-        }
-    }
-
-    /// What the other routers have sent to an engine for the same parts since they last spoke, as time.
-    ///
-    /// They all know who has a part, and nobody knows yet who is sending there. Of 90 routers 27 sent to
-    /// the one engine that had a common part within half a second, four seconds of reading, while a copy
-    /// takes ten milliseconds. How often the part was asked for lately tells how many are to be expected.
-    fn unheard_ms(&self, known: u32, read_tokens: f64, around: &Surroundings<'_>) -> f64 {
-        let Some(part) = self.deepest_part(known) else { return 0.0 };
-        let rate = around.demand.rate(part, self.now);
-        let lag = word_pace(around.routers).as_secs_f64() * UNHEARD_SHARE;
-        let is_holder =
-            |source: &&PromptSource| source.key != ServerKey::STORE && known <= source.tokens;
-        let holders = around.sources.iter().filter(is_holder).count();
-        let reading_ms = read_tokens / PREFILL_TOKENS_PER_MS;
-        (rate * lag * reading_ms / holders.max(1) as f64).min(MOST_UNHEARD_MS)
-    }
-
-    /// The last shared part that an engine with so many tokens of the prompt has.
-    fn deepest_part(&self, known: u32) -> Option<u64> {
-        let mut tokens = 0;
-        let held = self.call.shared_parts().iter().take_while(|part| {
-            tokens += part.tokens;
-            tokens <= known
-        });
-        held.last().map(|part| part.hash)
-    }
-
-    /// Whether the call looks at this engine at all. Routers hear of each other's sends late, the later
-    /// the more they are; if each took the least busy of all engines, all would take the same few. So
-    /// each call draws a few, more of those that chats go to first, beside its home and the engines
-    /// that have its parts.
-    pub(crate) fn draws(&self, state: &ServerState, around: &Surroundings<'_>) -> bool {
-        let mut share = DRAWN_ENGINES / around.routers.max(1) as f64;
-        let chat_engines = (around.engines as f64 * CHAT_SHARE).ceil();
-        if around.shape == CallShape::Chat {
-            if chat_engines <= around.chat_rank as f64 && share < 1.0 {
-                return false;
-            }
-            share /= CHAT_SHARE;
-        }
-        around.is_home || self.spread(state) < share || self.draws_holder(state, around)
-    }
-
-    /// Whether the call looks at this engine for what it has of the prompt: at the few that have most,
-    /// or at some of many. A part that all prompts of a kind share is nearly everywhere; looked at for
-    /// it, an engine that had just loaded got fifteen requests within a fifth of a second.
-    fn draws_holder(&self, state: &ServerState, around: &Surroundings<'_>) -> bool {
-        let engines = || around.sources.iter().filter(|source| source.key != ServerKey::STORE);
-        let most = engines().map(|source| source.tokens).max().unwrap_or_default();
-        let deepest = || engines().filter(|source| source.tokens == most);
-        let is_deepest = deepest().any(|source| source.key == state.key());
-        is_deepest && self.spread(state) < DRAWN_HOLDERS / deepest().count() as f64
-    }
-
-    /// Between 0 and 1, drawn by the call and the engine.
-    fn spread(&self, state: &ServerState) -> f64 {
-        let call = xxh3_64(self.call.id.as_str().as_bytes());
-        let engine = xxh3_64(state.entry.name.as_str().as_bytes());
-        (mix(call, engine) >> 11) as f64 / (1_u64 << 53) as f64
-    }
-
-    /// The order in which engines are filled with chats, the same for all routers.
-    pub(crate) fn chat_score(&self, state: &ServerState) -> u64 {
-        let key = xxh3_64(self.model.as_str().as_bytes());
-        mix(key, xxh3_64(state.entry.name.as_str().as_bytes()))
-    }
-
-    /// How the engine would come by the shared parts that it lacks.
-    fn supply(&self, state: &ServerState, known: u32, sources: &[PromptSource]) -> PromptSupply {
-        let shared = self.call.shared_tokens();
-        let token_bytes = self.engine_rule().map_or(0.0, |engine| engine.token_bytes as f64);
-        let zone = &state.entry.zone;
-        let mut best = PromptSupply::default();
-        let mut held = 0;
-        // Equal ones are taken in turn: all calls would ask the same one otherwise.
-        let turn = xxh3_64(self.call.id.as_str().as_bytes()) as usize % sources.len().max(1);
-        let (before, after) = sources.split_at(turn.min(sources.len()));
-        let others = after.iter().chain(before).filter(|source| source.key != state.key());
-        for source in others {
-            held = held.max(source.tokens.min(shared));
-            let up_to = source.ready_tokens.min(shared);
-            if up_to < known + LEAST_FETCH_TOKENS {
-                continue;
-            }
-            let tokens = f64::from(up_to - known);
-            let fetch_ms = source.fetch_ms(tokens, token_bytes, zone, self.now);
-            let Some(fetch_ms) = fetch_ms else { continue };
-            let is_better = (best.fetched_up_to, -best.fetch_ms) < (up_to, -fetch_ms);
-            if !is_better {
-                continue;
-            }
-            best.fetched_up_to = up_to;
-            best.fetch_ms = fetch_ms;
-            best.fetch = Some(PromptFetch {
-                from: source.address,
-                source: source.key,
-                transfer_ms: source.transfer_ms(tokens, token_bytes, zone),
-            });
-        }
-        best.reread_tokens = f64::from(held.saturating_sub(known.max(best.fetched_up_to)));
-        best
-    }
-
     /// What routers have under way is newer than the engine's own report, and tells of urgency. The
     /// report counts where nothing is heard of other routers.
     fn wait_ms(&self, state: &ServerState, urgency: Urgency, others: PeerSum) -> f64 {
@@ -440,13 +282,3 @@
 pub fn scope_of(salt: &str) -> u64 {
     xxh3_64(salt.as_bytes())
 }
-
-const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// A well mixed function of both.
-fn mix(left: u64, right: u64) -> u64 {
-    let mut word = left ^ right.wrapping_add(1).wrapping_mul(GOLDEN);
-    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    word ^ (word >> 31)
-}
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -137,7 +137,8 @@
         }
         world.now += Duration::from_millis(case.after_ms);
         let call = prompt_call("c2", RECORD, world.now);
-        let choice = world.choose(&call, &[first.server.name.clone()]).expect("an engine");
+        let choice =
+            world.choose(&call, std::slice::from_ref(&first.server.name)).expect("an engine");
         assert_eq!(choice.fetch.is_some(), case.is_fetched, "{}", case.name);
     }
 }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -19,6 +19,7 @@
 use crate::router_process::REPEAT_RATIO;
 use crate::router_process::REPEAT_SLACK;
 use crate::router_process::REPEAT_WINDOW;
+use crate::soak_world::ISOLATED_KEY;
 use crate::soak_world::OperatorWord;
 use crate::soak_world::PlannedStop;
 use crate::soak_world::ROUTERS;
@@ -292,7 +293,7 @@
         let mut mixed = Vec::new();
         for run in self.runs.values().flatten().filter(|run| run.request.is_prompt()) {
             let key = keys.get(run.request.id()).copied().unwrap_or_default();
-            let scope = (run.request.weights, key == crate::soak_world::ISOLATED_KEY);
+            let scope = (run.request.weights, key == ISOLATED_KEY);
             let first = *scopes.entry(run.request.salt().to_owned()).or_insert(scope);
             if first != scope {
                 let id = run.request.id();
