--- a/crates/dispatch/src/engine_choice/draw.rs
+++ b/crates/dispatch/src/engine_choice/draw.rs
@@ -10,8 +10,9 @@
 
 /// Share of the engines that chats go to first.
 pub(super) const CHAT_SHARE: f64 = 0.25;
-/// Engines that a call draws where there are as many routers as engines; in a small fleet all. The more
-/// it draws, the more calls meet at the engine that looked best half a second ago.
+/// Engines that a call draws where there are as many routers as engines. The more it draws, the more calls
+/// meet at the engine that looked best when the others last spoke. Beside five other routers it draws
+/// four engines in five, and chats keep to theirs: looking at all cost 0.04 to 0.07 of the score.
 const DRAWN_ENGINES: f64 = 4.0;
 /// Engines that a call draws of those that have most of its prompt.
 const DRAWN_HOLDERS: f64 = 3.0;
