--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -25,6 +25,11 @@
 /// Nothing goes wrong before; callers have begun by then.
 const CALM_START_MS: u64 = 500;
 
+/// How long the store is silent for a router that is cut off: longer than its bound on taken keys.
+const CUT_OFF_MS: std::ops::RangeInclusive<u64> = 5_000..=7_000;
+/// When the key is taken after that began.
+const TAKEN_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_000;
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FaultStep {
@@ -69,6 +74,23 @@
         steps.sort_by_key(|step| step.at);
         FaultPlan { seed, few_hosts, steps }
     }
+
+    /// Beside all else the store falls silent for one router, and then a key is taken away. Short faults
+    /// alone hardly ever leave a router with a proof that is too old.
+    pub fn with_cut_off(mut self, routers: usize) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(!self.seed);
+        let place = LinkPlace::Store(rng.random_range(0..routers));
+        let at = rng.random_range(CALM_START_MS..2 * CALM_START_MS);
+        let lasts = Duration::from_millis(rng.random_range(CUT_OFF_MS));
+        let taken = at + rng.random_range(TAKEN_AFTER_MS);
+        let cut = SoakFault::Link(place, LinkFault::Silent);
+        self.steps.push(FaultStep { at: Duration::from_millis(at), lasts, fault: cut });
+        let fault = SoakFault::TakeKey;
+        let at = Duration::from_millis(taken);
+        self.steps.push(FaultStep { at, lasts: Duration::ZERO, fault });
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 struct FaultSource {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,6 +27,7 @@
 pub use soak_fault::LinkPlace;
 pub use soak_fault::RouterSignal;
 pub use soak_fault::SoakFault;
+pub use soak_run::PlanKind;
 pub use soak_run::SoakConf;
 pub use soak_run::SoakReport;
 pub use soak_run::run_seed;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use fulmargate_soak::PlanKind;
 use fulmargate_soak::SoakConf;
 use fulmargate_soak::SoakReport;
 use fulmargate_soak::run_seed;
@@ -32,6 +33,9 @@
     /// where logs of failed seeds stay
     #[argh(option, default = "std::env::temp_dir().join(\"fulmargate-soak\")")]
     logs: PathBuf,
+    /// also take a key away while a router is cut off from the store
+    #[argh(switch)]
+    cut_off: bool,
     /// print what goes wrong in each run
     #[argh(switch)]
     plans: bool,
@@ -45,7 +49,8 @@
         return ExitCode::from(2);
     };
     let length = Duration::from_secs(args.seconds);
-    let conf = SoakConf { program, folder: args.logs.clone(), length };
+    let kind = if args.cut_off { PlanKind::CutOff } else { PlanKind::Mixed };
+    let conf = SoakConf { program, folder: args.logs.clone(), length, kind };
     let runs = (args.first..args.first + args.seeds).map(|seed| run_seed(seed, &conf));
     let mut reports = stream::iter(runs).buffered(args.jobs.max(1));
     let mut failed = 0;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -43,6 +43,17 @@
     pub folder: PathBuf,
     /// Time within which faults begin.
     pub length: Duration,
+    /// What is drawn.
+    pub kind: PlanKind,
+}
+
+/// What a seed is drawn for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanKind {
+    /// Any faults.
+    Mixed,
+    /// Any faults, and a key that is taken while a router is cut off from the store.
+    CutOff,
 }
 
 /// How a run ended.
@@ -60,7 +71,11 @@
 
 /// Runs a seed. Logs stay in the folder if a promise was broken.
 pub async fn run_seed(seed: u64, conf: &SoakConf) -> io::Result<SoakReport> {
-    let plan = FaultPlan::draw(seed, ROUTERS, DESKS + ENGINES, conf.length);
+    let mixed = FaultPlan::draw(seed, ROUTERS, DESKS + ENGINES, conf.length);
+    let plan = match conf.kind {
+        PlanKind::Mixed => mixed,
+        PlanKind::CutOff => mixed.with_cut_off(ROUTERS),
+    };
     let folder = conf.folder.join(format!("seed-{seed}"));
     fs::create_dir_all(&folder)?;
     let world = Arc::new(SoakWorld::start(&plan, &conf.program, folder.clone()).await?);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use fulmargate_soak::PlanKind;
 use fulmargate_soak::SoakConf;
 use fulmargate_soak::run_seed;
 use futures_util::future::join_all;
@@ -11,6 +12,7 @@
     seed: u64,
     /// Seconds within which faults begin, as the seed was found.
     seconds: u64,
+    kind: PlanKind,
     /// What it is kept for.
     cause: &'static str,
 }
@@ -19,16 +21,23 @@
     SeedCase {
         seed: 1,
         seconds: 8,
+        kind: PlanKind::Mixed,
         cause: "a router that asks a reader counted the wait for the answer twice, thought its \
                 configuration unproven for good and refused all keys",
     },
     SeedCase {
         seed: 111,
         seconds: 10,
+        kind: PlanKind::Mixed,
         cause: "a router that had lost the answer to its append of the lease saw its record seconds \
                 later, and engines came to new weights too late",
     },
-    SeedCase { seed: 12, seconds: 8, cause: "one more: kills and planned stops in series" },
+    SeedCase {
+        seed: 12,
+        seconds: 8,
+        kind: PlanKind::CutOff,
+        cause: "one more: a key taken from a router that is cut off, kills and planned stops in series",
+    },
 ];
 
 /// Callers meet routers that are killed, paused, cut off and stopped, all at the same time.
@@ -47,6 +56,7 @@
             program: program.clone(),
             folder: logs.clone(),
             length: Duration::from_secs(case.seconds),
+            kind: case.kind,
         })
         .collect();
     let runs = SEEDS.iter().zip(&confs).map(|(case, conf)| run_seed(case.seed, conf));
