A reader's proof is an answer only while it is young; few links are opened at once

(2) a reader that is cut off gave its last proof for 2.7 s and kept a question for another 1.5 s. Now eight links are opened at a time, each host beginning with another one, and an answer is given up as soon as the proof is two waits old, with waits of 0.8 instead of 1.2 s. Ruled out: the configuration was read by the zone's readers within 0.1 s.

--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -40,10 +40,10 @@
 use crate::state::SharedState;
 use crate::state::boot_now;
 
-/// What a router keeps for others must be younger than the wait of its own reads and this much more;
-/// else they read for themselves. A read proves the moment before its wait; the list of servers is
-/// read without one each 0.7 s.
-const AGE_ALLOWANCE: Duration = Duration::from_millis(1_200);
+/// What a router keeps for others must be younger than twice the wait of a question, or than this where
+/// there is none; else they read for themselves. A read proves the moment before its wait, so that a
+/// sound reader's proof gets as old as two of its waits. The list of servers is read without one each 0.7 s.
+const LEAST_AGE: Duration = Duration::from_millis(1_200);
 /// A question waits for the reader's next proof, which comes by this much after the wait of a read.
 const PROOF_ALLOWANCE: Duration = Duration::from_millis(250);
 /// A router of the same zone answers within some milliseconds after the wait it was asked for.
@@ -298,19 +298,22 @@
     /// host that does not read itself says so at once.
     pub(crate) async fn answer(&self, question: LogQuestion) -> Option<LogAnswer> {
         let arrived = boot_now();
-        let wait = Duration::from_millis(question.wait_ms);
-        let until = Instant::now() + wait;
+        let longest = longest_age(question);
+        let until = Instant::now() + Duration::from_millis(question.wait_ms);
         let known = self.proven(question.topic);
-        let mut answer = self.now(question, arrived, wait * 2 + AGE_ALLOWANCE)?;
-        while answer.records.is_empty() && Instant::now() < until {
+        loop {
             let changed = self.changed.notified();
-            if self.proven(question.topic) != known {
-                break;
+            let answer = self.now(question, arrived, longest)?;
+            let is_news = !answer.records.is_empty() || self.proven(question.topic) != known;
+            if is_news || until <= Instant::now() {
+                return Some(answer);
             }
-            let _changed_or_over = timeout_at(until, changed).await;
-            answer = self.now(question, arrived, wait * 2 + AGE_ALLOWANCE)?;
+            // A proof that gets too old during the wait is no answer: this host has lost the store, and
+            // the asker has to read for itself while there is time.
+            let left = longest.saturating_sub(Duration::from_millis(answer.age_ms));
+            let too_old = Instant::now() + left + Duration::from_millis(1);
+            let _changed_or_over = timeout_at(until.min(too_old), changed).await;
         }
-        self.now(question, arrived, wait + AGE_ALLOWANCE)
     }
 
     fn now(
@@ -328,6 +331,13 @@
     }
 }
 
+/// The oldest proof that is an answer. A configuration must be in force within 2 to 3 s of its writing:
+/// with a reader that was cut off, and gave its last proof for 2.7 s and then kept the question for
+/// another 1.5 s, a host served an old one after 3.7 s.
+fn longest_age(question: LogQuestion) -> Duration {
+    (Duration::from_millis(question.wait_ms) * 2).max(LEAST_AGE)
+}
+
 /// A reader gives a newer proof soon after the wait of its own read.
 fn question(topic: LogTopic, from: LogOffset, wait: Duration) -> LogQuestion {
     let wait = if wait.is_zero() { wait } else { wait + PROOF_ALLOWANCE };
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -24,8 +24,9 @@
 use crate::state::boot_now;
 
 /// A read waits this long for a record. Until it returns nothing is proved, so the wait is well
-/// below the bound on taken keys (5 s); a shorter one costs more calls.
-const READ_WAIT: Duration = Duration::from_millis(1_200);
+/// below the bound on taken keys (5 s). Where a reader is asked, its proof may be two waits old, and a
+/// configuration must be in force within 2 to 3 s; a shorter wait costs more calls.
+const READ_WAIT: Duration = Duration::from_millis(800);
 /// A read that waits is given up after this time more: the store's answers take 4 ms, and 250 ms
 /// when it is slow.
 const READ_ALLOWANCE: Duration = Duration::from_millis(700);
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -46,6 +46,9 @@
 const SILENT_PEER: Duration = Duration::from_millis(1_000);
 /// A router that could not be reached is tried again after this time.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Links that are opened at the same time. A new process on an eighth of a core that opened 90 at once had
+/// no time left for a second, lost them all to their timeout, and with them its reads of the store.
+const MOST_OPENING: usize = 8;
 /// Messages that may wait in a link, in bytes. A router that reads slower misses some.
 const MOST_WAITING_BYTES: usize = 16 * 1024;
 
@@ -116,11 +119,18 @@
         }
     }
 
+    /// The other routers, from this one on in the order of their records: so that not all open their first
+    /// links to the same ones.
     fn peers(&self) -> Vec<(HostName, SocketAddr)> {
         let fold = self.fold.borrow();
         let own = &self.state.settings.host;
-        let others = fold.members().filter(|(host, _)| *host != own);
-        others.map(|(host, address)| (host.clone(), *address)).collect()
+        let mut members: Vec<(HostName, SocketAddr)> =
+            fold.members().map(|(host, address)| (host.clone(), *address)).collect();
+        if let Some(position) = members.iter().position(|(host, _)| host == own) {
+            members.rotate_left(position);
+            members.remove(0);
+        }
+        members
     }
 
     fn news(&self) -> PeerNews {
@@ -171,7 +181,7 @@
     fn may_open(&self, host: &HostName) -> bool {
         let failed = self.failed.get(host);
         let is_paused = failed.is_some_and(|at| at.elapsed() < RETRY_PAUSE);
-        !is_paused && !self.opening.contains(host)
+        !is_paused && !self.opening.contains(host) && self.opening.len() < MOST_OPENING
     }
 
     fn send(&mut self, host: &HostName, message: &Bytes) {
