Requests on old weights are given up 0.8 s before the bound

Ruled out: the choice of the engine (its expected wait was off by a second, which the giving up is for). The margin is 0.8 s now, and 1.5 s at the choice. Test: BEGINS in choices.rs, values moved with the margin (as strict).

--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -8,9 +8,10 @@
 
 use crate::BootTime;
 
-/// A request that has not begun this long before the bound is given up: a busy host learns of a
-/// version some 350 ms after it was named, and the bound counts from the naming.
-const BEGIN_MARGIN: Duration = Duration::from_millis(500);
+/// A request that has not begun this long before the bound is given up: the bound counts from the naming
+/// of a version, a busy host of a fleet of 91 learns of it up to 500 ms later, and its own giving up takes
+/// a while to reach the engine. With half a second a request began 7 ms after the bound.
+const BEGIN_MARGIN: Duration = Duration::from_millis(800);
 
 /// Versions remembered of one model. Each has its own bound, so the older ones matter until all
 /// engines have passed them.
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -303,14 +303,14 @@
 
 const BEGINS: &[BeginCase] = &[
     BeginCase { name: "the newest", age_ms: 5_000, version: 2, time_ms: None },
-    BeginCase { name: "just replaced", age_ms: 100, version: 1, time_ms: Some(7_400) },
-    BeginCase { name: "nearly over", age_ms: 7_450, version: 1, time_ms: Some(50) },
+    BeginCase { name: "just replaced", age_ms: 100, version: 1, time_ms: Some(7_100) },
+    BeginCase { name: "nearly over", age_ms: 7_150, version: 1, time_ms: Some(50) },
     BeginCase { name: "over", age_ms: 20_000, version: 1, time_ms: Some(0) },
 ];
 
 /// A request waits at a busy engine and begins on weights that are too old.
 /// It was sent in time; this router learned of the version late, and the bound counts from its naming.
-/// It is given up while there is still time, half a second before the bound.
+/// It is given up while there is still time, 0.8 s before the bound.
 #[test]
 fn a_request_that_has_not_begun_is_given_up_in_time() {
     for case in BEGINS {
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -21,7 +21,7 @@
 
 /// Requests go to engines with older weights until this long before the bound. A request may wait
 /// at the engine before it begins, and the bound is on its beginning.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_200);
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 /// An idempotent call that has not been answered in this share of its target latency is sent to
 /// another server: nearly all answers of a sound server have come by then.
 const HEDGE_SHARE: f64 = 0.6;
