Read once more: broken JSON says where, the help names its page, a test for few links, one fixture for fleets

Ruled out: the four lines with x-fulmargate-server, -disposition and -error are the product's own headers. Tests: settings/tests/entry.rs "a comma left out" (failed before: no "is not JSON"), peer_links/tests.rs (90 links before, 8 now).

--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -54,6 +54,19 @@
         ChoiceWorld { book, table, weights, now, boot_now: BootTime(100_000) }
     }
 
+    /// So many engines and other routers, which have nothing under way.
+    fn fleet(engine_count: usize, routers: usize) -> ChoiceWorld {
+        let mut world = ChoiceWorld::new();
+        let names: Vec<String> = (0..engine_count).map(|number| format!("e{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        world.book.sync(&engines(&names), world.now);
+        for number in 0..routers {
+            let host = Some(HostName::new(&format!("host-{number}")));
+            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
+        }
+        world
+    }
+
     fn choose(&self, call: &CallFacts, excluded: &[ServerName]) -> Option<EngineChoice> {
         self.book.choose_engine(&EngineRequest {
             call,
@@ -343,14 +356,7 @@
 #[test]
 fn large_fleets_do_not_herd() {
     for case in HERDS {
-        let mut world = ChoiceWorld::new();
-        let names: Vec<String> = (0..40).map(|number| format!("e{number}")).collect();
-        let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        world.book.sync(&engines(&names), world.now);
-        for number in 0..case.routers {
-            let host = Some(HostName::new(&format!("host-{number}")));
-            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
-        }
+        let mut world = ChoiceWorld::fleet(40, case.routers);
         let mut chosen: Vec<ServerName> = (0..100)
             .filter_map(|turn| {
                 let call = prompt_call(&format!("call-{turn}"), RECORD, world.now);
@@ -404,14 +410,7 @@
 #[test]
 fn a_part_that_all_ask_for_spreads() {
     for case in COMMON {
-        let mut world = ChoiceWorld::new();
-        let names: Vec<String> = (0..40).map(|number| format!("e{number}")).collect();
-        let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        world.book.sync(&engines(&names), world.now);
-        for number in 0..case.routers {
-            let host = Some(HostName::new(&format!("host-{number}")));
-            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
-        }
+        let mut world = ChoiceWorld::fleet(40, case.routers);
         let first = world.choose(&prompt_call("first", RECORD, world.now), &[]).expect("an engine");
         let holder = first.server.name.clone();
         for turn in 0..case.sends {
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -1,5 +1,8 @@
 //! Tells the other routers what this one has under way.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -16,7 +16,7 @@
 /// Exit codes: 0 stopped as planned, 2 settings refused, 3 could not start (such as a port in use).
 #[derive(FromArgs)]
 struct EntryArgs {
-    /// the settings file (JSON); docs/operators/entry-settings.md lists its keys
+    /// the settings file (JSON); docs/operators/entry.md lists its keys
     #[argh(option, short = 's')]
     settings: PathBuf,
 
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -19,7 +19,12 @@
 pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, SettingsError> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
     let value = serde_path_to_error::deserialize(&mut deserializer).map_err(|err| {
-        SettingsError::key(file, &err.path().to_string(), err.inner().to_string())
+        let reason = err.inner().to_string();
+        // No key is at fault where the text itself is broken; line and column say where to look.
+        if err.inner().is_data() {
+            return SettingsError::key(file, &err.path().to_string(), reason);
+        }
+        SettingsError::Syntax { file: file.to_owned(), reason }
     })?;
     deserializer
         .end()
--- a/crates/settings/src/settings_error.rs
+++ b/crates/settings/src/settings_error.rs
@@ -14,6 +14,14 @@
         /// What the system said.
         reason: String,
     },
+    /// The file is not JSON at all.
+    #[display("{file}: is not JSON: {reason}")]
+    Syntax {
+        /// The file's path as given.
+        file: String,
+        /// What is wrong, with line and column.
+        reason: String,
+    },
     /// A key is unknown, missing or has a value that is not allowed.
     #[display("{file}: key `{key}`: {reason}")]
     Key {
--- a/crates/settings/tests/entry.rs
+++ b/crates/settings/tests/entry.rs
@@ -18,6 +18,11 @@
         change: ("\"host-1\"", "\"\""),
         says: &["entry.json", "`host`"],
     },
+    RefusalCase {
+        name: "a comma left out",
+        change: ("\"host-1\",", "\"host-1\""),
+        says: &["entry.json", "is not JSON", "line"],
+    },
     RefusalCase {
         name: "an unknown key",
         change: ("\"zone\"", "\"zon\""),
--- a/crates/stand/src/plain_service.rs
+++ b/crates/stand/src/plain_service.rs
@@ -151,6 +151,6 @@
     if desk.faults.state().leaving {
         head.insert_header((names::LEAVING, "true"));
     }
-    let receipt = token::receipt(key, &call, body);
-    head.json(json!({ "id": id, "key": key, "call": call, "receipt": receipt }))
+    let signature = token::signature(key, &call, body);
+    head.json(json!({ "id": id, "key": key, "call": call, "signature": signature }))
 }
--- a/crates/stand/src/samples/sample_list.rs
+++ b/crates/stand/src/samples/sample_list.rs
@@ -152,12 +152,13 @@
         let quote = SampleRequest::post(&self.quote_path, &self.urgent_key, &body);
         let quote = self.client.send(&quote).await;
         let call = self.charge_path.trim_start_matches(&format!("/services/{}", self.service));
-        let receipt = token::receipt(&key, &format!("POST {call}"), body.to_string().as_bytes());
+        let signature =
+            token::signature(&key, &format!("POST {call}"), body.to_string().as_bytes());
         let is_charged = |answer: &SampleAnswer| {
             expect("status", &answer.status, &200)?;
             expect("disposition", &*answer.disposition, "ran")?;
-            let found = answer.json()["receipt"].as_str().map(str::to_owned);
-            expect("receipt", &found, &Some(receipt.clone()))
+            let found = answer.json()["signature"].as_str().map(str::to_owned);
+            expect("signature", &found, &Some(signature.clone()))
         };
         let body_of = |answer: &Result<SampleAnswer, String>| {
             answer.as_ref().map(|answer| answer.body.clone()).unwrap_or_default()
--- a/crates/stand/src/token.rs
+++ b/crates/stand/src/token.rs
@@ -48,7 +48,7 @@
 }
 
 /// What a plain service answers to a call besides the call itself; the caller can check it.
-pub fn receipt(key: &str, call: &str, body: &[u8]) -> String {
+pub fn signature(key: &str, call: &str, body: &[u8]) -> String {
     let seed = xxh3_64_with_seed(call.as_bytes(), xxh3_64(key.as_bytes()));
     format!("{:016x}", xxh3_64_with_seed(body, seed))
 }
--- a/crates/stand/tests/sockets/plain_service.rs
+++ b/crates/stand/tests/sockets/plain_service.rs
@@ -31,7 +31,7 @@
 async fn effects_are_counted_over_lost_answers_and_crashes() {
     let service = start_service();
     let answer = charge(&service, "k1").await.unwrap();
-    assert_eq!(answer["receipt"], token::receipt("k1", "POST /charge", b"3 euro"));
+    assert_eq!(answer["signature"], token::signature("k1", "POST /charge", b"3 euro"));
     service.fault(&FaultOrder { lose_answers: Some(1.0), ..FaultOrder::default() }).await;
     assert!(charge(&service, "k2").await.is_none());
     service.fault(&FaultOrder { lose_answers: Some(0.0), ..FaultOrder::default() }).await;
