--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -356,7 +356,7 @@
 #[test]
 fn large_fleets_do_not_herd() {
     for case in HERDS {
-        let mut world = ChoiceWorld::fleet(40, case.routers);
+        let world = ChoiceWorld::fleet(40, case.routers);
         let mut chosen: Vec<ServerName> = (0..100)
             .filter_map(|turn| {
                 let call = prompt_call(&format!("call-{turn}"), RECORD, world.now);
