--- a/crates/dispatch/benches/choice.rs
+++ b/crates/dispatch/benches/choice.rs
@@ -39,7 +39,7 @@
     let mut backlog = Backlog::default();
     backlog.add(Urgency::timely(1), 2_000.0);
     let load = |turn: usize| PeerLoad {
-        server: ServerKey::of(&ServerName::new(&names[(router * 7 + turn) % names.len()])),
+        server: ServerKey::of(&ServerName::new(&names[(router * 7 + turn) % names.len()]), None),
         open: 2,
         chats: 1,
         backlog,
--- a/crates/dispatch/src/crash_book.rs
+++ b/crates/dispatch/src/crash_book.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use fulmargate_names::ServerName;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 
+use crate::ServerKey;
+
 /// Requests remembered at most; the oldest go first.
 const MOST_PRINTS: usize = 4_096;
 
@@ -26,7 +27,7 @@
     }
 }
 
-/// The servers that each request was seen to crash, here or at other routers.
+/// The starts of servers that each request was seen to crash, here or at other routers.
 ///
 /// Such a request comes again under new ids, at any router. If each router only counted its own,
 /// the request would take down a server for each router there is.
@@ -38,7 +39,7 @@
 
 #[derive(Debug)]
 struct CrashCase {
-    servers: IndexSet<ServerName>,
+    servers: IndexSet<ServerKey>,
     seen: Instant,
 }
 
@@ -49,14 +50,14 @@
     }
 
     /// The server crashed while it ran the request. Returns whether that is news.
-    pub fn note(&mut self, print: u128, server: &ServerName, now: Instant) -> bool {
+    pub fn note(&mut self, print: u128, server: ServerKey, now: Instant) -> bool {
         self.forget(now);
         let case = self
             .crashes
             .entry(print)
             .or_insert_with(|| CrashCase { servers: IndexSet::new(), seen: now });
         case.seen = now;
-        case.servers.insert(server.clone())
+        case.servers.insert(server)
     }
 
     /// The server completed the request: it does not crash what runs it.
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use fulmargate_names::ModelName;
-use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
@@ -86,7 +85,7 @@
     /// Only engines with these weights, for a stream that goes on.
     pub only_weights: Option<WeightsVersion>,
     /// Servers that this call must not go to again.
-    pub excluded: &'a [ServerName],
+    pub excluded: &'a [ServerKey],
     /// Now.
     pub now: Instant,
     /// Now, suspensions counted.
@@ -174,7 +173,7 @@
 impl EngineRequest<'_> {
     /// Whether the engine may begin this call at all.
     pub(crate) fn allows(&self, state: &ServerState) -> Option<WeightsVersion> {
-        if state.entry.service != *self.service || self.excluded.contains(&state.entry.name) {
+        if state.entry.service != *self.service || self.excluded.contains(&state.key()) {
             return None;
         }
         let weights = state.weights(self.model)?;
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ServerKey;
+
 /// A record of the routers' own topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetRecord {
@@ -32,7 +34,9 @@
     Crash {
         /// Fingerprint of the request.
         print: u128,
-        /// The server's incarnation.
+        /// The server.
         server: ServerName,
+        /// Which start of it.
+        start: ServerKey,
     },
 }
--- a/crates/dispatch/src/order_wave.rs
+++ b/crates/dispatch/src/order_wave.rs
@@ -6,6 +6,8 @@
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
 
+use crate::ServerKey;
+
 /// How a new version is brought to all engines.
 #[derive(Clone, Copy, Debug)]
 pub struct WaveConf {
@@ -32,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct WaveServer {
     /// The engine.
+    pub key: ServerKey,
+    /// Its name, by which all routers order engines alike.
     pub name: ServerName,
     /// Its availability zone.
     pub zone: ZoneName,
@@ -83,7 +87,7 @@
         servers: &[WaveServer],
         wanted: WeightsVersion,
         wave: WaveTime,
-    ) -> Vec<ServerName> {
+    ) -> Vec<ServerKey> {
         let under_way = servers.iter().filter(|server| server.is_ordered).count();
         let mut free = self.at_once(servers, wanted, wave).saturating_sub(under_way);
         let mut open: Vec<&WaveServer> =
@@ -102,6 +106,6 @@
             chosen.push(open.swap_remove(index));
             free -= 1;
         }
-        chosen.into_iter().map(|server| server.name.clone()).collect()
+        chosen.into_iter().map(|server| server.key).collect()
     }
 }
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -1,17 +1,19 @@
 //! What routers tell each other directly, often, and without care for losses.
 
 use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Backlog;
 
-/// A server's name in messages: names are long and new at each start of a server.
+/// A start of a server in messages and books: names are long, and a server that starts again may keep
+/// its name. What is still said of an earlier start then meets no server and changes nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServerKey(pub u64);
 
@@ -19,9 +21,10 @@
     /// Stands for the store of cached prompts.
     pub const STORE: ServerKey = ServerKey(0);
 
-    /// The key of a name.
-    pub fn of(name: &ServerName) -> ServerKey {
-        ServerKey(xxh3_64(name.as_str().as_bytes()))
+    /// The key of a start of the server with this name.
+    pub fn of(name: &ServerName, incarnation: Option<Incarnation>) -> ServerKey {
+        let seed = incarnation.map_or(0, |incarnation| incarnation.0);
+        ServerKey(xxh3_64_with_seed(name.as_str().as_bytes(), seed))
     }
 }
 
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -98,6 +98,12 @@
         self.services.get(name)
     }
 
+    /// Whether a service has model engines. Entries of the list name services that no configuration
+    /// knows; what stands there is neither ordered to load nor asked for its cache.
+    pub fn has_engines(&self, name: &ServiceName) -> bool {
+        self.service(name).is_some_and(|service| service.engine.is_some())
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRule>> {
         self.services.values()
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use fulmargate_names::ModelName;
-use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -43,7 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct SendTicket {
     /// The server.
-    pub server: ServerName,
+    pub server: ServerKey,
     tokens: f64,
     urgency: Urgency,
     shape: CallShape,
@@ -67,19 +66,18 @@
     untold: Vec<PromptNotice>,
     /// And what caches have said since.
     untold_caches: Vec<CacheNotice>,
-    /// Servers whose address another server answered at. Names are never used twice.
+    /// Servers whose address another server answered at.
     gone: IndexSet<ServerKey>,
 }
 
 impl ServerBook {
     /// Takes over the list's servers; those that are no longer in it are forgotten.
     pub fn sync(&mut self, entries: &[Arc<ServerEntry>], now: Instant) {
-        let listed: IndexSet<ServerKey> =
-            entries.iter().map(|entry| ServerKey::of(&entry.name)).collect();
+        let listed: IndexSet<ServerKey> = entries.iter().map(|entry| entry.key()).collect();
         self.servers.retain(|key, _| listed.contains(key));
         self.gone.retain(|key| listed.contains(key));
         for entry in entries {
-            let key = ServerKey::of(&entry.name);
+            let key = entry.key();
             if self.gone.contains(&key) {
                 continue;
             }
@@ -93,14 +91,14 @@
     }
 
     /// One server.
-    pub fn state(&self, name: &ServerName) -> Option<&ServerState> {
-        self.servers.get(&ServerKey::of(name))
+    pub fn state(&self, server: ServerKey) -> Option<&ServerState> {
+        self.servers.get(&server)
     }
 
     /// Requests of all routers at a server.
-    pub fn open_at(&self, name: &ServerName) -> u32 {
-        let Some(state) = self.state(name) else { return 0 };
-        state.open + self.peers.sum(state.key()).open
+    pub fn open_at(&self, server: ServerKey) -> u32 {
+        let Some(state) = self.state(server) else { return 0 };
+        state.open + self.peers.sum(server).open
     }
 
     /// All servers.
@@ -109,21 +107,14 @@
     }
 
     /// The call goes to the server.
-    pub fn begin(&mut self, call: &CallFacts, server: &ServerName, now: Instant) -> SendTicket {
+    pub fn begin(&mut self, call: &CallFacts, server: ServerKey, now: Instant) -> SendTicket {
         let tokens = f64::from(call.prompt_tokens());
         let urgency = Urgency::timely(call.priority);
         if let Some(state) = self.state_mut(server) {
             state.open += 1;
             state.backlog.add(urgency, tokens);
         }
-        SendTicket {
-            server: server.clone(),
-            tokens,
-            urgency,
-            shape: CallShape::Plain,
-            is_awaited: true,
-            sent: now,
-        }
+        SendTicket { server, tokens, urgency, shape: CallShape::Plain, is_awaited: true, sent: now }
     }
 
     /// The call's prompt goes to the chosen engine.
@@ -134,7 +125,7 @@
         now: Instant,
     ) -> SendTicket {
         let notice = PromptNotice {
-            server: ServerKey::of(&choice.server.name),
+            server: choice.server.key(),
             scope: scope_of(&choice.salt),
             parts: call.shared_parts().iter().map(|part| part.hash).collect(),
             taken_tokens: choice.taken_tokens as u32,
@@ -147,13 +138,13 @@
         if self.untold.len() < news::MOST_UNTOLD {
             self.untold.push(notice);
         }
-        if let Some(state) = self.state_mut(&choice.server.name) {
+        if let Some(state) = self.state_mut(choice.server.key()) {
             state.open += 1;
             state.chats += u32::from(choice.shape == CallShape::Chat);
             state.backlog.add(choice.urgency, choice.read_tokens);
         }
         SendTicket {
-            server: choice.server.name.clone(),
+            server: choice.server.key(),
             tokens: choice.read_tokens,
             urgency: choice.urgency,
             shape: choice.shape,
@@ -162,13 +153,13 @@
         }
     }
 
-    fn state_mut(&mut self, name: &ServerName) -> Option<&mut ServerState> {
-        self.servers.get_mut(&ServerKey::of(name))
+    fn state_mut(&mut self, server: ServerKey) -> Option<&mut ServerState> {
+        self.servers.get_mut(&server)
     }
 
     /// The first of the answer has come.
     pub fn answered(&mut self, ticket: &mut SendTicket, load: Option<LoadReport>, now: Instant) {
-        if let Some(state) = self.state_mut(&ticket.server) {
+        if let Some(state) = self.state_mut(ticket.server) {
             if ticket.is_awaited {
                 state.backlog.take(ticket.urgency, ticket.tokens);
             }
@@ -179,7 +170,7 @@
 
     /// The request has left the server, whatever became of it.
     pub fn left(&mut self, ticket: &SendTicket) {
-        if let Some(state) = self.state_mut(&ticket.server) {
+        if let Some(state) = self.state_mut(ticket.server) {
             state.open = state.open.saturating_sub(1);
             let chats = u32::from(ticket.shape == CallShape::Chat);
             state.chats = state.chats.saturating_sub(chats);
@@ -192,27 +183,27 @@
     /// The whole answer came and was good.
     pub fn succeeded(&mut self, ticket: &SendTicket, now: Instant) {
         let took = now.saturating_duration_since(ticket.sent);
-        if let Some(state) = self.state_mut(&ticket.server) {
+        if let Some(state) = self.state_mut(ticket.server) {
             state.succeeded(took, now);
         }
     }
 
     /// The server failed the request.
-    pub fn failed(&mut self, server: &ServerName, now: Instant) {
+    pub fn failed(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
             state.failed(now);
         }
     }
 
     /// No connection could be had.
-    pub fn unreachable(&mut self, server: &ServerName, now: Instant) {
+    pub fn unreachable(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
             state.unreachable(now);
         }
     }
 
     /// The server turned a plain request away.
-    pub fn turned_away(&mut self, server: &ServerName, now: Instant) {
+    pub fn turned_away(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
             state.full(FULL_PAUSE, now);
         }
@@ -221,7 +212,7 @@
     /// An engine turned a prompt away. If newer weights are wanted, it is most likely loading them.
     pub fn turned_away_prompt(
         &mut self,
-        server: &ServerName,
+        server: ServerKey,
         model: &ModelName,
         wanted: Option<WeightsVersion>,
         now: Instant,
@@ -242,7 +233,7 @@
     /// The engine runs other weights than expected: the newest, unless these were expected.
     pub fn misjudged_weights(
         &mut self,
-        server: &ServerName,
+        server: ServerKey,
         model: &ModelName,
         sent: WeightsVersion,
         wanted: Option<WeightsVersion>,
@@ -255,37 +246,36 @@
     }
 
     /// An answer names the weights in use.
-    pub fn learn_weights(&mut self, server: &ServerName, model: &ModelName, seen: WeightsVersion) {
+    pub fn learn_weights(&mut self, server: ServerKey, model: &ModelName, seen: WeightsVersion) {
         if let Some(state) = self.state_mut(server) {
             state.learn_weights(model, seen);
         }
     }
 
     /// This router, which holds the lease, has an engine load weights.
-    pub fn order_given(&mut self, server: &ServerName, now: Instant) {
+    pub fn order_given(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
             state.loads(now);
         }
     }
 
     /// The engine could not be brought up and keeps the weights it has.
-    pub fn order_given_up(&mut self, server: &ServerName) {
+    pub fn order_given_up(&mut self, server: ServerKey) {
         if let Some(state) = self.state_mut(server) {
             state.loads_no_more();
         }
     }
 
     /// The engine has the weights by its own word.
-    pub fn order_done(&mut self, server: &ServerName, model: &ModelName, seen: WeightsVersion) {
+    pub fn order_done(&mut self, server: ServerKey, model: &ModelName, seen: WeightsVersion) {
         if let Some(state) = self.state_mut(server) {
             state.loaded(model, seen);
         }
     }
 
     /// Another server answered at the address: this one is gone from there.
-    pub fn forget(&mut self, server: &ServerName) {
-        let key = ServerKey::of(server);
-        self.servers.swap_remove(&key);
-        self.gone.insert(key);
+    pub fn forget(&mut self, server: ServerKey) {
+        self.servers.swap_remove(&server);
+        self.gone.insert(server);
     }
 }
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
@@ -41,11 +40,11 @@
         &self,
         service: &ServiceName,
         zone: &ZoneName,
-        excluded: &[ServerName],
+        excluded: &[ServerKey],
         now: Instant,
     ) -> Option<Arc<ServerEntry>> {
         let of_service = |state: &&ServerState| {
-            state.entry.service == *service && !excluded.contains(&state.entry.name)
+            state.entry.service == *service && !excluded.contains(&state.key())
         };
         let cost = |state: &ServerState| {
             let slots = f64::from(state.entry.slots.max(1));
--- a/crates/dispatch/src/server_entry.rs
+++ b/crates/dispatch/src/server_entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_names::Incarnation;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
@@ -11,12 +12,19 @@
 use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 
-/// One start of a backend server. Its name is new at each start, so that a name never stands for
-/// two incarnations.
+use crate::ServerKey;
+
+/// One start of a backend server.
+///
+/// A server may start again under its old name and then knows nothing of before. Whoever remembers
+/// something of a server does so under [`ServerEntry::key`], which differs for each start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerEntry {
-    /// Name of this start.
+    /// Its name.
     pub name: ServerName,
+    /// Which start this is, by the server's own word: Unix milliseconds. None where the platform does
+    /// not tell; a server then has a new name at each start.
+    pub incarnation: Option<Incarnation>,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens. The address may later belong to another server.
@@ -33,6 +41,13 @@
     pub models: IndexMap<ModelName, WeightsVersion>,
 }
 
+impl ServerEntry {
+    /// What this start is remembered under and called in messages.
+    pub fn key(&self) -> ServerKey {
+        ServerKey::of(&self.name, self.incarnation)
+    }
+}
+
 /// Whether a server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStage {
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -103,7 +103,7 @@
     pub(crate) fn new(entry: Arc<ServerEntry>, now: Instant) -> ServerState {
         let weights = entry.models.clone();
         ServerState {
-            key: ServerKey::of(&entry.name),
+            key: entry.key(),
             entry,
             open: 0,
             chats: 0,
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -18,8 +19,16 @@
 /// Servers that live are listed again within about two seconds of the store's return; the rest is
 /// allowance for the pace of reading.
 const RETURN_GRACE: Duration = Duration::from_millis(2_400);
-/// Names of servers that drained are kept for so many, against entries that arrive late.
-const MOST_DRAINED: usize = 4_096;
+/// Starts are remembered for so many names, against words that arrive late. At a thousand restarts a
+/// day this reaches back for days; a name takes some 100 bytes.
+const MOST_STARTS: usize = 4_096;
+
+/// What is known of a server's newest start.
+#[derive(Clone, Copy, Debug)]
+struct KnownStart {
+    incarnation: Option<Incarnation>,
+    has_drained: bool,
+}
 
 /// The fold over the list's records.
 ///
@@ -29,7 +38,8 @@
 #[derive(Debug, Default)]
 pub struct ServerTable {
     servers: IndexMap<ServerName, SharedEntry>,
-    drained: IndexSet<ServerName>,
+    /// The newest start known of each name that drained or told of its start.
+    starts: IndexMap<ServerName, KnownStart>,
     lapsed: IndexSet<ServerName>,
     last_contact: Option<BootTime>,
     returned: Option<BootTime>,
@@ -47,18 +57,24 @@
         was_out
     }
 
-    /// An entry was written.
-    pub fn put(&mut self, mut entry: ServerEntry) {
+    /// An entry was written. Returns whether it counts: what an earlier start of the server said, or
+    /// somebody else under its name, does not.
+    pub fn put(&mut self, mut entry: ServerEntry) -> bool {
+        let known = self.starts.get(&entry.name).copied();
+        if known.is_some_and(|known| entry.incarnation < known.incarnation) {
+            return false;
+        }
         // A server that has said it drains stays draining: an older entry that is read later, or
         // one written by a confused server, would bring it requests that it cuts off when it ends.
-        if self.drained.contains(&entry.name) {
+        // A new start of it is another server.
+        let same = known.filter(|known| known.incarnation == entry.incarnation);
+        if same.is_some_and(|known| known.has_drained) {
             entry.stage = ServerStage::Draining;
         }
-        if entry.stage == ServerStage::Draining {
-            self.note_drained(&entry.name);
-        }
+        self.note_start(&entry);
         self.lapsed.swap_remove(&entry.name);
         self.servers.insert(entry.name.clone(), Arc::new(entry));
+        true
     }
 
     /// An entry was removed.
@@ -116,10 +132,25 @@
         self.servers.swap_remove(name);
     }
 
-    fn note_drained(&mut self, name: &ServerName) {
-        if MOST_DRAINED <= self.drained.len() {
-            self.drained.shift_remove_index(0);
+    fn note_start(&mut self, entry: &ServerEntry) {
+        let has_drained = entry.stage == ServerStage::Draining;
+        if entry.incarnation.is_none() && !has_drained {
+            return;
+        }
+        let start = KnownStart { incarnation: entry.incarnation, has_drained };
+        if self.starts.insert(entry.name.clone(), start).is_none() {
+            self.bound_starts();
+        }
+    }
+
+    /// Servers that are still listed are remembered in any case.
+    fn bound_starts(&mut self) {
+        if self.starts.len() <= MOST_STARTS {
+            return;
+        }
+        let oldest = self.starts.keys().position(|name| !self.servers.contains_key(name));
+        if let Some(oldest) = oldest {
+            self.starts.shift_remove_index(oldest);
         }
-        self.drained.insert(name.clone());
     }
 }
--- a/crates/dispatch/tests/budgets.rs
+++ b/crates/dispatch/tests/budgets.rs
@@ -1,15 +1,17 @@
 //! The budget of repeats and the book of requests that crash servers.
 
+mod support;
+
 use std::time::Duration;
 
 use fulmargate_dispatch::CrashBook;
 use fulmargate_dispatch::CrashConf;
 use fulmargate_dispatch::RepeatBudget;
 use fulmargate_dispatch::RepeatConf;
-use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
+use support::key;
 use tokio::time::Instant;
 
 const CONF: RepeatConf = RepeatConf { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
@@ -95,7 +97,7 @@
     for case in CRASHES {
         let mut book = CrashBook::new(CrashConf::default());
         for server in case.crashes {
-            book.note(7, &ServerName::new(server), now);
+            book.note(7, key(server), now);
         }
         assert_eq!(book.is_convicted(7), case.convicted, "{}", case.name);
         assert!(!book.is_convicted(8), "{}: another request", case.name);
@@ -107,7 +109,7 @@
     let now = Instant::now();
     let mut book = CrashBook::new(CrashConf::default());
     for server in ["a", "b", "c"] {
-        book.note(7, &ServerName::new(server), now);
+        book.note(7, key(server), now);
     }
     book.acquit(7);
     assert!(!book.is_convicted(7));
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -26,6 +26,7 @@
 use support::DESK;
 use support::ENGINES;
 use support::engines;
+use support::key;
 use support::model;
 use support::prompt_call;
 use support::server;
@@ -67,7 +68,7 @@
         world
     }
 
-    fn choose(&self, call: &CallFacts, excluded: &[ServerName]) -> Option<EngineChoice> {
+    fn choose(&self, call: &CallFacts, excluded: &[ServerKey]) -> Option<EngineChoice> {
         self.book.choose_engine(&EngineRequest {
             call,
             service: &ServiceName::new(ENGINES),
@@ -144,14 +145,13 @@
         if case.is_told {
             let scope = scope_of(&first.salt);
             let parts = vec![(scope ^ 11, 2_500), (scope ^ 12, 3_800)];
-            let server = ServerKey::of(&first.server.name);
+            let server = first.server.key();
             let notice = CacheNotice { server, is_reset: false, parts };
             world.book.hear_cache(notice, world.now);
         }
         world.now += Duration::from_millis(case.after_ms);
         let call = prompt_call("c2", RECORD, world.now);
-        let choice =
-            world.choose(&call, std::slice::from_ref(&first.server.name)).expect("an engine");
+        let choice = world.choose(&call, &[first.server.key()]).expect("an engine");
         assert_eq!(choice.fetch.is_some(), case.is_fetched, "{}", case.name);
     }
 }
@@ -165,7 +165,7 @@
     assert_eq!(world.choose(&call, &[]).expect("an engine").read_tokens, 2_000.0);
     let scope = scope_of(&first.salt);
     let parts = vec![(scope ^ 11, 0), (scope ^ 12, 0)];
-    for server in [ServerKey::of(&first.server.name), ServerKey::STORE] {
+    for server in [first.server.key(), ServerKey::STORE] {
         let notice = CacheNotice { server, is_reset: false, parts: parts.clone() };
         world.book.hear_cache(notice, world.now);
     }
@@ -179,11 +179,11 @@
 fn engines_that_load_get_nothing() {
     let mut world = ChoiceWorld::new();
     let call = prompt_call("c", RECORD, world.now);
-    let home = world.choose(&call, &[]).expect("an engine").server.name.clone();
+    let home = world.choose(&call, &[]).expect("an engine").server;
     let notice = |stage| PeerNews {
         host: Some(HostName::new("holder")),
         loading: vec![LoadingNotice {
-            server: ServerKey::of(&home),
+            server: home.key(),
             model: model(),
             version: WeightsVersion(2),
             stage,
@@ -191,18 +191,14 @@
         ..PeerNews::default()
     };
     world.book.hear(&notice(LoadingStage::Loading), world.now);
-    assert_ne!(world.choose(&call, &[]).expect("an engine").server.name, home);
+    assert_ne!(world.choose(&call, &[]).expect("an engine").server, home);
     world.book.hear(&notice(LoadingStage::GivenUp), world.now);
     let choice = world.choose(&call, &[]).expect("an engine");
-    assert_eq!(
-        (&choice.server.name, choice.weights),
-        (&home, WeightsVersion(1)),
-        "it kept its own"
-    );
+    assert_eq!((&choice.server, choice.weights), (&home, WeightsVersion(1)), "it kept its own");
     world.book.hear(&notice(LoadingStage::Loading), world.now);
     world.book.hear(&notice(LoadingStage::InPlace), world.now);
     let choice = world.choose(&call, &[]).expect("an engine");
-    assert_eq!((&choice.server.name, choice.weights), (&home, WeightsVersion(2)));
+    assert_eq!((&choice.server, choice.weights), (&home, WeightsVersion(2)));
 }
 
 struct WeightsCase {
@@ -226,11 +222,11 @@
 fn old_weights_are_left_in_time() {
     for case in WEIGHTS {
         let mut world = ChoiceWorld::new();
-        let busy = world.send("w1").server.name.clone();
+        let busy = world.send("w1").server.key();
         let named = BootTime(world.boot_now.0 - case.age_ms);
         world.weights.name_version(&model(), WeightsVersion(2), named);
         let call = prompt_call("w2", RECORD, world.now);
-        let mut others: Vec<ServerName> = NAMES.iter().map(|name| ServerName::new(name)).collect();
+        let mut others: Vec<ServerKey> = NAMES.iter().map(|name| key(name)).collect();
         others.retain(|name| *name != busy);
         let choice = world.choose(&call, &others);
         assert_eq!(choice.is_some(), case.usable, "{}", case.name);
@@ -257,14 +253,14 @@
 fn unreachable_engines_are_a_last_resort() {
     let mut world = ChoiceWorld::new();
     let call = prompt_call("c", RECORD, world.now);
-    let home = world.choose(&call, &[]).expect("an engine").server.name.clone();
-    world.book.unreachable(&home, world.now);
-    assert_ne!(world.choose(&call, &[]).expect("an engine").server.name, home);
+    let home = world.choose(&call, &[]).expect("an engine").server;
+    world.book.unreachable(home.key(), world.now);
+    assert_ne!(world.choose(&call, &[]).expect("an engine").server, home);
     for name in NAMES {
-        world.book.unreachable(&ServerName::new(name), world.now);
+        world.book.unreachable(key(name), world.now);
     }
     assert!(world.choose(&call, &[]).is_some());
-    let all: Vec<ServerName> = NAMES.iter().map(|name| ServerName::new(name)).collect();
+    let all: Vec<ServerKey> = NAMES.iter().map(|name| key(name)).collect();
     assert!(world.choose(&call, &all).is_none());
 }
 
@@ -273,15 +269,12 @@
 #[test]
 fn a_server_whose_address_is_taken_is_forgotten() {
     let mut world = ChoiceWorld::new();
-    world.book.forget(&ServerName::new("e1"));
+    world.book.forget(key("e1"));
     world.book.sync(&engines(NAMES), world.now);
-    assert!(world.book.state(&ServerName::new("e1")).is_none());
+    assert!(world.book.state(key("e1")).is_none());
     world.book.sync(&engines(&["e2", "e3"]), world.now);
     world.book.sync(&engines(NAMES), world.now);
-    assert!(
-        world.book.state(&ServerName::new("e1")).is_some(),
-        "the list had dropped it meanwhile"
-    );
+    assert!(world.book.state(key("e1")).is_some(), "the list had dropped it meanwhile");
 }
 
 #[test]
@@ -296,12 +289,12 @@
         server.name.to_string()
     };
     let call = prompt_call("p", &[], now);
-    let mut ticket = book.begin(&call, &ServerName::new("d1"), now);
+    let mut ticket = book.begin(&call, key("d1"), now);
     let busy = LoadReport { running: 8, waiting: 9, slots: 8 };
     book.answered(&mut ticket, Some(busy), now);
     assert_ne!(choose(&book), "d1", "full");
     for _ in 0..5 {
-        book.failed(&ServerName::new("d2"), now);
+        book.failed(key("d2"), now);
     }
     assert_eq!(choose(&book), "d3", "d2 fails");
 }
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -6,6 +6,7 @@
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
+use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use indexmap::IndexSet;
 use support::DESK;
@@ -13,8 +14,15 @@
 
 /// One step of a story; times in milliseconds.
 enum ListStep {
-    Contact { sent: u64, now: u64 },
+    Contact {
+        sent: u64,
+        now: u64,
+    },
     Put(&'static str, ServerStage),
+    /// By a server that tells of its start.
+    PutStart(&'static str, u64, ServerStage),
+    /// What an earlier start, or somebody else, says.
+    PutLate(&'static str, Option<u64>, ServerStage),
     Remove(&'static str, u64),
     Listed(&'static [&'static str], u64),
     Expire(u64),
@@ -93,12 +101,46 @@
         ],
         usable: &["b"],
     },
+    ListCase {
+        name: "a server that drained and starts again under its name is used",
+        steps: &[PutStart("a", 5, Draining), PutStart("a", 6, Ready)],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "its earlier start changes nothing any more",
+        steps: &[PutStart("a", 6, Ready), PutLate("a", Some(5), Draining)],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "also not after the later one has left",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            PutStart("a", 6, Ready),
+            Remove("a", 1_005),
+            PutLate("a", Some(5), Ready),
+        ],
+        usable: &[],
+    },
+    ListCase {
+        name: "a start that drained stays draining",
+        steps: &[PutStart("a", 6, Draining), PutStart("a", 6, Ready)],
+        usable: &[],
+    },
+    ListCase {
+        name: "who does not tell of a start speaks for no server that did",
+        steps: &[PutStart("a", 6, Ready), PutLate("a", None, Draining)],
+        usable: &["a"],
+    },
 ];
 
 fn entry(name: &str, stage: ServerStage) -> ServerEntry {
     ServerEntry { stage, ..server(name, DESK) }
 }
 
+fn start_of(name: &str, start: Option<u64>, stage: ServerStage) -> ServerEntry {
+    ServerEntry { incarnation: start.map(Incarnation), ..entry(name, stage) }
+}
+
 fn play(steps: &[ListStep]) -> ServerTable {
     let mut table = ServerTable::default();
     for step in steps {
@@ -106,7 +148,11 @@
             Contact { sent, now } => {
                 table.contact(BootTime(*sent), BootTime(*now));
             }
-            Put(name, stage) => table.put(entry(name, *stage)),
+            Put(name, stage) => assert!(table.put(entry(name, *stage))),
+            PutStart(name, start, stage) => {
+                assert!(table.put(start_of(name, Some(*start), *stage)))
+            }
+            PutLate(name, start, stage) => assert!(!table.put(start_of(name, *start, *stage))),
             Remove(name, now) => table.remove(&ServerName::new(name), BootTime(*now)),
             Listed(names, now) => {
                 let listed: IndexSet<ServerName> =
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::RoutingConfig;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServiceRule;
 use fulmargate_dispatch::ServiceShare;
@@ -45,6 +46,7 @@
     let is_engine = service == ENGINES;
     ServerEntry {
         name: ServerName::new(name),
+        incarnation: None,
         service: ServiceName::new(service),
         address: "127.0.0.1:9000".parse().expect("an address"),
         zone: zone(),
@@ -55,6 +57,11 @@
     }
 }
 
+/// The key of a server that has never told of its start.
+pub(crate) fn key(name: &str) -> ServerKey {
+    ServerKey::of(&ServerName::new(name), None)
+}
+
 pub(crate) fn engines(names: &[&str]) -> Vec<Arc<ServerEntry>> {
     names.iter().map(|name| Arc::new(server(name, ENGINES))).collect()
 }
--- a/crates/dispatch/tests/waves.rs
+++ b/crates/dispatch/tests/waves.rs
@@ -1,14 +1,18 @@
 //! Which engines get new weights next.
 
+mod support;
+
 use std::time::Duration;
 
 use fulmargate_dispatch::OrderWave;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::WaveConf;
 use fulmargate_dispatch::WaveServer;
 use fulmargate_dispatch::WaveTime;
 use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
+use support::key;
 
 struct WaveCase {
     name: &'static str,
@@ -63,6 +67,7 @@
             .servers
             .iter()
             .map(|(name, zone, version, load, is_ordered, is_open)| WaveServer {
+                key: key(name),
                 name: ServerName::new(name),
                 zone: ZoneName::new(zone),
                 version: WeightsVersion(*version),
@@ -72,8 +77,8 @@
             })
             .collect();
         let next = wave.next(&servers, WeightsVersion(2), time);
-        let next: Vec<&str> = next.iter().map(ServerName::as_str).collect();
-        assert_eq!(next, case.next, "{}", case.name);
+        let expected: Vec<ServerKey> = case.next.iter().map(|name| key(name)).collect();
+        assert_eq!(next, expected, "{}", case.name);
     }
 }
 
@@ -106,6 +111,7 @@
 fn as_few_as_will_do_in_time() {
     for case in PACES {
         let server = |number: usize| WaveServer {
+            key: key(&format!("e{number}")),
             name: ServerName::new(&format!("e{number}")),
             zone: ZoneName::new("n"),
             version: WeightsVersion(if number < case.behind { 1 } else { 2 }),
--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -9,9 +9,11 @@
 use fulmargate_consortium::CachePage;
 use fulmargate_consortium::EngineClient;
 use fulmargate_dispatch::CacheNotice;
+use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
 use indexmap::IndexMap;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -31,7 +33,14 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
-type ReadSources = Rc<RefCell<IndexMap<ServerKey, SocketAddr>>>;
+type ReadSources = Rc<RefCell<IndexMap<ServerKey, CacheSource>>>;
+
+/// An engine's start or the store.
+#[derive(Clone, Copy, Debug)]
+struct CacheSource {
+    address: SocketAddr,
+    incarnation: Option<Incarnation>,
+}
 
 /// Has each source read by one router, which tells the others: a source serves few calls at once,
 /// and what it says is the same for all.
@@ -52,19 +61,19 @@
     pub(crate) async fn run(self) {
         loop {
             let own = self.own_sources();
-            let new: Vec<(ServerKey, SocketAddr)> = {
+            let new: Vec<(ServerKey, CacheSource)> = {
                 let read = self.read.borrow();
-                let is_new = |(key, _): &(&ServerKey, &SocketAddr)| !read.contains_key(*key);
-                own.iter().filter(is_new).map(|(key, address)| (*key, *address)).collect()
+                let is_new = |(key, _): &(&ServerKey, &CacheSource)| !read.contains_key(*key);
+                own.iter().filter(is_new).map(|(key, source)| (*key, *source)).collect()
             };
             *self.read.borrow_mut() = own;
-            for (key, address) in new {
+            for (key, source) in new {
                 let reader = CacheReader {
                     state: self.state.clone(),
                     engines: self.engines.clone(),
                     read: self.read.clone(),
                     key,
-                    address,
+                    source,
                 };
                 actix_rt::spawn(reader.run());
             }
@@ -72,16 +81,21 @@
         }
     }
 
-    fn own_sources(&self) -> IndexMap<ServerKey, SocketAddr> {
+    fn own_sources(&self) -> IndexMap<ServerKey, CacheSource> {
+        let table = self.state.table.load();
+        let Some(table) = table.as_ref() else { return IndexMap::new() };
         let book = self.state.book();
         let hosts = book.live_peers(Instant::now());
-        let engines = book.states().filter(|state| !state.entry().models.is_empty());
-        let mut sources: IndexMap<ServerKey, SocketAddr> =
-            engines.map(|state| (state.key(), state.entry().address)).collect();
+        let engines = book.states().filter(|state| table.has_engines(&state.entry().service));
+        let source = |entry: &ServerEntry| CacheSource {
+            address: entry.address,
+            incarnation: entry.incarnation,
+        };
+        let mut sources: IndexMap<ServerKey, CacheSource> =
+            engines.map(|state| (state.key(), source(state.entry()))).collect();
         drop(book);
-        let store = self.state.table.load().as_ref().and_then(|table| table.cache_store_address());
-        if let Some(address) = store {
-            sources.insert(ServerKey::STORE, address);
+        if let Some(address) = table.cache_store_address() {
+            sources.insert(ServerKey::STORE, CacheSource { address, incarnation: None });
         }
         let own = &self.state.settings.host;
         sources.retain(|key, _| is_reader(*key, own, &hosts));
@@ -102,7 +116,7 @@
     engines: EngineClient,
     read: ReadSources,
     key: ServerKey,
-    address: SocketAddr,
+    source: CacheSource,
 }
 
 impl CacheReader {
@@ -111,7 +125,9 @@
         let mut epoch = None;
         while self.read.borrow().contains_key(&self.key) {
             let timeout = READ_WAIT + READ_ALLOWANCE;
-            match self.engines.cache_events(self.address, next, READ_WAIT, timeout).await {
+            match self.engines.cache_events(self.source.address, next, READ_WAIT, timeout).await {
+                // Another start answers at the address. The list will name it.
+                Ok(page) if self.is_foreign(&page) => sleep(FAILURE_PAUSE).await,
                 Ok(page) => {
                     let is_new = epoch.is_some_and(|epoch| epoch != page.epoch);
                     epoch = Some(page.epoch);
@@ -120,18 +136,26 @@
                     sleep(READ_PACE).await;
                 }
                 Err(err) => {
-                    tracing::debug!("cache events of {} are not to be had: {err}", self.address);
+                    tracing::debug!(
+                        "cache events of {} are not to be had: {err}",
+                        self.source.address
+                    );
                     sleep(FAILURE_PAUSE).await;
                 }
             }
         }
     }
 
+    fn is_foreign(&self, page: &CachePage) -> bool {
+        let expected = self.source.incarnation;
+        expected.is_some() && page.incarnation.is_some() && page.incarnation != expected
+    }
+
     fn tell(&self, page: CachePage, is_new: bool) {
         let is_reset = is_new || page.is_gap;
         if is_reset {
             let gap = EventKind::EventGap;
-            tracing::info!(event = gap.number(), name = gap.name(), address = %self.address, is_new);
+            tracing::info!(event = gap.number(), name = gap.name(), address = %self.source.address, is_new);
         }
         if !is_reset && page.parts.is_empty() {
             return;
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -142,9 +142,9 @@
             }
         };
         self.fold.borrow_mut().apply(offset, &record, boot_now());
-        if let FleetRecord::Crash { print, server } = &record {
+        if let FleetRecord::Crash { print, server, start } = &record {
             let mut crashes = self.state.crashes();
-            crashes.note(*print, server, Instant::now());
+            crashes.note(*print, *start, Instant::now());
             let (count, is_convicted) = (crashes.count(*print), crashes.is_convicted(*print));
             drop(crashes);
             let kind = match is_convicted {
@@ -173,7 +173,8 @@
 }
 
 fn crash_record(sighting: CrashSighting) -> FleetRecord {
-    FleetRecord::Crash { print: sighting.print, server: sighting.server }
+    let CrashSighting { print, server } = sighting;
+    FleetRecord::Crash { print, server: server.name.clone(), start: server.key() }
 }
 
 async fn append_records(client: &StoreClient, records: &[FleetRecord]) -> Result<(), StoreError> {
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -14,6 +14,7 @@
 use fulmargate_dispatch::LeaseStep;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::OrderWave;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::WaveServer;
 use fulmargate_dispatch::WaveTime;
 use fulmargate_dispatch::WeightsTarget;
@@ -21,7 +22,6 @@
 use fulmargate_names::FencingNumber;
 use fulmargate_names::LogOffset;
 use fulmargate_names::ModelName;
-use fulmargate_names::ServerName;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -47,7 +47,7 @@
 pub(crate) struct DeskState {
     pub(crate) lease: RefCell<LeaseDesk>,
     /// Engines with an order under way.
-    pub(crate) under_way: RefCell<IndexSet<ServerName>>,
+    pub(crate) under_way: RefCell<IndexSet<ServerKey>>,
 }
 
 /// The desk.
@@ -111,15 +111,19 @@
         let under_way = self.desk.under_way.borrow();
         let book = self.state.book();
         let now = Instant::now();
+        let table = self.state.table.load();
+        let has_engines = |service| table.as_ref().is_some_and(|table| table.has_engines(service));
         let servers = book
             .states()
+            .filter(|state| has_engines(&state.entry().service))
             .filter_map(|state| {
                 Some(WaveServer {
+                    key: state.key(),
                     name: state.entry().name.clone(),
                     zone: state.entry().zone.clone(),
                     version: state.confirmed_weights(model)?,
                     load: state.occupancy(now),
-                    is_ordered: under_way.contains(&state.entry().name),
+                    is_ordered: under_way.contains(&state.key()),
                     is_open: state.is_open(now),
                 })
             })
@@ -205,12 +209,12 @@
             age: boot_now().since(work.target.learned),
             bound: self.state.settings.bounds.weights(),
         };
-        for name in self.wave.next(&work.servers, work.target.version, wave) {
-            let entry = self.state.book().state(&name).map(|state| state.entry().clone());
+        for key in self.wave.next(&work.servers, work.target.version, wave) {
+            let entry = self.state.book().state(key).map(|state| state.entry().clone());
             let Some(entry) = entry else { continue };
-            self.desk.under_way.borrow_mut().insert(name.clone());
-            self.state.book().order_given(&name, Instant::now());
-            self.state.loading.begin(&name, &work.model, work.target.version);
+            self.desk.under_way.borrow_mut().insert(key);
+            self.state.book().order_given(key, Instant::now());
+            self.state.loading.begin(key, &work.model, work.target.version);
             let run = OrderRun {
                 state: self.state.clone(),
                 engines: self.engines.clone(),
--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -61,14 +61,15 @@
         let timeout = tokio::time::timeout(LONGEST_RUN, self.bring_up()).await;
         let end = timeout.unwrap_or(RunEnd::Slow);
         let name = &self.entry.name;
+        let key = self.entry.key();
         let kind = match end {
             RunEnd::InPlace(version) => {
-                self.state.book().order_done(name, &self.model, version);
-                self.state.loading.done(name, version);
+                self.state.book().order_done(key, &self.model, version);
+                self.state.loading.done(key, version);
                 EventKind::WeightsInPlace
             }
             RunEnd::Silent => {
-                self.state.book().unreachable(name, Instant::now());
+                self.state.book().unreachable(key, Instant::now());
                 self.give_up();
                 EventKind::OrderRefused
             }
@@ -77,25 +78,25 @@
                 EventKind::OrderRefused
             }
             RunEnd::Slow => {
-                self.state.loading.drop_notice(name);
+                self.state.loading.drop_notice(key);
                 EventKind::OrderRefused
             }
         };
         let model = &self.model;
         tracing::info!(event = kind.number(), name = kind.name(), server = %name, %model, end = ?end);
-        self.desk.under_way.borrow_mut().swap_remove(name);
+        self.desk.under_way.borrow_mut().swap_remove(&key);
     }
 
     fn give_up(&self) {
-        self.state.book().order_given_up(&self.entry.name);
-        self.state.loading.give_up(&self.entry.name);
+        self.state.book().order_given_up(self.entry.key());
+        self.state.loading.give_up(self.entry.key());
     }
 
     /// Waits for the requests that routers have under way there; they send no more, since they were
     /// told. An order that comes earlier has the engine turn away what waits there.
     async fn wait_until_idle(&self) {
         let until = Instant::now() + LONGEST_DRAIN;
-        while Instant::now() < until && 0 < self.state.book().open_at(&self.entry.name) {
+        while Instant::now() < until && 0 < self.state.book().open_at(self.entry.key()) {
             sleep(DRAIN_PACE).await;
         }
     }
@@ -104,6 +105,11 @@
         self.wait_until_idle().await;
         loop {
             let Some(report) = self.report().await else { return RunEnd::Silent };
+            // The engine has started again since the list named it: what it holds and has been ordered
+            // is not what this run rests on, and the list will name the new start.
+            if report.incarnation.is_some() && report.incarnation != self.entry.incarnation {
+                return RunEnd::Gone;
+            }
             // The newest at this moment: a version that was overtaken meanwhile is skipped.
             let Some(wanted) = self.state.weights.load().target(&self.model) else {
                 return RunEnd::Gone;
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -12,6 +12,7 @@
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
 use fulmargate_names::EventKind;
+use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
 use fulmargate_names::ServerName;
 use indexmap::IndexMap;
@@ -31,13 +32,20 @@
 /// The store's answers take 4 ms, and 250 ms when it is slow.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// What was last told of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownServer {
+    stage: ServerStage,
+    incarnation: Option<Incarnation>,
+}
+
 /// Keeps the table of servers and hands it to the book.
 pub(crate) struct ServerWatch {
     state: Arc<SharedState>,
     source: LogSource,
     contact: StoreContact,
     table: ServerTable,
-    known: IndexMap<ServerName, ServerStage>,
+    known: IndexMap<ServerName, KnownServer>,
     next: Option<LogOffset>,
 }
 
@@ -83,7 +91,7 @@
         for record in &page.records {
             match split_keyed(record) {
                 Ok(record) => self.apply(&record),
-                Err(err) => tell_unreadable(&err),
+                Err(err) => self.tell_unusable(&err.to_string()),
             }
         }
         self.next = Some(LogOffset(from.0 + page.records.len() as u64));
@@ -118,8 +126,20 @@
             return;
         };
         match decode_server(&record.key, value) {
-            Ok(entry) => self.table.put(entry),
-            Err(err) => tell_unreadable(&err),
+            Ok(entry) => {
+                if !self.table.put(entry) {
+                    self.tell_unusable(&format!("an earlier start of {name} speaks"));
+                }
+            }
+            Err(err) => self.tell_unusable(&err.to_string()),
+        }
+    }
+
+    /// Others may write to the list as often as they like, so that these lines are bounded.
+    fn tell_unusable(&self, reason: &str) {
+        let kind = EventKind::ServerEntryUnusable;
+        if self.state.lines.allows(kind, Instant::now()) {
+            tracing::warn!(event = kind.number(), name = kind.name(), reason);
         }
     }
 
@@ -130,12 +150,18 @@
     }
 
     fn tell_changes(&mut self) {
-        let mut stages = IndexMap::new();
+        let mut known = IndexMap::new();
         for entry in self.table.entries() {
-            stages.insert(entry.name.clone(), entry.stage);
+            let server = KnownServer { stage: entry.stage, incarnation: entry.incarnation };
+            known.insert(entry.name.clone(), server);
             let kind = match (self.known.get(&entry.name), entry.stage) {
                 (None, ServerStage::Ready) => EventKind::ServerListed,
-                (Some(ServerStage::Ready), ServerStage::Draining) => EventKind::ServerLeaving,
+                (Some(before), _) if before.incarnation != entry.incarnation => {
+                    EventKind::ServerRestarted
+                }
+                (Some(before), ServerStage::Draining) if before.stage == ServerStage::Ready => {
+                    EventKind::ServerLeaving
+                }
                 _ => continue,
             };
             tracing::info!(
@@ -145,17 +171,13 @@
                 service = %entry.service,
                 zone = %entry.zone,
                 address = %entry.address,
+                started_ms = entry.incarnation.map(|incarnation| incarnation.0),
             );
         }
-        for name in self.known.keys().filter(|name| !stages.contains_key(*name)) {
+        for name in self.known.keys().filter(|name| !known.contains_key(*name)) {
             let kind = EventKind::ServerGone;
             tracing::info!(event = kind.number(), name = kind.name(), server = %name);
         }
-        self.known = stages;
+        self.known = known;
     }
 }
-
-fn tell_unreadable(err: &StoreError) {
-    let unreadable = EventKind::ConfigUnreadable;
-    tracing::error!(event = unreadable.number(), name = unreadable.name(), reason = %err);
-}
--- a/crates/entry/src/state/loading_board.rs
+++ b/crates/entry/src/state/loading_board.rs
@@ -9,7 +9,6 @@
 use fulmargate_dispatch::LoadingStage;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::ModelName;
-use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -29,8 +28,7 @@
 
 impl LoadingBoard {
     /// An engine is about to get an order.
-    pub(crate) fn begin(&self, server: &ServerName, model: &ModelName, version: WeightsVersion) {
-        let server = ServerKey::of(server);
+    pub(crate) fn begin(&self, server: ServerKey, model: &ModelName, version: WeightsVersion) {
         let notice =
             LoadingNotice { server, model: model.clone(), version, stage: LoadingStage::Loading };
         self.lock().insert(server, (notice, Instant::now()));
@@ -38,17 +36,17 @@
     }
 
     /// Its weights are in place.
-    pub(crate) fn done(&self, server: &ServerName, version: WeightsVersion) {
+    pub(crate) fn done(&self, server: ServerKey, version: WeightsVersion) {
         self.end(server, LoadingStage::InPlace, Some(version));
     }
 
     /// It keeps the weights it has, for the time being.
-    pub(crate) fn give_up(&self, server: &ServerName) {
+    pub(crate) fn give_up(&self, server: ServerKey) {
         self.end(server, LoadingStage::GivenUp, None);
     }
 
-    fn end(&self, server: &ServerName, stage: LoadingStage, version: Option<WeightsVersion>) {
-        if let Some((notice, at)) = self.lock().get_mut(&ServerKey::of(server)) {
+    fn end(&self, server: ServerKey, stage: LoadingStage, version: Option<WeightsVersion>) {
+        if let Some((notice, at)) = self.lock().get_mut(&server) {
             notice.stage = stage;
             notice.version = version.unwrap_or(notice.version);
             *at = Instant::now();
@@ -57,8 +55,8 @@
     }
 
     /// It may still load, unwatched: the others stop to be told.
-    pub(crate) fn drop_notice(&self, server: &ServerName) {
-        self.lock().swap_remove(&ServerKey::of(server));
+    pub(crate) fn drop_notice(&self, server: ServerKey) {
+        self.lock().swap_remove(&server);
     }
 
     /// All notices that still matter.
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -1,5 +1,6 @@
 //! Snapshots and books shared by control and traffic.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -16,10 +17,10 @@
 use fulmargate_dispatch::RepeatConf;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::ServerBook;
+use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
-use fulmargate_names::ServerName;
 use fulmargate_settings::EntrySettings;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
@@ -74,7 +75,7 @@
     /// Fingerprint of the request.
     pub(crate) print: u128,
     /// The server.
-    pub(crate) server: ServerName,
+    pub(crate) server: Arc<ServerEntry>,
 }
 
 impl SharedState {
--- a/crates/entry/src/state/status.rs
+++ b/crates/entry/src/state/status.rs
@@ -63,7 +63,7 @@
             service: entry.service.clone(),
             zone: entry.zone.clone(),
             is_open: server.is_open(now),
-            open: book.open_at(&entry.name),
+            open: book.open_at(entry.key()),
             failure_share: server.failure_share(now),
             weights: models
                 .filter_map(|model| Some((model.clone(), server.weights(model)?)))
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -14,9 +14,9 @@
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::SendEnd;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
-use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use http::Response;
@@ -47,7 +47,7 @@
     pub(crate) state: Arc<SharedState>,
     pub(crate) call: DecodedCall,
     progress: CallProgress,
-    excluded: Vec<ServerName>,
+    excluded: Vec<ServerKey>,
     /// A server's own failure, for the caller if no other server does better.
     failed: Option<Response<CallerBody>>,
     /// When a stream's events came.
@@ -229,7 +229,7 @@
             return fault(SendEnd::Refused, status.as_str());
         }
         if let (Some(model), Some(seen)) = (&self.facts().model, answer.head.weights) {
-            self.state.book().learn_weights(&answer.server.name, model, seen);
+            self.state.book().learn_weights(answer.server.key(), model, seen);
         }
         if status.is_success() && !answer.head.is_signed {
             return fault(SendEnd::Broken, "a success without the server's signature");
@@ -242,7 +242,7 @@
 
     /// A server failed the request. Its answer is kept in case no other server does better.
     async fn keep_failure(&mut self, answer: OpenAnswer) -> Result<OpenAnswer, SendFault> {
-        self.state.book().failed(&answer.server.name, Instant::now());
+        self.state.book().failed(answer.server.key(), Instant::now());
         let status = answer.parts.status;
         let parts = copy_head(&answer.parts);
         let body = answer.read_body(self.facts().deadline).await?;
@@ -265,7 +265,7 @@
         self.tell_fault(fault, server);
         let route = self.call.facts.route.clone();
         let step = self.progress.after(fault.end, &route);
-        self.excluded.push(server.name.clone());
+        self.excluded.push(server.key());
         match step {
             NextStep::GiveUp(kind) => Err(self.failure(kind).saying(fault.reason.clone())),
             NextStep::SendAgain => {
@@ -279,26 +279,26 @@
 
     fn learn(&self, fault: &SendFault, server: &Arc<ServerEntry>, sent: Option<WeightsVersion>) {
         let now = Instant::now();
-        let name = &server.name;
+        let key = server.key();
         let wanted =
             self.facts().model.as_ref().and_then(|model| {
                 self.state.weights.load().target(model).map(|target| target.version)
             });
         match fault.end {
-            SendEnd::NotSent | SendEnd::Unreachable => self.state.book().unreachable(name, now),
+            SendEnd::NotSent | SendEnd::Unreachable => self.state.book().unreachable(key, now),
             SendEnd::Refused => match &self.facts().model {
-                Some(model) => self.state.book().turned_away_prompt(name, model, wanted, now),
-                None => self.state.book().turned_away(name, now),
+                Some(model) => self.state.book().turned_away_prompt(key, model, wanted, now),
+                None => self.state.book().turned_away(key, now),
             },
-            SendEnd::OtherServer => self.state.book().forget(name),
+            SendEnd::OtherServer => self.state.book().forget(key),
             SendEnd::OtherWeights => {
                 if let (Some(model), Some(sent)) = (&self.facts().model, sent) {
-                    self.state.book().misjudged_weights(name, model, sent, wanted);
+                    self.state.book().misjudged_weights(key, model, sent, wanted);
                 }
             }
-            SendEnd::TimedOut => self.state.book().failed(name, now),
+            SendEnd::TimedOut => self.state.book().failed(key, now),
             SendEnd::Broken => {
-                self.state.book().failed(name, now);
+                self.state.book().failed(key, now);
                 if self.failed.is_none() {
                     self.check_crash(server);
                 }
@@ -314,13 +314,13 @@
         let server = server.clone();
         tokio::task::spawn_local(async move {
             let Err(fault) = Channel::connect(server.address).await else { return };
-            state.book().unreachable(&server.name, Instant::now());
-            state.crashes().note(print, &server.name, Instant::now());
+            state.book().unreachable(server.key(), Instant::now());
+            state.crashes().note(print, server.key(), Instant::now());
             let kind = EventKind::ServerCrashed;
             if state.lines.allows(kind, Instant::now()) {
                 tracing::warn!(event = kind.number(), name = kind.name(), %id, server = %server.name, reason = %fault);
             }
-            let sighting = CrashSighting { print, server: server.name.clone() };
+            let sighting = CrashSighting { print, server };
             if state.crash_sender.send(sighting).is_err() {
                 tracing::debug!("the process stops: a crash is not told to others");
             }
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -52,7 +52,7 @@
         let mut book = self.state.book();
         let zone = &self.state.settings.zone;
         let server = book.choose_plain(service, zone, &self.excluded, now)?;
-        let ticket = book.begin(self.facts(), &server.name, now);
+        let ticket = book.begin(self.facts(), server.key(), now);
         drop(book);
         let head = self.send_head(&server);
         let open = OpenSend::new(self.state.clone(), ticket);
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -56,6 +56,8 @@
     ServerGone = 3007,
     /// Entries lapsed during an outage of the store; they are kept for a while.
     ServersLapsed = 3008,
+    /// An entry of the platform's list names no server to use.
+    ServerEntryUnusable = 3009,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -156,6 +158,7 @@
     ServerListed => "server_listed",
     ServerGone => "server_gone",
     ServersLapsed => "servers_lapsed",
+    ServerEntryUnusable => "server_entry_unusable",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
