--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -150,7 +150,7 @@
             }
             Put(name, stage) => assert!(table.put(entry(name, *stage))),
             PutStart(name, start, stage) => {
-                assert!(table.put(start_of(name, Some(*start), *stage)))
+                assert!(table.put(start_of(name, Some(*start), *stage)));
             }
             PutLate(name, start, stage) => assert!(!table.put(start_of(name, *start, *stage))),
             Remove(name, now) => table.remove(&ServerName::new(name), BootTime(*now)),
