A host whose configuration may be outdated refuses nobody for want of a route or key

Routes were judged by whatever configuration was there, however old; only keys needed a proof, and that up to the bound on taken keys. A host with an eighth of a core stands still for a second at a time, so that its reads cannot be relied on.

Change: 404 and 401 need a proof younger than the bound on new configurations (settings, from the platform's); without one the answer is 503 and the connection closes, so that the caller tries elsewhere.

Ruled out: refusing everything at that age. A request whose route and key are known is served by most configurations, and in an outage of the store that would turn all away.

Test first: a silent store made the daemon answer 404 for ever, now 503 from 1.9 s on.

--- a/crates/dispatch/src/config_proof.rs
+++ b/crates/dispatch/src/config_proof.rs
@@ -13,12 +13,14 @@
 pub struct ConfigProof {
     sent: Option<BootTime>,
     longest: Duration,
+    refusing: Duration,
 }
 
 impl ConfigProof {
-    /// No proof yet. `longest` is the age up to which a proof admits requests.
-    pub fn new(longest: Duration) -> ConfigProof {
-        ConfigProof { sent: None, longest }
+    /// No proof yet. `longest` is the age up to which a proof admits requests, `refusing` that up to which
+    /// a request may be refused because the configuration has no route or key for it.
+    pub fn new(longest: Duration, refusing: Duration) -> ConfigProof {
+        ConfigProof { sent: None, longest, refusing }
     }
 
     /// A read sent at this moment was answered and applied.
@@ -35,4 +37,14 @@
     pub fn admits(&self, now: BootTime) -> bool {
         self.age(now).is_some_and(|age| age < self.longest)
     }
+
+    /// Whether a request may be refused for want of a route or key.
+    ///
+    /// A host that stood still, or whose reads are late, may hold a configuration without the route that
+    /// the caller asks for. Callers do not come back after 404, so that one such answer loses the
+    /// request; after 503 they try another host. A host with an eighth of a core and a full link was seen
+    /// to answer by a configuration 3.5 s old.
+    pub fn refuses(&self, now: BootTime) -> bool {
+        self.age(now).is_some_and(|age| age < self.refusing)
+    }
 }
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -83,26 +83,62 @@
     sent: &'static [u64],
     now: u64,
     admits: bool,
+    refuses: bool,
 }
 
 const PROOFS: &[ProofCase] = &[
-    ProofCase { name: "nothing was proved yet", sent: &[], now: 100, admits: false },
-    ProofCase { name: "a young proof", sent: &[1_000], now: 5_899, admits: true },
-    ProofCase { name: "an old proof", sent: &[1_000], now: 5_900, admits: false },
-    ProofCase { name: "the newest counts", sent: &[1_000, 4_000, 3_000], now: 8_000, admits: true },
-    ProofCase { name: "a host that slept", sent: &[1_000], now: 60_000, admits: false },
+    ProofCase {
+        name: "nothing was proved yet",
+        sent: &[],
+        now: 100,
+        admits: false,
+        refuses: false,
+    },
+    ProofCase { name: "a young proof", sent: &[1_000], now: 2_899, admits: true, refuses: true },
+    ProofCase {
+        name: "a newer configuration may be in force elsewhere",
+        sent: &[1_000],
+        now: 2_900,
+        admits: true,
+        refuses: false,
+    },
+    ProofCase {
+        name: "just young enough",
+        sent: &[1_000],
+        now: 5_899,
+        admits: true,
+        refuses: false,
+    },
+    ProofCase { name: "an old proof", sent: &[1_000], now: 5_900, admits: false, refuses: false },
+    ProofCase {
+        name: "the newest counts",
+        sent: &[1_000, 6_500, 3_000],
+        now: 8_000,
+        admits: true,
+        refuses: true,
+    },
+    ProofCase {
+        name: "a host that slept",
+        sent: &[1_000],
+        now: 60_000,
+        admits: false,
+        refuses: false,
+    },
 ];
 
 /// A key was taken away, and a host that the store turns away goes on to serve it.
 /// Its last read was answered late: what the answer proves is the moment of sending.
-/// The age is counted from there, on a clock that goes on while the host sleeps.
+/// The age is counted from there, on a clock that goes on while the host sleeps. A caller whose route is
+/// new is refused for good long before that, by a host that has not read the configuration yet.
 #[test]
 fn a_proof_ages_from_its_sending() {
     for case in PROOFS {
-        let mut proof = ConfigProof::new(Duration::from_millis(4_900));
+        let mut proof =
+            ConfigProof::new(Duration::from_millis(4_900), Duration::from_millis(1_900));
         for sent in case.sent {
             proof.renew(BootTime(*sent));
         }
         assert_eq!(proof.admits(BootTime(case.now)), case.admits, "{}", case.name);
+        assert_eq!(proof.refuses(BootTime(case.now)), case.refuses, "{}", case.name);
     }
 }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -30,7 +30,8 @@
 use crate::telemetry::LineBudget;
 use crate::traffic::WaitRoom;
 
-/// Requests with a key are refused this much before the bound on taken keys: clocks of two hosts
+/// Requests with a key are refused this much before the bound on taken keys, and none is refused for
+/// want of a route this much before the bound on configurations: clocks of two hosts
 /// drift apart by less than a thousandth, 5 ms in 5 s; the rest is allowance for a busy host.
 const PROOF_MARGIN: Duration = Duration::from_millis(100);
 
@@ -93,7 +94,8 @@
             slack: bounds.repeat_slack,
             window: bounds.repeat_window(),
         };
-        let proof = ConfigProof::new(bounds.key_revoke().saturating_sub(PROOF_MARGIN));
+        let before = |bound: Duration| bound.saturating_sub(PROOF_MARGIN);
+        let proof = ConfigProof::new(before(bounds.key_revoke()), before(bounds.config_apply()));
         SharedState {
             settings,
             incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
@@ -123,6 +125,11 @@
         self.proof().admits(boot_now())
     }
 
+    /// Whether a request may be refused at this moment for want of a route or key.
+    pub(crate) fn refuses_unknown(&self) -> bool {
+        self.proof().refuses(boot_now())
+    }
+
     /// Beliefs about servers.
     pub(crate) fn book(&self) -> MutexGuard<'_, ServerBook> {
         lock(&self.book)
--- a/crates/entry/src/traffic/call_decoder.rs
+++ b/crates/entry/src/traffic/call_decoder.rs
@@ -25,6 +25,9 @@
 /// What a caller with a key is told while the store does not answer this host.
 pub(crate) const UNPROVEN: &str = "whether the key still holds cannot be proved here at the moment";
 
+/// What a caller is told whose route or key may be in a configuration that has not come here yet.
+const OUTDATED: &str = "the configuration cannot be proved to be the newest here at the moment";
+
 /// A call with its bytes.
 #[derive(Debug)]
 pub(crate) struct DecodedCall {
@@ -81,8 +84,12 @@
     let Some(table) = state.table.load_full() else {
         return Err(fail(ErrorKind::NotReady).closing());
     };
+    let refuse = |kind: ErrorKind| match state.refuses_unknown() {
+        true => fail(kind),
+        false => fail(ErrorKind::NotReady).saying(OUTDATED.to_owned()).closing(),
+    };
     let Some(route) = table.route(&head.host, parts.uri.path()).cloned() else {
-        return Err(fail(ErrorKind::UnknownPath));
+        return Err(refuse(ErrorKind::UnknownPath));
     };
     let mut team = None;
     if table.needs_key(&route) {
@@ -90,7 +97,7 @@
             return Err(fail(ErrorKind::NotReady).saying(UNPROVEN.to_owned()).closing());
         }
         let key = head.key.as_deref().and_then(|key| table.team(key));
-        team = Some(key.cloned().ok_or_else(|| fail(ErrorKind::Unauthorized))?);
+        team = Some(key.cloned().ok_or_else(|| refuse(ErrorKind::Unauthorized))?);
     }
     Ok(AdmittedHead { head, table, route, team })
 }
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -45,6 +45,20 @@
     assert_eq!(kept.status, 200, "an older version never comes back");
 }
 
+/// A caller is refused for good though its route is there.
+/// The host's reads of the store fall silent, a route is added meanwhile, and the host goes on to answer 404
+/// by the configuration that it has. From the bound on new configurations on it says that it cannot tell.
+#[tokio::test]
+async fn a_host_that_may_have_missed_a_route_does_not_refuse() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let request = CallerRequest::new("/new/x", "u");
+    assert_eq!(deployment.send(&request).await.status, 404);
+    deployment.store.set_fault(StoreFault::Silent);
+    until_status(&deployment, &request, 503).await;
+    deployment.store.set_fault(StoreFault::None);
+    until_status(&deployment, &request, 404).await;
+}
+
 /// A key is taken away, and its holder goes on to be served by a host that missed it.
 #[tokio::test]
 async fn a_taken_key_stops() {
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -43,12 +43,20 @@
     6
 }
 
+/// What operators have agreed on so far.
+fn default_config_apply_ms() -> u64 {
+    2_000
+}
+
 /// Times and shares that the operators have agreed on with their users.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryBounds {
     /// A key that was taken away works for so long at most, in milliseconds.
     pub key_revoke_ms: u64,
+    /// A new configuration is in force after so long, in milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
     /// A planned stop is over after so long, in seconds.
     pub stop_grace_s: f64,
     /// The lease on orders to engines, in milliseconds.
@@ -86,6 +94,7 @@
         let bounds = &self.bounds;
         let times = [
             ("bounds.key_revoke_ms", bounds.key_revoke_ms),
+            ("bounds.config_apply_ms", bounds.config_apply_ms),
             ("bounds.lease_ms", bounds.lease_ms),
             ("bounds.weights_ms", bounds.weights_ms),
         ];
@@ -127,6 +136,11 @@
         Duration::from_millis(self.key_revoke_ms)
     }
 
+    /// See the field.
+    pub fn config_apply(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms)
+    }
+
     /// See the field.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
