One question for all that wait at a silent server; what waits at a lost one is answered at once

Cause: each waiting request asked its silent server by itself, with a connection each, and one that may not repeat was held until its caller left though new requests had long found the server gone.

Change: a server's contact is one book for all requests of a router.

--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -15,6 +15,7 @@
 use crate::CacheNotice;
 use crate::CallFacts;
 use crate::CallShape;
+use crate::ContactStep;
 use crate::DemandMeter;
 use crate::EngineChoice;
 use crate::LoadReport;
@@ -212,6 +213,29 @@
         }
     }
 
+    /// A request waits for a silent server: what to do about it.
+    pub fn silent(&mut self, server: ServerKey, now: Instant) -> ContactStep {
+        self.state_mut(server).map_or(ContactStep::Ask, |state| state.contact.step(now))
+    }
+
+    /// A connection was had that carries no request.
+    pub fn reached(&mut self, server: ServerKey, now: Instant) {
+        if let Some(state) = self.state_mut(server) {
+            state.contact.reached(now);
+        }
+    }
+
+    /// Whether a server is lost, with all that waits there: no connection has been had for a while and
+    /// nothing was heard of it, or it has started again.
+    pub fn is_lost(&self, entry: &ServerEntry, now: Instant) -> bool {
+        match self.state(entry.key()) {
+            Some(state) => state.contact.is_lost(now),
+            None => self.servers.values().any(|state| {
+                state.entry.name == entry.name && entry.incarnation < state.entry.incarnation
+            }),
+        }
+    }
+
     /// The server turned a plain request away.
     pub fn turned_away(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -14,6 +14,7 @@
 use crate::ServerKey;
 use crate::fading_mean::FadingMean;
 use crate::link_meter::LinkMeter;
+use crate::server_contact::ServerContact;
 
 /// A report counts this long; later it says nothing of the server's load.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
@@ -46,6 +47,7 @@
     /// No connection could be had: not tried again before this moment.
     shut_until: Option<Instant>,
     shut_times: u32,
+    pub(crate) contact: ServerContact,
     /// It turned requests away.
     full_until: Option<Instant>,
     /// The holder of the lease has said that it loads weights.
@@ -83,6 +85,7 @@
             failures: FadingMean::new(0.0, now),
             shut_until: None,
             shut_times: 0,
+            contact: ServerContact::default(),
             full_until: None,
             loading_until: None,
             weights,
@@ -142,6 +145,7 @@
     pub(crate) fn heard(&mut self, report: Option<LoadReport>, now: Instant) {
         self.shut_until = None;
         self.shut_times = 0;
+        self.contact.reached(now);
         if let Some(report) = report {
             self.report = Some((report, now));
         }
@@ -152,6 +156,7 @@
         let wait = SHUT_FIRST * 2_u32.pow(self.shut_times.min(4));
         self.shut_until = Some(now + wait.min(SHUT_MOST));
         self.shut_times += 1;
+        self.contact.failed(now);
     }
 
     /// It turned a request away.
--- a/crates/entry/src/traffic/open_send.rs
+++ b/crates/entry/src/traffic/open_send.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use fulmargate_dispatch::ContactStep;
 use fulmargate_dispatch::LoadReport;
 use fulmargate_dispatch::SendTicket;
+use fulmargate_dispatch::ServerEntry;
 use tokio::time::Instant;
 
 use crate::state::SharedState;
@@ -26,6 +28,21 @@
         self.state.waiting.wake();
     }
 
+    /// What to do about the server's silence.
+    pub(crate) fn silent(&self) -> ContactStep {
+        self.state.book().silent(self.ticket.server, Instant::now())
+    }
+
+    /// A connection was had that carries no request.
+    pub(crate) fn reached(&self) {
+        self.state.book().reached(self.ticket.server, Instant::now());
+    }
+
+    /// Whether the server is lost with what waits there.
+    pub(crate) fn is_lost(&self, server: &ServerEntry) -> bool {
+        self.state.book().is_lost(server, Instant::now())
+    }
+
     /// The whole answer came and was good.
     pub(crate) fn succeeded(&self) {
         self.state.book().succeeded(&self.ticket, Instant::now());
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fulmargate_consortium::AnswerHead;
 use fulmargate_consortium::SendHead;
+use fulmargate_dispatch::ContactStep;
 use fulmargate_dispatch::SendEnd;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_names::WeightsVersion;
@@ -27,6 +28,9 @@
 /// Largest answer that is held whole; plain services answer with some KB.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
+/// How often a request that waits looks whether its server has been lost meanwhile.
+const LOSS_PACE: Duration = Duration::from_millis(200);
+
 /// Where a call goes and under which terms.
 pub(crate) struct SendPlan {
     pub(crate) server: Arc<ServerEntry>,
@@ -94,22 +98,42 @@
     plan: &SendPlan,
 ) -> Result<Response<Incoming>, SendFault> {
     let mut sending = std::pin::pin!(channel.send(request));
+    let mut next_question = Instant::now() + plan.probe_pace;
     loop {
-        let pause = plan.until.min(Instant::now() + plan.probe_pace);
+        let pause = plan.until.min(next_question).min(Instant::now() + LOSS_PACE);
         match timeout_at(pause, &mut sending).await {
             Ok(answer) => return answer.map_err(|err| SendFault::new(SendEnd::Broken, &err)),
-            Err(_) if plan.until <= pause => {
+            Err(_) if plan.until <= Instant::now() => {
                 return Err(SendFault::new(SendEnd::TimedOut, &"no answer in time"));
             }
             Err(_) => {}
         }
-        if let Err(fault) = Channel::connect(plan.server.address).await {
-            let reason = format!("silent, and {fault}");
-            return Err(SendFault::new(SendEnd::Unreachable, &reason));
+        if plan.open.is_lost(&plan.server) {
+            return Err(SendFault::new(SendEnd::Unreachable, &"the server is lost"));
+        }
+        if next_question <= Instant::now() {
+            next_question = Instant::now() + plan.probe_pace;
+            ask_silent(plan).await?;
         }
     }
 }
 
+/// Asks a silent server whether it is there, unless another request has just done so.
+async fn ask_silent(plan: &SendPlan) -> Result<(), SendFault> {
+    let unreachable = |reason: String| Err(SendFault::new(SendEnd::Unreachable, &reason));
+    match plan.open.silent() {
+        ContactStep::Wait => Ok(()),
+        ContactStep::Unreachable => unreachable("silent, and no connection lately".to_owned()),
+        ContactStep::Ask => match Channel::connect(plan.server.address).await {
+            Ok(_) => {
+                plan.open.reached();
+                Ok(())
+            }
+            Err(fault) => unreachable(format!("silent, and {fault}")),
+        },
+    }
+}
+
 impl OpenAnswer {
     /// Reads the whole body.
     pub(crate) async fn read_body(self, until: Instant) -> Result<Bytes, SendFault> {
