--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -39,6 +39,9 @@
 const COLD_MS: f64 = 30.0;
 /// What is left of one request's count after 6 s.
 const ASKED_LATELY: f64 = 0.2;
+/// A prompt's shared parts are this many times its own: the store is hardly filled with what nobody else
+/// asks for.
+const OWN_TO_SHARED: u32 = 2;
 /// A shorter shared beginning is read in less time than a fetch takes.
 const LEAST_SAVED_TOKENS: u32 = 1_000;
 
@@ -212,8 +215,10 @@
         sources
     }
 
-    /// The store, if it does not have the shared parts yet and they were asked for lately. It takes all of
-    /// a prompt, its own part too: with every first prompt sent there, it kept a part for 1.5 s.
+    /// The store, if it does not have the shared parts yet and they were asked for lately, or come with
+    /// little else. It takes all of a prompt, its own part too: with every first prompt sent there, it kept
+    /// a part for 1.5 s. With those that come with little else, parts that their engine has dropped are
+    /// there when they are asked for again: worth 0.664 instead of 0.654 over 15 days of three fleets.
     fn save_to(&self, request: &EngineRequest<'_>, salt: &str) -> Option<SocketAddr> {
         if !is_on(Mechanism::StoreKeeping) {
             return None;
@@ -225,7 +230,9 @@
         }
         let parts = request.call.shared_parts();
         let asked = parts.last().map_or(0.0, |part| self.demand.count(part.hash, request.now));
-        if asked < ASKED_LATELY {
+        let own = request.call.prompt_tokens().saturating_sub(shared);
+        let is_cheap = own * OWN_TO_SHARED <= shared;
+        if asked < ASKED_LATELY && !is_cheap {
             return None;
         }
         let kept = self.kept.cached_tokens(scope_of(salt), parts, store.cache_tokens as f64);
