--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -9,4 +9,5 @@
 pub(crate) use metric_book::count_send;
 pub(crate) use metric_book::install_metrics;
 pub(crate) use metric_book::record_answer;
+pub(crate) use metric_book::record_wait;
 pub(crate) use metric_book::render_metrics;
--- a/crates/entry/src/telemetry/metric_book.rs
+++ b/crates/entry/src/telemetry/metric_book.rs
@@ -32,6 +32,11 @@
     metrics::counter!("fulmargate_sends_total", "reason" => reason).increment(1);
 }
 
+/// A prompt waited so long for an engine, and got one, was refused, or had none to wait for.
+pub(crate) fn record_wait(outcome: &'static str, took: Duration) {
+    metrics::histogram!("fulmargate_wait_seconds", "outcome" => outcome).record(took.as_secs_f64());
+}
+
 /// A request got its answer, or a stream its first event.
 pub(crate) fn record_answer(call: &CallFacts, status: u16, took: Duration) {
     let team = call.team.as_ref().map_or("none", |team| team.as_str()).to_owned();
@@ -54,6 +59,7 @@
     if let Some(age) = state.proof().age(boot_now()) {
         metrics::gauge!("fulmargate_config_proof_age_seconds").set(age.as_secs_f64());
     }
+    metrics::gauge!("fulmargate_waiting_prompts").set(state.waiting.len() as f64);
     metrics::gauge!("fulmargate_servers").set(state.book().states().count() as f64);
     match HANDLE.get() {
         Some(Some(handle)) => handle.render(),
--- a/crates/entry/src/traffic/call_run/log.rs
+++ b/crates/entry/src/traffic/call_run/log.rs
@@ -61,6 +61,22 @@
         );
     }
 
+    /// Later lines tell of its end: `request_sent` with `waited_ms`, or `request_failed`.
+    pub(super) fn tell_waits(&self) {
+        let kind = EventKind::RequestWaits;
+        if !self.state.lines.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            prompt_tokens = self.facts().prompt_tokens(),
+            line = self.state.waiting.len(),
+            waited_ms = self.facts().arrived.elapsed().as_millis() as u64,
+        );
+    }
+
     fn proof_ms(&self) -> Option<u64> {
         self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64)
     }
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -18,6 +18,7 @@
 
 use crate::state::boot_now;
 use crate::telemetry::count_send;
+use crate::telemetry::record_wait;
 use crate::traffic::answer::CallFailure;
 use crate::traffic::call_run::CallRun;
 use crate::traffic::call_run::ResumePoint;
@@ -117,8 +118,12 @@
             Placing::Wait(_) => {}
         }
         let deadline = wish.call.deadline;
+        let began = Instant::now();
         let place = enter_line(&self.state, wish);
-        match timeout_at(deadline, place.wait()).await {
+        self.tell_waits();
+        let end = timeout_at(deadline, place.wait()).await;
+        record_wait(outcome_name(end.as_ref().ok()), began.elapsed());
+        match end {
             Ok(WaitEnd::Taken(taken)) => Ok(Some(*taken)),
             Ok(WaitEnd::Nowhere) => Ok(None),
             Ok(WaitEnd::Refused(wait)) => {
@@ -175,6 +180,14 @@
     }
 }
 
+fn outcome_name(end: Option<&WaitEnd>) -> &'static str {
+    match end {
+        Some(WaitEnd::Taken(_)) => "taken",
+        Some(WaitEnd::Refused(_)) => "refused",
+        Some(WaitEnd::Nowhere) | None => "none",
+    }
+}
+
 fn reason_name(reason: ChoiceReason) -> &'static str {
     match reason {
         ChoiceReason::Home => "home",
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -40,6 +40,8 @@
     RequestEnded = 2011,
     /// A backend server was found dead after it broke off a request.
     ServerCrashed = 2012,
+    /// A prompt waits at this router until an engine has room for it.
+    RequestWaits = 2013,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -150,6 +152,7 @@
     RequestSent => "request_sent",
     RequestEnded => "request_ended",
     ServerCrashed => "server_crashed",
+    RequestWaits => "request_waits",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
