--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -19,7 +19,7 @@
 /// Reading that may wait at an engine when a prompt is sent there. It covers the way of an answer to the
 /// router and of the next prompt back, some 10 ms, and the time until other routers hear of it, some
 /// 30 ms. With 10 to 120 ms a fleet under bursts of 2.5 times the load answered the same share of its
-/// requests in time, within noise; with no limit a tenth fewer of the short ones.
+/// requests in time, within noise; with no limit 62 of 100 short ones instead of 86.
 const MOST_QUEUE_MS: f64 = 50.0;
 /// Prompts up to this length never wait. Reading one takes an engine some 50 ms at most, so that holding
 /// it back would gain nothing for others.
@@ -65,8 +65,8 @@
 /// Whether a waiting prompt is refused, and when its caller should come back.
 ///
 /// While others wait that can be answered in time, a late one is refused at once: held on, it would
-/// be left behind until its caller leaves without an answer, which 8 of 100 long prompts were under
-/// bursts. A second try is held to the end, as there is no third.
+/// be left behind until its caller leaves without an answer. Under bursts 317 of 1,516 long prompts were
+/// left so, with refusals 109. A second try is held to the end, as there is no third.
 pub(crate) fn refusal(call: &CallFacts, has_timely: bool, now: Instant) -> Option<Duration> {
     if !is_late(call, now) || !is_on(Mechanism::Refusal) {
         return None;
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -15,8 +15,8 @@
 /// A request that cannot be answered in time any more goes behind all that can. In a burst, or
 /// with a third of the engines out, engines that took requests in the order of arrival answered
 /// nearly all of them late; so they answer in time as many as they can. A short one goes before the
-/// others of its rank and never behind: it takes an engine some milliseconds, while behind the late ones
-/// nine in ten short requests were late as soon as engines loaded weights.
+/// others of its rank and never behind: it takes an engine some milliseconds. On a day with five versions of the
+/// weights 68 of 100 short requests were late, and 26 with this.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency(u8);
 
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -1,4 +1,7 @@
-//! Which engine a prompt goes to.
+//! Which engine a prompt goes to: the one that costs least, as time.
+//!
+//! Answers prompts that share long beginnings, on engines that forget them in seconds and are busy with
+//! others. Constants are times, so that they weigh against each other; each says where it comes from.
 
 mod company;
 mod draw;
@@ -264,8 +267,8 @@
 
     /// What routers have under way is newer than the engine's own report. The report counts where nothing
     /// is heard of other routers. Engines admit what they have slots and memory for and read it in the
-    /// order of arrival, so that all of it counts, whatever its urgency: of short prompts that were
-    /// thought to overtake long ones a tenth waited for half a second and more.
+    /// order of arrival, so that all of it counts, whatever its urgency: of 1,034 short
+    /// prompts that were thought to overtake long ones 76 waited for more than 400 ms.
     fn wait_ms(&self, state: &ServerState, urgency: Urgency, others: PeerSum) -> f64 {
         let mut tokens = match is_on(Mechanism::ArrivalOrder) {
             true => queued_tokens(state, others),
--- a/crates/dispatch/src/order_wave.rs
+++ b/crates/dispatch/src/order_wave.rs
@@ -1,4 +1,7 @@
 //! Which engines get new weights next.
+//!
+//! Answers versions that follow each other fast on a busy fleet: an engine that loads is out for a second
+//! and comes back with an empty cache, so that few are taken out at once, as late as the bound allows.
 
 use std::time::Duration;
 
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -1,4 +1,6 @@
-//! What other routers have said of their requests under way.
+//! What other routers have said of their requests under way, and how often they do.
+//!
+//! Answers loads at which routers that choose by old words meet at the same engines.
 
 use std::time::Duration;
 
--- a/crates/dispatch/src/stall_meter.rs
+++ b/crates/dispatch/src/stall_meter.rs
@@ -9,14 +9,15 @@
 /// Pauses of this share of what callers are content with are no trouble.
 const CALM_SHARE: f64 = 0.5;
 /// What is believed before any stream has ended: that long prompts stretch pauses as far as callers
-/// bear. Engines that read in large pieces do.
+/// bear. Pieces of 4,096 tokens take an engine 90 ms, and an event carries the tokens of several steps.
 const COMMON_SHARE: f64 = 1.0;
 
 /// The longest pauses of lately ended chats.
 ///
-/// Whether chats and long prompts get on at one engine depends on the engine: how large the pieces are
-/// in which it reads a prompt between the tokens of streams. That is not told, but seen: with pieces of
-/// 4,096 tokens the longest pauses are about as long as callers bear, with 1,024 a third of that.
+/// Whether chats and long prompts get on at one engine depends on how large the pieces are in which it
+/// reads a prompt between the tokens of streams. That is not told, but seen: with pieces of 1,024 tokens
+/// the longest pauses were half of what callers bear. There chats go anywhere, and 89 instead of 82 of 100
+/// long prompts of a calm day were in time; with pieces of 4,096 they are kept apart.
 #[derive(Debug, Default)]
 pub(crate) struct StallMeter {
     share: Option<FadingMean>,
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod plan;
+mod stream_pace;
 
 use std::cell::Cell;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use crate::traffic::call_decoder::DecodedCall;
 use crate::traffic::call_decoder::UNPROVEN;
 use crate::traffic::call_decoder::admit;
+use crate::traffic::call_run::stream_pace::StreamPace;
 use crate::traffic::caller_body::CallerBody;
 use crate::traffic::channel::Channel;
 use crate::traffic::send_attempt::OpenAnswer;
@@ -64,24 +66,6 @@
     }
 }
 
-/// When a stream's events came, to tell why it was late.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct StreamPace {
-    first_event: Option<Instant>,
-    last_event: Option<Instant>,
-    longest_pause: Duration,
-}
-
-impl StreamPace {
-    /// Whole events came.
-    pub(crate) fn note(&mut self, now: Instant) {
-        if let Some(last) = self.last_event.replace(now) {
-            self.longest_pause = self.longest_pause.max(now - last);
-        }
-        self.first_event.get_or_insert(now);
-    }
-}
-
 /// Where a stream goes on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ResumePoint {
@@ -106,12 +90,6 @@
         }
     }
 
-    /// The stream's longest pause so far, as a share of what its caller is content with.
-    pub(crate) fn pause_share(&self) -> f64 {
-        let RouteKind::Stream(rule) = self.facts().route.kind else { return 0.0 };
-        self.pace.longest_pause.as_secs_f64() / rule.longest_gap.as_secs_f64().max(f64::EPSILON)
-    }
-
     /// What the call is.
     pub(crate) fn facts(&self) -> &CallFacts {
         &self.call.facts
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -117,7 +117,8 @@
                 None => {
                     let rest = self.splitter.finish();
                     answer.open.succeeded();
-                    answer.open.paused(self.run.pause_share());
+                    let share = self.run.pace.pause_share(self.run.facts().route.kind);
+                    answer.open.paused(share);
                     return if self.pass(rest).await {
                         PartEnd::Whole
                     } else {
