--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -69,7 +69,7 @@
 ///
 /// While others wait that can be answered in time, a late one is refused at once: held on, it would
 /// be left behind until its caller leaves without an answer. Under bursts 317 of 1,516 long prompts were
-/// left so, with refusals 109. A second try is held to the end, as there is no third.
+/// left so, with refusals 109. A second try may wait longer, as its caller has no third.
 pub(crate) fn refusal(call: &CallFacts, has_timely: bool, now: Instant) -> Option<Duration> {
     if !is_late(call, now) || !is_on(Mechanism::Refusal) {
         return None;
