Settings know what the host's link carries

The share of a link that routers take for themselves needs the link's rate; the platform's settings name it. A host whose settings leave it out is taken for one on 1,000 Mbit/s. Nothing uses it yet.

--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -34,6 +34,10 @@
     /// With more hosts than this in its zone, a host has two of them read the store for all.
     #[serde(default = "default_few_hosts")]
     pub few_hosts: usize,
+    /// What the host's network link carries, in Mbit/s. What routers tell each other keeps to a share of
+    /// it, so that callers' answers have the rest.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Times and shares that the operators have agreed on with their users.
     pub bounds: EntryBounds,
 }
@@ -43,6 +47,11 @@
     6
 }
 
+/// The common link of a small host.
+fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 /// What operators have agreed on so far.
 fn default_config_apply_ms() -> u64 {
     2_000
@@ -86,11 +95,19 @@
         Ok(settings)
     }
 
+    /// Bytes a second that the host's link carries.
+    pub fn link_bytes_per_s(&self) -> f64 {
+        self.link_mbps * BYTES_PER_MBIT
+    }
+
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let refuse = |key: &str, reason: String| Err(SettingsError::key(file, key, reason));
         if self.host.as_str().is_empty() {
             return refuse("host", "is empty; give a name that no other entry host has".to_owned());
         }
+        if !self.link_mbps.is_finite() || self.link_mbps <= 0.0 {
+            return refuse("link_mbps", format!("{} is not allowed; above 0", self.link_mbps));
+        }
         let bounds = &self.bounds;
         let times = [
             ("bounds.key_revoke_ms", bounds.key_revoke_ms),
@@ -125,6 +142,8 @@
     }
 }
 
+/// A million bits.
+const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Shorter bounds than this could not be kept: a read of the store is repeated about once a second.
 const LEAST_BOUND_MS: u64 = 1_500;
 /// The balancer needs two questions, a second apart, to see that a daemon is not ready.
--- a/crates/settings/tests/entry.rs
+++ b/crates/settings/tests/entry.rs
@@ -43,6 +43,11 @@
         change: ("\"stop_grace_s\": 8", "\"stop_grace_s\": 1"),
         says: &["`bounds.stop_grace_s`", "3 or more"],
     },
+    RefusalCase {
+        name: "a link that carries nothing",
+        change: ("\"link_mbps\": 1000", "\"link_mbps\": 0"),
+        says: &["`link_mbps`", "above 0"],
+    },
     RefusalCase {
         name: "a negative share",
         change: ("\"repeat_ratio\": 0.2", "\"repeat_ratio\": -1"),
@@ -62,6 +67,13 @@
     assert_eq!(settings.few_hosts, 6);
 }
 
+#[test]
+fn the_link_may_be_left_out() {
+    let text = GOOD.replace("  \"link_mbps\": 1000,\n", "");
+    let settings = EntrySettings::parse("entry.json", &text).expect("accepted");
+    assert_eq!(settings.link_bytes_per_s(), 125_000_000.0);
+}
+
 #[test]
 fn refusals_name_file_key_and_what_is_allowed() {
     for case in REFUSALS {
