Failing: a stream leaves its engine although it can be had nowhere else

Two cases: no server can be reached (what a full link of the entry host looks like), and no other engine runs the stream's weights.

--- a/crates/entry/tests/daemon/streams.rs
+++ b/crates/entry/tests/daemon/streams.rs
@@ -1,8 +1,10 @@
 //! Streams: complete and in order, or visibly broken.
 
+use fulmargate_consortium_stand::CallerAnswer;
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::ServerStand;
+use tokio::task::JoinHandle;
 
 use crate::support::TestDeployment;
 use crate::support::until;
@@ -85,3 +87,55 @@
     let answer = running.await.expect("the task ends").expect("an answer");
     assert_eq!((answer.body, answer.is_whole), (whole(2), true));
 }
+
+/// A visitor's answer stops in the middle although its engine is well and sends on.
+/// The entry host's own link is full for a second: no event comes, and no connection is to be had, neither
+/// to the engine (`Broken`, "silent, and no connection in time") nor to any other server 0.15 s later.
+/// The stream may be had elsewhere by its rule, but is not: it is waited for, and comes whole.
+#[tokio::test]
+async fn a_silent_engine_is_kept_while_no_other_can_be_reached() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.earn_budget().await;
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::SlowStream(2)));
+    let running = begin_slow_chat(&deployment, "kept-1").await;
+    deployment.engines.iter().for_each(ServerStand::stop_accepting);
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.body, answer.is_whole), (whole(2), true));
+}
+
+/// A visitor's answer stops in the middle, a millisecond after its engine was given up.
+/// New weights are in place everywhere, and the stream may go on only on those that it began on.
+/// Its engine is silent for a second and takes no connection; another one could be reached, but
+/// none may go on with the stream. It is waited for, and comes whole.
+#[tokio::test]
+async fn a_silent_engine_is_kept_while_no_other_has_its_weights() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.earn_budget().await;
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::SlowStream(2)));
+    let running = begin_slow_chat(&deployment, "kept-2").await;
+    let is_busy = |engine: &&ServerStand| engine.seen().iter().any(|seen| seen.id() == "kept-2");
+    let busy = deployment.engines.iter().find(is_busy).expect("an engine runs it");
+    deployment.store.name_weights(2);
+    until("the others have the new weights", || {
+        let mut others = deployment.engines.iter().filter(|engine| engine.name != busy.name);
+        others.all(|engine| engine.orders().len() == 1)
+    })
+    .await;
+    busy.stop_accepting();
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.body, answer.is_whole), (whole(2), true));
+}
+
+/// A visitor's question that an engine answers with long pauses, once the engine runs it.
+async fn begin_slow_chat(deployment: &TestDeployment, id: &str) -> JoinHandle<CallerAnswer> {
+    let callers = deployment.callers;
+    let mut request = CallerRequest::prompt("/chat/x", id);
+    request.patience_ms = 8_000;
+    let running = tokio::spawn(async move { request.send(callers).await.expect("an answer") });
+    until("an engine runs it", || {
+        let seen: Vec<_> = deployment.engines.iter().flat_map(ServerStand::seen).collect();
+        seen.iter().any(|seen| seen.id() == id)
+    })
+    .await;
+    running
+}
