--- a/crates/entry/tests/daemon/streams.rs
+++ b/crates/entry/tests/daemon/streams.rs
@@ -148,6 +148,34 @@
     assert_eq!(deployment.daemon.events("stream_kept").len(), 0);
 }
 
+/// A visitor's answer stops in the middle although an engine is free to go on with it.
+/// Its engine breaks off; the four engines tried next take no connection, as on a host whose link is
+/// full for a moment. Nothing was sent to them, so that they are no reason to end the answer: it goes
+/// on at the engine that can be reached, and is whole.
+#[tokio::test]
+async fn engines_without_a_connection_do_not_end_a_stream() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.earn_budget().await;
+    let (reached, dead) = (&deployment.engines[0], &deployment.engines[1]);
+    dead.stop_accepting();
+    for number in 3..=5 {
+        let closed = ServerStand::start(&format!("engine-{number}"), ServerMode::Stream(1)).await;
+        let closed = closed.expect("an engine starts");
+        closed.stop_accepting();
+        deployment.store.put_server(&closed.name, "engines", closed.address, "ready");
+    }
+    until("all are listed", || deployment.daemon.events("server_listed").len() == 7).await;
+    // Engines that took no connection are left alone for a while: the next prompt begins at the other.
+    for turn in 0..8 {
+        deployment.send(&CallerRequest::prompt("/chat/x", &format!("warm-{turn}"))).await;
+    }
+    reached.set_mode(ServerMode::CutStream(3));
+    let running = begin_slow_chat(&deployment, "lost").await;
+    reached.set_mode(ServerMode::Stream(7));
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.body, answer.is_whole), (whole(7), true));
+}
+
 /// A visitor's question that an engine answers with long pauses, once the engine runs it.
 async fn begin_slow_chat(deployment: &TestDeployment, id: &str) -> JoinHandle<CallerAnswer> {
     let callers = deployment.callers;
