Failing: a host's full link makes all servers lost at once

Three failed ones to each within 600 ms make all servers lost, and what waits at them is answered 502 although they go on with it. The book cannot tell this from servers that are gone, since nobody tells it how a connection ended.

--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -2,6 +2,7 @@
 
 mod choices;
 mod news;
+mod own_reach;
 
 use std::sync::Arc;
 use std::time::Duration;
