A host that reaches next to no server holds their silence against none

Cause: connections that time out were taken for the servers' silence, also when they failed to all servers at once, which is a full link or a host without processor time. Ruled out: longer limits for a lost server, which would only move the moment, and hold up callers whose server is gone.

`OwnReach` holds the newest connection of each server that was tried within a second. While two or more are silent and at most a quarter was heard, the host doubts itself: silent connections then make no server lost, give up no request that waits, and shut their server for the shortest time. A refusal is an answer and counts as before. One dead server, two of which one is dead, and two of three zones cut off make no doubt that lasts; a smaller zone that is cut off bounds it by 3 s.

--- /dev/null
+++ b/crates/dispatch/src/own_reach.rs
@@ -0,0 +1,132 @@
+//! Whether the host itself is cut short, by the connections that it tried.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::ConnectEnd;
+use crate::ServerKey;
+
+/// A trial counts for so long. A connection times out within 0.15 s and a server that failed is tried again
+/// after 0.4 s, so that a busy host tries all its servers in this time; a link that is well again is seen
+/// as such when it has passed.
+const TRIAL_AGE: Duration = Duration::from_secs(1);
+/// One silent server is a server's trouble. Two at once, while next to nothing else comes about, are
+/// rarer than a full link, and a small service has no more.
+const LEAST_SILENT: usize = 2;
+/// Silent servers for each one that was heard. A host in one of three zones of the same size hears a third
+/// of the servers when the other two are cut off, so that two are silent for each one heard.
+const SILENT_TO_HEARD: usize = 3;
+/// While some server is heard, a doubt lasts so long at most: about twice as long as links were seen to be
+/// full when a large configuration is handed on.
+const LONGEST_DOUBT: Duration = Duration::from_secs(3);
+/// A doubt within this time after the trials looked so last is the same one: as long as a doubt itself, so
+/// that verdicts hold for half of the time at least, however the trials come.
+const REST: Duration = Duration::from_secs(3);
+
+/// Connections to servers that were tried lately, and what they say of the host.
+///
+/// When the host's own link is full, or the host gets no processor time, no connection comes about in time,
+/// to whatever server. Taken for the servers' silence, all servers were lost at once: callers got 502 for
+/// requests that ran on, requests were sent again elsewhere, and innocent ones were said to have crashed
+/// servers. So while nearly all servers that were tried are silent, their silence is not held against them.
+///
+/// Servers that are gone are still seen. One or a few are outnumbered by those that are heard. A zone that
+/// is cut off hears its own servers: a third of three zones ends the doubt, and a smaller part bounds it by
+/// 3 s. A host that hears nobody at all doubts itself for as long as that lasts: no verdict would lead its
+/// requests to a server that answers, and what waits on a connection to a host that is gone is ended by the
+/// system's own probes of that connection. A refusal is an answer, and counts against its server in any case.
+/// The doubt is over with the first quarter of the servers that are heard again, and a second after the last
+/// silence in any case.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnReach {
+    /// The newest trial of each server.
+    trials: IndexMap<ServerKey, (Instant, ConnectEnd)>,
+    doubt: Option<OwnDoubt>,
+}
+
+/// The newest doubt. It may be over.
+#[derive(Clone, Copy, Debug)]
+struct OwnDoubt {
+    began: Instant,
+    /// The trials looked so last.
+    held: Instant,
+    /// It is over by then.
+    end: Instant,
+}
+
+/// Servers by their newest trials.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReachCount {
+    /// Servers of which nothing was heard.
+    pub silent: usize,
+    /// Servers that took the connection or refused it.
+    pub heard: usize,
+}
+
+impl OwnReach {
+    /// A connection was tried.
+    pub(crate) fn note(&mut self, server: ServerKey, end: ConnectEnd, now: Instant) {
+        self.trials.retain(|_, (at, _)| is_young(*at, now));
+        self.trials.insert(server, (now, end));
+        let count = self.count(now);
+        if count.is_one_sided() {
+            self.hold(count, now);
+        } else if let Some(doubt) = &mut self.doubt {
+            doubt.end = doubt.end.min(now);
+        }
+    }
+
+    /// How the newest connection to the server ended, if it was tried lately.
+    pub(crate) fn newest(&self, server: ServerKey, now: Instant) -> Option<ConnectEnd> {
+        let (at, end) = self.trials.get(&server)?;
+        is_young(*at, now).then_some(*end)
+    }
+
+    /// Whether silence is most likely the host's own trouble.
+    pub(crate) fn doubts(&self, now: Instant) -> bool {
+        self.doubt.is_some_and(|doubt| now < doubt.end)
+    }
+
+    /// Until when the newest doubt lasted, or now: silence before that is not held against servers.
+    pub(crate) fn doubted_until(&self, now: Instant) -> Option<Instant> {
+        self.doubt.map(|doubt| doubt.end.min(now))
+    }
+
+    /// Servers by how their newest connections ended.
+    pub(crate) fn count(&self, now: Instant) -> ReachCount {
+        let mut count = ReachCount::default();
+        for (at, end) in self.trials.values() {
+            match end {
+                _ if !is_young(*at, now) => {}
+                ConnectEnd::Silent => count.silent += 1,
+                ConnectEnd::Reached | ConnectEnd::Refused => count.heard += 1,
+            }
+        }
+        count
+    }
+
+    /// Begins a doubt or goes on with it.
+    fn hold(&mut self, count: ReachCount, now: Instant) {
+        let last = self.doubt.filter(|doubt| now < doubt.held + REST);
+        let began = last.map_or(now, |doubt| doubt.began);
+        let end = match count.heard {
+            0 => now + TRIAL_AGE,
+            _ => (now + TRIAL_AGE).min(began + LONGEST_DOUBT),
+        };
+        // One that ran out earlier is over since then, not since its bound.
+        let past = self.doubt.map_or(began, |doubt| doubt.end.min(now));
+        self.doubt = Some(OwnDoubt { began, held: now, end: end.max(past) });
+    }
+}
+
+impl ReachCount {
+    fn is_one_sided(self) -> bool {
+        LEAST_SILENT <= self.silent && SILENT_TO_HEARD * self.heard <= self.silent
+    }
+}
+
+fn is_young(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < TRIAL_AGE
+}
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -2,7 +2,7 @@
 
 mod choices;
 mod news;
-mod own_reach;
+mod reach;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +16,6 @@
 use crate::CacheNotice;
 use crate::CallFacts;
 use crate::CallShape;
-use crate::ContactStep;
 use crate::DemandMeter;
 use crate::EngineChoice;
 use crate::LoadReport;
@@ -29,6 +28,7 @@
 use crate::Urgency;
 use crate::engine_choice::scope_of;
 use crate::link_meter::LinkMeter;
+use crate::own_reach::OwnReach;
 use crate::stall_meter::StallMeter;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
@@ -73,6 +73,8 @@
     untold_caches: Vec<CacheNotice>,
     /// Servers whose address another server answered at.
     gone: IndexSet<ServerKey>,
+    /// What connections say of this host.
+    reach: OwnReach,
 }
 
 impl ServerBook {
@@ -207,36 +209,6 @@
         }
     }
 
-    /// No connection could be had.
-    pub fn unreachable(&mut self, server: ServerKey, now: Instant) {
-        if let Some(state) = self.state_mut(server) {
-            state.unreachable(now);
-        }
-    }
-
-    /// A request waits for a silent server: what to do about it.
-    pub fn silent(&mut self, server: ServerKey, now: Instant) -> ContactStep {
-        self.state_mut(server).map_or(ContactStep::Ask, |state| state.contact.step(now))
-    }
-
-    /// A connection was had that carries no request.
-    pub fn reached(&mut self, server: ServerKey, now: Instant) {
-        if let Some(state) = self.state_mut(server) {
-            state.contact.reached(now);
-        }
-    }
-
-    /// Whether a server is lost, with all that waits there: no connection has been had for a while and
-    /// nothing was heard of it, or it has started again.
-    pub fn is_lost(&self, entry: &ServerEntry, now: Instant) -> bool {
-        match self.state(entry.key()) {
-            Some(state) => state.contact.is_lost(now),
-            None => self.servers.values().any(|state| {
-                state.entry.name == entry.name && entry.incarnation < state.entry.incarnation
-            }),
-        }
-    }
-
     /// The server turned a plain request away.
     pub fn turned_away(&mut self, server: ServerKey, now: Instant) {
         if let Some(state) = self.state_mut(server) {
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::Backlog;
+use crate::ConnectEnd;
 use crate::PartMemory;
 use crate::ServerEntry;
 use crate::ServerKey;
@@ -152,11 +153,18 @@
     }
 
     /// No connection could be had, or it fell silent.
-    pub(crate) fn unreachable(&mut self, now: Instant) {
+    pub(crate) fn unreachable(&mut self, end: ConnectEnd, now: Instant) {
         let wait = SHUT_FIRST * 2_u32.pow(self.shut_times.min(4));
         self.shut_until = Some(now + wait.min(SHUT_MOST));
         self.shut_times += 1;
-        self.contact.failed(now);
+        self.contact.failed(end, now);
+    }
+
+    /// No connection could be had, most likely for want of the host's own. It is left alone for a moment, which
+    /// leads requests to servers that may be reached; longer, they would stay away from it when the
+    /// host is well again. Nothing is held against it.
+    pub(crate) fn shut_shortly(&mut self, now: Instant) {
+        self.shut_until = Some(now + SHUT_FIRST);
     }
 
     /// It turned a request away.
