Failing: a charge is answered 502 while its host's link is full

A charge waits at a desk that is well, and no connection comes about any more, to whatever server. The daemon does not tell the book how connections end, so that the book does not doubt the host. Beside it a test that passes and has to go on passing: one desk that is gone while others are reached is lost, and its charge answered at once.

--- /dev/null
+++ b/crates/entry/tests/daemon/reach.rs
@@ -0,0 +1,102 @@
+//! A host that is cut short itself: servers are not to blame for it.
+
+use fulmargate_consortium_stand::CallerAnswer;
+use fulmargate_consortium_stand::CallerRequest;
+use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ServerStand;
+use serde_json::json;
+use tokio::spawn;
+use tokio::task::JoinHandle;
+
+use crate::support::TestDeployment;
+use crate::support::first_config;
+use crate::support::until;
+
+/// Waits longer than any of these tests takes.
+const PATIENCE_MS: u64 = 20_000;
+/// Looks in vain, each of which tries both desks twice: enough for each to be taken for lost.
+const VAIN_LOOKS: usize = 3;
+
+/// A deployment whose requests have time.
+async fn start(mode: ServerMode) -> TestDeployment {
+    let deployment = TestDeployment::start(mode).await;
+    let mut config = first_config();
+    config.version = 2;
+    config.routes.iter_mut().for_each(|route| route["timeoutMs"] = json!(PATIENCE_MS));
+    deployment.store.put_config(&config);
+    until("requests have time", || deployment.daemon.events("config_accepted").len() == 2).await;
+    deployment
+}
+
+/// Sends a request, and returns when a server runs it.
+async fn begin(
+    deployment: &TestDeployment,
+    servers: &[ServerStand],
+    mut request: CallerRequest,
+) -> JoinHandle<CallerAnswer> {
+    request.patience_ms = PATIENCE_MS;
+    let id = request.id.clone();
+    let callers = deployment.callers;
+    let running = spawn(async move { request.send(callers).await.expect("an answer") });
+    until("a server runs it", || {
+        servers.iter().flat_map(ServerStand::seen).any(|seen| seen.id() == id)
+    })
+    .await;
+    running
+}
+
+/// No connection comes about any more, to whatever server, as on a full link of the host.
+async fn fill_link(deployment: &TestDeployment) {
+    for server in deployment.desks.iter().chain(&deployment.engines) {
+        server.hold_connections().await.expect("connections hang");
+    }
+}
+
+/// Looks that find no server.
+async fn look_in_vain(deployment: &TestDeployment) {
+    for turn in 0..VAIN_LOOKS {
+        let answer = deployment.send(&CallerRequest::new("/look/x", &format!("vain-{turn}"))).await;
+        assert_eq!(answer.status, 503);
+    }
+}
+
+/// A charge is answered 502 although its server is well and goes on with it.
+/// The host's own link is full for two seconds. Connections for other requests fail, to each server three
+/// and more in a row, and all servers are taken for lost with what waits there.
+/// The charge is waited for, and has its own answer.
+#[tokio::test]
+async fn a_charge_is_waited_for_while_no_server_can_be_reached() {
+    let deployment = start(ServerMode::Wait).await;
+    let charge = CallerRequest::new("/charge/x", "charge-1");
+    let running = begin(&deployment, &deployment.desks, charge).await;
+    fill_link(&deployment).await;
+    look_in_vain(&deployment).await;
+    deployment.set_desks(ServerMode::Answer);
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+    assert_eq!(deployment.desk_runs(), 1);
+}
+
+/// A caller waits for what will never come.
+/// One desk is gone while the other and the engines can be reached: its silence is its own. The charge that
+/// it ran is answered at once, and not sent again.
+#[tokio::test]
+async fn a_lost_server_is_seen_while_others_are_reached() {
+    let deployment = start(ServerMode::Wait).await;
+    let charge = CallerRequest::new("/charge/x", "charge-2");
+    let running = begin(&deployment, &deployment.desks, charge).await;
+    let is_busy = |desk: &&ServerStand| !desk.seen().is_empty();
+    let busy = deployment.desks.iter().find(is_busy).expect("a desk runs it");
+    busy.hold_connections().await.expect("connections hang");
+    for desk in deployment.desks.iter().filter(|desk| desk.name != busy.name) {
+        desk.set_mode(ServerMode::Refuse);
+    }
+    let mut turn = 0;
+    while !running.is_finished() {
+        deployment.send(&CallerRequest::new("/look/x", &format!("seen-{turn}"))).await;
+        turn += 1;
+    }
+    let answer = running.await.expect("the task ends");
+    assert_eq!(answer.status, 502);
+    assert_eq!(busy.seen().len(), 1);
+}
