The daemon tells its book how connections end

Cause: the book learned that no connection was had, not how, and not of those that came about, so that it took a full link for the end of all servers. Each connection of a send or a question is told now: had, refused, or nothing heard. A connection that this host could not even try, for want of a route, a port or a file, is its own trouble and counts as silence; it was called refused before. A connection that is had also ends the row of those that failed, as the row's definition says; only questions did that before.

--- a/crates/entry/src/traffic/open_send.rs
+++ b/crates/entry/src/traffic/open_send.rs
@@ -9,6 +9,8 @@
 use tokio::time::Instant;
 
 use crate::state::SharedState;
+use crate::traffic::channel::Channel;
+use crate::traffic::channel::ConnectFault;
 
 /// Counts at the server until it is dropped, also when its caller leaves.
 pub(crate) struct OpenSend {
@@ -33,9 +35,9 @@
         self.state.book().silent(self.ticket.server, Instant::now())
     }
 
-    /// A connection was had that carries no request.
-    pub(crate) fn reached(&self) {
-        self.state.book().reached(self.ticket.server, Instant::now());
+    /// Connects to the server.
+    pub(crate) async fn connect(&self, server: &ServerEntry) -> Result<Channel, ConnectFault> {
+        Channel::to_server(&self.state, server).await
     }
 
     /// Whether the server is lost with what waits there.
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -74,9 +74,8 @@
     call: &DecodedCall,
     mut plan: SendPlan,
 ) -> Result<OpenAnswer, SendFault> {
-    let mut channel = Channel::connect(plan.server.address)
-        .await
-        .map_err(|fault| SendFault::new(SendEnd::NotSent, &fault))?;
+    let connecting = plan.open.connect(&plan.server).await;
+    let mut channel = connecting.map_err(|fault| SendFault::new(SendEnd::NotSent, &fault))?;
     let request = encode_request(call, &plan)?;
     let answer = wait_for_head(&mut channel, request, &plan).await?;
     let (parts, body) = answer.into_parts();
@@ -124,11 +123,8 @@
     match plan.open.silent() {
         ContactStep::Wait => Ok(()),
         ContactStep::Unreachable => unreachable("silent, and no connection lately".to_owned()),
-        ContactStep::Ask => match Channel::connect(plan.server.address).await {
-            Ok(_) => {
-                plan.open.reached();
-                Ok(())
-            }
+        ContactStep::Ask => match plan.open.connect(&plan.server).await {
+            Ok(_) => Ok(()),
             Err(fault) => unreachable(format!("silent, and {fault}")),
         },
     }
