Failing: nobody is told that a host doubts itself

The host's own trouble shows in its lines only as one server after the other that cannot be reached. The test wants one line when the doubt begins and one when it ends, with how many servers were silent and heard, and two counters.

--- a/crates/entry/tests/daemon/reach.rs
+++ b/crates/entry/tests/daemon/reach.rs
@@ -100,3 +100,25 @@
     assert_eq!(answer.status, 502);
     assert_eq!(busy.seen().len(), 1);
 }
+
+/// A host with a full link looks to its operators like servers that are gone: each of its lines names another
+/// server that cannot be reached. What it concludes of itself is told once when that begins and once when
+/// it ends, with how many servers were silent and how many were heard, and is counted.
+#[tokio::test]
+async fn a_doubt_is_told_when_it_begins_and_when_it_ends() {
+    let deployment = start(ServerMode::Answer).await;
+    let daemon = &deployment.daemon;
+    fill_link(&deployment).await;
+    look_in_vain(&deployment).await;
+    until("the doubt ends by itself", || !daemon.events("own_reach_restored").is_empty()).await;
+    let doubts = daemon.events("own_reach_doubted");
+    assert_eq!(doubts.len(), 1, "{doubts:?}");
+    assert_eq!((doubts[0]["silent"].as_u64(), doubts[0]["heard"].as_u64()), (Some(2), Some(0)));
+    let ends = daemon.events("own_reach_restored");
+    assert_eq!(ends.len(), 1, "{ends:?}");
+    assert!(ends[0]["for_ms"].is_u64(), "{ends:?}");
+    let metrics = daemon.address("metrics").await;
+    let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics").body;
+    assert!(page.contains("fulmargate_self_doubts_total 1"), "{page}");
+    assert!(page.contains("fulmargate_connects_total{end=\"silent\"} 12"), "{page}");
+}
