A host tells when it doubts itself, and when no more

One line when the doubt begins (3010, `own_reach_doubted`) and one when it ends (3011, `own_reach_restored`), with the servers that were silent and heard; counters of connections by their end and of doubts. The end is told also if no more connections are tried. Ruled out: a gauge, which misses what begins and ends between two readings.

--- a/crates/dispatch/src/connect_end.rs
+++ b/crates/dispatch/src/connect_end.rs
@@ -11,3 +11,14 @@
     /// short.
     Silent,
 }
+
+impl ConnectEnd {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectEnd::Reached => "reached",
+            ConnectEnd::Refused => "refused",
+            ConnectEnd::Silent => "silent",
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -86,6 +86,7 @@
 pub use order_wave::WaveServer;
 pub use order_wave::WaveTime;
 pub use own_reach::ReachCount;
+pub use own_reach::ReachNews;
 pub use part_memory::PartMemory;
 pub use peer_board::PeerBoard;
 pub use peer_board::PeerSum;
--- a/crates/dispatch/src/own_reach.rs
+++ b/crates/dispatch/src/own_reach.rs
@@ -44,6 +44,8 @@
     /// The newest trial of each server.
     trials: IndexMap<ServerKey, (Instant, ConnectEnd)>,
     doubt: Option<OwnDoubt>,
+    /// Since when it has been told that the host doubts itself.
+    told: Option<Instant>,
 }
 
 /// The newest doubt. It may be over.
@@ -65,6 +67,15 @@
     pub heard: usize,
 }
 
+/// What is new about the host's doubt of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachNews {
+    /// It has begun.
+    Doubted(ReachCount),
+    /// It is over after so long.
+    Restored(ReachCount, Duration),
+}
+
 impl OwnReach {
     /// A connection was tried.
     pub(crate) fn note(&mut self, server: ServerKey, end: ConnectEnd, now: Instant) {
@@ -86,7 +97,7 @@
 
     /// Whether silence is most likely the host's own trouble.
     pub(crate) fn doubts(&self, now: Instant) -> bool {
-        self.doubt.is_some_and(|doubt| now < doubt.end)
+        self.doubt_end(now).is_some()
     }
 
     /// Until when the newest doubt lasted, or now: silence before that is not held against servers.
@@ -94,6 +105,27 @@
         self.doubt.map(|doubt| doubt.end.min(now))
     }
 
+    /// Whether a doubt has begun or ended since this was asked last.
+    pub(crate) fn news(&mut self, now: Instant) -> Option<ReachNews> {
+        let count = self.count(now);
+        match (self.told, self.doubts(now)) {
+            (None, true) => {
+                self.told = Some(now);
+                Some(ReachNews::Doubted(count))
+            }
+            (Some(since), false) => {
+                self.told = None;
+                Some(ReachNews::Restored(count, now.saturating_duration_since(since)))
+            }
+            _ => None,
+        }
+    }
+
+    /// When the doubt ends by itself, if there is one.
+    pub(crate) fn doubt_end(&self, now: Instant) -> Option<Instant> {
+        self.doubt.map(|doubt| doubt.end).filter(|end| now < *end)
+    }
+
     /// Servers by how their newest connections ended.
     pub(crate) fn count(&self, now: Instant) -> ReachCount {
         let mut count = ReachCount::default();
--- a/crates/dispatch/src/server_book/reach.rs
+++ b/crates/dispatch/src/server_book/reach.rs
@@ -4,6 +4,7 @@
 
 use crate::ConnectEnd;
 use crate::ContactStep;
+use crate::ReachNews;
 use crate::ServerBook;
 use crate::ServerEntry;
 use crate::ServerKey;
@@ -23,6 +24,16 @@
         self.reach.doubts(now)
     }
 
+    /// Whether the host's doubt of itself has begun or ended since this was asked last.
+    pub fn reach_news(&mut self, now: Instant) -> Option<ReachNews> {
+        self.reach.news(now)
+    }
+
+    /// When the host's doubt of itself ends if no more connections are tried; none without a doubt.
+    pub fn doubt_end(&self, now: Instant) -> Option<Instant> {
+        self.reach.doubt_end(now)
+    }
+
     /// No connection could be had. Where none was tried lately, the caller's word is held against the server.
     pub fn unreachable(&mut self, server: ServerKey, now: Instant) {
         let end = self.reach.newest(server, now);
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -6,6 +6,8 @@
 
 use fulmargate_dispatch::ConnectEnd;
 use fulmargate_dispatch::ContactStep;
+use fulmargate_dispatch::ReachCount;
+use fulmargate_dispatch::ReachNews;
 use fulmargate_dispatch::ServerBook;
 use support::engines;
 use support::key;
@@ -297,3 +299,25 @@
 fn outages_are_seen() {
     OUTAGES.iter().for_each(play);
 }
+
+/// A doubt is told when it begins and when it ends, once each, however often it is asked for.
+#[test]
+fn a_doubt_is_told_once() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut book = ServerBook::default();
+    assert_eq!(book.reach_news(at(0)), None);
+    for name in OTHER_ZONES {
+        book.tried(key(name), Silent, at(0));
+    }
+    let count = |silent, heard| ReachCount { silent, heard };
+    assert_eq!(book.reach_news(at(10)), Some(ReachNews::Doubted(count(4, 0))));
+    assert_eq!(book.reach_news(at(20)), None);
+    assert_eq!(book.doubt_end(at(20)), Some(at(1_000)));
+    book.tried(key("a1"), Refused, at(300));
+    assert_eq!(book.reach_news(at(300)), None);
+    book.tried(key("a2"), Reached, at(400));
+    let over = ReachNews::Restored(count(4, 2), Duration::from_millis(390));
+    assert_eq!(book.reach_news(at(400)), Some(over));
+    assert_eq!((book.reach_news(at(410)), book.doubt_end(at(410))), (None, None));
+}
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -6,6 +6,8 @@
 
 pub(crate) use line_budget::LineBudget;
 pub(crate) use logging::install_logging;
+pub(crate) use metric_book::count_connect;
+pub(crate) use metric_book::count_doubt;
 pub(crate) use metric_book::count_send;
 pub(crate) use metric_book::install_metrics;
 pub(crate) use metric_book::record_answer;
--- a/crates/entry/src/telemetry/metric_book.rs
+++ b/crates/entry/src/telemetry/metric_book.rs
@@ -32,6 +32,16 @@
     metrics::counter!("fulmargate_sends_total", "reason" => reason).increment(1);
 }
 
+/// A connection to a server was tried.
+pub(crate) fn count_connect(end: &'static str) {
+    metrics::counter!("fulmargate_connects_total", "end" => end).increment(1);
+}
+
+/// The host takes the servers' silence for its own trouble.
+pub(crate) fn count_doubt() {
+    metrics::counter!("fulmargate_self_doubts_total").increment(1);
+}
+
 /// A prompt waited so long for an engine, and got one, was refused, or had none to wait for.
 pub(crate) fn record_wait(outcome: &'static str, took: Duration) {
     metrics::histogram!("fulmargate_wait_seconds", "outcome" => outcome).record(took.as_secs_f64());
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -60,6 +60,10 @@
     ServersLapsed = 3008,
     /// An entry of the platform's list names no server to use.
     ServerEntryUnusable = 3009,
+    /// Next to no server can be reached from this host: their silence is taken for its own trouble.
+    OwnReachDoubted = 3010,
+    /// Servers can be reached again, or were not tried: their silence counts.
+    OwnReachRestored = 3011,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -162,6 +166,8 @@
     ServerGone => "server_gone",
     ServersLapsed => "servers_lapsed",
     ServerEntryUnusable => "server_entry_unusable",
+    OwnReachDoubted => "own_reach_doubted",
+    OwnReachRestored => "own_reach_restored",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
