Failing: on a full link servers are said to have crashed by what they ran

Connections break on a full link, and a new one to each server does not come about within 150 ms: each server is said to have crashed by its request, and all routers are told. Three such words convict an innocent request. Beside it two cases that pass and have to go on passing: a desk that refuses new connections, and one that is silent alone, have crashed.

--- a/crates/entry/tests/daemon/reach.rs
+++ b/crates/entry/tests/daemon/reach.rs
@@ -124,3 +124,74 @@
     assert!(page.contains(&format!("fulmargate_self_doubts_total {}", doubts.len())), "{page}");
     assert!(page.contains("fulmargate_connects_total{end=\"silent\"} 12"), "{page}");
 }
+
+/// What becomes of new connections when those that are open break.
+#[derive(Clone, Copy)]
+enum NewConnections {
+    AllHang,
+    /// Those to the desk are refused, all others come about.
+    DeskRefuses,
+    /// Those to the desk hang, all others come about.
+    DeskHangs,
+}
+
+struct CrashCase {
+    name: &'static str,
+    connections: NewConnections,
+    /// Whether the desk is said to have crashed. The engine never is.
+    crashed: bool,
+}
+
+const CRASHES: &[CrashCase] = &[
+    CrashCase { name: "full link", connections: NewConnections::AllHang, crashed: false },
+    CrashCase { name: "refused", connections: NewConnections::DeskRefuses, crashed: true },
+    CrashCase { name: "gone", connections: NewConnections::DeskHangs, crashed: true },
+];
+
+impl CrashCase {
+    async fn arrange(&self, deployment: &TestDeployment, desk: &ServerStand) {
+        for server in deployment.desks.iter().chain(&deployment.engines) {
+            match (self.connections, server.name == desk.name) {
+                (NewConnections::DeskRefuses, true) => server.stop_accepting(),
+                (NewConnections::DeskRefuses | NewConnections::DeskHangs, false) => {}
+                _ => server.hold_connections().await.expect("connections hang"),
+            }
+        }
+    }
+
+    /// A charge and a stream break; what is said of their servers.
+    async fn check(&self) {
+        let deployment = start(ServerMode::Wait).await;
+        let charge = CallerRequest::new("/charge/x", "charge-3");
+        let charge = begin(&deployment, &deployment.desks, charge).await;
+        let stream = CallerRequest::prompt("/once-streamed/x", "stream-3");
+        let stream = begin(&deployment, &deployment.engines, stream).await;
+        let is_busy = |desk: &&ServerStand| !desk.seen().is_empty();
+        let desk = deployment.desks.iter().find(is_busy).expect("a desk runs it");
+        self.arrange(&deployment, desk).await;
+        deployment.set_desks(ServerMode::LoseAnswer);
+        deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::LoseAnswer));
+        assert_eq!(charge.await.expect("the task ends").status, 502, "{}", self.name);
+        assert_eq!(stream.await.expect("the task ends").status, 502, "{}", self.name);
+        let lines = |name| deployment.daemon.events(name);
+        until(self.name, || {
+            !lines("server_crashed").is_empty() || !lines("own_reach_restored").is_empty()
+        })
+        .await;
+        let crashed: Vec<String> =
+            lines("server_crashed").iter().map(|line| line["server"].to_string()).collect();
+        let expected = if self.crashed { vec![format!("\"{}\"", desk.name)] } else { Vec::new() };
+        assert_eq!(crashed, expected, "{}", self.name);
+    }
+}
+
+/// Innocent requests are refused everywhere, as if they crashed servers.
+/// The host's own link is full: connections break, and a new one to each server does not come about. Each
+/// of the servers is said to have crashed by the request it ran, and all routers are told.
+/// Silence is no crash while nobody is heard; a refusal is, and so is silence of one server alone.
+#[tokio::test]
+async fn a_full_link_crashes_no_server() {
+    for case in CRASHES {
+        case.check().await;
+    }
+}
