Silence is no crash while a host reaches nobody

Cause: one new connection that timed out made a crash of each request that broke off; on a full link both happen to all servers at once. A refusal is noted at once, as before. Silence is noted after a second connection in vain, some 0.35 s later than before, and not while the host doubts itself; a server that is neither reached nor found gone within 3 s is not said to have crashed. The requests that broke off at one server share their further questions. Ruled out: to drop silence altogether, since a host that went down with its server refuses nothing.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -6,6 +6,7 @@
 mod caller_body;
 mod caller_edge;
 mod channel;
+mod crash_check;
 mod open_send;
 mod send_attempt;
 mod stream_relay;
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -27,7 +27,6 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::state::CrashSighting;
 use crate::state::SharedState;
 use crate::traffic::answer::CallFailure;
 use crate::traffic::call_decoder::DecodedCall;
@@ -35,7 +34,7 @@
 use crate::traffic::call_decoder::admit;
 use crate::traffic::call_run::stream_pace::StreamPace;
 use crate::traffic::caller_body::CallerBody;
-use crate::traffic::channel::Channel;
+use crate::traffic::crash_check::CrashCheck;
 use crate::traffic::send_attempt::OpenAnswer;
 use crate::traffic::send_attempt::SendFault;
 use crate::traffic::send_attempt::send_call;
@@ -293,23 +292,13 @@
 
     /// A server that broke off and cannot be reached any more has crashed, maybe by this request.
     pub(crate) fn check_crash(&self, server: &Arc<ServerEntry>) {
-        let state = self.state.clone();
-        let print = self.facts().print;
-        let id = self.facts().id.clone();
-        let server = server.clone();
-        tokio::task::spawn_local(async move {
-            let Err(fault) = Channel::connect(server.address).await else { return };
-            state.book().unreachable(server.key(), Instant::now());
-            state.crashes().note(print, server.key(), Instant::now());
-            let kind = EventKind::ServerCrashed;
-            if state.lines.allows(kind, Instant::now()) {
-                tracing::warn!(event = kind.number(), name = kind.name(), %id, server = %server.name, reason = %fault);
-            }
-            let sighting = CrashSighting { print, server };
-            if state.crash_sender.send(sighting).is_err() {
-                tracing::debug!("the process stops: a crash is not told to others");
-            }
-        });
+        let check = CrashCheck {
+            state: self.state.clone(),
+            id: self.facts().id.clone(),
+            print: self.facts().print,
+            server: server.clone(),
+        };
+        tokio::task::spawn_local(check.run());
     }
 
     async fn pass_whole(self, answer: OpenAnswer) -> Result<Response<CallerBody>, CallFailure> {
