Failing: a host whose link has just filled doubts itself late

When a link fills, all servers were reached within the second before, so that the doubt begins only when three quarters of these have been tried anew or the second has passed. Meanwhile engines that are well are given up for their silence. The case wants what was heard before the silence began to say nothing. Beside it two servers that die together, which has to make no doubt: the one that is heard between their failures counts.

--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -58,6 +58,18 @@
             Asked(1_210, "b1", ContactStep::Ask),
         ],
     },
+    ReachCase {
+        name: "the link fills: that all were reached a moment ago says nothing of now",
+        steps: &[
+            Tried(0, ALL, Reached),
+            Vain(160, &["a1"], Silent),
+            Doubts(160, false),
+            Vain(200, &["b1"], Silent),
+            Doubts(200, true),
+            Vain(600, BUT_A1, Silent),
+            Doubts(600, true),
+        ],
+    },
     ReachCase {
         name: "with nothing reached it lasts as long as the trouble",
         steps: &[
@@ -139,6 +151,20 @@
             Lost(700, "a1", true),
         ],
     },
+    ReachCase {
+        name: "two servers die together while another one is reached",
+        steps: &[
+            Tried(100, &["c1"], Reached),
+            Vain(200, &["a1", "b1"], Silent),
+            Doubts(200, false),
+            Vain(600, &["a1", "b1"], Silent),
+            Doubts(600, false),
+            Tried(700, &["c1"], Reached),
+            Vain(900, &["a1", "b1"], Silent),
+            Doubts(900, false),
+            Lost(900, "a1", true),
+        ],
+    },
     ReachCase {
         name: "one connection that nobody refused is asked for once more",
         steps: &[
