A host whose link has just filled knows it with the first silent servers

Cause: what was heard within the second before the link filled outweighed the silence. Only those count now that were heard since the first of the silent servers fell silent, less the 150 ms that a connection is tried for. A server's silence is of one row over pauses of up to 3 s, since those that stay silent are tried each 1.6 s: two dead servers would else make a doubt with each trial (case added). Ruled out: a shorter window, in which a quiet host tries too few servers.

Conclusion: the doubt begins with the second silent server instead of up to a second later; the cases of outages hold.

--- a/crates/dispatch/src/own_reach.rs
+++ b/crates/dispatch/src/own_reach.rs
@@ -12,6 +12,11 @@
 /// after 0.4 s, so that a busy host tries all its servers in this time; a link that is well again is seen
 /// as such when it has passed.
 const TRIAL_AGE: Duration = Duration::from_secs(1);
+/// Trials are of one row if no more than this lies between them: servers that stay silent are tried again
+/// after 1.6 s at most.
+const ROW_AGE: Duration = Duration::from_secs(3);
+/// For so long at least nothing had been heard when a connection was given up: as long as one is tried.
+const SILENT_TIME: Duration = Duration::from_millis(150);
 /// One silent server is a server's trouble. Two at once, while next to nothing else comes about, are
 /// rarer than a full link, and a small service has no more.
 const LEAST_SILENT: usize = 2;
@@ -41,13 +46,21 @@
 /// silence in any case.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnReach {
-    /// The newest trial of each server.
-    trials: IndexMap<ServerKey, (Instant, ConnectEnd)>,
+    trials: IndexMap<ServerKey, ServerTrial>,
     doubt: Option<OwnDoubt>,
     /// Since when it has been told that the host doubts itself.
     told: Option<Instant>,
 }
 
+/// The newest trial of a server.
+#[derive(Clone, Copy, Debug)]
+struct ServerTrial {
+    at: Instant,
+    end: ConnectEnd,
+    /// The first of those in a row that ended so.
+    since: Instant,
+}
+
 /// The newest doubt. It may be over.
 #[derive(Clone, Copy, Debug)]
 struct OwnDoubt {
@@ -79,8 +92,10 @@
 impl OwnReach {
     /// A connection was tried.
     pub(crate) fn note(&mut self, server: ServerKey, end: ConnectEnd, now: Instant) {
-        self.trials.retain(|_, (at, _)| is_young(*at, now));
-        self.trials.insert(server, (now, end));
+        self.trials.retain(|_, trial| now < trial.at + ROW_AGE);
+        let last = self.trials.get(&server).filter(|last| last.end == end);
+        let since = last.map_or(now, |last| last.since);
+        self.trials.insert(server, ServerTrial { at: now, end, since });
         let count = self.count(now);
         if count.is_one_sided() {
             self.hold(count, now);
@@ -91,8 +106,8 @@
 
     /// How the newest connection to the server ended, if it was tried lately.
     pub(crate) fn newest(&self, server: ServerKey, now: Instant) -> Option<ConnectEnd> {
-        let (at, end) = self.trials.get(&server)?;
-        is_young(*at, now).then_some(*end)
+        let trial = self.trials.get(&server)?;
+        trial.is_young(now).then_some(trial.end)
     }
 
     /// Whether silence is most likely the host's own trouble.
@@ -126,17 +141,18 @@
         self.doubt.map(|doubt| doubt.end).filter(|end| now < *end)
     }
 
-    /// Servers by how their newest connections ended.
+    /// Servers by how their newest connections ended. When a link fills, all were heard just before, which
+    /// says nothing of it any more: only those count that were heard since the first of the silent ones
+    /// fell silent.
     pub(crate) fn count(&self, now: Instant) -> ReachCount {
-        let mut count = ReachCount::default();
-        for (at, end) in self.trials.values() {
-            match end {
-                _ if !is_young(*at, now) => {}
-                ConnectEnd::Silent => count.silent += 1,
-                ConnectEnd::Reached | ConnectEnd::Refused => count.heard += 1,
-            }
-        }
-        count
+        let young = || self.trials.values().filter(|trial| trial.is_young(now));
+        let silent = || young().filter(|trial| trial.end == ConnectEnd::Silent);
+        let first = silent().map(|trial| trial.since).min();
+        let is_heard = |trial: &&ServerTrial| {
+            let is_late = first.is_none_or(|first| first <= trial.at + SILENT_TIME);
+            trial.end != ConnectEnd::Silent && is_late
+        };
+        ReachCount { silent: silent().count(), heard: young().filter(is_heard).count() }
     }
 
     /// Begins a doubt or goes on with it.
@@ -159,6 +175,8 @@
     }
 }
 
-fn is_young(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) < TRIAL_AGE
+impl ServerTrial {
+    fn is_young(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < TRIAL_AGE
+    }
 }
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -163,6 +163,9 @@
             Vain(900, &["a1", "b1"], Silent),
             Doubts(900, false),
             Lost(900, "a1", true),
+            Tried(2_200, &["c1"], Reached),
+            Vain(2_500, &["a1", "b1"], Silent),
+            Doubts(2_500, false),
         ],
     },
     ReachCase {
