Failing: on a full link a silent engine is given up after one question

A question waits at an engine that reads; after one target latency the engine is asked whether it is there. The link is full, the one connection fails, and the question is given up and sent elsewhere, where it fails too, and runs twice if not. The test wants it to stay and to have its answer.

--- a/crates/entry/tests/daemon/reach.rs
+++ b/crates/entry/tests/daemon/reach.rs
@@ -195,3 +195,26 @@
         case.check().await;
     }
 }
+
+/// A visitor's question is answered late or not at all, and run twice.
+/// Its engine reads a long prompt and is well; the host's own link is full. The question whether the
+/// engine is there finds no connection, the engine is given up, and the send elsewhere finds none either.
+/// The engine is waited for while the host reaches nobody.
+#[tokio::test]
+async fn a_silent_engine_is_not_given_up_on_a_full_link() {
+    let deployment = start(ServerMode::Stream(1)).await;
+    deployment.earn_budget().await;
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::Wait));
+    deployment.set_desks(ServerMode::Wait);
+    let chat = CallerRequest::prompt("/chat/x", "chat-4");
+    let running = begin(&deployment, &deployment.engines, chat).await;
+    fill_link(&deployment).await;
+    look_in_vain(&deployment).await;
+    let connects = deployment.daemon.events("attempt_retried");
+    assert!(connects.iter().all(|line| line["end"] == "NotSent"), "{connects:?}");
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::Stream(2)));
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let runs = deployment.engines.iter().flat_map(ServerStand::seen);
+    assert_eq!(runs.filter(|seen| seen.id() == "chat-4").count(), 1);
+}
