A silent server is given up for two questions in vain, and not while its host reaches nobody

Cause: one connection that timed out was enough. Ruled out: the doubt alone, since when a link fills the first question fails before a second server does.

--- a/crates/entry/src/traffic/open_send.rs
+++ b/crates/entry/src/traffic/open_send.rs
@@ -40,6 +40,16 @@
         Channel::to_server(&self.state, server).await
     }
 
+    /// No connection was had that was to carry no request.
+    pub(crate) fn unreachable(&self) {
+        self.state.book().unreachable(self.ticket.server, Instant::now());
+    }
+
+    /// Whether the server's silence is most likely this host's own.
+    pub(crate) fn doubts_itself(&self) -> bool {
+        self.state.book().doubts_itself(Instant::now())
+    }
+
     /// Whether the server is lost with what waits there.
     pub(crate) fn is_lost(&self, server: &ServerEntry) -> bool {
         self.state.book().is_lost(server, Instant::now())
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fulmargate_consortium::AnswerHead;
 use fulmargate_consortium::SendHead;
+use fulmargate_dispatch::ConnectEnd;
 use fulmargate_dispatch::ContactStep;
 use fulmargate_dispatch::SendEnd;
 use fulmargate_dispatch::ServerEntry;
@@ -23,6 +24,7 @@
 
 use crate::traffic::call_decoder::DecodedCall;
 use crate::traffic::channel::Channel;
+use crate::traffic::channel::ConnectFault;
 use crate::traffic::open_send::OpenSend;
 
 /// Largest answer that is held whole; plain services answer with some KB.
@@ -31,6 +33,9 @@
 /// How often a request that waits looks whether its server has been lost meanwhile.
 const LOSS_PACE: Duration = Duration::from_millis(200);
 
+/// Connections in vain after which a silent server is given up, if it does not refuse them.
+const MOST_QUESTIONS: u32 = 2;
+
 /// Where a call goes and under which terms.
 pub(crate) struct SendPlan {
     pub(crate) server: Arc<ServerEntry>,
@@ -123,13 +128,35 @@
     match plan.open.silent() {
         ContactStep::Wait => Ok(()),
         ContactStep::Unreachable => unreachable("silent, and no connection lately".to_owned()),
-        ContactStep::Ask => match plan.open.connect(&plan.server).await {
-            Ok(_) => Ok(()),
-            Err(fault) => unreachable(format!("silent, and {fault}")),
+        ContactStep::Ask => match find_silent(plan).await {
+            Some(fault) => unreachable(format!("silent, and {fault}")),
+            None => Ok(()),
         },
     }
 }
 
+/// Why the silent server is gone; none if it is there, or the silence is most likely this host's own.
+///
+/// When the host's link fills, a first connection fails before others show that it is not the server;
+/// requests that were given up for it found no connection elsewhere either, or ran twice.
+async fn find_silent(plan: &SendPlan) -> Option<ConnectFault> {
+    let mut questions = 0;
+    loop {
+        let fault = plan.open.connect(&plan.server).await.err()?;
+        questions += 1;
+        if fault.end() == ConnectEnd::Refused {
+            return Some(fault);
+        }
+        if plan.open.doubts_itself() {
+            return None;
+        }
+        if MOST_QUESTIONS <= questions {
+            return Some(fault);
+        }
+        plan.open.unreachable();
+    }
+}
+
 impl OpenAnswer {
     /// Reads the whole body.
     pub(crate) async fn read_body(self, until: Instant) -> Result<Bytes, SendFault> {
--- a/crates/entry/tests/daemon/reach.rs
+++ b/crates/entry/tests/daemon/reach.rs
@@ -14,6 +14,8 @@
 
 /// Waits longer than any of these tests takes.
 const PATIENCE_MS: u64 = 20_000;
+/// A silent engine is asked after this time, in the midst of looks that take 1.8 s.
+const TARGET_MS: u64 = 1_000;
 /// Looks in vain, each of which tries both desks twice: enough for each to be taken for lost.
 const VAIN_LOOKS: usize = 3;
 
@@ -22,7 +24,10 @@
     let deployment = TestDeployment::start(mode).await;
     let mut config = first_config();
     config.version = 2;
-    config.routes.iter_mut().for_each(|route| route["timeoutMs"] = json!(PATIENCE_MS));
+    for route in &mut config.routes {
+        route["timeoutMs"] = json!(PATIENCE_MS);
+        route["targetLatencyMs"] = json!(TARGET_MS);
+    }
     deployment.store.put_config(&config);
     until("requests have time", || deployment.daemon.events("config_accepted").len() == 2).await;
     deployment
