Failing: a holder that is cut short holds all engines to be out of reach

Each run ends as silent and shuts its engine for this router, one like the other, though it is the holder that hears nobody. The test wants the host to doubt itself by these reports alone.

--- a/crates/entry/tests/daemon/reach.rs
+++ b/crates/entry/tests/daemon/reach.rs
@@ -223,3 +223,23 @@
     let runs = deployment.engines.iter().flat_map(ServerStand::seen);
     assert_eq!(runs.filter(|seen| seen.id() == "chat-4").count(), 1);
 }
+
+/// Prompts stay away from engines that are well, and requests there are given up.
+/// The holder of the lease is cut short and has no report of any engine in time. Each is held to be out of
+/// reach, one like the other. Reports are connections too: the host doubts itself, without any request.
+#[tokio::test]
+async fn a_holder_that_hears_of_no_engine_doubts_itself() {
+    let deployment = start(ServerMode::Stream(1)).await;
+    for engine in &deployment.engines {
+        engine.hold_connections().await.expect("connections hang");
+    }
+    deployment.store.name_weights(2);
+    let lines = |name| deployment.daemon.events(name);
+    until("engines are silent", || {
+        lines("order_refused").iter().filter(|line| line["end"] == "Silent").count() >= 4
+    })
+    .await;
+    let doubts = lines("own_reach_doubted");
+    assert!(!doubts.is_empty(), "{:?}", lines("order_refused"));
+    assert_eq!((doubts[0]["silent"].as_u64(), doubts[0]["heard"].as_u64()), (Some(2), Some(0)));
+}
