A holder that hears of no engine takes that for its own trouble

Cause: a run without a report in time marks its engine unreachable, whoever was cut short. Reports are told to the book like connections now: one that came, one that was refused at once, or silence for the whole of its time. Ruled out: not to mark it at all, since prompts would go on to an engine that is gone.

--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -8,6 +8,8 @@
 use fulmargate_consortium::EngineOrder;
 use fulmargate_consortium::EngineReport;
 use fulmargate_consortium::OrderAnswer;
+use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::ConnectEnd;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_names::EventKind;
 use fulmargate_names::ModelName;
@@ -18,6 +20,7 @@
 use crate::control::order_desk::DeskState;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::state::note_connect;
 
 /// A report takes some milliseconds; an engine that is cut off gives none. The rest is for this host:
 /// with an eighth of a core it handled 30 engines' reports in up to 450 ms.
@@ -141,7 +144,19 @@
     }
 
     async fn report(&self) -> Option<EngineReport> {
-        match self.engines.report(self.entry.address, REPORT_TIMEOUT).await {
+        let began = Instant::now();
+        let answer = self.engines.report(self.entry.address, REPORT_TIMEOUT).await;
+        // When this host is cut short, no report comes of any engine, and engines that are well would be
+        // taken for unreachable. Its reports are told like connections, so that it can tell.
+        let end = match &answer {
+            Err(StoreError::NoAnswer { .. }) if REPORT_TIMEOUT <= began.elapsed() => {
+                ConnectEnd::Silent
+            }
+            Err(StoreError::NoAnswer { .. }) => ConnectEnd::Refused,
+            _ => ConnectEnd::Reached,
+        };
+        note_connect(&self.state, self.entry.key(), end);
+        match answer {
             Ok(report) => Some(report),
             Err(err) => {
                 let kind = EventKind::OrderRefused;
