Failing: a quiet host in a zone that is cut off doubts itself for long

A quiet host hears its zone's servers now and then. Between two of these connections nobody was heard within a second, so that the doubt is taken for one of a host that reaches nobody, and is not bounded. Two cases want the bound to count from the first server that is heard, whatever comes after it.

--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -227,6 +227,36 @@
             Lost(3_700, "b1", true),
         ],
     },
+    ReachCase {
+        name: "so it is on a quiet host, which hears its one server now and then",
+        steps: &[
+            Vain(0, BUT_A1, Silent),
+            Tried(500, &["a1"], Reached),
+            Vain(1_600, BUT_A1, Silent),
+            Doubts(1_600, true),
+            Tried(2_200, &["a1"], Reached),
+            Vain(3_300, BUT_A1, Silent),
+            Doubts(3_400, true),
+            Doubts(3_500, false),
+            Tried(4_000, &["a1"], Reached),
+            Vain(5_100, BUT_A1, Silent),
+            Doubts(5_100, false),
+        ],
+    },
+    ReachCase {
+        name: "or its zone's servers, with the doubt over in between",
+        steps: &[
+            Vain(0, OTHER_ZONES, Silent),
+            Tried(500, ZONE_A, Reached),
+            Doubts(500, false),
+            Vain(1_600, OTHER_ZONES, Silent),
+            Doubts(1_600, true),
+            Tried(2_200, ZONE_A, Reached),
+            Doubts(2_200, false),
+            Vain(3_600, OTHER_ZONES, Silent),
+            Doubts(3_600, false),
+        ],
+    },
     ReachCase {
         name: "nor does it begin anew while the cut goes on, with pauses",
         steps: &[
