A doubt is bounded from the first server that is heard

Cause: the bound counted only while a server had been heard within the last second; a quiet host in a zone that is cut off, which hears its servers now and then, doubted itself between two of them again and again. It counts from the first that is heard now, and until the trials look well for 3 s. A link that is full for longer than that, with nobody heard, is unaffected. Ruled out: a longer memory of what was heard, which would delay the doubt when a link fills.

--- a/crates/dispatch/src/own_reach.rs
+++ b/crates/dispatch/src/own_reach.rs
@@ -23,8 +23,8 @@
 /// Silent servers for each one that was heard. A host in one of three zones of the same size hears a third
 /// of the servers when the other two are cut off, so that two are silent for each one heard.
 const SILENT_TO_HEARD: usize = 3;
-/// While some server is heard, a doubt lasts so long at most: about twice as long as links were seen to be
-/// full when a large configuration is handed on.
+/// From the first server that is heard on, a doubt lasts so long at most: about twice as long as links were
+/// seen to be full when a large configuration is handed on.
 const LONGEST_DOUBT: Duration = Duration::from_secs(3);
 /// A doubt within this time after the trials looked so last is the same one: as long as a doubt itself, so
 /// that verdicts hold for half of the time at least, however the trials come.
@@ -38,12 +38,12 @@
 /// servers. So while nearly all servers that were tried are silent, their silence is not held against them.
 ///
 /// Servers that are gone are still seen. One or a few are outnumbered by those that are heard. A zone that
-/// is cut off hears its own servers: a third of three zones ends the doubt, and a smaller part bounds it by
-/// 3 s. A host that hears nobody at all doubts itself for as long as that lasts: no verdict would lead its
-/// requests to a server that answers, and what waits on a connection to a host that is gone is ended by the
-/// system's own probes of that connection. A refusal is an answer, and counts against its server in any case.
-/// The doubt is over with the first quarter of the servers that are heard again, and a second after the last
-/// silence in any case.
+/// is cut off hears its own servers: a third of three zones ends the doubt, and a smaller part, or servers
+/// that are heard now and then, bound it by 3 s. A host that hears nobody at all doubts itself for as long
+/// as that lasts: no verdict would lead its requests to a server that answers, and what waits on a connection
+/// to a host that is gone is ended by the system's own probes of that connection. A refusal is an answer, and
+/// counts against its server in any case. The doubt is over with the first quarter of the servers that are
+/// heard again, and a second after the last silence in any case.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnReach {
     trials: IndexMap<ServerKey, ServerTrial>,
@@ -64,11 +64,12 @@
 /// The newest doubt. It may be over.
 #[derive(Clone, Copy, Debug)]
 struct OwnDoubt {
-    began: Instant,
     /// The trials looked so last.
     held: Instant,
     /// It is over by then.
     end: Instant,
+    /// It may last so long, once a server was heard.
+    bound: Option<Instant>,
 }
 
 /// Servers by their newest trials.
@@ -101,6 +102,7 @@
             self.hold(count, now);
         } else if let Some(doubt) = &mut self.doubt {
             doubt.end = doubt.end.min(now);
+            doubt.bound.get_or_insert(now + LONGEST_DOUBT);
         }
     }
 
@@ -158,14 +160,15 @@
     /// Begins a doubt or goes on with it.
     fn hold(&mut self, count: ReachCount, now: Instant) {
         let last = self.doubt.filter(|doubt| now < doubt.held + REST);
-        let began = last.map_or(now, |doubt| doubt.began);
-        let end = match count.heard {
-            0 => now + TRIAL_AGE,
-            _ => (now + TRIAL_AGE).min(began + LONGEST_DOUBT),
-        };
+        let mut bound = last.and_then(|last| last.bound);
+        if 0 < count.heard {
+            bound.get_or_insert(now + LONGEST_DOUBT);
+        }
+        let by_itself = now + TRIAL_AGE;
+        let end = bound.map_or(by_itself, |bound| by_itself.min(bound));
         // One that ran out earlier is over since then, not since its bound.
-        let past = self.doubt.map_or(began, |doubt| doubt.end.min(now));
-        self.doubt = Some(OwnDoubt { began, held: now, end: end.max(past) });
+        let past = last.map_or(end, |last| last.end.min(now));
+        self.doubt = Some(OwnDoubt { held: now, end: end.max(past), bound });
     }
 }
 
