--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -205,6 +205,17 @@
             Lost(900, "b1", true),
         ],
     },
+    ReachCase {
+        name: "a zone cut off from three others of its size",
+        steps: &[
+            Tried(0, &["a1"], Reached),
+            Vain(0, &["b1", "b2", "c1"], Silent),
+            Doubts(0, false),
+            Tried(600, &["a1"], Reached),
+            Vain(600, &["b1", "b2", "c1"], Silent),
+            Doubts(600, false),
+        ],
+    },
     ReachCase {
         name: "a zone with one server of six is cut off: the doubt is bounded",
         steps: &[
