A doubt takes four silent servers for each one heard

Three for each one heard is what a host sees whose zone is cut off from three others of its size; four is beyond that. What share of connections comes about on a full link was not measured: where it is more than a fifth, the host does not doubt itself. Ruled out: to tell zones apart, which says nothing where zones have few servers.

--- a/crates/dispatch/src/own_reach.rs
+++ b/crates/dispatch/src/own_reach.rs
@@ -20,9 +20,9 @@
 /// One silent server is a server's trouble. Two at once, while next to nothing else comes about, are
 /// rarer than a full link, and a small service has no more.
 const LEAST_SILENT: usize = 2;
-/// Silent servers for each one that was heard. A host in one of three zones of the same size hears a third
-/// of the servers when the other two are cut off, so that two are silent for each one heard.
-const SILENT_TO_HEARD: usize = 3;
+/// Silent servers for each one that was heard. A host in one of three or four zones of the same size that is
+/// cut off from the others hears its own: two or three are silent for each one heard.
+const SILENT_TO_HEARD: usize = 4;
 /// From the first server that is heard on, a doubt lasts so long at most: about twice as long as links were
 /// seen to be full when a large configuration is handed on.
 const LONGEST_DOUBT: Duration = Duration::from_secs(3);
@@ -38,12 +38,12 @@
 /// servers. So while nearly all servers that were tried are silent, their silence is not held against them.
 ///
 /// Servers that are gone are still seen. One or a few are outnumbered by those that are heard. A zone that
-/// is cut off hears its own servers: a third of three zones ends the doubt, and a smaller part, or servers
-/// that are heard now and then, bound it by 3 s. A host that hears nobody at all doubts itself for as long
-/// as that lasts: no verdict would lead its requests to a server that answers, and what waits on a connection
-/// to a host that is gone is ended by the system's own probes of that connection. A refusal is an answer, and
-/// counts against its server in any case. The doubt is over with the first quarter of the servers that are
-/// heard again, and a second after the last silence in any case.
+/// is cut off hears its own servers: a quarter of all ends the doubt, and a smaller part, or servers that are
+/// heard now and then, bound it by 3 s. A host that hears nobody at all doubts itself for as long as that
+/// lasts: no verdict would lead its requests to a server that answers, and what waits on a connection to a
+/// host that is gone is ended by the system's own probes of that connection. A refusal is an answer, and
+/// counts against its server in any case. The doubt is over when more than a fifth of the servers are heard
+/// again, and a second after the last silence in any case.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnReach {
     trials: IndexMap<ServerKey, ServerTrial>,
