--- a/crates/entry/src/traffic/call_run/successor.rs
+++ b/crates/entry/src/traffic/call_run/successor.rs
@@ -62,7 +62,7 @@
         if !self.may_go_elsewhere() {
             return Err(KeepReason::NoAttempt);
         }
-        let Err(fault) = Channel::connect(silent.address).await else {
+        let Err(fault) = Channel::to_server(&self.state, silent).await else {
             return Err(KeepReason::Reachable);
         };
         let reason = format!("silent, and {fault}");
