--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -4,6 +4,7 @@
 mod control_thread;
 mod fleet_codec;
 mod fleet_desk;
+mod log_shelf;
 mod log_source;
 mod operator_watch;
 mod order_desk;
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -21,7 +21,7 @@
 use crate::control::fleet_desk::FleetDesk;
 use crate::control::fleet_desk::FleetReader;
 use crate::control::fleet_desk::SharedFold;
-use crate::control::log_source::LogShelf;
+use crate::control::log_shelf::LogShelf;
 use crate::control::log_source::LogSource;
 use crate::control::operator_watch::OperatorWatch;
 use crate::control::order_desk::OrderDesk;
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -15,7 +15,6 @@
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
-use fulmargate_dispatch::LogCache;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RecordSource;
@@ -27,23 +26,18 @@
 use http::StatusCode;
 use indexmap::IndexMap;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
 use crate::control::fleet_desk::SharedFold;
+use crate::control::log_shelf::LogShelf;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
-/// What a router keeps for others must be younger than twice the wait of a question, or than this where
-/// there is none; else they read for themselves. A read proves the moment before its wait, so that a
-/// sound reader's proof gets as old as two of its waits. The list of servers is read without one each 0.7 s.
-const LEAST_AGE: Duration = Duration::from_millis(1_200);
 /// A question waits for the reader's next proof, which comes by this much after the wait of a read.
 const PROOF_ALLOWANCE: Duration = Duration::from_millis(250);
 /// A router of the same zone answers within some milliseconds after the wait it was asked for.
@@ -79,13 +73,6 @@
     pub(crate) sent: BootTime,
 }
 
-/// The topics that this router reads, kept for those that ask.
-#[derive(Default)]
-pub(crate) struct LogShelf {
-    caches: RefCell<IndexMap<LogTopic, LogCache>>,
-    changed: Notify,
-}
-
 /// Why another router gave no records.
 #[derive(Debug, Display, Error, From)]
 enum AskFault {
@@ -282,62 +269,6 @@
     }
 }
 
-impl LogShelf {
-    fn put(&self, topic: LogTopic, from: LogOffset, records: &[Vec<u8>], proven: Option<BootTime>) {
-        let mut caches = self.caches.borrow_mut();
-        let cache = caches.entry(topic).or_default();
-        cache.add(from, records);
-        if let Some(sent) = proven {
-            cache.prove(sent);
-        }
-        drop(caches);
-        self.changed.notify_waiters();
-    }
-
-    /// Answers another router, as soon as there is a record or a newer proof, or its wait is over. A
-    /// host that does not read itself says so at once.
-    pub(crate) async fn answer(&self, question: LogQuestion) -> Option<LogAnswer> {
-        let arrived = boot_now();
-        let longest = longest_age(question);
-        let until = Instant::now() + Duration::from_millis(question.wait_ms);
-        let known = self.proven(question.topic);
-        loop {
-            let changed = self.changed.notified();
-            let answer = self.now(question, arrived, longest)?;
-            let is_news = !answer.records.is_empty() || self.proven(question.topic) != known;
-            if is_news || until <= Instant::now() {
-                return Some(answer);
-            }
-            // A proof that gets too old during the wait is no answer: this host has lost the store, and
-            // the asker has to read for itself while there is time.
-            let left = longest.saturating_sub(Duration::from_millis(answer.age_ms));
-            let too_old = Instant::now() + left + Duration::from_millis(1);
-            let _changed_or_over = timeout_at(until.min(too_old), changed).await;
-        }
-    }
-
-    fn now(
-        &self,
-        question: LogQuestion,
-        arrived: BootTime,
-        longest: Duration,
-    ) -> Option<LogAnswer> {
-        let caches = self.caches.borrow();
-        caches.get(&question.topic)?.answer(question.from, longest, arrived, boot_now())
-    }
-
-    fn proven(&self, topic: LogTopic) -> Option<BootTime> {
-        self.caches.borrow().get(&topic).and_then(LogCache::proven)
-    }
-}
-
-/// The oldest proof that is an answer. A configuration must be in force within 2 to 3 s of its writing:
-/// with a reader that was cut off, and gave its last proof for 2.7 s and then kept the question for
-/// another 1.5 s, a host served an old one after 3.7 s.
-fn longest_age(question: LogQuestion) -> Duration {
-    (Duration::from_millis(question.wait_ms) * 2).max(LEAST_AGE)
-}
-
 /// A reader gives a newer proof soon after the wait of its own read.
 fn question(topic: LogTopic, from: LogOffset, wait: Duration) -> LogQuestion {
     let wait = if wait.is_zero() { wait } else { wait + PROOF_ALLOWANCE };
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -23,7 +23,7 @@
 use crate::control::fleet_codec::decode_news;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
-use crate::control::log_source::LogShelf;
+use crate::control::log_shelf::LogShelf;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
