Failing: a reader gives a large configuration to all askers at once

The test wants a share of the link at most, a status of its own for those that get nothing, and small answers given as before over the same links.

--- /dev/null
+++ b/crates/entry/tests/daemon/handing_on.rs
@@ -0,0 +1,162 @@
+//! What a host that reads the store hands on to those that ask it.
+
+use std::net::SocketAddr;
+
+use bincode::config::standard;
+use bytes::Bytes;
+use fulmargate_consortium_stand::ConfigText;
+use fulmargate_consortium_stand::ServerMode;
+use fulmargate_dispatch::LogAnswer;
+use fulmargate_dispatch::LogQuestion;
+use fulmargate_dispatch::LogTopic;
+use fulmargate_names::LogOffset;
+use h2::client::SendRequest;
+use http::Request;
+use http::StatusCode;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::support::DaemonProcess;
+use crate::support::LOOK_PACE;
+use crate::support::MOST_LOOKS;
+use crate::support::TestDeployment;
+use crate::support::first_config;
+use crate::support::until;
+
+/// The askers of one of two readers in a zone of 30 hosts.
+const ASKERS: usize = 14;
+/// The link of a small host, in Mbit/s, and the bytes that a quarter of it carries in a second.
+const LINK_MBPS: f64 = 10.0;
+const QUARTER_BYTES: usize = 312_500;
+/// With so many routes more a configuration has some 400 KB.
+const MANY_ROUTES: usize = 1_636;
+/// Records of operators' topic before a reader starts: the first configuration.
+const FIRST_READ: LogOffset = LogOffset(1);
+
+/// What a reader says to a question.
+struct Reply {
+    status: StatusCode,
+    records: Vec<Vec<u8>>,
+}
+
+/// A link to a reader, as another router opens it.
+struct Asker {
+    address: SocketAddr,
+    client: SendRequest<Bytes>,
+}
+
+impl Asker {
+    async fn open(address: SocketAddr) -> Asker {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        let (client, connection) = h2::client::handshake(stream).await.expect("a link");
+        tokio::spawn(connection);
+        Asker { address, client }
+    }
+
+    async fn ask(&self, from: LogOffset) -> Reply {
+        let question = LogQuestion { topic: LogTopic::Operator, from, wait_ms: 2_000 };
+        let question = bincode::serde::encode_to_vec(question, standard()).expect("a question");
+        let mut client = self.client.clone().ready().await.expect("the link stands");
+        let request = Request::post(format!("http://{}/log", self.address)).body(());
+        let request = request.expect("a request");
+        let (answer, mut body) = client.send_request(request, false).expect("it is sent");
+        body.send_data(Bytes::from(question), true).expect("it is sent whole");
+        let answer = answer.await.expect("an answer");
+        let status = answer.status();
+        let mut body = answer.into_body();
+        let mut bytes = Vec::new();
+        while let Some(piece) = body.data().await {
+            let piece = piece.expect("the answer goes on");
+            body.flow_control().release_capacity(piece.len()).expect("the window opens");
+            bytes.extend_from_slice(&piece);
+        }
+        if status != StatusCode::OK {
+            return Reply { status, records: Vec::new() };
+        }
+        let answer = bincode::serde::decode_from_slice(&bytes, standard());
+        let (answer, _): (LogAnswer, usize) = answer.expect("records");
+        Reply { status, records: answer.records }
+    }
+}
+
+async fn open_askers(reader: &DaemonProcess) -> Vec<Asker> {
+    let address = reader.address("peers").await;
+    let mut askers = Vec::new();
+    for _ in 0..ASKERS {
+        askers.push(Asker::open(address).await);
+    }
+    askers
+}
+
+/// All ask at the same moment.
+async fn ask_all(askers: Vec<Asker>, from: LogOffset) -> (Vec<Asker>, Vec<Reply>) {
+    let ask = |asker: Asker| async move {
+        let reply = asker.ask(from).await;
+        (asker, reply)
+    };
+    let asking: Vec<_> = askers.into_iter().map(|asker| tokio::spawn(ask(asker))).collect();
+    let (mut askers, mut replies) = (Vec::new(), Vec::new());
+    for asked in asking {
+        let (asker, reply) = asked.await.expect("it has asked");
+        askers.push(asker);
+        replies.push(reply);
+    }
+    (askers, replies)
+}
+
+async fn until_given(asker: &Asker, from: LogOffset) {
+    for _ in 0..MOST_LOOKS {
+        if asker.ask(from).await.status == StatusCode::OK {
+            return;
+        }
+        sleep(LOOK_PACE).await;
+    }
+    panic!("in vain: the reader hands on from {from}");
+}
+
+fn knows(daemon: &DaemonProcess, version: u64) -> bool {
+    let version = version.to_string();
+    daemon.events("config_accepted").iter().any(|line| line["version"] == version.as_str())
+}
+
+fn large_config() -> ConfigText {
+    let mut config = first_config();
+    config.version = 2;
+    let more = (0..MANY_ROUTES).map(|number| format!("/more-{number}/"));
+    config.routes.extend(more.map(|prefix| ConfigText::route(&prefix, "idempotent", "desk")));
+    config
+}
+
+/// Answers to callers stop for seconds at the hosts that read the store, and servers cannot be reached.
+/// Operators write a large configuration; a reader gives it to 14 hosts in the same moment, which fills its
+/// link, so that no connection, keep-alive or answer gets through beside it.
+/// A reader keeps what it hands on to a share of its link and says at once to whom it gives nothing; what
+/// is small is given as before, over the same links.
+#[tokio::test]
+async fn a_large_configuration_does_not_fill_a_readers_link() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    // Alone in its zone and with no few hosts: it reads the store, and keeps what it reads for others.
+    let changes = json!({"zone": "south", "few_hosts": 0, "link_mbps": LINK_MBPS});
+    let reader = DaemonProcess::start_with(deployment.store.address, &changes);
+    let askers = open_askers(&reader).await;
+    until_given(&askers[0], FIRST_READ).await;
+    let mut config = large_config();
+    deployment.store.put_config(&config);
+    until("the reader has it", || knows(&reader, 2)).await;
+    let (askers, replies) = ask_all(askers, FIRST_READ).await;
+    let handed_on: usize = replies.iter().flat_map(|reply| &reply.records).map(Vec::len).sum();
+    assert!(handed_on <= QUARTER_BYTES, "{handed_on} bytes at once");
+    for reply in &replies {
+        let is_told = [StatusCode::OK, StatusCode::TOO_MANY_REQUESTS].contains(&reply.status);
+        assert!(is_told, "{}", reply.status);
+    }
+    config = first_config();
+    config.version = 3;
+    deployment.store.put_config(&config);
+    until("the reader has the next", || knows(&reader, 3)).await;
+    let (_askers, replies) = ask_all(askers, LogOffset(FIRST_READ.0 + 1)).await;
+    for reply in &replies {
+        assert_eq!((reply.status, reply.records.len()), (StatusCode::OK, 1), "a small one");
+    }
+}
--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -27,8 +27,8 @@
 use tokio::time::sleep;
 
 /// Waits are bounded by so many looks; how long one takes is of no matter.
-const MOST_LOOKS: usize = 600;
-const LOOK_PACE: Duration = Duration::from_millis(20);
+pub(crate) const MOST_LOOKS: usize = 600;
+pub(crate) const LOOK_PACE: Duration = Duration::from_millis(20);
 
 static STARTED: AtomicUsize = AtomicUsize::new(0);
 
@@ -47,13 +47,18 @@
 
     /// Starts one that reads the store by others if its zone has more hosts than this.
     pub(crate) fn start_among(store: SocketAddr, zone: &str, few_hosts: usize) -> DaemonProcess {
+        DaemonProcess::start_with(store, &json!({"zone": zone, "few_hosts": few_hosts}))
+    }
+
+    /// Starts one with these settings beside or in place of the usual ones.
+    pub(crate) fn start_with(store: SocketAddr, changes: &Value) -> DaemonProcess {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("entry-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for the settings");
         let file = folder.join("settings.json");
         let free = "127.0.0.1:0";
-        let settings = json!({
-            "host": format!("host-{number}"), "zone": zone, "store": store, "few_hosts": few_hosts,
+        let mut settings = json!({
+            "host": format!("host-{number}"), "zone": "north", "store": store,
             "callers": free, "readiness": free, "metrics": free, "peers": free,
             "bounds": {
                 "key_revoke_ms": 3_000, "stop_grace_s": 8.0, "lease_ms": 3_000,
@@ -61,6 +66,9 @@
                 "repeat_window_s": 10.0,
             },
         });
+        for (name, value) in changes.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
         fs::write(&file, settings.to_string()).expect("settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_fulmargate-entry"))
             .arg("--settings")
