What a reader hands on keeps to a quarter of its link

Cause: a host that reads the store for its zone answers all its askers in the moment when it has new records. A configuration of 397 KB goes to 14 hosts at once, 5.6 MB, and its link of 10 Mbit/s carries nothing else for seconds: connections to servers are not to be had, and the asks themselves run out of time, so that hosts then read the store.

Ruled out: that other hosts' links are filled, too (of 137 connections not to be had in time within three seconds, all but three were missing at the six readers); sending slowly (400 KB at a quarter of the link take 1.3 s for one asker, and 14 wait); handing on a large one whenever the budget owes nothing (a third of a second of the link for one host's call).

Change: a budget of bytes, a quarter of the link over time, 0.05 s of it at once and as much lent to small answers. Who gets nothing is told at once with a status of its own, 429, and reads the store at once; the reader is not taken for failed and the link to it stays. Older routers take 429 for 'not there', as before. A host whose last read of the store failed says so in a header and gets a large one in its turn: without that it kept the old configuration for good (seen in the test, which fails when the header is left out).

Under test: 5,558,028 bytes at once before, none after, and a small configuration still reaches all 14.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision. `docs/design/platform.md` says why it is built in this way.
 
 mod admission;
+mod asker_store;
 mod backlog;
 mod boot_time;
 mod call_facts;
@@ -19,6 +20,7 @@
 mod fading_mean;
 mod fleet_fold;
 mod fleet_record;
+mod hand_on_budget;
 mod lease_desk;
 mod link_meter;
 mod log_cache;
@@ -46,6 +48,7 @@
 mod weights_table;
 mod work_order;
 
+pub use asker_store::AskerStore;
 pub use backlog::Backlog;
 pub use backlog::Urgency;
 pub use boot_time::BootTime;
@@ -72,6 +75,7 @@
 pub use fleet_fold::FleetFold;
 pub use fleet_fold::HeldLease;
 pub use fleet_record::FleetRecord;
+pub use hand_on_budget::HandOnBudget;
 pub use lease_desk::LeaseDesk;
 pub use lease_desk::LeaseStep;
 pub use log_cache::LogAnswer;
--- a/crates/dispatch/src/log_cache.rs
+++ b/crates/dispatch/src/log_cache.rs
@@ -43,6 +43,11 @@
 }
 
 impl LogAnswer {
+    /// Bytes of the records.
+    pub fn bytes(&self) -> usize {
+        self.records.iter().map(Vec::len).sum()
+    }
+
     /// Since when the asker may take the records for all that there were. The way of question and
     /// answer counts as age, since it is not known; the wait in between does not: counted as age too,
     /// it took proofs of 3.6 s for 4.8 s, and a bound of 5 s on taken keys was hardly kept.
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -74,7 +74,7 @@
             let pages = serve_pages(self.state.clone(), self.stop.clone(), readiness, metrics)
                 .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
             actix_rt::spawn(pages);
-            let shelf = Rc::new(LogShelf::default());
+            let shelf = Rc::new(LogShelf::new(self.state.settings.link_bytes_per_s()));
             let listener = PeerListener::new(self.state.clone(), shelf.clone(), peers)
                 .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
             spawn_until(&self.stop.ended, listener.run());
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -21,6 +21,12 @@
 /// Bytes of a message's length, which goes before it.
 pub(crate) const LENGTH_BYTES: usize = 4;
 
+/// Header of a question for records: the asker's last read of the store failed. A router that does not
+/// know it leaves it out of account.
+pub(crate) const STORE_HEADER: &str = "fulmargate-store";
+/// Its only value.
+pub(crate) const STORE_OUT: &str = "out-of-reach";
+
 /// A question for records, or its answer.
 pub(crate) fn encode_plain<T: Serialize>(value: &T) -> Result<Vec<u8>, EncodeError> {
     bincode::serde::encode_to_vec(value, config::standard())
--- a/crates/entry/src/control/log_shelf.rs
+++ b/crates/entry/src/control/log_shelf.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::HandOnBudget;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
 use fulmargate_dispatch::LogQuestion;
@@ -22,13 +24,33 @@
 const LEAST_AGE: Duration = Duration::from_millis(1_200);
 
 /// The topics that this router reads, kept for those that ask.
-#[derive(Default)]
 pub(crate) struct LogShelf {
     caches: RefCell<IndexMap<LogTopic, LogCache>>,
     changed: Notify,
+    budget: RefCell<HandOnBudget>,
+}
+
+/// What another router is told that asks for records.
+pub(crate) enum ShelfReply {
+    /// The records.
+    Records(LogAnswer),
+    /// They are here and may not go now: the asker reads the store, and asks here again afterwards.
+    OverBudget,
+    /// They are not here, or are too old: the asker turns to another router for a while.
+    NotThere,
 }
 
 impl LogShelf {
+    /// An empty shelf on a host whose link carries so much.
+    pub(crate) fn new(link_bytes_per_s: f64) -> LogShelf {
+        let budget = HandOnBudget::new(link_bytes_per_s, Instant::now());
+        LogShelf {
+            caches: RefCell::default(),
+            changed: Notify::new(),
+            budget: RefCell::new(budget),
+        }
+    }
+
     /// Keeps what the store has given from an offset on, and when the read was sent that proved it.
     pub(crate) fn put(
         &self,
@@ -48,18 +70,20 @@
     }
 
     /// Answers another router, as soon as there is a record or a newer proof, or its wait is over. A
-    /// host that does not read itself says so at once.
-    pub(crate) async fn answer(&self, question: LogQuestion) -> Option<LogAnswer> {
+    /// host that does not read itself says so at once, and so does one that may not hand on so much now.
+    pub(crate) async fn answer(&self, question: LogQuestion, store: AskerStore) -> ShelfReply {
         let arrived = boot_now();
         let longest = longest_age(question);
         let until = Instant::now() + Duration::from_millis(question.wait_ms);
         let known = self.proven(question.topic);
         loop {
             let changed = self.changed.notified();
-            let answer = self.now(question, arrived, longest)?;
+            let Some(answer) = self.now(question, arrived, longest) else {
+                return ShelfReply::NotThere;
+            };
             let is_news = !answer.records.is_empty() || self.proven(question.topic) != known;
             if is_news || until <= Instant::now() {
-                return Some(answer);
+                return self.within_budget(answer, store);
             }
             // A proof that gets too old during the wait is no answer: this host has lost the store, and
             // the asker has to read for itself while there is time.
@@ -69,6 +93,14 @@
         }
     }
 
+    fn within_budget(&self, answer: LogAnswer, store: AskerStore) -> ShelfReply {
+        let mut budget = self.budget.borrow_mut();
+        match budget.try_take(answer.bytes(), store, Instant::now()) {
+            true => ShelfReply::Records(answer),
+            false => ShelfReply::OverBudget,
+        }
+    }
+
     fn now(
         &self,
         question: LogQuestion,
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -1,5 +1,6 @@
 //! Records of the store, from the store itself or from a router that reads it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogQuestion;
@@ -30,6 +32,8 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::control::fleet_codec::STORE_HEADER;
+use crate::control::fleet_codec::STORE_OUT;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
 use crate::control::fleet_desk::SharedFold;
@@ -88,6 +92,17 @@
     TimedOut,
     #[display("it has not got them")]
     NotThere,
+    #[display("its link has no room for them")]
+    OverBudget,
+}
+
+impl AskFault {
+    /// The router is well and answers what comes next. Taken for one that has failed it would be left
+    /// alone for seconds, and so would the other reader, which refuses the same records: all askers of
+    /// the zone would read each topic from the store meanwhile.
+    fn is_refusal(&self) -> bool {
+        matches!(self, AskFault::OverBudget)
+    }
 }
 
 struct AskLink {
@@ -106,6 +121,8 @@
     link: Rc<RefCell<Option<AskLink>>>,
     /// Readers that gave no answer, and when.
     failed: Rc<RefCell<IndexMap<HostName, Instant>>>,
+    /// As of this host's last read of the store, which may be long ago: it reads there when it is refused.
+    store: Rc<Cell<AskerStore>>,
 }
 
 impl LogSource {
@@ -116,7 +133,15 @@
         fold: SharedFold,
         shelf: Rc<LogShelf>,
     ) -> LogSource {
-        LogSource { state, client, fold, shelf, link: Rc::default(), failed: Rc::default() }
+        LogSource {
+            state,
+            client,
+            fold,
+            shelf,
+            link: Rc::default(),
+            failed: Rc::default(),
+            store: Rc::new(Cell::new(AskerStore::InReach)),
+        }
     }
 
     /// The store's client, for what only the store can tell.
@@ -171,7 +196,9 @@
                 }
                 Err(fault) => {
                     tracing::debug!("{reader} gave no records, the store is read: {fault}");
-                    self.failed.borrow_mut().insert(reader, Instant::now());
+                    if !fault.is_refusal() {
+                        self.failed.borrow_mut().insert(reader, Instant::now());
+                    }
                 }
             }
         }
@@ -187,7 +214,12 @@
         allowance: Duration,
     ) -> Result<ProvenPage, StoreError> {
         let sent = boot_now();
-        let page = self.client.read(topic, from, wait, wait + allowance).await?;
+        let result = self.client.read(topic, from, wait, wait + allowance).await;
+        self.store.set(match &result {
+            Ok(_) | Err(StoreError::Deleted { .. }) => AskerStore::InReach,
+            Err(_) => AskerStore::OutOfReach,
+        });
+        let page = result?;
         metrics::counter!("fulmargate_log_reads_total", "source" => "store").increment(1);
         let next = LogOffset(from.0 + page.records.len() as u64);
         let is_all = page.end <= next;
@@ -223,7 +255,7 @@
         let longest = Duration::from_millis(question.wait_ms) + ASK_ALLOWANCE;
         let asking = timeout(longest, self.ask_on_link(address, question)).await;
         let result = asking.unwrap_or(Err(AskFault::TimedOut));
-        if result.is_err() {
+        if result.as_ref().is_err_and(|fault| !fault.is_refusal()) {
             // A link that has fallen silent gives no answer; the next question opens another.
             self.link.borrow_mut().take();
         }
@@ -251,12 +283,18 @@
             }
         };
         let mut client = client.ready().await?;
-        let request = Request::post(format!("http://{address}/log")).body(());
+        let mut request = Request::post(format!("http://{address}/log"));
+        if self.store.get() == AskerStore::OutOfReach {
+            request = request.header(STORE_HEADER, STORE_OUT);
+        }
+        let request = request.body(());
         let (answer, mut body) = client.send_request(request.unwrap_or_default(), false)?;
         body.send_data(Bytes::from(encode_plain(&question)?), true)?;
         let answer = answer.await?;
-        if answer.status() != StatusCode::OK {
-            return Err(AskFault::NotThere);
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::TOO_MANY_REQUESTS => return Err(AskFault::OverBudget),
+            _ => return Err(AskFault::NotThere),
         }
         let mut body = answer.into_body();
         let mut bytes = Vec::new();
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::PeerNews;
 use fulmargate_names::EventKind;
 use h2::RecvStream;
 use h2::server::SendResponse;
+use http::Request;
 use http::Response;
 use http::StatusCode;
 use tokio::net::TcpListener;
@@ -20,10 +22,12 @@
 use tokio::time::sleep;
 
 use crate::control::fleet_codec::LENGTH_BYTES;
+use crate::control::fleet_codec::STORE_HEADER;
 use crate::control::fleet_codec::decode_news;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
 use crate::control::log_shelf::LogShelf;
+use crate::control::log_shelf::ShelfReply;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -85,7 +89,7 @@
         match next {
             // The connection is driven by this loop, so that messages are heard beside it.
             Ok((request, respond)) if request.uri().path() == "/log" => {
-                actix_rt::spawn(answer_question(shelf.clone(), request.into_body(), respond));
+                actix_rt::spawn(answer_question(shelf.clone(), request, respond));
             }
             Ok((request, respond)) => {
                 actix_rt::spawn(hear(state.clone(), request.into_body(), respond));
@@ -98,12 +102,17 @@
     }
 }
 
-/// Records for a router that does not read the store. Without them it is told so and reads itself.
+/// Records for a router that does not read the store. Without them it is told why and reads itself.
 async fn answer_question(
     shelf: Rc<LogShelf>,
-    mut body: RecvStream,
+    request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) {
+    let store = match request.headers().contains_key(STORE_HEADER) {
+        true => AskerStore::OutOfReach,
+        false => AskerStore::InReach,
+    };
+    let mut body = request.into_body();
     let mut bytes = Vec::new();
     while let Some(Ok(piece)) = body.data().await {
         bytes.extend_from_slice(&piece);
@@ -111,19 +120,27 @@
             return;
         }
     }
-    let answer = match decode_plain::<LogQuestion>(&bytes) {
-        Ok(question) => shelf.answer(question).await,
+    let reply = match decode_plain::<LogQuestion>(&bytes) {
+        Ok(question) => shelf.answer(question, store).await,
         Err(err) => {
             let kind = EventKind::PeerUnreadable;
             tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
-            None
+            ShelfReply::NotThere
         }
     };
-    let encoded = answer.and_then(|answer| encode_plain(&answer).ok());
+    let (status, encoded) = match reply {
+        ShelfReply::Records(answer) => match encode_plain(&answer) {
+            Ok(encoded) => (StatusCode::OK, Some(encoded)),
+            Err(err) => {
+                tracing::error!("records cannot be handed on: {err}");
+                (StatusCode::SERVICE_UNAVAILABLE, None)
+            }
+        },
+        ShelfReply::OverBudget => (StatusCode::TOO_MANY_REQUESTS, None),
+        ShelfReply::NotThere => (StatusCode::SERVICE_UNAVAILABLE, None),
+    };
     let mut head = Response::new(());
-    if encoded.is_none() {
-        *head.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
+    *head.status_mut() = status;
     let sent = respond.send_response(head, encoded.is_none());
     let sent = sent.and_then(|mut stream| match encoded {
         Some(encoded) => stream.send_data(Bytes::from(encoded), true),
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -166,7 +166,7 @@
 
 /// Which daemons go on asking others, once so many do. While they meet, one that has not heard of all
 /// asks the wrong ones for a moment, so that only those count that asked in the last second.
-async fn settled_askers(daemons: &[DaemonProcess], expected: usize) -> Vec<bool> {
+pub(crate) async fn settled_askers(daemons: &[DaemonProcess], expected: usize) -> Vec<bool> {
     let mut asks = Vec::new();
     let mut before = vec![0; daemons.len()];
     for _ in 0..20 {
--- a/crates/entry/tests/daemon/handing_on.rs
+++ b/crates/entry/tests/daemon/handing_on.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fulmargate_consortium_stand::ConfigText;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
@@ -17,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::configuration::settled_askers;
+use crate::store_way::StoreWay;
 use crate::support::DaemonProcess;
 use crate::support::LOOK_PACE;
 use crate::support::MOST_LOOKS;
@@ -34,6 +37,8 @@
 /// Records of operators' topic before a reader starts: the first configuration.
 const FIRST_READ: LogOffset = LogOffset(1);
 
+const IN_REACH: AskerStore = AskerStore::InReach;
+
 /// What a reader says to a question.
 struct Reply {
     status: StatusCode,
@@ -54,12 +59,15 @@
         Asker { address, client }
     }
 
-    async fn ask(&self, from: LogOffset) -> Reply {
+    async fn ask(&self, from: LogOffset, store: AskerStore) -> Reply {
         let question = LogQuestion { topic: LogTopic::Operator, from, wait_ms: 2_000 };
         let question = bincode::serde::encode_to_vec(question, standard()).expect("a question");
         let mut client = self.client.clone().ready().await.expect("the link stands");
-        let request = Request::post(format!("http://{}/log", self.address)).body(());
-        let request = request.expect("a request");
+        let mut request = Request::post(format!("http://{}/log", self.address));
+        if store == AskerStore::OutOfReach {
+            request = request.header("fulmargate-store", "out-of-reach");
+        }
+        let request = request.body(()).expect("a request");
         let (answer, mut body) = client.send_request(request, false).expect("it is sent");
         body.send_data(Bytes::from(question), true).expect("it is sent whole");
         let answer = answer.await.expect("an answer");
@@ -90,9 +98,13 @@
 }
 
 /// All ask at the same moment.
-async fn ask_all(askers: Vec<Asker>, from: LogOffset) -> (Vec<Asker>, Vec<Reply>) {
+async fn ask_all(
+    askers: Vec<Asker>,
+    from: LogOffset,
+    store: AskerStore,
+) -> (Vec<Asker>, Vec<Reply>) {
     let ask = |asker: Asker| async move {
-        let reply = asker.ask(from).await;
+        let reply = asker.ask(from, store).await;
         (asker, reply)
     };
     let asking: Vec<_> = askers.into_iter().map(|asker| tokio::spawn(ask(asker))).collect();
@@ -105,9 +117,9 @@
     (askers, replies)
 }
 
-async fn until_given(asker: &Asker, from: LogOffset) {
+async fn until_given(asker: &Asker, from: LogOffset, store: AskerStore) {
     for _ in 0..MOST_LOOKS {
-        if asker.ask(from).await.status == StatusCode::OK {
+        if asker.ask(from, store).await.status == StatusCode::OK {
             return;
         }
         sleep(LOOK_PACE).await;
@@ -140,11 +152,11 @@
     let changes = json!({"zone": "south", "few_hosts": 0, "link_mbps": LINK_MBPS});
     let reader = DaemonProcess::start_with(deployment.store.address, &changes);
     let askers = open_askers(&reader).await;
-    until_given(&askers[0], FIRST_READ).await;
+    until_given(&askers[0], FIRST_READ, IN_REACH).await;
     let mut config = large_config();
     deployment.store.put_config(&config);
     until("the reader has it", || knows(&reader, 2)).await;
-    let (askers, replies) = ask_all(askers, FIRST_READ).await;
+    let (askers, replies) = ask_all(askers, FIRST_READ, IN_REACH).await;
     let handed_on: usize = replies.iter().flat_map(|reply| &reply.records).map(Vec::len).sum();
     assert!(handed_on <= QUARTER_BYTES, "{handed_on} bytes at once");
     for reply in &replies {
@@ -155,8 +167,54 @@
     config.version = 3;
     deployment.store.put_config(&config);
     until("the reader has the next", || knows(&reader, 3)).await;
-    let (_askers, replies) = ask_all(askers, LogOffset(FIRST_READ.0 + 1)).await;
+    let (_askers, replies) = ask_all(askers, LogOffset(FIRST_READ.0 + 1), IN_REACH).await;
     for reply in &replies {
         assert_eq!((reply.status, reply.records.len()), (StatusCode::OK, 1), "a small one");
     }
 }
+
+/// A host that lost the store goes on with an old configuration, and then refuses all keys.
+/// Its reader has a new one that is larger than what may go at once, and refuses it each time. An asker that
+/// says that the store is out of its reach gets it, one at a time; the others come when that is made up for.
+#[tokio::test]
+async fn a_host_without_the_store_gets_a_large_configuration() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let changes = json!({"zone": "south", "few_hosts": 0, "link_mbps": LINK_MBPS});
+    let reader = DaemonProcess::start_with(deployment.store.address, &changes);
+    let askers = open_askers(&reader).await;
+    until_given(&askers[0], FIRST_READ, IN_REACH).await;
+    deployment.store.put_config(&large_config());
+    until("the reader has it", || knows(&reader, 2)).await;
+    let (askers, replies) = ask_all(askers, FIRST_READ, AskerStore::OutOfReach).await;
+    let is_given = |reply: &&Reply| reply.status == StatusCode::OK;
+    let given: Vec<&Reply> = replies.iter().filter(is_given).collect();
+    assert_eq!(given.len(), 1, "one at a time");
+    assert_eq!(given[0].records.len(), 1);
+    until_given(&askers[1], FIRST_READ, AskerStore::OutOfReach).await;
+}
+
+/// Keys are refused at a host that lost the store while its zone's readers have it.
+/// The operators write a large configuration meanwhile; its readers may not hand so much on, and it cannot
+/// read it itself. It says so to them, gets it, and goes on to prove its configuration.
+#[tokio::test]
+async fn a_host_that_lost_the_store_follows_its_readers() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let mut daemons = Vec::new();
+    let mut ways = Vec::new();
+    for _ in 0..3 {
+        let way = StoreWay::open(deployment.store.address).await;
+        let changes = json!({"zone": "south", "few_hosts": 2, "link_mbps": LINK_MBPS});
+        daemons.push(DaemonProcess::start_with(way.address, &changes));
+        ways.push(way);
+    }
+    let asks = settled_askers(&daemons, 1).await;
+    let asker = asks.iter().position(|asks| *asks).expect("one asks");
+    ways[asker].cut();
+    let mut config = large_config();
+    deployment.store.put_config(&config);
+    until("the asker has it", || knows(&daemons[asker], 2)).await;
+    config = first_config();
+    config.version = 3;
+    deployment.store.put_config(&config);
+    until("the asker has the next", || knows(&daemons[asker], 3)).await;
+}
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod handing_on;
 mod requests;
 mod stops;
+mod store_way;
 mod streams;
 mod support;
 mod waiting;
