What readers hand on is counted, and each refusal has a line

Sight for the change before: bytes handed on and refusals by topic on the metrics page, and the event 4104, `hand_on_refused`, with the asker, the topic, the records' first offset, their bytes and what may still go; bounded like the other lines.

No behaviour changes.

--- a/crates/entry/src/control/log_shelf.rs
+++ b/crates/entry/src/control/log_shelf.rs
@@ -35,7 +35,12 @@
     /// The records.
     Records(LogAnswer),
     /// They are here and may not go now: the asker reads the store, and asks here again afterwards.
-    OverBudget,
+    OverBudget {
+        /// Bytes of the records.
+        bytes: usize,
+        /// Bytes that may go now.
+        left: i64,
+    },
     /// They are not here, or are too old: the asker turns to another router for a while.
     NotThere,
 }
@@ -95,9 +100,10 @@
 
     fn within_budget(&self, answer: LogAnswer, store: AskerStore) -> ShelfReply {
         let mut budget = self.budget.borrow_mut();
-        match budget.try_take(answer.bytes(), store, Instant::now()) {
+        let bytes = answer.bytes();
+        match budget.try_take(bytes, store, Instant::now()) {
             true => ShelfReply::Records(answer),
-            false => ShelfReply::OverBudget,
+            false => ShelfReply::OverBudget { bytes, left: budget.left() },
         }
     }
 
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -1,6 +1,7 @@
 //! Hears the other routers.
 
 use std::io;
+use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,6 +32,9 @@
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::count_given;
+use crate::telemetry::count_refused;
+use crate::telemetry::topic_label;
 
 /// A link whose other end fell silent is dropped after some of these.
 const SILENT_PEER: Duration = Duration::from_secs(5);
@@ -78,6 +82,7 @@
     if let Err(err) = watch_peer(&stream, SILENT_PEER) {
         tracing::debug!("a link cannot be watched: {err}");
     }
+    let asker = stream.peer_addr().ok();
     let mut connection = match h2::server::handshake(stream).await {
         Ok(connection) => connection,
         Err(err) => {
@@ -89,7 +94,8 @@
         match next {
             // The connection is driven by this loop, so that messages are heard beside it.
             Ok((request, respond)) if request.uri().path() == "/log" => {
-                actix_rt::spawn(answer_question(shelf.clone(), request, respond));
+                let (state, shelf) = (state.clone(), shelf.clone());
+                actix_rt::spawn(answer_question(state, shelf, asker, request, respond));
             }
             Ok((request, respond)) => {
                 actix_rt::spawn(hear(state.clone(), request.into_body(), respond));
@@ -104,7 +110,9 @@
 
 /// Records for a router that does not read the store. Without them it is told why and reads itself.
 async fn answer_question(
+    state: Arc<SharedState>,
     shelf: Rc<LogShelf>,
+    asker: Option<SocketAddr>,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) {
@@ -120,25 +128,18 @@
             return;
         }
     }
-    let reply = match decode_plain::<LogQuestion>(&bytes) {
-        Ok(question) => shelf.answer(question, store).await,
+    let (status, encoded) = match decode_plain::<LogQuestion>(&bytes) {
+        Ok(question) => {
+            let reply = shelf.answer(question, store).await;
+            note_reply(&state, &question, &reply, asker);
+            encode_reply(reply)
+        }
         Err(err) => {
             let kind = EventKind::PeerUnreadable;
             tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
-            ShelfReply::NotThere
+            (StatusCode::SERVICE_UNAVAILABLE, None)
         }
     };
-    let (status, encoded) = match reply {
-        ShelfReply::Records(answer) => match encode_plain(&answer) {
-            Ok(encoded) => (StatusCode::OK, Some(encoded)),
-            Err(err) => {
-                tracing::error!("records cannot be handed on: {err}");
-                (StatusCode::SERVICE_UNAVAILABLE, None)
-            }
-        },
-        ShelfReply::OverBudget => (StatusCode::TOO_MANY_REQUESTS, None),
-        ShelfReply::NotThere => (StatusCode::SERVICE_UNAVAILABLE, None),
-    };
     let mut head = Response::new(());
     *head.status_mut() = status;
     let sent = respond.send_response(head, encoded.is_none());
@@ -151,6 +152,48 @@
     }
 }
 
+fn encode_reply(reply: ShelfReply) -> (StatusCode, Option<Vec<u8>>) {
+    match reply {
+        ShelfReply::Records(answer) => match encode_plain(&answer) {
+            Ok(encoded) => (StatusCode::OK, Some(encoded)),
+            Err(err) => {
+                tracing::error!("records cannot be handed on: {err}");
+                (StatusCode::SERVICE_UNAVAILABLE, None)
+            }
+        },
+        ShelfReply::OverBudget { .. } => (StatusCode::TOO_MANY_REQUESTS, None),
+        ShelfReply::NotThere => (StatusCode::SERVICE_UNAVAILABLE, None),
+    }
+}
+
+fn note_reply(
+    state: &SharedState,
+    question: &LogQuestion,
+    reply: &ShelfReply,
+    asker: Option<SocketAddr>,
+) {
+    match reply {
+        ShelfReply::Records(answer) => count_given(question.topic, answer.bytes()),
+        ShelfReply::OverBudget { bytes, left } => {
+            count_refused(question.topic);
+            let kind = EventKind::HandOnRefused;
+            if !state.lines.allows(kind, Instant::now()) {
+                return;
+            }
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                asker = asker.map(|asker| asker.to_string()),
+                topic = topic_label(question.topic),
+                from = %question.from,
+                bytes,
+                left_bytes = left,
+            );
+        }
+        ShelfReply::NotThere => {}
+    }
+}
+
 async fn hear(
     state: Arc<SharedState>,
     mut body: RecvStream,
--- a/crates/entry/src/telemetry/metric_book.rs
+++ b/crates/entry/src/telemetry/metric_book.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RouteKind;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -32,6 +33,27 @@
     metrics::counter!("fulmargate_sends_total", "reason" => reason).increment(1);
 }
 
+/// Records went to another router that asked for them.
+pub(crate) fn count_given(topic: LogTopic, bytes: usize) {
+    let topic = topic_label(topic);
+    metrics::counter!("fulmargate_handed_on_bytes_total", "topic" => topic).increment(bytes as u64);
+}
+
+/// Another router that asked for records was sent to the store for want of room on this host's link.
+pub(crate) fn count_refused(topic: LogTopic) {
+    metrics::counter!("fulmargate_hand_on_refusals_total", "topic" => topic_label(topic))
+        .increment(1);
+}
+
+/// A topic's name in labels and log lines.
+pub(crate) fn topic_label(topic: LogTopic) -> &'static str {
+    match topic {
+        LogTopic::Operator => "operator",
+        LogTopic::Servers => "servers",
+        LogTopic::Fleet => "fleet",
+    }
+}
+
 /// A prompt waited so long for an engine, and got one, was refused, or had none to wait for.
 pub(crate) fn record_wait(outcome: &'static str, took: Duration) {
     metrics::histogram!("fulmargate_wait_seconds", "outcome" => outcome).record(took.as_secs_f64());
--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -157,11 +157,7 @@
 
 /// How often a daemon has asked other routers for records.
 async fn asked(daemon: &DaemonProcess) -> u64 {
-    let metrics = daemon.address("metrics").await;
-    let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
-    let counter = "fulmargate_log_reads_total{source=\"router\"} ";
-    let line = page.body.lines().find_map(|line| line.strip_prefix(counter));
-    line.map_or(0, |count| count.parse().expect("a count"))
+    daemon.counter("fulmargate_log_reads_total{source=\"router\"}").await
 }
 
 /// Which daemons go on asking others, once so many do. While they meet, one that has not heard of all
--- a/crates/entry/tests/daemon/handing_on.rs
+++ b/crates/entry/tests/daemon/handing_on.rs
@@ -37,6 +37,9 @@
 /// Records of operators' topic before a reader starts: the first configuration.
 const FIRST_READ: LogOffset = LogOffset(1);
 
+/// What a reader has refused and given of operators' records.
+const REFUSALS: &str = "fulmargate_hand_on_refusals_total{topic=\"operator\"}";
+const GIVEN_BYTES: &str = "fulmargate_handed_on_bytes_total{topic=\"operator\"}";
 const IN_REACH: AskerStore = AskerStore::InReach;
 
 /// What a reader says to a question.
@@ -163,6 +166,8 @@
         let is_told = [StatusCode::OK, StatusCode::TOO_MANY_REQUESTS].contains(&reply.status);
         assert!(is_told, "{}", reply.status);
     }
+    assert_eq!(reader.events("hand_on_refused").len(), ASKERS, "each refusal has its line");
+    assert_eq!(reader.counter(REFUSALS).await, ASKERS as u64);
     config = first_config();
     config.version = 3;
     deployment.store.put_config(&config);
@@ -171,6 +176,9 @@
     for reply in &replies {
         assert_eq!((reply.status, reply.records.len()), (StatusCode::OK, 1), "a small one");
     }
+    let small: usize = replies.iter().flat_map(|reply| &reply.records).map(Vec::len).sum();
+    assert_eq!(reader.counter(GIVEN_BYTES).await, small as u64);
+    assert_eq!(reader.counter(REFUSALS).await, ASKERS as u64, "no more than before");
 }
 
 /// A host that lost the store goes on with an old configuration, and then refuses all keys.
@@ -218,3 +226,35 @@
     deployment.store.put_config(&config);
     until("the asker has the next", || knows(&daemons[asker], 3)).await;
 }
+
+/// All hosts of a zone read every topic from the store for seconds, for one record that was too large.
+/// Their reader refuses it; taken for one that has failed it is left alone, and the other reader refuses the
+/// next one. A host that was refused asks its reader again for what follows.
+#[tokio::test]
+async fn a_host_that_was_refused_asks_its_reader_again() {
+    const WRITTEN: u64 = 6;
+    // So narrow that no configuration may go.
+    let changes = json!({"zone": "south", "few_hosts": 2, "link_mbps": 0.02});
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let start = |_| DaemonProcess::start_with(deployment.store.address, &changes);
+    let daemons: Vec<DaemonProcess> = (0..3).map(start).collect();
+    let asks = settled_askers(&daemons, 1).await;
+    let asker = asks.iter().position(|asks| *asks).expect("one asks");
+    let mut refused = [0, 0, 0];
+    for (daemon, count) in daemons.iter().zip(&mut refused) {
+        *count = daemon.counter(REFUSALS).await;
+    }
+    for version in 2..2 + WRITTEN {
+        let mut config = first_config();
+        config.version = version;
+        deployment.store.put_config(&config);
+        until("the asker has it", || knows(&daemons[asker], version)).await;
+    }
+    for (daemon, count) in daemons.iter().zip(&mut refused) {
+        *count = daemon.counter(REFUSALS).await - *count;
+    }
+    // Left alone after each refusal, the two readers would be asked once each. On a busy machine an
+    // answer may come too late now and then.
+    let total: u64 = refused.iter().sum();
+    assert!(WRITTEN - 2 <= total, "{refused:?}");
+}
--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -101,6 +101,14 @@
         text.parse().expect("an address")
     }
 
+    /// A counter of its metrics, by name and labels; zero if it has not counted yet.
+    pub(crate) async fn counter(&self, name: &str) -> u64 {
+        let metrics = self.address("metrics").await;
+        let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
+        let line = page.body.lines().find_map(|line| line.strip_prefix(name));
+        line.map_or(0, |count| count.trim().parse().expect("a count"))
+    }
+
     /// Sends a signal by name.
     pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -78,6 +78,8 @@
     LogBack = 4102,
     /// Records were lost to retention before they were read.
     LogTruncated = 4103,
+    /// Records were not handed on to another router: its share of the link was used up.
+    HandOnRefused = 4104,
     /// A claim was lost to an earlier one.
     ClaimLost = 4201,
     /// A peer was met.
@@ -171,6 +173,7 @@
     LogOut => "log_out",
     LogBack => "log_back",
     LogTruncated => "log_truncated",
+    HandOnRefused => "hand_on_refused",
     ClaimLost => "claim_lost",
     PeerUp => "peer_up",
     PeerSuspected => "peer_suspected",
