Routers tell each other what their links carry

A word carries it behind the message: an earlier version reads its message and leaves the rest, and its own words, without it, are read as before.

Ruled out: a record of the routers' topic, which is kept for 20 s only, so that a host that starts later would never know the others' links and ask hosts that do not read; a field of the message itself, which the later version would miss in the earlier one's words, and close the link.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -47,6 +47,7 @@
 mod wait_line;
 mod weights_table;
 mod work_order;
+mod zone_peer;
 
 pub use asker_store::AskerStore;
 pub use backlog::Backlog;
@@ -131,3 +132,4 @@
 pub use wait_line::WaitNumber;
 pub use weights_table::WeightsTable;
 pub use weights_table::WeightsTarget;
+pub use zone_peer::ZonePeer;
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -11,7 +11,9 @@
 
 use crate::Backlog;
 use crate::PeerLoad;
+use crate::PeerNews;
 use crate::ServerKey;
+use crate::ZonePeer;
 use crate::experiment::Mechanism;
 use crate::experiment::is_on;
 
@@ -53,6 +55,7 @@
 struct PeerWord {
     at: Instant,
     zone: Option<ZoneName>,
+    link_kbps: Option<u32>,
     loads: Vec<PeerLoad>,
 }
 
@@ -69,16 +72,15 @@
 
 impl PeerBoard {
     /// A router has spoken.
-    pub fn hear(
-        &mut self,
-        host: &HostName,
-        zone: Option<&ZoneName>,
-        loads: &[PeerLoad],
-        now: Instant,
-    ) {
+    pub fn hear(&mut self, host: &HostName, news: &PeerNews, now: Instant) {
         self.drop_silent(now);
-        let word = PeerWord { at: now, zone: zone.cloned(), loads: loads.to_vec() };
-        for load in loads {
+        let word = PeerWord {
+            at: now,
+            zone: news.zone.clone(),
+            link_kbps: news.link_kbps,
+            loads: news.loads.clone(),
+        };
+        for load in &news.loads {
             self.sums.entry(load.server).or_default().add(load);
         }
         if let Some(old) = self.words.insert(host.clone(), word) {
@@ -104,11 +106,15 @@
     }
 
     /// Those of one availability zone.
-    pub fn zone_hosts(&self, zone: &ZoneName, now: Instant) -> impl Iterator<Item = &HostName> {
+    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> impl Iterator<Item = ZonePeer> {
         let is_there = move |word: &PeerWord| {
             word.zone.as_ref() == Some(zone) && now.saturating_duration_since(word.at) < WORD_AGE
         };
-        self.words.iter().filter(move |(_, word)| is_there(word)).map(|(host, _)| host)
+        let peer = |(host, word): (&HostName, &PeerWord)| ZonePeer {
+            host: host.clone(),
+            link_kbps: word.link_kbps.unwrap_or_default(),
+        };
+        self.words.iter().filter(move |(_, word)| is_there(word)).map(peer)
     }
 
     /// What all of them have at a server.
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -45,6 +45,10 @@
     pub weights: Vec<WeightsAge>,
     /// What engines and the store have said of their caches to the sender.
     pub caches: Vec<CacheNotice>,
+    /// What the sender's link carries, in kbit/s. It goes behind the message, where routers that do not
+    /// know it leave it; of those it is not known.
+    #[serde(skip)]
+    pub link_kbps: Option<u32>,
 }
 
 /// How long ago a version was named.
--- a/crates/dispatch/src/reader_choice.rs
+++ b/crates/dispatch/src/reader_choice.rs
@@ -3,6 +3,8 @@
 use fulmargate_names::HostName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::ZonePeer;
+
 /// Readers of an availability zone: one may fail, and its zone can be cut off from the others.
 const READERS: usize = 2;
 
@@ -17,17 +19,21 @@
 
 /// The source of a host. In a small fleet all read: it costs little and nothing depends on others. In
 /// a large one two hosts of each zone do, drawn by their names, and the others ask one of them.
-pub fn record_source(own: &HostName, zone_peers: &[HostName], few_hosts: usize) -> RecordSource {
-    let mut hosts: Vec<&HostName> = zone_peers.iter().chain([own]).collect();
+pub fn record_source(own: &ZonePeer, zone_peers: &[ZonePeer], few_hosts: usize) -> RecordSource {
+    let mut hosts: Vec<&ZonePeer> = zone_peers.iter().chain([own]).collect();
     if hosts.len() <= few_hosts {
         return RecordSource::Store;
     }
-    hosts.sort_unstable_by_key(|host| xxh3_64(host.as_str().as_bytes()));
+    hosts.sort_unstable_by_key(|peer| hash_of(&peer.host));
     hosts.truncate(READERS);
     if hosts.contains(&own) {
         return RecordSource::Store;
     }
-    let turn = xxh3_64(own.as_str().as_bytes()) as usize % hosts.len();
+    let turn = hash_of(&own.host) as usize % hosts.len();
     hosts.rotate_left(turn);
-    RecordSource::Routers(hosts.into_iter().cloned().collect())
+    RecordSource::Routers(hosts.into_iter().map(|peer| peer.host.clone()).collect())
+}
+
+fn hash_of(host: &HostName) -> u64 {
+    xxh3_64(host.as_str().as_bytes())
 }
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -13,6 +13,7 @@
 use crate::PromptNotice;
 use crate::ServerBook;
 use crate::ServerKey;
+use crate::ZonePeer;
 
 /// Prompts that wait to be told; what is beyond is a guess that the others lack.
 pub(super) const MOST_UNTOLD: usize = 256;
@@ -38,7 +39,7 @@
     /// Another router's message.
     pub fn hear(&mut self, news: &PeerNews, now: Instant) {
         let Some(host) = &news.host else { return };
-        self.peers.hear(host, news.zone.as_ref(), &news.loads, now);
+        self.peers.hear(host, news, now);
         for notice in &news.loading {
             let Some(state) = self.servers.get_mut(&notice.server) else { continue };
             match notice.stage {
@@ -108,7 +109,7 @@
     }
 
     /// Those of one availability zone.
-    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<HostName> {
-        self.peers.zone_hosts(zone, now).cloned().collect()
+    pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<ZonePeer> {
+        self.peers.zone_peers(zone, now).collect()
     }
 }
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -5,6 +5,7 @@
 use fulmargate_dispatch::Backlog;
 use fulmargate_dispatch::PeerBoard;
 use fulmargate_dispatch::PeerLoad;
+use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::PeerSum;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::Urgency;
@@ -49,8 +50,9 @@
         elapsed += u64::from(pause % 700);
         let loads: Vec<PeerLoad> = loads.into_iter().map(load).collect();
         let name = HostName::new(&format!("host-{}", host % 5));
-        board.hear(&name, None, &loads, start + Duration::from_millis(elapsed));
-        newest.insert(host % 5, (elapsed, loads));
+        let news = PeerNews { loads, ..PeerNews::default() };
+        board.hear(&name, &news, start + Duration::from_millis(elapsed));
+        newest.insert(host % 5, (elapsed, news.loads));
     }
     board.drop_silent(start + Duration::from_millis(elapsed));
     newest.retain(|_, (at, _)| elapsed - *at < WORD_AGE_MS);
--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -5,16 +5,25 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
+use fulmargate_dispatch::PeerBoard;
+use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
+use fulmargate_names::ZoneName;
+use tokio::time::Instant;
 
 const FEW: usize = 6;
 const LONGEST: Duration = Duration::from_millis(2_500);
 
-fn hosts(count: usize) -> Vec<HostName> {
-    (0..count).map(|number| HostName::new(&format!("host-{number}"))).collect()
+/// A link of a small host, in kbit/s.
+const NARROW: u32 = 10_000;
+
+fn hosts(count: usize) -> Vec<ZonePeer> {
+    let host = |number| HostName::new(&format!("host-{number}"));
+    (0..count).map(|number| ZonePeer { host: host(number), link_kbps: NARROW }).collect()
 }
 
 struct FleetCase {
@@ -35,23 +44,37 @@
 fn hosts_agree_on_readers() {
     for case in FLEETS {
         let all = hosts(case.hosts);
-        let source = |own: &HostName| {
-            let others: Vec<HostName> = all.iter().filter(|host| *host != own).cloned().collect();
+        let source = |own: &ZonePeer| {
+            let others: Vec<ZonePeer> = all.iter().filter(|host| *host != own).cloned().collect();
             record_source(own, &others, FEW)
         };
-        let readers: Vec<&HostName> =
-            all.iter().filter(|host| source(host) == RecordSource::Store).collect();
+        let reads = |host: &&ZonePeer| source(host) == RecordSource::Store;
+        let readers: Vec<&HostName> = all.iter().filter(reads).map(|host| &host.host).collect();
         assert_eq!(readers.len(), case.readers, "{}", case.name);
         for host in &all {
             if let RecordSource::Routers(asked) = source(host) {
                 let all_read = asked.iter().all(|asked| readers.contains(&asked));
-                assert!(all_read, "{}: {host} asks {asked:?}", case.name);
-                assert_eq!(asked.len(), readers.len(), "{}: {host} knows another", case.name);
+                assert!(all_read, "{}: {host:?} asks {asked:?}", case.name);
+                assert_eq!(asked.len(), readers.len(), "{}: {host:?} knows another", case.name);
             }
         }
     }
 }
 
+/// Hosts of a zone know each other's links from their words.
+#[test]
+fn words_tell_links() {
+    let now = Instant::now();
+    let mut board = PeerBoard::default();
+    let zone = ZoneName::new("north");
+    for (name, link_kbps) in [("host-1", Some(NARROW)), ("host-2", None)] {
+        let news = PeerNews { zone: Some(zone.clone()), link_kbps, ..PeerNews::default() };
+        board.hear(&HostName::new(name), &news, now);
+    }
+    let links: Vec<u32> = board.zone_peers(&zone, now).map(|peer| peer.link_kbps).collect();
+    assert_eq!(links, [NARROW, 0]);
+}
+
 struct CacheCase {
     name: &'static str,
     /// Offset and number of records of each read.
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -1,10 +1,14 @@
 //! Records of the routers' own topic as bytes.
 
+#[cfg(test)]
+mod tests;
+
 use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::PeerNews;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -37,9 +41,18 @@
     bincode::serde::decode_from_slice(bytes, config::standard()).map(|(value, _)| value)
 }
 
+/// What goes behind a message. Routers of an earlier version read the message and leave the rest, and send
+/// none.
+#[derive(Serialize, Deserialize)]
+struct NewsTail {
+    link_kbps: Option<u32>,
+}
+
 /// A message between routers with its length before it.
 pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
-    let message = bincode::serde::encode_to_vec(news, config::standard())?;
+    let mut message = bincode::serde::encode_to_vec(news, config::standard())?;
+    let tail = NewsTail { link_kbps: news.link_kbps };
+    message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -47,5 +60,12 @@
 
 /// Reads a message without its length.
 pub(crate) fn decode_news(bytes: &[u8]) -> Result<PeerNews, DecodeError> {
-    bincode::serde::decode_from_slice(bytes, config::standard()).map(|(news, _)| news)
+    let (mut news, length): (PeerNews, usize) =
+        bincode::serde::decode_from_slice(bytes, config::standard())?;
+    let rest = bytes.get(length..).unwrap_or_default();
+    if !rest.is_empty() {
+        let tail: NewsTail = decode_plain(rest)?;
+        news.link_kbps = tail.link_kbps;
+    }
+    Ok(news)
 }
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -20,6 +20,7 @@
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
@@ -160,7 +161,8 @@
     fn record_source(&self) -> RecordSource {
         let settings = &self.state.settings;
         let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
-        record_source(&settings.host, &peers, settings.few_hosts)
+        let own = ZonePeer { host: settings.host.clone(), link_kbps: settings.link_kbps() };
+        record_source(&own, &peers, settings.few_hosts)
     }
 
     /// The newest record of each key, from the store.
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -140,6 +140,7 @@
         let mut news = self.state.book().take_news(Instant::now());
         news.host = Some(self.state.settings.host.clone());
         news.zone = Some(self.state.settings.zone.clone());
+        news.link_kbps = Some(self.state.settings.link_kbps());
         news.loading = self.state.loading.notices();
         news.weights = self.weights_ages();
         news
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -100,6 +100,11 @@
         self.link_mbps * BYTES_PER_MBIT
     }
 
+    /// What the host's link carries, in kbit/s, as other routers are told.
+    pub fn link_kbps(&self) -> u32 {
+        (self.link_mbps * KBIT_PER_MBIT).round() as u32
+    }
+
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let refuse = |key: &str, reason: String| Err(SettingsError::key(file, key, reason));
         if self.host.as_str().is_empty() {
@@ -144,6 +149,8 @@
 
 /// A million bits.
 const BYTES_PER_MBIT: f64 = 125_000.0;
+/// A million bits in thousands.
+const KBIT_PER_MBIT: f64 = 1_000.0;
 /// Shorter bounds than this could not be kept: a read of the store is repeated about once a second.
 const LEAST_BOUND_MS: u64 = 1_500;
 /// The balancer needs two questions, a second apart, to see that a daemon is not ready.
--- a/crates/settings/tests/entry.rs
+++ b/crates/settings/tests/entry.rs
@@ -72,6 +72,7 @@
     let text = GOOD.replace("  \"link_mbps\": 1000,\n", "");
     let settings = EntrySettings::parse("entry.json", &text).expect("accepted");
     assert_eq!(settings.link_bytes_per_s(), 125_000_000.0);
+    assert_eq!(settings.link_kbps(), 1_000_000);
 }
 
 #[test]
