Failing: readers are drawn by name although the zone has wider links

Two tables of the choice itself, and five daemons of which the two on 200 Mbit/s should read and the three on 10 Mbit/s ask; drawn by name, one of the narrow ones reads and one of the wide ones asks it.

--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -20,6 +20,7 @@
 
 /// A link of a small host, in kbit/s.
 const NARROW: u32 = 10_000;
+const WIDE: u32 = 200_000;
 
 fn hosts(count: usize) -> Vec<ZonePeer> {
     let host = |number| HostName::new(&format!("host-{number}"));
@@ -61,6 +62,69 @@
     }
 }
 
+struct WidthCase {
+    name: &'static str,
+    /// Hosts whose links differ from the others', by number, and what they carry in kbit/s.
+    links: &'static [(usize, u32)],
+    /// Hosts that must be among the two readers.
+    readers: &'static [usize],
+}
+
+const WIDTHS: &[WidthCase] = &[
+    WidthCase { name: "two wide links", links: &[(7, WIDE), (22, WIDE)], readers: &[7, 22] },
+    WidthCase { name: "one wide link", links: &[(11, WIDE)], readers: &[11] },
+    WidthCase {
+        name: "the widest of three",
+        links: &[(3, WIDE), (4, 2 * WIDE), (5, 3 * WIDE)],
+        readers: &[4, 5],
+    },
+];
+
+/// Answers to callers stop for a moment at hosts with narrow links, while wide ones in their zone idle.
+/// Readers were drawn by name alone, and hand the store's records on to 14 hosts each. The widest links of
+/// the zone read, and all hosts know which those are.
+#[test]
+fn the_widest_links_read() {
+    for case in WIDTHS {
+        let mut all = hosts(30);
+        for (number, link_kbps) in case.links {
+            all[*number].link_kbps = *link_kbps;
+        }
+        let wanted: Vec<&HostName> = case.readers.iter().map(|number| &all[*number].host).collect();
+        for own in &all {
+            let others: Vec<ZonePeer> = all.iter().filter(|host| *host != own).cloned().collect();
+            match record_source(own, &others, FEW) {
+                RecordSource::Store => {
+                    let may_read = wanted.len() < 2 || wanted.contains(&&own.host);
+                    assert!(may_read, "{}: {own:?} reads", case.name);
+                }
+                RecordSource::Routers(asked) => {
+                    let asks_all = wanted.iter().all(|wanted| asked.contains(wanted));
+                    assert!(asks_all, "{}: {own:?} asks {asked:?}", case.name);
+                }
+            }
+        }
+    }
+}
+
+/// Each read of a zone costs a call of the store, as its hosts ask one whose link nobody knows.
+/// A host of an earlier version does not say what its link carries, and might have any. It counts as the
+/// narrowest.
+#[test]
+fn an_unknown_link_is_the_narrowest() {
+    let mut all = hosts(30);
+    let known = [2, 19];
+    for (number, host) in all.iter_mut().enumerate() {
+        host.link_kbps = if known.contains(&number) { 1 } else { 0 };
+    }
+    let (own, others) = all.split_first().expect("hosts");
+    let RecordSource::Routers(mut asked) = record_source(own, others, FEW) else {
+        panic!("it asks others");
+    };
+    asked.sort_unstable();
+    assert_eq!(asked, [HostName::new("host-19"), HostName::new("host-2")]);
+}
+
 /// Hosts of a zone know each other's links from their words.
 #[test]
 fn words_tell_links() {
--- a/crates/entry/tests/daemon/handing_on.rs
+++ b/crates/entry/tests/daemon/handing_on.rs
@@ -258,3 +258,28 @@
     let total: u64 = refused.iter().sum();
     assert!(WRITTEN - 2 <= total, "{refused:?}");
 }
+
+/// A zone's narrow links carry its records to 14 hosts each, and wide ones next to them carry none.
+/// Hosts drew their readers by name. They tell each other what their links carry, and the two with the
+/// widest ones read the store, whatever their names; the others ask those.
+#[tokio::test]
+async fn hosts_ask_those_with_the_widest_links() {
+    const MOST_SETTLED: usize = 4;
+    const WANTED: [bool; 5] = [true, false, true, false, true];
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let links = [LINK_MBPS, 20.0 * LINK_MBPS, LINK_MBPS, 20.0 * LINK_MBPS, LINK_MBPS];
+    let start = |link_mbps: &f64| {
+        let changes = json!({"zone": "south", "few_hosts": 2, "link_mbps": link_mbps});
+        DaemonProcess::start_with(deployment.store.address, &changes)
+    };
+    let daemons: Vec<DaemonProcess> = links.iter().map(start).collect();
+    let mut asks = Vec::new();
+    // While they meet, others may have settled for a moment.
+    for _ in 0..MOST_SETTLED {
+        asks = settled_askers(&daemons, 3).await;
+        if asks == WANTED {
+            return;
+        }
+    }
+    panic!("those on narrow links should ask: {asks:?}");
+}
