The hosts with the widest links read the store for their zone

Cause: readers were drawn by name alone. Of a zone with two hosts on 200 Mbit/s among 30 on 10 Mbit/s the narrow ones read as a rule, took each record from the store first, at the pace of their links, and handed it on over these.

Change: the widest link first, then the name as before; a host that has not said what its link carries counts as the narrowest. Who knows another pair for a moment asks a host that does not read, is told so at once, and reads the store, as today.

--- a/crates/dispatch/src/reader_choice.rs
+++ b/crates/dispatch/src/reader_choice.rs
@@ -1,5 +1,7 @@
 //! Who reads the store, and who asks those.
 
+use std::cmp::Reverse;
+
 use fulmargate_names::HostName;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -18,13 +20,15 @@
 }
 
 /// The source of a host. In a small fleet all read: it costs little and nothing depends on others. In
-/// a large one two hosts of each zone do, drawn by their names, and the others ask one of them.
+/// a large one two hosts of each zone do, those with the widest links and of equal ones drawn by their
+/// names, and the others ask one of them. For a moment hosts may know different links, as they may know
+/// different hosts: who is asked and does not read says so, and the asker reads the store.
 pub fn record_source(own: &ZonePeer, zone_peers: &[ZonePeer], few_hosts: usize) -> RecordSource {
     let mut hosts: Vec<&ZonePeer> = zone_peers.iter().chain([own]).collect();
     if hosts.len() <= few_hosts {
         return RecordSource::Store;
     }
-    hosts.sort_unstable_by_key(|peer| hash_of(&peer.host));
+    hosts.sort_unstable_by_key(|peer| (Reverse(peer.link_kbps), hash_of(&peer.host)));
     hosts.truncate(READERS);
     if hosts.contains(&own) {
         return RecordSource::Store;
