--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision. `docs/design/platform.md` says why it is built in this way.
 
 mod admission;
+mod asker_store;
 mod backlog;
 mod boot_time;
 mod call_facts;
@@ -20,6 +21,7 @@
 mod fading_mean;
 mod fleet_fold;
 mod fleet_record;
+mod hand_on_budget;
 mod lease_desk;
 mod link_meter;
 mod log_cache;
@@ -47,7 +49,9 @@
 mod wait_line;
 mod weights_table;
 mod work_order;
+mod zone_peer;
 
+pub use asker_store::AskerStore;
 pub use backlog::Backlog;
 pub use backlog::Urgency;
 pub use boot_time::BootTime;
@@ -75,6 +79,7 @@
 pub use fleet_fold::FleetFold;
 pub use fleet_fold::HeldLease;
 pub use fleet_record::FleetRecord;
+pub use hand_on_budget::HandOnBudget;
 pub use lease_desk::LeaseDesk;
 pub use lease_desk::LeaseStep;
 pub use log_cache::LogAnswer;
@@ -132,3 +137,4 @@
 pub use wait_line::WaitNumber;
 pub use weights_table::WeightsTable;
 pub use weights_table::WeightsTarget;
+pub use zone_peer::ZonePeer;
--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -5,16 +5,26 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
+use fulmargate_dispatch::PeerBoard;
+use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
+use fulmargate_names::ZoneName;
+use tokio::time::Instant;
 
 const FEW: usize = 6;
 const LONGEST: Duration = Duration::from_millis(2_500);
 
-fn hosts(count: usize) -> Vec<HostName> {
-    (0..count).map(|number| HostName::new(&format!("host-{number}"))).collect()
+/// A link of a small host, in kbit/s.
+const NARROW: u32 = 10_000;
+const WIDE: u32 = 200_000;
+
+fn hosts(count: usize) -> Vec<ZonePeer> {
+    let host = |number| HostName::new(&format!("host-{number}"));
+    (0..count).map(|number| ZonePeer { host: host(number), link_kbps: NARROW }).collect()
 }
 
 struct FleetCase {
@@ -35,23 +45,100 @@
 fn hosts_agree_on_readers() {
     for case in FLEETS {
         let all = hosts(case.hosts);
-        let source = |own: &HostName| {
-            let others: Vec<HostName> = all.iter().filter(|host| *host != own).cloned().collect();
+        let source = |own: &ZonePeer| {
+            let others: Vec<ZonePeer> = all.iter().filter(|host| *host != own).cloned().collect();
             record_source(own, &others, FEW)
         };
-        let readers: Vec<&HostName> =
-            all.iter().filter(|host| source(host) == RecordSource::Store).collect();
+        let reads = |host: &&ZonePeer| source(host) == RecordSource::Store;
+        let readers: Vec<&HostName> = all.iter().filter(reads).map(|host| &host.host).collect();
         assert_eq!(readers.len(), case.readers, "{}", case.name);
         for host in &all {
             if let RecordSource::Routers(asked) = source(host) {
                 let all_read = asked.iter().all(|asked| readers.contains(&asked));
-                assert!(all_read, "{}: {host} asks {asked:?}", case.name);
-                assert_eq!(asked.len(), readers.len(), "{}: {host} knows another", case.name);
+                assert!(all_read, "{}: {host:?} asks {asked:?}", case.name);
+                assert_eq!(asked.len(), readers.len(), "{}: {host:?} knows another", case.name);
+            }
+        }
+    }
+}
+
+struct WidthCase {
+    name: &'static str,
+    /// Hosts whose links differ from the others', by number, and what they carry in kbit/s.
+    links: &'static [(usize, u32)],
+    /// Hosts that must be among the two readers.
+    readers: &'static [usize],
+}
+
+const WIDTHS: &[WidthCase] = &[
+    WidthCase { name: "two wide links", links: &[(7, WIDE), (22, WIDE)], readers: &[7, 22] },
+    WidthCase { name: "one wide link", links: &[(11, WIDE)], readers: &[11] },
+    WidthCase {
+        name: "the widest of three",
+        links: &[(3, WIDE), (4, 2 * WIDE), (5, 3 * WIDE)],
+        readers: &[4, 5],
+    },
+];
+
+/// Answers to callers stop for a moment at hosts with narrow links, while wide ones in their zone idle.
+/// Readers were drawn by name alone, and hand the store's records on to 14 hosts each. The widest links of
+/// the zone read, and all hosts know which those are.
+#[test]
+fn the_widest_links_read() {
+    for case in WIDTHS {
+        let mut all = hosts(30);
+        for (number, link_kbps) in case.links {
+            all[*number].link_kbps = *link_kbps;
+        }
+        let wanted: Vec<&HostName> = case.readers.iter().map(|number| &all[*number].host).collect();
+        for own in &all {
+            let others: Vec<ZonePeer> = all.iter().filter(|host| *host != own).cloned().collect();
+            match record_source(own, &others, FEW) {
+                RecordSource::Store => {
+                    let may_read = wanted.len() < 2 || wanted.contains(&&own.host);
+                    assert!(may_read, "{}: {own:?} reads", case.name);
+                }
+                RecordSource::Routers(asked) => {
+                    let asks_all = wanted.iter().all(|wanted| asked.contains(wanted));
+                    assert!(asks_all, "{}: {own:?} asks {asked:?}", case.name);
+                }
             }
         }
     }
 }
 
+/// Each read of a zone costs a call of the store, as its hosts ask one whose link nobody knows.
+/// A host of an earlier version does not say what its link carries, and might have any. It counts as the
+/// narrowest.
+#[test]
+fn an_unknown_link_is_the_narrowest() {
+    let mut all = hosts(30);
+    let known = [2, 19];
+    for (number, host) in all.iter_mut().enumerate() {
+        host.link_kbps = if known.contains(&number) { 1 } else { 0 };
+    }
+    let (own, others) = all.split_first().expect("hosts");
+    let RecordSource::Routers(mut asked) = record_source(own, others, FEW) else {
+        panic!("it asks others");
+    };
+    asked.sort_unstable();
+    assert_eq!(asked, [HostName::new("host-19"), HostName::new("host-2")]);
+}
+
+/// Hosts of a zone know each other's links from their words.
+#[test]
+fn words_tell_links() {
+    let now = Instant::now();
+    let mut board = PeerBoard::default();
+    let zone = ZoneName::new("north");
+    for (name, link_kbps) in [("host-1", Some(NARROW)), ("host-2", None)] {
+        let news = PeerNews { zone: Some(zone.clone()), link_kbps, ..PeerNews::default() };
+        board.hear(&HostName::new(name), &news, now);
+    }
+    let links: Vec<u32> = board.zone_peers(&zone, now).map(|peer| peer.link_kbps).collect();
+    assert_eq!(links, [NARROW, 0]);
+}
+
 struct CacheCase {
     name: &'static str,
     /// Offset and number of records of each read.
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -1,5 +1,6 @@
 //! Records of the store, from the store itself or from a router that reads it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,12 +14,13 @@
 use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
-use fulmargate_dispatch::LogCache;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
@@ -27,23 +29,20 @@
 use http::StatusCode;
 use indexmap::IndexMap;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::control::fleet_codec::STORE_HEADER;
+use crate::control::fleet_codec::STORE_OUT;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
 use crate::control::fleet_desk::SharedFold;
+use crate::control::log_shelf::LogShelf;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
-/// What a router keeps for others must be younger than twice the wait of a question, or than this where
-/// there is none; else they read for themselves. A read proves the moment before its wait, so that a
-/// sound reader's proof gets as old as two of its waits. The list of servers is read without one each 0.7 s.
-const LEAST_AGE: Duration = Duration::from_millis(1_200);
 /// A question waits for the reader's next proof, which comes by this much after the wait of a read.
 const PROOF_ALLOWANCE: Duration = Duration::from_millis(250);
 /// A router of the same zone answers within some milliseconds after the wait it was asked for.
@@ -79,13 +78,6 @@
     pub(crate) sent: BootTime,
 }
 
-/// The topics that this router reads, kept for those that ask.
-#[derive(Default)]
-pub(crate) struct LogShelf {
-    caches: RefCell<IndexMap<LogTopic, LogCache>>,
-    changed: Notify,
-}
-
 /// Why another router gave no records.
 #[derive(Debug, Display, Error, From)]
 enum AskFault {
@@ -101,6 +93,17 @@
     TimedOut,
     #[display("it has not got them")]
     NotThere,
+    #[display("its link has no room for them")]
+    OverBudget,
+}
+
+impl AskFault {
+    /// The router is well and answers what comes next. Taken for one that has failed it would be left
+    /// alone for seconds, and so would the other reader, which refuses the same records: all askers of
+    /// the zone would read each topic from the store meanwhile.
+    fn is_refusal(&self) -> bool {
+        matches!(self, AskFault::OverBudget)
+    }
 }
 
 struct AskLink {
@@ -119,6 +122,8 @@
     link: Rc<RefCell<Option<AskLink>>>,
     /// Readers that gave no answer, and when.
     failed: Rc<RefCell<IndexMap<HostName, Instant>>>,
+    /// As of this host's last read of the store, which may be long ago: it reads there when it is refused.
+    store: Rc<Cell<AskerStore>>,
 }
 
 impl LogSource {
@@ -129,7 +134,15 @@
         fold: SharedFold,
         shelf: Rc<LogShelf>,
     ) -> LogSource {
-        LogSource { state, client, fold, shelf, link: Rc::default(), failed: Rc::default() }
+        LogSource {
+            state,
+            client,
+            fold,
+            shelf,
+            link: Rc::default(),
+            failed: Rc::default(),
+            store: Rc::new(Cell::new(AskerStore::InReach)),
+        }
     }
 
     /// The store's client, for what only the store can tell.
@@ -148,7 +161,8 @@
     fn record_source(&self) -> RecordSource {
         let settings = &self.state.settings;
         let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
-        record_source(&settings.host, &peers, settings.few_hosts)
+        let own = ZonePeer { host: settings.host.clone(), link_kbps: settings.link_kbps() };
+        record_source(&own, &peers, settings.few_hosts)
     }
 
     /// The newest record of each key, from the store.
@@ -184,7 +198,9 @@
                 }
                 Err(fault) => {
                     tracing::debug!("{reader} gave no records, the store is read: {fault}");
-                    self.failed.borrow_mut().insert(reader, Instant::now());
+                    if !fault.is_refusal() {
+                        self.failed.borrow_mut().insert(reader, Instant::now());
+                    }
                 }
             }
         }
@@ -200,7 +216,12 @@
         allowance: Duration,
     ) -> Result<ProvenPage, StoreError> {
         let sent = boot_now();
-        let page = self.client.read(topic, from, wait, wait + allowance).await?;
+        let result = self.client.read(topic, from, wait, wait + allowance).await;
+        self.store.set(match &result {
+            Ok(_) | Err(StoreError::Deleted { .. }) => AskerStore::InReach,
+            Err(_) => AskerStore::OutOfReach,
+        });
+        let page = result?;
         metrics::counter!("fulmargate_log_reads_total", "source" => "store").increment(1);
         let next = LogOffset(from.0 + page.records.len() as u64);
         let is_all = page.end <= next;
@@ -236,7 +257,7 @@
         let longest = Duration::from_millis(question.wait_ms) + ASK_ALLOWANCE;
         let asking = timeout(longest, self.ask_on_link(address, question)).await;
         let result = asking.unwrap_or(Err(AskFault::TimedOut));
-        if result.is_err() {
+        if result.as_ref().is_err_and(|fault| !fault.is_refusal()) {
             // A link that has fallen silent gives no answer; the next question opens another.
             self.link.borrow_mut().take();
         }
@@ -264,12 +285,18 @@
             }
         };
         let mut client = client.ready().await?;
-        let request = Request::post(format!("http://{address}/log")).body(());
+        let mut request = Request::post(format!("http://{address}/log"));
+        if self.store.get() == AskerStore::OutOfReach {
+            request = request.header(STORE_HEADER, STORE_OUT);
+        }
+        let request = request.body(());
         let (answer, mut body) = client.send_request(request.unwrap_or_default(), false)?;
         body.send_data(Bytes::from(encode_plain(&question)?), true)?;
         let answer = answer.await?;
-        if answer.status() != StatusCode::OK {
-            return Err(AskFault::NotThere);
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::TOO_MANY_REQUESTS => return Err(AskFault::OverBudget),
+            _ => return Err(AskFault::NotThere),
         }
         let mut body = answer.into_body();
         let mut bytes = Vec::new();
@@ -282,62 +309,6 @@
     }
 }
 
-impl LogShelf {
-    fn put(&self, topic: LogTopic, from: LogOffset, records: &[Vec<u8>], proven: Option<BootTime>) {
-        let mut caches = self.caches.borrow_mut();
-        let cache = caches.entry(topic).or_default();
-        cache.add(from, records);
-        if let Some(sent) = proven {
-            cache.prove(sent);
-        }
-        drop(caches);
-        self.changed.notify_waiters();
-    }
-
-    /// Answers another router, as soon as there is a record or a newer proof, or its wait is over. A
-    /// host that does not read itself says so at once.
-    pub(crate) async fn answer(&self, question: LogQuestion) -> Option<LogAnswer> {
-        let arrived = boot_now();
-        let longest = longest_age(question);
-        let until = Instant::now() + Duration::from_millis(question.wait_ms);
-        let known = self.proven(question.topic);
-        loop {
-            let changed = self.changed.notified();
-            let answer = self.now(question, arrived, longest)?;
-            let is_news = !answer.records.is_empty() || self.proven(question.topic) != known;
-            if is_news || until <= Instant::now() {
-                return Some(answer);
-            }
-            // A proof that gets too old during the wait is no answer: this host has lost the store, and
-            // the asker has to read for itself while there is time.
-            let left = longest.saturating_sub(Duration::from_millis(answer.age_ms));
-            let too_old = Instant::now() + left + Duration::from_millis(1);
-            let _changed_or_over = timeout_at(until.min(too_old), changed).await;
-        }
-    }
-
-    fn now(
-        &self,
-        question: LogQuestion,
-        arrived: BootTime,
-        longest: Duration,
-    ) -> Option<LogAnswer> {
-        let caches = self.caches.borrow();
-        caches.get(&question.topic)?.answer(question.from, longest, arrived, boot_now())
-    }
-
-    fn proven(&self, topic: LogTopic) -> Option<BootTime> {
-        self.caches.borrow().get(&topic).and_then(LogCache::proven)
-    }
-}
-
-/// The oldest proof that is an answer. A configuration must be in force within 2 to 3 s of its writing:
-/// with a reader that was cut off, and gave its last proof for 2.7 s and then kept the question for
-/// another 1.5 s, a host served an old one after 3.7 s.
-fn longest_age(question: LogQuestion) -> Duration {
-    (Duration::from_millis(question.wait_ms) * 2).max(LEAST_AGE)
-}
-
 /// A reader gives a newer proof soon after the wait of its own read.
 fn question(topic: LogTopic, from: LogOffset, wait: Duration) -> LogQuestion {
     let wait = if wait.is_zero() { wait } else { wait + PROOF_ALLOWANCE };
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -1,9 +1,11 @@
 //! The daemon as a process before stand-ins of the platform.
 
 mod configuration;
+mod handing_on;
 mod reach;
 mod requests;
 mod stops;
+mod store_way;
 mod streams;
 mod support;
 mod waiting;
