A case for servers that are back: a connection that is had ends their loss

So after an outage the first requests to each server that was back were answered "the server is lost" 0.2 s after their sending, charges with 502 while they ran. The row ends with a connection since the daemon tells the book how connections end; the case is red without that.

--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -168,6 +168,19 @@
             Doubts(2_500, false),
         ],
     },
+    ReachCase {
+        name: "a server that is back is not lost, before its first answer",
+        steps: &[
+            Tried(0, BUT_A1, Reached),
+            Vain(0, &["a1"], Silent),
+            Vain(400, &["a1"], Silent),
+            Vain(1_200, &["a1"], Silent),
+            Lost(1_200, "a1", true),
+            Tried(2_800, &["a1"], Reached),
+            Lost(2_800, "a1", false),
+            Lost(3_800, "a1", false),
+        ],
+    },
     ReachCase {
         name: "one connection that nobody refused is asked for once more",
         steps: &[
