Failing: a router that has just started reads all sources of cache events

Whether the other routers can have been heard is now asked at one place, which says yes at once: that is what a process does today. The test wants it to wait until others can have opened their links to it and spoken, also where their records in the topic have expired, and not for ever where its own record cannot be written.

--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -9,6 +9,7 @@
 use fulmargate_consortium::CachePage;
 use fulmargate_consortium::EngineClient;
 use fulmargate_dispatch::CacheNotice;
+use fulmargate_dispatch::HearingTime;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
@@ -47,6 +48,8 @@
 pub(crate) struct CacheWatch {
     state: Arc<SharedState>,
     engines: EngineClient,
+    /// Whether the other routers can have been heard.
+    hearing: HearingTime,
     /// Sources that this router reads.
     read: ReadSources,
 }
@@ -54,11 +57,16 @@
 impl CacheWatch {
     /// Reads nothing yet.
     pub(crate) fn new(state: Arc<SharedState>) -> CacheWatch {
-        CacheWatch { state, engines: EngineClient::new(), read: ReadSources::default() }
+        CacheWatch {
+            state,
+            engines: EngineClient::new(),
+            hearing: HearingTime::new(Instant::now()),
+            read: ReadSources::default(),
+        }
     }
 
     /// Takes and leaves sources as routers and servers come and go.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         loop {
             let own = self.own_sources();
             let new: Vec<(ServerKey, CacheSource)> = {
@@ -81,7 +89,11 @@
         }
     }
 
-    fn own_sources(&self) -> IndexMap<ServerKey, CacheSource> {
+    fn own_sources(&mut self) -> IndexMap<ServerKey, CacheSource> {
+        let own = &self.state.settings.host;
+        if !self.hearing.is_over(own, &self.state.fleet.load().members, Instant::now()) {
+            return IndexMap::new();
+        }
         let table = self.state.table.load();
         let Some(table) = table.as_ref() else { return IndexMap::new() };
         let book = self.state.book();
@@ -97,7 +109,6 @@
         if let Some(address) = table.cache_store_address() {
             sources.insert(ServerKey::STORE, CacheSource { address, incarnation: None });
         }
-        let own = &self.state.settings.host;
         sources.retain(|key, _| is_reader(*key, own, &hosts));
         sources
     }
