A router that has just started reads no cache events until it can have heard the others

Cause: each source of cache events is read by one of the routers that are heard. A process that has just started has heard nobody, read all 91 sources at once from their beginning, some 300 KB each, and so filled its link; links from other routers did not open in time and it went on hearing nobody. Now it waits 3 s from the moment the routers' topic shows it to the others, at most 8 s from its start. That the topic names no other host is no reason to begin sooner: records expire after the store's history, the other hosts do not. Conclusion: it reads its share, one or two sources of 91; a host that hears nobody for good still reads all.

--- a/crates/dispatch/tests/hearing.rs
+++ b/crates/dispatch/tests/hearing.rs
@@ -35,6 +35,11 @@
         members: &[],
         looks: &[(3_100, false), (7_900, false), (8_000, true), (20_000, true)],
     },
+    HearingCase {
+        name: "its own record is written after it went on without",
+        members: &[(9_000, "own")],
+        looks: &[(8_000, true), (9_000, true), (9_500, true)],
+    },
 ];
 
 /// A host that has just started answers nobody for ten seconds: no connection to it or from it opens in
--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -91,6 +91,9 @@
 
     fn own_sources(&mut self) -> IndexMap<ServerKey, CacheSource> {
         let own = &self.state.settings.host;
+        // A new process has heard nobody and would read all sources, some hundred KB each: its link is full
+        // for seconds, no other router reaches it, and so it goes on. Once it can have been reached, it reads
+        // its share.
         if !self.hearing.is_over(own, &self.state.fleet.load().members, Instant::now()) {
             return IndexMap::new();
         }
