Links to a router that has ended are opened again

Cause: a link whose connection or stream has ended has no room, and a message without room is left out as for a slow router, so the link stayed in the table for good. No router opened another to a process that had been started anew: it heard 0 of 90 routers, and took itself for the only reader of all 91 sources of cache events and of the store. Change: each word asks the link whether its other end has left; then it is opened again after the usual second.

--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -7,6 +7,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,7 +61,7 @@
 /// A stream of messages to one router.
 struct PeerLink {
     stream: SendStream<Bytes>,
-    _task: AbortOnDropHandle<()>,
+    task: AbortOnDropHandle<()>,
 }
 
 /// Why there is no link.
@@ -70,6 +73,12 @@
     Stream(h2::Error),
     #[display("no connection in time")]
     TimedOut,
+    #[display("the other end has left: {_0}")]
+    #[from(ignore)]
+    #[error(ignore)]
+    Left(h2::Reason),
+    #[display("its connection has ended")]
+    Ended,
 }
 
 /// Links by the router they lead to.
@@ -180,6 +189,34 @@
     }
 }
 
+impl PeerLink {
+    /// A message that finds no room is left out: the other router reads slowly.
+    fn send(&mut self, message: &Bytes) -> Result<(), LinkFault> {
+        self.check()?;
+        self.stream.reserve_capacity(MOST_WAITING_BYTES);
+        if self.stream.capacity() < message.len() {
+            return Ok(());
+        }
+        Ok(self.stream.send_data(message.clone(), false)?)
+    }
+
+    /// A link to a process that has ended has no room and looks like that of a slow router. Taken for one,
+    /// it was kept for good: a host that had been started anew heard nobody, and did alone what routers share
+    /// out among them. Each word asks first, so that the link is opened again a second after.
+    fn check(&mut self) -> Result<(), LinkFault> {
+        if self.task.is_finished() {
+            return Err(LinkFault::Ended);
+        }
+        // Asked at each word; nobody need be woken.
+        let mut context = Context::from_waker(Waker::noop());
+        match self.stream.poll_reset(&mut context) {
+            Poll::Pending => Ok(()),
+            Poll::Ready(Ok(reason)) => Err(LinkFault::Left(reason)),
+            Poll::Ready(Err(err)) => Err(err.into()),
+        }
+    }
+}
+
 impl LinkTable {
     fn may_open(&self, host: &HostName) -> bool {
         let failed = self.failed.get(host);
@@ -189,13 +226,9 @@
 
     fn send(&mut self, host: &HostName, message: &Bytes) {
         let Some(link) = self.links.get_mut(host) else { return };
-        link.stream.reserve_capacity(MOST_WAITING_BYTES);
-        if link.stream.capacity() < message.len() {
-            return;
-        }
-        if let Err(err) = link.stream.send_data(message.clone(), false) {
+        if let Err(fault) = link.send(message) {
             self.links.swap_remove(host);
-            self.note_failure(host, &err.to_string());
+            self.note_failure(host, &fault.to_string());
         }
     }
 
@@ -251,5 +284,5 @@
     let request = Request::post(format!("http://{address}/news")).body(());
     let request = request.unwrap_or_default();
     let (_answer, stream) = client.send_request(request, false)?;
-    Ok(PeerLink { stream, _task: AbortOnDropHandle::new(task) })
+    Ok(PeerLink { stream, task: AbortOnDropHandle::new(task) })
 }
