--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,8 @@
 //! The control thread: what is agreed and known.
 
+mod cache_calls;
+mod cache_reader;
+mod cache_readers;
 mod cache_watch;
 mod control_thread;
 mod fleet_codec;
--- /dev/null
+++ b/crates/entry/src/control/cache_reader.rs
@@ -0,0 +1,104 @@
+//! Reads the cache events of one engine or of the store of cached prompts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_consortium::CachePage;
+use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::CacheNotice;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_names::EventKind;
+use fulmargate_names::Incarnation;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::control::cache_calls::CacheCalls;
+use crate::control::cache_readers::ReadSources;
+use crate::state::SharedState;
+
+/// Pause between calls to one source: events of a busy engine come some 50 times a second, and each
+/// call costs both sides.
+const READ_PACE: Duration = Duration::from_millis(250);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// An engine's start or the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CacheSource {
+    /// What the parts that it names are remembered under.
+    pub(crate) key: ServerKey,
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Option<Incarnation>,
+}
+
+/// Reads one source on and on.
+pub(crate) struct CacheReader {
+    state: Arc<SharedState>,
+    calls: Rc<CacheCalls>,
+    read: ReadSources,
+    source: CacheSource,
+    /// Where to read on.
+    next: u64,
+    epoch: Option<u64>,
+}
+
+impl CacheReader {
+    /// Has read nothing yet.
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        calls: Rc<CacheCalls>,
+        read: ReadSources,
+        source: CacheSource,
+    ) -> CacheReader {
+        CacheReader { state, calls, read, source, next: 0, epoch: None }
+    }
+
+    /// Reads while the source is one of those that are read.
+    pub(crate) async fn run(mut self) {
+        while self.read.borrow().contains_key(&self.source.key) {
+            let page = self.calls.read(self.source.address, self.next).await;
+            sleep(self.take_in(page)).await;
+        }
+    }
+
+    /// Takes in a page and says how long to pause.
+    fn take_in(&mut self, page: Result<CachePage, StoreError>) -> Duration {
+        let page = match page {
+            Ok(page) => page,
+            Err(err) => {
+                tracing::debug!("cache events of {} are not to be had: {err}", self.source.address);
+                return FAILURE_PAUSE;
+            }
+        };
+        // Another start answers at the address. The list will name it.
+        if self.is_foreign(&page) {
+            return FAILURE_PAUSE;
+        }
+        let is_new = self.epoch.is_some_and(|epoch| epoch != page.epoch);
+        self.epoch = Some(page.epoch);
+        self.next = page.next;
+        self.tell(page, is_new);
+        READ_PACE
+    }
+
+    fn is_foreign(&self, page: &CachePage) -> bool {
+        let expected = self.source.incarnation;
+        expected.is_some() && page.incarnation.is_some() && page.incarnation != expected
+    }
+
+    fn tell(&self, page: CachePage, is_new: bool) {
+        let is_reset = is_new || page.is_gap;
+        if is_reset {
+            let gap = EventKind::EventGap;
+            let address = self.source.address;
+            tracing::info!(event = gap.number(), name = gap.name(), %address, is_new);
+        }
+        if !is_reset && page.parts.is_empty() {
+            return;
+        }
+        let notice = CacheNotice { server: self.source.key, is_reset, parts: page.parts };
+        self.state.book().hear_cache(notice, Instant::now());
+    }
+}
