--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -41,8 +41,6 @@
 const URGENT_PACE: Duration = Duration::from_millis(30);
 /// And this much more for each other router.
 const URGENT_PER_PEER: Duration = Duration::from_millis(1);
-/// Share of the host's link that urgent words may take.
-const WORDS_SHARE: f64 = 0.25;
 /// A router that has nothing to say says so at this pace; a word counts for 1.2 s.
 const IDLE_PACE: Duration = Duration::from_millis(400);
 /// A router in another zone answers in 2 ms.
@@ -100,15 +98,13 @@
 
     /// Tells on and on: at a pace, and soon when an engine is about to load.
     pub(crate) async fn run(self) {
-        let link_bytes_per_s = self.state.settings.link_bytes_per_s();
         let mut was_busy = false;
-        let mut round_bytes = 0;
         let mut told = Instant::now();
         let mut waited = Instant::now();
         loop {
             let peers = self.peers();
             let pace = word_pace(peers.len());
-            let urgent_pace = urgent_pace(peers.len(), round_bytes, link_bytes_per_s).min(pace);
+            let urgent_pace = URGENT_PACE + URGENT_PER_PEER * peers.len() as u32;
             tokio::select! {
                 () = sleep(pace) => {}
                 () = self.state.loading.changed() => sleep_until(waited + urgent_pace).await,
@@ -119,7 +115,7 @@
             // The last of it is said, too: that nothing is under way any more. After that a word now
             // and then, so that the others know who is there.
             if is_busy || was_busy || IDLE_PACE <= told.elapsed() {
-                round_bytes = self.tell(&peers, &news);
+                self.tell(&peers, &news);
                 told = Instant::now();
             }
             was_busy = is_busy;
@@ -163,13 +159,12 @@
         ages.filter(|age| age.age_ms < longest).collect()
     }
 
-    /// Returns the bytes that went to all of them together.
-    fn tell(&self, peers: &[(HostName, SocketAddr)], news: &PeerNews) -> usize {
+    fn tell(&self, peers: &[(HostName, SocketAddr)], news: &PeerNews) {
         let message = match encode_news(news) {
             Ok(message) => Bytes::from(message),
             Err(err) => {
                 tracing::error!("a message cannot be written: {err}");
-                return 0;
+                return;
             }
         };
         let mut table = self.table.borrow_mut();
@@ -183,7 +178,6 @@
                 actix_rt::spawn(open(self.table.clone(), host.clone(), *address));
             }
         }
-        message.len() * peers.len()
     }
 }
 
@@ -233,13 +227,6 @@
     }
 }
 
-/// Time from one word to the next when an engine is about to load.
-fn urgent_pace(peers: usize, round_bytes: usize, link_bytes_per_s: f64) -> Duration {
-    let least = URGENT_PACE + URGENT_PER_PEER * peers as u32;
-    let carried_s = round_bytes as f64 / (link_bytes_per_s * WORDS_SHARE);
-    least.max(Duration::from_secs_f64(carried_s))
-}
-
 fn is_worth_telling(news: &PeerNews) -> bool {
     !news.loads.is_empty()
         || !news.loading.is_empty()
