--- a/crates/entry/tests/daemon/streams.rs
+++ b/crates/entry/tests/daemon/streams.rs
@@ -176,6 +176,33 @@
     assert_eq!((answer.body, answer.is_whole), (whole(7), true));
 }
 
+/// A visitor's answer stops in the middle while engines are busy for a moment.
+/// Its engine breaks off, and those asked to go on turn it away: they say that they did not run it, five
+/// times in a row. Nothing ran, the budget allows another try, and the caller still waits: the stream
+/// goes on as soon as an engine takes it, and is whole.
+#[tokio::test]
+async fn engines_that_turn_a_stream_away_do_not_end_it() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.earn_budget().await;
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::Wait));
+    let running = begin_slow_chat(&deployment, "turned").await;
+    let runs_it = |engine: &&ServerStand| engine.seen().iter().any(|seen| seen.id() == "turned");
+    let broken = deployment.engines.iter().find(runs_it).expect("an engine runs it");
+    let mut others = deployment.engines.iter().filter(|engine| engine.name != broken.name);
+    let busy = others.next().expect("another engine");
+    busy.set_mode(ServerMode::Refuse);
+    broken.stop_accepting();
+    broken.set_mode(ServerMode::CutStream(3));
+    until("it was turned away five times", || {
+        let retried = deployment.daemon.events("attempt_retried");
+        4 < retried.iter().filter(|line| line["end"] == "Refused").count()
+    })
+    .await;
+    busy.set_mode(ServerMode::Stream(7));
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.body, answer.is_whole), (whole(7), true));
+}
+
 /// A visitor's question that an engine answers with long pauses, once the engine runs it.
 async fn begin_slow_chat(deployment: &TestDeployment, id: &str) -> JoinHandle<CallerAnswer> {
     let callers = deployment.callers;
