A begun stream is not ended by engines that turn it away

Cause: four sends at most, refusals among them, whatever became of them. For a request that has not begun that is right, its caller is told when to come back; a begun stream can only be cut. Ends that prove that nothing ran do not count for it any more: it goes on trying until its time is over, its caller leaves, or the budget of repeats is spent.

Ruled out: keeping the silent connection until the next engine's answer has begun, which risks two engines at work on one stream for longer than they may.

--- a/crates/dispatch/src/call_progress.rs
+++ b/crates/dispatch/src/call_progress.rs
@@ -27,6 +27,13 @@
     Unreachable,
 }
 
+impl SendEnd {
+    /// Whether the server may have run the request; if not, that is certain.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, SendEnd::Broken | SendEnd::TimedOut | SendEnd::Unreachable)
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -46,7 +46,7 @@
 /// Pause before a call that was turned away is sent again, longer each time.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(15);
 
-/// Pause before a stream that has begun tries another server after no connection was to be had.
+/// Pause before a stream that has begun tries another server after one that did not run it.
 const UNSENT_PAUSE: Duration = Duration::from_millis(100);
 
 /// The state of one call.
@@ -288,11 +288,11 @@
         self.learn(fault, server, weights);
         self.tell_fault(fault, server);
         self.exclude(server);
-        if fault.end == SendEnd::NotSent && self.pace.first_event.is_some() {
+        if self.pace.first_event.is_some() && !fault.end.may_have_run() {
             // The caller of a stream that has begun can be told nothing but that it broke, while its time
-            // is not over. With four sends at most, a host whose link was full for half a second
-            // broke off streams that other engines were free to go on with. The caller who leaves
-            // ends this, and so does the request's time.
+            // is not over. With four sends at most, a host whose link was full for half a second, or
+            // engines that were full for a moment, broke off streams that could go on. Sends that arrive
+            // are bounded by the budget of repeats; all end with the request's time and its caller.
             sleep(UNSENT_PAUSE).await;
             return Ok(());
         }
