--- a/crates/entry/tests/daemon/streams.rs
+++ b/crates/entry/tests/daemon/streams.rs
@@ -4,11 +4,20 @@
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::ServerStand;
+use serde_json::json;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
+use crate::support::LOOK_PACE;
 use crate::support::TestDeployment;
+use crate::support::first_config;
 use crate::support::until;
 
+/// Longer than any of these tests takes.
+const PATIENCE_MS: u64 = 20_000;
+/// Requests to other servers while one is silent: several of the route's targets, 400 ms, go by.
+const LOOKS: usize = 80;
+
 fn whole(events: u32) -> String {
     (1..=events).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
 }
@@ -203,11 +212,43 @@
     assert_eq!((answer.body, answer.is_whole), (whole(7), true));
 }
 
+/// A visitor's answer stops in the middle although its engine is about to go on.
+/// The first engine is gone, and the stream goes on at another, which is the last that may run it. That one
+/// is silent for longer than the route's target and takes no connection, while other servers do.
+/// Nobody else may have the stream, so that it is waited for, and comes whole.
+#[tokio::test]
+async fn the_last_attempt_of_a_stream_is_waited_for() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    let mut config = first_config();
+    config.version = 2;
+    config.routes.iter_mut().for_each(|route| route["timeoutMs"] = json!(PATIENCE_MS));
+    deployment.store.put_config(&config);
+    until("requests have time", || deployment.daemon.events("config_accepted").len() == 2).await;
+    deployment.earn_budget().await;
+    deployment.engines.iter().for_each(|engine| engine.set_mode(ServerMode::SlowStream(7)));
+    let running = begin_slow_chat(&deployment, "last").await;
+    let runs_it = |engine: &&ServerStand| engine.seen().iter().any(|seen| seen.id() == "last");
+    let gone = deployment.engines.iter().find(runs_it).expect("an engine runs it");
+    let mut others = deployment.engines.iter().filter(|engine| engine.name != gone.name);
+    let next = others.next().expect("another engine");
+    next.set_mode(ServerMode::Wait);
+    gone.stop_accepting();
+    until("the other runs it", || runs_it(&next)).await;
+    next.hold_connections().await.expect("connections hang");
+    for turn in 0..LOOKS {
+        deployment.send(&CallerRequest::new("/look/x", &format!("look-{turn}"))).await;
+        sleep(LOOK_PACE).await;
+    }
+    next.set_mode(ServerMode::Stream(7));
+    let answer = running.await.expect("the task ends");
+    assert_eq!((answer.body, answer.is_whole), (whole(7), true));
+}
+
 /// A visitor's question that an engine answers with long pauses, once the engine runs it.
 async fn begin_slow_chat(deployment: &TestDeployment, id: &str) -> JoinHandle<CallerAnswer> {
     let callers = deployment.callers;
     let mut request = CallerRequest::prompt("/chat/x", id);
-    request.patience_ms = 8_000;
+    request.patience_ms = PATIENCE_MS;
     let running = tokio::spawn(async move { request.send(callers).await.expect("an answer") });
     until("an engine runs it", || {
         let seen: Vec<_> = deployment.engines.iter().flat_map(ServerStand::seen).collect();
