The last server of a stream that has moved is waited for

Cause: the pace at which a silent server is asked was taken with the plan, before the server that was left was counted. It is taken anew when the stream moves, and whether the stream may move is asked again when all is ready.

--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -178,7 +178,7 @@
     }
 
     /// How often a silent server is asked. A call that cannot go elsewhere is waited for to the end.
-    fn probe_pace(&self) -> Duration {
+    pub(crate) fn probe_pace(&self) -> Duration {
         let route = &self.facts().route;
         match self.progress.may_go_elsewhere(route) {
             true => route.target_latency.mul_f64(PROBE_SHARE),
--- a/crates/entry/src/traffic/call_run/successor.rs
+++ b/crates/entry/src/traffic/call_run/successor.rs
@@ -78,7 +78,8 @@
             self.learn(&fault, &server, weights);
             KeepReason::Unconnected(fault.reason)
         })?;
-        if !self.try_repeat() {
+        // The route may have changed, and others may have spent the budget, since this was asked first.
+        if !self.may_go_elsewhere() || !self.try_repeat() {
             return Err(KeepReason::NoAttempt);
         }
         Ok(Successor { ready, reason })
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -98,6 +98,12 @@
         self.plan.weights
     }
 
+    /// With another pace at which the server is asked while it is silent.
+    pub(crate) fn asked_each(mut self, probe_pace: Duration) -> ReadySend {
+        self.plan.probe_pace = probe_pace;
+        self
+    }
+
     /// Sends the call and waits for the answer's head.
     pub(crate) async fn send(self, call: &DecodedCall) -> Result<OpenAnswer, SendFault> {
         let ReadySend { mut plan, mut channel } = self;
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -139,10 +139,13 @@
         point: &ResumePoint,
         next: Option<ReadySend>,
     ) -> Result<OpenAnswer, CallFailure> {
-        if let Some(ready) = next
-            && let Some(answer) = self.run.answer_of(ready).await?
-        {
-            return Ok(answer);
+        if let Some(ready) = next {
+            // Planned while the one that was left was not counted yet: this may be the last server that
+            // may run the stream, and its silence is then no reason to end the answer.
+            let ready = ready.asked_each(self.run.probe_pace());
+            if let Some(answer) = self.run.answer_of(ready).await? {
+                return Ok(answer);
+            }
         }
         self.run.next_answer(point).await
     }
