An answer that comes while its silent server is asked is taken

An answer that came in this time was thrown away when the question was in vain, and the request ran a second time elsewhere. Now both are waited for, the answer first.

--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -144,7 +144,15 @@
         }
         if next_question <= Instant::now() {
             next_question = Instant::now() + plan.probe_pace;
-            ask_silent(plan).await?;
+            // The answer may come meanwhile. Left unread, it was thrown away with the server when the
+            // question was in vain, and the request ran a second time elsewhere.
+            tokio::select! {
+                biased;
+                answer = &mut sending => {
+                    return answer.map_err(|err| SendFault::new(SendEnd::Broken, &err));
+                }
+                asked = ask_silent(plan) => asked?,
+            }
         }
     }
 }
