Failing: a host without the store is refused small pages while a large one is made up for

On a link of 10 Mbit/s a large configuration in its turn leaves a debt of some 340 KB, more than a second at the share that may be used. Meanwhile a host that cannot reach the store does not learn of draining servers. Found by reading.

--- a/crates/dispatch/tests/handing_on.rs
+++ b/crates/dispatch/tests/handing_on.rs
@@ -106,6 +106,20 @@
     assert!(budget.try_take(CONFIGURATION, OUT_OF_REACH, later));
 }
 
+/// A host that cannot reach the store sends new requests to a server that has long drained.
+/// Its reader makes up for a large answer and refuses even the small pages of the servers' list, which this
+/// host reads nowhere else. Those always go to such a host; one that has the store waits for them there.
+#[test]
+fn small_pages_go_to_those_without_the_store() {
+    let start = Instant::now();
+    let mut budget = HandOnBudget::new(NARROW, start);
+    assert!(budget.try_take(CONFIGURATION, OUT_OF_REACH, start));
+    assert!(!budget.try_take(PAGE, IN_REACH, start));
+    assert!(budget.try_take(PAGE, OUT_OF_REACH, start));
+    let owed = NARROW * 0.05 - (CONFIGURATION + PAGE) as f64;
+    assert_eq!(budget.left(), owed as i64, "they count");
+}
+
 /// A reader's link is full although each answer alone was allowed.
 /// Small and large ones come in any order and at any pace. From any moment on, what has gone is the share
 /// of the time, a tenth of a second of the link, and no more.
