Failing: the end of a load may be told to nobody

A notice that an engine has loaded is kept for 600 ms. A word's turn in a fleet of 90 comes each 600 ms: only because a change of stage sends a word 120 ms after the last one is any end of a load told at all. With a longer pause before such words it could age away between two of them, and the others would leave the engine alone for 2.5 s.

--- a/crates/entry/src/state/loading_board.rs
+++ b/crates/entry/src/state/loading_board.rs
@@ -1,5 +1,8 @@
 //! Engines that this router has ordered to load.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
