Each end of a load is told in two words at least

Cause: the board of loads drops an end by its age alone, as long as the longest pause between two words. Change: an end is named in two words at least, and then until it is 600 ms old, as before. Ruled out: a longer age; at fast words each end would go out more often than now, and words are what fills the link of the host that orders. Conclusion: a pause before words may be as long as the words' turn.

--- a/crates/entry/src/state/loading_board.rs
+++ b/crates/entry/src/state/loading_board.rs
@@ -19,22 +19,36 @@
 
 /// A notice that an engine does not load any more is repeated this long, against lost messages.
 const ENDED_AGE: Duration = Duration::from_millis(600);
+/// But in so many messages at least. Routers of a large fleet speak up to 600 ms apart, and a notice that
+/// has aged between two messages is told to nobody: the others leave an engine alone that is well, until
+/// they take its load for over after 2.5 s. A message that finds no room in a link is left out; the next one has
+/// some, or that router reads nothing.
+const LEAST_TOLD: u32 = 2;
 
 /// The notices that go to the other routers, so that they send nothing to an engine that would turn
 /// it away: without them, each load cost some ten refused sends, and the budget of repeats was
 /// spent on those.
 #[derive(Debug, Default)]
 pub(crate) struct LoadingBoard {
-    notices: Mutex<IndexMap<ServerKey, (LoadingNotice, Instant)>>,
+    notices: Mutex<IndexMap<ServerKey, OpenNotice>>,
     changed: Notify,
 }
 
+/// A notice, when it last changed, and in how many messages it has gone out since.
+#[derive(Debug)]
+struct OpenNotice {
+    notice: LoadingNotice,
+    changed: Instant,
+    told: u32,
+}
+
 impl LoadingBoard {
     /// An engine is about to get an order.
     pub(crate) fn begin(&self, server: ServerKey, model: &ModelName, version: WeightsVersion) {
         let notice =
             LoadingNotice { server, model: model.clone(), version, stage: LoadingStage::Loading };
-        self.lock().insert(server, (notice, Instant::now()));
+        let open = OpenNotice { notice, changed: Instant::now(), told: 0 };
+        self.lock().insert(server, open);
         self.changed.notify_one();
     }
 
@@ -49,10 +63,11 @@
     }
 
     fn end(&self, server: ServerKey, stage: LoadingStage, version: Option<WeightsVersion>) {
-        if let Some((notice, at)) = self.lock().get_mut(&server) {
-            notice.stage = stage;
-            notice.version = version.unwrap_or(notice.version);
-            *at = Instant::now();
+        if let Some(open) = self.lock().get_mut(&server) {
+            open.notice.stage = stage;
+            open.notice.version = version.unwrap_or(open.notice.version);
+            open.changed = Instant::now();
+            open.told = 0;
         }
         self.changed.notify_one();
     }
@@ -62,14 +77,16 @@
         self.lock().swap_remove(&server);
     }
 
-    /// All notices that still matter.
+    /// All notices that still matter. Each call is for one message to the other routers.
     pub(crate) fn notices(&self) -> Vec<LoadingNotice> {
         let now = Instant::now();
         let mut notices = self.lock();
-        notices.retain(|_, (notice, at)| {
-            notice.stage == LoadingStage::Loading || now.saturating_duration_since(*at) < ENDED_AGE
+        notices.retain(|_, open| open.matters(now));
+        let told = notices.values_mut().map(|open| {
+            open.told = open.told.saturating_add(1);
+            open.notice.clone()
         });
-        notices.values().map(|(notice, _)| notice.clone()).collect()
+        told.collect()
     }
 
     /// Waits for a change.
@@ -77,7 +94,14 @@
         self.changed.notified().await;
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<ServerKey, (LoadingNotice, Instant)>> {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<ServerKey, OpenNotice>> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl OpenNotice {
+    fn matters(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.changed);
+        self.notice.stage == LoadingStage::Loading || self.told < LEAST_TOLD || age < ENDED_AGE
+    }
+}
