Failing: words about loads before their turn know no link

A host that brings new weights to 90 engines speaks each 120 ms to 90 others as long as engines change their stage. By the format a word with 15 servers' loads and 30 notices has 1,064 bytes, with 54 notices 1,592, and 1,396 with a prompt of 34 parts: 0.8 to 1.1 MB/s on a link of 1.25 MB/s. So it was seen: the holder of the lease sent 570 to 1,274 KB/s in seconds 3 to 15, the median host 115 to 175. The test wants a function of the words' bytes and the link.

--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -9,6 +9,7 @@
 use fulmargate_dispatch::PeerSum;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::Urgency;
+use fulmargate_dispatch::urgent_pace;
 use fulmargate_dispatch::word_pace;
 use fulmargate_names::HostName;
 use indexmap::IndexMap;
@@ -79,3 +80,102 @@
         assert!(2 * pace_ms <= WORD_AGE_MS, "{peers}: {pace_ms} ms");
     }
 }
+
+/// A link of 10 Mbit/s and one of 200, in bytes a second.
+const SMALL_LINK: f64 = 1.25e6;
+const WIDE_LINK: f64 = 25e6;
+/// The share of a link that words before their turn may take.
+const LINK_SHARE: f64 = 0.5;
+
+struct UrgentCase {
+    name: &'static str,
+    peers: usize,
+    /// Bytes of the word before, and what the link carries in a second.
+    word_bytes: usize,
+    link: f64,
+    pause: Duration,
+}
+
+const URGENT: &[UrgentCase] = &[
+    UrgentCase {
+        name: "a wave on a small link",
+        peers: 90,
+        word_bytes: 1_400,
+        link: SMALL_LINK,
+        pause: Duration::from_micros(201_600),
+    },
+    UrgentCase {
+        name: "a wave on a wide link",
+        peers: 90,
+        word_bytes: 1_400,
+        link: WIDE_LINK,
+        pause: Duration::from_millis(120),
+    },
+    UrgentCase {
+        name: "the first notice after a short word",
+        peers: 90,
+        word_bytes: 60,
+        link: SMALL_LINK,
+        pause: Duration::from_millis(120),
+    },
+    UrgentCase {
+        name: "nothing was said before",
+        peers: 90,
+        word_bytes: 0,
+        link: SMALL_LINK,
+        pause: Duration::from_millis(120),
+    },
+    UrgentCase {
+        name: "a long word",
+        peers: 90,
+        word_bytes: 12_000,
+        link: SMALL_LINK,
+        pause: Duration::from_millis(600),
+    },
+    UrgentCase {
+        name: "too small a link",
+        peers: 90,
+        word_bytes: 1_400,
+        link: 1.0,
+        pause: Duration::from_millis(600),
+    },
+    UrgentCase {
+        name: "a small fleet",
+        peers: 30,
+        word_bytes: 1_600,
+        link: SMALL_LINK,
+        pause: Duration::from_micros(76_800),
+    },
+    UrgentCase {
+        name: "few routers, whose words are frequent anyway",
+        peers: 5,
+        word_bytes: 1_400,
+        link: SMALL_LINK,
+        pause: Duration::from_micros(26_775),
+    },
+    UrgentCase {
+        name: "nobody else",
+        peers: 0,
+        word_bytes: 1_400,
+        link: SMALL_LINK,
+        pause: Duration::from_millis(25),
+    },
+];
+
+/// Callers of the host that orders engines to load get no answer for seconds, and its own reports of
+/// engines come too late, so that new weights are in place later.
+/// With each engine that began or ended its load it told 90 others all that it had to say, 1.1 KB and more
+/// eight times a second, and filled a link of 10 Mbit/s.
+/// A longer word is followed by a longer pause, up to that of all words.
+#[test]
+fn words_before_their_turn_keep_to_a_share_of_the_link() {
+    for case in URGENT {
+        let pause = urgent_pace(case.peers, case.word_bytes, case.link);
+        assert_eq!(pause, case.pause, "{}", case.name);
+        let turn = word_pace(case.peers);
+        assert!(pause <= turn, "{}: all words go out more often", case.name);
+        let sent = (case.word_bytes * case.peers) as f64;
+        let allowed = case.link * LINK_SHARE * pause.as_secs_f64();
+        assert!(pause == turn || sent <= allowed + 1.0, "{}: {sent} bytes", case.name);
+    }
+}
