Failing: a dead server and late reports hide a full link

What was heard before the first of the silent servers fell silent does not count, and a server that has long been dead is the first. And the holder of the lease counts reports of up to 0.7 s as connections that came about, while requests wait 0.15 s for one.

--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -112,6 +112,17 @@
             Lost(1_400, "a1", true),
         ],
     },
+    ReachCase {
+        name: "a server that has long been dead does not delay the doubt",
+        steps: &[
+            Vain(0, &["a1"], Silent),
+            Vain(400, &["a1"], Silent),
+            Vain(800, &["a1"], Silent),
+            Tried(950, &["a2", "b1"], Reached),
+            Tried(1_150, &["b2", "c1", "c2"], Silent),
+            Doubts(1_150, true),
+        ],
+    },
     ReachCase {
         name: "a server that refuses is lost in any case",
         steps: &[
--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -1,5 +1,8 @@
 //! One engine's way to new weights.
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -148,14 +151,9 @@
         let answer = self.engines.report(self.entry.address, REPORT_TIMEOUT).await;
         // When this host is cut short, no report comes of any engine, and engines that are well would be
         // taken for unreachable. Its reports are told like connections, so that it can tell.
-        let end = match &answer {
-            Err(StoreError::NoAnswer { .. }) if REPORT_TIMEOUT <= began.elapsed() => {
-                ConnectEnd::Silent
-            }
-            Err(StoreError::NoAnswer { .. }) => ConnectEnd::Refused,
-            _ => ConnectEnd::Reached,
-        };
-        note_connect(&self.state, self.entry.key(), end);
+        if let Some(end) = report_end(&answer, began.elapsed()) {
+            note_connect(&self.state, self.entry.key(), end);
+        }
         match answer {
             Ok(report) => Some(report),
             Err(err) => {
@@ -193,3 +191,12 @@
         answer.ok()
     }
 }
+
+/// What a report that took so long says of the way to the engine.
+fn report_end(answer: &Result<EngineReport, StoreError>, took: Duration) -> Option<ConnectEnd> {
+    match answer {
+        Err(StoreError::NoAnswer { .. }) if REPORT_TIMEOUT <= took => Some(ConnectEnd::Silent),
+        Err(StoreError::NoAnswer { .. }) => Some(ConnectEnd::Refused),
+        _ => Some(ConnectEnd::Reached),
+    }
+}
