The soak fills the links of entry hosts

What a router sends to the store and to all servers now passes one link of its own. The judge holds one more promise, `KeptAnswer`: no answer is closed or cut early, and no call that may run once is answered 502, within the caller's time, unless the router's process, its callers' connections or a server that ran it suffered. A full link or a store in trouble is no excuse.

Ruled out: one proxy for all routers that looks up whose connection it has, because a connection is open before a proxy hears of it, so that none could be kept from opening for one router alone. Instead the store names each server to each router at another address of loopback, in these runs only, where each router reads the store itself.

--- /dev/null
+++ b/crates/soak/src/answer_loss.rs
@@ -0,0 +1,67 @@
+//! Whether a router gave up an answer that its server was going on with.
+
+#[cfg(test)]
+mod tests;
+
+use fulmargate_consortium_stand::ServerMode;
+
+use crate::LinkPlace;
+use crate::RouterSignal;
+use crate::SoakFault;
+use crate::fault_log::FaultSpan;
+use crate::request_record::RequestEnd;
+use crate::request_record::RequestRecord;
+
+/// A request that servers ran, and what went wrong meanwhile.
+pub(crate) struct AnswerLoss<'a> {
+    pub(crate) record: &'a RequestRecord,
+    /// Places of the servers that ran it.
+    pub(crate) places: Vec<usize>,
+    pub(crate) spans: &'a [FaultSpan],
+}
+
+impl AnswerLoss<'_> {
+    /// What the router did without an excuse. A link that is full is none: the servers are well and go
+    /// on, and what cannot be had elsewhere is worth waiting for.
+    pub(crate) fn unexcused(&self) -> Option<&'static str> {
+        let RequestRecord { sent, ended, patience, .. } = *self.record;
+        if self.places.is_empty() || sent + patience <= ended {
+            return None;
+        }
+        let spans = self.spans.iter().filter(|span| span.overlaps(sent, ended));
+        let is_excused = spans.map(|span| span.fault).any(|fault| self.excuses(fault));
+        self.lost().filter(|_| !is_excused)
+    }
+
+    fn lost(&self) -> Option<&'static str> {
+        match &self.record.end {
+            RequestEnd::Broken(_) => Some("closed without an answer"),
+            RequestEnd::Answered(answer) if answer.status == 200 && !answer.is_whole => {
+                Some("cut in the middle")
+            }
+            RequestEnd::Answered(answer)
+                if answer.status == 502 && !self.record.kind.may_repeat() =>
+            {
+                Some("given up")
+            }
+            RequestEnd::Answered(_) | RequestEnd::Left => None,
+        }
+    }
+
+    /// Whether the router's process, its callers' connections or a server that ran the request suffered.
+    fn excuses(&self, fault: SoakFault) -> bool {
+        match fault {
+            SoakFault::KillAll => true,
+            SoakFault::Signal(router, signal) => {
+                router == self.record.router && signal != RouterSignal::HangUp
+            }
+            SoakFault::Link(LinkPlace::Callers(router), _) => router == self.record.router,
+            SoakFault::Link(LinkPlace::Server(place), _) => self.places.contains(&place),
+            SoakFault::Server(_, ServerMode::PausedEcho) => false,
+            SoakFault::Server(place, _) => self.places.contains(&place),
+            SoakFault::Link(LinkPlace::Store(_), _) | SoakFault::FullLink(_) => false,
+            SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::ReplaceServer(_) => false,
+            SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
+        }
+    }
+}
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -1,5 +1,7 @@
 //! Draws from a seed what goes wrong and when.
 
+use std::net::Ipv4Addr;
+use std::ops::Range;
 use std::time::Duration;
 
 use fulmargate_consortium_stand::ServerMode;
@@ -12,6 +14,7 @@
 use crate::LinkPlace;
 use crate::RouterSignal;
 use crate::SoakFault;
+use crate::soak_world::loopback;
 
 /// Steps of a plan; a series counts once.
 const STEPS: std::ops::RangeInclusive<usize> = 8..=16;
@@ -30,6 +33,17 @@
 /// When the key is taken after that began.
 const TAKEN_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_000;
 
+/// How long a link is full: longer than a router's patience with a silent
+/// stream of 1 s and four connection attempts of 150 ms.
+const FULL_MS: std::ops::RangeInclusive<u64> = 2_000..=4_000;
+/// Answers pause from so long before a link becomes full, or most would have ended.
+const PAUSES_BEFORE_MS: u64 = 800;
+const PAUSES_MS: u64 = 1_600;
+/// Keeps the full links from the draws of other kinds.
+const FULL_LINK_DRAWS: u64 = 0x6675_6c6c;
+/// With so many hosts and fewer, each reads the store itself.
+const FEW_HOSTS: usize = 6;
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FaultStep {
@@ -56,7 +70,7 @@
     /// Draws a plan. Equal seeds give equal plans.
     pub fn draw(seed: u64, routers: usize, servers: usize, length: Duration) -> FaultPlan {
         let mut source = FaultSource { rng: StdRng::seed_from_u64(seed), routers, servers };
-        let few_hosts = if source.rng.random_bool(0.5) { 6 } else { 1 };
+        let few_hosts = if source.rng.random_bool(0.5) { FEW_HOSTS } else { 1 };
         let count = source.rng.random_range(STEPS);
         let mut steps = Vec::new();
         for _ in 0..count {
@@ -91,6 +105,41 @@
         self.steps.sort_by_key(|step| step.at);
         self
     }
+
+    /// Beside all else the links of hosts are full for a while, one for each of these groups of servers,
+    /// whose answers pause as it begins. All routers read the store themselves: each must find the servers
+    /// behind its own link.
+    pub fn with_full_links(
+        mut self,
+        routers: usize,
+        paused: &[Range<usize>],
+        length: Duration,
+    ) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ FULL_LINK_DRAWS);
+        self.few_hosts = FEW_HOSTS;
+        for servers in paused {
+            let start = CALM_START_MS + PAUSES_BEFORE_MS;
+            let at = rng.random_range(start..length.as_millis() as u64);
+            let lasts = Duration::from_millis(rng.random_range(FULL_MS));
+            let fault = SoakFault::FullLink(rng.random_range(0..routers));
+            self.steps.push(FaultStep { at: Duration::from_millis(at), lasts, fault });
+            for server in servers.clone() {
+                let at = Duration::from_millis(at - PAUSES_BEFORE_MS);
+                let lasts = Duration::from_millis(PAUSES_MS);
+                let fault = SoakFault::Server(server, ServerMode::PausedEcho);
+                self.steps.push(FaultStep { at, lasts, fault });
+            }
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
+    /// The address of loopback at which a router finds the servers: one of its own where its link may
+    /// be full.
+    pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
+        let has_links = self.steps.iter().any(|step| matches!(step.fault, SoakFault::FullLink(_)));
+        if has_links { loopback(router) } else { Ipv4Addr::LOCALHOST }
+    }
 }
 
 struct FaultSource {
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -15,6 +15,7 @@
 use crate::FaultPlan;
 use crate::FaultStep;
 use crate::LinkFault;
+use crate::LinkLoad;
 use crate::LinkPlace;
 use crate::LoopbackProxy;
 use crate::RouterSignal;
@@ -38,10 +39,16 @@
 async fn do_step(world: &SoakWorld, step: &FaultStep) -> io::Result<()> {
     match step.fault {
         SoakFault::Link(place, fault) => {
-            let proxy = proxy(world, place);
-            proxy.set_fault(fault);
+            let proxies = proxies(world, place);
+            proxies.iter().for_each(|proxy| proxy.set_fault(fault));
             sleep(step.lasts).await;
-            proxy.set_fault(LinkFault::None);
+            proxies.iter().for_each(|proxy| proxy.set_fault(LinkFault::None));
+        }
+        SoakFault::FullLink(router) => {
+            let link = &world.routers[router].link;
+            link.set_load(LinkLoad::Full);
+            sleep(step.lasts).await;
+            link.set_load(LinkLoad::Free);
         }
         SoakFault::Signal(router, RouterSignal::Pause) => {
             world.signal(router, Signal::SIGSTOP)?;
@@ -81,11 +88,11 @@
     Ok(())
 }
 
-fn proxy(world: &SoakWorld, place: LinkPlace) -> LoopbackProxy {
+fn proxies(world: &SoakWorld, place: LinkPlace) -> Vec<LoopbackProxy> {
     match place {
-        LinkPlace::Callers(router) => world.routers[router].callers.clone(),
-        LinkPlace::Store(router) => world.routers[router].store.clone(),
-        LinkPlace::Server(number) => world.server(number).proxy,
+        LinkPlace::Callers(router) => vec![world.routers[router].callers.clone()],
+        LinkPlace::Store(router) => vec![world.routers[router].store.clone()],
+        LinkPlace::Server(number) => world.server(number).proxies,
     }
 }
 
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -3,7 +3,6 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use derive_more::Display;
 use fulmargate_consortium_stand::ECHO_EVENTS;
 use fulmargate_consortium_stand::SeenRequest;
 use fulmargate_consortium_stand::echo_event;
@@ -11,6 +10,8 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::Promise;
+use crate::answer_loss::AnswerLoss;
 use crate::fault_log::FaultSpan;
 use crate::request_record::RequestEnd;
 use crate::request_record::RequestKind;
@@ -37,39 +38,6 @@
 /// Broken promises told of each kind; more would hide the others.
 const MOST_TOLD: usize = 5;
 
-/// What is promised.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum Promise {
-    /// A success is the server's whole answer to this very request.
-    WholeAnswer,
-    /// Events come in order, none is missing or doubled.
-    OrderedStream,
-    /// What may not repeat runs once.
-    AtMostOnce,
-    /// A refusal that says "not run" is true.
-    TrueRefusal,
-    /// Whoever may come back is told when.
-    SaysWhen,
-    /// A key that was taken away stops.
-    TakenKey,
-    /// A server that leaves gets nothing new.
-    LeavingServer,
-    /// A configuration is in force in time.
-    ConfigInForce,
-    /// And stays so.
-    ConfigReverts,
-    /// A planned stop ends by itself and cuts nothing.
-    PlannedStop,
-    /// Requests run on the weights that they were meant for, and share a cache under no others.
-    CacheScope,
-    /// One holder at a time gives orders.
-    OneHolder,
-    /// Repeats stay within the budget.
-    RepeatBudget,
-    /// All serve again when the faults are over.
-    Recovery,
-}
-
 /// A promise that was not kept.
 #[derive(Clone, Debug)]
 pub struct BrokenPromise {
@@ -117,6 +85,7 @@
         for record in &evidence.records {
             judge.judge_answer(record);
             judge.judge_runs(record);
+            judge.judge_loss(record);
             judge.judge_key(record);
             judge.judge_leaving(record);
             judge.judge_route(record);
@@ -198,6 +167,15 @@
         }
     }
 
+    fn judge_loss(&mut self, record: &RequestRecord) {
+        let runs = self.runs.get(&record.id).into_iter().flatten();
+        let places = runs.map(|run| self.evidence.servers[run.server].place).collect();
+        let loss = AnswerLoss { record, places, spans: &self.evidence.spans };
+        if let Some(lost) = loss.unexcused() {
+            self.note_record(Promise::KeptAnswer, record, lost);
+        }
+    }
+
     fn judge_key(&mut self, record: &RequestRecord) {
         let Some(taken) = self.evidence.word.key_taken else { return };
         let is_late = taken + KEY_REVOKE < record.sent;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,11 +6,14 @@
 //! promised is judged from the callers' records and from what the servers saw, not from the daemons'
 //! own words.
 
+mod answer_loss;
 mod fault_log;
 mod fault_plan;
 mod fault_player;
+mod host_link;
 mod judge;
 mod loopback_proxy;
+mod promise;
 mod request_record;
 mod router_process;
 mod soak_caller;
@@ -20,10 +23,12 @@
 
 pub use fault_plan::FaultPlan;
 pub use fault_plan::FaultStep;
+pub use host_link::HostLink;
+pub use host_link::LinkLoad;
 pub use judge::BrokenPromise;
-pub use judge::Promise;
 pub use loopback_proxy::LinkFault;
 pub use loopback_proxy::LoopbackProxy;
+pub use promise::Promise;
 pub use soak_fault::LinkPlace;
 pub use soak_fault::RouterSignal;
 pub use soak_fault::SoakFault;
--- a/crates/soak/src/loopback_proxy.rs
+++ b/crates/soak/src/loopback_proxy.rs
@@ -1,6 +1,7 @@
 //! A proxy on loopback that harms the connections through it.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::os::fd::BorrowedFd;
@@ -8,6 +9,8 @@
 use std::time::Duration;
 
 use nix::libc::linger;
+use nix::sys::socket::Backlog;
+use nix::sys::socket::listen;
 use nix::sys::socket::setsockopt;
 use nix::sys::socket::sockopt;
 use tokio::io::AsyncReadExt;
@@ -18,6 +21,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::HostLink;
+use crate::LinkLoad;
 
 /// What the proxy does.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -45,6 +52,11 @@
 }
 
 const PIECE_BYTES: usize = 16 * 1024;
+/// Connections that wait to be accepted while the link is full; the system drops the first packet of
+/// any further one, and its sender repeats it a second later.
+const FULL_BACKLOG: i32 = 1;
+/// A connection on loopback opens within a millisecond. One that has not is dropped.
+const LOOPBACK_CONNECT: Duration = Duration::from_millis(20);
 /// Bytes that wait are dropped when the connection is closed.
 const AT_ONCE: linger = linger { l_onoff: 1, l_linger: 0 };
 
@@ -59,21 +71,27 @@
 struct ProxyState {
     fault: watch::Sender<LinkFault>,
     target: watch::Sender<Option<SocketAddr>>,
+    link: HostLink,
 }
 
 impl LoopbackProxy {
     /// Starts on a free port; without a target connections are reset.
     pub async fn start(target: Option<SocketAddr>) -> io::Result<LoopbackProxy> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        LoopbackProxy::start_on(any, target, HostLink::default()).await
+    }
+
+    /// Starts at an address, on a link that may be shared with others.
+    pub async fn start_on(
+        address: SocketAddr,
+        target: Option<SocketAddr>,
+        link: HostLink,
+    ) -> io::Result<LoopbackProxy> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let fault = watch::Sender::new(LinkFault::None);
-        let state = Arc::new(ProxyState { fault, target: watch::Sender::new(target) });
-        let shared = state.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(carry(shared.clone(), stream));
-            }
-        });
+        let state = Arc::new(ProxyState { fault, target: watch::Sender::new(target), link });
+        tokio::spawn(accept_all(state.clone(), listener, address));
         Ok(LoopbackProxy { address, state })
     }
 
@@ -88,6 +106,40 @@
     }
 }
 
+async fn accept_all(state: Arc<ProxyState>, listener: TcpListener, address: SocketAddr) {
+    loop {
+        tokio::select! {
+            () = state.link.until(LinkLoad::Full) => {
+                if let Err(err) = stay_crowded(&state.link, &listener, address).await {
+                    eprintln!("a proxy could not turn connections away: {err}");
+                    return;
+                }
+            }
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                tokio::spawn(carry(state.clone(), stream));
+            }
+        }
+    }
+}
+
+/// While the link is full, no connection opens: those that wait to be accepted are as many as the
+/// system lets wait. Own ones among them end before they carry anything.
+async fn stay_crowded(
+    link: &HostLink,
+    listener: &TcpListener,
+    address: SocketAddr,
+) -> io::Result<()> {
+    listen(listener, Backlog::new(FULL_BACKLOG)?)?;
+    let mut crowd = Vec::new();
+    while let Ok(opened) = timeout(LOOPBACK_CONNECT, TcpStream::connect(address)).await {
+        crowd.push(opened?);
+    }
+    link.until(LinkLoad::Free).await;
+    listen(listener, Backlog::MAXCONN)?;
+    Ok(())
+}
+
 async fn carry(state: Arc<ProxyState>, near: TcpStream) {
     let target = *state.target.borrow();
     let far = match target {
@@ -131,6 +183,7 @@
     loop {
         let length = from.read(&mut piece).await?;
         sleep(delay_once_open(&mut fault, way).await).await;
+        state.link.carry(length).await;
         if length == 0 {
             return to.shutdown().await;
         }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// also take a key away while a router is cut off from the store
     #[argh(switch)]
     cut_off: bool,
+    /// links of hosts are full while answers pause, beside the faults of the seed; goes before --cut-off
+    #[argh(switch)]
+    full_link: bool,
     /// print what goes wrong in each run
     #[argh(switch)]
     plans: bool,
@@ -49,7 +52,11 @@
         return ExitCode::from(2);
     };
     let length = Duration::from_secs(args.seconds);
-    let kind = if args.cut_off { PlanKind::CutOff } else { PlanKind::Mixed };
+    let kind = match (args.full_link, args.cut_off) {
+        (true, _) => PlanKind::FullLink,
+        (false, true) => PlanKind::CutOff,
+        (false, false) => PlanKind::Mixed,
+    };
     let conf = SoakConf { program, folder: args.logs.clone(), length, kind };
     let runs = (args.first..args.first + args.seeds).map(|seed| run_seed(seed, &conf));
     let mut reports = stream::iter(runs).buffered(args.jobs.max(1));
--- a/crates/soak/src/request_record.rs
+++ b/crates/soak/src/request_record.rs
@@ -1,5 +1,7 @@
 //! What a caller sent and saw.
 
+use std::time::Duration;
+
 use fulmargate_consortium_stand::CallerAnswer;
 use tokio::time::Instant;
 
@@ -53,6 +55,8 @@
     pub(crate) router: usize,
     /// The router's process that it went to.
     pub(crate) start: usize,
+    /// How long the caller waits by its header.
+    pub(crate) patience: Duration,
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) end: RequestEnd,
--- a/crates/soak/src/soak_caller.rs
+++ b/crates/soak/src/soak_caller.rs
@@ -129,6 +129,7 @@
             key: request.key.unwrap_or_default(),
             router: self.router,
             start,
+            patience,
             sent,
             ended: Instant::now(),
             end,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -36,6 +36,8 @@
     Link(LinkPlace, LinkFault),
     /// A router's process gets a signal.
     Signal(usize, RouterSignal),
+    /// The link of a router's host to the store and to all servers is full.
+    FullLink(usize),
     /// All routers are killed at the same moment.
     KillAll,
     /// The store suffers.
@@ -60,6 +62,7 @@
         match self {
             SoakFault::Link(LinkPlace::Callers(at) | LinkPlace::Store(at), _) => *at == router,
             SoakFault::Signal(at, signal) => *at == router && *signal != RouterSignal::HangUp,
+            SoakFault::FullLink(at) => *at == router,
             SoakFault::KillAll | SoakFault::Store(_) | SoakFault::ForgetHistory => true,
             SoakFault::Link(LinkPlace::Server(_), _) => false,
             SoakFault::Server(..) | SoakFault::ReplaceServer(_) => false,
@@ -69,6 +72,10 @@
 
     /// Whether servers may leave requests unanswered.
     pub(crate) fn harms_servers(&self) -> bool {
-        matches!(self, SoakFault::Link(LinkPlace::Server(_), _) | SoakFault::Server(..))
+        match self {
+            SoakFault::Server(_, mode) => *mode != ServerMode::PausedEcho,
+            SoakFault::Link(LinkPlace::Server(_), _) => true,
+            _ => false,
+        }
     }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,10 @@
 /// Requests that must all be served.
 const CALM_TIME: Duration = Duration::from_secs(2);
 
+/// Servers whose answers pause as a link of a host becomes full: twice those that stream, which are cut
+/// more often than plain calls are given up.
+const PAUSED: [Range<usize>; 3] = [DESKS..DESKS + ENGINES, DESKS..DESKS + ENGINES, 0..DESKS];
+
 /// What a run needs.
 #[derive(Clone, Debug)]
 pub struct SoakConf {
@@ -54,6 +59,8 @@
     Mixed,
     /// Any faults, and a key that is taken while a router is cut off from the store.
     CutOff,
+    /// Any faults, and links of hosts that are full while answers pause.
+    FullLink,
 }
 
 /// How a run ended.
@@ -75,6 +82,7 @@
     let plan = match conf.kind {
         PlanKind::Mixed => mixed,
         PlanKind::CutOff => mixed.with_cut_off(ROUTERS),
+        PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
     };
     let folder = conf.folder.join(format!("seed-{seed}"));
     fs::create_dir_all(&folder)?;
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -1,6 +1,8 @@
 //! The deployment of a run: store, servers and routers, with a proxy before each.
 
 use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -22,6 +24,7 @@
 use tokio::time::sleep;
 
 use crate::FaultPlan;
+use crate::HostLink;
 use crate::LoopbackProxy;
 use crate::fault_log::FaultLog;
 use crate::router_process::RouterProcess;
@@ -44,12 +47,14 @@
 /// Key of a team that shares.
 pub(crate) const SHARED_KEY: &str = "k-red";
 
-/// A server with the proxy before it.
+/// A server with a proxy for each router before it, all at the same port.
 #[derive(Clone)]
 pub(crate) struct SoakServer {
     pub(crate) stand: ServerStand,
-    pub(crate) proxy: LoopbackProxy,
+    pub(crate) proxies: Vec<LoopbackProxy>,
     pub(crate) service: &'static str,
+    /// Its place in the list; its successor has the same.
+    pub(crate) place: usize,
     /// When the store had its word that it leaves.
     pub(crate) left: Option<Instant>,
 }
@@ -69,6 +74,8 @@
 pub(crate) struct SoakRouter {
     pub(crate) callers: LoopbackProxy,
     pub(crate) store: LoopbackProxy,
+    /// To the store and to the servers.
+    pub(crate) link: HostLink,
     spec: RouterSpec,
     /// Restarts come one after the other.
     restart: TaskMutex<()>,
@@ -111,7 +118,10 @@
         let word = OperatorWord { config, routes: Vec::new(), key_taken: None, weights: 1 };
         let mut routers = Vec::new();
         for number in 0..ROUTERS {
-            let store_link = LoopbackProxy::start(Some(store.address)).await?;
+            let link = HostLink::default();
+            let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let view = Some(store.start_view(plan.servers_at(number)).await?);
+            let store_link = LoopbackProxy::start_on(any, view, link.clone()).await?;
             let spec = RouterSpec {
                 program: program.to_owned(),
                 folder: folder.clone(),
@@ -123,6 +133,7 @@
             routers.push(SoakRouter {
                 callers,
                 store: store_link,
+                link,
                 spec,
                 restart: TaskMutex::new(()),
                 process: Mutex::new(None),
@@ -141,7 +152,7 @@
         };
         for number in 0..DESKS + ENGINES {
             let service = if number < DESKS { "desk" } else { "engines" };
-            let server = world.start_server(service).await?;
+            let server = world.start_server(service, number).await?;
             lock(&world.servers).push(server);
         }
         for router in &world.routers {
@@ -150,12 +161,18 @@
         Ok(world)
     }
 
-    async fn start_server(&self, service: &'static str) -> io::Result<SoakServer> {
+    async fn start_server(&self, service: &'static str, place: usize) -> io::Result<SoakServer> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let stand = ServerStand::start(&format!("{service}-{number}"), ServerMode::Echo).await?;
-        let proxy = LoopbackProxy::start(Some(stand.address)).await?;
-        self.store.put_server(&stand.name, service, proxy.address, "ready");
-        Ok(SoakServer { stand, proxy, service, left: None })
+        let mut proxies: Vec<LoopbackProxy> = Vec::new();
+        for (number, router) in self.routers.iter().enumerate() {
+            let port = proxies.first().map_or(0, |first| first.address.port());
+            let address = SocketAddr::from((loopback(number), port));
+            let target = Some(stand.address);
+            proxies.push(LoopbackProxy::start_on(address, target, router.link.clone()).await?);
+        }
+        self.store.put_server(&stand.name, service, proxies[0].address, "ready");
+        Ok(SoakServer { stand, proxies, service, place, left: None })
     }
 
     /// A server that is there now.
@@ -172,8 +189,8 @@
     /// The server says that it leaves; another takes its place in the list.
     pub(crate) async fn replace_server(&self, number: usize) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service).await?;
-        self.store.put_server(&old.stand.name, old.service, old.proxy.address, "draining");
+        let new = self.start_server(old.service, number).await?;
+        self.store.put_server(&old.stand.name, old.service, old.proxies[0].address, "draining");
         old.left = Some(Instant::now());
         lock(&self.servers)[number] = new;
         lock(&self.retired).push(old);
@@ -261,6 +278,11 @@
     }
 }
 
+/// The address of loopback at which a router with a link of its own finds the servers.
+pub(crate) fn loopback(router: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 0, 1 + router as u8)
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/soak/tests/plans.rs
@@ -0,0 +1,30 @@
+//! What a seed draws.
+
+use std::time::Duration;
+
+use fulmargate_consortium_stand::ServerMode;
+use fulmargate_soak::FaultPlan;
+use fulmargate_soak::FaultStep;
+use fulmargate_soak::SoakFault;
+
+const ROUTERS: usize = 3;
+const SERVERS: usize = 6;
+const LENGTH: Duration = Duration::from_secs(10);
+
+/// A kept seed proves nothing any more if it plays other faults than those that it was kept for.
+/// Full links are drawn beside the seed's own faults: without them the plan is what it was.
+#[test]
+fn full_links_leave_the_other_faults_of_a_seed_as_they_are() {
+    for seed in 0..50 {
+        let mixed = FaultPlan::draw(seed, ROUTERS, SERVERS, LENGTH);
+        let full = mixed.clone().with_full_links(ROUTERS, &[3..6, 0..3], LENGTH);
+        let (links, others): (Vec<FaultStep>, Vec<FaultStep>) =
+            full.steps.into_iter().partition(is_of_full_links);
+        assert_eq!(others, mixed.steps, "seed {seed}");
+        assert_eq!(links.len(), 2 * (1 + 3), "seed {seed}");
+    }
+}
+
+fn is_of_full_links(step: &FaultStep) -> bool {
+    matches!(step.fault, SoakFault::FullLink(_) | SoakFault::Server(_, ServerMode::PausedEcho))
+}
