An engine's answer has its time, body and all

Cause: the client's timeout ends with the answer's head. A body that trickled over a full link was read on without limit, so that histories of cache events, given up by nobody, kept the link full. Ruled out: that calls given up go on behind it. A call that is dropped before its answer's end closes its connection (the test's engine sees it). Conclusion: each call ends.

--- a/crates/entry/src/control/cache_calls.rs
+++ b/crates/entry/src/control/cache_calls.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use fulmargate_consortium::CachePage;
+use fulmargate_consortium::CacheQuestion;
 use fulmargate_consortium::EngineClient;
 use fulmargate_consortium::StoreError;
 
 /// A call waits this long for an event.
 const READ_WAIT: Duration = Duration::from_millis(400);
-/// And is given up after this time more.
+/// The answer is given up after this time more, and its page after as much again.
 const READ_ALLOWANCE: Duration = Duration::from_millis(400);
 
 /// Makes the calls of all readers of this host.
@@ -29,7 +30,12 @@
         address: SocketAddr,
         since: u64,
     ) -> Result<CachePage, StoreError> {
-        let timeout = READ_WAIT + READ_ALLOWANCE;
-        self.engines.cache_events(address, since, READ_WAIT, timeout).await
+        let question = CacheQuestion {
+            since,
+            wait: READ_WAIT,
+            answer_timeout: READ_WAIT + READ_ALLOWANCE,
+            page_timeout: READ_ALLOWANCE,
+        };
+        self.engines.cache_events(address, question, &|_| {}).await
     }
 }
