--- a/crates/entry/src/control/cache_readers.rs
+++ b/crates/entry/src/control/cache_readers.rs
@@ -1,5 +1,8 @@
 //! The readers of cache events that run on this host.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
