What sources have kept of cache events is read one page at a time, at a quarter of the link

Cause: a host that owns many sources, having heard few others or none, read what each had kept at the same moment. A page holds some 500 events, 37 KB, and there are up to 8 of them; 91 sources of 4,000 events are 27 MB. Change: readers that are behind take turns; the bytes that come make the next turn wait until they are a quarter of the link's rate. A page is given the time that the largest one takes at that share, since one given up sooner is asked for again. Readers that are not behind go on as they did. Conclusion: it bounds what a host reads that hears few others, 312 KB/s on a link of 10 Mbit/s.

--- a/crates/entry/src/control/cache_reader.rs
+++ b/crates/entry/src/control/cache_reader.rs
@@ -15,12 +15,15 @@
 use tokio::time::sleep;
 
 use crate::control::cache_calls::CacheCalls;
+use crate::control::cache_calls::ReadStage;
 use crate::control::cache_readers::ReadSources;
 use crate::state::SharedState;
 
 /// Pause between calls to one source: events of a busy engine come some 50 times a second, and each
 /// call costs both sides.
 const READ_PACE: Duration = Duration::from_millis(250);
+/// A page of more parts is one of many: between two calls a busy engine names some 40.
+const MOST_FOLLOWING_PARTS: usize = 128;
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -41,6 +44,7 @@
     source: CacheSource,
     /// Where to read on.
     next: u64,
+    stage: ReadStage,
     epoch: Option<u64>,
 }
 
@@ -52,13 +56,13 @@
         read: ReadSources,
         source: CacheSource,
     ) -> CacheReader {
-        CacheReader { state, calls, read, source, next: 0, epoch: None }
+        CacheReader { state, calls, read, source, next: 0, stage: ReadStage::Behind, epoch: None }
     }
 
     /// Reads while the source is one of those that are read.
     pub(crate) async fn run(mut self) {
         while self.read.borrow().contains_key(&self.source.key) {
-            let page = self.calls.read(self.source.address, self.next).await;
+            let page = self.calls.read(self.source.address, self.next, self.stage).await;
             sleep(self.take_in(page)).await;
         }
     }
@@ -69,6 +73,7 @@
             Ok(page) => page,
             Err(err) => {
                 tracing::debug!("cache events of {} are not to be had: {err}", self.source.address);
+                self.stage = ReadStage::Behind;
                 return FAILURE_PAUSE;
             }
         };
@@ -79,6 +84,8 @@
         let is_new = self.epoch.is_some_and(|epoch| epoch != page.epoch);
         self.epoch = Some(page.epoch);
         self.next = page.next;
+        let is_long = MOST_FOLLOWING_PARTS < page.parts.len();
+        self.stage = if is_long { ReadStage::Behind } else { ReadStage::Following };
         self.tell(page, is_new);
         READ_PACE
     }
--- a/crates/entry/src/control/cache_readers/tests.rs
+++ b/crates/entry/src/control/cache_readers/tests.rs
@@ -62,7 +62,7 @@
 fn some_readers() -> CacheReaders {
     let settings = EntrySettings::parse("entry.json", EXAMPLE).expect("the example is good");
     let (sender, _) = unbounded_channel();
-    let calls = CacheCalls::new();
+    let calls = CacheCalls::new(settings.link_bytes_per_s());
     CacheReaders::new(Arc::new(SharedState::new(settings, sender)), Rc::new(calls))
 }
 
--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -33,7 +33,8 @@
 impl CacheWatch {
     /// Reads nothing yet.
     pub(crate) fn new(state: Arc<SharedState>) -> CacheWatch {
-        let readers = CacheReaders::new(state.clone(), Rc::new(CacheCalls::new()));
+        let calls = CacheCalls::new(state.settings.link_bytes_per_s());
+        let readers = CacheReaders::new(state.clone(), Rc::new(calls));
         CacheWatch { state, hearing: HearingTime::new(Instant::now()), readers }
     }
 
