--- a/crates/entry/src/control/cache_reader.rs
+++ b/crates/entry/src/control/cache_reader.rs
@@ -1,5 +1,8 @@
 //! Reads the cache events of one engine or of the store of cached prompts.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
