A history that cannot be had is asked for ever more seldom

Cause: a call from the beginning that failed, or was answered by another start of the engine, was made again after a second, and each may bring most of what is kept. Change: the pause doubles from 1 to 8 s. Calls that go on from a known place stay a second apart, and take turns with histories while they fail, as their page may have grown. Conclusion: with the turns and the share the bytes of failing calls are bounded too.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -102,6 +102,7 @@
 pub use prompt_wish::PromptWish;
 pub use prompt_wish::TakenEngine;
 pub use read_share::ReadShare;
+pub use read_share::history_pause;
 pub use reader_choice::RecordSource;
 pub use reader_choice::record_source;
 pub use repeat_budget::RepeatBudget;
--- a/crates/dispatch/src/read_share.rs
+++ b/crates/dispatch/src/read_share.rs
@@ -10,6 +10,11 @@
 /// The share of a link for reads in bulk. Callers' answers and the routers' words take up to a third of a link
 /// of 10 Mbit/s; with a quarter more there is as much again for what comes unevenly.
 const LINK_SHARE: f64 = 0.25;
+/// A history that could not be read is asked for again after this time, and after twice as long each time
+/// that this fails.
+const FIRST_PAUSE: Duration = Duration::from_millis(1_000);
+/// But after this at most: engines that were out of reach tell of their caches within some seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(8_000);
 
 /// Paces reads in bulk to a share of the host's link, by the bytes that came.
 #[derive(Clone, Copy, Debug)]
@@ -40,3 +45,10 @@
         Duration::from_secs_f64(bytes as f64 / self.bytes_per_s)
     }
 }
+
+/// The pause after so many failures in a row to read what a source has kept. Each failure may have brought
+/// most of a page for nothing.
+pub fn history_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(u32::BITS - 1);
+    FIRST_PAUSE.saturating_mul(1 << doublings).min(LONGEST_PAUSE)
+}
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::ReadShare;
+use fulmargate_dispatch::history_pause;
 use tokio::time::Instant;
 
 /// 10 Mbit/s: a quarter is 312,500 bytes a second.
@@ -74,3 +75,13 @@
         assert_eq!(share.wait(at(case.at)), Duration::from_micros(case.wait_us), "{}", case.name);
     }
 }
+
+/// Failures in a row, and the seconds until the next try.
+const PAUSES: &[(u32, u64)] = &[(0, 1), (1, 1), (2, 2), (3, 4), (4, 8), (5, 8), (u32::MAX, 8)];
+
+#[test]
+fn failed_histories_are_asked_for_ever_more_seldom() {
+    for (failures, seconds) in PAUSES {
+        assert_eq!(history_pause(*failures), Duration::from_secs(*seconds), "{failures} failures");
+    }
+}
--- a/crates/entry/src/control/cache_reader.rs
+++ b/crates/entry/src/control/cache_reader.rs
@@ -12,6 +12,7 @@
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::CacheNotice;
 use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::history_pause;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
 use tokio::time::Instant;
@@ -27,7 +28,7 @@
 const READ_PACE: Duration = Duration::from_millis(250);
 /// A page of more parts is one of many: between two calls a busy engine names some 40.
 const MOST_FOLLOWING_PARTS: usize = 128;
-/// Pause after a failed call.
+/// Pause after a failed call for what is new.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// An engine's start or the store.
@@ -49,6 +50,8 @@
     next: u64,
     stage: ReadStage,
     epoch: Option<u64>,
+    /// Calls in a row that brought nothing.
+    failures: u32,
 }
 
 impl CacheReader {
@@ -59,7 +62,16 @@
         read: ReadSources,
         source: CacheSource,
     ) -> CacheReader {
-        CacheReader { state, calls, read, source, next: 0, stage: ReadStage::Behind, epoch: None }
+        CacheReader {
+            state,
+            calls,
+            read,
+            source,
+            next: 0,
+            stage: ReadStage::Behind,
+            epoch: None,
+            failures: 0,
+        }
     }
 
     /// Reads while the source is one of those that are read.
@@ -76,14 +88,14 @@
             Ok(page) => page,
             Err(err) => {
                 tracing::debug!("cache events of {} are not to be had: {err}", self.source.address);
-                self.stage = ReadStage::Behind;
-                return FAILURE_PAUSE;
+                return self.fail();
             }
         };
         // Another start answers at the address. The list will name it.
         if self.is_foreign(&page) {
-            return FAILURE_PAUSE;
+            return self.fail();
         }
+        self.failures = 0;
         let is_new = self.epoch.is_some_and(|epoch| epoch != page.epoch);
         self.epoch = Some(page.epoch);
         self.next = page.next;
@@ -93,6 +105,17 @@
         READ_PACE
     }
 
+    /// A call from the beginning that fails may have brought most of what is kept: made each second, such
+    /// calls fill a small link for good. One that goes on brings what is new.
+    fn fail(&mut self) -> Duration {
+        self.stage = ReadStage::Behind;
+        self.failures = self.failures.saturating_add(1);
+        match self.epoch {
+            None => history_pause(self.failures),
+            Some(_) => FAILURE_PAUSE,
+        }
+    }
+
     fn is_foreign(&self, page: &CachePage) -> bool {
         let expected = self.source.incarnation;
         expected.is_some() && page.incarnation.is_some() && page.incarnation != expected
