--- a/crates/entry/src/control/cache_readers/tests.rs
+++ b/crates/entry/src/control/cache_readers/tests.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::CacheReaders;
@@ -46,24 +47,61 @@
     const SOURCES: usize = 6;
     actix_rt::System::new().block_on(async {
         let seen = SeenCalls::default();
-        let mut sources = IndexMap::new();
+        let mut sources = Vec::new();
         for number in 1..=SOURCES {
-            let source = cache_source(number, start_engine(seen.clone()).await);
-            sources.insert(source.key, source);
+            sources.push(cache_source(number, start_engine(seen.clone()).await));
         }
         let mut readers = some_readers();
-        readers.read_only(sources);
+        readers.read_only(by_key(&sources));
         until("all histories are read", || SOURCES <= seen.borrow().made).await;
         assert_eq!(seen.borrow().most_under_way, 1);
         assert_eq!(seen.borrow().made, SOURCES, "each is read once");
     });
 }
 
+/// A host whose link has filled while it heard nobody goes on filling it after it has heard the others.
+/// Calls for sources that others read by now ran on to their timeout.
+/// They end with the list that no longer names their source.
+#[test]
+fn calls_for_sources_of_others_are_dropped() {
+    actix_rt::System::new().block_on(async {
+        let (kept, left) = (SeenCalls::default(), SeenCalls::default());
+        let first = cache_source(1, start_engine(kept.clone()).await);
+        let second = cache_source(2, start_engine(left.clone()).await);
+        let calls = Rc::new(some_calls());
+        let mut readers = CacheReaders::new(some_state(), calls.clone());
+        readers.read_only(by_key(&[first, second]));
+        let are_read = || 0 < kept.borrow().made && 0 < left.borrow().made;
+        until("both are read", are_read).await;
+        let with_both = Rc::strong_count(&calls);
+        readers.read_only(by_key(&[first]));
+        // Not long enough for any timeout.
+        for _ in 0..MOST_LOOKS {
+            yield_now().await;
+        }
+        assert_eq!(Rc::strong_count(&calls), with_both - 1, "one reader is left");
+    });
+}
+
 fn some_readers() -> CacheReaders {
-    let settings = EntrySettings::parse("entry.json", EXAMPLE).expect("the example is good");
+    CacheReaders::new(some_state(), Rc::new(some_calls()))
+}
+
+fn some_calls() -> CacheCalls {
+    CacheCalls::new(some_settings().link_bytes_per_s())
+}
+
+fn some_state() -> Arc<SharedState> {
     let (sender, _) = unbounded_channel();
-    let calls = CacheCalls::new(settings.link_bytes_per_s());
-    CacheReaders::new(Arc::new(SharedState::new(settings, sender)), Rc::new(calls))
+    Arc::new(SharedState::new(some_settings(), sender))
+}
+
+fn some_settings() -> EntrySettings {
+    EntrySettings::parse("entry.json", EXAMPLE).expect("the example is good")
+}
+
+fn by_key(sources: &[CacheSource]) -> IndexMap<ServerKey, CacheSource> {
+    sources.iter().map(|source| (source.key, *source)).collect()
 }
 
 fn cache_source(number: usize, address: SocketAddr) -> CacheSource {
