Calls for sources that others read by now are dropped

Cause: a reader looked only between two calls whether its source was still this host's. Change: a reader is dropped with the list that no longer names its source, and its call with it; the connection closes (the test of stalled pages), so that the rest of the page does not come.

--- a/crates/entry/src/control/cache_reader.rs
+++ b/crates/entry/src/control/cache_reader.rs
@@ -20,7 +20,6 @@
 
 use crate::control::cache_calls::CacheCalls;
 use crate::control::cache_calls::ReadStage;
-use crate::control::cache_readers::ReadSources;
 use crate::state::SharedState;
 
 /// Pause between calls to one source: events of a busy engine come some 50 times a second, and each
@@ -44,7 +43,6 @@
 pub(crate) struct CacheReader {
     state: Arc<SharedState>,
     calls: Rc<CacheCalls>,
-    read: ReadSources,
     source: CacheSource,
     /// Where to read on.
     next: u64,
@@ -59,13 +57,11 @@
     pub(crate) fn new(
         state: Arc<SharedState>,
         calls: Rc<CacheCalls>,
-        read: ReadSources,
         source: CacheSource,
     ) -> CacheReader {
         CacheReader {
             state,
             calls,
-            read,
             source,
             next: 0,
             stage: ReadStage::Behind,
@@ -74,9 +70,9 @@
         }
     }
 
-    /// Reads while the source is one of those that are read.
+    /// Reads until it is dropped.
     pub(crate) async fn run(mut self) {
-        while self.read.borrow().contains_key(&self.source.key) {
+        loop {
             let page = self.calls.read(self.source.address, self.next, self.stage).await;
             sleep(self.take_in(page)).await;
         }
--- a/crates/entry/src/control/cache_reader/tests.rs
+++ b/crates/entry/src/control/cache_reader/tests.rs
@@ -87,7 +87,7 @@
     let state = Arc::new(SharedState::new(settings, sender));
     let address = "127.0.0.1:1".parse().expect("an address");
     let source = CacheSource { key: ServerKey(1), address, incarnation: Some(OWN_START) };
-    CacheReader::new(state, Rc::new(calls), Rc::default(), source)
+    CacheReader::new(state, Rc::new(calls), source)
 }
 
 fn result(end: CallEnd) -> Result<CachePage, StoreError> {
--- a/crates/entry/src/control/cache_readers.rs
+++ b/crates/entry/src/control/cache_readers.rs
@@ -3,46 +3,42 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use fulmargate_dispatch::ServerKey;
 use indexmap::IndexMap;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::control::cache_calls::CacheCalls;
 use crate::control::cache_reader::CacheReader;
 use crate::control::cache_reader::CacheSource;
 use crate::state::SharedState;
 
-/// Sources that are read.
-pub(crate) type ReadSources = Rc<RefCell<IndexMap<ServerKey, CacheSource>>>;
-
 /// One reader for each source that is this host's.
 pub(crate) struct CacheReaders {
     state: Arc<SharedState>,
     calls: Rc<CacheCalls>,
-    read: ReadSources,
+    running: IndexMap<ServerKey, AbortOnDropHandle<()>>,
 }
 
 impl CacheReaders {
     /// No readers yet.
     pub(crate) fn new(state: Arc<SharedState>, calls: Rc<CacheCalls>) -> CacheReaders {
-        CacheReaders { state, calls, read: ReadSources::default() }
+        CacheReaders { state, calls, running: IndexMap::new() }
     }
 
     /// From now on these sources are read and no others.
-    pub(crate) fn read_only(&mut self, sources: IndexMap<ServerKey, CacheSource>) {
-        let new: Vec<CacheSource> = {
-            let read = self.read.borrow();
-            let is_new = |source: &&CacheSource| !read.contains_key(&source.key);
-            sources.values().filter(is_new).copied().collect()
-        };
-        *self.read.borrow_mut() = sources;
-        for source in new {
-            let (calls, read) = (self.calls.clone(), self.read.clone());
-            let reader = CacheReader::new(self.state.clone(), calls, read, source);
-            actix_rt::spawn(reader.run());
+    pub(crate) fn read_only(&mut self, sources: &IndexMap<ServerKey, CacheSource>) {
+        // A host that begins to hear the others may have calls under way for most sources. Left to run, each
+        // brings what its source has kept, over a link that is full of it. Dropped, their connections close.
+        self.running.retain(|key, _| sources.contains_key(key));
+        for (key, source) in sources {
+            if !self.running.contains_key(key) {
+                let reader = CacheReader::new(self.state.clone(), self.calls.clone(), *source);
+                let task = actix_rt::spawn(reader.run());
+                self.running.insert(*key, AbortOnDropHandle::new(task));
+            }
         }
     }
 }
--- a/crates/entry/src/control/cache_readers/tests.rs
+++ b/crates/entry/src/control/cache_readers/tests.rs
@@ -52,7 +52,7 @@
             sources.push(cache_source(number, start_engine(seen.clone()).await));
         }
         let mut readers = some_readers();
-        readers.read_only(by_key(&sources));
+        readers.read_only(&by_key(&sources));
         until("all histories are read", || SOURCES <= seen.borrow().made).await;
         assert_eq!(seen.borrow().most_under_way, 1);
         assert_eq!(seen.borrow().made, SOURCES, "each is read once");
@@ -70,11 +70,11 @@
         let second = cache_source(2, start_engine(left.clone()).await);
         let calls = Rc::new(some_calls());
         let mut readers = CacheReaders::new(some_state(), calls.clone());
-        readers.read_only(by_key(&[first, second]));
+        readers.read_only(&by_key(&[first, second]));
         let are_read = || 0 < kept.borrow().made && 0 < left.borrow().made;
         until("both are read", are_read).await;
         let with_both = Rc::strong_count(&calls);
-        readers.read_only(by_key(&[first]));
+        readers.read_only(&by_key(&[first]));
         // Not long enough for any timeout.
         for _ in 0..MOST_LOOKS {
             yield_now().await;
--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -42,7 +42,7 @@
     pub(crate) async fn run(mut self) {
         loop {
             let own = self.own_sources();
-            self.readers.read_only(own);
+            self.readers.read_only(&own);
             sleep(LIST_PACE).await;
         }
     }
