--- a/crates/entry/tests/daemon/configuration.rs
+++ b/crates/entry/tests/daemon/configuration.rs
@@ -13,6 +13,9 @@
 use crate::support::first_config;
 use crate::support::until;
 
+/// Metrics are looked at so often; how long that takes is of no matter.
+const MOST_READS: usize = 150;
+
 /// Looks at one request again and again until its status is the wanted one.
 async fn until_status(deployment: &TestDeployment, request: &CallerRequest, wanted: u16) {
     for turn in 0..400 {
@@ -155,11 +158,34 @@
     assert!(page.body.contains("fulmargate_config_version 1"), "{}", page.body);
 }
 
+/// A host's link is full and nothing says of what.
+/// What it reads of cache events is counted: pages of what sources have kept, and what is new.
+#[tokio::test]
+async fn bytes_of_cache_events_are_counted() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    for kind in ["kept", "new"] {
+        let counter = format!("fulmargate_cache_read_bytes_total{{kind=\"{kind}\"}} ");
+        let mut count = 0;
+        for _ in 0..MOST_READS {
+            count = counted(&deployment.daemon, &counter).await;
+            if 0 < count {
+                break;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert!(0 < count, "{counter}");
+    }
+}
+
 /// How often a daemon has asked other routers for records.
 async fn asked(daemon: &DaemonProcess) -> u64 {
+    counted(daemon, "fulmargate_log_reads_total{source=\"router\"} ").await
+}
+
+/// What a daemon's counter says; 0 before it is first used.
+async fn counted(daemon: &DaemonProcess, counter: &str) -> u64 {
     let metrics = daemon.address("metrics").await;
     let page = CallerRequest::new("/metrics", "m").send(metrics).await.expect("metrics");
-    let counter = "fulmargate_log_reads_total{source=\"router\"} ";
     let line = page.body.lines().find_map(|line| line.strip_prefix(counter));
     line.map_or(0, |count| count.parse().expect("a count"))
 }
