--- a/crates/entry/src/control/cache_calls.rs
+++ b/crates/entry/src/control/cache_calls.rs
@@ -71,7 +71,9 @@
             answer_timeout: READ_WAIT + READ_ALLOWANCE,
             page_timeout: READ_ALLOWANCE,
         };
-        self.engines.cache_events(address, question, &|_| {}).await
+        self.engines
+            .cache_events(address, question, &|bytes| count(ReadStage::Following, bytes))
+            .await
     }
 
     /// A host that takes over many sources would fill its link with what they have kept: no other gets
@@ -89,7 +91,19 @@
             // Given up sooner, a page that comes slowly would be asked for again and again.
             page_timeout: page_time.max(READ_ALLOWANCE),
         };
-        let note = |bytes: usize| self.share.borrow_mut().add(bytes, Instant::now());
+        let note = |bytes: usize| {
+            count(ReadStage::Behind, bytes);
+            self.share.borrow_mut().add(bytes, Instant::now());
+        };
         self.engines.cache_events(address, question, &note).await
     }
 }
+
+/// Counts each piece of a page as it comes, also of calls that fail.
+fn count(stage: ReadStage, bytes: usize) {
+    let kind = match stage {
+        ReadStage::Behind => "kept",
+        ReadStage::Following => "new",
+    };
+    metrics::counter!("fulmargate_cache_read_bytes_total", "kind" => kind).increment(bytes as u64);
+}
