What caches have said is told to the others little by little

Cause: a router tells all others what it has read of caches with its next word. A page of what an engine has kept is 500 parts, 5.5 KB, to 90 routers half a megabyte; words of 14 KB were seen. The host's link was full, the links that it opened meanwhile timed out, and a word above 16 KB would not be sent at all, with its requests under way in it. Change: a word takes parts for a quarter of the link, by the time since the last one, and 1,024 at most; the rest waits in order, 16,384 parts at most, of which the oldest yield but resets do not. What is new alone stays far below that: a host of 91 reads 1 to 3 sources, some 90 parts a word, and 173 are told on a link of 10 Mbit/s.

--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -12,7 +12,6 @@
 use indexmap::IndexSet;
 use tokio::time::Instant;
 
-use crate::CacheNotice;
 use crate::CallFacts;
 use crate::CallShape;
 use crate::ContactStep;
@@ -29,6 +28,7 @@
 use crate::engine_choice::scope_of;
 use crate::link_meter::LinkMeter;
 use crate::stall_meter::StallMeter;
+use crate::untold_parts::UntoldParts;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -69,7 +69,7 @@
     /// Prompts sent since the others were last told.
     untold: Vec<PromptNotice>,
     /// And what caches have said since.
-    untold_caches: Vec<CacheNotice>,
+    untold_caches: UntoldParts,
     /// Servers whose address another server answered at.
     gone: IndexSet<ServerKey>,
 }
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -18,8 +18,9 @@
 pub(super) const MOST_UNTOLD: usize = 256;
 
 impl ServerBook {
-    /// What the other routers are told of this one's requests. Prompts are told once.
-    pub fn take_news(&mut self, now: Instant) -> PeerNews {
+    /// What the other routers are told of this one's requests and of caches, so many parts of these at most.
+    /// Prompts and parts are told once.
+    pub fn take_news(&mut self, most_parts: usize, now: Instant) -> PeerNews {
         self.peers.drop_silent(now);
         let busy = self.servers.values().filter(|state| 0 < state.open);
         let loads = busy
@@ -31,7 +32,7 @@
             })
             .collect();
         let prompts = std::mem::take(&mut self.untold);
-        let caches = std::mem::take(&mut self.untold_caches);
+        let caches = self.untold_caches.take(most_parts);
         PeerNews { loads, prompts, caches, ..PeerNews::default() }
     }
 
@@ -58,9 +59,7 @@
     /// An engine or the store has told this router of its cache.
     pub fn hear_cache(&mut self, notice: CacheNotice, now: Instant) {
         self.note_cache(&notice, now);
-        if self.untold_caches.len() < MOST_UNTOLD {
-            self.untold_caches.push(notice);
-        }
+        self.untold_caches.push(notice);
     }
 
     fn note_cache(&mut self, notice: &CacheNotice, now: Instant) {
--- a/crates/dispatch/tests/told.rs
+++ b/crates/dispatch/tests/told.rs
@@ -1,8 +1,11 @@
 //! How much of caches a router tells the others at a time.
 
+use std::time::Duration;
+
 use fulmargate_dispatch::CacheNotice;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::told_parts;
 use tokio::time::Instant;
 
 /// Parts for one message, on a link of 10 Mbit/s among 90 others.
@@ -51,6 +54,50 @@
     }
 }
 
+struct PartsCase {
+    name: &'static str,
+    /// Bytes a second that the link carries, other routers, and milliseconds since the last message.
+    link: f64,
+    peers: usize,
+    since_ms: u64,
+    parts: usize,
+}
+
+const PARTS: &[PartsCase] = &[
+    PartsCase { name: "a small link, many", link: 1.25e6, peers: 90, since_ms: 600, parts: 173 },
+    PartsCase { name: "said early", link: 1.25e6, peers: 90, since_ms: 120, parts: 34 },
+    PartsCase { name: "a large link, many", link: 125e6, peers: 90, since_ms: 600, parts: 1_024 },
+    PartsCase { name: "a small link, few", link: 1.25e6, peers: 5, since_ms: 27, parts: 140 },
+    PartsCase { name: "too small a link", link: 1.25e5, peers: 90, since_ms: 100, parts: 16 },
+    PartsCase { name: "nobody else", link: 1.25e6, peers: 0, since_ms: 600, parts: 1_024 },
+];
+
+/// What is told to all is a share of the link, and a message stays below what a link takes at once.
+#[test]
+fn messages_keep_to_a_share_of_the_link() {
+    for case in PARTS {
+        let since = Duration::from_millis(case.since_ms);
+        assert_eq!(told_parts(case.link, case.peers, since), case.parts, "{}", case.name);
+    }
+}
+
+/// A router's memory grows while it can tell less than it hears.
+/// Of too much the oldest is left out, but not that an engine has started anew.
+#[test]
+fn of_too_much_the_oldest_is_left_out() {
+    const KEPT: usize = 4_000;
+    let mut book = ServerBook::default();
+    let now = Instant::now();
+    for turn in 0..5 {
+        let parts = (0..KEPT as u64).map(|number| (turn * 10_000 + number, 16)).collect();
+        book.hear_cache(CacheNotice { server: ServerKey(1), is_reset: turn == 0, parts }, now);
+    }
+    let told = book.take_news(usize::MAX, now).caches;
+    assert_eq!(part_count(&told), 4 * KEPT);
+    assert_eq!(parts(&told)[0], (10_000, 16), "the oldest parts are left out");
+    assert!(told[0].is_reset && told[0].parts.is_empty(), "the reset is told");
+}
+
 /// The messages until nothing is left.
 fn tell_all(case: &ToldCase) -> Vec<Vec<CacheNotice>> {
     let mut book = ServerBook::default();
@@ -60,7 +107,7 @@
         for notice in notices(case, turn) {
             book.hear_cache(notice, now);
         }
-        let news = book.take_news(now);
+        let news = book.take_news(MOST_PARTS, now);
         if news.caches.is_empty() {
             break;
         }
--- a/crates/emulator/src/play/routers.rs
+++ b/crates/emulator/src/play/routers.rs
@@ -294,7 +294,7 @@
     /// A router tells the others what it has under way.
     pub(super) fn speak(&mut self, router: usize) {
         let now = self.shared.time(self.now);
-        let mut news = self.routers[router].book.take_news(now);
+        let mut news = self.routers[router].book.take_news(usize::MAX, now);
         news.host = Some(HostName::new(&format!("host-{router}")));
         for (other, state) in self.routers.iter_mut().enumerate() {
             if other != router {
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -18,6 +18,7 @@
 use derive_more::From;
 use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::WeightsAge;
+use fulmargate_dispatch::told_parts;
 use fulmargate_dispatch::word_pace;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
@@ -110,6 +111,7 @@
         let mut was_busy = false;
         let mut told = Instant::now();
         let mut waited = Instant::now();
+        let link = self.state.settings.link_bytes_per_s();
         loop {
             let peers = self.peers();
             let pace = word_pace(peers.len());
@@ -118,8 +120,9 @@
                 () = sleep(pace) => {}
                 () = self.state.loading.changed() => sleep_until(waited + urgent_pace).await,
             }
+            let since = waited.elapsed().min(pace);
             waited = Instant::now();
-            let news = self.news();
+            let news = self.news(told_parts(link, peers.len(), since));
             let is_busy = is_worth_telling(&news);
             // The last of it is said, too: that nothing is under way any more. After that a word now
             // and then, so that the others know who is there.
@@ -145,8 +148,8 @@
         members
     }
 
-    fn news(&self) -> PeerNews {
-        let mut news = self.state.book().take_news(Instant::now());
+    fn news(&self, most_parts: usize) -> PeerNews {
+        let mut news = self.state.book().take_news(most_parts, Instant::now());
         news.host = Some(self.state.settings.host.clone());
         news.zone = Some(self.state.settings.zone.clone());
         news.loading = self.state.loading.notices();
