What is new of caches is told before what was kept

Cause: since words take only so many parts, what a router heard of an engine came behind all that the engine had kept, seconds late, and prompts were sent to engines without their parts. Change: of each server the newest word on each part waits, once; words take the newest of each server, servers with few first. As a part is there once, no older word on it follows a newer one.

--- a/crates/dispatch/src/untold_parts.rs
+++ b/crates/dispatch/src/untold_parts.rs
@@ -2,10 +2,12 @@
 //!
 //! Answers loads at which a router has much to tell: its words go to all others, and would fill its link.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::CacheNotice;
+use crate::ServerKey;
 
 /// The share of a link for what is told of caches.
 const LINK_SHARE: f64 = 0.25;
@@ -15,7 +17,7 @@
 const MOST_PARTS: usize = 1_024;
 /// A router tells some even on a link that is too small for its fleet: the others would never learn them.
 const LEAST_PARTS: usize = 16;
-/// Parts that wait to be told, some 200 KB. Of more the oldest are left out.
+/// Parts that wait to be told, some 500 KB. Of more the oldest are left out.
 const MOST_WAITING: usize = 16_384;
 
 /// How many parts a message to so many routers takes, so long after the last one, on a link that carries so
@@ -25,54 +27,75 @@
     ((bytes / PART_BYTES) as usize).clamp(LEAST_PARTS, MOST_PARTS)
 }
 
-/// Notices in the order in which they were heard: a later one of the same part holds.
+/// The newest word on each part, by server.
+///
+/// What is new goes before what is older: behind all that an engine has kept it would come seconds late.
+/// As each part is there once, with its newest word, no older one follows.
 #[derive(Debug, Default)]
 pub(crate) struct UntoldParts {
-    notices: VecDeque<CacheNotice>,
-    waiting: usize,
+    servers: IndexMap<ServerKey, UntoldServer>,
+}
+
+#[derive(Debug, Default)]
+struct UntoldServer {
+    is_reset: bool,
+    /// The newest at the end.
+    parts: IndexMap<u64, u32>,
 }
 
 impl UntoldParts {
     /// A cache has spoken.
     pub(crate) fn push(&mut self, notice: CacheNotice) {
-        self.waiting += notice.parts.len();
-        self.notices.push_back(notice);
-        while MOST_WAITING < self.waiting && 1 < self.notices.len() {
-            self.drop_oldest();
+        let server = self.servers.entry(notice.server).or_default();
+        if notice.is_reset {
+            server.is_reset = true;
+            server.parts.clear();
+        }
+        for (part, tokens) in notice.parts {
+            server.parts.shift_remove(&part);
+            server.parts.insert(part, tokens);
         }
+        self.drop_oldest();
     }
 
-    /// The oldest of them, so many parts at most. A notice that has more is told in pieces.
+    /// The newest of each server, so many parts together at most. Servers with few are told whole, the others
+    /// share what room is left.
     pub(crate) fn take(&mut self, most_parts: usize) -> Vec<CacheNotice> {
-        let mut taken = Vec::new();
+        self.servers.sort_by(|_, one, _, other| one.parts.len().cmp(&other.parts.len()));
+        let mut left = self.servers.len();
         let mut room = most_parts;
-        while let Some(mut notice) = self.notices.pop_front() {
-            if notice.parts.len() <= room {
-                room -= notice.parts.len();
-                taken.push(notice);
-                continue;
-            }
-            let rest = notice.parts.split_off(room);
-            let is_reset = notice.is_reset && room == 0;
-            self.notices.push_front(CacheNotice { parts: rest, is_reset, ..notice });
-            if 0 < room {
-                taken.push(notice);
+        let mut taken = Vec::new();
+        for (key, server) in &mut self.servers {
+            let parts = server.take_newest(room.div_ceil(left));
+            left -= 1;
+            room -= parts.len();
+            let is_reset = std::mem::take(&mut server.is_reset);
+            if is_reset || !parts.is_empty() {
+                taken.push(CacheNotice { server: *key, is_reset, parts });
             }
-            break;
         }
-        self.waiting -= taken.iter().map(|notice| notice.parts.len()).sum::<usize>();
+        self.servers.retain(|_, server| !server.parts.is_empty());
         taken
     }
 
-    /// What was believed before a reset is void also when the parts after it are left out.
+    /// A router that can tell less than it hears would need ever more memory. The server with the most parts
+    /// loses its oldest; a reset is told all the same.
     fn drop_oldest(&mut self) {
-        let with_parts = |notice: &CacheNotice| !notice.parts.is_empty();
-        let Some(index) = self.notices.iter().position(with_parts) else { return };
-        let oldest = &mut self.notices[index];
-        self.waiting -= oldest.parts.len();
-        oldest.parts.clear();
-        if !oldest.is_reset {
-            self.notices.remove(index);
+        let waiting: usize = self.servers.values().map(|server| server.parts.len()).sum();
+        let excess = waiting.saturating_sub(MOST_WAITING);
+        if excess == 0 {
+            return;
+        }
+        let largest = self.servers.values_mut().max_by_key(|server| server.parts.len());
+        if let Some(server) = largest {
+            server.parts.drain(..excess.min(server.parts.len()));
         }
     }
 }
+
+impl UntoldServer {
+    fn take_newest(&mut self, most: usize) -> Vec<(u64, u32)> {
+        let kept = self.parts.len().saturating_sub(most);
+        self.parts.split_off(kept).into_iter().collect()
+    }
+}
