Failing: any host may bring new weights, whatever its link

The holder of the lease tells all others of each engine's load: a word of 1.4 KB to each of 90 at each 120 ms is 1 MB/s, 84% of a link of 10 Mbit/s and 4% of one of 200. Who tries first is drawn among all hosts, of 91 of which 6 have the latter. The tests want hosts ranked by what they have said of their links.

--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -7,6 +7,7 @@
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::LeaseDesk;
 use fulmargate_dispatch::LeaseStep;
+use fulmargate_dispatch::LinkRank;
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -74,7 +75,9 @@
 
 /// An append is accepted only at the topic's end; for odd steps its answer is lost.
 fn decide(router: &mut TestRouter, topic: &mut Vec<FleetRecord>, what: u8, now: BootTime) {
-    let LeaseStep::Append { at } = router.desk.step(&router.fold, BootTime(0), now) else {
+    let LeaseStep::Append { at } =
+        router.desk.step(&router.fold, BootTime(0), LinkRank::Equal, now)
+    else {
         return;
     };
     if at.0 != topic.len() as u64 {
@@ -158,7 +161,7 @@
             fold.apply(LogOffset(0), &lease_record(host), BootTime(seen));
         }
         let desk = LeaseDesk::new(HostName::new("h0"), LEASE);
-        let step = desk.step(&fold, BootTime(0), BootTime(case.now));
+        let step = desk.step(&fold, BootTime(0), LinkRank::Equal, BootTime(case.now));
         assert_eq!(step, case.step, "{}", case.name);
     }
 }
@@ -170,7 +173,8 @@
     fold.apply(LogOffset(0), &lease_record("h1"), BootTime(1_000));
     let work_since = BootTime(20_000);
     let step = |host: &str, now: u64| {
-        LeaseDesk::new(HostName::new(host), LEASE).step(&fold, work_since, BootTime(now))
+        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        desk.step(&fold, work_since, LinkRank::Equal, BootTime(now))
     };
     assert_eq!(step("h1", 20_001), LeaseStep::Append { at: LogOffset(1) });
     assert!(matches!(step("h0", 20_001), LeaseStep::Wait(_)));
@@ -198,19 +202,12 @@
 #[test]
 fn hosts_do_not_all_try_at_once() {
     for case in TURNS {
-        let hosts: Vec<String> = (0..case.hosts).map(|number| format!("host-{number}")).collect();
-        let mut fold = FleetFold::default();
-        for (offset, host) in hosts.iter().enumerate() {
-            let record = FleetRecord::Joined {
-                host: HostName::new(host),
-                incarnation: Incarnation(1),
-                address: "127.0.0.1:1".parse().expect("an address"),
-            };
-            fold.apply(LogOffset(offset as u64), &record, BootTime(0));
-        }
+        let hosts = host_names(case.hosts);
+        let fold = joined(&hosts);
         let (work_since, now) = (BootTime(10_000), BootTime(10_000 + case.after_ms));
         let tries = |host: &&String| {
-            let step = LeaseDesk::new(HostName::new(host), LEASE).step(&fold, work_since, now);
+            let desk = LeaseDesk::new(HostName::new(host), LEASE);
+            let step = desk.step(&fold, work_since, LinkRank::Equal, now);
             matches!(step, LeaseStep::Append { .. })
         };
         let count = hosts.iter().filter(tries).count();
@@ -218,6 +215,122 @@
     }
 }
 
+fn host_names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("host-{number}")).collect()
+}
+
+/// A topic in which so many hosts have started.
+fn joined(hosts: &[String]) -> FleetFold {
+    let mut fold = FleetFold::default();
+    for (offset, host) in hosts.iter().enumerate() {
+        let record = FleetRecord::Joined {
+            host: HostName::new(host),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:1".parse().expect("an address"),
+        };
+        fold.apply(LogOffset(offset as u64), &record, BootTime(0));
+    }
+    fold
+}
+
+struct RankCase {
+    name: &'static str,
+    rank: LinkRank,
+    /// The host of the newest lease, which has ended.
+    lease: Option<&'static str>,
+    /// Milliseconds after which the first and the last of 90 hosts try, at least and at most.
+    first_ms: (u64, u64),
+    last_ms: (u64, u64),
+}
+
+const RANKS: &[RankCase] = &[
+    RankCase {
+        name: "all links are the same",
+        rank: LinkRank::Equal,
+        lease: None,
+        first_ms: (0, 100),
+        last_ms: (1_600, 1_800),
+    },
+    RankCase {
+        name: "one of six with the widest link",
+        rank: LinkRank::Widest { hosts: 6 },
+        lease: None,
+        first_ms: (0, 10),
+        last_ms: (100, 120),
+    },
+    RankCase {
+        name: "others are wider",
+        rank: LinkRank::Narrower,
+        lease: None,
+        first_ms: (100, 200),
+        last_ms: (1_700, 1_900),
+    },
+    RankCase {
+        name: "others are wider, and an earlier holder goes first",
+        rank: LinkRank::Narrower,
+        lease: Some("other"),
+        first_ms: (500, 600),
+        last_ms: (2_100, 2_300),
+    },
+    RankCase {
+        name: "it is the earlier holder, whatever its link",
+        rank: LinkRank::Narrower,
+        lease: Some("host-1"),
+        first_ms: (0, 0),
+        last_ms: (2_100, 2_300),
+    },
+];
+
+/// New weights come late on a fleet of which most hosts have small links, and callers of one of these get
+/// no answers meanwhile.
+/// The host that brings weights to all engines tells all others of each; any host could be the one.
+/// Those with the widest links try first, and the others soon after, in case that these do not.
+#[test]
+fn the_widest_links_come_first() {
+    for case in RANKS {
+        let hosts = host_names(90);
+        let mut fold = joined(&hosts);
+        if let Some(host) = case.lease {
+            fold.apply(fold.end(), &lease_record(host), BootTime(1_000));
+        }
+        let waits: Vec<u64> = hosts.iter().map(|host| wait_ms(host, &fold, case.rank)).collect();
+        let (first, last) = (waits.iter().min().copied(), waits.iter().max().copied());
+        let is_within = |found: Option<u64>, (least, most): (u64, u64)| {
+            found.is_some_and(|found| least <= found && found <= most)
+        };
+        assert!(is_within(first, case.first_ms), "{}: first {first:?}", case.name);
+        assert!(is_within(last, case.last_ms), "{}: last {last:?}", case.name);
+    }
+}
+
+/// How long a host waits when work comes long after the last lease has ended.
+fn wait_ms(host: &str, fold: &FleetFold, rank: LinkRank) -> u64 {
+    let now = BootTime(20_000);
+    match LeaseDesk::new(HostName::new(host), LEASE).step(fold, now, rank, now) {
+        LeaseStep::Wait(wait) => wait.as_millis() as u64,
+        LeaseStep::Append { .. } => 0,
+        LeaseStep::Act => panic!("{host} has no lease"),
+    }
+}
+
+/// Holders keep the lease while they renew it, whatever links others have.
+#[test]
+fn a_lease_that_is_held_does_not_move() {
+    let mut fold = FleetFold::default();
+    fold.apply(LogOffset(0), &lease_record("h1"), BootTime(1_000));
+    for (host, rank) in [("h0", LinkRank::Widest { hosts: 1 }), ("h2", LinkRank::Equal)] {
+        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        let step = desk.step(&fold, BootTime(0), rank, BootTime(3_999));
+        assert_eq!(step, LeaseStep::Wait(Duration::from_millis(1)), "{host}");
+    }
+    let mut holder = LeaseDesk::new(HostName::new("h1"), LEASE);
+    holder.appended(FencingNumber(0), BootTime(1_000));
+    let act = holder.step(&fold, BootTime(0), LinkRank::Narrower, BootTime(2_000));
+    assert_eq!(act, LeaseStep::Act);
+    let renewal = holder.step(&fold, BootTime(0), LinkRank::Narrower, BootTime(2_600));
+    assert_eq!(renewal, LeaseStep::Append { at: LogOffset(1) });
+}
+
 /// A router takes a lease for younger than it is, or an older one for the newest.
 /// Two reads of the same records come back after each other, the second one late.
 /// A record counts when it is read first, and the fold never goes back.
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::Backlog;
+use fulmargate_dispatch::LinkRank;
 use fulmargate_dispatch::PeerBoard;
 use fulmargate_dispatch::PeerLoad;
 use fulmargate_dispatch::PeerNews;
@@ -179,3 +180,67 @@
         assert!(pause == turn || sent <= allowed + 1.0, "{}: {sent} bytes", case.name);
     }
 }
+
+struct RankCase {
+    name: &'static str,
+    /// The own link, and what each of the others has said of its link, in kbit/s.
+    own: u32,
+    others: &'static [Option<u32>],
+    rank: LinkRank,
+}
+
+const RANKS: &[RankCase] = &[
+    RankCase { name: "nobody has spoken", own: 10_000, others: &[], rank: LinkRank::Equal },
+    RankCase {
+        name: "all are the same",
+        own: 10_000,
+        others: &[Some(10_000), Some(10_000)],
+        rank: LinkRank::Equal,
+    },
+    RankCase {
+        name: "the only wide one",
+        own: 200_000,
+        others: &[Some(10_000), Some(10_000)],
+        rank: LinkRank::Widest { hosts: 1 },
+    },
+    RankCase {
+        name: "one of two",
+        own: 200_000,
+        others: &[Some(10_000), Some(200_000)],
+        rank: LinkRank::Widest { hosts: 2 },
+    },
+    RankCase {
+        name: "another is wider",
+        own: 50_000,
+        others: &[Some(10_000), Some(200_000)],
+        rank: LinkRank::Narrower,
+    },
+    RankCase {
+        name: "those of an earlier version say nothing",
+        own: 10_000,
+        others: &[None, None],
+        rank: LinkRank::Equal,
+    },
+    RankCase {
+        name: "some say nothing",
+        own: 200_000,
+        others: &[None, Some(10_000)],
+        rank: LinkRank::Widest { hosts: 1 },
+    },
+];
+
+/// A host knows its place among the others' links by what they have said lately.
+#[test]
+fn links_are_ranked_by_fresh_words() {
+    for case in RANKS {
+        let mut board = PeerBoard::default();
+        let start = Instant::now();
+        for (number, link_kbps) in case.others.iter().enumerate() {
+            let news = PeerNews { link_kbps: *link_kbps, ..PeerNews::default() };
+            board.hear(&HostName::new(&format!("host-{number}")), &news, start);
+        }
+        assert_eq!(board.link_rank(case.own, start), case.rank, "{}", case.name);
+        let later = start + Duration::from_millis(WORD_AGE_MS);
+        assert_eq!(board.link_rank(case.own, later), LinkRank::Equal, "{}: silent", case.name);
+    }
+}
