Hosts with the widest links are the first to take the lease

Cause: who brings new weights was drawn among all hosts, and the work sends most of all that a host does. Change: where the others' words tell of different links, those with the widest draw their turns among themselves, and all others wait 100 ms more. A host that has heard nobody, or only of links like its own, tries as before. Who holds the lease keeps it, and the last holder is still let go first, whatever its link. Ruled out: that a wider link makes the wave faster; engines that are slow to load end it late on either host. Conclusion: kept for the holder's callers; on fleets whose links are alike nothing changes.

--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_desk.rs
@@ -10,6 +10,7 @@
 use crate::BootTime;
 use crate::FleetFold;
 use crate::HeldLease;
+use crate::LinkRank;
 
 /// The holder stops this long before its lease ends: clocks of two hosts may drift, and an order is
 /// on its way for a while. A lost packet is sent again within 200 ms; the rest is allowance.
@@ -22,6 +23,11 @@
 /// calls of the store, of which one could succeed.
 const TURN_PER_HOST: Duration = Duration::from_millis(20);
 
+/// Hosts with narrower links wait so long for the widest to try first. These try one after the other, six
+/// of them within 120 ms, and a record is read by all some 10 ms after it was appended; new weights have
+/// seconds to be in place.
+const WIDEST_FIRST: Duration = Duration::from_millis(100);
+
 /// What to do now about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -62,7 +68,13 @@
     }
 
     /// What to do when there has been work for the holder since `work_since`.
-    pub fn step(&self, fold: &FleetFold, work_since: BootTime, now: BootTime) -> LeaseStep {
+    pub fn step(
+        &self,
+        fold: &FleetFold,
+        work_since: BootTime,
+        rank: LinkRank,
+        now: BootTime,
+    ) -> LeaseStep {
         let newest = fold.lease();
         if let Some(own) = self.own.filter(|own| self.is_newest(newest, own.fence)) {
             if now.since(own.sent) < self.length / 2 {
@@ -71,7 +83,7 @@
             // Renewed by a record with a higher number: nobody else has acted in between.
             return LeaseStep::Append { at: fold.end() };
         }
-        let turn = work_since.after(self.turn(fold));
+        let turn = work_since.after(self.turn(fold, rank));
         let from = match newest {
             None => turn,
             // The last holder's host is the same holder also after a restart: nobody acted in between.
@@ -85,10 +97,19 @@
     }
 
     /// How long this host waits for others to try first. Drawn anew for each record of the topic.
-    fn turn(&self, fold: &FleetFold) -> Duration {
+    ///
+    /// The holder tells all others of each engine's load. On a link of 10 Mbit/s that takes a quarter of it,
+    /// and the others learn late which engines to leave alone. So the widest links come first; where these
+    /// hosts do not try, the others are late by no more than the wait for them.
+    fn turn(&self, fold: &FleetFold, rank: LinkRank) -> Duration {
         let draw = xxh3_64(format!("{}/{}", self.host, fold.end()).as_bytes());
         let share = (draw >> 11) as f64 / (1_u64 << 53) as f64;
-        (TURN_PER_HOST * fold.hosts() as u32).mul_f64(share)
+        let turn = |hosts: usize| (TURN_PER_HOST * hosts as u32).mul_f64(share);
+        match rank {
+            LinkRank::Equal => turn(fold.hosts()),
+            LinkRank::Widest { hosts } => turn(hosts.min(fold.hosts())),
+            LinkRank::Narrower => WIDEST_FIRST + turn(fold.hosts()),
+        }
     }
 
     /// The append that was sent at `sent` was accepted at this offset.
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::Backlog;
+use crate::LinkRank;
 use crate::PeerLoad;
 use crate::PeerNews;
 use crate::ServerKey;
@@ -144,6 +145,18 @@
         self.words.iter().filter(move |(_, word)| is_there(word)).map(peer)
     }
 
+    /// How a link compares to those of all that have spoken lately.
+    pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
+        let fresh =
+            self.words.values().filter(|word| now.saturating_duration_since(word.at) < WORD_AGE);
+        let others: Vec<u32> = fresh.filter_map(|word| word.link_kbps).collect();
+        if others.iter().any(|kbps| own_kbps < *kbps) {
+            return LinkRank::Narrower;
+        }
+        let equal = others.iter().filter(|kbps| **kbps == own_kbps).count();
+        if equal == others.len() { LinkRank::Equal } else { LinkRank::Widest { hosts: equal + 1 } }
+    }
+
     /// What all of them have at a server.
     pub fn sum(&self, server: ServerKey) -> PeerSum {
         self.sums.get(&server).copied().unwrap_or_default()
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::CacheNotice;
+use crate::LinkRank;
 use crate::LoadingStage;
 use crate::PeerLoad;
 use crate::PeerNews;
@@ -111,4 +112,9 @@
     pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> Vec<ZonePeer> {
         self.peers.zone_peers(zone, now).collect()
     }
+
+    /// How this host's link compares to those of the other routers.
+    pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
+        self.peers.link_rank(own_kbps, now)
+    }
 }
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -134,9 +134,11 @@
     /// Takes or keeps the lease and gives the next orders. Returns how long to wait.
     async fn work_on(&self, work: OpenWork) -> Duration {
         let now = boot_now();
+        let kbps = self.state.settings.link_kbps();
+        let rank = self.state.book().link_rank(kbps, Instant::now());
         let step = {
             let fold = self.fold.borrow();
-            self.desk.lease.borrow().step(&fold, work.target.learned, now)
+            self.desk.lease.borrow().step(&fold, work.target.learned, rank, now)
         };
         match step {
             LeaseStep::Act => {
