--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -1,5 +1,6 @@
 //! A call from its first send to its answer.
 
+mod learn;
 mod log;
 mod plan;
 mod stream_pace;
@@ -37,7 +38,6 @@
 use crate::traffic::call_decoder::admit;
 use crate::traffic::call_run::stream_pace::StreamPace;
 use crate::traffic::caller_body::CallerBody;
-use crate::traffic::crash_check::CrashCheck;
 use crate::traffic::send_attempt::OpenAnswer;
 use crate::traffic::send_attempt::ReadySend;
 use crate::traffic::send_attempt::SendFault;
@@ -309,52 +309,6 @@
         }
     }
 
-    fn exclude(&mut self, server: &Arc<ServerEntry>) {
-        if !self.excluded.contains(&server.key()) {
-            self.excluded.push(server.key());
-        }
-    }
-
-    fn learn(&self, fault: &SendFault, server: &Arc<ServerEntry>, sent: Option<WeightsVersion>) {
-        let now = Instant::now();
-        let key = server.key();
-        let wanted =
-            self.facts().model.as_ref().and_then(|model| {
-                self.state.weights.load().target(model).map(|target| target.version)
-            });
-        match fault.end {
-            SendEnd::NotSent | SendEnd::Unreachable => self.state.book().unreachable(key, now),
-            SendEnd::Refused => match &self.facts().model {
-                Some(model) => self.state.book().turned_away_prompt(key, model, wanted, now),
-                None => self.state.book().turned_away(key, now),
-            },
-            SendEnd::OtherServer => self.state.book().forget(key),
-            SendEnd::OtherWeights => {
-                if let (Some(model), Some(sent)) = (&self.facts().model, sent) {
-                    self.state.book().misjudged_weights(key, model, sent, wanted);
-                }
-            }
-            SendEnd::TimedOut => self.state.book().failed(key, now),
-            SendEnd::Broken => {
-                self.state.book().failed(key, now);
-                if self.failed.is_none() {
-                    self.check_crash(server);
-                }
-            }
-        }
-    }
-
-    /// A server that broke off and cannot be reached any more has crashed, maybe by this request.
-    pub(crate) fn check_crash(&self, server: &Arc<ServerEntry>) {
-        let check = CrashCheck {
-            state: self.state.clone(),
-            id: self.facts().id.clone(),
-            print: self.facts().print,
-            server: server.clone(),
-        };
-        tokio::task::spawn_local(check.run());
-    }
-
     async fn pass_whole(self, answer: OpenAnswer) -> Result<Response<CallerBody>, CallFailure> {
         let parts = copy_head(&answer.parts);
         let server = answer.server.clone();
