Red: a stream that moved is judged foreign by the prompts before its first token

Seen once: `streams_survive_crossed_cut_and_frozen_answers`, 1 `Foreign` among 372 calls (370 whole) in a run of the whole workspace's tests. Trace of that run: call 35 was planned at 0.586 s and got its first token at 0.868 s from engine-te-aro-hall-3, which then stood still. Its router noted the resume at engine-te-aro-hall-2 at 3.948 s. The usage (3904 cached of 3947) is that engine's: the 244 shared blocks and none of the two own ones. The judge asked only for what was sent before 0.868 s. Ruled out: blocks of another team or answer (the 244 blocks are a prefix that this team had sent before the resume); an earlier own attempt (its two own blocks would be cached too). The test has a router's whole stream in hand, with resume tokens of its servers: 3 of its 7 cases are red, all three judged foreign where the last server may have had the blocks. The other 4 are true cases and stay foreign.

--- a/crates/load/tests/caller.rs
+++ b/crates/load/tests/caller.rs
@@ -1,21 +1,35 @@
 //! The caller's verdicts on answers written by hand, over a real connection.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use fulmargate_load::AnswerFault;
+use fulmargate_load::CacheJudge;
 use fulmargate_load::CallKind;
 use fulmargate_load::CallRecord;
 use fulmargate_load::CallTarget;
 use fulmargate_load::Caller;
 use fulmargate_load::PlannedCall;
 use fulmargate_load::PromptLibrary;
+use fulmargate_load::PromptTouch;
 use fulmargate_load::Verdict;
 use fulmargate_load::WorkloadPlan;
+use fulmargate_names::Incarnation;
+use fulmargate_names::RequestId;
+use fulmargate_names::ServerName;
+use fulmargate_names::TeamName;
+use fulmargate_names::WeightsVersion;
+use fulmargate_relay::ResumeToken;
+use fulmargate_relay::StreamPlace;
+use fulmargate_relay::TokenBinding;
+use fulmargate_relay::TokenMinter;
+use fulmargate_relay::TokenSecrets;
 use fulmargate_stand::CompletionBody;
 use fulmargate_stand::deployment::Deployment;
 use fulmargate_stand::token;
+use fulmargate_stand::token::BLOCK_TOKENS;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -109,17 +123,23 @@
 
 type Script = fn(&SeenRequest) -> String;
 
-async fn call(scripts: Vec<Script>) -> (CallRecord, Vec<SeenRequest>) {
-    let deployment = Rc::new(Deployment::shop());
-    let mut plan = WorkloadPlan::new(&deployment, 1);
+/// The first prompt of a plan, sent at the start of the run, and the plan's texts.
+fn first_prompt(deployment: &Deployment) -> (PlannedCall, PromptLibrary) {
+    let mut plan = WorkloadPlan::new(deployment, 1);
     plan.answer_tokens = 3;
     let is_prompt = |call: &PlannedCall| matches!(call.kind, CallKind::Prompt(_));
-    let call = plan.calls(&deployment).into_iter().find(is_prompt).unwrap();
+    let call = plan.calls(deployment).into_iter().find(is_prompt).unwrap();
+    let library = PromptLibrary::new(deployment, plan.sizes, plan.text_seed);
+    (PlannedCall { at: Duration::ZERO, ..call }, library)
+}
+
+async fn call(scripts: Vec<Script>) -> (CallRecord, Vec<SeenRequest>) {
+    let deployment = Rc::new(Deployment::shop());
+    let (call, library) = first_prompt(&deployment);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let seen = Rc::new(RefCell::new(Vec::new()));
     let server = actix_rt::spawn(serve(listener, scripts, Rc::clone(&seen)));
-    let library = PromptLibrary::new(&deployment, plan.sizes, plan.text_seed);
     let patience = Duration::from_secs(20);
     let caller = Caller::new(CallTarget::Routers, vec![address], deployment, library, patience);
     let record = caller.call(&call).await;
@@ -234,3 +254,89 @@
     let (record, _) = call(vec![cut, again]).await;
     assert_eq!(record.verdict, Verdict::Faulty(AnswerFault::Repeated));
 }
+
+/// A server and its start.
+type ServerLife = (&'static str, u64);
+
+const A: ServerLife = ("engine-a", 1);
+const A_ANEW: ServerLife = ("engine-a", 2);
+const B: ServerLife = ("engine-b", 1);
+
+/// The whole stream of a router, each token of another life; the last one had all shared blocks of
+/// the prompt cached.
+fn stream_of(request: &SeenRequest, lives: [ServerLife; 3]) -> String {
+    let secrets = TokenSecrets::new(&["a secret of a test's own".to_owned()]).unwrap();
+    let team = TeamName::new("a");
+    let binding = TokenBinding::new(&team, "/v1/chat/completions", &request.body);
+    let mut events = request.events(0, 3);
+    for (index, (server, incarnation)) in (0..).zip(lives) {
+        let token = ResumeToken {
+            server: ServerName::new(server),
+            incarnation: Incarnation(incarnation),
+            weights: WeightsVersion(1),
+            request_id: RequestId::new(request.id()),
+            place: StreamPlace::before(index + 1).unwrap(),
+        };
+        let text = TokenMinter::new(&secrets, &binding, &token).mint(token.place);
+        events = events.replace(&format!("id: at-{index}\n"), &format!("id: {text}\n"));
+    }
+    let (call, library) = first_prompt(&Deployment::shop());
+    let touch = PromptTouch::of(&call, &library).unwrap();
+    let shared: usize = touch.segments.iter().map(|segment| segment.blocks).sum();
+    let details =
+        format!(r#""prompt_tokens_details":{{"cached_tokens":{}}}"#, shared * BLOCK_TOKENS);
+    let usage = format!(r#""prompt_tokens":{},{details}"#, touch.tokens);
+    let events = events.replace(r#""prompt_tokens":9"#, &usage);
+    head("200 OK", request.id(), SOUND) + &chunk(&events) + LAST_CHUNK
+}
+
+struct MoveCase {
+    name: &'static str,
+    script: Script,
+    /// The token of the answer at whose time another call sent the same prefix.
+    other_sent_at: Option<usize>,
+    verdict: Verdict,
+}
+
+impl MoveCase {
+    async fn check(&self) {
+        let (record, _) = call(vec![self.script]).await;
+        let (own, library) = first_prompt(&Deployment::shop());
+        let mut records = vec![record];
+        let mut touches = HashMap::from([(own.number, PromptTouch::of(&own, &library).unwrap())]);
+        if let Some(token) = self.other_sent_at {
+            let gaps: Duration = records[0].token_gaps[..token].iter().sum();
+            let at = records[0].first_token.unwrap() + gaps;
+            let other = PlannedCall { number: own.number + 1, at, ..own };
+            touches.insert(other.number, PromptTouch::of(&other, &library).unwrap());
+            records.push(CallRecord::new(&other));
+        }
+        CacheJudge::new(&touches).mark_foreign(&mut records);
+        assert_eq!(records[0].verdict, self.verdict, "{}", self.name);
+    }
+}
+
+/// A caller gets a whole answer that is its own, and it was judged foreign. The engine stood still
+/// after some tokens; while it did, another call of the team sent the same prefix to a second
+/// engine; the router moved the stream there, and that engine said truly that it had the prefix.
+/// The usage is that of the last engine, so what was sent before its first token is what it may
+/// have had; what nobody sent by then is foreign as before.
+#[actix_rt::test]
+async fn a_moved_stream_is_judged_by_what_was_sent_before_its_last_server() {
+    use AnswerFault::Foreign;
+    use Verdict::*;
+    let case =
+        |name, script, other_sent_at, verdict| MoveCase { name, script, other_sent_at, verdict };
+    let cases = [
+        case("sent before the move", |it| stream_of(it, [A, A, B]), Some(1), Whole),
+        case("sent before the move back", |it| stream_of(it, [A, B, A]), Some(1), Whole),
+        case("sent before the new start", |it| stream_of(it, [A, A, A_ANEW]), Some(1), Whole),
+        case("sent by nobody", |it| stream_of(it, [A, A, B]), None, Faulty(Foreign)),
+        case("sent after the move", |it| stream_of(it, [A, A, B]), Some(2), Faulty(Foreign)),
+        case("sent at the move", |it| stream_of(it, [A, B, B]), Some(1), Faulty(Foreign)),
+        case("not moved", |it| stream_of(it, [A, A, A]), Some(1), Faulty(Foreign)),
+    ];
+    for case in cases {
+        case.check().await;
+    }
+}
