The judge asks a moved stream's cached tokens of its last server's time

Cause: a router that moves a stream passes on the token counts of the last engine. The judge compared them with what had been sent before the stream's first token, which came from an earlier engine; prompts of the team that were sent meanwhile had filled the last engine. Change: the caller notes when the first token of the last server came, by server and incarnation in the resume tokens; the judge takes this time for the claim. A stream that did not move is judged as before, and so is a claim of blocks that nobody sent by then. A resume at the same start of a server is not seen and is judged by that server's first token.

--- a/crates/load/src/calls.rs
+++ b/crates/load/src/calls.rs
@@ -6,6 +6,8 @@
 mod call_record;
 mod caller;
 mod sse_reader;
+mod token_clock;
+mod token_source;
 
 pub use answer_check::AnswerCheck;
 pub use answer_check::ExpectedAnswer;
--- a/crates/load/src/calls/call_record.rs
+++ b/crates/load/src/calls/call_record.rs
@@ -124,6 +124,9 @@
     pub server: Option<String>,
     /// From the planned time to the first token, so that a late sender hides no wait.
     pub first_token: Option<Duration>,
+    /// The same to the first token of the server that ended the stream: a router that moves a
+    /// stream passes on the token counts of the last one.
+    pub last_server_token: Option<Duration>,
     /// Times between tokens.
     pub token_gaps: Vec<Duration>,
     /// From the planned time to the end.
@@ -153,6 +156,7 @@
             error: None,
             server: None,
             first_token: None,
+            last_server_token: None,
             token_gaps: Vec::new(),
             took: Duration::ZERO,
             prompt_tokens: 0,
--- a/crates/load/src/calls/caller.rs
+++ b/crates/load/src/calls/caller.rs
@@ -27,6 +27,7 @@
 use super::call_record::KeySend;
 use super::call_record::Verdict;
 use super::sse_reader::SseReader;
+use super::token_clock::TokenClock;
 use crate::workload::CallKind;
 use crate::workload::PlannedCall;
 use crate::workload::PromptCall;
@@ -195,7 +196,7 @@
         record: &mut CallRecord,
     ) -> SendEnd {
         let mut reader = SseReader::default();
-        let mut last_token = None;
+        let mut clock = TokenClock::new(self.start + call.at);
         while let Some(bytes) = response.next_bytes().await {
             let Ok(bytes) = bytes else { return SendEnd::Broken };
             for event in reader.read(&bytes) {
@@ -207,7 +208,7 @@
                     return SendEnd::Final(Verdict::Faulty(fault));
                 }
                 if before < check.tokens() {
-                    self.note_token(call, &mut last_token, record);
+                    clock.note(&event, record);
                 }
             }
         }
@@ -217,17 +218,6 @@
         }
     }
 
-    fn note_token(&self, call: &PlannedCall, last: &mut Option<Instant>, record: &mut CallRecord) {
-        let now = Instant::now();
-        match last.replace(now) {
-            Some(last) => record.token_gaps.push(now - last),
-            None if record.first_token.is_none() => {
-                record.first_token = Some((now - self.start).saturating_sub(call.at));
-            }
-            None => {}
-        }
-    }
-
     /// Calls the plain service, and with the plan's share sends the key once more meanwhile.
     async fn call_service(
         &self,
--- a/crates/load/src/figures/cache_judge.rs
+++ b/crates/load/src/figures/cache_judge.rs
@@ -46,7 +46,11 @@
     }
 
     /// Marks answers whose engine claims cached tokens that nobody of the same team had sent
-    /// before the first token. Holds only if all caches were empty at the start of the run.
+    /// before its first token. Holds only if all caches were empty at the start of the run.
+    ///
+    /// The claim is that of the engine that ended the stream. One that took a stream over was asked
+    /// later than the first token came, and has what others had sent until then: judged by the
+    /// stream's first token, a true claim would be foreign.
     ///
     /// A prompt whose own blocks are cached was run before by an attempt that failed, and its
     /// shared blocks with it: no other prompt has those blocks, so that is nothing foreign.
@@ -66,7 +70,7 @@
         }
         for record in records.iter_mut().filter(|record| is_judged(record)) {
             let Some(touch) = self.touches.get(&record.number) else { continue };
-            let until = first_token_at(record);
+            let until = claimed_before(record);
             let was_sent = |id: &u64| match first_sent.get(id) {
                 Some((_, number)) if *number == record.number => {
                     second_sent.get(id).is_some_and(|at| *at < until)
@@ -92,3 +96,7 @@
 fn first_token_at(record: &CallRecord) -> Duration {
     record.at + record.first_token.unwrap_or_default()
 }
+
+fn claimed_before(record: &CallRecord) -> Duration {
+    record.last_server_token.map_or_else(|| first_token_at(record), |token| record.at + token)
+}
