--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -30,6 +30,9 @@
 pub(crate) const MOST_LOOKS: usize = 600;
 pub(crate) const LOOK_PACE: Duration = Duration::from_millis(20);
 
+/// Longer than any test takes.
+pub(crate) const PATIENCE_MS: u64 = 20_000;
+
 static STARTED: AtomicUsize = AtomicUsize::new(0);
 
 /// A daemon's process. It is killed when the value is dropped.
@@ -209,6 +212,18 @@
         deployment
     }
 
+    /// The same with requests that have time, also on a machine that stands still for a while.
+    pub(crate) async fn start_patient(mode: ServerMode) -> TestDeployment {
+        let deployment = TestDeployment::start(mode).await;
+        let mut config = first_config();
+        config.version = 2;
+        config.routes.iter_mut().for_each(|route| route["timeoutMs"] = json!(PATIENCE_MS));
+        deployment.store.put_config(&config);
+        let accepted = || deployment.daemon.events("config_accepted").len();
+        until("requests have time", || accepted() == 2).await;
+        deployment
+    }
+
     /// Sends some requests that are answered well. A new process may repeat nothing: its budget is
     /// earned by first sends.
     pub(crate) async fn earn_budget(&self) {
