Failing: what hosts do after the store has come back from a copy

The stand-in of the store plays it: away, back with an older copy, its era risen, offsets given out again, 410 beyond the end.

--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod handing_on;
 mod reach;
 mod requests;
+mod restores;
 mod stops;
 mod store_way;
 mod streams;
