--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 
+use fulmargate_names::ConfigVersion;
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
+use fulmargate_names::StoreEra;
 use indexmap::IndexMap;
 
 use crate::BootTime;
 use crate::FleetRecord;
+use crate::LogPosition;
 
 /// The newest record of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,10 +21,21 @@
     pub host: HostName,
     /// The holder's start.
     pub incarnation: Incarnation,
-    /// The record's offset.
+    /// The record's position when it was written.
     pub fence: FencingNumber,
     /// When this router read it, after it was written.
     pub seen: BootTime,
+    /// The store's era for which it was written.
+    pub era: StoreEra,
+}
+
+/// What routers have said of the store's coming back from a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestoreNote {
+    /// The newest configuration that one of them knew.
+    pub config: ConfigVersion,
+    /// Operators have had time to write again what was lost.
+    pub is_settled: bool,
 }
 
 /// The fold over the topic's records.
@@ -29,48 +43,106 @@
 pub struct FleetFold {
     members: IndexMap<HostName, SocketAddr>,
     lease: Option<HeldLease>,
-    end: LogOffset,
+    end: LogPosition,
+    /// When this router first saw the present era; none while it has read nothing.
+    era_seen: Option<BootTime>,
+    /// Records of an earlier era were read: the store has come back from a copy at least once.
+    has_earlier: bool,
+    /// What routers that lived before the present era have said of its beginning.
+    note: Option<RestoreNote>,
 }
 
 impl FleetFold {
-    /// Takes in a record. Two readers may give the same one; it counts once. Crashes are for the crash
-    /// book; they only move the end here.
+    /// The store answers in this era. What was read of the lease before is void, as it may be lost; the
+    /// hosts are still where they were. Returns whether the era is new to this router.
+    pub fn begin_era(&mut self, era: StoreEra, now: BootTime) -> bool {
+        if self.era_seen.is_some() && era <= self.end.era {
+            return false;
+        }
+        self.has_earlier |= self.era_seen.is_some();
+        self.era_seen = Some(now);
+        self.end = LogPosition { era, offset: LogOffset(0) };
+        self.lease = None;
+        self.note = None;
+        true
+    }
+
+    /// Takes in a record of the present era. Two readers may give the same one; it counts once. Crashes are
+    /// for the crash book; they only move the end here.
     pub fn apply(&mut self, offset: LogOffset, record: &FleetRecord, now: BootTime) {
-        if offset < self.end {
+        if offset < self.end.offset {
             return;
         }
-        self.end = LogOffset(offset.0 + 1);
+        let position = LogPosition { offset, ..self.end };
+        self.end = position.after(1);
         match record {
-            FleetRecord::Joined { host, address, .. } => {
+            FleetRecord::Joined { host, address, era, .. } => {
                 self.members.insert(host.clone(), *address);
+                self.has_earlier |= *era < position.era;
             }
-            FleetRecord::Lease { host, incarnation } => {
+            FleetRecord::Lease { host, incarnation, era } => {
+                self.has_earlier |= *era < position.era;
                 self.lease = Some(HeldLease {
                     host: host.clone(),
                     incarnation: *incarnation,
-                    fence: FencingNumber(offset.0),
+                    // A record that was copied keeps the number under which its writer acted.
+                    fence: LogPosition { era: *era, offset }.fence(),
                     seen: now,
+                    era: *era,
                 });
             }
-            FleetRecord::Crash { .. } => {}
+            FleetRecord::Restored { era, config, is_settled } if *era == position.era => {
+                self.add_note(RestoreNote { config: *config, is_settled: *is_settled });
+            }
+            FleetRecord::Restored { .. } | FleetRecord::Crash { .. } => {}
         }
     }
 
-    /// Records before this offset are applied or lost.
+    /// Records before this offset of the present era are applied or lost.
     pub fn skip_to(&mut self, end: LogOffset) {
-        self.end = self.end.max(end);
+        self.end.offset = self.end.offset.max(end);
     }
 
     /// Where the next record will be.
-    pub fn end(&self) -> LogOffset {
+    pub fn end(&self) -> LogPosition {
         self.end
     }
 
+    /// Whether the topic was read at all.
+    pub fn is_read(&self) -> bool {
+        self.era_seen.is_some()
+    }
+
     /// The newest lease.
     pub fn lease(&self) -> Option<&HeldLease> {
         self.lease.as_ref()
     }
 
+    /// Since when a lease that the store has lost may still be held: a host that took it just before may act
+    /// for its whole length. None where nothing was lost, or a lease of this era was taken, whose holder
+    /// has waited for that.
+    pub fn lost_lease_since(&self) -> Option<BootTime> {
+        let is_settled = self.lease.as_ref().is_some_and(|lease| lease.era == self.end.era);
+        if is_settled { None } else { self.era_seen.filter(|_| self.has_earlier) }
+    }
+
+    fn add_note(&mut self, note: RestoreNote) {
+        let before = self.note.unwrap_or(note);
+        let config = before.config.max(note.config);
+        let is_settled = before.is_settled || note.is_settled;
+        self.note = Some(RestoreNote { config, is_settled });
+    }
+
+    /// What routers have said of the present era's beginning.
+    pub fn restore_note(&self) -> Option<RestoreNote> {
+        self.note
+    }
+
+    /// Whether operators may still have to write again what the store has lost, as far as the topic tells.
+    pub fn is_restored_lately(&self) -> bool {
+        self.has_earlier && self.note.is_none_or(|note| !note.is_settled)
+    }
+
     /// Hosts whose start was read.
     pub fn hosts(&self) -> usize {
         self.members.len()
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -2,15 +2,21 @@
 
 use std::net::SocketAddr;
 
+use fulmargate_names::ConfigVersion;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
+use fulmargate_names::StoreEra;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ServerKey;
 
-/// A record of the routers' own topic.
+/// Crashes are kept under so many keys. A host that starts reads all that are kept, and a new one takes the
+/// place of an old one; a request that crashes servers comes again within seconds.
+const CRASH_KEYS: u128 = 256;
+
+/// A record of the routers' own topic, of which the store keeps the newest under each key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetRecord {
     /// A router has started.
@@ -21,14 +27,18 @@
         incarnation: Incarnation,
         /// Where it listens for other routers.
         address: SocketAddr,
+        /// The store's era when it was written first.
+        era: StoreEra,
     },
-    /// A router takes or keeps the lease on orders to engines. The record's offset is the fencing
+    /// A router takes or keeps the lease on orders to engines. The record's position is the fencing
     /// number, so that it rises with every holder and is never shared.
     Lease {
         /// The holder's host.
         host: HostName,
         /// The holder's start.
         incarnation: Incarnation,
+        /// The store's era for which it was written.
+        era: StoreEra,
     },
     /// A server crashed while it ran a request.
     Crash {
@@ -39,4 +49,25 @@
         /// Which start of it.
         start: ServerKey,
     },
+    /// A router that lived before the store came back from a copy says what was in force then.
+    Restored {
+        /// The era that began.
+        era: StoreEra,
+        /// The newest configuration that it knows.
+        config: ConfigVersion,
+        /// Operators have had time to write again what was lost.
+        is_settled: bool,
+    },
+}
+
+impl FleetRecord {
+    /// The key under which the store keeps it.
+    pub fn key(&self) -> String {
+        match self {
+            FleetRecord::Joined { host, .. } => format!("host/{host}"),
+            FleetRecord::Lease { .. } => "lease".to_owned(),
+            FleetRecord::Crash { print, .. } => format!("crash/{}", print % CRASH_KEYS),
+            FleetRecord::Restored { .. } => "restored".to_owned(),
+        }
+    }
 }
--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_desk.rs
@@ -4,13 +4,13 @@
 
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
-use fulmargate_names::LogOffset;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::BootTime;
 use crate::FleetFold;
 use crate::HeldLease;
 use crate::LinkRank;
+use crate::LogPosition;
 
 /// The holder stops this long before its lease ends: clocks of two hosts may drift, and an order is
 /// on its way for a while. A lost packet is sent again within 200 ms; the rest is allowance.
@@ -36,7 +36,7 @@
     /// Append a lease record, on condition that the topic still ends here.
     Append {
         /// The end that all decisions rest on.
-        at: LogOffset,
+        at: LogPosition,
     },
     /// Look again after this time at the latest.
     Wait(Duration),
@@ -76,12 +76,18 @@
         now: BootTime,
     ) -> LeaseStep {
         let newest = fold.lease();
+        // A record of another's lease may be lost with others that the store had when it was copied. Its
+        // writer acts on until the lease ends, and nobody else may act before.
+        let lost_until = fold.lost_lease_since().map(|since| since.after(self.length));
         if let Some(own) = self.own.filter(|own| self.is_newest(newest, own.fence)) {
-            if now.since(own.sent) < self.length / 2 {
+            let age = now.since(own.sent);
+            if age < self.length / 2 {
                 return LeaseStep::Act;
             }
             // Renewed by a record with a higher number: nobody else has acted in between.
-            return LeaseStep::Append { at: fold.end() };
+            if age < self.length || lost_until.is_none_or(|until| until <= now) {
+                return LeaseStep::Append { at: fold.end() };
+            }
         }
         let turn = work_since.after(self.turn(fold, rank));
         let from = match newest {
@@ -90,6 +96,7 @@
             Some(lease) if lease.host == self.host => now,
             Some(lease) => lease.seen.after(self.length).max(turn.after(HOLDER_FIRST)),
         };
+        let from = from.max(lost_until.unwrap_or_default());
         if now < from {
             return LeaseStep::Wait(from.since(now));
         }
@@ -102,7 +109,7 @@
     /// and the others learn late which engines to leave alone. So the widest links come first; where these
     /// hosts do not try, the others are late by no more than the wait for them.
     fn turn(&self, fold: &FleetFold, rank: LinkRank) -> Duration {
-        let draw = xxh3_64(format!("{}/{}", self.host, fold.end()).as_bytes());
+        let draw = xxh3_64(format!("{}/{}", self.host, fold.end().offset).as_bytes());
         let share = (draw >> 11) as f64 / (1_u64 << 53) as f64;
         let turn = |hosts: usize| (TURN_PER_HOST * hosts as u32).mul_f64(share);
         match rank {
--- a/crates/dispatch/src/log_cache.rs
+++ b/crates/dispatch/src/log_cache.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use fulmargate_names::LogOffset;
+use fulmargate_names::StoreEra;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::BootTime;
+use crate::LogPosition;
 
 /// Topics of the store that routers follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -29,6 +31,16 @@
     pub from: LogOffset,
     /// How long to wait for a record, in milliseconds.
     pub wait_ms: u64,
+    /// The store's era in which the asker has read so far. It comes last, where routers of an earlier
+    /// version leave it.
+    pub era: StoreEra,
+}
+
+impl LogQuestion {
+    /// Where the asker reads on.
+    pub fn position(&self) -> LogPosition {
+        LogPosition { era: self.era, offset: self.from }
+    }
 }
 
 /// The records, and how old they are.
@@ -62,8 +74,8 @@
 /// The newest records of a topic, as read from the store.
 #[derive(Debug, Default)]
 pub struct LogCache {
-    /// Offset of the first record here.
-    start: LogOffset,
+    /// Where the first record here lies.
+    start: LogPosition,
     records: VecDeque<Vec<u8>>,
     bytes: usize,
     /// When the read was sent that proved that there are no more.
@@ -71,8 +83,9 @@
 }
 
 impl LogCache {
-    /// Records that the store has given from an offset on. A gap drops what was kept before.
-    pub fn add(&mut self, from: LogOffset, records: &[Vec<u8>]) {
+    /// Records that the store has given from a position on. A gap drops what was kept before, and so does
+    /// another era: to askers of the earlier one its records would look like those that follow.
+    pub fn add(&mut self, from: LogPosition, records: &[Vec<u8>]) {
         if from != self.end() {
             *self = LogCache { start: from, ..LogCache::default() };
         }
@@ -83,7 +96,7 @@
         while MOST_BYTES < self.bytes {
             let Some(oldest) = self.records.pop_front() else { break };
             self.bytes -= oldest.len();
-            self.start.0 += 1;
+            self.start = self.start.after(1);
         }
     }
 
@@ -98,25 +111,28 @@
     }
 
     /// Where the next record will be.
-    pub fn end(&self) -> LogOffset {
-        LogOffset(self.start.0 + self.records.len() as u64)
+    pub fn end(&self) -> LogPosition {
+        self.start.after(self.records.len())
     }
 
-    /// The records from an offset on; none if they are not here, or if how old they are is not known
-    /// or over `longest`: whoever asks then reads for himself.
+    /// The records from a position on; none if they are not here or of another era, or if how old they are
+    /// is not known or over `longest`: whoever asks then reads for himself.
     /// The question came at `arrived`.
     pub fn answer(
         &self,
-        from: LogOffset,
+        from: LogPosition,
         longest: Duration,
         arrived: BootTime,
         now: BootTime,
     ) -> Option<LogAnswer> {
         let age = now.since(self.proven?);
-        if from < self.start || self.end() < from || longest < age {
+        if from.era != self.start.era || longest < age {
+            return None;
+        }
+        if from < self.start || self.end() < from {
             return None;
         }
-        let skipped = (from.0 - self.start.0) as usize;
+        let skipped = (from.offset.0 - self.start.offset.0) as usize;
         let records = self.records.iter().skip(skipped).cloned().collect();
         let held_ms = now.since(arrived).as_millis() as u64;
         Some(LogAnswer { records, age_ms: age.as_millis() as u64, held_ms })
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -19,6 +19,9 @@
 /// Servers that live are listed again within about two seconds of the store's return; the rest is
 /// allowance for the pace of reading.
 const RETURN_GRACE: Duration = Duration::from_millis(2_400);
+/// After the store has come back from a copy its list names servers that have left, until their entries
+/// lapse again: three heartbeats of 1.2 s, and as much for a busy store.
+const COPIED_LIST: Duration = Duration::from_millis(7_200);
 /// Starts are remembered for so many names, against words that arrive late. At a thousand restarts a
 /// day this reaches back for days; a name takes some 100 bytes.
 const MOST_STARTS: usize = 4_096;
@@ -41,8 +44,12 @@
     /// The newest start known of each name that drained or told of its start.
     starts: IndexMap<ServerName, KnownStart>,
     lapsed: IndexSet<ServerName>,
+    /// Servers whose entries were removed, and their starts.
+    left: IndexMap<ServerName, Option<Incarnation>>,
     last_contact: Option<BootTime>,
     returned: Option<BootTime>,
+    /// When the store came back from a copy.
+    restored: Option<BootTime>,
 }
 
 impl ServerTable {
@@ -72,11 +79,31 @@
             entry.stage = ServerStage::Draining;
         }
         self.note_start(&entry);
+        self.left.swap_remove(&entry.name);
         self.lapsed.swap_remove(&entry.name);
         self.servers.insert(entry.name.clone(), Arc::new(entry));
         true
     }
 
+    /// The store has come back from a copy: entries written since are missing until their servers write
+    /// again, as after an outage.
+    pub fn restored(&mut self, now: BootTime) {
+        self.returned = Some(now);
+        self.restored = Some(now);
+    }
+
+    /// Takes in an entry of the whole list. Returns whether it counts.
+    ///
+    /// In a copy a server that has left looks ready, and would get requests that it cuts off when it ends.
+    /// One that lives writes its entry again within a heartbeat.
+    pub fn put_listed(&mut self, entry: ServerEntry, now: BootTime) -> bool {
+        let is_copied = self.restored.is_some_and(|restored| now.since(restored) < COPIED_LIST);
+        if is_copied && self.left.get(&entry.name) == Some(&entry.incarnation) {
+            return false;
+        }
+        self.put(entry)
+    }
+
     /// An entry was removed.
     pub fn remove(&mut self, name: &ServerName, now: BootTime) {
         if self.in_grace(now) && self.servers.contains_key(name) {
@@ -129,7 +156,11 @@
 
     fn drop_server(&mut self, name: &ServerName) {
         self.lapsed.swap_remove(name);
-        self.servers.swap_remove(name);
+        let Some(entry) = self.servers.swap_remove(name) else { return };
+        self.left.insert(name.clone(), entry.incarnation);
+        if MOST_STARTS < self.left.len() {
+            self.left.shift_remove_index(0);
+        }
     }
 
     fn note_start(&mut self, entry: &ServerEntry) {
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -8,6 +8,8 @@
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::RouteRule;
+use fulmargate_names::ConfigVersion;
+use fulmargate_names::StoreEra;
 use fulmargate_names::TeamName;
 use fulmargate_names::WeightsVersion;
 use support::DESK;
@@ -126,6 +128,118 @@
     },
 ];
 
+/// What happens to a proof.
+#[derive(Clone, Copy, Debug)]
+enum ProofStep {
+    /// A read was answered that was sent at this moment.
+    Renew(u64),
+    /// The store was seen in this era first.
+    Doubt(u64, u64),
+    /// Operators have written in this era.
+    Settle(u64),
+    /// Another router has had this configuration in force.
+    Known(u64),
+    /// This host has it in force.
+    InForce(u64),
+}
+
+use ProofStep::Doubt;
+use ProofStep::InForce;
+use ProofStep::Known;
+use ProofStep::Renew;
+use ProofStep::Settle;
+
+struct DoubtCase {
+    name: &'static str,
+    steps: &'static [ProofStep],
+    now: u64,
+    admits: bool,
+}
+
+const DOUBTS: &[DoubtCase] = &[
+    DoubtCase {
+        name: "a read of a restored store proves nothing",
+        steps: &[Doubt(1, 1_000), Renew(1_500)],
+        now: 1_600,
+        admits: false,
+    },
+    DoubtCase {
+        name: "what was proved before goes on to count",
+        steps: &[Renew(900), Doubt(1, 1_000), Renew(1_500)],
+        now: 5_700,
+        admits: true,
+    },
+    DoubtCase {
+        name: "and ages from then",
+        steps: &[Renew(900), Doubt(1, 1_000), Renew(1_500)],
+        now: 5_800,
+        admits: false,
+    },
+    DoubtCase {
+        name: "operators have had time",
+        steps: &[Doubt(1, 1_000), Renew(3_000)],
+        now: 3_100,
+        admits: true,
+    },
+    DoubtCase {
+        name: "operators have written",
+        steps: &[Doubt(1, 1_000), Renew(1_500), Settle(1)],
+        now: 1_600,
+        admits: true,
+    },
+    DoubtCase {
+        name: "what was written before the store came back settles nothing",
+        steps: &[Doubt(1, 1_000), Renew(1_500), Settle(0)],
+        now: 1_600,
+        admits: false,
+    },
+    DoubtCase {
+        name: "it comes back again",
+        steps: &[Doubt(1, 1_000), Renew(1_500), Doubt(2, 2_900), Renew(3_000), Settle(1)],
+        now: 3_100,
+        admits: false,
+    },
+    DoubtCase {
+        name: "a late reader of the same era begins no new doubt",
+        steps: &[Doubt(1, 1_000), Settle(1), Doubt(1, 2_900), Renew(3_000)],
+        now: 3_100,
+        admits: true,
+    },
+    DoubtCase {
+        name: "others know a newer configuration",
+        steps: &[InForce(5), Known(7), Renew(3_000)],
+        now: 3_100,
+        admits: false,
+    },
+    DoubtCase {
+        name: "it is here now",
+        steps: &[InForce(5), Known(7), Renew(3_000), InForce(7)],
+        now: 3_100,
+        admits: true,
+    },
+];
+
+/// A key that was taken away works again after the store has come back from a copy.
+/// The copy does not hold the configuration that took it, and a read shows the one before as the newest. Such
+/// a read counts only once operators have written again what was lost, or have had time to.
+#[test]
+fn a_restored_store_proves_nothing_at_first() {
+    for case in DOUBTS {
+        let mut proof =
+            ConfigProof::new(Duration::from_millis(4_900), Duration::from_millis(1_900));
+        for step in case.steps {
+            match *step {
+                Renew(sent) => proof.renew(BootTime(sent)),
+                Doubt(era, now) => proof.doubt(StoreEra(era), BootTime(now)),
+                Settle(era) => proof.settle(StoreEra(era)),
+                Known(version) => proof.note_known(ConfigVersion(version)),
+                InForce(version) => proof.put_in_force(ConfigVersion(version)),
+            }
+        }
+        assert_eq!(proof.admits(BootTime(case.now)), case.admits, "{}", case.name);
+    }
+}
+
 /// A key was taken away, and a host that the store turns away goes on to serve it.
 /// Its last read was answered late: what the answer proves is the moment of sending.
 /// The age is counted from there, on a clock that goes on while the host sleeps. A caller whose route is
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -8,10 +8,12 @@
 use fulmargate_dispatch::LeaseDesk;
 use fulmargate_dispatch::LeaseStep;
 use fulmargate_dispatch::LinkRank;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
+use fulmargate_names::StoreEra;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -19,7 +21,13 @@
 const HOSTS: [&str; 3] = ["h0", "h1", "h2"];
 
 fn lease_record(host: &str) -> FleetRecord {
-    FleetRecord::Lease { host: HostName::new(host), incarnation: Incarnation(1) }
+    let (host, incarnation) = (HostName::new(host), Incarnation(1));
+    FleetRecord::Lease { host, incarnation, era: StoreEra(0) }
+}
+
+/// A position in the first era.
+fn position(offset: u64) -> LogPosition {
+    LogPosition { era: StoreEra(0), offset: LogOffset(offset) }
 }
 
 /// A router that may be suspended: it reads the topic and decides only when it runs.
@@ -36,7 +44,7 @@
     }
 
     fn read(&mut self, topic: &[FleetRecord], now: BootTime) {
-        let from = self.fold.end().0 as usize;
+        let from = self.fold.end().offset.0 as usize;
         for (offset, record) in topic.iter().enumerate().skip(from) {
             self.fold.apply(LogOffset(offset as u64), record, now);
         }
@@ -80,12 +88,12 @@
     else {
         return;
     };
-    if at.0 != topic.len() as u64 {
+    if at.offset.0 != topic.len() as u64 {
         return;
     }
     topic.push(lease_record(router.host));
     if what % 4 == 1 {
-        router.desk.appended(FencingNumber(at.0), now);
+        router.desk.appended(at.fence(), now);
     }
 }
 
@@ -129,7 +137,7 @@
 }
 
 fn step_cases() -> Vec<StepCase> {
-    let append = |end| LeaseStep::Append { at: LogOffset(end) };
+    let append = |end| LeaseStep::Append { at: position(end) };
     vec![
         StepCase { name: "nobody has it", lease: None, now: 100, step: append(0) },
         StepCase {
@@ -176,9 +184,9 @@
         let desk = LeaseDesk::new(HostName::new(host), LEASE);
         desk.step(&fold, work_since, LinkRank::Equal, BootTime(now))
     };
-    assert_eq!(step("h1", 20_001), LeaseStep::Append { at: LogOffset(1) });
+    assert_eq!(step("h1", 20_001), LeaseStep::Append { at: position(1) });
     assert!(matches!(step("h0", 20_001), LeaseStep::Wait(_)));
-    assert_eq!(step("h0", 20_400), LeaseStep::Append { at: LogOffset(1) });
+    assert_eq!(step("h0", 20_400), LeaseStep::Append { at: position(1) });
 }
 
 struct TurnCase {
@@ -227,6 +235,7 @@
             host: HostName::new(host),
             incarnation: Incarnation(1),
             address: "127.0.0.1:1".parse().expect("an address"),
+            era: StoreEra(0),
         };
         fold.apply(LogOffset(offset as u64), &record, BootTime(0));
     }
@@ -291,7 +300,7 @@
         let hosts = host_names(90);
         let mut fold = joined(&hosts);
         if let Some(host) = case.lease {
-            fold.apply(fold.end(), &lease_record(host), BootTime(1_000));
+            fold.apply(fold.end().offset, &lease_record(host), BootTime(1_000));
         }
         let waits: Vec<u64> = hosts.iter().map(|host| wait_ms(host, &fold, case.rank)).collect();
         let (first, last) = (waits.iter().min().copied(), waits.iter().max().copied());
@@ -328,7 +337,7 @@
     let act = holder.step(&fold, BootTime(0), LinkRank::Narrower, BootTime(2_000));
     assert_eq!(act, LeaseStep::Act);
     let renewal = holder.step(&fold, BootTime(0), LinkRank::Narrower, BootTime(2_600));
-    assert_eq!(renewal, LeaseStep::Append { at: LogOffset(1) });
+    assert_eq!(renewal, LeaseStep::Append { at: position(1) });
 }
 
 /// A router takes a lease for younger than it is, or an older one for the newest.
@@ -342,5 +351,5 @@
     fold.apply(LogOffset(0), &lease_record("h0"), BootTime(9_000));
     let lease = fold.lease().expect("a lease");
     assert_eq!((lease.host.as_str(), lease.seen), ("h1", BootTime(2_000)));
-    assert_eq!(fold.end(), LogOffset(2));
+    assert_eq!(fold.end(), position(2));
 }
--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -5,6 +5,7 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::PeerBoard;
 use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RecordSource;
@@ -12,6 +13,7 @@
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
+use fulmargate_names::StoreEra;
 use fulmargate_names::ZoneName;
 use tokio::time::Instant;
 
@@ -189,6 +191,11 @@
     },
 ];
 
+/// A position in the first era.
+fn position(offset: u64) -> LogPosition {
+    LogPosition { era: StoreEra(0), offset: LogOffset(offset) }
+}
+
 /// A host that does not read the store takes a cut-off reader's word for new, and serves a key that
 /// was taken. The answer says how old it is, and too old a one is none.
 #[test]
@@ -196,16 +203,33 @@
     for case in CACHES {
         let mut cache = LogCache::default();
         for (from, count) in case.reads {
-            cache.add(LogOffset(*from), &vec![b"record".to_vec(); *count]);
+            cache.add(position(*from), &vec![b"record".to_vec(); *count]);
             cache.prove(BootTime(1_000));
         }
         let answer =
-            cache.answer(LogOffset(case.from), LONGEST, BootTime(case.now), BootTime(case.now));
+            cache.answer(position(case.from), LONGEST, BootTime(case.now), BootTime(case.now));
         let found = answer.map(|answer: LogAnswer| (answer.records.len(), answer.age_ms));
         assert_eq!(found, case.answer, "{}", case.name);
     }
 }
 
+/// A host misses a configuration for good.
+/// The store has come back from a copy and gives offsets out again; the host's reader has read the new
+/// records, and the host asks it for what follows the lost ones. Records of another era are no answer.
+#[test]
+fn records_of_another_era_are_no_answer() {
+    let now = BootTime(1_100);
+    let in_era = |era| LogPosition { era: StoreEra(era), offset: LogOffset(2) };
+    let mut cache = LogCache::default();
+    cache.add(position(0), &vec![b"lost".to_vec(); 2]);
+    cache.add(LogPosition { era: StoreEra(1), ..position(1) }, &vec![b"new".to_vec(); 2]);
+    cache.prove(BootTime(1_000));
+    assert_eq!(cache.answer(in_era(0), LONGEST, now, now), None, "an asker of the earlier era");
+    let answer = cache.answer(in_era(1), LONGEST, now, now).expect("records of this era");
+    assert_eq!(answer.records, vec![b"new".to_vec()]);
+    assert_eq!(cache.answer(in_era(2), LONGEST, now, now), None, "the reader is behind");
+}
+
 struct ProofCase {
     name: &'static str,
     /// When the reader's proof was sent, the question came and the answer was made, by its clock.
@@ -251,10 +275,10 @@
 fn a_wait_does_not_make_a_proof_older() {
     for case in PROOFS {
         let mut cache = LogCache::default();
-        cache.add(LogOffset(0), &[b"record".to_vec()]);
+        cache.add(position(0), &[b"record".to_vec()]);
         cache.prove(BootTime(case.proven));
         let (arrived, answered) = (BootTime(case.arrived), BootTime(case.answered));
-        let answer = cache.answer(LogOffset(0), LONGEST, arrived, answered).expect("an answer");
+        let answer = cache.answer(position(0), LONGEST, arrived, answered).expect("an answer");
         assert_eq!(answer.proven(BootTime(case.asked)), BootTime(case.believed), "{}", case.name);
     }
 }
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -25,6 +25,10 @@
     PutLate(&'static str, Option<u64>, ServerStage),
     Remove(&'static str, u64),
     Listed(&'static [&'static str], u64),
+    /// The store has come back from a copy.
+    Restored(u64),
+    /// The whole list names this server, whose entry counts or not.
+    PutListed(&'static str, u64, bool),
     Expire(u64),
 }
 
@@ -101,6 +105,59 @@
         ],
         usable: &["b"],
     },
+    ListCase {
+        name: "a server that left is listed by a copy, and writes again",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Remove("a", 1_005),
+            Remove("b", 1_005),
+            Restored(1_700),
+            PutListed("a", 1_705, false),
+            PutListed("b", 1_705, false),
+            Put("b", Ready),
+        ],
+        usable: &["b"],
+    },
+    ListCase {
+        name: "a server that left long before is listed again",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Remove("a", 1_005),
+            Restored(1_700),
+            PutListed("a", 9_000, true),
+        ],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "a server that is missing in a copy is kept for a while",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 1_700, now: 1_705 },
+            Restored(1_705),
+            PutListed("b", 1_705, true),
+            Listed(&["b"], 1_705),
+            Expire(4_000),
+        ],
+        usable: &["a", "b"],
+    },
+    ListCase {
+        name: "and not for longer",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 1_700, now: 1_705 },
+            Restored(1_705),
+            Listed(&["b"], 1_705),
+            Expire(4_105),
+        ],
+        usable: &["b"],
+    },
     ListCase {
         name: "a server that drained and starts again under its name is used",
         steps: &[PutStart("a", 5, Draining), PutStart("a", 6, Ready)],
@@ -159,6 +216,11 @@
                     names.iter().map(|name| ServerName::new(name)).collect();
                 table.retain_listed(&listed, BootTime(*now));
             }
+            Restored(now) => table.restored(BootTime(*now)),
+            PutListed(name, now, counts) => {
+                let listed = entry(name, Ready);
+                assert_eq!(table.put_listed(listed, BootTime(*now)), *counts, "{name}");
+            }
             Expire(now) => {
                 table.expire(BootTime(*now));
             }
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -6,6 +6,8 @@
 use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
+use fulmargate_consortium::StoreError;
+use fulmargate_consortium::join_keyed;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::PeerNews;
 use serde::Deserialize;
@@ -17,6 +19,13 @@
     bincode::serde::encode_to_vec(record, config::standard())
 }
 
+/// A record as it lies in the store, behind its key.
+pub(crate) fn keyed_record(record: &FleetRecord) -> Result<Vec<u8>, StoreError> {
+    let value = encode_record(record);
+    let value = value.map_err(|err| StoreError::Unreadable { reason: err.to_string() })?;
+    join_keyed(&record.key(), &value)
+}
+
 /// Reads a record. A later version of the router may write kinds that this one does not know.
 pub(crate) fn decode_record(bytes: &[u8]) -> Result<FleetRecord, DecodeError> {
     bincode::serde::decode_from_slice(bytes, config::standard()).map(|(record, _)| record)
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -1,24 +1,34 @@
 //! The routers' own topic: who there is, who holds the lease, what crashes servers.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_consortium::KeyedRecord;
+use fulmargate_consortium::ListedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
+use fulmargate_consortium::join_keyed;
+use fulmargate_consortium::split_keyed;
 use fulmargate_dispatch::FleetFold;
 use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
+use fulmargate_names::ConfigVersion;
 use fulmargate_names::EventKind;
 use fulmargate_names::LogOffset;
+use indexmap::IndexMap;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::control::era_watch::EraWatch;
 use crate::control::fleet_codec::decode_record;
-use crate::control::fleet_codec::encode_record;
+use crate::control::fleet_codec::keyed_record;
 use crate::control::log_source::LogSource;
+use crate::control::own_records::OwnRecords;
 use crate::control::store_contact::StoreContact;
 use crate::state::CrashSighting;
 use crate::state::FleetView;
@@ -37,12 +47,19 @@
 /// The fold, shared by the tasks of the control thread.
 pub(crate) type SharedFold = Rc<RefCell<FleetFold>>;
 
+type SharedRecords = Rc<RefCell<OwnRecords>>;
+
 /// Reads the topic into the fold.
 #[derive(Clone)]
 pub(crate) struct FleetReader {
     state: Arc<SharedState>,
     source: LogSource,
     fold: SharedFold,
+    own: SharedRecords,
+    era: Rc<RefCell<EraWatch>>,
+    /// The whole topic is to be listed before anything is read on: at the start, and when the store no longer
+    /// has what follows.
+    is_unlisted: Rc<Cell<bool>>,
 }
 
 /// Reads the topic on and on and tells of crashes.
@@ -57,40 +74,105 @@
         FleetDesk { reader, contact: StoreContact::new("fleet") }
     }
 
-    /// Says that this router is there, then reads on and tells of crashes.
+    /// Says that this router is there, reads on and on and tells of crashes.
     pub(crate) async fn run(mut self, crashes: UnboundedReceiver<CrashSighting>) {
-        self.join().await;
-        actix_rt::spawn(tell_crashes(self.reader.source.store().clone(), crashes));
+        let store = self.reader.source.store().clone();
+        actix_rt::spawn(tell_crashes(store, self.reader.own.clone(), crashes));
         loop {
-            match self.reader.read_on().await {
+            let longest = self.reader.source.longest_pause();
+            match self.turn().await {
                 Ok(()) => self.contact.held(),
-                Err(StoreError::Deleted { first }) => self.reader.skip_to(first),
-                Err(err) => self.contact.lost(&err, self.reader.source.longest_pause()).await,
+                Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
+                    self.reader.is_unlisted.set(true);
+                    self.contact.begin_anew(&err, longest).await;
+                }
+                Err(err) => self.contact.lost(&err, longest).await,
             }
         }
     }
 
-    /// The others share the budget of repeats with this router. A record that is written twice
-    /// counts once.
-    async fn join(&mut self) {
-        let record = FleetRecord::Joined {
+    /// What this host has to say comes before the read, which waits.
+    async fn turn(&mut self) -> Result<(), StoreError> {
+        if self.reader.is_unlisted.get() {
+            self.reader.list().await?;
+        }
+        self.join();
+        write_missing(self.reader.source.store(), &self.reader.own).await?;
+        self.note_restore().await?;
+        self.reader.read_on().await
+    }
+
+    /// The others share the budget of repeats with this router.
+    fn join(&self) {
+        let mut own = self.reader.own.borrow_mut();
+        if own.has_joined() {
+            return;
+        }
+        own.put(&FleetRecord::Joined {
             host: self.reader.state.settings.host.clone(),
             incarnation: self.reader.state.incarnation,
             address: self.reader.state.settings.peers,
-        };
-        loop {
-            match append_records(self.reader.source.store(), std::slice::from_ref(&record)).await {
-                Ok(()) => return,
-                Err(err) => self.contact.lost(&err, self.reader.source.longest_pause()).await,
-            }
+            era: self.reader.fold.borrow().end().era,
+        });
+    }
+
+    /// After the store has come back from a copy, hosts that start take what they find for the newest, and
+    /// serve keys that were taken away. Those that read the store tell them which configuration was in force,
+    /// and later that operators have had time to write again what was lost.
+    async fn note_restore(&self) -> Result<(), StoreError> {
+        let Some(record) = self.due_note() else { return Ok(()) };
+        let record = keyed_record(&record)?;
+        let store = self.reader.source.store();
+        store.append(LogTopic::Fleet, None, &[record], APPEND_TIMEOUT).await.map(|_| ())
+    }
+
+    fn due_note(&self) -> Option<FleetRecord> {
+        let fold = self.reader.fold.borrow();
+        if !fold.is_restored_lately() || !self.reader.source.is_reader() {
+            return None;
+        }
+        let proof = *self.reader.state.proof();
+        let is_settled = !proof.is_doubted(boot_now());
+        // A host that has just started knows no more than the store does.
+        if !is_settled && !self.reader.era.borrow().has_risen() {
+            return None;
         }
+        let config = proof.in_force();
+        let is_said = fold.restore_note().is_some_and(|note| config <= note.config);
+        let is_due = config != ConfigVersion(0) && (!is_said || is_settled);
+        is_due.then(|| FleetRecord::Restored { era: fold.end().era, config, is_settled })
     }
 }
 
 impl FleetReader {
     /// A reader into this fold.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource, fold: SharedFold) -> FleetReader {
-        FleetReader { state, source, fold }
+        let era = Rc::new(RefCell::new(EraWatch::new(state.clone(), "fleet")));
+        let (own, is_unlisted) = (SharedRecords::default(), Rc::new(Cell::new(true)));
+        FleetReader { state, source, fold, own, era, is_unlisted }
+    }
+
+    /// Lists the newest record of each key.
+    async fn list(&self) -> Result<(), StoreError> {
+        let newest = self.source.read_newest(LogTopic::Fleet).await?;
+        let end = newest.end;
+        self.era.borrow_mut().listed(end.era)?;
+        self.fold.borrow_mut().begin_era(end.era, boot_now());
+        let mut records = newest.records;
+        // What was written while pages came is read on from the end of the first.
+        records.retain(|listed| listed.offset < end.offset);
+        records.sort_by_key(|listed| listed.offset);
+        let mut by_key = IndexMap::new();
+        for ListedRecord { offset, record } in records {
+            self.apply(offset, &record);
+            let bytes = join_keyed(&record.key, record.value.as_deref().unwrap_or_default())?;
+            by_key.insert(record.key, bytes);
+        }
+        self.fold.borrow_mut().skip_to(end.offset);
+        self.own.borrow_mut().compare(&by_key);
+        self.is_unlisted.set(false);
+        self.publish();
+        Ok(())
     }
 
     /// Waits for records and takes them in.
@@ -107,37 +189,54 @@
     pub(crate) async fn catch_up(&self) -> Result<(), StoreError> {
         let from = self.fold.borrow().end();
         let (topic, allowance) = (LogTopic::Fleet, READ_ALLOWANCE);
-        let page = self.source.read_store(topic, from, Duration::ZERO, allowance).await?;
-        self.take_in(from, &page.records);
+        match self.source.read_store(topic, from, Duration::ZERO, allowance).await {
+            Ok(page) => self.take_in(from, &page.records),
+            Err(StoreError::Deleted { .. } | StoreError::Restored { .. }) => self.list().await?,
+            Err(err) => return Err(err),
+        }
         Ok(())
     }
 
-    /// Records before this one are deleted.
-    fn skip_to(&self, first: LogOffset) {
-        self.fold.borrow_mut().skip_to(first);
+    fn take_in(&self, from: LogPosition, records: &[Vec<u8>]) {
+        // The topic may have been listed in another era meanwhile.
+        if from.era != self.fold.borrow().end().era {
+            return;
+        }
+        for (record, offset) in records.iter().zip(from.offset.0..) {
+            let offset = LogOffset(offset);
+            match split_keyed(record) {
+                Ok(record) => self.apply(offset, &record),
+                Err(err) => self.pass_over(offset, &err.to_string()),
+            }
+        }
+        self.publish();
     }
 
-    fn take_in(&self, from: LogOffset, records: &[Vec<u8>]) {
-        for (record, offset) in records.iter().zip(from.0..) {
-            self.apply(LogOffset(offset), record);
-        }
+    fn publish(&self) {
         let fold = self.fold.borrow();
         self.state.budget().set_hosts(fold.hosts());
         let members = fold.members().map(|(host, _)| host.clone()).collect();
         let view = FleetView { members, lease: fold.lease().cloned() };
         self.state.fleet.store(Arc::new(view));
+        let mut proof = self.state.proof();
+        if let Some(note) = fold.restore_note() {
+            proof.note_known(note.config);
+        }
+        // Only what this router was told when it started: a rise that it has seen itself is doubted until
+        // operators write, or have had time to.
+        if !fold.is_restored_lately() && !self.era.borrow().has_risen() {
+            proof.settle(fold.end().era);
+        }
     }
 
-    fn apply(&self, offset: LogOffset, bytes: &[u8]) {
-        if offset < self.fold.borrow().end() {
+    fn apply(&self, offset: LogOffset, keyed: &KeyedRecord) {
+        if offset < self.fold.borrow().end().offset {
             return;
         }
-        let record = match decode_record(bytes) {
+        let record = match decode_record(keyed.value.as_deref().unwrap_or_default()) {
             Ok(record) => record,
             Err(err) => {
-                let unreadable = EventKind::PeerUnreadable;
-                tracing::warn!(event = unreadable.number(), name = unreadable.name(), %offset, reason = %err);
-                self.fold.borrow_mut().skip_to(LogOffset(offset.0 + 1));
+                self.pass_over(offset, &err.to_string());
                 return;
             }
         };
@@ -155,17 +254,28 @@
             tracing::info!(event = kind.number(), name = kind.name(), print, %server, count);
         }
     }
+
+    /// A record that cannot be read is left out.
+    fn pass_over(&self, offset: LogOffset, reason: &str) {
+        let unreadable = EventKind::PeerUnreadable;
+        tracing::warn!(event = unreadable.number(), name = unreadable.name(), %offset, reason);
+        self.fold.borrow_mut().skip_to(LogOffset(offset.0 + 1));
+    }
 }
 
-async fn tell_crashes(client: StoreClient, mut crashes: UnboundedReceiver<CrashSighting>) {
+async fn tell_crashes(
+    client: StoreClient,
+    own: SharedRecords,
+    mut crashes: UnboundedReceiver<CrashSighting>,
+) {
     while let Some(first) = crashes.recv().await {
         sleep(CRASH_PAUSE).await;
-        let mut records = vec![crash_record(first)];
+        own.borrow_mut().put(&crash_record(first));
         while let Ok(next) = crashes.try_recv() {
-            records.push(crash_record(next));
+            own.borrow_mut().put(&crash_record(next));
         }
-        // Written twice is harmless; not written means that others learn of it by their own loss.
-        if let Err(err) = append_records(&client, &records).await {
+        // Written twice is harmless; what could not be written is tried again after the next read.
+        if let Err(err) = write_missing(&client, &own).await {
             let kind = EventKind::LogOut;
             tracing::warn!(event = kind.number(), name = kind.name(), topic = "fleet", reason = %err);
         }
@@ -177,13 +287,12 @@
     FleetRecord::Crash { print, server: server.name.clone(), start: server.key() }
 }
 
-async fn append_records(client: &StoreClient, records: &[FleetRecord]) -> Result<(), StoreError> {
-    let mut bytes = Vec::new();
-    for record in records {
-        match encode_record(record) {
-            Ok(encoded) => bytes.push(encoded),
-            Err(err) => tracing::error!("a record cannot be written: {err}"),
-        }
+async fn write_missing(client: &StoreClient, own: &SharedRecords) -> Result<(), StoreError> {
+    let missing = own.borrow().missing();
+    if missing.is_empty() {
+        return Ok(());
     }
-    client.append(LogTopic::Fleet, None, &bytes, APPEND_TIMEOUT).await.map(|_| ())
+    client.append(LogTopic::Fleet, None, &missing, APPEND_TIMEOUT).await?;
+    own.borrow_mut().written(&missing);
+    Ok(())
 }
--- a/crates/entry/src/control/log_shelf.rs
+++ b/crates/entry/src/control/log_shelf.rs
@@ -8,9 +8,9 @@
 use fulmargate_dispatch::HandOnBudget;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
-use fulmargate_names::LogOffset;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -56,11 +56,11 @@
         }
     }
 
-    /// Keeps what the store has given from an offset on, and when the read was sent that proved it.
+    /// Keeps what the store has given from a position on, and when the read was sent that proved it.
     pub(crate) fn put(
         &self,
         topic: LogTopic,
-        from: LogOffset,
+        from: LogPosition,
         records: &[Vec<u8>],
         proven: Option<BootTime>,
     ) {
@@ -114,7 +114,7 @@
         longest: Duration,
     ) -> Option<LogAnswer> {
         let caches = self.caches.borrow();
-        caches.get(&question.topic)?.answer(question.from, longest, arrived, boot_now())
+        caches.get(&question.topic)?.answer(question.position(), longest, arrived, boot_now())
     }
 
     fn proven(&self, topic: LogTopic) -> Option<BootTime> {
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -11,19 +11,19 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
-use fulmargate_consortium::KeyedRecord;
+use fulmargate_consortium::ListedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RecordSource;
 use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
-use fulmargate_names::LogOffset;
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
@@ -70,10 +70,10 @@
 
 /// The newest record of each key of a topic.
 pub(crate) struct NewestRecords {
-    pub(crate) records: Vec<KeyedRecord>,
+    pub(crate) records: Vec<ListedRecord>,
     /// Where to read on: pages are no snapshot, so this is where the topic ended when the first of
     /// them was made.
-    pub(crate) end: LogOffset,
+    pub(crate) end: LogPosition,
     /// When the first page was asked for.
     pub(crate) sent: BootTime,
 }
@@ -170,19 +170,42 @@
         let sent = boot_now();
         let first = self.client.newest(topic, None, PAGE_TIMEOUT).await?;
         let (end, mut next, mut records) = (first.end, first.next, first.records);
+        self.state.note_era(end.era);
         while let Some(after) = next {
             let page = self.client.newest(topic, Some(&after), PAGE_TIMEOUT).await?;
+            if page.end.era != end.era {
+                return Err(StoreError::Restored { era: page.end.era });
+            }
             records.extend(page.records);
             next = page.next;
         }
         Ok(NewestRecords { records, end, sent })
     }
 
-    /// Records from an offset on, as soon as there are any or the wait is over.
+    /// Whether this host reads the store itself.
+    pub(crate) fn is_reader(&self) -> bool {
+        matches!(self.record_source(), RecordSource::Store)
+    }
+
+    /// Records from a position on, as soon as there are any or the wait is over, or any call has shown that
+    /// the store has come back from a copy since.
     pub(crate) async fn read(
         &self,
         topic: LogTopic,
-        from: LogOffset,
+        from: LogPosition,
+        wait: Duration,
+        allowance: Duration,
+    ) -> Result<ProvenPage, StoreError> {
+        tokio::select! {
+            page = self.read_anywhere(topic, from, wait, allowance) => page,
+            era = self.state.era_after(from.era) => Err(StoreError::Restored { era }),
+        }
+    }
+
+    async fn read_anywhere(
+        &self,
+        topic: LogTopic,
+        from: LogPosition,
         wait: Duration,
         allowance: Duration,
     ) -> Result<ProvenPage, StoreError> {
@@ -211,20 +234,24 @@
     pub(crate) async fn read_store(
         &self,
         topic: LogTopic,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
         allowance: Duration,
     ) -> Result<ProvenPage, StoreError> {
         let sent = boot_now();
         let result = self.client.read(topic, from, wait, wait + allowance).await;
         self.store.set(match &result {
-            Ok(_) | Err(StoreError::Deleted { .. }) => AskerStore::InReach,
+            Ok(_) | Err(StoreError::Deleted { .. } | StoreError::Restored { .. }) => {
+                AskerStore::InReach
+            }
             Err(_) => AskerStore::OutOfReach,
         });
+        if let Err(StoreError::Restored { era }) = &result {
+            self.state.note_era(*era);
+        }
         let page = result?;
         metrics::counter!("fulmargate_log_reads_total", "source" => "store").increment(1);
-        let next = LogOffset(from.0 + page.records.len() as u64);
-        let is_all = page.end <= next;
+        let is_all = page.end <= from.after(page.records.len()).offset;
         if self.is_asked() {
             self.shelf.put(topic, from, &page.records, is_all.then_some(sent));
         }
@@ -310,9 +337,9 @@
 }
 
 /// A reader gives a newer proof soon after the wait of its own read.
-fn question(topic: LogTopic, from: LogOffset, wait: Duration) -> LogQuestion {
+fn question(topic: LogTopic, from: LogPosition, wait: Duration) -> LogQuestion {
     let wait = if wait.is_zero() { wait } else { wait + PROOF_ALLOWANCE };
-    LogQuestion { topic, from, wait_ms: wait.as_millis() as u64 }
+    LogQuestion { topic, from: from.offset, wait_ms: wait.as_millis() as u64, era: from.era }
 }
 
 async fn connect(address: SocketAddr) -> Result<AskLink, AskFault> {
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -9,14 +9,16 @@
 use fulmargate_consortium::decode_operator;
 use fulmargate_consortium::split_keyed;
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::RoutingConfig;
 use fulmargate_names::EventKind;
-use fulmargate_names::LogOffset;
 use fulmargate_names::ModelName;
+use fulmargate_names::StoreEra;
 use fulmargate_names::WeightsVersion;
 
+use crate::control::era_watch::EraWatch;
 use crate::control::log_source::LogSource;
 use crate::control::log_source::ProvenPage;
 use crate::control::store_contact::StoreContact;
@@ -37,7 +39,8 @@
     source: LogSource,
     contact: StoreContact,
     /// Where to read on; nothing before the whole topic was read, or after records were lost.
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
+    era: EraWatch,
     /// What is read next was written after this moment; nothing at the start of the process.
     written_after: Option<BootTime>,
     was_proven: bool,
@@ -49,11 +52,13 @@
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatch {
         let contact = StoreContact::new("operator");
+        let era = EraWatch::new(state.clone(), "operator");
         OperatorWatch {
             state,
             source,
             contact,
             next: None,
+            era,
             written_after: None,
             was_proven: false,
             is_blind: false,
@@ -72,10 +77,11 @@
                     self.contact.held();
                     self.written_after = Some(boot_now());
                 }
-                Err(StoreError::Deleted { first }) => {
+                Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
                     let lost = EventKind::LogTruncated;
-                    tracing::warn!(event = lost.number(), name = lost.name(), topic = "operator", %first);
+                    tracing::warn!(event = lost.number(), name = lost.name(), topic = "operator", reason = %err);
                     self.next = None;
+                    self.contact.begin_anew(&err, self.source.longest_pause()).await;
                 }
                 Err(err) => self.contact.lost(&err, self.source.longest_pause()).await,
             }
@@ -83,15 +89,15 @@
         }
     }
 
-    async fn read_on(&mut self, from: LogOffset) -> Result<(), StoreError> {
+    async fn read_on(&mut self, from: LogPosition) -> Result<(), StoreError> {
         let topic = LogTopic::Operator;
         let page = self.source.read(topic, from, READ_WAIT, READ_ALLOWANCE).await?;
         if !self.contact.is_lost() {
             // The read was waiting for these records.
             self.written_after = Some(boot_now());
         }
-        self.apply_page(&page);
-        self.next = Some(LogOffset(from.0 + page.records.len() as u64));
+        self.apply_page(from.era, &page);
+        self.next = Some(from.after(page.records.len()));
         // A page may end before the topic does; only the whole proves that nothing is newer.
         if let Some(sent) = page.proven {
             self.renew_proof(sent);
@@ -101,8 +107,9 @@
 
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let newest = self.source.read_newest(LogTopic::Operator).await?;
-        for record in &newest.records {
-            self.apply(record);
+        self.era.listed(newest.end.era)?;
+        for listed in &newest.records {
+            self.apply(&listed.record);
         }
         self.next = Some(newest.end);
         self.renew_proof(newest.sent);
@@ -117,30 +124,35 @@
         }
     }
 
-    fn apply_page(&mut self, page: &ProvenPage) {
+    fn apply_page(&mut self, era: StoreEra, page: &ProvenPage) {
         for record in &page.records {
             match split_keyed(record) {
-                Ok(record) => self.apply(&record),
+                Ok(record) if self.apply(&record) => self.state.proof().settle(era),
+                Ok(_) => {}
                 Err(err) => self.note_unreadable(&err),
             }
         }
     }
 
-    fn apply(&mut self, record: &KeyedRecord) {
+    /// Returns whether it is a configuration as new as that in force, or newer. Written after the store came
+    /// back from a copy, it holds all that operators had written before.
+    fn apply(&mut self, record: &KeyedRecord) -> bool {
         match decode_operator(record) {
-            Ok(OperatorRecord::Config(config)) => self.put_in_force(*config),
+            Ok(OperatorRecord::Config(config)) => return self.put_in_force(*config),
             Ok(OperatorRecord::Weights(model, version)) => self.name_weights(&model, version),
             Ok(OperatorRecord::Other) => {}
             Err(err) => self.note_unreadable(&err),
         }
+        false
     }
 
     /// A configuration is swapped in whole. An older one, which a page that was made earlier may
-    /// hold, never replaces a newer one.
-    fn put_in_force(&mut self, config: RoutingConfig) {
+    /// hold, never replaces a newer one. Returns whether it is no older than the one in force.
+    fn put_in_force(&mut self, config: RoutingConfig) -> bool {
+        let version = config.version;
         let current = self.state.table.load().as_ref().map(|table| table.version());
-        if current.is_some_and(|current| config.version <= current) {
-            return;
+        if current.is_some_and(|current| version <= current) {
+            return current == Some(version);
         }
         self.is_blind = false;
         let table = Arc::new(RouteTable::new(config));
@@ -155,6 +167,8 @@
             keys,
         );
         self.state.table.store(Some(table));
+        self.state.proof().put_in_force(version);
+        true
     }
 
     fn name_weights(&self, model: &ModelName, version: WeightsVersion) {
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -12,6 +12,7 @@
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::LeaseDesk;
 use fulmargate_dispatch::LeaseStep;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::OrderWave;
 use fulmargate_dispatch::ServerKey;
@@ -19,14 +20,12 @@
 use fulmargate_dispatch::WaveTime;
 use fulmargate_dispatch::WeightsTarget;
 use fulmargate_names::EventKind;
-use fulmargate_names::FencingNumber;
-use fulmargate_names::LogOffset;
 use fulmargate_names::ModelName;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::control::fleet_codec::encode_record;
+use crate::control::fleet_codec::keyed_record;
 use crate::control::fleet_desk::FleetReader;
 use crate::control::fleet_desk::SharedFold;
 use crate::control::order_run::OrderRun;
@@ -133,6 +132,9 @@
 
     /// Takes or keeps the lease and gives the next orders. Returns how long to wait.
     async fn work_on(&self, work: OpenWork) -> Duration {
+        if !self.fold.borrow().is_read() {
+            return IDLE_PACE;
+        }
         let now = boot_now();
         let kbps = self.state.settings.link_kbps();
         let rank = self.state.book().link_rank(kbps, Instant::now());
@@ -155,12 +157,13 @@
 
     /// The append counts from before it was sent. If its answer is lost, the record is read back
     /// like another's and renewed with a number that is known.
-    async fn take_lease(&self, at: LogOffset) {
+    async fn take_lease(&self, at: LogPosition) {
         let record = FleetRecord::Lease {
             host: self.state.settings.host.clone(),
             incarnation: self.state.incarnation,
+            era: at.era,
         };
-        let bytes = match encode_record(&record) {
+        let bytes = match keyed_record(&record) {
             Ok(bytes) => bytes,
             Err(err) => {
                 tracing::error!("a lease record cannot be written: {err}");
@@ -170,7 +173,7 @@
         let sent = boot_now();
         let topic = LogTopic::Fleet;
         match self.store.append(topic, Some(at), &[bytes], APPEND_TIMEOUT).await {
-            Ok(AppendAnswer::Written(offset)) => self.hold(offset, &record, sent),
+            Ok(AppendAnswer::Written(position)) => self.hold(position, &record, sent),
             Ok(AppendAnswer::Moved) => self.look_again(at, "the topic moved on").await,
             // It may have been written.
             Err(err) => self.look_again(at, &err.to_string()).await,
@@ -179,7 +182,7 @@
 
     /// Waits until the topic is read beyond what the append rested on. Another try before that would
     /// fail like the last one.
-    async fn look_again(&self, at: LogOffset, reason: &str) {
+    async fn look_again(&self, at: LogPosition, reason: &str) {
         self.tell_lost(reason);
         sleep(MOVED_PAUSE).await;
         if at < self.fold.borrow().end() {
@@ -190,15 +193,16 @@
         }
     }
 
-    fn hold(&self, offset: LogOffset, record: &FleetRecord, sent: BootTime) {
+    fn hold(&self, position: LogPosition, record: &FleetRecord, sent: BootTime) {
         let mut fold = self.fold.borrow_mut();
         // The reader may be behind; it applies this record again, which changes nothing.
-        if fold.end() == offset {
-            fold.apply(offset, record, sent);
+        if fold.end() == position {
+            fold.apply(position.offset, record, sent);
         }
-        self.desk.lease.borrow_mut().appended(FencingNumber(offset.0), sent);
+        let fence = position.fence();
+        self.desk.lease.borrow_mut().appended(fence, sent);
         let taken = EventKind::LeaseTaken;
-        tracing::info!(event = taken.number(), name = taken.name(), fence = offset.0);
+        tracing::info!(event = taken.number(), name = taken.name(), %fence);
     }
 
     fn tell_lost(&self, reason: &str) {
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -8,18 +8,19 @@
 use fulmargate_consortium::decode_server;
 use fulmargate_consortium::split_keyed;
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
-use fulmargate_names::LogOffset;
 use fulmargate_names::ServerName;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::control::era_watch::EraWatch;
 use crate::control::log_source::LogSource;
 use crate::control::store_contact::StoreContact;
 use crate::state::SharedState;
@@ -46,12 +47,14 @@
     contact: StoreContact,
     table: ServerTable,
     known: IndexMap<ServerName, KnownServer>,
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
+    era: EraWatch,
 }
 
 impl ServerWatch {
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> ServerWatch {
+        let era = EraWatch::new(state.clone(), "servers");
         ServerWatch {
             state,
             source,
@@ -59,6 +62,7 @@
             table: ServerTable::default(),
             known: IndexMap::new(),
             next: None,
+            era,
         }
     }
 
@@ -77,14 +81,17 @@
                         sleep(READ_PACE).await;
                     }
                 }
-                Err(StoreError::Deleted { .. }) => self.next = None,
+                Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
+                    self.next = None;
+                    self.contact.begin_anew(&err, self.source.longest_pause()).await;
+                }
                 Err(err) => self.contact.lost(&err, self.source.longest_pause()).await,
             }
         }
     }
 
     /// Returns whether all records were read.
-    async fn read_on(&mut self, from: LogOffset) -> Result<bool, StoreError> {
+    async fn read_on(&mut self, from: LogPosition) -> Result<bool, StoreError> {
         let topic = LogTopic::Servers;
         let page = self.source.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
         self.note_contact(page.proven.unwrap_or_else(boot_now));
@@ -94,17 +101,20 @@
                 Err(err) => self.tell_unusable(&err.to_string()),
             }
         }
-        self.next = Some(LogOffset(from.0 + page.records.len() as u64));
+        self.next = Some(from.after(page.records.len()));
         Ok(page.proven.is_some())
     }
 
     async fn read_all(&mut self) -> Result<bool, StoreError> {
         let newest = self.source.read_newest(LogTopic::Servers).await?;
         self.note_contact(newest.sent);
-        let listed: IndexSet<ServerName> =
-            newest.records.iter().map(|record| ServerName::new(&record.key)).collect();
-        for record in &newest.records {
-            self.apply(record);
+        if self.era.listed(newest.end.era)? {
+            self.table.restored(boot_now());
+        }
+        let names = newest.records.iter().map(|listed| ServerName::new(&listed.record.key));
+        let listed: IndexSet<ServerName> = names.collect();
+        for listed in &newest.records {
+            self.apply_listed(&listed.record);
         }
         self.table.retain_listed(&listed, boot_now());
         self.next = Some(newest.end);
@@ -135,6 +145,21 @@
         }
     }
 
+    fn apply_listed(&mut self, record: &KeyedRecord) {
+        let Some(value) = &record.value else { return };
+        match decode_server(&record.key, value) {
+            Ok(entry) => {
+                let name = entry.name.clone();
+                if !self.table.put_listed(entry, boot_now()) {
+                    self.tell_unusable(&format!(
+                        "{name} has left, or an earlier start of it speaks"
+                    ));
+                }
+            }
+            Err(err) => self.tell_unusable(&err.to_string()),
+        }
+    }
+
     /// Others may write to the list as often as they like, so that these lines are bounded.
     fn tell_unusable(&self, reason: &str) {
         let kind = EventKind::ServerEntryUnusable;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -21,8 +21,10 @@
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
+use fulmargate_names::StoreEra;
 use fulmargate_settings::EntrySettings;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::state::LoadingBoard;
@@ -56,6 +58,8 @@
     pub(crate) loading: LoadingBoard,
     /// Prompts that wait here for an engine.
     pub(crate) waiting: WaitRoom,
+    /// The newest era of the store that an answer has shown.
+    era: watch::Sender<StoreEra>,
     /// Bounds the log.
     pub(crate) lines: LineBudget,
     proof: Mutex<ConfigProof>,
@@ -95,7 +99,10 @@
             window: bounds.repeat_window(),
         };
         let before = |bound: Duration| bound.saturating_sub(PROOF_MARGIN);
-        let proof = ConfigProof::new(before(bounds.key_revoke()), before(bounds.config_apply()));
+        let mut proof =
+            ConfigProof::new(before(bounds.key_revoke()), before(bounds.config_apply()));
+        // Until the routers' topic tells otherwise.
+        proof.doubt(StoreEra(0), boot_now());
         SharedState {
             settings,
             incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
@@ -107,6 +114,7 @@
             crash_sender,
             loading: LoadingBoard::default(),
             waiting: WaitRoom::default(),
+            era: watch::Sender::default(),
             lines: LineBudget::default(),
             proof: Mutex::new(proof),
             book: Mutex::default(),
@@ -115,6 +123,26 @@
         }
     }
 
+    /// An answer of the store has shown this era.
+    pub(crate) fn note_era(&self, era: StoreEra) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = *newest < era;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+
+    /// Waits until an answer has shown a later era than this. A read that waits for records may have fallen
+    /// silent when the store went away, and would tell of its return seconds after another call did.
+    pub(crate) async fn era_after(&self, era: StoreEra) -> StoreEra {
+        let mut newest = self.era.subscribe();
+        match newest.wait_for(|newest| era < *newest).await {
+            Ok(newest) => *newest,
+            // The sender lives as long as this value.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// The age of the proof that the configuration is the newest.
     pub(crate) fn proof(&self) -> MutexGuard<'_, ConfigProof> {
         lock(&self.proof)
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -86,6 +86,8 @@
     LogTruncated = 4103,
     /// Records were not handed on to another router: its share of the link was used up.
     HandOnRefused = 4104,
+    /// The store has come back from a copy; what was written since is lost.
+    StoreRestored = 4105,
     /// A claim was lost to an earlier one.
     ClaimLost = 4201,
     /// A peer was met.
@@ -183,6 +185,7 @@
     LogBack => "log_back",
     LogTruncated => "log_truncated",
     HandOnRefused => "hand_on_refused",
+    StoreRestored => "store_restored",
     ClaimLost => "claim_lost",
     PeerUp => "peer_up",
     PeerSuspected => "peer_suspected",
--- a/crates/names/src/number.rs
+++ b/crates/names/src/number.rs
@@ -27,6 +27,10 @@
     /// A record's position in a stream of the platform's log.
     LogOffset
 }
+number_type! {
+    /// How often a store has come back from a copy. Offsets of one era mean nothing in another.
+    StoreEra
+}
 number_type! {
     /// Grows with each holder of a lease; an engine that checks it refuses a lower one.
     FencingNumber
