Turns for the lease begin when the last one ends

Cause: turns counted from when there was work; where that is older than the last holder's lease, all hosts tried at the end of the lease. The same holds for the end of a lease that a restored store has lost.

Test: 90 of 90 hosts tried within 100 ms of the end; at most 15 now.

--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_desk.rs
@@ -89,14 +89,15 @@
                 return LeaseStep::Append { at: fold.end() };
             }
         }
-        let turn = work_since.after(self.turn(fold, rank));
-        let from = match newest {
-            None => turn,
+        // Turns begin when the last lease ends, where there was work before: all hosts would try at once.
+        let begin = match newest {
+            None => Some(work_since),
             // The last holder's host is the same holder also after a restart: nobody acted in between.
-            Some(lease) if lease.host == self.host => now,
-            Some(lease) => lease.seen.after(self.length).max(turn.after(HOLDER_FIRST)),
+            Some(lease) if lease.host == self.host => None,
+            Some(lease) => Some(lease.seen.after(self.length).max(work_since.after(HOLDER_FIRST))),
         };
-        let from = from.max(lost_until.unwrap_or_default());
+        let begin = begin.max(lost_until);
+        let from = begin.map_or(now, |begin| begin.after(self.turn(fold, rank)));
         if now < from {
             return LeaseStep::Wait(from.since(now));
         }
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -223,6 +223,40 @@
     }
 }
 
+struct EndCase {
+    name: &'static str,
+    /// Milliseconds since the last holder's lease has ended.
+    after_ms: u64,
+    least: usize,
+    most: usize,
+}
+
+const ENDS: &[EndCase] = &[
+    EndCase { name: "just ended", after_ms: 100, least: 1, most: 15 },
+    EndCase { name: "long ended", after_ms: 1_850, least: 90, most: 90 },
+];
+
+/// When the host that brings new weights is cut off, each other host calls the store at the same moment.
+/// There has been work for longer than the turns take, so that all wait for the same end of its lease. The
+/// turns begin with that end.
+#[test]
+fn hosts_do_not_all_try_when_a_lease_ends() {
+    for case in ENDS {
+        let hosts = host_names(90);
+        let mut fold = joined(&hosts);
+        fold.apply(fold.end().offset, &lease_record("gone"), BootTime(20_000));
+        let ended = BootTime(20_000).after(LEASE);
+        let now = ended.after(Duration::from_millis(case.after_ms));
+        let tries = |host: &&String| {
+            let desk = LeaseDesk::new(HostName::new(host), LEASE);
+            let step = desk.step(&fold, BootTime(10_000), LinkRank::Equal, now);
+            matches!(step, LeaseStep::Append { .. })
+        };
+        let count = hosts.iter().filter(tries).count();
+        assert!(case.least <= count && count <= case.most, "{}: {count}", case.name);
+    }
+}
+
 fn host_names(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("host-{number}")).collect()
 }
