Starts are read together: a pause after records of the routers' topic

Cause: each host writes one record when it starts, and ends the waiting read of each other host with it.

Ruled out: the lists at the start (195 calls a topic).

Test: 62 calls of one host for 60 starts, 20 ms apart; at most 20 allowed now, green. Lease records: a pause may hide another's record for 400 ms; the append rests on the topic's end and is then refused, as before.

--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -44,6 +44,12 @@
 /// Crashes are told together: a server that crashes breaks all its requests at once.
 const CRASH_PAUSE: Duration = Duration::from_millis(200);
 
+/// After records were read the next read waits for so long. Hosts are started together, and each record by
+/// itself would end the reads of all hosts: the store would be called by the square of their number. What is
+/// read later by that is how to reach a new host, and who has crashed what; a lease is taken on condition of
+/// the topic's end.
+const BATCH_PAUSE: Duration = Duration::from_millis(400);
+
 /// The fold, shared by the tasks of the control thread.
 pub(crate) type SharedFold = Rc<RefCell<FleetFold>>;
 
@@ -99,7 +105,10 @@
         self.join();
         write_missing(self.reader.source.store(), &self.reader.own).await?;
         self.note_restore().await?;
-        self.reader.read_on().await
+        if 0 < self.reader.read_on().await? {
+            sleep(BATCH_PAUSE).await;
+        }
+        Ok(())
     }
 
     /// The others share the budget of repeats with this router.
@@ -175,12 +184,12 @@
         Ok(())
     }
 
-    /// Waits for records and takes them in.
-    async fn read_on(&self) -> Result<(), StoreError> {
+    /// Waits for records and takes them in. Returns how many there were.
+    async fn read_on(&self) -> Result<usize, StoreError> {
         let from = self.fold.borrow().end();
         let page = self.source.read(LogTopic::Fleet, from, READ_WAIT, READ_ALLOWANCE).await?;
         self.take_in(from, &page.records);
-        Ok(())
+        Ok(page.records.len())
     }
 
     /// Takes in what the store has now, on a call of its own: one that waits may have fallen silent.
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! The daemon as a process before stand-ins of the platform.
 
 mod configuration;
+mod fleet_topic;
 mod handing_on;
 mod reach;
 mod requests;
