New hosts know the readers of their zone by their records

Cause: a host asked others only once it had heard them.

Change: a host's record names its zone and link; one read within ten seconds counts as a host that is there. Who does not read says so, as before.

--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -1,6 +1,7 @@
 //! What the routers' own topic says.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::FencingNumber;
@@ -8,11 +9,27 @@
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 
 use crate::BootTime;
 use crate::FleetRecord;
 use crate::LogPosition;
+use crate::ZonePeer;
+
+/// A host whose record was read so lately counts as there, though it was not heard yet: hosts open their
+/// links to a new one some at a time, and a host with little processor time takes seconds for all.
+const NEW_MEMBER: Duration = Duration::from_secs(10);
+
+/// A host, as its record says.
+#[derive(Clone, Debug)]
+struct FleetMember {
+    address: SocketAddr,
+    zone: ZoneName,
+    link_kbps: u32,
+    /// When the record was read.
+    seen: BootTime,
+}
 
 /// The newest record of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,7 +58,7 @@
 /// The fold over the topic's records.
 #[derive(Debug, Default)]
 pub struct FleetFold {
-    members: IndexMap<HostName, SocketAddr>,
+    members: IndexMap<HostName, FleetMember>,
     lease: Option<HeldLease>,
     end: LogPosition,
     /// When this router first saw the present era; none while it has read nothing.
@@ -76,8 +93,10 @@
         let position = LogPosition { offset, ..self.end };
         self.end = position.after(1);
         match record {
-            FleetRecord::Joined { host, address, era, .. } => {
-                self.members.insert(host.clone(), *address);
+            FleetRecord::Joined { host, address, zone, link_kbps, era, .. } => {
+                let (address, link_kbps, zone) = (*address, *link_kbps, zone.clone());
+                let member = FleetMember { address, zone, link_kbps, seen: now };
+                self.members.insert(host.clone(), member);
                 self.has_earlier |= *era < position.era;
             }
             FleetRecord::Lease { host, incarnation, era } => {
@@ -150,6 +169,21 @@
 
     /// The members and where they listen for other routers.
     pub fn members(&self) -> impl Iterator<Item = (&HostName, &SocketAddr)> {
-        self.members.iter()
+        self.members.iter().map(|(host, member)| (host, &member.address))
+    }
+
+    /// Where a host listens for other routers.
+    pub fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        self.members.get(host).map(|member| member.address)
+    }
+
+    /// Hosts of a zone whose records were read lately, in this order: as such they are known before they are
+    /// heard.
+    pub fn new_members(&self, zone: &ZoneName, now: BootTime) -> impl Iterator<Item = ZonePeer> {
+        let is_new = move |member: &FleetMember| now.since(member.seen) < NEW_MEMBER;
+        let members = self.members.iter();
+        members
+            .filter(move |(_, member)| member.zone == *zone && is_new(member))
+            .map(|(host, member)| ZonePeer { host: host.clone(), link_kbps: member.link_kbps })
     }
 }
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -7,6 +7,7 @@
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -27,6 +28,10 @@
         incarnation: Incarnation,
         /// Where it listens for other routers.
         address: SocketAddr,
+        /// Its availability zone.
+        zone: ZoneName,
+        /// What its link carries, in kbit/s.
+        link_kbps: u32,
         /// The store's era when it was written first.
         era: StoreEra,
     },
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -14,6 +14,7 @@
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -269,6 +270,8 @@
             host: HostName::new(host),
             incarnation: Incarnation(1),
             address: "127.0.0.1:1".parse().expect("an address"),
+            zone: ZoneName::new("north"),
+            link_kbps: 20_000,
             era: StoreEra(0),
         };
         fold.apply(LogOffset(offset as u64), &record, BootTime(0));
--- a/crates/dispatch/tests/restores.rs
+++ b/crates/dispatch/tests/restores.rs
@@ -15,6 +15,7 @@
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -31,6 +32,8 @@
         host: HostName::new(host),
         incarnation: Incarnation(1),
         address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new("north"),
+        link_kbps: 20_000,
         era: StoreEra(0),
     }
 }
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -121,6 +121,8 @@
             host: self.reader.state.settings.host.clone(),
             incarnation: self.reader.state.incarnation,
             address: self.reader.state.settings.peers,
+            zone: self.reader.state.settings.zone.clone(),
+            link_kbps: self.reader.state.settings.link_kbps(),
             era: self.reader.fold.borrow().end().era,
         });
     }
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -28,6 +28,7 @@
 use http::Request;
 use http::StatusCode;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -160,7 +161,7 @@
 
     fn record_source(&self) -> RecordSource {
         let settings = &self.state.settings;
-        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
+        let peers = self.zone_peers();
         let own = ZonePeer { host: settings.host.clone(), link_kbps: settings.link_kbps() };
         record_source(&own, &peers, settings.few_hosts)
     }
@@ -260,9 +261,19 @@
 
     /// Whether others may ask this host: only then are records kept.
     fn is_asked(&self) -> bool {
+        self.state.settings.few_hosts < self.zone_peers().len() + 1
+    }
+
+    /// The other hosts of this zone: those that were heard lately, and those that have started lately. A host
+    /// that has just started has heard nobody, and read the store by itself until it had.
+    fn zone_peers(&self) -> Vec<ZonePeer> {
         let settings = &self.state.settings;
-        let peers = self.state.book().zone_peers(&settings.zone, Instant::now());
-        settings.few_hosts < peers.len() + 1
+        let mut peers = self.state.book().zone_peers(&settings.zone, Instant::now());
+        let heard: IndexSet<HostName> = peers.iter().map(|peer| peer.host.clone()).collect();
+        let fold = self.fold.borrow();
+        let new = fold.new_members(&settings.zone, boot_now());
+        peers.extend(new.filter(|peer| peer.host != settings.host && !heard.contains(&peer.host)));
+        peers
     }
 
     /// Whom to ask; nobody where this host reads the store, or no reader has answered lately.
@@ -276,8 +287,7 @@
     }
 
     fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
-        let fold = self.fold.borrow();
-        fold.members().find(|(member, _)| *member == host).map(|(_, address)| *address)
+        self.fold.borrow().address_of(host)
     }
 
     async fn ask(&self, address: SocketAddr, question: LogQuestion) -> Result<LogAnswer, AskFault> {
--- a/crates/entry/src/control/own_records/tests.rs
+++ b/crates/entry/src/control/own_records/tests.rs
@@ -7,6 +7,7 @@
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 
 use super::MOST_CRASHES;
@@ -18,6 +19,8 @@
         host: HostName::new("h0"),
         incarnation: Incarnation(incarnation),
         address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new("north"),
+        link_kbps: 20_000,
         era: StoreEra(0),
     }
 }
--- a/crates/entry/tests/daemon/fleet_topic.rs
+++ b/crates/entry/tests/daemon/fleet_topic.rs
@@ -8,8 +8,13 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::StoreEra;
+use fulmargate_names::ZoneName;
+use serde_json::json;
 use tokio::time::sleep;
 
+use crate::support::DaemonProcess;
+use crate::support::LOOK_PACE;
+use crate::support::MOST_LOOKS;
 use crate::support::TestDeployment;
 
 /// Hosts that start, one after the other at this pace.
@@ -18,12 +23,16 @@
 /// Calls that one host may make meanwhile: some four a second for what it follows, and one for each batch of
 /// starts.
 const MOST_CALLS: usize = 20;
+/// The hosts have heard each other after this time, however long it takes.
+const SETTLED: Duration = Duration::from_millis(2_500);
 
 fn joined(number: usize) -> FleetRecord {
     FleetRecord::Joined {
         host: HostName::new(&format!("other-{number}")),
         incarnation: Incarnation(1),
         address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneName::new("north"),
+        link_kbps: 20_000,
         era: StoreEra(0),
     }
 }
@@ -44,3 +53,33 @@
     let calls = deployment.store.calls() - before;
     assert!(calls <= MOST_CALLS, "{calls} calls for {STARTS} starts");
 }
+
+/// The hosts of the zone that read the store, when others ask them.
+const HOSTS: usize = 4;
+/// Reads of the store that a new host may make before it has read the routers' topic.
+const MOST_READS: u64 = 1;
+const READS: &str = "fulmargate_log_reads_total{source=\"store\"}";
+const ASKED: &str = "fulmargate_log_reads_total{source=\"router\"}";
+
+/// When all hosts are started together, each calls the store for itself for seconds.
+/// A host asked others only once it had heard them, and they open their links to a new one some at a time. The
+/// records of the routers' topic name them at once.
+#[tokio::test]
+async fn a_new_host_asks_others_at_once() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    let start = |_| DaemonProcess::start_among(deployment.store.address, "south", 2);
+    let _others: Vec<DaemonProcess> = (0..HOSTS).map(start).collect();
+    sleep(SETTLED).await;
+    let mut narrow = json!({"zone": "south", "few_hosts": 2});
+    narrow["link_mbps"] = json!(1.0);
+    let started = DaemonProcess::start_with(deployment.store.address, &narrow);
+    for _ in 0..MOST_LOOKS {
+        if 4 <= started.counter(ASKED).await {
+            let reads = started.counter(READS).await;
+            assert!(reads <= MOST_READS, "{reads} reads of the store");
+            return;
+        }
+        sleep(LOOK_PACE).await;
+    }
+    panic!("in vain: it asks others");
+}
