--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -41,6 +41,14 @@
 const PAUSES_MS: u64 = 1_600;
 /// Keeps the full links from the draws of other kinds.
 const FULL_LINK_DRAWS: u64 = 0x6675_6c6c;
+/// Times that the store comes back from a copy in a run that is drawn for it.
+const RESTORES: usize = 2;
+/// Age of the copy.
+const COPY_AGE_MS: std::ops::RangeInclusive<u64> = 500..=3_000;
+/// A router is started anew within this time after the store's return.
+const START_AFTER_MS: std::ops::RangeInclusive<u64> = 0..=1_500;
+/// Keeps these draws from those of other kinds.
+const RESTORE_DRAWS: u64 = 0x7265_7374;
 /// With so many hosts and fewer, each reads the store itself.
 const FEW_HOSTS: usize = 6;
 
@@ -134,6 +142,28 @@
         self
     }
 
+    /// Beside all else the store comes back from copies of itself. What is written since a copy is made is
+    /// lost: a configuration without a key, new weights. A router is started anew soon after.
+    pub fn with_restores(mut self, routers: usize, length: Duration) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ RESTORE_DRAWS);
+        for _ in 0..RESTORES {
+            let at = rng.random_range(CALM_START_MS..length.as_millis() as u64);
+            let age = rng.random_range(COPY_AGE_MS);
+            let lost = if rng.random_bool(0.5) { SoakFault::TakeKey } else { SoakFault::NameWeights };
+            let lost_at = at + rng.random_range(0..age);
+            let start_at = at + age + rng.random_range(START_AFTER_MS);
+            let kill = SoakFault::Signal(rng.random_range(0..routers), RouterSignal::Kill);
+            let steps = [(at, age, SoakFault::RestoreStore), (lost_at, 0, lost), (start_at, 0, kill)];
+            self.steps.extend(steps.map(|(at, lasts, fault)| FaultStep {
+                at: Duration::from_millis(at),
+                lasts: Duration::from_millis(lasts),
+                fault,
+            }));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// The address of loopback at which a router finds the servers: one of its own where its link may
     /// be full.
     pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmargate_consortium_stand::ConfigText;
 use fulmargate_consortium_stand::ServerMode;
@@ -23,6 +24,11 @@
 use crate::soak_world::SoakWorld;
 use crate::soak_world::TAKEN_KEY;
 
+/// How long the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(400);
+/// Operators and servers write again so long after its return.
+const WRITE_AGAIN: Duration = Duration::from_millis(500);
+
 /// Plays all steps, each at its time, also while others last.
 pub(crate) async fn play(world: &Arc<SoakWorld>, plan: &FaultPlan) -> io::Result<()> {
     let begun = Instant::now();
@@ -70,6 +76,15 @@
             world.store.set_fault(StoreFault::None);
         }
         SoakFault::ForgetHistory => world.store.forget_history(),
+        SoakFault::RestoreStore => {
+            let copy = world.store.copy();
+            sleep(step.lasts).await;
+            world.store.go_back_to(&copy);
+            sleep(STORE_AWAY).await;
+            world.store.come_back();
+            sleep(WRITE_AGAIN).await;
+            world.write_again();
+        }
         SoakFault::Server(number, mode) => {
             let server = world.server(number);
             server.stand.set_mode(mode);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -39,6 +39,9 @@
     /// links of hosts are full while answers pause, beside the faults of the seed; goes before --cut-off
     #[argh(switch)]
     full_link: bool,
+    /// the store comes back from copies of itself, beside the faults of the seed; goes before the others
+    #[argh(switch)]
+    restores: bool,
     /// print what goes wrong in each run
     #[argh(switch)]
     plans: bool,
@@ -52,10 +55,11 @@
         return ExitCode::from(2);
     };
     let length = Duration::from_secs(args.seconds);
-    let kind = match (args.full_link, args.cut_off) {
-        (true, _) => PlanKind::FullLink,
-        (false, true) => PlanKind::CutOff,
-        (false, false) => PlanKind::Mixed,
+    let kind = match &args {
+        SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { full_link: true, .. } => PlanKind::FullLink,
+        SoakArgs { cut_off: true, .. } => PlanKind::CutOff,
+        _ => PlanKind::Mixed,
     };
     let conf = SoakConf { program, folder: args.logs.clone(), length, kind };
     let runs = (args.first..args.first + args.seeds).map(|seed| run_seed(seed, &conf));
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -44,6 +44,8 @@
     Store(StoreFault),
     /// The store forgets the history of its topics.
     ForgetHistory,
+    /// The store goes away and comes back from a copy that was made as this begins.
+    RestoreStore,
     /// A server answers badly.
     Server(usize, ServerMode),
     /// A server leaves as planned and another takes its place.
@@ -63,7 +65,8 @@
             SoakFault::Link(LinkPlace::Callers(at) | LinkPlace::Store(at), _) => *at == router,
             SoakFault::Signal(at, signal) => *at == router && *signal != RouterSignal::HangUp,
             SoakFault::FullLink(at) => *at == router,
-            SoakFault::KillAll | SoakFault::Store(_) | SoakFault::ForgetHistory => true,
+            SoakFault::KillAll | SoakFault::Store(_) => true,
+            SoakFault::ForgetHistory | SoakFault::RestoreStore => true,
             SoakFault::Link(LinkPlace::Server(_), _) => false,
             SoakFault::Server(..) | SoakFault::ReplaceServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -59,6 +59,8 @@
     Mixed,
     /// Any faults, and a key that is taken while a router is cut off from the store.
     CutOff,
+    /// Any faults, and a store that comes back from copies of itself.
+    Restore,
     /// Any faults, and links of hosts that are full while answers pause.
     FullLink,
 }
@@ -82,6 +84,7 @@
     let plan = match conf.kind {
         PlanKind::Mixed => mixed,
         PlanKind::CutOff => mixed.with_cut_off(ROUTERS),
+        PlanKind::Restore => mixed.with_restores(ROUTERS, conf.length),
         PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
     };
     let folder = conf.folder.join(format!("seed-{seed}"));
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -197,6 +197,18 @@
         Ok(())
     }
 
+    /// Operators and servers write again what the store may have lost.
+    pub(crate) fn write_again(&self) {
+        let word = self.word().clone();
+        self.store.put_config(&word.config);
+        self.store.name_weights(word.weights);
+        for server in self.all_servers() {
+            let stage = if server.left.is_some() { "draining" } else { "ready" };
+            let address = server.proxies[0].address;
+            self.store.put_server(&server.stand.name, server.service, address, stage);
+        }
+    }
+
     /// What operators have written.
     pub(crate) fn word(&self) -> MutexGuard<'_, OperatorWord> {
         lock(&self.word)
