Words between routers go through the widest hosts of each zone

Cause: words went from all to all, so that their pause grew with the square of the hosts: 0.6 s at 195, 323 messages a second out and in on each host, for choices that rest on what others had under way half a second ago.

Ruled out by arithmetic (docs/design/words.md): sums made by collectors, which need each host's own part taken out again; faster words from all to all, whose bytes between zones grow alike.

Change: above 32 hosts each sends its word to the relays of its zone, two or as many of the widest as can carry it, and hears one of them; relays pass on what came each 40 ms, and hear one relay of each other zone. The words themselves are as before, each with its sender. 1 ms of pause for each host there is.

--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 
 use crate::BootTime;
+use crate::FleetHost;
 use crate::FleetRecord;
 use crate::LogPosition;
 use crate::ZonePeer;
@@ -177,6 +178,15 @@
         self.members.get(host).map(|member| member.address)
     }
 
+    /// All members and where they are, and whether their records were read lately.
+    pub fn fleet_hosts(&self, now: BootTime) -> impl Iterator<Item = (FleetHost, bool)> {
+        self.members.iter().map(move |(host, member)| {
+            let (host, zone) = (host.clone(), member.zone.clone());
+            let is_new = now.since(member.seen) < NEW_MEMBER;
+            (FleetHost { host, zone, link_kbps: member.link_kbps }, is_new)
+        })
+    }
+
     /// Hosts of a zone whose records were read lately, in this order: as such they are known before they are
     /// heard.
     pub fn new_members(&self, zone: &ZoneName, now: BootTime) -> impl Iterator<Item = ZonePeer> {
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::Backlog;
+use crate::FleetHost;
 use crate::LinkRank;
 use crate::PeerLoad;
 use crate::PeerNews;
@@ -145,6 +146,16 @@
         self.words.iter().filter(move |(_, word)| is_there(word)).map(peer)
     }
 
+    /// All routers that have spoken lately, and where they are.
+    pub fn fleet_hosts(&self, now: Instant) -> impl Iterator<Item = FleetHost> {
+        let is_fresh = move |word: &PeerWord| now.saturating_duration_since(word.at) < WORD_AGE;
+        let fresh = self.words.iter().filter(move |(_, word)| is_fresh(word));
+        fresh.filter_map(|(host, word)| {
+            let (host, zone) = (host.clone(), word.zone.clone()?);
+            Some(FleetHost { host, zone, link_kbps: word.link_kbps.unwrap_or_default() })
+        })
+    }
+
     /// How a link compares to those of all that have spoken lately.
     pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
         let fresh =
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -49,6 +49,9 @@
     /// know it leave it; of those it is not known.
     #[serde(skip)]
     pub link_kbps: Option<u32>,
+    /// The sender wants to hear what others say from the router that this goes to. Behind the message, too.
+    #[serde(skip)]
+    pub wants_words: bool,
 }
 
 /// How long ago a version was named.
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -63,6 +63,8 @@
     store_link: LinkMeter,
     /// What the other routers have under way.
     peers: PeerBoard,
+    /// The pause between two words of a router, once it is known.
+    word_pace: Option<Duration>,
     /// How often callers of all routers ask for parts.
     demand: DemandMeter,
     /// How chats bear long prompts beside them.
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -80,8 +80,8 @@
         // Those already tried only if there is no other.
         let choice = choice.or_else(|| self.choose_engine(&wish.request(view, &[])));
         let Some(choice) = choice else { return Placing::Nowhere };
-        let word_pace = word_pace(self.peers.hosts(view.now).count());
-        if !has_room(wish, &choice, word_pace) {
+        let pace = self.word_pace.unwrap_or_else(|| word_pace(self.peers.hosts(view.now).count()));
+        if !has_room(wish, &choice, pace) {
             return Placing::Wait(choice.read_tokens);
         }
         let ticket = self.begin_prompt(&wish.call, &choice, view.now);
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::CacheNotice;
+use crate::FleetHost;
 use crate::LinkRank;
 use crate::LoadingStage;
 use crate::PeerLoad;
@@ -113,6 +114,16 @@
         self.peers.zone_peers(zone, now).collect()
     }
 
+    /// All routers that have spoken lately, and where they are.
+    pub fn fleet_hosts(&self, now: Instant) -> Vec<FleetHost> {
+        self.peers.fleet_hosts(now).collect()
+    }
+
+    /// This router and the others speak at this pace.
+    pub fn set_word_pace(&mut self, pace: Duration) {
+        self.word_pace = Some(pace);
+    }
+
     /// How this host's link compares to those of the other routers.
     pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
         self.peers.link_rank(own_kbps, now)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -8,6 +8,7 @@
 mod era_watch;
 mod fleet_codec;
 mod fleet_desk;
+mod link_table;
 mod log_shelf;
 mod log_source;
 mod operator_watch;
@@ -17,6 +18,8 @@
 mod pages;
 mod peer_links;
 mod peer_listener;
+mod relay_board;
+mod relay_desk;
 mod server_watch;
 mod store_contact;
 
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -28,6 +28,8 @@
 use crate::control::pages::serve_pages;
 use crate::control::peer_links::PeerLinks;
 use crate::control::peer_listener::PeerListener;
+use crate::control::relay_board::SharedRelays;
+use crate::control::relay_desk::RelayDesk;
 use crate::control::server_watch::ServerWatch;
 use crate::daemon::StartError;
 use crate::daemon::StopTokens;
@@ -75,17 +77,24 @@
                 .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
             actix_rt::spawn(pages);
             let shelf = Rc::new(LogShelf::new(self.state.settings.link_bytes_per_s()));
-            let listener = PeerListener::new(self.state.clone(), shelf.clone(), peers)
-                .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
+            let relays = SharedRelays::default();
+            let listener =
+                PeerListener::new(self.state.clone(), shelf.clone(), relays.clone(), peers)
+                    .map_err(|err| StartError::Thread { what: "peers", reason: err.to_string() })?;
             spawn_until(&self.stop.ended, listener.run());
-            self.start_tasks(&shelf, crashes);
+            self.start_tasks(&shelf, &relays, crashes);
             self.serve_signals().await?;
             self.end().await;
             Ok(())
         })
     }
 
-    fn start_tasks(&self, shelf: &Rc<LogShelf>, crashes: UnboundedReceiver<CrashSighting>) {
+    fn start_tasks(
+        &self,
+        shelf: &Rc<LogShelf>,
+        relays: &SharedRelays,
+        crashes: UnboundedReceiver<CrashSighting>,
+    ) {
         let client = StoreClient::new(self.state.settings.store);
         let token = self.stop.ended.clone();
         let fold = SharedFold::default();
@@ -98,8 +107,10 @@
         spawn_until(&token, servers.run());
         let reader = FleetReader::new(self.state.clone(), source(), fold.clone());
         spawn_until(&token, FleetDesk::new(reader.clone()).run(crashes));
-        let links = PeerLinks::new(self.state.clone(), fold.clone());
+        let links = PeerLinks::new(self.state.clone(), fold.clone(), relays.clone());
         spawn_until(&token, links.run());
+        let desk = RelayDesk::new(self.state.clone(), fold.clone(), relays.clone());
+        spawn_until(&token, desk.run());
         spawn_until(&token, CacheWatch::new(self.state.clone()).run());
         let orders = OrderDesk::new(self.state.clone(), client, fold, reader);
         // A host that leaves gives no more orders: another takes the lease.
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -40,6 +40,11 @@
 /// Its only value.
 pub(crate) const STORE_OUT: &str = "out-of-reach";
 
+/// Path of a stream of words that another router passes on.
+pub(crate) const RELAYED_PATH: &str = "/relayed";
+/// Header of such a stream: the host that passes them on.
+pub(crate) const RELAY_HEADER: &str = "fulmargate-relay";
+
 /// A question for records, or its answer.
 pub(crate) fn encode_plain<T: Serialize>(value: &T) -> Result<Vec<u8>, EncodeError> {
     bincode::serde::encode_to_vec(value, config::standard())
@@ -57,11 +62,19 @@
     link_kbps: Option<u32>,
 }
 
+/// What goes behind that.
+#[derive(Serialize, Deserialize)]
+struct RelayTail {
+    wants_words: bool,
+}
+
 /// A message between routers with its length before it.
 pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(news, config::standard())?;
     let tail = NewsTail { link_kbps: news.link_kbps };
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
+    let tail = RelayTail { wants_words: news.wants_words };
+    message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -72,9 +85,16 @@
     let (mut news, length): (PeerNews, usize) =
         bincode::serde::decode_from_slice(bytes, config::standard())?;
     let rest = bytes.get(length..).unwrap_or_default();
+    if rest.is_empty() {
+        return Ok(news);
+    }
+    let (tail, length): (NewsTail, usize) =
+        bincode::serde::decode_from_slice(rest, config::standard())?;
+    news.link_kbps = tail.link_kbps;
+    let rest = rest.get(length..).unwrap_or_default();
     if !rest.is_empty() {
-        let tail: NewsTail = decode_plain(rest)?;
-        news.link_kbps = tail.link_kbps;
+        let tail: RelayTail = decode_plain(rest)?;
+        news.wants_words = tail.wants_words;
     }
     Ok(news)
 }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -8,10 +8,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::WordWay;
+use fulmargate_dispatch::is_passed_on;
+use fulmargate_dispatch::is_taken_in;
 use fulmargate_names::EventKind;
+use fulmargate_names::HostName;
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::Request;
@@ -23,12 +28,15 @@
 use tokio::time::sleep;
 
 use crate::control::fleet_codec::LENGTH_BYTES;
+use crate::control::fleet_codec::RELAY_HEADER;
+use crate::control::fleet_codec::RELAYED_PATH;
 use crate::control::fleet_codec::STORE_HEADER;
 use crate::control::fleet_codec::decode_news;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
 use crate::control::log_shelf::LogShelf;
 use crate::control::log_shelf::ShelfReply;
+use crate::control::relay_board::SharedRelays;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -49,17 +57,27 @@
 pub(crate) struct PeerListener {
     state: Arc<SharedState>,
     shelf: Rc<LogShelf>,
+    relays: SharedRelays,
     listener: TcpListener,
 }
 
+/// A stream of words.
+struct WordStream {
+    state: Arc<SharedState>,
+    relays: SharedRelays,
+    /// Who passes them on; none where they come from the router that says them.
+    relay: Option<HostName>,
+}
+
 impl PeerListener {
     /// Takes over the listening socket.
     pub(crate) fn new(
         state: Arc<SharedState>,
         shelf: Rc<LogShelf>,
+        relays: SharedRelays,
         listener: StdListener,
     ) -> io::Result<PeerListener> {
-        Ok(PeerListener { state, shelf, listener: TcpListener::from_std(listener)? })
+        Ok(PeerListener { state, shelf, relays, listener: TcpListener::from_std(listener)? })
     }
 
     /// Accepts links on and on.
@@ -67,7 +85,8 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    actix_rt::spawn(serve_link(self.state.clone(), self.shelf.clone(), stream));
+                    let (state, shelf) = (self.state.clone(), self.shelf.clone());
+                    actix_rt::spawn(serve_link(state, shelf, self.relays.clone(), stream));
                 }
                 Err(err) => {
                     tracing::warn!("a link could not be accepted: {err}");
@@ -78,7 +97,12 @@
     }
 }
 
-async fn serve_link(state: Arc<SharedState>, shelf: Rc<LogShelf>, stream: TcpStream) {
+async fn serve_link(
+    state: Arc<SharedState>,
+    shelf: Rc<LogShelf>,
+    relays: SharedRelays,
+    stream: TcpStream,
+) {
     if let Err(err) = watch_peer(&stream, SILENT_PEER) {
         tracing::debug!("a link cannot be watched: {err}");
     }
@@ -98,7 +122,9 @@
                 actix_rt::spawn(answer_question(state, shelf, asker, request, respond));
             }
             Ok((request, respond)) => {
-                actix_rt::spawn(hear(state.clone(), request.into_body(), respond));
+                let (state, relays) = (state.clone(), relays.clone());
+                let words = WordStream { state, relays, relay: relay_of(&request) };
+                actix_rt::spawn(words.hear(request.into_body(), respond));
             }
             Err(err) => {
                 tracing::debug!("a link has ended: {err}");
@@ -194,38 +220,86 @@
     }
 }
 
-async fn hear(
-    state: Arc<SharedState>,
-    mut body: RecvStream,
-    // Kept until the stream ends: dropped without an answer it would reset the stream.
-    _respond: SendResponse<Bytes>,
-) {
-    let mut waiting: Vec<u8> = Vec::new();
-    while let Some(Ok(piece)) = body.data().await {
-        if let Err(err) = body.flow_control().release_capacity(piece.len()) {
-            tracing::debug!("a link cannot go on: {err}");
-            return;
+/// The host that passes the words of this stream on.
+fn relay_of(request: &Request<RecvStream>) -> Option<HostName> {
+    if request.uri().path() != RELAYED_PATH {
+        return None;
+    }
+    let relay = request.headers().get(RELAY_HEADER)?.to_str().ok()?;
+    Some(HostName::new(relay))
+}
+
+impl WordStream {
+    async fn hear(
+        self,
+        body: RecvStream,
+        // Kept until the stream ends: dropped without an answer it would reset the stream.
+        _respond: SendResponse<Bytes>,
+    ) {
+        self.hear_on(body).await;
+        if let Some(relay) = &self.relay {
+            self.relays.choice.borrow_mut().ended(relay, Instant::now());
         }
-        waiting.extend_from_slice(&piece);
-        while let Some(message) = take_message(&mut waiting) {
-            match decode_news(&message) {
-                Ok(news) => take_news(&state, &news),
-                Err(err) => {
-                    let kind = EventKind::PeerUnreadable;
-                    tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
-                    return;
+    }
+
+    async fn hear_on(&self, mut body: RecvStream) {
+        let mut waiting = BytesMut::new();
+        while let Some(Ok(piece)) = body.data().await {
+            if let Err(err) = body.flow_control().release_capacity(piece.len()) {
+                tracing::debug!("a link cannot go on: {err}");
+                return;
+            }
+            if let Some(relay) = &self.relay {
+                self.relays.choice.borrow_mut().heard(relay, Instant::now());
+            }
+            waiting.extend_from_slice(&piece);
+            while let Some(message) = take_message(&mut waiting) {
+                match decode_news(&message[LENGTH_BYTES..]) {
+                    Ok(news) => self.take_word(&news, &message),
+                    Err(err) => {
+                        let kind = EventKind::PeerUnreadable;
+                        tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
+                        return;
+                    }
                 }
             }
+            self.state.waiting.wake();
+            if MOST_MESSAGE_BYTES < waiting.len() {
+                return;
+            }
         }
-        if MOST_MESSAGE_BYTES < waiting.len() {
+    }
+
+    /// Takes a word in and passes it on, as far as it is for this host to do so.
+    fn take_word(&self, news: &PeerNews, message: &[u8]) {
+        let settings = &self.state.settings;
+        let (Some(host), Some(origin)) = (&news.host, &news.zone) else { return };
+        // A relay passes a host's own words on to it, too.
+        if *host == settings.host {
             return;
         }
+        let way = if self.relay.is_some() { WordWay::Relayed } else { WordWay::Direct };
+        let mut board = self.relays.board.borrow_mut();
+        if way == WordWay::Direct && news.wants_words {
+            board.listen(host, origin, Instant::now());
+        }
+        if is_passed_on(way, origin, &settings.zone) {
+            match way {
+                WordWay::Direct => board.push_near(message),
+                WordWay::Relayed => board.push_far(message),
+            }
+        }
+        if is_taken_in(way, news.wants_words, origin, &settings.zone) {
+            take_news(&self.state, news);
+        }
     }
 }
 
 fn take_news(state: &SharedState, news: &PeerNews) {
     state.book().hear(news, Instant::now());
-    state.waiting.wake();
+    if news.weights.is_empty() {
+        return;
+    }
     let mut weights = (**state.weights.load()).clone();
     let mut is_changed = false;
     for age in &news.weights {
@@ -237,15 +311,9 @@
     }
 }
 
-/// Takes a whole message off the front.
-fn take_message(waiting: &mut Vec<u8>) -> Option<Vec<u8>> {
+/// Takes a whole message off the front, with its length.
+fn take_message(waiting: &mut BytesMut) -> Option<BytesMut> {
     let length = waiting.first_chunk::<LENGTH_BYTES>()?;
-    let length = u32::from_be_bytes(*length) as usize;
-    if waiting.len() < LENGTH_BYTES + length {
-        return None;
-    }
-    let rest = waiting.split_off(LENGTH_BYTES + length);
-    let mut message = std::mem::replace(waiting, rest);
-    message.drain(..LENGTH_BYTES);
-    Some(message)
+    let length = LENGTH_BYTES + u32::from_be_bytes(*length) as usize;
+    (length <= waiting.len()).then(|| waiting.split_to(length))
 }
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod fleet_topic;
 mod handing_on;
 mod reach;
+mod relays;
 mod requests;
 mod restores;
 mod stops;
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -34,6 +34,10 @@
     /// With more hosts than this in its zone, a host has two of them read the store for all.
     #[serde(default = "default_few_hosts")]
     pub few_hosts: usize,
+    /// With more hosts than this, those with the widest links of each zone pass on what routers tell each
+    /// other; up to it each tells all others itself.
+    #[serde(default = "default_direct_hosts")]
+    pub direct_hosts: usize,
     /// What the host's network link carries, in Mbit/s. What routers tell each other keeps to a share of
     /// it, so that callers' answers have the rest.
     #[serde(default = "default_link_mbps")]
@@ -47,6 +51,11 @@
     6
 }
 
+/// Up to here a word to each other host costs a host less than its callers' answers do.
+fn default_direct_hosts() -> usize {
+    32
+}
+
 /// The common link of a small host.
 fn default_link_mbps() -> f64 {
     1_000.0
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -149,11 +149,13 @@
         for _ in 0..RESTORES {
             let at = rng.random_range(CALM_START_MS..length.as_millis() as u64);
             let age = rng.random_range(COPY_AGE_MS);
-            let lost = if rng.random_bool(0.5) { SoakFault::TakeKey } else { SoakFault::NameWeights };
+            let lost =
+                if rng.random_bool(0.5) { SoakFault::TakeKey } else { SoakFault::NameWeights };
             let lost_at = at + rng.random_range(0..age);
             let start_at = at + age + rng.random_range(START_AFTER_MS);
             let kill = SoakFault::Signal(rng.random_range(0..routers), RouterSignal::Kill);
-            let steps = [(at, age, SoakFault::RestoreStore), (lost_at, 0, lost), (start_at, 0, kill)];
+            let steps =
+                [(at, age, SoakFault::RestoreStore), (lost_at, 0, lost), (start_at, 0, kill)];
             self.steps.extend(steps.map(|(at, lasts, fault)| FaultStep {
                 at: Duration::from_millis(at),
                 lasts: Duration::from_millis(lasts),
