--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -60,7 +60,8 @@
             SoakFault::Server(_, ServerMode::PausedEcho) => false,
             SoakFault::Server(place, _) => self.places.contains(&place),
             SoakFault::Link(LinkPlace::Store(_), _) | SoakFault::FullLink(_) => false,
-            SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::ReplaceServer(_) => false,
+            SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::RestoreStore => false,
+            SoakFault::ReplaceServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
     }
