The routers' topic is read on while nothing can be written to it

Found in review: a host whose append failed read nothing of the topic until it succeeded, and would have tried for the lease on old records.

--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_desk.rs
@@ -19,8 +19,8 @@
 /// renewal takes one append, some 10 ms; the rest covers a busy host.
 const HOLDER_FIRST: Duration = Duration::from_millis(400);
 
-/// Others try one after the other, within this time for each host there is. All at once they made 60
-/// calls of the store, of which one could succeed.
+/// Others try one after the other, within this time for each host there is. All at
+/// once each would call the store, and one could succeed.
 const TURN_PER_HOST: Duration = Duration::from_millis(20);
 
 /// Hosts with narrower links wait so long for the widest to try first. These try one after the other, six
@@ -106,8 +106,8 @@
 
     /// How long this host waits for others to try first. Drawn anew for each record of the topic.
     ///
-    /// The holder tells all others of each engine's load. On a link of 10 Mbit/s that takes a quarter of it,
-    /// and the others learn late which engines to leave alone. So the widest links come first; where these
+    /// The holder tells all others of each engine's load. On a narrow link that takes much of it, and the
+    /// others learn late which engines to leave alone. So the widest links come first; where these
     /// hosts do not try, the others are late by no more than the wait for them.
     fn turn(&self, fold: &FleetFold, rank: LinkRank) -> Duration {
         let draw = xxh3_64(format!("{}/{}", self.host, fold.end().offset).as_bytes());
--- a/crates/dispatch/src/log_cache.rs
+++ b/crates/dispatch/src/log_cache.rs
@@ -62,7 +62,7 @@
 
     /// Since when the asker may take the records for all that there were. The way of question and
     /// answer counts as age, since it is not known; the wait in between does not: counted as age too,
-    /// it took proofs of 3.6 s for 4.8 s, and a bound of 5 s on taken keys was hardly kept.
+    /// it made sound proofs too old, and hosts refused keys that held.
     pub fn proven(&self, asked: BootTime) -> BootTime {
         BootTime((asked.0 + self.held_ms).saturating_sub(self.age_ms))
     }
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -19,16 +19,14 @@
 use crate::experiment::Mechanism;
 use crate::experiment::is_on;
 
-/// A router's word counts this long, twice the pause between messages of a fleet of some 90. One that
-/// fell silent may have ended, and its requests with it.
+/// A router's word counts this long, twice the longest pause between two. One that fell silent may have
+/// ended, and its requests with it.
 const WORD_AGE: Duration = Duration::from_millis(1_200);
 
-/// Pause between two words of a router. Each prompt that others have not heard of is one that a short
-/// one may get to wait behind: with words 185 ms apart 8 of 100 short prompts of a calm fleet of 8 routers
-/// were late and 83 of 100 long ones in time, with 30 ms 2 and 89.
+/// Pause between two words of a router. Each prompt that others have not heard of is one that a short one
+/// may get to wait behind.
 const WORD_PACE: Duration = Duration::from_millis(25);
-/// And with the square of the other routers this much more, as words go from all to all. 90 routers then
-/// speak 600 ms apart: faster words gained them nothing, and cost bytes between zones.
+/// And with the square of the other routers this much more, as words go from all to all here.
 const PACE_PER_PAIR: Duration = Duration::from_micros(71);
 /// Without fast words.
 const SLOW_PACE: Duration = Duration::from_millis(150);
@@ -36,16 +34,13 @@
 /// between two of their words, and all would read the store and the engines' events themselves.
 const LONGEST_PACE: Duration = Duration::from_millis(600);
 
-/// Pause before a word that an engine is about to load. A wave orders some 20 engines within some
-/// milliseconds; told one by one to 90 routers, they kept a host with an eighth of a core busy for two
-/// seconds, and its reports and its lease timed out.
+/// Pause before a word that an engine is about to load. A wave orders many engines within some milliseconds;
+/// told one by one to many routers, they kept a small host busy until its reports and its lease timed out.
 const URGENT_PACE: Duration = Duration::from_millis(30);
 /// And this much more for each other router.
 const URGENT_PER_PEER: Duration = Duration::from_millis(1);
-/// The share of a link for such words; callers' answers and words in their turn take 14% of a link of
-/// 10 Mbit/s at the median of 91 hosts and 28% at 95 in 100. With a quarter as with a half the host's
-/// connections came about again, 2 and 8 failed in place of 68; but at a quarter engines turned 225 requests
-/// away that others sent while they loaded, at a half 129.
+/// The share of a link for such words; callers' answers and words in their turn take less than the rest. Later
+/// notices leave more requests to engines that turn them away.
 const URGENT_SHARE: f64 = 0.5;
 
 /// How often a router tells each of so many others.
@@ -58,9 +53,8 @@
 /// How soon after a word of so many bytes an engine's load may be told before the next one's turn, on a link
 /// that carries so much.
 ///
-/// A router's words go to all others. While it brings new weights to 90 engines, each names 20 to 50 of them in
-/// 1.1 to 1.6 KB; each 120 ms that fills a link of 10 Mbit/s to three quarters and more: the host's callers get
-/// no answers, and its reports of engines time out. A pause by the bytes of the last word keeps them to
+/// A router's words go to all others. While it brings new weights to many engines, each word names dozens of
+/// them, and fills a narrow link: the host's callers get no answers, and its reports of engines time out. A pause by the bytes of the last word keeps them to
 /// their share whatever a word holds; a notice is never later than the next word's turn.
 pub fn urgent_pace(peers: usize, word_bytes: usize, link_bytes_per_s: f64) -> Duration {
     let least = URGENT_PACE + URGENT_PER_PEER.saturating_mul(peers as u32);
@@ -72,8 +66,8 @@
 
 /// The newest word of each router, and the sums by server.
 ///
-/// A choice asks for every engine what all routers have there. Summed up anew each time, that was a
-/// look at each word for each engine, 8,000 at 90 routers and 90 engines; so the sums are kept.
+/// A choice asks for every engine what all routers have there. Summed up anew each time, that would
+/// be a look at each word for each engine; so the sums are kept.
 #[derive(Debug, Default)]
 pub struct PeerBoard {
     words: IndexMap<HostName, PeerWord>,
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -110,7 +110,7 @@
     /// The weights are in place.
     InPlace,
     /// It could not be brought up and keeps what it has. Unsaid, all routers left such engines alone
-    /// for seconds: of 90 engines 16 got all the requests.
+    /// for seconds, and the rest got all the requests.
     GivenUp,
 }
 
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -37,8 +37,8 @@
 /// before.
 const LOADING_PAUSE: Duration = Duration::from_millis(350);
 
-/// A prompt has been read by so many times its estimate: at 90 routers, which hear of each other late,
-/// half of the prompts took twice the estimate or more.
+/// A prompt has been read by so many times its estimate: routers hear of each other late, and prompts that
+/// were not heard of are read before it.
 const READY_FACTOR: f64 = 2.0;
 
 /// A request that is under way at a server.
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -218,9 +218,9 @@
     }
 
     /// The store, if it does not have the shared parts yet and they were asked for lately, or come with
-    /// little else. It takes all of a prompt, its own part too: with every first prompt sent there, it kept
-    /// a part for 1.5 s. With those that come with little else, parts that their engine has dropped are
-    /// there when they are asked for again: worth 0.664 instead of 0.654 over 15 days of three fleets.
+    /// little else. It takes all of a prompt, its own part too, so that with every first prompt sent there
+    /// it would keep nothing for long. With those that come with little else, parts that their engine has
+    /// dropped are there when they are asked for again.
     fn save_to(&self, request: &EngineRequest<'_>, salt: &str) -> Option<SocketAddr> {
         if !is_on(Mechanism::StoreKeeping) {
             return None;
@@ -251,7 +251,7 @@
 }
 
 /// The open engines that the call draws, else all that are open, else all; and whether they are open.
-/// Only these are rated: at 90 engines the rating of all took most of the time of a choice.
+/// Only these are rated: in a large fleet the rating of all would take most of the time of a choice.
 fn looked_at<'a, 'b>(
     allowed: &'b [AllowedEngine<'a>],
     now: Instant,
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -9,8 +9,8 @@
 use crate::BootTime;
 
 /// A request that has not begun this long before the bound is given up: the bound counts from the naming
-/// of a version, a busy host of a fleet of 91 learns of it up to 500 ms later, and its own giving up takes
-/// a while to reach the engine. With half a second a request began 7 ms after the bound.
+/// of a version, a busy host of a large fleet learns of it half a second later, and its own giving up takes
+/// a while to reach the engine.
 const BEGIN_MARGIN: Duration = Duration::from_millis(800);
 
 /// Versions remembered of one model. Each has its own bound, so the older ones matter until all
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -97,18 +97,23 @@
         }
     }
 
-    /// What this host has to say comes before the read, which waits.
+    /// What this host has to say comes before the read, which waits. A store that takes no records is read on
+    /// all the same: the lease of another must be seen.
     async fn turn(&mut self) -> Result<(), StoreError> {
         if self.reader.is_unlisted.get() {
             self.reader.list().await?;
         }
         self.join();
-        write_missing(self.reader.source.store(), &self.reader.own).await?;
-        self.note_restore().await?;
+        let written = self.write().await;
         if 0 < self.reader.read_on().await? {
             sleep(BATCH_PAUSE).await;
         }
-        Ok(())
+        written
+    }
+
+    async fn write(&self) -> Result<(), StoreError> {
+        write_missing(self.reader.source.store(), &self.reader.own).await?;
+        self.note_restore().await
     }
 
     /// The others share the budget of repeats with this router.
@@ -196,7 +201,7 @@
 
     /// Takes in what the store has now, on a call of its own: one that waits may have fallen silent.
     /// Without it a router that had lost the answer to its own append took seconds to see it, and
-    /// tried again 30 times a second.
+    /// tried again and again meanwhile.
     pub(crate) async fn catch_up(&self) -> Result<(), StoreError> {
         let from = self.fold.borrow().end();
         let (topic, allowance) = (LogTopic::Fleet, READ_ALLOWANCE);
--- a/crates/entry/src/control/link_table.rs
+++ b/crates/entry/src/control/link_table.rs
@@ -38,8 +38,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// A router that could not be reached is no relay for so long.
 const FAILURE_MEMORY: Duration = Duration::from_secs(5);
-/// Links that are opened at the same time. A new process on an eighth of a core that opened 90 at once had
-/// no time left for a second, lost them all to their timeout, and with them its reads of the store.
+/// Links that are opened at the same time. A new process on a small host that opened all at once had
+/// no time left, lost them all to their timeout, and with them its reads of the store.
 const MOST_OPENING: usize = 8;
 /// Own words that may wait in a link, in bytes.
 const MOST_WAITING_BYTES: usize = 16 * 1024;
--- a/crates/entry/src/control/log_shelf.rs
+++ b/crates/entry/src/control/log_shelf.rs
@@ -122,9 +122,8 @@
     }
 }
 
-/// The oldest proof that is an answer. A configuration must be in force within 2 to 3 s of its writing:
-/// with a reader that was cut off, and gave its last proof for 2.7 s and then kept the question for
-/// another 1.5 s, a host served an old one after 3.7 s.
+/// The oldest proof that is an answer. A configuration must be in force within 2 to 3 s of its writing: a reader
+/// that was cut off would give its last proof for longer, and then keep the next question for its whole wait.
 fn longest_age(question: LogQuestion) -> Duration {
     (Duration::from_millis(question.wait_ms) * 2).max(LEAST_AGE)
 }
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -53,8 +53,8 @@
 /// A host that reads for itself or for others calls a store that fails this often: ten of them call
 /// three topics four times a second, well below the store's rates.
 const READER_PAUSE: Duration = Duration::from_millis(250);
-/// One that asks others learns from them when the store is back. With 90 hosts calling four times a
-/// second, an outage of eight seconds took 8,000 calls.
+/// One that asks others learns from them when the store is back. All hosts of a large fleet calling as often
+/// as readers would call it thousands of times in an outage.
 const ASKER_PAUSE: Duration = Duration::from_millis(1_000);
 /// A reader that gave no answer is asked again after this time; until then the other one is. A host
 /// that is cut off would else cost each host of its zone a call of the store for each read.
