--- a/crates/dispatch/src/config_proof.rs
+++ b/crates/dispatch/src/config_proof.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_names::ConfigVersion;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 
 use crate::BootTime;
 
@@ -26,8 +26,8 @@
     refusing: Duration,
     /// Reads sent before this moment may have been answered by a store that lacks something.
     doubted_until: Option<BootTime>,
-    /// The newest era in which reads were doubted.
-    doubted_era: Option<StoreEra>,
+    /// The newest epoch in which reads were doubted.
+    doubted_epoch: Option<StoreEpoch>,
     /// The newest of these reads. It counts once it is known that nothing was lacking.
     held: Option<BootTime>,
     in_force: ConfigVersion,
@@ -44,7 +44,7 @@
             longest,
             refusing,
             doubted_until: None,
-            doubted_era: None,
+            doubted_epoch: None,
             held: None,
             in_force: ConfigVersion(0),
             known: ConfigVersion(0),
@@ -59,20 +59,20 @@
         }
     }
 
-    /// The store may lack what operators wrote last: it has come back from a copy with this era, or this
+    /// The store may lack what operators wrote last: it has come back from a copy with this epoch, or this
     /// host has just started and does not know. Each reader of a topic says so; the first one counts.
-    pub fn doubt(&mut self, era: StoreEra, now: BootTime) {
-        if self.doubted_era.is_some_and(|doubted| era <= doubted) {
+    pub fn doubt(&mut self, epoch: StoreEpoch, now: BootTime) {
+        if self.doubted_epoch.is_some_and(|doubted| epoch <= doubted) {
             return;
         }
-        self.doubted_era = Some(era);
+        self.doubted_epoch = Some(epoch);
         self.doubted_until = Some(now.after(WRITTEN_AGAIN));
         self.held = None;
     }
 
-    /// In this era of the store operators have written again, or nothing was lost when it began.
-    pub fn settle(&mut self, era: StoreEra) {
-        if self.doubted_era.is_some_and(|doubted| era < doubted) {
+    /// In this epoch of the store operators have written again, or nothing was lost when it began.
+    pub fn settle(&mut self, epoch: StoreEpoch) {
+        if self.doubted_epoch.is_some_and(|doubted| epoch < doubted) {
             return;
         }
         self.doubted_until = None;
--- a/crates/dispatch/src/fleet_fold.rs
+++ b/crates/dispatch/src/fleet_fold.rs
@@ -8,7 +8,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 
@@ -43,8 +43,8 @@
     pub fence: FencingNumber,
     /// When this router read it, after it was written.
     pub seen: BootTime,
-    /// The store's era for which it was written.
-    pub era: StoreEra,
+    /// The store's epoch for which it was written.
+    pub epoch: StoreEpoch,
 }
 
 /// What routers have said of the store's coming back from a copy.
@@ -62,30 +62,30 @@
     members: IndexMap<HostName, FleetMember>,
     lease: Option<HeldLease>,
     end: LogPosition,
-    /// When this router first saw the present era; none while it has read nothing.
-    era_seen: Option<BootTime>,
-    /// Records of an earlier era were read: the store has come back from a copy at least once.
+    /// When this router first saw the present epoch; none while it has read nothing.
+    epoch_seen: Option<BootTime>,
+    /// Records of an earlier epoch were read: the store has come back from a copy at least once.
     has_earlier: bool,
-    /// What routers that lived before the present era have said of its beginning.
+    /// What routers that lived before the present epoch have said of its beginning.
     note: Option<RestoreNote>,
 }
 
 impl FleetFold {
-    /// The store answers in this era. What was read of the lease before is void, as it may be lost; the
-    /// hosts are still where they were. Returns whether the era is new to this router.
-    pub fn begin_era(&mut self, era: StoreEra, now: BootTime) -> bool {
-        if self.era_seen.is_some() && era <= self.end.era {
+    /// The store answers in this epoch. What was read of the lease before is void, as it may be lost; the
+    /// hosts are still where they were. Returns whether the epoch is new to this router.
+    pub fn begin_epoch(&mut self, epoch: StoreEpoch, now: BootTime) -> bool {
+        if self.epoch_seen.is_some() && epoch <= self.end.epoch {
             return false;
         }
-        self.has_earlier |= self.era_seen.is_some();
-        self.era_seen = Some(now);
-        self.end = LogPosition { era, offset: LogOffset(0) };
+        self.has_earlier |= self.epoch_seen.is_some();
+        self.epoch_seen = Some(now);
+        self.end = LogPosition { epoch, offset: LogOffset(0) };
         self.lease = None;
         self.note = None;
         true
     }
 
-    /// Takes in a record of the present era. Two readers may give the same one; it counts once. Crashes are
+    /// Takes in a record of the present epoch. Two readers may give the same one; it counts once. Crashes are
     /// for the crash book; they only move the end here.
     pub fn apply(&mut self, offset: LogOffset, record: &FleetRecord, now: BootTime) {
         if offset < self.end.offset {
@@ -94,31 +94,31 @@
         let position = LogPosition { offset, ..self.end };
         self.end = position.after(1);
         match record {
-            FleetRecord::Joined { host, address, zone, link_kbps, era, .. } => {
+            FleetRecord::Joined { host, address, zone, link_kbps, epoch, .. } => {
                 let (address, link_kbps, zone) = (*address, *link_kbps, zone.clone());
                 let member = FleetMember { address, zone, link_kbps, seen: now };
                 self.members.insert(host.clone(), member);
-                self.has_earlier |= *era < position.era;
+                self.has_earlier |= *epoch < position.epoch;
             }
-            FleetRecord::Lease { host, incarnation, era } => {
-                self.has_earlier |= *era < position.era;
+            FleetRecord::Lease { host, incarnation, epoch } => {
+                self.has_earlier |= *epoch < position.epoch;
                 self.lease = Some(HeldLease {
                     host: host.clone(),
                     incarnation: *incarnation,
                     // A record that was copied keeps the number under which its writer acted.
-                    fence: LogPosition { era: *era, offset }.fence(),
+                    fence: LogPosition { epoch: *epoch, offset }.fence(),
                     seen: now,
-                    era: *era,
+                    epoch: *epoch,
                 });
             }
-            FleetRecord::Restored { era, config, is_settled } if *era == position.era => {
+            FleetRecord::Restored { epoch, config, is_settled } if *epoch == position.epoch => {
                 self.add_note(RestoreNote { config: *config, is_settled: *is_settled });
             }
             FleetRecord::Restored { .. } | FleetRecord::Crash { .. } => {}
         }
     }
 
-    /// Records before this offset of the present era are applied or lost.
+    /// Records before this offset of the present epoch are applied or lost.
     pub fn skip_to(&mut self, end: LogOffset) {
         self.end.offset = self.end.offset.max(end);
     }
@@ -130,7 +130,7 @@
 
     /// Whether the topic was read at all.
     pub fn is_read(&self) -> bool {
-        self.era_seen.is_some()
+        self.epoch_seen.is_some()
     }
 
     /// The newest lease.
@@ -139,11 +139,11 @@
     }
 
     /// Since when a lease that the store has lost may still be held: a host that took it just before may act
-    /// for its whole length. None where nothing was lost, or a lease of this era was taken, whose holder
+    /// for its whole length. None where nothing was lost, or a lease of this epoch was taken, whose holder
     /// has waited for that.
     pub fn lost_lease_since(&self) -> Option<BootTime> {
-        let is_settled = self.lease.as_ref().is_some_and(|lease| lease.era == self.end.era);
-        if is_settled { None } else { self.era_seen.filter(|_| self.has_earlier) }
+        let is_settled = self.lease.as_ref().is_some_and(|lease| lease.epoch == self.end.epoch);
+        if is_settled { None } else { self.epoch_seen.filter(|_| self.has_earlier) }
     }
 
     fn add_note(&mut self, note: RestoreNote) {
@@ -153,7 +153,7 @@
         self.note = Some(RestoreNote { config, is_settled });
     }
 
-    /// What routers have said of the present era's beginning.
+    /// What routers have said of the present epoch's beginning.
     pub fn restore_note(&self) -> Option<RestoreNote> {
         self.note
     }
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -6,7 +6,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,8 +32,8 @@
         zone: ZoneName,
         /// What its link carries, in kbit/s.
         link_kbps: u32,
-        /// The store's era when it was written first.
-        era: StoreEra,
+        /// The store's epoch when it was written first.
+        epoch: StoreEpoch,
     },
     /// A router takes or keeps the lease on orders to engines. The record's position is the fencing
     /// number, so that it rises with every holder and is never shared.
@@ -42,8 +42,8 @@
         host: HostName,
         /// The holder's start.
         incarnation: Incarnation,
-        /// The store's era for which it was written.
-        era: StoreEra,
+        /// The store's epoch for which it was written.
+        epoch: StoreEpoch,
     },
     /// A server crashed while it ran a request.
     Crash {
@@ -56,8 +56,8 @@
     },
     /// A router that lived before the store came back from a copy says what was in force then.
     Restored {
-        /// The era that began.
-        era: StoreEra,
+        /// The epoch that began.
+        epoch: StoreEpoch,
         /// The newest configuration that it knows.
         config: ConfigVersion,
         /// Operators have had time to write again what was lost.
--- a/crates/dispatch/src/log_cache.rs
+++ b/crates/dispatch/src/log_cache.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -31,15 +31,15 @@
     pub from: LogOffset,
     /// How long to wait for a record, in milliseconds.
     pub wait_ms: u64,
-    /// The store's era in which the asker has read so far. It comes last, where routers of an earlier
+    /// The store's epoch in which the asker has read so far. It comes last, where routers of an earlier
     /// version leave it.
-    pub era: StoreEra,
+    pub epoch: StoreEpoch,
 }
 
 impl LogQuestion {
     /// Where the asker reads on.
     pub fn position(&self) -> LogPosition {
-        LogPosition { era: self.era, offset: self.from }
+        LogPosition { epoch: self.epoch, offset: self.from }
     }
 }
 
@@ -84,7 +84,7 @@
 
 impl LogCache {
     /// Records that the store has given from a position on. A gap drops what was kept before, and so does
-    /// another era: to askers of the earlier one its records would look like those that follow.
+    /// another epoch: to askers of the earlier one its records would look like those that follow.
     pub fn add(&mut self, from: LogPosition, records: &[Vec<u8>]) {
         if from != self.end() {
             *self = LogCache { start: from, ..LogCache::default() };
@@ -115,7 +115,7 @@
         self.start.after(self.records.len())
     }
 
-    /// The records from a position on; none if they are not here or of another era, or if how old they are
+    /// The records from a position on; none if they are not here or of another epoch, or if how old they are
     /// is not known or over `longest`: whoever asks then reads for himself.
     /// The question came at `arrived`.
     pub fn answer(
@@ -126,7 +126,7 @@
         now: BootTime,
     ) -> Option<LogAnswer> {
         let age = now.since(self.proven?);
-        if from.era != self.start.era || longest < age {
+        if from.epoch != self.start.epoch || longest < age {
             return None;
         }
         if from < self.start || self.end() < from {
--- a/crates/dispatch/src/log_position.rs
+++ b/crates/dispatch/src/log_position.rs
@@ -2,21 +2,21 @@
 
 use fulmargate_names::FencingNumber;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 
 /// Bits of a fencing number that hold an offset. Both parts together stay below 53 bits, up to which JSON
-/// readers keep whole numbers exact, for two million eras of four thousand million records.
+/// readers keep whole numbers exact, for two million epochs of four thousand million records.
 const OFFSET_BITS: u32 = 32;
 
-/// An offset and the era in which the store gave it out.
+/// An offset and the epoch in which the store gave it out.
 ///
 /// A store that comes back from a copy has lost its newest records and gives their offsets out again. A
 /// reader that went on from an offset alone would miss the records that were put in their places.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LogPosition {
-    /// The store's era.
-    pub era: StoreEra,
-    /// The offset in that era.
+    /// The store's epoch.
+    pub epoch: StoreEpoch,
+    /// The offset in that epoch.
     pub offset: LogOffset,
 }
 
@@ -26,9 +26,9 @@
         LogPosition { offset: LogOffset(self.offset.0 + records as u64), ..self }
     }
 
-    /// The fencing number of a lease whose record lies here. It rises with the era too: the offset alone
+    /// The fencing number of a lease whose record lies here. It rises with the epoch too: the offset alone
     /// would fall when the store has lost records, and engines would refuse the next holder or obey two.
     pub fn fence(self) -> FencingNumber {
-        FencingNumber((self.era.0 << OFFSET_BITS) + self.offset.0)
+        FencingNumber((self.epoch.0 << OFFSET_BITS) + self.offset.0)
     }
 }
--- a/crates/dispatch/tests/configuration.rs
+++ b/crates/dispatch/tests/configuration.rs
@@ -9,7 +9,7 @@
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::RouteRule;
 use fulmargate_names::ConfigVersion;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::TeamName;
 use fulmargate_names::WeightsVersion;
 use support::DESK;
@@ -133,9 +133,9 @@
 enum ProofStep {
     /// A read was answered that was sent at this moment.
     Renew(u64),
-    /// The store was seen in this era first.
+    /// The store was seen in this epoch first.
     Doubt(u64, u64),
-    /// Operators have written in this era.
+    /// Operators have written in this epoch.
     Settle(u64),
     /// Another router has had this configuration in force.
     Known(u64),
@@ -200,7 +200,7 @@
         admits: false,
     },
     DoubtCase {
-        name: "a late reader of the same era begins no new doubt",
+        name: "a late reader of the same epoch begins no new doubt",
         steps: &[Doubt(1, 1_000), Settle(1), Doubt(1, 2_900), Renew(3_000)],
         now: 3_100,
         admits: true,
@@ -230,8 +230,8 @@
         for step in case.steps {
             match *step {
                 Renew(sent) => proof.renew(BootTime(sent)),
-                Doubt(era, now) => proof.doubt(StoreEra(era), BootTime(now)),
-                Settle(era) => proof.settle(StoreEra(era)),
+                Doubt(epoch, now) => proof.doubt(StoreEpoch(epoch), BootTime(now)),
+                Settle(epoch) => proof.settle(StoreEpoch(epoch)),
                 Known(version) => proof.note_known(ConfigVersion(version)),
                 InForce(version) => proof.put_in_force(ConfigVersion(version)),
             }
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -13,7 +13,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -23,12 +23,12 @@
 
 fn lease_record(host: &str) -> FleetRecord {
     let (host, incarnation) = (HostName::new(host), Incarnation(1));
-    FleetRecord::Lease { host, incarnation, era: StoreEra(0) }
+    FleetRecord::Lease { host, incarnation, epoch: StoreEpoch(0) }
 }
 
-/// A position in the first era.
+/// A position in the first epoch.
 fn position(offset: u64) -> LogPosition {
-    LogPosition { era: StoreEra(0), offset: LogOffset(offset) }
+    LogPosition { epoch: StoreEpoch(0), offset: LogOffset(offset) }
 }
 
 /// A router that may be suspended: it reads the topic and decides only when it runs.
@@ -272,7 +272,7 @@
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: ZoneName::new("north"),
             link_kbps: 20_000,
-            era: StoreEra(0),
+            epoch: StoreEpoch(0),
         };
         fold.apply(LogOffset(offset as u64), &record, BootTime(0));
     }
--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -13,7 +13,7 @@
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use tokio::time::Instant;
 
@@ -191,9 +191,9 @@
     },
 ];
 
-/// A position in the first era.
+/// A position in the first epoch.
 fn position(offset: u64) -> LogPosition {
-    LogPosition { era: StoreEra(0), offset: LogOffset(offset) }
+    LogPosition { epoch: StoreEpoch(0), offset: LogOffset(offset) }
 }
 
 /// A host that does not read the store takes a cut-off reader's word for new, and serves a key that
@@ -215,19 +215,19 @@
 
 /// A host misses a configuration for good.
 /// The store has come back from a copy and gives offsets out again; the host's reader has read the new
-/// records, and the host asks it for what follows the lost ones. Records of another era are no answer.
+/// records, and the host asks it for what follows the lost ones. Records of another epoch are no answer.
 #[test]
-fn records_of_another_era_are_no_answer() {
+fn records_of_another_epoch_are_no_answer() {
     let now = BootTime(1_100);
-    let in_era = |era| LogPosition { era: StoreEra(era), offset: LogOffset(2) };
+    let in_epoch = |epoch| LogPosition { epoch: StoreEpoch(epoch), offset: LogOffset(2) };
     let mut cache = LogCache::default();
     cache.add(position(0), &vec![b"lost".to_vec(); 2]);
-    cache.add(LogPosition { era: StoreEra(1), ..position(1) }, &vec![b"new".to_vec(); 2]);
+    cache.add(LogPosition { epoch: StoreEpoch(1), ..position(1) }, &vec![b"new".to_vec(); 2]);
     cache.prove(BootTime(1_000));
-    assert_eq!(cache.answer(in_era(0), LONGEST, now, now), None, "an asker of the earlier era");
-    let answer = cache.answer(in_era(1), LONGEST, now, now).expect("records of this era");
+    assert_eq!(cache.answer(in_epoch(0), LONGEST, now, now), None, "an asker of the earlier epoch");
+    let answer = cache.answer(in_epoch(1), LONGEST, now, now).expect("records of this epoch");
     assert_eq!(answer.records, vec![b"new".to_vec()]);
-    assert_eq!(cache.answer(in_era(2), LONGEST, now, now), None, "the reader is behind");
+    assert_eq!(cache.answer(in_epoch(2), LONGEST, now, now), None, "the reader is behind");
 }
 
 struct ProofCase {
--- a/crates/dispatch/tests/restores.rs
+++ b/crates/dispatch/tests/restores.rs
@@ -14,7 +14,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -23,8 +23,8 @@
 const HOSTS: [&str; 3] = ["h0", "h1", "h2"];
 const SEED: u64 = 5;
 
-fn lease_record(host: &str, era: StoreEra) -> FleetRecord {
-    FleetRecord::Lease { host: HostName::new(host), incarnation: Incarnation(1), era }
+fn lease_record(host: &str, epoch: StoreEpoch) -> FleetRecord {
+    FleetRecord::Lease { host: HostName::new(host), incarnation: Incarnation(1), epoch }
 }
 
 fn joined(host: &str) -> FleetRecord {
@@ -34,13 +34,13 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::new("north"),
         link_kbps: 20_000,
-        era: StoreEra(0),
+        epoch: StoreEpoch(0),
     }
 }
 
 /// The routers' topic, which may go back to a copy.
 struct TestTopic {
-    era: StoreEra,
+    epoch: StoreEpoch,
     records: Vec<FleetRecord>,
     copy: Vec<FleetRecord>,
 }
@@ -48,11 +48,11 @@
 impl TestTopic {
     fn new() -> TestTopic {
         let records: Vec<FleetRecord> = HOSTS.into_iter().map(joined).collect();
-        TestTopic { era: StoreEra(0), copy: records.clone(), records }
+        TestTopic { epoch: StoreEpoch(0), copy: records.clone(), records }
     }
 
     fn restore(&mut self) {
-        self.era.0 += 1;
+        self.epoch.0 += 1;
         self.records = self.copy.clone();
     }
 
@@ -62,7 +62,7 @@
             return None;
         }
         self.records.push(record);
-        Some(LogPosition { era: self.era, ..at })
+        Some(LogPosition { epoch: self.epoch, ..at })
     }
 }
 
@@ -78,9 +78,9 @@
         TestRouter { host, fold: FleetFold::default(), desk }
     }
 
-    /// In another era than before the topic is read from its beginning.
+    /// In another epoch than before the topic is read from its beginning.
     fn read(&mut self, topic: &TestTopic, now: BootTime) {
-        self.fold.begin_era(topic.era, now);
+        self.fold.begin_epoch(topic.epoch, now);
         let from = self.fold.end().offset.0 as usize;
         for (offset, record) in topic.records.iter().enumerate().skip(from) {
             self.fold.apply(LogOffset(offset as u64), record, now);
@@ -93,9 +93,9 @@
         }
         let step = self.desk.step(&self.fold, BootTime(0), LinkRank::Equal, now);
         let LeaseStep::Append { at } = step else { return };
-        let Some(position) = topic.append(at, lease_record(self.host, at.era)) else { return };
-        // An append that went into another era than it rested on is no lease.
-        if is_answered && position.era == at.era {
+        let Some(position) = topic.append(at, lease_record(self.host, at.epoch)) else { return };
+        // An append that went into another epoch than it rested on is no lease.
+        if is_answered && position.epoch == at.epoch {
             self.desk.appended(position.fence(), now);
         }
     }
@@ -131,7 +131,7 @@
             }
         }
     }
-    (orders, topic.era.0)
+    (orders, topic.epoch.0)
 }
 
 /// Two routers order the same engines by turns, or an engine refuses each order of the next holder.
@@ -161,18 +161,18 @@
     let (mut moves, mut restores) = (0, 0);
     for _ in 0..500 {
         let steps: Vec<(u8, u8, u16)> = quickcheck::Arbitrary::arbitrary(&mut source);
-        let (orders, eras) = play(steps);
+        let (orders, epochs) = play(steps);
         moves += orders.windows(2).filter(|pair| pair[0].host != pair[1].host).count();
-        restores += eras;
+        restores += epochs;
     }
     assert!(50 < moves && 500 < restores, "{moves} holders followed others, {restores} restores");
 }
 
 struct LostLeaseCase {
     name: &'static str,
-    /// Records of the era that has begun, with the era for which each was written.
+    /// Records of the epoch that has begun, with the epoch for which each was written.
     lease: Option<(&'static str, u64)>,
-    /// Milliseconds from the new era on.
+    /// Milliseconds from the new epoch on.
     after_ms: u64,
     tries: bool,
 }
@@ -187,7 +187,7 @@
         tries: false,
     },
     LostLeaseCase {
-        name: "an own record of this era was followed by none",
+        name: "an own record of this epoch was followed by none",
         lease: Some(("h0", 1)),
         after_ms: 1,
         tries: true,
@@ -200,10 +200,10 @@
 fn a_lost_lease_is_waited_for() {
     for case in LOST_LEASES {
         let mut fold = FleetFold::default();
-        fold.begin_era(StoreEra(0), BootTime(1_000));
-        fold.begin_era(StoreEra(1), BootTime(20_000));
-        if let Some((host, era)) = case.lease {
-            fold.apply(LogOffset(0), &lease_record(host, StoreEra(era)), BootTime(20_000));
+        fold.begin_epoch(StoreEpoch(0), BootTime(1_000));
+        fold.begin_epoch(StoreEpoch(1), BootTime(20_000));
+        if let Some((host, epoch)) = case.lease {
+            fold.apply(LogOffset(0), &lease_record(host, StoreEpoch(epoch)), BootTime(20_000));
         }
         let desk = LeaseDesk::new(HostName::new("h0"), LEASE);
         let now = BootTime(20_000 + case.after_ms);
@@ -236,7 +236,7 @@
         is_lately: false,
     },
     NoteCase {
-        name: "a copied note of an earlier era",
+        name: "a copied note of an earlier epoch",
         notes: &[(0, 9, true)],
         known: None,
         is_lately: true,
@@ -245,16 +245,16 @@
 
 /// A host that starts serves keys that were taken away.
 /// It finds an older configuration in a store that has come back from a copy, and cannot tell that it has.
-/// Records of earlier eras show that the store came back, and other hosts note what they know.
+/// Records of earlier epochs show that the store came back, and other hosts note what they know.
 #[test]
-fn what_hosts_note_of_a_new_era() {
+fn what_hosts_note_of_a_new_epoch() {
     for case in NOTES {
         let mut fold = FleetFold::default();
-        fold.begin_era(StoreEra(1), BootTime(1_000));
+        fold.begin_epoch(StoreEpoch(1), BootTime(1_000));
         fold.apply(LogOffset(0), &joined("h0"), BootTime(1_000));
-        for (offset, (era, config, is_settled)) in (1..).zip(case.notes) {
-            let (era, config) = (StoreEra(*era), ConfigVersion(*config));
-            let note = FleetRecord::Restored { era, config, is_settled: *is_settled };
+        for (offset, (epoch, config, is_settled)) in (1..).zip(case.notes) {
+            let (epoch, config) = (StoreEpoch(*epoch), ConfigVersion(*config));
+            let note = FleetRecord::Restored { epoch, config, is_settled: *is_settled };
             fold.apply(LogOffset(offset), &note, BootTime(1_000));
         }
         let known = fold.restore_note().map(|note| note.config.0);
@@ -265,9 +265,9 @@
 
 /// Where nothing was ever lost, hosts that start wait for nothing.
 #[test]
-fn a_first_era_is_not_doubted() {
+fn a_first_epoch_is_not_doubted() {
     let mut fold = FleetFold::default();
-    fold.begin_era(StoreEra(0), BootTime(1_000));
+    fold.begin_epoch(StoreEpoch(0), BootTime(1_000));
     fold.apply(LogOffset(0), &joined("h0"), BootTime(1_000));
     assert!(!fold.is_restored_lately());
     assert_eq!(fold.lost_lease_since(), None);
@@ -279,11 +279,11 @@
 #[test]
 fn an_own_lease_that_has_ended_is_waited_for_too() {
     let mut fold = FleetFold::default();
-    fold.begin_era(StoreEra(0), BootTime(1_000));
+    fold.begin_epoch(StoreEpoch(0), BootTime(1_000));
     let mut desk = LeaseDesk::new(HostName::new("h0"), LEASE);
     desk.appended(FencingNumber(0), BootTime(1_000));
-    fold.begin_era(StoreEra(1), BootTime(4_500));
-    fold.apply(LogOffset(0), &lease_record("h0", StoreEra(0)), BootTime(4_500));
+    fold.begin_epoch(StoreEpoch(1), BootTime(4_500));
+    fold.apply(LogOffset(0), &lease_record("h0", StoreEpoch(0)), BootTime(4_500));
     let step = |now| desk.step(&fold, BootTime(0), LinkRank::Equal, BootTime(now));
     assert!(matches!(step(4_600), LeaseStep::Wait(_)), "another may act now");
     assert!(matches!(step(7_500), LeaseStep::Append { .. }));
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,7 +5,7 @@
 mod cache_readers;
 mod cache_watch;
 mod control_thread;
-mod era_watch;
+mod epoch_watch;
 mod fleet_codec;
 mod fleet_desk;
 mod link_table;
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -24,7 +24,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::control::era_watch::EraWatch;
+use crate::control::epoch_watch::EpochWatch;
 use crate::control::fleet_codec::decode_record;
 use crate::control::fleet_codec::keyed_record;
 use crate::control::log_source::LogSource;
@@ -62,7 +62,7 @@
     source: LogSource,
     fold: SharedFold,
     own: SharedRecords,
-    era: Rc<RefCell<EraWatch>>,
+    epoch: Rc<RefCell<EpochWatch>>,
     /// The whole topic is to be listed before anything is read on: at the start, and when the store no longer
     /// has what follows.
     is_unlisted: Rc<Cell<bool>>,
@@ -128,7 +128,7 @@
             address: self.reader.state.settings.peers,
             zone: self.reader.state.settings.zone.clone(),
             link_kbps: self.reader.state.settings.link_kbps(),
-            era: self.reader.fold.borrow().end().era,
+            epoch: self.reader.fold.borrow().end().epoch,
         });
     }
 
@@ -150,30 +150,30 @@
         let proof = *self.reader.state.proof();
         let is_settled = !proof.is_doubted(boot_now());
         // A host that has just started knows no more than the store does.
-        if !is_settled && !self.reader.era.borrow().has_risen() {
+        if !is_settled && !self.reader.epoch.borrow().has_risen() {
             return None;
         }
         let config = proof.in_force();
         let is_said = fold.restore_note().is_some_and(|note| config <= note.config);
         let is_due = config != ConfigVersion(0) && (!is_said || is_settled);
-        is_due.then(|| FleetRecord::Restored { era: fold.end().era, config, is_settled })
+        is_due.then(|| FleetRecord::Restored { epoch: fold.end().epoch, config, is_settled })
     }
 }
 
 impl FleetReader {
     /// A reader into this fold.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource, fold: SharedFold) -> FleetReader {
-        let era = Rc::new(RefCell::new(EraWatch::new(state.clone(), "fleet")));
+        let epoch = Rc::new(RefCell::new(EpochWatch::new(state.clone(), "fleet")));
         let (own, is_unlisted) = (SharedRecords::default(), Rc::new(Cell::new(true)));
-        FleetReader { state, source, fold, own, era, is_unlisted }
+        FleetReader { state, source, fold, own, epoch, is_unlisted }
     }
 
     /// Lists the newest record of each key.
     async fn list(&self) -> Result<(), StoreError> {
         let newest = self.source.read_newest(LogTopic::Fleet).await?;
         let end = newest.end;
-        self.era.borrow_mut().listed(end.era)?;
-        self.fold.borrow_mut().begin_era(end.era, boot_now());
+        self.epoch.borrow_mut().listed(end.epoch)?;
+        self.fold.borrow_mut().begin_epoch(end.epoch, boot_now());
         let mut records = newest.records;
         // What was written while pages came is read on from the end of the first.
         records.retain(|listed| listed.offset < end.offset);
@@ -214,8 +214,8 @@
     }
 
     fn take_in(&self, from: LogPosition, records: &[Vec<u8>]) {
-        // The topic may have been listed in another era meanwhile.
-        if from.era != self.fold.borrow().end().era {
+        // The topic may have been listed in another epoch meanwhile.
+        if from.epoch != self.fold.borrow().end().epoch {
             return;
         }
         for (record, offset) in records.iter().zip(from.offset.0..) {
@@ -240,8 +240,8 @@
         }
         // Only what this router was told when it started: a rise that it has seen itself is doubted until
         // operators write, or have had time to.
-        if !fold.is_restored_lately() && !self.era.borrow().has_risen() {
-            proof.settle(fold.end().era);
+        if !fold.is_restored_lately() && !self.epoch.borrow().has_risen() {
+            proof.settle(fold.end().epoch);
         }
     }
 
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -171,11 +171,11 @@
         let sent = boot_now();
         let first = self.client.newest(topic, None, PAGE_TIMEOUT).await?;
         let (end, mut next, mut records) = (first.end, first.next, first.records);
-        self.state.note_era(end.era);
+        self.state.note_epoch(end.epoch);
         while let Some(after) = next {
             let page = self.client.newest(topic, Some(&after), PAGE_TIMEOUT).await?;
-            if page.end.era != end.era {
-                return Err(StoreError::Restored { era: page.end.era });
+            if page.end.epoch != end.epoch {
+                return Err(StoreError::Restored { epoch: page.end.epoch });
             }
             records.extend(page.records);
             next = page.next;
@@ -199,7 +199,7 @@
     ) -> Result<ProvenPage, StoreError> {
         tokio::select! {
             page = self.read_anywhere(topic, from, wait, allowance) => page,
-            era = self.state.era_after(from.era) => Err(StoreError::Restored { era }),
+            epoch = self.state.epoch_after(from.epoch) => Err(StoreError::Restored { epoch }),
         }
     }
 
@@ -247,8 +247,8 @@
             }
             Err(_) => AskerStore::OutOfReach,
         });
-        if let Err(StoreError::Restored { era }) = &result {
-            self.state.note_era(*era);
+        if let Err(StoreError::Restored { epoch }) = &result {
+            self.state.note_epoch(*epoch);
         }
         let page = result?;
         metrics::counter!("fulmargate_log_reads_total", "source" => "store").increment(1);
@@ -349,7 +349,7 @@
 /// A reader gives a newer proof soon after the wait of its own read.
 fn question(topic: LogTopic, from: LogPosition, wait: Duration) -> LogQuestion {
     let wait = if wait.is_zero() { wait } else { wait + PROOF_ALLOWANCE };
-    LogQuestion { topic, from: from.offset, wait_ms: wait.as_millis() as u64, era: from.era }
+    LogQuestion { topic, from: from.offset, wait_ms: wait.as_millis() as u64, epoch: from.epoch }
 }
 
 async fn connect(address: SocketAddr) -> Result<AskLink, AskFault> {
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -15,10 +15,10 @@
 use fulmargate_dispatch::RoutingConfig;
 use fulmargate_names::EventKind;
 use fulmargate_names::ModelName;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::WeightsVersion;
 
-use crate::control::era_watch::EraWatch;
+use crate::control::epoch_watch::EpochWatch;
 use crate::control::log_source::LogSource;
 use crate::control::log_source::ProvenPage;
 use crate::control::store_contact::StoreContact;
@@ -40,7 +40,7 @@
     contact: StoreContact,
     /// Where to read on; nothing before the whole topic was read, or after records were lost.
     next: Option<LogPosition>,
-    era: EraWatch,
+    epoch: EpochWatch,
     /// What is read next was written after this moment; nothing at the start of the process.
     written_after: Option<BootTime>,
     was_proven: bool,
@@ -52,13 +52,13 @@
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatch {
         let contact = StoreContact::new("operator");
-        let era = EraWatch::new(state.clone(), "operator");
+        let epoch = EpochWatch::new(state.clone(), "operator");
         OperatorWatch {
             state,
             source,
             contact,
             next: None,
-            era,
+            epoch,
             written_after: None,
             was_proven: false,
             is_blind: false,
@@ -96,7 +96,7 @@
             // The read was waiting for these records.
             self.written_after = Some(boot_now());
         }
-        self.apply_page(from.era, &page);
+        self.apply_page(from.epoch, &page);
         self.next = Some(from.after(page.records.len()));
         // A page may end before the topic does; only the whole proves that nothing is newer.
         if let Some(sent) = page.proven {
@@ -107,7 +107,7 @@
 
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let newest = self.source.read_newest(LogTopic::Operator).await?;
-        self.era.listed(newest.end.era)?;
+        self.epoch.listed(newest.end.epoch)?;
         for listed in &newest.records {
             self.apply(&listed.record);
         }
@@ -124,10 +124,10 @@
         }
     }
 
-    fn apply_page(&mut self, era: StoreEra, page: &ProvenPage) {
+    fn apply_page(&mut self, epoch: StoreEpoch, page: &ProvenPage) {
         for record in &page.records {
             match split_keyed(record) {
-                Ok(record) if self.apply(&record) => self.state.proof().settle(era),
+                Ok(record) if self.apply(&record) => self.state.proof().settle(epoch),
                 Ok(_) => {}
                 Err(err) => self.note_unreadable(&err),
             }
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_desk.rs
@@ -161,7 +161,7 @@
         let record = FleetRecord::Lease {
             host: self.state.settings.host.clone(),
             incarnation: self.state.incarnation,
-            era: at.era,
+            epoch: at.epoch,
         };
         let bytes = match keyed_record(&record) {
             Ok(bytes) => bytes,
--- a/crates/entry/src/control/own_records/tests.rs
+++ b/crates/entry/src/control/own_records/tests.rs
@@ -6,7 +6,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
 
@@ -21,7 +21,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::new("north"),
         link_kbps: 20_000,
-        era: StoreEra(0),
+        epoch: StoreEpoch(0),
     }
 }
 
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -203,7 +203,7 @@
         let plain = encode(&news);
         news.wants_words = true;
         let wanting = encode(&news);
-        self.relays.board.borrow_mut().push_near(&plain);
+        self.relays.board.borrow_mut().push_own_zone(&plain);
         let is_target = |host: &HostName| targets.iter().any(|target| target.host == *host);
         self.table.borrow_mut().retain(is_target);
         for target in targets {
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -285,8 +285,8 @@
         }
         if is_passed_on(way, origin, &settings.zone) {
             match way {
-                WordWay::Direct => board.push_near(message),
-                WordWay::Relayed => board.push_far(message),
+                WordWay::Direct => board.push_own_zone(message),
+                WordWay::Relayed => board.push_other_zone(message),
             }
         }
         if is_taken_in(way, news.wants_words, origin, &settings.zone) {
--- a/crates/entry/src/control/relay_board.rs
+++ b/crates/entry/src/control/relay_board.rs
@@ -32,18 +32,20 @@
 pub(crate) struct RelayBoard {
     /// By host, with its zone and when it last asked.
     listeners: IndexMap<HostName, (ZoneName, Instant)>,
-    near: BytesMut,
-    far: BytesMut,
+    /// Words of this zone.
+    own_zone: BytesMut,
+    /// Words of other zones.
+    other_zones: BytesMut,
 }
 
 /// What is passed on in a turn.
 pub(crate) struct RelayTurn {
     /// For hosts of this zone: all words.
-    pub(crate) all: Bytes,
-    pub(crate) near_hosts: Vec<HostName>,
+    pub(crate) all_words: Bytes,
+    pub(crate) zone_hosts: Vec<HostName>,
     /// For relays of other zones: the words of this one.
-    pub(crate) near: Bytes,
-    pub(crate) far_hosts: Vec<HostName>,
+    pub(crate) zone_words: Bytes,
+    pub(crate) other_relays: Vec<HostName>,
 }
 
 impl RelayBoard {
@@ -53,32 +55,33 @@
     }
 
     /// A word of a router of this zone, with its length before it.
-    pub(crate) fn push_near(&mut self, message: &[u8]) {
-        push(&mut self.near, message);
+    pub(crate) fn push_own_zone(&mut self, message: &[u8]) {
+        push(&mut self.own_zone, message);
     }
 
     /// A word of another zone.
-    pub(crate) fn push_far(&mut self, message: &[u8]) {
-        push(&mut self.far, message);
+    pub(crate) fn push_other_zone(&mut self, message: &[u8]) {
+        push(&mut self.other_zones, message);
     }
 
     /// Takes what is to be passed on now; nothing where nobody listens.
     pub(crate) fn take_turn(&mut self, own_zone: &ZoneName, now: Instant) -> Option<RelayTurn> {
         self.listeners.retain(|_, (_, at)| now.saturating_duration_since(*at) < LISTENER_AGE);
-        let (near, far) = (self.near.split().freeze(), self.far.split().freeze());
+        let zone_words = self.own_zone.split().freeze();
+        let other_words = self.other_zones.split();
         if self.listeners.is_empty() {
             return None;
         }
-        let (near_hosts, far_hosts): (Vec<_>, Vec<_>) =
+        let (zone_hosts, other_relays): (Vec<_>, Vec<_>) =
             self.listeners.iter().partition(|(_, (zone, _))| zone == own_zone);
         let names = |hosts: Vec<(&HostName, &(ZoneName, Instant))>| {
             hosts.into_iter().map(|(host, _)| host.clone()).collect()
         };
-        let mut all = BytesMut::with_capacity(near.len() + far.len());
-        all.extend_from_slice(&near);
-        all.extend_from_slice(&far);
-        let (near_hosts, far_hosts) = (names(near_hosts), names(far_hosts));
-        Some(RelayTurn { all: all.freeze(), near_hosts, near, far_hosts })
+        let mut all_words = BytesMut::with_capacity(zone_words.len() + other_words.len());
+        all_words.extend_from_slice(&zone_words);
+        all_words.extend_from_slice(&other_words);
+        let (zone_hosts, other_relays) = (names(zone_hosts), names(other_relays));
+        Some(RelayTurn { all_words: all_words.freeze(), zone_hosts, zone_words, other_relays })
     }
 }
 
--- a/crates/entry/src/control/relay_board/tests.rs
+++ b/crates/entry/src/control/relay_board/tests.rs
@@ -25,14 +25,14 @@
 fn hosts_of_the_zone_hear_all_and_others_hear_the_zone() {
     let now = Instant::now();
     let mut board = board(&[("near", NORTH), ("far", SOUTH)], now);
-    board.push_near(b"one");
-    board.push_far(b"two");
+    board.push_own_zone(b"one");
+    board.push_other_zone(b"two");
     let turn = board.take_turn(&ZoneName::new(NORTH), now).expect("somebody listens");
-    assert_eq!((&turn.all[..], &turn.near[..]), (&b"onetwo"[..], &b"one"[..]));
-    assert_eq!(turn.near_hosts, [HostName::new("near")]);
-    assert_eq!(turn.far_hosts, [HostName::new("far")]);
+    assert_eq!((&turn.all_words[..], &turn.zone_words[..]), (&b"onetwo"[..], &b"one"[..]));
+    assert_eq!(turn.zone_hosts, [HostName::new("near")]);
+    assert_eq!(turn.other_relays, [HostName::new("far")]);
     let next = board.take_turn(&ZoneName::new(NORTH), now).expect("somebody listens");
-    assert!(next.all.is_empty(), "a word is passed on once");
+    assert!(next.all_words.is_empty(), "a word is passed on once");
 }
 
 /// A host that has chosen another relay, or has ended, is passed words on for good, and the link of a relay
@@ -44,11 +44,11 @@
     let north = ZoneName::new(NORTH);
     let later = now + LISTENER_AGE;
     assert!(board.take_turn(&north, later - Duration::from_millis(1)).is_some());
-    board.push_near(b"one");
+    board.push_own_zone(b"one");
     assert!(board.take_turn(&north, later).is_none());
     board.listen(&HostName::new("near"), &north, later);
     let turn = board.take_turn(&north, later).expect("it has asked again");
-    assert!(turn.all.is_empty(), "what it did not want is not kept for it");
+    assert!(turn.all_words.is_empty(), "what it did not want is not kept for it");
 }
 
 #[test]
@@ -56,7 +56,7 @@
     let now = Instant::now();
     let mut board = board(&[("near", NORTH)], now);
     let message = vec![0; 1_000];
-    (0..1_000).for_each(|_| board.push_near(&message));
+    (0..1_000).for_each(|_| board.push_own_zone(&message));
     let turn = board.take_turn(&ZoneName::new(NORTH), now).expect("somebody listens");
-    assert!(turn.all.len() <= MOST_WAITING_BYTES);
+    assert!(turn.all_words.len() <= MOST_WAITING_BYTES);
 }
--- a/crates/entry/src/control/relay_desk.rs
+++ b/crates/entry/src/control/relay_desk.rs
@@ -56,16 +56,16 @@
                 self.table.borrow_mut().retain(|_| false);
                 continue;
             };
-            let listeners = turn.near_hosts.iter().chain(&turn.far_hosts);
+            let listeners = turn.zone_hosts.iter().chain(&turn.other_relays);
             let listeners: IndexSet<&HostName> = listeners.collect();
             self.table.borrow_mut().retain(|host| listeners.contains(host));
-            if turn.near.is_empty() && spoken.elapsed() < IDLE_PACE {
-                self.pass_on(&turn.near_hosts, &turn.all);
+            if turn.zone_words.is_empty() && spoken.elapsed() < IDLE_PACE {
+                self.pass_on(&turn.zone_hosts, &turn.all_words);
                 continue;
             }
             spoken = Instant::now();
-            self.pass_on(&turn.near_hosts, &turn.all);
-            self.pass_on(&turn.far_hosts, &turn.near);
+            self.pass_on(&turn.zone_hosts, &turn.all_words);
+            self.pass_on(&turn.other_relays, &turn.zone_words);
         }
     }
 
--- a/crates/entry/src/control/server_watch.rs
+++ b/crates/entry/src/control/server_watch.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::control::era_watch::EraWatch;
+use crate::control::epoch_watch::EpochWatch;
 use crate::control::log_source::LogSource;
 use crate::control::store_contact::StoreContact;
 use crate::state::SharedState;
@@ -48,13 +48,13 @@
     table: ServerTable,
     known: IndexMap<ServerName, KnownServer>,
     next: Option<LogPosition>,
-    era: EraWatch,
+    epoch: EpochWatch,
 }
 
 impl ServerWatch {
     /// Knows nothing yet.
     pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> ServerWatch {
-        let era = EraWatch::new(state.clone(), "servers");
+        let epoch = EpochWatch::new(state.clone(), "servers");
         ServerWatch {
             state,
             source,
@@ -62,7 +62,7 @@
             table: ServerTable::default(),
             known: IndexMap::new(),
             next: None,
-            era,
+            epoch,
         }
     }
 
@@ -108,7 +108,7 @@
     async fn read_all(&mut self) -> Result<bool, StoreError> {
         let newest = self.source.read_newest(LogTopic::Servers).await?;
         self.note_contact(newest.sent);
-        if self.era.listed(newest.end.era)? {
+        if self.epoch.listed(newest.end.epoch)? {
             self.table.restored(boot_now());
         }
         let names = newest.records.iter().map(|listed| ServerName::new(&listed.record.key));
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -21,7 +21,7 @@
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_settings::EntrySettings;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -58,8 +58,8 @@
     pub(crate) loading: LoadingBoard,
     /// Prompts that wait here for an engine.
     pub(crate) waiting: WaitRoom,
-    /// The newest era of the store that an answer has shown.
-    era: watch::Sender<StoreEra>,
+    /// The newest epoch of the store that an answer has shown.
+    epoch: watch::Sender<StoreEpoch>,
     /// Bounds the log.
     pub(crate) lines: LineBudget,
     proof: Mutex<ConfigProof>,
@@ -102,7 +102,7 @@
         let mut proof =
             ConfigProof::new(before(bounds.key_revoke()), before(bounds.config_apply()));
         // Until the routers' topic tells otherwise.
-        proof.doubt(StoreEra(0), boot_now());
+        proof.doubt(StoreEpoch(0), boot_now());
         SharedState {
             settings,
             incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
@@ -114,7 +114,7 @@
             crash_sender,
             loading: LoadingBoard::default(),
             waiting: WaitRoom::default(),
-            era: watch::Sender::default(),
+            epoch: watch::Sender::default(),
             lines: LineBudget::default(),
             proof: Mutex::new(proof),
             book: Mutex::default(),
@@ -123,20 +123,20 @@
         }
     }
 
-    /// An answer of the store has shown this era.
-    pub(crate) fn note_era(&self, era: StoreEra) {
-        self.era.send_if_modified(|newest| {
-            let is_newer = *newest < era;
-            *newest = era.max(*newest);
+    /// An answer of the store has shown this epoch.
+    pub(crate) fn note_epoch(&self, epoch: StoreEpoch) {
+        self.epoch.send_if_modified(|newest| {
+            let is_newer = *newest < epoch;
+            *newest = epoch.max(*newest);
             is_newer
         });
     }
 
-    /// Waits until an answer has shown a later era than this. A read that waits for records may have fallen
+    /// Waits until an answer has shown a later epoch than this. A read that waits for records may have fallen
     /// silent when the store went away, and would tell of its return seconds after another call did.
-    pub(crate) async fn era_after(&self, era: StoreEra) -> StoreEra {
-        let mut newest = self.era.subscribe();
-        match newest.wait_for(|newest| era < *newest).await {
+    pub(crate) async fn epoch_after(&self, epoch: StoreEpoch) -> StoreEpoch {
+        let mut newest = self.epoch.subscribe();
+        match newest.wait_for(|newest| epoch < *newest).await {
             Ok(newest) => *newest,
             // The sender lives as long as this value.
             Err(_) => std::future::pending().await,
--- a/crates/entry/tests/daemon/fleet_topic.rs
+++ b/crates/entry/tests/daemon/fleet_topic.rs
@@ -7,7 +7,7 @@
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use fulmargate_names::ZoneName;
 use serde_json::json;
 use tokio::time::sleep;
@@ -33,7 +33,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::new("north"),
         link_kbps: 20_000,
-        era: StoreEra(0),
+        epoch: StoreEpoch(0),
     }
 }
 
--- a/crates/entry/tests/daemon/handing_on.rs
+++ b/crates/entry/tests/daemon/handing_on.rs
@@ -11,7 +11,7 @@
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_names::LogOffset;
-use fulmargate_names::StoreEra;
+use fulmargate_names::StoreEpoch;
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
@@ -64,8 +64,8 @@
     }
 
     async fn ask(&self, from: LogOffset, store: AskerStore) -> Reply {
-        let (topic, era) = (LogTopic::Operator, StoreEra(0));
-        let question = LogQuestion { topic, from, wait_ms: 2_000, era };
+        let (topic, epoch) = (LogTopic::Operator, StoreEpoch(0));
+        let question = LogQuestion { topic, from, wait_ms: 2_000, epoch };
         let question = bincode::serde::encode_to_vec(question, standard()).expect("a question");
         let mut client = self.client.clone().ready().await.expect("the link stands");
         let mut request = Request::post(format!("http://{}/log", self.address));
--- a/crates/entry/tests/daemon/restores.rs
+++ b/crates/entry/tests/daemon/restores.rs
@@ -92,7 +92,7 @@
 /// A caller whose key was taken away is served again.
 /// The store has lost the configuration that took it; a host that starts now reads the one before and, as
 /// nothing newer is there, takes it for the newest. Hosts that know better have written down which one that
-/// is, and a host that finds only records of an earlier era waits for their word.
+/// is, and a host that finds only records of an earlier epoch waits for their word.
 #[tokio::test]
 async fn a_host_that_starts_after_a_restore_revives_no_key() {
     let deployment = TestDeployment::start(ServerMode::Answer).await;
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -30,5 +30,5 @@
 pub use number::Incarnation;
 pub use number::LogOffset;
 pub use number::PromptHash;
-pub use number::StoreEra;
+pub use number::StoreEpoch;
 pub use number::WeightsVersion;
--- a/crates/names/src/number.rs
+++ b/crates/names/src/number.rs
@@ -28,8 +28,8 @@
     LogOffset
 }
 number_type! {
-    /// How often a store has come back from a copy. Offsets of one era mean nothing in another.
-    StoreEra
+    /// How often a store has come back from a copy. Offsets of one epoch mean nothing in another.
+    StoreEpoch
 }
 number_type! {
     /// Grows with each holder of a lease; an engine that checks it refuses a lower one.
