--- a/crates/entry/tests/daemon/relays.rs
+++ b/crates/entry/tests/daemon/relays.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexSet;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::support::DaemonProcess;
@@ -112,7 +113,7 @@
 /// The host that passes words on to it is killed or frozen. Its listeners turn to the next relay and hear all
 /// the others through it. How soon, the tests of routes tell on virtual time.
 #[tokio::test]
-async fn a_lost_relay_silences_nobody_for_long() {
+async fn all_hear_all_again_after_a_loss() {
     for case in LOSSES {
         let fleet = RelayedFleet::start().await;
         fleet.daemons[case.relay].signal(case.signal);
@@ -123,3 +124,29 @@
         }
     }
 }
+
+/// A whole zone takes all others for gone, and calls the store and the engines for itself.
+/// The host that passes words on to it is killed or frozen. Its listeners turn to the next relay before what
+/// they have heard is too old to count.
+#[tokio::test]
+async fn a_lost_relay_silences_nobody() {
+    for case in LOSSES {
+        let fleet = RelayedFleet::start().await;
+        fleet.daemons[case.relay].signal(case.signal);
+        let begun = Instant::now();
+        while begun.elapsed() < LOOK_TIME {
+            for (number, (host, ..)) in HOSTS.iter().enumerate() {
+                if number == case.relay {
+                    continue;
+                }
+                let heard = fleet.heard(number).await;
+                let others = HOSTS.iter().enumerate();
+                let mut others =
+                    others.filter(|(other, _)| *other != number && *other != case.relay);
+                let misses = others.find(|(_, (other, ..))| !heard.contains(*other));
+                assert!(misses.is_none(), "{}: {host} misses {misses:?}", case.name);
+            }
+            sleep(LOOK_PACE).await;
+        }
+    }
+}
