Quotas of teams in tokens over all hosts

Each router keeps a token bucket for each team, filled at the whole rate and emptied by its own requests and by the totals that the others report behind their gossip messages. Parts are kept for routers out of reach, a process that has just started begins empty, what did not run is given back, and a refusal says when the tokens will be there. A field that cannot be read leaves the quota before in force.

Tests, none of which the daemon before passes: sliding windows on virtual time for 12 loads and failures at 8 and 66 hosts and two at 195, random schedules, requests below the quota, decoding, four daemon tests.

--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod crash_world;
 pub(crate) mod limit_world;
+pub(crate) mod quota_world;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/dispatch/src/call_facts.rs
+++ b/crates/dispatch/src/call_facts.rs
@@ -24,6 +24,8 @@
     pub prompt: Vec<PromptPart>,
     /// Most tokens that may be generated.
     pub output_tokens: u32,
+    /// Tokens of the prompt and most tokens that may be generated, where the caller states them.
+    pub stated_tokens: Option<u64>,
     /// Rank of the request, 0 first: the team's, else the route's.
     pub priority: u8,
     /// When its head was read.
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/peer_news.rs
@@ -1,5 +1,6 @@
 //! What routers tell each other directly, often, and without care for losses.
 
+use fulmargate_admission::QuotaReport;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ModelName;
@@ -52,6 +53,9 @@
     /// The sender wants to hear what others say from the router that this goes to. Behind the message, too.
     #[serde(skip)]
     pub wants_words: bool,
+    /// What the sender has admitted of teams' quotas since its last message. Behind the message, too.
+    #[serde(skip)]
+    pub quotas: Option<QuotaReport>,
 }
 
 /// How long ago a version was named.
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -22,8 +22,8 @@
     version: ConfigVersion,
     /// Routes of each host, the longest prefix first.
     hosts: IndexMap<String, Vec<Arc<RouteRule>>>,
+    teams: Vec<Arc<TeamRule>>,
     teams_by_key: IndexMap<String, Arc<TeamRule>>,
-    has_teams: bool,
     services: IndexMap<ServiceName, Arc<ServiceRule>>,
     store: Option<CacheStore>,
     limits: CallerLimits,
@@ -47,9 +47,8 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let mut teams_by_key = IndexMap::new();
-        let has_teams = !config.teams.is_empty();
-        for team in config.teams {
-            let team = Arc::new(team);
+        let teams: Vec<Arc<TeamRule>> = config.teams.into_iter().map(Arc::new).collect();
+        for team in &teams {
             for key in &team.keys {
                 teams_by_key.insert(key.clone(), team.clone());
             }
@@ -64,7 +63,7 @@
             version: config.version,
             hosts,
             teams_by_key,
-            has_teams,
+            teams,
             services,
             store,
             limits: config.limits,
@@ -88,9 +87,14 @@
         self.teams_by_key.get(key)
     }
 
+    /// All teams.
+    pub fn teams(&self) -> impl Iterator<Item = &Arc<TeamRule>> {
+        self.teams.iter()
+    }
+
     /// Whether requests on this route need a key.
     pub fn needs_key(&self, route: &RouteRule) -> bool {
-        self.has_teams && !route.is_anonymous
+        !self.teams.is_empty() && !route.is_anonymous
     }
 
     /// A service by its name.
--- a/crates/dispatch/src/routing_config.rs
+++ b/crates/dispatch/src/routing_config.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use fulmargate_names::ConfigVersion;
+use fulmargate_names::TeamName;
 
+use crate::QuotaFault;
 use crate::RouteRule;
+use crate::RouteTable;
 use crate::ServiceRule;
 use crate::TeamRule;
 
@@ -23,6 +26,20 @@
     pub limits: CallerLimits,
 }
 
+impl RoutingConfig {
+    /// Gives teams whose quotas cannot be read those of the table before. Returns the teams and what is wrong.
+    pub fn keep_quotas(&mut self, before: Option<&RouteTable>) -> Vec<(TeamName, QuotaFault)> {
+        let mut faults = Vec::new();
+        for team in &mut self.teams {
+            let Some(fault) = team.quota_fault.take() else { continue };
+            let earlier = before.and_then(|table| table.teams().find(|it| it.name == team.name));
+            team.quota = earlier.and_then(|team| team.quota);
+            faults.push((team.name.clone(), fault));
+        }
+        faults
+    }
+}
+
 /// What a caller may send and how long it may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -92,6 +92,8 @@
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
         priority: None,
         is_isolated,
+        quota: None,
+        quota_fault: None,
     }
 }
 
@@ -150,6 +152,7 @@
         model: Some(model()),
         prompt,
         output_tokens: 10,
+        stated_tokens: None,
         priority: 1,
         arrived: now,
         deadline: now + Duration::from_secs(5),
--- a/crates/emulator/src/router_model.rs
+++ b/crates/emulator/src/router_model.rs
@@ -116,6 +116,7 @@
             model: Some(self.model.clone()),
             prompt: plan.parts.iter().map(part).collect(),
             output_tokens: plan.output,
+            stated_tokens: None,
             priority: 1,
             arrived: now,
             deadline: now + left,
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -6,6 +6,7 @@
 use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
+use fulmargate_admission::QuotaReport;
 use fulmargate_consortium::StoreError;
 use fulmargate_consortium::join_keyed;
 use fulmargate_dispatch::FleetRecord;
@@ -68,6 +69,12 @@
     wants_words: bool,
 }
 
+/// And what goes behind that.
+#[derive(Serialize, Deserialize)]
+struct QuotaTail {
+    quotas: Option<QuotaReport>,
+}
+
 /// A message between routers with its length before it.
 pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(news, config::standard())?;
@@ -75,6 +82,8 @@
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
     let tail = RelayTail { wants_words: news.wants_words };
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
+    let tail = QuotaTail { quotas: news.quotas.clone() };
+    message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -84,17 +93,25 @@
 pub(crate) fn decode_news(bytes: &[u8]) -> Result<PeerNews, DecodeError> {
     let (mut news, length): (PeerNews, usize) =
         bincode::serde::decode_from_slice(bytes, config::standard())?;
-    let rest = bytes.get(length..).unwrap_or_default();
-    if rest.is_empty() {
-        return Ok(news);
+    let mut rest = bytes.get(length..).unwrap_or_default();
+    if let Some(tail) = take_tail::<NewsTail>(&mut rest)? {
+        news.link_kbps = tail.link_kbps;
     }
-    let (tail, length): (NewsTail, usize) =
-        bincode::serde::decode_from_slice(rest, config::standard())?;
-    news.link_kbps = tail.link_kbps;
-    let rest = rest.get(length..).unwrap_or_default();
-    if !rest.is_empty() {
-        let tail: RelayTail = decode_plain(rest)?;
+    if let Some(tail) = take_tail::<RelayTail>(&mut rest)? {
         news.wants_words = tail.wants_words;
     }
+    if let Some(tail) = take_tail::<QuotaTail>(&mut rest)? {
+        news.quotas = tail.quotas;
+    }
     Ok(news)
 }
+
+/// The next tail of a message; none where the sender's version has no more of them.
+fn take_tail<T: DeserializeOwned>(rest: &mut &[u8]) -> Result<Option<T>, DecodeError> {
+    if rest.is_empty() {
+        return Ok(None);
+    }
+    let (tail, length) = bincode::serde::decode_from_slice(rest, config::standard())?;
+    *rest = rest.get(length..).unwrap_or_default();
+    Ok(Some(tail))
+}
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_desk.rs
@@ -231,6 +231,8 @@
     fn publish(&self) {
         let fold = self.fold.borrow();
         self.state.budget().set_hosts(fold.hosts());
+        let hosts = fold.fleet_hosts(boot_now()).map(|(host, _)| (host.host, host.zone));
+        self.state.quotas().set_routers(hosts, Instant::now());
         let members = fold.members().map(|(host, _)| host.clone()).collect();
         let view = FleetView { members, lease: fold.lease().cloned() };
         self.state.fleet.store(Arc::new(view));
--- a/crates/entry/src/control/operator_watch.rs
+++ b/crates/entry/src/control/operator_watch.rs
@@ -17,6 +17,7 @@
 use fulmargate_names::ModelName;
 use fulmargate_names::StoreEpoch;
 use fulmargate_names::WeightsVersion;
+use tokio::time::Instant;
 
 use crate::control::epoch_watch::EpochWatch;
 use crate::control::log_source::LogSource;
@@ -148,13 +149,14 @@
 
     /// A configuration is swapped in whole. An older one, which a page that was made earlier may
     /// hold, never replaces a newer one. Returns whether it is no older than the one in force.
-    fn put_in_force(&mut self, config: RoutingConfig) -> bool {
+    fn put_in_force(&mut self, mut config: RoutingConfig) -> bool {
         let version = config.version;
         let current = self.state.table.load().as_ref().map(|table| table.version());
         if current.is_some_and(|current| version <= current) {
             return current == Some(version);
         }
         self.is_blind = false;
+        self.take_quotas(&mut config);
         let table = Arc::new(RouteTable::new(config));
         let (routes, hosts, keys) = table.sizes();
         let accepted = EventKind::ConfigAccepted;
@@ -171,6 +173,23 @@
         true
     }
 
+    /// A quota that cannot be read leaves the one before in force; the rest of the configuration holds.
+    fn take_quotas(&self, config: &mut RoutingConfig) {
+        let before = self.state.table.load_full();
+        for (team, fault) in config.keep_quotas(before.as_deref()) {
+            let unreadable = EventKind::ConfigUnreadable;
+            tracing::error!(
+                event = unreadable.number(),
+                name = unreadable.name(),
+                version = %config.version,
+                %team,
+                reason = %fault,
+            );
+        }
+        let quotas = config.teams.iter().filter_map(|team| Some((&team.name, team.quota?)));
+        self.state.quotas().set_quotas(quotas, Instant::now());
+    }
+
     fn name_weights(&self, model: &ModelName, version: WeightsVersion) {
         let mut weights = (**self.state.weights.load()).clone();
         // Requests must not begin on older weights long after the naming. What is read after an
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -182,6 +182,7 @@
         news.link_kbps = Some(self.state.settings.link_kbps());
         news.loading = self.state.loading.notices();
         news.weights = self.weights_ages();
+        news.quotas = Some(self.state.quotas().take_report());
         news
     }
 
@@ -231,4 +232,5 @@
         || !news.prompts.is_empty()
         || !news.caches.is_empty()
         || !news.weights.is_empty()
+        || news.quotas.as_ref().is_some_and(|report| !report.counts.is_empty())
 }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -297,6 +297,9 @@
 
 fn take_news(state: &SharedState, news: &PeerNews) {
     state.book().hear(news, Instant::now());
+    if let (Some(host), Some(report)) = (&news.host, &news.quotas) {
+        state.quotas().hear(host, report, Instant::now());
+    }
     if news.weights.is_empty() {
         return;
     }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -9,6 +9,8 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use fulmargate_admission::QuotaConf;
+use fulmargate_admission::QuotaTracker;
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::CrashBook;
 use fulmargate_dispatch::CrashConf;
@@ -22,6 +24,7 @@
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::StoreEpoch;
+use fulmargate_settings::EntryBounds;
 use fulmargate_settings::EntrySettings;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -37,6 +40,14 @@
 /// drift apart by less than a thousandth, 5 ms in 5 s; the rest is allowance for a busy host.
 const PROOF_MARGIN: Duration = Duration::from_millis(100);
 
+/// Starts of a host are told apart by so many numbers.
+const QUOTA_STARTS: u64 = 1 << 16;
+/// Twice the longest pause between two reports of a router. One that is silent for longer keeps a part of
+/// each quota.
+const QUOTA_REACH_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Hosts are away for less when they are restarted or cut off.
+const QUOTA_END_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// All that both threads use. Each lock is held for one short step.
 pub(crate) struct SharedState {
     pub(crate) settings: EntrySettings,
@@ -65,6 +76,7 @@
     proof: Mutex<ConfigProof>,
     book: Mutex<ServerBook>,
     budget: Mutex<RepeatBudget>,
+    quotas: Mutex<QuotaTracker>,
     crashes: Mutex<CrashBook>,
 }
 
@@ -103,9 +115,15 @@
             ConfigProof::new(before(bounds.key_revoke()), before(bounds.config_apply()));
         // Until the routers' topic tells otherwise.
         proof.doubt(StoreEpoch(0), boot_now());
+        let incarnation = Incarnation(uuid::Uuid::new_v4().as_u64_pair().0);
+        let quotas = QuotaTracker::new(
+            settings.host.clone(),
+            (incarnation.0 % QUOTA_STARTS) as u16,
+            quota_conf(&bounds),
+        );
         SharedState {
             settings,
-            incarnation: Incarnation(uuid::Uuid::new_v4().as_u64_pair().0),
+            incarnation,
             table: ArcSwapOption::empty(),
             weights: ArcSwap::default(),
             fleet: ArcSwap::default(),
@@ -119,6 +137,7 @@
             proof: Mutex::new(proof),
             book: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(repeats, Instant::now())),
+            quotas: Mutex::new(quotas),
             crashes: Mutex::new(CrashBook::new(CrashConf::default())),
         }
     }
@@ -168,12 +187,27 @@
         lock(&self.budget)
     }
 
+    /// What teams may still use.
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, QuotaTracker> {
+        lock(&self.quotas)
+    }
+
     /// Requests that crash servers.
     pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashBook> {
         lock(&self.crashes)
     }
 }
 
+fn quota_conf(bounds: &EntryBounds) -> QuotaConf {
+    QuotaConf {
+        window: bounds.quota_window(),
+        overage: bounds.quota_overage,
+        slack: bounds.quota_slack,
+        reach_timeout: QUOTA_REACH_TIMEOUT,
+        end_timeout: QUOTA_END_TIMEOUT,
+    }
+}
+
 /// A book is whole after each step, so that a thread that panicked leaves a usable one.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -9,6 +9,7 @@
 pub(crate) use metric_book::count_connect;
 pub(crate) use metric_book::count_doubt;
 pub(crate) use metric_book::count_given;
+pub(crate) use metric_book::count_quota;
 pub(crate) use metric_book::count_refused;
 pub(crate) use metric_book::count_send;
 pub(crate) use metric_book::install_metrics;
--- a/crates/entry/src/telemetry/metric_book.rs
+++ b/crates/entry/src/telemetry/metric_book.rs
@@ -7,9 +7,11 @@
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RouteKind;
+use fulmargate_names::TeamName;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::time::Instant;
 
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -69,6 +71,14 @@
     metrics::histogram!("fulmargate_wait_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// A request asked for tokens of its team's quota.
+pub(crate) fn count_quota(team: &TeamName, is_admitted: bool, tokens: u64) {
+    let outcome = if is_admitted { "admitted" } else { "refused" };
+    let labels = [("team", team.as_str().to_owned()), ("outcome", outcome.to_owned())];
+    metrics::counter!("fulmargate_quota_tokens_total", &labels).increment(tokens);
+    metrics::counter!("fulmargate_quota_requests_total", "outcome" => outcome).increment(1);
+}
+
 /// A request got its answer, or a stream its first event.
 pub(crate) fn record_answer(call: &CallFacts, status: u16, took: Duration) {
     let team = call.team.as_ref().map_or("none", |team| team.as_str()).to_owned();
@@ -91,6 +101,9 @@
     if let Some(age) = state.proof().age(boot_now()) {
         metrics::gauge!("fulmargate_config_proof_age_seconds").set(age.as_secs_f64());
     }
+    if let Some(age) = state.quotas().report_age(Instant::now()) {
+        metrics::gauge!("fulmargate_quota_report_age_seconds").set(age.as_secs_f64());
+    }
     metrics::gauge!("fulmargate_waiting_prompts").set(state.waiting.len() as f64);
     metrics::gauge!("fulmargate_servers").set(state.book().states().count() as f64);
     match HANDLE.get() {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -8,6 +8,7 @@
 mod channel;
 mod crash_check;
 mod open_send;
+mod quota_charge;
 mod send_attempt;
 mod stream_relay;
 mod traffic_thread;
--- a/crates/entry/src/traffic/answer.rs
+++ b/crates/entry/src/traffic/answer.rs
@@ -79,9 +79,17 @@
     /// When the caller should come back; none where the request may have run.
     fn retry_after(&self) -> Option<Duration> {
         let row = self.kind.row();
-        let is_promise = row.disposition == Disposition::NotRun;
-        let comes_back = is_promise && self.status() == StatusCode::SERVICE_UNAVAILABLE;
-        comes_back.then(|| self.wait.min(self.time_left.mul_f64(HEEDED_SHARE)))
+        if row.disposition != Disposition::NotRun {
+            return None;
+        }
+        match self.status() {
+            StatusCode::SERVICE_UNAVAILABLE => {
+                Some(self.wait.min(self.time_left.mul_f64(HEEDED_SHARE)))
+            }
+            // A shorter wait than the quota needs would be refused again.
+            StatusCode::TOO_MANY_REQUESTS => Some(self.wait),
+            _ => None,
+        }
     }
 
     /// The answer.
--- a/crates/entry/src/traffic/call_decoder.rs
+++ b/crates/entry/src/traffic/call_decoder.rs
@@ -21,6 +21,7 @@
 
 use crate::state::SharedState;
 use crate::traffic::answer::CallFailure;
+use crate::traffic::quota_charge::QuotaCharge;
 
 /// What a caller with a key is told while the store does not answer this host.
 pub(crate) const UNPROVEN: &str = "whether the key still holds cannot be proved here at the moment";
@@ -36,6 +37,8 @@
     pub(crate) body: Bytes,
     /// The configuration that admitted it.
     pub(crate) table: Arc<RouteTable>,
+    /// What it took of its team's quota.
+    pub(crate) charge: Option<QuotaCharge>,
 }
 
 /// Who calls which route, before the body is read.
@@ -48,7 +51,7 @@
 
 /// Reads the whole request.
 pub(crate) async fn decode_call(
-    state: &SharedState,
+    state: &Arc<SharedState>,
     parts: Parts,
     body: Incoming,
     arrived: Instant,
@@ -64,6 +67,7 @@
         team: team.map(|team| team.name.clone()),
         model: admitted.head.model.clone(),
         output_tokens: admitted.head.output_tokens,
+        stated_tokens: admitted.head.stated_tokens,
         priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
         arrived,
         deadline,
@@ -71,7 +75,8 @@
         prompt: admitted.head.prompt,
         route,
     };
-    Ok(DecodedCall { facts, parts, body, table: admitted.table })
+    let charge = QuotaCharge::take(state, team, &facts)?;
+    Ok(DecodedCall { facts, parts, body, table: admitted.table, charge })
 }
 
 /// Finds route and team. Without a configuration nothing can be said of either.
--- a/crates/entry/src/traffic/call_run.rs
+++ b/crates/entry/src/traffic/call_run.rs
@@ -147,6 +147,9 @@
         ready: ReadySend,
     ) -> Result<Option<OpenAnswer>, CallFailure> {
         let (server, weights) = (ready.server().clone(), ready.weights());
+        if let Some(charge) = &mut self.call.charge {
+            charge.sent();
+        }
         let fault = match ready.send(&self.call).await {
             Ok(answer) => match self.judge(answer).await {
                 Ok(answer) => return Ok(Some(answer)),
@@ -154,6 +157,9 @@
             },
             Err(fault) => fault,
         };
+        if let Some(charge) = self.call.charge.as_mut().filter(|_| !fault.end.may_have_run()) {
+            charge.not_run();
+        }
         self.after(&fault, &server, weights).await?;
         Ok(None)
     }
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod fleet_topic;
 mod handing_on;
+mod quotas;
 mod reach;
 mod relays;
 mod requests;
--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -180,6 +180,7 @@
         ],
         teams: vec![("red", "k-red"), ("blue", "k-blue")],
         isolated: Vec::new(),
+        quotas: Vec::new(),
     }
 }
 
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -66,6 +66,11 @@
     2_000
 }
 
+/// Long enough that a saved-up burst and some seconds of the rate lie in one span.
+fn default_quota_window_s() -> f64 {
+    8.0
+}
+
 /// Times and shares that the operators have agreed on with their users.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -87,6 +92,15 @@
     pub repeat_slack: f64,
     /// The window, in seconds.
     pub repeat_window_s: f64,
+    /// The span over which the use of a team's quota is judged, in seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// The share by which a team may exceed its quota within that span.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Tokens, or requests, by which a team may exceed its quota within that span, besides.
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 impl EntrySettings {
@@ -137,6 +151,8 @@
         let shares = [
             ("bounds.repeat_ratio", bounds.repeat_ratio),
             ("bounds.repeat_slack", bounds.repeat_slack),
+            ("bounds.quota_overage", bounds.quota_overage),
+            ("bounds.quota_slack", bounds.quota_slack),
         ];
         for (key, value) in shares {
             if !value.is_finite() || value < 0.0 {
@@ -146,6 +162,7 @@
         let spans = [
             ("bounds.stop_grace_s", bounds.stop_grace_s),
             ("bounds.repeat_window_s", bounds.repeat_window_s),
+            ("bounds.quota_window_s", bounds.quota_window_s),
         ];
         for (key, value) in spans {
             if !value.is_finite() || value < LEAST_SPAN_S {
@@ -195,4 +212,9 @@
     pub fn repeat_window(&self) -> Duration {
         Duration::from_secs_f64(self.repeat_window_s)
     }
+
+    /// See the field.
+    pub fn quota_window(&self) -> Duration {
+        Duration::from_secs_f64(self.quota_window_s)
+    }
 }
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -287,6 +287,7 @@
         ],
         teams: vec![("red", SHARED_KEY), ("walled", ISOLATED_KEY), ("gone", TAKEN_KEY)],
         isolated: vec!["walled"],
+        quotas: Vec::new(),
     }
 }
 
