Quotas are paced over the window, and sides of a cut keep a little back

Cause: a token bucket of the rate and the burst sustains the rate alone, while the rule allows the burst in each window.

Three quarters of the burst granted evenly beside the rate, and the rest saved up: the bound of any window is the same by construction, also after restarts.

--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -16,12 +16,18 @@
 const LONG_SPAN: Duration = Duration::from_secs(4);
 /// The part of a quota that routers share equally whatever their use.
 const EQUAL_PART: f64 = 0.1;
+/// The sides of a cut know each other's use up to different moments, so that their parts may sum up to more
+/// than the whole. Each takes this share of its part.
+const CUT_SHARE: f64 = 0.93;
 /// A surge at this router is taken for one at all of them, up to this factor.
 const MOST_SURGE: f64 = 8.0;
 /// The share of the bound's margin for use that no report has told of yet.
-const MARGIN_SHARE: f64 = 0.1;
+const MARGIN_SHARE: f64 = 0.2;
 /// The share of the margin that may be saved up beside the burst.
-const DEPTH_SHARE: f64 = 0.1;
+const DEPTH_SHARE: f64 = 0.3;
+/// The share of a burst that is granted evenly over each window, beside the rate. The bound of a window is
+/// the same, steady use comes closer to it, and less is spent before routers know of each other's use.
+const EVEN_SHARE: f64 = 0.75;
 
 /// A token bucket that all routers fill at the same rate and empty by each other's reports.
 #[derive(Debug)]
@@ -136,7 +142,7 @@
             self.charge(cost, now);
             return BucketAnswer::Admitted;
         }
-        BucketAnswer::Refused { retry_after: self.promise(cost, needed - left, now) }
+        BucketAnswer::Refused { retry_after: self.promise(cost, needed - left, conf, now) }
     }
 
     /// Counts tokens of a request that may run a second time.
@@ -211,7 +217,13 @@
     /// Tokens that may be saved up by the routers in reach. Part of the bound's margin is added: what others
     /// use is known late, and a request below the quota must not be refused for that.
     fn depth(&self, conf: &QuotaConf) -> f64 {
-        (self.quota.burst + DEPTH_SHARE * self.margin(conf)) * self.share
+        let saved = (1.0 - EVEN_SHARE) * self.quota.burst;
+        (saved + DEPTH_SHARE * self.margin(conf)) * self.share
+    }
+
+    /// Tokens a second that all routers together may use.
+    fn pace(&self, conf: &QuotaConf) -> f64 {
+        self.quota.rate_per_s + EVEN_SHARE * self.quota.burst / conf.window.as_secs_f64()
     }
 
     fn margin(&self, conf: &QuotaConf) -> f64 {
@@ -222,9 +234,11 @@
     fn renew(&mut self, reach: &mut QuotaReach, conf: &QuotaConf, now: Instant) {
         self.fill(reach, conf, now);
         self.part(reach, conf, now);
-        let share = match reach.is_complete() {
-            true => (1.0 - self.lost.values().sum::<f64>()).max(0.0),
-            false => 0.0,
+        let part = (1.0 - self.lost.values().sum::<f64>()).max(0.0);
+        let share = match (reach.is_complete(), self.lost.is_empty()) {
+            (false, _) => 0.0,
+            (true, true) => 1.0,
+            (true, false) => part * CUT_SHARE,
         };
         if share < self.share {
             let kept = self.level.max(0.0) * (1.0 - share / self.share);
@@ -238,7 +252,7 @@
     fn fill(&mut self, reach: &QuotaReach, conf: &QuotaConf, now: Instant) {
         let passed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
-        let filled = self.quota.rate_per_s * passed;
+        let filled = self.pace(conf) * passed;
         // An older debt than the window has no bearing on the bound.
         let least = -self.quota.rate_per_s * conf.window.as_secs_f64();
         self.level = (self.level + filled * self.share).clamp(least, self.depth(conf));
@@ -328,14 +342,14 @@
     }
 
     /// When tokens that are missing will be there, behind those that were promised before.
-    fn promise(&mut self, cost: u64, missing: f64, now: Instant) -> Duration {
+    fn promise(&mut self, cost: u64, missing: f64, conf: &QuotaConf, now: Instant) -> Duration {
         let peers: f64 = self.peers.values().map(|peer| peer.long.at(now)).sum();
         let own = self.own.long.at(now);
         let own_part = match own + peers {
             all if all < f64::EPSILON => 1.0,
             all => (own / all).max(1.0 / (self.peers.len() + 1) as f64),
         };
-        let rate = (self.quota.rate_per_s * self.share).max(f64::EPSILON);
+        let rate = (self.pace(conf) * self.share).max(f64::EPSILON);
         let passed = now.saturating_duration_since(self.promised_at).as_secs_f64();
         self.promised_at = now;
         self.promised = (self.promised - passed * rate * own_part).max(0.0);
