Choices go by the gossip interval in force

Cause, known by reading: the draw that spreads simultaneous choices and the estimate of unreported sends reckoned with gossip from all to all, 1.5 ms for each router and 0.33 s at 66 hosts, while relays make the interval 66 ms. Test: of 200 such prompts at 140 engines and 66 hosts 190 have to go home; the code before fails it.

--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -61,10 +61,9 @@
 const CROWDED_SHARE: f64 = 0.7;
 /// Each request beyond that costs this much: without a slot it waits for a whole stream to end.
 const CROWDED_MS: f64 = 15.0;
-/// Costs of equal requests differ by up to this much for each other router. Routers hear of each
-/// other's sends late, the later the more they are, and would all choose the same engine: with 91
-/// the busiest got four times the mean.
-const SPREAD_MS: f64 = 1.5;
+/// Costs of equal requests differ by up to this share of the gossip interval. Routers receive each other's
+/// sends up to one interval late and would otherwise all choose the same engine meanwhile.
+const SPREAD_SHARE: f64 = 0.4;
 /// What reading a token anew costs, as time, if another engine or the store has it. It is work done
 /// twice, which the users count higher than a late answer: 1,000 tokens weigh as 300 ms, beside the
 /// 25 ms that reading takes.
@@ -174,6 +173,8 @@
     pub(crate) engines: usize,
     /// Other routers that choose at the same time.
     pub(crate) routers: usize,
+    /// Pause between two gossip messages of a router.
+    pub(crate) gossip_interval_ms: f64,
     pub(crate) others: PeerSum,
     /// Engines and the store with parts of this prompt under the same salt.
     pub(crate) sources: &'a [PromptSource],
@@ -249,7 +250,7 @@
         cost += state.failure_share(self.now) * FAILURE_MS;
         cost += self.company_ms(state, around);
         cost += self.unheard_ms(known, read_tokens, around);
-        cost += self.spread(state) * around.routers as f64 * SPREAD_MS;
+        cost += self.spread(state) * around.gossip_interval_ms * SPREAD_SHARE;
         Candidate {
             state,
             weights,
--- a/crates/dispatch/src/engine_choice/company.rs
+++ b/crates/dispatch/src/engine_choice/company.rs
@@ -10,7 +10,6 @@
 use crate::experiment::Mechanism;
 use crate::experiment::is_on;
 use crate::prompt_source::PromptSource;
-use crate::word_pace;
 
 /// Each engine further down the order costs a chat this much: it is passed over while those have no
 /// more than some ten streams more.
@@ -66,7 +65,7 @@
         }
         let Some(part) = self.deepest_part(known) else { return 0.0 };
         let rate = around.demand.rate(part, self.now);
-        let lag = word_pace(around.routers).as_secs_f64() * UNHEARD_SHARE;
+        let lag = around.gossip_interval_ms / 1_000.0 * UNHEARD_SHARE;
         let is_holder =
             |source: &&PromptSource| source.key != ServerKey::STORE && known <= source.tokens;
         let holders = around.sources.iter().filter(is_holder).count();
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
@@ -80,14 +81,18 @@
         // Those already tried only if there is no other.
         let choice = choice.or_else(|| self.choose_engine(&wish.request(view, &[])));
         let Some(choice) = choice else { return Placing::Nowhere };
-        let pace = self.word_pace.unwrap_or_else(|| word_pace(self.peers.hosts(view.now).count()));
-        if !has_room(wish, &choice, pace) {
+        if !has_room(wish, &choice, self.gossip_interval(view.now)) {
             return Placing::Wait(choice.read_tokens);
         }
         let ticket = self.begin_prompt(&wish.call, &choice, view.now);
         Placing::Taken(Box::new(TakenEngine { choice, ticket }))
     }
 
+    /// The pause between two gossip messages of a router: the one that was set, or that of direct messages.
+    fn gossip_interval(&self, now: Instant) -> Duration {
+        self.word_pace.unwrap_or_else(|| word_pace(self.peers.hosts(now).count()))
+    }
+
     /// The engine that costs least, by waiting, by what it would read anew, and by its weights. If
     /// it could not answer in time, the request goes behind those that can be.
     pub fn choose_engine(&self, request: &EngineRequest<'_>) -> Option<EngineChoice> {
@@ -111,6 +116,10 @@
         let allowed = self.allowed_engines(request);
         let sources = self.sources_by_weights(request, &allowed);
         let routers = self.peers.hosts(request.now).count();
+        let gossip_interval_ms = match routers {
+            0 => 0.0,
+            _ => self.gossip_interval(request.now).as_secs_f64() * 1_000.0,
+        };
         let around = |engine: &AllowedEngine<'_>| Surroundings {
             is_home: engine.is_home,
             urgency,
@@ -118,6 +127,7 @@
             chat_rank: engine.chat_rank,
             engines: allowed.len(),
             routers,
+            gossip_interval_ms,
             others: self.peers.sum(engine.state.key()),
             sources: sources.get(&engine.weights).map_or(&[][..], Vec::as_slice),
             demand: &self.demand,
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -8,6 +8,7 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::CacheNotice;
 use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::ChoiceReason;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::EngineRequest;
 use fulmargate_dispatch::LoadReport;
@@ -105,6 +106,20 @@
     assert_eq!(first.server.name, second.server.name);
 }
 
+/// In a large fleet whose gossip is fast, prompts that no engine has must still meet at one engine: scattered,
+/// their shared parts are read once by each.
+#[test]
+fn unknown_prompts_go_home_in_a_large_fleet() {
+    let mut world = ChoiceWorld::fleet(140, 65);
+    world.book.set_word_pace(Duration::from_millis(66));
+    let reasons = (0..200).map(|number| {
+        let call = prompt_call(&format!("c{number}"), &[(number, 6_300)], world.now);
+        world.choose(&call, &[]).expect("an engine").reason
+    });
+    let homes = reasons.filter(|reason| *reason == ChoiceReason::Home).count();
+    assert!(190 <= homes, "{homes} of 200 went home");
+}
+
 /// Prompts wait behind others at their home while engines beside it are idle.
 /// A long backlog sends them elsewhere, and what home has read is fetched, not read again.
 #[test]
