--- a/crates/dispatch/benches/choice.rs
+++ b/crates/dispatch/benches/choice.rs
@@ -9,8 +9,8 @@
 use fulmargate_dispatch::Backlog;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::EngineRequest;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::PeerLoad;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::Urgency;
@@ -35,7 +35,7 @@
 /// Engines at which a router has requests.
 const BUSY: usize = 8;
 
-fn word(router: usize, names: &[String]) -> PeerNews {
+fn word(router: usize, names: &[String]) -> GossipMessage {
     let mut backlog = Backlog::default();
     backlog.add(Urgency::timely(1), 2_000.0);
     let load = |turn: usize| PeerLoad {
@@ -45,7 +45,7 @@
         backlog,
     };
     let host = Some(HostName::new(&format!("host-{router}")));
-    PeerNews { host, loads: (0..BUSY).map(load).collect(), ..PeerNews::default() }
+    GossipMessage { host, loads: (0..BUSY).map(load).collect(), ..GossipMessage::default() }
 }
 
 fn choices(criterion: &mut Criterion) {
@@ -56,7 +56,7 @@
         let now = Instant::now();
         let mut book = ServerBook::default();
         book.sync(&engines(&refs), now);
-        let words: Vec<PeerNews> = (0..size).map(|router| word(router, &names)).collect();
+        let words: Vec<GossipMessage> = (0..size).map(|router| word(router, &names)).collect();
         for word in &words {
             book.hear(word, now);
         }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::CallFacts;
 use crate::EngineChoice;
-use crate::PromptWish;
+use crate::PlacementRequest;
 use crate::experiment::Mechanism;
 use crate::experiment::is_on;
 
@@ -44,13 +44,17 @@
 
 /// Whether the prompt may go to this engine now. A stream that goes on has waited already.
 ///
-/// The other routers' words are up to `word_pace` old, and the engine has read that much since. In a
+/// The other routers' words are up to `gossip_interval` old, and the engine has read that much since. In a
 /// fleet of 90 routers, whose words are 600 ms apart, prompts waited for engines that had long been idle.
-pub(crate) fn has_room(wish: &PromptWish, choice: &EngineChoice, word_pace: Duration) -> bool {
-    choice.queue_ms <= MOST_QUEUE_MS + word_pace.as_secs_f64() * 1_000.0
+pub(crate) fn has_room(
+    wish: &PlacementRequest,
+    choice: &EngineChoice,
+    gossip_interval: Duration,
+) -> bool {
+    choice.queue_ms <= MOST_QUEUE_MS + gossip_interval.as_secs_f64() * 1_000.0
         || is_short(&wish.call)
         || wish.only_weights.is_some()
-        || !is_on(Mechanism::WaitLine)
+        || !is_on(Mechanism::RequestQueue)
 }
 
 /// Whether a waiting prompt can hardly be answered in time any more, or is a caller's second try, whose
@@ -79,11 +83,11 @@
         true => TIMELY_SHARE,
         false => LATE_TARGETS,
     };
-    (call.route.target_latency.mul_f64(targets) < waited).then(|| comeback(call))
+    (call.route.target_latency.mul_f64(targets) < waited).then(|| retry_after(call))
 }
 
 /// When the caller should come back, drawn by its request.
-fn comeback(call: &CallFacts) -> Duration {
+fn retry_after(call: &CallFacts) -> Duration {
     let draw = (xxh3_64(call.id.as_str().as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
     LEAST_WAIT + WAIT_SPREAD.mul_f64(draw)
 }
--- a/crates/dispatch/src/crash_book.rs
+++ b/crates/dispatch/src/crash_tracker.rs
@@ -32,7 +32,7 @@
 /// Such a request comes again under new ids, at any router. If each router only counted its own,
 /// the request would take down a server for each router there is.
 #[derive(Debug)]
-pub struct CrashBook {
+pub struct CrashTracker {
     conf: CrashConf,
     crashes: IndexMap<u128, CrashCase>,
 }
@@ -43,10 +43,10 @@
     seen: Instant,
 }
 
-impl CrashBook {
+impl CrashTracker {
     /// Knows nothing yet.
-    pub fn new(conf: CrashConf) -> CrashBook {
-        CrashBook { conf, crashes: IndexMap::new() }
+    pub fn new(conf: CrashConf) -> CrashTracker {
+        CrashTracker { conf, crashes: IndexMap::new() }
     }
 
     /// The server crashed while it ran the request. Returns whether that is news.
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -3,8 +3,8 @@
 //! Answers prompts that share long beginnings, on engines that forget them in seconds and are busy with
 //! others. Constants are times, so that they weigh against each other; each says where it comes from.
 
-mod company;
 mod draw;
+mod interference;
 mod supply;
 
 use std::net::SocketAddr;
@@ -248,8 +248,8 @@
             cost += OLD_WEIGHTS_MS;
         }
         cost += state.failure_share(self.now) * FAILURE_MS;
-        cost += self.company_ms(state, around);
-        cost += self.unheard_ms(known, read_tokens, around);
+        cost += self.interference_ms(state, around);
+        cost += self.unreported_ms(known, read_tokens, around);
         cost += self.spread(state) * around.gossip_interval_ms * SPREAD_SHARE;
         Candidate {
             state,
--- a/crates/dispatch/src/engine_choice/company.rs
+++ b/crates/dispatch/src/engine_choice/interference.rs
@@ -21,15 +21,15 @@
 /// And to all of them at most.
 const MOST_STALL_MS: f64 = 400.0;
 /// A word is on average half as old as the pause between two.
-const UNHEARD_SHARE: f64 = 0.5;
+const UNREPORTED_SHARE: f64 = 0.5;
 /// What is not heard yet counts for so much at most: an estimate from a few requests errs.
-const MOST_UNHEARD_MS: f64 = 2_000.0;
+const MOST_UNREPORTED_MS: f64 = 2_000.0;
 
 impl EngineRequest<'_> {
     /// What the call and the streams there do to each other. Chats fill the engines in a fixed order,
     /// so that few engines have any and long prompts find the others, as far as they suffer from those.
-    pub(super) fn company_ms(&self, state: &ServerState, around: &Surroundings<'_>) -> f64 {
-        if !is_on(Mechanism::ChatCompany) {
+    pub(super) fn interference_ms(&self, state: &ServerState, around: &Surroundings<'_>) -> f64 {
+        if !is_on(Mechanism::ChatInterference) {
             return 0.0;
         }
         match around.shape {
@@ -54,23 +54,23 @@
     /// They all know who has a part, and nobody knows yet who is sending there. Of 90 routers 27 sent to
     /// the one engine that had a common part within half a second, four seconds of reading, while a copy
     /// takes ten milliseconds. How often the part was asked for lately tells how many are to be expected.
-    pub(super) fn unheard_ms(
+    pub(super) fn unreported_ms(
         &self,
         known: u32,
         read_tokens: f64,
         around: &Surroundings<'_>,
     ) -> f64 {
-        if !is_on(Mechanism::UnheardSends) {
+        if !is_on(Mechanism::UnreportedSends) {
             return 0.0;
         }
         let Some(part) = self.deepest_part(known) else { return 0.0 };
         let rate = around.demand.rate(part, self.now);
-        let lag = around.gossip_interval_ms / 1_000.0 * UNHEARD_SHARE;
+        let lag = around.gossip_interval_ms / 1_000.0 * UNREPORTED_SHARE;
         let is_holder =
             |source: &&PromptSource| source.key != ServerKey::STORE && known <= source.tokens;
         let holders = around.sources.iter().filter(is_holder).count();
         let reading_ms = read_tokens / PREFILL_TOKENS_PER_MS;
-        (rate * lag * reading_ms / holders.max(1) as f64).min(MOST_UNHEARD_MS)
+        (rate * lag * reading_ms / holders.max(1) as f64).min(MOST_UNREPORTED_MS)
     }
 
     /// The last shared part that an engine with so many tokens of the prompt has.
--- a/crates/dispatch/src/experiment.rs
+++ b/crates/dispatch/src/experiment.rs
@@ -8,7 +8,7 @@
     /// Short prompts go before all others of their rank and never behind.
     ShortFirst,
     /// Routers keep what an engine would only queue.
-    WaitLine,
+    RequestQueue,
     /// Prompts that wait too long are refused with a time to come back after.
     Refusal,
     /// Waiting prompts go in the order of what reading them earns.
@@ -16,11 +16,11 @@
     /// An engine's queue is taken to be read in the order of arrival.
     ArrivalOrder,
     /// Long prompts stay away from chats as far as those suffer.
-    ChatCompany,
+    ChatInterference,
     /// That is learned from the pauses of streams.
     StallLearning,
     /// Words between routers follow each other fast in small fleets.
-    FastWords,
+    FastGossip,
     /// Requests avoid weights that have been replaced.
     NewWeights,
     /// Parts of prompts are fetched from engines and from the store.
@@ -30,7 +30,7 @@
     /// A prompt that no engine has goes to the same engine from all routers.
     Homes,
     /// What others must have sent since they last spoke is expected.
-    UnheardSends,
+    UnreportedSends,
     /// A call looks at some engines only.
     Draws,
 }
@@ -39,18 +39,18 @@
     /// All of them.
     pub const ALL: [Mechanism; 14] = [
         Mechanism::ShortFirst,
-        Mechanism::WaitLine,
+        Mechanism::RequestQueue,
         Mechanism::Refusal,
         Mechanism::EarningOrder,
         Mechanism::ArrivalOrder,
-        Mechanism::ChatCompany,
+        Mechanism::ChatInterference,
         Mechanism::StallLearning,
-        Mechanism::FastWords,
+        Mechanism::FastGossip,
         Mechanism::NewWeights,
         Mechanism::Fetches,
         Mechanism::StoreKeeping,
         Mechanism::Homes,
-        Mechanism::UnheardSends,
+        Mechanism::UnreportedSends,
         Mechanism::Draws,
     ];
 }
--- a/crates/dispatch/src/hand_on_budget.rs
+++ b/crates/dispatch/src/forward_budget.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::AskerStore;
+use crate::SubscriberStore;
 
 /// Share of the host's link that may be used over time. With 91 hosts, callers' answers and words between
 /// routers take 14% of a link of 10 Mbit/s at the median and 28% at 95 in 100 hosts.
@@ -27,22 +27,22 @@
 /// answer at a time, whose excess is then made up for. Small answers go to it at any time, or it would not
 /// learn meanwhile that a server drains: at 14 hosts, 0.7 s and some kilobytes they stay below the share.
 #[derive(Debug)]
-pub struct HandOnBudget {
+pub struct ForwardBudget {
     link_bytes_per_s: f64,
     /// Bytes that may go now; less than nothing when some were taken in advance.
     left: f64,
     filled: Instant,
 }
 
-impl HandOnBudget {
+impl ForwardBudget {
     /// The full budget of a host with this link.
-    pub fn new(link_bytes_per_s: f64, now: Instant) -> HandOnBudget {
-        HandOnBudget { link_bytes_per_s, left: link_bytes_per_s * BURST_S, filled: now }
+    pub fn new(link_bytes_per_s: f64, now: Instant) -> ForwardBudget {
+        ForwardBudget { link_bytes_per_s, left: link_bytes_per_s * BURST_S, filled: now }
     }
 
     /// Takes the bytes of an answer if they may go now. An answer without records, which proves that
     /// there are none, always may.
-    pub fn try_take(&mut self, bytes: usize, store: AskerStore, now: Instant) -> bool {
+    pub fn try_take(&mut self, bytes: usize, store: SubscriberStore, now: Instant) -> bool {
         self.refill(now);
         let may_go = bytes == 0 || self.may_go(bytes, store);
         if may_go {
@@ -56,13 +56,13 @@
         self.left as i64
     }
 
-    fn may_go(&self, bytes: usize, store: AskerStore) -> bool {
+    fn may_go(&self, bytes: usize, store: SubscriberStore) -> bool {
         let is_small = bytes <= SMALL_BYTES;
         let rest = self.left - bytes as f64;
         match store {
-            AskerStore::InReach if is_small => -self.link_bytes_per_s * LENT_S <= rest,
-            AskerStore::InReach => 0.0 <= rest,
-            AskerStore::OutOfReach => is_small || 0.0 <= self.left,
+            SubscriberStore::InReach if is_small => -self.link_bytes_per_s * LENT_S <= rest,
+            SubscriberStore::InReach => 0.0 <= rest,
+            SubscriberStore::OutOfReach => is_small || 0.0 <= self.left,
         }
     }
 
--- a/crates/dispatch/src/peer_news.rs
+++ b/crates/dispatch/src/gossip_message.rs
@@ -31,7 +31,7 @@
 
 /// One message. Each replaces what the sender said before, but for the prompts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PeerNews {
+pub struct GossipMessage {
     /// The sender's host; none in a message that was not filled in.
     pub host: Option<HostName>,
     /// Its availability zone.
@@ -52,7 +52,7 @@
     pub link_kbps: Option<u32>,
     /// The sender wants to hear what others say from the router that this goes to. Behind the message, too.
     #[serde(skip)]
-    pub wants_words: bool,
+    pub subscribes: bool,
     /// What the sender has admitted of teams' quotas since its last message. Behind the message, too.
     #[serde(skip)]
     pub quotas: Option<QuotaReport>,
--- a/crates/dispatch/src/word_route.rs
+++ b/crates/dispatch/src/gossip_topology.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::word_pace;
+use crate::gossip_interval;
 
 /// Pause between two words of a host, for each host that there is: all words together take the same share of a
 /// link at any size.
@@ -24,7 +24,7 @@
 /// Beyond, hosts would take each other for gone between two words.
 const LONGEST_PACE: Duration = Duration::from_millis(600);
 /// A word names some ten servers, and a prompt and some parts of caches now and then.
-const WORD_BYTES: f64 = 300.0;
+const MESSAGE_BYTES: f64 = 300.0;
 /// The share of a host's link for words that it passes on; its callers' answers go over the same link.
 const RELAY_SHARE: f64 = 0.25;
 /// One may fail, and the others of its zone hear the next one at once.
@@ -50,7 +50,7 @@
 
 /// How a word came to a router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WordWay {
+pub enum GossipPath {
     /// From the router that said it.
     Direct,
     /// Passed on by another one.
@@ -59,27 +59,28 @@
 
 /// A router that a word goes to.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WordTarget {
+pub struct GossipTarget {
     /// Its host.
     pub host: HostName,
     /// It is asked to pass on what others say.
-    pub wants_words: bool,
+    pub subscribes: bool,
 }
 
 /// How words go in a fleet. Hosts that know the same others come to the same route.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WordRoute {
+pub struct GossipTopology {
     /// The pause between two words of a host.
     pub pace: Duration,
     /// The hosts of each zone that pass words on, the widest first; none where words go from all to all.
     pub relays: Option<IndexMap<ZoneName, Vec<HostName>>>,
 }
 
-impl WordRoute {
+impl GossipTopology {
     /// The route for these hosts, all that there are. Up to `direct_hosts` speak to all others themselves, and
     /// so do those whose links are too narrow to pass words on.
-    pub fn new(hosts: &[FleetHost], direct_hosts: usize) -> WordRoute {
-        let direct = WordRoute { pace: word_pace(hosts.len().saturating_sub(1)), relays: None };
+    pub fn new(hosts: &[FleetHost], direct_hosts: usize) -> GossipTopology {
+        let direct =
+            GossipTopology { pace: gossip_interval(hosts.len().saturating_sub(1)), relays: None };
         if hosts.len() <= direct_hosts {
             return direct;
         }
@@ -88,7 +89,7 @@
         let mut pace = pace.clamp(LEAST_PACE, LONGEST_PACE);
         loop {
             if let Some(relays) = all_relays(&zones, hosts.len(), pace) {
-                return WordRoute { pace, relays: Some(relays) };
+                return GossipTopology { pace, relays: Some(relays) };
             }
             if LONGEST_PACE <= pace {
                 return direct;
@@ -103,7 +104,7 @@
         own: &FleetHost,
         choice: &mut RelayChoice,
         now: Instant,
-    ) -> Option<Vec<WordTarget>> {
+    ) -> Option<Vec<GossipTarget>> {
         let relays = self.relays.as_ref()?;
         let near = relays.get(&own.zone).map_or(&[][..], Vec::as_slice);
         let is_relay = near.contains(&own.host);
@@ -113,15 +114,15 @@
             true => None,
             false => choice.choose(&own.zone, near, &own.host, now),
         };
-        let near = near.iter().filter(|relay| **relay != own.host).map(|relay| WordTarget {
+        let near = near.iter().filter(|relay| **relay != own.host).map(|relay| GossipTarget {
             host: relay.clone(),
-            wants_words: near_choice.as_ref() == Some(relay),
+            subscribes: near_choice.as_ref() == Some(relay),
         });
-        let mut targets: Vec<WordTarget> = near.collect();
+        let mut targets: Vec<GossipTarget> = near.collect();
         if is_relay {
             for (zone, far) in relays.iter().filter(|(zone, _)| **zone != own.zone) {
                 let far = choice.choose(zone, far, &own.host, now);
-                targets.extend(far.map(|host| WordTarget { host, wants_words: true }));
+                targets.extend(far.map(|host| GossipTarget { host, subscribes: true }));
             }
         }
         Some(targets)
@@ -130,17 +131,17 @@
 
 /// Whether a router passes a word on. What its own zone says comes to it directly, what others say by one of
 /// their relays; passed on in any other case, a word would go round.
-pub fn is_passed_on(way: WordWay, origin: &ZoneName, own: &ZoneName) -> bool {
+pub fn is_passed_on(way: GossipPath, origin: &ZoneName, own: &ZoneName) -> bool {
     match way {
-        WordWay::Direct => origin == own,
-        WordWay::Relayed => origin != own,
+        GossipPath::Direct => origin == own,
+        GossipPath::Relayed => origin != own,
     }
 }
 
 /// Whether a router takes in a word. A relay of another zone sends its own to ask for words; it comes by its
 /// zone's relays as well, and what is told once would count twice.
-pub fn is_taken_in(way: WordWay, wants_words: bool, origin: &ZoneName, own: &ZoneName) -> bool {
-    way == WordWay::Relayed || !wants_words || origin == own
+pub fn is_taken_in(way: GossipPath, subscribes: bool, origin: &ZoneName, own: &ZoneName) -> bool {
+    way == GossipPath::Relayed || !subscribes || origin == own
 }
 
 /// The relay of each zone that a host hears.
@@ -242,7 +243,7 @@
 
 /// As many of the widest hosts as can pass all words on to the rest of their zone.
 fn zone_relays(hosts: &[&FleetHost], fleet: usize, pace: Duration) -> Option<Vec<HostName>> {
-    let listener_bytes_per_s = fleet as f64 * WORD_BYTES / pace.as_secs_f64();
+    let listener_bytes_per_s = fleet as f64 * MESSAGE_BYTES / pace.as_secs_f64();
     let most = ((hosts.len() as f64 * MOST_RELAYS) as usize).max(LEAST_RELAYS);
     let mut room = 0.0;
     for (index, host) in hosts.iter().enumerate().take(most) {
--- a/crates/dispatch/src/hearing_time.rs
+++ b/crates/dispatch/src/last_seen.rs
@@ -19,16 +19,16 @@
 
 /// Follows whether a router that has started can have heard the others.
 #[derive(Clone, Copy, Debug)]
-pub struct HearingTime {
+pub struct LastSeen {
     started: Instant,
     joined: Option<Instant>,
     is_over: bool,
 }
 
-impl HearingTime {
+impl LastSeen {
     /// The process has just started.
-    pub fn new(now: Instant) -> HearingTime {
-        HearingTime { started: now, joined: None, is_over: false }
+    pub fn new(now: Instant) -> LastSeen {
+        LastSeen { started: now, joined: None, is_over: false }
     }
 
     /// Whether those that can be heard have been heard, so that what they do needs no doing here.
--- a/crates/dispatch/src/lease_desk.rs
+++ b/crates/dispatch/src/lease_keeper.rs
@@ -49,7 +49,7 @@
 /// ends by time, counted on clocks that go on through suspensions: the holder counts from before
 /// its append was sent, all others from when they read the record, which is later.
 #[derive(Debug)]
-pub struct LeaseDesk {
+pub struct LeaseKeeper {
     host: HostName,
     length: Duration,
     own: Option<OwnLease>,
@@ -61,10 +61,10 @@
     sent: BootTime,
 }
 
-impl LeaseDesk {
+impl LeaseKeeper {
     /// A router without a lease.
-    pub fn new(host: HostName, length: Duration) -> LeaseDesk {
-        LeaseDesk { host, length, own: None }
+    pub fn new(host: HostName, length: Duration) -> LeaseKeeper {
+        LeaseKeeper { host, length, own: None }
     }
 
     /// What to do when there has been work for the holder since `work_since`.
--- a/crates/dispatch/src/peer_board.rs
+++ b/crates/dispatch/src/peer_board.rs
@@ -11,9 +11,9 @@
 
 use crate::Backlog;
 use crate::FleetHost;
+use crate::GossipMessage;
 use crate::LinkRank;
 use crate::PeerLoad;
-use crate::PeerNews;
 use crate::ServerKey;
 use crate::ZonePeer;
 use crate::experiment::Mechanism;
@@ -21,11 +21,11 @@
 
 /// A router's word counts this long, twice the longest pause between two. One that fell silent may have
 /// ended, and its requests with it.
-const WORD_AGE: Duration = Duration::from_millis(1_200);
+const MESSAGE_AGE: Duration = Duration::from_millis(1_200);
 
 /// Pause between two words of a router. Each prompt that others have not heard of is one that a short one
 /// may get to wait behind.
-const WORD_PACE: Duration = Duration::from_millis(25);
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(25);
 /// And with the square of the other routers this much more, as words go from all to all here.
 const PACE_PER_PAIR: Duration = Duration::from_micros(71);
 /// Without fast words.
@@ -44,9 +44,9 @@
 const URGENT_SHARE: f64 = 0.5;
 
 /// How often a router tells each of so many others.
-pub fn word_pace(peers: usize) -> Duration {
+pub fn gossip_interval(peers: usize) -> Duration {
     let pairs = (peers as u32).saturating_mul(peers as u32);
-    let least = if is_on(Mechanism::FastWords) { WORD_PACE } else { SLOW_PACE };
+    let least = if is_on(Mechanism::FastGossip) { GOSSIP_INTERVAL } else { SLOW_PACE };
     (least + PACE_PER_PAIR.saturating_mul(pairs)).min(LONGEST_PACE)
 }
 
@@ -61,7 +61,7 @@
     let bytes = word_bytes as f64 * peers as f64;
     let by_link_s = bytes / (link_bytes_per_s * URGENT_SHARE);
     let by_link = Duration::from_secs_f64(by_link_s.min(LONGEST_PACE.as_secs_f64()));
-    least.max(by_link).min(word_pace(peers))
+    least.max(by_link).min(gossip_interval(peers))
 }
 
 /// The newest word of each router, and the sums by server.
@@ -70,12 +70,12 @@
 /// be a look at each word for each engine; so the sums are kept.
 #[derive(Debug, Default)]
 pub struct PeerBoard {
-    words: IndexMap<HostName, PeerWord>,
+    words: IndexMap<HostName, PeerReport>,
     sums: IndexMap<ServerKey, PeerSum>,
 }
 
 #[derive(Debug)]
-struct PeerWord {
+struct PeerReport {
     at: Instant,
     zone: Option<ZoneName>,
     link_kbps: Option<u32>,
@@ -95,9 +95,9 @@
 
 impl PeerBoard {
     /// A router has spoken.
-    pub fn hear(&mut self, host: &HostName, news: &PeerNews, now: Instant) {
+    pub fn hear(&mut self, host: &HostName, news: &GossipMessage, now: Instant) {
         self.drop_silent(now);
-        let word = PeerWord {
+        let word = PeerReport {
             at: now,
             zone: news.zone.clone(),
             link_kbps: news.link_kbps,
@@ -114,7 +114,7 @@
     /// Forgets what routers said that have fallen silent. To be called now and then: the sums count
     /// them until then.
     pub fn drop_silent(&mut self, now: Instant) {
-        let is_silent = |word: &PeerWord| WORD_AGE <= now.saturating_duration_since(word.at);
+        let is_silent = |word: &PeerReport| MESSAGE_AGE <= now.saturating_duration_since(word.at);
         while let Some(index) = self.words.values().position(is_silent) {
             if let Some((_, word)) = self.words.swap_remove_index(index) {
                 self.take(&word);
@@ -124,16 +124,17 @@
 
     /// Routers that have spoken lately.
     pub fn hosts(&self, now: Instant) -> impl Iterator<Item = &HostName> {
-        let is_fresh = move |word: &PeerWord| now.saturating_duration_since(word.at) < WORD_AGE;
+        let is_fresh =
+            move |word: &PeerReport| now.saturating_duration_since(word.at) < MESSAGE_AGE;
         self.words.iter().filter(move |(_, word)| is_fresh(word)).map(|(host, _)| host)
     }
 
     /// Those of one availability zone.
     pub fn zone_peers(&self, zone: &ZoneName, now: Instant) -> impl Iterator<Item = ZonePeer> {
-        let is_there = move |word: &PeerWord| {
-            word.zone.as_ref() == Some(zone) && now.saturating_duration_since(word.at) < WORD_AGE
+        let is_there = move |word: &PeerReport| {
+            word.zone.as_ref() == Some(zone) && now.saturating_duration_since(word.at) < MESSAGE_AGE
         };
-        let peer = |(host, word): (&HostName, &PeerWord)| ZonePeer {
+        let peer = |(host, word): (&HostName, &PeerReport)| ZonePeer {
             host: host.clone(),
             link_kbps: word.link_kbps.unwrap_or_default(),
         };
@@ -142,7 +143,8 @@
 
     /// All routers that have spoken lately, and where they are.
     pub fn fleet_hosts(&self, now: Instant) -> impl Iterator<Item = FleetHost> {
-        let is_fresh = move |word: &PeerWord| now.saturating_duration_since(word.at) < WORD_AGE;
+        let is_fresh =
+            move |word: &PeerReport| now.saturating_duration_since(word.at) < MESSAGE_AGE;
         let fresh = self.words.iter().filter(move |(_, word)| is_fresh(word));
         fresh.filter_map(|(host, word)| {
             let (host, zone) = (host.clone(), word.zone.clone()?);
@@ -153,7 +155,7 @@
     /// How a link compares to those of all that have spoken lately.
     pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
         let fresh =
-            self.words.values().filter(|word| now.saturating_duration_since(word.at) < WORD_AGE);
+            self.words.values().filter(|word| now.saturating_duration_since(word.at) < MESSAGE_AGE);
         let others: Vec<u32> = fresh.filter_map(|word| word.link_kbps).collect();
         if others.iter().any(|kbps| own_kbps < *kbps) {
             return LinkRank::Narrower;
@@ -167,7 +169,7 @@
         self.sums.get(&server).copied().unwrap_or_default()
     }
 
-    fn take(&mut self, word: &PeerWord) {
+    fn take(&mut self, word: &PeerReport) {
         for load in &word.loads {
             let Some(sum) = self.sums.get_mut(&load.server) else { continue };
             sum.take(load);
--- a/crates/dispatch/src/untold_parts.rs
+++ b/crates/dispatch/src/pending_updates.rs
@@ -22,7 +22,7 @@
 
 /// How many parts a message to so many routers takes, so long after the last one, on a link that carries so
 /// much.
-pub fn told_parts(link_bytes_per_s: f64, peers: usize, since: Duration) -> usize {
+pub fn published_parts(link_bytes_per_s: f64, peers: usize, since: Duration) -> usize {
     let bytes = link_bytes_per_s * LINK_SHARE * since.as_secs_f64() / peers.max(1) as f64;
     ((bytes / PART_BYTES) as usize).clamp(LEAST_PARTS, MOST_PARTS)
 }
@@ -32,7 +32,7 @@
 /// What is new goes before what is older: behind all that an engine has kept it would come seconds late.
 /// As each part is there once, with its newest word, no older one follows.
 #[derive(Debug, Default)]
-pub(crate) struct UntoldParts {
+pub(crate) struct PendingUpdates {
     servers: IndexMap<ServerKey, UntoldServer>,
 }
 
@@ -43,7 +43,7 @@
     parts: IndexMap<u64, u32>,
 }
 
-impl UntoldParts {
+impl PendingUpdates {
     /// A cache has spoken.
     pub(crate) fn push(&mut self, notice: CacheNotice) {
         let server = self.servers.entry(notice.server).or_default();
--- a/crates/dispatch/src/prompt_wish.rs
+++ b/crates/dispatch/src/placement_request.rs
@@ -19,7 +19,7 @@
 
 /// What does not change while a prompt waits.
 #[derive(Clone, Debug)]
-pub struct PromptWish {
+pub struct PlacementRequest {
     /// The call.
     pub call: CallFacts,
     /// The service that serves it.
@@ -69,7 +69,7 @@
     Nowhere,
 }
 
-impl PromptWish {
+impl PlacementRequest {
     pub(crate) fn request<'a>(
         &'a self,
         view: ChoiceView<'a>,
--- a/crates/dispatch/src/wait_line.rs
+++ b/crates/dispatch/src/request_queue.rs
@@ -6,8 +6,8 @@
 
 use crate::CallFacts;
 use crate::ChoiceView;
+use crate::PlacementRequest;
 use crate::Placing;
-use crate::PromptWish;
 use crate::ServerBook;
 use crate::TakenEngine;
 use crate::admission;
@@ -38,7 +38,7 @@
 /// lost with an engine. Before, an engine under order threw its queue back and the prompts waited anew
 /// at the next one, until their callers left.
 #[derive(Debug, Default)]
-pub struct WaitLine {
+pub struct RequestQueue {
     waiting: Vec<WaitingPrompt>,
     next: u64,
 }
@@ -46,12 +46,12 @@
 #[derive(Debug)]
 struct WaitingPrompt {
     number: WaitNumber,
-    wish: PromptWish,
+    wish: PlacementRequest,
     /// Tokens that the best engine would have to read, as of the last try.
     read_tokens: f64,
 }
 
-impl WaitLine {
+impl RequestQueue {
     /// Nothing waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -68,7 +68,7 @@
     }
 
     /// A prompt waits from now on.
-    pub fn enter(&mut self, wish: PromptWish) -> WaitNumber {
+    pub fn enter(&mut self, wish: PlacementRequest) -> WaitNumber {
         let number = WaitNumber(self.next);
         self.next += 1;
         let read_tokens = f64::from(wish.call.prompt_tokens());
--- a/crates/dispatch/src/server_book.rs
+++ b/crates/dispatch/src/server_book.rs
@@ -28,8 +28,8 @@
 use crate::engine_choice::scope_of;
 use crate::link_meter::LinkMeter;
 use crate::own_reach::OwnReach;
+use crate::pending_updates::PendingUpdates;
 use crate::stall_meter::StallMeter;
-use crate::untold_parts::UntoldParts;
 
 /// A server that is full takes requests again after about this time; one request of it has ended.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -64,7 +64,7 @@
     /// What the other routers have under way.
     peers: PeerBoard,
     /// The pause between two words of a router, once it is known.
-    word_pace: Option<Duration>,
+    gossip_interval: Option<Duration>,
     /// How often callers of all routers ask for parts.
     demand: DemandMeter,
     /// How chats bear long prompts beside them.
@@ -72,7 +72,7 @@
     /// Prompts sent since the others were last told.
     untold: Vec<PromptNotice>,
     /// And what caches have said since.
-    untold_caches: UntoldParts,
+    untold_caches: PendingUpdates,
     /// Servers whose address another server answered at.
     gone: IndexSet<ServerKey>,
     /// What connections say of this host.
--- a/crates/dispatch/src/server_book/choices.rs
+++ b/crates/dispatch/src/server_book/choices.rs
@@ -16,8 +16,8 @@
 use crate::ChoiceView;
 use crate::EngineChoice;
 use crate::EngineRequest;
+use crate::PlacementRequest;
 use crate::Placing;
-use crate::PromptWish;
 use crate::ServerBook;
 use crate::ServerEntry;
 use crate::ServerKey;
@@ -30,8 +30,8 @@
 use crate::engine_choice::scope_of;
 use crate::experiment::Mechanism;
 use crate::experiment::is_on;
+use crate::gossip_interval;
 use crate::prompt_source::PromptSource;
-use crate::word_pace;
 
 /// What a way to another zone costs a plain call, as time.
 const ZONE_MS: f64 = 2.0;
@@ -76,12 +76,12 @@
     }
 
     /// Takes the engine that suits the prompt best, if it has room.
-    pub fn place(&mut self, wish: &PromptWish, view: ChoiceView<'_>) -> Placing {
+    pub fn place(&mut self, wish: &PlacementRequest, view: ChoiceView<'_>) -> Placing {
         let choice = self.choose_engine(&wish.request(view, &wish.excluded));
         // Those already tried only if there is no other.
         let choice = choice.or_else(|| self.choose_engine(&wish.request(view, &[])));
         let Some(choice) = choice else { return Placing::Nowhere };
-        if !has_room(wish, &choice, self.gossip_interval(view.now)) {
+        if !has_room(wish, &choice, self.interval_in_force(view.now)) {
             return Placing::Wait(choice.read_tokens);
         }
         let ticket = self.begin_prompt(&wish.call, &choice, view.now);
@@ -89,8 +89,8 @@
     }
 
     /// The pause between two gossip messages of a router: the one that was set, or that of direct messages.
-    fn gossip_interval(&self, now: Instant) -> Duration {
-        self.word_pace.unwrap_or_else(|| word_pace(self.peers.hosts(now).count()))
+    fn interval_in_force(&self, now: Instant) -> Duration {
+        self.gossip_interval.unwrap_or_else(|| gossip_interval(self.peers.hosts(now).count()))
     }
 
     /// The engine that costs least, by waiting, by what it would read anew, and by its weights. If
@@ -118,7 +118,7 @@
         let routers = self.peers.hosts(request.now).count();
         let gossip_interval_ms = match routers {
             0 => 0.0,
-            _ => self.gossip_interval(request.now).as_secs_f64() * 1_000.0,
+            _ => self.interval_in_force(request.now).as_secs_f64() * 1_000.0,
         };
         let around = |engine: &AllowedEngine<'_>| Surroundings {
             is_home: engine.is_home,
--- a/crates/dispatch/src/server_book/news.rs
+++ b/crates/dispatch/src/server_book/news.rs
@@ -8,10 +8,10 @@
 
 use crate::CacheNotice;
 use crate::FleetHost;
+use crate::GossipMessage;
 use crate::LinkRank;
 use crate::LoadingStage;
 use crate::PeerLoad;
-use crate::PeerNews;
 use crate::PromptNotice;
 use crate::ServerBook;
 use crate::ServerKey;
@@ -23,7 +23,7 @@
 impl ServerBook {
     /// What the other routers are told of this one's requests and of caches, so many parts of these at most.
     /// Prompts and parts are told once.
-    pub fn take_news(&mut self, most_parts: usize, now: Instant) -> PeerNews {
+    pub fn take_news(&mut self, most_parts: usize, now: Instant) -> GossipMessage {
         self.peers.drop_silent(now);
         let busy = self.servers.values().filter(|state| 0 < state.open);
         let loads = busy
@@ -36,11 +36,11 @@
             .collect();
         let prompts = std::mem::take(&mut self.untold);
         let caches = self.untold_caches.take(most_parts);
-        PeerNews { loads, prompts, caches, ..PeerNews::default() }
+        GossipMessage { loads, prompts, caches, ..GossipMessage::default() }
     }
 
     /// Another router's message.
-    pub fn hear(&mut self, news: &PeerNews, now: Instant) {
+    pub fn hear(&mut self, news: &GossipMessage, now: Instant) {
         let Some(host) = &news.host else { return };
         self.peers.hear(host, news, now);
         for notice in &news.loading {
@@ -120,8 +120,8 @@
     }
 
     /// This router and the others speak at this pace.
-    pub fn set_word_pace(&mut self, pace: Duration) {
-        self.word_pace = Some(pace);
+    pub fn set_gossip_interval(&mut self, pace: Duration) {
+        self.gossip_interval = Some(pace);
     }
 
     /// How this host's link compares to those of the other routers.
--- a/crates/dispatch/src/asker_store.rs
+++ b/crates/dispatch/src/subscriber_store.rs
@@ -2,7 +2,7 @@
 
 /// Whether the router that asks can read the store itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AskerStore {
+pub enum SubscriberStore {
     /// As far as it knows: refused here, it reads there.
     InReach,
     /// Its last read failed: refused here, it goes on without.
--- a/crates/dispatch/tests/budgets.rs
+++ b/crates/dispatch/tests/budgets.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use fulmargate_dispatch::CrashBook;
 use fulmargate_dispatch::CrashConf;
+use fulmargate_dispatch::CrashTracker;
 use fulmargate_dispatch::RepeatBudget;
 use fulmargate_dispatch::RepeatConf;
 use fulmargate_names::ServiceName;
@@ -95,7 +95,7 @@
 fn convictions() {
     let now = Instant::now();
     for case in CRASHES {
-        let mut book = CrashBook::new(CrashConf::default());
+        let mut book = CrashTracker::new(CrashConf::default());
         for server in case.crashes {
             book.note(7, key(server), now);
         }
@@ -107,7 +107,7 @@
 #[test]
 fn a_completed_request_is_acquitted() {
     let now = Instant::now();
-    let mut book = CrashBook::new(CrashConf::default());
+    let mut book = CrashTracker::new(CrashConf::default());
     for server in ["a", "b", "c"] {
         book.note(7, key(server), now);
     }
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -11,10 +11,10 @@
 use fulmargate_dispatch::ChoiceReason;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::EngineRequest;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::LoadReport;
 use fulmargate_dispatch::LoadingNotice;
 use fulmargate_dispatch::LoadingStage;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::ServerKey;
@@ -64,7 +64,7 @@
         world.book.sync(&engines(&names), world.now);
         for number in 0..routers {
             let host = Some(HostName::new(&format!("host-{number}")));
-            world.book.hear(&PeerNews { host, ..PeerNews::default() }, world.now);
+            world.book.hear(&GossipMessage { host, ..GossipMessage::default() }, world.now);
         }
         world
     }
@@ -111,7 +111,7 @@
 #[test]
 fn unknown_prompts_go_home_in_a_large_fleet() {
     let mut world = ChoiceWorld::fleet(140, 65);
-    world.book.set_word_pace(Duration::from_millis(66));
+    world.book.set_gossip_interval(Duration::from_millis(66));
     let reasons = (0..200).map(|number| {
         let call = prompt_call(&format!("c{number}"), &[(number, 6_300)], world.now);
         world.choose(&call, &[]).expect("an engine").reason
@@ -195,7 +195,7 @@
     let mut world = ChoiceWorld::new();
     let call = prompt_call("c", RECORD, world.now);
     let home = world.choose(&call, &[]).expect("an engine").server;
-    let notice = |stage| PeerNews {
+    let notice = |stage| GossipMessage {
         host: Some(HostName::new("holder")),
         loading: vec![LoadingNotice {
             server: home.key(),
@@ -203,7 +203,7 @@
             version: WeightsVersion(2),
             stage,
         }],
-        ..PeerNews::default()
+        ..GossipMessage::default()
     };
     world.book.hear(&notice(LoadingStage::Loading), world.now);
     assert_ne!(world.choose(&call, &[]).expect("an engine").server, home);
--- a/crates/dispatch/tests/word_routes.rs
+++ b/crates/dispatch/tests/gossip_topologies.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::FleetHost;
+use fulmargate_dispatch::GossipPath;
+use fulmargate_dispatch::GossipTarget;
+use fulmargate_dispatch::GossipTopology;
 use fulmargate_dispatch::RelayChoice;
-use fulmargate_dispatch::WordRoute;
-use fulmargate_dispatch::WordTarget;
-use fulmargate_dispatch::WordWay;
 use fulmargate_dispatch::is_passed_on;
 use fulmargate_dispatch::is_taken_in;
 use fulmargate_names::HostName;
@@ -69,7 +69,7 @@
     fn round(&mut self, now: Instant) {
         self.heard.clear();
         self.listeners.clear();
-        let route = WordRoute::new(&self.hosts, DIRECT_HOSTS);
+        let route = GossipTopology::new(&self.hosts, DIRECT_HOSTS);
         for speaker in 0..self.hosts.len() {
             if !self.silent.contains(&self.hosts[speaker].host) {
                 self.speak(&route, speaker, now);
@@ -80,24 +80,24 @@
         }
     }
 
-    fn speak(&mut self, route: &WordRoute, speaker: usize, now: Instant) {
+    fn speak(&mut self, route: &GossipTopology, speaker: usize, now: Instant) {
         let own = self.hosts[speaker].clone();
         let targets = route.targets(&own, &mut self.choices[speaker], now).expect("relays");
         self.sent[speaker] += targets.len();
         self.waiting.entry(speaker).or_default().push(speaker);
-        for WordTarget { host, wants_words } in targets {
+        for GossipTarget { host, subscribes } in targets {
             let hearer = self.index(&host);
             if self.silent.contains(&host) {
                 continue;
             }
             let zone = &self.hosts[hearer].zone;
-            if is_taken_in(WordWay::Direct, wants_words, &own.zone, zone) {
+            if is_taken_in(GossipPath::Direct, subscribes, &own.zone, zone) {
                 *self.heard.entry((hearer, speaker)).or_default() += 1;
             }
-            if wants_words {
+            if subscribes {
                 self.listeners.entry(hearer).or_default().insert(speaker);
             }
-            if is_passed_on(WordWay::Direct, &own.zone, &self.hosts[hearer].zone) {
+            if is_passed_on(GossipPath::Direct, &own.zone, &self.hosts[hearer].zone) {
                 self.waiting.entry(hearer).or_default().push(speaker);
             }
         }
@@ -117,7 +117,7 @@
                     }
                     *self.heard.entry((listener, speaker)).or_default() += 1;
                     let (origin, own) = (&self.hosts[speaker].zone, &self.hosts[listener].zone);
-                    if is_passed_on(WordWay::Relayed, origin, own) {
+                    if is_passed_on(GossipPath::Relayed, origin, own) {
                         self.waiting.entry(listener).or_default().push(speaker);
                     }
                 }
@@ -195,7 +195,7 @@
         fleet.sent.fill(0);
         fleet.round(start + Duration::from_millis(200));
         assert_eq!(fleet.faults(), (0, 0), "{}: words lost, words heard twice", case.name);
-        let route = WordRoute::new(&fleet.hosts, DIRECT_HOSTS);
+        let route = GossipTopology::new(&fleet.hosts, DIRECT_HOSTS);
         let relays: IndexSet<HostName> =
             route.relays.expect("relays").into_values().flatten().collect();
         for (host, sent) in fleet.hosts.iter().zip(&fleet.sent) {
@@ -219,7 +219,7 @@
         fleet.round(now);
         now += pace;
     }
-    let route = WordRoute::new(&fleet.hosts, DIRECT_HOSTS);
+    let route = GossipTopology::new(&fleet.hosts, DIRECT_HOSTS);
     let relays = route.relays.expect("relays");
     fleet.silent.insert(relays["zone-1"][0].clone());
     let begun = now;
@@ -253,7 +253,7 @@
 fn paces_and_relays() {
     for case in PACES {
         let hosts = fleet(case.zones, case.hosts, case.wide);
-        let route = WordRoute::new(&hosts, DIRECT_HOSTS);
+        let route = GossipTopology::new(&hosts, DIRECT_HOSTS);
         assert!(route.pace.as_millis() as u64 <= case.most_ms, "{}: {:?}", case.name, route.pace);
         let relays = route.relays.map(|relays| relays["zone-0"].len());
         assert_eq!(relays, case.relays, "{}", case.name);
@@ -265,5 +265,5 @@
 fn unknown_links_pass_nothing_on() {
     let mut hosts = fleet(5, 39, 0);
     hosts.iter_mut().for_each(|host| host.link_kbps = 0);
-    assert_eq!(WordRoute::new(&hosts, DIRECT_HOSTS).relays, None);
+    assert_eq!(GossipTopology::new(&hosts, DIRECT_HOSTS).relays, None);
 }
--- a/crates/dispatch/tests/handing_on.rs
+++ b/crates/dispatch/tests/handing_on.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use fulmargate_dispatch::AskerStore;
-use fulmargate_dispatch::HandOnBudget;
+use fulmargate_dispatch::ForwardBudget;
+use fulmargate_dispatch::SubscriberStore;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use tokio::time::Instant;
@@ -14,14 +14,14 @@
 const WIDE: f64 = 25_000_000.0;
 const CONFIGURATION: usize = 397_000;
 const PAGE: usize = 16_000;
-const IN_REACH: AskerStore = AskerStore::InReach;
-const OUT_OF_REACH: AskerStore = AskerStore::OutOfReach;
+const IN_REACH: SubscriberStore = SubscriberStore::InReach;
+const OUT_OF_REACH: SubscriberStore = SubscriberStore::OutOfReach;
 
 struct BurstCase {
     name: &'static str,
     link: f64,
     bytes: usize,
-    store: AskerStore,
+    store: SubscriberStore,
     /// How many of 14 that ask at the same moment are given it.
     given: usize,
 }
@@ -70,7 +70,7 @@
 fn what_goes_at_once_is_a_tenth_of_a_second_of_the_link() {
     for case in BURSTS {
         let now = Instant::now();
-        let mut budget = HandOnBudget::new(case.link, now);
+        let mut budget = ForwardBudget::new(case.link, now);
         let given = (0..14).filter(|_| budget.try_take(case.bytes, case.store, now)).count();
         assert_eq!(given, case.given, "{}", case.name);
     }
@@ -82,7 +82,7 @@
 #[test]
 fn usual_pages_are_given_on_and_on() {
     let mut now = Instant::now();
-    let mut budget = HandOnBudget::new(NARROW, now);
+    let mut budget = ForwardBudget::new(NARROW, now);
     for turn in 0..1_000 {
         assert!(budget.try_take(PAGE - 1_000, IN_REACH, now), "page {turn}");
         now += Duration::from_millis(50);
@@ -95,7 +95,7 @@
 #[test]
 fn without_the_store_a_large_answer_comes_in_its_turn() {
     let start = Instant::now();
-    let mut budget = HandOnBudget::new(NARROW, start);
+    let mut budget = ForwardBudget::new(NARROW, start);
     assert!(!budget.try_take(CONFIGURATION, IN_REACH, start));
     assert!(budget.try_take(CONFIGURATION, OUT_OF_REACH, start));
     assert!(budget.left() < 0);
@@ -112,7 +112,7 @@
 #[test]
 fn small_pages_go_to_those_without_the_store() {
     let start = Instant::now();
-    let mut budget = HandOnBudget::new(NARROW, start);
+    let mut budget = ForwardBudget::new(NARROW, start);
     assert!(budget.try_take(CONFIGURATION, OUT_OF_REACH, start));
     assert!(!budget.try_take(PAGE, IN_REACH, start));
     assert!(budget.try_take(PAGE, OUT_OF_REACH, start));
@@ -127,7 +127,7 @@
 fn no_order_of_answers_takes_more_than_the_share() {
     fn property(questions: Vec<(u16, u8)>) -> bool {
         let start = Instant::now();
-        let mut budget = HandOnBudget::new(NARROW, start);
+        let mut budget = ForwardBudget::new(NARROW, start);
         let mut now = start;
         let mut given: Vec<(Instant, usize)> = Vec::new();
         for (bytes, pause) in questions {
--- a/crates/dispatch/tests/hearing.rs
+++ b/crates/dispatch/tests/hearing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fulmargate_dispatch::HearingTime;
+use fulmargate_dispatch::LastSeen;
 use fulmargate_names::HostName;
 use tokio::time::Instant;
 
@@ -52,7 +52,7 @@
     let own = HostName::new("own");
     for case in CASES {
         let start = Instant::now();
-        let mut hearing = HearingTime::new(start);
+        let mut hearing = LastSeen::new(start);
         for (at, is_over) in looks_from_start(case) {
             let seen = case.members.iter().filter(|(from, _)| *from <= at);
             let members: Vec<HostName> = seen.map(|(_, host)| HostName::new(host)).collect();
--- a/crates/dispatch/tests/leases.rs
+++ b/crates/dispatch/tests/leases.rs
@@ -5,7 +5,7 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::FleetFold;
 use fulmargate_dispatch::FleetRecord;
-use fulmargate_dispatch::LeaseDesk;
+use fulmargate_dispatch::LeaseKeeper;
 use fulmargate_dispatch::LeaseStep;
 use fulmargate_dispatch::LinkRank;
 use fulmargate_dispatch::LogPosition;
@@ -35,12 +35,12 @@
 struct TestRouter {
     host: &'static str,
     fold: FleetFold,
-    desk: LeaseDesk,
+    desk: LeaseKeeper,
 }
 
 impl TestRouter {
     fn new(host: &'static str) -> TestRouter {
-        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        let desk = LeaseKeeper::new(HostName::new(host), LEASE);
         TestRouter { host, fold: FleetFold::default(), desk }
     }
 
@@ -169,7 +169,7 @@
         if let Some((host, seen)) = case.lease {
             fold.apply(LogOffset(0), &lease_record(host), BootTime(seen));
         }
-        let desk = LeaseDesk::new(HostName::new("h0"), LEASE);
+        let desk = LeaseKeeper::new(HostName::new("h0"), LEASE);
         let step = desk.step(&fold, BootTime(0), LinkRank::Equal, BootTime(case.now));
         assert_eq!(step, case.step, "{}", case.name);
     }
@@ -182,7 +182,7 @@
     fold.apply(LogOffset(0), &lease_record("h1"), BootTime(1_000));
     let work_since = BootTime(20_000);
     let step = |host: &str, now: u64| {
-        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        let desk = LeaseKeeper::new(HostName::new(host), LEASE);
         desk.step(&fold, work_since, LinkRank::Equal, BootTime(now))
     };
     assert_eq!(step("h1", 20_001), LeaseStep::Append { at: position(1) });
@@ -215,7 +215,7 @@
         let fold = joined(&hosts);
         let (work_since, now) = (BootTime(10_000), BootTime(10_000 + case.after_ms));
         let tries = |host: &&String| {
-            let desk = LeaseDesk::new(HostName::new(host), LEASE);
+            let desk = LeaseKeeper::new(HostName::new(host), LEASE);
             let step = desk.step(&fold, work_since, LinkRank::Equal, now);
             matches!(step, LeaseStep::Append { .. })
         };
@@ -249,7 +249,7 @@
         let ended = BootTime(20_000).after(LEASE);
         let now = ended.after(Duration::from_millis(case.after_ms));
         let tries = |host: &&String| {
-            let desk = LeaseDesk::new(HostName::new(host), LEASE);
+            let desk = LeaseKeeper::new(HostName::new(host), LEASE);
             let step = desk.step(&fold, BootTime(10_000), LinkRank::Equal, now);
             matches!(step, LeaseStep::Append { .. })
         };
@@ -352,7 +352,7 @@
 /// How long a host waits when work comes long after the last lease has ended.
 fn wait_ms(host: &str, fold: &FleetFold, rank: LinkRank) -> u64 {
     let now = BootTime(20_000);
-    match LeaseDesk::new(HostName::new(host), LEASE).step(fold, now, rank, now) {
+    match LeaseKeeper::new(HostName::new(host), LEASE).step(fold, now, rank, now) {
         LeaseStep::Wait(wait) => wait.as_millis() as u64,
         LeaseStep::Append { .. } => 0,
         LeaseStep::Act => panic!("{host} has no lease"),
@@ -365,11 +365,11 @@
     let mut fold = FleetFold::default();
     fold.apply(LogOffset(0), &lease_record("h1"), BootTime(1_000));
     for (host, rank) in [("h0", LinkRank::Widest { hosts: 1 }), ("h2", LinkRank::Equal)] {
-        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        let desk = LeaseKeeper::new(HostName::new(host), LEASE);
         let step = desk.step(&fold, BootTime(0), rank, BootTime(3_999));
         assert_eq!(step, LeaseStep::Wait(Duration::from_millis(1)), "{host}");
     }
-    let mut holder = LeaseDesk::new(HostName::new("h1"), LEASE);
+    let mut holder = LeaseKeeper::new(HostName::new("h1"), LEASE);
     holder.appended(FencingNumber(0), BootTime(1_000));
     let act = holder.step(&fold, BootTime(0), LinkRank::Narrower, BootTime(2_000));
     assert_eq!(act, LeaseStep::Act);
--- a/crates/dispatch/tests/lines.rs
+++ b/crates/dispatch/tests/lines.rs
@@ -7,13 +7,13 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::ChoiceView;
+use fulmargate_dispatch::PlacementRequest;
 use fulmargate_dispatch::Placing;
-use fulmargate_dispatch::PromptWish;
+use fulmargate_dispatch::RequestQueue;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::SendTicket;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::WaitEnd;
-use fulmargate_dispatch::WaitLine;
 use fulmargate_dispatch::WaitNumber;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::ServiceName;
@@ -30,7 +30,7 @@
 /// Two engines, both busy with a prompt of 20,000 tokens.
 struct LineWorld {
     book: ServerBook,
-    line: WaitLine,
+    line: RequestQueue,
     table: RouteTable,
     weights: WeightsTable,
     now: Instant,
@@ -45,7 +45,7 @@
         book.sync(&engines(&["e1", "e2"]), now);
         let mut world = LineWorld {
             book,
-            line: WaitLine::default(),
+            line: RequestQueue::default(),
             table: table(Vec::new(), Vec::new()),
             weights: WeightsTable::default(),
             now,
@@ -72,7 +72,7 @@
         }
     }
 
-    fn place(&mut self, wish: &PromptWish) -> Placing {
+    fn place(&mut self, wish: &PlacementRequest) -> Placing {
         let mut book = std::mem::take(&mut self.book);
         let placing = book.place(wish, self.view(&zone()));
         self.book = book;
@@ -102,8 +102,8 @@
     }
 }
 
-fn wish(call: CallFacts) -> PromptWish {
-    PromptWish {
+fn wish(call: CallFacts) -> PlacementRequest {
+    PlacementRequest {
         call,
         service: ServiceName::new(ENGINES),
         model: model(),
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::Backlog;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::LinkRank;
 use fulmargate_dispatch::PeerBoard;
 use fulmargate_dispatch::PeerLoad;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::PeerSum;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::Urgency;
+use fulmargate_dispatch::gossip_interval;
 use fulmargate_dispatch::urgent_pace;
-use fulmargate_dispatch::word_pace;
 use fulmargate_names::HostName;
 use indexmap::IndexMap;
 use quickcheck::Gen;
@@ -52,7 +52,7 @@
         elapsed += u64::from(pause % 700);
         let loads: Vec<PeerLoad> = loads.into_iter().map(load).collect();
         let name = HostName::new(&format!("host-{}", host % 5));
-        let news = PeerNews { loads, ..PeerNews::default() };
+        let news = GossipMessage { loads, ..GossipMessage::default() };
         board.hear(&name, &news, start + Duration::from_millis(elapsed));
         newest.insert(host % 5, (elapsed, news.loads));
     }
@@ -77,7 +77,7 @@
 #[test]
 fn words_come_before_the_last_one_is_old() {
     for peers in [0, 5, 90, 300, 740] {
-        let pace_ms = word_pace(peers).as_millis() as u64;
+        let pace_ms = gossip_interval(peers).as_millis() as u64;
         assert!(2 * pace_ms <= WORD_AGE_MS, "{peers}: {pace_ms} ms");
     }
 }
@@ -173,7 +173,7 @@
     for case in URGENT {
         let pause = urgent_pace(case.peers, case.word_bytes, case.link);
         assert_eq!(pause, case.pause, "{}", case.name);
-        let turn = word_pace(case.peers);
+        let turn = gossip_interval(case.peers);
         assert!(pause <= turn, "{}: all words go out more often", case.name);
         let sent = (case.word_bytes * case.peers) as f64;
         let allowed = case.link * LINK_SHARE * pause.as_secs_f64();
@@ -236,7 +236,7 @@
         let mut board = PeerBoard::default();
         let start = Instant::now();
         for (number, link_kbps) in case.others.iter().enumerate() {
-            let news = PeerNews { link_kbps: *link_kbps, ..PeerNews::default() };
+            let news = GossipMessage { link_kbps: *link_kbps, ..GossipMessage::default() };
             board.hear(&HostName::new(&format!("host-{number}")), &news, start);
         }
         assert_eq!(board.link_rank(case.own, start), case.rank, "{}", case.name);
--- a/crates/dispatch/tests/readers.rs
+++ b/crates/dispatch/tests/readers.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::PeerBoard;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RecordSource;
 use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
@@ -134,7 +134,8 @@
     let mut board = PeerBoard::default();
     let zone = ZoneName::new("north");
     for (name, link_kbps) in [("host-1", Some(NARROW)), ("host-2", None)] {
-        let news = PeerNews { zone: Some(zone.clone()), link_kbps, ..PeerNews::default() };
+        let news =
+            GossipMessage { zone: Some(zone.clone()), link_kbps, ..GossipMessage::default() };
         board.hear(&HostName::new(name), &news, now);
     }
     let links: Vec<u32> = board.zone_peers(&zone, now).map(|peer| peer.link_kbps).collect();
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -12,10 +12,10 @@
 use fulmargate_dispatch::ChoiceReason;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::EngineRequest;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::LoadingNotice;
 use fulmargate_dispatch::LoadingStage;
 use fulmargate_dispatch::PeerLoad;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::ServerEntry;
@@ -100,7 +100,7 @@
         backlog.add(Urgency::timely(0), 90_000.0);
         backlog
     };
-    let late_news = PeerNews {
+    let late_news = GossipMessage {
         host: Some(HostName::new("other")),
         loads: vec![PeerLoad { server: old, open: 40, chats: 9, backlog }],
         loading: vec![LoadingNotice {
@@ -114,7 +114,7 @@
             is_reset: false,
             parts: vec![(scope ^ 11, 2_500), (scope ^ 12, 3_800)],
         }],
-        ..PeerNews::default()
+        ..GossipMessage::default()
     };
     world.book.hear(&late_news, world.now);
     let call = prompt_call("c2", RECORD, world.now);
--- a/crates/dispatch/tests/restores.rs
+++ b/crates/dispatch/tests/restores.rs
@@ -5,7 +5,7 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::FleetFold;
 use fulmargate_dispatch::FleetRecord;
-use fulmargate_dispatch::LeaseDesk;
+use fulmargate_dispatch::LeaseKeeper;
 use fulmargate_dispatch::LeaseStep;
 use fulmargate_dispatch::LinkRank;
 use fulmargate_dispatch::LogPosition;
@@ -69,12 +69,12 @@
 struct TestRouter {
     host: &'static str,
     fold: FleetFold,
-    desk: LeaseDesk,
+    desk: LeaseKeeper,
 }
 
 impl TestRouter {
     fn new(host: &'static str) -> TestRouter {
-        let desk = LeaseDesk::new(HostName::new(host), LEASE);
+        let desk = LeaseKeeper::new(HostName::new(host), LEASE);
         TestRouter { host, fold: FleetFold::default(), desk }
     }
 
@@ -205,7 +205,7 @@
         if let Some((host, epoch)) = case.lease {
             fold.apply(LogOffset(0), &lease_record(host, StoreEpoch(epoch)), BootTime(20_000));
         }
-        let desk = LeaseDesk::new(HostName::new("h0"), LEASE);
+        let desk = LeaseKeeper::new(HostName::new("h0"), LEASE);
         let now = BootTime(20_000 + case.after_ms);
         let step = desk.step(&fold, BootTime(0), LinkRank::Equal, now);
         assert_eq!(matches!(step, LeaseStep::Append { .. }), case.tries, "{}", case.name);
@@ -280,7 +280,7 @@
 fn an_own_lease_that_has_ended_is_waited_for_too() {
     let mut fold = FleetFold::default();
     fold.begin_epoch(StoreEpoch(0), BootTime(1_000));
-    let mut desk = LeaseDesk::new(HostName::new("h0"), LEASE);
+    let mut desk = LeaseKeeper::new(HostName::new("h0"), LEASE);
     desk.appended(FencingNumber(0), BootTime(1_000));
     fold.begin_epoch(StoreEpoch(1), BootTime(4_500));
     fold.apply(LogOffset(0), &lease_record("h0", StoreEpoch(0)), BootTime(4_500));
--- a/crates/dispatch/tests/told.rs
+++ b/crates/dispatch/tests/told.rs
@@ -5,7 +5,7 @@
 use fulmargate_dispatch::CacheNotice;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::ServerKey;
-use fulmargate_dispatch::told_parts;
+use fulmargate_dispatch::published_parts;
 use tokio::time::Instant;
 
 /// Parts for one message, on a link of 10 Mbit/s among 90 others.
@@ -80,7 +80,7 @@
 fn messages_keep_to_a_share_of_the_link() {
     for case in PARTS {
         let since = Duration::from_millis(case.since_ms);
-        assert_eq!(told_parts(case.link, case.peers, since), case.parts, "{}", case.name);
+        assert_eq!(published_parts(case.link, case.peers, since), case.parts, "{}", case.name);
     }
 }
 
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::SendTicket;
-use fulmargate_dispatch::word_pace;
+use fulmargate_dispatch::gossip_interval;
 use indexmap::IndexSet;
 
 use crate::CallKind;
@@ -163,7 +163,7 @@
     }
 
     fn word_pause(&self) -> f64 {
-        word_pace(self.spec.routers - 1).as_secs_f64() * 1_000.0
+        gossip_interval(self.spec.routers - 1).as_secs_f64() * 1_000.0
     }
 
     fn finish(mut self) -> FigureSheet {
--- a/crates/emulator/src/play/routers.rs
+++ b/crates/emulator/src/play/routers.rs
@@ -1,8 +1,8 @@
 //! What callers and routers do.
 
 use fulmargate_dispatch::CacheNotice;
+use fulmargate_dispatch::PlacementRequest;
 use fulmargate_dispatch::Placing;
-use fulmargate_dispatch::PromptWish;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::TakenEngine;
 use fulmargate_dispatch::WaitEnd;
@@ -42,14 +42,14 @@
         self.place(call);
     }
 
-    fn wish(&self, call: usize) -> PromptWish {
+    fn wish(&self, call: usize) -> PlacementRequest {
         let state = &self.calls[call];
         let left = state.time_left(self.now);
         let id = format!("{call}-{}", state.attempt);
         let mut facts = self.shared.facts(&state.plan, &id, self.now, left);
         let passed = self.shared.time(state.arrived);
         facts.arrived = passed;
-        PromptWish {
+        PlacementRequest {
             call: facts,
             service: self.shared.service.clone(),
             model: self.shared.model.clone(),
--- a/crates/emulator/src/play/weights.rs
+++ b/crates/emulator/src/play/weights.rs
@@ -1,10 +1,10 @@
 //! New weights.
 
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::LoadingNotice;
 use fulmargate_dispatch::LoadingStage;
 use fulmargate_dispatch::OrderWave;
-use fulmargate_dispatch::PeerNews;
 use fulmargate_dispatch::WaveServer;
 use fulmargate_dispatch::WaveTime;
 use fulmargate_names::HostName;
@@ -132,7 +132,7 @@
             stage,
         };
         let host = Some(HostName::new("holder-of-the-lease"));
-        let news = PeerNews { host, loading: vec![notice], ..PeerNews::default() };
+        let news = GossipMessage { host, loading: vec![notice], ..GossipMessage::default() };
         let now = self.shared.time(self.now);
         for router in &mut self.routers {
             router.book.hear(&news, now);
--- a/crates/emulator/src/router_model.rs
+++ b/crates/emulator/src/router_model.rs
@@ -10,6 +10,7 @@
 use fulmargate_dispatch::ChoiceView;
 use fulmargate_dispatch::EngineRule;
 use fulmargate_dispatch::PromptPart;
+use fulmargate_dispatch::RequestQueue;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::RouteRule;
 use fulmargate_dispatch::RouteTable;
@@ -20,7 +21,6 @@
 use fulmargate_dispatch::ServiceRule;
 use fulmargate_dispatch::ServiceShare;
 use fulmargate_dispatch::StreamRule;
-use fulmargate_dispatch::WaitLine;
 use fulmargate_dispatch::WaitNumber;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::ConfigVersion;
@@ -56,7 +56,7 @@
 /// One router.
 pub(crate) struct RouterModel {
     pub(crate) book: ServerBook,
-    pub(crate) line: WaitLine,
+    pub(crate) line: RequestQueue,
     pub(crate) weights: WeightsTable,
     /// Calls that wait, by their place in the line.
     pub(crate) places: IndexMap<WaitNumber, usize>,
@@ -133,7 +133,7 @@
         weights.name_version(&shared.model, WeightsVersion(1), BootTime::default());
         RouterModel {
             book,
-            line: WaitLine::default(),
+            line: RequestQueue::default(),
             weights,
             places: IndexMap::new(),
             is_served_soon: false,
--- a/crates/emulator/tests/patterns.rs
+++ b/crates/emulator/tests/patterns.rs
@@ -41,7 +41,7 @@
         figure: reviews,
         name: "reviews in time",
         least: 0.6,
-        without: Mechanism::WaitLine,
+        without: Mechanism::RequestQueue,
         most_without: 0.56,
     },
     // Engines throw their queues back when they are ordered to load, and the prompts wait anew.
@@ -50,7 +50,7 @@
         figure: lookups,
         name: "lookups in time",
         least: 0.87,
-        without: Mechanism::WaitLine,
+        without: Mechanism::RequestQueue,
         most_without: 0.7,
     },
     // What waits at an engine is lost with it, or read late by it.
@@ -59,7 +59,7 @@
         figure: lookups,
         name: "lookups in time",
         least: 0.8,
-        without: Mechanism::WaitLine,
+        without: Mechanism::RequestQueue,
         most_without: 0.7,
     },
     // Prompts are thought to overtake what an engine has admitted, and are sent behind it.
@@ -86,7 +86,7 @@
         figure: lookups,
         name: "lookups in time",
         least: 0.95,
-        without: Mechanism::FastWords,
+        without: Mechanism::FastGossip,
         most_without: 0.92,
     },
     // What other engines have is read again.
--- a/crates/entry/src/control/cache_watch.rs
+++ b/crates/entry/src/control/cache_watch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmargate_dispatch::HearingTime;
+use fulmargate_dispatch::LastSeen;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::HostName;
@@ -26,7 +26,7 @@
 pub(crate) struct CacheWatch {
     state: Arc<SharedState>,
     /// Whether the other routers can have been heard.
-    hearing: HearingTime,
+    hearing: LastSeen,
     readers: CacheReaders,
 }
 
@@ -35,7 +35,7 @@
     pub(crate) fn new(state: Arc<SharedState>) -> CacheWatch {
         let calls = CacheCalls::new(state.settings.link_bytes_per_s());
         let readers = CacheReaders::new(state.clone(), Rc::new(calls));
-        CacheWatch { state, hearing: HearingTime::new(Instant::now()), readers }
+        CacheWatch { state, hearing: LastSeen::new(Instant::now()), readers }
     }
 
     /// Takes and leaves sources as routers and servers come and go.
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -18,18 +18,18 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::cache_watch::CacheWatch;
-use crate::control::fleet_desk::FleetDesk;
-use crate::control::fleet_desk::FleetReader;
-use crate::control::fleet_desk::SharedFold;
-use crate::control::log_shelf::LogShelf;
+use crate::control::fleet_watch::FleetReader;
+use crate::control::fleet_watch::FleetWatch;
+use crate::control::fleet_watch::SharedFold;
 use crate::control::log_source::LogSource;
 use crate::control::operator_watch::OperatorWatch;
-use crate::control::order_desk::OrderDesk;
+use crate::control::order_scheduler::OrderScheduler;
 use crate::control::pages::serve_pages;
 use crate::control::peer_links::PeerLinks;
 use crate::control::peer_listener::PeerListener;
+use crate::control::record_cache::RecordCache;
 use crate::control::relay_board::SharedRelays;
-use crate::control::relay_desk::RelayDesk;
+use crate::control::relay_forwarder::RelayForwarder;
 use crate::control::server_watch::ServerWatch;
 use crate::daemon::StartError;
 use crate::daemon::StopTokens;
@@ -76,7 +76,7 @@
             let pages = serve_pages(self.state.clone(), self.stop.clone(), readiness, metrics)
                 .map_err(|err| StartError::Thread { what: "pages", reason: err.to_string() })?;
             actix_rt::spawn(pages);
-            let shelf = Rc::new(LogShelf::new(self.state.settings.link_bytes_per_s()));
+            let shelf = Rc::new(RecordCache::new(self.state.settings.link_bytes_per_s()));
             let relays = SharedRelays::default();
             let listener =
                 PeerListener::new(self.state.clone(), shelf.clone(), relays.clone(), peers)
@@ -91,7 +91,7 @@
 
     fn start_tasks(
         &self,
-        shelf: &Rc<LogShelf>,
+        shelf: &Rc<RecordCache>,
         relays: &SharedRelays,
         crashes: UnboundedReceiver<CrashSighting>,
     ) {
@@ -106,13 +106,13 @@
         let servers = ServerWatch::new(self.state.clone(), source());
         spawn_until(&token, servers.run());
         let reader = FleetReader::new(self.state.clone(), source(), fold.clone());
-        spawn_until(&token, FleetDesk::new(reader.clone()).run(crashes));
+        spawn_until(&token, FleetWatch::new(reader.clone()).run(crashes));
         let links = PeerLinks::new(self.state.clone(), fold.clone(), relays.clone());
         spawn_until(&token, links.run());
-        let desk = RelayDesk::new(self.state.clone(), fold.clone(), relays.clone());
+        let desk = RelayForwarder::new(self.state.clone(), fold.clone(), relays.clone());
         spawn_until(&token, desk.run());
         spawn_until(&token, CacheWatch::new(self.state.clone()).run());
-        let orders = OrderDesk::new(self.state.clone(), client, fold, reader);
+        let orders = OrderScheduler::new(self.state.clone(), client, fold, reader);
         // A host that leaves gives no more orders: another takes the lease.
         spawn_until(&self.stop.begun, orders.run());
         spawn_until(&token, keep_metrics(self.state.clone()));
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -10,7 +10,7 @@
 use fulmargate_consortium::StoreError;
 use fulmargate_consortium::join_keyed;
 use fulmargate_dispatch::FleetRecord;
-use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::GossipMessage;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -66,7 +66,7 @@
 /// What goes behind that.
 #[derive(Serialize, Deserialize)]
 struct RelayTail {
-    wants_words: bool,
+    subscribes: bool,
 }
 
 /// And what goes behind that.
@@ -76,11 +76,11 @@
 }
 
 /// A message between routers with its length before it.
-pub(crate) fn encode_news(news: &PeerNews) -> Result<Vec<u8>, EncodeError> {
+pub(crate) fn encode_news(news: &GossipMessage) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(news, config::standard())?;
     let tail = NewsTail { link_kbps: news.link_kbps };
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
-    let tail = RelayTail { wants_words: news.wants_words };
+    let tail = RelayTail { subscribes: news.subscribes };
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
     let tail = QuotaTail { quotas: news.quotas.clone() };
     message.extend(bincode::serde::encode_to_vec(tail, config::standard())?);
@@ -90,15 +90,15 @@
 }
 
 /// Reads a message without its length.
-pub(crate) fn decode_news(bytes: &[u8]) -> Result<PeerNews, DecodeError> {
-    let (mut news, length): (PeerNews, usize) =
+pub(crate) fn decode_news(bytes: &[u8]) -> Result<GossipMessage, DecodeError> {
+    let (mut news, length): (GossipMessage, usize) =
         bincode::serde::decode_from_slice(bytes, config::standard())?;
     let mut rest = bytes.get(length..).unwrap_or_default();
     if let Some(tail) = take_tail::<NewsTail>(&mut rest)? {
         news.link_kbps = tail.link_kbps;
     }
     if let Some(tail) = take_tail::<RelayTail>(&mut rest)? {
-        news.wants_words = tail.wants_words;
+        news.subscribes = tail.subscribes;
     }
     if let Some(tail) = take_tail::<QuotaTail>(&mut rest)? {
         news.quotas = tail.quotas;
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -1,16 +1,16 @@
 //! Routers of two versions read each other's messages.
 
 use bincode::config::standard;
-use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::GossipMessage;
 use fulmargate_names::HostName;
 
 use super::LENGTH_BYTES;
 use super::decode_news;
 use super::encode_news;
 
-fn news(link_kbps: Option<u32>) -> PeerNews {
+fn news(link_kbps: Option<u32>) -> GossipMessage {
     let host = Some(HostName::new("host-1"));
-    PeerNews { host, link_kbps, ..PeerNews::default() }
+    GossipMessage { host, link_kbps, ..GossipMessage::default() }
 }
 
 #[test]
@@ -31,6 +31,6 @@
     assert_eq!(decode_news(&earlier).expect("the later one reads it"), news(None));
     let later = encode_news(&news(Some(10_000))).expect("a message");
     let read = bincode::serde::decode_from_slice(&later[LENGTH_BYTES..], standard());
-    let (heard, _): (PeerNews, usize) = read.expect("the earlier one reads it");
+    let (heard, _): (GossipMessage, usize) = read.expect("the earlier one reads it");
     assert_eq!(heard, news(None));
 }
--- a/crates/entry/src/control/fleet_desk.rs
+++ b/crates/entry/src/control/fleet_watch.rs
@@ -69,15 +69,15 @@
 }
 
 /// Reads the topic on and on and tells of crashes.
-pub(crate) struct FleetDesk {
+pub(crate) struct FleetWatch {
     reader: FleetReader,
     contact: StoreContact,
 }
 
-impl FleetDesk {
+impl FleetWatch {
     /// Knows nothing yet.
-    pub(crate) fn new(reader: FleetReader) -> FleetDesk {
-        FleetDesk { reader, contact: StoreContact::new("fleet") }
+    pub(crate) fn new(reader: FleetReader) -> FleetWatch {
+        FleetWatch { reader, contact: StoreContact::new("fleet") }
     }
 
     /// Says that this router is there, reads on and on and tells of crashes.
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -14,13 +14,13 @@
 use fulmargate_consortium::ListedRecord;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
-use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RecordSource;
+use fulmargate_dispatch::SubscriberStore;
 use fulmargate_dispatch::ZonePeer;
 use fulmargate_dispatch::record_source;
 use fulmargate_names::HostName;
@@ -38,8 +38,8 @@
 use crate::control::fleet_codec::STORE_OUT;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
-use crate::control::fleet_desk::SharedFold;
-use crate::control::log_shelf::LogShelf;
+use crate::control::fleet_watch::SharedFold;
+use crate::control::record_cache::RecordCache;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -119,12 +119,12 @@
     state: Arc<SharedState>,
     client: StoreClient,
     fold: SharedFold,
-    shelf: Rc<LogShelf>,
+    shelf: Rc<RecordCache>,
     link: Rc<RefCell<Option<AskLink>>>,
     /// Readers that gave no answer, and when.
     failed: Rc<RefCell<IndexMap<HostName, Instant>>>,
     /// As of this host's last read of the store, which may be long ago: it reads there when it is refused.
-    store: Rc<Cell<AskerStore>>,
+    store: Rc<Cell<SubscriberStore>>,
 }
 
 impl LogSource {
@@ -133,7 +133,7 @@
         state: Arc<SharedState>,
         client: StoreClient,
         fold: SharedFold,
-        shelf: Rc<LogShelf>,
+        shelf: Rc<RecordCache>,
     ) -> LogSource {
         LogSource {
             state,
@@ -142,7 +142,7 @@
             shelf,
             link: Rc::default(),
             failed: Rc::default(),
-            store: Rc::new(Cell::new(AskerStore::InReach)),
+            store: Rc::new(Cell::new(SubscriberStore::InReach)),
         }
     }
 
@@ -243,9 +243,9 @@
         let result = self.client.read(topic, from, wait, wait + allowance).await;
         self.store.set(match &result {
             Ok(_) | Err(StoreError::Deleted { .. } | StoreError::Restored { .. }) => {
-                AskerStore::InReach
+                SubscriberStore::InReach
             }
-            Err(_) => AskerStore::OutOfReach,
+            Err(_) => SubscriberStore::OutOfReach,
         });
         if let Err(StoreError::Restored { epoch }) = &result {
             self.state.note_epoch(*epoch);
@@ -323,7 +323,7 @@
         };
         let mut client = client.ready().await?;
         let mut request = Request::post(format!("http://{address}/log"));
-        if self.store.get() == AskerStore::OutOfReach {
+        if self.store.get() == SubscriberStore::OutOfReach {
             request = request.header(STORE_HEADER, STORE_OUT);
         }
         let request = request.body(());
--- a/crates/entry/src/control/order_run.rs
+++ b/crates/entry/src/control/order_run.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::control::order_desk::DeskState;
+use crate::control::order_scheduler::DeskState;
 use crate::state::SharedState;
 use crate::state::boot_now;
 use crate::state::note_connect;
--- a/crates/entry/src/control/order_desk.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -10,7 +10,7 @@
 use fulmargate_consortium::StoreClient;
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::FleetRecord;
-use fulmargate_dispatch::LeaseDesk;
+use fulmargate_dispatch::LeaseKeeper;
 use fulmargate_dispatch::LeaseStep;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
@@ -26,8 +26,8 @@
 use tokio::time::sleep;
 
 use crate::control::fleet_codec::keyed_record;
-use crate::control::fleet_desk::FleetReader;
-use crate::control::fleet_desk::SharedFold;
+use crate::control::fleet_watch::FleetReader;
+use crate::control::fleet_watch::SharedFold;
 use crate::control::order_run::OrderRun;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -44,13 +44,13 @@
 
 /// What the order runs share with the desk.
 pub(crate) struct DeskState {
-    pub(crate) lease: RefCell<LeaseDesk>,
+    pub(crate) lease: RefCell<LeaseKeeper>,
     /// Engines with an order under way.
     pub(crate) under_way: RefCell<IndexSet<ServerKey>>,
 }
 
 /// The desk.
-pub(crate) struct OrderDesk {
+pub(crate) struct OrderScheduler {
     state: Arc<SharedState>,
     store: StoreClient,
     engines: EngineClient,
@@ -67,18 +67,18 @@
     servers: Vec<WaveServer>,
 }
 
-impl OrderDesk {
+impl OrderScheduler {
     /// A desk without the lease.
     pub(crate) fn new(
         state: Arc<SharedState>,
         store: StoreClient,
         fold: SharedFold,
         reader: FleetReader,
-    ) -> OrderDesk {
+    ) -> OrderScheduler {
         let host = state.settings.host.clone();
-        let lease = LeaseDesk::new(host, state.settings.bounds.lease());
+        let lease = LeaseKeeper::new(host, state.settings.bounds.lease());
         let desk = DeskState { lease: RefCell::new(lease), under_way: RefCell::default() };
-        OrderDesk {
+        OrderScheduler {
             state,
             store,
             engines: EngineClient::new(),
--- a/crates/entry/src/control/peer_links.rs
+++ b/crates/entry/src/control/peer_links.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use fulmargate_dispatch::FleetHost;
-use fulmargate_dispatch::PeerNews;
+use fulmargate_dispatch::GossipMessage;
+use fulmargate_dispatch::GossipTarget;
+use fulmargate_dispatch::GossipTopology;
 use fulmargate_dispatch::WeightsAge;
-use fulmargate_dispatch::WordRoute;
-use fulmargate_dispatch::WordTarget;
-use fulmargate_dispatch::told_parts;
+use fulmargate_dispatch::published_parts;
 use fulmargate_dispatch::urgent_pace;
 use fulmargate_names::HostName;
 use indexmap::IndexSet;
@@ -19,7 +19,7 @@
 use tokio::time::sleep_until;
 
 use crate::control::fleet_codec::encode_news;
-use crate::control::fleet_desk::SharedFold;
+use crate::control::fleet_watch::SharedFold;
 use crate::control::link_table::SharedTable;
 use crate::control::link_table::tell;
 use crate::control::relay_board::SharedRelays;
@@ -46,11 +46,11 @@
 struct PeerTarget {
     host: HostName,
     address: SocketAddr,
-    wants_words: bool,
+    subscribes: bool,
 }
 
 /// Where the next word goes.
-struct WordTurn {
+struct GossipRound {
     targets: Vec<PeerTarget>,
     pace: Duration,
     urgent_pace: Duration,
@@ -78,14 +78,14 @@
         let link = self.state.settings.link_bytes_per_s();
         loop {
             let turn = self.turn(word_bytes);
-            self.state.book().set_word_pace(turn.pace);
+            self.state.book().set_gossip_interval(turn.pace);
             tokio::select! {
                 () = sleep(turn.pace) => {}
                 () = self.state.loading.changed() => sleep_until(waited + turn.urgent_pace).await,
             }
             let since = waited.elapsed().min(turn.pace);
             waited = Instant::now();
-            let news = self.news(told_parts(link, turn.hearers, since));
+            let news = self.news(published_parts(link, turn.hearers, since));
             let is_busy = is_worth_telling(&news) || self.relays.choice.borrow().is_awaiting();
             word_bytes = 0;
             // The last of it is said, too: that nothing is under way any more. After that a word now
@@ -98,14 +98,14 @@
         }
     }
 
-    fn turn(&self, word_bytes: usize) -> WordTurn {
+    fn turn(&self, word_bytes: usize) -> GossipRound {
         let own = self.own_host();
         let hosts = self.fleet_hosts(&own);
-        let route = WordRoute::new(&hosts, self.state.settings.direct_hosts);
+        let route = GossipTopology::new(&hosts, self.state.settings.direct_hosts);
         let mut choice = self.relays.choice.borrow_mut();
         let link = self.state.settings.link_bytes_per_s();
         match route.targets(&own, &mut choice, Instant::now()) {
-            Some(targets) => WordTurn {
+            Some(targets) => GossipRound {
                 targets: targets.into_iter().filter_map(|target| self.located(target)).collect(),
                 pace: route.pace,
                 urgent_pace: URGENT_RELAYED,
@@ -116,7 +116,7 @@
                 let targets = self.all_others();
                 let urgent_pace = urgent_pace(targets.len(), word_bytes, link);
                 let (pace, idle_pace, hearers) = (route.pace, IDLE_PACE, targets.len());
-                WordTurn { targets, pace, urgent_pace, idle_pace, hearers }
+                GossipRound { targets, pace, urgent_pace, idle_pace, hearers }
             }
         }
     }
@@ -151,10 +151,10 @@
         hosts
     }
 
-    fn located(&self, target: WordTarget) -> Option<PeerTarget> {
-        let WordTarget { host, wants_words } = target;
+    fn located(&self, target: GossipTarget) -> Option<PeerTarget> {
+        let GossipTarget { host, subscribes } = target;
         let address = self.fold.borrow().address_of(&host)?;
-        Some(PeerTarget { host, address, wants_words })
+        Some(PeerTarget { host, address, subscribes })
     }
 
     /// All other routers, from this one on in the order of their records: so that not all open their first
@@ -165,7 +165,7 @@
         let target = |(host, address): (&HostName, &SocketAddr)| PeerTarget {
             host: host.clone(),
             address: *address,
-            wants_words: false,
+            subscribes: false,
         };
         let mut members: Vec<PeerTarget> = fold.members().map(target).collect();
         if let Some(position) = members.iter().position(|target| target.host == *own) {
@@ -175,7 +175,7 @@
         members
     }
 
-    fn news(&self, most_parts: usize) -> PeerNews {
+    fn news(&self, most_parts: usize) -> GossipMessage {
         let mut news = self.state.book().take_news(most_parts, Instant::now());
         news.host = Some(self.state.settings.host.clone());
         news.zone = Some(self.state.settings.zone.clone());
@@ -200,15 +200,15 @@
     }
 
     /// Tells the targets, and those that this host passes words on to. Returns the bytes of the word.
-    fn tell(&self, targets: &[PeerTarget], mut news: PeerNews) -> usize {
+    fn tell(&self, targets: &[PeerTarget], mut news: GossipMessage) -> usize {
         let plain = encode(&news);
-        news.wants_words = true;
+        news.subscribes = true;
         let wanting = encode(&news);
         self.relays.board.borrow_mut().push_own_zone(&plain);
         let is_target = |host: &HostName| targets.iter().any(|target| target.host == *host);
         self.table.borrow_mut().retain(is_target);
         for target in targets {
-            let message = if target.wants_words { &wanting } else { &plain };
+            let message = if target.subscribes { &wanting } else { &plain };
             tell(&self.table, &target.host, target.address, message);
         }
         plain.len()
@@ -216,7 +216,7 @@
 }
 
 /// A message that cannot be written is left out.
-fn encode(news: &PeerNews) -> Bytes {
+fn encode(news: &GossipMessage) -> Bytes {
     match encode_news(news) {
         Ok(message) => Bytes::from(message),
         Err(err) => {
@@ -226,7 +226,7 @@
     }
 }
 
-fn is_worth_telling(news: &PeerNews) -> bool {
+fn is_worth_telling(news: &GossipMessage) -> bool {
     !news.loads.is_empty()
         || !news.loading.is_empty()
         || !news.prompts.is_empty()
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -9,10 +9,10 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use fulmargate_dispatch::AskerStore;
+use fulmargate_dispatch::GossipMessage;
+use fulmargate_dispatch::GossipPath;
 use fulmargate_dispatch::LogQuestion;
-use fulmargate_dispatch::PeerNews;
-use fulmargate_dispatch::WordWay;
+use fulmargate_dispatch::SubscriberStore;
 use fulmargate_dispatch::is_passed_on;
 use fulmargate_dispatch::is_taken_in;
 use fulmargate_names::EventKind;
@@ -34,8 +34,8 @@
 use crate::control::fleet_codec::decode_news;
 use crate::control::fleet_codec::decode_plain;
 use crate::control::fleet_codec::encode_plain;
-use crate::control::log_shelf::LogShelf;
-use crate::control::log_shelf::ShelfReply;
+use crate::control::record_cache::CacheReply;
+use crate::control::record_cache::RecordCache;
 use crate::control::relay_board::SharedRelays;
 use crate::sockets::watch_peer;
 use crate::state::SharedState;
@@ -56,13 +56,13 @@
 /// The listener.
 pub(crate) struct PeerListener {
     state: Arc<SharedState>,
-    shelf: Rc<LogShelf>,
+    shelf: Rc<RecordCache>,
     relays: SharedRelays,
     listener: TcpListener,
 }
 
 /// A stream of words.
-struct WordStream {
+struct GossipStream {
     state: Arc<SharedState>,
     relays: SharedRelays,
     /// Who passes them on; none where they come from the router that says them.
@@ -73,7 +73,7 @@
     /// Takes over the listening socket.
     pub(crate) fn new(
         state: Arc<SharedState>,
-        shelf: Rc<LogShelf>,
+        shelf: Rc<RecordCache>,
         relays: SharedRelays,
         listener: StdListener,
     ) -> io::Result<PeerListener> {
@@ -99,7 +99,7 @@
 
 async fn serve_link(
     state: Arc<SharedState>,
-    shelf: Rc<LogShelf>,
+    shelf: Rc<RecordCache>,
     relays: SharedRelays,
     stream: TcpStream,
 ) {
@@ -123,7 +123,7 @@
             }
             Ok((request, respond)) => {
                 let (state, relays) = (state.clone(), relays.clone());
-                let words = WordStream { state, relays, relay: relay_of(&request) };
+                let words = GossipStream { state, relays, relay: relay_of(&request) };
                 actix_rt::spawn(words.hear(request.into_body(), respond));
             }
             Err(err) => {
@@ -137,14 +137,14 @@
 /// Records for a router that does not read the store. Without them it is told why and reads itself.
 async fn answer_question(
     state: Arc<SharedState>,
-    shelf: Rc<LogShelf>,
+    shelf: Rc<RecordCache>,
     asker: Option<SocketAddr>,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) {
     let store = match request.headers().contains_key(STORE_HEADER) {
-        true => AskerStore::OutOfReach,
-        false => AskerStore::InReach,
+        true => SubscriberStore::OutOfReach,
+        false => SubscriberStore::InReach,
     };
     let mut body = request.into_body();
     let mut bytes = Vec::new();
@@ -178,29 +178,29 @@
     }
 }
 
-fn encode_reply(reply: ShelfReply) -> (StatusCode, Option<Vec<u8>>) {
+fn encode_reply(reply: CacheReply) -> (StatusCode, Option<Vec<u8>>) {
     match reply {
-        ShelfReply::Records(answer) => match encode_plain(&answer) {
+        CacheReply::Records(answer) => match encode_plain(&answer) {
             Ok(encoded) => (StatusCode::OK, Some(encoded)),
             Err(err) => {
                 tracing::error!("records cannot be handed on: {err}");
                 (StatusCode::SERVICE_UNAVAILABLE, None)
             }
         },
-        ShelfReply::OverBudget { .. } => (StatusCode::TOO_MANY_REQUESTS, None),
-        ShelfReply::NotThere => (StatusCode::SERVICE_UNAVAILABLE, None),
+        CacheReply::OverBudget { .. } => (StatusCode::TOO_MANY_REQUESTS, None),
+        CacheReply::NotThere => (StatusCode::SERVICE_UNAVAILABLE, None),
     }
 }
 
 fn note_reply(
     state: &SharedState,
     question: &LogQuestion,
-    reply: &ShelfReply,
+    reply: &CacheReply,
     asker: Option<SocketAddr>,
 ) {
     match reply {
-        ShelfReply::Records(answer) => count_given(question.topic, answer.bytes()),
-        ShelfReply::OverBudget { bytes, left } => {
+        CacheReply::Records(answer) => count_given(question.topic, answer.bytes()),
+        CacheReply::OverBudget { bytes, left } => {
             count_refused(question.topic);
             let kind = EventKind::HandOnRefused;
             if !state.lines.allows(kind, Instant::now()) {
@@ -216,7 +216,7 @@
                 left_bytes = left,
             );
         }
-        ShelfReply::NotThere => {}
+        CacheReply::NotThere => {}
     }
 }
 
@@ -229,7 +229,7 @@
     Some(HostName::new(relay))
 }
 
-impl WordStream {
+impl GossipStream {
     async fn hear(
         self,
         body: RecvStream,
@@ -271,31 +271,31 @@
     }
 
     /// Takes a word in and passes it on, as far as it is for this host to do so.
-    fn take_word(&self, news: &PeerNews, message: &[u8]) {
+    fn take_word(&self, news: &GossipMessage, message: &[u8]) {
         let settings = &self.state.settings;
         let (Some(host), Some(origin)) = (&news.host, &news.zone) else { return };
         // A relay passes a host's own words on to it, too.
         if *host == settings.host {
             return;
         }
-        let way = if self.relay.is_some() { WordWay::Relayed } else { WordWay::Direct };
+        let way = if self.relay.is_some() { GossipPath::Relayed } else { GossipPath::Direct };
         let mut board = self.relays.board.borrow_mut();
-        if way == WordWay::Direct && news.wants_words {
+        if way == GossipPath::Direct && news.subscribes {
             board.listen(host, origin, Instant::now());
         }
         if is_passed_on(way, origin, &settings.zone) {
             match way {
-                WordWay::Direct => board.push_own_zone(message),
-                WordWay::Relayed => board.push_other_zone(message),
+                GossipPath::Direct => board.push_own_zone(message),
+                GossipPath::Relayed => board.push_other_zone(message),
             }
         }
-        if is_taken_in(way, news.wants_words, origin, &settings.zone) {
+        if is_taken_in(way, news.subscribes, origin, &settings.zone) {
             take_news(&self.state, news);
         }
     }
 }
 
-fn take_news(state: &SharedState, news: &PeerNews) {
+fn take_news(state: &SharedState, news: &GossipMessage) {
     state.book().hear(news, Instant::now());
     if let (Some(host), Some(report)) = (&news.host, &news.quotas) {
         state.quotas().hear(host, report, Instant::now());
--- a/crates/entry/src/control/log_shelf.rs
+++ b/crates/entry/src/control/record_cache.rs
@@ -3,14 +3,14 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use fulmargate_dispatch::AskerStore;
 use fulmargate_dispatch::BootTime;
-use fulmargate_dispatch::HandOnBudget;
+use fulmargate_dispatch::ForwardBudget;
 use fulmargate_dispatch::LogAnswer;
 use fulmargate_dispatch::LogCache;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogQuestion;
 use fulmargate_dispatch::LogTopic;
+use fulmargate_dispatch::SubscriberStore;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -24,14 +24,14 @@
 const LEAST_AGE: Duration = Duration::from_millis(1_200);
 
 /// The topics that this router reads, kept for those that ask.
-pub(crate) struct LogShelf {
+pub(crate) struct RecordCache {
     caches: RefCell<IndexMap<LogTopic, LogCache>>,
     changed: Notify,
-    budget: RefCell<HandOnBudget>,
+    budget: RefCell<ForwardBudget>,
 }
 
 /// What another router is told that asks for records.
-pub(crate) enum ShelfReply {
+pub(crate) enum CacheReply {
     /// The records.
     Records(LogAnswer),
     /// They are here and may not go now: the asker reads the store, and asks here again afterwards.
@@ -45,11 +45,11 @@
     NotThere,
 }
 
-impl LogShelf {
+impl RecordCache {
     /// An empty shelf on a host whose link carries so much.
-    pub(crate) fn new(link_bytes_per_s: f64) -> LogShelf {
-        let budget = HandOnBudget::new(link_bytes_per_s, Instant::now());
-        LogShelf {
+    pub(crate) fn new(link_bytes_per_s: f64) -> RecordCache {
+        let budget = ForwardBudget::new(link_bytes_per_s, Instant::now());
+        RecordCache {
             caches: RefCell::default(),
             changed: Notify::new(),
             budget: RefCell::new(budget),
@@ -76,7 +76,7 @@
 
     /// Answers another router, as soon as there is a record or a newer proof, or its wait is over. A
     /// host that does not read itself says so at once, and so does one that may not hand on so much now.
-    pub(crate) async fn answer(&self, question: LogQuestion, store: AskerStore) -> ShelfReply {
+    pub(crate) async fn answer(&self, question: LogQuestion, store: SubscriberStore) -> CacheReply {
         let arrived = boot_now();
         let longest = longest_age(question);
         let until = Instant::now() + Duration::from_millis(question.wait_ms);
@@ -84,7 +84,7 @@
         loop {
             let changed = self.changed.notified();
             let Some(answer) = self.now(question, arrived, longest) else {
-                return ShelfReply::NotThere;
+                return CacheReply::NotThere;
             };
             let is_news = !answer.records.is_empty() || self.proven(question.topic) != known;
             if is_news || until <= Instant::now() {
@@ -98,12 +98,12 @@
         }
     }
 
-    fn within_budget(&self, answer: LogAnswer, store: AskerStore) -> ShelfReply {
+    fn within_budget(&self, answer: LogAnswer, store: SubscriberStore) -> CacheReply {
         let mut budget = self.budget.borrow_mut();
         let bytes = answer.bytes();
         match budget.try_take(bytes, store, Instant::now()) {
-            true => ShelfReply::Records(answer),
-            false => ShelfReply::OverBudget { bytes, left: budget.left() },
+            true => CacheReply::Records(answer),
+            false => CacheReply::OverBudget { bytes, left: budget.left() },
         }
     }
 
--- a/crates/entry/src/control/relay_desk.rs
+++ b/crates/entry/src/control/relay_forwarder.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::control::fleet_desk::SharedFold;
+use crate::control::fleet_watch::SharedFold;
 use crate::control::link_table::LinkPath;
 use crate::control::link_table::LinkTable;
 use crate::control::link_table::SharedTable;
@@ -26,23 +26,23 @@
 const MOST_WAITING_BYTES: usize = 64 * 1024;
 
 /// The desk.
-pub(crate) struct RelayDesk {
+pub(crate) struct RelayForwarder {
     state: Arc<SharedState>,
     fold: SharedFold,
     relays: SharedRelays,
     table: SharedTable,
 }
 
-impl RelayDesk {
+impl RelayForwarder {
     /// No links yet.
     pub(crate) fn new(
         state: Arc<SharedState>,
         fold: SharedFold,
         relays: SharedRelays,
-    ) -> RelayDesk {
+    ) -> RelayForwarder {
         let path = LinkPath::Relayed(state.settings.host.clone());
         let table = SharedTable::new(LinkTable::new(path, MOST_WAITING_BYTES).into());
-        RelayDesk { state, fold, relays, table }
+        RelayForwarder { state, fold, relays, table }
     }
 
     /// Passes on and on.
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -12,8 +12,8 @@
 use fulmargate_admission::QuotaConf;
 use fulmargate_admission::QuotaTracker;
 use fulmargate_dispatch::ConfigProof;
-use fulmargate_dispatch::CrashBook;
 use fulmargate_dispatch::CrashConf;
+use fulmargate_dispatch::CrashTracker;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::RepeatBudget;
 use fulmargate_dispatch::RepeatConf;
@@ -77,7 +77,7 @@
     book: Mutex<ServerBook>,
     budget: Mutex<RepeatBudget>,
     quotas: Mutex<QuotaTracker>,
-    crashes: Mutex<CrashBook>,
+    crashes: Mutex<CrashTracker>,
 }
 
 /// What the routers' own topic says, for status.
@@ -138,7 +138,7 @@
             book: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(repeats, Instant::now())),
             quotas: Mutex::new(quotas),
-            crashes: Mutex::new(CrashBook::new(CrashConf::default())),
+            crashes: Mutex::new(CrashTracker::new(CrashConf::default())),
         }
     }
 
@@ -193,7 +193,7 @@
     }
 
     /// Requests that crash servers.
-    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashBook> {
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
         lock(&self.crashes)
     }
 }
--- a/crates/entry/src/traffic/call_run/plan.rs
+++ b/crates/entry/src/traffic/call_run/plan.rs
@@ -4,8 +4,8 @@
 
 use fulmargate_consortium::SendHead;
 use fulmargate_dispatch::ChoiceReason;
+use fulmargate_dispatch::PlacementRequest;
 use fulmargate_dispatch::Placing;
-use fulmargate_dispatch::PromptWish;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::TakenEngine;
@@ -77,7 +77,7 @@
         point: &ResumePoint,
     ) -> Result<Option<SendPlan>, CallFailure> {
         let team = self.facts().team.clone();
-        let wish = PromptWish {
+        let wish = PlacementRequest {
             call: self.facts().clone(),
             service: service.clone(),
             model: model.clone(),
@@ -118,7 +118,10 @@
     }
 
     /// An engine for the prompt, after waiting for it if need be.
-    async fn take_engine(&self, wish: PromptWish) -> Result<Option<TakenEngine>, CallFailure> {
+    async fn take_engine(
+        &self,
+        wish: PlacementRequest,
+    ) -> Result<Option<TakenEngine>, CallFailure> {
         match place_first(&self.state, &wish) {
             Placing::Taken(taken) => return Ok(Some(*taken)),
             Placing::Nowhere => return Ok(None),
--- a/crates/entry/src/traffic/wait_room.rs
+++ b/crates/entry/src/traffic/wait_room.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::ChoiceView;
+use fulmargate_dispatch::PlacementRequest;
 use fulmargate_dispatch::Placing;
-use fulmargate_dispatch::PromptWish;
+use fulmargate_dispatch::RequestQueue;
 use fulmargate_dispatch::ServerBook;
 use fulmargate_dispatch::WaitEnd;
-use fulmargate_dispatch::WaitLine;
 use fulmargate_dispatch::WaitNumber;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -42,7 +42,7 @@
 
 #[derive(Default)]
 struct RoomInside {
-    line: WaitLine,
+    line: RequestQueue,
     senders: IndexMap<WaitNumber, Sender<WaitEnd>>,
 }
 
@@ -119,7 +119,7 @@
 }
 
 /// Places the prompt, if it need not wait behind others.
-pub(crate) fn place_first(state: &SharedState, wish: &PromptWish) -> Placing {
+pub(crate) fn place_first(state: &SharedState, wish: &PlacementRequest) -> Placing {
     if !state.waiting.lock().line.goes_first(&wish.call) {
         return Placing::Wait(f64::from(wish.call.prompt_tokens()));
     }
@@ -127,7 +127,7 @@
 }
 
 /// Takes a place in the line.
-pub(crate) fn enter_line(state: &Arc<SharedState>, wish: PromptWish) -> WaitPlace {
+pub(crate) fn enter_line(state: &Arc<SharedState>, wish: PlacementRequest) -> WaitPlace {
     let (sender, receiver) = oneshot::channel();
     let mut inside = state.waiting.lock();
     let number = inside.line.enter(wish);
