--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -21,7 +21,7 @@
 const CUT_SHARE: f64 = 0.93;
 /// A surge at this router is taken for one at all of them, up to this factor.
 const MOST_SURGE: f64 = 8.0;
-/// The share of the bound's margin for use that no report has told of yet.
+/// The share of the bound's margin for use that no report has covered yet.
 const MARGIN_SHARE: f64 = 0.2;
 /// The share of the margin that may be saved up beside the burst.
 const DEPTH_SHARE: f64 = 0.3;
@@ -51,12 +51,12 @@
     /// Parts by use, the present ones and those before them.
     parts: [IndexMap<usize, f64>; 2],
     parted: Instant,
-    /// Tokens whose callers were told when to return.
+    /// Tokens promised to callers that were refused.
     promised: f64,
     promised_at: Instant,
     /// Tokens that were admitted here and ran nowhere.
     credit: f64,
-    /// The part of `own.total` that reports have told of.
+    /// The part of `own.total` that reports have covered.
     reported: u64,
 }
 
@@ -256,7 +256,7 @@
         // An older debt than the window has no bearing on the bound.
         let least = -self.quota.rate_per_s * conf.window.as_secs_f64();
         self.level = (self.level + filled * self.share).clamp(least, self.depth(conf));
-        let parts = self.lost.iter().filter(|(number, _)| reach.was_heard(**number));
+        let parts = self.lost.iter().filter(|(number, _)| reach.was_seen(**number));
         let kept: f64 = parts.map(|(_, part)| part).sum();
         let most = self.quota.burst + self.quota.rate_per_s * conf.window.as_secs_f64();
         self.withheld = (self.withheld + filled * kept).min(most);
@@ -275,9 +275,9 @@
                 }
                 if let Some(peer) = self.peers.get_mut(number) {
                     peer.is_late = true;
-                    let heard = reach.heard_at(*number).unwrap_or(now);
+                    let seen = reach.last_seen(*number).unwrap_or(now);
                     let timeout_s = conf.reach_timeout.as_secs_f64();
-                    let unreported = peer.short.at(heard) * timeout_s * surge;
+                    let unreported = peer.short.at(seen) * timeout_s * surge;
                     self.level -= unreported;
                     self.withheld += unreported;
                 }
@@ -325,9 +325,9 @@
     fn expected(&self, reach: &QuotaReach, conf: &QuotaConf, now: Instant) -> f64 {
         let expected = |(number, peer): (&usize, &RouterUse)| {
             // Its silence says nothing of its use; from the timeout on a part is kept for it.
-            let heard = reach.heard_at(*number)?;
-            let age = now.saturating_duration_since(heard);
-            (age < conf.reach_timeout).then(|| peer.short.at(heard) * age.as_secs_f64())
+            let seen = reach.last_seen(*number)?;
+            let age = now.saturating_duration_since(seen);
+            (age < conf.reach_timeout).then(|| peer.short.at(seen) * age.as_secs_f64())
         };
         self.peers.iter().filter_map(expected).sum()
     }
@@ -359,5 +359,5 @@
     }
 }
 
-/// The longest wait that a caller is told, in seconds.
+/// The longest `Retry-After`, in seconds.
 const LONGEST_WAIT_S: f64 = 60.0;
--- a/crates/admission/src/quota_conf.rs
+++ b/crates/admission/src/quota_conf.rs
@@ -11,7 +11,7 @@
     pub overage: f64,
     /// Tokens by which use may exceed a quota within a window, besides.
     pub slack: f64,
-    /// A router that was not heard for so long is out of reach. It may still admit requests.
+    /// A router that was not seen for so long is out of reach. It may still admit requests.
     pub reach_timeout: Duration,
     /// A router that was out of reach for so long, while others of its zone are in reach, has ended.
     pub end_timeout: Duration,
--- a/crates/admission/src/quota_reach.rs
+++ b/crates/admission/src/quota_reach.rs
@@ -26,14 +26,14 @@
     start: u16,
     /// When it was named.
     known: Instant,
-    heard: Option<Instant>,
+    last_seen: Option<Instant>,
 }
 
 /// What a report says of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PeerContact {
     pub(crate) number: usize,
-    /// It has started again since its last report, or is heard for the first time.
+    /// It has started again since its last report, or is seen for the first time.
     pub(crate) is_new_start: bool,
 }
 
@@ -60,24 +60,24 @@
     }
 
     /// A report of this router has come.
-    pub(crate) fn heard(&mut self, host: &HostName, start: u16, now: Instant) -> PeerContact {
+    pub(crate) fn note_seen(&mut self, host: &HostName, start: u16, now: Instant) -> PeerContact {
         let peer = self.peer(host, now);
-        let is_new_start = peer.heard.is_none() || peer.start != start;
+        let is_new_start = peer.last_seen.is_none() || peer.start != start;
         peer.start = start;
-        peer.heard = peer.heard.max(Some(now));
+        peer.last_seen = peer.last_seen.max(Some(now));
         let number = self.peers.get_index_of(host).unwrap_or_default();
         PeerContact { number, is_new_start }
     }
 
-    /// When a router was last heard; none if it never was.
-    pub(crate) fn heard_at(&self, number: usize) -> Option<Instant> {
-        self.peers.get_index(number)?.1.heard
+    /// When a router was last seen; none if it never was.
+    pub(crate) fn last_seen(&self, number: usize) -> Option<Instant> {
+        self.peers.get_index(number)?.1.last_seen
     }
 
     /// Age of the latest report of any router.
     pub(crate) fn least_age(&self, now: Instant) -> Option<Duration> {
-        let heard = self.peers.values().filter_map(|peer| peer.heard).max()?;
-        Some(now.saturating_duration_since(heard))
+        let seen = self.peers.values().filter_map(|peer| peer.last_seen).max()?;
+        Some(now.saturating_duration_since(seen))
     }
 
     /// Routers that may admit, this one included.
@@ -85,9 +85,9 @@
         self.peers.len() + 1
     }
 
-    /// Whether this router was ever heard.
-    pub(crate) fn was_heard(&self, number: usize) -> bool {
-        self.peers.get_index(number).is_some_and(|(_, peer)| peer.heard.is_some())
+    /// Whether this router was ever seen.
+    pub(crate) fn was_seen(&self, number: usize) -> bool {
+        self.peers.get_index(number).is_some_and(|(_, peer)| peer.last_seen.is_some())
     }
 
     /// Routers that may admit and are out of reach.
@@ -101,10 +101,10 @@
 
     fn find_lost(&self, conf: &QuotaConf, now: Instant) -> Vec<usize> {
         let silence = |peer: &PeerReach| {
-            now.saturating_duration_since(peer.heard.unwrap_or(peer.known).max(peer.known))
+            now.saturating_duration_since(peer.last_seen.unwrap_or(peer.known).max(peer.known))
         };
         let is_there = |peer: &PeerReach| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < conf.reach_timeout)
+            peer.last_seen.is_some_and(|at| now.saturating_duration_since(at) < conf.reach_timeout)
         };
         let has_ended = |peer: &PeerReach| {
             let zone_speaks =
@@ -117,7 +117,7 @@
     }
 
     fn peer(&mut self, host: &HostName, now: Instant) -> &mut PeerReach {
-        let unheard = || PeerReach { zone: None, start: 0, known: now, heard: None };
-        self.peers.entry(host.clone()).or_insert_with(unheard)
+        let unseen = || PeerReach { zone: None, start: 0, known: now, last_seen: None };
+        self.peers.entry(host.clone()).or_insert_with(unseen)
     }
 }
--- a/crates/admission/src/quota_tracker.rs
+++ b/crates/admission/src/quota_tracker.rs
@@ -47,7 +47,7 @@
     pub retry_after: Duration,
     /// Tokens that are left; negative after more was used than there was.
     pub left: f64,
-    /// Age of the newest report of another router; none if none was heard.
+    /// Age of the newest report of another router; none if none was seen.
     pub report_age: Option<Duration>,
 }
 
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Age of the newest report of another router; none if none was heard.
+    /// Age of the newest report of another router; none if none was seen.
     pub fn report_age(&self, now: Instant) -> Option<Duration> {
         self.reach.least_age(now)
     }
@@ -154,11 +154,11 @@
     }
 
     /// Takes in another router's report, also an empty one: it shows that the router is in reach.
-    pub fn hear(&mut self, host: &HostName, report: &QuotaReport, now: Instant) {
+    pub fn receive(&mut self, host: &HostName, report: &QuotaReport, now: Instant) {
         if *host == self.own {
             return;
         }
-        let contact = self.reach.heard(host, report.start, now);
+        let contact = self.reach.note_seen(host, report.start, now);
         if contact.is_new_start {
             self.buckets.values_mut().for_each(|bucket| bucket.restarted(contact.number));
         }
--- a/crates/admission/tests/support/quota_world.rs
+++ b/crates/admission/tests/support/quota_world.rs
@@ -274,7 +274,7 @@
             let host = self.hosts[letter.from].clone();
             match (&mut self.routers[letter.to], &letter.report) {
                 (RouterQuota::Reports(tracker), RouterReport::Reports(report)) => {
-                    tracker.hear(&host, report, self.now);
+                    tracker.receive(&host, report, self.now);
                 }
                 (RouterQuota::Shares(limiter), RouterReport::Shares(report)) => {
                     limiter.peer_usage(&host, report, letter.sent);
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -298,7 +298,7 @@
 fn take_news(state: &SharedState, news: &GossipMessage) {
     state.book().hear(news, Instant::now());
     if let (Some(host), Some(report)) = (&news.host, &news.quotas) {
-        state.quotas().hear(host, report, Instant::now());
+        state.quotas().receive(host, report, Instant::now());
     }
     if news.weights.is_empty() {
         return;
