A quota without a burst and a margin admits its rate

Cause, found in reading: the bucket holds a quarter of the burst and part of the bound's margin. With neither, as on deployments whose settings name no overage and slack, it held nothing and no request was ever admitted; and a debt was forgiven sooner than the window of a request larger than the bucket. A bucket now holds a sixteenth of what the rate grants in a window at least, taken from the pace.

--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -25,6 +25,8 @@
 const MARGIN_SHARE: f64 = 0.2;
 /// The share of the margin that may be saved up beside the burst.
 const DEPTH_SHARE: f64 = 0.3;
+/// A bucket holds this share of what the rate grants in a window at least.
+const LEAST_DEPTH_SHARE: f64 = 1.0 / 16.0;
 /// The share of a burst that is granted evenly over each window, beside the rate. The bound of a window is
 /// the same, steady use comes closer to it, and less is spent before routers know of each other's use.
 const EVEN_SHARE: f64 = 0.75;
@@ -133,12 +135,12 @@
         self.renew(reach, conf, now);
         let surge = self.surge(now);
         self.asked.add(cost, now);
-        let needed = (cost as f64).min(self.depth(conf).max(1.0));
+        let needed = (cost as f64).min(self.depth(conf));
         let expected = self.expected(reach, conf, now);
         let margin = MARGIN_SHARE * self.margin(conf);
         let left = self.level - expected;
         let surging = (surge - 1.0) * expected;
-        if needed <= left && needed <= left - surging + margin {
+        if 0.0 < self.share && needed <= left && needed <= left - surging + margin {
             self.charge(cost, now);
             return BucketAnswer::Admitted;
         }
@@ -217,13 +219,24 @@
     /// Tokens that may be saved up by the routers in reach. Part of the bound's margin is added: what others
     /// use is known late, and a request below the quota must not be refused for that.
     fn depth(&self, conf: &QuotaConf) -> f64 {
-        let saved = (1.0 - EVEN_SHARE) * self.quota.burst;
-        (saved + DEPTH_SHARE * self.margin(conf)) * self.share
+        self.saved(conf).max(self.least_depth(conf)) * self.share
     }
 
     /// Tokens a second that all routers together may use.
     fn pace(&self, conf: &QuotaConf) -> f64 {
-        self.quota.rate_per_s + EVEN_SHARE * self.quota.burst / conf.window.as_secs_f64()
+        // What the bucket holds beyond the burst and the margin is taken from the rate.
+        let beyond = (self.least_depth(conf) - self.saved(conf)).max(0.0);
+        let even = EVEN_SHARE * self.quota.burst - beyond;
+        self.quota.rate_per_s + even / conf.window.as_secs_f64()
+    }
+
+    fn saved(&self, conf: &QuotaConf) -> f64 {
+        (1.0 - EVEN_SHARE) * self.quota.burst + DEPTH_SHARE * self.margin(conf)
+    }
+
+    /// Without a burst and a margin a bucket would hold no request at all.
+    fn least_depth(&self, conf: &QuotaConf) -> f64 {
+        LEAST_DEPTH_SHARE * self.quota.rate_per_s * conf.window.as_secs_f64()
     }
 
     fn margin(&self, conf: &QuotaConf) -> f64 {
@@ -254,7 +267,7 @@
         self.updated = self.updated.max(now);
         let filled = self.pace(conf) * passed;
         // An older debt than the window has no bearing on the bound.
-        let least = -self.quota.rate_per_s * conf.window.as_secs_f64();
+        let least = -self.pace(conf) * conf.window.as_secs_f64();
         self.level = (self.level + filled * self.share).clamp(least, self.depth(conf));
         let parts = self.lost.iter().filter(|(number, _)| reach.was_seen(**number));
         let kept: f64 = parts.map(|(_, part)| part).sum();
--- a/crates/admission/tests/quotas.rs
+++ b/crates/admission/tests/quotas.rs
@@ -2,12 +2,22 @@
 
 mod support;
 
+use std::time::Duration;
+
+use fulmargate_admission::QuotaConf;
+use fulmargate_admission::QuotaTracker;
+use fulmargate_admission::QuotaUnit;
+use fulmargate_admission::TeamQuota;
+use fulmargate_names::HostName;
+use fulmargate_names::TeamName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use support::Dice;
 use support::quota_world::QuotaWorld;
 use support::quota_world::ZONES;
+use support::quota_world::conf;
 use support::quota_world::quota;
+use tokio::time::Instant;
 
 /// A load or failure that a quota must hold under, and what must still be admitted.
 struct QuotaCase {
@@ -221,6 +231,51 @@
 
 const SCHEDULES: u64 = 30;
 
+struct PlainCase {
+    name: &'static str,
+    quota: TeamQuota,
+    cost: u64,
+    /// Requests that a lone router admits in a minute of steady demand above the quota.
+    admitted: std::ops::RangeInclusive<usize>,
+}
+
+const PLAIN: &[PlainCase] = &[
+    PlainCase {
+        name: "a rate without a burst",
+        quota: TeamQuota { rate_per_s: 5.0, burst: 0.0, unit: QuotaUnit::Requests },
+        cost: 1,
+        admitted: 270..=300,
+    },
+    PlainCase {
+        name: "less than a request a second",
+        quota: TeamQuota { rate_per_s: 0.5, burst: 0.0, unit: QuotaUnit::Requests },
+        cost: 1,
+        admitted: 26..=30,
+    },
+    PlainCase {
+        name: "a request that is larger than the burst",
+        quota: TeamQuota { rate_per_s: 1_000.0, burst: 2_000.0, unit: QuotaUnit::Requests },
+        cost: 10_000,
+        admitted: 5..=8,
+    },
+];
+
+/// A bucket without a margin that holds less than one request would admit none for good.
+#[test]
+fn quotas_without_a_margin_admit_their_rate() {
+    let conf = QuotaConf { overage: 0.0, slack: 0.0, ..conf() };
+    for case in PLAIN {
+        let start = Instant::now();
+        let mut tracker = QuotaTracker::new(HostName::new("entry-0"), 1, conf);
+        let team = TeamName::new("museum");
+        tracker.set_routers(std::iter::empty(), start);
+        let asks = (0..600).map(|step| start + Duration::from_millis(100 * step));
+        let admit = |now: &Instant| tracker.admit(&team, &case.quota, case.cost, *now).is_ok();
+        let admitted = asks.filter(admit).count();
+        assert!(case.admitted.contains(&admitted), "{}: {admitted}", case.name);
+    }
+}
+
 /// Random schedules of cuts, starts, freezes, lost relays, hot teams and changes.
 fn play_schedule(seed: u64) -> bool {
     let mut dice = Dice(seed);
