Server list: log entries that are kept after an outage, and why a server is gone

What callers saw: requests reached a server 12 s after it had said that it leaves; three hosts used it again for 2.8 s after they had been cut off from the store for 12 s. Cause: not changed here. The existing lines cannot tell an entry that is kept after an outage from one whose removal was read late: both end in the same server_gone. Change: server_lapsed for each removed entry that is kept, with source and time left; cause in server_gone. The log of the list moves to a file of its own. No decision changes.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -152,6 +152,7 @@
 pub use server_registry::ServerRegistry;
 pub use server_state::LoadReport;
 pub use server_state::ServerState;
+pub use server_table::EntryRemoval;
 pub use server_table::ServerTable;
 pub use service_rule::CacheStore;
 pub use service_rule::EngineRule;
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -33,6 +33,20 @@
     has_drained: bool,
 }
 
+/// What became of an entry that the list no longer contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryRemoval {
+    /// There was no such entry.
+    Unlisted,
+    /// The server gets no further requests.
+    Dropped,
+    /// The entry is kept until the grace period is over.
+    Lapsed {
+        /// The rest of the grace period.
+        grace: Duration,
+    },
+}
+
 /// State folded from the records of the server list.
 ///
 /// An entry that disappears means that its server has left, except right after an outage of the store: all
@@ -106,26 +120,37 @@
     }
 
     /// Removes an entry, or keeps it as lapsed during a grace period.
-    pub fn remove(&mut self, name: &ServerName, now: BootTime) {
-        if self.in_grace_period(now) && self.servers.contains_key(name) {
+    pub fn remove(&mut self, name: &ServerName, now: BootTime) -> EntryRemoval {
+        if !self.servers.contains_key(name) {
+            return EntryRemoval::Unlisted;
+        }
+        let grace = self.remaining_grace(now);
+        if !grace.is_zero() {
             self.lapsed.insert(name.clone());
-            return;
+            return EntryRemoval::Lapsed { grace };
         }
         self.drop_server(name);
+        EntryRemoval::Dropped
     }
 
     /// Removes all entries that are not in a full list, which is read when records were lost.
-    pub fn retain_listed(&mut self, listed: &IndexSet<ServerName>, now: BootTime) {
+    pub fn retain_listed(
+        &mut self,
+        listed: &IndexSet<ServerName>,
+        now: BootTime,
+    ) -> Vec<(ServerName, EntryRemoval)> {
         let missing: Vec<ServerName> =
             self.servers.keys().filter(|name| !listed.contains(*name)).cloned().collect();
-        for name in &missing {
-            self.remove(name, now);
-        }
+        let remove = |name: ServerName| {
+            let removal = self.remove(&name, now);
+            (name, removal)
+        };
+        missing.into_iter().map(remove).collect()
     }
 
     /// Drops lapsed entries once the grace period is over. Returns their names.
     pub fn expire(&mut self, now: BootTime) -> Vec<ServerName> {
-        if self.in_grace_period(now) || self.lapsed.is_empty() {
+        if !self.remaining_grace(now).is_zero() || self.lapsed.is_empty() {
             return Vec::new();
         }
         let expired: Vec<ServerName> = self.lapsed.drain(..).collect();
@@ -151,8 +176,9 @@
         self.lapsed.contains(name)
     }
 
-    fn in_grace_period(&self, now: BootTime) -> bool {
-        self.recovered_at.is_some_and(|recovered_at| now.since(recovered_at) < RECOVERY_GRACE)
+    fn remaining_grace(&self, now: BootTime) -> Duration {
+        let Some(recovered_at) = self.recovered_at else { return Duration::ZERO };
+        RECOVERY_GRACE.saturating_sub(now.since(recovered_at))
     }
 
     fn drop_server(&mut self, name: &ServerName) {
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -211,7 +211,9 @@
                 assert!(table.put(entry_of(name, Some(*start), *stage)));
             }
             PutStale(name, start, stage) => assert!(!table.put(entry_of(name, *start, *stage))),
-            Remove(name, now) => table.remove(&ServerName::new(name), BootTime(*now)),
+            Remove(name, now) => {
+                table.remove(&ServerName::new(name), BootTime(*now));
+            }
             FullList(names, now) => {
                 let listed: IndexSet<ServerName> =
                     names.iter().map(|name| ServerName::new(name)).collect();
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -20,6 +20,7 @@
 mod record_cache;
 mod relay_forwarder;
 mod relay_queue;
+mod server_log;
 mod server_watcher;
 mod store_retry;
 
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -10,18 +10,17 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
-use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
 use fulmargate_names::EventKind;
-use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
-use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::control::epoch_tracker::EpochTracker;
 use crate::control::log_source::LogSource;
+use crate::control::server_log::RemovalSource;
+use crate::control::server_log::ServerLog;
 use crate::control::store_retry::StoreRetry;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -32,20 +31,13 @@
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The last logged state of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct KnownServer {
-    stage: ServerStage,
-    incarnation: Option<Incarnation>,
-}
-
 /// Maintains the server table and publishes it to the shared state.
 pub(crate) struct ServerWatcher {
     state: Arc<SharedState>,
     source: LogSource,
     retry: StoreRetry,
     table: ServerTable,
-    known: IndexMap<ServerName, KnownServer>,
+    log: ServerLog,
     next: Option<LogPosition>,
     epoch: EpochTracker,
 }
@@ -58,7 +50,7 @@
             source,
             retry: StoreRetry::new("servers"),
             table: ServerTable::default(),
-            known: IndexMap::new(),
+            log: ServerLog::default(),
             next: None,
             epoch,
         }
@@ -114,7 +106,9 @@
         for listed in &newest.records {
             self.apply_listed(&listed.record);
         }
-        self.table.retain_listed(&listed, boot_now());
+        for (name, removal) in self.table.retain_listed(&listed, boot_now()) {
+            self.log.record_removal(&name, removal, RemovalSource::List);
+        }
         self.next = Some(newest.end);
         Ok(true)
     }
@@ -122,16 +116,15 @@
     /// Records a response of the store or a zone reader, and logs the end of an outage.
     fn record_response(&mut self, sent: BootTime) {
         if self.table.record_response(sent, boot_now()) {
-            let kind = EventKind::ServersLapsed;
-            let servers = self.known.len();
-            tracing::warn!(event = kind.number(), name = kind.name(), servers);
+            self.log.log_outage_end();
         }
     }
 
     fn apply(&mut self, record: &KeyedRecord) {
         let name = ServerName::new(&record.key);
         let Some(value) = &record.value else {
-            self.table.remove(&name, boot_now());
+            let removal = self.table.remove(&name, boot_now());
+            self.log.record_removal(&name, removal, RemovalSource::Record);
             return;
         };
         match decode_server(&record.key, value) {
@@ -170,40 +163,10 @@
     }
 
     fn publish(&mut self) {
-        self.table.expire(boot_now());
-        self.state.servers().sync(&self.table.usable(), Instant::now());
-        self.log_changes();
-    }
-
-    fn log_changes(&mut self) {
-        let mut known = IndexMap::new();
-        for entry in self.table.entries() {
-            let server = KnownServer { stage: entry.stage, incarnation: entry.incarnation };
-            known.insert(entry.name.clone(), server);
-            let kind = match (self.known.get(&entry.name), entry.stage) {
-                (None, ServerStage::Ready) => EventKind::ServerListed,
-                (Some(previous), _) if previous.incarnation != entry.incarnation => {
-                    EventKind::ServerRestarted
-                }
-                (Some(previous), ServerStage::Draining) if previous.stage == ServerStage::Ready => {
-                    EventKind::ServerLeaving
-                }
-                _ => continue,
-            };
-            tracing::info!(
-                event = kind.number(),
-                name = kind.name(),
-                server = %entry.name,
-                service = %entry.service,
-                zone = %entry.zone,
-                address = %entry.address,
-                started_ms = entry.incarnation.map(|incarnation| incarnation.0),
-            );
+        for name in self.table.expire(boot_now()) {
+            self.log.record_expiry(name);
         }
-        for name in self.known.keys().filter(|name| !known.contains_key(*name)) {
-            let kind = EventKind::ServerGone;
-            tracing::info!(event = kind.number(), name = kind.name(), server = %name);
-        }
-        self.known = known;
+        self.state.servers().sync(&self.table.usable(), Instant::now());
+        self.log.log_changes(&self.table);
     }
 }
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -66,6 +66,9 @@
     OwnReachDoubted = 3010,
     /// Servers can be reached again, or were not tried: their silence counts.
     OwnReachRestored = 3011,
+    /// A server's entry was removed from the list right after an outage of the store; it is kept for
+    /// a grace period.
+    ServerLapsed = 3012,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -175,6 +178,7 @@
     ServerEntryUnusable => "server_entry_unusable",
     OwnReachDoubted => "own_reach_doubted",
     OwnReachRestored => "own_reach_restored",
+    ServerLapsed => "server_lapsed",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
