Failing test: a server that left during a cut gets requests after the host's return

What callers saw: requests reached a server up to 12 s after it had said that it leaves, and were cut when it exited.

--- /dev/null
+++ b/crates/entry/tests/daemon/departures.rs
@@ -0,0 +1,182 @@
+//! Servers that leave while a host does not read the server list.
+
+use std::time::Duration;
+
+use fulmargate_consortium_stand::CallerRequest;
+use fulmargate_consortium_stand::FakeServer;
+use fulmargate_consortium_stand::FakeStore;
+use fulmargate_consortium_stand::ServerMode;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::store_proxy::StoreProxy;
+use crate::support::DaemonProcess;
+use crate::support::TestDeployment;
+use crate::support::wait_until;
+
+/// Longer than the silence after which a host assumes that entries may have expired.
+const OUTAGE: Duration = Duration::from_millis(2_000);
+/// Heartbeats that each remaining server writes after the departure. They span more than the time
+/// within which a live server registers again.
+const LATER_HEARTBEATS: usize = 4;
+/// Concurrent requests after the host's return.
+const REQUEST_COUNT: usize = 8;
+
+/// Why a host does not read the server list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HostState {
+    CutFromStore,
+    Frozen,
+}
+
+/// How a server leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    Removed,
+    Draining,
+    DrainingThenRemoved,
+}
+
+struct DepartureCase {
+    name: &'static str,
+    state: HostState,
+    departure: Departure,
+}
+
+const CASES: &[DepartureCase] = &[
+    DepartureCase {
+        name: "removed while the host is cut off from the store",
+        state: HostState::CutFromStore,
+        departure: Departure::Removed,
+    },
+    DepartureCase {
+        name: "draining while the host is cut off from the store",
+        state: HostState::CutFromStore,
+        departure: Departure::Draining,
+    },
+    DepartureCase {
+        name: "drained and removed while the host is cut off from the store",
+        state: HostState::CutFromStore,
+        departure: Departure::DrainingThenRemoved,
+    },
+    DepartureCase {
+        name: "removed while the host is frozen",
+        state: HostState::Frozen,
+        departure: Departure::Removed,
+    },
+    DepartureCase {
+        name: "drained and removed while the host is frozen",
+        state: HostState::Frozen,
+        departure: Departure::DrainingThenRemoved,
+    },
+];
+
+/// A deployment whose daemon reads the store through a proxy.
+struct DepartureTest {
+    deployment: TestDeployment,
+    proxy: StoreProxy,
+    daemon: DaemonProcess,
+}
+
+impl DepartureTest {
+    async fn start() -> DepartureTest {
+        let deployment = TestDeployment::start_with_long_timeout(ServerMode::Answer).await;
+        let proxy = StoreProxy::open(deployment.store.address).await;
+        let daemon = DaemonProcess::start(proxy.address);
+        wait_until("all servers are listed", || daemon.events("server_listed").len() == 4).await;
+        DepartureTest { deployment, proxy, daemon }
+    }
+
+    fn store(&self) -> &FakeStore {
+        &self.deployment.store
+    }
+
+    fn departing(&self) -> &FakeServer {
+        &self.deployment.plain_servers[1]
+    }
+
+    async fn isolate(&self, state: HostState) {
+        match state {
+            HostState::CutFromStore => self.proxy.disconnect(),
+            HostState::Frozen => self.daemon.signal("STOP"),
+        }
+        sleep(OUTAGE).await;
+    }
+
+    fn resume(&self, state: HostState) {
+        match state {
+            HostState::CutFromStore => self.proxy.reconnect(),
+            HostState::Frozen => self.daemon.signal("CONT"),
+        }
+    }
+
+    fn depart(&self, departure: Departure) {
+        let server = self.departing();
+        if departure != Departure::Removed {
+            self.store().put_server(&server.name, "desk", server.address, "draining");
+        }
+        if departure != Departure::Draining {
+            self.store().remove_server(&server.name);
+        }
+    }
+
+    /// Writes heartbeats of all servers but the departing one.
+    fn write_heartbeats(&self) {
+        for _ in 0..LATER_HEARTBEATS {
+            let desk = &self.deployment.plain_servers[0];
+            self.store().put_server(&desk.name, "desk", desk.address, "ready");
+            for engine in &self.deployment.engines {
+                self.store().put_server(&engine.name, "engines", engine.address, "ready");
+            }
+        }
+    }
+
+    /// Waits until the daemon has read that the departing server leaves.
+    async fn wait_for_departure(&self) {
+        let name = self.departing().name.as_str();
+        let has_read = || {
+            ["server_leaving", "server_gone", "server_lapsed"]
+                .iter()
+                .any(|kind| self.daemon.events(kind).iter().any(|line| line["server"] == name))
+        };
+        wait_until("the host has read the departure", has_read).await;
+    }
+
+    /// Sends concurrent requests, which are spread by load over all servers that the daemon considers
+    /// usable. Returns how many reached the departing server.
+    async fn count_misdirected(&self) -> usize {
+        let callers = self.daemon.address("callers").await;
+        self.deployment.set_plain_mode(ServerMode::Wait);
+        let before = (self.deployment.plain_request_count(), self.departing().seen().len());
+        let mut requests = JoinSet::new();
+        for number in 0..REQUEST_COUNT {
+            let request = CallerRequest::new("/charge/x", &format!("after-{number}"));
+            requests.spawn(async move { request.send(callers).await });
+        }
+        wait_until("the requests have reached a server", || {
+            self.deployment.plain_request_count() - before.0 == REQUEST_COUNT
+        })
+        .await;
+        self.deployment.set_plain_mode(ServerMode::Answer);
+        while let Some(response) = requests.join_next().await {
+            let response = response.expect("join the request").expect("a response");
+            assert_eq!(response.status, 200);
+        }
+        self.departing().seen().len() - before.1
+    }
+}
+
+/// A server leaves while a host cannot read the list, and the other servers' heartbeats show that the store
+/// was available. Guards against requests to that server after the host's return.
+#[tokio::test]
+async fn a_server_that_left_during_a_cut_gets_no_requests() {
+    for case in CASES {
+        let test = DepartureTest::start().await;
+        test.isolate(case.state).await;
+        test.depart(case.departure);
+        test.write_heartbeats();
+        test.resume(case.state);
+        test.wait_for_departure().await;
+        assert_eq!(test.count_misdirected().await, 0, "{}", case.name);
+    }
+}
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! Runs the daemon's binary against simulated platform services.
 
 mod configuration;
+mod departures;
 mod fleet_topic;
 mod host_connectivity;
 mod process_lifecycle;
