Server list: a server that left while the host was cut off is dropped on the host's return

What callers saw: a request reached a server 12 s after the store had acknowledged that it leaves. Three hosts cut off from the store for 12 s used the server again for 2.8 s after their return; 10 requests went there. Cause: a host took its own absence for an outage of the store. After 1.5 s without an answer every removed entry was kept for 2.4 s, although the store had served the servers all the while and the log that the host read on its return said so. Evidence: servers_lapsed on each of the three hosts, and server_gone 2.845 s after it on each: four reads, the first beyond the grace period; hosts with the store had server_gone 0.4 and 0.6 s after the removal. Change: the heartbeats in the log are a clock of the store's availability (HeartbeatClock): n rounds span at least n - 1 heartbeat intervals. An entry whose removal lies three rounds back is dropped as soon as that has been read. An entry that had expired for lack of heartbeats, while those of others went on, is kept as before: its server was cut off as the host was. Why it works: the clock runs on the order of the log and not on when a host reads it, so that it is the same for a host that was cut off, frozen or slow; in an outage of the store no server writes and it stands still, so that entries that lapse while the store is away are kept as before. Writes that change an entry and those that register it again do not count. New, passed by the code before as well: entries that lapse during an outage, and a server cut off together with the host, are kept.

--- /dev/null
+++ b/crates/dispatch/src/heartbeat_clock.rs
@@ -0,0 +1,74 @@
+//! Time between records of the server list, estimated from the servers' heartbeats.
+
+use fulmargate_names::ServerName;
+use indexmap::IndexMap;
+
+/// Counts rounds of heartbeats in the order in which the store accepted them.
+///
+/// A round ends when at least half of the servers have written in it. Of any two points that are
+/// `n` rounds apart, some server has written `n` times between them, so that the store accepted
+/// writes for at least `n - 1` heartbeat intervals. That holds whenever the records are read, and
+/// the clock stands still while the store is unavailable to the servers.
+#[derive(Debug, Default)]
+pub(crate) struct HeartbeatClock {
+    rounds: u64,
+    writers: IndexMap<ServerName, HeartbeatWriter>,
+    /// Number of writers whose count exceeds the number of rounds.
+    ahead: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeartbeatWriter {
+    count: u64,
+    /// The number of rounds at its last write.
+    last_write: u64,
+}
+
+impl HeartbeatClock {
+    /// Records a heartbeat: a write that leaves the entry unchanged. Writes that change an entry may
+    /// follow each other faster.
+    pub(crate) fn record_heartbeat(&mut self, server: &ServerName) {
+        let rounds = self.rounds;
+        let writer = self.writer(server);
+        writer.count += 1;
+        self.ahead += usize::from(writer.count == rounds + 1);
+        self.end_rounds();
+        self.record_change(server);
+    }
+
+    /// Records any other write of a server.
+    pub(crate) fn record_change(&mut self, server: &ServerName) {
+        let rounds = self.rounds;
+        self.writer(server).last_write = rounds;
+    }
+
+    /// Forgets a server.
+    pub(crate) fn remove(&mut self, server: &ServerName) {
+        let Some(writer) = self.writers.swap_remove(server) else { return };
+        self.ahead -= usize::from(self.rounds < writer.count);
+        self.end_rounds();
+    }
+
+    /// The number of completed rounds.
+    pub(crate) fn rounds(&self) -> u64 {
+        self.rounds
+    }
+
+    /// Rounds since the last write of a server; zero for an unknown one.
+    pub(crate) fn rounds_since_write(&self, server: &ServerName) -> u64 {
+        self.writers.get(server).map_or(0, |writer| self.rounds - writer.last_write)
+    }
+
+    fn writer(&mut self, server: &ServerName) -> &mut HeartbeatWriter {
+        let new = HeartbeatWriter { count: self.rounds, last_write: self.rounds };
+        self.writers.entry(server.clone()).or_insert(new)
+    }
+
+    fn end_rounds(&mut self) {
+        while 0 < self.ahead && self.writers.len() <= self.ahead * 2 {
+            self.rounds += 1;
+            let rounds = self.rounds;
+            self.ahead = self.writers.values().filter(|writer| rounds < writer.count).count();
+        }
+    }
+}
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -11,17 +11,19 @@
 use crate::BootTime;
 use crate::ServerEntry;
 use crate::ServerStage;
+use crate::heartbeat_clock::HeartbeatClock;
+use crate::outage_tracker::OutageTracker;
 use crate::server_entry::SharedEntry;
 
-/// Time without a response from the store after which list entries may have expired although their servers
-/// are alive. Below the three missed heartbeats after which the store drops an entry.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
-/// How long entries that disappear after an outage are kept. Live servers are listed again within about two
-/// seconds; the rest allows for the interval between reads.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2_400);
 /// How long after a restore from backup the list may contain servers that have left. Their entries expire
 /// after three heartbeats of 1.2 s; the rest allows for a busy store.
 const RESTORED_LIST_TTL: Duration = Duration::from_millis(7_200);
+/// Rounds of heartbeats after a removal by which a live server would be listed again: they span more than the
+/// two seconds that it takes.
+const MIN_DEPARTED_ROUNDS: u64 = 3;
+/// Rounds without a write after which an entry expires. A server that announces its departure has written
+/// more recently.
+const MIN_SILENT_ROUNDS: u64 = 3;
 /// Upper bound on remembered starts and departures, which serve to reject late records. At about 100 bytes
 /// each, this covers several days of a thousand restarts a day.
 const MAX_STARTS: usize = 4_096;
@@ -40,30 +42,50 @@
     Unlisted,
     /// The server gets no further requests.
     Dropped,
-    /// The entry is kept until the grace period is over.
+    /// The entry is kept for a grace period.
     Lapsed {
         /// The rest of the grace period.
         grace: Duration,
     },
 }
 
+/// Why a lapsed entry was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LapseEnd {
+    /// The store has accepted heartbeats of the other servers for so long that a live server would be listed
+    /// again.
+    LaterHeartbeats,
+    /// The grace period is over.
+    GraceOver,
+}
+
+/// An entry that the list no longer contains, but whose server may be alive.
+#[derive(Clone, Copy, Debug)]
+struct LapsedEntry {
+    /// Rounds of heartbeats before its removal.
+    removed_at: u64,
+    /// Whether it expired for lack of heartbeats while the store accepted those of others: its server has
+    /// crashed, or was cut off from the store.
+    was_silent: bool,
+}
+
 /// State folded from the records of the server list.
 ///
 /// An entry that disappears means that its server has left, except right after an outage of the store: all
 /// entries expire at once then, because no heartbeat could be written. Such entries are kept for a grace
-/// period, so that the router does not reject every request.
+/// period, so that the router does not reject every request. A router that was itself cut off or suspended
+/// sees the same silence; the heartbeats of the other servers tell it apart from an outage of the store.
 #[derive(Debug, Default)]
 pub struct ServerTable {
     servers: IndexMap<ServerName, SharedEntry>,
     /// Last known start of each server that was draining or has an incarnation.
     starts: IndexMap<ServerName, KnownStart>,
     /// Servers that the list dropped during a grace period.
-    lapsed: IndexSet<ServerName>,
+    lapsed: IndexMap<ServerName, LapsedEntry>,
+    heartbeats: HeartbeatClock,
     /// Servers whose entries were removed, with their incarnations.
     departed: IndexMap<ServerName, Option<Incarnation>>,
-    last_contact: Option<BootTime>,
-    /// End of the last outage or time of the last restore.
-    recovered_at: Option<BootTime>,
+    outages: OutageTracker,
     /// When the store was last restored from a backup.
     restored_at: Option<BootTime>,
 }
@@ -72,16 +94,24 @@
     /// Records a response of the store to a read sent at `sent`, before the records of that read are applied.
     /// Returns whether this ended an outage.
     pub fn record_response(&mut self, sent: BootTime, now: BootTime) -> bool {
-        let was_out = self.last_contact.is_some_and(|last| MIN_OUTAGE <= sent.since(last));
-        if was_out {
-            self.recovered_at = Some(now);
-        }
-        self.last_contact = Some(now);
-        was_out
+        self.outages.record_response(sent, now)
     }
 
     /// Applies a written entry. Returns false for an entry of an earlier incarnation, which is ignored.
-    pub fn put(&mut self, mut entry: ServerEntry) -> bool {
+    pub fn put(&mut self, entry: ServerEntry) -> bool {
+        let (name, is_lapsed) = (entry.name.clone(), self.is_lapsed(&entry.name));
+        let before = self.servers.get(&name).cloned();
+        if !self.insert(entry) {
+            return false;
+        }
+        if !is_lapsed && before.as_ref() == self.servers.get(&name) {
+            self.heartbeats.record_heartbeat(&name);
+        }
+        true
+    }
+
+    /// Inserts an entry unless it is of an earlier incarnation.
+    fn insert(&mut self, mut entry: ServerEntry) -> bool {
         let known = self.starts.get(&entry.name).copied();
         if known.is_some_and(|known| entry.incarnation < known.incarnation) {
             return false;
@@ -95,6 +125,7 @@
         self.record_start(&entry);
         self.departed.swap_remove(&entry.name);
         self.lapsed.swap_remove(&entry.name);
+        self.heartbeats.record_change(&entry.name);
         self.servers.insert(entry.name.clone(), Arc::new(entry));
         true
     }
@@ -102,7 +133,7 @@
     /// Records that the store was restored from a backup. Entries newer than the backup are missing until
     /// their servers write them again.
     pub fn restored(&mut self, now: BootTime) {
-        self.recovered_at = Some(now);
+        self.outages.begin_grace(now);
         self.restored_at = Some(now);
     }
 
@@ -116,7 +147,7 @@
         if is_restored && self.departed.get(&entry.name) == Some(&entry.incarnation) {
             return false;
         }
-        self.put(entry)
+        self.insert(entry)
     }
 
     /// Removes an entry, or keeps it as lapsed during a grace period.
@@ -124,13 +155,15 @@
         if !self.servers.contains_key(name) {
             return EntryRemoval::Unlisted;
         }
-        let grace = self.remaining_grace(now);
-        if !grace.is_zero() {
-            self.lapsed.insert(name.clone());
-            return EntryRemoval::Lapsed { grace };
+        let grace = self.outages.remaining_grace(now);
+        if grace.is_zero() {
+            self.drop_server(name);
+            return EntryRemoval::Dropped;
         }
-        self.drop_server(name);
-        EntryRemoval::Dropped
+        let was_silent = MIN_SILENT_ROUNDS <= self.heartbeats.rounds_since_write(name);
+        let lapsed = LapsedEntry { removed_at: self.heartbeats.rounds(), was_silent };
+        self.lapsed.entry(name.clone()).or_insert(lapsed);
+        EntryRemoval::Lapsed { grace }
     }
 
     /// Removes all entries that are not in a full list, which is read when records were lost.
@@ -148,13 +181,18 @@
         missing.into_iter().map(remove).collect()
     }
 
-    /// Drops lapsed entries once the grace period is over. Returns their names.
-    pub fn expire(&mut self, now: BootTime) -> Vec<ServerName> {
-        if !self.remaining_grace(now).is_zero() || self.lapsed.is_empty() {
-            return Vec::new();
-        }
-        let expired: Vec<ServerName> = self.lapsed.drain(..).collect();
-        for name in &expired {
+    /// Drops the lapsed entries of servers that have left. Returns their names.
+    pub fn expire(&mut self, now: BootTime) -> Vec<(ServerName, LapseEnd)> {
+        let is_grace_over = self.outages.remaining_grace(now).is_zero();
+        let rounds = self.heartbeats.rounds();
+        let end = |lapsed: &LapsedEntry| match lapsed.has_departed(rounds) {
+            true => Some(LapseEnd::LaterHeartbeats),
+            false => is_grace_over.then_some(LapseEnd::GraceOver),
+        };
+        let lapsed = self.lapsed.iter();
+        let expired: Vec<(ServerName, LapseEnd)> =
+            lapsed.filter_map(|(name, lapsed)| Some((name.clone(), end(lapsed)?))).collect();
+        for (name, _) in &expired {
             self.drop_server(name);
         }
         expired
@@ -173,16 +211,12 @@
 
     /// Whether an entry is kept although the list no longer contains it.
     pub fn is_lapsed(&self, name: &ServerName) -> bool {
-        self.lapsed.contains(name)
-    }
-
-    fn remaining_grace(&self, now: BootTime) -> Duration {
-        let Some(recovered_at) = self.recovered_at else { return Duration::ZERO };
-        RECOVERY_GRACE.saturating_sub(now.since(recovered_at))
+        self.lapsed.contains_key(name)
     }
 
     fn drop_server(&mut self, name: &ServerName) {
         self.lapsed.swap_remove(name);
+        self.heartbeats.remove(name);
         let Some(entry) = self.servers.swap_remove(name) else { return };
         self.departed.insert(name.clone(), entry.incarnation);
         if MAX_STARTS < self.departed.len() {
@@ -212,3 +246,9 @@
         }
     }
 }
+
+impl LapsedEntry {
+    fn has_departed(&self, rounds: u64) -> bool {
+        !self.was_silent && self.removed_at + MIN_DEPARTED_ROUNDS <= rounds
+    }
+}
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -30,6 +30,8 @@
     Restored(u64),
     /// Entry from a full list, and whether it is accepted.
     PutListed(&'static str, u64, bool),
+    /// Each of these ready servers writes this number of heartbeats, in turn.
+    Heartbeats(&'static [&'static str], u32),
     Expire(u64),
 }
 
@@ -189,6 +191,87 @@
         steps: &[PutIncarnation("a", 6, Ready), PutStale("a", None, Draining)],
         usable: &["a"],
     },
+    ListCase {
+        name: "a server that left long before the host's return is dropped at once",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("d", 9_005),
+            Heartbeats(&["a", "b", "c"], 4),
+            Expire(9_005),
+        ],
+        usable: &["a", "b", "c"],
+    },
+    ListCase {
+        name: "a server that left just before the host's return is kept for the grace period",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Heartbeats(&["a", "b", "c", "d"], 4),
+            Remove("a", 9_005),
+            Heartbeats(&["b", "c", "d"], 2),
+            Expire(9_005),
+        ],
+        usable: &["a", "b", "c", "d"],
+    },
+    ListCase {
+        name: "heartbeats read after the host's return end the grace period of a departed server",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("d", 9_005),
+            Heartbeats(&["a", "b", "c"], 2),
+            Expire(9_005),
+            Contact { sent: 9_700, now: 9_705 },
+            Heartbeats(&["a", "b", "c"], 1),
+            Expire(9_705),
+        ],
+        usable: &["a", "b", "c"],
+    },
+    ListCase {
+        name: "a server that was cut off together with the host is kept for the grace period",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Heartbeats(&["b", "c", "d"], 3),
+            Remove("a", 9_005),
+            Heartbeats(&["b", "c", "d"], 4),
+            Expire(9_005),
+        ],
+        usable: &["a", "b", "c", "d"],
+    },
+    ListCase {
+        name: "servers that register again late, and write twice at once, do not end the grace period of others",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("a", 9_005),
+            Remove("b", 9_005),
+            Remove("c", 9_005),
+            Remove("d", 9_005),
+            Heartbeats(&["b", "c", "d"], 3),
+            Expire(9_005),
+        ],
+        usable: &["a", "b", "c", "d"],
+    },
+    ListCase {
+        name: "entries that change are no heartbeats",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c"], 2),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("a", 9_005),
+            Put("b", Draining),
+            Put("c", Draining),
+            Expire(9_005),
+        ],
+        usable: &["a"],
+    },
 ];
 
 fn entry(name: &str, stage: ServerStage) -> ServerEntry {
@@ -224,6 +307,11 @@
                 let listed = entry(name, Ready);
                 assert_eq!(table.put_listed(listed, BootTime(*now)), *is_accepted, "{name}");
             }
+            Heartbeats(names, count) => {
+                for name in (0..*count).flat_map(|_| *names) {
+                    assert!(table.put(entry(name, Ready)));
+                }
+            }
             Expire(now) => {
                 table.expire(BootTime(*now));
             }
--- a/crates/entry/src/control/server_log.rs
+++ b/crates/entry/src/control/server_log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::EntryRemoval;
+use fulmargate_dispatch::LapseEnd;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerTable;
@@ -60,9 +61,13 @@
         }
     }
 
-    /// Records that the grace period of an entry ended without a new record.
-    pub(crate) fn record_expiry(&mut self, server: ServerName) {
-        self.causes.insert(server, "grace_over");
+    /// Records why a lapsed entry was dropped.
+    pub(crate) fn record_expiry(&mut self, server: ServerName, end: LapseEnd) {
+        let cause = match end {
+            LapseEnd::LaterHeartbeats => "later_heartbeats",
+            LapseEnd::GraceOver => "grace_over",
+        };
+        self.causes.insert(server, cause);
     }
 
     /// Logs the differences to the table as it was last logged.
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -163,8 +163,8 @@
     }
 
     fn publish(&mut self) {
-        for name in self.table.expire(boot_now()) {
-            self.log.record_expiry(name);
+        for (name, end) in self.table.expire(boot_now()) {
+            self.log.record_expiry(name, end);
         }
         self.state.servers().sync(&self.table.usable(), Instant::now());
         self.log.log_changes(&self.table);
--- a/crates/entry/tests/daemon/departures.rs
+++ b/crates/entry/tests/daemon/departures.rs
@@ -6,6 +6,8 @@
 use fulmargate_consortium_stand::FakeServer;
 use fulmargate_consortium_stand::FakeStore;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::StoreFault;
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -120,6 +122,17 @@
         }
     }
 
+    /// Removes the entries of all servers, as the store does when no heartbeat reaches it.
+    fn expire_all(&self) {
+        for server in self.servers() {
+            self.store().remove_server(&server.name);
+        }
+    }
+
+    fn servers(&self) -> impl Iterator<Item = &FakeServer> {
+        self.deployment.plain_servers.iter().chain(&self.deployment.engines)
+    }
+
     /// Writes heartbeats of all servers but the departing one.
     fn write_heartbeats(&self) {
         for _ in 0..LATER_HEARTBEATS {
@@ -131,9 +144,9 @@
         }
     }
 
-    /// Waits until the daemon has read that the departing server leaves.
-    async fn wait_for_departure(&self) {
-        let name = self.departing().name.as_str();
+    /// Waits until the daemon has read that the server leaves or is gone.
+    async fn wait_for_departure(&self, server: &FakeServer) {
+        let name = server.name.as_str();
         let has_read = || {
             ["server_leaving", "server_gone", "server_lapsed"]
                 .iter()
@@ -142,6 +155,13 @@
         wait_until("the host has read the departure", has_read).await;
     }
 
+    /// Servers that were dropped before their grace period was over.
+    fn dropped_early(&self) -> Vec<Value> {
+        let mut dropped = self.daemon.events("server_gone");
+        dropped.retain(|line| line["cause"] != "grace_over");
+        dropped
+    }
+
     /// Sends concurrent requests, which are spread by load over all servers that the daemon considers
     /// usable. Returns how many reached the departing server.
     async fn count_misdirected(&self) -> usize {
@@ -176,7 +196,36 @@
         test.depart(case.departure);
         test.write_heartbeats();
         test.resume(case.state);
-        test.wait_for_departure().await;
+        test.wait_for_departure(test.departing()).await;
         assert_eq!(test.count_misdirected().await, 0, "{}", case.name);
     }
 }
+
+/// The store is away until all entries have expired. Guards against a router without servers until they
+/// register again.
+#[tokio::test]
+async fn entries_that_lapse_during_an_outage_are_kept() {
+    let test = DepartureTest::start().await;
+    test.store().set_fault(StoreFault::Silent);
+    sleep(OUTAGE).await;
+    test.expire_all();
+    test.store().set_fault(StoreFault::None);
+    for server in test.servers() {
+        test.wait_for_departure(server).await;
+    }
+    assert!(test.dropped_early().is_empty(), "{:?}", test.dropped_early());
+}
+
+/// A host and a server are cut off from the store together, so that the server's entry expires while the other
+/// servers write heartbeats. Guards against dropping a server that is alive and about to register again.
+#[tokio::test]
+async fn a_server_cut_off_together_with_the_host_is_kept() {
+    let test = DepartureTest::start().await;
+    test.isolate(HostState::CutFromStore).await;
+    test.write_heartbeats();
+    test.depart(Departure::Removed);
+    test.write_heartbeats();
+    test.resume(HostState::CutFromStore);
+    test.wait_for_departure(test.departing()).await;
+    assert!(test.dropped_early().is_empty(), "{:?}", test.dropped_early());
+}
