Server list: the grace period after an outage ends on time

What callers saw: the last request to the server that had left was sent 2.63 s after the host's first read, 0.23 s after the end of the grace period of 2.4 s. Cause: lapsed entries expired only after the next answered read, up to 0.7 s later and longer while reads failed; and the period began with the first answer, which a router that retries once a second gets up to two seconds after the store's return. Change: the watcher drops lapsed entries between reads, unless the store may be away again, when no server could register. If fewer than half of the entries lapsed, the store had been available to the others, and the period counts from the last read that failed. Where most lapsed, as in an outage of the store, the period is as before. Why it works: the end no longer depends on reads, and a host that was cut off drops what it cannot place in time within 2.7 s of the moment at which its cut may have ended; the bound on such a host begins 3 s after that.

--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -12,6 +12,7 @@
 use crate::ServerEntry;
 use crate::ServerStage;
 use crate::heartbeat_clock::HeartbeatClock;
+use crate::outage_tracker::LapseExtent;
 use crate::outage_tracker::OutageTracker;
 use crate::server_entry::SharedEntry;
 
@@ -97,6 +98,11 @@
         self.outages.record_response(sent, now)
     }
 
+    /// Records that a read sent at `sent` failed.
+    pub fn record_failure(&mut self, sent: BootTime) {
+        self.outages.record_failure(sent);
+    }
+
     /// Applies a written entry. Returns false for an entry of an earlier incarnation, which is ignored.
     pub fn put(&mut self, entry: ServerEntry) -> bool {
         let (name, is_lapsed) = (entry.name.clone(), self.is_lapsed(&entry.name));
@@ -183,7 +189,7 @@
 
     /// Drops the lapsed entries of servers that have left. Returns their names.
     pub fn expire(&mut self, now: BootTime) -> Vec<(ServerName, LapseEnd)> {
-        let is_grace_over = self.outages.remaining_grace(now).is_zero();
+        let is_grace_over = self.grace_end().is_some_and(|end| end <= now);
         let rounds = self.heartbeats.rounds();
         let end = |lapsed: &LapsedEntry| match lapsed.has_departed(rounds) {
             true => Some(LapseEnd::LaterHeartbeats),
@@ -198,6 +204,21 @@
         expired
     }
 
+    /// When lapsed entries expire if nothing is read until then; `None` if the next outage may have begun by
+    /// that time.
+    pub fn next_expiry(&self) -> Option<BootTime> {
+        self.grace_end().filter(|end| self.outages.is_in_contact(*end))
+    }
+
+    fn grace_end(&self) -> Option<BootTime> {
+        let extent = match self.lapsed.len() {
+            0 => return None,
+            count if count * 2 < self.servers.len() => LapseExtent::Few,
+            _ => LapseExtent::Most,
+        };
+        self.outages.grace_end(extent)
+    }
+
     /// Servers that may receive requests.
     pub fn usable(&self) -> Vec<Arc<ServerEntry>> {
         let ready = self.servers.values().filter(|entry| entry.stage == ServerStage::Ready);
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -19,6 +19,8 @@
         sent: u64,
         now: u64,
     },
+    /// A read sent at this time fails.
+    Failure(u64),
     Put(&'static str, ServerStage),
     /// Entry with an incarnation.
     PutIncarnation(&'static str, u64, ServerStage),
@@ -216,6 +218,60 @@
         ],
         usable: &["a", "b", "c", "d"],
     },
+    ListCase {
+        name: "the grace period of few lapsed servers counts from the last failed read",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Failure(8_000),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("d", 9_005),
+            Contact { sent: 9_900, now: 9_905 },
+            Expire(10_700),
+        ],
+        usable: &["a", "b", "c"],
+    },
+    ListCase {
+        name: "few lapsed servers are kept until then",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Failure(8_000),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("d", 9_005),
+            Contact { sent: 9_900, now: 9_905 },
+            Expire(10_699),
+        ],
+        usable: &["a", "b", "c", "d"],
+    },
+    ListCase {
+        name: "most servers lapse in an outage of the store and are kept for the whole grace period",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Failure(8_000),
+            Contact { sent: 9_000, now: 9_005 },
+            Remove("c", 9_005),
+            Remove("d", 9_005),
+            Contact { sent: 9_900, now: 9_905 },
+            Expire(11_400),
+        ],
+        usable: &["a", "b", "c", "d"],
+    },
+    ListCase {
+        name: "a server missing in a restored list is kept no longer than from the last read before the restore",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Heartbeats(&["a", "b", "c", "d"], 2),
+            Contact { sent: 1_700, now: 1_705 },
+            Contact { sent: 2_900, now: 2_905 },
+            Restored(2_905),
+            FullList(&["a", "b", "c"], 2_905),
+            Contact { sent: 3_600, now: 3_605 },
+            Expire(4_405),
+        ],
+        usable: &["a", "b", "c"],
+    },
     ListCase {
         name: "heartbeats read after the host's return end the grace period of a departed server",
         steps: &[
@@ -289,6 +345,7 @@
             Contact { sent, now } => {
                 table.record_response(BootTime(*sent), BootTime(*now));
             }
+            Failure(sent) => table.record_failure(BootTime(*sent)),
             Put(name, stage) => assert!(table.put(entry(name, *stage))),
             PutIncarnation(name, start, stage) => {
                 assert!(table.put(entry_of(name, Some(*start), *stage)));
@@ -329,3 +386,47 @@
         assert_eq!(usable, case.usable, "{}", case.name);
     }
 }
+
+struct ExpiryCase {
+    name: &'static str,
+    steps: &'static [ListStep],
+    next_expiry: Option<u64>,
+}
+
+const EXPIRIES: &[ExpiryCase] = &[
+    ExpiryCase {
+        name: "nothing has lapsed",
+        steps: &[Contact { sent: 1_000, now: 1_005 }, Put("a", Ready)],
+        next_expiry: None,
+    },
+    ExpiryCase {
+        name: "the end of the grace period is too far from the last response",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Contact { sent: 6_000, now: 6_005 },
+            Remove("a", 6_005),
+        ],
+        next_expiry: None,
+    },
+    ExpiryCase {
+        name: "a later response confirms that the outage is over",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Contact { sent: 6_000, now: 6_005 },
+            Remove("a", 6_005),
+            Contact { sent: 7_000, now: 7_005 },
+        ],
+        next_expiry: Some(8_405),
+    },
+];
+
+/// Lapsed entries expire between reads, unless the store may be away again: then no server could register.
+#[test]
+fn lapsed_entries_expire_while_the_store_is_in_reach() {
+    for case in EXPIRIES {
+        let next_expiry = apply_steps(case.steps).next_expiry();
+        assert_eq!(next_expiry, case.next_expiry.map(BootTime), "{}", case.name);
+    }
+}
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -19,6 +19,8 @@
 
 use crate::control::epoch_tracker::EpochTracker;
 use crate::control::log_source::LogSource;
+use crate::control::log_source::NewestRecords;
+use crate::control::log_source::SourcePage;
 use crate::control::server_log::RemovalSource;
 use crate::control::server_log::ServerLog;
 use crate::control::store_retry::StoreRetry;
@@ -31,11 +33,18 @@
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// What a read returned.
+enum ServerPage {
+    /// The newest entry of each server.
+    Listing(NewestRecords),
+    /// Records from a position on.
+    Next { from: LogPosition, page: SourcePage },
+}
+
 /// Maintains the server table and publishes it to the shared state.
 pub(crate) struct ServerWatcher {
     state: Arc<SharedState>,
     source: LogSource,
-    retry: StoreRetry,
     table: ServerTable,
     log: ServerLog,
     next: Option<LogPosition>,
@@ -48,7 +57,6 @@
         ServerWatcher {
             state,
             source,
-            retry: StoreRetry::new("servers"),
             table: ServerTable::default(),
             log: ServerLog::default(),
             next: None,
@@ -58,32 +66,55 @@
 
     /// Reads the topic in a loop.
     pub(crate) async fn run(mut self) {
+        let mut retry = StoreRetry::new("servers");
+        let source = self.source.clone();
         loop {
-            let result = match self.next {
-                Some(from) => self.read_next(from).await,
-                None => self.read_listing().await,
-            };
-            match result {
+            let sent = boot_now();
+            let page = self.expire_during(read_page(&source, self.next)).await;
+            match page.and_then(|page| self.apply_page(page)) {
                 Ok(is_complete) => {
-                    self.retry.succeeded();
+                    retry.succeeded();
                     self.publish();
                     if is_complete {
-                        sleep(READ_INTERVAL).await;
+                        self.expire_during(sleep(READ_INTERVAL)).await;
                     }
                 }
                 Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
                     self.next = None;
-                    self.retry.back_off_relisting(&err, self.source.max_retry_delay()).await;
+                    let back_off = retry.back_off_relisting(&err, source.max_retry_delay());
+                    self.expire_during(back_off).await;
                 }
-                Err(err) => self.retry.back_off(&err, self.source.max_retry_delay()).await,
+                Err(err) => {
+                    self.table.record_failure(sent);
+                    self.expire_during(retry.back_off(&err, source.max_retry_delay())).await;
+                }
+            }
+        }
+    }
+
+    /// Runs `work` and drops lapsed entries meanwhile: a slow read must not prolong their use.
+    async fn expire_during<T>(&mut self, work: impl Future<Output = T>) -> T {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let Some(expires_at) = self.table.next_expiry() else { return work.await };
+            let remaining = expires_at.since(boot_now());
+            tokio::select! {
+                biased;
+                result = &mut work => return result,
+                () = sleep(remaining) => self.publish(),
             }
         }
     }
 
     /// Returns whether all records were read.
-    async fn read_next(&mut self, from: LogPosition) -> Result<bool, StoreError> {
-        let topic = LogTopic::Servers;
-        let page = self.source.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
+    fn apply_page(&mut self, page: ServerPage) -> Result<bool, StoreError> {
+        match page {
+            ServerPage::Listing(newest) => self.apply_listing(&newest).map(|()| true),
+            ServerPage::Next { from, page } => Ok(self.apply_next(from, &page)),
+        }
+    }
+
+    fn apply_next(&mut self, from: LogPosition, page: &SourcePage) -> bool {
         self.record_response(page.complete_as_of.unwrap_or_else(boot_now));
         for record in &page.records {
             match decode_keyed(record) {
@@ -92,11 +123,10 @@
             }
         }
         self.next = Some(from.after(page.records.len()));
-        Ok(page.complete_as_of.is_some())
+        page.complete_as_of.is_some()
     }
 
-    async fn read_listing(&mut self) -> Result<bool, StoreError> {
-        let newest = self.source.read_newest(LogTopic::Servers).await?;
+    fn apply_listing(&mut self, newest: &NewestRecords) -> Result<(), StoreError> {
         self.record_response(newest.sent);
         if self.epoch.record_listing(newest.end.epoch)? {
             self.table.restored(boot_now());
@@ -110,7 +140,7 @@
             self.log.record_removal(&name, removal, RemovalSource::List);
         }
         self.next = Some(newest.end);
-        Ok(true)
+        Ok(())
     }
 
     /// Records a response of the store or a zone reader, and logs the end of an outage.
@@ -170,3 +200,15 @@
         self.log.log_changes(&self.table);
     }
 }
+
+async fn read_page(
+    source: &LogSource,
+    next: Option<LogPosition>,
+) -> Result<ServerPage, StoreError> {
+    let topic = LogTopic::Servers;
+    let Some(from) = next else {
+        return source.read_newest(topic).await.map(ServerPage::Listing);
+    };
+    let page = source.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
+    Ok(ServerPage::Next { from, page })
+}
