Server list: a server that left before an outage of the store does not lapse with the others

What callers saw: nothing on record. Found by going through the states of a host: a server leaves, and the store is away before the host has read so; on its return all entries have lapsed, and the departed one was kept with them for 2.4 s. A heartbeat that follows a removal, and whose own server's entry lapses later, came between the removal and the outage: the removal is a departure. Why it works: it rests on the order of the log alone. Servers that register again between two outages are not counted, as that write is no heartbeat (case in the table).

--- a/crates/dispatch/src/heartbeat_clock.rs
+++ b/crates/dispatch/src/heartbeat_clock.rs
@@ -15,6 +15,8 @@
     writers: IndexMap<ServerName, HeartbeatWriter>,
     /// Number of writers whose count exceeds the number of rounds.
     ahead: usize,
+    /// Number of heartbeats.
+    heartbeats: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -22,15 +24,19 @@
     count: u64,
     /// The number of rounds at its last write.
     last_write: u64,
+    /// The number of its last heartbeat.
+    last_heartbeat: u64,
 }
 
 impl HeartbeatClock {
     /// Records a heartbeat: a write that leaves the entry unchanged. Writes that change an entry may
     /// follow each other faster.
     pub(crate) fn record_heartbeat(&mut self, server: &ServerName) {
-        let rounds = self.rounds;
+        self.heartbeats += 1;
+        let (rounds, heartbeats) = (self.rounds, self.heartbeats);
         let writer = self.writer(server);
         writer.count += 1;
+        writer.last_heartbeat = heartbeats;
         self.ahead += usize::from(writer.count == rounds + 1);
         self.end_rounds();
         self.record_change(server);
@@ -59,8 +65,19 @@
         self.writers.get(server).map_or(0, |writer| self.rounds - writer.last_write)
     }
 
+    /// The number of heartbeats of all servers.
+    pub(crate) fn heartbeats(&self) -> u64 {
+        self.heartbeats
+    }
+
+    /// The number of heartbeats of all servers up to the last one of this server.
+    pub(crate) fn last_heartbeat(&self, server: &ServerName) -> u64 {
+        self.writers.get(server).map_or(0, |writer| writer.last_heartbeat)
+    }
+
     fn writer(&mut self, server: &ServerName) -> &mut HeartbeatWriter {
-        let new = HeartbeatWriter { count: self.rounds, last_write: self.rounds };
+        let rounds = self.rounds;
+        let new = HeartbeatWriter { count: rounds, last_write: rounds, last_heartbeat: 0 };
         self.writers.entry(server.clone()).or_insert(new)
     }
 
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -64,7 +64,9 @@
 #[derive(Clone, Copy, Debug)]
 struct LapsedEntry {
     /// Rounds of heartbeats before its removal.
-    removed_at: u64,
+    rounds: u64,
+    /// Heartbeats of all servers before its removal.
+    heartbeats: u64,
     /// Whether it expired for lack of heartbeats while the store accepted those of others: its server has
     /// crashed, or was cut off from the store.
     was_silent: bool,
@@ -84,6 +86,8 @@
     /// Servers that the list dropped during a grace period.
     lapsed: IndexMap<ServerName, LapsedEntry>,
     heartbeats: HeartbeatClock,
+    /// The latest heartbeat of any server whose entry lapsed later.
+    last_lapsed_heartbeat: u64,
     /// Servers whose entries were removed, with their incarnations.
     departed: IndexMap<ServerName, Option<Incarnation>>,
     outages: OutageTracker,
@@ -166,8 +170,13 @@
             self.drop_server(name);
             return EntryRemoval::Dropped;
         }
-        let was_silent = MIN_SILENT_ROUNDS <= self.heartbeats.rounds_since_write(name);
-        let lapsed = LapsedEntry { removed_at: self.heartbeats.rounds(), was_silent };
+        let last_heartbeat = self.heartbeats.last_heartbeat(name);
+        self.last_lapsed_heartbeat = self.last_lapsed_heartbeat.max(last_heartbeat);
+        let lapsed = LapsedEntry {
+            rounds: self.heartbeats.rounds(),
+            heartbeats: self.heartbeats.heartbeats(),
+            was_silent: MIN_SILENT_ROUNDS <= self.heartbeats.rounds_since_write(name),
+        };
         self.lapsed.entry(name.clone()).or_insert(lapsed);
         EntryRemoval::Lapsed { grace }
     }
@@ -190,8 +199,7 @@
     /// Drops the lapsed entries of servers that have left. Returns their names.
     pub fn expire(&mut self, now: BootTime) -> Vec<(ServerName, LapseEnd)> {
         let is_grace_over = self.grace_end().is_some_and(|end| end <= now);
-        let rounds = self.heartbeats.rounds();
-        let end = |lapsed: &LapsedEntry| match lapsed.has_departed(rounds) {
+        let end = |lapsed: &LapsedEntry| match self.has_departed(lapsed) {
             true => Some(LapseEnd::LaterHeartbeats),
             false => is_grace_over.then_some(LapseEnd::GraceOver),
         };
@@ -235,6 +243,15 @@
         self.lapsed.contains_key(name)
     }
 
+    /// Whether the server had left before an outage, or has had time to register again after it.
+    fn has_departed(&self, lapsed: &LapsedEntry) -> bool {
+        // No heartbeat is written in an outage, so this one came between the removal and the outage in which
+        // its own server's entry lapsed.
+        let left_before_outage = lapsed.heartbeats < self.last_lapsed_heartbeat;
+        let had_time = lapsed.rounds + MIN_DEPARTED_ROUNDS <= self.heartbeats.rounds();
+        !lapsed.was_silent && (left_before_outage || had_time)
+    }
+
     fn drop_server(&mut self, name: &ServerName) {
         self.lapsed.swap_remove(name);
         self.heartbeats.remove(name);
@@ -267,9 +284,3 @@
         }
     }
 }
-
-impl LapsedEntry {
-    fn has_departed(&self, rounds: u64) -> bool {
-        !self.was_silent && self.removed_at + MIN_DEPARTED_ROUNDS <= rounds
-    }
-}
--- a/crates/entry/tests/daemon/departures.rs
+++ b/crates/entry/tests/daemon/departures.rs
@@ -134,8 +134,8 @@
     }
 
     /// Writes heartbeats of all servers but the departing one.
-    fn write_heartbeats(&self) {
-        for _ in 0..LATER_HEARTBEATS {
+    fn write_heartbeats(&self, count: usize) {
+        for _ in 0..count {
             let desk = &self.deployment.plain_servers[0];
             self.store().put_server(&desk.name, "desk", desk.address, "ready");
             for engine in &self.deployment.engines {
@@ -194,7 +194,7 @@
         let test = DepartureTest::start().await;
         test.isolate(case.state).await;
         test.depart(case.departure);
-        test.write_heartbeats();
+        test.write_heartbeats(LATER_HEARTBEATS);
         test.resume(case.state);
         test.wait_for_departure(test.departing()).await;
         assert_eq!(test.count_misdirected().await, 0, "{}", case.name);
@@ -222,10 +222,24 @@
 async fn a_server_cut_off_together_with_the_host_is_kept() {
     let test = DepartureTest::start().await;
     test.isolate(HostState::CutFromStore).await;
-    test.write_heartbeats();
+    test.write_heartbeats(LATER_HEARTBEATS);
     test.depart(Departure::Removed);
-    test.write_heartbeats();
+    test.write_heartbeats(LATER_HEARTBEATS);
     test.resume(HostState::CutFromStore);
     test.wait_for_departure(test.departing()).await;
     assert!(test.dropped_early().is_empty(), "{:?}", test.dropped_early());
 }
+
+/// A server leaves just before the store is away until all entries have expired. Guards against taking its
+/// removal for one of those.
+#[tokio::test]
+async fn a_server_that_left_before_an_outage_is_dropped() {
+    let test = DepartureTest::start().await;
+    test.isolate(HostState::CutFromStore).await;
+    test.depart(Departure::Removed);
+    test.write_heartbeats(1);
+    test.expire_all();
+    test.resume(HostState::CutFromStore);
+    test.wait_for_departure(test.departing()).await;
+    assert_eq!(test.count_misdirected().await, 0);
+}
