Weights: a version that was published while the host was frozen has its full age

Cause: a poll that returns records is taken for one that was pending when they were written, so that they count as just published. Change: a poll that took longer than it waits does not move the lower bound of the publication time. Why it works: the boot clock runs on while a host is frozen; the bound stays at the end of the read before.

--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -33,6 +33,9 @@
 /// Added to the wait for the response timeout.
 const RESPONSE_GRACE: Duration = Duration::from_millis(700);
 
+/// A poll that took longer was pending while the host was suspended. Allows for the longer wait at a zone reader.
+const MAX_POLL_TIME: Duration = Duration::from_millis(1_100);
+
 /// Maintains the active configuration and the weights targets.
 pub(crate) struct OperatorWatcher {
     state: Arc<SharedState>,
@@ -91,8 +94,10 @@
 
     async fn read_next(&mut self, from: LogPosition) -> Result<(), StoreError> {
         let topic = LogTopic::Operator;
+        let asked = boot_now();
         let page = self.source.read(topic, from, POLL_WAIT, RESPONSE_GRACE).await?;
-        if !self.retry.is_failing() {
+        let was_suspended = MAX_POLL_TIME < boot_now().since(asked);
+        if !self.retry.is_failing() && !was_suspended {
             // The long poll was pending when these records were written.
             self.written_after = Some(boot_now());
         }
--- a/crates/entry/tests/daemon/store_restore.rs
+++ b/crates/entry/tests/daemon/store_restore.rs
@@ -63,7 +63,7 @@
 }
 
 /// The daemon's status page.
-async fn status(daemon: &DaemonProcess) -> Value {
+pub(crate) async fn status(daemon: &DaemonProcess) -> Value {
     let metrics = daemon.address("metrics").await;
     let page =
         CallerRequest::new("/status", "s").send(metrics).await.expect("read the status page");
--- a/crates/entry/tests/daemon/weight_updates.rs
+++ b/crates/entry/tests/daemon/weight_updates.rs
@@ -1,14 +1,22 @@
 //! Orders that bring engines to new weights.
 
+use std::time::Duration;
+
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::FakeServer;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::StoreFault;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
+use crate::store_restore::status;
 use crate::support::DaemonProcess;
 use crate::support::TestDeployment;
 use crate::support::wait_until;
 
+/// Longer than a poll waits, and shorter than its timeout, so that the response is read after the freeze.
+const FREEZE: Duration = Duration::from_millis(1_300);
+
 /// Each engine receives one order for a version, and fencing tokens never decrease.
 #[tokio::test]
 async fn engines_receive_one_order_for_each_weights_version() {
@@ -91,3 +99,23 @@
     })
     .await;
 }
+
+/// Weights are published while a host is frozen. Guards against counting their age from the host's return, which
+/// would let prompts start on the previous weights after the bound.
+#[tokio::test]
+async fn weights_published_during_a_freeze_have_their_full_age() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.daemon.signal("STOP");
+    deployment.store.publish_weights(2);
+    let published = Instant::now();
+    sleep(FREEZE).await;
+    let min_age = published.elapsed();
+    deployment.daemon.signal("CONT");
+    wait_until("the daemon has read the weights", || {
+        !deployment.daemon.events("weights_named").is_empty()
+    })
+    .await;
+    let status = status(&deployment.daemon).await;
+    let age_ms = status["weights"][0]["age_ms"].as_u64().expect("the age of the weights");
+    assert!(min_age.as_millis() <= u128::from(age_ms), "age {age_ms} ms after {min_age:?}");
+}
