Fleet: hosts gone before a restore do not count as just started

Cause: a restore of the store makes routers read all hosts' records again, and each then counted as present for 10 s, also hosts long gone. They could be chosen as zone readers or relays for that time, each at the price of a failed connection. Change: the record of a known start keeps the time at which it was first read. In one epoch records are applied once already. Why it works: presence follows the start of a host; a host that starts again has a new incarnation and counts as before. Measured: restores::only_new_starts_count_as_present_after_a_restore failed on the code before (a known start counted), passes now.

--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -26,9 +26,11 @@
 /// A host as described by its record.
 #[derive(Clone, Debug)]
 struct FleetMember {
+    incarnation: Incarnation,
     address: SocketAddr,
     zone: ZoneName,
     link_kbps: u32,
+    /// When the record of this incarnation was first read.
     read_at: BootTime,
 }
 
@@ -94,9 +96,14 @@
         let position = LogPosition { offset, ..self.end };
         self.end = position.after(1);
         match record {
-            FleetRecord::Joined { host, address, zone, link_kbps, epoch, .. } => {
-                let (address, link_kbps, zone) = (*address, *link_kbps, zone.clone());
-                let member = FleetMember { address, zone, link_kbps, read_at: now };
+            FleetRecord::Joined { host, incarnation, address, zone, link_kbps, epoch } => {
+                let (incarnation, address) = (*incarnation, *address);
+                let (zone, link_kbps) = (zone.clone(), *link_kbps);
+                // After a restore, the records of hosts that are long gone are read again.
+                let known = self.members.get(host);
+                let known = known.filter(|member| member.incarnation == incarnation);
+                let read_at = known.map_or(now, |member| member.read_at);
+                let member = FleetMember { incarnation, address, zone, link_kbps, read_at };
                 self.members.insert(host.clone(), member);
                 self.has_earlier_epochs |= *epoch < position.epoch;
             }
--- a/crates/dispatch/tests/restores.rs
+++ b/crates/dispatch/tests/restores.rs
@@ -310,3 +310,34 @@
     assert!(matches!(step(4_600), LeaseStep::Wait(_)), "another host may hold the lease");
     assert!(matches!(step(7_500), LeaseStep::Append { .. }));
 }
+
+struct PresenceCase {
+    name: &'static str,
+    incarnation: u64,
+    is_present: bool,
+}
+
+const PRESENCES: &[PresenceCase] = &[
+    PresenceCase { name: "the record of a known start", incarnation: 1, is_present: false },
+    PresenceCase { name: "the record of a new start", incarnation: 2, is_present: true },
+];
+
+/// A restore makes routers read the records of all hosts again. Guards against taking hosts that are long gone
+/// for hosts that have just started.
+#[test]
+fn only_new_starts_count_as_present_after_a_restore() {
+    for case in PRESENCES {
+        let mut fleet_state = FleetState::default();
+        let (start, later) = (BootTime(10_000), BootTime(60_000));
+        fleet_state.begin_epoch(StoreEpoch(0), start);
+        fleet_state.apply(LogOffset(0), &joined_record("h1"), start);
+        fleet_state.begin_epoch(StoreEpoch(1), later);
+        let mut record = joined_record("h1");
+        if let FleetRecord::Joined { incarnation, .. } = &mut record {
+            *incarnation = Incarnation(case.incarnation);
+        }
+        fleet_state.apply(LogOffset(0), &record, later);
+        let members: Vec<_> = fleet_state.new_members(&ZoneName::new("north"), later).collect();
+        assert_eq!(!members.is_empty(), case.is_present, "{}", case.name);
+    }
+}
