Tests: a host behind a zone reader must not wait for the end of the grace period

With the decision by heartbeats switched off the test passed, as the requests came after the grace period; it now checks why the server was dropped, and fails then (cause grace_over), as do two others of the six (3 of 8 requests to the departed server each).

--- a/crates/entry/tests/daemon/departures.rs
+++ b/crates/entry/tests/daemon/departures.rs
@@ -341,4 +341,6 @@
     frozen.signal("CONT");
     wait_for_departure(frozen, departed).await;
     assert_eq!(count_misdirected(&deployment, frozen, departed).await, 0);
+    let gone = frozen.events("server_gone");
+    assert!(gone.iter().all(|line| line["cause"] != "grace_over"), "{gone:?}");
 }
