Soak: servers that leave while routers are cut off or paused

Why the soak missed it: a server was replaced only with a notice (a draining entry, which every reader obeys at once); servers wrote no heartbeats; the judge excused a router for any disturbance since the departure.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -49,6 +49,12 @@
 const START_AFTER_MS: std::ops::RangeInclusive<u64> = 0..=1_500;
 /// Keeps these draws from those of other kinds.
 const RESTORE_DRAWS: u64 = 0x7265_7374;
+/// Departures in a run that is drawn for them.
+const DEPARTURES: usize = 3;
+/// How long a router is cut off from the store or paused around a departure.
+const ISOLATION_MS: std::ops::RangeInclusive<u64> = 2_000..=7_000;
+/// Keeps these draws from those of other kinds.
+const DEPARTURE_DRAWS: u64 = 0x6c65_6176;
 /// With so many hosts and fewer, each reads the store itself.
 const FEW_HOSTS: usize = 6;
 
@@ -166,6 +172,36 @@
         self
     }
 
+    /// Beside all else routers are cut off from the store or paused, and a server leaves without a notice
+    /// meanwhile.
+    pub fn with_departures(
+        mut self,
+        routers: usize,
+        servers: usize,
+        length: Duration,
+    ) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ DEPARTURE_DRAWS);
+        for _ in 0..DEPARTURES {
+            let at = rng.random_range(CALM_START_MS..length.as_millis() as u64);
+            let isolation = rng.random_range(ISOLATION_MS);
+            let router = rng.random_range(0..routers);
+            let isolate = match rng.random_bool(0.7) {
+                true => SoakFault::Link(LinkPlace::Store(router), LinkFault::Silent),
+                false => SoakFault::Signal(router, RouterSignal::Pause),
+            };
+            let removed_at = at + rng.random_range(0..isolation);
+            let remove = SoakFault::RemoveServer(rng.random_range(0..servers));
+            let steps = [(at, isolation, isolate), (removed_at, 0, remove)];
+            self.steps.extend(steps.map(|(at, lasts, fault)| FaultStep {
+                at: Duration::from_millis(at),
+                lasts: Duration::from_millis(lasts),
+                fault,
+            }));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// The address of loopback at which a router finds the servers: one of its own where its link may
     /// be full.
     pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -92,6 +92,7 @@
             server.stand.set_mode(ServerMode::Echo);
         }
         SoakFault::ReplaceServer(number) => world.replace_server(number).await?,
+        SoakFault::RemoveServer(number) => world.remove_server(number).await?,
         SoakFault::AddRoute => add_route(world),
         SoakFault::TakeKey => take_key(world),
         SoakFault::NameWeights => {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -33,6 +33,8 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
 /// A router is calm this long after the end of a disturbance.
 const CALM_AFTER: Duration = Duration::from_secs(3);
+/// After this time the heartbeats of the other servers prove a departure to whoever reads them.
+const PROVEN_AFTER: Duration = Duration::from_secs(5);
 /// A planned stop and what came just before it.
 const STOP_BEFORE: Duration = Duration::from_millis(2_500);
 /// Broken promises told of each kind; more would hide the others.
@@ -189,7 +191,7 @@
         let late = runs.iter().any(|run| {
             let left = self.evidence.servers[run.server].left;
             left.is_some_and(|left| {
-                left + LEAVE_BOUND < record.sent && self.is_calm(record.router, left, record.sent)
+                left + LEAVE_BOUND < record.sent && self.knows_departure(record, left)
             })
         });
         if late {
@@ -197,6 +199,24 @@
         }
     }
 
+    /// Whether the store was well when the server left, and the router when the request was sent. What
+    /// disturbed the router in between is no excuse.
+    fn knows_departure(&self, record: &RequestRecord, left: Instant) -> bool {
+        let before = left.checked_sub(CALM_AFTER).unwrap_or(left);
+        let mut spans = self.evidence.spans.iter();
+        let was_accepted =
+            !spans.any(|span| span.fault.disturbs_store() && span.overlaps(before, left));
+        let is_proven = left + PROVEN_AFTER < record.sent;
+        let calm_time = if is_proven { LEAVE_BOUND } else { CALM_AFTER };
+        was_accepted && self.is_calm_since(record.router, record.sent, calm_time)
+    }
+
+    fn is_calm_since(&self, router: usize, now: Instant, calm_time: Duration) -> bool {
+        let from = now.checked_sub(calm_time).unwrap_or(now);
+        let disturbs = |span: &FaultSpan| span.fault.disturbs(router) && span.overlaps(from, now);
+        !self.evidence.spans.iter().any(disturbs)
+    }
+
     fn judge_route(&mut self, record: &RequestRecord) {
         let RequestKind::NewRoute(number) = record.kind else { return };
         let routes = &self.evidence.word.routes;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -42,6 +42,10 @@
     /// the store comes back from copies of itself, beside the faults of the seed; goes before the others
     #[argh(switch)]
     restores: bool,
+    /// servers leave while routers are cut off from the store or paused, beside the faults of the seed; goes
+    /// before --full-link
+    #[argh(switch)]
+    departures: bool,
     /// print what goes wrong in each run
     #[argh(switch)]
     plans: bool,
@@ -57,6 +61,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { departures: true, .. } => PlanKind::Departures,
         SoakArgs { full_link: true, .. } => PlanKind::FullLink,
         SoakArgs { cut_off: true, .. } => PlanKind::CutOff,
         _ => PlanKind::Mixed,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -50,6 +50,9 @@
     Server(usize, ServerMode),
     /// A server leaves as planned and another takes its place.
     ReplaceServer(usize),
+    /// A server's entry is removed without a notice, the server goes on for a while, and another takes its
+    /// place.
+    RemoveServer(usize),
     /// A configuration with one more route.
     AddRoute,
     /// A configuration without a key that callers use.
@@ -68,11 +71,17 @@
             SoakFault::KillAll | SoakFault::Store(_) => true,
             SoakFault::ForgetHistory | SoakFault::RestoreStore => true,
             SoakFault::Link(LinkPlace::Server(_), _) => false,
-            SoakFault::Server(..) | SoakFault::ReplaceServer(_) => false,
+            SoakFault::Server(..) => false,
+            SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
     }
 
+    /// Whether the store itself suffers.
+    pub(crate) fn disturbs_store(&self) -> bool {
+        matches!(self, SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::RestoreStore)
+    }
+
     /// Whether servers may leave requests unanswered.
     pub(crate) fn harms_servers(&self) -> bool {
         match self {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -9,6 +9,7 @@
 
 use futures_util::future::join_all;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -35,6 +36,9 @@
 /// Requests that must all be served.
 const CALM_TIME: Duration = Duration::from_secs(2);
 
+/// Interval of the servers' heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Servers whose answers pause as a link of a host becomes full: twice those that stream, which are cut
 /// more often than plain calls are given up.
 const PAUSED: [Range<usize>; 3] = [DESKS..DESKS + ENGINES, DESKS..DESKS + ENGINES, 0..DESKS];
@@ -61,6 +65,8 @@
     CutOff,
     /// Any faults, and a store that comes back from copies of itself.
     Restore,
+    /// Any faults, and servers that leave while routers are cut off from the store or paused.
+    Departures,
     /// Any faults, and links of hosts that are full while answers pause.
     FullLink,
 }
@@ -85,6 +91,7 @@
         PlanKind::Mixed => mixed,
         PlanKind::CutOff => mixed.with_cut_off(ROUTERS),
         PlanKind::Restore => mixed.with_restores(ROUTERS, conf.length),
+        PlanKind::Departures => mixed.with_departures(ROUTERS, DESKS + ENGINES, conf.length),
         PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
     };
     let folder = conf.folder.join(format!("seed-{seed}"));
@@ -94,12 +101,18 @@
     let records = SharedRecords::default();
     let stop = watch::Sender::new(false);
     let callers = start_callers(&world, &records, seed, &stop);
+    // Seeds of the other kinds were found without heartbeats.
+    let mut heartbeats = JoinSet::new();
+    if conf.kind == PlanKind::Departures {
+        heartbeats.spawn(write_heartbeats(world.clone()));
+    }
     play(&world, &plan).await?;
     sleep(SETTLE_TIME).await;
     let recovered = Instant::now();
     sleep(CALM_TIME).await;
     stop.send_replace(true);
     join_all(callers).await;
+    heartbeats.shutdown().await;
     let records = std::mem::take(&mut *lock(&records));
     let served = records.iter().filter(|record| record.is_served()).count();
     let requests = records.len();
@@ -119,6 +132,13 @@
     Ok(SoakReport { plan, requests, served, broken })
 }
 
+async fn write_heartbeats(world: Arc<SoakWorld>) {
+    loop {
+        sleep(HEARTBEAT_INTERVAL).await;
+        world.write_heartbeats();
+    }
+}
+
 fn start_callers(
     world: &Arc<SoakWorld>,
     records: &SharedRecords,
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -57,6 +57,8 @@
     pub(crate) place: usize,
     /// When the store had its word that it leaves.
     pub(crate) left: Option<Instant>,
+    /// Whether it left by the removal of its entry.
+    pub(crate) is_removed: bool,
 }
 
 /// A planned stop as it went.
@@ -172,7 +174,7 @@
             proxies.push(LoopbackProxy::start_on(address, target, router.link.clone()).await?);
         }
         self.store.put_server(&stand.name, service, proxies[0].address, "ready");
-        Ok(SoakServer { stand, proxies, service, place, left: None })
+        Ok(SoakServer { stand, proxies, service, place, left: None, is_removed: false })
     }
 
     /// A server that is there now.
@@ -197,12 +199,36 @@
         Ok(())
     }
 
+    /// The server's entry is removed, as of one that leaves without a notice; another takes its place.
+    pub(crate) async fn remove_server(&self, number: usize) -> io::Result<()> {
+        let mut old = self.server(number);
+        let new = self.start_server(old.service, number).await?;
+        self.store.remove_server(&old.stand.name);
+        old.left = Some(Instant::now());
+        old.is_removed = true;
+        lock(&self.servers)[number] = new;
+        lock(&self.retired).push(old);
+        Ok(())
+    }
+
+    /// Servers that are there write their entries again.
+    pub(crate) fn write_heartbeats(&self) {
+        for server in lock(&self.servers).iter() {
+            let address = server.proxies[0].address;
+            self.store.put_server(&server.stand.name, server.service, address, "ready");
+        }
+    }
+
     /// Operators and servers write again what the store may have lost.
     pub(crate) fn write_again(&self) {
         let word = self.word().clone();
         self.store.put_config(&word.config);
         self.store.publish_weights(word.weights);
         for server in self.all_servers() {
+            if server.is_removed {
+                self.store.remove_server(&server.stand.name);
+                continue;
+            }
             let stage = if server.left.is_some() { "draining" } else { "ready" };
             let address = server.proxies[0].address;
             self.store.put_server(&server.stand.name, server.service, address, stage);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -58,6 +58,30 @@
     },
 ];
 
+/// Seeds in which requests reached departed servers.
+const DEPARTURE_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 3511,
+        seconds: 10,
+        kind: PlanKind::Departures,
+        cause: "a router took its own cut from the store for an outage and kept a server that had left \
+                meanwhile",
+    },
+    SeedCase {
+        seed: 3520,
+        seconds: 10,
+        kind: PlanKind::Departures,
+        cause: "the same for an engine",
+    },
+];
+
+/// Servers leave while routers are cut off from the store or paused. Guards against requests to them after the
+/// routers' return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn departed_servers_get_no_requests() {
+    check(DEPARTURE_SEEDS, "departures").await;
+}
+
 /// Callers meet routers that are killed, paused, cut off and stopped, all at the same time.
 /// The faults come in an order that its seed draws; then all is well again.
 /// Whatever happens, no promise of the pages may be broken, and in the end everything is served.
