--- a/crates/ledger/examples/claim_costs.rs
+++ b/crates/ledger/examples/claim_costs.rs
@@ -9,17 +9,17 @@
 use std::time::Duration;
 
 use fulmargate_ledger::CallOutcome;
-use fulmargate_ledger::ClaimBook;
-use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimCoordinator;
 use fulmargate_ledger::ClaimEntry;
 use fulmargate_ledger::ClaimHandle;
 use fulmargate_ledger::ClaimKey;
 use fulmargate_ledger::ClaimLog;
 use fulmargate_ledger::ClaimOutcome;
 use fulmargate_ledger::ClaimRecord;
+use fulmargate_ledger::ClaimTable;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::ClaimerId;
-use fulmargate_ledger::DeskSettings;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::NewClaim;
 use fulmargate_ledger::RECORD_LAYOUT;
 use fulmargate_ledger::RanOutcome;
@@ -123,16 +123,19 @@
 
 async fn run_load(rate: u64, appends_per_s: u32) {
     let log = Rc::new(MemoryLog::default());
-    let settings =
-        DeskSettings { appends_per_s, ..DeskSettings::for_retention(Duration::from_secs(3_600)) };
+    let settings = LedgerSettings {
+        appends_per_s,
+        ..LedgerSettings::for_retention(Duration::from_secs(3_600))
+    };
     let waits = Rc::new(RefCell::new(Vec::new()));
     for router in 0..ROUTERS {
         let me = ClaimerId {
             host: HostName::new(&format!("host-{router}")),
             incarnation: Incarnation(1),
         };
-        let desk = ClaimDesk::start(log.port(), &settings, 1, &me, &CancellationToken::new());
-        let (_, handle) = desk.expect("the settings are good");
+        let coordinator =
+            ClaimCoordinator::start(log.port(), &settings, 1, &me, &CancellationToken::new());
+        let (_, handle) = coordinator.expect("the settings are good");
         spawn_local(offer_calls(handle, router, rate, Rc::clone(&waits)));
     }
     sleep(RUN_TIME + Duration::from_secs(2)).await;
@@ -180,15 +183,15 @@
     }
 }
 
-/// One book that grows.
+/// One table that grows.
 fn measure_book(counts: &[u64]) {
-    let mut book = ClaimBook::new(LogOffset(0));
+    let mut table = ClaimTable::new(LogOffset(0));
     let (memory, mut processor) = (resident_bytes(), 0);
     for count in counts {
-        while (book.len() as u64) < *count {
-            let record = full_record(book.next_offset().0);
+        while (table.len() as u64) < *count {
+            let record = full_record(table.next_offset().0);
             let began = processor_ns();
-            book.fold(&record).expect("the records are in order");
+            table.fold(&record).expect("the records are in order");
             processor += processor_ns() - began;
         }
         let grown = resident_bytes().saturating_sub(memory);
@@ -198,14 +201,14 @@
 }
 
 fn renewal_bytes() -> usize {
-    let mut book = ClaimBook::new(LogOffset(0));
+    let mut table = ClaimTable::new(LogOffset(0));
     for sequence in 0..2 {
-        book.fold(&full_record(sequence)).expect("the records are in order");
+        table.fold(&full_record(sequence)).expect("the records are in order");
     }
     let plan =
         RenewPlan { standing_before_ms: u64::MAX, lasting_ms: 0, complete_ms: u64::MAX, limit: 25 };
     let entries: Vec<ClaimEntry> =
-        book.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
+        table.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
     serde_json::to_string(&entries).expect("entries are plain data").len() / entries.len()
 }
 
@@ -231,7 +234,7 @@
         layout: RECORD_LAYOUT,
         claimer: ClaimerId { host: HostName::new("host-1"), incarnation: Incarnation(1) },
         sequence,
-        memory: DeskSettings::for_retention(Duration::from_secs(86_400)).memory,
+        memory: LedgerSettings::for_retention(Duration::from_secs(86_400)).memory,
         entries,
     };
     let data = serde_json::to_string(&record).expect("a record is plain data");
--- a/crates/ledger/examples/claim_start.rs
+++ b/crates/ledger/examples/claim_start.rs
@@ -10,15 +10,15 @@
 use std::time::Instant as WallInstant;
 
 use fulmargate_ledger::CallOutcome;
-use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimCoordinator;
 use fulmargate_ledger::ClaimEntry;
 use fulmargate_ledger::ClaimKey;
 use fulmargate_ledger::ClaimLog;
 use fulmargate_ledger::ClaimOutcome;
 use fulmargate_ledger::ClaimRecord;
 use fulmargate_ledger::ClaimerId;
-use fulmargate_ledger::DeskSettings;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::NewClaim;
 use fulmargate_ledger::RECORD_LAYOUT;
 use fulmargate_ledger::RanOutcome;
@@ -54,7 +54,7 @@
         entries.push(ClaimEntry::Outcome(ClaimOutcome { key: hash, number, outcome }));
     }
     let claimer = ClaimerId { host: HostName::new("old-1"), incarnation: Incarnation(1) };
-    let memory = DeskSettings::for_retention(Duration::from_secs(3_600)).memory;
+    let memory = LedgerSettings::for_retention(Duration::from_secs(3_600)).memory;
     let record = ClaimRecord { layout: RECORD_LAYOUT, claimer, sequence, memory, entries };
     serde_json::to_string(&record).expect("a record is plain data")
 }
@@ -63,10 +63,10 @@
     let began = WallInstant::now();
     let client = LogClient::new(address, LogTimeouts::default());
     let me = ClaimerId { host: HostName::new("new-1"), incarnation: Incarnation(1) };
-    let settings = DeskSettings::for_retention(Duration::from_secs(3_600));
+    let settings = LedgerSettings::for_retention(Duration::from_secs(3_600));
     let cancel = CancellationToken::new();
-    let started = ClaimDesk::start(ClaimLog::over(&client), &settings, 1, &me, &cancel);
-    let (desk, handle) = started.expect("the settings are good");
+    let started = ClaimCoordinator::start(ClaimLog::over(&client), &settings, 1, &me, &cancel);
+    let (coordinator, handle) = started.expect("the settings are good");
     let known = handle.known(key(0), Instant::now() + WAIT).await;
     let took = began.elapsed();
     assert_eq!(known, KnownKey::Claimed);
@@ -74,7 +74,7 @@
     assert_eq!(free, KnownKey::Free);
     let whole = began.elapsed();
     cancel.cancel();
-    desk.ended().await;
+    coordinator.ended().await;
     whole.max(took)
 }
 
--- a/crates/ledger/src/claim_call.rs
+++ b/crates/ledger/src/claim_call.rs
@@ -1,4 +1,4 @@
-//! What the desk is asked.
+//! Commands to the coordinator.
 
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -25,7 +25,7 @@
     pub reply: oneshot::Sender<ClaimVerdict>,
 }
 
-/// A router that is about to say `not-run` of a key.
+/// A router that is about to answer `not-run` for a key.
 #[derive(Debug)]
 pub struct KnownCall {
     /// The caller's key.
@@ -36,9 +36,9 @@
     pub reply: oneshot::Sender<KnownKey>,
 }
 
-/// What the desk is asked or told.
+/// A command to the coordinator.
 #[derive(Debug)]
-pub enum DeskCommand {
+pub enum LedgerCommand {
     /// To claim a key.
     Claim(ClaimCall),
     /// To read the log to its end and say whether a key is claimed.
--- a/crates/ledger/src/claim_handle.rs
+++ b/crates/ledger/src/claim_handle.rs
@@ -1,4 +1,4 @@
-//! The way from any thread to the claim desk.
+//! The way from any thread to the claim coordinator.
 
 use std::sync::Arc;
 
@@ -12,20 +12,20 @@
 use crate::ClaimCall;
 use crate::ClaimKey;
 use crate::ClaimVerdict;
-use crate::DeskCommand;
 use crate::KeyHash;
 use crate::KnownCall;
 use crate::KnownKey;
+use crate::LedgerCommand;
 use crate::RequestPrint;
 
-/// The way from any thread to the claim desk.
+/// The way from any thread to the claim coordinator.
 #[derive(Clone, Debug)]
 pub struct ClaimHandle {
-    shards: Arc<[UnboundedSender<DeskCommand>]>,
+    shards: Arc<[UnboundedSender<LedgerCommand>]>,
 }
 
 impl ClaimHandle {
-    pub(crate) fn new(shards: Vec<UnboundedSender<DeskCommand>>) -> ClaimHandle {
+    pub(crate) fn new(shards: Vec<UnboundedSender<LedgerCommand>>) -> ClaimHandle {
         ClaimHandle { shards: Arc::from(shards) }
     }
 
@@ -39,8 +39,8 @@
         let began = Instant::now();
         let (reply, answer) = oneshot::channel();
         let call = ClaimCall { key, print, deadline, reply };
-        // Both fail only when the desk has ended, because the process stops.
-        let _ = self.shard(key.hash).send(DeskCommand::Claim(call));
+        // Both fail only when the coordinator has ended, because the process stops.
+        let _ = self.shard(key.hash).send(LedgerCommand::Claim(call));
         let verdict = answer.await.unwrap_or(ClaimVerdict::LogOut(Disposition::Unknown));
         metrics::histogram!("fulmargate_claim_seconds").record(began.elapsed().as_secs_f64());
         verdict
@@ -50,18 +50,18 @@
     /// queue: an earlier try of it may have run through any router.
     pub async fn known(&self, key: ClaimKey, deadline: Instant) -> KnownKey {
         let (reply, answer) = oneshot::channel();
-        let _ = self.shard(key.hash).send(DeskCommand::Known(KnownCall { key, deadline, reply }));
+        let _ = self.shard(key.hash).send(LedgerCommand::Known(KnownCall { key, deadline, reply }));
         answer.await.unwrap_or(KnownKey::Blind)
     }
 
     /// Tells that a router's process has ended, so that nobody waits for its outcomes.
     pub fn claimer_gone(&self, host: &HostName, incarnation: Incarnation) {
         for shard in self.shards.iter() {
-            let _ = shard.send(DeskCommand::ClaimerGone { host: host.clone(), incarnation });
+            let _ = shard.send(LedgerCommand::ClaimerGone { host: host.clone(), incarnation });
         }
     }
 
-    fn shard(&self, key: KeyHash) -> &UnboundedSender<DeskCommand> {
+    fn shard(&self, key: KeyHash) -> &UnboundedSender<LedgerCommand> {
         let KeyHash([low, high, ..]) = key;
         let index = usize::from(u16::from_le_bytes([low, high])) % self.shards.len();
         &self.shards[index]
--- a/crates/ledger/src/claim_log.rs
+++ b/crates/ledger/src/claim_log.rs
@@ -1,4 +1,4 @@
-//! How the desk reaches the claim streams.
+//! Access to the claim streams.
 
 use std::time::Duration;
 
@@ -12,21 +12,21 @@
 use crate::GroupAppend;
 use crate::PAGE_LEN;
 
-/// An append under way.
+/// A pending append.
 pub type AppendFuture = LocalBoxFuture<'static, Result<LogOffset, LogError>>;
-/// A read under way.
+/// A pending read.
 pub type ReadFuture = LocalBoxFuture<'static, Result<LogPage, LogError>>;
 
-/// Begins an append.
+/// Starts an append.
 pub type AppendCall = Box<dyn Fn(&str, GroupAppend) -> AppendFuture>;
-/// Begins a read.
+/// Starts a read.
 pub type ReadCall = Box<dyn Fn(&str, LogOffset, Duration) -> ReadFuture>;
 
-/// How the desk reaches the claim streams: the platform's log, or what a test puts in its place.
+/// Access to the claim streams: the platform's log, or a replacement in tests.
 pub struct ClaimLog {
-    /// Tries once to append a record to a stream.
+    /// Appends a record to a stream, without retries.
     pub append: AppendCall,
-    /// Reads a stream from an offset on, waiting so long for news.
+    /// Reads a stream from an offset on, waiting up to this time for new records.
     pub read: ReadCall,
 }
 
--- a/crates/ledger/src/claim_record.rs
+++ b/crates/ledger/src/claim_record.rs
@@ -110,7 +110,7 @@
     }
 }
 
-/// Says what became of a claimed call. Only the claimer's own word counts.
+/// Outcome of a claimed call. Only the claimer's own record counts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimOutcome {
     /// The key.
@@ -171,7 +171,7 @@
     pub number: u64,
 }
 
-/// A claim written anew, by any router, as it stood in the writer's book.
+/// A claim written anew, by any router, as it stood in the writer's table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewedClaim {
     /// The key.
--- a/crates/ledger/src/claim_book.rs
+++ b/crates/ledger/src/claim_table.rs
@@ -9,8 +9,6 @@
 use fulmargate_platform::LogRecord;
 use indexmap::IndexMap;
 
-use crate::BookChange;
-use crate::BookError;
 use crate::CallOutcome;
 use crate::ClaimEntry;
 use crate::ClaimOutcome;
@@ -28,6 +26,8 @@
 use crate::RenewedClaim;
 use crate::RenewedState;
 use crate::RequestPrint;
+use crate::TableChange;
+use crate::TableError;
 use crate::claimer_table::ClaimerIndex;
 use crate::claimer_table::ClaimerTable;
 use crate::held_claim::HeldClaim;
@@ -36,12 +36,12 @@
 /// How far the log's clock may step back before a forgotten claim could be asked for again.
 const FORGET_SLACK_MS: u64 = 10_000;
 
-/// The fold of a claim stream: which claim holds which key.
+/// Which claim holds which key, folded from a claim stream.
 ///
 /// What a record does depends on the records before it and on itself alone, so all readers agree, whenever they began and
 /// whatever their clocks and settings say. The lowest offset wins a key, then the first entry of a record.
 #[derive(Clone, Debug)]
-pub struct ClaimBook {
+pub struct ClaimTable {
     next: LogOffset,
     /// All records that landed later than this were read; `None` while that isn't known of any time.
     whole_from_ms: Option<u64>,
@@ -51,11 +51,11 @@
     forget: BinaryHeap<Reverse<(u64, KeyHash)>>,
 }
 
-impl ClaimBook {
-    /// A book that begins at `first`, the oldest offset that the log keeps.
-    pub fn new(first: LogOffset) -> ClaimBook {
+impl ClaimTable {
+    /// Creates a table that begins at `first`, the oldest offset that the log keeps.
+    pub fn new(first: LogOffset) -> ClaimTable {
         let whole_from_ms = (first == LogOffset(0)).then_some(0);
-        ClaimBook {
+        ClaimTable {
             next: first,
             whole_from_ms,
             log_time_ms: 0,
@@ -65,12 +65,12 @@
         }
     }
 
-    /// From when on the book has read every record; `None` while it has read none and older ones are gone.
+    /// Time from which the table has read every record; `None` while it has read none and older ones are deleted.
     pub fn whole_from_ms(&self) -> Option<u64> {
         self.whole_from_ms
     }
 
-    /// The offset that the book has to read next.
+    /// The offset that the table has to read next.
     pub fn next_offset(&self) -> LogOffset {
         self.next
     }
@@ -90,12 +90,12 @@
         self.held.is_empty()
     }
 
-    /// Takes in that a host's router of this incarnation has ended.
+    /// Records that a host's router of this incarnation has ended.
     pub fn claimer_gone(&mut self, host: &HostName, incarnation: Incarnation) {
         self.claimers.observe(host, Incarnation(incarnation.0 + 1));
     }
 
-    /// What is known of a key, for a request.
+    /// State of a key, for a request.
     pub fn view(&self, key: KeyHash, print: RequestPrint) -> KeyView {
         let Some(claim) = self.held.get(&key) else {
             return KeyView::Free;
@@ -120,9 +120,9 @@
     }
 
     /// Folds the next record.
-    pub fn fold(&mut self, record: &LogRecord) -> Result<RecordEffect, BookError> {
+    pub fn fold(&mut self, record: &LogRecord) -> Result<RecordEffect, TableError> {
         if record.offset != self.next {
-            return Err(BookError::Gap { next: self.next, offset: record.offset });
+            return Err(TableError::Gap { next: self.next, offset: record.offset });
         }
         let parsed = parse_record(record)?;
         self.next = LogOffset(record.offset.0 + 1);
@@ -150,7 +150,7 @@
         Ok(RecordEffect::Folded { claimer: parsed.claimer, sequence: parsed.sequence, changes })
     }
 
-    fn fold_entry(&mut self, entry: ClaimEntry, place: EntryPlace) -> Option<BookChange> {
+    fn fold_entry(&mut self, entry: ClaimEntry, place: EntryPlace) -> Option<TableChange> {
         match entry {
             ClaimEntry::Claim(claim) => Some(self.fold_claim(&claim, place)),
             ClaimEntry::Outcome(outcome) => self.fold_outcome(outcome, place),
@@ -162,16 +162,16 @@
         }
     }
 
-    fn fold_claim(&mut self, claim: &NewClaim, place: EntryPlace) -> BookChange {
+    fn fold_claim(&mut self, claim: &NewClaim, place: EntryPlace) -> TableChange {
         let NewClaim { key, number, .. } = *claim;
         let until_ms = place.memory.until_ms(claim.made_ms, place.time_ms);
         // The first claim of an old key may be forgotten or out of retention. Its age is judged by the record's own time, so
         // a claim that took long to land is void for every reader.
         if until_ms <= place.time_ms {
-            return BookChange::TooOld { key, number };
+            return TableChange::TooOld { key, number };
         }
         if self.held.get(&key).is_some_and(|held| place.time_ms < held.until_ms) {
-            return BookChange::Lost { key, number };
+            return TableChange::Lost { key, number };
         }
         let held = HeldClaim {
             print: claim.print,
@@ -184,12 +184,12 @@
             state: HeldState::Pending,
         };
         self.hold(key, held);
-        BookChange::Won { key, number }
+        TableChange::Won { key, number }
     }
 
-    /// Only the claimer's word counts, and its first word: answers were given by it.
-    fn fold_outcome(&mut self, told: ClaimOutcome, place: EntryPlace) -> Option<BookChange> {
-        let ClaimOutcome { key, number, outcome } = told;
+    /// Only the claimer's first outcome counts: callers have been answered by it.
+    fn fold_outcome(&mut self, claim: ClaimOutcome, place: EntryPlace) -> Option<TableChange> {
+        let ClaimOutcome { key, number, outcome } = claim;
         let held = self.pending_of(key, number, place.claimer)?;
         held.state = match &outcome {
             CallOutcome::Unknown => HeldState::Unknown,
@@ -199,19 +199,19 @@
                 offset: Some(place.offset),
             }),
         };
-        Some(BookChange::Settled { key, outcome })
+        Some(TableChange::Settled { key, outcome })
     }
 
     /// A release that lands late is void. Otherwise a claim could be renewed by a reader that has not met the release yet,
     /// and whoever begins to read between the two would hold a key that is free for all others.
-    fn fold_release(&mut self, release: &ClaimRelease, place: EntryPlace) -> Option<BookChange> {
+    fn fold_release(&mut self, release: &ClaimRelease, place: EntryPlace) -> Option<TableChange> {
         let ClaimRelease { key, number } = *release;
         let held = self.pending_of(key, number, place.claimer)?;
         if held.claimed_ms + u64::from(held.release_ms) <= place.time_ms {
             return None;
         }
         self.held.swap_remove(&key);
-        Some(BookChange::Released { key })
+        Some(TableChange::Released { key })
     }
 
     fn pending_of(
@@ -225,7 +225,7 @@
         })
     }
 
-    /// Harmless twice and late: it takes no key from another claim, and takes nothing back that is known of its own.
+    /// Idempotent: a late or repeated renewal takes no key from another claim and reverts no state of its own.
     fn fold_renew(&mut self, renewed: &RenewedClaim, place: EntryPlace) {
         if renewed.until_ms <= place.time_ms {
             return;
@@ -278,7 +278,7 @@
         }
     }
 
-    /// The claims that have to be written anew.
+    /// The claims that have to be renewed.
     pub fn to_renew(&self, plan: &RenewPlan) -> Vec<RenewedClaim> {
         let due = self.held.iter().filter(|(_, held)| plan.includes(held));
         due.take(plan.limit).map(|(key, held)| self.renewed(*key, held)).collect()
@@ -312,7 +312,7 @@
 }
 
 /// The record's content, or `None` if it is not of this stream.
-fn parse_record(record: &LogRecord) -> Result<Option<ClaimRecord>, BookError> {
+fn parse_record(record: &LogRecord) -> Result<Option<ClaimRecord>, TableError> {
     if let Ok(parsed) = serde_json::from_str::<ClaimRecord>(&record.data)
         && parsed.layout <= RECORD_LAYOUT
     {
@@ -321,7 +321,7 @@
     let value: serde_json::Value = serde_json::from_str(&record.data).unwrap_or_default();
     match value.get("v").and_then(serde_json::Value::as_u64) {
         Some(layout) if u64::from(RECORD_LAYOUT) < layout => {
-            Err(BookError::LaterLayout { offset: record.offset, layout })
+            Err(TableError::LaterLayout { offset: record.offset, layout })
         }
         _ => Ok(None),
     }
--- a/crates/ledger/src/claim_ticket.rs
+++ b/crates/ledger/src/claim_ticket.rs
@@ -6,20 +6,20 @@
 use tokio::time::Instant;
 
 use crate::CallOutcome;
-use crate::DeskCommand;
 use crate::KeptBody;
 use crate::KeyHash;
+use crate::LedgerCommand;
 use crate::RanOutcome;
 use crate::RequestPrint;
 
-/// The claim and the way back to its desk.
+/// The claim and the way back to its coordinator.
 #[derive(Debug)]
 struct TicketCore {
     key: KeyHash,
     number: u64,
     expires: Instant,
     body_limit: usize,
-    commands: UnboundedSender<DeskCommand>,
+    commands: UnboundedSender<LedgerCommand>,
 }
 
 /// The right to send a claimed call, once; nothing was sent yet. Dropped, it releases the claim.
@@ -52,7 +52,7 @@
         number: u64,
         expires: Instant,
         body_limit: usize,
-        commands: UnboundedSender<DeskCommand>,
+        commands: UnboundedSender<LedgerCommand>,
     ) -> ClaimTicket {
         ClaimTicket { core: Some(TicketCore { key, number, expires, body_limit, commands }) }
     }
@@ -89,8 +89,8 @@
 impl Drop for ClaimTicket {
     fn drop(&mut self) {
         if let Some(core) = self.core.take() {
-            let release = DeskCommand::Release { key: core.key, number: core.number };
-            // The desk has ended: the process stops, and the claim stays burnt.
+            let release = LedgerCommand::Release { key: core.key, number: core.number };
+            // The coordinator has ended: the process stops, and the claim stays burnt.
             let _ = core.commands.send(release);
         }
     }
@@ -125,8 +125,8 @@
 
     fn close(&mut self, outcome: CallOutcome) {
         if let Some(core) = self.core.take() {
-            let told = DeskCommand::Outcome { key: core.key, number: core.number, outcome };
-            let _ = core.commands.send(told);
+            let command = LedgerCommand::Outcome { key: core.key, number: core.number, outcome };
+            let _ = core.commands.send(command);
         }
     }
 }
--- a/crates/ledger/src/claim_verdict.rs
+++ b/crates/ledger/src/claim_verdict.rs
@@ -1,4 +1,4 @@
-//! What a claim comes to.
+//! Result of a claim.
 
 use fulmargate_names::Disposition;
 use fulmargate_names::ErrorKind;
@@ -6,7 +6,7 @@
 use crate::ClaimTicket;
 use crate::RanOutcome;
 
-/// What a claim comes to.
+/// Result of a claim.
 #[derive(Debug)]
 pub enum ClaimVerdict {
     /// The call may be sent, once.
@@ -15,17 +15,17 @@
     Done(RanOutcome),
     /// The key's call has not ended by the deadline.
     Busy,
-    /// The key was claimed before; its call may have run, and more won't be known.
+    /// The key was claimed before; its call may have run, and no outcome will follow.
     Unknown,
     /// The key is older than the ledger remembers.
     TooOld,
     /// The key belongs to another request.
     Reused,
-    /// The log cannot be reached. This call was not sent and won't be; the disposition says what can be said of it.
+    /// The log cannot be reached. This call was not sent and won't be; the disposition says whether it may have run.
     LogOut(Disposition),
 }
 
-/// What can be said of a key of which the router is about to answer `not-run`.
+/// State of a key for which the router is about to answer `not-run`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KnownKey {
     /// No claim holds it.
@@ -39,7 +39,7 @@
 }
 
 impl ClaimVerdict {
-    /// The error that the caller gets, and what it says of the call; `None` if it gets an answer.
+    /// The error for the caller, with its disposition; `None` if the caller gets an answer.
     pub fn error(&self) -> Option<(ErrorKind, Disposition)> {
         let kind = match self {
             ClaimVerdict::Won(_) | ClaimVerdict::Done(_) => return None,
--- a/crates/ledger/src/claimer_table.rs
+++ b/crates/ledger/src/claimer_table.rs
@@ -1,4 +1,4 @@
-//! Who has written to a claim stream.
+//! The writers of a claim stream.
 
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -9,7 +9,7 @@
 /// A claimer's place in the table.
 pub(crate) type ClaimerIndex = u32;
 
-/// Who has written to a claim stream. Rows are never removed: one for each start of each router since the book was begun.
+/// The writers of a claim stream. Rows are never removed: one for each start of each router since the table was begun.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClaimerTable {
     /// The highest sequence number that has landed.
@@ -19,7 +19,7 @@
 }
 
 impl ClaimerTable {
-    /// The claimer's place, which it gets now if it had none.
+    /// The claimer's index, assigned on first use.
     pub(crate) fn intern(&mut self, claimer: &ClaimerId) -> ClaimerIndex {
         if let Some(index) = self.rows.get_index_of(claimer) {
             return index as ClaimerIndex;
@@ -29,17 +29,17 @@
         index as ClaimerIndex
     }
 
-    /// The claimer at a place.
+    /// The claimer at an index.
     pub(crate) fn claimer(&self, index: ClaimerIndex) -> &ClaimerId {
         let (claimer, _) = self.rows.get_index(index as usize).expect("places come from intern");
         claimer
     }
 
-    /// Takes in that a record has landed; false if it is void.
+    /// Records that a record has landed. Returns false if it is void.
     ///
-    /// An append whose answer was lost may have been sent again, or given up while it was still under way, and land twice or
-    /// late. Counted then, a claim that was released could stand again, and a claim that its claimer took for dead could win.
-    /// Each claimer has one append under way at a time, so the order of its numbers tells every reader the same.
+    /// An append whose answer was lost may have been sent again, or abandoned while in flight, and land twice or
+    /// late. If it counted, a released claim could be restored, and a claim that its claimer has abandoned could win.
+    /// Each claimer has one append under way at a time, so the order of its numbers is the same for every reader.
     pub(crate) fn admit(&mut self, index: ClaimerIndex, sequence: u64) -> bool {
         let high = &mut self.rows[index as usize];
         if high.is_some_and(|high| sequence <= high) {
@@ -49,7 +49,7 @@
         true
     }
 
-    /// Takes in that a host's router has started with this incarnation, or is known to have ended with the one before it.
+    /// Records that a host's router has started with this incarnation, or is known to have ended with the one before it.
     pub(crate) fn observe(&mut self, host: &HostName, incarnation: Incarnation) {
         let latest = self.latest.entry(host.clone()).or_insert(incarnation);
         *latest = incarnation.max(*latest);
--- a/crates/ledger/src/group_queue.rs
+++ b/crates/ledger/src/group_queue.rs
@@ -7,7 +7,7 @@
 
 use crate::CallOutcome;
 use crate::ClaimEntry;
-use crate::DeskSettings;
+use crate::LedgerSettings;
 use crate::NewClaim;
 
 /// Bytes of an entry without its body, rounded up.
@@ -44,7 +44,7 @@
 }
 
 impl GroupQueue {
-    pub(crate) fn new(settings: &DeskSettings, now: Instant) -> GroupQueue {
+    pub(crate) fn new(settings: &LedgerSettings, now: Instant) -> GroupQueue {
         GroupQueue {
             claims: VecDeque::new(),
             closings: VecDeque::new(),
@@ -150,7 +150,7 @@
 
 fn entry_bytes(entry: &ClaimEntry) -> usize {
     let body = match entry {
-        ClaimEntry::Outcome(told) => match &told.outcome {
+        ClaimEntry::Outcome(claim) => match &claim.outcome {
             CallOutcome::Ran(ran) => ran.body.as_ref().map_or(0, |body| body.base64.len()),
             CallOutcome::Unknown => 0,
         },
--- a/crates/ledger/src/held_claim.rs
+++ b/crates/ledger/src/held_claim.rs
@@ -1,4 +1,4 @@
-//! One key in the book.
+//! One entry of the claim table.
 
 use fulmargate_names::LogOffset;
 use fulmargate_platform::LogRecord;
@@ -18,21 +18,21 @@
     pub(crate) print: RequestPrint,
     /// The claimer's number of the claim.
     pub(crate) number: u64,
-    /// Whose claim it is.
+    /// The claimer.
     pub(crate) claimer: ClaimerIndex,
     /// How long after its landing it can be released; 0 once it is renewed.
     pub(crate) release_ms: u32,
     /// When it landed.
     pub(crate) claimed_ms: u64,
-    /// To when it is remembered.
+    /// Until when it is kept.
     pub(crate) until_ms: u64,
-    /// When the latest record landed that tells of it.
+    /// When its latest record landed.
     pub(crate) standing_ms: u64,
-    /// What is known of its call.
+    /// State of its call.
     pub(crate) state: HeldState,
 }
 
-/// What is known of a claimed call.
+/// State of a claimed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HeldState {
     /// No outcome yet.
@@ -43,7 +43,7 @@
     Ran(RanPlace),
 }
 
-/// What the book keeps of a call that ran. The body stays in the log: kept here, the bodies would outweigh all else.
+/// Outcome of a call that ran. The body stays in the log, as bodies would dominate the memory use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RanPlace {
     /// HTTP status.
@@ -55,12 +55,12 @@
 }
 
 impl RanPlace {
-    /// What is known without the log.
+    /// The outcome without its body.
     pub fn without_body(&self) -> RanOutcome {
         RanOutcome { status: self.status, digest: None, body: None }
     }
 
-    /// What the record at `offset` says of the call.
+    /// The outcome from the record at `offset`.
     pub fn outcome_in(&self, record: &LogRecord) -> RanOutcome {
         let parsed = serde_json::from_str::<ClaimRecord>(&record.data).ok();
         let entry =
--- a/crates/ledger/src/key_view.rs
+++ b/crates/ledger/src/key_view.rs
@@ -1,15 +1,15 @@
-//! What the book knows of a key.
+//! State of a key in the claim table.
 
 use crate::RanPlace;
 
-/// What the book knows of a key.
+/// State of a key in the claim table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyView {
     /// No claim holds it.
     Free,
     /// It belongs to another request.
     Reused,
-    /// Its call has not ended, as far as the book goes.
+    /// Its call has not ended, as far as the table goes.
     Pending {
         /// When the claim landed.
         claimed_ms: u64,
@@ -27,6 +27,6 @@
 pub enum ClaimerGone {
     /// It has, so no outcome will come.
     Yes,
-    /// Not that the book knows.
+    /// No record says so.
     No,
 }
--- a/crates/ledger/src/desk_metrics.rs
+++ b/crates/ledger/src/ledger_metrics.rs
@@ -1,17 +1,17 @@
-//! What a desk tells the operators.
+//! Metrics of the coordinator.
 
 use metrics::Counter;
 use metrics::Gauge;
 use metrics::counter;
 use metrics::gauge;
 
-use crate::BookPhase;
-use crate::DeskStats;
-use crate::ShardDesk;
+use crate::LedgerStats;
+use crate::ShardCoordinator;
+use crate::TablePhase;
 
 /// The metrics of one shard.
-pub(crate) struct DeskMetrics {
-    told: DeskStats,
+pub(crate) struct LedgerMetrics {
+    published: LedgerStats,
     claims: Counter,
     wins: Counter,
     releases: Counter,
@@ -25,12 +25,12 @@
     book_complete: Gauge,
 }
 
-impl DeskMetrics {
-    pub(crate) fn new(stream: &str) -> DeskMetrics {
+impl LedgerMetrics {
+    pub(crate) fn new(stream: &str) -> LedgerMetrics {
         let stream = String::from(stream);
         let count = |name: &'static str| counter!(name, "stream" => stream.clone());
-        DeskMetrics {
-            told: DeskStats::default(),
+        LedgerMetrics {
+            published: LedgerStats::default(),
             claims: count("fulmargate_claims_total"),
             wins: count("fulmargate_claims_won_total"),
             releases: count("fulmargate_claims_released_total"),
@@ -45,23 +45,23 @@
         }
     }
 
-    /// Tells what has changed since the last time.
-    pub(crate) fn tell(&mut self, desk: &ShardDesk) {
-        let stats = *desk.stats();
-        if stats == self.told {
+    /// Publishes the changes since the last call.
+    pub(crate) fn publish(&mut self, coordinator: &ShardCoordinator) {
+        let stats = *coordinator.stats();
+        if stats == self.published {
             return;
         }
-        self.claims.increment(stats.claims - self.told.claims);
-        self.wins.increment(stats.wins - self.told.wins);
-        self.releases.increment(stats.releases - self.told.releases);
-        self.claims_appended.increment(stats.claims_appended - self.told.claims_appended);
-        self.appends.increment(stats.appends - self.told.appends);
-        self.append_bytes.increment(stats.append_bytes - self.told.append_bytes);
-        self.appends_failed.increment(stats.appends_failed - self.told.appends_failed);
-        self.renewals.increment(stats.renewals - self.told.renewals);
-        self.books_lost.increment(stats.books_lost - self.told.books_lost);
-        self.held_keys.set(desk.book().len() as f64);
-        self.book_complete.set(f64::from(u8::from(desk.phase() == BookPhase::Complete)));
-        self.told = stats;
+        self.claims.increment(stats.claims - self.published.claims);
+        self.wins.increment(stats.wins - self.published.wins);
+        self.releases.increment(stats.releases - self.published.releases);
+        self.claims_appended.increment(stats.claims_appended - self.published.claims_appended);
+        self.appends.increment(stats.appends - self.published.appends);
+        self.append_bytes.increment(stats.append_bytes - self.published.append_bytes);
+        self.appends_failed.increment(stats.appends_failed - self.published.appends_failed);
+        self.renewals.increment(stats.renewals - self.published.renewals);
+        self.books_lost.increment(stats.books_lost - self.published.books_lost);
+        self.held_keys.set(coordinator.table().len() as f64);
+        self.book_complete.set(f64::from(u8::from(coordinator.phase() == TablePhase::Complete)));
+        self.published = stats;
     }
 }
--- a/crates/ledger/src/desk_settings.rs
+++ b/crates/ledger/src/ledger_settings.rs
@@ -1,27 +1,27 @@
-//! The numbers that a claim desk works by.
+//! Settings of the claim coordinator.
 
 use std::time::Duration;
 
 use crate::MemoryRule;
 
-/// What a desk that is cut off from the log says of a call whose key its book does not hold.
+/// The answer of a coordinator that is cut off from the log, for a call whose key its table does not hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutOffRule {
-    /// `not-run` speaks of this call: it was not sent and won't be. An earlier call under the key, claimed through another
-    /// router since the book was last read, is not spoken of; its own answer tells of it.
+    /// `not-run` applies to this call: it was not sent and won't be. It says nothing of an earlier call under the key
+    /// that was claimed through another router since the table was last read.
     CallOnly,
-    /// `not-run` would speak of the key, which a desk without the log cannot know: it says `unknown`.
+    /// `not-run` would apply to the key, which a coordinator without the log cannot prove: it answers `unknown`.
     KeyToo,
 }
 
-/// The numbers that a claim desk works by. Those in milliseconds of the log's clock (`_ms`) must be equal on all routers.
+/// Settings of the claim coordinator. Those in milliseconds of the log's clock (`_ms`) must be equal on all routers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DeskSettings {
+pub struct LedgerSettings {
     /// How long the log keeps records.
     pub retention_ms: u64,
     /// How long claims are remembered.
     pub memory: MemoryRule,
-    /// The age of a record from which its claims are written anew, if they must outlive it.
+    /// The age of a record at which its claims are renewed, if they must outlive it.
     pub renew_after_ms: u64,
     /// The age from which a claim without an outcome counts as unknown.
     pub pending_ms: u64,
@@ -41,20 +41,20 @@
     pub group_bytes: usize,
     /// The largest body of an answer that is kept.
     pub body_limit: usize,
-    /// What the desk says when it is cut off from the log.
+    /// The answer while the coordinator is cut off from the log.
     pub cut_off: CutOffRule,
 }
 
 /// Why settings are refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-pub enum DeskSettingsError {
+pub enum LedgerSettingsError {
     /// Keys with an age would be remembered longer than the log keeps their claims.
     #[display("remember_ms + ahead_ms must be at most nine tenths of retention_ms")]
     RememberTooLong,
     /// Keys without an age would be forgotten before keys with one.
     #[display("opaque_ms must be at least remember_ms + ahead_ms")]
     OpaqueTooShort,
-    /// Claims would be written anew while they can be released, or too late.
+    /// Claims would be renewed while they can be released, or too late.
     #[display("renew_after_ms must lie between twice release_ms and six tenths of retention_ms")]
     RenewMisplaced,
     /// A number that must not be 0.
@@ -66,14 +66,14 @@
 const LONGEST_TICKET: Duration = Duration::from_secs(10);
 const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 
-impl DeskSettings {
-    /// Settings for a log that keeps records for so long.
-    pub fn for_retention(retention: Duration) -> DeskSettings {
+impl LedgerSettings {
+    /// Settings for a log with this retention.
+    pub fn for_retention(retention: Duration) -> LedgerSettings {
         let retention_ms = retention.as_millis() as u64;
         let remember_ms = (retention_ms / 5 * 4).min(DAY_MS);
         let ahead_ms = (retention_ms / 20).min(5 * MINUTE_MS);
         let release_ms = (retention_ms / 10).min(2 * MINUTE_MS);
-        DeskSettings {
+        LedgerSettings {
             retention_ms,
             memory: MemoryRule {
                 remember_ms,
@@ -97,27 +97,27 @@
     }
 
     /// Refuses settings under which a claim could be forgotten while its key is still accepted.
-    pub fn check(&self) -> Result<(), DeskSettingsError> {
+    pub fn check(&self) -> Result<(), LedgerSettingsError> {
         let aged_ms = self.memory.remember_ms + self.memory.ahead_ms;
         if self.outlived_ms() < aged_ms {
-            return Err(DeskSettingsError::RememberTooLong);
+            return Err(LedgerSettingsError::RememberTooLong);
         }
         if self.memory.opaque_ms < aged_ms {
-            return Err(DeskSettingsError::OpaqueTooShort);
+            return Err(LedgerSettingsError::OpaqueTooShort);
         }
         let earliest_ms = 2 * u64::from(self.memory.release_ms);
         let latest_ms = self.retention_ms / 10 * 6;
         if self.renew_after_ms < earliest_ms || latest_ms < self.renew_after_ms {
-            return Err(DeskSettingsError::RenewMisplaced);
+            return Err(LedgerSettingsError::RenewMisplaced);
         }
         let zero = self.appends_per_s == 0
             || self.append_burst == 0
             || self.full_group == 0
             || self.group_bytes == 0;
-        if zero { Err(DeskSettingsError::Zero) } else { Ok(()) }
+        if zero { Err(LedgerSettingsError::Zero) } else { Ok(()) }
     }
 
-    /// How long a record is trusted to last: a tenth less than the log keeps it.
+    /// How long a record is assumed to last: a tenth less than the log keeps it.
     pub(crate) fn outlived_ms(&self) -> u64 {
         self.retention_ms - self.retention_ms / 10
     }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,36 +1,35 @@
-//! At-most-once calls: claims in the platform's log, their fold, and the desk that makes them.
+//! At-most-once calls: claims in the platform's log, their fold, and the coordinator that makes them.
 //!
-//! `ClaimBook` is the pure fold of a claim stream. `ShardDesk` decides, without I/O, what to append, what to answer and when to
-//! look again; `ClaimDesk` runs it on the control thread, and `ClaimHandle` asks it from any thread.
+//! `ClaimTable` is the pure fold of a claim stream. `ShardCoordinator` decides, without I/O, what to append, what to answer and when to
+//! look again; `ClaimCoordinator` runs it on the control thread, and `ClaimHandle` asks it from any thread.
 
-mod claim_book;
 mod claim_call;
-mod claim_desk;
+mod claim_coordinator;
 mod claim_handle;
 mod claim_log;
 mod claim_record;
+mod claim_table;
 mod claim_ticket;
 mod claim_verdict;
 mod claimer_table;
-mod desk_metrics;
-mod desk_settings;
-mod desk_stats;
 mod group_queue;
 mod held_claim;
 mod key_hash;
 mod key_view;
+mod ledger_metrics;
+mod ledger_settings;
+mod ledger_stats;
 mod log_outage;
 mod own_claims;
 mod record_effect;
 mod renew_plan;
-mod shard_desk;
+mod shard_coordinator;
 mod shard_driver;
 
-pub use claim_book::ClaimBook;
 pub use claim_call::ClaimCall;
-pub use claim_call::DeskCommand;
 pub use claim_call::KnownCall;
-pub use claim_desk::ClaimDesk;
+pub use claim_call::LedgerCommand;
+pub use claim_coordinator::ClaimCoordinator;
 pub use claim_handle::ClaimHandle;
 pub use claim_log::AppendCall;
 pub use claim_log::AppendFuture;
@@ -50,27 +49,28 @@
 pub use claim_record::RanOutcome;
 pub use claim_record::RenewedClaim;
 pub use claim_record::RenewedState;
+pub use claim_table::ClaimTable;
 pub use claim_ticket::ClaimTicket;
 pub use claim_ticket::NotRunProof;
 pub use claim_ticket::SentTicket;
 pub use claim_verdict::ClaimVerdict;
 pub use claim_verdict::KnownKey;
-pub use desk_settings::CutOffRule;
-pub use desk_settings::DeskSettings;
-pub use desk_settings::DeskSettingsError;
-pub use desk_stats::DeskStats;
 pub use held_claim::RanPlace;
 pub use key_hash::ClaimKey;
 pub use key_hash::KeyHash;
 pub use key_hash::RequestPrint;
 pub use key_view::ClaimerGone;
 pub use key_view::KeyView;
-pub use record_effect::BookChange;
-pub use record_effect::BookError;
+pub use ledger_settings::CutOffRule;
+pub use ledger_settings::LedgerSettings;
+pub use ledger_settings::LedgerSettingsError;
+pub use ledger_stats::LedgerStats;
 pub use record_effect::RecordEffect;
+pub use record_effect::TableChange;
+pub use record_effect::TableError;
 pub use renew_plan::RenewPlan;
-pub use shard_desk::BookPhase;
-pub use shard_desk::GroupAppend;
-pub use shard_desk::OutcomeFetch;
-pub use shard_desk::PAGE_LEN;
-pub use shard_desk::ShardDesk;
+pub use shard_coordinator::GroupAppend;
+pub use shard_coordinator::OutcomeFetch;
+pub use shard_coordinator::PAGE_LEN;
+pub use shard_coordinator::ShardCoordinator;
+pub use shard_coordinator::TablePhase;
--- a/crates/ledger/src/log_outage.rs
+++ b/crates/ledger/src/log_outage.rs
@@ -6,12 +6,11 @@
 use fulmargate_platform::PausePlan;
 use tokio::time::Instant;
 
-/// The pause after a first failure; later ones double.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
-/// No pause is longer.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Delay after a first failure; it doubles after each further one.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// How calls of one kind have gone lately.
+/// Recent failures of one kind of call.
 #[derive(Debug)]
 pub(crate) struct LogOutage {
     since: Option<Instant>,
@@ -24,17 +23,17 @@
         LogOutage {
             since: None,
             retry_at: now,
-            pauses: PausePlan::new(SHORTEST_PAUSE, LONGEST_PAUSE, seed),
+            pauses: PausePlan::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY, seed),
         }
     }
 
-    /// A call was answered.
+    /// Records an answered call.
     pub(crate) fn end(&mut self) {
         self.since = None;
         self.pauses.reset();
     }
 
-    /// A call failed; the next one is made after a pause. A refusal for the rate is an answer, so it begins no outage.
+    /// Records a failed call, after which the next one is delayed. Throttling begins no outage.
     pub(crate) fn failed(&mut self, error: LogError, now: Instant) {
         if error != LogError::Throttled {
             self.since.get_or_insert(now);
@@ -47,12 +46,12 @@
         self.retry_at
     }
 
-    /// Whether calls have failed for so long that waiting is no use, and no try is due.
+    /// Whether calls have failed for this long and no retry is due.
     pub(crate) fn is_settled(&self, patience: Duration, now: Instant) -> bool {
         self.since.is_some_and(|since| since + patience <= now) && now < self.retry_at
     }
 
-    /// Whether calls have failed for so long.
+    /// Whether calls have failed for this long.
     pub(crate) fn is_long(&self, patience: Duration, now: Instant) -> bool {
         self.since.is_some_and(|since| since + patience <= now)
     }
--- a/crates/ledger/src/own_claims.rs
+++ b/crates/ledger/src/own_claims.rs
@@ -1,4 +1,4 @@
-//! The claims that this desk has made and not seen decided.
+//! Undecided claims of this coordinator.
 
 use indexmap::IndexMap;
 use tokio::time::Instant;
@@ -7,20 +7,20 @@
 use crate::KeyHash;
 use crate::NewClaim;
 
-/// A claim of this desk that is not decided yet.
+/// A claim of this coordinator that is not decided yet.
 #[derive(Debug)]
 pub(crate) struct OwnClaim {
-    /// What is asked of the log.
+    /// The entry to append.
     pub(crate) entry: NewClaim,
-    /// Who waits for it; `None` once the wait was given up.
+    /// The waiting call; `None` once the wait has ended.
     pub(crate) call: Option<ClaimCall>,
-    /// When the wait is given up.
+    /// Deadline of the append.
     pub(crate) append_by: Instant,
-    /// The record that it was first put in.
+    /// The record that it was first appended in.
     pub(crate) sequence: Option<u64>,
 }
 
-/// The claims that this desk has made and not seen decided; at most one for a key.
+/// Undecided claims of this coordinator, at most one for each key.
 #[derive(Debug, Default)]
 pub(crate) struct OwnClaims {
     claims: IndexMap<u64, OwnClaim>,
@@ -51,7 +51,7 @@
         self.claims.is_empty()
     }
 
-    /// Whether somebody waits for the claim.
+    /// Whether a call waits for the claim.
     pub(crate) fn is_wanted(&self, number: u64) -> bool {
         let call = self.claims.get(&number).and_then(|claim| claim.call.as_ref());
         call.is_some_and(|call| !call.reply.is_closed())
@@ -73,7 +73,7 @@
         over.map(|(number, _)| *number).collect()
     }
 
-    /// Takes all claims out.
+    /// Removes and returns all claims.
     pub(crate) fn take_all(&mut self) -> Vec<OwnClaim> {
         self.by_key.clear();
         self.claims.drain(..).map(|(_, claim)| claim).collect()
--- a/crates/ledger/src/record_effect.rs
+++ b/crates/ledger/src/record_effect.rs
@@ -1,4 +1,4 @@
-//! What a record does to the book.
+//! What a record does to the table.
 
 use fulmargate_names::LogOffset;
 
@@ -16,7 +16,7 @@
         /// The claimer's number of it.
         sequence: u64,
         /// What its entries did, in their order.
-        changes: Vec<BookChange>,
+        changes: Vec<TableChange>,
     },
     /// It is void: it landed twice or after a later one of its claimer.
     Void,
@@ -26,7 +26,7 @@
 
 /// What one entry did; entries that did nothing are left out.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BookChange {
+pub enum TableChange {
     /// The claim holds its key.
     Won {
         /// The key.
@@ -64,16 +64,16 @@
 
 /// Why a record cannot be folded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-pub enum BookError {
+pub enum TableError {
     /// The records from `next` to before `offset` are missing.
     #[display("the records from {next} to before {offset} are missing")]
     Gap {
-        /// The offset that the book has to read next.
+        /// The offset that the table has to read next.
         next: LogOffset,
         /// The offset of the record.
         offset: LogOffset,
     },
-    /// A later build wrote it, by rules that this one does not know.
+    /// Written by a later build in a layout that this one does not support.
     #[display("the record at {offset} has layout {layout}, which this build does not know")]
     LaterLayout {
         /// The offset of the record.
--- a/crates/ledger/src/shard_desk.rs
+++ b/crates/ledger/src/shard_coordinator.rs
@@ -1,4 +1,4 @@
-//! The decisions of one shard's desk.
+//! The decisions of one shard's coordinator.
 
 mod append_side;
 mod read_side;
@@ -13,24 +13,24 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::ClaimBook;
 use crate::ClaimCall;
 use crate::ClaimEntry;
 use crate::ClaimKey;
 use crate::ClaimOutcome;
 use crate::ClaimRelease;
+use crate::ClaimTable;
 use crate::ClaimTicket;
 use crate::ClaimVerdict;
 use crate::ClaimerGone;
 use crate::ClaimerId;
 use crate::CutOffRule;
-use crate::DeskCommand;
-use crate::DeskSettings;
-use crate::DeskStats;
 use crate::KeyHash;
 use crate::KeyView;
 use crate::KnownCall;
 use crate::KnownKey;
+use crate::LedgerCommand;
+use crate::LedgerSettings;
+use crate::LedgerStats;
 use crate::NewClaim;
 use crate::RanPlace;
 use crate::group_queue::GroupQueue;
@@ -43,19 +43,19 @@
 use read_side::LogClock;
 pub use read_side::PAGE_LEN;
 
-/// How soon the desk looks again while somebody waits.
+/// Poll interval while calls wait.
 const BUSY_LOOK: Duration = Duration::from_millis(10);
-/// How soon the desk looks again while nobody waits.
+/// Poll interval while no call waits.
 const IDLE_LOOK: Duration = Duration::from_secs(1);
 
-/// How far the book has got.
+/// Progress of the table in its stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BookPhase {
-    /// It has not met the stream's end yet, so a key that it doesn't hold may be claimed all the same.
+pub enum TablePhase {
+    /// It has not reached the stream's end yet, so a key that it doesn't hold may be claimed.
     Reading,
-    /// It has met the stream's end, and follows it.
+    /// It has reached the stream's end and follows it.
     Complete,
-    /// It met a record of a later layout, and can judge no key from there on.
+    /// It read a record of a later layout and cannot decide on any key from there on.
     Stopped,
 }
 
@@ -70,18 +70,18 @@
     pub reply: oneshot::Sender<ClaimVerdict>,
 }
 
-/// The decisions of one shard's desk: what to append, what to answer, when to look again. It does no I/O; the driver brings it
-/// commands, pages of the stream and the ends of appends, each with the time.
+/// The decisions for one shard: what to append, what to answer, when to poll again. It does no I/O; the driver passes it
+/// commands, pages of the stream and the results of appends, each with the time.
 ///
 /// A claim is won when the fold has passed its own record, never by the answer to its append. So a lost answer changes nothing,
 /// and two routers that claim one key see the same winner.
 #[derive(Debug)]
-pub struct ShardDesk {
+pub struct ShardCoordinator {
     me: ClaimerId,
-    settings: DeskSettings,
-    commands: UnboundedSender<DeskCommand>,
-    book: ClaimBook,
-    phase: BookPhase,
+    settings: LedgerSettings,
+    commands: UnboundedSender<LedgerCommand>,
+    table: ClaimTable,
+    phase: TablePhase,
     clock: LogClock,
     queue: GroupQueue,
     flight: Option<FlightGroup>,
@@ -100,23 +100,23 @@
     number: u64,
     complete_ms: u64,
     renew_check: Instant,
-    /// How much later than others this router writes old claims anew, so that mostly one router does.
+    /// Delay of this router's renewals, different for each router, so that mostly one of them renews.
     stagger_ms: u64,
-    stats: DeskStats,
+    stats: LedgerStats,
 }
 
-impl ShardDesk {
-    /// A desk that has read nothing yet. Tickets send what becomes of them to `commands`.
+impl ShardCoordinator {
+    /// Creates a coordinator that has read nothing yet. Tickets report their outcomes to `commands`.
     pub fn new(
         me: ClaimerId,
-        settings: DeskSettings,
-        commands: UnboundedSender<DeskCommand>,
+        settings: LedgerSettings,
+        commands: UnboundedSender<LedgerCommand>,
         now: Instant,
-    ) -> ShardDesk {
+    ) -> ShardCoordinator {
         let seed = read_side::host_seed(&me);
-        ShardDesk {
-            book: ClaimBook::new(LogOffset(0)),
-            phase: BookPhase::Reading,
+        ShardCoordinator {
+            table: ClaimTable::new(LogOffset(0)),
+            phase: TablePhase::Reading,
             clock: LogClock::new(now),
             queue: GroupQueue::new(&settings, now),
             flight: None,
@@ -135,29 +135,29 @@
             complete_ms: 0,
             renew_check: now,
             stagger_ms: seed % (settings.retention_ms / 4).max(1),
-            stats: DeskStats::default(),
+            stats: LedgerStats::default(),
             me,
             settings,
             commands,
         }
     }
 
-    /// The book.
-    pub fn book(&self) -> &ClaimBook {
-        &self.book
+    /// The table.
+    pub fn table(&self) -> &ClaimTable {
+        &self.table
     }
 
-    /// How far the book has got.
-    pub fn phase(&self) -> BookPhase {
+    /// Progress of the table in its stream.
+    pub fn phase(&self) -> TablePhase {
         self.phase
     }
 
-    /// What the desk has done so far.
-    pub fn stats(&self) -> &DeskStats {
+    /// Counters since the start.
+    pub fn stats(&self) -> &LedgerStats {
         &self.stats
     }
 
-    /// Whether everything that was handed to the desk is in the log.
+    /// Whether all submitted commands are in the log.
     pub fn is_drained(&self) -> bool {
         self.flight.is_none() && self.queue.is_empty()
     }
@@ -167,23 +167,23 @@
         self.queue.hurry();
     }
 
-    /// Takes a command in.
-    pub fn command(&mut self, command: DeskCommand, now: Instant) {
+    /// Handles a command.
+    pub fn command(&mut self, command: LedgerCommand, now: Instant) {
         match command {
-            DeskCommand::Claim(call) => self.claim(call, now),
-            DeskCommand::Known(call) => self.knowns.push(call),
-            DeskCommand::Outcome { key, number, outcome } => {
+            LedgerCommand::Claim(call) => self.claim(call, now),
+            LedgerCommand::Known(call) => self.knowns.push(call),
+            LedgerCommand::Outcome { key, number, outcome } => {
                 self.close(key, ClaimEntry::Outcome(ClaimOutcome { key, number, outcome }), now);
             }
-            DeskCommand::Release { key, number } => self.release(key, number, now),
-            DeskCommand::ClaimerGone { host, incarnation } => {
-                self.book.claimer_gone(&host, incarnation);
+            LedgerCommand::Release { key, number } => self.release(key, number, now),
+            LedgerCommand::ClaimerGone { host, incarnation } => {
+                self.table.claimer_gone(&host, incarnation);
                 self.decide_waiters(now);
             }
         }
     }
 
-    /// Gives up waits that are over, and writes old claims anew. To be called when `wake_at` has come.
+    /// Ends expired waits and renews old claims. Must be called at `wake_at`.
     pub fn tick(&mut self, now: Instant) {
         for number in self.own.overdue(now) {
             self.give_up(number, now);
@@ -197,16 +197,16 @@
     fn claim(&mut self, call: ClaimCall, now: Instant) {
         self.stats.claims += 1;
         match self.phase {
-            BookPhase::Reading => self.parked.push(call),
-            BookPhase::Complete => self.decide(call, now),
-            BookPhase::Stopped => answer(call.reply, ClaimVerdict::LogOut(Disposition::Unknown)),
+            TablePhase::Reading => self.parked.push(call),
+            TablePhase::Complete => self.decide(call, now),
+            TablePhase::Stopped => answer(call.reply, ClaimVerdict::LogOut(Disposition::Unknown)),
         }
     }
 
-    /// What a call comes to as the book stands: a verdict, a wait, or a claim.
+    /// Decides a call by the table: a verdict, a wait, or a claim.
     fn decide(&mut self, call: ClaimCall, now: Instant) {
         let key = call.key.hash;
-        match self.book.view(key, call.print) {
+        match self.table.view(key, call.print) {
             KeyView::Reused => answer(call.reply, ClaimVerdict::Reused),
             KeyView::Unknown => answer(call.reply, ClaimVerdict::Unknown),
             KeyView::Ran(place) => self.answer_ran(place, call.reply),
@@ -251,20 +251,20 @@
         self.own.insert(OwnClaim { entry, call: Some(call), append_by, sequence: None });
     }
 
-    /// Whether the key is certainly too old: the log's clock is at least as late as the desk believes.
+    /// Whether the key is certainly too old: the log's clock is at least as late as the coordinator's estimate.
     fn is_too_old(&self, made_ms: Option<u64>, now: Instant) -> bool {
         let memory = &self.settings.memory;
         made_ms.is_some_and(|made_ms| made_ms + memory.remember_ms <= self.clock.log_ms(now))
     }
 
-    /// What the book proves of a key, when it has met the stream's end. That it holds no claim of the key proves nothing if a
-    /// claim may be forgotten, or may have gone from the log before the book was begun.
+    /// What the table proves of a key, when it has met the stream's end. That it holds no claim of the key proves nothing if a
+    /// claim may be forgotten, or may have gone from the log before the table was begun.
     fn known_by_book(&self, key: ClaimKey, now: Instant) -> KnownKey {
-        if self.book.holds(key.hash) || self.own.of_key(key.hash).is_some() {
+        if self.table.holds(key.hash) || self.own.of_key(key.hash).is_some() {
             return KnownKey::Claimed;
         }
         let ahead_ms = self.settings.memory.ahead_ms;
-        let begun_too_late = key.made_ms.is_some_and(|made_ms| match self.book.whole_from_ms() {
+        let begun_too_late = key.made_ms.is_some_and(|made_ms| match self.table.whole_from_ms() {
             Some(0) => false,
             Some(whole_from_ms) => made_ms < whole_from_ms + ahead_ms,
             None => true,
@@ -276,10 +276,10 @@
         }
     }
 
-    /// What can be said of a call that was not sent, without the log.
+    /// The disposition of a call that was not sent, without the log.
     fn said_when_cut_off(&self, key: ClaimKey, now: Instant) -> Disposition {
         let is_free =
-            self.phase == BookPhase::Complete && self.known_by_book(key, now) == KnownKey::Free;
+            self.phase == TablePhase::Complete && self.known_by_book(key, now) == KnownKey::Free;
         if is_free && self.settings.cut_off == CutOffRule::CallOnly {
             Disposition::NotRun
         } else {
@@ -299,11 +299,11 @@
         }
     }
 
-    /// Hands a won claim to the caller it was made for; gives it back if that one has left. It is not handed to another try of
-    /// the call: that one may have begun after others were told that the key is claimed, and would then win it unreleased.
+    /// Passes a won claim to the caller it was made for; releases it if that caller has disconnected. It is not handed to another try of
+    /// the call: that one may have begun after other callers got `busy` for the key, and would then win it unreleased.
     fn grant(&mut self, claim: OwnClaim, now: Instant) {
         let NewClaim { key, number, .. } = claim.entry;
-        // A process that was frozen finds callers whose time is over: to send for them would be to send late.
+        // After a freeze, callers' deadlines may have passed; their calls must not be sent late.
         let waiting = claim.call.filter(|call| now < call.deadline && !call.reply.is_closed());
         let Some(call) = waiting else {
             return self.release(key, number, now);
@@ -329,7 +329,7 @@
     }
 }
 
-/// A caller that has left needs no answer.
+/// Answers a call unless its caller has disconnected.
 fn answer(reply: oneshot::Sender<ClaimVerdict>, verdict: ClaimVerdict) {
     let _ = reply.send(verdict);
 }
--- a/crates/ledger/src/shard_desk/append_side.rs
+++ b/crates/ledger/src/shard_coordinator/append_side.rs
@@ -1,11 +1,11 @@
-//! What the desk appends.
+//! What the coordinator appends.
 
 use fulmargate_names::LogOffset;
 use fulmargate_platform::Landing;
 use fulmargate_platform::LogError;
 use tokio::time::Instant;
 
-use super::ShardDesk;
+use super::ShardCoordinator;
 use crate::ClaimEntry;
 use crate::ClaimRecord;
 use crate::RECORD_LAYOUT;
@@ -39,7 +39,7 @@
     Resting,
 }
 
-impl ShardDesk {
+impl ShardCoordinator {
     /// The next record to append, if one is due.
     pub fn next_append(&mut self, now: Instant) -> Option<GroupAppend> {
         if let Some(flight) = &self.flight {
@@ -62,7 +62,7 @@
         }
     }
 
-    /// When the desk wants to be called again, if nothing happens before.
+    /// When the coordinator wants to be called again, if nothing happens before.
     pub fn wake_at(&mut self, now: Instant) -> Instant {
         let idle = self.own.is_empty()
             && self.waiters.is_empty()
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Takes in that the fold has met the desk's own record. It may come before the append's answer, or in place of it.
+    /// Takes in that the fold has met the coordinator's own record. It may come before the append's answer, or in place of it.
     pub(super) fn flight_folded(&mut self, sequence: u64) {
         self.unfolded.take_if(|(landed, _)| *landed <= sequence);
         if self.flight.as_ref().is_some_and(|flight| flight.sequence <= sequence) {
--- a/crates/ledger/src/shard_desk/read_side.rs
+++ b/crates/ledger/src/shard_coordinator/read_side.rs
@@ -1,4 +1,4 @@
-//! What the desk reads.
+//! What the coordinator reads.
 
 use std::time::Duration;
 
@@ -9,19 +9,19 @@
 use fulmargate_platform::LogPage;
 use tokio::time::Instant;
 
-use super::BookPhase;
-use super::ShardDesk;
+use super::ShardCoordinator;
+use super::TablePhase;
 use super::answer;
-use crate::BookChange;
-use crate::BookError;
-use crate::ClaimBook;
 use crate::ClaimEntry;
+use crate::ClaimTable;
 use crate::ClaimVerdict;
 use crate::ClaimerId;
 use crate::KnownKey;
 use crate::RecordEffect;
 use crate::RenewPlan;
 use crate::RequestPrint;
+use crate::TableChange;
+use crate::TableError;
 
 /// Records that each read of a stream asks for. So many of the largest are half of what the log client reads at once. Only an
 /// empty page has met the stream's end, for the log may give fewer.
@@ -34,7 +34,7 @@
 /// How far the log's clock may step back without a release being overlooked.
 const CLOCK_SLACK_MS: u64 = 100;
 
-/// How long the fold waits for the desk's own record once it has landed, before the desk reads for itself.
+/// How long the fold waits for the coordinator's own record once it has landed, before the coordinator reads for itself.
 const OVERDUE: Duration = Duration::from_millis(50);
 
 /// What the log's clock shows, never ahead of it.
@@ -67,34 +67,34 @@
     u64::from_le_bytes(bytes)
 }
 
-impl ShardDesk {
+impl ShardCoordinator {
     /// Where the stream is read on.
     pub fn next_offset(&self) -> LogOffset {
-        self.book.next_offset()
+        self.table.next_offset()
     }
 
     /// Takes in a page that was read from `next_offset` or before it; `asked` is when its read began.
     pub fn take_page(&mut self, page: &LogPage, asked: Instant, now: Instant) {
         self.reads_out.end();
-        if self.phase == BookPhase::Stopped {
+        if self.phase == TablePhase::Stopped {
             return;
         }
-        if self.book.next_offset() < page.first {
+        if self.table.next_offset() < page.first {
             self.begin_book(page.first);
         }
         for record in &page.records {
-            if record.offset < self.book.next_offset() {
+            if record.offset < self.table.next_offset() {
                 continue;
             }
-            match self.book.fold(record) {
+            match self.table.fold(record) {
                 Ok(effect) => self.take_effect(effect, now),
-                Err(BookError::Gap { .. }) => {
+                Err(TableError::Gap { .. }) => {
                     return self.read_failed(LogError::Unreadable { status: 200 }, now);
                 }
-                Err(BookError::LaterLayout { .. }) => return self.stop_book(record.offset),
+                Err(TableError::LaterLayout { .. }) => return self.stop_book(record.offset),
             }
         }
-        let log_ms = self.book.log_time_ms();
+        let log_ms = self.table.log_time_ms();
         self.clock.observe(log_ms, now);
         self.complete_ms = log_ms.max(self.complete_ms);
         if page.records.is_empty() {
@@ -115,19 +115,19 @@
     /// Where a read without waiting has to begin, if one is due.
     ///
     /// Somebody may wait for one: a key may have been claimed through another router at any moment before the question, so
-    /// only a read that begins after it tells. Or the desk's own record has landed and the waiting read has not brought it:
+    /// only a read that begins after it tells. Or the coordinator's own record has landed and the waiting read has not brought it:
     /// after a partition that read may hang on a dead connection until its timeout, while claims that are won run out of time.
     pub fn next_barrier(&mut self, now: Instant) -> Option<LogOffset> {
         let wanted = !self.knowns.is_empty() || self.is_overdue(now);
-        // While the book is read for the first time, the tail does it without waiting.
-        if self.barrier.is_some() || self.phase == BookPhase::Reading || !wanted {
+        // While the table is read for the first time, the tail does it without waiting.
+        if self.barrier.is_some() || self.phase == TablePhase::Reading || !wanted {
             return None;
         }
         if let Some((_, asked)) = &mut self.unfolded {
             *asked = now;
         }
         self.barrier = Some(std::mem::take(&mut self.knowns));
-        Some(self.book.next_offset())
+        Some(self.table.next_offset())
     }
 
     fn is_overdue(&self, now: Instant) -> bool {
@@ -149,7 +149,7 @@
                     // More may be there than one page: the questions wait for the next read.
                     return self.knowns.extend(calls);
                 }
-                self.phase == BookPhase::Complete
+                self.phase == TablePhase::Complete
             }
             Err(error) => {
                 self.read_failed(error, now);
@@ -169,10 +169,10 @@
     /// Begins anew at the oldest record. At the start that is no loss: whatever must outlive its record was written anew. Later
     /// it means that records went before they were read, and the claims under way stay undecided.
     fn begin_book(&mut self, first: LogOffset) {
-        if self.book.next_offset() != LogOffset(0) {
+        if self.table.next_offset() != LogOffset(0) {
             self.stats.books_lost += 1;
             let kind = EventKind::LogTruncated;
-            let next = self.book.next_offset();
+            let next = self.table.next_offset();
             tracing::warn!(event = kind.number(), name = kind.name(), %next, %first, "claims are read anew");
             for claim in self.own.take_all() {
                 if let Some(call) = claim.call {
@@ -182,21 +182,21 @@
             let waiters = std::mem::take(&mut self.waiters);
             self.parked.extend(waiters.into_values().flatten());
         }
-        self.book = ClaimBook::new(first);
-        self.phase = BookPhase::Reading;
+        self.table = ClaimTable::new(first);
+        self.phase = TablePhase::Reading;
     }
 
     fn stop_book(&mut self, offset: LogOffset) {
         tracing::error!(%offset, "a later build wrote this record of claims: no key is judged from here on");
-        self.phase = BookPhase::Stopped;
+        self.phase = TablePhase::Stopped;
     }
 
     fn meet_end(&mut self, asked: Instant, now: Instant) {
         self.complete_ms = self.clock.log_ms(asked).max(self.complete_ms);
-        if self.phase == BookPhase::Complete {
+        if self.phase == TablePhase::Complete {
             return;
         }
-        self.phase = BookPhase::Complete;
+        self.phase = TablePhase::Complete;
         for call in std::mem::take(&mut self.parked) {
             self.decide(call, now);
         }
@@ -209,17 +209,17 @@
         let is_own = claimer == self.me;
         for change in changes {
             match change {
-                BookChange::Won { number, .. } if is_own => self.own_won(number, now),
-                BookChange::Lost { number, .. } if is_own => self.own_lost(number, now),
-                BookChange::TooOld { number, .. } if is_own => self.own_too_old(number),
-                BookChange::Settled { key, outcome } => self.settle_key(key, &outcome),
-                BookChange::Released { key } => self.decide_key(key, now),
-                BookChange::Won { .. } | BookChange::Lost { .. } | BookChange::TooOld { .. } => (),
+                TableChange::Won { number, .. } if is_own => self.own_won(number, now),
+                TableChange::Lost { number, .. } if is_own => self.own_lost(number, now),
+                TableChange::TooOld { number, .. } if is_own => self.own_too_old(number),
+                TableChange::Settled { key, outcome } => self.settle_key(key, &outcome),
+                TableChange::Released { key } => self.decide_key(key, now),
+                TableChange::Won { .. } | TableChange::Lost { .. } | TableChange::TooOld { .. } => {}
             }
         }
         if is_own {
             self.flight_folded(sequence);
-            self.bury_dead(sequence, now);
+            self.drop_void_claims(sequence, now);
         }
     }
 
@@ -246,7 +246,7 @@
     }
 
     /// Claims of records that did not land before this one will never count. Those that are still wanted are made anew.
-    fn bury_dead(&mut self, sequence: u64, now: Instant) {
+    fn drop_void_claims(&mut self, sequence: u64, now: Instant) {
         for number in self.own.up_to(sequence) {
             let call = self.own.remove(number).and_then(|claim| claim.call);
             if let Some(call) = call {
@@ -258,7 +258,7 @@
     /// Writes claims anew whose records go out of retention before they may be forgotten.
     pub(super) fn renew_old(&mut self, now: Instant) {
         let busy = self.queue.has_closings() || self.flight.is_some();
-        if self.phase != BookPhase::Complete || busy || now < self.renew_check {
+        if self.phase != TablePhase::Complete || busy || now < self.renew_check {
             return;
         }
         let log_ms = self.clock.log_ms(now);
@@ -269,7 +269,7 @@
             complete_ms: self.complete_ms.saturating_sub(CLOCK_SLACK_MS),
             limit: RENEW_LIMIT,
         };
-        let renewed = self.book.to_renew(&plan);
+        let renewed = self.table.to_renew(&plan);
         if renewed.len() < RENEW_LIMIT {
             let pause_ms = self.settings.retention_ms / RENEW_LOOKS;
             self.renew_check = now + Duration::from_millis(pause_ms);
--- a/crates/ledger/src/shard_desk/wait_side.rs
+++ b/crates/ledger/src/shard_coordinator/wait_side.rs
@@ -1,10 +1,10 @@
-//! Who waits at the desk, and for how long.
+//! Waiting calls and their deadlines.
 
 use fulmargate_names::Disposition;
 use tokio::time::Instant;
 
-use super::BookPhase;
-use super::ShardDesk;
+use super::ShardCoordinator;
+use super::TablePhase;
 use super::answer;
 use crate::CallOutcome;
 use crate::ClaimVerdict;
@@ -12,8 +12,8 @@
 use crate::KeyView;
 use crate::KnownKey;
 
-impl ShardDesk {
-    /// Gives up the wait for a claim. One that may have landed stays known, and is released if it is found to have won.
+impl ShardCoordinator {
+    /// Ends the wait for a claim. A claim that may have landed is kept, and released if it turns out to have won.
     pub(super) fn give_up(&mut self, number: u64, now: Instant) {
         let Some(claim) = self.own.get_mut(number) else {
             return;
@@ -33,7 +33,7 @@
     pub(super) fn expire_waiters(&mut self, now: Instant) {
         self.decide_waiters(now);
         for (key, calls) in &mut self.waiters {
-            let held = self.book.holds(*key);
+            let held = self.table.holds(*key);
             let over = calls.extract_if(.., |call| call.deadline <= now || call.reply.is_closed());
             for call in over {
                 let verdict = if held {
@@ -47,9 +47,9 @@
         self.waiters.retain(|_, calls| !calls.is_empty());
     }
 
-    /// Looks again at the calls whose key changed its state, or whose claimer is gone.
+    /// Decides the waiting calls again.
     pub(super) fn decide_waiters(&mut self, now: Instant) {
-        if self.phase != BookPhase::Complete {
+        if self.phase != TablePhase::Complete {
             return;
         }
         let keys: Vec<KeyHash> = self.waiters.keys().copied().collect();
@@ -67,7 +67,7 @@
         }
     }
 
-    /// The book isn't read to its end, so nothing can be said of any key.
+    /// Until the table has reached the stream's end, no call can be decided.
     pub(super) fn expire_parked(&mut self, now: Instant) {
         let no_use = self.reads_out.is_long(self.settings.append_patience, now);
         let over = self
@@ -90,7 +90,7 @@
 
     pub(super) fn settle_key(&mut self, key: KeyHash, outcome: &CallOutcome) {
         for call in self.waiters.swap_remove(&key).unwrap_or_default() {
-            let verdict = match (self.book.view(key, call.print), outcome) {
+            let verdict = match (self.table.view(key, call.print), outcome) {
                 (KeyView::Reused, _) => ClaimVerdict::Reused,
                 (_, CallOutcome::Ran(ran)) => ClaimVerdict::Done(ran.clone()),
                 (_, CallOutcome::Unknown) => ClaimVerdict::Unknown,
--- a/crates/ledger/src/shard_driver.rs
+++ b/crates/ledger/src/shard_driver.rs
@@ -1,4 +1,4 @@
-//! The task that runs one shard's desk.
+//! The task that runs one shard's coordinator.
 
 use std::future::pending;
 use std::rc::Rc;
@@ -16,20 +16,20 @@
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
-use crate::BookPhase;
 use crate::ClaimLog;
 use crate::ClaimVerdict;
-use crate::DeskCommand;
-use crate::DeskStats;
+use crate::LedgerCommand;
+use crate::LedgerStats;
 use crate::OutcomeFetch;
-use crate::ShardDesk;
+use crate::ShardCoordinator;
+use crate::TablePhase;
 use crate::claim_log::AppendFuture;
 use crate::claim_log::ReadFuture;
-use crate::desk_metrics::DeskMetrics;
+use crate::ledger_metrics::LedgerMetrics;
 
 /// How long a read asks the log to wait for news.
 const TAIL_WAIT: Duration = Duration::from_secs(5);
-/// How long a desk that is to end goes on writing what it was handed.
+/// How long a coordinator that is to end goes on writing what it was handed.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
 /// A read under way, and when it began.
@@ -38,9 +38,9 @@
     future: ReadFuture,
 }
 
-/// What a desk's task waits for.
+/// What a coordinator's task waits for.
 enum DriverEvent {
-    Command(DeskCommand),
+    Command(LedgerCommand),
     Append(Result<LogOffset, LogError>),
     Tail(Result<LogPage, LogError>, Instant),
     Barrier(Result<LogPage, LogError>, Instant),
@@ -49,13 +49,13 @@
     Cancelled,
 }
 
-/// The task that runs one shard's desk: it carries appends, reads and answers between the desk and the log.
+/// The task that runs one shard's coordinator: it carries appends, reads and answers between the coordinator and the log.
 pub(crate) struct ShardDriver {
-    desk: ShardDesk,
-    metrics: DeskMetrics,
+    coordinator: ShardCoordinator,
+    metrics: LedgerMetrics,
     log: Rc<ClaimLog>,
     stream: String,
-    commands: UnboundedReceiver<DeskCommand>,
+    commands: UnboundedReceiver<LedgerCommand>,
     append: Option<(String, AppendFuture)>,
     tail: Option<ReadSlot>,
     barrier: Option<ReadSlot>,
@@ -64,14 +64,14 @@
 
 impl ShardDriver {
     pub(crate) fn new(
-        desk: ShardDesk,
+        coordinator: ShardCoordinator,
         log: Rc<ClaimLog>,
         stream: String,
-        commands: UnboundedReceiver<DeskCommand>,
+        commands: UnboundedReceiver<LedgerCommand>,
     ) -> ShardDriver {
         ShardDriver {
-            desk,
-            metrics: DeskMetrics::new(&stream),
+            coordinator,
+            metrics: LedgerMetrics::new(&stream),
             log,
             stream,
             commands,
@@ -82,24 +82,24 @@
         }
     }
 
-    pub(crate) async fn run(mut self, cancel: CancellationToken) -> DeskStats {
+    pub(crate) async fn run(mut self, cancel: CancellationToken) -> LedgerStats {
         let mut stop_at = None;
         loop {
             let now = Instant::now();
-            self.desk.tick(now);
-            self.metrics.tell(&self.desk);
+            self.coordinator.tick(now);
+            self.metrics.publish(&self.coordinator);
             if stop_at.is_some_and(|at| at <= now || self.is_drained()) {
-                return *self.desk.stats();
+                return *self.coordinator.stats();
             }
             self.start_calls(now);
-            let wake_at = self.desk.wake_at(now);
+            let wake_at = self.coordinator.wake_at(now);
             let event = match stop_at {
                 None => self.next_event(wake_at, &cancel).await,
                 Some(_) => self.next_event(wake_at, &CancellationToken::new()).await,
             };
             match event {
                 DriverEvent::Cancelled => {
-                    self.desk.hurry();
+                    self.coordinator.hurry();
                     stop_at = Some(Instant::now() + STOP_LIMIT);
                 }
                 event => self.take_event(event),
@@ -108,35 +108,39 @@
     }
 
     fn is_drained(&self) -> bool {
-        self.commands.is_empty() && self.desk.is_drained()
+        self.commands.is_empty() && self.coordinator.is_drained()
     }
 
     fn start_calls(&mut self, now: Instant) {
-        let in_air = self.desk.append_in_air();
+        let in_air = self.coordinator.append_in_air();
         // The fold may have met the record before its append was answered. The next one need not wait for that.
         self.append.take_if(|(id, _)| in_air != Some(id));
-        if let Some(group) = self.desk.next_append(now) {
+        if let Some(group) = self.coordinator.next_append(now) {
             let id = group.id.clone();
             self.append = Some((id, (self.log.append)(&self.stream, group)));
         }
-        if self.tail.is_none() && self.desk.read_at() <= now {
-            let wait =
-                if self.desk.phase() == BookPhase::Reading { Duration::ZERO } else { TAIL_WAIT };
-            let future = (self.log.read)(&self.stream, self.desk.next_offset(), wait);
+        if self.tail.is_none() && self.coordinator.read_at() <= now {
+            let wait = if self.coordinator.phase() == TablePhase::Reading {
+                Duration::ZERO
+            } else {
+                TAIL_WAIT
+            };
+            let future = (self.log.read)(&self.stream, self.coordinator.next_offset(), wait);
             self.tail = Some(ReadSlot { asked: now, future });
         }
-        if let Some(from) = self.desk.next_barrier(now) {
+        if let Some(from) = self.coordinator.next_barrier(now) {
             let future = (self.log.read)(&self.stream, from, Duration::ZERO);
             self.barrier = Some(ReadSlot { asked: now, future });
         }
-        for fetch in self.desk.take_fetches() {
+        for fetch in self.coordinator.take_fetches() {
             let read = (self.log.read)(&self.stream, fetch.offset, Duration::ZERO);
             self.fetches.push(answer_fetch(fetch, read).boxed_local());
         }
     }
 
     async fn next_event(&mut self, wake_at: Instant, cancel: &CancellationToken) -> DriverEvent {
-        let tail_at = if self.tail.is_none() { wake_at.min(self.desk.read_at()) } else { wake_at };
+        let tail_at =
+            if self.tail.is_none() { wake_at.min(self.coordinator.read_at()) } else { wake_at };
         tokio::select! {
             biased;
             result = append_end(&mut self.append) => DriverEvent::Append(result),
@@ -155,29 +159,29 @@
             DriverEvent::Command(command) => self.take_commands(command, now),
             DriverEvent::Append(result) => {
                 if let Some((id, _)) = self.append.take() {
-                    self.desk.append_ended(&id, result, now);
+                    self.coordinator.append_ended(&id, result, now);
                 }
             }
             DriverEvent::Tail(result, asked) => {
                 self.tail = None;
                 match result {
-                    Ok(page) => self.desk.take_page(&page, asked, now),
-                    Err(error) => self.desk.read_failed(error, now),
+                    Ok(page) => self.coordinator.take_page(&page, asked, now),
+                    Err(error) => self.coordinator.read_failed(error, now),
                 }
             }
             DriverEvent::Barrier(result, asked) => {
                 self.barrier = None;
-                self.desk.barrier_ended(result, asked, now);
+                self.coordinator.barrier_ended(result, asked, now);
             }
             DriverEvent::Fetched | DriverEvent::Wake | DriverEvent::Cancelled => (),
         }
     }
 
     /// Takes all that has come, so that a burst of claims goes into one record.
-    fn take_commands(&mut self, first: DeskCommand, now: Instant) {
-        self.desk.command(first, now);
+    fn take_commands(&mut self, first: LedgerCommand, now: Instant) {
+        self.coordinator.command(first, now);
         while let Ok(command) = self.commands.try_recv() {
-            self.desk.command(command, now);
+            self.coordinator.command(command, now);
         }
     }
 }
--- a/crates/ledger/tests/claim_book.rs
+++ b/crates/ledger/tests/claim_table.rs
@@ -1,14 +1,12 @@
 //! The fold of a claim stream: tables of records and what they must do.
 
-use fulmargate_ledger::BookChange;
-use fulmargate_ledger::BookError;
 use fulmargate_ledger::CallOutcome;
-use fulmargate_ledger::ClaimBook;
 use fulmargate_ledger::ClaimEntry;
 use fulmargate_ledger::ClaimKey;
 use fulmargate_ledger::ClaimOutcome;
 use fulmargate_ledger::ClaimRecord;
 use fulmargate_ledger::ClaimRelease;
+use fulmargate_ledger::ClaimTable;
 use fulmargate_ledger::ClaimerGone;
 use fulmargate_ledger::ClaimerId;
 use fulmargate_ledger::KeyHash;
@@ -23,6 +21,8 @@
 use fulmargate_ledger::RenewedClaim;
 use fulmargate_ledger::RenewedState;
 use fulmargate_ledger::RequestPrint;
+use fulmargate_ledger::TableChange;
+use fulmargate_ledger::TableError;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
@@ -102,14 +102,14 @@
     let texts: Vec<String> = changes
         .iter()
         .map(|change| match change {
-            BookChange::Won { number, .. } => format!("won {number}"),
-            BookChange::Lost { number, .. } => format!("lost {number}"),
-            BookChange::TooOld { number, .. } => format!("old {number}"),
-            BookChange::Settled { outcome: CallOutcome::Unknown, .. } => String::from("unknown"),
-            BookChange::Settled { outcome: CallOutcome::Ran(ran), .. } => {
+            TableChange::Won { number, .. } => format!("won {number}"),
+            TableChange::Lost { number, .. } => format!("lost {number}"),
+            TableChange::TooOld { number, .. } => format!("old {number}"),
+            TableChange::Settled { outcome: CallOutcome::Unknown, .. } => String::from("unknown"),
+            TableChange::Settled { outcome: CallOutcome::Ran(ran), .. } => {
                 format!("ran {}", ran.status)
             }
-            BookChange::Released { .. } => String::from("released"),
+            TableChange::Released { .. } => String::from("released"),
         })
         .collect();
     texts.join(", ")
@@ -128,12 +128,12 @@
 }
 
 fn check(case: &FoldCase) {
-    let mut book = ClaimBook::new(LogOffset(0));
+    let mut table = ClaimTable::new(LogOffset(0));
     for (offset, landed) in case.records.iter().enumerate() {
-        let effect = book.fold(&record(offset, landed)).unwrap();
+        let effect = table.fold(&record(offset, landed)).unwrap();
         assert_eq!(effect_text(&effect), case.effects[offset], "{} at {offset}", case.name);
     }
-    assert_eq!(view_text(book.view(KEY, PRINT)), case.view, "{}", case.name);
+    assert_eq!(view_text(table.view(KEY, PRINT)), case.view, "{}", case.name);
 }
 
 fn order_cases() -> Vec<FoldCase> {
@@ -282,7 +282,7 @@
     // The claimer crashed with its call under way. Its host's next start shows in the stream, or a peer tells of the end.
     // No outcome will come, so a re-send must not wait for one.
     let landed = Landed("a", 1, 0, vec![claim(1, None)]);
-    let mut by_peer = ClaimBook::new(LogOffset(0));
+    let mut by_peer = ClaimTable::new(LogOffset(0));
     by_peer.fold(&record(0, &landed)).unwrap();
     let mut by_log = by_peer.clone();
     by_peer.claimer_gone(&HostName::new("a"), Incarnation(0));
@@ -307,33 +307,33 @@
 #[test]
 fn what_cannot_be_read_is_passed_over_or_stops_the_book() {
     // A foreign record says nothing to any reader. A record of a later layout may say something to others that this build
-    // does not know: to read on would make it judge keys otherwise than they do.
+    // does not support: reading on would make it decide on keys otherwise than they do.
     let line = |offset: u64, data: &str| LogRecord {
         offset: LogOffset(offset),
         time_ms: 1,
         id: String::from("x"),
         data: String::from(data),
     };
-    let mut book = ClaimBook::new(LogOffset(3));
+    let mut table = ClaimTable::new(LogOffset(3));
     assert_eq!(
-        book.fold(&line(5, "{}")),
-        Err(BookError::Gap { next: LogOffset(3), offset: LogOffset(5) })
+        table.fold(&line(5, "{}")),
+        Err(TableError::Gap { next: LogOffset(3), offset: LogOffset(5) })
     );
     for (offset, data) in [(3, "{"), (4, "{}"), (5, "{\"v\":1}"), (6, "[7]")] {
-        assert_eq!(book.fold(&line(offset, data)), Ok(RecordEffect::Unreadable), "{data}");
+        assert_eq!(table.fold(&line(offset, data)), Ok(RecordEffect::Unreadable), "{data}");
     }
     assert_eq!(
-        book.fold(&line(7, "{\"v\":2,\"new\":1}")),
-        Err(BookError::LaterLayout { offset: LogOffset(7), layout: 2 })
+        table.fold(&line(7, "{\"v\":2,\"new\":1}")),
+        Err(TableError::LaterLayout { offset: LogOffset(7), layout: 2 })
     );
-    assert_eq!(book.next_offset(), LogOffset(7));
+    assert_eq!(table.next_offset(), LogOffset(7));
 }
 
 #[test]
 fn only_claims_that_outlive_their_record_are_renewed() {
-    let mut book = ClaimBook::new(LogOffset(0));
+    let mut table = ClaimTable::new(LogOffset(0));
     let landed = Landed("a", 1, 1_000, vec![claim(1, None)]);
-    book.fold(&record(0, &landed)).unwrap();
+    table.fold(&record(0, &landed)).unwrap();
     struct RenewCase(&'static str, u64, u64, u64, usize);
     let cases = [
         RenewCase("due", 2_000, 800, 5_000, 1),
@@ -343,13 +343,13 @@
     ];
     for RenewCase(name, standing_before_ms, lasting_ms, complete_ms, count) in cases {
         let plan = RenewPlan { standing_before_ms, lasting_ms, complete_ms, limit: 10 };
-        assert_eq!(book.to_renew(&plan).len(), count, "{name}");
+        assert_eq!(table.to_renew(&plan).len(), count, "{name}");
     }
     let plan =
         RenewPlan { standing_before_ms: 1_500, lasting_ms: 800, complete_ms: 5_000, limit: 10 };
-    let entries = book.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
-    book.fold(&record(1, &Landed("b", 1, 1_600, entries))).unwrap();
-    assert_eq!(book.to_renew(&plan).len(), 0);
+    let entries = table.to_renew(&plan).into_iter().map(ClaimEntry::Renew).collect();
+    table.fold(&record(1, &Landed("b", 1, 1_600, entries))).unwrap();
+    assert_eq!(table.to_renew(&plan).len(), 0);
 }
 
 #[test]
--- a/crates/ledger/tests/desk/at_most_once.rs
+++ b/crates/ledger/tests/coordinator/at_most_once.rs
@@ -1,17 +1,17 @@
-//! Runs of three routers under drawn faults: nothing runs twice, and all that was told fits one order of events.
+//! Runs of three routers under drawn faults: nothing runs twice, and all answers fit one order of events.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fulmargate_ledger::BookChange;
 use fulmargate_ledger::CallOutcome;
-use fulmargate_ledger::ClaimBook;
 use fulmargate_ledger::ClaimKey;
+use fulmargate_ledger::ClaimTable;
 use fulmargate_ledger::CutOffRule;
-use fulmargate_ledger::DeskSettings;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::RecordEffect;
+use fulmargate_ledger::TableChange;
 use fulmargate_names::LogOffset;
 use fulmargate_names::TeamName;
 use quickcheck::Arbitrary;
@@ -194,7 +194,7 @@
 
 /// Runs the plan, and tells what is wrong with it.
 async fn run_plan(plan: FaultPlan) -> Vec<String> {
-    let mut settings = DeskSettings::for_retention(Duration::from_secs(3_600));
+    let mut settings = LedgerSettings::for_retention(Duration::from_secs(3_600));
     settings.ticket_life = Duration::from_millis(250);
     settings.append_patience = Duration::from_millis(700);
     settings.pending_ms = 5_000;
@@ -234,7 +234,7 @@
     wrong
 }
 
-/// What the callers of all runs were told, so that a run in which nothing happens is not taken for a proof.
+/// Answers to the callers of all runs, so that a run in which nothing happens is not taken for a proof.
 #[derive(Clone, Copy, Debug, Default)]
 struct RunTally {
     tries: u64,
@@ -264,7 +264,7 @@
     TALLY.set(tally);
 }
 
-/// Effects are counted by the backend server: none twice, and each answer told is the one of the effect.
+/// Effects are counted by the backend server: none twice, and each answer is that of the effect.
 fn wrong_effects(world: &RunWorld, told: &[(ClaimKey, Told)]) -> Vec<String> {
     let effects = world.effects.borrow();
     let doubled = effects.iter().filter(|(_, answers)| 1 < answers.len());
@@ -285,18 +285,18 @@
     wrong
 }
 
-/// What the log says happened, beside what was told: ends and releases, and wins that nobody was told of.
+/// What the log shows beside the answers: ends, releases, and wins that were reported to nobody.
 fn add_log_ops(world: &RunWorld, wrong: &mut Vec<String>) {
     let end = world.recorder.step();
-    let mut book = ClaimBook::new(LogOffset(0));
+    let mut table = ClaimTable::new(LogOffset(0));
     let mut holders = std::collections::BTreeMap::new();
     for record in &world.log.world.borrow().records {
-        let RecordEffect::Folded { claimer, changes, .. } = book.fold(record).unwrap() else {
+        let RecordEffect::Folded { claimer, changes, .. } = table.fold(record).unwrap() else {
             continue;
         };
         for change in changes {
             match change {
-                BookChange::Won { key, number } => {
+                TableChange::Won { key, number } => {
                     let name = (claimer.incarnation.0, number);
                     let told = world.recorder.told(key, name);
                     holders.insert(key, (name, told.unwrap_or(0)));
@@ -304,16 +304,16 @@
                         world.recorder.record(key, 0, end, KeyOp::Won(name));
                     }
                 }
-                BookChange::Settled { key, outcome } => {
+                TableChange::Settled { key, outcome } => {
                     let (name, since) = holders[&key];
                     let op = KeyOp::Ended(name, answer_of(&outcome));
                     world.recorder.record(key, since, end, op);
                 }
-                BookChange::Released { key } => {
+                TableChange::Released { key } => {
                     let (name, since) = holders[&key];
                     world.recorder.record(key, since, end, KeyOp::Released(name));
                 }
-                BookChange::Lost { .. } | BookChange::TooOld { .. } => (),
+                TableChange::Lost { .. } | TableChange::TooOld { .. } => (),
             }
         }
     }
@@ -345,8 +345,8 @@
 #[test]
 fn nothing_runs_twice_under_drawn_faults() {
     // Callers send each call again through any router until it is answered. Meanwhile the log is out, loses answers and
-    // lands appends late, routers are cut off, frozen beyond their tickets' lives, killed and started anew, alone, together
-    // and twice. The backend server counts effects; the callers' and routers' words are judged as one history per key.
+    // lands appends late, routers are cut off, frozen until their tickets have expired, killed and started anew, alone, together
+    // and twice. The backend server counts effects; the answers of callers and routers are judged as one history per key.
     fn holds(plan: FaultPlan) -> bool {
         let wrong = block_on(run_plan(plan));
         for line in &wrong {
--- a/crates/ledger/tests/desk/history.rs
+++ b/crates/ledger/tests/coordinator/history.rs
@@ -22,9 +22,9 @@
     Ended(ClaimName, u64),
     /// The claim gave the key back.
     Released(ClaimName),
-    /// A re-send was told this answer.
+    /// A retry got this answer.
     Answered(u64),
-    /// A re-send was told that the key was claimed.
+    /// A retry got `busy`.
     Claimed,
     /// `not-run` was said of the key.
     Free,
@@ -87,7 +87,7 @@
         self.ops.borrow_mut().entry(key).or_default().push((began, ended, op));
     }
 
-    /// The steps at which the claim's win was asked for and told, if it was told.
+    /// The steps at which the claim was requested and its win reported, if it was.
     pub(crate) fn told(&self, key: KeyHash, name: ClaimName) -> Option<u64> {
         let ops = self.ops.borrow();
         let won = ops.get(&key)?.iter().find(|(_, _, op)| *op == KeyOp::Won(name))?;
--- a/crates/ledger/tests/desk/desk_bench.rs
+++ b/crates/ledger/tests/coordinator/ledger_bench.rs
@@ -1,4 +1,4 @@
-//! One desk without a driver: the test is its log, its clock and its callers.
+//! One coordinator without a driver: the test is its log, its clock and its callers.
 
 use std::time::Duration;
 
@@ -9,13 +9,13 @@
 use fulmargate_ledger::ClaimTicket;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::ClaimerId;
-use fulmargate_ledger::DeskCommand;
-use fulmargate_ledger::DeskSettings;
 use fulmargate_ledger::GroupAppend;
 use fulmargate_ledger::KnownCall;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::LedgerCommand;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::RequestPrint;
-use fulmargate_ledger::ShardDesk;
+use fulmargate_ledger::ShardCoordinator;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
@@ -36,16 +36,16 @@
 
 pub(crate) type Verdict = oneshot::Receiver<ClaimVerdict>;
 
-pub(crate) struct DeskBench {
-    pub(crate) desk: ShardDesk,
+pub(crate) struct LedgerBench {
+    pub(crate) coordinator: ShardCoordinator,
     pub(crate) now: Instant,
     pub(crate) records: Vec<LogRecord>,
     pub(crate) first: u64,
-    commands: UnboundedReceiver<DeskCommand>,
+    commands: UnboundedReceiver<LedgerCommand>,
 }
 
-pub(crate) fn settings() -> DeskSettings {
-    DeskSettings::for_retention(Duration::from_secs(3_600))
+pub(crate) fn settings() -> LedgerSettings {
+    LedgerSettings::for_retention(Duration::from_secs(3_600))
 }
 
 pub(crate) fn key(text: &str) -> ClaimKey {
@@ -56,33 +56,33 @@
     ClaimerId { host: HostName::new(host), incarnation: Incarnation(incarnation) }
 }
 
-impl DeskBench {
-    /// A desk that has read its empty stream to the end.
-    pub(crate) fn new(settings: DeskSettings) -> DeskBench {
-        let mut bench = DeskBench::unread(settings);
+impl LedgerBench {
+    /// A coordinator that has read its empty stream to the end.
+    pub(crate) fn new(settings: LedgerSettings) -> LedgerBench {
+        let mut bench = LedgerBench::unread(settings);
         bench.read();
         bench
     }
 
-    pub(crate) fn unread(settings: DeskSettings) -> DeskBench {
+    pub(crate) fn unread(settings: LedgerSettings) -> LedgerBench {
         let now = Instant::now();
         let (sender, commands) = unbounded_channel();
-        let desk = ShardDesk::new(claimer("mn-1", 1), settings, sender, now);
-        DeskBench { desk, now, records: Vec::new(), first: 0, commands }
+        let coordinator = ShardCoordinator::new(claimer("mn-1", 1), settings, sender, now);
+        LedgerBench { coordinator, now, records: Vec::new(), first: 0, commands }
     }
 
-    /// The desk takes in what it was told, and time passes.
+    /// The coordinator handles its commands, and time passes.
     pub(crate) fn pass(&mut self, millis: u64) {
         self.take_commands();
         self.now += Duration::from_millis(millis);
-        self.desk.tick(self.now);
+        self.coordinator.tick(self.now);
     }
 
     pub(crate) fn claim_with(&mut self, text: &str, print: RequestPrint, wait_ms: u64) -> Verdict {
         let (reply, verdict) = oneshot::channel();
         let deadline = self.now + Duration::from_millis(wait_ms);
         let call = ClaimCall { key: key(text), print, deadline, reply };
-        self.desk.command(DeskCommand::Claim(call), self.now);
+        self.coordinator.command(LedgerCommand::Claim(call), self.now);
         verdict
     }
 
@@ -93,29 +93,29 @@
     pub(crate) fn ask_known(&mut self, text: &str) -> oneshot::Receiver<KnownKey> {
         let (reply, known) = oneshot::channel();
         let deadline = self.now + Duration::from_secs(1);
-        self.desk
-            .command(DeskCommand::Known(KnownCall { key: key(text), deadline, reply }), self.now);
+        self.coordinator
+            .command(LedgerCommand::Known(KnownCall { key: key(text), deadline, reply }), self.now);
         known
     }
 
-    /// The desk's next append, which it must have.
+    /// The coordinator's next append, which it must have.
     pub(crate) fn append(&mut self) -> GroupAppend {
         self.try_append().expect("an append is due")
     }
 
     pub(crate) fn try_append(&mut self) -> Option<GroupAppend> {
         self.take_commands();
-        self.desk.next_append(self.now)
+        self.coordinator.next_append(self.now)
     }
 
     fn take_commands(&mut self) {
         while let Ok(command) = self.commands.try_recv() {
-            self.desk.command(command, self.now);
+            self.coordinator.command(command, self.now);
         }
     }
 
     pub(crate) fn end(&mut self, group: &GroupAppend, error: LogError) {
-        self.desk.append_ended(&group.id, Err(error), self.now);
+        self.coordinator.append_ended(&group.id, Err(error), self.now);
     }
 
     /// The record lands; nobody has read it yet.
@@ -143,17 +143,17 @@
 
     /// What a read gives now: one record at a time.
     pub(crate) fn page(&self) -> LogPage {
-        let from = self.desk.next_offset();
+        let from = self.coordinator.next_offset();
         let record = self.records.iter().find(|record| from <= record.offset).cloned();
         let next = record.as_ref().map_or(from, |record| LogOffset(record.offset.0 + 1));
         LogPage { first: LogOffset(self.first), next, records: Vec::from_iter(record) }
     }
 
-    /// The desk reads to the stream's end.
+    /// The coordinator reads to the stream's end.
     pub(crate) fn read(&mut self) {
         loop {
             let page = self.page();
-            self.desk.take_page(&page, self.now, self.now);
+            self.coordinator.take_page(&page, self.now, self.now);
             if page.records.is_empty() {
                 return;
             }
--- a/crates/ledger/tests/desk/retention.rs
+++ b/crates/ledger/tests/coordinator/retention.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_ledger::ClaimKey;
-use fulmargate_ledger::DeskSettings;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_names::TeamName;
 use tokio::time::sleep;
 
@@ -39,7 +39,7 @@
     // The log keeps records for 20 s, keys without an age are remembered for 150 s. All routers are replaced again and again,
     // so that none has read the first claims. A re-send within the time must not run; after it, the key is new again.
     block_on(async {
-        let mut settings = DeskSettings::for_retention(RETENTION);
+        let mut settings = LedgerSettings::for_retention(RETENTION);
         settings.memory.opaque_ms = OPAQUE_MS;
         let world = RunWorld::start(7, settings);
         world.log.world.borrow_mut().retention_ms = RETENTION.as_millis() as u64;
@@ -73,10 +73,10 @@
 #[test]
 fn keys_with_their_age_are_refused_once_the_log_may_have_lost_them() {
     // A caller sends a call again when its first claim is out of retention. The log is empty by then and all routers have
-    // started anew, so nobody can know of the claim or what time it is by the log's clock. The key's own age tells once a
+    // started anew, so that the claim and the log's time are unknown to all. The key's own age tells once a
     // record lands: it must not run, and `not-run` must not be said of it.
     block_on(async {
-        let world = RunWorld::start(8, DeskSettings::for_retention(RETENTION));
+        let world = RunWorld::start(8, LedgerSettings::for_retention(RETENTION));
         world.log.world.borrow_mut().retention_ms = RETENTION.as_millis() as u64;
         let fleet = Fleet::start(&world);
         insist(&fleet, opaque_key(0)).await;
--- a/crates/ledger/tests/desk/router_box.rs
+++ b/crates/ledger/tests/coordinator/router_box.rs
@@ -12,14 +12,14 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimCoordinator;
 use fulmargate_ledger::ClaimHandle;
 use fulmargate_ledger::ClaimKey;
 use fulmargate_ledger::ClaimTicket;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::ClaimerId;
-use fulmargate_ledger::DeskSettings;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::NotRunProof;
 use fulmargate_ledger::RequestPrint;
 use fulmargate_names::Disposition;
@@ -43,7 +43,7 @@
 use crate::history::KeyOp;
 use crate::history::Recorder;
 
-/// What a caller is told.
+/// An answer to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Told {
     /// It ran, with this answer; 0 where the body is gone.
@@ -66,7 +66,7 @@
 pub(crate) struct RunWorld {
     pub(crate) log: FakeLog,
     pub(crate) recorder: Recorder,
-    pub(crate) settings: DeskSettings,
+    pub(crate) settings: LedgerSettings,
     pub(crate) dice: Rc<RefCell<Dice>>,
     /// The answers of the backend server by key: one for each effect.
     pub(crate) effects: Rc<RefCell<BTreeMap<fulmargate_ledger::KeyHash, Vec<u64>>>>,
@@ -78,7 +78,7 @@
 pub(crate) const PRINT: RequestPrint = RequestPrint([3; 8]);
 
 impl RunWorld {
-    pub(crate) fn start(seed: u64, settings: DeskSettings) -> RunWorld {
+    pub(crate) fn start(seed: u64, settings: LedgerSettings) -> RunWorld {
         let (backend, requests) = unbounded_channel();
         let world = RunWorld {
             log: FakeLog::start(seed),
@@ -192,7 +192,7 @@
 async fn run_router(world: RunWorld, me: ClaimerId, mut inbox: UnboundedReceiver<RoutedCall>) {
     let port = world.log.port(me.host.as_str());
     let cancel = CancellationToken::new();
-    let (_desk, handle) = ClaimDesk::start(port, &world.settings, 1, &me, &cancel).unwrap();
+    let (_desk, handle) = ClaimCoordinator::start(port, &world.settings, 1, &me, &cancel).unwrap();
     while let Some(call) = inbox.recv().await {
         spawn_local(serve_call(world.clone(), me.clone(), handle.clone(), call));
     }
@@ -203,7 +203,7 @@
     let began = world.recorder.step();
     let record = |op| world.recorder.record(key, began, world.recorder.step(), op);
     if world.percent(8) {
-        // The queue is full: the router has to know the key before it says not-run.
+        // The queue is full: the router must look up the key before it answers not-run.
         let told = match handle.known(call.key, call.deadline).await {
             KnownKey::Free => {
                 record(KeyOp::Free);
--- a/crates/ledger/tests/desk/single_faults.rs
+++ b/crates/ledger/tests/coordinator/single_faults.rs
@@ -1,30 +1,30 @@
-//! One failure at a time, at one desk.
+//! One failure at a time, at one coordinator.
 
-use fulmargate_ledger::BookPhase;
 use fulmargate_ledger::ClaimEntry;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::CutOffRule;
-use fulmargate_ledger::DeskCommand;
-use fulmargate_ledger::DeskSettings;
-use fulmargate_ledger::DeskSettingsError;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::LedgerCommand;
+use fulmargate_ledger::LedgerSettings;
+use fulmargate_ledger::LedgerSettingsError;
 use fulmargate_ledger::MemoryRule;
 use fulmargate_ledger::NewClaim;
+use fulmargate_ledger::TablePhase;
 use fulmargate_names::Disposition;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::LogOffset;
 use fulmargate_platform::LogError;
 
-use crate::desk_bench::BEGAN_MS;
-use crate::desk_bench::DeskBench;
-use crate::desk_bench::OTHER_PRINT;
-use crate::desk_bench::PRINT;
-use crate::desk_bench::claimer;
-use crate::desk_bench::entries;
-use crate::desk_bench::key;
-use crate::desk_bench::settings;
-use crate::desk_bench::told;
+use crate::ledger_bench::BEGAN_MS;
+use crate::ledger_bench::LedgerBench;
+use crate::ledger_bench::OTHER_PRINT;
+use crate::ledger_bench::PRINT;
+use crate::ledger_bench::claimer;
+use crate::ledger_bench::entries;
+use crate::ledger_bench::key;
+use crate::ledger_bench::settings;
+use crate::ledger_bench::told;
 
 fn other_claim(text: &str, number: u64) -> ClaimEntry {
     ClaimEntry::Claim(NewClaim { key: key(text).hash, print: PRINT, number, made_ms: None })
@@ -38,7 +38,7 @@
 fn a_claim_is_won_by_the_fold_though_the_answer_is_lost() {
     // The append lands and its answer is lost. The caller gets its claim as soon as the record is read back, and nothing is
     // appended a second time.
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     let verdict = bench.claim("a");
     let group = bench.append();
     bench.land(&group);
@@ -54,7 +54,7 @@
 fn a_frozen_claimer_does_not_send_late() {
     // The process stops between its append and the reading of it, and goes on after its caller's time is over. The claim
     // has won meanwhile; handed out now, the call would be sent for a caller that has gone. It is given back instead.
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     let mut verdict = bench.claim_with("a", PRINT, 200);
     let group = bench.append();
     bench.land(&group);
@@ -68,8 +68,8 @@
 #[test]
 fn a_claim_whose_caller_has_left_is_given_back() {
     // A caller leaves while its claim is appended, and another try of the call waits for the same key. The claim belongs to a
-    // call that others were told of as busy before this try began, so it isn't handed on: the try gets a claim of its own.
-    let mut bench = DeskBench::new(settings());
+    // call for which others got `busy` before this retry began, so it isn't passed on: the retry gets a claim of its own.
+    let mut bench = LedgerBench::new(settings());
     let first = bench.claim("a");
     let group = bench.append();
     drop(first);
@@ -86,7 +86,7 @@
 
 #[test]
 fn an_expired_ticket_is_not_sent_but_released() {
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     let ticket = bench.win("a");
     bench.pass(10_001);
     ticket.begin_send(bench.now).unwrap_err().release();
@@ -96,7 +96,7 @@
 
 #[test]
 fn an_abandoned_record_is_fenced() {
-    // An append is lost and the log stays silent until nobody waits any more. The caller is told that the outcome is unknown.
+    // An append is lost and the log stays silent until nobody waits any more. The caller gets `unknown`.
     // The record may land at any later moment: before the fence, then its claim is released; after it, then it is void.
     struct FenceCase(&'static str, Landing, usize);
     enum Landing {
@@ -110,7 +110,7 @@
         FenceCase("never lands", Landing::Never, 0),
     ];
     for FenceCase(name, landing, releases) in cases {
-        let mut bench = DeskBench::new(settings());
+        let mut bench = LedgerBench::new(settings());
         let verdict = bench.claim("a");
         let lost = bench.append();
         bench.end(&lost, LogError::Lost);
@@ -148,7 +148,7 @@
 
 #[test]
 fn a_desk_without_the_log_says_what_it_knows() {
-    // The log refuses every append. A call that was never appended, under a key that the book does not hold, was not run; of
+    // The log refuses every append. A call that was never appended, under a key that the table does not hold, was not run; of
     // a key that is held, or under the stricter rule, that can't be said. Later calls are refused at once.
     struct OutCase(&'static str, CutOffRule, Disposition);
     let cases = [
@@ -156,7 +156,7 @@
         OutCase("new", CutOffRule::KeyToo, Disposition::Unknown),
     ];
     for OutCase(text, cut_off, disposition) in cases {
-        let mut bench = DeskBench::new(DeskSettings { cut_off, ..settings() });
+        let mut bench = LedgerBench::new(LedgerSettings { cut_off, ..settings() });
         let first = bench.claim(text);
         for _ in 0..20 {
             if let Some(group) = bench.try_append() {
@@ -189,31 +189,31 @@
 #[test]
 fn an_unread_book_says_nothing_of_a_key() {
     // The router has just started and the log is out: the key may have been claimed and run through any router before.
-    let mut bench = DeskBench::unread(settings());
+    let mut bench = LedgerBench::unread(settings());
     let verdict = bench.claim("a");
     let mut known = bench.ask_known("a");
-    assert!(bench.desk.next_barrier(bench.now).is_none());
-    bench.desk.read_failed(LogError::Out, bench.now);
+    assert!(bench.coordinator.next_barrier(bench.now).is_none());
+    bench.coordinator.read_failed(LogError::Out, bench.now);
     bench.pass(999);
     assert!(known.try_recv().is_err());
     bench.pass(1);
     assert_eq!(known.try_recv().unwrap(), KnownKey::Blind);
     assert!(matches!(told(verdict), ClaimVerdict::LogOut(Disposition::Unknown)));
     assert!(bench.try_append().is_none());
-    assert_eq!(bench.desk.phase(), BookPhase::Reading);
+    assert_eq!(bench.coordinator.phase(), TablePhase::Reading);
 
     // The same while the log is up and there is more to read.
-    let mut bench = DeskBench::unread(settings());
+    let mut bench = LedgerBench::unread(settings());
     bench.land_other(claimer("be-1", 7), 1, vec![other_claim("b", 1)]);
     let page = bench.page();
-    bench.desk.take_page(&page, bench.now, bench.now);
+    bench.coordinator.take_page(&page, bench.now, bench.now);
     let mut known = bench.ask_known("a");
     bench.pass(999);
     assert!(known.try_recv().is_err());
     bench.read();
-    assert!(bench.desk.next_barrier(bench.now).is_some());
+    assert!(bench.coordinator.next_barrier(bench.now).is_some());
     let page = bench.page();
-    bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+    bench.coordinator.barrier_ended(Ok(page), bench.now, bench.now);
     assert_eq!(known.try_recv().unwrap(), KnownKey::Free);
 }
 
@@ -221,15 +221,15 @@
 fn not_run_is_said_of_a_key_only_after_reading_on() {
     // A call ran through another router and its answer was lost. The re-send meets a full queue here, where the other's claim
     // has not been read yet: only a read that begins now can tell.
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     bench.land_other(claimer("ps-1", 8), 1, vec![other_claim("c", 1)]);
     bench.land_other(claimer("be-1", 7), 1, vec![other_claim("a", 1)]);
     for (text, expected) in [("a", KnownKey::Claimed), ("b", KnownKey::Free)] {
         let mut known = bench.ask_known(text);
-        while bench.desk.next_barrier(bench.now).is_some() {
+        while bench.coordinator.next_barrier(bench.now).is_some() {
             assert!(known.try_recv().is_err());
             let page = bench.page();
-            bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+            bench.coordinator.barrier_ended(Ok(page), bench.now, bench.now);
         }
         assert_eq!(known.try_recv().unwrap(), expected, "{text}");
     }
@@ -237,8 +237,8 @@
 
 #[test]
 fn not_run_is_not_said_of_a_key_that_may_be_forgotten() {
-    // The key's claim may have gone from the log before this router began to read, or be so old that the book let it go. That
-    // the book holds no claim then proves nothing: `not-run` would be false if the call ran.
+    // The key's claim may have gone from the log before this router began to read, or be so old that the table let it go. That
+    // the table holds no claim then proves nothing: `not-run` would be false if the call ran.
     struct AgeCase(&'static str, u64, u64, Option<u64>, KnownKey);
     let began = BEGAN_MS;
     let cases = [
@@ -257,7 +257,7 @@
         AgeCase("key without an age", 50, 0, None, KnownKey::Free),
     ];
     for AgeCase(name, first, records, made_ms, expected) in cases {
-        let mut bench = DeskBench::unread(settings());
+        let mut bench = LedgerBench::unread(settings());
         bench.first = first;
         for sequence in 0..records {
             bench.land_other(claimer("be-1", 7), sequence, vec![]);
@@ -268,9 +268,9 @@
         });
         let mut known =
             bench.ask_known(&text.map_or(String::from("order-1"), |uuid| uuid.to_string()));
-        bench.desk.next_barrier(bench.now);
+        bench.coordinator.next_barrier(bench.now);
         let page = bench.page();
-        bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+        bench.coordinator.barrier_ended(Ok(page), bench.now, bench.now);
         assert_eq!(known.try_recv().unwrap(), expected, "{name}");
     }
 }
@@ -278,25 +278,25 @@
 #[test]
 fn a_record_that_the_waiting_read_does_not_bring_is_read_for() {
     // A partition has healed. Appends pass, but the read that waits for news hangs on a dead connection for seconds. The
-    // desk's record is in the log; the desk reads for itself, so that its callers don't run out of time.
-    let mut bench = DeskBench::new(settings());
+    // coordinator's record is in the log; the coordinator reads for itself, so that its callers don't run out of time.
+    let mut bench = LedgerBench::new(settings());
     let verdict = bench.claim("a");
     let group = bench.append();
     bench.land(&group);
-    bench.desk.append_ended(&group.id, Ok(LogOffset(0)), bench.now);
-    assert_eq!(bench.desk.next_barrier(bench.now), None);
+    bench.coordinator.append_ended(&group.id, Ok(LogOffset(0)), bench.now);
+    assert_eq!(bench.coordinator.next_barrier(bench.now), None);
     bench.pass(50);
-    assert_eq!(bench.desk.next_barrier(bench.now), Some(LogOffset(0)));
+    assert_eq!(bench.coordinator.next_barrier(bench.now), Some(LogOffset(0)));
     let page = bench.page();
-    bench.desk.barrier_ended(Ok(page), bench.now, bench.now);
+    bench.coordinator.barrier_ended(Ok(page), bench.now, bench.now);
     assert!(matches!(told(verdict), ClaimVerdict::Won(_)));
     bench.pass(50);
-    assert_eq!(bench.desk.next_barrier(bench.now), None);
+    assert_eq!(bench.coordinator.next_barrier(bench.now), None);
 }
 
 #[test]
 fn a_re_send_gets_the_first_answer_or_what_is_known() {
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     let sent = bench.win("a").begin_send(bench.now).unwrap();
     let waiting = bench.claim("a");
     let reused = bench.claim_with("a", OTHER_PRINT, 10_000);
@@ -307,7 +307,7 @@
     let ClaimVerdict::Done(first) = told(waiting) else { panic!("done expected") };
     assert_eq!((first.status, first.body.is_some()), (201, true));
     let later = bench.claim("a");
-    let fetch = bench.desk.take_fetches().pop().unwrap();
+    let fetch = bench.coordinator.take_fetches().pop().unwrap();
     let record = &bench.records[fetch.offset.0 as usize];
     assert_eq!(fetch.place.outcome_in(record), first);
     drop((later, fetch));
@@ -325,17 +325,17 @@
     for (name, gone, pass_ms) in
         [("busy", false, 500), ("gone", true, 0), ("too long", false, 60_000)]
     {
-        let mut bench = DeskBench::new(settings());
+        let mut bench = LedgerBench::new(settings());
         bench.land_other(claimer("be-1", 7), 1, vec![other_claim("a", 1)]);
         bench.read();
         let wait_ms = if name == "too long" { 100_000 } else { 500 };
         let verdict = bench.claim_with("a", PRINT, wait_ms);
         if gone {
-            let told = DeskCommand::ClaimerGone {
+            let told = LedgerCommand::ClaimerGone {
                 host: HostName::new("be-1"),
                 incarnation: Incarnation(7),
             };
-            bench.desk.command(told, bench.now);
+            bench.coordinator.command(told, bench.now);
         }
         bench.pass(pass_ms);
         let verdict = told(verdict);
@@ -347,7 +347,7 @@
 #[test]
 fn records_that_went_unread_leave_claims_undecided() {
     // The router was cut off for longer than the log keeps its records. Its claim under way may have landed and gone.
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     bench.win("a").release();
     let verdict = bench.claim("b");
     let group = bench.append();
@@ -356,12 +356,15 @@
     bench.records.clear();
     bench.read();
     assert!(matches!(told(verdict), ClaimVerdict::LogOut(Disposition::Unknown)));
-    assert_eq!((bench.desk.stats().books_lost, bench.desk.next_offset()), (1, LogOffset(50)));
+    assert_eq!(
+        (bench.coordinator.stats().books_lost, bench.coordinator.next_offset()),
+        (1, LogOffset(50))
+    );
 }
 
 #[test]
 fn claims_that_come_during_an_append_share_the_next_one() {
-    let mut bench = DeskBench::new(settings());
+    let mut bench = LedgerBench::new(settings());
     let first = bench.claim("first");
     let group = bench.append();
     let verdicts: Vec<_> = (0..100).map(|index| bench.claim(&format!("key-{index}"))).collect();
@@ -384,29 +387,29 @@
 #[test]
 fn settings_that_forget_too_early_are_refused() {
     let good = settings();
-    let with_memory = |memory| DeskSettings { memory, ..settings() };
+    let with_memory = |memory| LedgerSettings { memory, ..settings() };
     let cases = [
         (good.clone(), Ok(())),
         (
             with_memory(MemoryRule { remember_ms: good.retention_ms, ..good.memory }),
-            Err(DeskSettingsError::RememberTooLong),
+            Err(LedgerSettingsError::RememberTooLong),
         ),
         (
             with_memory(MemoryRule { opaque_ms: 1_000, ..good.memory }),
-            Err(DeskSettingsError::OpaqueTooShort),
+            Err(LedgerSettingsError::OpaqueTooShort),
         ),
         (
-            DeskSettings { renew_after_ms: good.retention_ms - 1, ..good.clone() },
-            Err(DeskSettingsError::RenewMisplaced),
+            LedgerSettings { renew_after_ms: good.retention_ms - 1, ..good.clone() },
+            Err(LedgerSettingsError::RenewMisplaced),
         ),
-        (DeskSettings { full_group: 0, ..good.clone() }, Err(DeskSettingsError::Zero)),
+        (LedgerSettings { full_group: 0, ..good.clone() }, Err(LedgerSettingsError::Zero)),
     ];
     for (settings, expected) in cases {
         assert_eq!(settings.check(), expected);
     }
     for seconds in [10, 60, 3_600, 7 * 86_400] {
         assert_eq!(
-            DeskSettings::for_retention(std::time::Duration::from_secs(seconds)).check(),
+            LedgerSettings::for_retention(std::time::Duration::from_secs(seconds)).check(),
             Ok(())
         );
     }
--- a/crates/ledger/tests/loopback.rs
+++ b/crates/ledger/tests/loopback.rs
@@ -1,4 +1,4 @@
-//! The desk over the log client, by sockets on loopback.
+//! The coordinator over the log client, by sockets on loopback.
 
 #[path = "support/loopback_log.rs"]
 mod loopback_log;
@@ -7,14 +7,14 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimCoordinator;
 use fulmargate_ledger::ClaimHandle;
 use fulmargate_ledger::ClaimKey;
 use fulmargate_ledger::ClaimLog;
 use fulmargate_ledger::ClaimVerdict;
 use fulmargate_ledger::ClaimerId;
-use fulmargate_ledger::DeskSettings;
 use fulmargate_ledger::KnownKey;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_ledger::RequestPrint;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -39,17 +39,17 @@
     host: &str,
     incarnation: u64,
     cancel: &CancellationToken,
-) -> (ClaimDesk, ClaimHandle) {
+) -> (ClaimCoordinator, ClaimHandle) {
     let client = LogClient::new(address, LogTimeouts::default());
     let me = ClaimerId { host: HostName::new(host), incarnation: Incarnation(incarnation) };
     // Nothing is to depend on how busy the machine is.
-    let settings = DeskSettings {
+    let settings = LedgerSettings {
         ticket_life: WAIT,
         append_patience: WAIT,
         pending_ms: WAIT.as_millis() as u64,
-        ..DeskSettings::for_retention(Duration::from_secs(3_600))
+        ..LedgerSettings::for_retention(Duration::from_secs(3_600))
     };
-    ClaimDesk::start(ClaimLog::over(&client), &settings, SHARDS, &me, cancel).unwrap()
+    ClaimCoordinator::start(ClaimLog::over(&client), &settings, SHARDS, &me, cancel).unwrap()
 }
 
 /// What a call came to: whether it was sent, and the answer if there was one.
@@ -100,8 +100,8 @@
         assert_eq!(handle.known(key(0), Instant::now() + WAIT).await, KnownKey::Claimed);
         assert_eq!(handle.known(key(KEYS), Instant::now() + WAIT).await, KnownKey::Free);
         cancel.cancel();
-        for (desk, _) in routers {
-            assert_eq!(desk.ended().await.len(), SHARDS as usize);
+        for (coordinator, _) in routers {
+            assert_eq!(coordinator.ended().await.len(), SHARDS as usize);
         }
     }
 }
--- a/crates/router/src/control/control_thread.rs
+++ b/crates/router/src/control/control_thread.rs
@@ -20,11 +20,11 @@
 use fulmargate_config::LogAccess;
 use fulmargate_config::PublishedConfig;
 use fulmargate_config::ReaderRole;
-use fulmargate_ledger::ClaimDesk;
+use fulmargate_ledger::ClaimCoordinator;
 use fulmargate_ledger::ClaimLog;
 use fulmargate_ledger::ClaimerId;
 use fulmargate_ledger::CutOffRule;
-use fulmargate_ledger::DeskSettings;
+use fulmargate_ledger::LedgerSettings;
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
 use fulmargate_peers::PeerConf;
@@ -89,7 +89,7 @@
 struct StartedParts {
     state: Arc<RouterState>,
     handles: Vec<ServerHandle>,
-    desk: ClaimDesk,
+    desk: ClaimCoordinator,
     peers: PeerHandle,
 }
 
@@ -129,11 +129,11 @@
     let log = LogClient::new(&settings.platform.log.to_string(), LogTimeouts::default());
     let retention = Duration::from_secs(settings.platform.log_retention_s);
     let me = ClaimerId { host: settings.host.clone(), incarnation };
-    let desk_settings =
-        DeskSettings { cut_off: CutOffRule::KeyToo, ..DeskSettings::for_retention(retention) };
+    let ledger_settings =
+        LedgerSettings { cut_off: CutOffRule::KeyToo, ..LedgerSettings::for_retention(retention) };
     let claim_log = ClaimLog::over(&log);
     let shards = settings.platform.claim_shards;
-    let (desk, claims) = ClaimDesk::start(claim_log, &desk_settings, shards, &me, control)
+    let (desk, claims) = ClaimCoordinator::start(claim_log, &ledger_settings, shards, &me, control)
         .map_err(|err| format!("platform.log_retention_s: {err}"))?;
     let writer = format!("{}-{incarnation}", settings.host);
     let keeper_settings = KeeperSettings { retention, ..KeeperSettings::default() };
@@ -207,7 +207,7 @@
     }
 }
 
-/// Tells the control actor when the book of suspects has changed.
+/// Tells the control actor when the table of suspects has changed.
 async fn pass_on_suspects(
     mut changes: watch::Receiver<u64>,
     control: Addr<ControlActor>,
