--- a/crates/ledger/src/shard_coordinator/read_side.rs
+++ b/crates/ledger/src/shard_coordinator/read_side.rs
@@ -214,7 +214,8 @@
                 TableChange::TooOld { number, .. } if is_own => self.own_too_old(number),
                 TableChange::Settled { key, outcome } => self.settle_key(key, &outcome),
                 TableChange::Released { key } => self.decide_key(key, now),
-                TableChange::Won { .. } | TableChange::Lost { .. } | TableChange::TooOld { .. } => {}
+                TableChange::Won { .. } | TableChange::Lost { .. } | TableChange::TooOld { .. } => {
+                }
             }
         }
         if is_own {
