Config, router: comments in plain terms

Comments only: what is reported, received and kept, in place of told, heard and known. Left: names in router (order_desk, peer_desk, word_codec) and 'home' in placement.

--- a/crates/config/src/config_fold.rs
+++ b/crates/config/src/config_fold.rs
@@ -235,7 +235,7 @@
         patches.map(|entry| self.judge(entry.offset, entry.time_ms, entry.patch)).collect()
     }
 
-    /// What the history knows of the version that a snapshot speaks of must agree with it.
+    /// The history's entry for the snapshot's version, if there is one, must agree with it.
     fn compare(&mut self, snapshot: &SnapshotRecord) -> Option<FoldEvent> {
         let covers = snapshot.covers_offset;
         let mut newest_first = self.history.versions.iter().rev();
--- a/crates/config/src/config_keeper.rs
+++ b/crates/config/src/config_keeper.rs
@@ -25,7 +25,7 @@
 use crate::RecordBatch;
 use crate::keeper_state::KeeperState;
 
-/// Keeps a router's configuration; clones are the same keeper. It lives on the control thread.
+/// Keeps a router's configuration on the control thread. Clones share the same state.
 #[derive(Clone, Debug)]
 pub struct ConfigKeeper {
     pub(crate) shared: Rc<KeeperShared>,
@@ -47,7 +47,7 @@
 }
 
 impl ConfigKeeper {
-    /// A keeper that knows nothing yet. `writer` names this router's incarnation: it stands in the
+    /// Creates a keeper without a configuration. `writer` names this router's incarnation: it stands in the
     /// ids of the snapshots that it writes, and sets its pauses apart from those of others.
     pub fn new(
         writer: &str,
@@ -80,7 +80,7 @@
         self.shared.changed.send_replace(());
     }
 
-    /// A peer told the version it has in force; 0 if none. If it is newer than this router's, its
+    /// A peer reported its active version; 0 if none. If it is newer than this router's, its
     /// `records_from(wanted_offset())` is wanted here.
     pub fn hear_version(&self, version: ConfigVersion) {
         self.shared.state.borrow_mut().hear(version, Instant::now());
--- a/crates/config/src/config_record.rs
+++ b/crates/config/src/config_record.rs
@@ -44,7 +44,7 @@
     pub covers_offset: LogOffset,
     /// The version in force there.
     pub version: ConfigVersion,
-    /// The document in force there, as text: a reader that knows the state does not read it.
+    /// The document in force there, as text: a reader that has the state does not read it.
     pub document: Box<RawValue>,
     /// The newest versions before it.
     #[serde(default)]
--- a/crates/config/src/keeper_settings.rs
+++ b/crates/config/src/keeper_settings.rs
@@ -27,7 +27,7 @@
     pub read_wait: Duration,
     /// Records in one read.
     pub page_records: usize,
-    /// A follower reads the log when it has heard nothing from peers for so long.
+    /// A follower that has received nothing from peers for this long reads the log.
     pub quiet_limit: Duration,
     /// A follower reads the log when a peer is ahead and its records have not come for so long.
     pub offer_limit: Duration,
--- a/crates/config/src/keeper_state.rs
+++ b/crates/config/src/keeper_state.rs
@@ -1,4 +1,4 @@
-//! What the keeper knows, without I/O.
+//! State of the configuration keeper, without I/O.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -30,7 +30,7 @@
     pub document: Option<Arc<ConfigDocument>>,
 }
 
-/// What the keeper knows.
+/// State of the configuration keeper.
 #[derive(Debug)]
 pub(crate) struct KeeperState {
     pub(crate) fold: ConfigFold,
@@ -40,7 +40,7 @@
     /// Verdicts awaited, by the ids of the patches; the first one stands.
     awaited: HashMap<String, Option<PatchVerdict>>,
     published: ConfigVersion,
-    /// The newest version that a peer has told of.
+    /// The newest version reported by a peer.
     heard_version: ConfigVersion,
     heard_at: Instant,
     /// Since when a peer is known to be ahead.
@@ -222,7 +222,7 @@
         }
     }
 
-    /// A peer told the version it has in force.
+    /// A peer reported its active version.
     pub(crate) fn hear(&mut self, version: ConfigVersion, now: Instant) {
         self.heard_at = now;
         self.heard_version = self.heard_version.max(version);
--- a/crates/config/src/log_access.rs
+++ b/crates/config/src/log_access.rs
@@ -17,7 +17,7 @@
 pub type AppendCall =
     Rc<dyn Fn(Arc<str>, Arc<str>) -> LocalBoxFuture<'static, Result<LogOffset, LogError>>>;
 
-/// Reads up to so many records from an offset on; waits for the first as long as it is told.
+/// Reads up to this many records from an offset on, waiting up to the given time for the first.
 pub type ReadCall =
     Rc<dyn Fn(LogOffset, usize, Duration) -> LocalBoxFuture<'static, Result<LogPage, LogError>>>;
 
--- a/crates/config/src/operator_api.rs
+++ b/crates/config/src/operator_api.rs
@@ -68,7 +68,7 @@
 pub struct HistoryAnswer {
     /// The version in force at this router.
     pub version: ConfigVersion,
-    /// The newest accepted and refused patches that this router knows, oldest first.
+    /// The newest accepted and refused patches on this router, oldest first.
     #[serde(flatten)]
     pub history: ConfigHistory,
     /// Records that could not be read since this router started.
@@ -79,24 +79,24 @@
 /// `GET /hosts`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostsAnswer {
-    /// The entry hosts that this router knows.
+    /// The entry hosts in this router's view.
     pub hosts: Vec<HostRow>,
 }
 
-/// An entry host as a router knows it.
+/// An entry host in a router's view.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostRow {
     /// Its name.
     pub host: HostName,
     /// Its availability zone.
     pub zone: ZoneName,
-    /// The version in force there, as last heard.
+    /// The active version there, as last reported.
     pub version: ConfigVersion,
     /// Whether it can be reached.
     pub state: HostReach,
     /// The incarnation of its router.
     pub incarnation: Incarnation,
-    /// Milliseconds since it was last heard; 0 for the router that answers.
+    /// Milliseconds since its last message; 0 for the router that answers.
     pub heard_ms_ago: u64,
 }
 
@@ -108,7 +108,7 @@
     #[display("self")]
     #[serde(rename = "self")]
     Own,
-    /// It was heard lately.
+    /// It sent a message recently.
     #[display("up")]
     Up,
     /// It is suspected to be gone.
@@ -129,7 +129,7 @@
     pub servers: Vec<ServerRow>,
 }
 
-/// A backend server as a router knows it.
+/// A backend server in a router's view.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerRow {
     /// Its name.
--- a/crates/config/src/patch_submission.rs
+++ b/crates/config/src/patch_submission.rs
@@ -161,7 +161,7 @@
         }
         let is_ahead = self.shared.state.borrow().fold.version() < patch.base;
         if is_ahead || self.has_gap() {
-            // The operator may know a newer version from another router.
+            // The operator may have a newer version from another router.
             let read = timeout_at(deadline, self.shared.read_to_end(None)).await;
             if !matches!(read, Ok(Ok(()))) || self.has_gap() {
                 return Some(SubmitOutcome::Unavailable);
--- a/crates/config/src/reader_choice.rs
+++ b/crates/config/src/reader_choice.rs
@@ -6,7 +6,7 @@
 
 use crate::ReaderRole;
 
-/// The role of one host among all that live.
+/// The role of one host among the live ones.
 ///
 /// The first few hosts of each zone by name read the log, so that a zone cut off from the others
 /// still has readers. Ranks go through the zones first: the two that would write a snapshot first
--- a/crates/config/tests/config/cluster.rs
+++ b/crates/config/tests/config/cluster.rs
@@ -109,7 +109,7 @@
         rig
     }
 
-    /// Stops a host for good, without a word to anyone.
+    /// Stops a host for good, without notice.
     pub(crate) fn stop(&self, index: usize) {
         let host = self.host(index);
         host.token.cancel();
@@ -117,7 +117,7 @@
         host.link.is_cut.set(true);
     }
 
-    /// Replaces a host by one that knows nothing and has the same links.
+    /// Replaces a host by a new one with the same links.
     pub(crate) fn restart(&self, index: usize, role: ReaderRole) {
         let old = self.host(index);
         old.token.cancel();
@@ -180,7 +180,7 @@
         (fold, winners)
     }
 
-    /// Every host that lives has in force what the log comes to.
+    /// Every live host has the configuration that the log folds to.
     pub(crate) fn assert_converged(&self) {
         let (fold, _) = self.truth();
         for (index, host) in self.hosts.borrow().iter().enumerate() {
--- a/crates/config/tests/config/common.rs
+++ b/crates/config/tests/config/common.rs
@@ -49,7 +49,7 @@
     })
 }
 
-/// A merge patch that can be told from others by `mark`.
+/// A merge patch that is identified by `mark`.
 pub(crate) fn marked(mark: u64) -> Value {
     json!({ "teams": { "shop": { "requests_per_s": mark } } })
 }
--- a/crates/config/tests/config/histories.rs
+++ b/crates/config/tests/config/histories.rs
@@ -288,7 +288,7 @@
 }
 
 /// Operators race through four routers while answers are lost, the log goes out, links are cut,
-/// routers restart, and old snapshots are written. What they are told must fit one order of versions
+/// routers restart, and old snapshots are written. Their answers must fit one order of versions
 /// in which each has one winner; afterwards all routers agree, and none ever went back.
 #[test]
 fn drawn_histories_are_those_of_a_versioned_register() {
--- a/crates/config/tests/config/keeper.rs
+++ b/crates/config/tests/config/keeper.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// The answer to an append is lost. The operator is told what became of the patch, and it makes one
+/// The answer to an append is lost. The operator gets the patch's result, and it makes one
 /// version however many copies of it get into the log.
 #[test]
 fn lost_answers_are_settled_by_reading_back() {
@@ -136,7 +136,7 @@
 }
 
 /// Both copies of a patch come to its router at once, out of a peer's hands. The second copy is
-/// stale, since the first was accepted; the operator must hear of the first.
+/// stale, since the first was accepted; the operator must get the first one's result.
 #[test]
 fn the_first_copy_of_a_patch_is_its_verdict() {
     run(async {
--- a/crates/config/tests/config/restarts.rs
+++ b/crates/config/tests/config/restarts.rs
@@ -113,7 +113,7 @@
     }
 }
 
-/// A router that restarts hears of a version that no peer in reach can hand on any more. Serving the
+/// A router that restarts receives a version number whose document no reachable peer has any more. Serving the
 /// older one that a peer has could bring back what it had withdrawn; it waits for the log.
 #[test]
 fn a_version_that_was_heard_of_is_waited_for() {
--- a/crates/router/src/attempt/attempt_failure.rs
+++ b/crates/router/src/attempt/attempt_failure.rs
@@ -37,7 +37,7 @@
     /// The answer was not the one asked for.
     #[display("{_0}")]
     Foreign(IdentityFault),
-    /// The server failed in its own words.
+    /// The server answered with an error.
     #[display("the server failed with {_0}")]
     ServerError(StatusCode),
 }
--- a/crates/router/src/attempt/engine_placing.rs
+++ b/crates/router/src/attempt/engine_placing.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Whether a server may have these weights: it has told so, or has told nothing yet.
+    /// Whether a server may have these weights: it has reported them, or has reported none yet.
     pub(crate) fn may_have_weights(&self, server: &ServerName, weights: WeightsVersion) -> bool {
         let Ok(table) = self.table() else { return true };
         table.servers.get(server).is_some_and(|route| route.may_have(&self.call.model, weights))
@@ -251,7 +251,7 @@
         (0 < left || open.is_empty()).then_some(excluded)
     }
 
-    /// Waits until something changes in the book of suspects, at most to the deadline.
+    /// Waits until the table of suspects changes, or for the deadline.
     async fn wait_for_turn(&self) -> Result<(), RequestError> {
         let deadline = self.call.deadline();
         let now = Instant::now();
--- a/crates/router/src/caller/answer.rs
+++ b/crates/router/src/caller/answer.rs
@@ -22,13 +22,13 @@
 pub(crate) struct RequestError {
     /// The row of the table.
     pub(crate) kind: ErrorKind,
-    /// What became of the request; the table's word unless the raiser knows better.
+    /// Disposition of the request; from the error table unless set by the caller of this function.
     pub(crate) disposition: Disposition,
     /// When to come back, in milliseconds, where a time is known.
     pub(crate) retry_after_ms: Option<u64>,
     /// The last server that was tried.
     pub(crate) server: Option<ServerName>,
-    /// What a person should know beyond the table's sentence.
+    /// Detail in addition to the table's message.
     pub(crate) detail: Option<String>,
 }
 
@@ -39,7 +39,7 @@
         RequestError { kind, disposition, retry_after_ms: None, server: None, detail: None }
     }
 
-    /// Adds what a person should know.
+    /// Adds a detail to the message.
     pub(crate) fn detail(mut self, detail: String) -> RequestError {
         self.detail = Some(detail);
         self
@@ -83,7 +83,7 @@
         )
     }
 
-    /// Refusals come by the thousand under overload, so that they are told only on demand.
+    /// Refusals come by the thousand under overload, so that they are logged only on demand.
     fn log(&self, request: &RequestId) {
         let row = self.kind.row();
         let (event, name, code) = (row.event.number(), row.event.name(), row.code);
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -106,7 +106,7 @@
     whole(runner, open).await
 }
 
-/// Only the end is owed: no server is needed.
+/// Only the end of the stream is missing, so no server is needed.
 fn finished_stream(request_id: &RequestId, token: &ResumeToken) -> HttpResponse {
     HttpResponse::Ok()
         .insert_header((REQUEST_ID, request_id.as_str()))
--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -169,7 +169,7 @@
         }
         route.note_leaving(incarnation);
         self.state.health.mark_leaving(&route.name, incarnation);
-        // A late word of an earlier incarnation closes nothing for its successor.
+        // A late report of an earlier incarnation does not affect its successor.
         if !route.is_leaving() {
             return false;
         }
--- a/crates/router/src/control/control_message.rs
+++ b/crates/router/src/control/control_message.rs
@@ -1,4 +1,4 @@
-//! What the control thread is told.
+//! Messages to the control thread.
 
 use actix::Message;
 use fulmargate_admission::HealthEvent;
--- a/crates/router/src/control/listeners.rs
+++ b/crates/router/src/control/listeners.rs
@@ -24,7 +24,7 @@
 /// Left to actix once no request is open.
 const SHUTDOWN_TIMEOUT_S: u64 = 1;
 
-/// Listeners taken before any thread starts, so that a port in use is told at once.
+/// Listeners taken before any thread starts, so that a port in use is reported at once.
 pub(crate) struct BoundListeners {
     pub(crate) callers: TcpListener,
     pub(crate) operators: TcpListener,
--- a/crates/router/src/control/orders/lease_task.rs
+++ b/crates/router/src/control/orders/lease_task.rs
@@ -32,7 +32,7 @@
 /// The zone's lease as this process sees it; shared by the task that keeps it and by orders.
 pub(crate) struct LeaseView {
     desk: RefCell<LeaseDesk>,
-    /// This host's place among the live ones of its zone.
+    /// This host's rank among the live ones of its zone.
     pub(crate) rank: Cell<usize>,
     /// The configuration in force here.
     pub(crate) config: Cell<ConfigVersion>,
--- a/crates/router/src/control/orders/order_desk.rs
+++ b/crates/router/src/control/orders/order_desk.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    /// This host's place by name among the live ones of its zone.
+    /// This host's rank by name among the live ones of its zone.
     fn zone_rank(&self) -> usize {
         let members = self.peers.handle.members();
         let is_before = |host: &HostName| host < &self.state.host;
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -43,9 +43,9 @@
 const USAGE_PERIOD: Duration = Duration::from_secs(1);
 const DEMAND_PERIOD: Duration = Duration::from_secs(2);
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
-/// How often a plan that has not changed is told again, for hosts that have just started.
+/// Interval at which an unchanged plan is published again, for hosts that have just started.
 const PLAN_REFRESH: Duration = Duration::from_secs(10);
-/// Groups told in a report of demand.
+/// Groups in a demand report.
 const DEMAND_GROUPS: usize = 40;
 
 /// What the control actor keeps for the exchange.
@@ -68,13 +68,13 @@
     pub(crate) news: PeerNews,
 }
 
-/// The book of suspects has changed.
+/// The table of suspects has changed.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct SuspectsChanged;
 
 impl ControlActor {
-    /// Starts what is told at intervals.
+    /// Starts the periodic reports.
     pub(crate) fn start_telling(&mut self, ctx: &mut Context<ControlActor>) {
         ctx.run_interval(USAGE_PERIOD, |actor, _ctx| actor.tell_usage());
         ctx.run_interval(DEMAND_PERIOD, |actor, _ctx| actor.tell_demand());
--- a/crates/router/src/operator/health_handler.rs
+++ b/crates/router/src/operator/health_handler.rs
@@ -8,7 +8,7 @@
 use crate::state::RouterPhase;
 use crate::telemetry::render_metrics;
 
-/// `GET /health`: the process lives.
+/// `GET /health`: the process is alive.
 pub(crate) async fn health() -> HttpResponse {
     HttpResponse::Ok().json(json!({"alive": true}))
 }
--- a/crates/router/src/operator/status_handler.rs
+++ b/crates/router/src/operator/status_handler.rs
@@ -1,4 +1,4 @@
-//! What a router knows of itself and others.
+//! Status of this router and its view of the others.
 
 use actix::Handler;
 use actix::Message;
--- a/crates/router/src/state/router_phase.rs
+++ b/crates/router/src/state/router_phase.rs
@@ -11,7 +11,7 @@
     Starting = 0,
     /// It takes traffic.
     Serving = 1,
-    /// It was told to stop: not ready any more, but what comes is still served.
+    /// Stop requested: not ready any more, but requests are still served.
     Leaving = 2,
     /// It takes nothing new and finishes what is open.
     Closing = 3,
--- a/crates/router/src/state/server_route.rs
+++ b/crates/router/src/state/server_route.rs
@@ -26,7 +26,7 @@
     pub(crate) gate: Arc<ServerGate>,
     incarnation: AtomicU64,
     leaving: AtomicU64,
-    /// Weights that the server says are in use, by model; empty until it has told.
+    /// Weights that the server reports, by model; empty before its first report.
     weights: ArcSwap<IndexMap<ModelName, WeightsVersion>>,
 }
 
@@ -89,12 +89,12 @@
         true
     }
 
-    /// The weights that the server has told of for a model.
+    /// The weights that the server has reported for a model.
     pub(crate) fn told_weights(&self, model: &ModelName) -> Option<WeightsVersion> {
         self.weights.load().get(model).copied()
     }
 
-    /// Whether it has these weights or has told nothing yet.
+    /// Whether it has reported these weights, or none yet.
     pub(crate) fn may_have(&self, model: &ModelName, weights: WeightsVersion) -> bool {
         self.told_weights(model).is_none_or(|told| told == weights)
     }
--- a/crates/router/src/telemetry/team_counts.rs
+++ b/crates/router/src/telemetry/team_counts.rs
@@ -38,7 +38,7 @@
         lock(team).get(&key(state, team)).copied().unwrap_or_default()
     }
 
-    /// Changes the counts of a team. Only teams of the configuration get here, which bounds the book.
+    /// Changes the counts of a team. Only teams of the configuration get here, which bounds the table.
     pub(crate) fn note(state: &RouterState, team: &TeamName, change: fn(&mut TeamCounts)) {
         change(lock(team).entry(key(state, team)).or_default());
     }
