Server list: removed servers do not shorten the rounds of heartbeats

What callers saw: nothing; found by a last reading of the clock's claim, that n rounds span n - 1 heartbeat intervals. Cause: when servers are removed, writes from before a mark can make up half of those that remain, and complete a round. An entry kept after an outage could be dropped up to one interval early for each such removal. Change: a removal begins the current round anew. Removals end the keeping of other entries, so that this costs those that are kept one interval, within the grace period. Why it works: after a removal a server has to write twice for the next round to end, so that the writes before it no longer count. A comment of the router's answer is put right beside it.

--- a/crates/dispatch/src/heartbeat_clock.rs
+++ b/crates/dispatch/src/heartbeat_clock.rs
@@ -1,5 +1,8 @@
 //! Time between records of the server list, estimated from the servers' heartbeats.
 
+#[cfg(test)]
+mod tests;
+
 use fulmargate_names::ServerName;
 use indexmap::IndexMap;
 
@@ -9,8 +12,9 @@
 /// `n` rounds apart, some server has written `n` times between them, so that the store accepted
 /// writes for at least `n - 1` heartbeat intervals. That holds whenever the records are read, and
 /// the clock stands still while the store is unavailable to the servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HeartbeatClock {
+    /// Starts at one, so that a writer can be one behind.
     rounds: u64,
     writers: IndexMap<ServerName, HeartbeatWriter>,
     /// Number of writers whose count exceeds the number of rounds.
@@ -28,6 +32,12 @@
     last_heartbeat: u64,
 }
 
+impl Default for HeartbeatClock {
+    fn default() -> HeartbeatClock {
+        HeartbeatClock { rounds: 1, writers: IndexMap::new(), ahead: 0, heartbeats: 0 }
+    }
+}
+
 impl HeartbeatClock {
     /// Records a heartbeat: a write that leaves the entry unchanged. Writes that change an entry may
     /// follow each other faster.
@@ -48,11 +58,13 @@
         self.writer(server).last_write = rounds;
     }
 
-    /// Forgets a server.
+    /// Forgets a server and begins the current round anew: with fewer servers, writes from before the latest mark
+    /// could complete the next round.
     pub(crate) fn remove(&mut self, server: &ServerName) {
-        let Some(writer) = self.writers.swap_remove(server) else { return };
-        self.ahead -= usize::from(self.rounds < writer.count);
-        self.end_rounds();
+        self.writers.swap_remove(server);
+        let restarted = self.rounds - 1;
+        self.writers.values_mut().for_each(|writer| writer.count = restarted);
+        self.ahead = 0;
     }
 
     /// The number of completed rounds.
--- a/crates/router/src/caller/answer.rs
+++ b/crates/router/src/caller/answer.rs
@@ -22,7 +22,7 @@
 pub(crate) struct RequestError {
     /// The row of the table.
     pub(crate) kind: ErrorKind,
-    /// Disposition of the request; from the error table unless set by the caller of this function.
+    /// Disposition of the request; by default that of the error table.
     pub(crate) disposition: Disposition,
     /// When to come back, in milliseconds, where a time is known.
     pub(crate) retry_after_ms: Option<u64>,
