--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -33,7 +33,7 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
 /// A router is calm this long after the end of a disturbance.
 const CALM_AFTER: Duration = Duration::from_secs(3);
-/// After this time the heartbeats of the other servers prove a departure to whoever reads them.
+/// After this time the heartbeats of the other servers prove a departure.
 const PROVEN_AFTER: Duration = Duration::from_secs(5);
 /// A planned stop and what came just before it.
 const STOP_BEFORE: Duration = Duration::from_millis(2_500);
@@ -191,7 +191,7 @@
         let late = runs.iter().any(|run| {
             let left = self.evidence.servers[run.server].left;
             left.is_some_and(|left| {
-                left + LEAVE_BOUND < record.sent && self.knows_departure(record, left)
+                left + LEAVE_BOUND < record.sent && self.is_accountable(record, left)
             })
         });
         if late {
@@ -200,8 +200,8 @@
     }
 
     /// Whether the store was well when the server left, and the router when the request was sent. What
-    /// disturbed the router in between is no excuse.
-    fn knows_departure(&self, record: &RequestRecord, left: Instant) -> bool {
+    /// disturbed the router in between is no excuse, as it has read the list again.
+    fn is_accountable(&self, record: &RequestRecord, left: Instant) -> bool {
         let before = left.checked_sub(CALM_AFTER).unwrap_or(left);
         let mut spans = self.evidence.spans.iter();
         let was_accepted =
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -203,17 +203,19 @@
     pub(crate) async fn remove_server(&self, number: usize) -> io::Result<()> {
         let mut old = self.server(number);
         let new = self.start_server(old.service, number).await?;
+        lock(&self.servers)[number] = new;
+        // After the exchange, so that no heartbeat of the old server follows its removal.
         self.store.remove_server(&old.stand.name);
         old.left = Some(Instant::now());
         old.is_removed = true;
-        lock(&self.servers)[number] = new;
         lock(&self.retired).push(old);
         Ok(())
     }
 
-    /// Servers that are there write their entries again.
+    /// Writes the current servers' entries again.
     pub(crate) fn write_heartbeats(&self) {
-        for server in lock(&self.servers).iter() {
+        let servers = lock(&self.servers);
+        for server in servers.iter() {
             let address = server.proxies[0].address;
             self.store.put_server(&server.stand.name, server.service, address, "ready");
         }
