--- a/crates/dispatch/src/rollout_plan.rs
+++ b/crates/dispatch/src/rollout_plan.rs
@@ -53,7 +53,7 @@
     pub is_reachable: bool,
 }
 
-/// Age and time limit of the target version.
+/// Age and deadline of the target version.
 #[derive(Clone, Copy, Debug)]
 pub struct RolloutTime {
     /// Time since the version was published.
--- a/crates/dispatch/src/route_rule.rs
+++ b/crates/dispatch/src/route_rule.rs
@@ -15,7 +15,7 @@
     pub path_prefix: String,
     /// Whether and how requests may be retried.
     pub kind: RouteKind,
-    /// Time limit of a request.
+    /// Timeout of a request.
     pub timeout: Duration,
     /// Target time to the response, or to the first event of a stream.
     pub target_latency: Duration,
