Responses: the limit that a server names is read and logged

Callers saw two engines overloaded. The log could not tell whether hosts read the limit and ignore it, or keep to it each by itself. New lines server_limit_changed and server_limit_unreadable; nothing decides by them.

--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::LimitChange;
+use fulmargate_admission::NamedLimit;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
@@ -190,6 +192,17 @@
         ticket.is_queued = false;
     }
 
+    /// Records the rate limit that a response named, or that it named none. Returns the change, if any.
+    pub fn record_limit(
+        &mut self,
+        ticket: &SendTicket,
+        named: NamedLimit,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let sent_at = ticket.sent_at;
+        self.state_mut(ticket.server)?.limit.observe(named, sent_at, now)
+    }
+
     /// Removes a request that ended, successfully or not, from the server's counts.
     pub fn record_end(&mut self, ticket: &SendTicket) {
         if let Some(state) = self.state_mut(ticket.server) {
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::LimitRecord;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
@@ -58,6 +59,8 @@
     /// Versions that the engine is probably loading. Used only to route requests: if they also decided about
     /// load orders, a wrong assumption would leave the engine on old weights.
     assumed: IndexMap<ModelName, WeightsVersion>,
+    /// Rate limit that the server named.
+    pub(crate) limit: LimitRecord,
     pub(crate) cache: PromptCacheEstimate,
     /// Load on its link to other engines.
     pub(crate) link: LinkUsage,
@@ -92,6 +95,7 @@
             loading_until: None,
             weights,
             assumed: IndexMap::new(),
+            limit: LimitRecord::new(now),
             cache: PromptCacheEstimate::default(),
             link: LinkUsage::default(),
         }
--- a/crates/entry/src/traffic/in_flight_request.rs
+++ b/crates/entry/src/traffic/in_flight_request.rs
@@ -2,10 +2,13 @@
 
 use std::sync::Arc;
 
+use fulmargate_admission::LimitChange;
+use fulmargate_admission::NamedLimit;
 use fulmargate_dispatch::LoadReport;
 use fulmargate_dispatch::ProbeStep;
 use fulmargate_dispatch::SendTicket;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::EventKind;
 use tokio::time::Instant;
 
 use crate::state::SharedState;
@@ -30,6 +33,40 @@
         self.state.prompt_queue.wake();
     }
 
+    /// Records the rate limit that a response named, or that it named none.
+    pub(crate) fn record_limit(&self, server: &ServerEntry, named: NamedLimit) {
+        let now = Instant::now();
+        let change = self.state.servers().record_limit(&self.ticket, named, now);
+        if named == NamedLimit::Unreadable {
+            self.log_unreadable_limit(server, now);
+        }
+        if let Some(change) = change {
+            self.log_limit_change(server, change, now);
+        }
+    }
+
+    fn log_limit_change(&self, server: &ServerEntry, change: LimitChange, now: Instant) {
+        let kind = EventKind::ServerLimitChanged;
+        if self.state.log_limiter.allows(kind, now) {
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                server = %server.name,
+                limit = change.current,
+                previous = change.previous,
+                source = "response",
+                age_ms = 0,
+            );
+        }
+    }
+
+    fn log_unreadable_limit(&self, server: &ServerEntry, now: Instant) {
+        let kind = EventKind::ServerLimitUnreadable;
+        if self.state.log_limiter.allows(kind, now) {
+            tracing::warn!(event = kind.number(), name = kind.name(), server = %server.name);
+        }
+    }
+
     /// Returns how to proceed while the server sends no response.
     pub(crate) fn next_probe_step(&self) -> ProbeStep {
         self.state.servers().next_probe_step(self.ticket.server, Instant::now())
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -111,6 +111,9 @@
         let (parts, body) = response.into_parts();
         let head = ResponseHead::decode(&parts);
         plan.in_flight.record_response_head(head.load);
+        if !head.is_misdirected {
+            plan.in_flight.record_limit(&plan.server, head.limit);
+        }
         let matches_request = head.request.as_deref() == Some(decoded.facts.id.as_str());
         if !matches_request && !head.is_misdirected {
             return Err(SendError::new(SendOutcome::Broken, &"the answer names another request"));
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -69,6 +69,10 @@
     /// A server's entry was removed from the list right after an outage of the store; it is kept for
     /// a grace period.
     ServerLapsed = 3012,
+    /// The rate limit that a server named was learned, changed or lifted.
+    ServerLimitChanged = 3013,
+    /// A server named a rate limit that cannot be read.
+    ServerLimitUnreadable = 3014,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -179,6 +183,8 @@
     OwnReachDoubted => "own_reach_doubted",
     OwnReachRestored => "own_reach_restored",
     ServerLapsed => "server_lapsed",
+    ServerLimitChanged => "server_limit_changed",
+    ServerLimitUnreadable => "server_limit_unreadable",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
