Failing test: hosts together send a server many times the rate that it named

Three daemons over real connections and gossip; the stand-in server names a rate and logs each arrival, the judge sums them over any 4 s. On the current code 1,674 and 552 requests in 4 s at a limit of 2.8 a second (two runs). All three hosts have logged the limit (server_limit_changed) before that, and at least one of them alone sends more than 40 a second: the first hypothesis holds (nobody takes the limit into account), the second (each host keeps to it by itself) is ruled out.

--- /dev/null
+++ b/crates/entry/tests/daemon/server_limits.rs
@@ -0,0 +1,220 @@
+//! Rate limits that servers name in their responses.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fulmargate_consortium_stand::CallerRequest;
+use fulmargate_consortium_stand::FakeServer;
+use fulmargate_consortium_stand::ServerMode;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::support::DaemonProcess;
+use crate::support::TestDeployment;
+use crate::support::wait_until;
+
+/// The hosts together keep to a limit this long after the first response that named it.
+const LEARNING_TIME: Duration = Duration::from_millis(500);
+const JUDGED_SPAN: Duration = Duration::from_secs(4);
+/// Requests above the rate in a span: what is admitted at once when a host's request meets a full bucket, and
+/// what hosts admit before they receive each other's reports.
+const SMALL_BURST: f64 = 3.0;
+/// Share of its limit that a server gets at least while demand exceeds it.
+const MIN_USE: f64 = 0.9;
+const LOAD_DURATION: Duration = Duration::from_secs(7);
+const CALLERS_PER_HOST: usize = 6;
+const CALLER_PAUSE: Duration = Duration::from_millis(40);
+
+/// Daemons in one fleet, with callers that send to all of them.
+struct LimitFleet {
+    deployment: TestDeployment,
+    daemons: Vec<DaemonProcess>,
+}
+
+/// Responses that callers got.
+#[derive(Default)]
+struct CallerCounts {
+    served: AtomicUsize,
+    rejected: AtomicUsize,
+}
+
+/// Callers that send requests until they are stopped.
+struct RunningLoad {
+    stop: Arc<AtomicBool>,
+    counts: Arc<CallerCounts>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl LimitFleet {
+    /// Starts a deployment and further daemons, one in each of these zones.
+    async fn start(zones: &[&str]) -> LimitFleet {
+        let deployment = TestDeployment::start_with_long_timeout(ServerMode::Answer).await;
+        let mut daemons = Vec::new();
+        for zone in zones {
+            let settings = json!({"zone": zone});
+            daemons.push(DaemonProcess::start_with_settings(deployment.store.address, &settings));
+        }
+        for daemon in &daemons {
+            wait_until("a daemon lists all servers", || daemon.events("server_listed").len() == 4)
+                .await;
+            wait_until("its configuration is confirmed", || {
+                daemon.events("config_proven").len() == 1
+            })
+            .await;
+        }
+        // Routers receive each other's messages.
+        sleep(LEARNING_TIME).await;
+        LimitFleet { deployment, daemons }
+    }
+
+    async fn callers_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let mut addresses = vec![self.deployment.callers];
+        for daemon in &self.daemons {
+            addresses.push(daemon.address("callers").await);
+        }
+        addresses
+    }
+
+    /// Number of hosts that have logged this limit of the server.
+    fn hosts_that_know(&self, server: &FakeServer, limit: &str) -> usize {
+        let rate: f64 = limit.parse().expect("a rate");
+        let knows = |daemon: &&DaemonProcess| {
+            daemon
+                .events("server_limit_changed")
+                .iter()
+                .any(|event| event["server"] == server.name && event["limit"] == rate)
+        };
+        self.daemons.iter().chain([&self.deployment.daemon]).filter(knows).count()
+    }
+
+    /// Starts callers that send to every host.
+    async fn start_load(&self, load: fn(&str) -> CallerRequest) -> RunningLoad {
+        let stop = Arc::new(AtomicBool::new(false));
+        let counts = Arc::new(CallerCounts::default());
+        let mut callers = Vec::new();
+        for (host, address) in self.callers_addresses().await.into_iter().enumerate() {
+            for number in 0..CALLERS_PER_HOST {
+                let (stop, counts) = (stop.clone(), counts.clone());
+                callers.push(tokio::spawn(async move {
+                    let mut sent = 0;
+                    while !stop.load(Ordering::Relaxed) {
+                        sent += 1;
+                        let request = load(&format!("load-{host}-{number}-{sent}"));
+                        match request.send(address).await {
+                            Ok(response) if response.status == 200 => {
+                                counts.served.fetch_add(1, Ordering::Relaxed)
+                            }
+                            _ => counts.rejected.fetch_add(1, Ordering::Relaxed),
+                        };
+                        sleep(CALLER_PAUSE).await;
+                    }
+                }));
+            }
+        }
+        RunningLoad { stop, counts, callers }
+    }
+}
+
+impl RunningLoad {
+    async fn stop(self) -> Arc<CallerCounts> {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.await.expect("a caller");
+        }
+        self.counts
+    }
+}
+
+fn read_request(id: &str) -> CallerRequest {
+    CallerRequest::new("/read/x", id)
+}
+
+fn charge_request(id: &str) -> CallerRequest {
+    CallerRequest::new("/charge/x", id)
+}
+
+fn chat_request(id: &str) -> CallerRequest {
+    CallerRequest::prompt("/chat/x", id)
+}
+
+/// Checks that the server got its rate and no more, from all hosts together.
+fn assert_limit_kept(name: &str, server: &FakeServer, rate_per_s: f64) {
+    let log = server.arrivals().after_limit(LEARNING_TIME);
+    let max = log.max_in(JUDGED_SPAN) as f64;
+    let allowed = rate_per_s * JUDGED_SPAN.as_secs_f64() + SMALL_BURST;
+    assert!(max <= allowed, "{name}: {max} requests in 4 s at {rate_per_s} a second");
+    let span = log.limit_sent.map_or(Duration::ZERO, |sent| {
+        Instant::now().saturating_duration_since(sent + LEARNING_TIME)
+    });
+    let expected = MIN_USE * rate_per_s * span.as_secs_f64() - 1.0;
+    let used = log.arrivals.len() as f64;
+    assert!(expected <= used, "{name}: {used} of {expected:.1} requests in {span:?}");
+}
+
+struct LimitCase {
+    name: &'static str,
+    load: fn(&str) -> CallerRequest,
+    /// The server that names the limit, by its list in the deployment.
+    server: fn(&TestDeployment) -> &FakeServer,
+    limit: &'static str,
+}
+
+const CASES: &[LimitCase] = &[
+    LimitCase {
+        name: "idempotent requests",
+        load: read_request,
+        server: |deployment| &deployment.plain_servers[0],
+        limit: "2.8",
+    },
+    LimitCase {
+        name: "non-idempotent requests",
+        load: charge_request,
+        server: |deployment| &deployment.plain_servers[1],
+        limit: "10",
+    },
+    LimitCase {
+        name: "prompts",
+        load: chat_request,
+        server: |deployment| &deployment.engines[0],
+        limit: "1",
+    },
+];
+
+/// A server that names a rate must not get several times that from hosts that each know the limit.
+#[tokio::test]
+async fn hosts_together_keep_to_a_named_limit() {
+    let fleet = LimitFleet::start(&["south", "east"]).await;
+    for case in CASES {
+        let server = (case.server)(&fleet.deployment);
+        server.set_limit(Some(case.limit));
+        let load = fleet.start_load(case.load).await;
+        sleep(LOAD_DURATION).await;
+        let counts = load.stop().await;
+        assert_eq!(fleet.hosts_that_know(server, case.limit), 3, "{}: hosts know it", case.name);
+        let rate: f64 = case.limit.parse().expect("a rate");
+        assert_limit_kept(case.name, server, rate);
+        let rejected = counts.rejected.load(Ordering::Relaxed);
+        assert_eq!(rejected, 0, "{}: another server takes the rest", case.name);
+        server.set_limit(None);
+    }
+}
+
+/// Guards against a limit that is known on one host only, or not logged.
+#[tokio::test]
+async fn a_named_limit_is_logged_with_its_value() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    for server in &deployment.plain_servers {
+        server.set_limit(Some("2.5"));
+    }
+    deployment.send(&read_request("first")).await;
+    wait_until("the limit is logged", || {
+        let events = deployment.daemon.events("server_limit_changed");
+        events.first().is_some_and(|event| event["limit"] == 2.5 && event["source"] == "response")
+    })
+    .await;
+}
