--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,9 +2,10 @@
 //! budget and detection of requests that crash servers.
 //!
 //! The crate does no I/O. Its types are shared by the traffic threads of one router; callers must
-//! lock a `QuotaTracker`, the others lock internally.
+//! lock a `QuotaTracker` and `ServerLimits`, the others lock internally.
 
 mod adaptive_limit;
+mod bucket_table;
 mod class_conf;
 mod class_queue;
 mod class_rule;
@@ -32,6 +33,7 @@
 mod health_event;
 mod health_registry;
 mod limit_record;
+mod limit_report;
 mod limiter_conf;
 mod lock;
 mod named_limit;
@@ -49,6 +51,7 @@
 mod server_availability;
 mod server_gate;
 mod server_health;
+mod server_limits;
 mod server_result;
 mod sharing_view;
 mod suspect_conf;
@@ -66,6 +69,7 @@
 mod trial_order;
 mod usage_report;
 
+pub use bucket_table::QuotaRefusal;
 pub use class_conf::ClassConf;
 pub use class_rule::ClassRule;
 pub use class_table::ClassTable;
@@ -93,13 +97,14 @@
 pub use health_registry::HealthRegistry;
 pub use limit_record::LimitChange;
 pub use limit_record::LimitRecord;
+pub use limit_report::LimitNotice;
+pub use limit_report::LimitReport;
 pub use limiter_conf::LimiterConf;
 pub use named_limit::NamedLimit;
 pub use quota_conf::QuotaConf;
+pub use quota_report::BucketKey;
 pub use quota_report::QuotaCount;
 pub use quota_report::QuotaReport;
-pub use quota_report::TeamKey;
-pub use quota_tracker::QuotaRefusal;
 pub use quota_tracker::QuotaTracker;
 pub use request_class::RequestClass;
 pub use retry_budget::RetryBudget;
@@ -108,6 +113,10 @@
 pub use server_availability::DrainState;
 pub use server_availability::ServerAvailability;
 pub use server_gate::ServerGate;
+pub use server_limits::LearnedLimit;
+pub use server_limits::LimitGrant;
+pub use server_limits::LimitWait;
+pub use server_limits::ServerLimits;
 pub use server_result::ServerResult;
 pub use suspect_conf::SuspectConf;
 pub use suspect_run::SuspectRun;
--- /dev/null
+++ b/crates/admission/src/limit_report.rs
@@ -0,0 +1,36 @@
+//! Limits of servers and their use, exchanged between routers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::QuotaReport;
+
+/// What one router knows of limited servers, and what it sent to them since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Limits that the sender knows; some of them if there are many.
+    pub notices: Vec<LimitNotice>,
+    /// Requests sent to limited servers, by server.
+    pub usage: QuotaReport,
+}
+
+/// Limit of one server incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Key of the server incarnation.
+    pub server: u64,
+    /// Requests per second that it accepts from all routers together; `None` if the limit was lifted.
+    pub rate_per_s: Option<f64>,
+    /// Milliseconds since a response confirmed this.
+    pub age_ms: u32,
+    /// Requests per second for which the sender would choose the server, admitted or not.
+    pub attempts_per_s: f32,
+}
+
+impl LimitNotice {
+    /// Whether the figures are in range. Others come from a faulty router.
+    pub(crate) fn is_valid(&self) -> bool {
+        let is_valid_rate = |rate: f64| rate.is_finite() && 0.0 <= rate;
+        self.rate_per_s.is_none_or(is_valid_rate) && is_valid_rate(f64::from(self.attempts_per_s))
+    }
+}
--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -129,6 +129,11 @@
         self.quota = quota;
     }
 
+    /// Changes the rate of a quota without a burst. Tokens and debts stay as they are.
+    pub(crate) fn set_rate(&mut self, rate_per_s: f64) {
+        self.quota.rate_per_s = rate_per_s;
+    }
+
     /// Takes tokens, or returns the time after which to retry.
     pub(crate) fn admit(
         &mut self,
@@ -236,7 +241,9 @@
     /// Maximum level of the bucket. It includes a part of the overage margin so that delayed usage
     /// reports do not cause the refusal of requests that are within the quota.
     fn capacity(&self, conf: &QuotaConf) -> f64 {
-        self.burst_capacity(conf).max(self.min_capacity(conf)) * self.reachable_share
+        let report_tokens = self.quota.rate_per_s * conf.report_delay.as_secs_f64();
+        (self.burst_capacity(conf).max(self.min_capacity(conf)) + report_tokens)
+            * self.reachable_share
     }
 
     /// Tokens per second granted to all routers together.
@@ -262,7 +269,12 @@
     }
 
     /// Refills the bucket up to `now` and updates the reserve for unreachable routers.
-    fn update(&mut self, peer_tracker: &mut PeerTracker, conf: &QuotaConf, now: Instant) {
+    pub(crate) fn update(
+        &mut self,
+        peer_tracker: &mut PeerTracker,
+        conf: &QuotaConf,
+        now: Instant,
+    ) {
         self.refill(peer_tracker, conf, now);
         self.update_unreachable(peer_tracker, conf, now);
         let remaining = (1.0 - self.unreachable.values().sum::<f64>()).max(0.0);
@@ -389,6 +401,20 @@
         (self.requested.short_rate.at(now) / long_term_rate).clamp(1.0, MAX_SURGE_FACTOR)
     }
 
+    /// Time until this many tokens are available if no other request takes any.
+    pub(crate) fn time_until(
+        &self,
+        tokens: f64,
+        peer_tracker: &PeerTracker,
+        conf: &QuotaConf,
+        now: Instant,
+    ) -> Duration {
+        let missing = tokens - self.available(peer_tracker, conf, now);
+        let rate = (self.refill_rate(conf) * self.reachable_share).max(f64::EPSILON);
+        let wait_s = missing.max(0.0) / rate;
+        Duration::try_from_secs_f64(wait_s.min(MAX_RETRY_AFTER_S)).unwrap_or_default()
+    }
+
     /// Estimates when the missing tokens will be available, assuming that previously refused
     /// callers retry first.
     fn retry_after(&mut self, cost: u64, missing: f64, conf: &QuotaConf, now: Instant) -> Duration {
--- a/crates/admission/src/quota_conf.rs
+++ b/crates/admission/src/quota_conf.rs
@@ -11,6 +11,9 @@
     pub overage: f64,
     /// Tokens by which usage in a window may exceed the quota, in addition to `overage`.
     pub slack: f64,
+    /// Time until other routers know of tokens taken here. A bucket holds in addition what its rate grants
+    /// meanwhile; zero for buckets that are much larger anyway.
+    pub report_delay: Duration,
     /// A router that has sent no report for this time is unreachable. It may still admit requests.
     pub reach_timeout: Duration,
     /// A router that has been unreachable for this time, while others in its zone are reachable,
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod crash_simulation;
 pub(crate) mod limit_simulation;
 pub(crate) mod quota_simulation;
+pub(crate) mod server_limit_simulation;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/admission/tests/support/quota_simulation.rs
+++ b/crates/admission/tests/support/quota_simulation.rs
@@ -37,6 +37,7 @@
         window: Duration::from_secs(8),
         overage: 0.1,
         slack: 110_000.0,
+        report_delay: Duration::ZERO,
         reach_timeout: ms(1_200),
         end_timeout: Duration::from_secs(60),
     }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -84,6 +84,11 @@
     (call.route.target_latency.mul_f64(max_targets) < waited).then(|| retry_after(call))
 }
 
+/// The time after which a queued prompt is rejected even if no other waits.
+pub(crate) fn must_start_by(call: &CallFacts) -> Instant {
+    call.deadline.min(call.arrived + call.route.target_latency.mul_f64(REJECT_AFTER_TARGETS))
+}
+
 /// Retry delay with jitter derived from the request's id.
 fn retry_after(call: &CallFacts) -> Duration {
     let fraction = (xxh3_64(call.id.as_str().as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -248,6 +248,7 @@
             cost += STALE_WEIGHTS_PENALTY_MS;
         }
         cost += state.failure_share(self.now) * FAILURE_PENALTY_MS;
+        cost -= state.limit_discount_ms();
         cost += self.interference_ms(state, context);
         cost += self.unreported_ms(cached_tokens, prefill_tokens, context);
         cost += self.jitter(state) * context.gossip_interval_ms * JITTER_SHARE;
--- a/crates/dispatch/src/gossip_message.rs
+++ b/crates/dispatch/src/gossip_message.rs
@@ -1,5 +1,6 @@
 //! Messages that routers exchange directly and often. Lost ones are not resent.
 
+use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaReport;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -59,6 +60,10 @@
     /// message as well.
     #[serde(skip)]
     pub quotas: Option<QuotaReport>,
+    /// Rate limits of servers that the sender knows, and requests sent to these servers since its last message.
+    /// Encoded after the message as well.
+    #[serde(skip)]
+    pub limits: Option<LimitReport>,
 }
 
 /// Time since a target weights version was published.
--- a/crates/dispatch/src/placement_request.rs
+++ b/crates/dispatch/src/placement_request.rs
@@ -1,7 +1,9 @@
 //! Requests to place a prompt on an engine, and their results.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::LimitWait;
 use fulmargate_names::ModelName;
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
@@ -14,6 +16,7 @@
 use crate::EngineRequest;
 use crate::RouteTable;
 use crate::SendTicket;
+use crate::ServerEntry;
 use crate::ServerKey;
 use crate::WeightsTable;
 
@@ -66,10 +69,32 @@
     /// The prompt has to wait, with the number of tokens to prefill: the best engine's queue is full, or queued
     /// prompts go first. In the latter case no engine was chosen, and the number is the whole prompt's length.
     Queued(f64),
+    /// The engines that could take the prompt are at their rate limits.
+    Limited(LimitWait),
     /// No engine may serve the prompt.
     NoEngine,
 }
 
+/// A server of a plain service that a call was assigned to.
+#[derive(Debug)]
+pub struct AssignedServer {
+    /// The server.
+    pub server: Arc<ServerEntry>,
+    /// Ticket for reporting the outcome of the send.
+    pub ticket: SendTicket,
+}
+
+/// Result of placing a plain call.
+#[derive(Debug)]
+pub enum PlainPlacement {
+    /// The call was assigned to a server.
+    Assigned(Box<AssignedServer>),
+    /// The servers that could take the call are at their rate limits; the time until one may take it.
+    Limited(Duration),
+    /// No server may serve the call.
+    NoServer,
+}
+
 impl PlacementRequest {
     pub(crate) fn request<'a>(
         &'a self,
--- a/crates/dispatch/src/request_queue.rs
+++ b/crates/dispatch/src/request_queue.rs
@@ -88,6 +88,7 @@
         self.sort(view.now);
         let mut outcomes = Vec::new();
         let mut failed_placements = 0;
+        let mut limited = 0;
         self.waiting.retain_mut(|prompt| {
             if MAX_FAILED_PLACEMENTS <= failed_placements {
                 return true;
@@ -97,6 +98,16 @@
                     outcomes.push((prompt.ticket, QueueOutcome::Assigned(assigned)));
                 }
                 Placement::NoEngine => outcomes.push((prompt.ticket, QueueOutcome::NoEngine)),
+                Placement::Limited(wait) => {
+                    failed_placements += 1;
+                    let wait = wait.behind(limited);
+                    if admission::must_start_by(&prompt.request.call) < view.now + wait {
+                        outcomes.push((prompt.ticket, QueueOutcome::Refused(wait)));
+                        return false;
+                    }
+                    limited += 1;
+                    return true;
+                }
                 Placement::Queued(prefill_tokens) => {
                     prompt.prefill_tokens = prefill_tokens;
                     failed_placements += 1;
--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -3,12 +3,13 @@
 mod choices;
 mod connectivity;
 mod gossip;
+mod limits;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmargate_admission::LimitChange;
-use fulmargate_admission::NamedLimit;
+use fulmargate_admission::LimitGrant;
+use fulmargate_admission::ServerLimits;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
@@ -32,6 +33,7 @@
 use crate::link_usage::LinkUsage;
 use crate::local_fault_detector::LocalFaultDetector;
 use crate::pending_updates::PendingUpdates;
+use crate::plain_queue::PlainQueue;
 
 /// How long a server that rejected a request as full is skipped: about the time in which one of its
 /// running requests ends.
@@ -54,6 +56,17 @@
     /// Whether its prompt tokens are still counted in the server's backlog.
     is_queued: bool,
     sent_at: Instant,
+    /// Admission by the server's rate limit, given back if the request is not sent; `None` without a limit.
+    grant: Option<LimitGrant>,
+    /// When the request went out; `None` until then.
+    left_at: Option<Instant>,
+}
+
+impl SendTicket {
+    /// Admission by the server's rate limit; `None` without a limit.
+    pub fn grant(&self) -> Option<LimitGrant> {
+        self.grant
+    }
 }
 
 /// Registry of all listed servers with their estimated state.
@@ -78,6 +91,12 @@
     pending_cache_updates: PendingUpdates,
     /// Servers whose address now belongs to another server. Ignored until the list drops them.
     replaced: IndexSet<ServerKey>,
+    /// Rate limits that servers name; `None` where no other router shares them.
+    limits: Option<ServerLimits>,
+    /// When the headroom of limited servers was last updated.
+    headroom_refreshed: Option<Instant>,
+    /// Plain calls that wait for a limited server.
+    plain_queue: PlainQueue,
     /// Recent connection attempts, from which a local network fault is suspected.
     local_fault_detector: LocalFaultDetector,
 }
@@ -88,6 +107,9 @@
         let listed_keys: IndexSet<ServerKey> = entries.iter().map(|entry| entry.key()).collect();
         self.servers.retain(|key, _| listed_keys.contains(key));
         self.replaced.retain(|key| listed_keys.contains(key));
+        if let Some(limits) = &mut self.limits {
+            limits.retain(|server| listed_keys.contains(&ServerKey(server)));
+        }
         for entry in entries {
             let key = entry.key();
             if self.replaced.contains(&key) {
@@ -133,6 +155,8 @@
             shape: CallShape::Plain,
             is_queued: true,
             sent_at: now,
+            grant: None,
+            left_at: None,
         }
     }
 
@@ -169,6 +193,8 @@
             shape: choice.shape,
             is_queued: true,
             sent_at: now,
+            grant: None,
+            left_at: None,
         }
     }
 
@@ -192,19 +218,9 @@
         ticket.is_queued = false;
     }
 
-    /// Records the rate limit that a response named, or that it named none. Returns the change, if any.
-    pub fn record_limit(
-        &mut self,
-        ticket: &SendTicket,
-        named: NamedLimit,
-        now: Instant,
-    ) -> Option<LimitChange> {
-        let sent_at = ticket.sent_at;
-        self.state_mut(ticket.server)?.limit.observe(named, sent_at, now)
-    }
-
     /// Removes a request that ended, successfully or not, from the server's counts.
     pub fn record_end(&mut self, ticket: &SendTicket) {
+        self.refund_unsent(ticket);
         if let Some(state) = self.state_mut(ticket.server) {
             state.open = state.open.saturating_sub(1);
             let chats = u32::from(ticket.shape == CallShape::Chat);
--- a/crates/dispatch/src/server_registry/choices.rs
+++ b/crates/dispatch/src/server_registry/choices.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::LimitWait;
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
@@ -12,6 +13,8 @@
 use tokio::time::Instant;
 
 use crate::AssignedEngine;
+use crate::AssignedServer;
+use crate::CallFacts;
 use crate::CallShape;
 use crate::ChoiceReason;
 use crate::ChoiceView;
@@ -19,6 +22,8 @@
 use crate::EngineRequest;
 use crate::Placement;
 use crate::PlacementRequest;
+use crate::PlainPlacement;
+use crate::PlainTicket;
 use crate::ServerEntry;
 use crate::ServerKey;
 use crate::ServerRegistry;
@@ -32,6 +37,7 @@
 use crate::experiment::is_enabled;
 use crate::gossip_interval;
 use crate::prompt_source::PromptSource;
+use crate::server_state::LimitHeadroom;
 
 /// Cost of sending a plain call to another availability zone.
 const CROSS_ZONE_MS: f64 = 2.0;
@@ -48,7 +54,53 @@
 const MIN_SAVED_TOKENS: u32 = 1_000;
 
 impl ServerRegistry {
-    /// Selects the server of a plain service with the lowest expected latency.
+    /// Selects a server of a plain service and counts the call as sent there. While all open servers are at their
+    /// rate limits, calls wait in the order of their priority; `waiting` is the ticket of a call that does.
+    pub fn place_plain(
+        &mut self,
+        call: &CallFacts,
+        service: &ServiceName,
+        zone: &ZoneName,
+        excluded: &[ServerKey],
+        waiting: Option<&PlainTicket>,
+        now: Instant,
+    ) -> PlainPlacement {
+        self.refresh_headroom(now);
+        let ahead = self.plain_calls_ahead(service, call.priority, waiting);
+        let mut exhausted = Vec::new();
+        let mut earliest: Option<LimitWait> = None;
+        loop {
+            let skipped = [excluded, &exhausted].concat();
+            let server = self.choose_plain(service, zone, &skipped, now);
+            // A server at its limit is waited for rather than replaced by one that does not respond.
+            let is_open = |server: &ServerEntry| {
+                self.state(server.key()).is_some_and(|state| state.is_open(now))
+            };
+            let server = server.filter(|server| earliest.is_none() || is_open(server));
+            let Some(server) = server else {
+                return earliest.map_or(PlainPlacement::NoServer, |wait| {
+                    PlainPlacement::Limited(wait.behind(ahead))
+                });
+            };
+            let admission = match ahead {
+                0 => self.admit_by_limit(server.key(), now),
+                _ => self.wait_behind(server.key(), now),
+            };
+            match admission {
+                Ok(grant) => {
+                    let mut ticket = self.record_send(call, server.key(), now);
+                    ticket.grant = grant;
+                    return PlainPlacement::Assigned(Box::new(AssignedServer { server, ticket }));
+                }
+                Err(wait) => {
+                    exhausted.push(server.key());
+                    earliest = Some(earliest.map_or(wait, |other| other.either(wait)));
+                }
+            }
+        }
+    }
+
+    /// Selects the server of a plain service with the lowest expected latency, without regard to rate limits.
     pub fn choose_plain(
         &self,
         service: &ServiceName,
@@ -69,6 +121,7 @@
                 + state.failure_share(now) * FAILURE_MS
                 + cross_zone
                 + warm_up
+                - state.limit_discount_ms()
         };
         let cheapest = |states: Vec<&ServerState>| {
             let best = states.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
@@ -79,21 +132,55 @@
             .or_else(|| cheapest(self.servers.values().filter(of_service).collect()))
     }
 
-    /// Sends a prompt to the engine with the lowest cost, if its queue has room.
+    /// Sends a prompt to the engine with the lowest cost, if its queue has room and its rate limit admits it.
     pub fn place(&mut self, placement: &PlacementRequest, view: ChoiceView<'_>) -> Placement {
-        let choice = self.choose_engine(&placement.request(view, &placement.excluded));
-        // Falls back to servers that this prompt has already been sent to.
-        let choice = choice.or_else(|| self.choose_engine(&placement.request(view, &[])));
-        let Some(choice) = choice else { return Placement::NoEngine };
-        if !has_room(placement, &choice, self.current_gossip_interval(view.now)) {
-            return Placement::Queued(choice.prefill_tokens);
+        self.refresh_headroom(view.now);
+        let mut exhausted = Vec::new();
+        let mut earliest: Option<LimitWait> = None;
+        loop {
+            let choice = self.choose_for(placement, &exhausted, view);
+            let choice = choice
+                .filter(|choice| earliest.is_none() || choice.reason != ChoiceReason::LastResort);
+            let Some(choice) = choice else {
+                return earliest.map_or(Placement::NoEngine, Placement::Limited);
+            };
+            if !has_room(placement, &choice, self.current_gossip_interval(view.now)) {
+                return Placement::Queued(choice.prefill_tokens);
+            }
+            match self.admit_by_limit(choice.server.key(), view.now) {
+                Ok(grant) => {
+                    let mut ticket = self.record_prompt_send(&placement.call, &choice, view.now);
+                    ticket.grant = grant;
+                    return Placement::Assigned(Box::new(AssignedEngine { choice, ticket }));
+                }
+                Err(wait) => {
+                    earliest = Some(earliest.map_or(wait, |other| other.either(wait)));
+                    exhausted.push(choice.server.key());
+                    // All others at their limits at once, as each choice rates many engines.
+                    let is_candidate = |state: &ServerState| {
+                        state.entry.service == placement.service
+                            && state.key() != choice.server.key()
+                    };
+                    exhausted.extend(self.exhausted_servers(is_candidate));
+                }
+            }
         }
-        let ticket = self.record_prompt_send(&placement.call, &choice, view.now);
-        Placement::Assigned(Box::new(AssignedEngine { choice, ticket }))
+    }
+
+    /// Falls back to servers that this prompt has already been sent to.
+    fn choose_for(
+        &self,
+        placement: &PlacementRequest,
+        exhausted: &[ServerKey],
+        view: ChoiceView<'_>,
+    ) -> Option<EngineChoice> {
+        let excluded = [&placement.excluded, exhausted].concat();
+        let choice = self.choose_engine(&placement.request(view, &excluded));
+        choice.or_else(|| self.choose_engine(&placement.request(view, exhausted)))
     }
 
     /// The configured gossip interval, or by default that of direct messages between all routers.
-    fn current_gossip_interval(&self, now: Instant) -> Duration {
+    pub(super) fn current_gossip_interval(&self, now: Instant) -> Duration {
         self.gossip_interval.unwrap_or_else(|| gossip_interval(self.peers.hosts(now).count()))
     }
 
@@ -138,8 +225,10 @@
             demand: &self.demand,
             chat_delay: self.chat_gaps.strength(request.now),
         };
-        let is_sampled =
-            |engine: &EligibleEngine<'_>| request.is_sampled(engine.state, &context(engine));
+        let is_sampled = |engine: &EligibleEngine<'_>| {
+            (engine.state.headroom == LimitHeadroom::Spare)
+                || request.is_sampled(engine.state, &context(engine))
+        };
         let (engines, is_open) = engines_to_rate(&eligible, request.now, is_sampled);
         let evaluate = |engine: &EligibleEngine<'a>| {
             request.candidate(engine.state, engine.weights, &context(engine))
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmargate_admission::LimitRecord;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
@@ -32,6 +31,17 @@
     pub slots: u32,
 }
 
+/// Whether the rate limit that a server named admits a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LimitHeadroom {
+    /// It named no limit.
+    Unlimited,
+    /// The limit admits a request.
+    Spare,
+    /// The limit admits none now.
+    Exhausted,
+}
+
 /// State of one server as far as this router knows it. Soft state that is rebuilt after a restart.
 #[derive(Clone, Debug)]
 pub struct ServerState {
@@ -59,13 +69,16 @@
     /// Versions that the engine is probably loading. Used only to route requests: if they also decided about
     /// load orders, a wrong assumption would leave the engine on old weights.
     assumed: IndexMap<ModelName, WeightsVersion>,
-    /// Rate limit that the server named.
-    pub(crate) limit: LimitRecord,
+    /// Whether its rate limit admits a request, as of the last refresh.
+    pub(crate) headroom: LimitHeadroom,
     pub(crate) cache: PromptCacheEstimate,
     /// Load on its link to other engines.
     pub(crate) link: LinkUsage,
 }
 
+/// Subtracted from the cost of a server whose limit admits a request: what a limit leaves unused is lost, while
+/// other servers can take the request as well. Does not outweigh failures or a prefix cached elsewhere.
+pub(crate) const SPARE_LIMIT_DISCOUNT_MS: f64 = 50.0;
 /// Expected latency of a plain call before any was observed.
 const DEFAULT_LATENCY_MS: f64 = 20.0;
 /// Backoff after the first failed connection; doubles with each further failure.
@@ -95,7 +108,7 @@
             loading_until: None,
             weights,
             assumed: IndexMap::new(),
-            limit: LimitRecord::new(now),
+            headroom: LimitHeadroom::Unlimited,
             cache: PromptCacheEstimate::default(),
             link: LinkUsage::default(),
         }
@@ -233,6 +246,14 @@
         reported.max(self.open)
     }
 
+    /// Reduction of its cost while its limit admits a request.
+    pub(crate) fn limit_discount_ms(&self) -> f64 {
+        match self.headroom {
+            LimitHeadroom::Spare => SPARE_LIMIT_DISCOUNT_MS,
+            LimitHeadroom::Unlimited | LimitHeadroom::Exhausted => 0.0,
+        }
+    }
+
     /// Key of the server in gossip messages.
     pub fn key(&self) -> ServerKey {
         self.key
--- a/crates/emulator/src/play/routers.rs
+++ b/crates/emulator/src/play/routers.rs
@@ -80,7 +80,7 @@
         match router.registry.place(&wish, view) {
             Placement::Assigned(taken) => self.send(call, *taken),
             Placement::NoEngine => self.refuse(call, 0.3),
-            Placement::Queued(_) => {
+            Placement::Queued(_) | Placement::Limited(_) => {
                 let place = router.line.push(wish);
                 router.places.insert(place, call);
                 self.serve_soon(number);
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -6,6 +6,7 @@
 use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
+use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaReport;
 use fulmargate_consortium::StoreError;
 use fulmargate_consortium::encode_keyed;
@@ -74,6 +75,12 @@
     quotas: Option<QuotaReport>,
 }
 
+/// Fourth extension.
+#[derive(Serialize, Deserialize)]
+struct LimitExtension {
+    limits: Option<LimitReport>,
+}
+
 /// Encodes a gossip message with its length prefix.
 pub(crate) fn encode_gossip(gossip: &GossipMessage) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(gossip, config::standard())?;
@@ -83,6 +90,8 @@
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let extension = QuotaExtension { quotas: gossip.quotas.clone() };
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    let extension = LimitExtension { limits: gossip.limits.clone() };
+    message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -102,6 +111,9 @@
     if let Some(extension) = take_extension::<QuotaExtension>(&mut rest)? {
         gossip.quotas = extension.quotas;
     }
+    if let Some(extension) = take_extension::<LimitExtension>(&mut rest)? {
+        gossip.limits = extension.limits;
+    }
     Ok(gossip)
 }
 
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -231,8 +231,9 @@
     fn publish(&self) {
         let fleet_state = self.fleet_state.borrow();
         self.state.retry_budget().set_hosts(fleet_state.host_count());
-        let hosts = fleet_state.fleet_hosts(boot_now()).map(|(host, _)| (host.host, host.zone));
-        self.state.quotas().set_routers(hosts, Instant::now());
+        let hosts = || fleet_state.fleet_hosts(boot_now()).map(|(host, _)| (host.host, host.zone));
+        self.state.quotas().set_routers(hosts(), Instant::now());
+        self.state.servers().set_limit_routers(hosts(), Instant::now());
         let members = fleet_state.members().map(|(host, _)| host.clone()).collect();
         let view = FleetView { members, lease: fleet_state.lease().cloned() };
         self.state.fleet.store(Arc::new(view));
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -188,6 +188,7 @@
         gossip.link_kbps = Some(self.state.settings.link_kbps());
         gossip.loading = self.state.loading.notices();
         gossip.weights = self.weights_ages();
+        gossip.limits = self.state.servers().take_limit_report(Instant::now());
         gossip.quotas = Some(self.state.quotas().take_report());
         gossip
     }
@@ -240,4 +241,5 @@
         || !gossip.caches.is_empty()
         || !gossip.weights.is_empty()
         || gossip.quotas.as_ref().is_some_and(|report| !report.counts.is_empty())
+        || gossip.limits.as_ref().is_some_and(|report| !report.usage.counts.is_empty())
 }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -42,6 +42,7 @@
 use crate::state::boot_now;
 use crate::telemetry::count_records_rejected;
 use crate::telemetry::count_records_served;
+use crate::telemetry::log_learned_limit;
 use crate::telemetry::topic_label;
 
 /// A connection is closed when sent data stays unacknowledged for this time. An idle one is probed
@@ -311,6 +312,10 @@
     if let (Some(host), Some(report)) = (&gossip.host, &gossip.quotas) {
         state.quotas().receive(host, report, Instant::now());
     }
+    if let (Some(host), Some(report)) = (&gossip.host, &gossip.limits) {
+        let learned = state.servers().apply_limit_report(host, report, Instant::now());
+        learned.iter().for_each(|limit| log_learned_limit(state, limit));
+    }
     if gossip.weights.is_empty() {
         return;
     }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwapOption;
 use fulmargate_admission::QuotaConf;
 use fulmargate_admission::QuotaTracker;
+use fulmargate_admission::ServerLimits;
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::CrashConf;
 use fulmargate_dispatch::CrashTracker;
@@ -41,6 +42,12 @@
 
 /// Number of distinct start identifiers that the quota protocol uses for one host.
 const QUOTA_START_ID_COUNT: u64 = 1 << 16;
+/// Span over which a server's rate limit is kept. The bucket of a limit of many requests a second holds a
+/// sixteenth of what the limit grants in this time.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests beyond the rate that routers may send in this span. The bucket of a limit of few requests a second
+/// holds three tenths of them, little more than one request.
+const LIMIT_SLACK: f64 = 4.0;
 /// A router that sends no usage report for this long counts as unreachable, and a part of each quota stays
 /// reserved for it. Twice the longest report interval.
 const QUOTA_REACH_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -115,11 +122,9 @@
         // for a grace period unless the fleet topic shows that nothing was lost.
         proof.mark_untrusted(StoreEpoch(0), boot_now());
         let incarnation = Incarnation(uuid::Uuid::new_v4().as_u64_pair().0);
-        let quotas = QuotaTracker::new(
-            settings.host.clone(),
-            (incarnation.0 % QUOTA_START_ID_COUNT) as u16,
-            quota_conf(&bounds),
-        );
+        let start_id = (incarnation.0 % QUOTA_START_ID_COUNT) as u16;
+        let quotas = QuotaTracker::new(settings.host.clone(), start_id, quota_conf(&bounds));
+        let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
         SharedState {
             settings,
             incarnation,
@@ -134,7 +139,7 @@
             epoch: watch::Sender::default(),
             log_limiter: LogRateLimiter::default(),
             proof: Mutex::new(proof),
-            servers: Mutex::default(),
+            servers: Mutex::new(ServerRegistry::with_limits(limits)),
             retry_budget: Mutex::new(RetryBudget::new(retry_conf, Instant::now())),
             quotas: Mutex::new(quotas),
             crashes: Mutex::new(CrashTracker::new(CrashConf::default())),
@@ -202,6 +207,19 @@
         window: bounds.quota_window(),
         overage: bounds.quota_overage,
         slack: bounds.quota_slack,
+        report_delay: Duration::ZERO,
+        reach_timeout: QUOTA_REACH_TIMEOUT,
+        end_timeout: QUOTA_END_TIMEOUT,
+    }
+}
+
+/// Sharing of the rate limits that servers name.
+fn limit_conf() -> QuotaConf {
+    QuotaConf {
+        window: LIMIT_WINDOW,
+        overage: 0.0,
+        slack: LIMIT_SLACK,
+        report_delay: Duration::ZERO,
         reach_timeout: QUOTA_REACH_TIMEOUT,
         end_timeout: QUOTA_END_TIMEOUT,
     }
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -1,12 +1,17 @@
 //! Logging and metrics.
 
+mod limit_log;
 mod log_rate_limiter;
 mod logging;
 mod prometheus;
 
+pub(crate) use limit_log::log_learned_limit;
+pub(crate) use limit_log::log_named_limit;
+pub(crate) use limit_log::log_unreadable_limit;
 pub(crate) use log_rate_limiter::LogRateLimiter;
 pub(crate) use logging::install_logging;
 pub(crate) use prometheus::count_connect;
+pub(crate) use prometheus::count_limit_decision;
 pub(crate) use prometheus::count_local_network_suspicion;
 pub(crate) use prometheus::count_quota_request;
 pub(crate) use prometheus::count_records_rejected;
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -71,6 +71,11 @@
     metrics::histogram!("fulmargate_wait_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts a request that the rate limit of a server admitted, or that waited or was rejected for it.
+pub(crate) fn count_limit_decision(outcome: &'static str) {
+    metrics::counter!("fulmargate_limit_decisions_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request that is charged to its team's quota, and the tokens it asks for.
 pub(crate) fn count_quota_request(team: &TeamName, is_admitted: bool, tokens: u64) {
     let outcome = if is_admitted { "admitted" } else { "refused" };
@@ -104,6 +109,7 @@
     if let Some(age) = state.quotas().report_age(Instant::now()) {
         metrics::gauge!("fulmargate_quota_report_age_seconds").set(age.as_secs_f64());
     }
+    metrics::gauge!("fulmargate_limited_servers").set(state.servers().limited_count() as f64);
     metrics::gauge!("fulmargate_waiting_prompts").set(state.prompt_queue.len() as f64);
     metrics::gauge!("fulmargate_servers").set(state.servers().states().count() as f64);
     match HANDLE.get() {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -3,6 +3,7 @@
 mod crash_check;
 mod in_flight_request;
 mod prompt_queue;
+mod queued_call;
 mod quota_charge;
 mod request_decoder;
 mod request_failure;
--- a/crates/entry/src/traffic/in_flight_request.rs
+++ b/crates/entry/src/traffic/in_flight_request.rs
@@ -2,16 +2,16 @@
 
 use std::sync::Arc;
 
-use fulmargate_admission::LimitChange;
 use fulmargate_admission::NamedLimit;
 use fulmargate_dispatch::LoadReport;
 use fulmargate_dispatch::ProbeStep;
 use fulmargate_dispatch::SendTicket;
 use fulmargate_dispatch::ServerEntry;
-use fulmargate_names::EventKind;
 use tokio::time::Instant;
 
 use crate::state::SharedState;
+use crate::telemetry::log_named_limit;
+use crate::telemetry::log_unreadable_limit;
 use crate::traffic::server_connection::ConnectError;
 use crate::traffic::server_connection::ServerConnection;
 
@@ -38,33 +38,16 @@
         let now = Instant::now();
         let change = self.state.servers().record_limit(&self.ticket, named, now);
         if named == NamedLimit::Unreadable {
-            self.log_unreadable_limit(server, now);
+            log_unreadable_limit(&self.state, server);
         }
         if let Some(change) = change {
-            self.log_limit_change(server, change, now);
+            log_named_limit(&self.state, server, change);
         }
     }
 
-    fn log_limit_change(&self, server: &ServerEntry, change: LimitChange, now: Instant) {
-        let kind = EventKind::ServerLimitChanged;
-        if self.state.log_limiter.allows(kind, now) {
-            tracing::info!(
-                event = kind.number(),
-                name = kind.name(),
-                server = %server.name,
-                limit = change.current,
-                previous = change.previous,
-                source = "response",
-                age_ms = 0,
-            );
-        }
-    }
-
-    fn log_unreadable_limit(&self, server: &ServerEntry, now: Instant) {
-        let kind = EventKind::ServerLimitUnreadable;
-        if self.state.log_limiter.allows(kind, now) {
-            tracing::warn!(event = kind.number(), name = kind.name(), server = %server.name);
-        }
+    /// Records that the request goes out on an open connection.
+    pub(crate) fn record_sent(&mut self) {
+        self.state.servers().record_sent(&mut self.ticket, Instant::now());
     }
 
     /// Returns how to proceed while the server sends no response.
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -2,6 +2,7 @@
 //!
 //! `took_ms` is the time since the request arrived, `silent_ms` the time since the last event of its stream.
 
+use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::scope_of;
@@ -11,13 +12,22 @@
 use tokio::time::Instant;
 
 use crate::state::boot_now;
+use crate::telemetry::count_limit_decision;
 use crate::telemetry::record_response;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::send_attempt::SendError;
 
 impl RequestHandler {
-    pub(super) fn log_sent(&self, server: &ServerEntry, reason: &'static str) {
+    pub(super) fn log_sent(
+        &self,
+        server: &ServerEntry,
+        reason: &'static str,
+        grant: Option<LimitGrant>,
+    ) {
+        if grant.is_some() {
+            count_limit_decision("admitted");
+        }
         let kind = EventKind::RequestSent;
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
@@ -29,12 +39,23 @@
             server = %server.name,
             reason,
             send = self.progress.sends() + 1,
+            limit = grant.map(|grant| grant.rate_per_s),
+            limit_left = grant.map(|grant| (grant.available * 100.0).round() / 100.0),
+            limit_report_ms = grant.and_then(|grant| grant.report_age).map(|age| age.as_millis() as u64),
             config_version = self.decoded.table.version().0,
             config_proof_ms = self.proof_ms(),
         );
     }
 
-    pub(super) fn log_prompt_sent(&self, choice: &EngineChoice, reason: &'static str) {
+    pub(super) fn log_prompt_sent(
+        &self,
+        choice: &EngineChoice,
+        reason: &'static str,
+        grant: Option<LimitGrant>,
+    ) {
+        if grant.is_some() {
+            count_limit_decision("admitted");
+        }
         let kind = EventKind::RequestSent;
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
@@ -46,6 +67,9 @@
             server = %choice.server.name,
             reason,
             send = self.progress.sends() + 1,
+            limit = grant.map(|grant| grant.rate_per_s),
+            limit_left = grant.map(|grant| (grant.available * 100.0).round() / 100.0),
+            limit_report_ms = grant.and_then(|grant| grant.report_age).map(|age| age.as_millis() as u64),
             weights = choice.weights.0,
             prompt = self.facts().owner_key().map(|key| format!("{:016x}", scope_of(&choice.salt) ^ key)),
             urgency = choice.urgency.level(),
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -4,9 +4,11 @@
 
 use fulmargate_consortium::ServerRequestHead;
 use fulmargate_dispatch::AssignedEngine;
+use fulmargate_dispatch::AssignedServer;
 use fulmargate_dispatch::ChoiceReason;
 use fulmargate_dispatch::Placement;
 use fulmargate_dispatch::PlacementRequest;
+use fulmargate_dispatch::PlainPlacement;
 use fulmargate_dispatch::QueueOutcome;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::ServerEntry;
@@ -14,14 +16,17 @@
 use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::state::boot_now;
+use crate::telemetry::count_limit_decision;
 use crate::telemetry::count_send;
 use crate::telemetry::record_engine_wait;
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::prompt_queue::enqueue;
 use crate::traffic::prompt_queue::try_place;
+use crate::traffic::queued_call::QueuedCall;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::request_handler::ResumePoint;
@@ -33,6 +38,10 @@
 /// Interval at which an unresponsive server is probed, as a share of the target latency.
 const PROBE_INTERVAL_SHARE: f64 = 1.0;
 
+/// Interval at which a plain call that waits for a limited server tries again. Other routers may give back what
+/// they did not send.
+const MAX_LIMIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl RequestHandler {
     /// Plans the next send, which for a prompt may wait in the queue for an engine. Servers of a plain service
     /// that were already tried are used again only if there is no other.
@@ -47,28 +56,72 @@
         if let Some(model) = model {
             return self.plan_prompt(service, model, point).await;
         }
-        let plan = self.plan_plain(&service);
-        if plan.is_some() || self.excluded_servers.is_empty() {
-            return Ok(plan);
+        let assigned = self.reserve_plain(&service).await?;
+        if assigned.is_some() || self.excluded_servers.is_empty() {
+            return Ok(assigned.map(|assigned| self.plain_plan(assigned)));
         }
         self.excluded_servers.clear();
-        Ok(self.plan_plain(&service))
+        let assigned = self.reserve_plain(&service).await?;
+        Ok(assigned.map(|assigned| self.plain_plan(assigned)))
+    }
+
+    /// Reserves a server of a plain service. Waits while all are at their rate limits, and rejects the request at
+    /// once if that would take until its deadline.
+    async fn reserve_plain(
+        &mut self,
+        service: &ServiceName,
+    ) -> Result<Option<AssignedServer>, RequestFailure> {
+        let mut queued: Option<QueuedCall> = None;
+        loop {
+            let wait = match self.place_plain(service, queued.as_ref()) {
+                PlainPlacement::Assigned(assigned) => return Ok(Some(*assigned)),
+                PlainPlacement::NoServer => return Ok(None),
+                PlainPlacement::Limited(wait) => wait,
+            };
+            if self.facts().deadline <= Instant::now() + wait {
+                count_limit_decision("rejected");
+                return Err(self.limit_failure(wait));
+            }
+            if queued.is_none() {
+                count_limit_decision("queued");
+                self.log_queued();
+                queued = Some(QueuedCall::new(self.state.clone(), service, self.facts()));
+            }
+            sleep(wait.min(MAX_LIMIT_POLL_INTERVAL)).await;
+            self.reject_crashing_request()?;
+            self.readmit()?;
+            if self.service().as_ref() != Some(service) {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn place_plain(&self, service: &ServiceName, queued: Option<&QueuedCall>) -> PlainPlacement {
+        self.state.servers().place_plain(
+            self.facts(),
+            service,
+            &self.state.settings.zone,
+            &self.excluded_servers,
+            queued.map(QueuedCall::ticket),
+            Instant::now(),
+        )
     }
 
-    fn plan_plain(&self, service: &ServiceName) -> Option<SendPlan> {
-        let now = Instant::now();
-        let mut servers = self.state.servers();
-        let zone = &self.state.settings.zone;
-        let server = servers.choose_plain(service, zone, &self.excluded_servers, now)?;
-        let ticket = servers.record_send(self.facts(), server.key(), now);
-        drop(servers);
+    fn plain_plan(&self, assigned: AssignedServer) -> SendPlan {
+        let AssignedServer { server, ticket } = assigned;
         let head = self.server_request_head(&server);
-        let in_flight = InFlightRequest::new(self.state.clone(), ticket);
         let head_deadline = self.attempt_deadline();
         count_send("plain");
-        self.log_sent(&server, "plain");
+        self.log_sent(&server, "plain", ticket.grant());
+        let in_flight = InFlightRequest::new(self.state.clone(), ticket);
         let probe_interval = self.probe_interval();
-        Some(SendPlan { server, head, weights: None, head_deadline, probe_interval, in_flight })
+        SendPlan { server, head, weights: None, head_deadline, probe_interval, in_flight }
+    }
+
+    /// Rejection of a request that no server can take in time because of their rate limits.
+    fn limit_failure(&self, wait: Duration) -> RequestFailure {
+        let detail = format!("all servers are at their rate limits for {} ms", wait.as_millis());
+        self.failure(self.progress.timeout()).with_detail(detail).with_retry_delay(wait)
     }
 
     async fn plan_prompt(
@@ -87,6 +140,7 @@
         };
         let Some(assigned) = self.reserve_engine(placement).await? else { return Ok(None) };
         let AssignedEngine { choice, ticket } = assigned;
+        let grant = ticket.grant();
         // Releases the ticket on every early return below.
         let in_flight = InFlightRequest::new(self.state.clone(), ticket);
         // The configuration may have changed, and the key may have been revoked, while the prompt was queued.
@@ -99,7 +153,7 @@
         }
         let reason = reason_label(choice.reason);
         count_send(reason);
-        self.log_prompt_sent(&choice, reason);
+        self.log_prompt_sent(&choice, reason, grant);
         let start_deadline = self.start_deadline(&model, choice.weights);
         let mut head = self.server_request_head(&choice.server);
         head.weights = Some(choice.weights);
@@ -127,6 +181,7 @@
             Placement::Assigned(assigned) => return Ok(Some(*assigned)),
             Placement::NoEngine => return Ok(None),
             Placement::Queued(_) => {}
+            Placement::Limited(_) => count_limit_decision("queued"),
         }
         let deadline = placement.call.deadline;
         let started_at = Instant::now();
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -107,6 +107,7 @@
     pub(crate) async fn send(self, decoded: &DecodedRequest) -> Result<ServerResponse, SendError> {
         let ConnectedSend { mut plan, mut connection } = self;
         let request = encode_request(decoded, &plan)?;
+        plan.in_flight.record_sent();
         let response = wait_for_response_head(&mut connection, request, &plan).await?;
         let (parts, body) = response.into_parts();
         let head = ResponseHead::decode(&parts);
--- a/crates/entry/tests/daemon/server_limits.rs
+++ b/crates/entry/tests/daemon/server_limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits that servers name in their responses.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -27,6 +28,10 @@
 /// Share of its limit that a server gets at least while demand exceeds it.
 const MIN_USE: f64 = 0.9;
 const LOAD_DURATION: Duration = Duration::from_secs(7);
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+const DISTURBANCE_TIME: Duration = Duration::from_secs(2);
+/// Longer than the time in which the rate of a lifted limit rises.
+const RAMP_TIME: Duration = Duration::from_secs(5);
 const CALLERS_PER_HOST: usize = 6;
 const CALLER_PAUSE: Duration = Duration::from_millis(40);
 
@@ -44,6 +49,7 @@
 }
 
 /// Callers that send requests until they are stopped.
+#[derive(Default)]
 struct RunningLoad {
     stop: Arc<AtomicBool>,
     counts: Arc<CallerCounts>,
@@ -72,7 +78,7 @@
         LimitFleet { deployment, daemons }
     }
 
-    async fn callers_addresses(&self) -> Vec<std::net::SocketAddr> {
+    async fn callers_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = vec![self.deployment.callers];
         for daemon in &self.daemons {
             addresses.push(daemon.address("callers").await);
@@ -94,33 +100,42 @@
 
     /// Starts callers that send to every host.
     async fn start_load(&self, load: fn(&str) -> CallerRequest) -> RunningLoad {
-        let stop = Arc::new(AtomicBool::new(false));
-        let counts = Arc::new(CallerCounts::default());
-        let mut callers = Vec::new();
+        let mut all = RunningLoad::default();
         for (host, address) in self.callers_addresses().await.into_iter().enumerate() {
-            for number in 0..CALLERS_PER_HOST {
-                let (stop, counts) = (stop.clone(), counts.clone());
-                callers.push(tokio::spawn(async move {
-                    let mut sent = 0;
-                    while !stop.load(Ordering::Relaxed) {
-                        sent += 1;
-                        let request = load(&format!("load-{host}-{number}-{sent}"));
-                        match request.send(address).await {
-                            Ok(response) if response.status == 200 => {
-                                counts.served.fetch_add(1, Ordering::Relaxed)
-                            }
-                            _ => counts.rejected.fetch_add(1, Ordering::Relaxed),
-                        };
-                        sleep(CALLER_PAUSE).await;
-                    }
-                }));
-            }
+            all.add_callers(address, host, load);
         }
-        RunningLoad { stop, counts, callers }
+        all
     }
 }
 
+/// Starts callers that send to one host.
+fn start_callers(address: SocketAddr, host: usize, load: fn(&str) -> CallerRequest) -> RunningLoad {
+    let mut callers = RunningLoad::default();
+    callers.add_callers(address, host, load);
+    callers
+}
+
 impl RunningLoad {
+    fn add_callers(&mut self, address: SocketAddr, host: usize, load: fn(&str) -> CallerRequest) {
+        for number in 0..CALLERS_PER_HOST {
+            let (stop, counts) = (self.stop.clone(), self.counts.clone());
+            self.callers.push(tokio::spawn(async move {
+                let mut sent = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    sent += 1;
+                    let request = load(&format!("load-{host}-{number}-{sent}"));
+                    match request.send(address).await {
+                        Ok(response) if response.status == 200 => {
+                            counts.served.fetch_add(1, Ordering::Relaxed)
+                        }
+                        _ => counts.rejected.fetch_add(1, Ordering::Relaxed),
+                    };
+                    sleep(CALLER_PAUSE).await;
+                }
+            }));
+        }
+    }
+
     async fn stop(self) -> Arc<CallerCounts> {
         self.stop.store(true, Ordering::Relaxed);
         for caller in self.callers {
@@ -138,8 +153,13 @@
     CallerRequest::new("/charge/x", id)
 }
 
+/// A prompt that shares nothing with others, so that either engine may be its owner.
 fn chat_request(id: &str) -> CallerRequest {
-    CallerRequest::prompt("/chat/x", id)
+    let mut request = CallerRequest::prompt("/chat/x", id);
+    request.headers.retain(|(name, _)| *name != "fulmargate-prompt-prefix");
+    let part: String = id.bytes().map(|byte| format!("{byte:02x}")).collect();
+    request.headers.push(("fulmargate-prompt-prefix", format!("{part}:1460")));
+    request
 }
 
 /// Checks that the server got its rate and no more, from all hosts together.
@@ -188,8 +208,8 @@
 /// A server that names a rate must not get several times that from hosts that each know the limit.
 #[tokio::test]
 async fn hosts_together_keep_to_a_named_limit() {
-    let fleet = LimitFleet::start(&["south", "east"]).await;
     for case in CASES {
+        let fleet = LimitFleet::start(&["south", "east"]).await;
         let server = (case.server)(&fleet.deployment);
         server.set_limit(Some(case.limit));
         let load = fleet.start_load(case.load).await;
@@ -200,10 +220,104 @@
         assert_limit_kept(case.name, server, rate);
         let rejected = counts.rejected.load(Ordering::Relaxed);
         assert_eq!(rejected, 0, "{}: another server takes the rest", case.name);
-        server.set_limit(None);
     }
 }
 
+/// A host that was frozen or killed during the load must not send beyond the limit when it is back.
+#[tokio::test]
+async fn a_limit_holds_while_hosts_freeze_and_restart() {
+    let mut fleet = LimitFleet::start(&["south", "east"]).await;
+    let server = fleet.deployment.plain_servers[0].clone();
+    server.set_limit(Some("5"));
+    let load = fleet.start_load(read_request).await;
+    sleep(SETTLING_TIME).await;
+    fleet.daemons[0].signal("STOP");
+    sleep(DISTURBANCE_TIME).await;
+    fleet.daemons[0].signal("CONT");
+    sleep(DISTURBANCE_TIME).await;
+    fleet.daemons[1].signal("KILL");
+    let settings = json!({"zone": "east"});
+    let daemon = DaemonProcess::start_with_settings(fleet.deployment.store.address, &settings);
+    let address = daemon.address("callers").await;
+    fleet.daemons.push(daemon);
+    let further = start_callers(address, 9, read_request);
+    sleep(LOAD_DURATION).await;
+    further.stop().await;
+    load.stop().await;
+    let max = server.arrivals().after_limit(LEARNING_TIME).max_in(JUDGED_SPAN) as f64;
+    let allowed = 5.0 * JUDGED_SPAN.as_secs_f64() + SMALL_BURST;
+    assert!(max <= allowed, "{max} requests in 4 s at 5 a second");
+}
+
+/// While all servers of a service are at their limits, what cannot be served in time must be rejected at once, and
+/// the servers must still get their rates.
+#[tokio::test]
+async fn requests_beyond_all_limits_are_rejected_immediately() {
+    let fleet = LimitFleet::start(&["south"]).await;
+    for server in &fleet.deployment.plain_servers {
+        server.set_limit(Some("4"));
+    }
+    let load = fleet.start_load(read_request).await;
+    sleep(SETTLING_TIME).await;
+    let started = Instant::now();
+    let mut request = read_request("impatient");
+    request.patience_ms = 100;
+    let response = fleet.deployment.send(&request).await;
+    let took = started.elapsed();
+    sleep(LOAD_DURATION).await;
+    let counts = load.stop().await;
+    assert_eq!((response.status, response.says_when()), (503, true), "{}", response.body);
+    assert!(took < Duration::from_secs(1), "rejected after {took:?}");
+    assert!(0 < counts.served.load(Ordering::Relaxed));
+    for server in &fleet.deployment.plain_servers {
+        assert_limit_kept("all servers limited", server, 4.0);
+    }
+}
+
+/// A limit must end when responses no longer name it, and change with them.
+#[tokio::test]
+async fn a_limit_changes_and_ends_with_the_responses() {
+    let fleet = LimitFleet::start(&["south"]).await;
+    let server = &fleet.deployment.plain_servers[0];
+    server.set_limit(Some("10"));
+    let load = fleet.start_load(read_request).await;
+    sleep(LOAD_DURATION).await;
+    assert_limit_kept("first limit", server, 10.0);
+    server.set_limit(Some("2"));
+    sleep(LOAD_DURATION).await;
+    assert_limit_kept("lowered", server, 2.0);
+    server.set_limit(Some("8"));
+    sleep(LOAD_DURATION).await;
+    assert_limit_kept("raised", server, 8.0);
+    server.set_limit(None);
+    wait_until("every host lifts the limit", || {
+        let has_lifted = |daemon: &DaemonProcess| {
+            let events = daemon.events("server_limit_changed");
+            events.last().is_some_and(|event| event["limit"].is_null())
+        };
+        has_lifted(&fleet.deployment.daemon) && has_lifted(&fleet.daemons[0])
+    })
+    .await;
+    sleep(RAMP_TIME).await;
+    server.set_limit(None);
+    sleep(SETTLING_TIME).await;
+    load.stop().await;
+    let max = server.arrivals().max_in(Duration::from_secs(1));
+    assert!(40 < max, "{max} requests a second after the limit was lifted");
+}
+
+/// Only a server's own responses limit it: a caller that sends the header must not.
+#[tokio::test]
+async fn a_callers_header_sets_no_limit() {
+    let deployment = TestDeployment::start(ServerMode::Answer).await;
+    for number in 0..10 {
+        let mut request = read_request(&format!("forged-{number}"));
+        request.headers.push(("server-limit", "0.1".to_owned()));
+        assert_eq!(deployment.send(&request).await.status, 200);
+    }
+    assert!(deployment.daemon.events("server_limit_changed").is_empty());
+}
+
 /// Guards against a limit that is known on one host only, or not logged.
 #[tokio::test]
 async fn a_named_limit_is_logged_with_its_value() {
