Router: a body whose stated length is over the limit is refused at once

Cause: the length that the caller states was never looked at, so that only reading the body up to the limit could tell. It is now decided by the stated length, before anything is read; what comes is still thrown away within the same time, so that the caller finds the response.

--- a/crates/router/src/caller/body_reader.rs
+++ b/crates/router/src/caller/body_reader.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use actix_web::http::header::CONTENT_LENGTH;
+use actix_web::http::header::HeaderMap;
 use actix_web::web::Payload;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -24,14 +26,23 @@
     pub(crate) patience: Duration,
 }
 
-/// Reads the body to its end.
+/// Reads the body to its end. One whose stated length is over the limit is refused as too large, however slowly it
+/// arrives.
 pub(crate) async fn read_body(
+    headers: &HeaderMap,
     mut payload: Payload,
     bounds: BodyBounds,
 ) -> Result<Bytes, RequestError> {
     let deadline = Instant::now() + bounds.patience;
-    let Ok(read) = timeout_at(deadline, read_within(&mut payload, bounds.most_bytes)).await else {
-        return Err(RequestError::new(ErrorKind::SlowCaller));
+    let read = match stated_bytes(headers) {
+        Some(bytes) if bounds.most_bytes < bytes => Err(too_large(bounds.most_bytes)),
+        _ => {
+            let reading = read_within(&mut payload, bounds.most_bytes);
+            let Ok(read) = timeout_at(deadline, reading).await else {
+                return Err(RequestError::new(ErrorKind::SlowCaller));
+            };
+            read
+        }
     };
     if read.as_ref().is_err_and(|err| err.kind == ErrorKind::BodyTooLarge) {
         let _answered_either_way = timeout_at(deadline, throw_away(&mut payload)).await;
@@ -46,14 +57,22 @@
             RequestError::new(ErrorKind::BadRequest).detail(format!("The body broke off: {err}."))
         })?;
         if most_bytes < body.len() + chunk.len() {
-            let detail = format!("At most {most_bytes} bytes are taken.");
-            return Err(RequestError::new(ErrorKind::BodyTooLarge).detail(detail));
+            return Err(too_large(most_bytes));
         }
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
 }
 
+fn stated_bytes(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn too_large(most_bytes: usize) -> RequestError {
+    let detail = format!("At most {most_bytes} bytes are taken.");
+    RequestError::new(ErrorKind::BodyTooLarge).detail(detail)
+}
+
 async fn throw_away(payload: &mut Payload) {
     let mut left = THROWN_AWAY_BYTES;
     while let Some(Ok(chunk)) = payload.next().await
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -55,7 +55,7 @@
 ) -> HttpResponse {
     let id = request_id(&request);
     let guard = context.state.open.enter();
-    let served = match read_body(payload, context.body_bounds()).await {
+    let served = match read_body(request.headers(), payload, context.body_bounds()).await {
         Ok(body) => serve(&request, body, &context, id.clone(), guard).await,
         Err(err) => Err(err),
     };
--- a/crates/router/src/caller/service_handler.rs
+++ b/crates/router/src/caller/service_handler.rs
@@ -42,7 +42,7 @@
 ) -> HttpResponse {
     let id = request_id(&request);
     let _guard = context.state.open.enter();
-    let served = match read_body(payload, context.body_bounds()).await {
+    let served = match read_body(request.headers(), payload, context.body_bounds()).await {
         Ok(body) => serve(&request, body, &context, &id).await,
         Err(err) => Err(err),
     };
--- a/crates/router/src/operator/config_handler.rs
+++ b/crates/router/src/operator/config_handler.rs
@@ -70,7 +70,7 @@
     if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
-    let body = match read_body(payload, PATCH_BOUNDS).await {
+    let body = match read_body(request.headers(), payload, PATCH_BOUNDS).await {
         Ok(body) => body,
         Err(err) => return refuse(err.kind, err.detail),
     };
--- a/crates/router/tests/edges/bad_input.rs
+++ b/crates/router/tests/edges/bad_input.rs
@@ -288,6 +288,23 @@
     assert_eq!(bench.effects().await, 0);
 }
 
+/// A body whose stated length is over the limit must be refused as too large, however slowly it arrives.
+#[actix_rt::test]
+async fn slow_bodies_that_are_too_large_are_refused_as_too_large() {
+    let bench = RouterBench::start().await;
+    let large = RawCall::completion(&"a".repeat(8 * BODY_LIMIT), 4);
+    for call in [large, RawCall::charge("large").body(&[b'a'; 2 * BODY_LIMIT])] {
+        let call = call.header("x-request-id", ID);
+        let mut connection = TcpStream::connect(bench.callers()).await.expect("the router listens");
+        let head = call.head(call.body.len());
+        connection.write_all(head.as_bytes()).await.expect("the router reads");
+        connection.write_all(&call.body[..3]).await.expect("the router reads");
+        let case = case("a slow, large body", call, ErrorKind::BodyTooLarge, "65536 bytes");
+        case.judge(&read_answer(connection).await);
+    }
+    assert_eq!(bench.effects().await, 0);
+}
+
 /// Heads that are no HTTP, too large or too slow never become requests: they are answered by a
 /// status without a body, the connection is closed, and others go on. The rest of too large a head
 /// is not read, so that its sender may find the connection reset before it finds the status.
