Server list: one request at a time until a server's first response

Both: a host that had just started knew no limit for 0.5 to 0.9 s, as the others' messages need its new address and the server was silent, and its callers' requests all went there, 7 at once. Change: until its first response a server gets one request at a time from a host; others go to servers that have responded, and if none has, to any as before. The dispatch test failed before (all requests at the first server).

--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -118,7 +118,9 @@
             match self.servers.get_mut(&key) {
                 Some(state) => state.update(entry),
                 None => {
-                    self.servers.insert(key, ServerState::new(entry.clone(), now));
+                    let mut state = ServerState::new(entry.clone(), now);
+                    state.awaits_first_response = self.limits.is_some();
+                    self.servers.insert(key, state);
                 }
             }
         }
--- a/crates/dispatch/src/server_registry/choices.rs
+++ b/crates/dispatch/src/server_registry/choices.rs
@@ -74,7 +74,7 @@
             let server = self.choose_plain(service, zone, &skipped, now);
             // A server at its limit is waited for rather than replaced by one that does not respond.
             let is_open = |server: &ServerEntry| {
-                self.state(server.key()).is_some_and(|state| state.is_open(now))
+                self.state(server.key()).is_some_and(|state| state.accepts_request(now))
             };
             let server = server.filter(|server| earliest.is_none() || is_open(server));
             let Some(server) = server else {
@@ -127,7 +127,8 @@
             let best = states.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
             best.map(|state| state.entry.clone())
         };
-        let open = self.servers.values().filter(of_service).filter(|state| state.is_open(now));
+        let open =
+            self.servers.values().filter(of_service).filter(|state| state.accepts_request(now));
         cheapest(open.collect())
             .or_else(|| cheapest(self.servers.values().filter(of_service).collect()))
     }
@@ -367,7 +368,7 @@
     now: Instant,
     is_sampled: impl Fn(&EligibleEngine<'a>) -> bool,
 ) -> (Vec<&'b EligibleEngine<'a>>, bool) {
-    let open: Vec<_> = eligible.iter().filter(|engine| engine.state.is_open(now)).collect();
+    let open: Vec<_> = eligible.iter().filter(|engine| engine.state.accepts_request(now)).collect();
     if open.is_empty() {
         return (eligible.iter().collect(), false);
     }
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -69,6 +69,8 @@
     /// Versions that the engine is probably loading. Used only to route requests: if they also decided about
     /// load orders, a wrong assumption would leave the engine on old weights.
     assumed: IndexMap<ModelName, WeightsVersion>,
+    /// Whether a first response is awaited, which tells whether the server is limited.
+    pub(crate) awaits_first_response: bool,
     /// Whether its rate limit admits a request, as of the last refresh.
     pub(crate) headroom: LimitHeadroom,
     pub(crate) cache: PromptCacheEstimate,
@@ -108,6 +110,7 @@
             loading_until: None,
             weights,
             assumed: IndexMap::new(),
+            awaits_first_response: false,
             headroom: LimitHeadroom::Unlimited,
             cache: PromptCacheEstimate::default(),
             link: LinkUsage::default(),
@@ -162,6 +165,7 @@
 
     /// Records a response, which ends the connection backoff.
     pub(crate) fn record_response(&mut self, report: Option<LoadReport>, now: Instant) {
+        self.awaits_first_response = false;
         self.backoff_until = None;
         self.backoff_count = 0;
         self.probe.record_reached(now);
@@ -201,6 +205,13 @@
         is_over(self.backoff_until) && is_over(self.full_until) && is_over(self.loading_until)
     }
 
+    /// Whether the server is open and may get another request. Until its first response it gets one at a time:
+    /// it may be limited, and the other routers' reports may not have arrived yet.
+    pub(crate) fn accepts_request(&self, now: Instant) -> bool {
+        let is_tried = self.awaits_first_response && 0 < self.open;
+        self.is_open(now) && !is_tried
+    }
+
     /// Marks the engine as loading weights. The mark expires, because the notice that ends it may be lost.
     pub(crate) fn mark_loading(&mut self, now: Instant) {
         self.loading_until = Some(now + LOADING_TIMEOUT);
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -222,3 +222,19 @@
     fixture.registry.sync(&[Arc::new(restarted)], fixture.now);
     assert!(fixture.assigned(&call).is_some());
 }
+
+/// A host that has just started knows no limits: it must not send many requests to a server before the first
+/// response tells whether it is limited.
+#[test]
+fn a_server_that_has_not_responded_yet_gets_one_request_at_a_time() {
+    let mut fixture = LimitFixture::new(&plain_servers(&["d1", "d2"]));
+    let call = prompt_call("c", &[], fixture.now);
+    let (first, _) = fixture.assigned(&call).expect("a server");
+    let (second, mut ticket) = fixture.assigned(&call).expect("a server");
+    assert_ne!(first, second, "the first server has not responded");
+    fixture.registry.record_response(&mut ticket, None, fixture.now);
+    for _ in 0..4 {
+        let (next, _) = fixture.assigned(&call).expect("a server");
+        assert_eq!(next, second, "the other one has not responded");
+    }
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -75,6 +75,29 @@
     },
 ];
 
+/// Kept seeds with servers that name limits.
+const LIMIT_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 3811,
+        seconds: 10,
+        kind: PlanKind::Limits,
+        cause: "a host that had just started sent many requests to a silent server that is limited",
+    },
+    SeedCase {
+        seed: 3821,
+        seconds: 10,
+        kind: PlanKind::Limits,
+        cause: "the same while the responses of the server are lost",
+    },
+];
+
+/// Servers name limits while routers are killed, paused and cut off. Guards against more requests than the limits
+/// allow, from all routers together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn limits_of_servers_are_kept() {
+    check(LIMIT_SEEDS, "limits").await;
+}
+
 /// Servers leave while routers are cut off from the store or paused. Guards against requests to them after the
 /// routers' return.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
