--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -39,6 +39,7 @@
     pub(crate) records: Vec<LogRecord>,
     pub(crate) first: u64,
     pub(crate) appends: usize,
+    pub(crate) reads: usize,
 }
 
 pub(crate) type Shared = Arc<Mutex<LogScript>>;
@@ -89,7 +90,8 @@
 }
 
 async fn read(shared: web::Data<Shared>, query: web::Query<ReadQuery>) -> HttpResponse {
-    let script = shared.lock().unwrap();
+    let mut script = shared.lock().unwrap();
+    script.reads += 1;
     let records: Vec<LogRecord> = script
         .records
         .iter()
--- a/crates/platform/tests/log_client.rs
+++ b/crates/platform/tests/log_client.rs
@@ -260,10 +260,24 @@
     assert_eq!(tail.next_offset(), LogOffset(8));
     assert_eq!(tail.next_news().await, TailNews::Idle);
     handle.stop(false).await;
-    assert!(matches!(tail.next_news().await, TailNews::Failed(_)));
+    let news = news_after_stop(&mut tail, &shared).await;
+    assert!(matches!(news, TailNews::Failed(_)), "{news:?}");
     assert_eq!(tail.next_offset(), LogOffset(8));
 }
 
+/// The first news that the stopped log did not serve. It may still serve reads on an open connection when its stop
+/// has returned; these must be idle.
+async fn news_after_stop(tail: &mut LogTail, shared: &Shared) -> TailNews {
+    loop {
+        let reads = shared.lock().unwrap().reads;
+        let news = tail.next_news().await;
+        let is_served = reads < shared.lock().unwrap().reads;
+        if !is_served || news != TailNews::Idle {
+            return news;
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn the_host_list_is_read() {
     let (address, handle) = common::start(&shared(&[]));
