Prompt queue: limits of all engines count, and nobody overtakes prompts that wait for them

While all engines of a service are at their limits, the wait was that of one engine, so that prompts were rejected which several engines could have served in time; prompts behind the sixth were not looked at and waited until they were late instead of being rejected at once; and new short prompts took the tokens that queued ones waited for. Now the wait sums up all limited engines of the service, every queued prompt is checked against it, and short prompts queue while others wait for limits.

--- a/crates/dispatch/src/request_queue.rs
+++ b/crates/dispatch/src/request_queue.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use fulmargate_admission::LimitWait;
+use fulmargate_names::ServiceName;
+use indexmap::IndexMap;
 use tokio::time::Instant;
 
 use crate::AssignedEngine;
@@ -40,6 +43,27 @@
 pub struct RequestQueue {
     waiting: Vec<QueuedPrompt>,
     next: u64,
+    /// Whether prompts waited for limited engines after the last run.
+    waits_for_limits: bool,
+}
+
+/// Prompts that wait for the limited engines of one service.
+#[derive(Debug)]
+struct LimitedPrompts {
+    wait: LimitWait,
+    count: usize,
+}
+
+impl LimitedPrompts {
+    /// Adds a prompt behind the others, unless its turn would come too late; returns the wait until then.
+    fn admit(&mut self, call: &CallFacts, now: Instant) -> Result<(), Duration> {
+        let wait = self.wait.behind(self.count);
+        if admission::must_start_by(call) < now + wait {
+            return Err(wait);
+        }
+        self.count += 1;
+        Ok(())
+    }
 }
 
 #[derive(Debug)]
@@ -61,9 +85,10 @@
         self.waiting.len()
     }
 
-    /// Whether a new prompt may bypass the queue.
+    /// Whether a new prompt may bypass the queue. None may while others wait for limited engines: it would take
+    /// what they wait for.
     pub fn may_bypass(&self, call: &CallFacts) -> bool {
-        self.waiting.is_empty() || admission::is_short(call)
+        self.waiting.is_empty() || (admission::is_short(call) && !self.waits_for_limits)
     }
 
     /// Adds a prompt to the queue.
@@ -89,10 +114,15 @@
         self.sort(view.now);
         let mut outcomes = Vec::new();
         let mut failed_placements = 0;
-        let mut limited = 0;
+        let mut limited: IndexMap<ServiceName, LimitedPrompts> = IndexMap::new();
         self.waiting.retain_mut(|prompt| {
+            let call = &prompt.request.call;
             if MAX_FAILED_PLACEMENTS <= failed_placements {
-                return true;
+                let refusal = limited
+                    .get_mut(&prompt.request.service)
+                    .and_then(|limited| limited.admit(call, view.now).err());
+                outcomes.extend(refusal.map(|wait| (prompt.ticket, QueueOutcome::Refused(wait))));
+                return refusal.is_none();
             }
             match registry.place(&prompt.request, view) {
                 Placement::Assigned(assigned) => {
@@ -101,13 +131,13 @@
                 Placement::NoEngine => outcomes.push((prompt.ticket, QueueOutcome::NoEngine)),
                 Placement::Limited(wait) => {
                     failed_placements += 1;
-                    let wait = wait.behind(limited);
-                    if admission::must_start_by(&prompt.request.call) < view.now + wait {
-                        outcomes.push((prompt.ticket, QueueOutcome::Refused(wait)));
-                        return false;
+                    let limited = limited
+                        .entry(prompt.request.service.clone())
+                        .or_insert(LimitedPrompts { wait, count: 0 });
+                    match limited.admit(call, view.now) {
+                        Ok(()) => return true,
+                        Err(wait) => outcomes.push((prompt.ticket, QueueOutcome::Refused(wait))),
                     }
-                    limited += 1;
-                    return true;
                 }
                 Placement::Queued(prefill_tokens) => {
                     prompt.prefill_tokens = prefill_tokens;
@@ -117,6 +147,7 @@
             }
             false
         });
+        self.waits_for_limits = limited.values().any(|limited| 0 < limited.count);
         self.reject_late(view.now, &mut outcomes);
         outcomes
     }
