--- a/crates/config/src/snapshot_clock.rs
+++ b/crates/config/src/snapshot_clock.rs
@@ -4,12 +4,12 @@
 
 use crate::KeeperSettings;
 
-/// Tells one reader when to write a snapshot.
+/// Decides when one reader writes a snapshot.
 ///
-/// Records expire, and a reader that starts with none of the patches before a snapshot needs one.
-/// Each reader writes at half of the retention, its rank later than the one before, unless it has
-/// seen another's by then: so that the log holds one while any reader lives and the log is not out
-/// for half of the retention. Two at once only cost their bytes.
+/// Records expire, and a reader that starts without the patches before a snapshot needs one. Each
+/// reader writes at half of the retention, delayed by its rank, unless it has seen another's snapshot
+/// by then. So the log holds one while any reader runs and the log is reachable for half of the
+/// retention. Two snapshots at once only cost their bytes.
 #[derive(Debug)]
 pub(crate) struct SnapshotClock {
     /// When this router began to read the log itself.
--- a/crates/router/src/attempt/attempt_hold.rs
+++ b/crates/router/src/attempt/attempt_hold.rs
@@ -8,8 +8,8 @@
 use fulmargate_placement::ReplyStats;
 use tokio::time::Instant;
 
-/// What an attempt holds of its server: its place at the gate, its load and its entry in the book
-/// of suspects. Dropping it gives all of them back, however the attempt ends.
+/// Resources of one attempt at its server: its place at the gate, its load and its run in the crash
+/// detector. Dropping it releases all of them, however the attempt ends.
 pub(crate) struct AttemptHold {
     pub(crate) load: OpenRequest,
     pub(crate) ticket: GateTicket,
--- a/crates/router/src/attempt/stream_pump.rs
+++ b/crates/router/src/attempt/stream_pump.rs
@@ -280,8 +280,8 @@
         }
     }
 
-    /// The caller reads too slowly: the server is let go at once, and what is kept is written out as
-    /// long as the caller takes it. It can come back for the rest with its last event's id.
+    /// Handles a caller that reads too slowly: cancels the server's run at once, and writes out the
+    /// buffered events as long as the caller takes them. It may resume with the id of its last event.
     async fn let_go(&mut self) {
         self.open.cancel();
         self.buffer.close_server(self.runner.state.now_ms());
--- a/crates/router/src/caller/body_reader.rs
+++ b/crates/router/src/caller/body_reader.rs
@@ -14,15 +14,15 @@
 
 use crate::caller::RequestError;
 
-/// What is read beyond the limit and thrown away. A connection that is closed with bytes unread is
-/// reset, and a caller that is still sending would find the reset in place of the answer.
+/// Upper bound of the bytes that are read beyond the limit and discarded. A connection that is closed
+/// with unread bytes is reset, and a caller that is still sending would see the reset, not the response.
 const THROWN_AWAY_BYTES: usize = 16 * 1024 * 1024;
 
 /// How large a body may be, and how long it may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyBounds {
     pub(crate) most_bytes: usize,
-    /// For the whole body: a byte now and then would renew a bound on each wait for ever.
+    /// For the whole body: a bound on each read would be renewed by every single byte.
     pub(crate) patience: Duration,
 }
 
--- a/crates/router/src/control/control_actor.rs
+++ b/crates/router/src/control/control_actor.rs
@@ -330,8 +330,8 @@
         };
         let mut is_changed = self.note_life(&route, message.incarnation);
         if message.is_leaving {
-            // A word that names an incarnation speaks of that one only: a late one must not take a
-            // successor out of use.
+            // A notice that names an incarnation applies to that one only: a late one must not take
+            // its successor out of use.
             let incarnation = match message.incarnation {
                 Incarnation(0) => route.incarnation(),
                 told => told,
--- a/crates/router/src/control/host_watch.rs
+++ b/crates/router/src/control/host_watch.rs
@@ -19,10 +19,9 @@
 /// Between two readings. The list lags by more than that.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// Reads the list again and again: entry hosts become seeds of the exchange, and servers that leave
-/// get nothing new. The list says late what is past: a server that it calls live may have left,
-/// and one that it calls leaving may have started anew. So nothing is taken back because of it, and
-/// it is believed only of the incarnation that it names.
+/// Polls the list of hosts: entry hosts become seeds of the exchange, and leaving servers get no new
+/// requests. The list lags: a server listed as live may have left, and one listed as leaving may have
+/// restarted. So the list never ends a departure, and applies only to the incarnation that it names.
 pub(crate) async fn run(
     address: SocketAddr,
     state: Arc<RouterState>,
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -99,9 +99,9 @@
         }
     }
 
-    /// The first live host by name makes the plans, as long as it hears more than half of all. Two
-    /// makers would send one prefix to different servers, which costs hits and breaks nothing: a
-    /// plan only says where a prefix is likely cached.
+    /// Publishes plans if this is the first live host by name and it receives messages of more than
+    /// half of all hosts. Two planners would send one prefix to different servers, which costs cache
+    /// hits and breaks nothing: a plan only says where a prefix is likely cached.
     fn make_plans(&mut self) {
         if self.plan_maker_host().as_ref() != Some(&self.state.host) {
             return;
@@ -204,8 +204,8 @@
         self.take_item(&record.origin, record.item, told);
     }
 
-    /// `told` is when the origin said it: a report that was long on its way must not count as new,
-    /// or team limits would be shared by what is no longer so.
+    /// Applies an item that its origin published at `told`. A delayed report must not count as new, or
+    /// team limits would be shared by outdated usage.
     fn take_item(&mut self, origin: &HostName, item: PeerItem, told: Instant) {
         let now = Instant::now();
         match item {
--- a/crates/router/src/control/route_keeper.rs
+++ b/crates/router/src/control/route_keeper.rs
@@ -207,7 +207,7 @@
         self.servers.get(name).is_some_and(|kept| !kept.route.is_leaving())
     }
 
-    /// A server that has not told its weights yet is trusted: its answers tell.
+    /// A server whose weights are not known yet counts as having them: its responses name them.
     fn has_weights(&self, name: &ServerName, model: &ModelName, oldest: WeightsVersion) -> bool {
         self.told_weights(name, model).is_none_or(|told| oldest <= told)
     }
@@ -251,9 +251,9 @@
     }
 }
 
-/// The weights that prompts are placed for: those wanted, or older ones that are still in use. A
-/// router that has just started has heard of none; it takes those wanted, as the others do, for a
-/// prompt's place depends on them.
+/// The weights that prompts are placed for: the target, or older ones that are still in use. A router
+/// that has just started knows of none in use and takes the target, as the others do: the owner of a
+/// prompt depends on them.
 fn expected_weights(wanted: WeightsVersion, confirmed: WeightsVersion) -> WeightsVersion {
     match confirmed {
         WeightsVersion(0) => wanted,
--- a/crates/router/src/control/weights_floor.rs
+++ b/crates/router/src/control/weights_floor.rs
@@ -16,9 +16,8 @@
 }
 
 impl WeightsFloor {
-    /// Takes in what the model's servers have told, and gives the oldest weights that may answer.
-    /// What has been wanted and confirmed once stays so: a server that restarts with older weights
-    /// gets nothing until it has loaded.
+    /// Applies the weights that the model's servers report, and returns the oldest that may serve. The
+    /// floor never falls: a server that restarts with older weights gets nothing until it has loaded.
     pub(crate) fn step(
         &mut self,
         wanted: WeightsVersion,
--- a/crates/router/src/control/word_codec.rs
+++ b/crates/router/src/control/word_codec.rs
@@ -1,4 +1,4 @@
-//! What routers tell each other in words whose bytes the exchange does not read.
+//! Encoding of the items that routers publish to each other; the exchange carries them as opaque bytes.
 
 use std::time::Duration;
 
@@ -130,7 +130,7 @@
     })
 }
 
-/// The part under which a verdict's newest word is kept.
+/// The key under which the newest record of a verdict is kept.
 pub(crate) fn verdict_part(verdict: &SuspectVerdict) -> u64 {
     verdict.fingerprint.0 as u64
 }
