--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -1,6 +1,11 @@
 //! Compatibility of gossip messages between router versions.
 
 use bincode::config::standard;
+use fulmargate_admission::BucketKey;
+use fulmargate_admission::LimitNotice;
+use fulmargate_admission::LimitReport;
+use fulmargate_admission::QuotaCount;
+use fulmargate_admission::QuotaReport;
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_names::HostName;
 
@@ -22,6 +27,21 @@
     }
 }
 
+/// Limits of servers travel behind the message, where routers of earlier versions ignore them.
+#[test]
+fn limit_reports_round_trip() {
+    let notice = LimitNotice { server: 7, rate_per_s: Some(2.8), age_ms: 40, attempts_per_s: 12.5 };
+    let usage = QuotaReport {
+        start: 3,
+        counts: vec![QuotaCount { key: BucketKey::of_server(7), total: 9, fresh: 2 }],
+    };
+    let limits = Some(LimitReport { notices: vec![notice], usage });
+    let sent = GossipMessage { limits, ..gossip(None) };
+    let message = encode_gossip(&sent).expect("encode message");
+    let decoded = decode_gossip(&message[LENGTH_PREFIX_BYTES..]).expect("decode message");
+    assert_eq!(decoded, sent);
+}
+
 /// Guards against routers that close their connections during a rolling upgrade because a message
 /// has fewer or more extensions than they know.
 #[test]
