--- a/crates/dispatch/src/server_registry/limits.rs
+++ b/crates/dispatch/src/server_registry/limits.rs
@@ -137,7 +137,7 @@
         }
     }
 
-    /// What a call that may not go yet is told: a server without a limit takes it all the same.
+    /// Admission of a call that has others before it: only a server without a limit takes it now.
     pub(super) fn wait_behind(
         &mut self,
         server: ServerKey,
--- a/crates/router/src/control/peer_desk.rs
+++ b/crates/router/src/control/peer_desk.rs
@@ -204,8 +204,8 @@
         self.take_item(&record.origin, record.item, told);
     }
 
-    /// Applies an item that its origin published at `told`. A delayed report must not count as new, or
-    /// team limits would be shared by outdated usage.
+    /// Applies an item with the time of its publication. A delayed report must not count as new, or team
+    /// limits would be shared by outdated usage.
     fn take_item(&mut self, origin: &HostName, item: PeerItem, told: Instant) {
         let now = Instant::now();
         match item {
