Logs: how the body of a server's response ended

Callers saw streams that had been broken off as complete responses. The logs could not tell whether such a response was framed by length, by chunks or by the end of its connection, whether the connection failed, or whether an event was open at the end, which is what tells the hypotheses of the incident apart.

request_ended, request_failed and attempt_retried now have framing, body_end, events and partial_bytes of the last body that was read, and a counter by framing, end and content. No decision changes; no further line is written.

--- a/crates/dispatch/src/event_splitter.rs
+++ b/crates/dispatch/src/event_splitter.rs
@@ -40,6 +40,11 @@
         self.partial.clear();
     }
 
+    /// Number of buffered bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Id of the last complete event that has one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -6,6 +6,7 @@
 
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::LogTopic;
+use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_names::TeamName;
 use metrics_exporter_prometheus::Matcher;
@@ -35,6 +36,17 @@
     metrics::counter!("fulmargate_sends_total", "reason" => reason).increment(1);
 }
 
+/// Counts a response of a backend server whose body was read to its end.
+pub(crate) fn count_response_end(end: ResponseEnd) {
+    let content = if end.partial_bytes == 0 { "complete" } else { "partial" };
+    let labels = [
+        ("framing", end.framing.to_string()),
+        ("end", end.transport.to_string()),
+        ("content", content.to_owned()),
+    ];
+    metrics::counter!("fulmargate_response_ends_total", &labels).increment(1);
+}
+
 /// Counts a connection attempt to a backend server.
 pub(crate) fn count_connect(end: &'static str) {
     metrics::counter!("fulmargate_connects_total", "end" => end).increment(1);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread, which proxies callers' requests to backend servers.
 
+mod body_framing;
 mod crash_check;
 mod in_flight_request;
 mod prompt_queue;
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -14,10 +14,12 @@
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::NextStep;
+use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::TransportEnd;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::ServiceName;
@@ -32,6 +34,7 @@
 pub(crate) use self::failover::Failover;
 
 use crate::state::SharedState;
+use crate::telemetry::count_response_end;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::request_decoder::KEY_NOT_VERIFIABLE;
 use crate::traffic::request_decoder::admit;
@@ -58,6 +61,8 @@
     /// An error response of a server, returned to the caller if no other server succeeds.
     failed_response: Option<Response<ResponseBody>>,
     pub(crate) timing: StreamTiming,
+    /// How the last response body that was read ended.
+    response_end: Option<ResponseEnd>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
@@ -90,6 +95,7 @@
             excluded_servers: Vec::new(),
             failed_response: None,
             timing: StreamTiming::default(),
+            response_end: None,
             end_is_logged: Cell::new(false),
         }
     }
@@ -147,6 +153,7 @@
         connected: ConnectedSend,
     ) -> Result<Option<ServerResponse>, RequestFailure> {
         let (server, weights) = (connected.server().clone(), connected.weights());
+        self.response_end = None;
         if let Some(charge) = &mut self.decoded.charge {
             charge.record_send();
         }
@@ -335,9 +342,13 @@
     ) -> Result<Response<ResponseBody>, RequestFailure> {
         let parts = clone_head(&response.parts);
         let server = response.server.clone();
+        let framing = response.framing;
         let deadline = self.facts().deadline;
         let mut handler = self;
-        match response.read_body(deadline).await {
+        let result = response.read_body(deadline).await;
+        let transport = result.as_ref().map_or(TransportEnd::Failed, |_| TransportEnd::Finished);
+        handler.record_end(ResponseEnd { framing, transport, events: None, partial_bytes: 0 });
+        match result {
             Ok(body) => {
                 handler.state.crashes().clear(handler.facts().fingerprint);
                 handler.log_ended(EventKind::RequestEnded, parts.status, None);
@@ -350,6 +361,12 @@
         }
     }
 
+    /// Keeps how a response ended for the log, and counts it.
+    pub(crate) fn record_end(&mut self, end: ResponseEnd) {
+        count_response_end(end);
+        self.response_end = Some(end);
+    }
+
     /// Returns a server's error response if there is one, otherwise the router's own.
     fn finish_failed(
         &mut self,
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -1,9 +1,11 @@
 //! Log lines about a request.
 //!
 //! `took_ms` is the time since the request arrived, `silent_ms` the time since the last event of its stream.
+//! `framing`, `body_end`, `events` and `partial_bytes` tell how the last response body that was read ended.
 
 use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
+use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
@@ -103,6 +105,10 @@
         );
     }
 
+    fn end_field<T>(&self, field: impl Fn(&ResponseEnd) -> T) -> Option<T> {
+        self.response_end.as_ref().map(field)
+    }
+
     fn proof_ms(&self) -> Option<u64> {
         self.state.proof().age(boot_now()).map(|age| age.as_millis() as u64)
     }
@@ -117,6 +123,10 @@
                 server = %server.name,
                 end = ?error.outcome,
                 reason = error.reason,
+                framing = self.end_field(|end| end.framing.to_string()),
+                body_end = self.end_field(|end| end.transport.to_string()),
+                events = self.end_field(|end| end.events).flatten(),
+                partial_bytes = self.end_field(|end| end.partial_bytes),
                 took_ms = self.facts().arrived.elapsed().as_millis() as u64,
             );
         }
@@ -167,6 +177,10 @@
             status = status.as_u16(),
             error = failure.map(|failure| failure.kind.row().code),
             detail = failure.map(|failure| failure.detail.as_str()),
+            framing = self.end_field(|end| end.framing.to_string()),
+            body_end = self.end_field(|end| end.transport.to_string()),
+            events = self.end_field(|end| end.events).flatten(),
+            partial_bytes = self.end_field(|end| end.partial_bytes),
             sends = self.progress.sends() + 1,
             took_ms = facts.arrived.elapsed().as_millis() as u64,
         );
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fulmargate_consortium::ResponseHead;
 use fulmargate_consortium::ServerRequestHead;
+use fulmargate_dispatch::BodyFraming;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ProbeStep;
 use fulmargate_dispatch::SendOutcome;
@@ -22,6 +23,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::traffic::body_framing::body_framing;
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::server_connection::ConnectError;
@@ -54,6 +56,7 @@
 pub(crate) struct ServerResponse {
     pub(crate) parts: Parts,
     pub(crate) head: ResponseHead,
+    pub(crate) framing: BodyFraming,
     pub(crate) body: Incoming,
     /// Dropping the connection cancels the request at the server.
     pub(crate) _connection: ServerConnection,
@@ -120,9 +123,11 @@
             return Err(SendError::new(SendOutcome::Broken, &"the answer names another request"));
         }
         let SendPlan { server, weights, in_flight, .. } = plan;
+        let framing = body_framing(&decoded.parts.method, &parts);
         Ok(ServerResponse {
             parts,
             head,
+            framing,
             body,
             _connection: connection,
             in_flight,
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use fulmargate_consortium::ResponseHead;
 use fulmargate_dispatch::EventSplitter;
+use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
+use fulmargate_dispatch::TransportEnd;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::WeightsVersion;
@@ -163,7 +165,10 @@
             let bytes = match self.next_chunk(&mut response).await {
                 ChunkEvent::Bytes(bytes) => bytes,
                 ChunkEvent::Complete => return self.finish_attempt(&response).await,
-                ChunkEvent::Broken(reason) => return AttemptEnd::Broken(reason),
+                ChunkEvent::Broken(reason) => {
+                    self.record_end(&response, TransportEnd::Failed);
+                    return AttemptEnd::Broken(reason);
+                }
                 ChunkEvent::Unresponsive(failover) => return AttemptEnd::Unresponsive(failover),
                 ChunkEvent::DeadlineExceeded => return AttemptEnd::DeadlineExceeded,
             };
@@ -178,6 +183,7 @@
     }
 
     async fn finish_attempt(&mut self, response: &ServerResponse) -> AttemptEnd {
+        self.record_end(response, TransportEnd::Finished);
         let remaining = self.splitter.finish();
         response.in_flight.record_success();
         response
@@ -186,6 +192,15 @@
         if self.forward(remaining).await { AttemptEnd::Complete } else { AttemptEnd::CallerGone }
     }
 
+    fn record_end(&mut self, response: &ServerResponse, transport: TransportEnd) {
+        self.handler.record_end(ResponseEnd {
+            framing: response.framing,
+            transport,
+            events: Some(self.splitter.events()),
+            partial_bytes: self.splitter.partial_bytes(),
+        });
+    }
+
     /// Waits for the next chunk. While the server is unresponsive, a failover is prepared, which is cancelled
     /// when the server sends again.
     async fn next_chunk(&mut self, response: &mut ServerResponse) -> ChunkEvent {
