Failing tests: cut streams reach their callers as complete responses

What callers saw: a stream that its engine had broken off inside an event, with the engine's signature, a final chunk and without its last events.

Daemon tests over real connections play the table of framing and end for a resumable stream, a stream, an idempotent and a non-idempotent call, with the caller's and the servers' view.

--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -10,6 +10,7 @@
 mod record_forwarding;
 mod relays;
 mod requests;
+mod response_ends;
 mod server_limits;
 mod store_proxy;
 mod store_restore;
