Streams: an end inside an event is a break, and one place decides on the end

What callers saw: streams that had been broken off inside an event, framed as complete and without their last events.

Cause: the relay took the end of the body on its connection for the end of the stream. What was left of an open event was passed on as if it belonged there, the final chunk followed, the server was credited with a success, and evidence that the request crashes servers was cleared. Class: the end of a connection, or of a buffer, taken for the end of a message.

Change: ResponseEnd::verdict decides for streams and plain responses from framing, transport and content; relay, retry, resumption, server health, crash evidence, log and counter follow it. Unframed streams without an event or inside a line are broken off.

Why it works: whatever the framing says, an event that was begun and not ended is seen by its missing empty line, and none of its bytes have been passed on.

--- a/crates/dispatch/src/response_end.rs
+++ b/crates/dispatch/src/response_end.rs
@@ -1,4 +1,4 @@
-//! How the response of a backend server ended.
+//! Decides whether the response of a backend server is complete.
 
 use derive_more::Display;
 
@@ -30,15 +30,89 @@
     Failed,
 }
 
+/// Where the content of a body ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum ContentEnd {
+    /// The content is not a stream of events and does not tell.
+    #[display("plain")]
+    Plain,
+    /// No event has come.
+    #[display("no_event")]
+    NoEvent,
+    /// After a complete event.
+    #[display("between_events")]
+    BetweenEvents,
+    /// Within a comment between two events.
+    #[display("inside_comment")]
+    InsideComment,
+    /// Within an event.
+    #[display("inside_event")]
+    InsideEvent,
+}
+
 /// The end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseEnd {
     /// What the response states about its end.
     pub framing: BodyFraming,
-    /// How the body ended.
+    /// How the body ended on its connection.
     pub transport: TransportEnd,
-    /// Complete events of a stream; none for a response that is not a stream.
-    pub events: Option<u64>,
+    /// Where the content ended.
+    pub content: ContentEnd,
+    /// Complete events of a stream.
+    pub events: u64,
     /// Bytes after the last complete event of a stream.
     pub partial_bytes: usize,
 }
+
+/// Whether a response is complete.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum EndVerdict {
+    /// It is.
+    #[display("complete")]
+    Complete,
+    /// It was broken off.
+    #[display("{_0}")]
+    BrokenOff(BreakReason),
+}
+
+/// What shows that a response was broken off.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum BreakReason {
+    /// The connection.
+    #[display("the connection failed before the end of the response")]
+    Connection,
+    /// An incomplete event.
+    #[display("the stream ended inside an event")]
+    InsideEvent,
+    /// An incomplete line, without framing.
+    #[display("the connection was closed inside a line")]
+    InsideLine,
+    /// A stream without an event, without framing.
+    #[display("the connection was closed before the first event")]
+    NoEvent,
+}
+
+impl ResponseEnd {
+    /// Whether the response is complete, the only decision on this.
+    ///
+    /// Framing confirms the end of a body, but not that of an event.
+    pub fn verdict(&self) -> EndVerdict {
+        if self.transport == TransportEnd::Failed {
+            return EndVerdict::BrokenOff(BreakReason::Connection);
+        }
+        if self.content == ContentEnd::InsideEvent {
+            return EndVerdict::BrokenOff(BreakReason::InsideEvent);
+        }
+        match (self.framing, self.content) {
+            (BodyFraming::NoBody | BodyFraming::Length | BodyFraming::Chunked, ..) => {
+                EndVerdict::Complete
+            }
+            (_, ContentEnd::InsideComment) => EndVerdict::BrokenOff(BreakReason::InsideLine),
+            (_, ContentEnd::NoEvent) => EndVerdict::BrokenOff(BreakReason::NoEvent),
+            (_, ContentEnd::Plain | ContentEnd::BetweenEvents | ContentEnd::InsideEvent) => {
+                EndVerdict::Complete
+            }
+        }
+    }
+}
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::EndVerdict;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
@@ -37,12 +38,12 @@
 }
 
 /// Counts a response of a backend server whose body was read to its end.
-pub(crate) fn count_response_end(end: ResponseEnd) {
-    let content = if end.partial_bytes == 0 { "complete" } else { "partial" };
+pub(crate) fn count_response_end(end: ResponseEnd, verdict: EndVerdict) {
     let labels = [
         ("framing", end.framing.to_string()),
         ("end", end.transport.to_string()),
-        ("content", content.to_owned()),
+        ("content", end.content.to_string()),
+        ("verdict", verdict_label(verdict).to_owned()),
     ];
     metrics::counter!("fulmargate_response_ends_total", &labels).increment(1);
 }
@@ -130,6 +131,13 @@
     }
 }
 
+fn verdict_label(verdict: EndVerdict) -> &'static str {
+    match verdict {
+        EndVerdict::Complete => "complete",
+        EndVerdict::BrokenOff(_) => "broken_off",
+    }
+}
+
 fn route_kind_label(kind: RouteKind) -> &'static str {
     match kind {
         RouteKind::Idempotent => "idempotent",
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -1,5 +1,6 @@
 //! Processes a request from its first send to its final response.
 
+mod end_check;
 mod failover;
 mod log;
 mod plan;
@@ -19,7 +20,6 @@
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
-use fulmargate_dispatch::TransportEnd;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::ServiceName;
@@ -34,7 +34,6 @@
 pub(crate) use self::failover::Failover;
 
 use crate::state::SharedState;
-use crate::telemetry::count_response_end;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::request_decoder::KEY_NOT_VERIFIABLE;
 use crate::traffic::request_decoder::admit;
@@ -62,7 +61,7 @@
     failed_response: Option<Response<ResponseBody>>,
     pub(crate) timing: StreamTiming,
     /// How the last response body that was read ended.
-    response_end: Option<ResponseEnd>,
+    judged_end: Option<ResponseEnd>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
@@ -95,7 +94,7 @@
             excluded_servers: Vec::new(),
             failed_response: None,
             timing: StreamTiming::default(),
-            response_end: None,
+            judged_end: None,
             end_is_logged: Cell::new(false),
         }
     }
@@ -153,7 +152,7 @@
         connected: ConnectedSend,
     ) -> Result<Option<ServerResponse>, RequestFailure> {
         let (server, weights) = (connected.server().clone(), connected.weights());
-        self.response_end = None;
+        self.judged_end = None;
         if let Some(charge) = &mut self.decoded.charge {
             charge.record_send();
         }
@@ -291,7 +290,7 @@
         self.state.servers().record_failure(response.server.key(), Instant::now());
         let status = response.parts.status;
         let parts = clone_head(&response.parts);
-        let body = response.read_body(self.facts().deadline).await?;
+        let body = self.read_body(response).await?;
         // These statuses tell the caller that the request was not executed, which the server has not
         // confirmed.
         let implies_not_run =
@@ -342,15 +341,10 @@
     ) -> Result<Response<ResponseBody>, RequestFailure> {
         let parts = clone_head(&response.parts);
         let server = response.server.clone();
-        let framing = response.framing;
-        let deadline = self.facts().deadline;
         let mut handler = self;
-        let result = response.read_body(deadline).await;
-        let transport = result.as_ref().map_or(TransportEnd::Failed, |_| TransportEnd::Finished);
-        handler.record_end(ResponseEnd { framing, transport, events: None, partial_bytes: 0 });
-        match result {
+        match handler.read_body(response).await {
             Ok(body) => {
-                handler.state.crashes().clear(handler.facts().fingerprint);
+                handler.record_completed();
                 handler.log_ended(EventKind::RequestEnded, parts.status, None);
                 Ok(buffered_response(&parts, body))
             }
@@ -361,12 +355,6 @@
         }
     }
 
-    /// Keeps how a response ended for the log, and counts it.
-    pub(crate) fn record_end(&mut self, end: ResponseEnd) {
-        count_response_end(end);
-        self.response_end = Some(end);
-    }
-
     /// Returns a server's error response if there is one, otherwise the router's own.
     fn finish_failed(
         &mut self,
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -1,7 +1,8 @@
 //! Log lines about a request.
 //!
 //! `took_ms` is the time since the request arrived, `silent_ms` the time since the last event of its stream.
-//! `framing`, `body_end`, `events` and `partial_bytes` tell how the last response body that was read ended.
+//! `framing`, `body_end`, `content_end`, `events` and `partial_bytes` tell how the last response body that was
+//! read ended.
 
 use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
@@ -105,8 +106,8 @@
         );
     }
 
-    fn end_field<T>(&self, field: impl Fn(&ResponseEnd) -> T) -> Option<T> {
-        self.response_end.as_ref().map(field)
+    fn end_field<T>(&self, field: impl Fn(ResponseEnd) -> T) -> Option<T> {
+        self.judged_end.map(field)
     }
 
     fn proof_ms(&self) -> Option<u64> {
@@ -123,10 +124,11 @@
                 server = %server.name,
                 end = ?error.outcome,
                 reason = error.reason,
-                framing = self.end_field(|end| end.framing.to_string()),
-                body_end = self.end_field(|end| end.transport.to_string()),
-                events = self.end_field(|end| end.events).flatten(),
-                partial_bytes = self.end_field(|end| end.partial_bytes),
+                framing = self.end_field(|judged| display(judged.framing)),
+                body_end = self.end_field(|judged| display(judged.transport)),
+                content_end = self.end_field(|judged| display(judged.content)),
+                events = self.end_field(|judged| judged.events),
+                partial_bytes = self.end_field(|judged| judged.partial_bytes),
                 took_ms = self.facts().arrived.elapsed().as_millis() as u64,
             );
         }
@@ -177,10 +179,11 @@
             status = status.as_u16(),
             error = failure.map(|failure| failure.kind.row().code),
             detail = failure.map(|failure| failure.detail.as_str()),
-            framing = self.end_field(|end| end.framing.to_string()),
-            body_end = self.end_field(|end| end.transport.to_string()),
-            events = self.end_field(|end| end.events).flatten(),
-            partial_bytes = self.end_field(|end| end.partial_bytes),
+            framing = self.end_field(|judged| display(judged.framing)),
+            body_end = self.end_field(|judged| display(judged.transport)),
+            content_end = self.end_field(|judged| display(judged.content)),
+            events = self.end_field(|judged| judged.events),
+            partial_bytes = self.end_field(|judged| judged.partial_bytes),
             sends = self.progress.sends() + 1,
             took_ms = facts.arrived.elapsed().as_millis() as u64,
         );
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -211,17 +211,13 @@
 }
 
 impl ServerResponse {
-    /// Reads the complete body.
-    pub(crate) async fn read_body(self, deadline: Instant) -> Result<Bytes, SendError> {
-        let result =
-            timeout_at(deadline, Limited::new(self.body, MAX_BUFFERED_RESPONSE_BYTES).collect())
-                .await;
+    /// Reads the body to its end on the connection, which does not show that it is complete.
+    pub(crate) async fn read_body(&mut self, deadline: Instant) -> Result<Bytes, SendError> {
+        let body = Limited::new(&mut self.body, MAX_BUFFERED_RESPONSE_BYTES);
+        let result = timeout_at(deadline, body.collect()).await;
         let body = result
             .map_err(|_| SendError::new(SendOutcome::TimedOut, &"the answer did not end in time"))?
             .map_err(|err| SendError::new(SendOutcome::Broken, &err))?;
-        if self.parts.status.is_success() {
-            self.in_flight.record_success();
-        }
         Ok(body.to_bytes())
     }
 }
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use fulmargate_consortium::ResponseHead;
+use fulmargate_dispatch::EndVerdict;
 use fulmargate_dispatch::EventSplitter;
 use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
@@ -64,7 +65,7 @@
 enum AttemptEnd {
     /// The stream is complete.
     Complete,
-    /// The connection to the server broke.
+    /// The stream was broken off.
     Broken(String),
     /// The server became unresponsive, and another one can resume the stream.
     Unresponsive(Box<Failover>),
@@ -78,10 +79,8 @@
 enum ChunkEvent {
     /// A chunk of the body.
     Bytes(Bytes),
-    /// The end of the body.
-    Complete,
-    /// The connection to the server broke.
-    Broken(String),
+    /// The end of the body on its connection, with the error if it failed.
+    Ended(Option<String>),
     /// The server became unresponsive, and another one can resume the stream.
     Unresponsive(Box<Failover>),
     /// The request's deadline has passed.
@@ -92,8 +91,8 @@
     fn from_frame(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> ChunkEvent {
         match frame {
             Some(Ok(frame)) => ChunkEvent::Bytes(frame.into_data().unwrap_or_default()),
-            Some(Err(err)) => ChunkEvent::Broken(err.to_string()),
-            None => ChunkEvent::Complete,
+            Some(Err(err)) => ChunkEvent::Ended(Some(err.to_string())),
+            None => ChunkEvent::Ended(None),
         }
     }
 }
@@ -107,7 +106,7 @@
             let weights = response.weights;
             let (reason, connected) = match self.relay_attempt(response).await {
                 AttemptEnd::Complete => {
-                    self.handler.state.crashes().clear(self.handler.facts().fingerprint);
+                    self.handler.record_completed();
                     self.handler.log_ended(EventKind::RequestEnded, status, None);
                     return;
                 }
@@ -122,7 +121,11 @@
             if let Err(failure) = self.handler.handle_broken_stream(&reason, &server).await {
                 return self.abort(ErrorKind::StreamBroken, failure.detail).await;
             }
-            self.splitter.discard_partial();
+            if !self.splitter.can_resume() {
+                let detail = format!("{reason}; no other server can go on at this point");
+                return self.abort(ErrorKind::StreamBroken, detail).await;
+            }
+            self.splitter.begin_resumed();
             let point = self.resume_point(weights);
             response = match self.resume(&point, connected).await {
                 Ok(response) if response.parts.status.is_success() => response,
@@ -164,41 +167,44 @@
         loop {
             let bytes = match self.next_chunk(&mut response).await {
                 ChunkEvent::Bytes(bytes) => bytes,
-                ChunkEvent::Complete => return self.finish_attempt(&response).await,
-                ChunkEvent::Broken(reason) => {
-                    self.record_end(&response, TransportEnd::Failed);
-                    return AttemptEnd::Broken(reason);
-                }
+                ChunkEvent::Ended(error) => return self.finish_attempt(&response, error).await,
                 ChunkEvent::Unresponsive(failover) => return AttemptEnd::Unresponsive(failover),
                 ChunkEvent::DeadlineExceeded => return AttemptEnd::DeadlineExceeded,
             };
-            let events = self.splitter.push(&bytes);
-            if !events.is_empty() {
+            let events_before = self.splitter.events();
+            let complete = self.splitter.push(&bytes);
+            if events_before < self.splitter.events() {
                 self.handler.timing.record_events(Instant::now());
             }
-            if !self.forward(events).await {
+            if !self.forward(complete).await {
                 return AttemptEnd::CallerGone;
             }
         }
     }
 
-    async fn finish_attempt(&mut self, response: &ServerResponse) -> AttemptEnd {
-        self.record_end(response, TransportEnd::Finished);
-        let remaining = self.splitter.finish();
+    /// Ends the attempt at the end of the body, which failed if there is an error.
+    async fn finish_attempt(
+        &mut self,
+        response: &ServerResponse,
+        error: Option<String>,
+    ) -> AttemptEnd {
+        let end = ResponseEnd {
+            framing: response.framing,
+            transport: error.as_ref().map_or(TransportEnd::Finished, |_| TransportEnd::Failed),
+            content: self.splitter.content_end(),
+            events: self.splitter.events(),
+            partial_bytes: self.splitter.partial_bytes(),
+        };
+        let verdict = self.handler.judge_end(end);
+        if verdict != EndVerdict::Complete {
+            return AttemptEnd::Broken(error.unwrap_or_else(|| verdict.to_string()));
+        }
         response.in_flight.record_success();
         response
             .in_flight
             .record_max_gap(self.handler.timing.max_gap_share(self.handler.facts().route.kind));
-        if self.forward(remaining).await { AttemptEnd::Complete } else { AttemptEnd::CallerGone }
-    }
-
-    fn record_end(&mut self, response: &ServerResponse, transport: TransportEnd) {
-        self.handler.record_end(ResponseEnd {
-            framing: response.framing,
-            transport,
-            events: Some(self.splitter.events()),
-            partial_bytes: self.splitter.partial_bytes(),
-        });
+        let rest = self.splitter.finish();
+        if self.forward(rest).await { AttemptEnd::Complete } else { AttemptEnd::CallerGone }
     }
 
     /// Waits for the next chunk. While the server is unresponsive, a failover is prepared, which is cancelled
@@ -216,11 +222,12 @@
                 return ChunkEvent::DeadlineExceeded;
             }
             let point = self.resume_point(response.weights);
+            let can_resume = self.splitter.can_resume();
             tokio::select! {
                 biased;
                 frame = response.body.frame() => return ChunkEvent::from_frame(frame),
                 () = sleep_until(deadline) => return ChunkEvent::DeadlineExceeded,
-                failover = self.handler.prepare_failover(&server, &point) => match failover {
+                failover = self.handler.prepare_failover(&server, &point), if can_resume => match failover {
                     Some(failover) => return ChunkEvent::Unresponsive(failover),
                     None => continue,
                 },
