Responses without framing: the server is looked at before an end counts

What callers saw: a stream without framing whose engine was killed between two events, and half a plain body of a killed server, came as complete; the latter with a length of ours that stated more than we knew.

Cause: without framing a body ends with its connection, and the kernel closes the connections of a killed process in good order, so that its end looks like that of the body.

An end confirmed only by a server on its way out clears no crash evidence. Why it works: a killed process refuses connections from the moment on at which its connections are closed; a silent one cannot close any.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -143,6 +143,7 @@
 pub use response_end::ContentEnd;
 pub use response_end::EndVerdict;
 pub use response_end::ResponseEnd;
+pub use response_end::ServerStanding;
 pub use response_end::TransportEnd;
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryConf;
--- a/crates/dispatch/src/response_end.rs
+++ b/crates/dispatch/src/response_end.rs
@@ -50,6 +50,23 @@
     InsideEvent,
 }
 
+/// What is known of a server after one of its connections was closed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum ServerStanding {
+    /// It was not checked.
+    #[display("unchecked")]
+    Unchecked,
+    /// It accepts connections, or nothing shows that it does not.
+    #[display("running")]
+    Running,
+    /// It is about to exit as planned.
+    #[display("leaving")]
+    Leaving,
+    /// Its process has ended unplanned.
+    #[display("gone")]
+    Gone,
+}
+
 /// The end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseEnd {
@@ -71,6 +88,9 @@
     /// It is.
     #[display("complete")]
     Complete,
+    /// It depends on the server's standing, which was not checked.
+    #[display("unconfirmed")]
+    Unconfirmed,
     /// It was broken off.
     #[display("{_0}")]
     BrokenOff(BreakReason),
@@ -91,28 +111,32 @@
     /// A stream without an event, without framing.
     #[display("the connection was closed before the first event")]
     NoEvent,
+    /// The server, without framing.
+    #[display("the connection was closed and the server is gone")]
+    ServerGone,
 }
 
 impl ResponseEnd {
     /// Whether the response is complete, the only decision on this.
     ///
-    /// Framing confirms the end of a body, but not that of an event.
-    pub fn verdict(&self) -> EndVerdict {
+    /// Framing confirms the end of a body, but not that of an event. Without framing, the end of a process looks
+    /// like the end of the body: the kernel closes its connections in good order.
+    pub fn verdict(&self, server: ServerStanding) -> EndVerdict {
         if self.transport == TransportEnd::Failed {
             return EndVerdict::BrokenOff(BreakReason::Connection);
         }
         if self.content == ContentEnd::InsideEvent {
             return EndVerdict::BrokenOff(BreakReason::InsideEvent);
         }
-        match (self.framing, self.content) {
+        match (self.framing, self.content, server) {
             (BodyFraming::NoBody | BodyFraming::Length | BodyFraming::Chunked, ..) => {
                 EndVerdict::Complete
             }
-            (_, ContentEnd::InsideComment) => EndVerdict::BrokenOff(BreakReason::InsideLine),
-            (_, ContentEnd::NoEvent) => EndVerdict::BrokenOff(BreakReason::NoEvent),
-            (_, ContentEnd::Plain | ContentEnd::BetweenEvents | ContentEnd::InsideEvent) => {
-                EndVerdict::Complete
-            }
+            (_, ContentEnd::InsideComment, _) => EndVerdict::BrokenOff(BreakReason::InsideLine),
+            (_, ContentEnd::NoEvent, _) => EndVerdict::BrokenOff(BreakReason::NoEvent),
+            (_, _, ServerStanding::Unchecked) => EndVerdict::Unconfirmed,
+            (_, _, ServerStanding::Gone) => EndVerdict::BrokenOff(BreakReason::ServerGone),
+            (_, _, ServerStanding::Running | ServerStanding::Leaving) => EndVerdict::Complete,
         }
     }
 }
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -134,6 +134,7 @@
 fn verdict_label(verdict: EndVerdict) -> &'static str {
     match verdict {
         EndVerdict::Complete => "complete",
+        EndVerdict::Unconfirmed => "unconfirmed",
         EndVerdict::BrokenOff(_) => "broken_off",
     }
 }
--- a/crates/entry/src/traffic/body_framing.rs
+++ b/crates/entry/src/traffic/body_framing.rs
@@ -1,5 +1,8 @@
 //! The framing of a response's body.
 
+#[cfg(test)]
+mod tests;
+
 use fulmargate_dispatch::BodyFraming;
 use http::HeaderMap;
 use http::Method;
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -15,7 +15,6 @@
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::NextStep;
-use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
@@ -38,6 +37,7 @@
 use crate::traffic::request_decoder::KEY_NOT_VERIFIABLE;
 use crate::traffic::request_decoder::admit;
 use crate::traffic::request_failure::RequestFailure;
+use crate::traffic::request_handler::end_check::JudgedEnd;
 use crate::traffic::request_handler::stream_timing::StreamTiming;
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::send_attempt::ConnectedSend;
@@ -61,7 +61,7 @@
     failed_response: Option<Response<ResponseBody>>,
     pub(crate) timing: StreamTiming,
     /// How the last response body that was read ended.
-    judged_end: Option<ResponseEnd>,
+    judged_end: Option<JudgedEnd>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
--- a/crates/entry/src/traffic/request_handler/end_check.rs
+++ b/crates/entry/src/traffic/request_handler/end_check.rs
@@ -1,29 +1,56 @@
 //! Judges the end of responses.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
+use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ContentEnd;
 use fulmargate_dispatch::EndVerdict;
 use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::SendOutcome;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerStage;
+use fulmargate_dispatch::ServerStanding;
 use fulmargate_dispatch::TransportEnd;
+use tokio::time::Instant;
 
 use crate::telemetry::count_response_end;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::send_attempt::SendError;
 use crate::traffic::send_attempt::ServerResponse;
+use crate::traffic::server_connection::ServerConnection;
+
+/// The end of a response, and what was known of its server when it was judged.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct JudgedEnd {
+    pub(super) end: ResponseEnd,
+    pub(super) standing: ServerStanding,
+}
 
 impl RequestHandler {
     /// Decides whether a response whose body has ended is complete, and records the decision.
-    pub(crate) fn judge_end(&mut self, end: ResponseEnd) -> EndVerdict {
-        let verdict = end.verdict();
+    pub(crate) async fn judge_end(
+        &mut self,
+        end: ResponseEnd,
+        server: &Arc<ServerEntry>,
+    ) -> EndVerdict {
+        let mut verdict = end.verdict(ServerStanding::Unchecked);
+        let mut standing = ServerStanding::Unchecked;
+        if verdict == EndVerdict::Unconfirmed {
+            standing = self.check_server(server).await;
+            verdict = end.verdict(standing);
+        }
         count_response_end(end, verdict);
-        self.judged_end = Some(end);
+        self.judged_end = Some(JudgedEnd { end, standing });
         verdict
     }
 
-    /// Records that a server has completed the request, which therefore does not crash servers.
+    /// Records that a server has completed the request, which therefore does not crash servers. An end that only a
+    /// server on its way out has confirmed does not count.
     pub(crate) fn record_completed(&self) {
-        self.state.crashes().clear(self.facts().fingerprint);
+        if self.judged_end.is_some_and(|judged| judged.standing != ServerStanding::Leaving) {
+            self.state.crashes().clear(self.facts().fingerprint);
+        }
     }
 
     /// Reads the complete body of a response that is not a stream.
@@ -43,7 +70,7 @@
             events: 0,
             partial_bytes: 0,
         };
-        let verdict = self.judge_end(end);
+        let verdict = self.judge_end(end, &response.server).await;
         let body = result?;
         if verdict != EndVerdict::Complete {
             return Err(SendError { outcome: SendOutcome::Broken, reason: verdict.to_string() });
@@ -53,4 +80,22 @@
         }
         Ok(body)
     }
+
+    /// Finds out whether a server that closed a connection in good order is still there. A process that is killed
+    /// refuses connections from the same moment on. A server that leaves may exit right after its last response.
+    async fn check_server(&self, server: &Arc<ServerEntry>) -> ServerStanding {
+        let now = Instant::now();
+        if self.state.servers().is_lost(server, now) {
+            return ServerStanding::Gone;
+        }
+        let stage = self.state.servers().state(server.key()).map(|state| state.entry().stage);
+        if stage != Some(ServerStage::Ready) {
+            return ServerStanding::Leaving;
+        }
+        let connecting = ServerConnection::connect_to_server(&self.state, server).await;
+        match connecting.map_err(|err| err.outcome()) {
+            Err(ConnectOutcome::Refused) => ServerStanding::Gone,
+            _ => ServerStanding::Running,
+        }
+    }
 }
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -1,12 +1,11 @@
 //! Log lines about a request.
 //!
 //! `took_ms` is the time since the request arrived, `silent_ms` the time since the last event of its stream.
-//! `framing`, `body_end`, `content_end`, `events` and `partial_bytes` tell how the last response body that was
-//! read ended.
+//! `framing`, `body_end`, `content_end`, `events`, `partial_bytes` and `server_check` tell how the last response body
+//! that was read ended and what its verdict rests on.
 
 use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
-use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
@@ -19,6 +18,7 @@
 use crate::telemetry::record_response;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
+use crate::traffic::request_handler::end_check::JudgedEnd;
 use crate::traffic::send_attempt::SendError;
 
 impl RequestHandler {
@@ -106,7 +106,7 @@
         );
     }
 
-    fn end_field<T>(&self, field: impl Fn(ResponseEnd) -> T) -> Option<T> {
+    fn end_field<T>(&self, field: impl Fn(JudgedEnd) -> T) -> Option<T> {
         self.judged_end.map(field)
     }
 
@@ -124,11 +124,12 @@
                 server = %server.name,
                 end = ?error.outcome,
                 reason = error.reason,
-                framing = self.end_field(|judged| display(judged.framing)),
-                body_end = self.end_field(|judged| display(judged.transport)),
-                content_end = self.end_field(|judged| display(judged.content)),
-                events = self.end_field(|judged| judged.events),
-                partial_bytes = self.end_field(|judged| judged.partial_bytes),
+                framing = self.end_field(|judged| display(judged.end.framing)),
+                body_end = self.end_field(|judged| display(judged.end.transport)),
+                content_end = self.end_field(|judged| display(judged.end.content)),
+                events = self.end_field(|judged| judged.end.events),
+                partial_bytes = self.end_field(|judged| judged.end.partial_bytes),
+                server_check = self.end_field(|judged| display(judged.standing)),
                 took_ms = self.facts().arrived.elapsed().as_millis() as u64,
             );
         }
@@ -179,11 +180,12 @@
             status = status.as_u16(),
             error = failure.map(|failure| failure.kind.row().code),
             detail = failure.map(|failure| failure.detail.as_str()),
-            framing = self.end_field(|judged| display(judged.framing)),
-            body_end = self.end_field(|judged| display(judged.transport)),
-            content_end = self.end_field(|judged| display(judged.content)),
-            events = self.end_field(|judged| judged.events),
-            partial_bytes = self.end_field(|judged| judged.partial_bytes),
+            framing = self.end_field(|judged| display(judged.end.framing)),
+            body_end = self.end_field(|judged| display(judged.end.transport)),
+            content_end = self.end_field(|judged| display(judged.end.content)),
+            events = self.end_field(|judged| judged.end.events),
+            partial_bytes = self.end_field(|judged| judged.end.partial_bytes),
+            server_check = self.end_field(|judged| display(judged.standing)),
             sends = self.progress.sends() + 1,
             took_ms = facts.arrived.elapsed().as_millis() as u64,
         );
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -195,7 +195,7 @@
             events: self.splitter.events(),
             partial_bytes: self.splitter.partial_bytes(),
         };
-        let verdict = self.handler.judge_end(end);
+        let verdict = self.handler.judge_end(end, &response.server).await;
         if verdict != EndVerdict::Complete {
             return AttemptEnd::Broken(error.unwrap_or_else(|| verdict.to_string()));
         }
--- a/crates/entry/tests/daemon/response_ends.rs
+++ b/crates/entry/tests/daemon/response_ends.rs
@@ -271,6 +271,47 @@
     }
 }
 
+/// A server that leaves as planned may exit right after its last response, and refuses connections then. The response
+/// must not be called broken for that, or a planned stop would cut it.
+#[tokio::test]
+async fn the_last_response_of_a_leaving_server_is_complete() {
+    let deployment = TestDeployment::start_with_long_timeout(ServerMode::Wait).await;
+    let (callers, request) = (deployment.callers, CallerRequest::prompt("/chat/x", "last"));
+    let request_task = tokio::spawn(async move { request.send(callers).await });
+    let runs = |engine: &&FakeServer| !engine.seen().is_empty();
+    wait_until("an engine runs the request", || deployment.engines.iter().any(|one| runs(&one)))
+        .await;
+    let engine = deployment.engines.iter().find(runs).expect("an engine runs the request");
+    deployment.store.put_server(&engine.name, "engines", engine.address, "draining");
+    wait_until("the daemon knows that the engine leaves", || {
+        !deployment.daemon.events("server_leaving").is_empty()
+    })
+    .await;
+    let shape = ResponseShape::whole(ShapeFraming::UntilClose)
+        .ending(ShapeContent::Whole, ShapeEnd::Killed);
+    engine.set_mode(ServerMode::Shaped(shape));
+    let answer = request_task.await.expect("the request task completes").expect("a response");
+    assert_eq!((answer.body, answer.is_whole), (events("last", ECHO_EVENTS), true));
+    let run_count: usize = deployment.engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(run_count, 1);
+}
+
+/// A response to HEAD has a length and no body, and must not be called broken for it.
+#[tokio::test]
+async fn a_response_to_head_is_complete() {
+    let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
+    for framing in [ShapeFraming::Length, ShapeFraming::Chunked] {
+        let mode = ServerMode::Shaped(ResponseShape::whole(framing));
+        deployment.set_plain_mode(mode);
+        let id = format!("head-{framing:?}");
+        let mut request = CallerRequest::new(&format!("/charge/{id}"), &id);
+        request.method = "HEAD";
+        let answer = deployment.send(&request).await;
+        let seen = (answer.status, answer.body.as_str(), answer.is_whole);
+        assert_eq!(seen, (200, "", true), "{framing:?}");
+    }
+}
+
 /// A whole stream must not be called broken for its line ends, and resumes at the right event with each of them.
 #[tokio::test]
 async fn line_ends_do_not_break_a_stream() {
