Callers of HTTP/1.0: an aborted stream resets the connection

What callers saw: a caller of HTTP/1.0 got an aborted stream as a complete one. Cause: such a response has no chunks, and the abort was an orderly close, which is what ends a whole response there as well.

Change: while a streamed response to HTTP/1.0 is open, the socket is set to reset when it is closed, and set back at the proper end of the body. Other callers see the missing last chunk as before; nothing changes for them.

--- a/crates/entry/src/sockets.rs
+++ b/crates/entry/src/sockets.rs
@@ -4,6 +4,7 @@
 use std::os::fd::AsFd;
 use std::time::Duration;
 
+use nix::libc::linger;
 use nix::sys::socket::setsockopt;
 use nix::sys::socket::sockopt;
 use tokio::net::TcpStream;
@@ -26,3 +27,10 @@
     setsockopt(&socket, sockopt::TcpKeepCount, &MAX_KEEPALIVE_PROBES)?;
     Ok(())
 }
+
+/// Sets whether closing the connection resets it, which discards data that was not sent yet.
+pub(crate) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    let option = linger { l_onoff: resets.into(), l_linger: 0 };
+    setsockopt(&stream.as_fd(), sockopt::Linger, &option)?;
+    Ok(())
+}
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -9,6 +9,7 @@
 use fulmargate_names::EventKind;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::header::CONNECTION;
 use http::header::HeaderValue;
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
 
 use crate::daemon::ShutdownTokens;
 use crate::state::SharedState;
+use crate::traffic::caller_io::ResetSwitch;
 use crate::traffic::request_decoder::decode_request;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
@@ -47,7 +49,9 @@
     state: Arc<SharedState>,
     stop: ShutdownTokens,
     request: Request<Incoming>,
+    switch: ResetSwitch,
 ) -> Result<Response<ResponseBody>, Infallible> {
+    let version = request.version();
     let _open = OpenRequestGuard::new(state.clone());
     // A request accepted now might be cut off by the shutdown timeout. Reject it, so that the caller retries
     // on a connection to another host.
@@ -60,6 +64,10 @@
         Ok(response) => response,
         Err(failure) => failure.to_response(),
     };
+    // Without chunks, only a reset tells an aborted stream from a complete one.
+    if version < Version::HTTP_11 {
+        response = response.map(|body| body.resetting(switch));
+    }
     // During shutdown, callers must not reuse connections that are about to be closed.
     if stop.requested.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/entry/src/traffic/response_body.rs
+++ b/crates/entry/src/traffic/response_body.rs
@@ -14,8 +14,10 @@
 use tokio::sync::mpsc::Receiver;
 use tokio_util::task::AbortOnDropHandle;
 
-/// Aborts a streamed response: the connection is closed without the final chunk, so that the caller
-/// does not take the response for complete.
+use crate::traffic::caller_io::ResetSwitch;
+
+/// Aborts a streamed response: the connection is closed without the final chunk, or reset if there are no chunks, so
+/// that the caller does not take the response for complete.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the stream broke")]
 pub(crate) struct StreamBroken;
@@ -26,13 +28,27 @@
     Buffered(Full<Bytes>),
     /// A body relayed chunk by chunk. The body is dropped when the caller disconnects, which aborts the
     /// task.
-    Streamed { chunks: Receiver<Result<Bytes, StreamBroken>>, _task: AbortOnDropHandle<()> },
+    Streamed {
+        chunks: Receiver<Result<Bytes, StreamBroken>>,
+        _task: AbortOnDropHandle<()>,
+        /// Resets the connection if it is closed before the end of the body; none if chunks show the end.
+        reset: Option<ResetSwitch>,
+    },
 }
 
 impl ResponseBody {
     pub(crate) fn buffered(bytes: Bytes) -> ResponseBody {
         ResponseBody::Buffered(Full::new(bytes))
     }
+
+    /// A streamed body of which an early end resets the connection.
+    pub(crate) fn resetting(mut self, switch: ResetSwitch) -> ResponseBody {
+        if let ResponseBody::Streamed { reset, .. } = &mut self {
+            switch.set(true);
+            *reset = Some(switch);
+        }
+        self
+    }
 }
 
 impl Body for ResponseBody {
@@ -48,8 +64,11 @@
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
             }
-            ResponseBody::Streamed { chunks, .. } => {
+            ResponseBody::Streamed { chunks, reset, .. } => {
                 let chunk = chunks.poll_recv(context);
+                if let (Poll::Ready(None), Some(switch)) = (&chunk, reset) {
+                    switch.set(false);
+                }
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -49,7 +49,7 @@
     let status = upstream.parts.status;
     let relay = StreamRelay { handler, sender, splitter: EventSplitter::default() };
     let task = AbortOnDropHandle::new(tokio::task::spawn_local(relay.run(upstream)));
-    let mut response = Response::new(ResponseBody::Streamed { chunks, _task: task });
+    let mut response = Response::new(ResponseBody::Streamed { chunks, _task: task, reset: None });
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -19,6 +19,8 @@
 use crate::daemon::StartError;
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
+use crate::traffic::caller_io::CallerIo;
+use crate::traffic::caller_io::ResetSwitch;
 use crate::traffic::prompt_queue::PromptQueue;
 use crate::traffic::request_service::serve_request;
 
@@ -88,15 +90,18 @@
         .as_ref()
         .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
     let (service_state, service_stop) = (state.clone(), stop.clone());
+    let switch = ResetSwitch::default();
+    let io = CallerIo::new(stream, switch.clone());
     let service = service_fn(move |request| {
-        serve_request(service_state.clone(), service_stop.clone(), request)
+        let (state, stop) = (service_state.clone(), service_stop.clone());
+        serve_request(state, stop, request, switch.clone())
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Also applies to the idle time between requests.
         .header_read_timeout(idle)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = &mut connection => result,
