Router: an unframed answer of a killed service is broken off

Half an answer was passed on with a length of ours, and kept for repeated calls. Found by reading.

Change: the framing of a response and the verdict on its end are shared (fulmargate-dispatch), and such an answer counts only if the service is still there or leaves as planned. Evidence: a unit test over a real connection, which fails with the check taken out (trial), for the killed service without framing.

--- a/crates/dispatch/src/response_end.rs
+++ b/crates/dispatch/src/response_end.rs
@@ -2,22 +2,7 @@
 
 use derive_more::Display;
 
-/// What a response states about the end of its body.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum BodyFraming {
-    /// There is no body.
-    #[display("none")]
-    NoBody,
-    /// The body has a stated length.
-    #[display("length")]
-    Length,
-    /// The body comes in chunks, the last of which is empty.
-    #[display("chunked")]
-    Chunked,
-    /// The body ends with its connection.
-    #[display("until_close")]
-    UntilClose,
-}
+use crate::BodyFraming;
 
 /// How a body ended on its connection.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
--- a/crates/entry/src/traffic/body_framing/tests.rs
+++ b/crates/dispatch/tests/body_framing.rs
@@ -1,8 +1,11 @@
+//! The framing of responses.
+
+use fulmargate_dispatch::BodyFraming;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
-use http::Response;
-
-use super::*;
+use http::Method;
+use http::StatusCode;
 
 struct FramingCase {
     method: Method,
@@ -61,14 +64,12 @@
 #[test]
 fn framing_follows_the_http_standard() {
     for case in CASES {
-        let mut response = Response::new(());
-        *response.status_mut() = StatusCode::from_u16(case.status).expect("a valid status");
+        let status = StatusCode::from_u16(case.status).expect("a valid status");
+        let mut headers = HeaderMap::new();
         for (name, value) in case.headers {
-            let value = HeaderValue::from_static(value);
-            response.headers_mut().append(HeaderName::from_static(name), value);
+            headers.append(HeaderName::from_static(name), HeaderValue::from_static(value));
         }
-        let (parts, ()) = response.into_parts();
-        let framing = body_framing(&case.method, &parts);
+        let framing = BodyFraming::of_response(&case.method, status, &headers);
         assert_eq!(framing, case.framing, "{} {} {:?}", case.method, case.status, case.headers);
     }
 }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -1,6 +1,5 @@
 //! The traffic thread, which proxies callers' requests to backend servers.
 
-mod body_framing;
 mod caller_io;
 mod crash_check;
 mod in_flight_request;
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -23,7 +23,6 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::traffic::body_framing::body_framing;
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::server_connection::ConnectError;
@@ -123,7 +122,8 @@
             return Err(SendError::new(SendOutcome::Broken, &"the answer names another request"));
         }
         let SendPlan { server, weights, in_flight, .. } = plan;
-        let framing = body_framing(&decoded.parts.method, &parts);
+        let method = &decoded.parts.method;
+        let framing = BodyFraming::of_response(method, parts.status, &parts.headers);
         Ok(ServerResponse {
             parts,
             head,
--- a/crates/router/src/attempt/service_attempt.rs
+++ b/crates/router/src/attempt/service_attempt.rs
@@ -4,12 +4,24 @@
 //! one, and names a connection that ended before the answer among those that were never made. Of a
 //! call that may not run twice both must be known for certain.
 
+#[cfg(test)]
+mod tests;
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
 use actix_web::http::StatusCode;
 use actix_web::http::header;
 use actix_web::http::header::HeaderMap;
 use actix_web::http::header::HeaderName;
 use actix_web::http::header::HeaderValue;
 use bytes::Bytes;
+use fulmargate_dispatch::BodyFraming;
+use fulmargate_dispatch::ContentEnd;
+use fulmargate_dispatch::EndVerdict;
+use fulmargate_dispatch::ResponseEnd;
+use fulmargate_dispatch::ServerStanding;
+use fulmargate_dispatch::TransportEnd;
 use fulmargate_names::NOT_RUN;
 use fulmargate_names::REQUEST_ID;
 use fulmargate_names::ServerName;
@@ -21,7 +33,6 @@
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -73,13 +84,14 @@
         Ok(Err(_)) => return Err(AttemptFailure::NotSent),
         Err(_) => return Err(AttemptFailure::NotReached),
     };
-    let exchange = exchange(stream, call, server, attempt_id);
+    let request = request(call, server, attempt_id)?;
+    let exchange = exchange(stream, request, server, attempt_id);
     timeout(call.timeout, exchange).await.unwrap_or(Err(AttemptFailure::Late))
 }
 
 async fn exchange(
     stream: TcpStream,
-    call: &ServiceCall,
+    request: Request<Full<Bytes>>,
     server: &ServerRoute,
     attempt_id: &str,
 ) -> Result<ServiceAnswer, AttemptFailure> {
@@ -89,8 +101,9 @@
     // Dropped with this future: the connection never carries another call.
     let driver = actix_rt::spawn(connection);
     let _closes_the_connection = AbortOnDrop(driver);
-    let request = request(call, server, attempt_id)?;
+    let method = request.method().clone();
     let response = sender.send_request(request).await.map_err(|err| failure_of(&err))?;
+    let framing = BodyFraming::of_response(&method, response.status(), response.headers());
     let status =
         StatusCode::from_u16(response.status().as_u16()).map_err(|_| AttemptFailure::Broken)?;
     let headers = answer_headers(response.headers());
@@ -103,6 +116,9 @@
     expected.check(&reply_identity(&headers)).map_err(AttemptFailure::Foreign)?;
     let body = Limited::new(response.into_body(), ANSWER_LIMIT);
     let body = body.collect().await.map_err(|_| AttemptFailure::Broken)?.to_bytes();
+    if !is_complete(framing, server).await {
+        return Err(AttemptFailure::Broken);
+    }
     let not_run = headers.get(NOT_RUN).is_some_and(|value| value == "true");
     if not_run && status == StatusCode::SERVICE_UNAVAILABLE {
         return Err(AttemptFailure::Refused { code: "refused".to_owned() });
@@ -110,6 +126,33 @@
     Ok(ServiceAnswer { server: server.name.clone(), status, headers, body })
 }
 
+/// Whether a body that has ended on its connection is complete. Without framing, that of a killed server looks the
+/// same, but the server refuses connections then.
+async fn is_complete(framing: BodyFraming, server: &ServerRoute) -> bool {
+    let end = ResponseEnd {
+        framing,
+        transport: TransportEnd::Finished,
+        content: ContentEnd::Plain,
+        events: 0,
+        partial_bytes: 0,
+    };
+    let mut verdict = end.verdict(ServerStanding::Unchecked);
+    if verdict == EndVerdict::Unconfirmed {
+        verdict = end.verdict(check_server(server).await);
+    }
+    verdict == EndVerdict::Complete
+}
+
+async fn check_server(server: &ServerRoute) -> ServerStanding {
+    if server.is_leaving() {
+        return ServerStanding::Leaving;
+    }
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(server.address)).await {
+        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => ServerStanding::Gone,
+        _ => ServerStanding::Running,
+    }
+}
+
 struct AbortOnDrop<T>(actix_rt::task::JoinHandle<T>);
 
 impl<T> Drop for AbortOnDrop<T> {
