--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -159,7 +159,9 @@
     };
     let mut body = request.into_body();
     let mut bytes = Vec::new();
-    while let Some(Ok(chunk)) = body.data().await {
+    while let Some(chunk) = body.data().await {
+        // A request that was cut off has nobody left to be answered.
+        let Ok(chunk) = chunk else { return };
         bytes.extend_from_slice(&chunk);
         if MAX_REQUEST_BYTES < bytes.len() {
             return;
