Soak: responses framed and ended in all ways, servers killed in mid-stream

No soak plan had responses without framing, and its proxy turned a reset of a server into an orderly close, which would have hidden what it should play; it now passes a reset on as one.

--response-ends draws, beside the faults of a seed, servers whose responses have a length, chunks, neither, or are of HTTP/1.0, and end whole, cut inside or between events, closed or reset; and servers that send streams without framing and are killed in mid-stream. Left out is what no caller can tell: an orderly close without framing between two events of a server that goes on.

--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -58,7 +58,9 @@
             SoakFault::Link(LinkPlace::Callers(router), _) => router == self.record.router,
             SoakFault::Link(LinkPlace::Server(place), _) => self.places.contains(&place),
             SoakFault::Server(_, ServerMode::PausedEcho) => false,
-            SoakFault::Server(place, _) => self.places.contains(&place),
+            SoakFault::Server(place, _) | SoakFault::KillServer(place) => {
+                self.places.contains(&place)
+            }
             SoakFault::Link(LinkPlace::Store(_), _) | SoakFault::FullLink(_) => false,
             SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::RestoreStore => false,
             SoakFault::ServerLimit(..) => false,
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -4,7 +4,12 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use fulmargate_consortium_stand::ECHO_EVENTS;
+use fulmargate_consortium_stand::ResponseShape;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ShapeContent;
+use fulmargate_consortium_stand::ShapeEnd;
+use fulmargate_consortium_stand::ShapeFraming;
 use fulmargate_consortium_stand::StoreFault;
 use rand::Rng;
 use rand::SeedableRng;
@@ -63,6 +68,19 @@
 const LIMIT_RATES: [u32; 5] = [3, 10, 28, 60, 200];
 /// Keeps these draws from those of other kinds.
 const LIMIT_DRAWS: u64 = 0x6c69_6d74;
+/// Times that a server shapes its responses, and that a server is killed, in a run that is drawn for them.
+const SHAPES: usize = 6;
+const SERVER_KILLS: usize = 3;
+/// How long a server shapes its responses.
+const SHAPE_MS: std::ops::RangeInclusive<u64> = 1_000..=4_000;
+/// When a server is killed after it began to send responses without framing.
+const KILLED_AFTER_MS: std::ops::RangeInclusive<u64> = 200..=1_500;
+/// Time after which the entry of a killed server expires: three heartbeats.
+const ENTRY_EXPIRY_MS: u64 = 3_600;
+/// Pause between the events of a shaped stream, in which a kill may fall.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Keeps these draws from those of other kinds.
+const SHAPE_DRAWS: u64 = 0x7368_6170;
 /// With so many hosts and fewer, each reads the store itself.
 const FEW_HOSTS: usize = 6;
 
@@ -227,6 +245,46 @@
         self
     }
 
+    /// Beside all else servers frame and end their responses in all ways that their callers can tell, and servers
+    /// that send responses without framing are killed.
+    pub fn with_response_ends(
+        mut self,
+        desks: usize,
+        engines: usize,
+        length: Duration,
+    ) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ SHAPE_DRAWS);
+        let servers = desks + engines;
+        let mut shape = |at: u64, server: usize, shape: ResponseShape, rng: &mut StdRng| {
+            let fault = SoakFault::Server(server, ServerMode::Shaped(shape));
+            let lasts = Duration::from_millis(rng.random_range(SHAPE_MS));
+            self.steps.push(FaultStep { at: Duration::from_millis(at), lasts, fault });
+        };
+        let latest = length.as_millis() as u64;
+        for _ in 0..SHAPES {
+            let at = rng.random_range(CALM_START_MS..latest);
+            let server = rng.random_range(0..servers);
+            let drawn = drawn_shape(&mut rng, server < desks);
+            shape(at, server, drawn, &mut rng);
+        }
+        let mut kills = Vec::new();
+        for _ in 0..SERVER_KILLS {
+            let at = rng.random_range(CALM_START_MS..latest);
+            let server = rng.random_range(0..servers);
+            let mut unframed = ResponseShape::whole(ShapeFraming::UntilClose);
+            unframed.pause = EVENT_PAUSE;
+            shape(at, server, unframed, &mut rng);
+            kills.push((at + rng.random_range(KILLED_AFTER_MS), server));
+        }
+        self.steps.extend(kills.into_iter().map(|(at, server)| FaultStep {
+            at: Duration::from_millis(at),
+            lasts: Duration::from_millis(ENTRY_EXPIRY_MS),
+            fault: SoakFault::KillServer(server),
+        }));
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// The address of loopback at which a router finds the servers: one of its own where its link may
     /// be full.
     pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
@@ -235,6 +293,33 @@
     }
 }
 
+/// A way to frame and end a response. Without framing, an orderly close inside a plain body or between two events
+/// looks like its end to any caller, and is left out.
+fn drawn_shape(rng: &mut StdRng, is_plain: bool) -> ResponseShape {
+    let framings = [
+        ShapeFraming::Length,
+        ShapeFraming::Chunked,
+        ShapeFraming::UntilClose,
+        ShapeFraming::Http10,
+    ];
+    let framing = framings[rng.random_range(0..framings.len())];
+    let is_framed = matches!(framing, ShapeFraming::Length | ShapeFraming::Chunked);
+    let sent = rng.random_range(0..ECHO_EVENTS);
+    let (inside, between) =
+        (ShapeContent::CutInsideEvent(sent), ShapeContent::CutBetweenEvents(sent));
+    let (content, end) = match rng.random_range(0..5) {
+        0 => (ShapeContent::Whole, ShapeEnd::Framed),
+        1 if is_framed => (between, ShapeEnd::Closed),
+        2 if !is_plain => (inside, ShapeEnd::Framed),
+        3 if !is_plain || is_framed => (inside, ShapeEnd::Closed),
+        4 => (inside, ShapeEnd::Reset),
+        _ => (between, ShapeEnd::Reset),
+    };
+    let mut shape = ResponseShape::whole(framing).ending(content, end);
+    shape.pause = EVENT_PAUSE;
+    shape
+}
+
 struct FaultSource {
     rng: StdRng,
     routers: usize,
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -107,6 +107,7 @@
         }
         SoakFault::ReplaceServer(number) => world.replace_server(number).await?,
         SoakFault::RemoveServer(number) => world.remove_server(number).await?,
+        SoakFault::KillServer(number) => world.kill_server(number, step.lasts).await?,
         SoakFault::AddRoute => add_route(world),
         SoakFault::TakeKey => take_key(world),
         SoakFault::NameWeights => {
--- a/crates/soak/src/loopback_proxy.rs
+++ b/crates/soak/src/loopback_proxy.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::HostLink;
 use crate::LinkLoad;
@@ -71,6 +72,7 @@
 struct ProxyState {
     fault: watch::Sender<LinkFault>,
     target: watch::Sender<Option<SocketAddr>>,
+    closed: CancellationToken,
     link: HostLink,
 }
 
@@ -90,7 +92,8 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let fault = watch::Sender::new(LinkFault::None);
-        let state = Arc::new(ProxyState { fault, target: watch::Sender::new(target), link });
+        let target = watch::Sender::new(target);
+        let state = Arc::new(ProxyState { fault, target, closed: CancellationToken::new(), link });
         tokio::spawn(accept_all(state.clone(), listener, address));
         Ok(LoopbackProxy { address, state })
     }
@@ -100,6 +103,11 @@
         self.state.fault.send_replace(fault);
     }
 
+    /// Refuses new connections. Open ones go on.
+    pub fn close(&self) {
+        self.state.closed.cancel();
+    }
+
     /// New connections go there.
     pub fn set_target(&self, target: Option<SocketAddr>) {
         self.state.target.send_replace(target);
@@ -109,6 +117,7 @@
 async fn accept_all(state: Arc<ProxyState>, listener: TcpListener, address: SocketAddr) {
     loop {
         tokio::select! {
+            () = state.closed.cancelled() => return,
             () = state.link.until(LinkLoad::Full) => {
                 if let Err(err) = stay_crowded(&state.link, &listener, address).await {
                     eprintln!("a proxy could not turn connections away: {err}");
@@ -163,7 +172,13 @@
     let back = pass(state.clone(), LinkWay::Back, far_read, near_write);
     let mut fault = state.fault.subscribe();
     tokio::select! {
-        _both_ended = async { tokio::join!(there, back) } => {}
+        ended = async { tokio::try_join!(there, back) } => {
+            // A reset is passed on as one, not as an end in good order.
+            if ended.is_err() {
+                let ends: Vec<_> = ends.iter().flatten().map(AsFd::as_fd).collect();
+                reset_on_close(&ends);
+            }
+        }
         _is_reset = fault.wait_for(|fault| *fault == LinkFault::Reset) => {
             let ends: Vec<_> = ends.iter().flatten().map(AsFd::as_fd).collect();
             reset_on_close(&ends);
@@ -171,12 +186,26 @@
     }
 }
 
-/// Passes bytes on until the connection ends. An end is passed on, too.
+/// Passes bytes on until the connection ends. An end in good order is passed on, too.
 async fn pass(
     state: Arc<ProxyState>,
     way: LinkWay,
-    mut from: OwnedReadHalf,
+    from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
+) -> io::Result<()> {
+    let passed = pass_all(&state, way, from, &mut to).await;
+    if passed.is_err() {
+        // Dropping it would end the other connection in good order.
+        to.forget();
+    }
+    passed
+}
+
+async fn pass_all(
+    state: &ProxyState,
+    way: LinkWay,
+    mut from: OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
 ) -> io::Result<()> {
     let mut fault = state.fault.subscribe();
     let mut piece = vec![0; PIECE_BYTES];
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -49,6 +49,10 @@
     /// servers name limits, beside the faults of the seed; goes before --departures
     #[argh(switch)]
     limits: bool,
+    /// responses are framed and ended in all ways, and servers killed, beside the faults of the seed; goes before
+    /// --limits
+    #[argh(switch)]
+    response_ends: bool,
     /// print what goes wrong in each run
     #[argh(switch)]
     plans: bool,
@@ -64,6 +68,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { response_ends: true, .. } => PlanKind::ResponseEnds,
         SoakArgs { limits: true, .. } => PlanKind::Limits,
         SoakArgs { departures: true, .. } => PlanKind::Departures,
         SoakArgs { full_link: true, .. } => PlanKind::FullLink,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -55,6 +55,8 @@
     /// A server's entry is removed without a notice, the server goes on for a while, and another takes its
     /// place.
     RemoveServer(usize),
+    /// A server's process is killed; another takes its place, and its entry expires later.
+    KillServer(usize),
     /// A configuration with one more route.
     AddRoute,
     /// A configuration without a key that callers use.
@@ -75,6 +77,7 @@
             SoakFault::Link(LinkPlace::Server(_), _) => false,
             SoakFault::Server(..) | SoakFault::ServerLimit(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
+            SoakFault::KillServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
     }
@@ -88,7 +91,7 @@
     pub(crate) fn harms_servers(&self) -> bool {
         match self {
             SoakFault::Server(_, mode) => *mode != ServerMode::PausedEcho,
-            SoakFault::Link(LinkPlace::Server(_), _) => true,
+            SoakFault::Link(LinkPlace::Server(_), _) | SoakFault::KillServer(_) => true,
             _ => false,
         }
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -69,6 +69,8 @@
     Departures,
     /// Any faults, and servers that name limits.
     Limits,
+    /// Any faults, and responses that are framed and ended in all ways, also by the end of their server.
+    ResponseEnds,
     /// Any faults, and links of hosts that are full while answers pause.
     FullLink,
 }
@@ -95,6 +97,7 @@
         PlanKind::Restore => mixed.with_restores(ROUTERS, conf.length),
         PlanKind::Departures => mixed.with_departures(ROUTERS, DESKS + ENGINES, conf.length),
         PlanKind::Limits => mixed.with_limits(DESKS + ENGINES, conf.length),
+        PlanKind::ResponseEnds => mixed.with_response_ends(DESKS, ENGINES, conf.length),
         PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
     };
     let folder = conf.folder.join(format!("seed-{seed}"));
@@ -106,7 +109,7 @@
     let callers = start_callers(&world, &records, seed, &stop);
     // Seeds of the other kinds were found without heartbeats.
     let mut heartbeats = JoinSet::new();
-    if conf.kind == PlanKind::Departures {
+    if matches!(conf.kind, PlanKind::Departures | PlanKind::ResponseEnds) {
         heartbeats.spawn(write_heartbeats(world.clone()));
     }
     play(&world, &plan).await?;
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -234,6 +234,22 @@
         Ok(())
     }
 
+    /// The server's process is killed, another takes its place, and its entry expires after this time.
+    pub(crate) async fn kill_server(&self, number: usize, expires: Duration) -> io::Result<()> {
+        let mut old = self.server(number);
+        let new = self.start_server(old.service, number).await?;
+        old.proxies.iter().for_each(LoopbackProxy::close);
+        old.stand.kill().await;
+        old.left = Some(Instant::now());
+        old.is_removed = true;
+        lock(&self.servers)[number] = new;
+        let name = old.stand.name.clone();
+        lock(&self.retired).push(old);
+        sleep(expires).await;
+        self.store.remove_server(&name);
+        Ok(())
+    }
+
     /// Writes the current servers' entries again.
     pub(crate) fn write_heartbeats(&self) {
         let servers = lock(&self.servers);
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -28,3 +28,20 @@
 fn is_of_full_links(step: &FaultStep) -> bool {
     matches!(step.fault, SoakFault::FullLink(_) | SoakFault::Server(_, ServerMode::PausedEcho))
 }
+
+/// The same for responses that are framed and ended in all ways.
+#[test]
+fn response_ends_leave_the_other_faults_of_a_seed_as_they_are() {
+    for seed in 0..50 {
+        let mixed = FaultPlan::draw(seed, ROUTERS, SERVERS, LENGTH);
+        let ends = mixed.clone().with_response_ends(3, 3, LENGTH);
+        let is_own = |step: &FaultStep| {
+            matches!(
+                step.fault,
+                SoakFault::KillServer(_) | SoakFault::Server(_, ServerMode::Shaped(_))
+            )
+        };
+        let others: Vec<FaultStep> = ends.steps.into_iter().filter(|step| !is_own(step)).collect();
+        assert_eq!(others, mixed.steps, "seed {seed}");
+    }
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -91,6 +91,29 @@
     },
 ];
 
+/// Seeds with responses that are framed and ended in all ways.
+const RESPONSE_END_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 4101,
+        seconds: 10,
+        kind: PlanKind::ResponseEnds,
+        cause: "a stream without framing that was cut inside an event was passed on as complete",
+    },
+    SeedCase {
+        seed: 4104,
+        seconds: 10,
+        kind: PlanKind::ResponseEnds,
+        cause: "the same for streams whose engine was killed between two events",
+    },
+];
+
+/// Servers frame and end their responses in all ways, and are killed in the middle of them, while routers are killed,
+/// paused and cut off. Guards against a response that was broken off and looks complete.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_responses_never_look_complete() {
+    check(RESPONSE_END_SEEDS, "response-ends").await;
+}
+
 /// Servers name limits while routers are killed, paused and cut off. Guards against more requests than the limits
 /// allow, from all routers together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
