Quotas: a lost report of use is repeated

Known red: quotas::routers_share_a_quota had once admitted 16 requests at the second router where 4 were allowed. Cause: a router reports the use of a team once, with its total. If that message is lost, such as by a connection that is not open yet, and the team is not used there again, the use is never counted by the others, while later messages show that the router is in reach: they fill their buckets at the whole rate. The first router's 14 requests take a tenth of a second and the test waits 0.3 s for the routers to meet, which a busy machine exceeds.

Change: totals are repeated with growing pauses, which costs at most eight counts of 13 bytes after a team falls silent; where a quota was added at runtime, the first total of a router is counted in full, at most a full bucket.

--- a/crates/admission/src/bucket_table.rs
+++ b/crates/admission/src/bucket_table.rs
@@ -16,6 +16,10 @@
 use crate::quota_bucket::BucketDecision;
 use crate::quota_bucket::QuotaBucket;
 
+/// A report is repeated after this many further ones, then after twice as many, up to the maximum. A router whose only
+/// report of a bucket was lost would otherwise let others use the tokens again.
+const FIRST_REPEAT_REPORTS: u32 = 2;
+const MAX_REPEAT_REPORTS: u32 = 256;
 /// Maximum number of buckets in a report; the remaining ones follow in the next.
 const MAX_COUNTS: usize = 64;
 
@@ -33,6 +37,17 @@
     buckets: IndexMap<BucketKey, QuotaBucket>,
     /// Buckets with usage since their last report.
     keys_to_report: IndexSet<BucketKey>,
+    /// Buckets without usage since their last report, which may have been lost.
+    repeats: IndexMap<BucketKey, ReportRepeat>,
+}
+
+/// When the report of a bucket is sent again.
+#[derive(Clone, Copy, Debug)]
+struct ReportRepeat {
+    /// Reports until then.
+    wait: u32,
+    /// Reports between the last time and then.
+    interval: u32,
 }
 
 /// Refusal of a request whose bucket has too few tokens.
@@ -55,6 +70,7 @@
             peer_tracker: PeerTracker::default(),
             buckets: IndexMap::new(),
             keys_to_report: IndexSet::new(),
+            repeats: IndexMap::new(),
         }
     }
 
@@ -73,6 +89,7 @@
     pub(crate) fn retain(&mut self, is_kept: impl Fn(BucketKey) -> bool) {
         self.buckets.retain(|key, _| is_kept(*key));
         self.keys_to_report.retain(|key| is_kept(*key));
+        self.repeats.retain(|key, _| is_kept(*key));
     }
 
     /// The bucket of this key, which `create` makes if it is new.
@@ -144,21 +161,41 @@
         self.peer_tracker.newest_report_age(now)
     }
 
-    /// Returns the usage admitted by this router since the last report.
+    /// Returns the usage admitted by this router since the last report, and repeats some of what was reported before.
     pub(crate) fn take_report(&mut self) -> QuotaReport {
         let keys: Vec<BucketKey> = self.keys_to_report.iter().take(MAX_COUNTS).copied().collect();
-        let mut counts = Vec::with_capacity(keys.len());
+        let mut counts = self.take_repeats();
         for key in keys {
             self.keys_to_report.shift_remove(&key);
             let Some(bucket) = self.buckets.get_mut(&key) else { continue };
             let (total, fresh) = bucket.take_report();
             if 0 < fresh {
+                let first = FIRST_REPEAT_REPORTS;
+                self.repeats.insert(key, ReportRepeat { wait: first, interval: first });
                 counts.push(QuotaCount { key, total, fresh });
             }
         }
         QuotaReport { start: self.start, counts }
     }
 
+    /// Totals of buckets whose repeat is due. They count nothing twice.
+    fn take_repeats(&mut self) -> Vec<QuotaCount> {
+        let mut counts = Vec::new();
+        self.repeats.retain(|key, repeat| {
+            repeat.wait = repeat.wait.saturating_sub(1);
+            if 0 < repeat.wait || MAX_COUNTS <= counts.len() {
+                return true;
+            }
+            if let Some(bucket) = self.buckets.get(key) {
+                counts.push(QuotaCount { key: *key, total: bucket.reported_total(), fresh: 0 });
+            }
+            repeat.interval *= 2;
+            repeat.wait = repeat.interval;
+            repeat.interval <= MAX_REPEAT_REPORTS
+        });
+        counts
+    }
+
     /// Applies another router's report. An empty report still shows that the router is reachable.
     pub(crate) fn receive(&mut self, host: &HostName, report: &QuotaReport, now: Instant) {
         if *host == self.own {
--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -63,6 +63,8 @@
     refunded: f64,
     /// Value of `own.total` in the last report.
     reported_total: u64,
+    /// Whether a total of a router that has not reported before is all recent use.
+    has_new_peers: bool,
 }
 
 #[derive(Debug)]
@@ -115,9 +117,16 @@
             retry_backlog_updated: now,
             refunded: 0.0,
             reported_total: 0,
+            has_new_peers: false,
         }
     }
 
+    /// A bucket that all routers have since about now, so that their totals began at zero.
+    pub(crate) fn with_new_peers(mut self) -> QuotaBucket {
+        self.has_new_peers = true;
+        self
+    }
+
     /// Changes the quota. If the rate falls, a debt is scaled down so that its repayment time stays
     /// the same.
     pub(crate) fn set_quota(&mut self, quota: TeamQuota) {
@@ -185,6 +194,11 @@
         (self.own.total, unreported)
     }
 
+    /// The total of the last report.
+    pub(crate) fn reported_total(&self) -> u64 {
+        self.reported_total
+    }
+
     /// Applies the usage that another router reported: its total, and `new_tokens` since its last
     /// report.
     pub(crate) fn apply_report(
@@ -198,9 +212,11 @@
     ) {
         self.update(peer_tracker, conf, now);
         let is_known = self.peers.contains_key(&index);
+        let capacity = self.capacity(conf) as u64;
         let peer = self.peers.entry(index).or_insert_with(|| RouterUsage::new(now));
         let used = match is_known {
             true => total.saturating_sub(peer.total),
+            false if self.has_new_peers => total.min(capacity),
             false => new_tokens.min(total),
         };
         peer.total = peer.total.max(total);
--- a/crates/admission/src/quota_tracker.rs
+++ b/crates/admission/src/quota_tracker.rs
@@ -97,8 +97,11 @@
     /// Creates or updates the bucket of a team. A quota added at runtime starts with a full bucket;
     /// after a restart the bucket starts empty, because earlier usage is unknown.
     fn update_bucket(&mut self, key: BucketKey, quota: &TeamQuota, now: Instant) {
-        let level = if self.is_configured { quota.burst } else { 0.0 };
-        let bucket = self.table.bucket(key, || QuotaBucket::new(*quota, level, now));
+        let is_added = self.is_configured;
+        let bucket = self.table.bucket(key, || match is_added {
+            true => QuotaBucket::new(*quota, quota.burst, now).with_new_peers(),
+            false => QuotaBucket::new(*quota, 0.0, now),
+        });
         if bucket.quota != *quota {
             bucket.set_quota(*quota);
         }
--- a/crates/admission/tests/quotas.rs
+++ b/crates/admission/tests/quotas.rs
@@ -10,6 +10,7 @@
 use fulmargate_admission::TeamQuota;
 use fulmargate_names::HostName;
 use fulmargate_names::TeamName;
+use fulmargate_names::ZoneName;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use support::TestRng;
@@ -19,6 +20,12 @@
 use support::quota_simulation::quota;
 use tokio::time::Instant;
 
+/// Tokens of a request.
+const REQUEST_COST: u64 = 200;
+/// Messages between two routers after which a lost report must have been repeated, and the interval of idle ones.
+const MESSAGES: usize = 10;
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A load or failure scenario in which the quota must hold.
 struct QuotaCase {
     name: &'static str,
@@ -322,3 +329,47 @@
         .rng(Gen::from_size_and_seed(100, 23))
         .quickcheck(schedule_keeps_quota as fn(u64) -> bool);
 }
+
+/// Guards against use that is never counted elsewhere: the report of it is lost, such as by a connection that was not
+/// open yet, and its team falls silent at that router, whose later reports only show that it is in reach.
+#[test]
+fn a_lost_report_of_a_team_that_falls_silent_is_repeated() {
+    let after_delivery = admitted_after_report(ReportFate::Delivered);
+    let after_loss = admitted_after_report(ReportFate::Lost);
+    assert_eq!(after_loss, after_delivery);
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReportFate {
+    Delivered,
+    Lost,
+}
+
+/// Requests that a router admits after another one has used up what it gets at once of a quota that is new to both,
+/// and has sent reports since. What becomes of the first one is given.
+fn admitted_after_report(fate: ReportFate) -> usize {
+    let start = Instant::now();
+    let hosts = ["entry-0", "entry-1"].map(HostName::new);
+    let team = TeamName::new("museum");
+    let quota = quota(1.0, REQUEST_COST as f64 * 64.0);
+    let [mut first, mut second] = [0, 1].map(|index| {
+        let mut tracker = QuotaTracker::new(hosts[index].clone(), 1, conf());
+        let zones = hosts.iter().map(|host| (host.clone(), ZoneName::new("north")));
+        tracker.set_routers(zones, start);
+        tracker.set_quotas(std::iter::empty(), start);
+        tracker.set_quotas([(&team, quota)].into_iter(), start);
+        tracker
+    });
+    while first.admit(&team, &quota, REQUEST_COST, start).is_ok() {}
+    let report = first.take_report();
+    if fate == ReportFate::Delivered {
+        second.receive(&hosts[0], &report, start);
+    }
+    let mut now = start;
+    for _ in 0..MESSAGES {
+        now += MESSAGE_INTERVAL;
+        let report = first.take_report();
+        second.receive(&hosts[0], &report, now);
+    }
+    (0..1_000).take_while(|_| second.admit(&team, &quota, REQUEST_COST, now).is_ok()).count()
+}
