Placement: owner instead of home

Names and comments take the field's term, as dispatch already has it: the owner of a prompt by rendezvous hashing. No behaviour changes; the reason in logs and metrics stays `home`.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -67,8 +67,8 @@
 pub(crate) enum CachePrediction {
     /// No prediction to verify.
     None,
-    /// The server is the prompt's home, and its anchor has this many tokens.
-    Home { tokens: u32 },
+    /// The server is the prompt's owner by rendezvous hashing, and its anchor has this many tokens.
+    Owner { tokens: u32 },
     /// A hint of this age predicts that this many tokens are cached.
     Hint { age_ms: u64, tokens: u32 },
 }
--- a/crates/placement/src/choice_reason.rs
+++ b/crates/placement/src/choice_reason.rs
@@ -7,12 +7,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum ChoiceReason {
     /// The first server of the prompt's preference list.
-    Home,
+    Owner,
     /// Another server of the list, because the prefix is hot and replicated.
     Spread,
-    /// A server predicted to have more of the prompt cached than home.
+    /// A server predicted to have more of the prompt cached than the owner.
     Warm,
-    /// A less loaded server, because waiting at home would cost more than recomputing.
+    /// A less loaded server, because waiting at the owner would cost more than recomputing.
     Detour,
     /// The preceding servers of the preference list are unusable or excluded.
     Fallback,
@@ -31,7 +31,7 @@
 impl ChoiceReason {
     /// All reasons in declaration order.
     pub const ALL: [ChoiceReason; 10] = [
-        ChoiceReason::Home,
+        ChoiceReason::Owner,
         ChoiceReason::Spread,
         ChoiceReason::Warm,
         ChoiceReason::Detour,
@@ -46,7 +46,7 @@
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            ChoiceReason::Home => "home",
+            ChoiceReason::Owner => "home",
             ChoiceReason::Spread => "spread",
             ChoiceReason::Warm => "warm",
             ChoiceReason::Detour => "detour",
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -15,9 +15,9 @@
 use crate::server_list::ServerList;
 use crate::warm_set::WarmSet;
 
-/// Minimum additional cached tokens for a server other than home to be considered.
+/// Minimum additional cached tokens for a server other than the owner to be considered.
 const MIN_WARM_TOKENS: f64 = 256.0;
-/// Minimum wait at home before a detour is considered.
+/// Minimum wait at the owner before a detour is considered.
 const MIN_DETOUR_WAIT_MS: f64 = 20.0;
 /// Detour costs are increased by one to two times this value, depending on request and server, so
 /// that routers with the same view do not all select the same server.
@@ -38,24 +38,24 @@
 }
 
 impl Chooser<'_> {
-    /// Selects the home server unless it is unusable, another server has more of the prompt cached,
-    /// or waiting at home costs more than computing the prompt elsewhere.
+    /// Selects the owner unless it is unusable, another server has more of the prompt cached,
+    /// or waiting at the owner costs more than computing the prompt elsewhere.
     pub(crate) fn lowest_cost(&self) -> Option<Choice> {
         let (Some(anchor), Some(preference)) = (self.chain.anchor(), self.preference()) else {
             return self.short_prompt();
         };
         let warm = WarmSet::new(self.placer.hints(), self.view, self.chain, self.request.now_ms);
-        let Some((home, reason)) = self.preferred_server(&preference, anchor) else {
+        let Some((owner, reason)) = self.preferred_server(&preference, anchor) else {
             return self.fallback(&warm);
         };
-        let at_home = Estimate::at_home(self, &warm, home);
-        if let Some(choice) = self.warmer_server(&warm, home, &at_home) {
+        let at_owner = Estimate::at_owner(self, &warm, owner);
+        if let Some(choice) = self.warmer_server(&warm, owner, &at_owner) {
             return Some(choice);
         }
-        if let Some(choice) = self.detour(&preference, &warm, home, &at_home) {
+        if let Some(choice) = self.detour(&preference, &warm, owner, &at_owner) {
             return Some(choice);
         }
-        Some(at_home.imported(self, &warm).choice(self, home, reason))
+        Some(at_owner.imported(self, &warm).choice(self, owner, reason))
     }
 
     pub(crate) fn weights(&self) -> ClassWeights {
@@ -100,9 +100,9 @@
         let usable = members[..replicas].iter().copied().filter(|index| self.is_usable(*index));
         let least_loaded = usable
             .min_by(|a, b| self.jittered_occupancy(*a).total_cmp(&self.jittered_occupancy(*b)));
-        if let Some(home) = least_loaded {
-            let reason = if home == first { ChoiceReason::Home } else { ChoiceReason::Spread };
-            return Some((home, reason));
+        if let Some(owner) = least_loaded {
+            let reason = if owner == first { ChoiceReason::Owner } else { ChoiceReason::Spread };
+            return Some((owner, reason));
         }
         let next = members[replicas..].iter().copied().find(|index| self.is_usable(*index));
         next.map(|index| (index, ChoiceReason::Fallback))
@@ -118,16 +118,16 @@
 
     /// A server that has more of the prompt cached than the anchor, such as later turns of a
     /// conversation that was once placed elsewhere. Hints that cover only the anchor are ignored:
-    /// other routers do not have them, and following them would keep the home server from caching
+    /// other routers do not have them, and following them would keep the owner from caching
     /// the prefix.
-    fn warmer_server(&self, warm: &WarmSet, home: u32, at_home: &Estimate) -> Option<Choice> {
+    fn warmer_server(&self, warm: &WarmSet, owner: u32, at_owner: &Estimate) -> Option<Choice> {
         let anchor = self.chain.anchor().map_or(0, |anchor| anchor.tokens);
-        let home_tokens = f64::from(anchor).max(at_home.cached);
-        let limit = at_home.cost(self);
+        let owner_tokens = f64::from(anchor).max(at_owner.cached);
+        let limit = at_owner.cost(self);
         let (index, estimate) = warm
             .iter()
             .filter(|warm| {
-                warm.index != home && home_tokens + MIN_WARM_TOKENS <= f64::from(warm.tokens)
+                warm.index != owner && owner_tokens + MIN_WARM_TOKENS <= f64::from(warm.tokens)
             })
             .filter(|warm| self.is_usable(warm.index))
             .map(|warm| (warm.index, Estimate::at_warm(self, warm)))
@@ -136,23 +136,23 @@
         is_better.then(|| estimate.choice(self, index, ChoiceReason::Warm))
     }
 
-    /// A less loaded server where computing the prompt costs less than waiting at home.
+    /// A less loaded server where computing the prompt costs less than waiting at the owner.
     fn detour(
         &self,
         preference: &PreferenceList,
         warm: &WarmSet,
-        home: u32,
-        at_home: &Estimate,
+        owner: u32,
+        at_owner: &Estimate,
     ) -> Option<Choice> {
-        if at_home.wait_ms < MIN_DETOUR_WAIT_MS {
+        if at_owner.wait_ms < MIN_DETOUR_WAIT_MS {
             return None;
         }
-        let limit = at_home.cost(self);
+        let limit = at_owner.cost(self);
         let (cost, index, estimate) = self
             .alternatives(preference)
             .as_slice()
             .iter()
-            .filter(|index| **index != home && self.is_usable(**index))
+            .filter(|index| **index != owner && self.is_usable(**index))
             .map(|index| {
                 let estimate = Estimate::elsewhere(self, warm, preference, *index);
                 let jitter = DETOUR_JITTER_MS * (1.0 + self.jitter(*index));
--- a/crates/placement/src/decaying_value.rs
+++ b/crates/placement/src/decaying_value.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-/// A value and the time of its last update, packed into one word.
+/// A value and the time of its last update, packed into one integer.
 /// Times are stored as 32-bit milliseconds and wrap after 49 days.
 #[derive(Debug, Default)]
 pub(crate) struct DecayingValue(AtomicU64);
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -38,14 +38,14 @@
 }
 
 impl Estimate {
-    /// Estimate for the prompt's home server.
-    pub(crate) fn at_home(chooser: &Chooser<'_>, warm: &WarmSet, home: u32) -> Estimate {
-        if let Some(warm) = warm.get(home) {
+    /// Estimate for the owner of the prompt.
+    pub(crate) fn at_owner(chooser: &Chooser<'_>, warm: &WarmSet, owner: u32) -> Estimate {
+        if let Some(warm) = warm.get(owner) {
             return Estimate::at_warm(chooser, warm);
         }
         let tokens = chooser.chain.anchor().map_or(0, |anchor| anchor.tokens);
-        let cached = f64::from(tokens) * chooser.view.server_at(home).meter.home_hit_ratio();
-        Estimate::new(chooser, home, cached, CachePrediction::Home { tokens })
+        let cached = f64::from(tokens) * chooser.view.server_at(owner).meter.owner_hit_ratio();
+        Estimate::new(chooser, owner, cached, CachePrediction::Owner { tokens })
     }
 
     /// Estimate for a server named by a hint.
@@ -54,7 +54,7 @@
         Estimate::new(chooser, warm.index, cached, warm.prediction())
     }
 
-    /// Estimate for a server other than home.
+    /// Estimate for a server other than the owner.
     pub(crate) fn elsewhere(
         chooser: &Chooser<'_>,
         warm: &WarmSet,
--- a/crates/placement/src/fleet_view.rs
+++ b/crates/placement/src/fleet_view.rs
@@ -21,7 +21,7 @@
     pub zone: ZoneName,
     /// Round-trip time to the server.
     pub zone_ms: f64,
-    /// Live load and cache statistics.
+    /// Current load and cache statistics.
     pub meter: Arc<ServerMeter>,
 }
 
--- a/crates/placement/src/hint_table.rs
+++ b/crates/placement/src/hint_table.rs
@@ -17,7 +17,7 @@
 /// Times are stored in units of 16 ms and wrap after three days.
 const TIME_SHIFT: u32 = 4;
 
-/// A lock-free, fixed-size table of cache hints, one word each. Hints may be outdated. Each refers
+/// A lock-free, fixed-size table of cache hints, one integer each. Hints may be outdated. Each refers
 /// to one incarnation of a server, so hints about an earlier incarnation never match a restarted
 /// server.
 #[derive(Debug)]
--- a/crates/placement/src/open_request.rs
+++ b/crates/placement/src/open_request.rs
@@ -101,9 +101,9 @@
         let CacheFeedback::Prediction(prediction) = self.feedback else { return };
         match prediction {
             CachePrediction::None => {}
-            CachePrediction::Home { tokens } => {
+            CachePrediction::Owner { tokens } => {
                 let share = f64::from(reply.cached_tokens) / f64::from(tokens.max(1));
-                self.meter.record_home_hit(share.min(1.0));
+                self.meter.record_owner_hit(share.min(1.0));
             }
             CachePrediction::Hint { age_ms, tokens } => {
                 let is_hit = f64::from(tokens) * MIN_HIT_SHARE <= f64::from(reply.cached_tokens);
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -14,7 +14,7 @@
 /// Demand reports expire after this time.
 const REPORT_TTL_MS: u64 = 5_000;
 
-/// Computes the placement plan on the control thread of one router, the live entry host with the
+/// Computes the placement plan on the control thread of one router, the reachable entry host with the
 /// lowest name. The other routers follow its plan, so that any of them can take over. In a network
 /// partition, only the side with the majority of hosts updates the plan.
 #[derive(Debug)]
@@ -48,7 +48,7 @@
 
     /// Returns an improved plan, or `None` if it is unchanged. The first plan may be empty, in
     /// which case all groups are placed by hash. Call this about twice a second with the number of
-    /// entry hosts that are considered live.
+    /// entry hosts that are considered reachable.
     ///
     /// The plan changes only with reports from a majority of the hosts. Otherwise routers in
     /// separate partitions would compute different plans and place the same prefix on different
--- a/crates/placement/src/server_meter.rs
+++ b/crates/placement/src/server_meter.rs
@@ -1,4 +1,4 @@
-//! Live statistics of one server incarnation.
+//! Current statistics of one server incarnation.
 
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU32;
@@ -28,9 +28,9 @@
 const MIN_RATE_SAMPLE_TOKENS: f64 = 512.0;
 const RATE_INCREASE_WEIGHT: f64 = 0.1;
 const RATE_DECREASE_WEIGHT: f64 = 0.002;
-/// Initial estimate of the fraction of anchor tokens cached at home.
-const INITIAL_HOME_HIT: f64 = 0.3;
-const HOME_HIT_WEIGHT: f64 = 0.02;
+/// Initial estimate of the fraction of anchor tokens cached at the owner.
+const INITIAL_OWNER_HIT: f64 = 0.3;
+const OWNER_HIT_WEIGHT: f64 = 0.02;
 const INITIAL_LIFETIME_MS: f64 = 2_000.0;
 const MIN_LIFETIME_MS: f64 = 100.0;
 const LIFETIME_WEIGHT: f64 = 0.05;
@@ -67,7 +67,7 @@
     pub ttft_ms: f64,
 }
 
-/// Live statistics of one server incarnation, shared by all fleet snapshots and threads. Fields are
+/// Current statistics of one server incarnation, shared by all fleet snapshots and threads. Fields are
 /// updated independently; readers may see a mix of old and new values.
 #[derive(Debug)]
 pub struct ServerMeter {
@@ -86,7 +86,7 @@
     progress_ms: AtomicU64,
     waits: [DecayingValue; BANDS],
     rate: MovingAverage,
-    home_hit_ratio: MovingAverage,
+    owner_hit_ratio: MovingAverage,
     lifetime_ms: MovingAverage,
     hints_valid_from_ms: AtomicU64,
 }
@@ -112,7 +112,7 @@
             progress_ms: AtomicU64::new(0),
             waits: Default::default(),
             rate: MovingAverage::new(tokens_per_ms),
-            home_hit_ratio: MovingAverage::new(INITIAL_HOME_HIT),
+            owner_hit_ratio: MovingAverage::new(INITIAL_OWNER_HIT),
             lifetime_ms: MovingAverage::new(INITIAL_LIFETIME_MS),
             hints_valid_from_ms: AtomicU64::new(0),
         }
@@ -159,9 +159,9 @@
         self.rate.value()
     }
 
-    /// Estimated fraction of an anchor's tokens that is cached on its home server.
-    pub fn home_hit_ratio(&self) -> f64 {
-        self.home_hit_ratio.value()
+    /// Estimated fraction of an anchor's tokens that is cached on its owner.
+    pub fn owner_hit_ratio(&self) -> f64 {
+        self.owner_hit_ratio.value()
     }
 
     /// Estimated time that a prefix stays cached after its last use by this router.
@@ -248,9 +248,9 @@
         self.waits[band].update_average(wait, now_ms, WAIT_WINDOW_MS, MIN_WAIT_WEIGHT);
     }
 
-    /// Updates the estimated cache hit ratio of prompts sent to their home server.
-    pub(crate) fn record_home_hit(&self, share: f64) {
-        self.home_hit_ratio.update(share, HOME_HIT_WEIGHT);
+    /// Updates the estimated cache hit ratio of prompts sent to their owner.
+    pub(crate) fn record_owner_hit(&self, share: f64) {
+        self.owner_hit_ratio.update(share, OWNER_HIT_WEIGHT);
     }
 
     /// Updates the estimated lifetime of cached prefixes from a hint of this age that proved right
--- a/crates/placement/tests/choices.rs
+++ b/crates/placement/tests/choices.rs
@@ -25,19 +25,19 @@
 
 const PROMPTS: usize = 300;
 
-fn homes(router: &TestRouter) -> Vec<String> {
+fn owners(router: &TestRouter) -> Vec<String> {
     (0..PROMPTS).map(|record| name_of(&router.choose(&prompt(0, 0, record, 0), 0))).collect()
 }
 
-/// Home servers must not depend on router state, so that a restarted router can serve at once.
+/// Owners must not depend on router state, so that a restarted router can serve at once.
 #[test]
 fn a_restarted_router_chooses_the_same_servers() {
     let (warm, restarted) = (TestRouter::new(12), TestRouter::new(12));
     for request in 0..3_000 {
         warm.serve(&prompt(request % 7, request % 3, request % PROMPTS, request), request as u64);
     }
-    let homes = (0..PROMPTS).map(|record| prompt(record % 7, record % 3, record, 1));
-    let same = homes.filter(|chain| {
+    let owners = (0..PROMPTS).map(|record| prompt(record % 7, record % 3, record, 1));
+    let same = owners.filter(|chain| {
         name_of(&warm.choose(chain, 3_000)) == name_of(&restarted.choose(chain, 3_000))
     });
     assert_eq!(same.count(), PROMPTS);
@@ -47,21 +47,21 @@
 #[test]
 fn removing_a_server_moves_only_its_own_prompts() {
     let mut router = TestRouter::new(12);
-    let before = homes(&router);
+    let before = owners(&router);
     let mut incarnations = [1; 12];
     incarnations[3] = 0;
     router.set_incarnations(&incarnations);
-    let after = homes(&router);
-    let mut new_homes: Vec<&String> = Vec::new();
+    let after = owners(&router);
+    let mut new_owners: Vec<&String> = Vec::new();
     for (old, new) in before.iter().zip(&after) {
         match old.as_str() {
-            "server3" => new_homes.push(new),
+            "server3" => new_owners.push(new),
             _ => assert_eq!(old, new),
         }
     }
-    new_homes.sort_unstable();
-    new_homes.dedup();
-    assert!(4 <= new_homes.len(), "{new_homes:?}");
+    new_owners.sort_unstable();
+    new_owners.dedup();
+    assert!(4 <= new_owners.len(), "{new_owners:?}");
 }
 
 #[test]
@@ -74,7 +74,7 @@
     let plan = SpreadPlan { version: 1, spreads };
     router.view = router.view.with_plan(&plan);
     let count =
-        |router: &TestRouter, name| homes(router).iter().filter(|home| *home == name).count();
+        |router: &TestRouter, name| owners(router).iter().filter(|owner| *owner == name).count();
     assert_eq!(count(&router, "server2") + count(&router, "server7"), PROMPTS);
     assert!((50..=100).contains(&count(&router, "server7")), "{}", count(&router, "server7"));
     router.set_incarnations(&[1, 1, 1, 1, 1, 1, 1, 0, 1, 1, 1, 1]);
@@ -90,7 +90,7 @@
 }
 
 const POLICY_CASES: &[PolicyCase] = &[
-    PolicyCase { policy: PolicyKind::Cost, servers: 1, reason: ChoiceReason::Home },
+    PolicyCase { policy: PolicyKind::Cost, servers: 1, reason: ChoiceReason::Owner },
     PolicyCase { policy: PolicyKind::RoundRobin, servers: 3, reason: ChoiceReason::RoundRobin },
     PolicyCase { policy: PolicyKind::LeastLoad, servers: 3, reason: ChoiceReason::LeastLoad },
     PolicyCase { policy: PolicyKind::PrefixHash, servers: 1, reason: ChoiceReason::PrefixHash },
@@ -125,14 +125,14 @@
         let mut router = TestRouter::new(4);
         router.policy = policy;
         let chain = prompt(0, 0, 0, 0);
-        let home = router.choose(&chain, 0);
-        home.server.meter.set_standing(ServerStanding::OutOfUse);
+        let owner = router.choose(&chain, 0);
+        owner.server.meter.set_standing(ServerStanding::OutOfUse);
         let second = router.choose(&chain, 0);
-        assert_ne!(name_of(&home), name_of(&second), "{policy:?}");
+        assert_ne!(name_of(&owner), name_of(&second), "{policy:?}");
         router.excluded.push(second.server.meter.id());
         for _ in 0..8 {
             let third = name_of(&router.choose(&chain, 0));
-            assert!(third != name_of(&home) && third != name_of(&second), "{policy:?}");
+            assert!(third != name_of(&owner) && third != name_of(&second), "{policy:?}");
         }
     }
 }
@@ -142,14 +142,14 @@
 fn a_stalled_server_is_not_chosen_until_it_replies() {
     let router = TestRouter::new(4);
     let chain = prompt(0, 0, 0, 0);
-    let home = router.serve(&chain, 0);
-    let mut open = router.begin(&home, &chain, 10);
-    assert_eq!(name_of(&router.choose(&chain, 400)), name_of(&home));
+    let owner = router.serve(&chain, 0);
+    let mut open = router.begin(&owner, &chain, 10);
+    assert_eq!(name_of(&router.choose(&chain, 400)), name_of(&owner));
     let other = router.choose(&chain, 5_000);
-    assert_ne!(name_of(&other), name_of(&home));
+    assert_ne!(name_of(&other), name_of(&owner));
     assert_eq!(other.reason, ChoiceReason::Fallback);
-    router.placer.first_token(&mut open, &reply(&home, &chain), 5_100);
-    assert_eq!(name_of(&router.choose(&chain, 5_200)), name_of(&home));
+    router.placer.first_token(&mut open, &reply(&owner, &chain), 5_100);
+    assert_eq!(name_of(&router.choose(&chain, 5_200)), name_of(&owner));
 }
 
 /// Unlimited detours would recompute prompts on servers that become overloaded in turn.
@@ -157,18 +157,18 @@
 fn detours_are_limited_to_a_fraction_of_uncached_tokens() {
     let router = TestRouter::new(12);
     let chain = prompt(0, 0, 0, 0);
-    let home = router.choose(&chain, 0);
-    let mut slow = reply(&home, &chain);
+    let owner = router.choose(&chain, 0);
+    let mut slow = reply(&owner, &chain);
     slow.ttft_ms = 2_000.0;
     let mut uncached = 0;
     let mut detoured = 0;
     for question in 0..2_000 {
         let other = prompt(1, question % 3, question, 0);
-        let mut background = router.begin(&home, &other, question as u64);
+        let mut background = router.begin(&owner, &other, question as u64);
         router.placer.first_token(&mut background, &slow, question as u64);
         let chain = prompt(0, 0, 0, question);
         let choice = router.choose(&chain, question as u64);
-        uncached += other.tokens().saturating_sub(home.predicted_cached);
+        uncached += other.tokens().saturating_sub(owner.predicted_cached);
         if choice.reason == ChoiceReason::Detour {
             detoured += chain.anchor().expect("prompt has an anchor").tokens;
         }
@@ -181,17 +181,17 @@
 #[test]
 fn batch_requests_wait_at_home_where_urgent_ones_detour() {
     for (weights, expected) in
-        [(support::URGENT, ChoiceReason::Detour), (BATCH, ChoiceReason::Home)]
+        [(support::URGENT, ChoiceReason::Detour), (BATCH, ChoiceReason::Owner)]
     {
         let mut router = TestRouter::new(12);
         router.weights = weights;
         let chain = prompt(0, 0, 0, 0);
-        let home = router.choose(&chain, 0);
-        let mut slow = reply(&home, &chain);
+        let owner = router.choose(&chain, 0);
+        let mut slow = reply(&owner, &chain);
         slow.ttft_ms = 2_000.0;
         for now_ms in 0..500 {
             let other = prompt(1, 0, now_ms as usize, 0);
-            let mut open = router.begin(&home, &other, now_ms);
+            let mut open = router.begin(&owner, &other, now_ms);
             router.placer.first_token(&mut open, &slow, now_ms);
         }
         assert_eq!(router.choose(&chain, 500).reason, expected);
@@ -236,7 +236,7 @@
     let chain = prompt(0, 0, 0, 0);
     let first = router.serve(&chain, 0);
     assert_eq!(first.kv_source, Some(KvSource::Store));
-    assert_eq!(router.choose(&chain, 10).kv_source, None, "home has the blocks");
+    assert_eq!(router.choose(&chain, 10).kv_source, None, "owner has the blocks");
     router.excluded.push(first.server.meter.id());
     let source = router.choose(&chain, 10).kv_source;
     assert_eq!(source, Some(KvSource::Server(first.server.name().clone())));
--- a/crates/router/src/attempt/engine_runner.rs
+++ b/crates/router/src/attempt/engine_runner.rs
@@ -118,21 +118,21 @@
         &mut self,
         token: &ResumeToken,
     ) -> Result<OpenAttempt, RequestError> {
-        let mut at_home = self.is_alive(token);
+        let mut at_owner = self.is_alive(token);
         loop {
-            let placed = match at_home {
+            let placed = match at_owner {
                 true => self.place_at(&token.server).await,
                 false => self.place().await,
             };
             let placed = match placed {
                 Ok(placed) => placed,
-                Err(_) if at_home => {
-                    at_home = false;
+                Err(_) if at_owner => {
+                    at_owner = false;
                     continue;
                 }
                 Err(err) => return Err(err.disposition(Disposition::Unknown)),
             };
-            at_home = false;
+            at_owner = false;
             let server = placed.server.name.clone();
             let failure = match self.open_rest(placed, token.weights, token.place).await {
                 Ok(open) => return Ok(open),
