Tests: log fields and counter of a broken stream; files after their types

On-call engineers find the cause of a broken stream in its log lines: a daemon test holds the fields and the counter to what a stream without framing that is cut inside an event must show. No behaviour changes.

--- a/crates/entry/tests/daemon/response_ends.rs
+++ b/crates/entry/tests/daemon/response_ends.rs
@@ -296,6 +296,33 @@
     assert_eq!(run_count, 1);
 }
 
+/// On-call engineers find the cause of a broken stream in its log lines, and how many there are in the metrics.
+#[tokio::test]
+async fn the_log_tells_how_a_response_ended() {
+    let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
+    let shape = ResponseShape::whole(ShapeFraming::UntilClose).ending(INSIDE, ShapeEnd::Closed);
+    let request = CallerRequest::prompt("/non-resumable/logged", "logged");
+    exchange(&deployment, &deployment.engines, &request, shape).await;
+    let is_own = |line: &serde_json::Value| line["id"] == "logged";
+    let failed = || deployment.daemon.events("request_failed").into_iter().find(is_own);
+    wait_until("the failure is logged", || failed().is_some()).await;
+    let line = failed().expect("the failure is logged");
+    for (field, value) in [
+        ("framing", "until_close"),
+        ("body_end", "finished"),
+        ("content_end", "inside_event"),
+        ("server_check", "unchecked"),
+        ("detail", "the stream ended inside an event"),
+    ] {
+        assert_eq!(line[field], value, "{line}");
+    }
+    assert_eq!(line["events"], SENT_EVENTS, "{line}");
+    assert!(line["partial_bytes"].as_u64().is_some_and(|bytes| 0 < bytes), "{line}");
+    let counter = "fulmargate_response_ends_total{framing=\"until_close\",end=\"finished\",\
+                   content=\"inside_event\",verdict=\"broken_off\"}";
+    assert_eq!(deployment.daemon.counter(counter).await, 1);
+}
+
 /// A response to HEAD has a length and no body, and must not be called broken for it.
 #[tokio::test]
 async fn a_response_to_head_is_complete() {
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -4,11 +4,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use fulmargate_consortium_stand::ECHO_EVENTS;
 use fulmargate_consortium_stand::ResponseShape;
 use fulmargate_consortium_stand::ServerMode;
-use fulmargate_consortium_stand::ShapeContent;
-use fulmargate_consortium_stand::ShapeEnd;
 use fulmargate_consortium_stand::ShapeFraming;
 use fulmargate_consortium_stand::StoreFault;
 use rand::Rng;
@@ -19,6 +16,8 @@
 use crate::LinkPlace;
 use crate::RouterSignal;
 use crate::SoakFault;
+use crate::shape_draw::EVENT_PAUSE;
+use crate::shape_draw::drawn_shape;
 use crate::soak_world::loopback;
 
 /// Steps of a plan; a series counts once.
@@ -77,8 +76,6 @@
 const KILLED_AFTER_MS: std::ops::RangeInclusive<u64> = 200..=1_500;
 /// Time after which the entry of a killed server expires: three heartbeats.
 const ENTRY_EXPIRY_MS: u64 = 3_600;
-/// Pause between the events of a shaped stream, in which a kill may fall.
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Keeps these draws from those of other kinds.
 const SHAPE_DRAWS: u64 = 0x7368_6170;
 /// With so many hosts and fewer, each reads the store itself.
@@ -293,33 +290,6 @@
     }
 }
 
-/// A way to frame and end a response. Without framing, an orderly close inside a plain body or between two events
-/// looks like its end to any caller, and is left out.
-fn drawn_shape(rng: &mut StdRng, is_plain: bool) -> ResponseShape {
-    let framings = [
-        ShapeFraming::Length,
-        ShapeFraming::Chunked,
-        ShapeFraming::UntilClose,
-        ShapeFraming::Http10,
-    ];
-    let framing = framings[rng.random_range(0..framings.len())];
-    let is_framed = matches!(framing, ShapeFraming::Length | ShapeFraming::Chunked);
-    let sent = rng.random_range(0..ECHO_EVENTS);
-    let (inside, between) =
-        (ShapeContent::CutInsideEvent(sent), ShapeContent::CutBetweenEvents(sent));
-    let (content, end) = match rng.random_range(0..5) {
-        0 => (ShapeContent::Whole, ShapeEnd::Framed),
-        1 if is_framed => (between, ShapeEnd::Closed),
-        2 if !is_plain => (inside, ShapeEnd::Framed),
-        3 if !is_plain || is_framed => (inside, ShapeEnd::Closed),
-        4 => (inside, ShapeEnd::Reset),
-        _ => (between, ShapeEnd::Reset),
-    };
-    let mut shape = ResponseShape::whole(framing).ending(content, end);
-    shape.pause = EVENT_PAUSE;
-    shape
-}
-
 struct FaultSource {
     rng: StdRng,
     routers: usize,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod promise;
 mod request_record;
 mod router_process;
+mod shape_draw;
 mod soak_caller;
 mod soak_fault;
 mod soak_run;
