Responses: a length beside chunks is not passed on

What callers would have seen: a plain response with chunks and a content length was passed on with its whole body and the server's length. A shorter length made half of it look complete, and the rest stood before the next response on that connection; in debug builds the traffic thread ended.

Cause: hyper reads the chunks, as the standard has it, and leaves the length among the headers, which were forwarded. Evidence: a daemon test on one connection, which fails on the code before (panic: payload claims 11, header claims 5). Change: a buffered response is sent with its own length; a response without a body keeps what the server stated.

--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -2,6 +2,7 @@
 
 mod end_check;
 mod failover;
+mod forwarding;
 mod log;
 mod plan;
 mod send_outcome;
@@ -11,7 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmargate_consortium::ResponseHead;
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::NextStep;
@@ -25,7 +25,6 @@
 use fulmargate_names::WeightsVersion;
 use http::Response;
 use http::StatusCode;
-use http::response::Parts;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -38,6 +37,8 @@
 use crate::traffic::request_decoder::admit;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::end_check::JudgedEnd;
+use crate::traffic::request_handler::forwarding::buffered_response;
+use crate::traffic::request_handler::forwarding::clone_head;
 use crate::traffic::request_handler::stream_timing::StreamTiming;
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::send_attempt::ConnectedSend;
@@ -289,14 +290,14 @@
     ) -> Result<ServerResponse, SendError> {
         self.state.servers().record_failure(response.server.key(), Instant::now());
         let status = response.parts.status;
-        let parts = clone_head(&response.parts);
+        let (parts, framing) = (clone_head(&response.parts), response.framing);
         let body = self.read_body(response).await?;
         // These statuses tell the caller that the request was not executed, which the server has not
         // confirmed.
         let implies_not_run =
             matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
         if !implies_not_run {
-            self.failed_response = Some(buffered_response(&parts, body));
+            self.failed_response = Some(buffered_response(&parts, framing, body));
         }
         Err(SendError {
             outcome: SendOutcome::Broken,
@@ -339,14 +340,14 @@
         self,
         response: ServerResponse,
     ) -> Result<Response<ResponseBody>, RequestFailure> {
-        let parts = clone_head(&response.parts);
+        let (parts, framing) = (clone_head(&response.parts), response.framing);
         let server = response.server.clone();
         let mut handler = self;
         match handler.read_body(response).await {
             Ok(body) => {
                 handler.record_completed();
                 handler.log_ended(EventKind::RequestEnded, parts.status, None);
-                Ok(buffered_response(&parts, body))
+                Ok(buffered_response(&parts, framing, body))
             }
             Err(error) => match handler.handle_error(&error, &server, None).await {
                 Ok(()) => Box::pin(handler.run()).await,
@@ -399,17 +400,3 @@
 fn is_streamed(response: &ServerResponse, facts: &CallFacts) -> bool {
     response.parts.status.is_success() && matches!(facts.route.kind, RouteKind::Stream(_))
 }
-
-fn clone_head(parts: &Parts) -> Parts {
-    let mut copy = Response::new(()).into_parts().0;
-    copy.status = parts.status;
-    copy.headers = parts.headers.clone();
-    copy
-}
-
-fn buffered_response(parts: &Parts, body: bytes::Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(body));
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = ResponseHead::forwarded_headers(parts);
-    response
-}
--- a/crates/entry/tests/daemon/response_ends.rs
+++ b/crates/entry/tests/daemon/response_ends.rs
@@ -1,5 +1,6 @@
 //! A response that was broken off never reaches its caller as a complete one, however it was framed.
 
+use fulmargate_consortium_stand::CallerChannel;
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::CallerResponse;
 use fulmargate_consortium_stand::ECHO_EVENTS;
@@ -296,6 +297,21 @@
     assert_eq!(run_count, 1);
 }
 
+/// Chunks override a length beside them. Passed on, that length would cut the response at half of it, and leave the rest
+/// as the beginning of the next one.
+#[tokio::test]
+async fn a_length_beside_chunks_does_not_cut_a_response() {
+    let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
+    let shape = ResponseShape::whole(ShapeFraming::ChunkedAndLength);
+    deployment.set_plain_mode(ServerMode::Shaped(shape));
+    let mut channel = CallerChannel::open(deployment.callers).await.expect("connect to the daemon");
+    for id in ["both-1", "both-2"] {
+        let request = CallerRequest::new("/charge/x", id);
+        let answer = channel.send(&request).await.expect("a response from the daemon");
+        assert_eq!((answer.body, answer.is_whole), (echo_text(id), true));
+    }
+}
+
 /// On-call engineers find the cause of a broken stream in its log lines, and how many there are in the metrics.
 #[tokio::test]
 async fn the_log_tells_how_a_response_ended() {
