--- a/crates/entry/tests/daemon/response_ends.rs
+++ b/crates/entry/tests/daemon/response_ends.rs
@@ -119,8 +119,8 @@
 /// What the caller and the servers saw of one request.
 struct Exchange {
     answer: CallerResponse,
-    /// Requests that each server ran, by the last event that they named.
-    resumed_at: Vec<String>,
+    /// The last event that each run of the request named; empty for the first.
+    runs: Vec<String>,
 }
 
 fn events(id: &str, count: u32) -> String {
@@ -137,18 +137,19 @@
     servers.iter().for_each(|server| server.set_mode(ServerMode::Wait));
     let (callers, sent) = (deployment.callers, request.clone());
     let request_task = tokio::spawn(async move { sent.send(callers).await });
-    let runs =
+    let runs_request =
         |server: &&FakeServer| server.seen().iter().any(|seen| seen.id() == request.id.as_str());
-    wait_until("a server runs the request", || servers.iter().any(|server| runs(&server))).await;
-    let first = servers.iter().find(runs).expect("a server runs the request");
+    wait_until("a server runs the request", || servers.iter().any(|server| runs_request(&server)))
+        .await;
+    let first = servers.iter().find(runs_request).expect("a server runs the request");
     let others = servers.iter().filter(|server| server.name != first.name);
     others.for_each(|server| server.set_mode(ServerMode::Shaped(WHOLE_RESPONSE)));
     first.set_mode(ServerMode::Shaped(shape));
     let answer = request_task.await.expect("the request task completes");
     let seen = servers.iter().flat_map(FakeServer::seen);
     let own = seen.filter(|seen| seen.id() == request.id.as_str());
-    let resumed_at = own.map(|seen| seen.last_event().to_owned()).collect();
-    Exchange { answer: answer.expect("a response from the daemon"), resumed_at }
+    let runs = own.map(|seen| seen.last_event().to_owned()).collect();
+    Exchange { answer: answer.expect("a response from the daemon"), runs }
 }
 
 /// Runs each case with each framing.
@@ -156,17 +157,13 @@
     deployment: &TestDeployment,
     servers: &[FakeServer],
     cases: &[EndCase],
-    route: &str,
+    request: impl Fn(&str) -> CallerRequest,
     check: impl Fn(&EndCase, &str, Verdict, Exchange),
 ) {
     for case in cases {
         for (framing, verdict) in FRAMINGS.into_iter().zip(case.verdicts) {
             let id = format!("{}-{framing:?}", case.name);
-            let path = format!("{route}{id}");
-            let request = match cases.len() == STREAM_CASES.len() {
-                true => CallerRequest::prompt(&path, &id),
-                false => CallerRequest::new(&path, &id),
-            };
+            let request = request(&id);
             let shape = ResponseShape::whole(framing).ending(case.content, case.end);
             let exchange = exchange(deployment, servers, &request, shape).await;
             check(case, &id, verdict, exchange);
@@ -187,17 +184,18 @@
     let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
     deployment.earn_retry_budget().await;
     let engines = &deployment.engines;
-    check_all(&deployment, engines, STREAM_CASES, "/chat/", |case, id, verdict, seen| {
+    let request = |id: &str| CallerRequest::prompt(&format!("/chat/{id}"), id);
+    check_all(&deployment, engines, STREAM_CASES, request, |case, id, verdict, seen| {
         let sent = sent_events(case);
         let wanted = match verdict {
             Verdict::Complete => (events(id, sent), true, 1),
             Verdict::BrokenOff => (events(id, ECHO_EVENTS), true, 2),
         };
         let is_whole = seen.answer.is_whole;
-        assert_eq!((seen.answer.body, is_whole, seen.resumed_at.len()), wanted, "{id}");
+        assert_eq!((seen.answer.body, is_whole, seen.runs.len()), wanted, "{id}");
         let point = if sent == 0 { String::new() } else { sent.to_string() };
-        let is_resumed_there = seen.resumed_at.contains(&point);
-        assert!(verdict == Verdict::Complete || is_resumed_there, "{id}: {:?}", seen.resumed_at);
+        let is_resumed_there = seen.runs.contains(&point);
+        assert!(verdict == Verdict::Complete || is_resumed_there, "{id}: {:?}", seen.runs);
     })
     .await;
 }
@@ -207,10 +205,11 @@
 async fn a_cut_stream_never_looks_complete() {
     let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
     let engines = &deployment.engines;
-    check_all(&deployment, engines, STREAM_CASES, "/non-resumable/", |case, id, verdict, seen| {
+    let request = |id: &str| CallerRequest::prompt(&format!("/non-resumable/{id}"), id);
+    check_all(&deployment, engines, STREAM_CASES, request, |case, id, verdict, seen| {
         let wanted = (events(id, sent_events(case)), verdict == Verdict::Complete, 1);
         let is_whole = seen.answer.is_whole;
-        assert_eq!((seen.answer.body, is_whole, seen.resumed_at.len()), wanted, "{id}");
+        assert_eq!((seen.answer.body, is_whole, seen.runs.len()), wanted, "{id}");
     })
     .await;
 }
@@ -221,13 +220,14 @@
     let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
     deployment.earn_retry_budget().await;
     let servers = &deployment.plain_servers;
-    check_all(&deployment, servers, PLAIN_CASES, "/read/", |case, id, verdict, seen| {
+    let request = |id: &str| CallerRequest::new(&format!("/read/{id}"), id);
+    check_all(&deployment, servers, PLAIN_CASES, request, |case, id, verdict, seen| {
         let runs = if verdict == Verdict::BrokenOff { 2 } else { 1 };
         let is_half = verdict == Verdict::Complete && case.content != ShapeContent::Whole;
         let mut body = echo_text(id);
         body.truncate(if is_half { body.len() / 2 } else { body.len() });
         let is_whole = seen.answer.is_whole;
-        assert_eq!((seen.answer.body, is_whole, seen.resumed_at.len()), (body, true, runs), "{id}");
+        assert_eq!((seen.answer.body, is_whole, seen.runs.len()), (body, true, runs), "{id}");
     })
     .await;
 }
@@ -237,9 +237,10 @@
 async fn a_cut_response_to_a_charge_fails() {
     let deployment = TestDeployment::start_with_long_timeout(ServerMode::Echo).await;
     let servers = &deployment.plain_servers;
-    check_all(&deployment, servers, PLAIN_CASES, "/charge/", |_, id, verdict, seen| {
+    let request = |id: &str| CallerRequest::new(&format!("/charge/{id}"), id);
+    check_all(&deployment, servers, PLAIN_CASES, request, |_, id, verdict, seen| {
         let status = if verdict == Verdict::BrokenOff { 502 } else { 200 };
-        assert_eq!((seen.answer.status, seen.resumed_at.len()), (status, 1), "{id}");
+        assert_eq!((seen.answer.status, seen.runs.len()), (status, 1), "{id}");
     })
     .await;
 }
@@ -256,7 +257,7 @@
         let seen = exchange(&deployment, &deployment.engines, &request, shape).await;
         let wanted = (events("killed", ECHO_EVENTS), true);
         assert_eq!((seen.answer.body, seen.answer.is_whole), wanted, "{framing:?}");
-        assert!(seen.resumed_at.contains(&SENT_EVENTS.to_string()), "{framing:?}");
+        assert!(seen.runs.contains(&SENT_EVENTS.to_string()), "{framing:?}");
     }
 }
 
@@ -268,7 +269,7 @@
         let shape = ResponseShape::whole(framing).ending(INSIDE, ShapeEnd::Killed);
         let request = CallerRequest::new("/charge/killed", "killed");
         let seen = exchange(&deployment, &deployment.plain_servers, &request, shape).await;
-        assert_eq!((seen.answer.status, seen.resumed_at.len()), (502, 1), "{framing:?}");
+        assert_eq!((seen.answer.status, seen.runs.len()), (502, 1), "{framing:?}");
     }
 }
 
@@ -373,7 +374,7 @@
             let mut rest = WHOLE_RESPONSE.stream(&id, sent);
             rest.insert_str(0, &own[..own.len() - shape.stream(&id, sent).len()]);
             assert_eq!((seen.answer.body, seen.answer.is_whole), (rest, true), "{id}");
-            assert_eq!(seen.resumed_at.len(), runs, "{id}");
+            assert_eq!(seen.runs.len(), runs, "{id}");
         }
     }
 }
