Crash checks: log each verdict with what it rests on

A check that ends without a crash left no line, so that the hypotheses of the incident could not be told apart: a service that is down as a whole and is taken for a cut, or sends that are never checked. No decision changes. Built and the tests of names pass.

--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ProbeStep;
 use fulmargate_dispatch::ServerEntry;
@@ -27,6 +28,22 @@
 /// not reported as crashed. As long as such a suspicion lasts once a server has responded.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// What the check of a server has found.
+#[derive(Debug, Display)]
+enum CheckVerdict {
+    /// It has crashed, for this reason.
+    #[display("crashed")]
+    Crashed(String),
+    /// It takes connections.
+    #[display("reached")]
+    Reached,
+    /// It refuses connections, as do the others of its service, which other hosts reach.
+    #[display("taken_for_cut")]
+    TakenForCut,
+    #[display("undecided")]
+    Undecided,
+}
+
 /// A request whose connection broke, and the server that was running it.
 pub(crate) struct CrashCheck {
     pub(crate) state: Arc<SharedState>,
@@ -42,7 +59,10 @@
     /// A single refused connection is taken as a crash. Connections also time out on a saturated link, so timeouts
     /// count only when repeated, and not while a local network fault is suspected.
     pub(crate) async fn run(self) {
-        let Some(reason) = self.detect_crash().await else { return };
+        let started = Instant::now();
+        let verdict = self.detect_crash().await;
+        self.log_verdict(&verdict, started);
+        let CheckVerdict::Crashed(reason) = verdict else { return };
         let CrashCheck { state, id, fingerprint, server } = self;
         state.crashes().record(fingerprint, server.key(), Instant::now());
         let kind = EventKind::ServerCrashed;
@@ -55,22 +75,43 @@
         }
     }
 
-    /// Returns why the server counts as crashed; none if it is reachable or no verdict is reached.
-    async fn detect_crash(&self) -> Option<String> {
+    fn log_verdict(&self, verdict: &CheckVerdict, started: Instant) {
+        let kind = EventKind::CrashChecked;
+        let now = Instant::now();
+        if !self.state.log_limiter.allows(kind, now) {
+            return;
+        }
+        let servers = self.state.servers();
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.id,
+            server = %self.server.name,
+            %verdict,
+            helpers = servers.helper_count(&self.server.service, now),
+            is_listed = servers.state(self.server.key()).is_some(),
+            age_ms = started.elapsed().as_millis() as u64,
+        );
+    }
+
+    async fn detect_crash(&self) -> CheckVerdict {
         let key = self.server.key();
         let deadline = Instant::now() + CHECK_TIMEOUT;
         let mut step = ProbeStep::Probe;
         let mut failed_connections = 0;
         while Instant::now() < deadline {
             if step == ProbeStep::Probe {
-                let error =
-                    ServerConnection::connect_to_server(&self.state, &self.server).await.err()?;
+                let connecting = ServerConnection::connect_to_server(&self.state, &self.server);
+                let Err(error) = connecting.await else { return CheckVerdict::Reached };
                 self.state.servers().record_unreachable(key, Instant::now());
                 if error.outcome() == ConnectOutcome::Refused {
                     // Links to several servers need not be cut at the same instant.
                     sleep(EVALUATION_DELAY).await;
                     let is_confirmed = is_refusal_of_server(&self.state, &self.server).await;
-                    return is_confirmed.then(|| error.to_string());
+                    return match is_confirmed {
+                        true => CheckVerdict::Crashed(error.to_string()),
+                        false => CheckVerdict::TakenForCut,
+                    };
                 }
                 failed_connections += 1;
             }
@@ -81,10 +122,10 @@
                 failed_connections = 0;
             }
             if step == ProbeStep::Unreachable || MAX_FAILED_CONNECTIONS <= failed_connections {
-                return Some("no connection lately".to_owned());
+                return CheckVerdict::Crashed("no connection lately".to_owned());
             }
         }
-        None
+        CheckVerdict::Undecided
     }
 }
 
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -50,6 +50,10 @@
     ForwardAccepted = 2016,
     /// A request that came over another host's connection was refused.
     ForwardRefused = 2017,
+    /// A backend server that broke off a request was checked for a crash.
+    CrashChecked = 2018,
+    /// A request that was suspected of crashing backend servers has been completed by one.
+    RequestCleared = 2019,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -188,6 +192,8 @@
     RequestForwarded => "request_forwarded",
     ForwardAccepted => "forward_accepted",
     ForwardRefused => "forward_refused",
+    CrashChecked => "crash_checked",
+    RequestCleared => "request_cleared",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
