Failing test: a request that crashes a whole service reaches further servers

What callers saw: a request that had crashed three servers went on to crash more.

Stand-in servers crash under chosen requests (`CrashRule`) and may be started again at the same address. Five daemons, three servers; two hosts send the request at once, so that the whole service ends.

--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -2,6 +2,7 @@
 
 mod brittle_servers;
 mod configuration;
+mod crashing_requests;
 mod cut_fleet;
 mod departures;
 mod fleet_topic;
