Failing tests: a crashed service taken for a cut, a suspect at two hosts at once

The first test is the incident: six sends of one request end all three servers within the 100 ms of the check, each check ends `taken_for_cut` (the controls are down, and other hosts are said to reach the service because they have sent nothing meanwhile), and the next host runs the request: a fourth server ends.

The second is the other fault that the first version of the test showed: every check found its crash, but with two crashes on record two hosts ran the request at once, so that 4 servers ended.

--- a/crates/entry/tests/daemon/crashing_requests.rs
+++ b/crates/entry/tests/daemon/crashing_requests.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use fulmargate_consortium_stand::CallerRequest;
-use fulmargate_consortium_stand::CallerResponse;
 use fulmargate_consortium_stand::CrashEnd;
 use fulmargate_consortium_stand::CrashRule;
 use fulmargate_consortium_stand::FakeServer;
@@ -19,13 +18,13 @@
 use crate::support::wait_until;
 
 const HOSTS: usize = 5;
-/// Hosts that a caller sends the request to at once.
-const CALLED_HOSTS: usize = 2;
 const SERVERS: usize = 3;
 /// Crashes from which a request reaches no further server.
 const MAX_CRASHES: usize = 3;
-/// Path of requests that crash servers.
-const CRASHING_PATH: &str = "/read/crash";
+/// Path of requests that crash servers and are sent once.
+const SINGLE_PATH: &str = "/charge/crash";
+/// Path of requests that crash servers and are sent again.
+const REPEATED_PATH: &str = "/read/crash";
 /// In this time hosts receive each other's messages, and a crash is judged.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 
@@ -43,7 +42,7 @@
     async fn start(end: CrashEnd) -> CrashFleet {
         let store = FakeStore::start().await.expect("start the store");
         store.put_config(&patient_config(REQUEST_TIMEOUT_MS));
-        let rule = CrashRule { marker: "crash", delay: Duration::from_millis(30), end };
+        let rule = CrashRule { marker: "crash", delay: Duration::from_millis(200), end };
         let mut fleet =
             CrashFleet { store, desks: Vec::new(), ended: Vec::new(), daemons: Vec::new(), rule };
         for number in 1..=SERVERS {
@@ -98,26 +97,19 @@
         }
     }
 
-    #[expect(dead_code)]
-    async fn send(&self, host: usize, request: &CallerRequest) -> CallerResponse {
-        let callers = self.daemons[host].address("callers").await;
-        request.send(callers).await.expect("a response from the daemon")
-    }
-
-    /// Sends the same crashing request to two hosts at once, under an id of its own at each.
-    async fn send_crashing(&self, round: usize) -> Vec<CallerResponse> {
+    /// Sends the crashing request to these hosts at once, under an id of its own each time.
+    async fn send_crashing(&self, hosts: &[usize], path: &str, round: usize) -> Vec<u16> {
         let mut tasks = Vec::new();
-        for number in 0..CALLED_HOSTS {
-            let host = (round * CALLED_HOSTS + number) % self.daemons.len();
-            let callers = self.daemons[host].address("callers").await;
-            let request = crashing(&format!("crash-{round}-{host}"));
+        for (number, host) in hosts.iter().enumerate() {
+            let callers = self.daemons[*host].address("callers").await;
+            let request = crashing(path, &format!("crash-{round}-{number}"));
             tasks.push(tokio::spawn(async move { request.send(callers).await }));
         }
-        let mut responses = Vec::new();
+        let mut statuses = Vec::new();
         for task in tasks {
-            responses.push(task.await.expect("a finished task").expect("a response"));
+            statuses.push(task.await.expect("a finished task").expect("a response").status);
         }
-        responses
+        statuses
     }
 
     /// Verdicts of all hosts on servers that broke off a request.
@@ -133,8 +125,8 @@
     }
 }
 
-fn crashing(id: &str) -> CallerRequest {
-    let mut request = CallerRequest::new(CRASHING_PATH, id);
+fn crashing(path: &str, id: &str) -> CallerRequest {
+    let mut request = CallerRequest::new(path, id);
     request.patience_ms = REQUEST_TIMEOUT_MS;
     request
 }
@@ -142,16 +134,26 @@
 /// Guards against evidence that is dropped because no server of the service is left to compare with.
 #[tokio::test]
 async fn a_request_that_crashes_a_whole_service_reaches_no_further_server() {
+    let mut fleet = CrashFleet::start(CrashEnd::BeforeHead).await;
+    fleet.send_crashing(&[0; 6], SINGLE_PATH, 0).await;
+    assert_eq!(fleet.crash_count(), SERVERS, "the whole service ends at once");
+    sleep(LEARNING_TIME).await;
+    fleet.restart_servers().await;
+    let statuses = fleet.send_crashing(&[1, 2], SINGLE_PATH, 1).await;
+    let crashes = fleet.crash_count();
+    assert_eq!(crashes, SERVERS, "servers ended, {statuses:?}: {:?}", fleet.verdicts());
+}
+
+/// Guards against a suspected request that several hosts send to servers at the same time.
+#[tokio::test]
+async fn a_suspected_request_runs_at_one_host_at_a_time() {
     let mut fleet = CrashFleet::start(CrashEnd::BeforeHead).await;
     for round in 0..4 {
-        fleet.send_crashing(round).await;
+        let hosts = [2 * round % HOSTS, (2 * round + 1) % HOSTS];
+        fleet.send_crashing(&hosts, REPEATED_PATH, round).await;
         sleep(LEARNING_TIME).await;
         fleet.restart_servers().await;
     }
     let crashes = fleet.crash_count();
-    assert!(
-        crashes <= MAX_CRASHES,
-        "{crashes} servers ended under one request: {:?}",
-        fleet.verdicts()
-    );
+    assert!(crashes <= MAX_CRASHES, "{crashes} servers ended: {:?}", fleet.verdicts());
 }
