--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::ServerKey;
+use crate::StoredSuspect;
 
 /// Number of keys for crash records. A starting host reads all records that are kept, so older
 /// crashes are overwritten; a request that crashes servers is retried within seconds.
@@ -45,7 +46,7 @@
         /// The store epoch for which the lease was taken.
         epoch: StoreEpoch,
     },
-    /// A server crashed while it ran a request.
+    /// A server crashed while it ran a request. Written by routers of earlier versions.
     Crash {
         /// Fingerprint of the request.
         print: u128,
@@ -63,6 +64,13 @@
         /// Operators have had time to rewrite what was lost.
         is_settled: bool,
     },
+    /// Suspected requests, of all that the writer knows under this key.
+    Suspects {
+        /// Distinguishes the keys.
+        slot: u8,
+        /// The requests.
+        entries: Vec<StoredSuspect>,
+    },
 }
 
 impl FleetRecord {
@@ -73,6 +81,7 @@
             FleetRecord::Lease { .. } => "lease".to_owned(),
             FleetRecord::Crash { print, .. } => format!("crash/{}", print % MAX_CRASH_KEYS),
             FleetRecord::Restored { .. } => "restored".to_owned(),
+            FleetRecord::Suspects { slot, .. } => format!("suspects/{slot}"),
         }
     }
 }
--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -89,7 +89,7 @@
     }
 
     /// Applies a record of the current epoch. Two readers may deliver the same record; it is
-    /// applied once. Crash records are handled by the crash tracker and only advance the end here.
+    /// applied once. Crash records are handled by the suspect table and only advance the end here.
     pub fn apply(&mut self, offset: LogOffset, record: &FleetRecord, now: BootTime) {
         if offset < self.end.offset {
             return;
@@ -125,7 +125,9 @@
                     is_settled: *is_settled,
                 });
             }
-            FleetRecord::Restored { .. } | FleetRecord::Crash { .. } => {}
+            FleetRecord::Restored { .. }
+            | FleetRecord::Crash { .. }
+            | FleetRecord::Suspects { .. } => {}
         }
     }
 
--- a/crates/dispatch/src/gossip_message.rs
+++ b/crates/dispatch/src/gossip_message.rs
@@ -15,6 +15,7 @@
 use crate::Backlog;
 use crate::ReachReport;
 use crate::RejectionNotice;
+use crate::SuspectReport;
 
 /// Identifies one incarnation of a server in messages and tables. It is shorter than the name, and
 /// messages about an earlier incarnation match no server.
@@ -73,6 +74,9 @@
     /// Rejections by brittle servers. Encoded after the message as well.
     #[serde(skip)]
     pub rejections: Vec<RejectionNotice>,
+    /// Requests that crash servers. Encoded after the message as well.
+    #[serde(skip)]
+    pub suspects: SuspectReport,
 }
 
 /// Time since a target weights version was published.
--- /dev/null
+++ b/crates/dispatch/src/server_check.rs
@@ -0,0 +1,110 @@
+//! Decides whether a server that broke off requests has crashed.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Time in which other hosts answer whether they reach the server.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Answers of other hosts that settle the question at once.
+const MIN_ANSWERS: usize = 2;
+/// Age from which a single answer does.
+const SINGLE_ANSWER_TIME: Duration = Duration::from_millis(400);
+/// An undecided check ends after this time. Longer than a crashed server stays in the list: three heartbeats of 1.2 s
+/// and the time until the list is read.
+pub const CHECK_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// What a host knows of a server that broke off requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CheckInputs {
+    /// Outcome of this host's latest connection attempt since the break; `None` if it tells nothing, such as during a
+    /// suspected local network fault.
+    pub own_reached: Option<bool>,
+    /// Other hosts that reached the server since the break.
+    pub others_reached: usize,
+    /// Other hosts that failed to reach it since the break.
+    pub others_failed: usize,
+    /// Other live hosts.
+    pub peers: usize,
+    /// Another server of the service was reached from here since the break.
+    pub is_control_reached: bool,
+    /// The list still has this incarnation of the server.
+    pub is_listed: bool,
+    /// Another host has confirmed the crash.
+    pub is_confirmed: bool,
+    /// Time since the break.
+    pub age: Duration,
+}
+
+/// Result of a check.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CheckVerdict {
+    /// The server has ended.
+    #[display("crashed")]
+    Crashed(CrashReason),
+    /// It takes connections and is still listed.
+    #[display("reached")]
+    Reached,
+    /// Other hosts reach it and this one does not.
+    #[display("taken_for_cut")]
+    Cut,
+    /// Nothing tells yet.
+    #[display("undecided")]
+    Undecided,
+}
+
+/// Why a server counts as crashed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CrashReason {
+    /// Another host has confirmed it.
+    #[display("confirmed by another host")]
+    Confirmed,
+    /// Its incarnation is gone from the list.
+    #[display("no longer listed")]
+    Unlisted,
+    /// Neither this nor other hosts reach it.
+    #[display("not reached by other hosts either")]
+    UnreachedByAll,
+    /// This host reaches another server of the service, and no other host has answered.
+    #[display("another server of the service is reached")]
+    OthersReached,
+    /// There is no other host.
+    #[display("no other host to ask")]
+    NoPeers,
+}
+
+impl CheckInputs {
+    /// The verdict, which is final unless it is `Undecided` or a connection was opened: a server that has started again
+    /// takes connections before the list says so.
+    pub fn verdict(&self) -> CheckVerdict {
+        if self.is_confirmed {
+            return CheckVerdict::Crashed(CrashReason::Confirmed);
+        }
+        if !self.is_listed {
+            return CheckVerdict::Crashed(CrashReason::Unlisted);
+        }
+        if self.own_reached == Some(true) {
+            return CheckVerdict::Reached;
+        }
+        if 0 < self.others_reached {
+            return CheckVerdict::Cut;
+        }
+        if self.own_reached.is_none() {
+            return CheckVerdict::Undecided;
+        }
+        if self.is_unreached_by_all() {
+            return CheckVerdict::Crashed(CrashReason::UnreachedByAll);
+        }
+        match self.peers {
+            0 => CheckVerdict::Crashed(CrashReason::NoPeers),
+            _ if self.age < ANSWER_TIME || 0 < self.others_failed => CheckVerdict::Undecided,
+            _ if self.is_control_reached => CheckVerdict::Crashed(CrashReason::OthersReached),
+            _ => CheckVerdict::Undecided,
+        }
+    }
+
+    fn is_unreached_by_all(&self) -> bool {
+        let is_enough = MIN_ANSWERS.min(self.peers) <= self.others_failed;
+        0 < self.others_failed && (is_enough || SINGLE_ANSWER_TIME <= self.age)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/suspect_report.rs
@@ -0,0 +1,88 @@
+//! What routers exchange about requests that crash servers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ServerKey;
+
+/// Part of a gossip message on suspected requests. Merging is a union: reports may come late, twice or out of order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// Suspected requests.
+    pub suspects: Vec<SuspectNotice>,
+    /// Connections that the sender tried to servers which may have crashed.
+    pub probes: Vec<ProbeNotice>,
+}
+
+impl SuspectReport {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty() && self.probes.is_empty()
+    }
+}
+
+/// What the sender knows of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNotice {
+    /// Fingerprint of the request.
+    pub fingerprint: u128,
+    /// Server incarnations that crashed while they ran it.
+    pub crashes: Vec<CrashNotice>,
+    /// Crashes that it was cleared of, as a server has completed it since.
+    pub cleared: Vec<ServerKey>,
+    /// The sender's claim to run it, if any.
+    pub claim: Option<ClaimStage>,
+}
+
+/// A crash that counts against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// The server incarnation.
+    pub server: ServerKey,
+    /// Milliseconds since the crash.
+    pub age_ms: u32,
+    /// Whether the crash is confirmed.
+    pub proof: CrashProof,
+}
+
+/// Evidence of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashProof {
+    /// A connection broke, and a new one failed.
+    Suspected,
+    /// The server has ended.
+    Confirmed,
+}
+
+/// How far a host is in running a suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimStage {
+    /// It wants to run it, and waits until the others know.
+    Waiting,
+    /// It runs it.
+    Running,
+}
+
+/// Outcome of a connection attempt to a server that may have crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeNotice {
+    /// The server incarnation.
+    pub server: ServerKey,
+    /// Whether the connection was opened.
+    pub is_reached: bool,
+    /// Milliseconds since the attempt.
+    pub age_ms: u32,
+}
+
+/// What the store keeps of one suspected request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredSuspect {
+    /// Fingerprint of the request.
+    pub fingerprint: u128,
+    /// Confirmed crashes.
+    pub crashes: Vec<ServerKey>,
+    /// Crashes that it was cleared of.
+    pub cleared: Vec<ServerKey>,
+    /// Time of the last crash, in seconds since 1970.
+    pub last_crash_s: u64,
+}
--- /dev/null
+++ b/crates/dispatch/src/suspect_table.rs
@@ -0,0 +1,364 @@
+//! Requests that crash the servers that run them, as known to one host.
+
+mod checks;
+mod storage;
+
+use std::time::Duration;
+
+use fulmargate_names::HostName;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use self::checks::ProbeRecord;
+use self::checks::ServerCheck;
+use crate::ClaimStage;
+use crate::CrashProof;
+use crate::RunEnd;
+use crate::ServerKey;
+use crate::SuspectReport;
+use crate::run_log::RunLog;
+use crate::suspect_record::OwnClaim;
+use crate::suspect_record::SuspectRecord;
+
+/// Upper bound on tracked requests. Those with the fewest crashes are dropped first, then the oldest.
+const MAX_TRACKED_REQUESTS: usize = 4_096;
+/// Requests in a report. The others follow in the next ones.
+const MAX_REPORTED_REQUESTS: usize = 64;
+/// Interval at which a request that has to wait tries again.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a host's claim counts after its last report. Longer than two publications of it are apart.
+const CLAIM_TTL: Duration = Duration::from_secs(2);
+/// Interval at which one host of the fleet publishes a record that has not changed, times the number of hosts.
+const REFRESH_INTERVAL_PER_HOST: Duration = Duration::from_millis(500);
+const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Limits of the suspect table.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspectConf {
+    /// Number of crashed servers from which a request is rejected. Two may crash by coincidence while
+    /// they run a request that is not the cause; three hardly do.
+    pub max_crashes: usize,
+    /// How long a request is tracked after its latest crash.
+    pub retention: Duration,
+    /// How long a crash counts that is not confirmed.
+    pub suspicion_ttl: Duration,
+}
+
+impl Default for SuspectConf {
+    fn default() -> SuspectConf {
+        SuspectConf {
+            max_crashes: 3,
+            retention: Duration::from_secs(600),
+            suspicion_ttl: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Whether a request may be sent to a server now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStep {
+    /// It may be sent.
+    Run,
+    /// It has to wait at least this long: it is suspected, and another run of it has not ended.
+    Wait(Duration),
+    /// It crashes servers.
+    Convicted,
+}
+
+/// A change of the evidence on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectChange {
+    /// Fingerprint of the request.
+    pub fingerprint: u128,
+    /// The server that crashed.
+    pub server: ServerKey,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Confirmed crashes that count against the request.
+    pub crashes: usize,
+    /// Whether it is convicted.
+    pub is_convicted: bool,
+}
+
+/// Evidence on requests that crash servers, merged from this host's findings, gossip and the store.
+///
+/// A request with a crash on record is suspected: it runs once at a time over all hosts. A host that wants to run it
+/// publishes a claim, and waits until the others must have received it.
+#[derive(Debug)]
+pub struct SuspectTable {
+    own: HostName,
+    conf: SuspectConf,
+    records: IndexMap<u128, SuspectRecord>,
+    runs: RunLog,
+    checks: IndexMap<ServerKey, ServerCheck>,
+    probes: IndexMap<ServerKey, ProbeRecord>,
+    /// Time after which the other hosts have received a published claim.
+    settle_time: Duration,
+    next_ticket: u64,
+}
+
+impl SuspectTable {
+    /// Creates a table without evidence for this host.
+    pub fn new(own: HostName, conf: SuspectConf) -> SuspectTable {
+        SuspectTable {
+            own,
+            conf,
+            records: IndexMap::new(),
+            runs: RunLog::default(),
+            checks: IndexMap::new(),
+            probes: IndexMap::new(),
+            settle_time: Duration::ZERO,
+            next_ticket: 0,
+        }
+    }
+
+    /// Sets the time after which the other hosts have received what this one published.
+    pub fn set_settle_time(&mut self, settle_time: Duration) {
+        self.settle_time = settle_time;
+    }
+
+    /// A new ticket for the claims of one request.
+    pub fn issue_ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// Whether the request is rejected.
+    pub fn is_convicted(&self, fingerprint: u128, now: Instant) -> bool {
+        self.crash_count(fingerprint, now) >= self.conf.max_crashes
+    }
+
+    /// Confirmed crashes that count against the request.
+    pub fn crash_count(&self, fingerprint: u128, now: Instant) -> usize {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|record| record.age(now) < self.conf.retention);
+        record.map_or(0, SuspectRecord::confirmed)
+    }
+
+    /// Whether crashes count against the request, confirmed or not.
+    pub fn is_suspected(&self, fingerprint: u128) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| 0 < record.possible())
+    }
+
+    /// Incarnations of servers that count against the request.
+    pub fn crashed_servers(&self, fingerprint: u128) -> Vec<ServerKey> {
+        self.records.get(&fingerprint).map_or_else(Vec::new, SuspectRecord::servers)
+    }
+
+    /// Whether the holder of this ticket may send the request to a server. Claims it if nobody else does.
+    pub fn try_begin(&mut self, fingerprint: u128, ticket: u64, now: Instant) -> RunStep {
+        let conf = self.conf;
+        let is_running = self.runs.runs(fingerprint);
+        let (own, settle_time) = (&self.own, self.settle_time);
+        let Some(record) = self.records.get_mut(&fingerprint) else { return RunStep::Run };
+        let is_kept = record.retain(&conf, now);
+        if conf.max_crashes <= record.confirmed() && is_kept {
+            return RunStep::Convicted;
+        }
+        if !is_kept || record.possible() == 0 {
+            return RunStep::Run;
+        }
+        if conf.max_crashes <= record.possible() {
+            return RunStep::Wait(POLL_INTERVAL);
+        }
+        let Some(claim) = record.own_claim else {
+            record.own_claim =
+                Some(OwnClaim { ticket, stage: ClaimStage::Waiting, published: None });
+            record.mark_changed(now);
+            return RunStep::Wait(POLL_INTERVAL);
+        };
+        if claim.ticket != ticket {
+            return RunStep::Wait(POLL_INTERVAL);
+        }
+        if claim.stage == ClaimStage::Running {
+            return RunStep::Run;
+        }
+        let Some(published) = claim.published else { return RunStep::Wait(POLL_INTERVAL) };
+        let settled_at = published + settle_time;
+        if now < settled_at {
+            return RunStep::Wait((settled_at - now).min(POLL_INTERVAL));
+        }
+        let own_order = claim_order(fingerprint, own);
+        let goes_first = |host: &HostName| claim_order(fingerprint, host) < own_order;
+        if is_running || record.is_claimed_by_others(goes_first, now) {
+            return RunStep::Wait(POLL_INTERVAL);
+        }
+        record.own_claim = Some(OwnClaim { stage: ClaimStage::Running, ..claim });
+        record.mark_changed(now);
+        RunStep::Run
+    }
+
+    /// Ends the claim of this ticket.
+    pub fn release(&mut self, fingerprint: u128, ticket: u64, now: Instant) {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return };
+        if record.own_claim.is_some_and(|claim| claim.ticket == ticket) {
+            record.own_claim = None;
+            record.mark_changed(now);
+        }
+    }
+
+    /// Registers a run of a request at a server. Returns its id.
+    pub fn begin_run(&mut self, fingerprint: u128, server: ServerKey) -> u64 {
+        self.runs.begin(fingerprint, server)
+    }
+
+    /// Registers the end of a run.
+    pub fn end_run(&mut self, id: u64, end: RunEnd, now: Instant) {
+        let Some(fingerprint) = self.runs.end(id, end, now) else { return };
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.mark_changed(now);
+        }
+    }
+
+    /// Whether a run at the server is in flight or ended unclearly a moment ago.
+    pub fn has_runs_at(&self, server: ServerKey, now: Instant) -> bool {
+        self.runs.has_runs_at(server, now)
+    }
+
+    /// Clears the request of all crashes known here: a server has completed it. Returns their number.
+    pub fn clear(&mut self, fingerprint: u128, now: Instant) -> usize {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return 0 };
+        let servers = record.servers();
+        for server in &servers {
+            record.clear(*server);
+        }
+        if !servers.is_empty() {
+            record.mark_changed(now);
+            record.write_at = Some(now);
+        }
+        servers.len()
+    }
+
+    /// The next report to the other hosts, in a fleet of this size.
+    pub fn take_report(&mut self, hosts: usize, now: Instant) -> SuspectReport {
+        let refresh_interval = (REFRESH_INTERVAL_PER_HOST * hosts as u32).max(MIN_REFRESH_INTERVAL);
+        let conf = self.conf;
+        self.records.retain(|_, record| record.retain(&conf, now));
+        let mut due: Vec<(Instant, u128)> = Vec::new();
+        for (fingerprint, record) in &self.records {
+            if record.publish_at <= now {
+                due.push((record.publish_at, *fingerprint));
+            }
+        }
+        due.sort_unstable();
+        due.truncate(MAX_REPORTED_REQUESTS);
+        let mut suspects = Vec::new();
+        for (_, fingerprint) in due {
+            let Some(record) = self.records.get_mut(&fingerprint) else { continue };
+            let mut notice = record.notice(fingerprint, now);
+            let is_running = self.runs.runs(fingerprint) && record.possible() != 0;
+            if is_running {
+                notice.claim = Some(ClaimStage::Running);
+            }
+            suspects.push(notice);
+            record.mark_published(if is_running { CLAIM_TTL / 4 } else { refresh_interval }, now);
+        }
+        SuspectReport { suspects, probes: self.probe_notices(now) }
+    }
+
+    /// Merges the report of another host. Returns what it has changed.
+    pub fn merge(
+        &mut self,
+        from: &HostName,
+        report: &SuspectReport,
+        now: Instant,
+    ) -> Vec<SuspectChange> {
+        self.merge_probes(from, report, now);
+        let mut changes = Vec::new();
+        for notice in &report.suspects {
+            let fingerprint = notice.fingerprint;
+            for server in &notice.cleared {
+                self.merge_clearance(fingerprint, *server, now);
+            }
+            for crash in &notice.crashes {
+                let age = Duration::from_millis(u64::from(crash.age_ms));
+                if age < self.conf.retention {
+                    let change = self.merge_crash(fingerprint, crash.server, age, crash.proof, now);
+                    changes.extend(change);
+                }
+            }
+            let is_running = self.runs.runs(fingerprint);
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                record.set_claim(from, notice.claim, now + CLAIM_TTL);
+                // The others must not run what is in flight here.
+                if is_running && notice.claim.is_some() {
+                    record.mark_changed(now);
+                }
+            }
+        }
+        changes
+    }
+
+    /// Adds a crash that another host has found.
+    fn merge_crash(
+        &mut self,
+        fingerprint: u128,
+        server: ServerKey,
+        age: Duration,
+        proof: CrashProof,
+        now: Instant,
+    ) -> Option<SuspectChange> {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let repair_at = now + self.repair_delay(fingerprint);
+        let (is_running, is_new) = (self.runs.runs(fingerprint), !self.has(fingerprint));
+        if proof == CrashProof::Suspected {
+            self.want_probe(server, now);
+        }
+        let record = self.record_mut(fingerprint, now);
+        if !record.add_crash(server, at, proof) {
+            return None;
+        }
+        if is_new {
+            record.publish_at = repair_at;
+        }
+        if is_running {
+            record.mark_changed(now);
+        }
+        if proof == CrashProof::Confirmed {
+            record.write_at.get_or_insert(repair_at);
+        }
+        Some(self.change(fingerprint, server, age))
+    }
+
+    fn merge_clearance(&mut self, fingerprint: u128, server: ServerKey, now: Instant) {
+        let repair_at = now + self.repair_delay(fingerprint);
+        let record = self.record_mut(fingerprint, now);
+        if record.clear(server) {
+            record.write_at.get_or_insert(repair_at);
+        }
+    }
+
+    fn change(&self, fingerprint: u128, server: ServerKey, age: Duration) -> SuspectChange {
+        let crashes = self.records.get(&fingerprint).map_or(0, SuspectRecord::confirmed);
+        let is_convicted = self.conf.max_crashes <= crashes;
+        SuspectChange { fingerprint, server, age, crashes, is_convicted }
+    }
+
+    fn has(&self, fingerprint: u128) -> bool {
+        self.records.contains_key(&fingerprint)
+    }
+
+    /// The record of a request, created if there is none.
+    fn record_mut(&mut self, fingerprint: u128, now: Instant) -> &mut SuspectRecord {
+        if MAX_TRACKED_REQUESTS <= self.records.len() && !self.has(fingerprint) {
+            self.evict_least();
+        }
+        self.records.entry(fingerprint).or_insert_with(|| SuspectRecord::new(now))
+    }
+
+    fn evict_least(&mut self) {
+        let rank = |record: &SuspectRecord| {
+            (record.own_claim.is_some(), record.confirmed(), record.possible(), record.last_seen())
+        };
+        let least = self.records.iter().min_by_key(|(_, record)| rank(record));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.records.swap_remove(&fingerprint);
+        }
+    }
+}
+
+/// Order in which hosts run a request that several of them claim at once.
+fn claim_order(fingerprint: u128, host: &HostName) -> (u64, &str) {
+    (xxh3_64_with_seed(host.as_str().as_bytes(), fingerprint as u64), host.as_str())
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,6 +23,7 @@
 mod server_log;
 mod server_watcher;
 mod store_retry;
+mod suspect_writer;
 
 pub(crate) use control_thread::ControlListeners;
 pub(crate) use control_thread::ControlThread;
--- a/crates/entry/src/control/cache_reader/tests.rs
+++ b/crates/entry/src/control/cache_reader/tests.rs
@@ -9,7 +9,6 @@
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::Incarnation;
 use fulmargate_settings::EntrySettings;
-use tokio::sync::mpsc::unbounded_channel;
 
 use super::CacheReader;
 use super::CacheSource;
@@ -87,8 +86,7 @@
 fn test_reader() -> CacheReader {
     let settings = EntrySettings::parse("entry.json", EXAMPLE).expect("example settings are valid");
     let client = CacheEventClient::new(settings.link_bytes_per_s());
-    let (sender, _) = unbounded_channel();
-    let state = Arc::new(SharedState::new(settings, sender));
+    let state = Arc::new(SharedState::new(settings));
     let address = "127.0.0.1:1".parse().expect("valid address");
     let source =
         CacheSource { key: ServerKey(1), address, incarnation: Some(EXPECTED_INCARNATION) };
--- a/crates/entry/src/control/cache_reader_set/tests.rs
+++ b/crates/entry/src/control/cache_reader_set/tests.rs
@@ -13,7 +13,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
@@ -89,8 +88,7 @@
 }
 
 fn test_state() -> Arc<SharedState> {
-    let (sender, _) = unbounded_channel();
-    Arc::new(SharedState::new(test_settings(), sender))
+    Arc::new(SharedState::new(test_settings()))
 }
 
 fn test_settings() -> EntrySettings {
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -13,7 +13,6 @@
 use fulmargate_settings::EntrySettings;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -33,9 +32,9 @@
 use crate::control::relay_forwarder::RelayForwarder;
 use crate::control::relay_queue::SharedRelays;
 use crate::control::server_watcher::ServerWatcher;
+use crate::control::suspect_writer::run_suspect_writer;
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
-use crate::state::CrashSighting;
 use crate::state::SharedState;
 use crate::telemetry::render_metrics;
 use crate::traffic::ForwardCall;
@@ -73,7 +72,6 @@
     pub(crate) fn run(
         self,
         listeners: ControlListeners,
-        crashes: UnboundedReceiver<CrashSighting>,
         forwards: UnboundedSender<ForwardCall>,
     ) -> Result<(), StartError> {
         System::new().block_on(async move {
@@ -94,7 +92,7 @@
             let listener = PeerListener::new(services, peers)
                 .map_err(|err| StartError::Thread { task: "peers", reason: err.to_string() })?;
             spawn_until_cancelled(&self.stop.complete, listener.run());
-            self.start_tasks(&record_cache, &relays, &fleet_state, crashes);
+            self.start_tasks(&record_cache, &relays, &fleet_state);
             self.serve_signals().await?;
             self.shut_down().await;
             Ok(())
@@ -106,7 +104,6 @@
         record_cache: &Rc<RecordCache>,
         relays: &SharedRelays,
         fleet_state: &SharedFleetState,
-        crashes: UnboundedReceiver<CrashSighting>,
     ) {
         let client = StoreClient::new(self.state.settings.store);
         let token = self.stop.complete.clone();
@@ -124,7 +121,8 @@
         let server_watcher = ServerWatcher::new(self.state.clone(), source());
         spawn_until_cancelled(&token, server_watcher.run());
         let reader = FleetReader::new(self.state.clone(), source(), fleet_state.clone());
-        spawn_until_cancelled(&token, FleetWatcher::new(reader.clone()).run(crashes));
+        spawn_until_cancelled(&token, FleetWatcher::new(reader.clone()).run());
+        spawn_until_cancelled(&token, run_suspect_writer(self.state.clone(), client.clone()));
         let gossip = GossipSender::new(
             self.state.clone(),
             fleet_state.clone(),
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -14,6 +14,7 @@
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::ReachReport;
 use fulmargate_dispatch::RejectionNotice;
+use fulmargate_dispatch::SuspectReport;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -95,6 +96,12 @@
     rejections: Vec<RejectionNotice>,
 }
 
+/// Seventh extension.
+#[derive(Serialize, Deserialize)]
+struct SuspectExtension {
+    suspects: SuspectReport,
+}
+
 /// Encodes a gossip message with its length prefix.
 pub(crate) fn encode_gossip(gossip: &GossipMessage) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(gossip, config::standard())?;
@@ -110,6 +117,8 @@
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let extension = RejectionExtension { rejections: gossip.rejections.clone() };
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    let extension = SuspectExtension { suspects: gossip.suspects.clone() };
+    message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -138,6 +147,9 @@
     if let Some(extension) = take_extension::<RejectionExtension>(&mut rest)? {
         gossip.rejections = extension.rejections;
     }
+    if let Some(extension) = take_extension::<SuspectExtension>(&mut rest)? {
+        gossip.suspects = extension.suspects;
+    }
     Ok(gossip)
 }
 
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -6,7 +6,14 @@
 use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaCount;
 use fulmargate_admission::QuotaReport;
+use fulmargate_dispatch::ClaimStage;
+use fulmargate_dispatch::CrashNotice;
+use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::GossipMessage;
+use fulmargate_dispatch::ProbeNotice;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::SuspectNotice;
+use fulmargate_dispatch::SuspectReport;
 use fulmargate_names::HostName;
 
 use super::LENGTH_PREFIX_BYTES;
@@ -42,6 +49,24 @@
     assert_eq!(decoded, sent);
 }
 
+/// Guards against evidence on crashing requests that is lost in the encoding.
+#[test]
+fn suspect_reports_round_trip() {
+    let crash = CrashNotice { server: ServerKey(5), age_ms: 40, proof: CrashProof::Suspected };
+    let notice = SuspectNotice {
+        fingerprint: 1 << 100,
+        crashes: vec![crash],
+        cleared: vec![ServerKey(6)],
+        claim: Some(ClaimStage::Running),
+    };
+    let probe = ProbeNotice { server: ServerKey(5), is_reached: false, age_ms: 3 };
+    let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe] };
+    let sent = GossipMessage { suspects, ..gossip(None) };
+    let message = encode_gossip(&sent).expect("encode message");
+    let decoded = decode_gossip(&message[LENGTH_PREFIX_BYTES..]).expect("decode message");
+    assert_eq!(decoded, sent);
+}
+
 /// Guards against routers that close their connections during a rolling upgrade because a message
 /// has fewer or more extensions than they know.
 #[test]
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -16,11 +16,11 @@
 use fulmargate_dispatch::FleetState;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
+use fulmargate_dispatch::StoredSuspect;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::EventKind;
 use fulmargate_names::LogOffset;
 use indexmap::IndexMap;
-use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -30,19 +30,18 @@
 use crate::control::log_source::LogSource;
 use crate::control::own_records::OwnRecords;
 use crate::control::store_retry::StoreRetry;
-use crate::state::CrashSighting;
+use crate::control::suspect_writer::unix_now;
 use crate::state::FleetView;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::SuspectSource;
+use crate::telemetry::log_suspect_changes;
 
 /// Long-poll wait of a read.
 const POLL_WAIT: Duration = Duration::from_secs(3);
 /// Added to the wait for the response timeout.
 const RESPONSE_GRACE: Duration = Duration::from_millis(700);
 const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
-/// Delay for batching crash records: a crashing server breaks all its requests at once.
-const CRASH_BATCH_DELAY: Duration = Duration::from_millis(200);
-
 /// Delay after a read that returned records, so that hosts starting together don't wake every long
 /// poll with each of their records.
 const READ_BATCH_DELAY: Duration = Duration::from_millis(400);
@@ -65,7 +64,7 @@
     needs_listing: Rc<Cell<bool>>,
 }
 
-/// Reads the fleet topic in a loop and records crashes.
+/// Reads the fleet topic in a loop.
 pub(crate) struct FleetWatcher {
     reader: FleetReader,
     retry: StoreRetry,
@@ -76,10 +75,8 @@
         FleetWatcher { reader, retry: StoreRetry::new("fleet") }
     }
 
-    /// Registers this router, then reads the topic and records crashes until it is dropped.
-    pub(crate) async fn run(mut self, crashes: UnboundedReceiver<CrashSighting>) {
-        let store = self.reader.source.store().clone();
-        actix_rt::spawn(record_crashes(store, self.reader.own_records.clone(), crashes));
+    /// Registers this router, then reads the topic until it is dropped.
+    pub(crate) async fn run(mut self) {
         loop {
             let max_delay = self.reader.source.max_retry_delay();
             match self.run_once().await {
@@ -180,6 +177,9 @@
         records.retain(|listed| listed.offset < end.offset);
         records.sort_by_key(|listed| listed.offset);
         let mut by_key = IndexMap::new();
+        let listed_keys: Vec<&str> =
+            records.iter().map(|listed| listed.record.key.as_str()).collect();
+        self.state.suspects().reconcile_stored(&listed_keys, Instant::now());
         for ListedRecord { offset, record } in records {
             self.apply(offset, &record);
             let bytes = encode_keyed(&record.key, record.value.as_deref().unwrap_or_default())?;
@@ -262,18 +262,28 @@
             }
         };
         self.fleet_state.borrow_mut().apply(offset, &record, boot_now());
-        if let FleetRecord::Crash { print, server, start } = &record {
-            let mut crashes = self.state.crashes();
-            crashes.record(*print, *start, Instant::now());
-            let (count, must_reject) = (crashes.count(*print), crashes.must_reject(*print));
-            drop(crashes);
-            let kind = match must_reject {
-                true => EventKind::RequestConvicted,
-                false => EventKind::RequestSuspected,
-            };
-            let print = format!("{print:032x}");
-            tracing::info!(event = kind.number(), name = kind.name(), print, %server, count);
-        }
+        self.apply_suspects(&record);
+    }
+
+    /// Applies evidence on requests that crash servers.
+    fn apply_suspects(&self, record: &FleetRecord) {
+        let (now, unix_now) = (Instant::now(), unix_now());
+        let changes = match record {
+            FleetRecord::Suspects { slot, entries } => {
+                self.state.suspects().apply_stored(*slot, entries, unix_now, now)
+            }
+            FleetRecord::Crash { print, start, .. } => {
+                let entry = StoredSuspect {
+                    fingerprint: *print,
+                    crashes: vec![*start],
+                    cleared: Vec::new(),
+                    last_crash_s: unix_now.as_secs(),
+                };
+                self.state.suspects().merge_stored(&entry, unix_now, now)
+            }
+            _ => return,
+        };
+        log_suspect_changes(&self.state, &changes, SuspectSource::Store);
     }
 
     /// Skips a record that can't be decoded.
@@ -284,30 +294,6 @@
     }
 }
 
-async fn record_crashes(
-    client: StoreClient,
-    own_records: SharedOwnRecords,
-    mut crashes: UnboundedReceiver<CrashSighting>,
-) {
-    while let Some(first) = crashes.recv().await {
-        sleep(CRASH_BATCH_DELAY).await;
-        own_records.borrow_mut().put(&crash_record(first));
-        while let Ok(next) = crashes.try_recv() {
-            own_records.borrow_mut().put(&crash_record(next));
-        }
-        // Duplicate records are harmless; a failed write is retried after the next read.
-        if let Err(err) = append_missing(&client, &own_records).await {
-            let kind = EventKind::LogOut;
-            tracing::warn!(event = kind.number(), name = kind.name(), topic = "fleet", reason = %err);
-        }
-    }
-}
-
-fn crash_record(sighting: CrashSighting) -> FleetRecord {
-    let CrashSighting { fingerprint, server } = sighting;
-    FleetRecord::Crash { print: fingerprint, server: server.name.clone(), start: server.key() }
-}
-
 async fn append_missing(
     client: &StoreClient,
     own_records: &SharedOwnRecords,
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -35,6 +35,9 @@
 /// Minimum interval of urgent messages where relays forward them.
 const RELAYED_URGENT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time in which a message is transmitted and processed, and relays forward it.
+const SETTLE_MARGIN: Duration = Duration::from_millis(20);
+
 /// Sends gossip over one connection per target.
 pub(crate) struct GossipSender {
     state: Arc<SharedState>,
@@ -83,6 +86,7 @@
         loop {
             let plan = self.next_plan(message_bytes);
             self.state.servers().set_gossip_interval(plan.interval);
+            self.state.suspects().set_settle_time(settle_time(plan.interval));
             tokio::select! {
                 () = sleep(plan.interval) => {}
                 () = self.state.loading.changed() => sleep_until(last_round + plan.urgent_interval).await,
@@ -195,6 +199,8 @@
         gossip.weights = self.weights_ages();
         gossip.limits = self.state.servers().take_limit_report(Instant::now());
         gossip.rejections = self.state.servers().take_rejections(Instant::now());
+        let hosts = self.fleet_state.borrow().host_count();
+        gossip.suspects = self.state.suspects().take_report(hosts, Instant::now());
         gossip.quotas = Some(self.state.quotas().take_report());
         gossip.reach = Some(self.state.servers().reach_report(!self.stop.is_cancelled()));
         gossip
@@ -230,6 +236,11 @@
     }
 }
 
+/// Time after which the other hosts have received what this one published.
+fn settle_time(interval: Duration) -> Duration {
+    interval + interval / 2 + SETTLE_MARGIN
+}
+
 /// Returns no bytes if the message can't be encoded.
 fn encode(gossip: &GossipMessage) -> Bytes {
     match encode_gossip(gossip) {
@@ -248,6 +259,7 @@
         || !gossip.caches.is_empty()
         || !gossip.weights.is_empty()
         || !gossip.rejections.is_empty()
+        || !gossip.suspects.is_empty()
         || gossip.quotas.as_ref().is_some_and(|report| !report.counts.is_empty())
         || gossip.limits.as_ref().is_some_and(|report| !report.usage.counts.is_empty())
 }
--- a/crates/entry/src/control/own_records.rs
+++ b/crates/entry/src/control/own_records.rs
@@ -8,17 +8,11 @@
 
 use crate::control::fleet_codec::encode_keyed_record;
 
-/// Crash records that are rewritten after the store has lost them. A server that crashes breaks some 16
-/// requests, and running hosts know of earlier crashes.
-const MAX_CRASHES: usize = 64;
-
 /// Rewrites own records that the store lost when it was restored from a backup. Without its
 /// membership record, a host stays unknown to all that start later.
 #[derive(Debug, Default)]
 pub(crate) struct OwnRecords {
     joined: Option<OwnRecord>,
-    /// By key, the newest last.
-    crashes: IndexMap<String, OwnRecord>,
 }
 
 #[derive(Debug)]
@@ -43,41 +37,25 @@
                 return;
             }
         };
-        let own = OwnRecord { key: record.key(), bytes, is_written: false };
-        match record {
-            FleetRecord::Crash { .. } => self.put_crash(own),
-            _ => self.joined = Some(own),
-        }
+        self.joined = Some(OwnRecord { key: record.key(), bytes, is_written: false });
     }
 
-    fn put_crash(&mut self, own: OwnRecord) {
-        self.crashes.shift_remove(&own.key);
-        self.crashes.insert(own.key.clone(), own);
-        if MAX_CRASHES < self.crashes.len() {
-            self.crashes.shift_remove_index(0);
-        }
-    }
-
-    /// Compares with the records that the store lists by key. A crash record may have been replaced
-    /// by that of another host.
+    /// Compares with the records that the store lists by key.
     pub(crate) fn reconcile(&mut self, listed: &IndexMap<String, Vec<u8>>) {
         if let Some(own) = &mut self.joined {
             own.is_written = listed.get(&own.key) == Some(&own.bytes);
         }
-        for own in self.crashes.values_mut() {
-            own.is_written = listed.contains_key(&own.key);
-        }
     }
 
     /// Records to be written.
     pub(crate) fn missing(&self) -> Vec<Vec<u8>> {
-        let all = self.joined.iter().chain(self.crashes.values());
-        all.filter(|own| !own.is_written).map(|own| own.bytes.clone()).collect()
+        let own = self.joined.iter();
+        own.filter(|own| !own.is_written).map(|own| own.bytes.clone()).collect()
     }
 
     /// Marks records as written. Records replaced since are unaffected.
     pub(crate) fn mark_written(&mut self, records: &[Vec<u8>]) {
-        for own in self.joined.iter_mut().chain(self.crashes.values_mut()) {
+        if let Some(own) = &mut self.joined {
             own.is_written |= records.contains(&own.bytes);
         }
     }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -13,6 +13,7 @@
 use fulmargate_dispatch::GossipPath;
 use fulmargate_dispatch::LogRequest;
 use fulmargate_dispatch::StoreAccess;
+use fulmargate_dispatch::SuspectReport;
 use fulmargate_dispatch::should_apply;
 use fulmargate_dispatch::should_forward;
 use fulmargate_names::EventKind;
@@ -44,9 +45,11 @@
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::SuspectSource;
 use crate::telemetry::count_records_rejected;
 use crate::telemetry::count_records_served;
 use crate::telemetry::log_learned_limit;
+use crate::telemetry::log_suspect_changes;
 use crate::telemetry::topic_label;
 use crate::traffic::FORWARD_PATH;
 use crate::traffic::ForwardCall;
@@ -366,6 +369,9 @@
         let learned = state.servers().apply_limit_report(host, report, Instant::now());
         learned.iter().for_each(|limit| log_learned_limit(state, limit));
     }
+    if let Some(host) = &gossip.host {
+        apply_suspects(state, host, &gossip.suspects);
+    }
     if gossip.weights.is_empty() {
         return;
     }
@@ -380,6 +386,20 @@
     }
 }
 
+fn apply_suspects(state: &SharedState, host: &HostName, report: &SuspectReport) {
+    if report.is_empty() {
+        return;
+    }
+    let mut suspects = state.suspects();
+    let changes = suspects.merge(host, report, Instant::now());
+    let has_wanted_probes = suspects.has_wanted_probes();
+    drop(suspects);
+    if has_wanted_probes {
+        state.suspect_wake.notify_one();
+    }
+    log_suspect_changes(state, &changes, SuspectSource::Gossip(host));
+}
+
 /// Splits a complete message off the front of the buffer, including its length prefix.
 fn split_message(buffer: &mut BytesMut) -> Option<BytesMut> {
     let length = buffer.first_chunk::<LENGTH_PREFIX_BYTES>()?;
--- /dev/null
+++ b/crates/entry/src/control/suspect_writer.rs
@@ -0,0 +1,57 @@
+//! Writes evidence on crashing requests to the fleet topic.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use fulmargate_consortium::StoreClient;
+use fulmargate_consortium::StoreError;
+use fulmargate_dispatch::FleetRecord;
+use fulmargate_dispatch::LogTopic;
+use fulmargate_names::EventKind;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::control::fleet_codec::encode_keyed_record;
+use crate::state::SharedState;
+
+const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
+/// Delay for batching: a crashing server breaks all its requests at once.
+const BATCH_DELAY: Duration = Duration::from_millis(50);
+/// Longest time between two looks for records that are due.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(500);
+
+/// Writes what the suspect table has for the store. Never returns.
+pub(crate) async fn run_suspect_writer(state: Arc<SharedState>, client: StoreClient) {
+    loop {
+        // Not notified for retries and for what other hosts have found.
+        let _notified = timeout(MAX_IDLE_TIME, state.suspect_change.notified()).await;
+        sleep(BATCH_DELAY).await;
+        let records = state.suspects().take_due_writes(unix_now(), Instant::now());
+        if records.is_empty() {
+            continue;
+        }
+        if let Err(err) = append(&client, &records).await {
+            state.suspects().write_failed(&records, Instant::now());
+            let kind = EventKind::LogOut;
+            if state.log_limiter.allows(kind, Instant::now()) {
+                tracing::warn!(event = kind.number(), name = kind.name(), topic = "fleet", reason = %err);
+            }
+        }
+    }
+}
+
+async fn append(client: &StoreClient, records: &[FleetRecord]) -> Result<(), StoreError> {
+    let mut encoded = Vec::new();
+    for record in records {
+        encoded.push(encode_keyed_record(record)?);
+    }
+    client.append(LogTopic::Fleet, None, &encoded, APPEND_TIMEOUT).await.map(|_| ())
+}
+
+/// Time since 1970.
+pub(crate) fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -50,9 +50,8 @@
     let readiness = listen(&mut settings.readiness)?;
     let metrics = listen(&mut settings.metrics)?;
     let peers = listen(&mut settings.peers)?;
-    let (crash_sender, crash_receiver) = unbounded_channel();
     let (forward_sender, forward_receiver) = unbounded_channel();
-    let state = Arc::new(SharedState::new(settings, crash_sender));
+    let state = Arc::new(SharedState::new(settings));
     tracing::info!(
         event = EventKind::ProcessStarted.number(),
         name = EventKind::ProcessStarted.name(),
@@ -71,7 +70,7 @@
         .spawn(move || traffic.run(callers, forward_receiver))
         .map_err(|err| StartError::Thread { task: "traffic thread", reason: err.to_string() })?;
     let control = ControlThread { state, stop, path: path.to_owned() };
-    control.run(ControlListeners { readiness, metrics, peers }, crash_receiver, forward_sender)?;
+    control.run(ControlListeners { readiness, metrics, peers }, forward_sender)?;
     match handle.join() {
         Ok(result) => result,
         Err(_) => Err(StartError::Thread { task: "traffic thread", reason: "panicked".to_owned() }),
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -1,7 +1,6 @@
 //! Snapshots and lock-protected state shared by the control and traffic threads.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -14,14 +13,13 @@
 use fulmargate_admission::QuotaTracker;
 use fulmargate_admission::ServerLimits;
 use fulmargate_dispatch::ConfigProof;
-use fulmargate_dispatch::CrashConf;
-use fulmargate_dispatch::CrashTracker;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::RetryBudget;
 use fulmargate_dispatch::RetryConf;
 use fulmargate_dispatch::RouteTable;
-use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerRegistry;
+use fulmargate_dispatch::SuspectConf;
+use fulmargate_dispatch::SuspectTable;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -30,7 +28,6 @@
 use fulmargate_settings::EntrySettings;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -75,8 +72,12 @@
     pub(crate) open_requests: AtomicUsize,
     /// Open connections from callers.
     pub(crate) open_connections: AtomicUsize,
-    /// Crashes detected on this host, to be published to the other routers.
-    pub(crate) crash_sender: UnboundedSender<CrashSighting>,
+    /// Wakes the writer of evidence on crashing requests.
+    pub(crate) suspect_change: Notify,
+    /// Wakes the task that tries servers for other hosts.
+    pub(crate) suspect_wake: Notify,
+    /// Wakes requests that wait for the first connection attempt of a check.
+    pub(crate) suspect_probed: Notify,
     /// Engines that are loading weights on this router's order.
     pub(crate) loading: LoadingRegistry,
     /// Prompts that are queued for an engine.
@@ -96,7 +97,7 @@
     servers: Mutex<ServerRegistry>,
     retry_budget: Mutex<RetryBudget>,
     quotas: Mutex<QuotaTracker>,
-    crashes: Mutex<CrashTracker>,
+    suspects: Mutex<SuspectTable>,
 }
 
 /// Content of the routers' fleet topic.
@@ -110,20 +111,9 @@
     pub(crate) lease: Option<HeldLease>,
 }
 
-/// A server that crashed while it ran a request.
-#[derive(Clone, Debug)]
-pub(crate) struct CrashSighting {
-    /// Fingerprint of the request.
-    pub(crate) fingerprint: u128,
-    pub(crate) server: Arc<ServerEntry>,
-}
-
 impl SharedState {
     /// Creates the state without a configuration, servers or quotas.
-    pub(crate) fn new(
-        settings: EntrySettings,
-        crash_sender: UnboundedSender<CrashSighting>,
-    ) -> SharedState {
+    pub(crate) fn new(settings: EntrySettings) -> SharedState {
         let bounds = settings.bounds;
         let retry_conf = RetryConf {
             ratio: bounds.repeat_ratio,
@@ -140,6 +130,7 @@
         let start_id = (incarnation.0 % QUOTA_START_ID_COUNT) as u16;
         let quotas = QuotaTracker::new(settings.host.clone(), start_id, quota_conf(&bounds));
         let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
+        let suspects = SuspectTable::new(settings.host.clone(), SuspectConf::default());
         SharedState {
             settings,
             incarnation,
@@ -148,7 +139,9 @@
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
-            crash_sender,
+            suspect_change: Notify::new(),
+            suspect_wake: Notify::new(),
+            suspect_probed: Notify::new(),
             loading: LoadingRegistry::default(),
             prompt_queue: PromptQueue::default(),
             helpers: HelperPool::default(),
@@ -161,7 +154,7 @@
             servers: Mutex::new(ServerRegistry::with_limits(limits)),
             retry_budget: Mutex::new(RetryBudget::new(retry_conf, Instant::now())),
             quotas: Mutex::new(quotas),
-            crashes: Mutex::new(CrashTracker::new(CrashConf::default())),
+            suspects: Mutex::new(suspects),
         }
     }
 
@@ -216,8 +209,8 @@
     }
 
     /// Requests that are suspected or known to crash servers.
-    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
-        lock(&self.crashes)
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        lock(&self.suspects)
     }
 }
 
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::CallFacts;
+use fulmargate_dispatch::CheckVerdict;
 use fulmargate_dispatch::EndVerdict;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ResponseEnd;
@@ -94,6 +95,19 @@
     metrics::counter!("fulmargate_limit_decisions_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a check of a server that broke off requests.
+pub(crate) fn count_crash_check(verdict: CheckVerdict) {
+    let verdict = verdict.to_string();
+    metrics::counter!("fulmargate_crash_checks_total", "verdict" => verdict).increment(1);
+}
+
+/// Counts a crash that counts against a request, by how this host learned of it.
+pub(crate) fn count_suspect_change(source: &'static str, is_convicted: bool) {
+    let standing = if is_convicted { "convicted" } else { "suspected" };
+    let labels = [("source", source), ("standing", standing)];
+    metrics::counter!("fulmargate_suspect_changes_total", &labels).increment(1);
+}
+
 /// Counts a request that is charged to its team's quota, and the tokens it asks for.
 pub(crate) fn count_quota_request(team: &TeamName, is_admitted: bool, tokens: u64) {
     let outcome = if is_admitted { "admitted" } else { "refused" };
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -16,6 +16,7 @@
 mod send_attempt;
 mod server_connection;
 mod stream_relay;
+mod suspect_run;
 mod traffic_thread;
 mod upstream_response;
 
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -1,142 +1,230 @@
-//! Detects whether a server that dropped a request has crashed.
+//! Finds out whether servers that broke off requests have crashed.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
+use fulmargate_dispatch::CHECK_TIMEOUT;
+use fulmargate_dispatch::CheckInputs;
+use fulmargate_dispatch::CheckVerdict;
 use fulmargate_dispatch::ConnectOutcome;
-use fulmargate_dispatch::ProbeStep;
+use fulmargate_dispatch::CrashReason;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerStage;
 use fulmargate_names::EventKind;
 use fulmargate_names::RequestId;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
-use crate::state::CrashSighting;
 use crate::state::SharedState;
+use crate::telemetry::SuspectSource;
+use crate::telemetry::count_crash_check;
+use crate::telemetry::log_suspect_changes;
 use crate::traffic::server_connection::ServerConnection;
 
-/// Delay between a failed connection and its evaluation. A local network fault makes connections to many servers
-/// fail at about the same time; the delay lets most of these failures be recorded first.
-const EVALUATION_DELAY: Duration = Duration::from_millis(100);
-/// Connection timeouts after which a server counts as crashed, even if it is no longer listed and therefore not
-/// tracked. Counted anew while a local network fault is suspected.
-const MAX_FAILED_CONNECTIONS: u32 = 2;
+/// Interval at which a check looks at what has become known.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The same once only the list of servers can tell more.
+const LIST_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which a failed connection is tried again: both have to fail in time.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Servers that a host tries, to tell a crash from a cut of its own links.
 const MAX_CONTROL_SERVERS: usize = 2;
-/// If no verdict is reached within this time, such as during a suspected local network fault, the server is
-/// not reported as crashed. As long as such a suspicion lasts once a server has responded.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// What the check of a server has found.
-#[derive(Debug, Display)]
-enum CheckVerdict {
-    /// It has crashed, for this reason.
-    #[display("crashed")]
-    Crashed(String),
-    /// It takes connections.
-    #[display("reached")]
-    Reached,
-    /// It refuses connections, as do the others of its service, which other hosts reach.
-    #[display("taken_for_cut")]
-    TakenForCut,
-    #[display("undecided")]
-    Undecided,
-}
+/// Time that a request waits for the first connection attempt of a check before it is sent again.
+const FIRST_PROBE_TIME: Duration = Duration::from_millis(50);
 
-/// A request whose connection broke, and the server that was running it.
+/// A check of a server that broke off a request.
 pub(crate) struct CrashCheck {
-    pub(crate) state: Arc<SharedState>,
-    pub(crate) id: RequestId,
-    /// Fingerprint of the request.
-    pub(crate) fingerprint: u128,
-    pub(crate) server: Arc<ServerEntry>,
+    state: Arc<SharedState>,
+    /// The request whose connection broke.
+    id: RequestId,
+    server: Arc<ServerEntry>,
+    /// Another server of the service was reached since the break.
+    is_control_reached: bool,
+    /// The server was seen to leave in good order.
+    is_leaving: bool,
+}
+
+/// Starts a check, unless one is under way, and waits for its first connection attempt. If that fails, the request is
+/// suspected from now on.
+pub(crate) async fn check_server(
+    state: &Arc<SharedState>,
+    id: &RequestId,
+    server: &Arc<ServerEntry>,
+) {
+    if state.suspects().begin_check(server.key(), Instant::now()) {
+        let (state, id, server) = (state.clone(), id.clone(), server.clone());
+        let check = CrashCheck { state, id, server, is_control_reached: false, is_leaving: false };
+        tokio::task::spawn_local(check.run());
+    }
+    let probed = state.suspect_probed.notified();
+    if state.suspects().awaits_probe(server.key()) {
+        let _elapsed = timeout(FIRST_PROBE_TIME, probed).await;
+    }
 }
 
 impl CrashCheck {
-    /// Checks the server; if it has crashed, records the crash and publishes it to the other routers.
-    ///
-    /// A single refused connection is taken as a crash. Connections also time out on a saturated link, so timeouts
-    /// count only when repeated, and not while a local network fault is suspected.
-    pub(crate) async fn run(self) {
-        let started = Instant::now();
-        let verdict = self.detect_crash().await;
-        self.log_verdict(&verdict, started);
-        let CheckVerdict::Crashed(reason) = verdict else { return };
-        let CrashCheck { state, id, fingerprint, server } = self;
-        state.crashes().record(fingerprint, server.key(), Instant::now());
-        let kind = EventKind::ServerCrashed;
-        if state.log_limiter.allows(kind, Instant::now()) {
-            tracing::warn!(event = kind.number(), name = kind.name(), %id, server = %server.name, %reason);
+    /// Checks the server until there is a verdict. A crash is evidence against the requests that ran there.
+    async fn run(mut self) {
+        let mut reported = CheckVerdict::Undecided;
+        let (verdict, inputs) = loop {
+            self.probe_if_needed().await;
+            let inputs = self.inputs();
+            let verdict = inputs.verdict();
+            if matches!(verdict, CheckVerdict::Crashed(_)) || CHECK_TIMEOUT <= inputs.age {
+                break (verdict, inputs);
+            }
+            if self.is_leaving {
+                break (CheckVerdict::Reached, inputs);
+            }
+            let is_open = verdict == CheckVerdict::Undecided;
+            if verdict != reported && !is_open {
+                self.state.suspects().drop_suspicions(self.server.key(), Instant::now());
+            }
+            reported = verdict;
+            sleep(if is_open { POLL_INTERVAL } else { LIST_POLL_INTERVAL }).await;
+        };
+        self.finish(verdict, inputs);
+    }
+
+    fn finish(self, verdict: CheckVerdict, inputs: CheckInputs) {
+        let now = Instant::now();
+        let changes = self.state.suspects().finish_check(self.server.key(), verdict, now);
+        self.state.suspect_change.notify_one();
+        self.log_verdict(verdict, inputs, changes.len());
+        if let CheckVerdict::Crashed(reason) = verdict {
+            self.log_crash(reason);
         }
-        let sighting = CrashSighting { fingerprint, server };
-        if state.crash_sender.send(sighting).is_err() {
-            tracing::debug!("crash not published to other routers: the process is shutting down");
+        log_suspect_changes(&self.state, &changes, SuspectSource::Check);
+    }
+
+    async fn probe_if_needed(&mut self) {
+        let key = self.server.key();
+        if !self.state.suspects().take_needed_probe(key) {
+            return;
         }
+        let connecting = ServerConnection::connect_to_server(&self.state, &self.server).await;
+        let outcome = connecting.map_or_else(|err| err.outcome(), |_| ConnectOutcome::Reached);
+        let now = Instant::now();
+        match outcome {
+            ConnectOutcome::Reached => self.state.suspects().record_probe(key, true, now),
+            // Connections also time out on a saturated link and while the local network fails.
+            ConnectOutcome::TimedOut if !self.times_out_again().await => {
+                self.state.suspects().record_no_probe(key);
+                sleep(RETRY_DELAY).await;
+            }
+            ConnectOutcome::Refused | ConnectOutcome::TimedOut => {
+                self.state.suspects().record_probe(key, false, now);
+                self.state.servers().record_unreachable(key, now);
+                self.state.suspect_probed.notify_waiters();
+                self.is_control_reached = reaches_control(&self.state, &self.server).await;
+            }
+        }
+        self.state.suspect_probed.notify_waiters();
     }
 
-    fn log_verdict(&self, verdict: &CheckVerdict, started: Instant) {
-        let kind = EventKind::CrashChecked;
+    async fn times_out_again(&self) -> bool {
+        sleep(RETRY_DELAY).await;
+        let connecting = ServerConnection::connect_to_server(&self.state, &self.server).await;
+        connecting.is_err() && !self.state.servers().suspects_local_fault(Instant::now())
+    }
+
+    fn inputs(&mut self) -> CheckInputs {
         let now = Instant::now();
-        if !self.state.log_limiter.allows(kind, now) {
+        let inputs = self.state.suspects().check_inputs(self.server.key(), now);
+        let servers = self.state.servers();
+        let stage = servers.state(self.server.key()).map(|state| state.entry().stage);
+        self.is_leaving |= stage.is_some_and(|stage| stage != ServerStage::Ready);
+        // Without any entry of the service the list tells nothing of one server.
+        let has_service =
+            servers.states().any(|state| state.entry().service == self.server.service);
+        CheckInputs {
+            peers: servers.live_peers(now).len(),
+            is_control_reached: self.is_control_reached,
+            is_listed: stage.is_some() || !has_service,
+            ..inputs
+        }
+    }
+
+    fn log_crash(&self, reason: CrashReason) {
+        let kind = EventKind::ServerCrashed;
+        if self.state.log_limiter.allows(kind, Instant::now()) {
+            tracing::warn!(
+                event = kind.number(),
+                name = kind.name(),
+                id = %self.id,
+                server = %self.server.name,
+                %reason,
+            );
+        }
+    }
+
+    fn log_verdict(&self, verdict: CheckVerdict, inputs: CheckInputs, suspects: usize) {
+        count_crash_check(verdict);
+        let kind = EventKind::CrashChecked;
+        if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
         }
-        let servers = self.state.servers();
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
             id = %self.id,
             server = %self.server.name,
             %verdict,
-            helpers = servers.helper_count(&self.server.service, now),
-            is_listed = servers.state(self.server.key()).is_some(),
-            age_ms = started.elapsed().as_millis() as u64,
+            own_reached = inputs.own_reached,
+            others_reached = inputs.others_reached,
+            others_failed = inputs.others_failed,
+            peers = inputs.peers,
+            is_control_reached = inputs.is_control_reached,
+            is_listed = inputs.is_listed,
+            suspects,
+            age_ms = inputs.age.as_millis() as u64,
         );
     }
+}
 
-    async fn detect_crash(&self) -> CheckVerdict {
-        let key = self.server.key();
-        let deadline = Instant::now() + CHECK_TIMEOUT;
-        let mut step = ProbeStep::Probe;
-        let mut failed_connections = 0;
-        while Instant::now() < deadline {
-            if step == ProbeStep::Probe {
-                let connecting = ServerConnection::connect_to_server(&self.state, &self.server);
-                let Err(error) = connecting.await else { return CheckVerdict::Reached };
-                self.state.servers().record_unreachable(key, Instant::now());
-                if error.outcome() == ConnectOutcome::Refused {
-                    // Links to several servers need not be cut at the same instant.
-                    sleep(EVALUATION_DELAY).await;
-                    let is_confirmed = is_refusal_of_server(&self.state, &self.server).await;
-                    return match is_confirmed {
-                        true => CheckVerdict::Crashed(error.to_string()),
-                        false => CheckVerdict::TakenForCut,
-                    };
-                }
-                failed_connections += 1;
-            }
-            sleep(EVALUATION_DELAY).await;
-            let now = Instant::now();
-            step = self.state.servers().next_probe_step(key, now);
-            if self.state.servers().suspects_local_fault(now) {
-                failed_connections = 0;
-            }
-            if step == ProbeStep::Unreachable || MAX_FAILED_CONNECTIONS <= failed_connections {
-                return CheckVerdict::Crashed("no connection lately".to_owned());
-            }
+/// Whether another server of the same service takes connections.
+async fn reaches_control(state: &Arc<SharedState>, server: &ServerEntry) -> bool {
+    let controls = state.servers().control_servers(server, MAX_CONTROL_SERVERS);
+    for control in &controls {
+        if ServerConnection::connect_to_server(state, control).await.is_ok() {
+            return true;
         }
-        CheckVerdict::Undecided
     }
+    false
 }
 
 /// Whether a refused connection is the server's own failure: another server of its service can be reached, or no other
 /// host reaches one either. A host whose links are cut is refused by all.
 pub(crate) async fn is_refusal_of_server(state: &Arc<SharedState>, server: &ServerEntry) -> bool {
-    let controls = state.servers().control_servers(server, MAX_CONTROL_SERVERS);
-    for control in &controls {
-        if ServerConnection::connect_to_server(state, control).await.is_ok() {
-            return true;
+    let has_controls = !state.servers().control_servers(server, 1).is_empty();
+    !has_controls
+        || reaches_control(state, server).await
+        || !state.servers().is_reached_by_others(&server.service, Instant::now())
+}
+
+/// Tries servers that other hosts suspect to have crashed. Never returns.
+pub(crate) async fn run_peer_checks(state: Arc<SharedState>) {
+    loop {
+        state.suspect_wake.notified().await;
+        let now = Instant::now();
+        let peers = state.servers().live_peers(now);
+        let wanted = state.suspects().take_wanted_probes(&peers, now);
+        for key in wanted {
+            let entry = state.servers().state(key).map(|server| server.entry().clone());
+            if let Some(server) = entry {
+                tokio::task::spawn_local(probe_for_peer(state.clone(), server));
+            }
         }
     }
-    controls.is_empty() || !state.servers().is_reached_by_others(&server.service, Instant::now())
+}
+
+async fn probe_for_peer(state: Arc<SharedState>, server: Arc<ServerEntry>) {
+    let connecting = ServerConnection::connect_to_server(&state, &server).await;
+    let outcome = connecting.map_or_else(|err| err.outcome(), |_| ConnectOutcome::Reached);
+    let now = Instant::now();
+    if outcome == ConnectOutcome::TimedOut && state.servers().suspects_local_fault(now) {
+        return;
+    }
+    state.suspects().record_probe(server.key(), outcome == ConnectOutcome::Reached, now);
 }
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -11,6 +11,7 @@
 mod send_checks;
 mod send_outcome;
 mod stream_timing;
+mod suspicion;
 
 use std::cell::Cell;
 use std::sync::Arc;
@@ -49,6 +50,8 @@
 use crate::traffic::send_attempt::ConnectedSend;
 use crate::traffic::send_attempt::SendError;
 use crate::traffic::stream_relay::relay_stream;
+use crate::traffic::suspect_run::SuspectRun;
+use crate::traffic::suspect_run::SuspectTurn;
 use crate::traffic::upstream_response::ResponseOrigin;
 use crate::traffic::upstream_response::UpstreamResponse;
 
@@ -76,6 +79,10 @@
     unconnected_since: Option<Instant>,
     /// Hosts that could not send the request.
     excluded_helpers: Vec<HostName>,
+    /// The run at a server that has not ended.
+    run: Option<SuspectRun>,
+    /// Held while the request is sent, as it may be suspected of crashing servers.
+    turn: Option<SuspectTurn>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
@@ -121,6 +128,8 @@
             is_counted: false,
             unconnected_since: None,
             excluded_helpers: Vec::new(),
+            run: None,
+            turn: None,
             end_is_logged: Cell::new(false),
         }
     }
@@ -179,12 +188,15 @@
             self.readmit()?;
             let reason = self.forward_reason();
             if let Some(reason) = reason {
+                // The helper takes a turn of its own.
+                self.turn = None;
                 match self.forward(point, reason).await? {
                     ForwardStep::Response(response) => return Ok(*response),
                     ForwardStep::Again => continue,
                     ForwardStep::NoHelper => self.reject_unreached()?,
                 }
             }
+            self.wait_for_turn().await?;
             self.check_retry_budget()?;
             let Some(plan) = self.plan(point).await? else {
                 // The service may have gone out of reach while the request was queued.
@@ -202,6 +214,9 @@
                     continue;
                 }
             };
+            if !self.may_send_now()? {
+                continue;
+            }
             if !self.consume_retry() {
                 return Err(self.retry_budget_exhausted());
             }
@@ -222,6 +237,8 @@
         if let Some(charge) = &mut self.decoded.charge {
             charge.record_send();
         }
+        let fingerprint = self.facts().fingerprint;
+        self.run = Some(SuspectRun::begin(self.state.clone(), fingerprint, server.key()));
         let error = match connected.send(&self.decoded).await {
             Ok(response) => match self.check_response(&server, response).await {
                 Ok(response) => return Ok(Some(response)),
@@ -246,6 +263,9 @@
     ) -> Result<Option<UpstreamResponse>, RequestFailure> {
         match prepared {
             PreparedSend::Server(connected) => {
+                if !self.may_send_now()? {
+                    return Ok(None);
+                }
                 // The send was planned before the previous attempt was counted. If no further attempt is allowed
                 // now, this server must not be abandoned for being unresponsive.
                 let connected = connected.with_probe_interval(self.probe_interval());
@@ -274,6 +294,7 @@
     ) -> Result<(), RequestFailure> {
         self.record_error(error, server, weights);
         self.log_retry(error, server);
+        self.end_failed_run(error.outcome, server).await;
         self.exclude(server);
         if self.timing.first_event.is_some() && !error.outcome.may_have_run() {
             // A stream that has begun can only continue or be aborted, so sends that were not executed do not
@@ -302,7 +323,7 @@
         let progress = handler.progress;
         let result = match handler.read_body(response).await {
             Ok(body) => {
-                handler.record_completed();
+                handler.record_completed(&origin);
                 handler.log_ended(EventKind::RequestEnded, parts.status, None);
                 Ok(buffered_response(&parts, framing, body))
             }
--- a/crates/entry/src/traffic/request_handler/end_check.rs
+++ b/crates/entry/src/traffic/request_handler/end_check.rs
@@ -50,9 +50,14 @@
 
     /// Records that a server has completed the request, which therefore does not crash servers. An end that only a
     /// server on its way out has confirmed does not count.
-    pub(crate) fn record_completed(&self) {
-        if self.judged_end.is_some_and(|judged| judged.standing != ServerStanding::Leaving) {
-            self.state.crashes().clear(self.facts().fingerprint);
+    pub(crate) fn record_completed(&mut self, origin: &ResponseOrigin) {
+        if let Some(run) = self.run.take() {
+            run.answered();
+        }
+        let is_proof =
+            self.judged_end.is_some_and(|judged| judged.standing != ServerStanding::Leaving);
+        if is_proof {
+            self.clear_suspicion(origin);
         }
     }
 
--- a/crates/entry/src/traffic/request_handler/response_check.rs
+++ b/crates/entry/src/traffic/request_handler/response_check.rs
@@ -50,6 +50,9 @@
         let status = response.parts.status;
         let (parts, framing) = (clone_head(&response.parts), response.framing);
         let body = self.read_body(response).await?;
+        if let Some(run) = self.run.take() {
+            run.answered();
+        }
         // These statuses tell the caller that the request was not executed, which the server has not
         // confirmed.
         let implies_not_run =
--- a/crates/entry/src/traffic/request_handler/send_checks.rs
+++ b/crates/entry/src/traffic/request_handler/send_checks.rs
@@ -3,6 +3,7 @@
 use fulmargate_names::ErrorKind;
 use tokio::time::Instant;
 
+use crate::telemetry::server_label;
 use crate::traffic::request_decoder::KEY_NOT_VERIFIABLE;
 use crate::traffic::request_decoder::admit;
 use crate::traffic::request_failure::RequestFailure;
@@ -11,12 +12,21 @@
 impl RequestHandler {
     /// Rejects a request that is known to crash servers, including one that has just done so.
     pub(super) fn reject_crashing_request(&self) -> Result<(), RequestFailure> {
-        let crashes_servers = self.state.crashes().must_reject(self.facts().fingerprint);
-        match (crashes_servers, self.progress.may_have_run()) {
-            (false, _) => Ok(()),
-            (true, false) => Err(self.failure(ErrorKind::CrashingRequest)),
-            (true, true) => Err(self.failure(ErrorKind::OutcomeUnknown)),
-        }
+        let fingerprint = self.facts().fingerprint;
+        let is_convicted = self.state.suspects().is_convicted(fingerprint, Instant::now());
+        if is_convicted { Err(self.conviction()) } else { Ok(()) }
+    }
+
+    pub(super) fn conviction(&self) -> RequestFailure {
+        let kind = match self.progress.may_have_run() {
+            true => ErrorKind::OutcomeUnknown,
+            false => ErrorKind::CrashingRequest,
+        };
+        let crashed = self.state.suspects().crashed_servers(self.facts().fingerprint);
+        let servers: Vec<String> =
+            crashed.into_iter().map(|server| server_label(&self.state, server)).collect();
+        let detail = format!("servers that crashed while they ran it: {}", servers.join(" "));
+        self.failure(kind).with_detail(detail)
     }
 
     /// Authenticates and routes the request again if the configuration has changed since, so that changed routes and
--- a/crates/entry/src/traffic/request_handler/send_outcome.rs
+++ b/crates/entry/src/traffic/request_handler/send_outcome.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::telemetry::log_brittle_rejection;
-use crate::traffic::crash_check::CrashCheck;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::send_attempt::SendError;
 
@@ -52,23 +51,7 @@
                 }
             }
             SendOutcome::TimedOut => self.state.servers().record_failure(key, now),
-            SendOutcome::Broken => {
-                self.state.servers().record_failure(key, now);
-                if self.failed_response.is_none() {
-                    self.check_crash(server);
-                }
-            }
+            SendOutcome::Broken => self.state.servers().record_failure(key, now),
         }
     }
-
-    /// Checks in the background whether the server has crashed, which this request may have caused.
-    fn check_crash(&self, server: &Arc<ServerEntry>) {
-        let check = CrashCheck {
-            state: self.state.clone(),
-            id: self.facts().id.clone(),
-            fingerprint: self.facts().fingerprint,
-            server: server.clone(),
-        };
-        tokio::task::spawn_local(check.run());
-    }
 }
--- /dev/null
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -0,0 +1,111 @@
+//! Requests that are suspected of crashing servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmargate_dispatch::RunStep;
+use fulmargate_dispatch::SendOutcome;
+use fulmargate_dispatch::ServerEntry;
+use fulmargate_names::EventKind;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::traffic::crash_check::check_server;
+use crate::traffic::request_failure::RequestFailure;
+use crate::traffic::request_handler::RequestHandler;
+use crate::traffic::suspect_run::SuspectTurn;
+use crate::traffic::upstream_response::ResponseOrigin;
+
+/// `Retry-After` of a request that waited in vain: about the time in which a check of a server ends.
+const SUSPECT_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+impl RequestHandler {
+    /// Waits while the request is suspected and runs elsewhere. Fails if it is convicted, or if its time is over.
+    pub(super) async fn wait_for_turn(&mut self) -> Result<(), RequestFailure> {
+        loop {
+            let wait = match self.turn_step() {
+                RunStep::Run => return Ok(()),
+                RunStep::Convicted => return Err(self.conviction()),
+                RunStep::Wait(wait) => wait,
+            };
+            if self.facts().deadline <= Instant::now() + wait {
+                let detail = "another run of this suspected request has not ended".to_owned();
+                let failure = self.failure(self.progress.timeout()).with_detail(detail);
+                return Err(match self.progress.may_have_run() {
+                    true => failure,
+                    false => failure.with_retry_delay(SUSPECT_RETRY_DELAY),
+                });
+            }
+            sleep(wait).await;
+            self.readmit()?;
+        }
+    }
+
+    /// Whether the request may be sent on a connection that is open. What was found out since it was planned counts.
+    pub(super) fn may_send_now(&mut self) -> Result<bool, RequestFailure> {
+        match self.turn_step() {
+            RunStep::Run => Ok(true),
+            RunStep::Convicted => Err(self.conviction()),
+            RunStep::Wait(_) => Ok(false),
+        }
+    }
+
+    fn turn_step(&mut self) -> RunStep {
+        let fingerprint = self.facts().fingerprint;
+        if self.turn.is_none() && !self.state.suspects().is_suspected(fingerprint) {
+            return RunStep::Run;
+        }
+        let new = || SuspectTurn::new(self.state.clone(), fingerprint);
+        self.turn.get_or_insert_with(new).step()
+    }
+
+    /// Ends the run after a failed send. If its server may have crashed, that is checked before the request is sent
+    /// again.
+    pub(super) async fn end_failed_run(&mut self, outcome: SendOutcome, server: &Arc<ServerEntry>) {
+        let run = self.run.take();
+        match outcome {
+            SendOutcome::Refused | SendOutcome::OtherServer | SendOutcome::OtherWeights => {
+                if let Some(run) = run {
+                    run.answered();
+                }
+                return;
+            }
+            // An answer that is whole ends its run.
+            SendOutcome::Broken | SendOutcome::Unreachable if run.is_none() => return,
+            // Servers that are only slow are not tried for it.
+            SendOutcome::TimedOut => return,
+            SendOutcome::NotSent
+                if !self.state.suspects().has_runs_at(server.key(), Instant::now()) =>
+            {
+                return;
+            }
+            SendOutcome::NotSent | SendOutcome::Broken | SendOutcome::Unreachable => {}
+        }
+        drop(run);
+        check_server(&self.state, &self.facts().id, server).await;
+        if let Some(turn) = &self.turn {
+            turn.release();
+        }
+    }
+
+    /// Clears the request of the crashes that are known here.
+    pub(super) fn clear_suspicion(&self, origin: &ResponseOrigin) {
+        let fingerprint = self.facts().fingerprint;
+        let crashes = self.state.suspects().clear(fingerprint, Instant::now());
+        if crashes == 0 {
+            return;
+        }
+        self.state.suspect_change.notify_one();
+        let kind = EventKind::RequestCleared;
+        if self.state.log_limiter.allows(kind, Instant::now()) {
+            tracing::info!(
+                event = kind.number(),
+                name = kind.name(),
+                id = %self.facts().id,
+                print = format!("{fingerprint:032x}"),
+                server = origin.server().map(|server| server.name.as_str()),
+                crashes,
+            );
+        }
+    }
+}
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -111,7 +111,7 @@
             let weights = response.weights;
             let (reason, prepared) = match self.relay_attempt(response).await {
                 AttemptEnd::Complete => {
-                    self.handler.record_completed();
+                    self.handler.record_completed(&origin);
                     self.handler.log_ended(EventKind::RequestEnded, status, None);
                     if self.sender.send(StreamPiece::Complete).await.is_err() {
                         tracing::debug!("caller disconnected before its stream was completed");
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -23,6 +23,7 @@
 use crate::state::SharedState;
 use crate::traffic::caller_io::CallerIo;
 use crate::traffic::caller_io::ResetSwitch;
+use crate::traffic::crash_check::run_peer_checks;
 use crate::traffic::peer_forwarding::ForwardCall;
 use crate::traffic::peer_forwarding::ForwardService;
 use crate::traffic::prompt_queue::PromptQueue;
@@ -68,6 +69,7 @@
             let (state, stop) = (self.state.clone(), self.stop.clone());
             tokio::task::spawn_local(ForwardService { state, stop }.run(forwards));
             tokio::task::spawn_local(run_prober(self.state.clone()));
+            tokio::task::spawn_local(run_peer_checks(self.state.clone()));
             let ended = self.stop.complete.clone();
             tokio::select! {
                 () = ended.cancelled() => {}
