Crashing requests: daemon tests, soak, and requests that servers complete

What callers would see: a request that many callers send, and that runs at each server of a service at the moment these are crashed by another, was convicted with it.

Cause: all runs at a server that ends are evidence, whatever other servers answer to the same request. Change: a request that a server completed in the last five seconds is not suspected, and a host that knows so clears it for the others.

Tests: six daemon tests (a crash in the middle of a body, into silence, a server that is back at once, the store away, all hosts replaced, history dropped), `--crashing-requests` of the soak with its judge, and a case of the deciding type.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_progress;
 mod call_shape;
 mod chat_gap_tracker;
+mod completed_set;
 mod config_proof;
 mod connect_outcome;
 mod decaying_mean;
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -17,6 +17,7 @@
 use crate::RunEnd;
 use crate::ServerKey;
 use crate::SuspectReport;
+use crate::completed_set::CompletedSet;
 use crate::run_log::RunLog;
 use crate::suspect_record::OwnClaim;
 use crate::suspect_record::SuspectRecord;
@@ -75,6 +76,8 @@
     pub server: ServerKey,
     /// Time since the crash.
     pub age: Duration,
+    /// Whether the crash is confirmed.
+    pub proof: CrashProof,
     /// Confirmed crashes that count against the request.
     pub crashes: usize,
     /// Whether it is convicted.
@@ -91,6 +94,8 @@
     conf: SuspectConf,
     records: IndexMap<u128, SuspectRecord>,
     runs: RunLog,
+    /// A request that a server completed a moment ago does not crash servers, whatever ends while it runs.
+    completed: CompletedSet,
     checks: IndexMap<ServerKey, ServerCheck>,
     probes: IndexMap<ServerKey, ProbeRecord>,
     /// Time after which the other hosts have received a published claim.
@@ -106,6 +111,7 @@
             conf,
             records: IndexMap::new(),
             runs: RunLog::default(),
+            completed: CompletedSet::default(),
             checks: IndexMap::new(),
             probes: IndexMap::new(),
             settle_time: Duration::ZERO,
@@ -218,6 +224,7 @@
 
     /// Clears the request of all crashes known here: a server has completed it. Returns their number.
     pub fn clear(&mut self, fingerprint: u128, now: Instant) -> usize {
+        self.completed.insert(fingerprint, now);
         let Some(record) = self.records.get_mut(&fingerprint) else { return 0 };
         let servers = record.servers();
         for server in &servers {
@@ -300,6 +307,10 @@
         now: Instant,
     ) -> Option<SuspectChange> {
         let at = now.checked_sub(age).unwrap_or(now);
+        if self.completed.contains(fingerprint, now) {
+            self.refute_crash(fingerprint, server, now);
+            return None;
+        }
         let repair_at = now + self.repair_delay(fingerprint);
         let (is_running, is_new) = (self.runs.runs(fingerprint), !self.has(fingerprint));
         if proof == CrashProof::Suspected {
@@ -318,7 +329,23 @@
         if proof == CrashProof::Confirmed {
             record.write_at.get_or_insert(repair_at);
         }
-        Some(self.change(fingerprint, server, age))
+        Some(self.change(fingerprint, server, proof, age))
+    }
+
+    /// Clears the request of a crash that another host counts against it.
+    fn refute_crash(&mut self, fingerprint: u128, server: ServerKey, now: Instant) {
+        let record = self.record_mut(fingerprint, now);
+        if record.clear(server) {
+            record.mark_changed(now);
+            record.write_at = Some(now);
+        }
+    }
+
+    /// Requests that were running when the server broke connections, less those that servers complete.
+    fn suspects_at(&mut self, server: ServerKey, broken_at: Instant, now: Instant) -> Vec<u128> {
+        let mut requests = self.runs.requests_at(server, broken_at);
+        requests.retain(|fingerprint| !self.completed.contains(*fingerprint, now));
+        requests
     }
 
     fn merge_clearance(&mut self, fingerprint: u128, server: ServerKey, now: Instant) {
@@ -329,10 +356,16 @@
         }
     }
 
-    fn change(&self, fingerprint: u128, server: ServerKey, age: Duration) -> SuspectChange {
+    fn change(
+        &self,
+        fingerprint: u128,
+        server: ServerKey,
+        proof: CrashProof,
+        age: Duration,
+    ) -> SuspectChange {
         let crashes = self.records.get(&fingerprint).map_or(0, SuspectRecord::confirmed);
         let is_convicted = self.conf.max_crashes <= crashes;
-        SuspectChange { fingerprint, server, age, crashes, is_convicted }
+        SuspectChange { fingerprint, server, age, proof, crashes, is_convicted }
     }
 
     fn has(&self, fingerprint: u128) -> bool {
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -94,7 +94,7 @@
             return;
         }
         let broken_at = check.broken_at;
-        for fingerprint in self.runs.requests_at(server, broken_at) {
+        for fingerprint in self.suspects_at(server, broken_at, now) {
             let record = self.record_mut(fingerprint, now);
             if record.add_crash(server, broken_at, CrashProof::Suspected) {
                 record.mark_changed(now);
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Number of requests that ran at a server under check when it broke connections.
+    pub fn requests_at(&self, server: ServerKey) -> usize {
+        let check = self.checks.get(&server);
+        check.map_or(0, |check| self.runs.requests_at(server, check.broken_at).len())
+    }
+
     /// What is known of a server under check. The caller adds the peers, the list and the control.
     pub fn check_inputs(&self, server: ServerKey, now: Instant) -> CheckInputs {
         let Some(check) = self.checks.get(&server) else { return CheckInputs::default() };
@@ -158,12 +164,12 @@
         };
         let age = now.saturating_duration_since(broken_at);
         let mut changes = Vec::new();
-        for fingerprint in self.runs.requests_at(server, broken_at) {
+        for fingerprint in self.suspects_at(server, broken_at, now) {
             let record = self.record_mut(fingerprint, now);
             if record.add_crash(server, broken_at, CrashProof::Confirmed) {
                 record.mark_changed(now);
                 record.write_at = Some(now);
-                changes.push(self.change(fingerprint, server, age));
+                changes.push(self.change(fingerprint, server, CrashProof::Confirmed, age));
             }
         }
         changes
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -229,6 +229,26 @@
     }
 }
 
+/// Guards against innocent requests that many callers send, and that run at each server that crashes.
+#[test]
+fn a_request_that_servers_complete_is_not_suspected() {
+    let now = Instant::now();
+    let mut tables = [table(0), table(1)];
+    tables[0].clear(PRINT, now);
+    crash(&mut tables[0], PRINT, key("a"), now + STEP);
+    assert_eq!(tables[0].crash_count(PRINT, now + STEP), 0, "found here");
+    crash(&mut tables[1], PRINT, key("b"), now + STEP);
+    let report = tables[1].take_report(HOSTS, now + STEP);
+    tables[0].merge(&host(1), &report, now + STEP);
+    assert_eq!(tables[0].crash_count(PRINT, now + STEP), 0, "found by another host");
+    let report = tables[0].take_report(HOSTS, now + STEP);
+    tables[1].merge(&host(0), &report, now + STEP);
+    assert_eq!(tables[1].crash_count(PRINT, now + STEP), 0, "the other host is told");
+    let later = now + Duration::from_secs(20);
+    crash(&mut tables[0], PRINT, key("c"), later);
+    assert_eq!(tables[0].crash_count(PRINT, later), 1, "long after");
+}
+
 /// What happens at one host, and how its messages get on.
 #[derive(Clone, Debug)]
 enum HistoryStep {
--- a/crates/entry/src/telemetry/suspect_log.rs
+++ b/crates/entry/src/telemetry/suspect_log.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests that crash servers.
 
+use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectChange;
 use fulmargate_names::EventKind;
@@ -54,6 +55,7 @@
             name = kind.name(),
             print = format!("{:032x}", change.fingerprint),
             server = server_label(state, change.server),
+            is_confirmed = change.proof == CrashProof::Confirmed,
             count = change.crashes,
             source = source.label(),
             from,
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -80,18 +80,27 @@
             let is_open = verdict == CheckVerdict::Undecided;
             if verdict != reported && !is_open {
                 self.state.suspects().drop_suspicions(self.server.key(), Instant::now());
+                self.log_verdict(verdict, inputs, 0);
             }
             reported = verdict;
             sleep(if is_open { POLL_INTERVAL } else { LIST_POLL_INTERVAL }).await;
         };
-        self.finish(verdict, inputs);
+        if verdict != reported || verdict == CheckVerdict::Undecided {
+            self.log_verdict(verdict, inputs, self.suspect_count());
+        }
+        self.finish(verdict);
+    }
+
+    /// Requests that ran at the server when it broke connections.
+    fn suspect_count(&self) -> usize {
+        self.state.suspects().requests_at(self.server.key())
     }
 
-    fn finish(self, verdict: CheckVerdict, inputs: CheckInputs) {
+    fn finish(self, verdict: CheckVerdict) {
         let now = Instant::now();
         let changes = self.state.suspects().finish_check(self.server.key(), verdict, now);
         self.state.suspect_change.notify_one();
-        self.log_verdict(verdict, inputs, changes.len());
+        count_crash_check(verdict);
         if let CheckVerdict::Crashed(reason) = verdict {
             self.log_crash(reason);
         }
@@ -160,7 +169,6 @@
     }
 
     fn log_verdict(&self, verdict: CheckVerdict, inputs: CheckInputs, suspects: usize) {
-        count_crash_check(verdict);
         let kind = EventKind::CrashChecked;
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
--- a/crates/entry/tests/daemon/crashing_requests.rs
+++ b/crates/entry/tests/daemon/crashing_requests.rs
@@ -8,8 +8,10 @@
 use fulmargate_consortium_stand::FakeServer;
 use fulmargate_consortium_stand::FakeStore;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::StoreFault;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::cut_fleet::patient_config;
@@ -83,6 +85,7 @@
             }
             self.store.remove_server(&server.name);
             let name = format!("{}-again", server.name);
+            server.refuse_connections();
             let started = FakeServer::start_at(server.address, &name, ServerMode::Echo).await;
             self.ended.push(server);
             self.add_server(started.expect("start a server again"));
@@ -112,6 +115,26 @@
         statuses
     }
 
+    async fn send(&self, host: usize, request: &CallerRequest) -> u16 {
+        let callers = self.daemons[host].address("callers").await;
+        request.send(callers).await.map_or(0, |response| response.status)
+    }
+
+    /// Sends the crashing request by one host so often that all servers end at once.
+    async fn begin_crashes(&self) -> Vec<JoinHandle<()>> {
+        let callers = self.daemons[0].address("callers").await;
+        let mut tasks = Vec::new();
+        for number in 0..2 * SERVERS {
+            let request = crashing(SINGLE_PATH, &format!("crash-0-{number}"));
+            tasks.push(tokio::spawn(async move {
+                let _response = request.send(callers).await;
+            }));
+        }
+        wait_until("the whole service ends", || self.crash_count() == SERVERS).await;
+        sleep(self.rule.delay).await;
+        tasks
+    }
+
     /// Verdicts of all hosts on servers that broke off a request.
     fn verdicts(&self) -> Vec<String> {
         let checks = self.daemons.iter().flat_map(|daemon| daemon.events("crash_checked"));
@@ -135,8 +158,7 @@
 #[tokio::test]
 async fn a_request_that_crashes_a_whole_service_reaches_no_further_server() {
     let mut fleet = CrashFleet::start(CrashEnd::BeforeHead).await;
-    fleet.send_crashing(&[0; 6], SINGLE_PATH, 0).await;
-    assert_eq!(fleet.crash_count(), SERVERS, "the whole service ends at once");
+    fleet.begin_crashes().await;
     sleep(LEARNING_TIME).await;
     fleet.restart_servers().await;
     let statuses = fleet.send_crashing(&[1, 2], SINGLE_PATH, 1).await;
@@ -144,6 +166,130 @@
     assert_eq!(crashes, SERVERS, "servers ended, {statuses:?}: {:?}", fleet.verdicts());
 }
 
+struct CrashCase {
+    name: &'static str,
+    end: CrashEnd,
+    /// New servers take the addresses before any host looks.
+    is_back_at_once: bool,
+    aftermath: Aftermath,
+}
+
+/// What happens between the crashes and the next send.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Aftermath {
+    Nothing,
+    /// The store takes no writes while the servers crash, until the hosts know.
+    StoreAway,
+    /// All hosts are killed, and others start.
+    HostsReplaced,
+    /// The same, and the store has dropped its history.
+    HistoryDropped,
+}
+
+/// Servers that end before the head of a response, and nothing else.
+const PLAIN_CRASH: CrashCase = CrashCase {
+    name: "before the head",
+    end: CrashEnd::BeforeHead,
+    is_back_at_once: false,
+    aftermath: Aftermath::Nothing,
+};
+
+impl CrashCase {
+    async fn check(&self) {
+        let mut fleet = CrashFleet::start(self.end).await;
+        if self.aftermath == Aftermath::StoreAway {
+            fleet.store.set_fault(StoreFault::Silent);
+        }
+        let crashes = fleet.begin_crashes().await;
+        if self.is_back_at_once {
+            fleet.restart_servers().await;
+        }
+        if self.end == CrashEnd::Dark {
+            // A connection that fails brings the check.
+            let mut read = CallerRequest::new("/read/x", "after");
+            read.patience_ms = 1_000;
+            fleet.send(0, &read).await;
+        }
+        sleep(LEARNING_TIME).await;
+        self.apply_aftermath(&mut fleet).await;
+        fleet.restart_servers().await;
+        sleep(LEARNING_TIME).await;
+        let statuses = fleet.send_crashing(&[1, 2], SINGLE_PATH, 1).await;
+        assert_eq!(fleet.crash_count(), SERVERS, "{}: {:?}", self.name, fleet.verdicts());
+        assert_eq!(statuses, [503, 503], "{}: {:?}", self.name, fleet.verdicts());
+        for host in [1, 2] {
+            let failures = fleet.daemons[host].events("request_failed");
+            let is_rejection = |line: &Value| line["error"] == "crashing_request";
+            assert!(failures.iter().any(is_rejection), "{}: {failures:?}", self.name);
+        }
+        crashes.into_iter().for_each(|task| task.abort());
+    }
+
+    async fn apply_aftermath(&self, fleet: &mut CrashFleet) {
+        match self.aftermath {
+            Aftermath::Nothing => return,
+            Aftermath::StoreAway => {
+                for daemon in &fleet.daemons {
+                    wait_until("all hosts know without the store", || {
+                        !daemon.events("request_convicted").is_empty()
+                    })
+                    .await;
+                }
+                fleet.store.set_fault(StoreFault::None);
+                return;
+            }
+            Aftermath::HostsReplaced => {}
+            Aftermath::HistoryDropped => fleet.store.delete_history(),
+        }
+        fleet.daemons.clear();
+        for _ in 0..HOSTS {
+            fleet.start_host(&json!({})).await;
+        }
+    }
+}
+
+/// Guards against crashes that are not seen because a response had begun.
+#[tokio::test]
+async fn a_crash_in_the_middle_of_a_body_is_evidence() {
+    let case = CrashCase { name: "body", end: CrashEnd::MidBody, ..PLAIN_CRASH };
+    case.check().await;
+}
+
+/// Guards against crashes that are not seen because no connection breaks.
+#[tokio::test]
+async fn a_crash_into_silence_is_evidence() {
+    let case = CrashCase { name: "silence", end: CrashEnd::Dark, ..PLAIN_CRASH };
+    case.check().await;
+}
+
+/// Guards against crashes that are not seen because another server takes connections at the address.
+#[tokio::test]
+async fn a_server_that_is_back_at_once_has_crashed() {
+    let case = CrashCase { name: "back at once", is_back_at_once: true, ..PLAIN_CRASH };
+    case.check().await;
+}
+
+/// Guards against evidence that needs the store to get to the other hosts.
+#[tokio::test]
+async fn evidence_gets_on_while_the_store_is_away() {
+    let aftermath = Aftermath::StoreAway;
+    CrashCase { name: "store away", aftermath, ..PLAIN_CRASH }.check().await;
+}
+
+/// Guards against evidence that is lost with the hosts that found it.
+#[tokio::test]
+async fn evidence_outlives_all_hosts() {
+    let aftermath = Aftermath::HostsReplaced;
+    CrashCase { name: "hosts replaced", aftermath, ..PLAIN_CRASH }.check().await;
+}
+
+/// Guards against evidence that is lost with the history of the store.
+#[tokio::test]
+async fn evidence_outlives_the_history_of_the_store() {
+    let aftermath = Aftermath::HistoryDropped;
+    CrashCase { name: "history dropped", aftermath, ..PLAIN_CRASH }.check().await;
+}
+
 /// Guards against a suspected request that several hosts send to servers at the same time.
 #[tokio::test]
 async fn a_suspected_request_runs_at_one_host_at_a_time() {
--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -73,7 +73,9 @@
                 router == self.record.router || self.is_cut_off()
             }
             SoakFault::CutHost(_, LinkCut::NewRefused | LinkCut::NewHang) => false,
-            SoakFault::Brittle(_) => self.places.iter().any(|place| *place < DESKS),
+            SoakFault::Brittle(_) | SoakFault::CrashingRequest(_) => {
+                self.places.iter().any(|place| *place < DESKS)
+            }
             SoakFault::Link(LinkPlace::Callers(router), _) => router == self.record.router,
             SoakFault::Link(LinkPlace::Server(place), _) => self.places.contains(&place),
             SoakFault::Server(_, ServerMode::PausedEcho) => false,
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -93,6 +93,12 @@
 const BRITTLE_RATES: [u32; 4] = [1, 3, 8, 30];
 /// Keeps these draws from those of other kinds.
 const BRITTLE_DRAWS: u64 = 0x6272_6974;
+/// Crashing requests in a run that is drawn for them.
+const CRASHING_REQUESTS: u32 = 2;
+/// How long they are sent: longer than until routers know them.
+const CRASHING_REQUEST_MS: std::ops::RangeInclusive<u64> = 7_000..=10_000;
+/// Keeps these draws from those of other kinds.
+const CRASHING_REQUEST_DRAWS: u64 = 0x6372_6173;
 /// With so many hosts and fewer, each reads the store itself.
 const FEW_HOSTS: usize = 6;
 
@@ -329,6 +335,21 @@
         self
     }
 
+    /// Beside all else callers send requests that crash the servers of the plain service.
+    pub fn with_crashing_requests(mut self, length: Duration) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ CRASHING_REQUEST_DRAWS);
+        for number in 0..CRASHING_REQUESTS {
+            let at = rng.random_range(CALM_START_MS..length.as_millis() as u64 / 2);
+            self.steps.push(FaultStep {
+                at: Duration::from_millis(at),
+                lasts: Duration::from_millis(rng.random_range(CRASHING_REQUEST_MS)),
+                fault: SoakFault::CrashingRequest(number),
+            });
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// The address of loopback at which a router finds the servers: one of its own where its link may
     /// be full or cut.
     pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -23,6 +23,7 @@
 use crate::LinkPlace;
 use crate::RouterSignal;
 use crate::SoakFault;
+use crate::crashing_caller::play_crashing_request;
 use crate::soak_world::BrittleTime;
 use crate::soak_world::DESKS;
 use crate::soak_world::SeenLimit;
@@ -121,6 +122,9 @@
         SoakFault::Brittle(rejections_per_s) => {
             play_brittle(world, rejections_per_s, step.lasts).await;
         }
+        SoakFault::CrashingRequest(number) => {
+            play_crashing_request(world, number, step.lasts).await?;
+        }
         SoakFault::ReplaceServer(number) => world.replace_server(number).await?,
         SoakFault::RemoveServer(number) => world.remove_server(number).await?,
         SoakFault::KillServer(number) => world.kill_server(number, step.lasts).await?,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,5 +1,6 @@
 //! Compares what callers and servers saw with what is promised.
 
+mod crashing_requests;
 mod crowded_servers;
 mod host_cuts;
 
@@ -109,6 +110,7 @@
         judge.judge_limits();
         judge.judge_brittle_times();
         judge.judge_host_cuts();
+        judge.judge_crashing_requests();
         judge.judge_budget();
         judge.judge_recovery();
         (judge.broken, judge.judged)
--- a/crates/soak/src/judge/crowded_servers.rs
+++ b/crates/soak/src/judge/crowded_servers.rs
@@ -49,8 +49,7 @@
 
     fn is_of_routers_in_touch(&self, fall: &ServerFall) -> bool {
         let is_in_touch = |id: &&String| {
-            let router = id.strip_prefix('r').and_then(|rest| rest.split('-').next());
-            let router = router.and_then(|number| number.parse().ok());
+            let router = self.router_of(id);
             router.is_some_and(|router| self.is_calm_since(router, fall.at, CALM_AFTER))
         };
         fall.rejected.len() < 2 * fall.rejected.iter().filter(is_in_touch).count()
--- a/crates/soak/src/judged_count.rs
+++ b/crates/soak/src/judged_count.rs
@@ -9,4 +9,8 @@
     pub falls: usize,
     /// Falls that count.
     pub counted_falls: usize,
+    /// Servers that ended under crashing requests.
+    pub crashes: usize,
+    /// Sends of such requests by routers in touch that should have known them.
+    pub late_crash_sends: usize,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer_loss;
 mod calm_times;
+mod crashing_caller;
 mod fault_log;
 mod fault_plan;
 mod fault_player;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,6 +60,9 @@
     /// servers fall over when they reject too much, beside the faults of the seed; goes before --host-cuts
     #[argh(switch)]
     brittle: bool,
+    /// callers send requests that crash servers, beside the faults of the seed; goes before --brittle
+    #[argh(switch)]
+    crashing_requests: bool,
     /// no router is disturbed while hosts reach no server or servers are brittle, so that all of it is judged
     #[argh(switch)]
     calm: bool,
@@ -78,6 +81,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
         SoakArgs { brittle: true, .. } => PlanKind::Brittle,
         SoakArgs { host_cuts: true, .. } => PlanKind::HostCuts,
         SoakArgs { response_ends: true, .. } => PlanKind::ResponseEnds,
@@ -109,8 +113,11 @@
     let SoakReport { plan, requests, served, judged, broken } = report;
     let steps = plan.steps.len();
     println!("seed {}: {steps} faults, {served} of {requests} requests served", plan.seed);
-    let JudgedCount { at_cut_hosts, falls, counted_falls } = judged;
-    println!("  judged: {at_cut_hosts} requests at cut hosts, {counted_falls} of {falls} falls");
+    let JudgedCount { at_cut_hosts, falls, counted_falls, crashes, late_crash_sends } = judged;
+    println!(
+        "  judged: {at_cut_hosts} requests at cut hosts, {counted_falls} of {falls} falls, \
+         {crashes} crashes, {late_crash_sends} late sends"
+    );
     if with_plan || !broken.is_empty() {
         for step in &plan.steps {
             let (at, lasts) = (step.at.as_millis(), step.lasts.as_millis());
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -35,6 +35,8 @@
     ServerLimit,
     /// Brittle servers hardly ever fall over.
     BrittleServers,
+    /// A request that has crashed three servers reaches no more.
+    CrashingRequests,
     /// Hosts that reach no server serve their callers.
     CutHosts,
     /// Repeats stay within the budget.
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -61,6 +61,9 @@
     RemoveServer(usize),
     /// A server's process is killed; another takes its place, and its entry expires later.
     KillServer(usize),
+    /// Callers send a request that crashes the servers of the plain service, again and again by all routers; others
+    /// take the places of the servers.
+    CrashingRequest(u32),
     /// A configuration with one more route.
     AddRoute,
     /// A configuration without a key that callers use.
@@ -82,6 +85,7 @@
             SoakFault::Server(..) | SoakFault::ServerLimit(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::KillServer(_) | SoakFault::CutHost(..) | SoakFault::Brittle(_) => false,
+            SoakFault::CrashingRequest(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
     }
@@ -97,6 +101,7 @@
             SoakFault::Server(_, mode) => *mode != ServerMode::PausedEcho,
             SoakFault::Link(LinkPlace::Server(_), _) | SoakFault::KillServer(_) => true,
             SoakFault::CutHost(..) | SoakFault::Brittle(_) => true,
+            SoakFault::CrashingRequest(_) => true,
             _ => false,
         }
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -80,6 +80,8 @@
     FullLink,
     /// Any faults, and hosts that reach no server.
     HostCuts,
+    /// Any faults, and requests that crash the servers which run them.
+    CrashingRequests,
     /// Any faults, and servers that fall over when they reject too much, under more load.
     Brittle,
 }
@@ -110,6 +112,7 @@
         PlanKind::Limits => mixed.with_limits(DESKS + ENGINES, conf.length),
         PlanKind::ResponseEnds => mixed.with_response_ends(DESKS, ENGINES, conf.length),
         PlanKind::HostCuts => mixed.with_host_cuts(ROUTERS, conf.length),
+        PlanKind::CrashingRequests => mixed.with_crashing_requests(conf.length),
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
         PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
     };
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -28,6 +28,7 @@
 use tokio::time::sleep;
 
 use crate::FaultPlan;
+use crate::crashing_caller::CRASH_RULE;
 use crate::fault_log::FaultLog;
 use crate::router_process::RouterProcess;
 use crate::router_process::RouterSpec;
@@ -194,6 +195,7 @@
     async fn start_server(&self, service: &'static str, place: usize) -> io::Result<SoakServer> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let stand = FakeServer::start(&format!("{service}-{number}"), ServerMode::Echo).await?;
+        stand.set_crash(Some(CRASH_RULE));
         let mut proxies: Vec<LoopbackProxy> = Vec::new();
         for (number, router) in self.routers.iter().enumerate() {
             let port = proxies.first().map_or(0, |first| first.address.port());
@@ -286,6 +288,25 @@
         Ok(())
     }
 
+    /// Another server takes the place of one that has crashed, unless it has one already. Returns the name of the
+    /// crashed one, whose entry expires later.
+    pub(crate) async fn succeed_crashed(
+        &self,
+        place: usize,
+        name: &str,
+    ) -> io::Result<Option<String>> {
+        let mut old = self.server(place);
+        if old.stand.name != name {
+            return Ok(None);
+        }
+        let new = self.start_server(old.service, place).await?;
+        old.left = Some(Instant::now());
+        old.is_removed = true;
+        lock(&self.servers)[place] = new;
+        lock(&self.retired).push(old);
+        Ok(Some(name.to_owned()))
+    }
+
     /// Writes the current servers' entries again.
     pub(crate) fn write_heartbeats(&self) {
         let servers = lock(&self.servers);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -157,6 +157,31 @@
     },
 ];
 
+/// Seeds with requests that crash servers.
+const CRASHING_REQUEST_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 48000,
+        seconds: 10,
+        kind: PlanKind::CrashingRequests,
+        is_calm: true,
+        cause: "a service that was down as a whole was taken for a cut, and 16 servers ended under one request",
+    },
+    SeedCase {
+        seed: 48007,
+        seconds: 10,
+        kind: PlanKind::CrashingRequests,
+        is_calm: true,
+        cause: "the same, and 26 servers ended",
+    },
+];
+
+/// Requests crash the servers that run them beside other faults. Guards against more servers lost than three for each,
+/// and against other requests that are rejected for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crashing_requests_reach_no_further_servers() {
+    check(CRASHING_REQUEST_SEEDS, "crashing-requests").await;
+}
+
 /// Servers frame and end their responses in all ways, and are killed in the middle of them, while routers are killed,
 /// paused and cut off. Guards against a response that was broken off and looks complete.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
