--- /dev/null
+++ b/crates/admission/src/limited_server.rs
@@ -0,0 +1,79 @@
+//! A server that names a rate limit.
+
+use std::time::Duration;
+
+use fulmargate_names::HostName;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::LimitRecord;
+use crate::decaying_rate::DecayingRate;
+use crate::held_rate::HeldRate;
+
+/// Averaging period of the requests for which a server is chosen.
+const ATTEMPT_AVERAGING_PERIOD: Duration = Duration::from_secs(1);
+/// How long a lifted limit is reported.
+const LIFT_REPORT_TIME: Duration = Duration::from_secs(10);
+/// How long another router's count of such requests is valid.
+const ATTEMPT_TTL: Duration = Duration::from_secs(4);
+
+/// A server that names a limit, or has named one.
+#[derive(Debug)]
+pub(crate) struct LimitedServer {
+    pub(crate) record: LimitRecord,
+    /// Requests for which this router chose the server, admitted or not.
+    pub(crate) attempts: DecayingRate,
+    /// The same at the other routers, as last reported.
+    peer_attempts: IndexMap<HostName, PeerAttempts>,
+    /// The sum of these, as it was lately: demand may return at all routers at once.
+    held_peer_attempts: HeldRate,
+    /// Reports in which the limit still goes first.
+    pub(crate) change_reports: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerAttempts {
+    per_s: f64,
+    received: Instant,
+}
+
+impl LimitedServer {
+    pub(crate) fn new(now: Instant) -> LimitedServer {
+        LimitedServer {
+            record: LimitRecord::new(now),
+            attempts: DecayingRate::new(ATTEMPT_AVERAGING_PERIOD, now),
+            held_peer_attempts: HeldRate::new(now),
+            peer_attempts: IndexMap::new(),
+            change_reports: 0,
+        }
+    }
+
+    pub(crate) fn peer_attempts(&self, now: Instant) -> f64 {
+        let is_valid = |attempts: &&PeerAttempts| {
+            now.saturating_duration_since(attempts.received) < ATTEMPT_TTL
+        };
+        self.peer_attempts.values().filter(is_valid).map(|attempts| attempts.per_s).sum()
+    }
+
+    /// Records the requests for which another router chose the server.
+    pub(crate) fn record_peer_attempts(&mut self, host: &HostName, per_s: f64, now: Instant) {
+        self.peer_attempts.insert(host.clone(), PeerAttempts { per_s, received: now });
+        self.hold_peer_attempts(now);
+    }
+
+    /// The highest sum of the last seconds, less what time has taken from it.
+    pub(crate) fn held_peer_attempts(&self, now: Instant) -> f64 {
+        self.held_peer_attempts.at(now)
+    }
+
+    /// Samples the demand at the other routers.
+    fn hold_peer_attempts(&mut self, now: Instant) {
+        if self.held_peer_attempts.is_due(now) {
+            self.held_peer_attempts.record(self.peer_attempts(now), now);
+        }
+    }
+
+    pub(crate) fn is_reported(&self, now: Instant) -> bool {
+        self.record.rate_per_s().is_some() || self.record.age(now) < LIFT_REPORT_TIME
+    }
+}
--- a/crates/admission/src/server_limits.rs
+++ b/crates/admission/src/server_limits.rs
@@ -11,29 +11,26 @@
 use crate::BucketKey;
 use crate::LimitChange;
 use crate::LimitNotice;
-use crate::LimitRecord;
 use crate::LimitReport;
 use crate::NamedLimit;
 use crate::QuotaConf;
 use crate::QuotaUnit;
 use crate::TeamQuota;
 use crate::bucket_table::BucketTable;
-use crate::decaying_rate::DecayingRate;
+use crate::limited_server::LimitedServer;
 use crate::quota_bucket::QuotaBucket;
 
 /// Limits in a report. The others follow in the next ones.
 const MAX_NOTICES: usize = 16;
 /// Reports in which a changed limit goes first, as messages may be lost.
 const CHANGE_REPORTS: u8 = 3;
-/// How long a lifted limit is reported.
-const LIFT_REPORT_TIME: Duration = Duration::from_secs(10);
-/// Averaging period of the requests for which a server is chosen.
-const ATTEMPT_AVERAGING_PERIOD: Duration = Duration::from_secs(1);
-/// How long another router's count of such requests is valid.
-const ATTEMPT_TTL: Duration = Duration::from_secs(4);
 /// Requests expected to be admitted for each available token before routers receive each other's reports. More
 /// of them would exceed the limit for a moment, fewer would leave tokens unused.
 const EXPECTED_TAKERS: f64 = 1.5;
+/// The same if all demand of the last seconds comes back at once, for all tokens: a part of the excess that is
+/// allowed over some seconds, as a number of requests and as the time in which the rate grants them.
+const SURGE_TAKERS: f64 = 1.25;
+const SURGE_TAKER_TIME: Duration = Duration::from_millis(1_500);
 /// Shortest wait for a token that another router may take as well.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
@@ -53,24 +50,6 @@
     draws: u64,
 }
 
-/// A server that names a limit, or has named one.
-#[derive(Debug)]
-struct LimitedServer {
-    record: LimitRecord,
-    /// Requests for which this router chose the server, admitted or not.
-    attempts: DecayingRate,
-    /// The same at the other routers, as last reported.
-    peer_attempts: IndexMap<HostName, PeerAttempts>,
-    /// Reports in which the limit still goes first.
-    change_reports: u8,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct PeerAttempts {
-    per_s: f64,
-    received: Instant,
-}
-
 /// A request admitted by a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitGrant {
@@ -118,28 +97,6 @@
     }
 }
 
-impl LimitedServer {
-    fn new(now: Instant) -> LimitedServer {
-        LimitedServer {
-            record: LimitRecord::new(now),
-            attempts: DecayingRate::new(ATTEMPT_AVERAGING_PERIOD, now),
-            peer_attempts: IndexMap::new(),
-            change_reports: 0,
-        }
-    }
-
-    fn peer_attempts(&self, now: Instant) -> f64 {
-        let is_valid = |attempts: &&PeerAttempts| {
-            now.saturating_duration_since(attempts.received) < ATTEMPT_TTL
-        };
-        self.peer_attempts.values().filter(is_valid).map(|attempts| attempts.per_s).sum()
-    }
-
-    fn is_reported(&self, now: Instant) -> bool {
-        self.record.rate_per_s().is_some() || self.record.age(now) < LIFT_REPORT_TIME
-    }
-}
-
 impl ServerLimits {
     /// Creates the limits of the router `own`. `start` is a random identifier of this process start.
     pub fn new(own: HostName, start: u16, conf: QuotaConf) -> ServerLimits {
@@ -300,7 +257,7 @@
         let observed = now.checked_sub(age).unwrap_or(now);
         let limited = self.servers.entry(server).or_insert_with(|| LimitedServer::new(observed));
         let per_s = f64::from(notice.attempts_per_s);
-        limited.peer_attempts.insert(host.clone(), PeerAttempts { per_s, received: now });
+        limited.record_peer_attempts(host, per_s, now);
         let change = limited.record.merge(notice.rate_per_s, age, now)?;
         limited.change_reports = CHANGE_REPORTS;
         self.update_bucket(server, now);
@@ -327,15 +284,19 @@
         now: Instant,
     ) -> bool {
         let Some(limited) = self.servers.get(&server) else { return true };
-        let peer_attempts = limited.peer_attempts(now) * report_delay.as_secs_f64();
-        let allowed = EXPECTED_TAKERS * available;
-        if peer_attempts <= allowed {
+        let delay_s = report_delay.as_secs_f64();
+        let rate_per_s = limited.record.allowed_rate(now).unwrap_or_default();
+        let surge_takers = SURGE_TAKERS + rate_per_s * SURGE_TAKER_TIME.as_secs_f64();
+        let expected = (limited.peer_attempts(now) * delay_s).max(f64::EPSILON);
+        let expected_in_surge = (limited.held_peer_attempts(now) * delay_s).max(f64::EPSILON);
+        let share = (EXPECTED_TAKERS * available / expected).min(surge_takers / expected_in_surge);
+        if 1.0 <= share {
             return true;
         }
         self.draws += 1;
         let hash = xxh3_64_with_seed(self.own.as_str().as_bytes(), server ^ self.draws);
         let fraction = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        fraction < allowed / peer_attempts
+        fraction < share
     }
 
     fn wait(&self, server: u64, now: Instant) -> LimitWait {
