--- /dev/null
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -0,0 +1,221 @@
+//! A crashing request in fleets of several sizes, on a clock of the test.
+
+use std::time::Duration;
+
+use fulmargate_dispatch::CheckVerdict;
+use fulmargate_dispatch::CrashReason;
+use fulmargate_dispatch::RunEnd;
+use fulmargate_dispatch::RunStep;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::SuspectConf;
+use fulmargate_dispatch::SuspectReport;
+use fulmargate_dispatch::SuspectTable;
+use fulmargate_names::HostName;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+const PRINT: u128 = 48;
+const STEP: Duration = Duration::from_millis(5);
+const HISTORY: Duration = Duration::from_secs(12);
+/// Time from the begin of a run to the crash.
+const CRASH_TIME: Duration = Duration::from_millis(30);
+/// Hosts that the caller sends the request to at once, after its first answer.
+const CALLED_HOSTS: usize = 3;
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+const HISTORIES: u64 = 25;
+/// Servers that may end under the request.
+const MAX_CRASHES: usize = 3;
+/// Time after the third crash from which no host in touch may send the request.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Size of a fleet and the delay of its gossip.
+#[derive(Clone, Copy, Debug)]
+struct FleetSize {
+    hosts: usize,
+    interval: Duration,
+    /// Longest time of a message on its way, with relays.
+    transit: Duration,
+}
+
+const SIZES: &[FleetSize] = &[
+    fleet_size(6, 28, 5),
+    fleet_size(30, 90, 5),
+    fleet_size(90, 90, 80),
+    fleet_size(195, 195, 80),
+];
+
+const fn fleet_size(hosts: usize, interval_ms: u64, transit_ms: u64) -> FleetSize {
+    FleetSize {
+        hosts,
+        interval: Duration::from_millis(interval_ms),
+        transit: Duration::from_millis(transit_ms),
+    }
+}
+
+/// What a host does with one send of the caller.
+#[derive(Clone, Copy)]
+enum SendState {
+    Idle {
+        until: Instant,
+    },
+    Waiting {
+        ticket: u64,
+    },
+    Running {
+        ticket: u64,
+        run: u64,
+        server: ServerKey,
+        crashes_at: Instant,
+    },
+    /// The server has ended; the verdict follows.
+    Checking {
+        ticket: u64,
+        server: ServerKey,
+        until: Instant,
+    },
+    Rejected,
+}
+
+struct Message {
+    from: usize,
+    due: Instant,
+    report: SuspectReport,
+}
+
+struct CrashModel {
+    size: FleetSize,
+    dice: StdRng,
+    now: Instant,
+    tables: Vec<SuspectTable>,
+    messages: Vec<Message>,
+    sends: Vec<(usize, SendState)>,
+    crashes: Vec<Instant>,
+    last_send: Instant,
+}
+
+impl CrashModel {
+    fn new(size: FleetSize, seed: u64) -> CrashModel {
+        let now = Instant::now();
+        let settle_time = size.interval + size.interval / 2 + Duration::from_millis(20);
+        let mut tables = Vec::new();
+        for number in 0..size.hosts {
+            let mut table = SuspectTable::new(host(number), SuspectConf::default());
+            table.set_settle_time(settle_time);
+            tables.push(table);
+        }
+        let dice = StdRng::seed_from_u64(seed);
+        let sends = vec![(0, SendState::Idle { until: now })];
+        let (messages, crashes) = (Vec::new(), Vec::new());
+        CrashModel { size, dice, now, tables, messages, sends, crashes, last_send: now }
+    }
+
+    fn run(&mut self) {
+        let end = self.now + HISTORY;
+        let mut step = 0;
+        while self.now < end {
+            step += 1;
+            self.now += STEP;
+            self.exchange(step);
+            for number in 0..self.sends.len() {
+                self.advance(number);
+            }
+            if self.sends.len() < CALLED_HOSTS && !self.crashes.is_empty() {
+                let until = self.now + RESEND_PAUSE;
+                self.sends.push((self.sends.len(), SendState::Idle { until }));
+            }
+        }
+    }
+
+    fn exchange(&mut self, step: usize) {
+        let interval_steps = (self.size.interval.as_millis() / STEP.as_millis()).max(1) as usize;
+        for from in 0..self.size.hosts {
+            if (step + from) % interval_steps != 0 {
+                continue;
+            }
+            let report = self.tables[from].take_report(self.size.hosts, self.now);
+            if !report.is_empty() {
+                let transit = self.dice.random_range(1..=self.size.transit.as_millis() as u64);
+                let due = self.now + Duration::from_millis(transit);
+                self.messages.push(Message { from, due, report });
+            }
+        }
+        let messages = std::mem::take(&mut self.messages);
+        for message in messages {
+            if self.now < message.due {
+                self.messages.push(message);
+                continue;
+            }
+            for (to, table) in self.tables.iter_mut().enumerate() {
+                if to != message.from {
+                    table.merge(&host(message.from), &message.report, self.now);
+                }
+            }
+        }
+    }
+
+    fn advance(&mut self, number: usize) {
+        let (at, state) = self.sends[number];
+        let now = self.now;
+        let next = match state {
+            SendState::Idle { until } if until <= now => {
+                let ticket = self.tables[at].issue_ticket();
+                SendState::Waiting { ticket }
+            }
+            SendState::Waiting { ticket } => match self.tables[at].try_begin(PRINT, ticket, now) {
+                RunStep::Run => self.begin(at, ticket),
+                RunStep::Wait(_) => state,
+                RunStep::Convicted => SendState::Rejected,
+            },
+            SendState::Running { ticket, run, server, crashes_at } if crashes_at <= now => {
+                self.crashes.push(now);
+                let table = &mut self.tables[at];
+                table.begin_check(server, now);
+                table.end_run(run, RunEnd::Unclear, now);
+                table.record_probe(server, false, now);
+                table.release(PRINT, ticket, now);
+                let until = now + 2 * (self.size.interval + self.size.transit);
+                SendState::Checking { ticket, server, until }
+            }
+            SendState::Checking { ticket: _, server, until } if until <= now => {
+                let verdict = CheckVerdict::Crashed(CrashReason::UnreachedByAll);
+                self.tables[at].finish_check(server, verdict, now);
+                SendState::Idle { until: now + RESEND_PAUSE }
+            }
+            state => state,
+        };
+        // The caller sends again at another host.
+        let moves = matches!((state, next), (SendState::Checking { .. }, SendState::Idle { .. }));
+        let at = if moves { self.dice.random_range(0..self.size.hosts) } else { at };
+        self.sends[number] = (at, next);
+    }
+
+    fn begin(&mut self, at: usize, ticket: u64) -> SendState {
+        let server = ServerKey(self.dice.random());
+        let run = self.tables[at].begin_run(PRINT, server);
+        self.last_send = self.now;
+        SendState::Running { ticket, run, server, crashes_at: self.now + CRASH_TIME }
+    }
+}
+
+fn host(number: usize) -> HostName {
+    HostName::new(&format!("host-{number}"))
+}
+
+/// Guards against a fourth server that ends under a request, and against sends of one that is known to crash servers,
+/// in fleets of any size.
+#[test]
+fn a_crashing_request_costs_three_servers_at_every_size() {
+    for size in SIZES {
+        for seed in 0..HISTORIES {
+            let mut model = CrashModel::new(*size, seed);
+            model.run();
+            let crashes = model.crashes.len();
+            assert!(crashes <= MAX_CRASHES, "{size:?}, seed {seed}: {crashes} servers ended");
+            let known = model.crashes.get(MAX_CRASHES - 1).map(|at| *at + CONTACT_TIME);
+            let is_late = known.is_some_and(|known| known < model.last_send);
+            assert!(!is_late, "{size:?}, seed {seed}: sent after the conviction");
+        }
+    }
+}
