Suspected requests: bound of the stored records; wording

The test of the 64 own crash records of a host went with these records; the store's records have a bound of their own, which is tested now (256 records of 16 requests). Comments only besides.

--- a/crates/dispatch/src/server_check.rs
+++ b/crates/dispatch/src/server_check.rs
@@ -17,8 +17,8 @@
 /// What a host knows of a server that broke off requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CheckInputs {
-    /// Outcome of this host's latest connection attempt since the break; `None` if it tells nothing, such as during a
-    /// suspected local network fault.
+    /// Outcome of this host's latest connection attempt since the break; `None` if it was inconclusive, such as during
+    /// a suspected local network fault.
     pub own_reached: Option<bool>,
     /// Other hosts that reached the server since the break.
     pub others_reached: usize,
@@ -48,7 +48,7 @@
     /// Other hosts reach it and this one does not.
     #[display("taken_for_cut")]
     Cut,
-    /// Nothing tells yet.
+    /// The inputs are inconclusive.
     #[display("undecided")]
     Undecided,
 }
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    /// Records that a connection attempt of a check told nothing, so that another one is needed.
+    /// Records that a connection attempt of a check was inconclusive, so that another one is needed.
     pub fn record_no_probe(&mut self, server: ServerKey) {
         if let Some(check) = self.checks.get_mut(&server) {
             *check = ServerCheck { own_reached: None, needs_probe: true, ..*check };
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -499,6 +499,31 @@
     assert_eq!(table.crash_count(PRINT, now), 0);
 }
 
+/// Reports of one crash each for these requests.
+fn merge_suspects(table: &mut SuspectTable, fingerprints: std::ops::Range<u128>, now: Instant) {
+    let crash = CrashNotice { server: key("d"), age_ms: 0, proof: CrashProof::Confirmed };
+    for fingerprint in fingerprints {
+        let notice =
+            SuspectNotice { fingerprint, crashes: vec![crash], cleared: Vec::new(), claim: None };
+        let report = SuspectReport { suspects: vec![notice], probes: Vec::new() };
+        table.merge(&host(1), &report, now);
+    }
+}
+
+/// Guards against records that outgrow the store where many requests are suspected.
+#[test]
+fn stored_records_are_bounded() {
+    let now = Instant::now();
+    let mut table = table(0);
+    merge_suspects(&mut table, 0..5_000, now);
+    let records = table.take_due_writes(UNIX_NOW, now + Duration::from_secs(10));
+    assert!(records.len() <= 256, "{} records", records.len());
+    for record in records {
+        let FleetRecord::Suspects { entries, .. } = record else { panic!("another record") };
+        assert!(entries.len() <= 16, "{} requests in a record", entries.len());
+    }
+}
+
 /// Guards against a convicted request that is pushed out by many others.
 #[test]
 fn a_conviction_outlasts_a_flood_of_suspects() {
@@ -507,12 +532,6 @@
     for server in ["a", "b", "c"] {
         crash(&mut table, PRINT, key(server), now);
     }
-    let crash = CrashNotice { server: key("d"), age_ms: 0, proof: CrashProof::Confirmed };
-    for fingerprint in 1_000..6_000 {
-        let notice =
-            SuspectNotice { fingerprint, crashes: vec![crash], cleared: Vec::new(), claim: None };
-        let report = SuspectReport { suspects: vec![notice], probes: Vec::new() };
-        table.merge(&host(1), &report, now);
-    }
+    merge_suspects(&mut table, 1_000..6_000, now);
     assert!(table.is_convicted(PRINT, now));
 }
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -24,7 +24,7 @@
 
 /// Interval at which a check looks at what has become known.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// The same once only the list of servers can tell more.
+/// The same once only a change of the server list can change the verdict.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a failed connection is tried again: both have to fail in time.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -144,7 +144,7 @@
         let servers = self.state.servers();
         let stage = servers.state(self.server.key()).map(|state| state.entry().stage);
         self.is_leaving |= stage.is_some_and(|stage| stage != ServerStage::Ready);
-        // Without any entry of the service the list tells nothing of one server.
+        // A list without any entry of the service is no evidence on one server.
         let has_service =
             servers.states().any(|state| state.entry().service == self.server.service);
         CheckInputs {
