--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -72,7 +72,6 @@
     },
     /// The server has ended; the verdict follows.
     Checking {
-        ticket: u64,
         server: ServerKey,
         until: Instant,
     },
@@ -134,7 +133,7 @@
     fn exchange(&mut self, step: usize) {
         let interval_steps = (self.size.interval.as_millis() / STEP.as_millis()).max(1) as usize;
         for from in 0..self.size.hosts {
-            if (step + from) % interval_steps != 0 {
+            if !(step + from).is_multiple_of(interval_steps) {
                 continue;
             }
             let report = self.tables[from].take_report(self.size.hosts, self.now);
@@ -179,9 +178,9 @@
                 table.record_probe(server, false, now);
                 table.release(PRINT, ticket, now);
                 let until = now + 2 * (self.size.interval + self.size.transit);
-                SendState::Checking { ticket, server, until }
+                SendState::Checking { server, until }
             }
-            SendState::Checking { ticket: _, server, until } if until <= now => {
+            SendState::Checking { server, until } if until <= now => {
                 let verdict = CheckVerdict::Crashed(CrashReason::UnreachedByAll);
                 self.tables[at].finish_check(server, verdict, now);
                 SendState::Idle { until: now + self.pause }
