--- a/crates/entry/tests/daemon/crashing_requests.rs
+++ b/crates/entry/tests/daemon/crashing_requests.rs
@@ -218,9 +218,12 @@
         assert_eq!(fleet.crash_count(), SERVERS, "{}: {:?}", self.name, fleet.verdicts());
         assert_eq!(statuses, [503, 503], "{}: {:?}", self.name, fleet.verdicts());
         for host in [1, 2] {
-            let failures = fleet.daemons[host].events("request_failed");
-            let is_rejection = |line: &Value| line["error"] == "crashing_request";
-            assert!(failures.iter().any(is_rejection), "{}: {failures:?}", self.name);
+            // Log lines may be read later than responses.
+            wait_until("the rejection is logged", || {
+                let failures = fleet.daemons[host].events("request_failed");
+                failures.iter().any(|line| line["error"] == "crashing_request")
+            })
+            .await;
         }
         crashes.into_iter().for_each(|task| task.abort());
     }
