--- a/crates/dispatch/src/run_log.rs
+++ b/crates/dispatch/src/run_log.rs
@@ -72,6 +72,12 @@
         requests
     }
 
+    /// Requests that are in flight at the server.
+    pub(crate) fn running_at(&self, server: ServerKey) -> Vec<u128> {
+        let runs = self.open.values().filter(|run| run.server == server);
+        runs.map(|run| run.fingerprint).collect()
+    }
+
     /// Whether a run at the server is in flight or ended unclearly a moment ago.
     pub(crate) fn has_runs_at(&self, server: ServerKey, now: Instant) -> bool {
         !self.requests_at(server, now).is_empty()
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -147,6 +147,12 @@
         self.records.get(&fingerprint).is_some_and(|record| 0 < record.possible())
     }
 
+    /// Other suspected requests that run at the server, as far as this host knows.
+    pub fn suspects_running_at(&self, server: ServerKey, fingerprint: u128) -> usize {
+        let is_other = |running: &u128| *running != fingerprint && self.is_suspected(*running);
+        self.runs.running_at(server).into_iter().filter(is_other).count()
+    }
+
     /// Incarnations of servers that count against the request.
     pub fn crashed_servers(&self, fingerprint: u128) -> Vec<ServerKey> {
         self.records.get(&fingerprint).map_or_else(Vec::new, SuspectRecord::servers)
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -237,6 +237,7 @@
         if let Some(charge) = &mut self.decoded.charge {
             charge.record_send();
         }
+        self.log_suspect_sent(&server);
         let fingerprint = self.facts().fingerprint;
         self.run = Some(SuspectRun::begin(self.state.clone(), fingerprint, server.key()));
         let error = match connected.send(&self.decoded).await {
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -59,6 +59,31 @@
         self.turn.get_or_insert_with(new).step()
     }
 
+    /// Logs that a suspected request goes to a server.
+    pub(super) fn log_suspect_sent(&self, server: &ServerEntry) {
+        let kind = EventKind::SuspectSent;
+        let fingerprint = self.facts().fingerprint;
+        let now = Instant::now();
+        let is_suspected = self.state.suspects().is_suspected(fingerprint);
+        if !is_suspected || !self.state.log_limiter.allows(kind, now) {
+            return;
+        }
+        let (crashes, others) = {
+            let suspects = self.state.suspects();
+            let others = suspects.suspects_running_at(server.key(), fingerprint);
+            (suspects.crash_count(fingerprint, now), others)
+        };
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            print = format!("{fingerprint:032x}"),
+            server = %server.name,
+            crashes,
+            others,
+        );
+    }
+
     /// Ends the run after a failed send. If its server may have crashed, that is checked before the request is sent
     /// again.
     pub(super) async fn end_failed_run(&mut self, outcome: SendOutcome, server: &Arc<ServerEntry>) {
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -54,6 +54,8 @@
     CrashChecked = 2018,
     /// A request that was suspected of crashing backend servers has been completed by one.
     RequestCleared = 2019,
+    /// A request that is suspected of crashing backend servers goes to one.
+    SuspectSent = 2020,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -194,6 +196,7 @@
     ForwardRefused => "forward_refused",
     CrashChecked => "crash_checked",
     RequestCleared => "request_cleared",
+    SuspectSent => "suspect_sent",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
