--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the fixtures")]
 
 pub(crate) mod crash_simulation;
+pub(crate) mod limit_queue_simulation;
 pub(crate) mod limit_simulation;
 pub(crate) mod quota_simulation;
 pub(crate) mod server_limit_simulation;
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -535,3 +535,41 @@
     merge_suspects(&mut table, 1_000..6_000, now);
     assert!(table.is_convicted(PRINT, now));
 }
+
+/// A host whose connections to a server break, and fail after that.
+fn begin_failed_check(table: &mut SuspectTable, now: Instant) {
+    let run = table.begin_run(PRINT, key("a"));
+    table.begin_check(key("a"), now);
+    table.end_run(run, RunEnd::Unclear, now);
+    table.record_probe(key("a"), false, now);
+}
+
+/// Guards against a false crash by the word of a host that is cut off itself, while the others are not asked.
+#[test]
+fn cut_hosts_confirm_no_crash_to_each_other() {
+    let mut now = Instant::now();
+    let mut tables: Vec<SuspectTable> = (0..HOSTS).map(table).collect();
+    begin_failed_check(&mut tables[0], now);
+    begin_failed_check(&mut tables[1], now);
+    for _ in 0..100 {
+        now += STEP;
+        exchange(&mut tables, now);
+        let inputs = tables[0].check_inputs(key("a"), now);
+        let inputs = CheckInputs { peers: HOSTS - 1, is_listed: true, ..inputs };
+        let verdict = inputs.verdict();
+        assert_eq!(verdict, CheckVerdict::Undecided, "{inputs:?}");
+    }
+}
+
+/// Guards against a check that no other host takes part in, as none of them suspects the request.
+#[test]
+fn hosts_that_have_completed_the_request_are_asked_too() {
+    let now = Instant::now();
+    let mut tables: Vec<SuspectTable> = (0..HOSTS).map(table).collect();
+    tables[1].clear(PRINT, now);
+    begin_failed_check(&mut tables[0], now);
+    exchange(&mut tables, now);
+    for (number, table) in tables.iter().enumerate().skip(1) {
+        assert!(table.has_wanted_probes(), "host {number} tries the server");
+    }
+}
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -2,6 +2,8 @@
 
 mod brittle_servers;
 mod configuration;
+mod crash_fleet;
+mod crash_suspects;
 mod crashing_requests;
 mod cut_fleet;
 mod departures;
