Suspected requests: a claim names the server, and suspects are kept apart

Cause: runs of one suspect excluded each other over all hosts, runs of different suspects did not. All hosts chose by the same cache, price and load, so that the suspects of one crash went to the same next server and shared each further crash.

Change: a claim names the server, so all hosts know where suspects are.

For requests that are suspected already a broken run now counts until the check ends.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -192,6 +192,7 @@
 pub use service_rule::EngineRule;
 pub use service_rule::ServiceRule;
 pub use store_access::StoreAccess;
+pub use suspect_report::ClaimNotice;
 pub use suspect_report::ClaimStage;
 pub use suspect_report::CrashNotice;
 pub use suspect_report::CrashProof;
--- a/crates/dispatch/src/placement_request.rs
+++ b/crates/dispatch/src/placement_request.rs
@@ -33,6 +33,8 @@
     pub only_weights: Option<WeightsVersion>,
     /// Servers already tried. They are used again only if there is no other.
     pub excluded: Vec<ServerKey>,
+    /// If set, no other server is used.
+    pub only_server: Option<ServerKey>,
 }
 
 /// Configuration and time that all placements of one queue run share.
--- a/crates/dispatch/src/run_log.rs
+++ b/crates/dispatch/src/run_log.rs
@@ -72,10 +72,10 @@
         requests
     }
 
-    /// Requests that are in flight at the server.
-    pub(crate) fn running_at(&self, server: ServerKey) -> Vec<u128> {
-        let runs = self.open.values().filter(|run| run.server == server);
-        runs.map(|run| run.fingerprint).collect()
+    /// Servers at which the request is in flight.
+    pub(crate) fn servers_of(&self, fingerprint: u128) -> impl Iterator<Item = ServerKey> {
+        let runs = self.open.values().filter(move |run| run.fingerprint == fingerprint);
+        runs.map(|run| run.server)
     }
 
     /// Whether a run at the server is in flight or ended unclearly a moment ago.
--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -4,6 +4,7 @@
 mod choices;
 mod connectivity;
 mod gossip;
+mod isolation;
 mod limits;
 mod reach;
 
--- a/crates/dispatch/src/server_registry/choices.rs
+++ b/crates/dispatch/src/server_registry/choices.rs
@@ -185,6 +185,10 @@
         exhausted: &[ServerKey],
         view: ChoiceView<'_>,
     ) -> Option<EngineChoice> {
+        if let Some(only) = placement.only_server {
+            let excluded = [&self.others_of_service(&placement.service, only), exhausted].concat();
+            return self.choose_engine(&placement.request(view, &excluded));
+        }
         let excluded = [&placement.excluded, exhausted].concat();
         let choice = self.choose_engine(&placement.request(view, &excluded));
         choice.or_else(|| self.choose_engine(&placement.request(view, exhausted)))
--- a/crates/dispatch/src/suspect_record.rs
+++ b/crates/dispatch/src/suspect_record.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexSet;
 use tokio::time::Instant;
 
+use crate::ClaimNotice;
 use crate::ClaimStage;
 use crate::CrashNotice;
 use crate::CrashProof;
@@ -33,7 +34,7 @@
 /// A host's claim to run a suspected request.
 #[derive(Clone, Copy, Debug)]
 struct PeerClaim {
-    stage: ClaimStage,
+    notice: ClaimNotice,
     expires: Instant,
 }
 
@@ -42,8 +43,12 @@
 pub(crate) struct OwnClaim {
     pub(crate) ticket: u64,
     pub(crate) stage: ClaimStage,
+    /// The server to run it at.
+    pub(crate) server: ServerKey,
     /// When the claim was first published.
     pub(crate) published: Option<Instant>,
+    /// Number of servers claimed before.
+    pub(crate) moves: u8,
 }
 
 /// Crashes that count against a request, clearances, and who runs it.
@@ -151,12 +156,12 @@
     pub(crate) fn set_claim(
         &mut self,
         host: &HostName,
-        stage: Option<ClaimStage>,
+        notice: Option<ClaimNotice>,
         expires: Instant,
     ) {
-        match stage {
-            Some(stage) => {
-                self.claims.insert(host.clone(), PeerClaim { stage, expires });
+        match notice {
+            Some(notice) => {
+                self.claims.insert(host.clone(), PeerClaim { notice, expires });
             }
             None => {
                 self.claims.swap_remove(host);
@@ -171,7 +176,24 @@
         now: Instant,
     ) -> bool {
         let mut valid = self.claims.iter().filter(|(_, claim)| now < claim.expires);
-        valid.any(|(host, claim)| claim.stage == ClaimStage::Running || goes_first(host))
+        valid.any(|(host, claim)| claim.notice.stage == ClaimStage::Running || goes_first(host))
+    }
+
+    /// Servers that hosts have claimed for the request. While it runs, other claims wait for that.
+    pub(crate) fn claimed_servers(&self, now: Instant) -> Vec<(ServerKey, ClaimStage)> {
+        let valid = self.claims.values().filter(|claim| now < claim.expires);
+        let own = self.own_claim.iter().map(|claim| (claim.server, claim.stage));
+        let mut claims: Vec<(ServerKey, ClaimStage)> =
+            valid.map(|claim| (claim.notice.server, claim.notice.stage)).chain(own).collect();
+        if claims.iter().any(|(_, stage)| *stage == ClaimStage::Running) {
+            claims.retain(|(_, stage)| *stage == ClaimStage::Running);
+        }
+        claims
+    }
+
+    /// Whether a crash counts against both requests.
+    pub(crate) fn shares_crash(&self, other: &SuspectRecord) -> bool {
+        self.crashes.keys().any(|server| other.crashes.contains_key(server))
     }
 
     /// Marks the record as changed, so that it is published at once.
@@ -213,7 +235,9 @@
             fingerprint,
             crashes: self.crashes.iter().map(crash_notice).collect(),
             cleared: self.cleared.iter().copied().collect(),
-            claim: self.own_claim.map(|claim| claim.stage),
+            claim: self
+                .own_claim
+                .map(|claim| ClaimNotice { stage: claim.stage, server: claim.server }),
         }
     }
 
--- a/crates/dispatch/src/suspect_report.rs
+++ b/crates/dispatch/src/suspect_report.rs
@@ -31,7 +31,7 @@
     /// Crashes that it was cleared of, as a server has completed it since.
     pub cleared: Vec<ServerKey>,
     /// The sender's claim to run it, if any.
-    pub claim: Option<ClaimStage>,
+    pub claim: Option<ClaimNotice>,
 }
 
 /// A crash that counts against a request.
@@ -54,6 +54,15 @@
     Confirmed,
 }
 
+/// A host's claim to run a suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimNotice {
+    /// How far it is.
+    pub stage: ClaimStage,
+    /// The server to run it at.
+    pub server: ServerKey,
+}
+
 /// How far a host is in running a suspected request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimStage {
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -2,16 +2,17 @@
 
 mod checks;
 mod storage;
+mod turns;
 
 use std::time::Duration;
 
 use fulmargate_names::HostName;
 use indexmap::IndexMap;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::checks::ProbeRecord;
 use self::checks::ServerCheck;
+use crate::ClaimNotice;
 use crate::ClaimStage;
 use crate::CrashProof;
 use crate::RunEnd;
@@ -19,7 +20,6 @@
 use crate::SuspectReport;
 use crate::completed_set::CompletedSet;
 use crate::run_log::RunLog;
-use crate::suspect_record::OwnClaim;
 use crate::suspect_record::SuspectRecord;
 
 /// Upper bound on tracked requests. Those with the fewest crashes are dropped first, then the oldest.
@@ -59,8 +59,10 @@
 /// Whether a request may be sent to a server now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunStep {
-    /// It may be sent.
+    /// It is not suspected and may be sent to any server.
     Run,
+    /// It is suspected and may be sent to this server.
+    RunAt(ServerKey),
     /// It has to wait at least this long: it is suspected, and another run of it has not ended.
     Wait(Duration),
     /// It crashes servers.
@@ -86,8 +88,8 @@
 
 /// Evidence on requests that crash servers, merged from this host's findings, gossip and the store.
 ///
-/// A request with a crash on record is suspected: it runs once at a time over all hosts. A host that wants to run it
-/// publishes a claim, and waits until the others must have received it.
+/// A request with a crash on record is suspected: it runs once at a time over all hosts, and apart from other suspects.
+/// A host that wants to run it publishes a claim of a server, and waits until the others must have received it.
 #[derive(Debug)]
 pub struct SuspectTable {
     own: HostName,
@@ -147,60 +149,11 @@
         self.records.get(&fingerprint).is_some_and(|record| 0 < record.possible())
     }
 
-    /// Other suspected requests that run at the server, as far as this host knows.
-    pub fn suspects_running_at(&self, server: ServerKey, fingerprint: u128) -> usize {
-        let is_other = |running: &u128| *running != fingerprint && self.is_suspected(*running);
-        self.runs.running_at(server).into_iter().filter(is_other).count()
-    }
-
     /// Incarnations of servers that count against the request.
     pub fn crashed_servers(&self, fingerprint: u128) -> Vec<ServerKey> {
         self.records.get(&fingerprint).map_or_else(Vec::new, SuspectRecord::servers)
     }
 
-    /// Whether the holder of this ticket may send the request to a server. Claims it if nobody else does.
-    pub fn try_begin(&mut self, fingerprint: u128, ticket: u64, now: Instant) -> RunStep {
-        let conf = self.conf;
-        let is_running = self.runs.runs(fingerprint);
-        let (own, settle_time) = (&self.own, self.settle_time);
-        let Some(record) = self.records.get_mut(&fingerprint) else { return RunStep::Run };
-        let is_kept = record.retain(&conf, now);
-        if conf.max_crashes <= record.confirmed() && is_kept {
-            return RunStep::Convicted;
-        }
-        if !is_kept || record.possible() == 0 {
-            return RunStep::Run;
-        }
-        if conf.max_crashes <= record.possible() {
-            return RunStep::Wait(POLL_INTERVAL);
-        }
-        let Some(claim) = record.own_claim else {
-            record.own_claim =
-                Some(OwnClaim { ticket, stage: ClaimStage::Waiting, published: None });
-            record.mark_changed(now);
-            return RunStep::Wait(POLL_INTERVAL);
-        };
-        if claim.ticket != ticket {
-            return RunStep::Wait(POLL_INTERVAL);
-        }
-        if claim.stage == ClaimStage::Running {
-            return RunStep::Run;
-        }
-        let Some(published) = claim.published else { return RunStep::Wait(POLL_INTERVAL) };
-        let settled_at = published + settle_time;
-        if now < settled_at {
-            return RunStep::Wait((settled_at - now).min(POLL_INTERVAL));
-        }
-        let own_order = claim_order(fingerprint, own);
-        let goes_first = |host: &HostName| claim_order(fingerprint, host) < own_order;
-        if is_running || record.is_claimed_by_others(goes_first, now) {
-            return RunStep::Wait(POLL_INTERVAL);
-        }
-        record.own_claim = Some(OwnClaim { stage: ClaimStage::Running, ..claim });
-        record.mark_changed(now);
-        RunStep::Run
-    }
-
     /// Ends the claim of this ticket.
     pub fn release(&mut self, fingerprint: u128, ticket: u64, now: Instant) {
         let Some(record) = self.records.get_mut(&fingerprint) else { return };
@@ -260,10 +213,12 @@
         for (_, fingerprint) in due {
             let Some(record) = self.records.get_mut(&fingerprint) else { continue };
             let mut notice = record.notice(fingerprint, now);
-            let is_running = self.runs.runs(fingerprint) && record.possible() != 0;
-            if is_running {
-                notice.claim = Some(ClaimStage::Running);
+            let running_at = self.runs.servers_of(fingerprint).next();
+            let running_at = running_at.filter(|_| record.possible() != 0);
+            if let Some(server) = running_at {
+                notice.claim = Some(ClaimNotice { stage: ClaimStage::Running, server });
             }
+            let is_running = running_at.is_some();
             suspects.push(notice);
             record.mark_published(if is_running { CLAIM_TTL / 4 } else { refresh_interval }, now);
         }
@@ -396,8 +351,3 @@
         }
     }
 }
-
-/// Order in which hosts run a request that several of them claim at once.
-fn claim_order(fingerprint: u128, host: &HostName) -> (u64, &str) {
-    (xxh3_64_with_seed(host.as_str().as_bytes(), fingerprint as u64), host.as_str())
-}
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -84,17 +84,18 @@
     }
 
     /// Records whether a connection to the server was opened. If it failed under a check, the requests that ran there
-    /// are suspected.
+    /// are suspected; otherwise those that are suspected already.
     pub fn record_probe(&mut self, server: ServerKey, is_reached: bool, now: Instant) {
         let record = self.probe_mut(server, now);
         record.own = Some((is_reached, now));
         let Some(check) = self.checks.get_mut(&server) else { return };
         check.own_reached = Some(is_reached);
-        if is_reached {
-            return;
-        }
         let broken_at = check.broken_at;
         for fingerprint in self.suspects_at(server, broken_at, now) {
+            // A server that takes connections may have ended and be back: that counts for suspects until the list tells.
+            if is_reached && !self.is_suspected(fingerprint) {
+                continue;
+            }
             let record = self.record_mut(fingerprint, now);
             if record.add_crash(server, broken_at, CrashProof::Suspected) {
                 record.mark_changed(now);
@@ -137,10 +138,11 @@
         }
     }
 
-    /// Drops the suspicions that rest on a server which other hosts reach.
+    /// Drops the suspicions that rest on a server which hosts reach. Those of requests with other crashes on record
+    /// stay until the check ends: the server may have ended and be back.
     pub fn drop_suspicions(&mut self, server: ServerKey, now: Instant) {
         for record in self.records.values_mut() {
-            if record.drop_suspected(server) {
+            if record.possible() == 1 && record.drop_suspected(server) {
                 record.mark_changed(now);
             }
         }
@@ -155,7 +157,11 @@
     ) -> Vec<SuspectChange> {
         let Some(check) = self.checks.swap_remove(&server) else { return Vec::new() };
         if !matches!(verdict, CheckVerdict::Crashed(_)) {
-            self.drop_suspicions(server, now);
+            for record in self.records.values_mut() {
+                if record.drop_suspected(server) {
+                    record.mark_changed(now);
+                }
+            }
             return Vec::new();
         }
         let broken_at = match verdict {
--- a/crates/dispatch/tests/request_queue.rs
+++ b/crates/dispatch/tests/request_queue.rs
@@ -110,6 +110,7 @@
         model: model(),
         only_weights: None,
         excluded: Vec::new(),
+        only_server: None,
     }
 }
 
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -99,6 +99,7 @@
         model: model(),
         only_weights: None,
         excluded: Vec::new(),
+        only_server: None,
     }
 }
 
--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -26,6 +26,8 @@
 /// Pause of a caller before it sends again.
 const RESEND_PAUSE: Duration = Duration::from_millis(150);
 const HISTORIES: u64 = 25;
+/// Servers that the request may claim; those that end are replaced at once.
+const SERVERS: [ServerKey; 3] = [ServerKey(1), ServerKey(2), ServerKey(3)];
 /// Servers that may end under the request.
 const MAX_CRASHES: usize = 3;
 /// Time after the third crash from which no host in touch may send the request.
@@ -165,11 +167,13 @@
                 let ticket = self.tables[at].issue_ticket();
                 SendState::Waiting { ticket }
             }
-            SendState::Waiting { ticket } => match self.tables[at].try_begin(PRINT, ticket, now) {
-                RunStep::Run => self.begin(at, ticket),
-                RunStep::Wait(_) => state,
-                RunStep::Convicted => SendState::Rejected,
-            },
+            SendState::Waiting { ticket } => {
+                match self.tables[at].try_begin(PRINT, ticket, &SERVERS, now) {
+                    RunStep::Run | RunStep::RunAt(_) => self.begin(at, ticket),
+                    RunStep::Wait(_) => state,
+                    RunStep::Convicted => SendState::Rejected,
+                }
+            }
             SendState::Running { ticket, run, server, crashes_at } if crashes_at <= now => {
                 self.crashes.push(now);
                 let table = &mut self.tables[at];
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -6,6 +6,7 @@
 
 use fulmargate_dispatch::CheckInputs;
 use fulmargate_dispatch::CheckVerdict;
+use fulmargate_dispatch::ClaimNotice;
 use fulmargate_dispatch::ClaimStage;
 use fulmargate_dispatch::CrashNotice;
 use fulmargate_dispatch::CrashProof;
@@ -363,8 +364,11 @@
         now += STEP;
         let mut running = Vec::new();
         for (number, table) in tables.iter_mut().enumerate() {
-            let is_done = order.contains(&number);
-            if !is_done && table.try_begin(PRINT, tickets[number], now) == RunStep::Run {
+            if order.contains(&number) {
+                continue;
+            }
+            let step = table.try_begin(PRINT, tickets[number], &[key("b")], now);
+            if step == RunStep::RunAt(key("b")) {
                 running.push(number);
             }
         }
@@ -388,13 +392,13 @@
         fingerprint: PRINT,
         crashes: Vec::new(),
         cleared: Vec::new(),
-        claim: Some(ClaimStage::Running),
+        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: key("b") }),
     };
     let report = SuspectReport { suspects: vec![claim], probes: Vec::new() };
     table.merge(&host(1), &report, now);
     let ticket = table.issue_ticket();
     let start = now;
-    while table.try_begin(PRINT, ticket, now) != RunStep::Run {
+    while table.try_begin(PRINT, ticket, &[key("b")], now) != RunStep::RunAt(key("b")) {
         table.take_report(HOSTS, now);
         now += STEP;
         assert!(now.duration_since(start) < Duration::from_secs(5), "the claim does not end");
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -6,6 +6,7 @@
 use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaCount;
 use fulmargate_admission::QuotaReport;
+use fulmargate_dispatch::ClaimNotice;
 use fulmargate_dispatch::ClaimStage;
 use fulmargate_dispatch::CrashNotice;
 use fulmargate_dispatch::CrashProof;
@@ -57,7 +58,7 @@
         fingerprint: 1 << 100,
         crashes: vec![crash],
         cleared: vec![ServerKey(6)],
-        claim: Some(ClaimStage::Running),
+        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: ServerKey(9) }),
     };
     let probe = ProbeNotice { server: ServerKey(5), is_reached: false, age_ms: 3 };
     let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe] };
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -83,6 +83,8 @@
     run: Option<SuspectRun>,
     /// Held while the request is sent, as it may be suspected of crashing servers.
     turn: Option<SuspectTurn>,
+    /// The only server that the request may be sent to in this turn.
+    turn_server: Option<ServerKey>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
@@ -130,6 +132,7 @@
             excluded_helpers: Vec::new(),
             run: None,
             turn: None,
+            turn_server: None,
             end_is_logged: Cell::new(false),
         }
     }
@@ -190,6 +193,7 @@
             if let Some(reason) = reason {
                 // The helper takes a turn of its own.
                 self.turn = None;
+                self.turn_server = None;
                 match self.forward(point, reason).await? {
                     ForwardStep::Response(response) => return Ok(*response),
                     ForwardStep::Again => continue,
@@ -199,6 +203,10 @@
             self.wait_for_turn().await?;
             self.check_retry_budget()?;
             let Some(plan) = self.plan(point).await? else {
+                if let Some(server) = self.turn_server {
+                    self.give_up_turn(server).await?;
+                    continue;
+                }
                 // The service may have gone out of reach while the request was queued.
                 if reason.is_none() && self.forward_reason().is_some() {
                     continue;
@@ -214,7 +222,7 @@
                     continue;
                 }
             };
-            if !self.may_send_now()? {
+            if !self.may_send_now(&server)? {
                 continue;
             }
             if !self.consume_retry() {
@@ -264,7 +272,7 @@
     ) -> Result<Option<UpstreamResponse>, RequestFailure> {
         match prepared {
             PreparedSend::Server(connected) => {
-                if !self.may_send_now()? {
+                if !self.may_send_now(&connected.server().clone())? {
                     return Ok(None);
                 }
                 // The send was planned before the previous attempt was counted. If no further attempt is allowed
--- a/crates/entry/src/traffic/request_handler/failover.rs
+++ b/crates/entry/src/traffic/request_handler/failover.rs
@@ -84,6 +84,11 @@
         {
             return Ok(Failover { prepared: PreparedSend::Helper(forward), reason });
         }
+        if self.is_suspected() {
+            // Its run here ends, or it would have to wait for itself.
+            self.run = None;
+            self.wait_for_turn().await.map_err(no_server)?;
+        }
         let plan = self.plan(point).await.map_err(no_server)?;
         let plan = plan.filter(|plan| plan.server.key() != unresponsive.key());
         let Some(plan) = plan else { return Err(KeepReason::NoServer("none is left".to_owned())) };
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -58,7 +58,7 @@
             return self.plan_prompt(service, model, point).await;
         }
         let assigned = self.reserve_plain(&service).await?;
-        if assigned.is_some() || self.excluded_servers.is_empty() {
+        if assigned.is_some() || self.excluded_servers.is_empty() || self.turn_server.is_some() {
             return Ok(assigned.map(|assigned| self.plain_plan(assigned)));
         }
         self.excluded_servers.clear();
@@ -98,11 +98,16 @@
     }
 
     fn place_plain(&self, service: &ServiceName, queued: Option<&QueuedCall>) -> PlainPlacement {
-        self.state.servers().place_plain(
+        let mut servers = self.state.servers();
+        let excluded = match self.turn_server {
+            Some(server) => servers.others_of_service(service, server),
+            None => self.excluded_servers.clone(),
+        };
+        servers.place_plain(
             self.facts(),
             service,
             &self.state.settings.zone,
-            &self.excluded_servers,
+            &excluded,
             queued.map(QueuedCall::ticket),
             Instant::now(),
         )
@@ -138,6 +143,7 @@
             model: model.clone(),
             only_weights: point.weights,
             excluded: self.excluded_servers.clone(),
+            only_server: self.turn_server,
         };
         let Some(assigned) = self.reserve_engine(placement).await? else { return Ok(None) };
         let AssignedEngine { choice, ticket } = assigned;
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -6,6 +6,7 @@
 use fulmargate_dispatch::RunStep;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -19,17 +20,27 @@
 /// `Retry-After` of a request that waited in vain: about the time in which a check of a server ends.
 const SUSPECT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Pause before another server is claimed in place of one that can't take the request.
+const GIVEN_UP_TURN_DELAY: Duration = Duration::from_millis(20);
+
 impl RequestHandler {
-    /// Waits while the request is suspected and runs elsewhere. Fails if it is convicted, or if its time is over.
+    /// Waits while the request is suspected and must not run. Fails if it is convicted, or if its time is over.
     pub(super) async fn wait_for_turn(&mut self) -> Result<(), RequestFailure> {
         loop {
-            let wait = match self.turn_step() {
-                RunStep::Run => return Ok(()),
+            let wait = match self.begin_turn() {
+                RunStep::Run => {
+                    self.turn_server = None;
+                    return Ok(());
+                }
+                RunStep::RunAt(server) => {
+                    self.turn_server = Some(server);
+                    return Ok(());
+                }
                 RunStep::Convicted => return Err(self.conviction()),
                 RunStep::Wait(wait) => wait,
             };
             if self.facts().deadline <= Instant::now() + wait {
-                let detail = "another run of this suspected request has not ended".to_owned();
+                let detail = "suspected of crashing servers, and none to run it apart".to_owned();
                 let failure = self.failure(self.progress.timeout()).with_detail(detail);
                 return Err(match self.progress.may_have_run() {
                     true => failure,
@@ -41,22 +52,53 @@
         }
     }
 
-    /// Whether the request may be sent on a connection that is open. What was found out since it was planned counts.
-    pub(super) fn may_send_now(&mut self) -> Result<bool, RequestFailure> {
-        match self.turn_step() {
-            RunStep::Run => Ok(true),
+    /// Whether the request may be sent on a connection to this server. What was found out since it was planned counts.
+    pub(super) fn may_send_now(&mut self, server: &ServerEntry) -> Result<bool, RequestFailure> {
+        let step = match &self.turn {
+            Some(turn) => turn.step_at(server.key()),
+            None if self.is_suspected() => return Ok(false),
+            None => RunStep::Run,
+        };
+        match step {
+            RunStep::Run | RunStep::RunAt(_) => Ok(true),
             RunStep::Convicted => Err(self.conviction()),
             RunStep::Wait(_) => Ok(false),
         }
     }
 
-    fn turn_step(&mut self) -> RunStep {
-        let fingerprint = self.facts().fingerprint;
-        if self.turn.is_none() && !self.state.suspects().is_suspected(fingerprint) {
+    /// Ends a turn at a server that can't take the request. Fails if there is no other.
+    pub(super) async fn give_up_turn(&mut self, server: ServerKey) -> Result<(), RequestFailure> {
+        self.turn = None;
+        self.turn_server = None;
+        self.excluded_servers.push(server);
+        if self.turn_candidates(&self.excluded_servers).is_empty() {
+            return Err(self.failure(self.progress.failure()));
+        }
+        sleep(GIVEN_UP_TURN_DELAY).await;
+        Ok(())
+    }
+
+    /// Whether a crash counts against the request.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.state.suspects().is_suspected(self.facts().fingerprint)
+    }
+
+    fn begin_turn(&mut self) -> RunStep {
+        if self.turn.is_none() && !self.is_suspected() {
             return RunStep::Run;
         }
+        let fingerprint = self.facts().fingerprint;
+        let mut servers = self.turn_candidates(&self.excluded_servers);
+        if servers.is_empty() {
+            servers = self.turn_candidates(&[]);
+        }
         let new = || SuspectTurn::new(self.state.clone(), fingerprint);
-        self.turn.get_or_insert_with(new).step()
+        self.turn.get_or_insert_with(new).step(&servers)
+    }
+
+    fn turn_candidates(&self, excluded: &[ServerKey]) -> Vec<ServerKey> {
+        let Some(service) = self.service() else { return Vec::new() };
+        self.state.servers().run_candidates(&service, excluded, Instant::now())
     }
 
     /// Logs that a suspected request goes to a server.
@@ -70,7 +112,7 @@
         }
         let (crashes, others) = {
             let suspects = self.state.suspects();
-            let others = suspects.suspects_running_at(server.key(), fingerprint);
+            let others = suspects.suspects_running_at(server.key(), fingerprint, now);
             (suspects.crash_count(fingerprint, now), others)
         };
         tracing::info!(
@@ -111,6 +153,7 @@
         if let Some(turn) = &self.turn {
             turn.release();
         }
+        self.turn_server = None;
     }
 
     /// Clears the request of the crashes that are known here.
--- a/crates/entry/src/traffic/suspect_run.rs
+++ b/crates/entry/src/traffic/suspect_run.rs
@@ -52,9 +52,16 @@
         SuspectTurn { state, fingerprint, ticket }
     }
 
-    /// Whether the request may be sent now.
-    pub(crate) fn step(&self) -> RunStep {
-        self.state.suspects().try_begin(self.fingerprint, self.ticket, Instant::now())
+    /// Whether the request may be sent now, and to which of these servers, the least loaded first.
+    pub(crate) fn step(&self, servers: &[ServerKey]) -> RunStep {
+        let (fingerprint, ticket) = (self.fingerprint, self.ticket);
+        self.state.suspects().try_begin(fingerprint, ticket, servers, Instant::now())
+    }
+
+    /// Whether the request may be sent to this server now.
+    pub(crate) fn step_at(&self, server: ServerKey) -> RunStep {
+        let (fingerprint, ticket) = (self.fingerprint, self.ticket);
+        self.state.suspects().may_run_at(fingerprint, ticket, server, Instant::now())
     }
 
     /// Lets others run the request.
--- a/crates/entry/tests/daemon/crash_suspects.rs
+++ b/crates/entry/tests/daemon/crash_suspects.rs
@@ -36,6 +36,24 @@
     lines.map(|line| line["print"].to_string()).collect()
 }
 
+/// Where suspected requests went, and the crashes that count against them, in the order of time.
+fn history(daemons: &[DaemonProcess]) -> String {
+    let mut lines = Vec::new();
+    for daemon in daemons {
+        for name in ["suspect_sent", "request_suspected", "request_convicted", "request_cleared"] {
+            for line in daemon.events(name).iter().filter(|line| line["source"] != "gossip") {
+                let print = line["print"].as_str().unwrap_or_default().get(..4).unwrap_or_default();
+                let field = |name: &str| line[name].to_string();
+                let (server, count, others) = (field("server"), field("count"), field("others"));
+                let at = field("timestamp");
+                lines.push(format!("{at} {name} {print} {server} count {count} others {others}"));
+            }
+        }
+    }
+    lines.sort();
+    lines.join("\n")
+}
+
 /// Sends a request again and again, at each host in turn, until a server completes it or it is rejected as crashing.
 async fn send_until_final(callers: Vec<std::net::SocketAddr>, path: String) -> u16 {
     let mut status = 0;
@@ -81,7 +99,8 @@
         statuses.push(task.await.expect("a finished task"));
     }
     let convicted = convicted(&fleet.daemons);
-    let name = format!("{servers} servers, responses {statuses:?}, convicted {convicted:?}");
+    let history = history(&fleet.daemons);
+    let name = format!("{servers} servers: {statuses:?}, convicted {convicted:?}\n{history}");
     assert_eq!(convicted.len(), 1, "{name}");
     assert_eq!(statuses, [503, 200, 200, 200, 200], "{name}");
     assert_eq!(fleet.crash_count(), 3, "{name}");
