--- a/crates/dispatch/src/suspect_table/turns.rs
+++ b/crates/dispatch/src/suspect_table/turns.rs
@@ -220,7 +220,7 @@
         for neighbor in neighbors.get(&server).into_iter().flatten() {
             match (is_strong, neighbor.is_strong, neighbor.is_related) {
                 (true, true, _) | (true, false, false) | (false, true, false) => return None,
-                (true, false, true) | (false, false, true) => rank.related += 1,
+                (_, false, true) => rank.related += 1,
                 (false, true, true) => {
                     rank.has_strong = true;
                     rank.related += 1;
