Crash checks: a host that does not reach the service has no say, and all are asked

Cause: the failed attempt of another host counted, also where that host was cut off itself; and hosts were asked by the suspicions alone, of which there are none for requests that were completed lately, so that the well hosts did not answer at all (others_reached=0). The time for answers ran from the break: an attempt that hangs used it up before anybody was asked.

Change: outcomes of attempts say whether the host reaches another server of the service; one that does not has no say. The outcome itself asks the others. The time for answers runs from the question. A service that is gone as a whole is found where all known hosts are in touch and all that were asked have failed.

--- a/crates/admission/src/bucket_table.rs
+++ b/crates/admission/src/bucket_table.rs
@@ -85,6 +85,12 @@
         self.peer_tracker.add_peers(routers.filter(|(host, _)| *host != own), now);
     }
 
+    /// Whether all other routers are reachable or have stopped.
+    pub(crate) fn reaches_all_peers(&mut self, now: Instant) -> bool {
+        self.peer_tracker.is_initialized()
+            && self.peer_tracker.unreachable(&self.conf, now).is_empty()
+    }
+
     /// Drops the other buckets.
     pub(crate) fn retain(&mut self, is_kept: impl Fn(BucketKey) -> bool) {
         self.buckets.retain(|key, _| is_kept(*key));
--- a/crates/admission/src/server_limits.rs
+++ b/crates/admission/src/server_limits.rs
@@ -119,6 +119,11 @@
         self.table.set_routers(routers, now);
     }
 
+    /// Whether all routers are in touch, but for those that have stopped.
+    pub fn reaches_all_routers(&mut self, now: Instant) -> bool {
+        self.table.reaches_all_peers(now)
+    }
+
     /// Drops the limits of the other servers.
     pub fn retain(&mut self, is_listed: impl Fn(u64) -> bool) {
         self.servers.retain(|server, _| is_listed(*server));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -197,6 +197,7 @@
 pub use suspect_report::CrashNotice;
 pub use suspect_report::CrashProof;
 pub use suspect_report::ProbeNotice;
+pub use suspect_report::ProbeOutcome;
 pub use suspect_report::StoredSuspect;
 pub use suspect_report::SuspectNotice;
 pub use suspect_report::SuspectReport;
--- a/crates/dispatch/src/server_check.rs
+++ b/crates/dispatch/src/server_check.rs
@@ -4,11 +4,13 @@
 
 use derive_more::Display;
 
+use crate::suspect_table::MAX_PROBING_HOSTS;
+
 /// Time in which other hosts answer whether they reach the server.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Answers of other hosts that settle the question at once.
 const MIN_ANSWERS: usize = 2;
-/// Age from which a single answer does.
+/// Time after which a single answer does.
 const SINGLE_ANSWER_TIME: Duration = Duration::from_millis(400);
 /// An undecided check ends after this time. Longer than a crashed server stays in the list: three heartbeats of 1.2 s
 /// and the time until the list is read.
@@ -22,10 +24,14 @@
     pub own_reached: Option<bool>,
     /// Other hosts that reached the server since the break.
     pub others_reached: usize,
-    /// Other hosts that failed to reach it since the break.
+    /// Other hosts that failed to reach it since the break, and reach another of the service.
     pub others_failed: usize,
+    /// Other hosts that failed and are not known to reach the service. Their failures tell of their own links.
+    pub others_isolated: usize,
     /// Other live hosts.
     pub peers: usize,
+    /// All known hosts are in touch.
+    pub is_fleet_whole: bool,
     /// Another server of the service was reached from here since the break.
     pub is_control_reached: bool,
     /// The list still has this incarnation of the server.
@@ -34,6 +40,8 @@
     pub is_confirmed: bool,
     /// Time since the break.
     pub age: Duration,
+    /// Time since the other hosts were asked; `None` if they were not.
+    pub asked: Option<Duration>,
 }
 
 /// Result of a check.
@@ -65,7 +73,7 @@
     /// Neither this nor other hosts reach it.
     #[display("not reached by other hosts either")]
     UnreachedByAll,
-    /// This host reaches another server of the service, and no other host has answered.
+    /// This host reaches another server of the service, and no other host with a say has answered.
     #[display("another server of the service is reached")]
     OthersReached,
     /// There is no other host.
@@ -97,14 +105,31 @@
         }
         match self.peers {
             0 => CheckVerdict::Crashed(CrashReason::NoPeers),
-            _ if self.age < ANSWER_TIME || 0 < self.others_failed => CheckVerdict::Undecided,
+            _ if self.waited() < ANSWER_TIME || 0 < self.others_failed => CheckVerdict::Undecided,
             _ if self.is_control_reached => CheckVerdict::Crashed(CrashReason::OthersReached),
             _ => CheckVerdict::Undecided,
         }
     }
 
+    fn waited(&self) -> Duration {
+        self.asked.unwrap_or_default()
+    }
+
     fn is_unreached_by_all(&self) -> bool {
         let is_enough = MIN_ANSWERS.min(self.peers) <= self.others_failed;
-        0 < self.others_failed && (is_enough || SINGLE_ANSWER_TIME <= self.age)
+        let is_confirmed =
+            0 < self.others_failed && (is_enough || SINGLE_ANSWER_TIME <= self.waited());
+        is_confirmed || self.reaches_nobody()
+    }
+
+    /// Whether no host reaches the service: all its servers have ended, as all hosts are in touch and all that try have
+    /// failed.
+    fn reaches_nobody(&self) -> bool {
+        let asked = self.peers.min(MAX_PROBING_HOSTS - 1);
+        self.is_fleet_whole
+            && !self.is_control_reached
+            && self.others_failed == 0
+            && MIN_ANSWERS <= asked
+            && asked <= self.others_isolated
     }
 }
--- a/crates/dispatch/src/server_registry/reach.rs
+++ b/crates/dispatch/src/server_registry/reach.rs
@@ -117,6 +117,11 @@
         others.take(count).map(|state| state.entry.clone()).collect()
     }
 
+    /// Whether all known routers are in touch.
+    pub fn is_fleet_whole(&mut self, now: Instant) -> bool {
+        self.limits.as_mut().is_some_and(|limits| limits.reaches_all_routers(now))
+    }
+
     /// Ends the backoff of a server that a probe has reached.
     pub fn record_probe_reached(&mut self, server: ServerKey) {
         if let Some(state) = self.state_mut(server) {
--- a/crates/dispatch/src/suspect_report.rs
+++ b/crates/dispatch/src/suspect_report.rs
@@ -72,15 +72,28 @@
     Running,
 }
 
-/// Outcome of a connection attempt to a server that may have crashed.
+/// A connection attempt to a server that may have crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeNotice {
     /// The server incarnation.
     pub server: ServerKey,
-    /// Whether the connection was opened.
-    pub is_reached: bool,
+    /// Its outcome.
+    pub outcome: ProbeOutcome,
     /// Milliseconds since the attempt.
     pub age_ms: u32,
+    /// Whether the sender checks the server, and asks the others to try it.
+    pub is_question: bool,
+}
+
+/// Outcome of a connection attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProbeOutcome {
+    /// The connection was opened.
+    Reached,
+    /// It was not, and the host reaches another server of the service.
+    Failed,
+    /// It was not, and the host is not known to reach the service: its own links may be cut.
+    Isolated,
 }
 
 /// What the store keeps of one suspected request.
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+pub(crate) use self::checks::MAX_PROBING_HOSTS;
 use self::checks::ProbeRecord;
 use self::checks::ServerCheck;
 use crate::ClaimNotice;
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -12,6 +12,7 @@
 use crate::CrashProof;
 use crate::CrashReason;
 use crate::ProbeNotice;
+use crate::ProbeOutcome;
 use crate::ServerKey;
 use crate::SuspectChange;
 use crate::SuspectReport;
@@ -28,7 +29,7 @@
 /// Outcomes older than the break by less than this count as later: clocks and messages are inexact.
 const AGE_TOLERANCE: Duration = Duration::from_millis(5);
 /// Hosts that try a connection for another one, in a large fleet.
-const MAX_PROBING_HOSTS: usize = 5;
+pub(crate) const MAX_PROBING_HOSTS: usize = 8;
 
 /// A check that this host makes.
 #[derive(Clone, Copy, Debug)]
@@ -37,15 +38,17 @@
     first_broken_at: Instant,
     /// The latest one, which connection attempts have to follow.
     broken_at: Instant,
-    own_reached: Option<bool>,
+    outcome: Option<ProbeOutcome>,
+    /// When the other hosts were asked.
+    asked: Option<Instant>,
     needs_probe: bool,
 }
 
 /// Latest connection attempts of all hosts to a server.
 #[derive(Debug)]
 pub(super) struct ProbeRecord {
-    own: Option<(bool, Instant)>,
-    others: IndexMap<HostName, (bool, Instant)>,
+    own: Option<(ProbeOutcome, Instant)>,
+    others: IndexMap<HostName, (ProbeOutcome, Instant)>,
     /// Another host has asked for an attempt.
     is_wanted: bool,
     last_updated: Instant,
@@ -57,16 +60,22 @@
     pub fn begin_check(&mut self, server: ServerKey, now: Instant) -> bool {
         if let Some(check) = self.checks.get_mut(&server) {
             let age = now.saturating_duration_since(check.broken_at);
-            if check.own_reached.is_some() && SAME_BREAK_TIME <= age {
-                *check =
-                    ServerCheck { broken_at: now, own_reached: None, needs_probe: true, ..*check };
+            if check.outcome.is_some() && SAME_BREAK_TIME <= age {
+                *check = ServerCheck {
+                    broken_at: now,
+                    outcome: None,
+                    asked: None,
+                    needs_probe: true,
+                    ..*check
+                };
             }
             return false;
         }
         let check = ServerCheck {
             first_broken_at: now,
             broken_at: now,
-            own_reached: None,
+            outcome: None,
+            asked: None,
             needs_probe: true,
         };
         self.checks.insert(server, check);
@@ -75,7 +84,7 @@
 
     /// Whether the next connection attempt of a check has not ended.
     pub fn awaits_probe(&self, server: ServerKey) -> bool {
-        self.checks.get(&server).is_some_and(|check| check.own_reached.is_none())
+        self.checks.get(&server).is_some_and(|check| check.outcome.is_none())
     }
 
     /// Whether a check has to try the server now.
@@ -85,15 +94,18 @@
 
     /// Records whether a connection to the server was opened. If it failed under a check, the requests that ran there
     /// are suspected; otherwise those that are suspected already.
-    pub fn record_probe(&mut self, server: ServerKey, is_reached: bool, now: Instant) {
+    pub fn record_probe(&mut self, server: ServerKey, outcome: ProbeOutcome, now: Instant) {
         let record = self.probe_mut(server, now);
-        record.own = Some((is_reached, now));
+        record.own = Some((outcome, now));
         let Some(check) = self.checks.get_mut(&server) else { return };
-        check.own_reached = Some(is_reached);
+        check.outcome = Some(outcome);
+        if outcome != ProbeOutcome::Reached {
+            check.asked.get_or_insert(now);
+        }
         let broken_at = check.broken_at;
         for fingerprint in self.suspects_at(server, broken_at, now) {
             // A server that takes connections may have ended and be back: that counts for suspects until the list tells.
-            if is_reached && !self.is_suspected(fingerprint) {
+            if outcome == ProbeOutcome::Reached && !self.is_suspected(fingerprint) {
                 continue;
             }
             let record = self.record_mut(fingerprint, now);
@@ -106,7 +118,7 @@
     /// Records that a connection attempt of a check was inconclusive, so that another one is needed.
     pub fn record_no_probe(&mut self, server: ServerKey) {
         if let Some(check) = self.checks.get_mut(&server) {
-            *check = ServerCheck { own_reached: None, needs_probe: true, ..*check };
+            *check = ServerCheck { outcome: None, needs_probe: true, ..*check };
         }
     }
 
@@ -120,20 +132,19 @@
     pub fn check_inputs(&self, server: ServerKey, now: Instant) -> CheckInputs {
         let Some(check) = self.checks.get(&server) else { return CheckInputs::default() };
         let since = check.broken_at.checked_sub(AGE_TOLERANCE).unwrap_or(check.broken_at);
-        let (mut reached, mut failed) = (0, 0);
         let others = self.probes.get(&server).into_iter().flat_map(|record| record.others.values());
-        for (is_reached, _) in others.filter(|(_, at)| since <= *at) {
-            match is_reached {
-                true => reached += 1,
-                false => failed += 1,
-            }
-        }
+        let recent: Vec<ProbeOutcome> =
+            others.filter(|(_, at)| since <= *at).map(|(outcome, _)| *outcome).collect();
+        let count = |wanted| recent.iter().filter(|outcome| **outcome == wanted).count();
         CheckInputs {
-            own_reached: check.own_reached,
-            others_reached: reached,
-            others_failed: failed,
+            own_reached: check.outcome.map(|outcome| outcome == ProbeOutcome::Reached),
+            others_reached: count(ProbeOutcome::Reached),
+            others_failed: count(ProbeOutcome::Failed),
+            others_isolated: count(ProbeOutcome::Isolated),
+            is_control_reached: check.outcome == Some(ProbeOutcome::Failed),
             is_confirmed: self.records.values().any(|record| record.is_confirmed(server)),
             age: now.saturating_duration_since(check.broken_at),
+            asked: check.asked.map(|asked| now.saturating_duration_since(asked)),
             ..CheckInputs::default()
         }
     }
@@ -210,18 +221,23 @@
             let age = Duration::from_millis(u64::from(probe.age_ms));
             let at = now.checked_sub(age).unwrap_or(now);
             let record = self.probe_mut(probe.server, now);
-            record.others.insert(from.clone(), (probe.is_reached, at));
+            record.others.insert(from.clone(), (probe.outcome, at));
+            if probe.is_question {
+                self.want_probe(probe.server, now);
+            }
         }
     }
 
     pub(super) fn probe_notices(&self, now: Instant) -> Vec<ProbeNotice> {
         let mut notices = Vec::new();
         for (server, record) in &self.probes {
-            let Some((is_reached, at)) = record.own else { continue };
+            let Some((outcome, at)) = record.own else { continue };
             let age = now.saturating_duration_since(at);
             if age < PROBE_PUBLISH_TIME {
                 let age_ms = age.as_millis() as u32;
-                notices.push(ProbeNotice { server: *server, is_reached, age_ms });
+                let is_open = self.checks.contains_key(server);
+                let is_question = is_open && outcome != ProbeOutcome::Reached;
+                notices.push(ProbeNotice { server: *server, outcome, age_ms, is_question });
             }
         }
         notices
--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -4,6 +4,7 @@
 
 use fulmargate_dispatch::CheckVerdict;
 use fulmargate_dispatch::CrashReason;
+use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::RunEnd;
 use fulmargate_dispatch::RunStep;
 use fulmargate_dispatch::ServerKey;
@@ -179,7 +180,7 @@
                 let table = &mut self.tables[at];
                 table.begin_check(server, now);
                 table.end_run(run, RunEnd::Unclear, now);
-                table.record_probe(server, false, now);
+                table.record_probe(server, ProbeOutcome::Failed, now);
                 table.release(PRINT, ticket, now);
                 let until = now + 2 * (self.size.interval + self.size.transit);
                 SendState::Checking { server, until }
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -13,6 +13,7 @@
 use fulmargate_dispatch::CrashReason;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::ProbeNotice;
+use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::RunEnd;
 use fulmargate_dispatch::RunStep;
 use fulmargate_dispatch::ServerKey;
@@ -51,7 +52,7 @@
     let run = table.begin_run(fingerprint, server);
     table.begin_check(server, now);
     table.end_run(run, RunEnd::Unclear, now);
-    table.record_probe(server, false, now);
+    table.record_probe(server, ProbeOutcome::Failed, now);
     table.finish_check(server, CheckVerdict::Crashed(CrashReason::UnreachedByAll), now);
 }
 
@@ -107,11 +108,14 @@
     own_reached: Some(false),
     others_reached: 0,
     others_failed: 0,
+    others_isolated: 0,
     peers: 5,
+    is_fleet_whole: false,
     is_control_reached: false,
     is_listed: true,
     is_confirmed: false,
     age: Duration::from_millis(30),
+    asked: Some(Duration::from_millis(30)),
 };
 const LATER: Duration = Duration::from_millis(1_500);
 
@@ -138,12 +142,12 @@
     },
     VerdictCase {
         name: "no host answers",
-        inputs: CheckInputs { is_control_reached: true, age: LATER, ..UNREACHED },
+        inputs: CheckInputs { is_control_reached: true, asked: Some(LATER), ..UNREACHED },
         verdict: CheckVerdict::Crashed(CrashReason::OthersReached),
     },
     VerdictCase {
         name: "no host answers, and nothing is reached",
-        inputs: CheckInputs { age: LATER, ..UNREACHED },
+        inputs: CheckInputs { asked: Some(LATER), ..UNREACHED },
         verdict: CheckVerdict::Undecided,
     },
     VerdictCase {
@@ -153,9 +157,34 @@
     },
     VerdictCase {
         name: "one host has answered for a while",
-        inputs: CheckInputs { others_failed: 1, age: LATER, ..UNREACHED },
+        inputs: CheckInputs { others_failed: 1, asked: Some(LATER), ..UNREACHED },
         verdict: CheckVerdict::Crashed(CrashReason::UnreachedByAll),
     },
+    VerdictCase {
+        name: "a host that reaches no server has no say",
+        inputs: CheckInputs { others_isolated: 1, asked: Some(LATER), ..UNREACHED },
+        verdict: CheckVerdict::Undecided,
+    },
+    VerdictCase {
+        name: "three hosts are cut off from the others and from all servers",
+        inputs: CheckInputs { others_isolated: 2, peers: 2, asked: Some(LATER), ..UNREACHED },
+        verdict: CheckVerdict::Undecided,
+    },
+    VerdictCase {
+        name: "no host of the whole fleet reaches any server",
+        inputs: CheckInputs { others_isolated: 3, peers: 3, is_fleet_whole: true, ..UNREACHED },
+        verdict: CheckVerdict::Crashed(CrashReason::UnreachedByAll),
+    },
+    VerdictCase {
+        name: "this host's attempt took long, and the others were asked a moment ago",
+        inputs: CheckInputs { is_control_reached: true, age: LATER, ..UNREACHED },
+        verdict: CheckVerdict::Undecided,
+    },
+    VerdictCase {
+        name: "some hosts have not answered yet",
+        inputs: CheckInputs { others_isolated: 2, peers: 3, is_fleet_whole: true, ..UNREACHED },
+        verdict: CheckVerdict::Undecided,
+    },
     VerdictCase {
         name: "there is no other host",
         inputs: CheckInputs { peers: 0, ..UNREACHED },
@@ -411,16 +440,16 @@
 fn answers_from_before_the_break_do_not_count() {
     let now = Instant::now();
     let mut table = table(0);
-    let probe = |age_ms, is_reached| SuspectReport {
+    let probe = |age_ms, outcome| SuspectReport {
         suspects: Vec::new(),
-        probes: vec![ProbeNotice { server: key("a"), is_reached, age_ms }],
+        probes: vec![ProbeNotice { server: key("a"), outcome, age_ms, is_question: false }],
     };
-    table.merge(&host(1), &probe(500, true), now);
+    table.merge(&host(1), &probe(500, ProbeOutcome::Reached), now);
     table.begin_check(key("a"), now);
-    table.record_probe(key("a"), false, now);
+    table.record_probe(key("a"), ProbeOutcome::Failed, now);
     assert_eq!(table.check_inputs(key("a"), now).others_reached, 0);
     let later = now + STEP;
-    table.merge(&host(1), &probe(1, false), later);
+    table.merge(&host(1), &probe(1, ProbeOutcome::Failed), later);
     let inputs = table.check_inputs(key("a"), later);
     assert_eq!((inputs.others_reached, inputs.others_failed), (0, 1));
 }
@@ -545,7 +574,7 @@
     let run = table.begin_run(PRINT, key("a"));
     table.begin_check(key("a"), now);
     table.end_run(run, RunEnd::Unclear, now);
-    table.record_probe(key("a"), false, now);
+    table.record_probe(key("a"), ProbeOutcome::Isolated, now);
 }
 
 /// Guards against a false crash by the word of a host that is cut off itself, while the others are not asked.
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -12,6 +12,7 @@
 use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::ProbeNotice;
+use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
@@ -60,7 +61,12 @@
         cleared: vec![ServerKey(6)],
         claim: Some(ClaimNotice { stage: ClaimStage::Running, server: ServerKey(9) }),
     };
-    let probe = ProbeNotice { server: ServerKey(5), is_reached: false, age_ms: 3 };
+    let probe = ProbeNotice {
+        server: ServerKey(5),
+        outcome: ProbeOutcome::Failed,
+        is_question: true,
+        age_ms: 3,
+    };
     let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe] };
     let sent = GossipMessage { suspects, ..gossip(None) };
     let message = encode_gossip(&sent).expect("encode message");
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -8,10 +8,12 @@
 use fulmargate_dispatch::CheckVerdict;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::CrashReason;
+use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerStage;
 use fulmargate_names::EventKind;
 use fulmargate_names::RequestId;
+use futures_util::future::select_ok;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -39,8 +41,6 @@
     /// The request whose connection broke.
     id: RequestId,
     server: Arc<ServerEntry>,
-    /// Another server of the service was reached since the break.
-    is_control_reached: bool,
     /// The server was seen to leave in good order.
     is_leaving: bool,
 }
@@ -54,7 +54,7 @@
 ) {
     if state.suspects().begin_check(server.key(), Instant::now()) {
         let (state, id, server) = (state.clone(), id.clone(), server.clone());
-        let check = CrashCheck { state, id, server, is_control_reached: false, is_leaving: false };
+        let check = CrashCheck { state, id, server, is_leaving: false };
         tokio::task::spawn_local(check.run());
     }
     let probed = state.suspect_probed.notified();
@@ -116,17 +116,17 @@
         let outcome = connecting.map_or_else(|err| err.outcome(), |_| ConnectOutcome::Reached);
         let now = Instant::now();
         match outcome {
-            ConnectOutcome::Reached => self.state.suspects().record_probe(key, true, now),
+            ConnectOutcome::Reached => {
+                self.state.suspects().record_probe(key, ProbeOutcome::Reached, now);
+            }
             // Connections also time out on a saturated link and while the local network fails.
             ConnectOutcome::TimedOut if !self.times_out_again().await => {
                 self.state.suspects().record_no_probe(key);
                 sleep(RETRY_DELAY).await;
             }
             ConnectOutcome::Refused | ConnectOutcome::TimedOut => {
-                self.state.suspects().record_probe(key, false, now);
                 self.state.servers().record_unreachable(key, now);
-                self.state.suspect_probed.notify_waiters();
-                self.is_control_reached = reaches_control(&self.state, &self.server).await;
+                record_failed_probe(&self.state, &self.server).await;
             }
         }
         self.state.suspect_probed.notify_waiters();
@@ -141,7 +141,7 @@
     fn inputs(&mut self) -> CheckInputs {
         let now = Instant::now();
         let inputs = self.state.suspects().check_inputs(self.server.key(), now);
-        let servers = self.state.servers();
+        let mut servers = self.state.servers();
         let stage = servers.state(self.server.key()).map(|state| state.entry().stage);
         self.is_leaving |= stage.is_some_and(|stage| stage != ServerStage::Ready);
         // A list without any entry of the service is no evidence on one server.
@@ -149,7 +149,7 @@
             servers.states().any(|state| state.entry().service == self.server.service);
         CheckInputs {
             peers: servers.live_peers(now).len(),
-            is_control_reached: self.is_control_reached,
+            is_fleet_whole: servers.is_fleet_whole(now),
             is_listed: stage.is_some() || !has_service,
             ..inputs
         }
@@ -182,11 +182,14 @@
             own_reached = inputs.own_reached,
             others_reached = inputs.others_reached,
             others_failed = inputs.others_failed,
+            others_isolated = inputs.others_isolated,
             peers = inputs.peers,
+            is_fleet_whole = inputs.is_fleet_whole,
             is_control_reached = inputs.is_control_reached,
             is_listed = inputs.is_listed,
             suspects,
             age_ms = inputs.age.as_millis() as u64,
+            asked_ms = inputs.asked.map(|asked| asked.as_millis() as u64),
         );
     }
 }
@@ -194,12 +197,17 @@
 /// Whether another server of the same service takes connections.
 async fn reaches_control(state: &Arc<SharedState>, server: &ServerEntry) -> bool {
     let controls = state.servers().control_servers(server, MAX_CONTROL_SERVERS);
-    for control in &controls {
-        if ServerConnection::connect_to_server(state, control).await.is_ok() {
-            return true;
-        }
-    }
-    false
+    let connect =
+        |control: &Arc<ServerEntry>| Box::pin(connect_to_control(state.clone(), control.clone()));
+    !controls.is_empty() && select_ok(controls.iter().map(connect)).await.is_ok()
+}
+
+async fn connect_to_control(
+    state: Arc<SharedState>,
+    control: Arc<ServerEntry>,
+) -> Result<(), ConnectOutcome> {
+    let connecting = ServerConnection::connect_to_server(&state, &control).await;
+    connecting.map(drop).map_err(|err| err.outcome())
 }
 
 /// Whether a refused connection is the server's own failure: another server of its service can be reached, or no other
@@ -231,8 +239,19 @@
     let connecting = ServerConnection::connect_to_server(&state, &server).await;
     let outcome = connecting.map_or_else(|err| err.outcome(), |_| ConnectOutcome::Reached);
     let now = Instant::now();
-    if outcome == ConnectOutcome::TimedOut && state.servers().suspects_local_fault(now) {
-        return;
+    if outcome == ConnectOutcome::Reached {
+        state.suspects().record_probe(server.key(), ProbeOutcome::Reached, now);
+    } else if outcome == ConnectOutcome::Refused || !state.servers().suspects_local_fault(now) {
+        record_failed_probe(&state, &server).await;
+    }
+}
+
+/// Records a connection that failed, at once and again when another server of the service is reached.
+async fn record_failed_probe(state: &Arc<SharedState>, server: &ServerEntry) {
+    let isolated = ProbeOutcome::Isolated;
+    state.suspects().record_probe(server.key(), isolated, Instant::now());
+    state.suspect_probed.notify_waiters();
+    if reaches_control(state, server).await {
+        state.suspects().record_probe(server.key(), ProbeOutcome::Failed, Instant::now());
     }
-    state.suspects().record_probe(server.key(), outcome == ConnectOutcome::Reached, now);
 }
