Limits: one host in touch grants the tokens of a server in a large fleet

No logs; a model with requests that wait for several servers, and with late messages, broke the bound (13 of 11, 8 of 6.8), as did demand that no host has seen before (44 of 21.8).

Cause: all hosts hold the same totals, so that a token appears at all of them at once, and each takes it as if alone. A draw needs the number of takers, which is not known.

Change: where a request too many from each host is more than the users allow above the limit (more than 2 N + 4 hosts in touch), the first host by hash grants the tokens; the others report how many requests wait and use only what they are granted. Grants, uses and lapses travel as totals. Which host grants follows who is in touch; a new one and one that was not running wait first. Smaller fleets and larger limits keep the shared bucket. Requests that skip a server without a token count as well.

Why it works: a token has one owner at any time, also at the first moment and with messages of any age below 1.2 s.

--- a/crates/admission/src/bucket_table.rs
+++ b/crates/admission/src/bucket_table.rs
@@ -120,6 +120,20 @@
         self.available(key, now)
     }
 
+    /// Refills the bucket up to `now` and returns its level, without an estimate of unreported use; `None` without a
+    /// bucket. It holds in addition as many tokens as were granted.
+    pub(crate) fn level(&mut self, key: BucketKey, granted: f64, now: Instant) -> Option<f64> {
+        let bucket = self.buckets.get_mut(&key)?;
+        bucket.set_granted(granted);
+        bucket.update(&mut self.peer_tracker, &self.conf, now);
+        Some(bucket.level())
+    }
+
+    /// Other routers that have reported lately.
+    pub(crate) fn hosts_in_touch(&self, now: Instant) -> Vec<HostName> {
+        self.peer_tracker.hosts_in_touch(&self.conf, now)
+    }
+
     /// Time until the bucket has this many tokens if no other request takes any.
     pub(crate) fn time_until(&self, key: BucketKey, tokens: f64, now: Instant) -> Duration {
         let Some(bucket) = self.buckets.get(&key) else { return Duration::ZERO };
--- a/crates/admission/src/limit_report.rs
+++ b/crates/admission/src/limit_report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::HostKey;
 use crate::QuotaReport;
 
 /// What one router knows of limited servers, and what it sent to them since its last report.
@@ -12,6 +13,20 @@
     pub notices: Vec<LimitNotice>,
     /// Requests sent to limited servers, by server.
     pub usage: QuotaReport,
+    /// Tokens that the sender grants to others.
+    pub grants: Vec<GrantNotice>,
+}
+
+/// Tokens of one server granted to one router.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantNotice {
+    /// Key of the server incarnation.
+    pub server: u64,
+    /// The router.
+    pub host: HostKey,
+    /// Tokens granted since the process starts of both. Totals never decrease, so duplicate and late reports have no
+    /// effect.
+    pub total: u32,
 }
 
 /// Limit of one server incarnation.
@@ -25,6 +40,10 @@
     pub age_ms: u32,
     /// Requests per second for which the sender would choose the server, admitted or not.
     pub attempts_per_s: f32,
+    /// Requests that wait at the sender for a token of the server.
+    pub wanted: u32,
+    /// Granted tokens that have lapsed at the sender since its process start.
+    pub lapsed: u32,
 }
 
 impl LimitNotice {
--- a/crates/admission/src/limited_server.rs
+++ b/crates/admission/src/limited_server.rs
@@ -9,6 +9,7 @@
 use crate::LimitRecord;
 use crate::decaying_rate::DecayingRate;
 use crate::held_rate::HeldRate;
+use crate::token_grants::TokenGrants;
 
 /// Averaging period of the requests for which a server is chosen.
 const ATTEMPT_AVERAGING_PERIOD: Duration = Duration::from_secs(1);
@@ -29,6 +30,10 @@
     held_peer_attempts: HeldRate,
     /// Reports in which the limit still goes first.
     pub(crate) change_reports: u8,
+    /// Tokens granted to and by this router.
+    pub(crate) grants: TokenGrants,
+    /// Version of the routers in touch by which the granter was chosen; `None` before the first choice.
+    pub(crate) granter_version: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +50,8 @@
             held_peer_attempts: HeldRate::new(now),
             peer_attempts: IndexMap::new(),
             change_reports: 0,
+            grants: TokenGrants::new(now),
+            granter_version: None,
         }
     }
 
--- a/crates/admission/src/peer_tracker.rs
+++ b/crates/admission/src/peer_tracker.rs
@@ -95,6 +95,18 @@
         self.peers.get_index(index).is_some_and(|(_, peer)| peer.last_report.is_some())
     }
 
+    /// Routers that have reported lately, in the order of their names.
+    pub(crate) fn hosts_in_touch(&self, conf: &QuotaConf, now: Instant) -> Vec<HostName> {
+        let is_in_touch = |peer: &Peer| {
+            peer.last_report
+                .is_some_and(|at| now.saturating_duration_since(at) < conf.reach_timeout)
+        };
+        let in_touch = self.peers.iter().filter(|(_, peer)| is_in_touch(peer));
+        let mut hosts: Vec<HostName> = in_touch.map(|(host, _)| host.clone()).collect();
+        hosts.sort_unstable_by(|a, b| a.as_str().cmp(b.as_str()));
+        hosts
+    }
+
     /// Indexes of routers that are unreachable and may still admit requests.
     pub(crate) fn unreachable(&mut self, conf: &QuotaConf, now: Instant) -> &[usize] {
         if self.refreshed.is_none_or(|at| REFRESH_INTERVAL <= now.saturating_duration_since(at)) {
--- a/crates/admission/src/quota_bucket.rs
+++ b/crates/admission/src/quota_bucket.rs
@@ -42,6 +42,8 @@
     updated: Instant,
     /// Fraction of the quota available to this router and the reachable routers together.
     reachable_share: f64,
+    /// Tokens granted to routers, by which the level may exceed the capacity.
+    granted: f64,
     /// Tokens reserved for unreachable routers.
     reserved: f64,
     /// Time since which all routers have been reachable.
@@ -105,6 +107,7 @@
             level,
             updated: now,
             reachable_share: 1.0,
+            granted: 0.0,
             reserved: 0.0,
             all_reachable_since: None,
             own: RouterUsage::new(now),
@@ -244,6 +247,16 @@
         }
     }
 
+    /// Tokens, without an estimate of unreported use.
+    pub(crate) fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Sets the tokens that were granted to routers and are not reported as used.
+    pub(crate) fn set_granted(&mut self, granted: f64) {
+        self.granted = granted;
+    }
+
     /// Available tokens, less the estimated unreported usage of other routers.
     pub(crate) fn available(
         &self,
@@ -314,8 +327,8 @@
         let filled = self.refill_rate(conf) * elapsed;
         // Usage before the current window does not count against the quota.
         let min_level = -self.refill_rate(conf) * conf.window.as_secs_f64();
-        self.level =
-            (self.level + filled * self.reachable_share).clamp(min_level, self.capacity(conf));
+        self.level = (self.level + filled * self.reachable_share)
+            .clamp(min_level, self.capacity(conf) + self.granted);
         let unreachable =
             self.unreachable.iter().filter(|(index, _)| peer_tracker.has_reported(**index));
         let reserved_share: f64 = unreachable.map(|(_, share)| share).sum();
@@ -388,7 +401,7 @@
         let since = *self.all_reachable_since.get_or_insert(now);
         if conf.reach_timeout <= now.saturating_duration_since(since) {
             let released = std::mem::take(&mut self.reserved);
-            self.level = (self.level + released).min(self.capacity(conf));
+            self.level = (self.level + released).min(self.capacity(conf) + self.granted);
         }
     }
 
--- a/crates/admission/src/server_limits.rs
+++ b/crates/admission/src/server_limits.rs
@@ -1,5 +1,7 @@
 //! Enforces the rate limits that servers name, over all routers.
 
+mod granting;
+
 use std::time::Duration;
 
 use fulmargate_names::HostName;
@@ -19,6 +21,7 @@
 use crate::bucket_table::BucketTable;
 use crate::limited_server::LimitedServer;
 use crate::quota_bucket::QuotaBucket;
+use crate::server_limits::granting::TouchView;
 
 /// Limits in a report. The others follow in the next ones.
 const MAX_NOTICES: usize = 16;
@@ -44,6 +47,7 @@
     own: HostName,
     table: BucketTable,
     servers: IndexMap<u64, LimitedServer>,
+    touch: TouchView,
     /// Position of the first notice in the next report.
     next_notice: usize,
     /// Number of random draws so far.
@@ -104,6 +108,7 @@
             own: own.clone(),
             table: BucketTable::new(own, start, conf),
             servers: IndexMap::new(),
+            touch: TouchView::default(),
             next_notice: 0,
             draws: 0,
         }
@@ -163,6 +168,10 @@
         if let Some(limited) = self.servers.get_mut(&server) {
             limited.attempts.add(1.0, now);
         }
+        self.refresh_touch(now);
+        if self.is_granted(rate_per_s) {
+            return self.admit_granted(server, rate_per_s, now);
+        }
         let key = BucketKey::of_server(server);
         let available = self.table.refresh(key, now).unwrap_or_default();
         let is_available = 1.0 <= available;
@@ -180,15 +189,21 @@
 
     /// When a request could be sent to a server if none came before it; `None` if the server has no limit.
     pub fn wait_for(&mut self, server: u64, now: Instant) -> Option<LimitWait> {
-        self.update_bucket(server, now)?;
+        let rate_per_s = self.update_bucket(server, now)?;
+        self.refresh_touch(now);
+        if self.is_granted(rate_per_s) {
+            self.servers.get_mut(&server)?.grants.record_attempt();
+        }
         self.table.refresh(BucketKey::of_server(server), now);
         Some(self.wait(server, now))
     }
 
     /// Whether a request would find a token.
     pub fn has_tokens(&mut self, server: u64, now: Instant) -> bool {
-        if self.update_bucket(server, now).is_none() {
-            return true;
+        let Some(rate_per_s) = self.update_bucket(server, now) else { return true };
+        self.refresh_touch(now);
+        if self.is_granted(rate_per_s) {
+            return self.has_granted_tokens(server, now);
         }
         let available = self.table.refresh(BucketKey::of_server(server), now);
         available.is_none_or(|available| 1.0 <= available)
@@ -226,7 +241,9 @@
 
     /// Returns the limits known here and what was sent since the last report.
     pub fn take_report(&mut self, now: Instant) -> LimitReport {
-        LimitReport { notices: self.take_notices(now), usage: self.table.take_report() }
+        self.refresh_touch(now);
+        let grants = self.take_grants(now);
+        LimitReport { notices: self.take_notices(now), usage: self.table.take_report(), grants }
     }
 
     /// Applies another router's report about listed servers. Returns the limits that were learned from it.
@@ -240,9 +257,13 @@
         if *host == self.own {
             return Vec::new();
         }
+        self.refresh_touch(now);
         let is_used = |notice: &&LimitNotice| notice.is_valid() && is_listed(notice.server);
+        let start = report.usage.start;
         let notices = report.notices.iter().take(MAX_NOTICES).filter(is_used);
-        let learned = notices.filter_map(|notice| self.apply_notice(host, notice, now)).collect();
+        let learned =
+            notices.filter_map(|notice| self.apply_notice(host, start, notice, now)).collect();
+        self.receive_grants(host, report, now);
         self.table.receive(host, &report.usage, now);
         learned
     }
@@ -250,6 +271,7 @@
     fn apply_notice(
         &mut self,
         host: &HostName,
+        start: u16,
         notice: &LimitNotice,
         now: Instant,
     ) -> Option<LearnedLimit> {
@@ -263,6 +285,8 @@
         let limited = self.servers.entry(server).or_insert_with(|| LimitedServer::new(observed));
         let per_s = f64::from(notice.attempts_per_s);
         limited.record_peer_attempts(host, per_s, now);
+        limited.grants.record_wanted(host, notice.wanted, now);
+        limited.grants.record_lapsed(host, start, notice.lapsed);
         let change = limited.record.merge(notice.rate_per_s, age, now)?;
         limited.change_reports = CHANGE_REPORTS;
         self.update_bucket(server, now);
@@ -277,6 +301,7 @@
         let create = || QuotaBucket::new(quota, 0.0, now);
         let bucket = self.table.bucket(BucketKey::of_server(server), create);
         bucket.set_rate(rate_per_s);
+        self.servers.get_mut(&server)?.grants.set_rate(rate_per_s);
         Some(rate_per_s)
     }
 
@@ -310,6 +335,9 @@
         let Some(limited) = self.servers.get(&server) else {
             return LimitWait { first, spacing: MIN_WAIT };
         };
+        let is_granted = limited.record.allowed_rate(now).is_some_and(|rate| self.is_granted(rate));
+        // A request for a token and the grant each take a message.
+        let first = if is_granted { first.max(2 * self.table.conf.report_delay) } else { first };
         let own = limited.attempts.at(now).max(f64::EPSILON);
         let share = own / (own + limited.peer_attempts(now));
         let rate = limited.record.allowed_rate(now).unwrap_or(f64::INFINITY) * share;
@@ -325,18 +353,16 @@
             .filter(|(_, limited)| limited.is_reported(now))
             .map(|(server, _)| *server)
             .collect();
-        let is_changed = |server: &u64| {
-            self.servers.get(server).is_some_and(|limited| 0 < limited.change_reports)
-        };
-        let mut chosen: Vec<u64> =
-            reported.iter().copied().filter(is_changed).take(MAX_NOTICES).collect();
-        for step in 0..reported.len() {
-            if MAX_NOTICES <= chosen.len() {
-                break;
-            }
-            let server = reported[(self.next_notice + step) % reported.len()];
-            if !chosen.contains(&server) {
-                chosen.push(server);
+        let is_changed = |limited: &LimitedServer| 0 < limited.change_reports;
+        let is_wanted = |limited: &LimitedServer| limited.grants.wants_token();
+        let mut chosen: Vec<u64> = Vec::new();
+        for is_urgent in [is_changed, is_wanted, |_: &LimitedServer| true] {
+            for step in 0..reported.len() {
+                let server = reported[(self.next_notice + step) % reported.len()];
+                let is_due = self.servers.get(&server).is_some_and(is_urgent);
+                if is_due && chosen.len() < MAX_NOTICES && !chosen.contains(&server) {
+                    chosen.push(server);
+                }
             }
         }
         self.next_notice = self.next_notice.wrapping_add(MAX_NOTICES);
@@ -351,6 +377,8 @@
             rate_per_s: limited.record.rate_per_s(),
             age_ms: limited.record.age(now).as_millis() as u32,
             attempts_per_s: limited.attempts.at(now) as f32,
+            wanted: limited.grants.take_wanted(now),
+            lapsed: limited.grants.lapsed(now),
         })
     }
 }
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -2,6 +2,8 @@
 
 use bincode::config::standard;
 use fulmargate_admission::BucketKey;
+use fulmargate_admission::GrantNotice;
+use fulmargate_admission::HostKey;
 use fulmargate_admission::LimitNotice;
 use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaCount;
@@ -39,12 +41,20 @@
 /// Limits of servers travel behind the message, where routers of earlier versions ignore them.
 #[test]
 fn limit_reports_round_trip() {
-    let notice = LimitNotice { server: 7, rate_per_s: Some(2.8), age_ms: 40, attempts_per_s: 12.5 };
+    let notice = LimitNotice {
+        server: 7,
+        rate_per_s: Some(2.8),
+        age_ms: 40,
+        attempts_per_s: 12.5,
+        wanted: 2,
+        lapsed: 1,
+    };
     let usage = QuotaReport {
         start: 3,
         counts: vec![QuotaCount { key: BucketKey::of_server(7), total: 9, fresh: 2 }],
     };
-    let limits = Some(LimitReport { notices: vec![notice], usage });
+    let grant = GrantNotice { server: 7, host: HostKey::of(&HostName::new("entry-3")), total: 4 };
+    let limits = Some(LimitReport { notices: vec![notice], usage, grants: vec![grant] });
     let sent = GossipMessage { limits, ..gossip(None) };
     let message = encode_gossip(&sent).expect("encode message");
     let decoded = decode_gossip(&message[LENGTH_PREFIX_BYTES..]).expect("decode message");
