--- a/crates/soak/src/calm_times.rs
+++ b/crates/soak/src/calm_times.rs
@@ -5,7 +5,6 @@
 use crate::FaultPlan;
 use crate::FaultStep;
 use crate::SoakFault;
-use crate::soak_world::ROUTERS;
 
 /// Time before a judged fault, and after the end of a disturbance, in which routers recover.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
@@ -20,7 +19,8 @@
         let is_apart = |step: &FaultStep, judged: &FaultStep| {
             step.at + step.lasts + RECOVERY_TIME < judged.at || judged.at + judged.lasts < step.at
         };
-        let disturbs = |step: &FaultStep| (0..ROUTERS).any(|router| step.fault.disturbs(router));
+        let disturbs =
+            |step: &FaultStep| (0..self.routers).any(|router| step.fault.disturbs(router));
         self.steps
             .retain(|step| !disturbs(step) || judged.iter().all(|judged| is_apart(step, judged)));
         self
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -118,6 +118,8 @@
 pub struct FaultPlan {
     /// What it was drawn from.
     pub seed: u64,
+    /// Number of routers.
+    pub routers: usize,
     /// Routers read the store by others if there are more hosts of a zone than this.
     pub few_hosts: usize,
     /// Faults by their begin.
@@ -144,7 +146,7 @@
             }
         }
         steps.sort_by_key(|step| step.at);
-        FaultPlan { seed, few_hosts, steps }
+        FaultPlan { seed, routers, few_hosts, steps }
     }
 
     /// Beside all else the store falls silent for one router, and then a key is taken away. Short faults
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -29,7 +29,6 @@
 use crate::soak_world::ISOLATED_KEY;
 use crate::soak_world::OperatorWord;
 use crate::soak_world::PlannedStop;
-use crate::soak_world::ROUTERS;
 use crate::soak_world::SeenLimit;
 use crate::soak_world::SoakServer;
 use crate::soak_world::TAKEN_KEY;
@@ -56,9 +55,14 @@
     pub detail: String,
 }
 
+/// Error of a request that crashes servers, in the body of its rejection.
+const CRASHING_CODE: &str = "crashing_request";
+
 /// All that a run has shown.
 pub(crate) struct RunEvidence {
     pub(crate) records: Vec<RequestRecord>,
+    /// Number of routers.
+    pub(crate) routers: usize,
     pub(crate) servers: Vec<SoakServer>,
     pub(crate) spans: Vec<FaultSpan>,
     pub(crate) stops: Vec<PlannedStop>,
@@ -97,6 +101,7 @@
         let mut judge = SoakJudge { evidence, runs, broken: Vec::new(), judged };
         for record in &evidence.records {
             judge.judge_answer(record);
+            judge.judge_conviction(record);
             judge.judge_runs(record);
             judge.judge_loss(record);
             judge.judge_key(record);
@@ -357,6 +362,15 @@
     }
 
     /// Nothing is wrong any more: all routers serve all kinds, and all engines have the newest weights.
+    /// None of these requests crashes a server; those that do have callers of their own.
+    fn judge_conviction(&mut self, record: &RequestRecord) {
+        let RequestEnd::Answered(response) = &record.end else { return };
+        if response.body.contains(CRASHING_CODE) {
+            let detail = format!("{} {:?} at router {}", record.id, record.kind, record.router);
+            self.note(Promise::InnocentRefused, detail);
+        }
+    }
+
     fn judge_recovery(&mut self) {
         let recovered = self.evidence.recovered;
         let late: Vec<&RequestRecord> = self
@@ -366,7 +380,7 @@
             .filter(|record| recovered < record.sent && !matches!(record.end, RequestEnd::Left))
             .filter(|record| record.key != TAKEN_KEY || self.evidence.word.key_taken.is_none())
             .collect();
-        for router in 0..ROUTERS {
+        for router in 0..self.evidence.routers {
             for kind in RequestKind::LASTING {
                 let is_one =
                     |record: &&&RequestRecord| (record.router, record.kind) == (router, kind);
--- a/crates/soak/src/judge/host_cuts.rs
+++ b/crates/soak/src/judge/host_cuts.rs
@@ -8,7 +8,6 @@
 use crate::request_record::RequestEnd;
 use crate::request_record::RequestRecord;
 use crate::served_count::ServedCount;
-use crate::soak_world::ROUTERS;
 use crate::soak_world::TAKEN_KEY;
 
 /// Whether the host that a request was sent to was cut off then.
@@ -59,7 +58,7 @@
                 is_own && cut.overlaps(from, record.ended)
             })
         };
-        (0..ROUTERS)
+        (0..self.evidence.routers)
             .any(|router| !is_cut_at(router) && self.is_calm(router, record.sent, record.ended))
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,9 @@
     /// how many seeds
     #[argh(option, default = "1")]
     seeds: u64,
+    /// routers of each run
+    #[argh(option, default = "3")]
+    routers: usize,
     /// seeds that run at the same time
     #[argh(option, default = "4")]
     jobs: usize,
@@ -91,7 +94,8 @@
         SoakArgs { cut_off: true, .. } => PlanKind::CutOff,
         _ => PlanKind::Mixed,
     };
-    let conf = SoakConf { program, folder: args.logs.clone(), length, kind, is_calm: args.calm };
+    let (folder, routers) = (args.logs.clone(), args.routers);
+    let conf = SoakConf { program, folder, length, routers, kind, is_calm: args.calm };
     let runs = (args.first..args.first + args.seeds).map(|seed| run_seed(seed, &conf));
     let mut reports = stream::iter(runs).buffered(args.jobs.max(1));
     let mut failed = 0;
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -37,6 +37,8 @@
     BrittleServers,
     /// A request that has crashed three servers reaches no more.
     CrashingRequests,
+    /// Others are not refused for it.
+    InnocentRefused,
     /// Hosts that reach no server serve their callers.
     CutHosts,
     /// Repeats stay within the budget.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -23,7 +23,6 @@
 use crate::soak_caller::SoakCaller;
 use crate::soak_world::DESKS;
 use crate::soak_world::ENGINES;
-use crate::soak_world::ROUTERS;
 use crate::soak_world::SoakWorld;
 use crate::soak_world::lock;
 
@@ -59,6 +58,8 @@
     pub kind: PlanKind,
     /// Whether routers are not disturbed while hosts are cut off and servers brittle, so that all of it is judged.
     pub is_calm: bool,
+    /// Number of routers.
+    pub routers: usize,
 }
 
 /// What a seed is drawn for.
@@ -103,18 +104,19 @@
 
 /// Runs a seed. Logs stay in the folder if a promise was broken.
 pub async fn run_seed(seed: u64, conf: &SoakConf) -> io::Result<SoakReport> {
-    let mixed = FaultPlan::draw(seed, ROUTERS, DESKS + ENGINES, conf.length);
+    let routers = conf.routers;
+    let mixed = FaultPlan::draw(seed, routers, DESKS + ENGINES, conf.length);
     let plan = match conf.kind {
         PlanKind::Mixed => mixed,
-        PlanKind::CutOff => mixed.with_cut_off(ROUTERS),
-        PlanKind::Restore => mixed.with_restores(ROUTERS, conf.length),
-        PlanKind::Departures => mixed.with_departures(ROUTERS, DESKS + ENGINES, conf.length),
+        PlanKind::CutOff => mixed.with_cut_off(routers),
+        PlanKind::Restore => mixed.with_restores(routers, conf.length),
+        PlanKind::Departures => mixed.with_departures(routers, DESKS + ENGINES, conf.length),
         PlanKind::Limits => mixed.with_limits(DESKS + ENGINES, conf.length),
         PlanKind::ResponseEnds => mixed.with_response_ends(DESKS, ENGINES, conf.length),
-        PlanKind::HostCuts => mixed.with_host_cuts(ROUTERS, conf.length),
+        PlanKind::HostCuts => mixed.with_host_cuts(routers, conf.length),
         PlanKind::CrashingRequests => mixed.with_crashing_requests(conf.length),
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
-        PlanKind::FullLink => mixed.with_full_links(ROUTERS, &PAUSED, conf.length),
+        PlanKind::FullLink => mixed.with_full_links(routers, &PAUSED, conf.length),
     };
     let plan = if conf.is_calm { plan.with_calm_times() } else { plan };
     let folder = conf.folder.join(format!("seed-{seed}"));
@@ -145,6 +147,7 @@
     let requests = records.len();
     let evidence = RunEvidence {
         records,
+        routers,
         servers: world.all_servers(),
         spans: world.log.spans(),
         stops: world.stops(),
@@ -178,10 +181,10 @@
     let caller = |number: usize| SoakCaller {
         world: world.clone(),
         records: records.clone(),
-        router: number % ROUTERS,
+        router: number % world.routers.len(),
         number,
         seed,
     };
     let start = |number: usize| tokio::spawn(caller(number).run(stop.subscribe()));
-    (0..callers_per_router * ROUTERS).map(start).collect()
+    (0..callers_per_router * world.routers.len()).map(start).collect()
 }
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -34,8 +34,6 @@
 use crate::router_process::RouterSpec;
 use crate::router_process::STOP_GRACE;
 
-/// Routers of a run; three readers of a store and one holder of the lease among them.
-pub(crate) const ROUTERS: usize = 3;
 /// Servers of the plain service.
 pub(crate) const DESKS: usize = 3;
 /// Engines.
@@ -145,7 +143,7 @@
         store.put_config(&config);
         let word = OperatorWord { config, routes: Vec::new(), key_taken: None, weights: 1 };
         let mut routers = Vec::new();
-        for number in 0..ROUTERS {
+        for number in 0..plan.routers {
             let link = HostLink::default();
             let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let view = Some(store.start_view(plan.servers_at(number)).await?);
@@ -178,7 +176,7 @@
             stops: Mutex::default(),
             limits: Mutex::default(),
             brittle_times: Mutex::default(),
-            cuts: Mutex::new(vec![None; ROUTERS]),
+            cuts: Mutex::new(vec![None; plan.routers]),
             started: AtomicUsize::new(0),
         };
         for number in 0..DESKS + ENGINES {
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -19,6 +19,8 @@
     cause: &'static str,
 }
 
+/// Routers of the kept seeds.
+const ROUTERS: usize = 3;
 const SEEDS: &[SeedCase] = &[
     SeedCase {
         seed: 1,
@@ -242,6 +244,7 @@
     let confs: Vec<SoakConf> = cases
         .iter()
         .map(|case| SoakConf {
+            routers: ROUTERS,
             program: program.clone(),
             folder: logs.clone(),
             length: Duration::from_secs(case.seconds),
