Gossip: new fields of limits and suspects travel in an extension of their own

What operators would have seen: during a rolling upgrade hosts of two versions could not decode each other's messages, and each would have taken the others for lost. Cause: fields were added inside extensions that earlier versions know; bincode has no names or lengths for them. They are skipped there now and follow in an eighth extension, by position. Test: known_parts_keep_their_layout compares the encodings with those of the known fields alone.

--- a/crates/admission/src/limit_report.rs
+++ b/crates/admission/src/limit_report.rs
@@ -13,7 +13,8 @@
     pub notices: Vec<LimitNotice>,
     /// Requests sent to limited servers, by server.
     pub usage: QuotaReport,
-    /// Tokens that the sender grants to others.
+    /// Tokens that the sender grants to others. Travels apart, as earlier versions do not know it.
+    #[serde(skip)]
     pub grants: Vec<GrantNotice>,
 }
 
@@ -40,9 +41,11 @@
     pub age_ms: u32,
     /// Requests per second for which the sender would choose the server, admitted or not.
     pub attempts_per_s: f32,
-    /// Requests that wait at the sender for a token of the server.
+    /// Requests that wait at the sender for a token of the server. Travels apart.
+    #[serde(skip)]
     pub wanted: u32,
-    /// Granted tokens that have lapsed at the sender since its process start.
+    /// Granted tokens that have lapsed at the sender since its process start. Travels apart.
+    #[serde(skip)]
     pub lapsed: u32,
 }
 
--- a/crates/dispatch/src/suspect_record.rs
+++ b/crates/dispatch/src/suspect_record.rs
@@ -183,8 +183,10 @@
     pub(crate) fn claimed_servers(&self, now: Instant) -> Vec<(ServerKey, ClaimStage)> {
         let valid = self.claims.values().filter(|claim| now < claim.expires);
         let own = self.own_claim.iter().map(|claim| (claim.server, claim.stage));
-        let mut claims: Vec<(ServerKey, ClaimStage)> =
-            valid.map(|claim| (claim.notice.server, claim.notice.stage)).chain(own).collect();
+        let mut claims: Vec<(ServerKey, ClaimStage)> = valid
+            .filter_map(|claim| Some((claim.notice.server?, claim.notice.stage)))
+            .chain(own)
+            .collect();
         if claims.iter().any(|(_, stage)| *stage == ClaimStage::Running) {
             claims.retain(|(_, stage)| *stage == ClaimStage::Running);
         }
@@ -237,7 +239,7 @@
             cleared: self.cleared.iter().copied().collect(),
             claim: self
                 .own_claim
-                .map(|claim| ClaimNotice { stage: claim.stage, server: claim.server }),
+                .map(|claim| ClaimNotice { stage: claim.stage, server: Some(claim.server) }),
         }
     }
 
--- a/crates/dispatch/src/suspect_report.rs
+++ b/crates/dispatch/src/suspect_report.rs
@@ -59,8 +59,9 @@
 pub struct ClaimNotice {
     /// How far it is.
     pub stage: ClaimStage,
-    /// The server to run it at.
-    pub server: ServerKey,
+    /// The server to run it at; `None` from earlier versions. Travels apart, as they do not know it.
+    #[serde(skip)]
+    pub server: Option<ServerKey>,
 }
 
 /// How far a host is in running a suspected request.
@@ -77,16 +78,20 @@
 pub struct ProbeNotice {
     /// The server incarnation.
     pub server: ServerKey,
-    /// Its outcome.
-    pub outcome: ProbeOutcome,
+    /// Whether the connection was opened.
+    pub is_reached: bool,
     /// Milliseconds since the attempt.
     pub age_ms: u32,
-    /// Whether the sender checks the server, and asks the others to try it.
+    /// Whether the sender reaches another server of the service. Travels apart, as earlier versions do not know it.
+    #[serde(skip)]
+    pub reaches_service: bool,
+    /// Whether the sender checks the server, and asks the others to try it. Travels apart.
+    #[serde(skip)]
     pub is_question: bool,
 }
 
 /// Outcome of a connection attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
     /// The connection was opened.
     Reached,
@@ -96,6 +101,17 @@
     Isolated,
 }
 
+impl ProbeNotice {
+    /// The outcome of the attempt.
+    pub fn outcome(&self) -> ProbeOutcome {
+        match (self.is_reached, self.reaches_service) {
+            (true, _) => ProbeOutcome::Reached,
+            (false, true) => ProbeOutcome::Failed,
+            (false, false) => ProbeOutcome::Isolated,
+        }
+    }
+}
+
 /// What the store keeps of one suspected request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredSuspect {
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -217,7 +217,8 @@
             let running_at = self.runs.servers_of(fingerprint).next();
             let running_at = running_at.filter(|_| record.possible() != 0);
             if let Some(server) = running_at {
-                notice.claim = Some(ClaimNotice { stage: ClaimStage::Running, server });
+                notice.claim =
+                    Some(ClaimNotice { stage: ClaimStage::Running, server: Some(server) });
             }
             let is_running = running_at.is_some();
             suspects.push(notice);
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -221,7 +221,7 @@
             let age = Duration::from_millis(u64::from(probe.age_ms));
             let at = now.checked_sub(age).unwrap_or(now);
             let record = self.probe_mut(probe.server, now);
-            record.others.insert(from.clone(), (probe.outcome, at));
+            record.others.insert(from.clone(), (probe.outcome(), at));
             if probe.is_question {
                 self.want_probe(probe.server, now);
             }
@@ -237,7 +237,13 @@
                 let age_ms = age.as_millis() as u32;
                 let is_open = self.checks.contains_key(server);
                 let is_question = is_open && outcome != ProbeOutcome::Reached;
-                notices.push(ProbeNotice { server: *server, outcome, age_ms, is_question });
+                notices.push(ProbeNotice {
+                    server: *server,
+                    is_reached: outcome == ProbeOutcome::Reached,
+                    age_ms,
+                    reaches_service: outcome == ProbeOutcome::Failed,
+                    is_question,
+                });
             }
         }
         notices
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -421,7 +421,7 @@
         fingerprint: PRINT,
         crashes: Vec::new(),
         cleared: Vec::new(),
-        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: key("b") }),
+        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: Some(key("b")) }),
     };
     let report = SuspectReport { suspects: vec![claim], probes: Vec::new() };
     table.merge(&host(1), &report, now);
@@ -440,16 +440,22 @@
 fn answers_from_before_the_break_do_not_count() {
     let now = Instant::now();
     let mut table = table(0);
-    let probe = |age_ms, outcome| SuspectReport {
+    let probe = |age_ms, is_reached| SuspectReport {
         suspects: Vec::new(),
-        probes: vec![ProbeNotice { server: key("a"), outcome, age_ms, is_question: false }],
+        probes: vec![ProbeNotice {
+            server: key("a"),
+            is_reached,
+            age_ms,
+            reaches_service: true,
+            is_question: false,
+        }],
     };
-    table.merge(&host(1), &probe(500, ProbeOutcome::Reached), now);
+    table.merge(&host(1), &probe(500, true), now);
     table.begin_check(key("a"), now);
     table.record_probe(key("a"), ProbeOutcome::Failed, now);
     assert_eq!(table.check_inputs(key("a"), now).others_reached, 0);
     let later = now + STEP;
-    table.merge(&host(1), &probe(1, ProbeOutcome::Failed), later);
+    table.merge(&host(1), &probe(1, false), later);
     let inputs = table.check_inputs(key("a"), later);
     assert_eq!((inputs.others_reached, inputs.others_failed), (0, 1));
 }
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -6,6 +6,7 @@
 use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
+use fulmargate_admission::GrantNotice;
 use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaReport;
 use fulmargate_consortium::StoreError;
@@ -14,6 +15,8 @@
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::ReachReport;
 use fulmargate_dispatch::RejectionNotice;
+use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
 use serde::Deserialize;
 use serde::Serialize;
@@ -102,6 +105,50 @@
     suspects: SuspectReport,
 }
 
+/// Eighth extension: fields of the fourth and the seventh that earlier versions do not know, in their order.
+#[derive(Serialize, Deserialize)]
+struct DetailExtension {
+    grants: Vec<GrantNotice>,
+    /// Tokens wanted and lapsed, by notice of a limit.
+    tokens: Vec<(u32, u32)>,
+    /// Claimed servers, by suspect.
+    claimed: Vec<Option<ServerKey>>,
+    /// Whether the sender reaches the service, and asks the others, by probe.
+    probes: Vec<(bool, bool)>,
+}
+
+impl DetailExtension {
+    fn of(gossip: &GossipMessage) -> DetailExtension {
+        let limits = gossip.limits.as_ref();
+        let notices = limits.map_or(&[][..], |limits| &limits.notices[..]);
+        let claimed = |suspect: &SuspectNotice| suspect.claim.and_then(|claim| claim.server);
+        let probes = gossip.suspects.probes.iter();
+        DetailExtension {
+            grants: limits.map_or_else(Vec::new, |limits| limits.grants.clone()),
+            tokens: notices.iter().map(|notice| (notice.wanted, notice.lapsed)).collect(),
+            claimed: gossip.suspects.suspects.iter().map(claimed).collect(),
+            probes: probes.map(|probe| (probe.reaches_service, probe.is_question)).collect(),
+        }
+    }
+
+    fn apply(self, gossip: &mut GossipMessage) {
+        if let Some(limits) = &mut gossip.limits {
+            limits.grants = self.grants;
+            for (notice, (wanted, lapsed)) in limits.notices.iter_mut().zip(self.tokens) {
+                (notice.wanted, notice.lapsed) = (wanted, lapsed);
+            }
+        }
+        for (suspect, server) in gossip.suspects.suspects.iter_mut().zip(self.claimed) {
+            if let Some(claim) = &mut suspect.claim {
+                claim.server = server;
+            }
+        }
+        for (probe, details) in gossip.suspects.probes.iter_mut().zip(self.probes) {
+            (probe.reaches_service, probe.is_question) = details;
+        }
+    }
+}
+
 /// Encodes a gossip message with its length prefix.
 pub(crate) fn encode_gossip(gossip: &GossipMessage) -> Result<Vec<u8>, EncodeError> {
     let mut message = bincode::serde::encode_to_vec(gossip, config::standard())?;
@@ -119,6 +166,8 @@
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let extension = SuspectExtension { suspects: gossip.suspects.clone() };
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    let extension = DetailExtension::of(gossip);
+    message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -150,6 +199,9 @@
     if let Some(extension) = take_extension::<SuspectExtension>(&mut rest)? {
         gossip.suspects = extension.suspects;
     }
+    if let Some(extension) = take_extension::<DetailExtension>(&mut rest)? {
+        extension.apply(&mut gossip);
+    }
     Ok(gossip)
 }
 
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -14,7 +14,6 @@
 use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::ProbeNotice;
-use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
@@ -69,13 +68,14 @@
         fingerprint: 1 << 100,
         crashes: vec![crash],
         cleared: vec![ServerKey(6)],
-        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: ServerKey(9) }),
+        claim: Some(ClaimNotice { stage: ClaimStage::Running, server: Some(ServerKey(9)) }),
     };
     let probe = ProbeNotice {
         server: ServerKey(5),
-        outcome: ProbeOutcome::Failed,
-        is_question: true,
+        is_reached: false,
         age_ms: 3,
+        reaches_service: true,
+        is_question: true,
     };
     let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe] };
     let sent = GossipMessage { suspects, ..gossip(None) };
@@ -96,3 +96,41 @@
     let (decoded, _): (GossipMessage, usize) = read.expect("old version decodes new message");
     assert_eq!(decoded, gossip(None));
 }
+
+/// Guards against parts of a message that earlier versions misread, as a field was added to one that they know.
+#[test]
+fn known_parts_keep_their_layout() {
+    let bytes =
+        |value| bincode::serde::encode_to_vec::<(u64, Option<f64>, u32, f32), _>(value, standard());
+    let notice = LimitNotice {
+        server: 7,
+        rate_per_s: Some(2.8),
+        age_ms: 40,
+        attempts_per_s: 12.5,
+        wanted: 2,
+        lapsed: 1,
+    };
+    let encoded = bincode::serde::encode_to_vec(notice, standard()).expect("encode a notice");
+    assert_eq!(encoded, bytes((7, Some(2.8), 40, 12.5)).expect("encode the fields"));
+    let report = LimitReport {
+        grants: vec![GrantNotice { server: 7, host: HostKey::of(&HostName::new("a")), total: 4 }],
+        ..LimitReport::default()
+    };
+    let encoded = bincode::serde::encode_to_vec(report, standard()).expect("encode a report");
+    let empty = bincode::serde::encode_to_vec(LimitReport::default(), standard());
+    assert_eq!(encoded, empty.expect("encode an empty report"));
+    let claim = ClaimNotice { stage: ClaimStage::Running, server: Some(ServerKey(9)) };
+    let encoded = bincode::serde::encode_to_vec(claim, standard()).expect("encode a claim");
+    let stage = bincode::serde::encode_to_vec(ClaimStage::Running, standard());
+    assert_eq!(encoded, stage.expect("encode a stage"));
+    let probe = ProbeNotice {
+        server: ServerKey(5),
+        is_reached: false,
+        age_ms: 3,
+        reaches_service: true,
+        is_question: true,
+    };
+    let encoded = bincode::serde::encode_to_vec(probe, standard()).expect("encode a probe");
+    let fields = bincode::serde::encode_to_vec((ServerKey(5), false, 3_u32), standard());
+    assert_eq!(encoded, fields.expect("encode the fields"));
+}
