Failover: the stream of a suspected request stays until its connection breaks

A failover plans a second run while the first may still be going on. With a claim of one server it could not be planned elsewhere, and a second run puts another server at risk. Found by reading. Soak: the judge of refused innocents has a file of its own.

--- a/crates/admission/src/token_grants.rs
+++ b/crates/admission/src/token_grants.rs
@@ -10,8 +10,8 @@
 use crate::GrantNotice;
 use crate::host_key::HostKey;
 
-/// Time in which a granted token has to be used, from its receipt, and what is added to it in tokens of the rate. With
-/// the time of messages it stays below what is allowed above the limit over some seconds.
+/// Time in which a granted token has to be used, and what is added to it, in tokens of the rate. With the time of
+/// messages it stays below what is allowed above the limit over some seconds.
 const MIN_TOKEN_TTL: Duration = Duration::from_millis(800);
 const MAX_TOKEN_TTL: Duration = Duration::from_secs(4);
 const TTL_TOKENS: f64 = 2.5;
--- a/crates/entry/src/traffic/request_handler/failover.rs
+++ b/crates/entry/src/traffic/request_handler/failover.rs
@@ -35,6 +35,8 @@
     Reachable,
     #[display("no further attempt, or the budget of repeats is spent")]
     NoRetry,
+    #[display("it is suspected of crashing servers")]
+    Suspected,
     #[display("no other server may go on with it: {_0}")]
     NoServer(String),
     #[display("no connection to another server: {_0}")]
@@ -70,6 +72,10 @@
         if !self.may_fail_over() {
             return Err(KeepReason::NoRetry);
         }
+        // A second run would put another server at risk; the connection breaks if the server has ended.
+        if self.is_suspected() {
+            return Err(KeepReason::Suspected);
+        }
         let Err(err) = ServerConnection::connect_to_server(&self.state, unresponsive).await else {
             return Err(KeepReason::Reachable);
         };
@@ -84,11 +90,6 @@
         {
             return Ok(Failover { prepared: PreparedSend::Helper(forward), reason });
         }
-        if self.is_suspected() {
-            // Its run here ends, or it would have to wait for itself.
-            self.run = None;
-            self.wait_for_turn().await.map_err(no_server)?;
-        }
         let plan = self.plan(point).await.map_err(no_server)?;
         let plan = plan.filter(|plan| plan.server.key() != unresponsive.key());
         let Some(plan) = plan else { return Err(KeepReason::NoServer("none is left".to_owned())) };
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,5 +1,6 @@
 //! Compares what callers and servers saw with what is promised.
 
+mod convictions;
 mod crashing_requests;
 mod crowded_servers;
 mod host_cuts;
@@ -55,9 +56,6 @@
     pub detail: String,
 }
 
-/// Error of a request that crashes servers, in the body of its rejection.
-const CRASHING_CODE: &str = "crashing_request";
-
 /// All that a run has shown.
 pub(crate) struct RunEvidence {
     pub(crate) records: Vec<RequestRecord>,
@@ -362,15 +360,6 @@
     }
 
     /// Nothing is wrong any more: all routers serve all kinds, and all engines have the newest weights.
-    /// None of these requests crashes a server; those that do have callers of their own.
-    fn judge_conviction(&mut self, record: &RequestRecord) {
-        let RequestEnd::Answered(response) = &record.end else { return };
-        if response.body.contains(CRASHING_CODE) {
-            let detail = format!("{} {:?} at router {}", record.id, record.kind, record.router);
-            self.note(Promise::InnocentRefused, detail);
-        }
-    }
-
     fn judge_recovery(&mut self) {
         let recovered = self.evidence.recovered;
         let late: Vec<&RequestRecord> = self
