--- a/crates/admission/src/limit_report.rs
+++ b/crates/admission/src/limit_report.rs
@@ -13,7 +13,7 @@
     pub notices: Vec<LimitNotice>,
     /// Requests sent to limited servers, by server.
     pub usage: QuotaReport,
-    /// Tokens that the sender grants to others. Travels apart, as earlier versions do not know it.
+    /// Tokens that the sender grants to others. Encoded in an extension of its own, as earlier versions do not know it.
     #[serde(skip)]
     pub grants: Vec<GrantNotice>,
 }
@@ -41,10 +41,10 @@
     pub age_ms: u32,
     /// Requests per second for which the sender would choose the server, admitted or not.
     pub attempts_per_s: f32,
-    /// Requests that wait at the sender for a token of the server. Travels apart.
+    /// Requests that wait at the sender for a token of the server. Encoded in the same extension.
     #[serde(skip)]
     pub wanted: u32,
-    /// Granted tokens that have lapsed at the sender since its process start. Travels apart.
+    /// Granted tokens that have lapsed at the sender since its process start. Encoded in the same extension.
     #[serde(skip)]
     pub lapsed: u32,
 }
--- a/crates/admission/src/server_limits/granting.rs
+++ b/crates/admission/src/server_limits/granting.rs
@@ -21,11 +21,11 @@
 const SHARED_BUCKET_TIME: Duration = Duration::from_secs(2);
 /// Tokens that the bucket holds in addition, as lapsed ones come back to it at once.
 const RETURNED_TOKENS: f64 = 1.0;
-/// Minimum interval between two looks at which routers are in touch.
+/// Minimum interval between two updates of the routers in touch.
 const TOUCH_REFRESH_INTERVAL: Duration = Duration::from_millis(50);
-/// A router that has not looked for this time was not running. Longer than two of its reports are apart.
+/// A router that has not updated them for this time was suspended. Longer than the interval between its reports.
 const MAX_TOUCH_AGE: Duration = Duration::from_millis(1_000);
-/// Time after that in which messages from before are received.
+/// Time after that in which messages from before are received, whose grants may have been given to others since.
 const CATCH_UP_TIME: Duration = Duration::from_millis(300);
 
 /// Routers in touch with this one.
--- a/crates/admission/src/token_grants.rs
+++ b/crates/admission/src/token_grants.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Notes a total without taking tokens.
+    /// Records a total without taking tokens.
     pub(crate) fn skip(&mut self, granter: &HostName, start: u16, total: u32) {
         let known = self.received.entry((granter.clone(), start)).or_default();
         *known = total.max(*known);
--- a/crates/dispatch/src/server_check.rs
+++ b/crates/dispatch/src/server_check.rs
@@ -73,7 +73,7 @@
     /// Neither this nor other hosts reach it.
     #[display("not reached by other hosts either")]
     UnreachedByAll,
-    /// This host reaches another server of the service, and no other host with a say has answered.
+    /// This host reaches another server of the service, and no other host that reaches the service has answered.
     #[display("another server of the service is reached")]
     OthersReached,
     /// There is no other host.
--- a/crates/dispatch/src/suspect_report.rs
+++ b/crates/dispatch/src/suspect_report.rs
@@ -59,7 +59,7 @@
 pub struct ClaimNotice {
     /// How far it is.
     pub stage: ClaimStage,
-    /// The server to run it at; `None` from earlier versions. Travels apart, as they do not know it.
+    /// The server to run it at; `None` from earlier versions. Encoded in an extension of its own, as they do not know it.
     #[serde(skip)]
     pub server: Option<ServerKey>,
 }
@@ -82,10 +82,11 @@
     pub is_reached: bool,
     /// Milliseconds since the attempt.
     pub age_ms: u32,
-    /// Whether the sender reaches another server of the service. Travels apart, as earlier versions do not know it.
+    /// Whether the sender reaches another server of the service. Encoded in an extension of its own, as earlier versions
+    /// do not know it.
     #[serde(skip)]
     pub reaches_service: bool,
-    /// Whether the sender checks the server, and asks the others to try it. Travels apart.
+    /// Whether the sender checks the server, and asks the others to try it. Encoded in the same extension.
     #[serde(skip)]
     pub is_question: bool,
 }
--- a/crates/dispatch/src/suspect_table/turns.rs
+++ b/crates/dispatch/src/suspect_table/turns.rs
@@ -13,7 +13,8 @@
 use crate::suspect_record::SuspectRecord;
 use crate::suspect_table::POLL_INTERVAL;
 
-/// Crashes from which a request shares a server with no other suspect: one more convicts it.
+/// Crashes from which a suspect is strong: one more convicts it, so that it shares a server with no suspect that could
+/// crash it.
 const MIN_STRONG_CRASHES: usize = 2;
 /// Times that a claim changes its server to spread a group. What other hosts claim at the same time becomes known
 /// only after it was chosen.
