Limits in the store: hosts that all start keep to them from the first request

Cause: limits lived in the memory of processes only. Hosts that start together know nothing from each other, so each sends until its own first response. The class of the incident: all decide at once from the same (missing) knowledge.

Change: the host that is first by hash of the hosts in touch writes named limits to the fleet topic, which a host reads before the list of servers; a stored limit applies only to a listed server of which nothing else is known, and any response or newer report goes before it.

Why it works: the bucket of a limit that is known is empty at a start and fills only with the host's part, so no host has a request to send on its own knowledge.

--- a/crates/admission/src/limit_record.rs
+++ b/crates/admission/src/limit_record.rs
@@ -52,6 +52,11 @@
         self.rate_per_s
     }
 
+    /// When a response confirmed the limit.
+    pub fn observed(&self) -> Instant {
+        self.observed
+    }
+
     /// Time since the limit was observed.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.observed)
--- a/crates/admission/src/server_limits.rs
+++ b/crates/admission/src/server_limits.rs
@@ -1,6 +1,7 @@
 //! Enforces the rate limits that servers name, over all routers.
 
 mod granting;
+mod storage;
 
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use crate::limited_server::LimitedServer;
 use crate::quota_bucket::QuotaBucket;
 use crate::server_limits::granting::TouchView;
+use crate::server_limits::storage::SlotState;
 
 /// Limits in a report. The others follow in the next ones.
 const MAX_NOTICES: usize = 16;
@@ -48,6 +50,8 @@
     table: BucketTable,
     servers: IndexMap<u64, LimitedServer>,
     touch: TouchView,
+    /// Records in the platform's store, by key.
+    slots: IndexMap<u8, SlotState>,
     /// Position of the first notice in the next report.
     next_notice: usize,
     /// Number of random draws so far.
@@ -74,7 +78,7 @@
     pub spacing: Duration,
 }
 
-/// A limit that was learned from another router.
+/// A limit that was learned from another router or from the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LearnedLimit {
     /// Key of the server incarnation.
@@ -109,6 +113,7 @@
             table: BucketTable::new(own, start, conf),
             servers: IndexMap::new(),
             touch: TouchView::default(),
+            slots: IndexMap::new(),
             next_notice: 0,
             draws: 0,
         }
--- a/crates/admission/src/server_limits/granting.rs
+++ b/crates/admission/src/server_limits/granting.rs
@@ -61,6 +61,11 @@
         self.touch.changed.get_or_insert(now);
     }
 
+    /// Routers in touch, without this one.
+    pub(super) fn hosts_in_touch(&self) -> &[HostName] {
+        &self.touch.hosts
+    }
+
     /// Whether tokens at this rate are granted, rather than taken from a bucket that all routers share.
     pub(super) fn is_granted(&self, rate_per_s: f64) -> bool {
         let routers = self.touch.hosts.len() + 1;
--- a/crates/admission/tests/support/server_limit_simulation.rs
+++ b/crates/admission/tests/support/server_limit_simulation.rs
@@ -6,6 +6,7 @@
 use fulmargate_admission::NamedLimit;
 use fulmargate_admission::QuotaConf;
 use fulmargate_admission::ServerLimits;
+use fulmargate_admission::StoredLimitSlot;
 use fulmargate_names::HostName;
 use fulmargate_names::ZoneName;
 use tokio::time::Instant;
@@ -23,6 +24,8 @@
 const RETRY_STEPS: usize = 4;
 /// Time after the first response with a limit from which the sum over all hosts is judged.
 const LEARNING_STEPS: usize = STEPS_PER_S / 2;
+/// Interval at which routers write to the store and read from it.
+const STORE_STEPS: usize = STEPS_PER_S / 2;
 /// Requests that a bucket of its own holds, for the ways without reports.
 const OWN_BURST: f64 = 1.0;
 
@@ -99,6 +102,10 @@
     waiting: Vec<(usize, usize)>,
     /// The limit that the server names.
     pub(crate) limit: Option<f64>,
+    /// Newest record of each key in the platform's store.
+    store: Vec<StoredLimitSlot>,
+    /// Records written to the store.
+    pub(crate) store_writes: usize,
     start_count: u16,
     /// Step of the first response that named a limit.
     pub(crate) first_named: Option<usize>,
@@ -145,6 +152,8 @@
             patience_steps: 0,
             waiting: Vec::new(),
             limit: None,
+            store: Vec::new(),
+            store_writes: 0,
             start_count: 0,
             first_named: None,
             arrivals: Vec::new(),
@@ -162,9 +171,25 @@
         let routers =
             self.hosts.iter().enumerate().map(|(index, host)| (host.clone(), zone(index)));
         limits.set_routers(routers, self.now);
+        self.store.iter().for_each(|record| limits.read_stored(record, self.now));
+        limits.apply_stored(|server| server == SERVER, self.now);
         limits
     }
 
+    /// Lets a router write to the store what is due, which all others then read.
+    fn use_store(&mut self, router: usize) {
+        let records = self.routers[router].take_due_writes(self.now);
+        for record in records {
+            self.store_writes += 1;
+            self.store.retain(|stored| stored.slot != record.slot);
+            self.store.push(record.clone());
+            for reader in (0..self.size.hosts).filter(|reader| *reader != router) {
+                self.routers[reader].read_stored(&record, self.now);
+                self.routers[reader].apply_stored(|server| server == SERVER, self.now);
+            }
+        }
+    }
+
     /// Restarts a router, which has learned nothing yet.
     pub(crate) fn restart(&mut self, router: usize) {
         self.routers[router] = self.router(router);
@@ -198,6 +223,9 @@
             if (self.step + router).is_multiple_of(interval_steps) {
                 self.send_report(router);
             }
+            if (self.step + router).is_multiple_of(STORE_STEPS) {
+                self.use_store(router);
+            }
             self.refill_own(router);
             let expected = self.demand[router] / STEPS_PER_S as f64;
             let mut requests = expected.floor() as usize;
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use fulmargate_admission::StoredLimit;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -71,6 +72,13 @@
         /// The requests.
         entries: Vec<StoredSuspect>,
     },
+    /// Limits that servers name, of all that the writer knows under this key. Skipped by earlier versions.
+    Limits {
+        /// Distinguishes the keys.
+        slot: u8,
+        /// The limits.
+        entries: Vec<StoredLimit>,
+    },
 }
 
 impl FleetRecord {
@@ -82,6 +90,7 @@
             FleetRecord::Crash { print, .. } => format!("crash/{}", print % MAX_CRASH_KEYS),
             FleetRecord::Restored { .. } => "restored".to_owned(),
             FleetRecord::Suspects { slot, .. } => format!("suspects/{slot}"),
+            FleetRecord::Limits { slot, .. } => format!("limits/{slot}"),
         }
     }
 }
--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -127,7 +127,8 @@
             }
             FleetRecord::Restored { .. }
             | FleetRecord::Crash { .. }
-            | FleetRecord::Suspects { .. } => {}
+            | FleetRecord::Suspects { .. }
+            | FleetRecord::Limits { .. } => {}
         }
     }
 
--- a/crates/dispatch/src/server_registry/limits.rs
+++ b/crates/dispatch/src/server_registry/limits.rs
@@ -9,6 +9,7 @@
 use fulmargate_admission::LimitWait;
 use fulmargate_admission::NamedLimit;
 use fulmargate_admission::ServerLimits;
+use fulmargate_admission::StoredLimitSlot;
 use fulmargate_names::HostName;
 use fulmargate_names::ServiceName;
 use fulmargate_names::ZoneName;
@@ -83,6 +84,39 @@
         limits.receive(host, report, is_listed, now)
     }
 
+    /// Reads a record of limits from the store.
+    pub fn read_stored_limits(&mut self, record: &StoredLimitSlot, now: Instant) {
+        if let Some(limits) = &mut self.limits {
+            limits.read_stored(record, now);
+        }
+    }
+
+    /// Forgets the stored limits under the keys that a full list of the store's records lacks.
+    pub fn retain_stored_limits(&mut self, is_stored: impl Fn(u8) -> bool) {
+        if let Some(limits) = &mut self.limits {
+            limits.retain_stored(is_stored);
+        }
+    }
+
+    /// Applies the stored limits of listed servers of which nothing is known. Returns these limits.
+    pub fn apply_stored_limits(&mut self, now: Instant) -> Vec<LearnedLimit> {
+        let keys = &self.limit_keys;
+        let Some(limits) = &mut self.limits else { return Vec::new() };
+        limits.apply_stored(|key| keys.contains(&key), now)
+    }
+
+    /// Records of limits to be written to the store now.
+    pub fn take_limit_writes(&mut self, now: Instant) -> Vec<StoredLimitSlot> {
+        self.limits.as_mut().map(|limits| limits.take_due_writes(now)).unwrap_or_default()
+    }
+
+    /// Writes these records again later.
+    pub fn limit_write_failed(&mut self, records: &[StoredLimitSlot]) {
+        if let Some(limits) = &mut self.limits {
+            limits.write_failed(records);
+        }
+    }
+
     /// Number of servers that name a limit.
     pub fn limited_count(&self) -> usize {
         let Some(limits) = &self.limits else { return 0 };
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -9,6 +9,7 @@
 mod epoch_tracker;
 mod fleet_codec;
 mod fleet_watcher;
+mod fleet_writer;
 mod gossip_sender;
 mod log_source;
 mod operator_watcher;
@@ -23,7 +24,6 @@
 mod server_log;
 mod server_watcher;
 mod store_retry;
-mod suspect_writer;
 
 pub(crate) use control_thread::ControlListeners;
 pub(crate) use control_thread::ControlThread;
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -21,6 +21,7 @@
 use crate::control::fleet_watcher::FleetReader;
 use crate::control::fleet_watcher::FleetWatcher;
 use crate::control::fleet_watcher::SharedFleetState;
+use crate::control::fleet_writer::run_fleet_writer;
 use crate::control::gossip_sender::GossipSender;
 use crate::control::log_source::LogSource;
 use crate::control::operator_watcher::OperatorWatcher;
@@ -32,7 +33,6 @@
 use crate::control::relay_forwarder::RelayForwarder;
 use crate::control::relay_queue::SharedRelays;
 use crate::control::server_watcher::ServerWatcher;
-use crate::control::suspect_writer::run_suspect_writer;
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
 use crate::state::SharedState;
@@ -122,7 +122,7 @@
         spawn_until_cancelled(&token, server_watcher.run());
         let reader = FleetReader::new(self.state.clone(), source(), fleet_state.clone());
         spawn_until_cancelled(&token, FleetWatcher::new(reader.clone()).run());
-        spawn_until_cancelled(&token, run_suspect_writer(self.state.clone(), client.clone()));
+        spawn_until_cancelled(&token, run_fleet_writer(self.state.clone(), client.clone()));
         let gossip = GossipSender::new(
             self.state.clone(),
             fleet_state.clone(),
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -1,4 +1,4 @@
-//! Follows the fleet topic: members, the lease, and requests that crash servers.
+//! Follows the fleet topic: members, the lease, requests that crash servers, and limits that servers name.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::StoredLimitSlot;
 use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::ListedRecord;
 use fulmargate_consortium::StoreClient;
@@ -27,14 +28,16 @@
 use crate::control::epoch_tracker::EpochTracker;
 use crate::control::fleet_codec::decode_record;
 use crate::control::fleet_codec::encode_keyed_record;
+use crate::control::fleet_writer::unix_now;
 use crate::control::log_source::LogSource;
 use crate::control::own_records::OwnRecords;
 use crate::control::store_retry::StoreRetry;
-use crate::control::suspect_writer::unix_now;
 use crate::state::FleetView;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::LimitSource;
 use crate::telemetry::SuspectSource;
+use crate::telemetry::log_learned_limit;
 use crate::telemetry::log_suspect_changes;
 
 /// Long-poll wait of a read.
@@ -180,6 +183,8 @@
         let listed_keys: Vec<&str> =
             records.iter().map(|listed| listed.record.key.as_str()).collect();
         self.state.suspects().reconcile_stored(&listed_keys, Instant::now());
+        let is_stored = |slot| listed_keys.contains(&limits_key(slot).as_str());
+        self.state.servers().retain_stored_limits(is_stored);
         for ListedRecord { offset, record } in records {
             self.apply(offset, &record);
             let bytes = encode_keyed(&record.key, record.value.as_deref().unwrap_or_default())?;
@@ -263,6 +268,17 @@
         };
         self.fleet_state.borrow_mut().apply(offset, &record, boot_now());
         self.apply_suspects(&record);
+        self.apply_limits(record);
+    }
+
+    fn apply_limits(&self, record: FleetRecord) {
+        let FleetRecord::Limits { slot, entries } = record else { return };
+        let now = Instant::now();
+        let mut servers = self.state.servers();
+        servers.read_stored_limits(&StoredLimitSlot { slot, entries }, now);
+        let limits = servers.apply_stored_limits(now);
+        drop(servers);
+        limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
     }
 
     /// Applies evidence on requests that crash servers.
@@ -294,6 +310,10 @@
     }
 }
 
+fn limits_key(slot: u8) -> String {
+    FleetRecord::Limits { slot, entries: Vec::new() }.key()
+}
+
 async fn append_missing(
     client: &StoreClient,
     own_records: &SharedOwnRecords,
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -45,6 +45,7 @@
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::LimitSource;
 use crate::telemetry::SuspectSource;
 use crate::telemetry::count_records_rejected;
 use crate::telemetry::count_records_served;
@@ -367,7 +368,10 @@
     }
     if let (Some(host), Some(report)) = (&gossip.host, &gossip.limits) {
         let learned = state.servers().apply_limit_report(host, report, Instant::now());
-        learned.iter().for_each(|limit| log_learned_limit(state, limit));
+        if !learned.is_empty() {
+            state.fleet_record_change.notify_one();
+        }
+        learned.iter().for_each(|limit| log_learned_limit(state, limit, LimitSource::Gossip));
     }
     if let Some(host) = &gossip.host {
         apply_suspects(state, host, &gossip.suspects);
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -26,6 +26,8 @@
 use crate::control::store_retry::StoreRetry;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::telemetry::LimitSource;
+use crate::telemetry::log_learned_limit;
 
 /// Delay between reads. Servers write often, so that a long poll would return almost at once.
 /// Delay, timeout and retry together must stay below 2 s, within which a draining server must stop
@@ -196,7 +198,13 @@
         for (name, end) in self.table.expire(boot_now()) {
             self.log.record_expiry(name, end);
         }
-        self.state.servers().sync(&self.table.usable(), Instant::now());
+        let now = Instant::now();
+        let mut servers = self.state.servers();
+        servers.sync(&self.table.usable(), now);
+        // Before another thread sends a request to a new server.
+        let limits = servers.apply_stored_limits(now);
+        drop(servers);
+        limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
         self.log.log_changes(&self.table);
     }
 }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -72,8 +72,8 @@
     pub(crate) open_requests: AtomicUsize,
     /// Open connections from callers.
     pub(crate) open_connections: AtomicUsize,
-    /// Wakes the writer of evidence on crashing requests.
-    pub(crate) suspect_change: Notify,
+    /// Wakes the writer of the fleet topic.
+    pub(crate) fleet_record_change: Notify,
     /// Wakes the task that tries servers for other hosts.
     pub(crate) suspect_wake: Notify,
     /// Wakes requests that wait for the first connection attempt of a check.
@@ -139,7 +139,7 @@
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
-            suspect_change: Notify::new(),
+            fleet_record_change: Notify::new(),
             suspect_wake: Notify::new(),
             suspect_probed: Notify::new(),
             loading: LoadingRegistry::default(),
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -6,6 +6,7 @@
 mod prometheus;
 mod suspect_log;
 
+pub(crate) use limit_log::LimitSource;
 pub(crate) use limit_log::log_brittle;
 pub(crate) use limit_log::log_brittle_rejection;
 pub(crate) use limit_log::log_learned_limit;
--- a/crates/entry/src/telemetry/limit_log.rs
+++ b/crates/entry/src/telemetry/limit_log.rs
@@ -10,16 +10,34 @@
 
 use crate::state::SharedState;
 
+/// Where a limit was learned.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum LimitSource {
+    Response,
+    Gossip,
+    Store,
+}
+
+impl LimitSource {
+    fn label(self) -> &'static str {
+        match self {
+            LimitSource::Response => "response",
+            LimitSource::Gossip => "gossip",
+            LimitSource::Store => "store",
+        }
+    }
+}
+
 /// Logs a limit that a response changed.
 pub(crate) fn log_named_limit(state: &SharedState, server: &ServerEntry, change: LimitChange) {
-    log_change(state, server, change, "response", 0);
+    log_change(state, server, change, LimitSource::Response, 0);
 }
 
-/// Logs a limit that was learned from another router.
-pub(crate) fn log_learned_limit(state: &SharedState, limit: &LearnedLimit) {
+/// Logs a limit that was learned from another router or from the store.
+pub(crate) fn log_learned_limit(state: &SharedState, limit: &LearnedLimit, source: LimitSource) {
     let entry = state.servers().state(ServerKey(limit.server)).map(|server| server.entry().clone());
     let Some(server) = entry else { return };
-    log_change(state, &server, limit.change, "gossip", limit.age.as_millis() as u64);
+    log_change(state, &server, limit.change, source, limit.age.as_millis() as u64);
 }
 
 /// Logs that a response names a limit that cannot be read.
@@ -69,7 +87,7 @@
     state: &SharedState,
     server: &ServerEntry,
     change: LimitChange,
-    source: &'static str,
+    source: LimitSource,
     age_ms: u64,
 ) {
     let kind = EventKind::ServerLimitChanged;
@@ -82,7 +100,7 @@
         server = %server.name,
         limit = change.current,
         previous = change.previous,
-        source,
+        source = source.label(),
         age_ms,
     );
 }
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -99,7 +99,7 @@
     fn finish(self, verdict: CheckVerdict) {
         let now = Instant::now();
         let changes = self.state.suspects().finish_check(self.server.key(), verdict, now);
-        self.state.suspect_change.notify_one();
+        self.state.fleet_record_change.notify_one();
         count_crash_check(verdict);
         if let CheckVerdict::Crashed(reason) = verdict {
             self.log_crash(reason);
--- a/crates/entry/src/traffic/in_flight_request.rs
+++ b/crates/entry/src/traffic/in_flight_request.rs
@@ -42,6 +42,7 @@
             log_unreadable_limit(&self.state, server);
         }
         if let Some(change) = change {
+            self.state.fleet_record_change.notify_one();
             log_named_limit(&self.state, server, change);
         }
     }
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -163,7 +163,7 @@
         if crashes == 0 {
             return;
         }
-        self.state.suspect_change.notify_one();
+        self.state.fleet_record_change.notify_one();
         let kind = EventKind::RequestCleared;
         if self.state.log_limiter.allows(kind, Instant::now()) {
             tracing::info!(
--- a/crates/entry/tests/daemon/server_limits.rs
+++ b/crates/entry/tests/daemon/server_limits.rs
@@ -63,19 +63,7 @@
     /// Starts a deployment and further daemons, one in each of these zones.
     async fn start(zones: &[&str]) -> LimitFleet {
         let deployment = TestDeployment::start_with_long_timeout(ServerMode::Answer).await;
-        let mut daemons = Vec::new();
-        for zone in zones {
-            let settings = json!({"zone": zone});
-            daemons.push(DaemonProcess::start_with_settings(deployment.store.address, &settings));
-        }
-        for daemon in &daemons {
-            wait_until("a daemon lists all servers", || daemon.events("server_listed").len() == 4)
-                .await;
-            wait_until("its configuration is confirmed", || {
-                daemon.events("config_proven").len() == 1
-            })
-            .await;
-        }
+        let daemons = start_daemons(&deployment, zones).await;
         // Routers receive each other's messages.
         sleep(LEARNING_TIME).await;
         LimitFleet { deployment, daemons }
@@ -111,6 +99,21 @@
     }
 }
 
+async fn start_daemons(deployment: &TestDeployment, zones: &[&str]) -> Vec<DaemonProcess> {
+    let mut daemons = Vec::new();
+    for zone in zones {
+        let settings = json!({"zone": zone});
+        daemons.push(DaemonProcess::start_with_settings(deployment.store.address, &settings));
+    }
+    for daemon in &daemons {
+        wait_until("a daemon lists all servers", || daemon.events("server_listed").len() == 4)
+            .await;
+        wait_until("its configuration is confirmed", || daemon.events("config_proven").len() == 1)
+            .await;
+    }
+    daemons
+}
+
 /// Starts callers that send to one host.
 fn start_callers(address: SocketAddr, host: usize, load: fn(&str) -> CallerRequest) -> RunningLoad {
     let mut callers = RunningLoad::default();
@@ -257,6 +260,33 @@
     assert!(max <= allowed, "{max} requests in 4 s at 5 a second");
 }
 
+/// Guards against hosts that all start again, know no limit, and each send requests until the first response.
+#[tokio::test]
+async fn hosts_that_all_start_keep_to_a_limit_named_before() {
+    const ZONES: &[&str] = &["north", "south", "east"];
+    let fleet = LimitFleet::start(&["south", "east"]).await;
+    let engines = &fleet.deployment.engines;
+    engines.iter().for_each(|engine| engine.set_limit(Some("1")));
+    let load = fleet.start_load(chat_request).await;
+    sleep(SETTLING_TIME).await;
+    fleet.daemons.iter().chain([&fleet.deployment.daemon]).for_each(|daemon| daemon.signal("KILL"));
+    load.stop().await;
+    let restarted = Instant::now();
+    let daemons = start_daemons(&fleet.deployment, ZONES).await;
+    let mut load = RunningLoad::default();
+    for (host, daemon) in daemons.iter().enumerate() {
+        load.add_callers(daemon.address("callers").await, host, chat_request);
+    }
+    sleep(JUDGED_SPAN).await;
+    load.stop().await;
+    for engine in engines {
+        let arrivals = engine.seen().iter().filter(|seen| restarted <= seen.at).count() as f64;
+        let span = restarted.elapsed().max(JUDGED_SPAN);
+        let allowed = span.as_secs_f64() + SMALL_BURST;
+        assert!(arrivals <= allowed, "{}: {arrivals} requests in {span:?}", engine.name);
+    }
+}
+
 /// While all servers of a service are at their limits, what cannot be served in time must be rejected at once, and
 /// the servers must still get their rates.
 #[tokio::test]
