--- a/crates/entry/src/traffic/request_handler/forwarding_step.rs
+++ b/crates/entry/src/traffic/request_handler/forwarding_step.rs
@@ -42,7 +42,7 @@
 /// Hosts that one request is forwarded to in turn.
 const MAX_HELPERS: usize = 3;
 /// Time reserved before the deadline for the reply's transfer.
-const REPLY_TIME: Duration = Duration::from_millis(20);
+pub(super) const REPLY_TIME: Duration = Duration::from_millis(20);
 
 /// A sound server may be silent for about a second. Requests are not rejected for servers that have been out of reach for
 /// a shorter time than this.
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -216,7 +216,7 @@
     /// Waits for the next chunk. While the server is unresponsive, a failover is prepared, which is cancelled
     /// when the server sends again.
     async fn next_chunk(&mut self, response: &mut UpstreamResponse) -> ChunkEvent {
-        let deadline = self.handler.facts().deadline;
+        let deadline = self.handler.stream_deadline();
         let silence_timeout = self.silence_timeout();
         let origin = response.origin.clone();
         loop {
--- a/crates/entry/tests/daemon/forwarding_rules.rs
+++ b/crates/entry/tests/daemon/forwarding_rules.rs
@@ -255,6 +255,25 @@
     assert_eq!(fleet.runs("charge"), 1);
 }
 
+/// Guards against a helper that cuts a stream before the deadline of its caller.
+#[tokio::test]
+async fn a_helper_goes_on_with_a_stream_until_its_deadline() {
+    const PATIENCE: Duration = Duration::from_millis(800);
+    let fleet = CutFleet::start(&patient_config(REQUEST_TIMEOUT_MS)).await;
+    fleet.cut_off(0, LinkCut::Hang).await;
+    fleet.set_mode(ServerMode::PausedEcho);
+    for number in 0..3 {
+        let mut request = ROUTES[2].request(&format!("stream-{number}"));
+        request.patience_ms = PATIENCE.as_millis() as u64;
+        let sent = Instant::now();
+        let stream = open_stream(&request, fleet.callers(0)).await.expect("the response begins");
+        let response = stream.read_rest().await.expect("the response ends");
+        let took = sent.elapsed();
+        assert!(!response.is_whole, "{response:?}");
+        assert!(PATIENCE <= took, "{}: cut after {took:?}", request.id);
+    }
+}
+
 /// A slow caller must stop the server of a forwarded stream rather than fill the memory of either host.
 #[tokio::test]
 async fn slow_callers_of_forwarded_streams_take_little_memory() {
