Crash evidence leaves a host at once

What callers saw: 4 to 9 servers ended under one request where many hosts got it within moments (small twins of the grown shop and utility), where three are due.

Cause: evidence waited for the host's next regular gossip message, up to 195 ms in a fleet of 195 hosts, beside up to 80 ms on the way; hosts that got the request 150 ms after its first crash ran it without knowing.

Change: a failed connection to a server that broke off requests, and the verdict, wake the sender as loading engines do: the next message leaves 50 ms after the last one at the earliest (with relays).

What stays: hosts that get the request within 130 ms of the first crash at 195 hosts can't know of it.

--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -24,6 +24,8 @@
 const CRASH_TIME: Duration = Duration::from_millis(30);
 /// Hosts that the caller sends the request to at once, after its first answer.
 const CALLED_HOSTS: usize = 6;
+/// Minimum interval between two messages of a host with new evidence.
+const URGENT_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause of a caller before it sends again.
 const RESEND_PAUSE: Duration = Duration::from_millis(150);
 const HISTORIES: u64 = 25;
@@ -95,6 +97,10 @@
     now: Instant,
     tables: Vec<SuspectTable>,
     messages: Vec<Message>,
+    /// When each host sent its last message.
+    last_rounds: Vec<Instant>,
+    /// Whether a host has new evidence that does not wait for its interval.
+    is_urgent: Vec<bool>,
     sends: Vec<(usize, SendState)>,
     crashes: Vec<Instant>,
     last_send: Instant,
@@ -112,8 +118,19 @@
         }
         let dice = StdRng::seed_from_u64(seed);
         let sends = vec![(0, SendState::Idle { until: now })];
-        let (messages, crashes) = (Vec::new(), Vec::new());
-        CrashModel { size, pause, dice, now, tables, messages, sends, crashes, last_send: now }
+        CrashModel {
+            size,
+            pause,
+            dice,
+            now,
+            tables,
+            messages: Vec::new(),
+            last_rounds: vec![now; size.hosts],
+            is_urgent: vec![false; size.hosts],
+            sends,
+            crashes: Vec::new(),
+            last_send: now,
+        }
     }
 
     fn run(&mut self) {
@@ -136,9 +153,13 @@
     fn exchange(&mut self, step: usize) {
         let interval_steps = (self.size.interval.as_millis() / STEP.as_millis()).max(1) as usize;
         for from in 0..self.size.hosts {
-            if !(step + from).is_multiple_of(interval_steps) {
+            let is_urgent =
+                self.is_urgent[from] && self.last_rounds[from] + URGENT_INTERVAL <= self.now;
+            if !is_urgent && !(step + from).is_multiple_of(interval_steps) {
                 continue;
             }
+            self.last_rounds[from] = self.now;
+            self.is_urgent[from] = false;
             let report = self.tables[from].take_report(self.size.hosts, self.now);
             if !report.is_empty() {
                 let transit = self.dice.random_range(1..=self.size.transit.as_millis() as u64);
@@ -182,12 +203,14 @@
                 table.end_run(run, RunEnd::Unclear, now);
                 table.record_probe(server, ProbeOutcome::Failed, now);
                 table.release(PRINT, ticket, now);
+                self.is_urgent[at] = true;
                 let until = now + 2 * (self.size.interval + self.size.transit);
                 SendState::Checking { server, until }
             }
             SendState::Checking { server, until } if until <= now => {
                 let verdict = CheckVerdict::Crashed(CrashReason::UnreachedByAll);
                 self.tables[at].finish_check(server, verdict, now);
+                self.is_urgent[at] = true;
                 SendState::Idle { until: now + self.pause }
             }
             state => state,
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -76,7 +76,7 @@
         GossipSender { state, fleet_state, relays, connections, stop }
     }
 
-    /// Sends messages at an interval, and earlier when an engine is about to load weights.
+    /// Sends messages at an interval, and earlier when an engine is about to load weights or a server may have crashed.
     pub(crate) async fn run(self) {
         let mut had_to_send = false;
         let mut last_sent = Instant::now();
@@ -89,7 +89,7 @@
             self.state.suspects().set_settle_time(settle_time(plan.interval));
             tokio::select! {
                 () = sleep(plan.interval) => {}
-                () = self.state.loading.changed() => sleep_until(last_round + plan.urgent_interval).await,
+                () = self.urgent_change() => sleep_until(last_round + plan.urgent_interval).await,
             }
             let since_last_round = last_round.elapsed().min(plan.interval);
             last_round = Instant::now();
@@ -111,6 +111,13 @@
         }
     }
 
+    async fn urgent_change(&self) {
+        tokio::select! {
+            () = self.state.loading.changed() => {}
+            () = self.state.crash_evidence_change.notified() => {}
+        }
+    }
+
     fn next_plan(&self, message_bytes: usize) -> GossipPlan {
         let own = self.own_host();
         let hosts = self.topology_hosts(&own);
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -76,6 +76,8 @@
     pub(crate) fleet_record_change: Notify,
     /// Wakes the task that tries servers for other hosts.
     pub(crate) suspect_wake: Notify,
+    /// Wakes the sender of gossip before its interval is over, as there is new evidence on a crash.
+    pub(crate) crash_evidence_change: Notify,
     /// Wakes requests that wait for the first connection attempt of a check.
     pub(crate) suspect_probed: Notify,
     /// Engines that are loading weights on this router's order.
@@ -141,6 +143,7 @@
             open_connections: AtomicUsize::new(0),
             fleet_record_change: Notify::new(),
             suspect_wake: Notify::new(),
+            crash_evidence_change: Notify::new(),
             suspect_probed: Notify::new(),
             loading: LoadingRegistry::default(),
             prompt_queue: PromptQueue::default(),
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -100,6 +100,7 @@
         let now = Instant::now();
         let changes = self.state.suspects().finish_check(self.server.key(), verdict, now);
         self.state.fleet_record_change.notify_one();
+        self.state.crash_evidence_change.notify_one();
         count_crash_check(verdict);
         if let CheckVerdict::Crashed(reason) = verdict {
             self.log_crash(reason);
@@ -251,7 +252,9 @@
     let isolated = ProbeOutcome::Isolated;
     state.suspects().record_probe(server.key(), isolated, Instant::now());
     state.suspect_probed.notify_waiters();
+    state.crash_evidence_change.notify_one();
     if reaches_control(state, server).await {
         state.suspects().record_probe(server.key(), ProbeOutcome::Failed, Instant::now());
+        state.crash_evidence_change.notify_one();
     }
 }
