Suspects with two crashes run beside no other suspect

Cause: a suspect with two crashes could share a server with one of one crash, if they shared a crash. With one guilty request that is safe; with two, the innocent met the crash of the first, then that of the second, and was then allowed beside the first again.

Change: related or not, a suspect with two crashes waits for a server that no other suspect has claimed, and the others avoid its server. The rule is shorter than before.

--- a/crates/dispatch/src/suspect_table/turns.rs
+++ b/crates/dispatch/src/suspect_table/turns.rs
@@ -13,8 +13,7 @@
 use crate::suspect_record::SuspectRecord;
 use crate::suspect_table::POLL_INTERVAL;
 
-/// Crashes from which a suspect is strong: one more convicts it, so that it shares a server with no suspect that could
-/// crash it.
+/// Crashes from which a suspect is strong: one more convicts it, so that it shares a server with no other suspect.
 const MIN_STRONG_CRASHES: usize = 2;
 /// Times that a claim changes its server to spread a group. What other hosts claim at the same time becomes known
 /// only after it was chosen.
@@ -37,13 +36,6 @@
     First,
 }
 
-/// How little a server suits a request; lower is better.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ServerRank {
-    has_strong: bool,
-    related: usize,
-}
-
 type Neighbors = IndexMap<ServerKey, Vec<Neighbor>>;
 
 impl SuspectTable {
@@ -169,17 +161,20 @@
         now: Instant,
     ) -> bool {
         let first = self.neighbors(fingerprint, ClaimScope::First, now);
-        let Some(rank) = self.rank(fingerprint, claim.server, &first) else { return false };
+        let Some(related) = self.related_at(fingerprint, claim.server, &first) else {
+            return false;
+        };
         if self.is_strong(fingerprint) {
             return !exceeds_risk(&first, claim.server, servers);
         }
-        if rank.related == 0 || MAX_SPREAD_MOVES <= claim.moves {
+        if related == 0 || MAX_SPREAD_MOVES <= claim.moves {
             return true;
         }
         let all = self.neighbors(fingerprint, ClaimScope::All, now);
-        let ranks = servers.iter().filter_map(|server| self.rank(fingerprint, *server, &all));
+        let at_others =
+            servers.iter().filter_map(|server| self.related_at(fingerprint, *server, &all));
         // Moving by one would only exchange places.
-        ranks.min().is_none_or(|best| rank.related <= best.related + 1)
+        at_others.min().is_none_or(|fewest| related <= fewest + 1)
     }
 
     /// The server that the request should run at, among the less loaded half of those that suit it best.
@@ -189,18 +184,18 @@
         servers: &[ServerKey],
         neighbors: &Neighbors,
     ) -> Option<ServerKey> {
-        let mut ranked: Vec<(ServerRank, ServerKey)> = Vec::new();
+        let mut possible: Vec<(usize, ServerKey)> = Vec::new();
         for server in servers {
-            let rank = self.rank(fingerprint, *server, neighbors);
-            ranked.extend(rank.map(|rank| (rank, *server)));
+            let related = self.related_at(fingerprint, *server, neighbors);
+            possible.extend(related.map(|related| (related, *server)));
         }
         if self.is_strong(fingerprint) {
-            ranked.retain(|(_, server)| !exceeds_risk(neighbors, *server, servers));
+            possible.retain(|(_, server)| !exceeds_risk(neighbors, *server, servers));
         }
-        let best = ranked.iter().map(|(rank, _)| *rank).min()?;
-        let mut best: Vec<ServerKey> = ranked
+        let fewest = possible.iter().map(|(related, _)| *related).min()?;
+        let mut best: Vec<ServerKey> = possible
             .into_iter()
-            .filter(|(rank, _)| *rank == best)
+            .filter(|(related, _)| *related == fewest)
             .map(|(_, server)| server)
             .collect();
         best.truncate(best.len().div_ceil(2));
@@ -209,27 +204,18 @@
         best.into_iter().max_by_key(order)
     }
 
-    /// How a server suits the request; `None` if it must not run there.
-    fn rank(
+    /// Suspects at a server that share a crash with the request; `None` if it must not run there.
+    fn related_at(
         &self,
         fingerprint: u128,
         server: ServerKey,
         neighbors: &Neighbors,
-    ) -> Option<ServerRank> {
+    ) -> Option<usize> {
         let is_strong = self.is_strong(fingerprint);
-        let mut rank = ServerRank { has_strong: false, related: 0 };
-        for neighbor in neighbors.get(&server).into_iter().flatten() {
-            match (is_strong, neighbor.is_strong, neighbor.is_related) {
-                (true, true, _) | (true, false, false) | (false, true, false) => return None,
-                (_, false, true) => rank.related += 1,
-                (false, true, true) => {
-                    rank.has_strong = true;
-                    rank.related += 1;
-                }
-                (false, false, false) => {}
-            }
-        }
-        Some(rank)
+        let neighbors = neighbors.get(&server).map(Vec::as_slice).unwrap_or_default();
+        let must_be_alone = neighbors.iter().any(|neighbor| is_strong || neighbor.is_strong);
+        let related = neighbors.iter().filter(|neighbor| neighbor.is_related).count();
+        (!must_be_alone).then_some(related)
     }
 
     /// Other suspected requests by the servers that they have claimed.
--- a/crates/dispatch/tests/suspect_crowd.rs
+++ b/crates/dispatch/tests/suspect_crowd.rs
@@ -94,10 +94,12 @@
     fn new(case: CrowdCase, seed: u64) -> CrowdModel {
         let now = Instant::now();
         let interval = Duration::from_millis(case.interval_ms);
+        let transit = Duration::from_millis(case.transit_ms);
+        let settle_time = (interval + interval / 2).max(2 * transit) + Duration::from_millis(20);
         let mut tables = Vec::new();
         for number in 0..case.hosts {
             let mut table = SuspectTable::new(host(number), SuspectConf::default());
-            table.set_settle_time(interval + interval / 2 + Duration::from_millis(20));
+            table.set_settle_time(settle_time);
             tables.push(table);
         }
         let mut dice = StdRng::seed_from_u64(seed);
@@ -340,3 +342,9 @@
 fn two_of_a_crowd_are_convicted() {
     check_sizes(12, 20, 2);
 }
+
+/// Guards against innocents that are convicted by the crashes of several requests, with few crashes of each.
+#[test]
+fn four_of_a_crowd_are_convicted() {
+    check_sizes(12, 8, 4);
+}
