Claims of suspects leave at once, and settle over two message delays

What callers saw: nothing yet. Two claims of one request that cross on their way could both win where a message takes longer than half of the settle time: by reading, at 90 hosts (155 ms, two messages of 80).

Change: a claim wakes the sender of gossip, as evidence does; where relays forward messages the settle time is 180 ms at least, twice two intervals of a relay and a margin. The models use the same times.

--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -109,7 +109,8 @@
 impl CrashModel {
     fn new(size: FleetSize, pause: Duration, seed: u64) -> CrashModel {
         let now = Instant::now();
-        let settle_time = size.interval + size.interval / 2 + Duration::from_millis(20);
+        let interval = size.interval + size.interval / 2;
+        let settle_time = interval.max(2 * size.transit) + Duration::from_millis(20);
         let mut tables = Vec::new();
         for number in 0..size.hosts {
             let mut table = SuspectTable::new(host(number), SuspectConf::default());
@@ -187,6 +188,7 @@
         let next = match state {
             SendState::Idle { until } if until <= now => {
                 let ticket = self.tables[at].issue_ticket();
+                self.is_urgent[at] = true;
                 SendState::Waiting { ticket }
             }
             SendState::Waiting { ticket } => {
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -37,6 +37,8 @@
 
 /// Time in which a message is transmitted and processed, and relays forward it.
 const SETTLE_MARGIN: Duration = Duration::from_millis(20);
+/// Lower bound of the settle time where relays forward messages: claims that cross on their way both arrive before.
+const RELAYED_SETTLE_TIME: Duration = Duration::from_millis(180);
 
 /// Sends gossip over one connection per target.
 pub(crate) struct GossipSender {
@@ -61,6 +63,8 @@
     interval: Duration,
     urgent_interval: Duration,
     keepalive_interval: Duration,
+    /// Time after which the other hosts have received what this one published, and it what they published meanwhile.
+    settle_time: Duration,
     /// Hosts that receive the message, directly or through relays.
     recipients: usize,
 }
@@ -86,7 +90,7 @@
         loop {
             let plan = self.next_plan(message_bytes);
             self.state.servers().set_gossip_interval(plan.interval);
-            self.state.suspects().set_settle_time(settle_time(plan.interval));
+            self.state.suspects().set_settle_time(plan.settle_time);
             tokio::select! {
                 () = sleep(plan.interval) => {}
                 () = self.urgent_change() => sleep_until(last_round + plan.urgent_interval).await,
@@ -130,15 +134,21 @@
                 interval: topology.interval,
                 urgent_interval: RELAYED_URGENT_INTERVAL,
                 keepalive_interval: RELAYED_KEEPALIVE_INTERVAL,
+                settle_time: settle_time(topology.interval).max(RELAYED_SETTLE_TIME),
                 recipients: hosts.len(),
             },
             None => {
                 let targets = self.all_peers();
                 let urgent_interval =
                     urgent_interval(targets.len(), message_bytes, link_bytes_per_s);
-                let (interval, keepalive_interval, recipients) =
-                    (topology.interval, KEEPALIVE_INTERVAL, targets.len());
-                GossipPlan { targets, interval, urgent_interval, keepalive_interval, recipients }
+                GossipPlan {
+                    recipients: targets.len(),
+                    targets,
+                    interval: topology.interval,
+                    urgent_interval,
+                    keepalive_interval: KEEPALIVE_INTERVAL,
+                    settle_time: settle_time(topology.interval),
+                }
             }
         }
     }
@@ -243,7 +253,6 @@
     }
 }
 
-/// Time after which the other hosts have received what this one published.
 fn settle_time(interval: Duration) -> Duration {
     interval + interval / 2 + SETTLE_MARGIN
 }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -76,7 +76,7 @@
     pub(crate) fleet_record_change: Notify,
     /// Wakes the task that tries servers for other hosts.
     pub(crate) suspect_wake: Notify,
-    /// Wakes the sender of gossip before its interval is over, as there is new evidence on a crash.
+    /// Wakes the sender of gossip before its interval is over, as there is new evidence on a crash or a new claim.
     pub(crate) crash_evidence_change: Notify,
     /// Wakes requests that wait for the first connection attempt of a check.
     pub(crate) suspect_probed: Notify,
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -92,8 +92,13 @@
         if servers.is_empty() {
             servers = self.turn_candidates(&[]);
         }
+        let is_new = self.turn.is_none();
         let new = || SuspectTurn::new(self.state.clone(), fingerprint);
-        self.turn.get_or_insert_with(new).step(&servers)
+        let step = self.turn.get_or_insert_with(new).step(&servers);
+        if is_new {
+            self.state.crash_evidence_change.notify_one();
+        }
+        step
     }
 
     fn turn_candidates(&self, excluded: &[ServerKey]) -> Vec<ServerKey> {
