Gossip: a host reports no load at servers that it doesn't reach

Cause: a host that is cut off silently holds its open requests until their connections are given up, 3 s later, and reported them as load meanwhile. For all other hosts the servers looked full: prompt tokens sent fell from some 550 to 300 thousand a second from 0.2 to 3 s after the cut (`request_sent`).

Change: a host leaves servers of a service that it doesn't reach out of its report. Servers tell other hosts their true load with each response. The test fails without the change.

--- a/crates/dispatch/src/server_registry/gossip.rs
+++ b/crates/dispatch/src/server_registry/gossip.rs
@@ -15,6 +15,7 @@
 use crate::PromptNotice;
 use crate::ServerKey;
 use crate::ServerRegistry;
+use crate::ServerState;
 use crate::ZonePeer;
 
 /// Upper bound on prompts that wait for the next gossip message. Further ones are not announced, which makes
@@ -26,8 +27,14 @@
     /// `max_parts` parts. Prompts and cache updates in the message are no longer pending.
     pub fn take_gossip(&mut self, max_parts: usize, now: Instant) -> GossipMessage {
         self.peers.remove_expired(now);
-        let busy_servers = self.servers.values().filter(|state| 0 < state.open);
-        let loads = busy_servers
+        // What is open at servers out of reach may have ended long ago; servers report their load to other hosts.
+        let reach = &self.reach;
+        let has_load =
+            |state: &&ServerState| 0 < state.open && !reach.is_unreached(&state.entry.service);
+        let loads = self
+            .servers
+            .values()
+            .filter(has_load)
             .map(|state| PeerLoad {
                 server: state.key(),
                 open: state.open,
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -21,6 +21,7 @@
 use support::PLAIN_SERVICE;
 use support::engines;
 use support::key;
+use support::prompt_call;
 use support::server;
 use tokio::time::Instant;
 
@@ -230,6 +231,22 @@
     assert!(registry.is_lost(&entries[0], at(910)));
 }
 
+/// Guards against servers that look busy to all hosts with the requests of a host that is cut off from them.
+#[test]
+fn a_host_that_reaches_no_server_reports_no_load_there() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.sync(&engines(&["a", "b", "c"]), now);
+    registry.record_send(&prompt_call("open", &[], now), key("a"), now);
+    assert_eq!(registry.take_gossip(usize::MAX, now).loads.len(), 1);
+    for name in ["a", "b", "c"] {
+        registry.record_connect(key(name), TimedOut, now);
+    }
+    assert_eq!(registry.take_gossip(usize::MAX, now).loads, []);
+    registry.record_connect(key("b"), Reached, now + Duration::from_millis(700));
+    assert_eq!(registry.take_gossip(usize::MAX, now).loads.len(), 1, "the cut has ended");
+}
+
 fn report(host: &str, zone: &str, unreached: &[&str]) -> GossipMessage {
     let unreached = unreached.iter().map(|service| service_key(service)).collect();
     GossipMessage {
