--- a/crates/admission/tests/support/server_limit_simulation.rs
+++ b/crates/admission/tests/support/server_limit_simulation.rs
@@ -104,8 +104,6 @@
     pub(crate) limit: Option<f64>,
     /// Newest record of each key in the platform's store.
     store: Vec<StoredLimitSlot>,
-    /// Records written to the store.
-    pub(crate) store_writes: usize,
     start_count: u16,
     /// Step of the first response that named a limit.
     pub(crate) first_named: Option<usize>,
@@ -153,7 +151,6 @@
             waiting: Vec::new(),
             limit: None,
             store: Vec::new(),
-            store_writes: 0,
             start_count: 0,
             first_named: None,
             arrivals: Vec::new(),
@@ -180,7 +177,6 @@
     fn use_store(&mut self, router: usize) {
         let records = self.routers[router].take_due_writes(self.now);
         for record in records {
-            self.store_writes += 1;
             self.store.retain(|stored| stored.slot != record.slot);
             self.store.push(record.clone());
             for reader in (0..self.size.hosts).filter(|reader| *reader != router) {
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -45,7 +45,6 @@
 use crate::traffic::request_handler::end_check::JudgedEnd;
 use crate::traffic::request_handler::forwarding::buffered_response;
 use crate::traffic::request_handler::forwarding::clone_head;
-use crate::traffic::request_handler::forwarding_step::REPLY_TIME;
 use crate::traffic::request_handler::stream_timing::StreamTiming;
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::send_attempt::ConnectedSend;
@@ -160,15 +159,6 @@
         &self.decoded.facts
     }
 
-    /// When a stream that has begun is cut. At a helper later than the reply would be due: the host that has the request
-    /// from its caller cuts the stream itself.
-    pub(crate) fn stream_deadline(&self) -> Instant {
-        match self.source {
-            RequestSource::Caller => self.facts().deadline,
-            RequestSource::Peer => self.facts().deadline + REPLY_TIME,
-        }
-    }
-
     /// Sends the request until a server responds or no further attempt is allowed. A stream goes on at `point`.
     pub(crate) async fn run(mut self, point: ResumePoint) -> HandledRequest {
         match self.next_response(&point).await {
--- a/crates/entry/src/traffic/request_handler/forwarding_step.rs
+++ b/crates/entry/src/traffic/request_handler/forwarding_step.rs
@@ -42,7 +42,7 @@
 /// Hosts that one request is forwarded to in turn.
 const MAX_HELPERS: usize = 3;
 /// Time reserved before the deadline for the reply's transfer.
-pub(super) const REPLY_TIME: Duration = Duration::from_millis(20);
+const REPLY_TIME: Duration = Duration::from_millis(20);
 
 /// A sound server may be silent for about a second. Requests are not rejected for servers that have been out of reach for
 /// a shorter time than this.
@@ -240,6 +240,15 @@
         }
     }
 
+    /// When a stream that has begun is cut. At a helper later than the reply would be due: the host that has the request
+    /// from its caller cuts the stream itself.
+    pub(crate) fn stream_deadline(&self) -> Instant {
+        match self.source {
+            RequestSource::Caller => self.facts().deadline,
+            RequestSource::Peer => self.facts().deadline + REPLY_TIME,
+        }
+    }
+
     fn forward_head(&self, point: &ResumePoint) -> ForwardHead {
         let facts = self.facts();
         let now = Instant::now();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -63,7 +63,8 @@
     /// servers fall over when they reject too much, beside the faults of the seed; goes before --host-cuts
     #[argh(switch)]
     brittle: bool,
-    /// callers send requests that crash servers, beside the faults of the seed; goes before --brittle
+    /// callers send requests that crash servers, beside the faults of the seed; goes before --brittle, and together with
+    /// --host-cuts
     #[argh(switch)]
     crashing_requests: bool,
     /// no router is disturbed while hosts reach no server or servers are brittle, so that all of it is judged
@@ -84,6 +85,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { crashing_requests: true, host_cuts: true, .. } => PlanKind::CrashesBesideCuts,
         SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
         SoakArgs { brittle: true, .. } => PlanKind::Brittle,
         SoakArgs { host_cuts: true, .. } => PlanKind::HostCuts,
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -83,6 +83,8 @@
     HostCuts,
     /// Any faults, and requests that crash the servers which run them.
     CrashingRequests,
+    /// Both of these.
+    CrashesBesideCuts,
     /// Any faults, and servers that fall over when they reject too much, under more load.
     Brittle,
 }
@@ -115,6 +117,9 @@
         PlanKind::ResponseEnds => mixed.with_response_ends(DESKS, ENGINES, conf.length),
         PlanKind::HostCuts => mixed.with_host_cuts(routers, conf.length),
         PlanKind::CrashingRequests => mixed.with_crashing_requests(conf.length),
+        PlanKind::CrashesBesideCuts => {
+            mixed.with_host_cuts(routers, conf.length).with_crashing_requests(conf.length)
+        }
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
         PlanKind::FullLink => mixed.with_full_links(routers, &PAUSED, conf.length),
     };
