Observability: software versions and streams that callers take up

The timeline of the incident can't tell a stream that is placed anew at another host from one that a host with an old list resumes: no line names the attempt that is taken up, nor any software version.

Entries of servers now keep their version (a value that is no text, or one that changes within an incarnation, is no version), and heads of callers keep Last-Event-Id and Resumes. Log: version in server_listed, request_sent and stream_resumed; stream_taken_up (2021) with the first attempt, the last event and the age of the list. fulmargate-ctl entry shows versions. Nothing decides by them yet.

--- a/crates/ctl/src/entry_command.rs
+++ b/crates/ctl/src/entry_command.rs
@@ -4,6 +4,7 @@
 
 use awc::Client;
 use fulmargate_dispatch::EntryStatus;
+use fulmargate_names::SoftwareVersion;
 
 use crate::CommandEnd;
 use crate::CtlError;
@@ -62,16 +63,19 @@
 }
 
 fn servers(status: &EntryStatus) -> String {
-    let heads = ["server", "service", "zone", "open to use", "requests", "failing", "weights"];
-    let mut table = new_table(&heads, &[4, 5]);
+    let heads =
+        ["server", "service", "zone", "version", "open to use", "requests", "failing", "weights"];
+    let mut table = new_table(&heads, &[5, 6]);
     for server in &status.servers {
         let weights: Vec<String> =
             server.weights.iter().map(|(model, version)| format!("{model} {version}")).collect();
+        let version = server.version.as_ref().map_or(NONE, SoftwareVersion::as_str);
         let open = if server.is_open { "yes" } else { "no" };
         table.add_row([
             server.server.to_string(),
             server.service.to_string(),
             server.zone.to_string(),
+            version.to_owned(),
             open.to_owned(),
             server.open.to_string(),
             format!("{:.2}", server.failure_share),
--- a/crates/dispatch/src/entry_status.rs
+++ b/crates/dispatch/src/entry_status.rs
@@ -6,6 +6,7 @@
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
+use fulmargate_names::SoftwareVersion;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
 use serde::Deserialize;
@@ -67,6 +68,9 @@
     pub service: ServiceName,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// Version of its software; `None` if it is not known.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// Whether it may be selected now.
     pub is_open: bool,
     /// Requests in flight there, from all routers.
--- a/crates/dispatch/src/server_entry.rs
+++ b/crates/dispatch/src/server_entry.rs
@@ -8,6 +8,7 @@
 use fulmargate_names::ModelName;
 use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
+use fulmargate_names::SoftwareVersion;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
 use indexmap::IndexMap;
@@ -27,6 +28,8 @@
     pub incarnation: Option<Incarnation>,
     /// The service it belongs to.
     pub service: ServiceName,
+    /// Version of its software; `None` if the entry states none that can be read.
+    pub version: Option<SoftwareVersion>,
     /// Address that it listens on. May be reassigned to another server later.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -132,6 +132,12 @@
         if same_start.is_some_and(|known| known.has_drained) {
             entry.stage = ServerStage::Draining;
         }
+        // A process keeps its software. One whose entry contradicts itself has no known version.
+        let listed = self.servers.get(&entry.name);
+        let same_listed = listed.filter(|listed| listed.incarnation == entry.incarnation);
+        if same_listed.is_some_and(|listed| listed.version != entry.version) {
+            entry.version = None;
+        }
         self.record_start(&entry);
         self.departed.swap_remove(&entry.name);
         self.lapsed.swap_remove(&entry.name);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -28,6 +28,7 @@
 use fulmargate_names::RequestId;
 use fulmargate_names::ServerName;
 use fulmargate_names::ServiceName;
+use fulmargate_names::SoftwareVersion;
 use fulmargate_names::TeamName;
 use fulmargate_names::WeightsVersion;
 use fulmargate_names::ZoneName;
@@ -51,6 +52,7 @@
         name: ServerName::new(name),
         incarnation: None,
         service: ServiceName::new(service),
+        version: Some(SoftwareVersion::new("v1")),
         address: "127.0.0.1:9000".parse().expect("an address"),
         zone: zone(),
         slots: 8,
--- a/crates/emulator/src/router_model.rs
+++ b/crates/emulator/src/router_model.rs
@@ -72,6 +72,7 @@
                 name: ServerName::new(&format!("engine-{number}")),
                 incarnation: None,
                 service: service.clone(),
+                version: None,
                 address: ([10, 0, (number / 200) as u8, (number % 200) as u8], 80).into(),
                 zone: zone.clone(),
                 slots: spec.slots,
--- a/crates/entry/src/control/server_log.rs
+++ b/crates/entry/src/control/server_log.rs
@@ -10,6 +10,7 @@
 use fulmargate_names::EventKind;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
+use fulmargate_names::SoftwareVersion;
 use indexmap::IndexMap;
 
 /// How the router learned that an entry was removed.
@@ -109,6 +110,7 @@
         name = kind.name(),
         server = %entry.name,
         service = %entry.service,
+        version = entry.version.as_ref().map(SoftwareVersion::as_str),
         zone = %entry.zone,
         address = %entry.address,
         started_ms = entry.incarnation.map(|incarnation| incarnation.0),
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -50,6 +50,8 @@
     table: ServerTable,
     log: ServerLog,
     next: Option<LogPosition>,
+    /// Send time of the newest read that reached the end of the topic.
+    complete_as_of: Option<BootTime>,
     epoch: EpochTracker,
 }
 
@@ -62,6 +64,7 @@
             table: ServerTable::default(),
             log: ServerLog::default(),
             next: None,
+            complete_as_of: None,
             epoch,
         }
     }
@@ -125,6 +128,7 @@
             }
         }
         self.next = Some(from.after(page.records.len()));
+        self.complete_as_of = page.complete_as_of.or(self.complete_as_of);
         page.complete_as_of.is_some()
     }
 
@@ -142,6 +146,7 @@
             self.log.record_removal(&name, removal, RemovalSource::List);
         }
         self.next = Some(newest.end);
+        self.complete_as_of = Some(newest.sent);
         Ok(())
     }
 
@@ -205,6 +210,9 @@
         let limits = servers.apply_stored_limits(now);
         drop(servers);
         limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
+        if let Some(as_of) = self.complete_as_of {
+            self.state.record_complete_list(as_of);
+        }
         self.log.log_changes(&self.table);
     }
 }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -4,7 +4,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -12,6 +14,7 @@
 use fulmargate_admission::QuotaConf;
 use fulmargate_admission::QuotaTracker;
 use fulmargate_admission::ServerLimits;
+use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::RetryBudget;
@@ -92,6 +95,8 @@
     pub(crate) reach_changes: watch::Sender<u64>,
     /// Wakes the prober when connections have failed.
     pub(crate) prober_wake: Notify,
+    /// Send time of the newest read by which the list of servers was complete; zero before the first.
+    list_complete_as_of: AtomicU64,
     /// The newest store epoch seen in any response of the store.
     epoch: watch::Sender<StoreEpoch>,
     pub(crate) log_limiter: LogRateLimiter,
@@ -151,6 +156,7 @@
             forwarded_requests: AtomicUsize::new(0),
             reach_changes: watch::Sender::default(),
             prober_wake: Notify::new(),
+            list_complete_as_of: AtomicU64::new(0),
             epoch: watch::Sender::default(),
             log_limiter: LogRateLimiter::default(),
             proof: Mutex::new(proof),
@@ -181,6 +187,22 @@
         }
     }
 
+    /// Records that the list of servers holds all that was written before this time.
+    pub(crate) fn record_complete_list(&self, as_of: BootTime) {
+        self.list_complete_as_of.fetch_max(as_of.0, Ordering::Relaxed);
+    }
+
+    /// The time before which all writes are in the list of servers; `None` before it was read.
+    pub(crate) fn list_complete_as_of(&self) -> Option<BootTime> {
+        let as_of = self.list_complete_as_of.load(Ordering::Relaxed);
+        (0 < as_of).then_some(BootTime(as_of))
+    }
+
+    /// Time since the list of servers was last complete.
+    pub(crate) fn list_age(&self) -> Option<Duration> {
+        self.list_complete_as_of().map(|as_of| boot_now().since(as_of))
+    }
+
     /// Tracks when the configuration was last confirmed to be the newest.
     pub(crate) fn proof(&self) -> MutexGuard<'_, ConfigProof> {
         lock(&self.proof)
--- a/crates/entry/src/state/status.rs
+++ b/crates/entry/src/state/status.rs
@@ -61,6 +61,7 @@
             server: entry.name.clone(),
             service: entry.service.clone(),
             zone: entry.zone.clone(),
+            version: entry.version.clone(),
             is_open: server.is_open(now),
             open: tracked.open_at(entry.key()),
             failure_share: server.failure_share(now),
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -10,6 +10,7 @@
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::TeamRule;
 use fulmargate_names::ErrorKind;
+use fulmargate_names::RequestId;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -42,6 +43,26 @@
     pub(crate) table: Arc<RouteTable>,
     /// The tokens charged to the team's quota; none for a team without a quota.
     pub(crate) charge: Option<QuotaCharge>,
+    /// The stream that the caller takes up.
+    pub(crate) taken_up: TakenUpStream,
+}
+
+/// What a caller states of a stream that an earlier attempt has begun.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TakenUpStream {
+    /// Id of the last event that it has received.
+    pub(crate) last_event: Option<String>,
+    /// Its attempt that brought the first event.
+    pub(crate) first_attempt: Option<RequestId>,
+}
+
+impl TakenUpStream {
+    fn new(head: &CallerHead) -> TakenUpStream {
+        TakenUpStream {
+            last_event: head.last_event.clone(),
+            first_attempt: head.first_attempt.clone(),
+        }
+    }
 }
 
 /// Route and team of a request whose body has not been read yet.
@@ -66,7 +87,8 @@
     let body = read_body(body, admitted.table.limits().body_bytes, deadline).await?;
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge })
+    let taken_up = TakenUpStream::new(&admitted.head);
+    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up })
 }
 
 /// Admits a request that another host has admitted and charged, with a configuration that is not newer than this
@@ -86,7 +108,8 @@
     let arrived = received.checked_sub(head.waited()).unwrap_or(received);
     let deadline = received + head.time_left();
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge: None })
+    let taken_up = TakenUpStream::new(&admitted.head);
+    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge: None, taken_up })
 }
 
 /// When a request arrived, and when it must be answered.
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -9,6 +9,7 @@
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
+use fulmargate_names::SoftwareVersion;
 use fulmargate_names::TeamName;
 use http::StatusCode;
 use tokio::time::Instant;
@@ -40,6 +41,7 @@
             name = kind.name(),
             id = %self.facts().id,
             server = %server.name,
+            version = server.version.as_ref().map(SoftwareVersion::as_str),
             reason,
             send = self.progress.sends() + 1,
             limit = grant.map(|grant| grant.rate_per_s),
@@ -68,6 +70,7 @@
             name = kind.name(),
             id = %self.facts().id,
             server = %choice.server.name,
+            version = choice.server.version.as_ref().map(SoftwareVersion::as_str),
             reason,
             send = self.progress.sends() + 1,
             limit = grant.map(|grant| grant.rate_per_s),
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -12,6 +12,7 @@
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
+use fulmargate_names::SoftwareVersion;
 use fulmargate_names::WeightsVersion;
 use http::Response;
 use http::header::CONTENT_LENGTH;
@@ -271,6 +272,7 @@
             name = kind.name(),
             id = %self.handler.facts().id,
             server = response.origin.server().map(|server| server.name.as_str()),
+            version = response.origin.server().and_then(|server| server.version.as_ref().map(SoftwareVersion::as_str)),
             helper = response.origin.helper().map(HostName::as_str),
             last_event,
         );
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -56,6 +56,8 @@
     RequestCleared = 2019,
     /// A request that is suspected of crashing backend servers goes to one.
     SuspectSent = 2020,
+    /// A caller takes up a stream that an earlier attempt has begun.
+    StreamTakenUp = 2021,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -197,6 +199,7 @@
     CrashChecked => "crash_checked",
     RequestCleared => "request_cleared",
     SuspectSent => "suspect_sent",
+    StreamTakenUp => "stream_taken_up",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -23,6 +23,7 @@
 pub use name::RequestId;
 pub use name::ServerName;
 pub use name::ServiceName;
+pub use name::SoftwareVersion;
 pub use name::TeamName;
 pub use name::ZoneName;
 pub use number::ConfigVersion;
--- a/crates/names/src/name.rs
+++ b/crates/names/src/name.rs
@@ -80,6 +80,10 @@
     /// A plain service, as callers ask for it.
     ServiceName
 }
+name_type! {
+    /// Version of the software that a backend server runs, without any order.
+    SoftwareVersion
+}
 name_type! {
     /// A class of traffic, such as `urgent` or `batch`.
     ClassName
