--- a/crates/entry/tests/daemon/cut_fleet.rs
+++ b/crates/entry/tests/daemon/cut_fleet.rs
@@ -91,10 +91,19 @@
 
     /// The same with this many servers of the plain service.
     pub(crate) async fn start_with_desks(config: &ConfigText, desk_count: usize) -> CutFleet {
+        CutFleet::start_with_servers(config, desk_count, &["v1"; ENGINES]).await
+    }
+
+    /// The same with an engine for each of these software versions.
+    pub(crate) async fn start_with_servers(
+        config: &ConfigText,
+        desk_count: usize,
+        engine_versions: &[&str],
+    ) -> CutFleet {
         let store = FakeStore::start().await.expect("start the store");
         store.put_config(config);
-        let desks = start_servers(&store, "desk", desk_count).await;
-        let engines = start_servers(&store, "engines", ENGINES).await;
+        let desks = start_servers(&store, "desk", &vec!["v1"; desk_count]).await;
+        let engines = start_servers(&store, "engines", engine_versions).await;
         let (mut daemons, mut store_links) = (Vec::new(), Vec::new());
         for host in 0..HOSTS {
             let view = store.start_view(host_address(host)).await.expect("start a view");
@@ -102,10 +111,11 @@
             daemons.push(DaemonProcess::start_with_settings(link.address, &json!({})));
             store_links.push(link);
         }
+        let server_count = desk_count + engine_versions.len();
         let mut callers = Vec::new();
         for daemon in &daemons {
             let listed = || daemon.events("server_listed").len();
-            wait_until("a daemon lists all servers", || listed() == desk_count + ENGINES).await;
+            wait_until("a daemon lists all servers", || listed() == server_count).await;
             wait_until("its configuration is confirmed", || {
                 !daemon.events("config_proven").is_empty()
             })
@@ -135,6 +145,24 @@
         self.store_links[host].set_fault(LinkFault::Silent);
     }
 
+    /// Kills a host's daemon.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.daemons[host].signal("KILL");
+    }
+
+    /// Starts a new daemon in a host's place, under the same name, and waits until it lists this many servers.
+    pub(crate) async fn restart(&mut self, host: usize, server_count: usize) {
+        let name = self.name(host);
+        let store = self.store_links[host].address;
+        let daemon = DaemonProcess::start_with_settings(store, &json!({"host": name}));
+        let listed = || daemon.events("server_listed").len();
+        wait_until("a daemon lists all servers", || listed() == server_count).await;
+        wait_until("its configuration is confirmed", || !daemon.events("config_proven").is_empty())
+            .await;
+        self.callers[host] = daemon.address("callers").await;
+        self.daemons[host] = daemon;
+    }
+
     /// Mends a host's links to all servers.
     pub(crate) fn mend(&self, host: usize) {
         self.desks.iter().chain(&self.engines).for_each(|server| server.mend(host));
@@ -209,6 +237,33 @@
 }
 
 impl LinkedServer {
+    /// Starts a server and lists it with this software version.
+    pub(crate) async fn start(
+        store: &FakeStore,
+        name: &str,
+        service: &str,
+        version: &str,
+    ) -> LinkedServer {
+        let stand = FakeServer::start(name, ServerMode::Echo).await.expect("start a server");
+        let mut proxies: Vec<LoopbackProxy> = Vec::new();
+        for host in 0..HOSTS {
+            let port = proxies.first().map_or(0, |first| first.address.port());
+            let address = SocketAddr::from((host_address(host), port));
+            let target = Some(stand.address);
+            let proxy = LoopbackProxy::start_on(address, target, HostLink::default()).await;
+            proxies.push(proxy.expect("start a proxy"));
+        }
+        let address = proxies[0].address;
+        store.put_server_of(name, service, address, "ready", &json!(version));
+        LinkedServer { stand, proxies }
+    }
+
+    /// Writes the server's entry with this state and software version.
+    pub(crate) fn list(&self, store: &FakeStore, service: &str, state: &str, version: &str) {
+        let address = self.proxies[0].address;
+        store.put_server_of(&self.stand.name, service, address, state, &json!(version));
+    }
+
     /// Cuts a host's link to this server.
     pub(crate) fn set_cut(&self, host: usize, cut: LinkCut) {
         LinkCut::apply(Some(cut), &self.proxies[host]);
@@ -237,21 +292,11 @@
     Ipv4Addr::new(127, 0, 0, 1 + host as u8)
 }
 
-async fn start_servers(store: &FakeStore, service: &str, count: usize) -> Vec<LinkedServer> {
+async fn start_servers(store: &FakeStore, service: &str, versions: &[&str]) -> Vec<LinkedServer> {
     let mut servers = Vec::new();
-    for number in 1..=count {
+    for (number, version) in (1..).zip(versions) {
         let name = format!("{service}-{number}");
-        let stand = FakeServer::start(&name, ServerMode::Echo).await.expect("start a server");
-        let mut proxies: Vec<LoopbackProxy> = Vec::new();
-        for host in 0..HOSTS {
-            let port = proxies.first().map_or(0, |first| first.address.port());
-            let address = SocketAddr::from((host_address(host), port));
-            let target = Some(stand.address);
-            let proxy = LoopbackProxy::start_on(address, target, HostLink::default()).await;
-            proxies.push(proxy.expect("start a proxy"));
-        }
-        store.put_server(&name, service, proxies[0].address, "ready");
-        servers.push(LinkedServer { stand, proxies });
+        servers.push(LinkedServer::start(store, &name, service, version).await);
     }
     servers
 }
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod response_ends;
 mod server_limits;
+mod software_versions;
 mod store_proxy;
 mod store_restore;
 mod streams;
