Dispatch: origins of streams, which versions may have begun one, and who keeps its record

What the tree lacked: the software version of a stream was known nowhere, and the version in a server's entry was dropped at the boundary. Now StreamOrigin is the service and version of a stream as a hash (a server without a known version equals only itself), VersionTracker follows the versions of the list and tells whether a stream that is on no record can have one origin only, BindingTable keeps records, binding_owners ranks the hosts that keep them. A placement may be restricted to an origin, and new resumable streams wait for 2 s before they begin at a version that is new in the list. Gossip gets a ninth extension with the services that have several versions.

Nothing uses it yet but the router's placement with no origin given; behaviour is that of before for services with one version.

--- a/crates/dispatch/benches/choice.rs
+++ b/crates/dispatch/benches/choice.rs
@@ -73,6 +73,7 @@
             weights_bound: Duration::from_secs(5),
             zone: &zone,
             only_weights: None,
+            only_origin: None,
             excluded: &[],
             now,
             boot_now: BootTime(100_000),
--- a/crates/dispatch/src/boot_time.rs
+++ b/crates/dispatch/src/boot_time.rs
@@ -15,6 +15,11 @@
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
 
+    /// This time minus `time`, at the earliest the boot.
+    pub fn before(self, time: Duration) -> BootTime {
+        BootTime(self.0.saturating_sub(time.as_millis() as u64))
+    }
+
     /// This time plus `wait`.
     pub fn after(self, wait: Duration) -> BootTime {
         BootTime(self.0.saturating_add(wait.as_millis() as u64))
--- a/crates/dispatch/src/call_facts.rs
+++ b/crates/dispatch/src/call_facts.rs
@@ -4,8 +4,10 @@
 
 use fulmargate_names::ModelName;
 use fulmargate_names::RequestId;
+use fulmargate_names::ServiceName;
 use fulmargate_names::TeamName;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::RouteRule;
 
@@ -46,6 +48,12 @@
 }
 
 impl CallFacts {
+    /// The service for the request. A route with several services picks one by the hash of the request id.
+    pub fn service(&self) -> Option<ServiceName> {
+        let hash = xxh3_64(self.id.as_str().as_bytes());
+        self.route.service_for(hash).cloned()
+    }
+
     /// The parts that other requests may share. A prompt of one part is shared with its
     /// repetitions.
     pub fn shared_parts(&self) -> &[PromptPart] {
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -29,6 +29,7 @@
 use crate::ServerEntry;
 use crate::ServerKey;
 use crate::ServerState;
+use crate::StreamOrigin;
 use crate::Urgency;
 use crate::WeightsTable;
 use crate::experiment::Mechanism;
@@ -91,6 +92,8 @@
     pub zone: &'a ZoneName,
     /// If set, only engines with these weights are allowed, so that a stream can be resumed.
     pub only_weights: Option<WeightsVersion>,
+    /// If set, only servers of this origin are allowed, which has begun the stream.
+    pub only_origin: Option<StreamOrigin>,
     /// Servers that must not be chosen.
     pub excluded: &'a [ServerKey],
     /// Current time.
@@ -193,6 +196,9 @@
         if state.entry.service != *self.service || self.excluded.contains(&state.key()) {
             return None;
         }
+        if !state.may_stream(self.call, self.only_origin, self.boot_now) {
+            return None;
+        }
         let weights = state.weights(self.model)?;
         if self.only_weights.is_some_and(|only| only != weights) {
             return None;
--- a/crates/dispatch/src/gossip_message.rs
+++ b/crates/dispatch/src/gossip_message.rs
@@ -77,6 +77,10 @@
     /// Requests that crash servers. Encoded after the message as well.
     #[serde(skip)]
     pub suspects: SuspectReport,
+    /// Services that have servers of several software versions, as hashes. Encoded after the message as well; `None`
+    /// for routers that do not bind streams to versions.
+    #[serde(skip)]
+    pub mixed_services: Option<Vec<u64>>,
 }
 
 /// Time since a target weights version was published.
--- a/crates/dispatch/src/log_cache.rs
+++ b/crates/dispatch/src/log_cache.rs
@@ -20,6 +20,8 @@
     Servers,
     /// Records that routers share with each other.
     Fleet,
+    /// Where streams began.
+    Streams,
 }
 
 /// A request to another router for records.
--- a/crates/dispatch/src/peer_load_table.rs
+++ b/crates/dispatch/src/peer_load_table.rs
@@ -14,6 +14,7 @@
 use crate::GossipMessage;
 use crate::HelperCandidate;
 use crate::LinkRank;
+use crate::OwnerCandidate;
 use crate::PeerLoad;
 use crate::ReachReport;
 use crate::ServerKey;
@@ -85,6 +86,7 @@
     link_kbps: Option<u32>,
     loads: Vec<PeerLoad>,
     reach: Option<ReachReport>,
+    binds_streams: bool,
 }
 
 /// Load of all other routers at one server.
@@ -108,6 +110,7 @@
             link_kbps: message.link_kbps,
             loads: message.loads.clone(),
             reach: message.reach.clone(),
+            binds_streams: message.mixed_services.is_some(),
         };
         for load in &message.loads {
             self.totals.entry(load.server).or_default().add(load);
@@ -162,6 +165,17 @@
         })
     }
 
+    /// Routers with a current report that keep records of streams.
+    pub(crate) fn binding_hosts(&self, now: Instant) -> impl Iterator<Item = OwnerCandidate> {
+        let is_fresh = move |report: &PeerReport| {
+            now.saturating_duration_since(report.received_at) < MESSAGE_TTL
+        };
+        let fresh = self.reports.iter().filter(move |(_, report)| is_fresh(report));
+        fresh.filter(|(_, report)| report.binds_streams).filter_map(|(host, report)| {
+            Some(OwnerCandidate { host: host.clone(), zone: report.zone.clone()? })
+        })
+    }
+
     /// Hosts that may send a request to a service with this key, but for the excluded ones.
     pub(crate) fn helper_candidates(
         &self,
--- a/crates/dispatch/src/placement_request.rs
+++ b/crates/dispatch/src/placement_request.rs
@@ -18,6 +18,7 @@
 use crate::SendTicket;
 use crate::ServerEntry;
 use crate::ServerKey;
+use crate::StreamOrigin;
 use crate::WeightsTable;
 
 /// The parts of a placement request that do not change while it is queued.
@@ -31,6 +32,8 @@
     pub model: ModelName,
     /// If set, only engines with these weights are allowed, so that a stream can be resumed.
     pub only_weights: Option<WeightsVersion>,
+    /// If set, only servers of this origin are allowed, which has begun the stream.
+    pub only_origin: Option<StreamOrigin>,
     /// Servers already tried. They are used again only if there is no other.
     pub excluded: Vec<ServerKey>,
     /// If set, no other server is used.
@@ -112,6 +115,7 @@
             weights_bound: view.weights_bound,
             zone: view.zone,
             only_weights: self.only_weights,
+            only_origin: self.only_origin,
             excluded,
             now: view.now,
             boot_now: view.boot_now,
--- a/crates/dispatch/src/route_rule.rs
+++ b/crates/dispatch/src/route_rule.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether a caller, or another server, may go on with a stream of this route.
+    pub fn is_resumable(&self) -> bool {
+        matches!(self.kind, RouteKind::Stream(rule) if rule.is_resumable)
+    }
+
     /// Selects a service by weight. `hash` is a hash of the request, so that all routers select the same
     /// service when they retry it.
     pub fn service_for(&self, hash: u64) -> Option<&ServiceName> {
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -82,6 +82,11 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.hosts.values().flatten().map(Arc::as_ref)
+    }
+
     /// Finds the team that a key belongs to.
     pub fn team(&self, key: &str) -> Option<&Arc<TeamRule>> {
         self.teams_by_key.get(key)
--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -7,6 +7,7 @@
 mod isolation;
 mod limits;
 mod reach;
+mod versions;
 
 pub use self::brittle::RejectionNotice;
 
--- a/crates/dispatch/src/server_state.rs
+++ b/crates/dispatch/src/server_state.rs
@@ -9,10 +9,13 @@
 use tokio::time::Instant;
 
 use crate::Backlog;
+use crate::BootTime;
+use crate::CallFacts;
 use crate::ConnectOutcome;
 use crate::PromptCacheEstimate;
 use crate::ServerEntry;
 use crate::ServerKey;
+use crate::StreamOrigin;
 use crate::decaying_mean::DecayingMean;
 use crate::link_usage::LinkUsage;
 use crate::server_probe::ServerProbe;
@@ -47,6 +50,9 @@
 pub struct ServerState {
     pub(crate) entry: Arc<ServerEntry>,
     key: ServerKey,
+    origin: StreamOrigin,
+    /// Until when no new streams begin there, as its version is new.
+    pub(crate) streams_from: Option<BootTime>,
     /// This router's requests in flight.
     pub(crate) open: u32,
     /// Those of them that are chats.
@@ -121,6 +127,8 @@
         let weights = entry.models.clone();
         ServerState {
             key: entry.key(),
+            origin: StreamOrigin::of(&entry),
+            streams_from: None,
             entry,
             open: 0,
             chats: 0,
@@ -158,9 +166,29 @@
         for (model, version) in &entry.models {
             self.learn_weights(model, *version);
         }
+        self.origin = StreamOrigin::of(entry);
         self.entry = entry.clone();
     }
 
+    /// Service and software version of the streams that the server begins.
+    pub fn origin(&self) -> StreamOrigin {
+        self.origin
+    }
+
+    /// Whether the software version allows a call there. A stream that has begun needs the version that began it, a new
+    /// one a version that all hosts know.
+    pub(crate) fn may_stream(
+        &self,
+        call: &CallFacts,
+        begun_at: Option<StreamOrigin>,
+        now: BootTime,
+    ) -> bool {
+        match begun_at {
+            Some(origin) => origin == self.origin,
+            None => !call.route.is_resumable() || self.streams_from.is_none_or(|from| from <= now),
+        }
+    }
+
     /// Records a confirmed weights version.
     pub(crate) fn learn_weights(&mut self, model: &ModelName, version: WeightsVersion) {
         let known = self.weights.entry(model.clone()).or_insert(version);
--- a/crates/dispatch/tests/cache_store.rs
+++ b/crates/dispatch/tests/cache_store.rs
@@ -73,6 +73,7 @@
                 weights_bound: Duration::from_millis(4_800),
                 zone: &zone(),
                 only_weights: None,
+                only_origin: None,
                 excluded: &[],
                 now,
                 boot_now: BootTime(100_000),
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -82,6 +82,7 @@
             weights_bound: Duration::from_millis(4_800),
             zone: &zone(),
             only_weights: None,
+            only_origin: None,
             excluded,
             now: self.now,
             boot_now: self.boot_now,
--- a/crates/dispatch/tests/request_queue.rs
+++ b/crates/dispatch/tests/request_queue.rs
@@ -109,6 +109,7 @@
         service: ServiceName::new(ENGINES),
         model: model(),
         only_weights: None,
+        only_origin: None,
         excluded: Vec::new(),
         only_server: None,
     }
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -67,6 +67,7 @@
             weights_bound: Duration::from_millis(4_800),
             zone: &zone(),
             only_weights: None,
+            only_origin: None,
             excluded,
             now: self.now,
             boot_now: BootTime(100_000),
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -98,6 +98,7 @@
         service: ServiceName::new(ENGINES),
         model: model(),
         only_weights: None,
+        only_origin: None,
         excluded: Vec::new(),
         only_server: None,
     }
--- a/crates/emulator/src/play/routers.rs
+++ b/crates/emulator/src/play/routers.rs
@@ -54,6 +54,7 @@
             service: self.shared.service.clone(),
             model: self.shared.model.clone(),
             only_weights: None,
+            only_origin: None,
             only_server: None,
             excluded: state
                 .excluded
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -117,6 +117,12 @@
     probes: Vec<(bool, bool)>,
 }
 
+/// Ninth extension.
+#[derive(Serialize, Deserialize)]
+struct VersionExtension {
+    mixed_services: Option<Vec<u64>>,
+}
+
 impl DetailExtension {
     fn of(gossip: &GossipMessage) -> DetailExtension {
         let limits = gossip.limits.as_ref();
@@ -168,6 +174,8 @@
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let extension = DetailExtension::of(gossip);
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    let extension = VersionExtension { mixed_services: gossip.mixed_services.clone() };
+    message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -202,6 +210,9 @@
     if let Some(extension) = take_extension::<DetailExtension>(&mut rest)? {
         extension.apply(&mut gossip);
     }
+    if let Some(extension) = take_extension::<VersionExtension>(&mut rest)? {
+        gossip.mixed_services = extension.mixed_services;
+    }
     Ok(gossip)
 }
 
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -82,6 +82,7 @@
         LogTopic::Operator => "operator",
         LogTopic::Servers => "servers",
         LogTopic::Fleet => "fleet",
+        LogTopic::Streams => "streams",
     }
 }
 
@@ -95,6 +96,18 @@
     metrics::counter!("fulmargate_limit_decisions_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a stream that a caller takes up, by what became of it and where its origin was found.
+pub(crate) fn count_taken_up(outcome: &'static str, source: &str) {
+    let labels = [("outcome", outcome.to_owned()), ("source", source.to_owned())];
+    metrics::counter!("fulmargate_streams_taken_up_total", &labels).increment(1);
+}
+
+/// Counts records of streams that were published or stored, and messages with such records that were lost.
+pub(crate) fn count_binding(outcome: &'static str, count: usize) {
+    metrics::counter!("fulmargate_stream_records_total", "outcome" => outcome)
+        .increment(count as u64);
+}
+
 /// Counts a check of a server that broke off requests.
 pub(crate) fn count_crash_check(verdict: CheckVerdict) {
     let verdict = verdict.to_string();
--- a/crates/names/src/error_kind.rs
+++ b/crates/names/src/error_kind.rs
@@ -62,6 +62,10 @@
     WeightsChanged,
     /// A resume token is not valid for this team and request.
     ResumeRefused,
+    /// It is not known at which software version a stream began.
+    ResumeUnknown,
+    /// No backend server of the software version that began a stream is left.
+    VersionGone,
     /// A patch names a version that is no longer current.
     StaleVersion,
     /// A patch cannot be applied, or would make the document invalid.
@@ -122,7 +126,7 @@
 
 /// The table, in the order of the list.
 #[rustfmt::skip]
-const ROWS: [ErrorRow; 31] = [
+const ROWS: [ErrorRow; 33] = [
     row(ErrorKind::BadRequest, "bad_request", 400, NotRun, Never, RequestRefused, "The request could not be read."),
     row(ErrorKind::Unauthorized, "unauthorized", 401, NotRun, Never, RequestRefused, "The key is missing or belongs to no team."),
     row(ErrorKind::Forbidden, "forbidden", 403, NotRun, Never, RequestRefused, "The team may not reach this model or service."),
@@ -151,6 +155,8 @@
     row(ErrorKind::StreamBroken, "stream_broken", 502, Unknown, After, RequestFailed, "The stream broke and could not be continued."),
     row(ErrorKind::WeightsChanged, "weights_changed", 502, Unknown, After, RequestFailed, "The stream cannot be continued under the weights it began with."),
     row(ErrorKind::ResumeRefused, "resume_refused", 403, NotRun, Never, RequestRefused, "The event id does not belong to this team and request."),
+    row(ErrorKind::ResumeUnknown, "resume_unknown", 503, NotRun, After, RequestRefused, "It is not known at which software version the stream began."),
+    row(ErrorKind::VersionGone, "version_gone", 503, NotRun, After, RequestRefused, "No backend server of the software version that began the stream is left."),
     row(ErrorKind::StaleVersion, "stale_version", 412, NotRun, Never, EventKind::PatchRefused, "The patch names a version that is no longer current."),
     row(ErrorKind::InvalidPatch, "invalid_patch", 422, NotRun, Never, EventKind::PatchRefused, "The patch cannot be applied or would make the document invalid."),
     row(ErrorKind::Internal, "internal", 500, Unknown, After, RequestFailed, "A defect of the router."),
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -95,6 +95,8 @@
     ServiceBrittle = 3017,
     /// A brittle server rejected a request for want of room.
     BrittleRejection = 3018,
+    /// A service has servers of several software versions.
+    ServiceMixed = 3019,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -218,6 +220,7 @@
     ServiceReached => "service_reached",
     ServiceBrittle => "service_brittle",
     BrittleRejection => "brittle_rejection",
+    ServiceMixed => "service_mixed",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
