Streams go on only at the software version that began them

Cause: what binds a caller's next try was known only where the last one was handled, and there only the last event and the weights. A host that is asked to take a stream up placed it like a new one.

Change: a stream is bound to service and version before its first event leaves for the caller. Over tries the record of the attempt is asked for: in the host's own table, at three owners by rendezvous hash, in the store, to which batches go each 100 ms. Records are published only while a service has several versions or a route several services. Without a record a stream goes on where the list proves one version, and is refused otherwise (503 resume_unknown, version_gone), at once and with nothing run. A caller that names no attempt goes on where one version is known.

Why it works: a record is a fact that never changes, so that a copy can only be missing, and a miss is refused. A host with an old list can't take a new version for the old one, as a version waits longer in the list of its users than a list counts as young.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,7 @@
 //! The control thread: configuration, fleet state and gossip.
 
+mod binding_service;
+mod binding_store;
 mod cache_event_client;
 mod cache_reader;
 mod cache_reader_set;
--- /dev/null
+++ b/crates/entry/src/control/binding_service.rs
@@ -0,0 +1,69 @@
+//! Answers other hosts' messages about where streams began.
+
+use std::sync::Arc;
+
+use bincode::error::DecodeError;
+use bytes::Bytes;
+use fulmargate_names::EventKind;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Response;
+use tokio::time::Instant;
+
+use crate::state::SharedState;
+use crate::traffic::BindingMessage;
+use crate::traffic::BindingReply;
+use crate::traffic::MAX_BINDING_BYTES;
+use crate::traffic::decode_binding;
+use crate::traffic::encode_binding;
+
+/// Serves one message of a known host.
+pub(crate) async fn serve_binding(
+    state: Arc<SharedState>,
+    mut body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+) {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.data().await {
+        // A message that was cut off has nobody left to be answered.
+        let Ok(chunk) = chunk else { return };
+        if body.flow_control().release_capacity(chunk.len()).is_err() {
+            return;
+        }
+        bytes.extend_from_slice(&chunk);
+        if MAX_BINDING_BYTES < bytes.len() {
+            return;
+        }
+    }
+    let reply = match decode_binding::<BindingMessage>(&bytes) {
+        Ok(message) => apply(&state, message),
+        Err(err) => return log_unreadable(&err),
+    };
+    let Ok(reply) = encode_binding(&reply) else { return };
+    let sent = respond.send_response(Response::new(()), false);
+    let sent = sent.and_then(|mut stream| stream.send_data(reply, true));
+    if let Err(err) = sent {
+        tracing::debug!("reply on a stream's origin not sent: {err}");
+    }
+}
+
+fn apply(state: &SharedState, message: BindingMessage) -> BindingReply {
+    let now = Instant::now();
+    let mut bindings = state.bindings();
+    match message {
+        BindingMessage::Ask(key) => BindingReply { notice: bindings.notice(key, now) },
+        BindingMessage::Keep { notices, for_store } => {
+            notices.iter().for_each(|notice| bindings.merge(notice, now));
+            for_store.iter().for_each(|notice| bindings.merge_for_store(notice, now));
+            if !for_store.is_empty() {
+                state.binding_store_change.notify_one();
+            }
+            BindingReply::default()
+        }
+    }
+}
+
+fn log_unreadable(err: &DecodeError) {
+    let kind = EventKind::PeerUnreadable;
+    tracing::warn!(event = kind.number(), name = kind.name(), reason = %err);
+}
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -17,6 +17,8 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::binding_store::run_binding_reader;
+use crate::control::binding_store::run_binding_writer;
 use crate::control::cache_watcher::CacheWatcher;
 use crate::control::fleet_watcher::FleetReader;
 use crate::control::fleet_watcher::FleetWatcher;
@@ -123,6 +125,8 @@
         let reader = FleetReader::new(self.state.clone(), source(), fleet_state.clone());
         spawn_until_cancelled(&token, FleetWatcher::new(reader.clone()).run());
         spawn_until_cancelled(&token, run_fleet_writer(self.state.clone(), client.clone()));
+        spawn_until_cancelled(&token, run_binding_writer(self.state.clone(), client.clone()));
+        spawn_until_cancelled(&token, run_binding_reader(self.state.clone(), client.clone()));
         let gossip = GossipSender::new(
             self.state.clone(),
             fleet_state.clone(),
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -218,6 +218,7 @@
         gossip.rejections = self.state.servers().take_rejections(Instant::now());
         let hosts = self.fleet_state.borrow().host_count();
         gossip.suspects = self.state.suspects().take_report(hosts, Instant::now());
+        gossip.mixed_services = Some(self.state.versions().mixed_services());
         gossip.quotas = Some(self.state.quotas().take_report());
         gossip.reach = Some(self.state.servers().reach_report(!self.stop.is_cancelled()));
         gossip
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -172,7 +172,11 @@
             hosts,
             keys,
         );
+        let is_moved = self.state.route_history().apply(table.routes(), boot_now());
         self.state.table.store(Some(table));
+        if is_moved {
+            self.state.publish_bindings();
+        }
         self.state.proof().set_active_version(version);
         true
     }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::control::binding_service::serve_binding;
 use crate::control::fleet_codec::LENGTH_PREFIX_BYTES;
 use crate::control::fleet_codec::RELAY_HEADER;
 use crate::control::fleet_codec::RELAYED_PATH;
@@ -50,8 +51,10 @@
 use crate::telemetry::count_records_rejected;
 use crate::telemetry::count_records_served;
 use crate::telemetry::log_learned_limit;
+use crate::telemetry::log_mixed;
 use crate::telemetry::log_suspect_changes;
 use crate::telemetry::topic_label;
+use crate::traffic::BINDING_PATH;
 use crate::traffic::FORWARD_PATH;
 use crate::traffic::ForwardCall;
 use crate::traffic::INCARNATION_HEADER;
@@ -150,6 +153,12 @@
             actix_rt::spawn(serve_log_request(state, record_cache, requester, request, respond));
         }
         FORWARD_PATH => pass_forward(services, requester, request, respond),
+        BINDING_PATH => match known_sender(services, requester, &request) {
+            Some(_) => {
+                actix_rt::spawn(serve_binding(state, request.into_body(), respond));
+            }
+            None => refuse_unknown_sender(services, requester, respond),
+        },
         _ => {
             let gossip_stream = GossipStream { state, relays, relay: relay_host(&request) };
             actix_rt::spawn(gossip_stream.receive(request.into_body(), respond));
@@ -162,7 +171,7 @@
     services: &PeerServices,
     requester: Option<SocketAddr>,
     request: Request<RecvStream>,
-    mut respond: SendResponse<Bytes>,
+    respond: SendResponse<Bytes>,
 ) {
     if let Some(sender) = known_sender(services, requester, &request) {
         let call = ForwardCall { sender, request, respond };
@@ -171,6 +180,14 @@
         }
         return;
     }
+    refuse_unknown_sender(services, requester, respond);
+}
+
+fn refuse_unknown_sender(
+    services: &PeerServices,
+    requester: Option<SocketAddr>,
+    mut respond: SendResponse<Bytes>,
+) {
     let kind = EventKind::ForwardRefused;
     if services.state.log_limiter.allows(kind, Instant::now()) {
         let from = requester.map(|requester| requester.to_string());
@@ -376,6 +393,9 @@
     if let Some(host) = &gossip.host {
         apply_suspects(state, host, &gossip.suspects);
     }
+    if let Some(host) = &gossip.host {
+        apply_mixed_services(state, host, gossip.mixed_services.as_deref().unwrap_or_default());
+    }
     if gossip.weights.is_empty() {
         return;
     }
@@ -390,6 +410,16 @@
     }
 }
 
+/// Another host has several software versions of these services in its list.
+fn apply_mixed_services(state: &SharedState, host: &HostName, services: &[u64]) {
+    for service in services {
+        if state.versions().record_mixed(*service, boot_now()) {
+            log_mixed(state, *service, Some(host));
+            state.publish_bindings();
+        }
+    }
+}
+
 fn apply_suspects(state: &SharedState, host: &HostName, report: &SuspectReport) {
     if report.is_empty() {
         return;
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_admission::LearnedLimit;
 use fulmargate_consortium::KeyedRecord;
 use fulmargate_consortium::StoreError;
 use fulmargate_consortium::decode_keyed;
@@ -28,6 +29,7 @@
 use crate::state::boot_now;
 use crate::telemetry::LimitSource;
 use crate::telemetry::log_learned_limit;
+use crate::telemetry::log_mixed;
 
 /// Delay between reads. Servers write often, so that a long poll would return almost at once.
 /// Delay, timeout and retry together must stay below 2 s, within which a draining server must stop
@@ -203,17 +205,30 @@
         for (name, end) in self.table.expire(boot_now()) {
             self.log.record_expiry(name, end);
         }
-        let now = Instant::now();
+        let limits = self.apply_list();
+        limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
+        self.log.log_changes(&self.table);
+    }
+
+    /// Applies list, versions and stored limits at once, before another thread sends a request to a new server.
+    fn apply_list(&mut self) -> Vec<LearnedLimit> {
+        let (now, boot_now) = (Instant::now(), boot_now());
+        let mut versions = self.state.versions();
+        let before = versions.mixed_services();
+        let entries = self.table.entries().map(Arc::as_ref);
+        versions.sync(entries, self.complete_as_of, boot_now);
+        let mixed = versions.mixed_services();
         let mut servers = self.state.servers();
         servers.sync(&self.table.usable(), now);
-        // Before another thread sends a request to a new server.
+        servers.apply_versions(&versions, boot_now);
         let limits = servers.apply_stored_limits(now);
         drop(servers);
-        limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
-        if let Some(as_of) = self.complete_as_of {
-            self.state.record_complete_list(as_of);
+        drop(versions);
+        for service in mixed.iter().filter(|service| !before.contains(service)) {
+            log_mixed(&self.state, *service, None);
+            self.state.publish_bindings();
         }
-        self.log.log_changes(&self.table);
+        limits
     }
 }
 
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -4,9 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -14,15 +12,17 @@
 use fulmargate_admission::QuotaConf;
 use fulmargate_admission::QuotaTracker;
 use fulmargate_admission::ServerLimits;
-use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::BindingTable;
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::RetryBudget;
 use fulmargate_dispatch::RetryConf;
+use fulmargate_dispatch::RouteHistory;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::ServerRegistry;
 use fulmargate_dispatch::SuspectConf;
 use fulmargate_dispatch::SuspectTable;
+use fulmargate_dispatch::VersionTracker;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
@@ -33,6 +33,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::state::LoadingRegistry;
 use crate::state::boot_now;
@@ -95,8 +96,13 @@
     pub(crate) reach_changes: watch::Sender<u64>,
     /// Wakes the prober when connections have failed.
     pub(crate) prober_wake: Notify,
-    /// Send time of the newest read by which the list of servers was complete; zero before the first.
-    list_complete_as_of: AtomicU64,
+    /// Wakes the publisher of records of streams.
+    pub(crate) binding_change: Notify,
+    /// Wakes the writer of records of streams to the store.
+    pub(crate) binding_store_change: Notify,
+    /// Number of the newest read of these records that a request waits for, and of the newest that has ended.
+    wanted_binding_read: watch::Sender<u64>,
+    ended_binding_read: watch::Sender<u64>,
     /// The newest store epoch seen in any response of the store.
     epoch: watch::Sender<StoreEpoch>,
     pub(crate) log_limiter: LogRateLimiter,
@@ -105,6 +111,10 @@
     retry_budget: Mutex<RetryBudget>,
     quotas: Mutex<QuotaTracker>,
     suspects: Mutex<SuspectTable>,
+    /// Locked before `servers` where both are.
+    versions: Mutex<VersionTracker>,
+    bindings: Mutex<BindingTable>,
+    route_history: Mutex<RouteHistory>,
 }
 
 /// Content of the routers' fleet topic.
@@ -156,7 +166,10 @@
             forwarded_requests: AtomicUsize::new(0),
             reach_changes: watch::Sender::default(),
             prober_wake: Notify::new(),
-            list_complete_as_of: AtomicU64::new(0),
+            binding_change: Notify::new(),
+            binding_store_change: Notify::new(),
+            wanted_binding_read: watch::Sender::default(),
+            ended_binding_read: watch::Sender::default(),
             epoch: watch::Sender::default(),
             log_limiter: LogRateLimiter::default(),
             proof: Mutex::new(proof),
@@ -164,6 +177,9 @@
             retry_budget: Mutex::new(RetryBudget::new(retry_conf, Instant::now())),
             quotas: Mutex::new(quotas),
             suspects: Mutex::new(suspects),
+            versions: Mutex::default(),
+            bindings: Mutex::default(),
+            route_history: Mutex::default(),
         }
     }
 
@@ -187,20 +203,55 @@
         }
     }
 
-    /// Records that the list of servers holds all that was written before this time.
-    pub(crate) fn record_complete_list(&self, as_of: BootTime) {
-        self.list_complete_as_of.fetch_max(as_of.0, Ordering::Relaxed);
+    /// Publishes where the streams of this host began, as they may begin at several versions or services now.
+    pub(crate) fn publish_bindings(&self) {
+        if self.bindings().publish_all(Instant::now()) {
+            self.binding_change.notify_one();
+        }
+    }
+
+    /// Has the store's records of streams read, and waits for a read that begins after this call.
+    pub(crate) async fn read_stored_bindings(&self, max_wait: Duration) {
+        let mut ended = self.ended_binding_read.subscribe();
+        let mut number = 0;
+        self.wanted_binding_read.send_modify(|wanted| {
+            *wanted += 1;
+            number = *wanted;
+        });
+        if timeout(max_wait, ended.wait_for(|ended| number <= *ended)).await.is_err() {
+            tracing::debug!("the store's records of streams were not read in time");
+        }
+    }
+
+    /// Waits until a read of the records is wanted. Returns its number.
+    pub(crate) async fn next_binding_read(&self) -> u64 {
+        let ended = *self.ended_binding_read.borrow();
+        let mut wanted = self.wanted_binding_read.subscribe();
+        match wanted.wait_for(|wanted| ended < *wanted).await {
+            Ok(wanted) => *wanted,
+            // Unreachable: `self` owns the sender.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Records that a read of the records has ended.
+    pub(crate) fn record_binding_read(&self, number: u64) {
+        self.ended_binding_read.send_replace(number);
+    }
+
+    /// Software versions of the servers.
+    pub(crate) fn versions(&self) -> MutexGuard<'_, VersionTracker> {
+        lock(&self.versions)
     }
 
-    /// The time before which all writes are in the list of servers; `None` before it was read.
-    pub(crate) fn list_complete_as_of(&self) -> Option<BootTime> {
-        let as_of = self.list_complete_as_of.load(Ordering::Relaxed);
-        (0 < as_of).then_some(BootTime(as_of))
+    /// Where streams began.
+    pub(crate) fn bindings(&self) -> MutexGuard<'_, BindingTable> {
+        lock(&self.bindings)
     }
 
-    /// Time since the list of servers was last complete.
-    pub(crate) fn list_age(&self) -> Option<Duration> {
-        self.list_complete_as_of().map(|as_of| boot_now().since(as_of))
+    /// Services that routes have led to.
+    pub(crate) fn route_history(&self) -> MutexGuard<'_, RouteHistory> {
+        lock(&self.route_history)
     }
 
     /// Tracks when the configuration was last confirmed to be the newest.
--- a/crates/entry/src/traffic/peer_forwarding/forward_service.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_service.rs
@@ -128,6 +128,7 @@
         self.log_accepted(sender, &decoded.facts.id.to_string(), &head);
         let point = ResumePoint { last_event: head.last_event.clone(), weights: head.weights };
         let handler = RequestHandler::forwarded(self.state.clone(), decoded, progress);
+        let handler = handler.bound_to(head.origin);
         let handler = if head.is_counted { handler.with_counted_send() } else { handler };
         handler.run(point).await
     }
@@ -208,7 +209,8 @@
         }
     };
     let (parts, mut body) = response.into_parts();
-    let reply = ForwardReply::response(&parts, handled.server, handled.weights, runs);
+    let reply =
+        ForwardReply::response(&parts, handled.server, handled.weights, runs, handled.origin);
     let reply = encode_head(&reply)?;
     let mut stream = respond.send_response(Response::new(()), false)?;
     send_bytes(&mut stream, reply).await?;
--- a/crates/entry/src/traffic/peer_forwarding/forward_wire.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_wire.rs
@@ -12,6 +12,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::ServerName;
@@ -73,6 +74,9 @@
     pub(crate) last_event: Option<String>,
     /// The stream goes on with these weights.
     pub(crate) weights: Option<WeightsVersion>,
+    /// The stream goes on at servers of this origin. Encoded after the head, where earlier versions ignore it.
+    #[serde(skip)]
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 /// What became of a forwarded request.
@@ -86,6 +90,9 @@
         server: Option<ServerName>,
         weights: Option<WeightsVersion>,
         runs: RunCounts,
+        /// Where the stream began. Encoded after the head; `None` from helpers of an earlier version.
+        #[serde(skip)]
+        origin: Option<StreamOrigin>,
     },
     /// An error of the helper.
     Failure {
@@ -132,6 +139,7 @@
             is_counted: false,
             last_event: None,
             weights: None,
+            origin: None,
         }
     }
 
@@ -161,9 +169,10 @@
         server: Option<ServerName>,
         weights: Option<WeightsVersion>,
         runs: RunCounts,
+        origin: Option<StreamOrigin>,
     ) -> ForwardReply {
         let (status, headers) = (parts.status.as_u16(), header_list(&parts.headers));
-        ForwardReply::Response { status, headers, server, weights, runs }
+        ForwardReply::Response { status, headers, server, weights, runs, origin }
     }
 
     pub(crate) fn failure(failure: &RequestFailure, runs: RunCounts) -> ForwardReply {
@@ -195,9 +204,44 @@
     row.map_or(ErrorKind::OutcomeUnknown, |row| row.kind)
 }
 
+/// A head with the part that earlier versions of the router do not know, which is encoded after it.
+pub(crate) trait ExtendedHead: Serialize + DeserializeOwned {
+    /// Where the stream goes on, or began.
+    fn origin(&self) -> Option<StreamOrigin>;
+
+    /// Sets what was encoded after the head.
+    fn set_origin(&mut self, origin: Option<StreamOrigin>);
+}
+
+impl ExtendedHead for ForwardHead {
+    fn origin(&self) -> Option<StreamOrigin> {
+        self.origin
+    }
+
+    fn set_origin(&mut self, origin: Option<StreamOrigin>) {
+        self.origin = origin;
+    }
+}
+
+impl ExtendedHead for ForwardReply {
+    fn origin(&self) -> Option<StreamOrigin> {
+        match self {
+            ForwardReply::Response { origin, .. } => *origin,
+            ForwardReply::Failure { .. } => None,
+        }
+    }
+
+    fn set_origin(&mut self, stated: Option<StreamOrigin>) {
+        if let ForwardReply::Response { origin, .. } = self {
+            *origin = stated;
+        }
+    }
+}
+
 /// Encodes a head with its length.
-pub(crate) fn encode_head<T: Serialize>(head: &T) -> Result<Bytes, WireError> {
-    let encoded = bincode::serde::encode_to_vec(head, config::standard())?;
+pub(crate) fn encode_head<T: ExtendedHead>(head: &T) -> Result<Bytes, WireError> {
+    let mut encoded = bincode::serde::encode_to_vec(head, config::standard())?;
+    encoded.extend(bincode::serde::encode_to_vec(head.origin(), config::standard())?);
     let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + encoded.len());
     bytes.put_u32(encoded.len() as u32);
     bytes.put_slice(&encoded);
@@ -205,7 +249,7 @@
 }
 
 /// Reads a head, and the beginning of the body that came with it.
-pub(crate) async fn read_head<T: DeserializeOwned>(
+pub(crate) async fn read_head<T: ExtendedHead>(
     stream: &mut RecvStream,
 ) -> Result<(T, Bytes), WireError> {
     let mut received = BytesMut::new();
@@ -218,8 +262,7 @@
             if LENGTH_BYTES + length <= received.len() {
                 received.advance(LENGTH_BYTES);
                 let head = received.split_to(length);
-                let (head, _) = bincode::serde::decode_from_slice(&head, config::standard())?;
-                return Ok((head, received.freeze()));
+                return Ok((decode_head(&head)?, received.freeze()));
             }
         }
         let chunk = stream.data().await.ok_or(WireError::CutOff)??;
@@ -228,6 +271,17 @@
     }
 }
 
+fn decode_head<T: ExtendedHead>(bytes: &[u8]) -> Result<T, WireError> {
+    let (mut head, length): (T, usize) =
+        bincode::serde::decode_from_slice(bytes, config::standard())?;
+    let extension = bytes.get(length..).unwrap_or_default();
+    if !extension.is_empty() {
+        let (origin, _) = bincode::serde::decode_from_slice(extension, config::standard())?;
+        head.set_origin(origin);
+    }
+    Ok(head)
+}
+
 fn header_list(headers: &HeaderMap) -> HeaderList {
     let entry = |(name, value): (&HeaderName, &HeaderValue)| {
         (name.as_str().to_owned(), value.as_bytes().to_vec())
--- a/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
+++ b/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use fulmargate_names::HostName;
@@ -13,6 +14,7 @@
 use h2::PingPong;
 use h2::Reason;
 use h2::SendStream;
+use h2::client::ResponseFuture;
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
@@ -34,6 +36,8 @@
 use crate::traffic::peer_forwarding::forward_wire::WireError;
 use crate::traffic::peer_forwarding::forward_wire::encode_head;
 use crate::traffic::peer_forwarding::forward_wire::read_head;
+use crate::traffic::stream_binding::BINDING_PATH;
+use crate::traffic::stream_binding::MAX_BINDING_BYTES;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pings notice a silent helper sooner.
@@ -161,15 +165,7 @@
     ) -> Result<(ForwardReply, ForwardBody), ForwardError> {
         let open = self.open_stream();
         let encoded = encode_head(head).map_err(|err| ForwardError::not_sent(&err))?;
-        let request = Request::post(format!("http://{}{FORWARD_PATH}", self.address))
-            .header(SENDER_HEADER, sender.host.as_str())
-            .header(INCARNATION_HEADER, sender.incarnation.0)
-            .body(())
-            .map_err(|err| ForwardError::not_sent(&err))?;
-        let client = self.client.clone().ready().await;
-        let mut client = client.map_err(|err| ForwardError::not_sent(&err))?;
-        let (response, mut stream) =
-            client.send_request(request, false).map_err(|err| ForwardError::not_sent(&err))?;
+        let (response, mut stream) = self.begin(sender, FORWARD_PATH).await?;
         let mut response = std::pin::pin!(response);
         // The helper may reply before it has read the whole request.
         let response = tokio::select! {
@@ -190,6 +186,53 @@
         Ok((reply, ForwardBody::new(first, body, open)))
     }
 
+    /// Sends a message about where streams began, and returns the reply.
+    pub(crate) async fn exchange(
+        &self,
+        sender: &SenderIdentity,
+        message: Bytes,
+    ) -> Result<Bytes, ForwardError> {
+        let _open = self.open_stream();
+        let (response, mut stream) = self.begin(sender, BINDING_PATH).await?;
+        let sending = async {
+            send_bytes(&mut stream, message).await?;
+            Ok::<(), WireError>(stream.send_data(Bytes::new(), true)?)
+        };
+        sending.await.map_err(|err| ForwardError::broken(&err))?;
+        let response = response.await.map_err(|err| ForwardError::of_stream(&err))?;
+        if response.status() != StatusCode::OK {
+            return Err(ForwardError::not_sent(&response.status()));
+        }
+        let mut body = response.into_body();
+        let mut reply = BytesMut::new();
+        while let Some(chunk) = body.data().await {
+            let chunk = chunk.map_err(|err| ForwardError::of_stream(&err))?;
+            let released = body.flow_control().release_capacity(chunk.len());
+            released.map_err(|err| ForwardError::of_stream(&err))?;
+            reply.extend_from_slice(&chunk);
+            if MAX_BINDING_BYTES < reply.len() {
+                return Err(ForwardError::broken(&"the reply is too long"));
+            }
+        }
+        Ok(reply.freeze())
+    }
+
+    /// Opens a stream for a request with this path.
+    async fn begin(
+        &self,
+        sender: &SenderIdentity,
+        path: &str,
+    ) -> Result<(ResponseFuture, SendStream<Bytes>), ForwardError> {
+        let request = Request::post(format!("http://{}{path}", self.address))
+            .header(SENDER_HEADER, sender.host.as_str())
+            .header(INCARNATION_HEADER, sender.incarnation.0)
+            .body(())
+            .map_err(|err| ForwardError::not_sent(&err))?;
+        let client = self.client.clone().ready().await;
+        let mut client = client.map_err(|err| ForwardError::not_sent(&err))?;
+        client.send_request(request, false).map_err(|err| ForwardError::not_sent(&err))
+    }
+
     fn open_stream(&self) -> OpenStream {
         self.open.send_modify(|open| *open += 1);
         OpenStream { open: self.open.clone(), _task: self.task.clone() }
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -10,6 +10,7 @@
 mod response_check;
 mod send_checks;
 mod send_outcome;
+mod stream_origin;
 mod stream_timing;
 mod suspicion;
 
@@ -24,6 +25,8 @@
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::StreamKey;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
@@ -32,7 +35,6 @@
 use http::Response;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64;
 
 pub(crate) use self::failover::Failover;
 pub(crate) use self::failover::PreparedSend;
@@ -49,6 +51,7 @@
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::send_attempt::ConnectedSend;
 use crate::traffic::send_attempt::SendError;
+use crate::traffic::stream_binding::BoundStream;
 use crate::traffic::stream_relay::relay_stream;
 use crate::traffic::suspect_run::SuspectRun;
 use crate::traffic::suspect_run::SuspectTurn;
@@ -85,6 +88,10 @@
     turn: Option<SuspectTurn>,
     /// The only server that the request may be sent to in this turn.
     turn_server: Option<ServerKey>,
+    /// Where the stream has begun, once an event of it was on its way to the caller.
+    pub(super) origin: Option<StreamOrigin>,
+    /// The earlier attempt that began the stream.
+    first_attempt: Option<StreamKey>,
     /// Whether the end of the request was logged. If it was not when this is dropped, the caller has
     /// disconnected.
     end_is_logged: Cell<bool>,
@@ -133,6 +140,8 @@
             run: None,
             turn: None,
             turn_server: None,
+            origin: None,
+            first_attempt: None,
             end_is_logged: Cell::new(false),
         }
     }
@@ -149,6 +158,21 @@
         handler
     }
 
+    /// Goes on with a stream that an earlier attempt has begun.
+    pub(crate) fn taking_up(mut self, stream: Option<BoundStream>) -> RequestHandler {
+        if let Some(stream) = stream {
+            self.origin = Some(stream.origin);
+            self.first_attempt = stream.first_attempt;
+        }
+        self
+    }
+
+    /// Goes on with a stream that another host has bound.
+    pub(crate) fn bound_to(mut self, origin: Option<StreamOrigin>) -> RequestHandler {
+        self.origin = origin;
+        self
+    }
+
     /// Leaves the first send to the retry budget of the host that has forwarded the request.
     pub(crate) fn with_counted_send(mut self) -> RequestHandler {
         self.is_counted = true;
@@ -166,14 +190,19 @@
                 let progress = self.progress;
                 let server = response.origin.server().map(|server| server.name.clone());
                 let weights = response.weights;
+                if self.source == RequestSource::Peer {
+                    // The host of the caller is told the origin with the head.
+                    self.origin.get_or_insert(response.stream_origin);
+                }
+                let origin = self.origin;
                 let result = Ok(relay_stream(self, response, point));
-                HandledRequest { result, progress, server, weights }
+                HandledRequest { result, progress, server, weights, origin }
             }
             Ok(response) => self.forward_buffered(response).await,
             Err(failure) => {
                 let progress = self.progress;
                 let result = self.finish_failed(failure);
-                HandledRequest { result, progress, server: None, weights: None }
+                HandledRequest { result, progress, server: None, weights: None, origin: None }
             }
         }
     }
@@ -211,7 +240,7 @@
                 if reason.is_none() && self.forward_reason().is_some() {
                     continue;
                 }
-                return Err(self.failure(self.progress.failure()));
+                return Err(self.no_server_failure());
             };
             let (server, weights) = (plan.server.clone(), plan.weights);
             let connected = match ConnectedSend::connect(plan).await {
@@ -287,10 +316,11 @@
         }
     }
 
-    /// The service for the next send. A route with several services picks one by the hash of the request id.
+    /// The service for the next send: that of the stream if it has begun.
     pub(super) fn service(&self) -> Option<ServiceName> {
-        let hash = xxh3_64(self.facts().id.as_str().as_bytes());
-        self.facts().route.service_for(hash).cloned()
+        let Some(origin) = self.origin else { return self.facts().service() };
+        let services = self.facts().route.services.iter().map(|share| &share.service);
+        services.into_iter().find(|service| origin.is_of(service)).cloned()
     }
 
     /// Records a failed send, and waits before the next one if a delay applies. Fails if no further send is
@@ -343,7 +373,7 @@
         };
         let progress = if result.is_ok() { progress } else { handler.progress };
         let server = origin.server().map(|server| server.name.clone());
-        HandledRequest { result, progress, server, weights }
+        HandledRequest { result, progress, server, weights, origin: None }
     }
 
     /// Returns a server's error response if there is one, otherwise the router's own.
--- a/crates/entry/src/traffic/request_handler/forwarding_step.rs
+++ b/crates/entry/src/traffic/request_handler/forwarding_step.rs
@@ -7,6 +7,7 @@
 use fulmargate_dispatch::BodyFraming;
 use fulmargate_dispatch::NextStep;
 use fulmargate_dispatch::SendOutcome;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
@@ -162,6 +163,11 @@
 
     fn choose_helper(&self, service: &ServiceName) -> Option<(HostName, Duration)> {
         let tried = &self.excluded_helpers;
+        let mut tried = tried.clone();
+        if self.origin.is_some() {
+            tried.extend(self.hosts_that_bind_nothing());
+        }
+        let tried = &tried;
         let mut excluded = self.state.helpers.failed_hosts();
         excluded.extend(tried.iter().cloned());
         let draw = self.draw_bits(1 + tried.len() as u64);
@@ -175,6 +181,15 @@
         Some((chosen.host, chosen.age))
     }
 
+    /// Hosts of an earlier version, which would go on with a stream at any software version.
+    fn hosts_that_bind_nothing(&self) -> Vec<HostName> {
+        let now = Instant::now();
+        let servers = self.state.servers();
+        let mut hosts = servers.live_peers(now);
+        hosts.retain(|host| !servers.binds_streams(host, now));
+        hosts
+    }
+
     fn exclude_helper(&mut self, host: &HostName, reason: &str) {
         self.state.helpers.record_failure(host);
         self.excluded_helpers.push(host.clone());
@@ -263,6 +278,7 @@
         head.is_counted = 0 < self.progress.sends();
         head.last_event.clone_from(&point.last_event);
         head.weights = point.weights;
+        head.origin = self.origin;
         head
     }
 
@@ -273,7 +289,8 @@
         body: ForwardBody,
     ) -> Result<Option<ForwardStep>, RequestFailure> {
         match reply {
-            ForwardReply::Response { status, headers, weights, runs, .. } => {
+            ForwardReply::Response { status, headers, weights, runs, origin, .. } => {
+                let origin = origin.unwrap_or(StreamOrigin::NOWHERE);
                 // The run that has produced the response is not among those that have ended.
                 self.charge_runs(RunCounts { possible_runs: runs.possible_runs + 1, ..runs });
                 self.progress.adopt(runs.arrivals, runs.possible_runs);
@@ -281,7 +298,7 @@
                     self.failure(ErrorKind::OutcomeUnknown).with_detail(err.to_string())
                 })?;
                 let response = helper_response(&self.decoded.parts.method, parts, host, body);
-                let response = UpstreamResponse { weights, ..response };
+                let response = UpstreamResponse { weights, stream_origin: origin, ..response };
                 Ok(Some(ForwardStep::Response(Box::new(response))))
             }
             ForwardReply::Failure { code, detail, retry_delay_ms, closes_connection, runs } => {
@@ -388,5 +405,6 @@
         body: UpstreamBody::Helper(Box::new(body)),
         origin: ResponseOrigin::Helper(host.clone()),
         weights: None,
+        stream_origin: StreamOrigin::NOWHERE,
     }
 }
--- a/crates/entry/src/traffic/request_handler/handled_request.rs
+++ b/crates/entry/src/traffic/request_handler/handled_request.rs
@@ -1,6 +1,7 @@
 //! The result of handling a request.
 
 use fulmargate_dispatch::CallProgress;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::ServerName;
 use fulmargate_names::WeightsVersion;
 use http::Response;
@@ -17,10 +18,12 @@
     pub(crate) server: Option<ServerName>,
     /// The weights version that it used.
     pub(crate) weights: Option<WeightsVersion>,
+    /// Where its stream goes on.
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 impl HandledRequest {
     pub(crate) fn failed(failure: RequestFailure, progress: CallProgress) -> HandledRequest {
-        HandledRequest { result: Err(failure), progress, server: None, weights: None }
+        HandledRequest { result: Err(failure), progress, server: None, weights: None, origin: None }
     }
 }
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -103,6 +103,9 @@
             Some(server) => servers.others_of_service(service, server),
             None => self.excluded_servers.clone(),
         };
+        let of_other_versions =
+            servers.excluded_by_version(service, self.facts(), self.origin, boot_now());
+        let excluded = [excluded, of_other_versions].concat();
         servers.place_plain(
             self.facts(),
             service,
@@ -142,6 +145,7 @@
             service: service.clone(),
             model: model.clone(),
             only_weights: point.weights,
+            only_origin: self.origin,
             excluded: self.excluded_servers.clone(),
             only_server: self.turn_server,
         };
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -7,7 +7,6 @@
 
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
-use fulmargate_names::RequestId;
 use http::Request;
 use http::Response;
 use http::Version;
@@ -19,12 +18,12 @@
 use crate::daemon::ShutdownTokens;
 use crate::state::SharedState;
 use crate::traffic::caller_io::ResetSwitch;
-use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::request_decoder::decode_request;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::request_handler::ResumePoint;
 use crate::traffic::response_body::ResponseBody;
+use crate::traffic::stream_binding::resolve_origin;
 
 /// Stands for the caller's remaining time during shutdown, when request heads are no longer decoded. It only
 /// bounds `retry-after`.
@@ -92,29 +91,17 @@
             return Err(failure);
         }
     };
-    log_taken_up(state, &decoded);
-    let handler = RequestHandler::new(state.clone(), decoded);
+    let stream = match resolve_origin(state, &decoded).await {
+        Ok(stream) => stream,
+        Err(failure) => {
+            log_rejected(state, &id, &failure);
+            return Err(failure);
+        }
+    };
+    let handler = RequestHandler::new(state.clone(), decoded).taking_up(stream);
     handler.run(ResumePoint::default()).await.result
 }
 
-/// Logs that a caller takes up a stream.
-fn log_taken_up(state: &SharedState, decoded: &DecodedRequest) {
-    let taken_up = &decoded.taken_up;
-    let kind = EventKind::StreamTakenUp;
-    let is_new = taken_up.last_event.is_none() && taken_up.first_attempt.is_none();
-    if is_new || !state.log_limiter.allows(kind, Instant::now()) {
-        return;
-    }
-    tracing::info!(
-        event = kind.number(),
-        name = kind.name(),
-        id = %decoded.facts.id,
-        resumes = taken_up.first_attempt.as_ref().map(RequestId::as_str),
-        last_event = taken_up.last_event,
-        list_age_ms = state.list_age().map(|age| age.as_millis() as u64),
-    );
-}
-
 fn log_rejected(state: &SharedState, id: &str, failure: &RequestFailure) {
     let kind = EventKind::RequestRefused;
     if !state.log_limiter.allows(kind, Instant::now()) {
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -11,6 +11,7 @@
 use fulmargate_dispatch::ProbeStep;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::WeightsVersion;
 use http::Request;
 use http::Response;
@@ -113,8 +114,9 @@
         let method = &decoded.parts.method;
         let framing = BodyFraming::of_response(method, parts.status, &parts.headers);
         let body = UpstreamBody::Server { body, in_flight, _connection: connection };
+        let stream_origin = StreamOrigin::of(&server);
         let origin = ResponseOrigin::Server(server);
-        Ok(UpstreamResponse { parts, head, framing, body, origin, weights })
+        Ok(UpstreamResponse { parts, head, framing, body, origin, weights, stream_origin })
     }
 }
 
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -180,6 +180,9 @@
             let events_before = self.splitter.events();
             let complete = self.splitter.push(&bytes);
             if events_before < self.splitter.events() {
+                if events_before == 0 {
+                    self.handler.bind(response.stream_origin);
+                }
                 self.handler.timing.record_events(Instant::now());
             }
             if !self.forward(complete).await {
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -29,6 +29,7 @@
 use crate::traffic::prompt_queue::PromptQueue;
 use crate::traffic::reach_prober::run_prober;
 use crate::traffic::request_service::serve_request;
+use crate::traffic::stream_binding::run_binding_publisher;
 
 /// Idle timeout of callers' connections until a configuration is loaded.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -70,6 +71,7 @@
             tokio::task::spawn_local(ForwardService { state, stop }.run(forwards));
             tokio::task::spawn_local(run_prober(self.state.clone()));
             tokio::task::spawn_local(run_peer_checks(self.state.clone()));
+            tokio::task::spawn_local(run_binding_publisher(self.state.clone()));
             let ended = self.stop.complete.clone();
             tokio::select! {
                 () = ended.cancelled() => {}
--- a/crates/entry/src/traffic/upstream_response.rs
+++ b/crates/entry/src/traffic/upstream_response.rs
@@ -12,6 +12,7 @@
 use fulmargate_dispatch::BodyFraming;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::HostName;
 use fulmargate_names::WeightsVersion;
 use http::response::Parts;
@@ -48,6 +49,8 @@
     pub(crate) body: UpstreamBody,
     pub(crate) origin: ResponseOrigin,
     pub(crate) weights: Option<WeightsVersion>,
+    /// Service and software version of the server.
+    pub(crate) stream_origin: StreamOrigin,
 }
 
 /// A body that is being received. Dropping it cancels the request.
