Soak: rollouts of software versions, and callers that take up their streams (--versions)

The soak could not play what the incident is about: all servers were of one version, and no caller came back with its last event. Engines (six of them) get other versions in overlapping waves beside the faults of the seed, their events carry the version, and callers take up streams at any router by the attempt that brought the first event. Two judges: a stream has events of one version (OneVersion), and of the streams taken up at calm routers while two servers of their version serve half the share goes on that new ones have (TakenUpStreams).

--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -84,7 +84,7 @@
             }
             SoakFault::Link(LinkPlace::Store(_), _) | SoakFault::FullLink(_) => false,
             SoakFault::Store(_) | SoakFault::ForgetHistory | SoakFault::RestoreStore => false,
-            SoakFault::ServerLimit(..) => false,
+            SoakFault::ServerLimit(..) | SoakFault::Upgrade(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -126,6 +126,7 @@
             play_crashing_request(world, number, step.lasts).await?;
         }
         SoakFault::ReplaceServer(number) => world.replace_server(number).await?,
+        SoakFault::Upgrade(number, version) => world.upgrade_server(number, version).await?,
         SoakFault::RemoveServer(number) => world.remove_server(number).await?,
         SoakFault::KillServer(number) => world.kill_server(number, step.lasts).await?,
         SoakFault::AddRoute => add_route(world),
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -4,6 +4,7 @@
 mod crashing_requests;
 mod crowded_servers;
 mod host_cuts;
+mod versions;
 
 use std::fmt::Write;
 use std::time::Duration;
@@ -33,6 +34,7 @@
 use crate::soak_world::SeenLimit;
 use crate::soak_world::SoakServer;
 use crate::soak_world::TAKEN_KEY;
+use crate::version_caller::StreamRecord;
 
 /// A server that leaves gets nothing that is sent later than this after its word.
 const LEAVE_BOUND: Duration = Duration::from_secs(2);
@@ -59,6 +61,8 @@
 /// All that a run has shown.
 pub(crate) struct RunEvidence {
     pub(crate) records: Vec<RequestRecord>,
+    /// Streams that callers take up.
+    pub(crate) streams: Vec<StreamRecord>,
     /// Number of routers.
     pub(crate) routers: usize,
     pub(crate) servers: Vec<SoakServer>,
@@ -114,6 +118,7 @@
         judge.judge_brittle_times();
         judge.judge_host_cuts();
         judge.judge_crashing_requests();
+        judge.judge_versions();
         judge.judge_budget();
         judge.judge_recovery();
         (judge.broken, judge.judged)
@@ -360,6 +365,14 @@
     }
 
     /// Nothing is wrong any more: all routers serve all kinds, and all engines have the newest weights.
+    /// The kinds of requests that are always there. Streams beside several versions have a judge of their own.
+    fn sent_kinds(&self) -> &'static [RequestKind] {
+        match self.evidence.streams.is_empty() {
+            true => &RequestKind::LASTING,
+            false => &[RequestKind::Look, RequestKind::Charge],
+        }
+    }
+
     fn judge_recovery(&mut self) {
         let recovered = self.evidence.recovered;
         let late: Vec<&RequestRecord> = self
@@ -370,9 +383,9 @@
             .filter(|record| record.key != TAKEN_KEY || self.evidence.word.key_taken.is_none())
             .collect();
         for router in 0..self.evidence.routers {
-            for kind in RequestKind::LASTING {
+            for kind in self.sent_kinds() {
                 let is_one =
-                    |record: &&&RequestRecord| (record.router, record.kind) == (router, kind);
+                    |record: &&&RequestRecord| (record.router, record.kind) == (router, *kind);
                 if !late.iter().filter(is_one).any(|record| record.is_served()) {
                     let detail = format!("router {router} serves no {kind:?}");
                     self.note(Promise::Recovery, detail);
--- a/crates/soak/src/judged_count.rs
+++ b/crates/soak/src/judged_count.rs
@@ -13,4 +13,10 @@
     pub crashes: usize,
     /// Sends of such requests by routers in touch that should have known them.
     pub late_crash_sends: usize,
+    /// Streams taken up at calm routers while two servers of their version served.
+    pub taken_up: usize,
+    /// Those of them that went on.
+    pub went_on: usize,
+    /// Streams taken up at any time that were refused.
+    pub refused_streams: usize,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,6 +24,8 @@
 mod soak_fault;
 mod soak_run;
 mod soak_world;
+mod version_caller;
+mod version_plan;
 
 pub use fault_plan::FaultPlan;
 pub use fault_plan::FaultStep;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -67,6 +67,10 @@
     /// --host-cuts
     #[argh(switch)]
     crashing_requests: bool,
+    /// engines run several software versions, and callers take up their streams, beside the faults of the seed; goes
+    /// before --crashing-requests
+    #[argh(switch)]
+    versions: bool,
     /// no router is disturbed while hosts reach no server or servers are brittle, so that all of it is judged
     #[argh(switch)]
     calm: bool,
@@ -85,6 +89,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { versions: true, .. } => PlanKind::Versions,
         SoakArgs { crashing_requests: true, host_cuts: true, .. } => PlanKind::CrashesBesideCuts,
         SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
         SoakArgs { brittle: true, .. } => PlanKind::Brittle,
@@ -119,10 +124,11 @@
     let SoakReport { plan, requests, served, judged, broken } = report;
     let steps = plan.steps.len();
     println!("seed {}: {steps} faults, {served} of {requests} requests served", plan.seed);
-    let JudgedCount { at_cut_hosts, falls, counted_falls, crashes, late_crash_sends } = judged;
+    let JudgedCount { at_cut_hosts, falls, counted_falls, crashes, late_crash_sends, .. } = judged;
     println!(
         "  judged: {at_cut_hosts} requests at cut hosts, {counted_falls} of {falls} falls, \
-         {crashes} crashes, {late_crash_sends} late sends"
+         {crashes} crashes, {late_crash_sends} late sends, {} of {} streams taken up went on, {} refused",
+        judged.went_on, judged.taken_up, judged.refused_streams
     );
     if with_plan || !broken.is_empty() {
         for step in &plan.steps {
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -41,6 +41,10 @@
     InnocentRefused,
     /// Hosts that reach no server serve their callers.
     CutHosts,
+    /// A stream has events of one software version, over all tries of its caller.
+    OneVersion,
+    /// Streams that are taken up go on.
+    TakenUpStreams,
     /// Repeats stay within the budget.
     RepeatBudget,
     /// All serve again when the faults are over.
--- a/crates/soak/src/served_count.rs
+++ b/crates/soak/src/served_count.rs
@@ -18,11 +18,15 @@
         self.served += usize::from(is_served);
     }
 
+    /// Share of the requests that were served.
+    pub(crate) fn share(self) -> f64 {
+        self.served as f64 / self.sent.max(1) as f64
+    }
+
     /// Whether cut hosts served less than two thirds as often as the others, and failed more than a few requests.
     pub(crate) fn breaks_recovery(self, others: ServedCount) -> bool {
-        let share = |count: ServedCount| count.served as f64 / count.sent.max(1) as f64;
         let allowed = ALLOWED_FAILURES + (self.sent + others.sent) as f64 * ALLOWED_FAILURE_SHARE;
         let failed = (self.sent - self.served) as f64;
-        0 < others.sent && allowed < failed && share(self) < MIN_SERVED_RATIO * share(others)
+        0 < others.sent && allowed < failed && self.share() < MIN_SERVED_RATIO * others.share()
     }
 }
--- a/crates/soak/src/soak_caller.rs
+++ b/crates/soak/src/soak_caller.rs
@@ -77,6 +77,8 @@
         let kind = match (rng.random_range(0..6), newest) {
             (0 | 1, Some(number)) => RequestKind::NewRoute(number),
             (2, _) => RequestKind::Charge,
+            // Streams of several versions have callers of their own.
+            (3 | 4, _) if self.world.has_versions => RequestKind::Look,
             (3, _) => RequestKind::Chat,
             (4, _) => RequestKind::SingleChat,
             _ => RequestKind::Look,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -64,6 +64,8 @@
     /// Callers send a request that crashes the servers of the plain service, again and again by all routers; others
     /// take the places of the servers.
     CrashingRequest(u32),
+    /// A server leaves as planned, and one with this software version takes its place.
+    Upgrade(usize, u32),
     /// A configuration with one more route.
     AddRoute,
     /// A configuration without a key that callers use.
@@ -85,7 +87,7 @@
             SoakFault::Server(..) | SoakFault::ServerLimit(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::KillServer(_) | SoakFault::CutHost(..) | SoakFault::Brittle(_) => false,
-            SoakFault::CrashingRequest(_) => false,
+            SoakFault::CrashingRequest(_) | SoakFault::Upgrade(..) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
         }
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -24,12 +24,17 @@
 use crate::soak_world::DESKS;
 use crate::soak_world::ENGINES;
 use crate::soak_world::SoakWorld;
+use crate::soak_world::VERSION_ENGINES;
 use crate::soak_world::lock;
+use crate::version_caller::SharedStreams;
+use crate::version_caller::VersionCaller;
 
 /// Callers of each router.
 const CALLERS: usize = 4;
 /// The same where servers are to be crowded.
 const CROWDING_CALLERS: usize = 20;
+/// Callers of streams of several versions, for each router.
+const VERSION_CALLERS: usize = 6;
 /// Callers begin when the routers have read their configuration.
 const START_PAUSE: Duration = Duration::from_millis(800);
 /// After the last fault: a lease of 3 s runs out, another holder brings the engines up; a server that
@@ -87,6 +92,8 @@
     CrashesBesideCuts,
     /// Any faults, and servers that fall over when they reject too much, under more load.
     Brittle,
+    /// Any faults, and engines of several software versions whose streams are taken up.
+    Versions,
 }
 
 /// How a run ended.
@@ -121,6 +128,10 @@
             mixed.with_host_cuts(routers, conf.length).with_crashing_requests(conf.length)
         }
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
+        PlanKind::Versions => {
+            let engines = DESKS..DESKS + ENGINES + VERSION_ENGINES;
+            mixed.with_versions(engines, conf.length)
+        }
         PlanKind::FullLink => mixed.with_full_links(routers, &PAUSED, conf.length),
     };
     let plan = if conf.is_calm { plan.with_calm_times() } else { plan };
@@ -135,9 +146,11 @@
         _ => CALLERS,
     };
     let callers = start_callers(&world, &records, seed, callers_per_router, &stop);
+    let streams = SharedStreams::default();
+    let version_callers = start_version_callers(&world, &streams, seed, &stop);
     // Seeds of the other kinds were found without heartbeats.
     let mut heartbeats = JoinSet::new();
-    if matches!(conf.kind, PlanKind::Departures | PlanKind::ResponseEnds) {
+    if matches!(conf.kind, PlanKind::Departures | PlanKind::ResponseEnds | PlanKind::Versions) {
         heartbeats.spawn(write_heartbeats(world.clone()));
     }
     play(&world, &plan).await?;
@@ -146,12 +159,14 @@
     sleep(CALM_TIME).await;
     stop.send_replace(true);
     join_all(callers).await;
+    join_all(version_callers).await;
     heartbeats.shutdown().await;
     let records = std::mem::take(&mut *lock(&records));
     let served = records.iter().filter(|record| record.is_served()).count();
     let requests = records.len();
     let evidence = RunEvidence {
         records,
+        streams: std::mem::take(&mut *lock(&streams)),
         routers,
         servers: world.all_servers(),
         spans: world.log.spans(),
@@ -176,6 +191,23 @@
     }
 }
 
+/// Callers that take up their streams, if engines run several software versions.
+fn start_version_callers(
+    world: &Arc<SoakWorld>,
+    streams: &SharedStreams,
+    seed: u64,
+    stop: &watch::Sender<bool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let count = if world.has_versions { VERSION_CALLERS * world.routers.len() } else { 0 };
+    let caller = |number: usize| VersionCaller {
+        world: world.clone(),
+        streams: streams.clone(),
+        number,
+        seed,
+    };
+    (0..count).map(|number| tokio::spawn(caller(number).run(stop.subscribe()))).collect()
+}
+
 fn start_callers(
     world: &Arc<SoakWorld>,
     records: &SharedRecords,
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -38,6 +38,10 @@
 pub(crate) const DESKS: usize = 3;
 /// Engines.
 pub(crate) const ENGINES: usize = 3;
+/// Further engines where several software versions are played, so that two servers of each may serve.
+pub(crate) const VERSION_ENGINES: usize = 3;
+/// Software version of the first servers.
+const FIRST_VERSION: u32 = 1;
 /// A process that should end by itself is given this much more than its grace.
 const STOP_ALLOWANCE: Duration = Duration::from_secs(4);
 
@@ -56,6 +60,9 @@
     pub(crate) service: &'static str,
     /// Its place in the list; its successor has the same.
     pub(crate) place: usize,
+    /// Its software version.
+    pub(crate) version: u32,
+    pub(crate) listed: Instant,
     /// When the store had its word that it leaves.
     pub(crate) left: Option<Instant>,
     /// Whether it left by the removal of its entry.
@@ -126,6 +133,8 @@
     stops: Mutex<Vec<PlannedStop>>,
     limits: Mutex<Vec<SeenLimit>>,
     brittle_times: Mutex<Vec<BrittleTime>>,
+    /// Whether engines run several software versions, and mark their events with them.
+    pub(crate) has_versions: bool,
     /// How the links of each router's host to servers are cut.
     cuts: Mutex<Vec<Option<LinkCut>>>,
     started: AtomicUsize,
@@ -176,12 +185,14 @@
             stops: Mutex::default(),
             limits: Mutex::default(),
             brittle_times: Mutex::default(),
+            has_versions: plan.has_versions(),
             cuts: Mutex::new(vec![None; plan.routers]),
             started: AtomicUsize::new(0),
         };
-        for number in 0..DESKS + ENGINES {
+        let extra_engines = if world.has_versions { VERSION_ENGINES } else { 0 };
+        for number in 0..DESKS + ENGINES + extra_engines {
             let service = if number < DESKS { "desk" } else { "engines" };
-            let server = world.start_server(service, number).await?;
+            let server = world.start_server(service, number, FIRST_VERSION).await?;
             lock(&world.servers).push(server);
         }
         for router in &world.routers {
@@ -190,10 +201,18 @@
         Ok(world)
     }
 
-    async fn start_server(&self, service: &'static str, place: usize) -> io::Result<SoakServer> {
+    async fn start_server(
+        &self,
+        service: &'static str,
+        place: usize,
+        version: u32,
+    ) -> io::Result<SoakServer> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let stand = FakeServer::start(&format!("{service}-{number}"), ServerMode::Echo).await?;
         stand.set_crash(Some(CRASH_RULE));
+        if self.has_versions {
+            stand.set_software(&format!("v{version}"));
+        }
         let mut proxies: Vec<LoopbackProxy> = Vec::new();
         for (number, router) in self.routers.iter().enumerate() {
             let port = proxies.first().map_or(0, |first| first.address.port());
@@ -204,8 +223,25 @@
         for (proxy, cut) in proxies.iter().zip(lock(&self.cuts).iter()) {
             LinkCut::apply(*cut, proxy);
         }
-        self.store.put_server(&stand.name, service, proxies[0].address, "ready");
-        Ok(SoakServer { stand, proxies, service, place, left: None, is_removed: false })
+        let server = SoakServer {
+            stand,
+            proxies,
+            service,
+            place,
+            version,
+            listed: Instant::now(),
+            left: None,
+            is_removed: false,
+        };
+        self.list(&server, "ready");
+        Ok(server)
+    }
+
+    /// Writes a server's entry.
+    fn list(&self, server: &SoakServer, state: &str) {
+        let (name, address) = (&server.stand.name, server.proxies[0].address);
+        let version = json!(format!("v{}", server.version));
+        self.store.put_server_of(name, server.service, address, state, &version);
     }
 
     /// Cuts the links of a router's host to all servers, or mends them.
@@ -248,9 +284,15 @@
 
     /// The server says that it leaves; another takes its place in the list.
     pub(crate) async fn replace_server(&self, number: usize) -> io::Result<()> {
+        let version = self.server(number).version;
+        self.upgrade_server(number, version).await
+    }
+
+    /// The same with a software version for its successor.
+    pub(crate) async fn upgrade_server(&self, number: usize, version: u32) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number).await?;
-        self.store.put_server(&old.stand.name, old.service, old.proxies[0].address, "draining");
+        let new = self.start_server(old.service, number, version).await?;
+        self.list(&old, "draining");
         old.left = Some(Instant::now());
         lock(&self.servers)[number] = new;
         lock(&self.retired).push(old);
@@ -260,7 +302,7 @@
     /// The server's entry is removed, as of one that leaves without a notice; another takes its place.
     pub(crate) async fn remove_server(&self, number: usize) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number).await?;
+        let new = self.start_server(old.service, number, old.version).await?;
         lock(&self.servers)[number] = new;
         // After the exchange, so that no heartbeat of the old server follows its removal.
         self.store.remove_server(&old.stand.name);
@@ -273,7 +315,7 @@
     /// The server's process is killed, another takes its place, and its entry expires after this time.
     pub(crate) async fn kill_server(&self, number: usize, expires: Duration) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number).await?;
+        let new = self.start_server(old.service, number, old.version).await?;
         old.proxies.iter().for_each(LoopbackProxy::close);
         old.stand.kill().await;
         old.left = Some(Instant::now());
@@ -297,7 +339,7 @@
         if old.stand.name != name {
             return Ok(None);
         }
-        let new = self.start_server(old.service, place).await?;
+        let new = self.start_server(old.service, place, old.version).await?;
         old.left = Some(Instant::now());
         old.is_removed = true;
         lock(&self.servers)[place] = new;
@@ -308,10 +350,7 @@
     /// Writes the current servers' entries again.
     pub(crate) fn write_heartbeats(&self) {
         let servers = lock(&self.servers);
-        for server in servers.iter() {
-            let address = server.proxies[0].address;
-            self.store.put_server(&server.stand.name, server.service, address, "ready");
-        }
+        servers.iter().for_each(|server| self.list(server, "ready"));
     }
 
     /// Operators and servers write again what the store may have lost.
@@ -325,8 +364,7 @@
                 continue;
             }
             let stage = if server.left.is_some() { "draining" } else { "ready" };
-            let address = server.proxies[0].address;
-            self.store.put_server(&server.stand.name, server.service, address, stage);
+            self.list(&server, stage);
         }
     }
 
