--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Shared fixtures.
 #![allow(dead_code)]
 
+pub(crate) mod version_fleet;
+
 use std::sync::Arc;
 use std::time::Duration;
 
