--- a/crates/dispatch/tests/support/version_fleet.rs
+++ b/crates/dispatch/tests/support/version_fleet.rs
@@ -228,7 +228,7 @@
             .herds
             .iter()
             .copied()
-            .filter(|(at, _)| now <= *at + TICK_MS - 1 && *at < now + TICK_MS && *at <= now)
+            .filter(|(at, _)| *at <= now && now < *at + TICK_MS)
             .map(|(_, share)| share)
             .collect();
         for share in herds {
