Records of streams reach hosts that have just started, and the store is left alone while it fails

Traced: a host that had started 0.55 s before had not met the others yet, so that it had no owners but itself, and was among nobody's owners. Hosts whose start the fleet topic shows are owners now, and in fleets of up to nine hosts all are asked. A store that fails is written again after half a second, not each 100 ms.

--- a/crates/dispatch/src/binding_owners.rs
+++ b/crates/dispatch/src/binding_owners.rs
@@ -11,8 +11,8 @@
 
 /// Hosts that keep the record of a stream.
 pub const BINDING_OWNERS: usize = 3;
-/// Hosts that are asked for it. More than keep it, since hosts come and go meanwhile.
-pub const ASKED_OWNERS: usize = 5;
+/// Hosts that are asked for it. More than keep it, since hosts come and go meanwhile; in a small fleet all are.
+pub const ASKED_OWNERS: usize = 8;
 /// Hosts that write records to the store in a large fleet.
 pub const STORE_WRITERS: usize = 10;
 
--- a/crates/entry/src/control/binding_store.rs
+++ b/crates/entry/src/control/binding_store.rs
@@ -28,6 +28,8 @@
 /// Interval between two writes of a host. Streams that began within it are lost if all hosts end.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Delay before records that the store did not take are written again.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
 const READ_TIMEOUT: Duration = Duration::from_millis(350);
@@ -60,6 +62,7 @@
                 state.bindings().store(notices.iter().map(|notice| notice.key));
                 state.binding_store_change.notify_one();
                 log_failure(&state, &err);
+                sleep(RETRY_DELAY).await;
                 break;
             }
             turn += 1;
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -17,6 +17,7 @@
 use fulmargate_dispatch::FleetState;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
+use fulmargate_dispatch::OwnerCandidate;
 use fulmargate_dispatch::StoredSuspect;
 use fulmargate_names::ConfigVersion;
 use fulmargate_names::EventKind;
@@ -242,7 +243,12 @@
         let members = fleet_state.members().map(|(host, _)| host.clone()).collect();
         let addresses = fleet_state.members().map(|(host, address)| (host.clone(), *address));
         let addresses = addresses.collect();
-        let view = FleetView { members, addresses, lease: fleet_state.lease().cloned() };
+        let new_hosts = fleet_state.fleet_hosts(boot_now()).filter(|(_, is_new)| *is_new);
+        let new_hosts = new_hosts
+            .map(|(host, _)| OwnerCandidate { host: host.host, zone: host.zone })
+            .collect();
+        let lease = fleet_state.lease().cloned();
+        let view = FleetView { members, addresses, new_hosts, lease };
         self.state.fleet.store(Arc::new(view));
         let mut proof = self.state.proof();
         if let Some(report) = fleet_state.restore_report() {
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -15,6 +15,7 @@
 use fulmargate_dispatch::BindingTable;
 use fulmargate_dispatch::ConfigProof;
 use fulmargate_dispatch::HeldLease;
+use fulmargate_dispatch::OwnerCandidate;
 use fulmargate_dispatch::RetryBudget;
 use fulmargate_dispatch::RetryConf;
 use fulmargate_dispatch::RouteHistory;
@@ -126,6 +127,8 @@
     pub(crate) members: Vec<HostName>,
     /// The addresses at which they listen for other routers.
     pub(crate) addresses: IndexMap<HostName, SocketAddr>,
+    /// Hosts that have started recently, whose messages may not have arrived yet.
+    pub(crate) new_hosts: Vec<OwnerCandidate>,
     /// The most recent lease.
     pub(crate) lease: Option<HeldLease>,
 }
--- a/crates/entry/src/traffic/stream_binding/binding_client.rs
+++ b/crates/entry/src/traffic/stream_binding/binding_client.rs
@@ -26,13 +26,25 @@
 /// An owner that does not reply within this time counts as one without a record. Callers wait for it.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Live hosts that keep records of streams, with this one.
+/// Hosts that keep records of streams: live ones, those that have just started, and this one.
 pub(crate) fn owner_candidates(state: &SharedState) -> Vec<OwnerCandidate> {
     let settings = &state.settings;
+    let fleet = state.fleet.load();
     let mut candidates = state.servers().binding_hosts(Instant::now());
     candidates.retain(|candidate| candidate.host != settings.host);
     candidates.push(OwnerCandidate { host: settings.host.clone(), zone: settings.zone.clone() });
-    candidates
+    let new_hosts = fleet.new_hosts.iter();
+    let is_missing =
+        |host: &&OwnerCandidate| !candidates.iter().any(|known| known.host == host.host);
+    let missing: Vec<OwnerCandidate> = new_hosts.filter(is_missing).cloned().collect();
+    candidates.extend(missing);
+    if 1 < candidates.len() {
+        return candidates;
+    }
+    // No message of another host has arrived yet.
+    let of_zone =
+        |host: &HostName| OwnerCandidate { host: host.clone(), zone: settings.zone.clone() };
+    fleet.members.iter().map(of_zone).collect()
 }
 
 /// Asks the owners of a record at once. Returns the first that is found.
@@ -40,14 +52,7 @@
     state: &Arc<SharedState>,
     key: StreamKey,
 ) -> Option<(HostName, BindingNotice)> {
-    let mut candidates = owner_candidates(state);
-    if candidates.len() == 1 {
-        // No message of another host has arrived yet.
-        let members = state.fleet.load();
-        let zone = state.settings.zone.clone();
-        let candidate = |host: &HostName| OwnerCandidate { host: host.clone(), zone: zone.clone() };
-        candidates = members.members.iter().map(candidate).collect();
-    }
+    let candidates = owner_candidates(state);
     let own = &state.settings.host;
     let owners = binding_owners(key, &candidates, ASKED_OWNERS);
     let mut questions: FuturesUnordered<_> = owners
