Streams that are taken up don't wait behind new ones

While versions are mixed only few servers can go on with a stream, and a new one can wait for any; a stream resumed within one answer already had room at any engine of its weights. A stream that has begun bypasses the queue, unless prompts wait for limited engines, and has room at the engines of its version.

Test: streams_that_have_begun_do_not_wait_behind_new_ones (the placement was queued before).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -54,6 +54,7 @@
     choice.queue_ms <= MAX_QUEUE_MS + gossip_interval.as_secs_f64() * 1_000.0
         || is_short(&request.call)
         || request.only_weights.is_some()
+        || request.only_origin.is_some()
         || !is_enabled(Mechanism::RequestQueue)
 }
 
--- a/crates/dispatch/src/request_queue.rs
+++ b/crates/dispatch/src/request_queue.rs
@@ -91,6 +91,12 @@
         self.waiting.is_empty() || (admission::is_short(call) && !self.waits_for_limits)
     }
 
+    /// Whether a stream that has begun may bypass the queue: only few servers can go on with it, and new streams can
+    /// wait for any.
+    pub fn may_go_on(&self, request: &PlacementRequest) -> bool {
+        request.only_origin.is_some() && !self.waits_for_limits
+    }
+
     /// Adds a prompt to the queue.
     pub fn push(&mut self, request: PlacementRequest) -> QueueTicket {
         let ticket = QueueTicket(self.next);
--- a/crates/dispatch/tests/request_queue.rs
+++ b/crates/dispatch/tests/request_queue.rs
@@ -15,6 +15,7 @@
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::SendTicket;
 use fulmargate_dispatch::ServerRegistry;
+use fulmargate_dispatch::StreamOrigin;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::ServiceName;
 use fulmargate_names::ZoneName;
@@ -208,6 +209,22 @@
     assert_eq!(outcomes.first(), Some(&("warm", "taken")), "{outcomes:?}");
 }
 
+/// Guards against streams that are taken up and wait behind new ones for the few servers that can go on with them.
+#[test]
+fn streams_that_have_begun_do_not_wait_behind_new_ones() {
+    let mut fixture = QueueFixture::new();
+    let now = fixture.now;
+    fixture.enter("new", queued_call(now, "n", 7, 18_000, 100, 5_000));
+    assert!(fixture.serve().is_empty(), "the engines are full");
+    let call = queued_call(now, "t", 8, 18_000, 0, 5_000);
+    let server = fixture.registry.states().next().expect("an engine").entry().clone();
+    let only_origin = Some(StreamOrigin::of(&server));
+    let taken_up = PlacementRequest { only_origin, ..placement_request(call) };
+    assert!(!fixture.queue.may_bypass(&taken_up.call));
+    assert!(fixture.queue.may_go_on(&taken_up));
+    assert!(matches!(fixture.place(&taken_up), Placement::Assigned(_)));
+}
+
 /// An engine must not be assigned to a prompt whose caller has disconnected.
 #[test]
 fn removed_prompts_are_not_placed() {
--- a/crates/entry/src/traffic/prompt_queue.rs
+++ b/crates/entry/src/traffic/prompt_queue.rs
@@ -120,7 +120,11 @@
 
 /// Places the prompt immediately unless queued prompts take precedence.
 pub(crate) fn try_place(state: &SharedState, placement: &PlacementRequest) -> Placement {
-    if !state.prompt_queue.lock().requests.may_bypass(&placement.call) {
+    let queue = state.prompt_queue.lock();
+    let may_bypass =
+        queue.requests.may_bypass(&placement.call) || queue.requests.may_go_on(placement);
+    drop(queue);
+    if !may_bypass {
         return Placement::Queued(f64::from(placement.call.prompt_tokens()));
     }
     with_view(state, |servers, view| servers.place(placement, view)).unwrap_or(Placement::NoEngine)
