--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,6 +12,7 @@
 mod fleet_codec;
 mod fleet_watcher;
 mod fleet_writer;
+mod gossip_receiver;
 mod gossip_sender;
 mod log_source;
 mod operator_watcher;
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -84,6 +84,17 @@
     assert_eq!(decoded, sent);
 }
 
+/// Guards against hosts of which it is not known that they bind streams, and services whose versions are not told.
+#[test]
+fn mixed_services_round_trip() {
+    for mixed_services in [None, Some(Vec::new()), Some(vec![7, u64::MAX])] {
+        let sent = GossipMessage { mixed_services, ..gossip(None) };
+        let message = encode_gossip(&sent).expect("encode message");
+        let decoded = decode_gossip(&message[LENGTH_PREFIX_BYTES..]).expect("decode message");
+        assert_eq!(decoded, sent);
+    }
+}
+
 /// Guards against routers that close their connections during a rolling upgrade because a message
 /// has fewer or more extensions than they know.
 #[test]
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -13,7 +13,6 @@
 use fulmargate_dispatch::GossipPath;
 use fulmargate_dispatch::LogRequest;
 use fulmargate_dispatch::StoreAccess;
-use fulmargate_dispatch::SuspectReport;
 use fulmargate_dispatch::should_apply;
 use fulmargate_dispatch::should_forward;
 use fulmargate_names::EventKind;
@@ -39,20 +38,15 @@
 use crate::control::fleet_codec::decode_payload;
 use crate::control::fleet_codec::encode_payload;
 use crate::control::fleet_watcher::SharedFleetState;
+use crate::control::gossip_receiver::apply_gossip;
 use crate::control::record_cache::CacheReply;
 use crate::control::record_cache::RecordCache;
 use crate::control::relay_queue::SharedRelays;
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
-use crate::state::boot_now;
-use crate::telemetry::LimitSource;
-use crate::telemetry::SuspectSource;
 use crate::telemetry::count_records_rejected;
 use crate::telemetry::count_records_served;
-use crate::telemetry::log_learned_limit;
-use crate::telemetry::log_mixed;
-use crate::telemetry::log_suspect_changes;
 use crate::telemetry::topic_label;
 use crate::traffic::BINDING_PATH;
 use crate::traffic::FORWARD_PATH;
@@ -378,62 +372,6 @@
     }
 }
 
-fn apply_gossip(state: &SharedState, gossip: &GossipMessage) {
-    state.servers().apply_gossip(gossip, Instant::now());
-    if let (Some(host), Some(report)) = (&gossip.host, &gossip.quotas) {
-        state.quotas().receive(host, report, Instant::now());
-    }
-    if let (Some(host), Some(report)) = (&gossip.host, &gossip.limits) {
-        let learned = state.servers().apply_limit_report(host, report, Instant::now());
-        if !learned.is_empty() {
-            state.fleet_record_change.notify_one();
-        }
-        learned.iter().for_each(|limit| log_learned_limit(state, limit, LimitSource::Gossip));
-    }
-    if let Some(host) = &gossip.host {
-        apply_suspects(state, host, &gossip.suspects);
-    }
-    if let Some(host) = &gossip.host {
-        apply_mixed_services(state, host, gossip.mixed_services.as_deref().unwrap_or_default());
-    }
-    if gossip.weights.is_empty() {
-        return;
-    }
-    let mut weights = (**state.weights.load()).clone();
-    let mut is_changed = false;
-    for age in &gossip.weights {
-        let reported_age = Duration::from_millis(age.age_ms);
-        is_changed |= weights.set_reported_age(&age.model, age.version, reported_age, boot_now());
-    }
-    if is_changed {
-        state.weights.store(Arc::new(weights));
-    }
-}
-
-/// Another host has several software versions of these services in its list.
-fn apply_mixed_services(state: &SharedState, host: &HostName, services: &[u64]) {
-    for service in services {
-        if state.versions().record_mixed(*service, boot_now()) {
-            log_mixed(state, *service, Some(host));
-            state.publish_bindings();
-        }
-    }
-}
-
-fn apply_suspects(state: &SharedState, host: &HostName, report: &SuspectReport) {
-    if report.is_empty() {
-        return;
-    }
-    let mut suspects = state.suspects();
-    let changes = suspects.merge(host, report, Instant::now());
-    let has_wanted_probes = suspects.has_wanted_probes();
-    drop(suspects);
-    if has_wanted_probes {
-        state.suspect_wake.notify_one();
-    }
-    log_suspect_changes(state, &changes, SuspectSource::Gossip(host));
-}
-
 /// Splits a complete message off the front of the buffer, including its length prefix.
 fn split_message(buffer: &mut BytesMut) -> Option<BytesMut> {
     let length = buffer.first_chunk::<LENGTH_PREFIX_BYTES>()?;
--- a/crates/entry/src/traffic/peer_forwarding/forward_wire.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_wire.rs
@@ -2,6 +2,9 @@
 //!
 //! Both begin with the length of their head in four bytes and the head; the body follows.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use bincode::config;
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -30,7 +30,6 @@
 use fulmargate_names::ErrorKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
-use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use http::Response;
 use tokio::time::Instant;
@@ -51,7 +50,6 @@
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::send_attempt::ConnectedSend;
 use crate::traffic::send_attempt::SendError;
-use crate::traffic::stream_binding::BoundStream;
 use crate::traffic::stream_relay::relay_stream;
 use crate::traffic::suspect_run::SuspectRun;
 use crate::traffic::suspect_run::SuspectTurn;
@@ -158,21 +156,6 @@
         handler
     }
 
-    /// Goes on with a stream that an earlier attempt has begun.
-    pub(crate) fn taking_up(mut self, stream: Option<BoundStream>) -> RequestHandler {
-        if let Some(stream) = stream {
-            self.origin = Some(stream.origin);
-            self.first_attempt = stream.first_attempt;
-        }
-        self
-    }
-
-    /// Goes on with a stream that another host has bound.
-    pub(crate) fn bound_to(mut self, origin: Option<StreamOrigin>) -> RequestHandler {
-        self.origin = origin;
-        self
-    }
-
     /// Leaves the first send to the retry budget of the host that has forwarded the request.
     pub(crate) fn with_counted_send(mut self) -> RequestHandler {
         self.is_counted = true;
@@ -316,13 +299,6 @@
         }
     }
 
-    /// The service for the next send: that of the stream if it has begun.
-    pub(super) fn service(&self) -> Option<ServiceName> {
-        let Some(origin) = self.origin else { return self.facts().service() };
-        let services = self.facts().route.services.iter().map(|share| &share.service);
-        services.into_iter().find(|service| origin.is_of(service)).cloned()
-    }
-
     /// Records a failed send, and waits before the next one if a delay applies. Fails if no further send is
     /// allowed.
     async fn handle_error(
--- a/crates/entry/src/traffic/request_handler/forwarding_step.rs
+++ b/crates/entry/src/traffic/request_handler/forwarding_step.rs
@@ -181,15 +181,6 @@
         Some((chosen.host, chosen.age))
     }
 
-    /// Hosts of an earlier version, which would go on with a stream at any software version.
-    fn hosts_that_bind_nothing(&self) -> Vec<HostName> {
-        let now = Instant::now();
-        let servers = self.state.servers();
-        let mut hosts = servers.live_peers(now);
-        hosts.retain(|host| !servers.binds_streams(host, now));
-        hosts
-    }
-
     fn exclude_helper(&mut self, host: &HostName, reason: &str) {
         self.state.helpers.record_failure(host);
         self.excluded_helpers.push(host.clone());
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -278,12 +278,14 @@
         if !self.handler.state.log_limiter.allows(kind, Instant::now()) {
             return;
         }
+        let server = response.origin.server();
+        let version = server.and_then(|server| server.version.as_ref());
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
             id = %self.handler.facts().id,
-            server = response.origin.server().map(|server| server.name.as_str()),
-            version = response.origin.server().and_then(|server| server.version.as_ref().map(SoftwareVersion::as_str)),
+            server = server.map(|server| server.name.as_str()),
+            version = version.map(SoftwareVersion::as_str),
             helper = response.origin.helper().map(HostName::as_str),
             last_event,
         );
--- a/crates/entry/tests/daemon/software_versions.rs
+++ b/crates/entry/tests/daemon/software_versions.rs
@@ -68,11 +68,9 @@
         path: &'static str,
         id: &str,
     ) -> (CallerStream, OpenResponse) {
-        let mut request = CallerRequest::prompt(path, id);
-        request.patience_ms = REQUEST_TIMEOUT_MS;
         // Prompts of their own, which the engines share.
-        request.headers.retain(|(name, _)| *name != "fulmargate-prompt-prefix");
-        request.headers.push(("fulmargate-prompt-prefix", format!("{:x}:800", id_number(id))));
+        let mut request = CallerRequest::prompt(path, id).with_prompt_part(id_number(id), 800);
+        request.patience_ms = REQUEST_TIMEOUT_MS;
         let mut response =
             open_stream(&request, fleet.callers(host)).await.expect("the stream begins");
         assert!(response.read_events(EVENTS_BEFORE).await, "{id} breaks off early");
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -365,14 +365,6 @@
     }
 
     /// Nothing is wrong any more: all routers serve all kinds, and all engines have the newest weights.
-    /// The kinds of requests that are always there. Streams beside several versions have a judge of their own.
-    fn sent_kinds(&self) -> &'static [RequestKind] {
-        match self.evidence.streams.is_empty() {
-            true => &RequestKind::LASTING,
-            false => &[RequestKind::Look, RequestKind::Charge],
-        }
-    }
-
     fn judge_recovery(&mut self) {
         let recovered = self.evidence.recovered;
         let late: Vec<&RequestRecord> = self
--- a/crates/soak/src/judge/versions.rs
+++ b/crates/soak/src/judge/versions.rs
@@ -6,6 +6,7 @@
 
 use crate::Promise;
 use crate::judge::SoakJudge;
+use crate::request_record::RequestKind;
 use crate::served_count::ServedCount;
 use crate::version_caller::StreamRecord;
 use crate::version_caller::StreamTry;
@@ -70,6 +71,14 @@
         }
     }
 
+    /// The kinds of requests that are always there. Streams beside several versions have a judge of their own.
+    pub(super) fn sent_kinds(&self) -> &'static [RequestKind] {
+        match self.evidence.streams.is_empty() {
+            true => &RequestKind::LASTING,
+            false => &[RequestKind::Look, RequestKind::Charge],
+        }
+    }
+
     /// Whether two servers of the stream's version served during a try.
     fn has_servers(&self, stream: &StreamRecord, attempt: &StreamTry) -> bool {
         let serves = |from: Instant, left: Option<Instant>| {
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// The same for rollouts of software versions.
+#[test]
+fn versions_leave_the_other_faults_of_a_seed_as_they_are() {
+    for seed in 0..50 {
+        let mixed = FaultPlan::draw(seed, ROUTERS, SERVERS, LENGTH);
+        let plan = mixed.clone().with_versions(3..9, LENGTH);
+        let is_own = |step: &FaultStep| matches!(step.fault, SoakFault::Upgrade(..));
+        let others: Vec<FaultStep> = plan.steps.into_iter().filter(|step| !is_own(step)).collect();
+        assert_eq!(others, mixed.steps, "seed {seed}");
+    }
+}
+
 /// Guards against seeds in which hosts are cut off and servers brittle, but nothing of it can be judged.
 #[test]
 fn nothing_disturbs_routers_in_calm_times() {
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -47,6 +47,24 @@
     },
 ];
 
+/// Seeds in which streams had events of two software versions.
+const VERSION_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 54000,
+        seconds: 10,
+        kind: PlanKind::Versions,
+        is_calm: false,
+        cause: "a router that was asked to take up a stream placed it like a new one",
+    },
+    SeedCase {
+        seed: 54106,
+        seconds: 10,
+        kind: PlanKind::Versions,
+        is_calm: false,
+        cause: "the store is away during a rollout, and all routers are killed at the end of another",
+    },
+];
+
 /// Seeds that failed when links of hosts were full.
 const FULL_LINK_SEEDS: &[SeedCase] = &[
     SeedCase {
@@ -198,6 +216,13 @@
     check(LIMIT_SEEDS, "limits").await;
 }
 
+/// Engines get other software versions beside other faults. Guards against streams with events of two versions, and
+/// against streams that are refused in numbers when their callers take them up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_keep_their_software_version() {
+    check(VERSION_SEEDS, "versions").await;
+}
+
 /// Hosts lose their links to all servers beside other faults. Guards against callers who are served far worse there.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn cut_hosts_serve_their_callers() {
