Logs: the age that decides whether a prompt may start on older weights

No line said which version's age a host went by, so that the hypotheses on prompts on old weights could not be told apart. weights_named has the version known before and the age, weights_age_learned is written when another host's message sets one, request_sent has the first newer version known and its age.

--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -82,6 +82,11 @@
         self.targets.iter().filter_map(|(model, targets)| Some((model, *targets.last()?)))
     }
 
+    /// The first known target newer than this version.
+    pub fn first_newer(&self, model: &ModelName, version: WeightsVersion) -> Option<WeightsTarget> {
+        self.targets.get(model)?.iter().find(|target| version < target.version).copied()
+    }
+
     /// Time since the first target newer than this version was published; zero if there is none.
     pub fn outdated_for(
         &self,
@@ -89,8 +94,7 @@
         version: WeightsVersion,
         now: BootTime,
     ) -> Duration {
-        let targets = self.targets.get(model).map_or(&[][..], Vec::as_slice);
-        let newer = targets.iter().find(|target| version < target.version);
+        let newer = self.first_newer(model, version);
         newer.map_or(Duration::ZERO, |target| now.since(target.published_at))
     }
 
--- a/crates/entry/src/control/gossip_receiver.rs
+++ b/crates/entry/src/control/gossip_receiver.rs
@@ -5,6 +5,7 @@
 
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::SuspectReport;
+use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use tokio::time::Instant;
 
@@ -42,7 +43,14 @@
     let mut is_changed = false;
     for age in &gossip.weights {
         let reported_age = Duration::from_millis(age.age_ms);
-        is_changed |= weights.set_reported_age(&age.model, age.version, reported_age, boot_now());
+        if !weights.set_reported_age(&age.model, age.version, reported_age, boot_now()) {
+            continue;
+        }
+        is_changed = true;
+        let kind = EventKind::WeightsAgeLearned;
+        let host = gossip.host.as_ref().map(HostName::as_str);
+        let (model, version, age_ms) = (&age.model, age.version, age.age_ms);
+        tracing::info!(event = kind.number(), name = kind.name(), %model, %version, age_ms, host);
     }
     if is_changed {
         state.weights.store(Arc::new(weights));
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -204,12 +204,21 @@
         // Estimate of the publication time, too early after an outage or at process start. Other
         // routers may report the age.
         let published_after = self.written_after.unwrap_or_default();
+        let previous = weights.target(model).map(|target| target.version.0);
         if !weights.add_target(model, version, published_after) {
             return;
         }
         self.state.weights.store(Arc::new(weights));
+        let age = self.written_after.map(|at| boot_now().since(at).as_millis() as u64);
         let kind = EventKind::WeightsNamed;
-        tracing::info!(event = kind.number(), name = kind.name(), %model, %version);
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            %model,
+            %version,
+            previous,
+            age_ms = age,
+        );
     }
 
     fn log_admission_change(&mut self) {
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -7,10 +7,12 @@
 use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::ServerEntry;
+use fulmargate_dispatch::WeightsTarget;
 use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
 use fulmargate_names::SoftwareVersion;
 use fulmargate_names::TeamName;
+use fulmargate_names::WeightsVersion;
 use http::StatusCode;
 use tokio::time::Instant;
 
@@ -65,6 +67,7 @@
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
         }
+        let newer = self.newer_weights(choice.weights);
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
@@ -77,6 +80,8 @@
             limit_left = grant.map(|grant| (grant.available * 100.0).round() / 100.0),
             limit_report_ms = grant.and_then(|grant| grant.report_age).map(|age| age.as_millis() as u64),
             weights = choice.weights.0,
+            newer_weights = newer.map(|target| target.version.0),
+            weights_age_ms = newer.map(|target| boot_now().since(target.published_at).as_millis() as u64),
             prompt = self.facts().owner_key().map(|key| format!("{:016x}", scope_of(&choice.salt) ^ key)),
             urgency = choice.urgency.level(),
             prompt_tokens = self.facts().prompt_tokens(),
@@ -93,6 +98,12 @@
         );
     }
 
+    /// The first newer weights version known, whose age decides until when the prompt may start on this one.
+    fn newer_weights(&self, weights: WeightsVersion) -> Option<WeightsTarget> {
+        let model = self.facts().model.as_ref()?;
+        self.state.weights.load().first_newer(model, weights)
+    }
+
     /// Logs that the prompt is queued. `request_sent` or `request_failed` follows.
     pub(super) fn log_queued(&self) {
         let kind = EventKind::RequestWaits;
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -147,6 +147,8 @@
     WeightsNamed = 6005,
     /// An engine has the weights wanted.
     WeightsInPlace = 6006,
+    /// Another router has told since when weights are wanted.
+    WeightsAgeLearned = 6007,
 }
 
 /// One row of the catalogue.
@@ -246,6 +248,7 @@
     OrderRefused => "order_refused",
     WeightsNamed => "weights_named",
     WeightsInPlace => "weights_in_place",
+    WeightsAgeLearned => "weights_age_learned",
 }
 
 impl EventKind {
