Failing tests: prompts on weights older than allowed, and what keeps engines on them

What callers saw: prompts on weights two versions old, 11 s after the next one was acknowledged, 8 s allowed. On this code a host that starts after two versions sends 85 prompts to engines on version 1 after version 2's bound; the log shows weights_named without an age, weights_age_learned for the newest and request_sent with that age (first hypothesis). Beside it a type test (the age of version 5 counts for version 1), weights of unknown age right after a boot, a rollout that does not put the oldest weights first, and a lease that is not given up at a planned stop. The test of a relisting passes: the last complete read before it is remembered.

--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -46,6 +46,17 @@
         servers: &[("a", "n", 2, 0, false, true), ("b", "n", 3, 0, false, true)],
         next: &[],
     },
+    WaveCase {
+        name: "engines on the oldest weights go first",
+        servers: &[
+            ("a", "n", 1, 0, false, true),
+            ("b", "n", 0, 9, false, true),
+            ("c", "s", 1, 0, false, true),
+            ("d", "s", 1, 0, false, true),
+            ("e", "n", 0, 5, false, true),
+        ],
+        next: &["e", "b", "c"],
+    },
     WaveCase {
         name: "unreachable engines go last",
         servers: &[
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -26,3 +26,4 @@
 mod support;
 mod unreached_servers;
 mod weight_updates;
+mod weights_ages;
