Weights are outdated since a proof of the newest version, not since an age of another

What callers saw: prompts on weights two versions old, beyond the bound. Cause: a host that started knew the newest version only, and once another host's message told its age, that age stood for all versions before it.

Change: a table of proofs (at this time nothing newer than this version was named) in place of a list of versions with times. A proof holds for its version and higher ones only, whatever versions lie between, so that an age of the newest says nothing about the engines two versions behind. Unknown is its own value and no longer the machine's boot, after which unknown weights seemed young. Ages in gossip are neither sent nor used any more: a message can lie in a socket while a host is frozen.

--- a/crates/ctl/src/entry_command.rs
+++ b/crates/ctl/src/entry_command.rs
@@ -45,7 +45,7 @@
             "weights {} {}, named {}",
             wanted.model,
             wanted.version,
-            age(Some(wanted.age_ms))
+            age(wanted.age_ms)
         ));
     }
     lines.push(match &status.lease {
--- a/crates/dispatch/src/engine_choice.rs
+++ b/crates/dispatch/src/engine_choice.rs
@@ -208,7 +208,7 @@
         let max_wait = Duration::from_secs_f64(
             self.wait_ms(state, Urgency::late(9), PeerTotal::default()) / 1_000.0,
         );
-        (age + max_wait < self.weights_bound || age.is_zero()).then_some(weights)
+        (age.saturating_add(max_wait) < self.weights_bound || age.is_zero()).then_some(weights)
     }
 
     /// Salt of the prompt cache keys under these weights.
--- a/crates/dispatch/src/entry_status.rs
+++ b/crates/dispatch/src/entry_status.rs
@@ -44,8 +44,8 @@
     pub model: ModelName,
     /// The version.
     pub version: WeightsVersion,
-    /// Milliseconds since the daemon learned of this version.
-    pub age_ms: u64,
+    /// Upper bound of the milliseconds since this version was named; `None` if it is not known.
+    pub age_ms: Option<u64>,
 }
 
 /// A lease for ordering engines to load weights.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -73,6 +73,7 @@
 mod suspect_table;
 mod team_rule;
 mod version_tracker;
+mod weights_series;
 mod weights_table;
 mod zone_peer;
 
@@ -229,6 +230,6 @@
 pub use version_tracker::SoleOrigin;
 pub use version_tracker::VERSION_MEMORY;
 pub use version_tracker::VersionTracker;
+pub use weights_series::WeightsProof;
 pub use weights_table::WeightsTable;
-pub use weights_table::WeightsTarget;
 pub use zone_peer::ZonePeer;
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -7,95 +7,78 @@
 use indexmap::IndexMap;
 
 use crate::BootTime;
+use crate::WeightsProof;
+use crate::weights_series::WeightsSeries;
 
 /// Time before the bound at which a request that has not started is cancelled. The bound counts from the
 /// publication of a version, so the margin covers the delay until this host learns of it, and the delay until
 /// a cancellation reaches the engine.
 const START_MARGIN: Duration = Duration::from_millis(800);
 
-/// Upper bound on remembered versions of one model. Each has its own bound, so older versions matter until
-/// all engines run newer ones.
-const MAX_TARGETS: usize = 64;
-
-/// A target version and its publication time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WeightsTarget {
-    /// The version.
-    pub version: WeightsVersion,
-    /// Estimated publication time, from this router's own reads or as reported by another router. Zero while
-    /// unknown.
-    pub published_at: BootTime,
-}
-
-/// Target versions of each model, in increasing order.
+/// Target versions of each model, and since when earlier ones are outdated.
 #[derive(Clone, Debug, Default)]
 pub struct WeightsTable {
-    targets: IndexMap<ModelName, Vec<WeightsTarget>>,
+    models: IndexMap<ModelName, WeightsSeries>,
 }
 
 impl WeightsTable {
-    /// Adds a target version. Returns whether it is newer than all previous ones.
+    /// Adds a target version. `read_before` is the time of the last complete read without it; `None` if this host
+    /// has read it in its first listing. Returns whether it is newer than all previous ones.
     pub fn add_target(
         &mut self,
         model: &ModelName,
         version: WeightsVersion,
-        now: BootTime,
+        read_before: Option<BootTime>,
     ) -> bool {
-        let targets = self.targets.entry(model.clone()).or_default();
-        if targets.last().is_some_and(|target| version <= target.version) {
-            return false;
-        }
-        if MAX_TARGETS <= targets.len() {
-            targets.remove(0);
-        }
-        targets.push(WeightsTarget { version, published_at: now });
-        true
+        self.models.entry(model.clone()).or_default().add_target(version, read_before)
     }
 
-    /// Sets the age of a version as reported by another router, if its publication time is unknown. Such versions
-    /// count as old until then. Returns whether the age was set.
-    pub fn set_reported_age(
-        &mut self,
-        model: &ModelName,
-        version: WeightsVersion,
-        age: Duration,
-        now: BootTime,
-    ) -> bool {
-        let targets = self.targets.get_mut(model).map_or(&mut [][..], Vec::as_mut_slice);
-        let Some(target) = targets.iter_mut().find(|target| target.version == version) else {
-            return false;
-        };
-        if target.published_at != BootTime::default() {
-            return false;
-        }
-        target.published_at = BootTime(now.0.saturating_sub(age.as_millis() as u64));
-        true
+    /// Adds what another router has proven. Returns whether it was not implied by what is known.
+    pub fn add_proof(&mut self, model: &ModelName, proof: WeightsProof) -> bool {
+        self.models.get_mut(model).is_some_and(|series| series.add_proof(proof))
     }
 
-    /// The latest target version of a model.
-    pub fn target(&self, model: &ModelName) -> Option<WeightsTarget> {
-        self.targets.get(model)?.last().copied()
+    /// Adds a proof whose time is estimated. It is used for versions without another one. Returns whether it was not
+    /// implied by earlier estimates.
+    pub fn add_estimate(&mut self, model: &ModelName, proof: WeightsProof) -> bool {
+        self.models.get_mut(model).is_some_and(|series| series.add_estimate(proof))
     }
 
-    /// The latest target version of each model.
-    pub fn targets(&self) -> impl Iterator<Item = (&ModelName, WeightsTarget)> {
-        self.targets.iter().filter_map(|(model, targets)| Some((model, *targets.last()?)))
+    /// The target version of a model.
+    pub fn target(&self, model: &ModelName) -> Option<WeightsVersion> {
+        self.models.get(model).map(WeightsSeries::target)
     }
 
-    /// The first known target newer than this version.
-    pub fn first_newer(&self, model: &ModelName, version: WeightsVersion) -> Option<WeightsTarget> {
-        self.targets.get(model)?.iter().find(|target| version < target.version).copied()
+    /// The target version of each model.
+    pub fn targets(&self) -> impl Iterator<Item = (&ModelName, WeightsVersion)> {
+        self.models.iter().map(|(model, series)| (model, series.target()))
     }
 
-    /// Time since the first target newer than this version was published; zero if there is none.
+    /// The proofs of a model, in the order of versions and times.
+    pub fn proofs(&self, model: &ModelName) -> &[WeightsProof] {
+        self.models.get(model).map_or(&[], WeightsSeries::proofs)
+    }
+
+    /// Upper bound of the time since the first version newer than this one was named. Zero if there is none;
+    /// `Duration::MAX` if nothing is known of it.
     pub fn outdated_for(
         &self,
         model: &ModelName,
         version: WeightsVersion,
         now: BootTime,
     ) -> Duration {
-        let newer = self.first_newer(model, version);
-        newer.map_or(Duration::ZERO, |target| now.since(target.published_at))
+        let series = self.models.get(model);
+        series.map_or(Duration::ZERO, |series| series.outdated_for(version, now))
+    }
+
+    /// Upper bound of the time since the target version was named; `None` if it is not known.
+    pub fn target_age(&self, model: &ModelName, now: BootTime) -> Option<Duration> {
+        self.models.get(model)?.target_age(now)
+    }
+
+    /// Whether a newer version is wanted and nothing is known of when the first one was named.
+    pub fn is_age_unknown(&self, model: &ModelName, version: WeightsVersion) -> bool {
+        self.outdated_for(model, version, BootTime::default()) == Duration::MAX
     }
 
     /// How long a request sent now to an engine with this version may wait there before it starts. `None`
@@ -107,10 +90,10 @@
         bound: Duration,
         now: BootTime,
     ) -> Option<Duration> {
-        let age = self.outdated_for(model, version, now);
-        if age.is_zero() {
+        if self.target(model).is_none_or(|target| target <= version) {
             return None;
         }
+        let age = self.outdated_for(model, version, now);
         Some(bound.saturating_sub(START_MARGIN).saturating_sub(age))
     }
 }
--- a/crates/emulator/src/play/weights.rs
+++ b/crates/emulator/src/play/weights.rs
@@ -29,7 +29,7 @@
         let boot_now = BootTime(100_000 + self.now as u64);
         for router in &mut self.routers {
             let version = WeightsVersion(self.named);
-            router.weights.add_target(&self.shared.model, version, boot_now);
+            router.weights.add_target(&self.shared.model, version, Some(boot_now));
         }
         let lease = if self.named == 2 { LEASE_MS } else { 0.0 };
         self.queue.add(self.now + lease, PlayEvent::Wave);
@@ -60,8 +60,8 @@
         if servers.iter().all(|server| wanted <= server.version) {
             return;
         }
-        let Some(target) = router.weights.target(model) else { return };
-        let age = BootTime(100_000 + self.now as u64).since(target.published_at);
+        let boot_now = BootTime(100_000 + self.now as u64);
+        let Some(age) = router.weights.target_age(model, boot_now) else { return };
         let time = RolloutTime { age, bound: WEIGHTS_BOUND };
         for key in RolloutPlan::default().next(&servers, wanted, time) {
             let engine = self.shared.entries.iter().position(|entry| entry.key() == key);
--- a/crates/emulator/src/router_model.rs
+++ b/crates/emulator/src/router_model.rs
@@ -131,7 +131,7 @@
         let mut registry = ServerRegistry::default();
         registry.sync(&shared.entries, shared.start);
         let mut weights = WeightsTable::default();
-        weights.add_target(&shared.model, WeightsVersion(1), BootTime::default());
+        weights.add_target(&shared.model, WeightsVersion(1), None);
         RouterModel {
             registry,
             line: RequestQueue::default(),
--- a/crates/entry/src/control/gossip_receiver.rs
+++ b/crates/entry/src/control/gossip_receiver.rs
@@ -1,11 +1,7 @@
 //! Applies the messages of other routers to the shared state.
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::SuspectReport;
-use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use tokio::time::Instant;
 
@@ -36,25 +32,6 @@
     if let Some(host) = &gossip.host {
         apply_mixed_services(state, host, gossip.mixed_services.as_deref().unwrap_or_default());
     }
-    if gossip.weights.is_empty() {
-        return;
-    }
-    let mut weights = (**state.weights.load()).clone();
-    let mut is_changed = false;
-    for age in &gossip.weights {
-        let reported_age = Duration::from_millis(age.age_ms);
-        if !weights.set_reported_age(&age.model, age.version, reported_age, boot_now()) {
-            continue;
-        }
-        is_changed = true;
-        let kind = EventKind::WeightsAgeLearned;
-        let host = gossip.host.as_ref().map(HostName::as_str);
-        let (model, version, age_ms) = (&age.model, age.version, age.age_ms);
-        tracing::info!(event = kind.number(), name = kind.name(), %model, %version, age_ms, host);
-    }
-    if is_changed {
-        state.weights.store(Arc::new(weights));
-    }
 }
 
 /// Another host has several software versions of these services in its list.
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -9,7 +9,6 @@
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::GossipTarget;
 use fulmargate_dispatch::GossipTopology;
-use fulmargate_dispatch::WeightsAge;
 use fulmargate_dispatch::max_published_parts;
 use fulmargate_dispatch::urgent_interval;
 use fulmargate_names::HostName;
@@ -213,7 +212,6 @@
         gossip.zone = Some(self.state.settings.zone.clone());
         gossip.link_kbps = Some(self.state.settings.link_kbps());
         gossip.loading = self.state.loading.notices();
-        gossip.weights = self.weights_ages();
         gossip.limits = self.state.servers().take_limit_report(Instant::now());
         gossip.rejections = self.state.servers().take_rejections(Instant::now());
         let hosts = self.fleet_state.borrow().host_count();
@@ -224,19 +222,6 @@
         gossip
     }
 
-    /// Ages of target versions published recently. Beyond the bound, the exact age is irrelevant.
-    fn weights_ages(&self) -> Vec<WeightsAge> {
-        let now = boot_now();
-        let weights = self.state.weights.load();
-        let ages = weights.targets().map(|(model, target)| WeightsAge {
-            model: model.clone(),
-            version: target.version,
-            age_ms: now.since(target.published_at).as_millis() as u64,
-        });
-        let max_age_ms = self.state.settings.bounds.weights_ms;
-        ages.filter(|age| age.age_ms < max_age_ms).collect()
-    }
-
     /// Sends a message to the targets and queues it for this host's subscribers. Returns its
     /// encoded size.
     fn send(&self, targets: &[PeerTarget], mut gossip: GossipMessage) -> usize {
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -201,11 +201,8 @@
 
     fn set_weights_target(&self, model: &ModelName, version: WeightsVersion) {
         let mut weights = (**self.state.weights.load()).clone();
-        // Estimate of the publication time, too early after an outage or at process start. Other
-        // routers may report the age.
-        let published_after = self.written_after.unwrap_or_default();
-        let previous = weights.target(model).map(|target| target.version.0);
-        if !weights.add_target(model, version, published_after) {
+        let previous = weights.target(model).map(|version| version.0);
+        if !weights.add_target(model, version, self.written_after) {
             return;
         }
         self.state.weights.store(Arc::new(weights));
--- a/crates/entry/src/control/order_scheduler.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -18,9 +18,9 @@
 use fulmargate_dispatch::RolloutPlan;
 use fulmargate_dispatch::RolloutTime;
 use fulmargate_dispatch::ServerKey;
-use fulmargate_dispatch::WeightsTarget;
 use fulmargate_names::EventKind;
 use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -63,7 +63,9 @@
 /// A weights target that some engines have not loaded.
 struct PendingRollout {
     model: ModelName,
-    target: WeightsTarget,
+    target: WeightsVersion,
+    /// Upper bound of the time since the target was named.
+    age: Duration,
     servers: Vec<RolloutEngine>,
 }
 
@@ -101,13 +103,20 @@
 
     fn next_rollout(&self) -> Option<PendingRollout> {
         let weights = self.state.weights.load_full();
-        let mut rollouts = weights.targets().map(|(model, target)| self.rollout_for(model, target));
-        rollouts.find(|rollout| {
-            rollout.servers.iter().any(|server| server.version < rollout.target.version)
-        })
+        let mut rollouts = weights.targets().map(|(model, target)| {
+            let age = weights.target_age(model, boot_now()).unwrap_or(Duration::MAX);
+            self.rollout_for(model, target, age)
+        });
+        rollouts
+            .find(|rollout| rollout.servers.iter().any(|server| server.version < rollout.target))
     }
 
-    fn rollout_for(&self, model: &ModelName, target: WeightsTarget) -> PendingRollout {
+    fn rollout_for(
+        &self,
+        model: &ModelName,
+        target: WeightsVersion,
+        age: Duration,
+    ) -> PendingRollout {
         let in_progress = self.shared.in_progress.borrow();
         let servers = self.state.servers();
         let now = Instant::now();
@@ -128,7 +137,7 @@
                 })
             })
             .collect();
-        PendingRollout { model: model.clone(), target, servers }
+        PendingRollout { model: model.clone(), target, age, servers }
     }
 
     /// Acquires or renews the lease and starts the next orders. Returns the delay before the next
@@ -142,12 +151,7 @@
         let link_rank = self.state.servers().link_rank(link_kbps, Instant::now());
         let step = {
             let fleet_state = self.fleet_state.borrow();
-            self.shared.lease.borrow().step(
-                &fleet_state,
-                rollout.target.published_at,
-                link_rank,
-                now,
-            )
+            self.shared.lease.borrow().step(&fleet_state, now.before(rollout.age), link_rank, now)
         };
         match step {
             LeaseStep::Act => {
@@ -231,16 +235,13 @@
     }
 
     fn start_orders(&self, rollout: &PendingRollout) {
-        let time = RolloutTime {
-            age: boot_now().since(rollout.target.published_at),
-            bound: self.state.settings.bounds.weights(),
-        };
-        for key in self.rollout_plan.next(&rollout.servers, rollout.target.version, time) {
+        let time = RolloutTime { age: rollout.age, bound: self.state.settings.bounds.weights() };
+        for key in self.rollout_plan.next(&rollout.servers, rollout.target, time) {
             let entry = self.state.servers().state(key).map(|state| state.entry().clone());
             let Some(entry) = entry else { continue };
             self.shared.in_progress.borrow_mut().insert(key);
             self.state.servers().record_weights_order(key, Instant::now());
-            self.state.loading.start(key, &rollout.model, rollout.target.version);
+            self.state.loading.start(key, &rollout.model, rollout.target);
             let task = OrderTask {
                 state: self.state.clone(),
                 engines: self.engines.clone(),
--- a/crates/entry/src/control/order_task.rs
+++ b/crates/entry/src/control/order_task.rs
@@ -125,15 +125,15 @@
                 return OrderOutcome::Gone;
             };
             let loaded = report.weights.get(&self.model).copied();
-            if let Some(loaded) = loaded.filter(|loaded| target.version <= *loaded) {
+            if let Some(loaded) = loaded.filter(|loaded| target <= *loaded) {
                 return OrderOutcome::InPlace(loaded);
             }
             if report.is_busy {
                 sleep(REPORT_INTERVAL).await;
                 continue;
             }
-            match self.send_order(&report, target.version).await {
-                Some(OrderResponse::Holds) => return OrderOutcome::InPlace(target.version),
+            match self.send_order(&report, target).await {
+                Some(OrderResponse::Holds) => return OrderOutcome::InPlace(target),
                 Some(OrderResponse::Accepted) => sleep(LOAD_WAIT).await,
                 Some(OrderResponse::Superseded) => {
                     self.shared.lease.borrow_mut().drop_lease();
--- a/crates/entry/src/state/status.rs
+++ b/crates/entry/src/state/status.rs
@@ -24,10 +24,10 @@
     let servers = server_statuses(state);
     let fleet = state.fleet.load();
     let weights = state.weights.load();
-    let targets = weights.targets().map(|(model, target)| WantedWeights {
+    let targets = weights.targets().map(|(model, version)| WantedWeights {
         model: model.clone(),
-        version: target.version,
-        age_ms: now.since(target.published_at).as_millis() as u64,
+        version,
+        age_ms: weights.target_age(model, now).map(|age| age.as_millis() as u64),
     });
     EntryStatus {
         host: state.settings.host.clone(),
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -4,10 +4,11 @@
 //! `framing`, `body_end`, `content_end`, `events`, `partial_bytes` and `server_check` tell how the last response body
 //! that was read ended and what its verdict rests on.
 
+use std::time::Duration;
+
 use fulmargate_admission::LimitGrant;
 use fulmargate_dispatch::EngineChoice;
 use fulmargate_dispatch::ServerEntry;
-use fulmargate_dispatch::WeightsTarget;
 use fulmargate_dispatch::scope_of;
 use fulmargate_names::EventKind;
 use fulmargate_names::SoftwareVersion;
@@ -67,7 +68,7 @@
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
         }
-        let newer = self.newer_weights(choice.weights);
+        let weights_age = self.weights_age(choice.weights);
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
@@ -80,8 +81,8 @@
             limit_left = grant.map(|grant| (grant.available * 100.0).round() / 100.0),
             limit_report_ms = grant.and_then(|grant| grant.report_age).map(|age| age.as_millis() as u64),
             weights = choice.weights.0,
-            newer_weights = newer.map(|target| target.version.0),
-            weights_age_ms = newer.map(|target| boot_now().since(target.published_at).as_millis() as u64),
+            newest_weights = self.newest_weights().map(|version| version.0),
+            weights_age_ms = weights_age.as_millis() as u64,
             prompt = self.facts().owner_key().map(|key| format!("{:016x}", scope_of(&choice.salt) ^ key)),
             urgency = choice.urgency.level(),
             prompt_tokens = self.facts().prompt_tokens(),
@@ -98,10 +99,16 @@
         );
     }
 
-    /// The first newer weights version known, whose age decides until when the prompt may start on this one.
-    fn newer_weights(&self, weights: WeightsVersion) -> Option<WeightsTarget> {
+    fn newest_weights(&self) -> Option<WeightsVersion> {
         let model = self.facts().model.as_ref()?;
-        self.state.weights.load().first_newer(model, weights)
+        self.state.weights.load().target(model)
+    }
+
+    /// The time for which these weights count as outdated.
+    fn weights_age(&self, weights: WeightsVersion) -> Duration {
+        let model = self.facts().model.as_ref();
+        let table = self.state.weights.load();
+        model.map_or(Duration::ZERO, |model| table.outdated_for(model, weights, boot_now()))
     }
 
     /// Logs that the prompt is queued. `request_sent` or `request_failed` follows.
--- a/crates/entry/src/traffic/request_handler/send_outcome.rs
+++ b/crates/entry/src/traffic/request_handler/send_outcome.rs
@@ -28,9 +28,7 @@
         let now = Instant::now();
         let key = server.key();
         let target =
-            self.facts().model.as_ref().and_then(|model| {
-                self.state.weights.load().target(model).map(|target| target.version)
-            });
+            self.facts().model.as_ref().and_then(|model| self.state.weights.load().target(model));
         match error.outcome {
             SendOutcome::NotSent | SendOutcome::Unreachable => {
                 self.state.servers().record_unreachable(key, now);
