Property: no history makes weights younger than they are

What callers saw: prompts on weights older than the bound, sent by hosts that had taken the age of one version for that of another. The tables of weights_ages.rs guard the type; this guards what a host builds up with it.

A fleet on virtual time follows a drawn series of versions (0.3 to 4 s apart, numbers skipped, named again, history dropped). Hosts have clocks of their own, with drift, some of machines that were booted a moment ago; they read slowly or not at all, start anew, are frozen, cut off, killed all at once, and ask each other; replies are late, lost, repeated, computed after a freeze, and pass from host to host. A host that has read a newer version must take the weights for at least as old as the time since the first newer one was acknowledged, up to the drift of clocks; one that has not is not more than its last complete read behind, and not more than the table's margin while it follows the topic. A host that was told must know the ages of the one that replied, up to the time since its question.

The judges are shown to see faults: late starts are counted with the age of the newest version for all before it, with ages that count from the reply, with ages from before the boot, and with records that count from their arrival; ages that are not used are counted too.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,6 +2,10 @@
 #![allow(dead_code)]
 
 pub(crate) mod version_fleet;
+pub(crate) mod weights_fleet;
+pub(crate) mod weights_host;
+pub(crate) mod weights_judge;
+pub(crate) mod weights_topic;
 
 use std::sync::Arc;
 use std::time::Duration;
