Model of rollouts at 6, 30, 90 and 195 hosts, with all hosts restarted or killed

What callers saw: prompts beyond the bound from hosts that started between two versions, and refusals after all hosts were killed right after one. The model shows both sides at the sizes that the system has to grow to.

Hosts that follow a version each 2 to 4 s are restarted one after the other, by stops and by kills, while the holder of the lease orders engines by the rollout plan; orders are carried out, or in part or all lost or late. No prompt may begin beyond the bound of the first newer version, and where no order is carried out, prompts must be served until the bound less the margin and two reads. With ages of the newest version taken for all before it, the same model counts late prompts at every size.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod weights_fleet;
 pub(crate) mod weights_host;
 pub(crate) mod weights_judge;
+pub(crate) mod weights_rollout;
 pub(crate) mod weights_topic;
 
 use std::sync::Arc;
--- a/crates/dispatch/tests/support/weights_fleet.rs
+++ b/crates/dispatch/tests/support/weights_fleet.rs
@@ -251,14 +251,17 @@
     fn ask(&mut self, number: usize) {
         let now = self.now;
         let host = &self.hosts[number];
+        let is_due = host.next_question <= now;
         let is_new = Duration::from_millis(now - host.started) < self.plan.bound;
         let spare_share = SPARE_QUESTIONS_PER_S * TICK_MS as f64 / 1_000.0;
-        let asks = host.next_question <= now && is_new && self.lacks_ages(host)
+        let asks = is_due && is_new && self.lacks_ages(host)
             || self.plan.faults_per_s > 0.0 && self.rng.random_bool(spare_share);
+        if is_due {
+            self.hosts[number].next_question = now + QUESTION_INTERVAL_MS;
+        }
         if !asks {
             return;
         }
-        self.hosts[number].next_question = now + QUESTION_INTERVAL_MS;
         let from_start = self.hosts[number].started;
         for _ in 0..ASKED_HOSTS {
             let to = self.rng.random_range(0..self.hosts.len());
--- a/crates/dispatch/tests/support/weights_judge.rs
+++ b/crates/dispatch/tests/support/weights_judge.rs
@@ -16,8 +16,8 @@
 
 /// Versions that are compared, the newest included.
 const JUDGED_VERSIONS: usize = 12;
-/// Longest time for which a host that follows the topic has not read a record: the way back of the answer before it, and
-/// the way of the read that finds it, there and back.
+/// Longest time for which a host that follows the topic has not read a record: the way back of the answer before it,
+/// and the way of the read that finds it, there and back.
 const FOLLOW_DELAY: Duration = Duration::from_millis(3 * (MAX_TRANSIT_MS + TICK_MS));
 
 /// What was compared, and what was wrong.
--- a/crates/dispatch/tests/support/weights_topic.rs
+++ b/crates/dispatch/tests/support/weights_topic.rs
@@ -7,6 +7,8 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+/// When the first version of a drawn series is named.
+pub(crate) const FIRST_NAMED_MS: u64 = 3_000;
 /// Time from a record's write to its acknowledgement.
 const ACK_MS: Range<u64> = 2..30;
 /// Share of the records that name the previous version again, and of those that skip numbers.
@@ -43,7 +45,7 @@
     /// Names versions one after the other until the end of the run. Numbers are skipped, and named again.
     pub(crate) fn draw(spacing_ms: Range<u64>, run_ms: u64, rng: &mut StdRng) -> WeightsTopic {
         let mut topic = WeightsTopic::new();
-        let (mut version, mut written) = (1, 3_000);
+        let (mut version, mut written) = (1, FIRST_NAMED_MS);
         while written < run_ms {
             if !rng.random_bool(REPEATED_SHARE) {
                 version += if rng.random_bool(SKIPPING_SHARE) { rng.random_range(2..5) } else { 1 };
--- a/crates/dispatch/tests/weights_histories.rs
+++ b/crates/dispatch/tests/weights_histories.rs
@@ -28,8 +28,8 @@
     WeightsFleet::drawn(plan, seed).run()
 }
 
-/// Guards against any order of reads, starts, cuts, freezes and replies after which a prompt may begin beyond the bound of
-/// the first newer version, and against ages that hosts know and do not pass on.
+/// Guards against any order of reads, starts, cuts, freezes and replies after which a prompt may begin beyond the bound
+/// of the first newer version, and against ages that hosts know and do not pass on.
 #[test]
 fn no_history_makes_weights_younger() {
     fn holds(seed: u64) -> bool {
