Records count as written from the last proof of the topic, not from when they are received

What callers could see: prompts on older weights for as long as a host was frozen or behind. Cause: the time before which weights had not been named was set to the present after each answer, also an answer that had lain in the socket during a freeze, the first page of a backlog, or one of a zone reader that is up to 2.1 s behind.

Change: TopicProof. The time is that of the last read that was complete, or the end of the store's wait without a record; records that are received in time count from at most 600 ms after it, which the margin before the bound (800 ms) covers. An unreadable record proves nothing.

Failed before: weights_published_after_an_unread_answer_have_their_full_age (age 18 ms, 650 ms due less 600).

--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -78,6 +78,9 @@
     /// Send time of the read from the store that reached the end of the topic; `None` if there is
     /// more to read.
     pub(crate) complete_as_of: Option<BootTime>,
+    /// Time until which nothing more was written; `None` if there is more to read. Later than `complete_as_of` if the
+    /// store has waited for records without result.
+    pub(crate) unchanged_until: Option<BootTime>,
 }
 
 /// The newest record of each key of a topic.
@@ -232,7 +235,11 @@
                     metrics::counter!("fulmargate_log_reads_total", "source" => "router")
                         .increment(1);
                     let complete_as_of = Some(answer.complete_as_of(requested_at));
-                    return Ok(SourcePage { records: answer.records, complete_as_of });
+                    return Ok(SourcePage {
+                        records: answer.records,
+                        complete_as_of,
+                        unchanged_until: complete_as_of,
+                    });
                 }
                 Err(err) => {
                     tracing::debug!(
@@ -280,7 +287,13 @@
         if self.may_serve_peers() {
             self.record_cache.put(topic, from, &page.records, is_complete.then_some(sent));
         }
-        Ok(SourcePage { records: page.records, complete_as_of: is_complete.then_some(sent) })
+        let has_waited = page.records.is_empty() && wait <= boot_now().since(sent);
+        let unchanged_until = if has_waited { sent.after(wait) } else { sent };
+        Ok(SourcePage {
+            records: page.records,
+            complete_as_of: is_complete.then_some(sent),
+            unchanged_until: is_complete.then_some(unchanged_until),
+        })
     }
 
     /// Whether other hosts may request records from this one.
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -13,6 +13,8 @@
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RouteTable;
 use fulmargate_dispatch::RoutingConfig;
+use fulmargate_dispatch::TopicProof;
+use fulmargate_dispatch::TopicRead;
 use fulmargate_names::EventKind;
 use fulmargate_names::ModelName;
 use fulmargate_names::StoreEpoch;
@@ -33,9 +35,6 @@
 /// Added to the wait for the response timeout. The store answers in 4 ms, and in 250 ms when it is slow.
 const RESPONSE_GRACE: Duration = Duration::from_millis(700);
 
-/// A poll that took longer was pending while the host was suspended. Allows for the longer wait at a zone reader.
-const MAX_POLL_TIME: Duration = Duration::from_millis(1_100);
-
 /// Maintains the active configuration and the weights targets.
 pub(crate) struct OperatorWatcher {
     state: Arc<SharedState>,
@@ -44,8 +43,8 @@
     /// Position of the next read; `None` if the topic has to be listed.
     next: Option<LogPosition>,
     epoch: EpochTracker,
-    /// Lower bound for the write time of the next records; `None` at process start.
-    written_after: Option<BootTime>,
+    /// Bounds the write time of the next records.
+    topic_proof: TopicProof,
     /// Whether requests with API keys were admitted after the last read.
     admitted_keys: bool,
     /// A record written since the active configuration could not be read. It may have revoked keys.
@@ -62,7 +61,7 @@
             retry,
             next: None,
             epoch,
-            written_after: None,
+            topic_proof: TopicProof::default(),
             admitted_keys: false,
             has_unreadable_record: false,
         }
@@ -76,17 +75,18 @@
                 None => self.read_listing().await,
             };
             match result {
-                Ok(()) => {
-                    self.retry.succeeded();
-                    self.written_after = Some(boot_now());
-                }
+                Ok(()) => self.retry.succeeded(),
                 Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
+                    self.topic_proof.record_failure();
                     let kind = EventKind::LogTruncated;
                     tracing::warn!(event = kind.number(), name = kind.name(), topic = "operator", reason = %err);
                     self.next = None;
                     self.retry.back_off_relisting(&err, self.source.max_retry_delay()).await;
                 }
-                Err(err) => self.retry.back_off(&err, self.source.max_retry_delay()).await,
+                Err(err) => {
+                    self.topic_proof.record_failure();
+                    self.retry.back_off(&err, self.source.max_retry_delay()).await;
+                }
             }
             self.log_admission_change();
         }
@@ -94,15 +94,12 @@
 
     async fn read_next(&mut self, from: LogPosition) -> Result<(), StoreError> {
         let topic = LogTopic::Operator;
-        let asked = boot_now();
+        let sent = boot_now();
         let page = self.source.read(topic, from, POLL_WAIT, RESPONSE_GRACE).await?;
-        let was_suspended = MAX_POLL_TIME < boot_now().since(asked);
-        if !self.retry.is_failing() && !was_suspended {
-            // The long poll was pending when these records were written.
-            self.written_after = Some(boot_now());
-        }
-        self.apply_page(from.epoch, &page);
+        let read = TopicRead { sent, received: boot_now() };
+        self.apply_page(from.epoch, read, &page);
         self.next = Some(from.after(page.records.len()));
+        self.topic_proof.record_read(read, self.if_readable(page.unchanged_until));
         // A page may end before the topic does; only a complete read proves that nothing is newer.
         if let Some(sent) = page.complete_as_of {
             self.renew_proof(sent);
@@ -113,10 +110,12 @@
     async fn read_listing(&mut self) -> Result<(), StoreError> {
         let newest = self.source.read_newest(LogTopic::Operator).await?;
         self.epoch.record_listing(newest.end.epoch)?;
+        let read = TopicRead { sent: newest.sent, received: boot_now() };
         for listed in &newest.records {
-            self.apply(&listed.record);
+            self.apply(&listed.record, read);
         }
         self.next = Some(newest.end);
+        self.topic_proof.record_read(read, self.if_readable(Some(newest.sent)));
         self.renew_proof(newest.sent);
         Ok(())
     }
@@ -129,10 +128,15 @@
         }
     }
 
-    fn apply_page(&mut self, epoch: StoreEpoch, page: &SourcePage) {
+    /// A record that could not be decoded may name weights.
+    fn if_readable(&self, complete_until: Option<BootTime>) -> Option<BootTime> {
+        complete_until.filter(|_| !self.has_unreadable_record)
+    }
+
+    fn apply_page(&mut self, epoch: StoreEpoch, read: TopicRead, page: &SourcePage) {
         for record in &page.records {
             match decode_keyed(record) {
-                Ok(record) if self.apply(&record) => self.state.proof().mark_trusted(epoch),
+                Ok(record) if self.apply(&record, read) => self.state.proof().mark_trusted(epoch),
                 Ok(_) => {}
                 Err(err) => self.record_unreadable(&err),
             }
@@ -141,10 +145,12 @@
 
     /// Returns whether the record is a configuration no older than the active one. Written after a
     /// restore from a backup, it includes all that operators had written before.
-    fn apply(&mut self, record: &KeyedRecord) -> bool {
+    fn apply(&mut self, record: &KeyedRecord, read: TopicRead) -> bool {
         match decode_operator(record) {
             Ok(OperatorRecord::Config(config)) => return self.activate_config(*config),
-            Ok(OperatorRecord::Weights(model, version)) => self.set_weights_target(&model, version),
+            Ok(OperatorRecord::Weights(model, version)) => {
+                self.set_weights_target(&model, version, read);
+            }
             Ok(OperatorRecord::Other) => {}
             Err(err) => self.record_unreadable(&err),
         }
@@ -199,14 +205,15 @@
         self.state.quotas().set_quotas(quotas, Instant::now());
     }
 
-    fn set_weights_target(&self, model: &ModelName, version: WeightsVersion) {
+    fn set_weights_target(&self, model: &ModelName, version: WeightsVersion, read: TopicRead) {
         let mut weights = (**self.state.weights.load()).clone();
         let previous = weights.target(model).map(|version| version.0);
-        if !weights.add_target(model, version, self.written_after) {
+        let written_after = self.topic_proof.written_after(read);
+        if !weights.add_target(model, version, written_after) {
             return;
         }
         self.state.weights.store(Arc::new(weights));
-        let age = self.written_after.map(|at| boot_now().since(at).as_millis() as u64);
+        let age = written_after.map(|at| boot_now().since(at).as_millis() as u64);
         let kind = EventKind::WeightsNamed;
         tracing::info!(
             event = kind.number(),
--- a/crates/entry/src/control/store_retry.rs
+++ b/crates/entry/src/control/store_retry.rs
@@ -38,11 +38,6 @@
         self.failures = 0;
     }
 
-    /// Whether the last call failed.
-    pub(crate) fn is_failing(&self) -> bool {
-        0 < self.failures
-    }
-
     /// Records that the topic has to be listed again. Delays the listing only if the last one was
     /// less than [`MIN_RELIST_INTERVAL`] ago.
     pub(crate) async fn back_off_relisting(&mut self, err: &StoreError, max_delay: Duration) {
--- a/crates/entry/tests/daemon/weight_updates.rs
+++ b/crates/entry/tests/daemon/weight_updates.rs
@@ -12,10 +12,15 @@
 use crate::store_restore::status;
 use crate::support::DaemonProcess;
 use crate::support::TestDeployment;
+use crate::support::initial_config;
 use crate::support::wait_until;
 
 /// Longer than a poll waits, and shorter than its timeout, so that the response is read after the freeze.
 const FREEZE: Duration = Duration::from_millis(1_300);
+/// Twice this is shorter than the timeout of a poll.
+const UNREAD_TIME: Duration = Duration::from_millis(650);
+/// By how much weights may seem younger than they are; the time left before the bound covers it.
+const MAX_AGE_ERROR: Duration = Duration::from_millis(600);
 
 /// Each engine receives one order for a version, and fencing tokens never decrease.
 #[tokio::test]
@@ -100,6 +105,30 @@
     .await;
 }
 
+/// A configuration and weights are published while a host is frozen: the configuration is the answer to its pending
+/// read. Guards against weights of the next read that count from the end of the freeze.
+#[tokio::test]
+async fn weights_published_after_an_unread_answer_have_their_full_age() {
+    let deployment = TestDeployment::start(ServerMode::Stream(1)).await;
+    deployment.daemon.signal("STOP");
+    let mut config = initial_config();
+    config.version = 2;
+    deployment.store.put_config(&config);
+    sleep(UNREAD_TIME).await;
+    deployment.store.publish_weights(2);
+    let published = Instant::now();
+    sleep(UNREAD_TIME).await;
+    let min_age = published.elapsed().saturating_sub(MAX_AGE_ERROR);
+    deployment.daemon.signal("CONT");
+    wait_until("the daemon has read the weights", || {
+        !deployment.daemon.events("weights_named").is_empty()
+    })
+    .await;
+    let status = status(&deployment.daemon).await;
+    let age_ms = status["weights"][0]["age_ms"].as_u64().expect("the age of the weights");
+    assert!(min_age.as_millis() <= u128::from(age_ms), "age {age_ms} ms after {min_age:?}");
+}
+
 /// Weights are published while a host is frozen. Guards against counting their age from the host's return, which
 /// would let prompts start on the previous weights after the bound.
 #[tokio::test]
