Logs: prompts that are refused for their engines' weights

What callers saw: 503 no_server, while the log did not say that engines were there and their weights were the reason.

--- a/crates/entry/src/traffic/prompt_queue.rs
+++ b/crates/entry/src/traffic/prompt_queue.rs
@@ -141,6 +141,11 @@
     QueuedPrompt { state: state.clone(), ticket, receiver }
 }
 
+/// For how long weights may be outdated when a prompt is sent to their engine.
+pub(crate) fn max_weights_age(state: &SharedState) -> Duration {
+    state.settings.bounds.weights().saturating_sub(WEIGHTS_EXPIRY_MARGIN)
+}
+
 /// Runs `decide` on the current state. Returns none until a configuration is loaded.
 fn with_view<T>(
     state: &SharedState,
@@ -151,7 +156,7 @@
     let view = ChoiceView {
         table: &table,
         weights: &weights,
-        weights_bound: state.settings.bounds.weights().saturating_sub(WEIGHTS_EXPIRY_MARGIN),
+        weights_bound: max_weights_age(state),
         zone: &state.settings.zone,
         now: Instant::now(),
         boot_now: boot_now(),
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -13,6 +13,7 @@
 mod stream_origin;
 mod stream_timing;
 mod suspicion;
+mod weights_refusal;
 
 use std::cell::Cell;
 use std::sync::Arc;
@@ -223,6 +224,7 @@
                 if reason.is_none() && self.forward_reason().is_some() {
                     continue;
                 }
+                self.log_weights_refused(point);
                 return Err(self.no_server_failure());
             };
             let (server, weights) = (plan.server.clone(), plan.weights);
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -99,7 +99,7 @@
         );
     }
 
-    fn newest_weights(&self) -> Option<WeightsVersion> {
+    pub(super) fn newest_weights(&self) -> Option<WeightsVersion> {
         let model = self.facts().model.as_ref()?;
         self.state.weights.load().target(model)
     }
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -149,6 +149,8 @@
     WeightsInPlace = 6006,
     /// Another router has told since when weights are wanted.
     WeightsAgeLearned = 6007,
+    /// A prompt was refused since all engines have weights that are too old or of unknown age.
+    WeightsRefused = 6008,
 }
 
 /// One row of the catalogue.
@@ -249,6 +251,7 @@
     WeightsNamed => "weights_named",
     WeightsInPlace => "weights_in_place",
     WeightsAgeLearned => "weights_age_learned",
+    WeightsRefused => "weights_refused",
 }
 
 impl EventKind {
