A host that starts asks others since when weights are outdated

Cause: it lists the newest version only, and nobody tells it more.

Change: /weights between hosts, on the connections that forwarded requests use. The answer has each model's target, the age of the newest complete read, and all proofs with their ages as of the answer. The asker subtracts an age from the time of its question, so that an answer which is late, repeated, out of order, or was held up while either side was frozen gives an older proof. An age that lies before the asker's boot is no proof. Changes of the weights table go through one lock.

--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -59,6 +59,12 @@
         self.models.get(model).map_or(&[], WeightsSeries::proofs)
     }
 
+    /// Whether a newer version is wanted and no proof tells since when. An estimate does not count as one.
+    pub fn is_proof_missing(&self, model: &ModelName, version: WeightsVersion) -> bool {
+        let is_outdated = self.target(model).is_some_and(|target| version < target);
+        is_outdated && !self.proofs(model).iter().any(|proof| proof.version <= version)
+    }
+
     /// Upper bound of the time since the first version newer than this one was named. Zero if there is none;
     /// `Duration::MAX` if nothing is known of it.
     pub fn outdated_for(
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -35,6 +35,7 @@
 use crate::control::relay_forwarder::RelayForwarder;
 use crate::control::relay_queue::SharedRelays;
 use crate::control::server_watcher::ServerWatcher;
+use crate::control::weights_asker::WeightsAsker;
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
 use crate::state::SharedState;
@@ -120,6 +121,8 @@
         };
         let operator_watcher = OperatorWatcher::new(self.state.clone(), source());
         spawn_until_cancelled(&token, operator_watcher.run());
+        let weights_asker = WeightsAsker::new(self.state.clone(), fleet_state.clone());
+        spawn_until_cancelled(&token, weights_asker.run());
         let server_watcher = ServerWatcher::new(self.state.clone(), source());
         spawn_until_cancelled(&token, server_watcher.run());
         let reader = FleetReader::new(self.state.clone(), source(), fleet_state.clone());
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -200,12 +200,11 @@
     }
 
     fn set_weights_target(&self, model: &ModelName, version: WeightsVersion) {
-        let mut weights = (**self.state.weights.load()).clone();
-        let previous = weights.target(model).map(|version| version.0);
-        if !weights.add_target(model, version, self.written_after) {
+        let previous = self.state.weights.load().target(model);
+        let read_before = self.written_after;
+        if !self.state.change_weights(|weights| weights.add_target(model, version, read_before)) {
             return;
         }
-        self.state.weights.store(Arc::new(weights));
         let age = self.written_after.map(|at| boot_now().since(at).as_millis() as u64);
         let kind = EventKind::WeightsNamed;
         tracing::info!(
@@ -213,7 +212,7 @@
             name = kind.name(),
             %model,
             %version,
-            previous,
+            previous = previous.map(|version| version.0),
             age_ms = age,
         );
     }
--- a/crates/entry/src/control/peer_listener.rs
+++ b/crates/entry/src/control/peer_listener.rs
@@ -42,6 +42,8 @@
 use crate::control::record_cache::CacheReply;
 use crate::control::record_cache::RecordCache;
 use crate::control::relay_queue::SharedRelays;
+use crate::control::weights_service::WEIGHTS_PATH;
+use crate::control::weights_service::serve_weights;
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
@@ -153,6 +155,9 @@
             }
             None => refuse_unknown_sender(services, requester, respond),
         },
+        WEIGHTS_PATH => {
+            actix_rt::spawn(serve_weights(state, respond));
+        }
         _ => {
             let gossip_stream = GossipStream { state, relays, relay: relay_host(&request) };
             actix_rt::spawn(gossip_stream.receive(request.into_body(), respond));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,12 +2,14 @@
 
 mod boot_clock;
 mod connect_outcome;
+mod engine_weights;
 mod loading_registry;
 mod shared_state;
 mod status;
 
 pub(crate) use boot_clock::boot_now;
 pub(crate) use connect_outcome::record_connect_outcome;
+pub(crate) use engine_weights::lowest_weights;
 pub(crate) use loading_registry::LoadingRegistry;
 pub(crate) use shared_state::FleetView;
 pub(crate) use shared_state::SharedState;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -1,6 +1,7 @@
 //! Snapshots and lock-protected state shared by the control and traffic threads.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -71,6 +72,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// The target weights version of each model.
     pub(crate) weights: ArcSwap<WeightsTable>,
+    /// Held while the weights table is changed.
+    weights_change: Mutex<()>,
     /// Members and lease, shown on the status page.
     pub(crate) fleet: ArcSwap<FleetView>,
     /// Requests whose response has not started.
@@ -158,6 +161,7 @@
             incarnation,
             table: ArcSwapOption::empty(),
             weights: ArcSwap::default(),
+            weights_change: Mutex::default(),
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -209,6 +213,15 @@
         }
     }
 
+    /// Changes a copy of the weights table and publishes it. Changes made at the same time follow each other.
+    pub(crate) fn change_weights<T>(&self, change: impl FnOnce(&mut WeightsTable) -> T) -> T {
+        let _change = lock(&self.weights_change);
+        let mut weights = (**self.weights.load()).clone();
+        let result = change(&mut weights);
+        self.weights.store(Arc::new(weights));
+        result
+    }
+
     /// Publishes where the streams of this host began, as they may begin at several versions or services now.
     pub(crate) fn publish_bindings(&self) {
         if self.bindings().publish_all(Instant::now()) {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -25,9 +25,13 @@
 
 pub(crate) use peer_forwarding::FORWARD_PATH;
 pub(crate) use peer_forwarding::ForwardCall;
+pub(crate) use peer_forwarding::ForwardError;
 pub(crate) use peer_forwarding::HelperPool;
 pub(crate) use peer_forwarding::INCARNATION_HEADER;
 pub(crate) use peer_forwarding::SENDER_HEADER;
+pub(crate) use peer_forwarding::SenderIdentity;
+pub(crate) use peer_forwarding::WireError;
+pub(crate) use peer_forwarding::send_bytes;
 pub(crate) use prompt_queue::PromptQueue;
 pub(crate) use server_connection::CONNECT_TIMEOUT;
 pub(crate) use stream_binding::BINDING_PATH;
--- a/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
+++ b/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
@@ -36,8 +36,6 @@
 use crate::traffic::peer_forwarding::forward_wire::WireError;
 use crate::traffic::peer_forwarding::forward_wire::encode_head;
 use crate::traffic::peer_forwarding::forward_wire::read_head;
-use crate::traffic::stream_binding::BINDING_PATH;
-use crate::traffic::stream_binding::MAX_BINDING_BYTES;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pings notice a silent helper sooner.
@@ -54,6 +52,8 @@
 const STREAM_WINDOW_BYTES: u32 = 32 * 1024;
 /// Bytes of all responses on the way. Slow callers must not hold up the others on the connection.
 const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
+/// Upper bound of the reply to a message.
+const MAX_REPLY_BYTES: usize = 256 * 1024;
 
 /// Why a request could not be forwarded.
 #[derive(Debug, Display, Error)]
@@ -186,14 +186,15 @@
         Ok((reply, ForwardBody::new(first, body, open)))
     }
 
-    /// Sends a message about where streams began, and returns the reply.
+    /// Sends a message to the service at this path, and returns the reply.
     pub(crate) async fn exchange(
         &self,
         sender: &SenderIdentity,
+        path: &str,
         message: Bytes,
     ) -> Result<Bytes, ForwardError> {
         let _open = self.open_stream();
-        let (response, mut stream) = self.begin(sender, BINDING_PATH).await?;
+        let (response, mut stream) = self.begin(sender, path).await?;
         let sending = async {
             send_bytes(&mut stream, message).await?;
             Ok::<(), WireError>(stream.send_data(Bytes::new(), true)?)
@@ -210,7 +211,7 @@
             let released = body.flow_control().release_capacity(chunk.len());
             released.map_err(|err| ForwardError::of_stream(&err))?;
             reply.extend_from_slice(&chunk);
-            if MAX_BINDING_BYTES < reply.len() {
+            if MAX_REPLY_BYTES < reply.len() {
                 return Err(ForwardError::broken(&"the reply is too long"));
             }
         }
--- a/crates/entry/src/traffic/stream_binding/binding_client.rs
+++ b/crates/entry/src/traffic/stream_binding/binding_client.rs
@@ -18,6 +18,7 @@
 use crate::state::SharedState;
 use crate::traffic::peer_forwarding::ForwardError;
 use crate::traffic::peer_forwarding::SenderIdentity;
+use crate::traffic::stream_binding::BINDING_PATH;
 use crate::traffic::stream_binding::BindingMessage;
 use crate::traffic::stream_binding::BindingReply;
 use crate::traffic::stream_binding::decode_binding;
@@ -89,7 +90,7 @@
         SenderIdentity { host: state.settings.host.clone(), incarnation: state.incarnation };
     let exchange = async {
         let connection = state.helpers.connection(host, address).await?;
-        connection.exchange(&sender, encoded).await
+        connection.exchange(&sender, BINDING_PATH, encoded).await
     };
     let reply = timeout(REPLY_TIMEOUT, exchange).await;
     let reply =
--- a/crates/entry/tests/daemon/weights_ages.rs
+++ b/crates/entry/tests/daemon/weights_ages.rs
@@ -25,6 +25,9 @@
 /// Time for which prompts are sent after the bound.
 const LATE_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a host goes on being frozen while it is asked.
+const FREEZE_TIME: Duration = Duration::from_secs(1);
+
 /// Settings with the weights bound of these tests and a lease of this length.
 fn settings(lease: Duration) -> Value {
     json!({
@@ -114,6 +117,108 @@
     assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
 }
 
+/// Kills a host.
+async fn kill(host: &mut DaemonProcess) {
+    host.signal("KILL");
+    host.exit_code().await;
+}
+
+fn name_of(host: &DaemonProcess) -> String {
+    host.events("process_started")[0]["host"].as_str().expect("a host name").to_owned()
+}
+
+/// Waits until one host has learned something from another.
+async fn wait_until_learned(host: &DaemonProcess, from: &DaemonProcess) {
+    let from = name_of(from);
+    let is_from = |learned: &Value| learned["host"] == from.as_str();
+    wait_until("the other host has told an age", || {
+        host.events("weights_age_learned").iter().any(is_from)
+    })
+    .await;
+}
+
+/// Two hosts start after both versions were named, and those that know the times have gone. Guards against a host that
+/// takes its own listing for the time of a version, and against passing that on.
+#[tokio::test]
+async fn hosts_that_start_between_versions_tell_each_other_nothing() {
+    let mut fleet = AgeFleet::start().await;
+    fleet.name_version(2).await;
+    let first_bound = Instant::now() + WEIGHTS_BOUND;
+    kill(&mut fleet.witness).await;
+    kill(&mut fleet.deployment.daemon).await;
+    sleep(VERSION_GAP).await;
+    fleet.deployment.store.publish_weights(3);
+    let hosts = [start_host(&fleet.deployment).await, start_host(&fleet.deployment).await];
+    sleep_until(first_bound).await;
+    let before = fleet.prompts_seen();
+    for host in &hosts {
+        send_late_prompts(host).await;
+        assert_eq!(host.events("weights_age_learned").len(), 0, "nobody knows an age");
+        assert!(!host.events("weights_refused").is_empty(), "the reason of the refusals is logged");
+    }
+    let late = fleet.prompts_seen() - before;
+    assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
+    let engines = &fleet.deployment.engines;
+    engines.iter().for_each(|engine| engine.set_rejects_orders(OrderRejection::Invalid));
+    wait_until_served(&hosts[0]).await;
+}
+
+/// The only host that knows the times is frozen when it is asked, and goes on later. Guards against an answer that is
+/// younger by the time for which the question or the answer has waited.
+#[tokio::test]
+async fn a_host_that_was_frozen_when_asked_makes_weights_no_younger() {
+    let mut fleet = AgeFleet::start().await;
+    kill(&mut fleet.deployment.daemon).await;
+    fleet.name_version(2).await;
+    let first_named = Instant::now();
+    fleet.witness.signal("STOP");
+    sleep(VERSION_GAP).await;
+    fleet.deployment.store.publish_weights(3);
+    let second_named = Instant::now();
+    let host = start_host(&fleet.deployment).await;
+    wait_until("the host has read the newest version", || !host.events("weights_named").is_empty())
+        .await;
+    sleep(FREEZE_TIME).await;
+    let least_ages = [first_named.elapsed(), second_named.elapsed()];
+    fleet.witness.signal("CONT");
+    wait_until_learned(&host, &fleet.witness).await;
+    wait_until_served(&host).await;
+    sleep_until(first_named + WEIGHTS_BOUND).await;
+    let before = fleet.prompts_seen();
+    send_late_prompts(&host).await;
+    let late = fleet.prompts_seen() - before;
+    assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
+    for learned in host.events("weights_age_learned") {
+        let version = learned["version"].to_string();
+        let least_age = if version.contains('2') { least_ages[1] } else { least_ages[0] };
+        let age = Duration::from_millis(learned["age_ms"].as_u64().expect("an age"));
+        assert!(least_age <= age, "{learned}: newer weights were named {least_age:?} before");
+    }
+}
+
+/// The only host that has read both versions tells another one and is killed, and a third one starts. Guards against
+/// knowledge that ends with the host that was there, and against ages that get younger on their way.
+#[tokio::test]
+async fn an_age_is_passed_on_by_a_host_that_was_told_it() {
+    let mut fleet = AgeFleet::start().await;
+    kill(&mut fleet.deployment.daemon).await;
+    fleet.name_version(2).await;
+    let first_bound = Instant::now() + WEIGHTS_BOUND;
+    sleep(VERSION_GAP).await;
+    fleet.name_version(3).await;
+    let second = start_host(&fleet.deployment).await;
+    wait_until_learned(&second, &fleet.witness).await;
+    kill(&mut fleet.witness).await;
+    let third = start_host(&fleet.deployment).await;
+    wait_until_learned(&third, &second).await;
+    wait_until_served(&third).await;
+    sleep_until(first_bound).await;
+    let before = fleet.prompts_seen();
+    send_late_prompts(&third).await;
+    let late = fleet.prompts_seen() - before;
+    assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
+}
+
 /// The store drops its history while a host is frozen, and two versions are named. Guards against counting from the
 /// newest one, which is all that the next listing has.
 #[tokio::test]
