Gossip: hosts of the last release are told the age of the first newer version

What callers would see in a rolling upgrade: hosts of the last release use the age in a message for all versions before the newest, so that the newest one's age has them send prompts to engines two versions behind, and without any they refuse prompts while the bound runs.

Change: messages carry the age again, now that of the lowest version which a listed engine runs, if it is known and below the bound; nothing when all engines have the target. Routers of this version do not use it. Tests of the codec: the ages keep their place in the message, an answer on weights may be followed by parts of a later version.

--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -1,5 +1,7 @@
 //! Compatibility of gossip messages between router versions.
 
+use std::time::Duration;
+
 use bincode::config::standard;
 use fulmargate_admission::BucketKey;
 use fulmargate_admission::GrantNotice;
@@ -8,6 +10,7 @@
 use fulmargate_admission::LimitReport;
 use fulmargate_admission::QuotaCount;
 use fulmargate_admission::QuotaReport;
+use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::ClaimNotice;
 use fulmargate_dispatch::ClaimStage;
 use fulmargate_dispatch::CrashNotice;
@@ -17,11 +20,19 @@
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
+use fulmargate_dispatch::WeightsAge;
+use fulmargate_dispatch::WeightsProof;
+use fulmargate_dispatch::WeightsReport;
+use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::HostName;
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
 
 use super::LENGTH_PREFIX_BYTES;
 use super::decode_gossip;
+use super::decode_payload;
 use super::encode_gossip;
+use super::encode_payload;
 
 fn gossip(link_kbps: Option<u32>) -> GossipMessage {
     let host = Some(HostName::new("host-1"));
@@ -145,3 +156,31 @@
     let fields = bincode::serde::encode_to_vec((ServerKey(5), false, 3_u32), standard());
     assert_eq!(encoded, fields.expect("encode the fields"));
 }
+
+/// Guards against ages of weights that routers of the last release, which know no other way, do not find.
+#[test]
+fn weights_ages_keep_their_place_in_the_message() {
+    let age = WeightsAge { model: ModelName::new("m"), version: WeightsVersion(3), age_ms: 4_500 };
+    let sent = GossipMessage { weights: vec![age.clone()], ..gossip(Some(10_000)) };
+    let message = encode_gossip(&sent).expect("encode message");
+    let read = bincode::serde::decode_from_slice(&message[LENGTH_PREFIX_BYTES..], standard());
+    let (decoded, _): (GossipMessage, usize) = read.expect("old version decodes new message");
+    assert_eq!(decoded.weights, [age]);
+}
+
+/// Guards against routers that cannot read what a later version adds to the answer on weights.
+#[test]
+fn weights_reports_may_be_followed_by_more() {
+    let model = ModelName::new("m");
+    let mut weights = WeightsTable::default();
+    weights.add_target(&model, WeightsVersion(3), None);
+    let proof = WeightsProof { version: WeightsVersion(1), proven_at: BootTime(2_000) };
+    weights.add_proof(&model, proof);
+    let report = WeightsReport::new(&weights, Some(Duration::from_millis(300)), BootTime(9_000));
+    let mut encoded = encode_payload(&report).expect("encode a report");
+    let decoded: WeightsReport = decode_payload(&encoded).expect("decode a report");
+    assert_eq!(decoded, report);
+    encoded.extend([7, 0, 255]);
+    let decoded: WeightsReport = decode_payload(&encoded).expect("decode a longer report");
+    assert_eq!(decoded, report);
+}
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -9,9 +9,12 @@
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::GossipTarget;
 use fulmargate_dispatch::GossipTopology;
+use fulmargate_dispatch::WeightsAge;
 use fulmargate_dispatch::max_published_parts;
 use fulmargate_dispatch::urgent_interval;
 use fulmargate_names::HostName;
+use fulmargate_names::ModelName;
+use fulmargate_names::WeightsVersion;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -25,6 +28,7 @@
 use crate::control::relay_queue::SharedRelays;
 use crate::state::SharedState;
 use crate::state::boot_now;
+use crate::state::lowest_weights;
 
 /// Interval of keepalives: messages without updates. Receivers drop a report after 1.2 s.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(400);
@@ -212,6 +216,7 @@
         gossip.zone = Some(self.state.settings.zone.clone());
         gossip.link_kbps = Some(self.state.settings.link_kbps());
         gossip.loading = self.state.loading.notices();
+        gossip.weights = self.weights_ages();
         gossip.limits = self.state.servers().take_limit_report(Instant::now());
         gossip.rejections = self.state.servers().take_rejections(Instant::now());
         let hosts = self.fleet_state.borrow().host_count();
@@ -222,6 +227,26 @@
         gossip
     }
 
+    /// Ages for hosts of the last release, which use them for all versions before the target. Nothing is said while
+    /// no bound runs.
+    fn weights_ages(&self) -> Vec<WeightsAge> {
+        let weights = self.state.weights.load();
+        weights.targets().filter_map(|(model, target)| self.weights_age(model, target)).collect()
+    }
+
+    /// The time for which the lowest version that an engine runs counts as outdated; `None` beyond the bound.
+    fn weights_age(&self, model: &ModelName, target: WeightsVersion) -> Option<WeightsAge> {
+        let bound = self.state.settings.bounds.weights();
+        let weights = self.state.weights.load();
+        let now = boot_now();
+        // Lower versions are outdated for longer.
+        weights.target_age(model, now).filter(|age| *age < bound)?;
+        let lowest = lowest_weights(&self.state, model).filter(|lowest| *lowest < target)?;
+        let age = weights.outdated_for(model, lowest, now);
+        let age_ms = age.as_millis() as u64;
+        (age < bound).then(|| WeightsAge { model: model.clone(), version: target, age_ms })
+    }
+
     /// Sends a message to the targets and queues it for this host's subscribers. Returns its
     /// encoded size.
     fn send(&self, targets: &[PeerTarget], mut gossip: GossipMessage) -> usize {
