A read that was held up proves nothing about the time after it was sent

What callers could have seen: prompts on weights up to a freeze's length too old, at a host that was frozen while versions were named, and at hosts that it has told. Cause, by reading: after each answered read the next version counted from that answer, also if the answer had lain in a socket meanwhile, or had not reached the end of the topic.

Change: the next version counts from when the last complete read was sent, and from its own answer only if both this poll and the one before took no longer than a poll.

--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -46,6 +46,9 @@
     epoch: EpochTracker,
     /// Lower bound for the write time of the next records; `None` at process start.
     written_after: Option<BootTime>,
+    /// Whether the last read took no longer than a poll. Otherwise the next records may have been written before the
+    /// next poll began.
+    is_following: bool,
     /// Whether requests with API keys were admitted after the last read.
     admitted_keys: bool,
     /// A record written since the active configuration could not be read. It may have revoked keys.
@@ -63,6 +66,7 @@
             next: None,
             epoch,
             written_after: None,
+            is_following: false,
             admitted_keys: false,
             has_unreadable_record: false,
         }
@@ -76,10 +80,7 @@
                 None => self.read_listing().await,
             };
             match result {
-                Ok(()) => {
-                    self.retry.succeeded();
-                    self.written_after = Some(boot_now());
-                }
+                Ok(()) => self.retry.succeeded(),
                 Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
                     let kind = EventKind::LogTruncated;
                     tracing::warn!(event = kind.number(), name = kind.name(), topic = "operator", reason = %err);
@@ -96,15 +97,18 @@
         let topic = LogTopic::Operator;
         let asked = boot_now();
         let page = self.source.read(topic, from, POLL_WAIT, RESPONSE_GRACE).await?;
-        let was_suspended = MAX_POLL_TIME < boot_now().since(asked);
-        if !self.retry.is_failing() && !was_suspended {
+        let now = boot_now();
+        let was_following = self.is_following;
+        self.is_following = now.since(asked) <= MAX_POLL_TIME;
+        if was_following && self.is_following && !self.retry.is_failing() {
             // The long poll was pending when these records were written.
-            self.written_after = Some(boot_now());
+            self.written_after = Some(now);
         }
         self.apply_page(from.epoch, &page);
         self.next = Some(from.after(page.records.len()));
         // A page may end before the topic does; only a complete read proves that nothing is newer.
         if let Some(sent) = page.complete_as_of {
+            self.written_after = self.written_after.max(Some(sent));
             self.renew_proof(sent);
         }
         Ok(())
@@ -117,6 +121,8 @@
             self.apply(&listed.record);
         }
         self.next = Some(newest.end);
+        self.written_after = self.written_after.max(Some(newest.sent));
+        self.is_following = false;
         self.renew_proof(newest.sent);
         Ok(())
     }
--- a/crates/entry/tests/daemon/weights_ages.rs
+++ b/crates/entry/tests/daemon/weights_ages.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::configuration::wait_for_indirect_readers;
 use crate::support::DaemonProcess;
 use crate::support::MAX_POLLS;
 use crate::support::POLL_INTERVAL;
@@ -25,6 +26,8 @@
 /// Time for which prompts are sent after the bound.
 const LATE_TIME: Duration = Duration::from_secs(2);
 
+/// Time after which the store answers a poll without records.
+const POLL_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a host goes on being frozen while it is asked.
 const FREEZE_TIME: Duration = Duration::from_secs(1);
 
@@ -240,6 +243,34 @@
     assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
 }
 
+/// A host that reads through another one is frozen, its poll ends without a record, and a version is named before it
+/// goes on. Guards against counting from the time at which the host has read the record.
+#[tokio::test]
+async fn a_host_that_was_frozen_while_a_version_was_named_keeps_to_its_bound() {
+    let fleet = AgeFleet::start().await;
+    let mut overrides = settings(Duration::from_secs(3));
+    overrides["zone"] = json!("south");
+    overrides["few_hosts"] = json!(3);
+    let store = fleet.deployment.store.address;
+    let hosts: Vec<DaemonProcess> =
+        (0..4).map(|_| DaemonProcess::start_with_settings(store, &overrides)).collect();
+    let reads_indirectly = wait_for_indirect_readers(&hosts, 2).await;
+    let indirect = reads_indirectly.iter().position(|reads| *reads).expect("an indirect reader");
+    let host = &hosts[indirect];
+    host.signal("STOP");
+    sleep(POLL_TIME).await;
+    fleet.name_version(2).await;
+    let bound = Instant::now() + WEIGHTS_BOUND;
+    sleep(VERSION_GAP).await;
+    host.signal("CONT");
+    wait_until("the host has read the version", || !host.events("weights_named").is_empty()).await;
+    sleep_until(bound).await;
+    let before = fleet.prompts_seen();
+    send_late_prompts(host).await;
+    let late = fleet.prompts_seen() - before;
+    assert_eq!(late, 0, "prompts that began on version 1 after the bound of version 2");
+}
+
 /// The holder of the lease is stopped in the middle of a rollout. Guards against engines that wait until its lease has
 /// expired, here far beyond the end of the test.
 #[tokio::test]
