--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -206,13 +206,11 @@
     }
 
     fn set_weights_target(&self, model: &ModelName, version: WeightsVersion, read: TopicRead) {
-        let mut weights = (**self.state.weights.load()).clone();
-        let previous = weights.target(model).map(|version| version.0);
+        let previous = self.state.weights.load().target(model);
         let written_after = self.topic_proof.written_after(read);
-        if !weights.add_target(model, version, written_after) {
+        if !self.state.change_weights(|weights| weights.add_target(model, version, written_after)) {
             return;
         }
-        self.state.weights.store(Arc::new(weights));
         let age = written_after.map(|at| boot_now().since(at).as_millis() as u64);
         let kind = EventKind::WeightsNamed;
         tracing::info!(
@@ -220,7 +218,7 @@
             name = kind.name(),
             %model,
             %version,
-            previous,
+            previous = previous.map(|version| version.0),
             age_ms = age,
         );
     }
