Test: ages for hosts of the last release are told only while a bound runs

The decision moves from the sender of gossip into the weights table, where a table of cases covers it: nothing for engines on the target, for versions of unknown age, and from the bound on.

--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -77,6 +77,20 @@
         series.map_or(Duration::ZERO, |series| series.outdated_for(version, now))
     }
 
+    /// The time for which this version counts as outdated, while the bound runs: `None` for the target, beyond the
+    /// bound, and if it is not known.
+    pub fn running_age(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+        bound: Duration,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let is_outdated = self.target(model).is_some_and(|target| version < target);
+        let age = self.outdated_for(model, version, now);
+        (is_outdated && age < bound).then_some(age)
+    }
+
     /// Upper bound of the time since the target version was named; `None` if it is not known.
     pub fn target_age(&self, model: &ModelName, now: BootTime) -> Option<Duration> {
         self.models.get(model)?.target_age(now)
--- a/crates/dispatch/tests/weights_ages.rs
+++ b/crates/dispatch/tests/weights_ages.rs
@@ -133,6 +133,29 @@
     assert_eq!(age_ms(&weights, 4), Some(4_000));
 }
 
+/// Guards against ages that are sent to other routers after the bound, when all engines have the target, or before the
+/// time of a version is known.
+#[test]
+fn ages_are_told_only_while_a_bound_runs() {
+    let mut weights = listed(5);
+    weights.add_proof(&model(), proof(2, 7_000));
+    weights.add_proof(&model(), proof(4, 1_000));
+    let cases = [
+        (1, 8_000, None),
+        (2, 8_000, Some(7_000)),
+        (2, 7_000, None),
+        (3, 8_000, Some(7_000)),
+        (4, 7_000, Some(1_000)),
+        (5, 8_000, None),
+        (6, 8_000, None),
+    ];
+    for (version, bound_ms, expected_ms) in cases {
+        let bound = Duration::from_millis(bound_ms);
+        let age = weights.running_age(&model(), WeightsVersion(version), bound, NOW);
+        assert_eq!(age, expected_ms.map(Duration::from_millis), "version {version}, {bound_ms} ms");
+    }
+}
+
 /// Guards against memory that grows with the number of versions, and against a dropped proof that makes old weights
 /// seem young.
 #[test]
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -10,6 +10,7 @@
 use fulmargate_dispatch::GossipTarget;
 use fulmargate_dispatch::GossipTopology;
 use fulmargate_dispatch::WeightsAge;
+use fulmargate_dispatch::WeightsTable;
 use fulmargate_dispatch::max_published_parts;
 use fulmargate_dispatch::urgent_interval;
 use fulmargate_names::HostName;
@@ -231,20 +232,22 @@
     /// no bound runs.
     fn weights_ages(&self) -> Vec<WeightsAge> {
         let weights = self.state.weights.load();
-        weights.targets().filter_map(|(model, target)| self.weights_age(model, target)).collect()
+        let targets = weights.targets();
+        targets.filter_map(|(model, target)| self.weights_age(&weights, model, target)).collect()
     }
 
-    /// The time for which the lowest version that an engine runs counts as outdated; `None` beyond the bound.
-    fn weights_age(&self, model: &ModelName, target: WeightsVersion) -> Option<WeightsAge> {
-        let bound = self.state.settings.bounds.weights();
-        let weights = self.state.weights.load();
-        let now = boot_now();
+    fn weights_age(
+        &self,
+        weights: &WeightsTable,
+        model: &ModelName,
+        version: WeightsVersion,
+    ) -> Option<WeightsAge> {
+        let (bound, now) = (self.state.settings.bounds.weights(), boot_now());
         // Lower versions are outdated for longer.
         weights.target_age(model, now).filter(|age| *age < bound)?;
-        let lowest = lowest_weights(&self.state, model).filter(|lowest| *lowest < target)?;
-        let age = weights.outdated_for(model, lowest, now);
-        let age_ms = age.as_millis() as u64;
-        (age < bound).then(|| WeightsAge { model: model.clone(), version: target, age_ms })
+        let lowest = lowest_weights(&self.state, model)?;
+        let age = weights.running_age(model, lowest, bound, now)?;
+        Some(WeightsAge { model: model.clone(), version, age_ms: age.as_millis() as u64 })
     }
 
     /// Sends a message to the targets and queues it for this host's subscribers. Returns its
