Rollout: engines on the oldest weights go first, each group at its own bound

What callers saw: engines stayed on weights that nothing may begin on any more, while engines that were done loaded again, so that fewer engines served.

Cause: the plan ordered engines by reach, zone, load and name, never by version, and its pace counted from the newest version, so that each version named gave the oldest engines more time.

Change: the age that decides for callers, `outdated_for`, decides here.

Why it works: an engine that was done is on a newer version and cannot overtake; the pace covers each deadline; a failed order costs one turn.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -179,7 +179,6 @@
 pub use rollout_plan::RolloutConf;
 pub use rollout_plan::RolloutEngine;
 pub use rollout_plan::RolloutPlan;
-pub use rollout_plan::RolloutTime;
 pub use route_history::RouteHistory;
 pub use route_rule::RouteKind;
 pub use route_rule::RouteRule;
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -13,7 +13,7 @@
 /// Time before the bound at which a request that has not started is cancelled. The bound counts from the
 /// publication of a version, so the margin covers the delay until this host learns of it, and the delay until
 /// a cancellation reaches the engine.
-const START_MARGIN: Duration = Duration::from_millis(800);
+pub(crate) const START_MARGIN: Duration = Duration::from_millis(800);
 
 /// Target versions of each model, and since when earlier ones are outdated.
 #[derive(Clone, Debug, Default)]
--- a/crates/emulator/src/play/weights.rs
+++ b/crates/emulator/src/play/weights.rs
@@ -6,7 +6,6 @@
 use fulmargate_dispatch::LoadingStage;
 use fulmargate_dispatch::RolloutEngine;
 use fulmargate_dispatch::RolloutPlan;
-use fulmargate_dispatch::RolloutTime;
 use fulmargate_names::HostName;
 use fulmargate_names::WeightsVersion;
 
@@ -39,6 +38,7 @@
         let wanted = WeightsVersion(self.named);
         let model = &self.shared.model;
         let router = &self.routers[HOLDER];
+        let boot_now = BootTime(100_000 + self.now as u64);
         let servers: Vec<RolloutEngine> = self
             .shared
             .entries
@@ -46,24 +46,24 @@
             .enumerate()
             .filter_map(|(number, entry)| {
                 let state = router.registry.state(entry.key())?;
+                let version = state.confirmed_weights(model)?;
                 Some(RolloutEngine {
                     key: entry.key(),
                     name: entry.name.clone(),
                     zone: entry.zone.clone(),
-                    version: state.confirmed_weights(model)?,
+                    version,
+                    outdated_for: router.weights.outdated_for(model, version, boot_now),
                     load: router.registry.open_at(entry.key()),
                     is_ordered: self.ordered.contains(&number),
                     is_reachable: state.is_open(self.shared.time(self.now)),
+                    has_failed: false,
                 })
             })
             .collect();
         if servers.iter().all(|server| wanted <= server.version) {
             return;
         }
-        let boot_now = BootTime(100_000 + self.now as u64);
-        let Some(age) = router.weights.target_age(model, boot_now) else { return };
-        let time = RolloutTime { age, bound: WEIGHTS_BOUND };
-        for key in RolloutPlan::default().next(&servers, wanted, time) {
+        for key in RolloutPlan::default().next(&servers, wanted, WEIGHTS_BOUND) {
             let engine = self.shared.entries.iter().position(|entry| entry.key() == key);
             let Some(engine) = engine else { continue };
             if !self.engines[engine].is_dark {
--- a/crates/entry/src/control/order_scheduler.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -16,11 +16,11 @@
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::RolloutEngine;
 use fulmargate_dispatch::RolloutPlan;
-use fulmargate_dispatch::RolloutTime;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -42,11 +42,16 @@
 /// usually returns them.
 const CONFLICT_READ_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which other engines go before one whose order has failed.
+const FAILURE_PERIOD: Duration = Duration::from_secs(1);
+
 /// State shared with the order tasks.
 pub(crate) struct SchedulerState {
     pub(crate) lease: RefCell<LeaseKeeper>,
     /// Engines with an order in progress.
     pub(crate) in_progress: RefCell<IndexSet<ServerKey>>,
+    /// Engines whose last order has failed, and when.
+    pub(crate) failures: RefCell<IndexMap<ServerKey, Instant>>,
 }
 
 /// Schedules the orders of a weights rollout.
@@ -78,7 +83,11 @@
     ) -> OrderScheduler {
         let host = state.settings.host.clone();
         let lease = LeaseKeeper::new(host, state.settings.bounds.lease());
-        let shared = SchedulerState { lease: RefCell::new(lease), in_progress: RefCell::default() };
+        let shared = SchedulerState {
+            lease: RefCell::new(lease),
+            in_progress: RefCell::default(),
+            failures: RefCell::default(),
+        };
         OrderScheduler {
             state,
             store,
@@ -119,21 +128,27 @@
     ) -> PendingRollout {
         let in_progress = self.shared.in_progress.borrow();
         let servers = self.state.servers();
-        let now = Instant::now();
+        let (now, boot_now) = (Instant::now(), boot_now());
+        let mut failures = self.shared.failures.borrow_mut();
+        failures.retain(|_, failed_at| now.duration_since(*failed_at) < FAILURE_PERIOD);
+        let weights = self.state.weights.load();
         let table = self.state.table.load();
         let has_engines = |service| table.as_ref().is_some_and(|table| table.has_engines(service));
         let servers = servers
             .states()
             .filter(|state| has_engines(&state.entry().service))
             .filter_map(|state| {
+                let version = state.confirmed_weights(model)?;
                 Some(RolloutEngine {
                     key: state.key(),
                     name: state.entry().name.clone(),
                     zone: state.entry().zone.clone(),
-                    version: state.confirmed_weights(model)?,
+                    version,
+                    outdated_for: weights.outdated_for(model, version, boot_now),
                     load: state.occupancy(now),
                     is_ordered: in_progress.contains(&state.key()),
                     is_reachable: state.is_open(now),
+                    has_failed: failures.contains_key(&state.key()),
                 })
             })
             .collect();
@@ -235,8 +250,8 @@
     }
 
     fn start_orders(&self, rollout: &PendingRollout) {
-        let time = RolloutTime { age: rollout.age, bound: self.state.settings.bounds.weights() };
-        for key in self.rollout_plan.next(&rollout.servers, rollout.target, time) {
+        let bound = self.state.settings.bounds.weights();
+        for key in self.rollout_plan.next(&rollout.servers, rollout.target, bound) {
             let entry = self.state.servers().state(key).map(|state| state.entry().clone());
             let Some(entry) = entry else { continue };
             self.shared.in_progress.borrow_mut().insert(key);
--- a/crates/entry/src/control/order_task.rs
+++ b/crates/entry/src/control/order_task.rs
@@ -95,6 +95,9 @@
         };
         let model = &self.model;
         tracing::info!(event = kind.number(), name = kind.name(), server = %name, %model, end = ?outcome);
+        if !matches!(outcome, OrderOutcome::InPlace(_)) {
+            self.shared.failures.borrow_mut().insert(key, Instant::now());
+        }
         self.shared.in_progress.borrow_mut().swap_remove(&key);
     }
 
