Lease: a holder that stops gives it up

What callers saw: after the planned stop of the holder no engine was ordered to load new weights until its lease had expired, so that engines stayed on weights that nothing may begin on.

Cause: the scheduler was cancelled at the stop and the lease left in force.

Evidence: `weights_ages::a_stopped_holder_gives_its_lease_up` failed: with a lease of 600 s no order came after the stop.

Change: a stopping host starts no step of the scheduler any more. A holder drops its lease, so that no task can get a fencing number, waits up to 200 ms for the answers to orders that were sent, and appends a release under the lease's key, on condition that the topic still ends where it was read; on a conflict or a lost answer it reads on and tries again while its lease is the newest one. With an unanswered order younger than 1.2 s it releases nothing. Others may take a released lease after their drawn delay, without the last holder's head start; the host that released it waits for the lease's length unless it is alone. A task whose router has dropped the lease ends instead of trying for 4 s. While a host waits for another one's lease, the pause between its reads of the topic is drawn, up to 8 ms for each host, where all hosts paused for 400 ms at the same time. The status has no released lease.

Why it works: the release is accepted only if no newer lease precedes it, and names the fencing number that it ends; no order can leave after it; the next lease has a higher number since it stands later. A restored copy that ends with a release has lost the leases after it, which are waited out as before. Earlier versions skip the kind and wait for the expiry.

--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -4,6 +4,7 @@
 
 use fulmargate_admission::StoredLimit;
 use fulmargate_names::ConfigVersion;
+use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
@@ -79,6 +80,18 @@
         /// The limits.
         entries: Vec<StoredLimit>,
     },
+    /// The holder gives its lease up and sends no more orders. Appended only where no newer lease can precede it, as it
+    /// replaces the lease in listings. Skipped by earlier versions.
+    LeaseReleased {
+        /// Host of the lease holder.
+        host: HostName,
+        /// Incarnation of the lease holder.
+        incarnation: Incarnation,
+        /// Fencing number of the lease.
+        fence: FencingNumber,
+        /// The store epoch for which the lease was taken.
+        epoch: StoreEpoch,
+    },
 }
 
 impl FleetRecord {
@@ -86,7 +99,7 @@
     pub fn key(&self) -> String {
         match self {
             FleetRecord::Joined { host, .. } => format!("host/{host}"),
-            FleetRecord::Lease { .. } => "lease".to_owned(),
+            FleetRecord::Lease { .. } | FleetRecord::LeaseReleased { .. } => "lease".to_owned(),
             FleetRecord::Crash { print, .. } => format!("crash/{}", print % MAX_CRASH_KEYS),
             FleetRecord::Restored { .. } => "restored".to_owned(),
             FleetRecord::Suspects { slot, .. } => format!("suspects/{slot}"),
--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -35,7 +35,7 @@
     read_at: BootTime,
 }
 
-/// The newest lease record in the topic. The lease may have expired.
+/// The newest lease in the topic. It may have expired.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldLease {
     /// The host of the router that took the lease.
@@ -44,10 +44,12 @@
     pub incarnation: Incarnation,
     /// Fencing number, derived from the position at which the record was first written.
     pub fence: FencingNumber,
-    /// When this router read the record.
+    /// When this router read the record; that of the release, if there is one.
     pub seen: BootTime,
     /// The store epoch for which the lease was taken.
     pub epoch: StoreEpoch,
+    /// Whether its holder has given it up.
+    pub is_released: bool,
 }
 
 /// Reports of routers on the restore that began the current epoch.
@@ -117,6 +119,18 @@
                     fence: LogPosition { epoch: *epoch, offset }.fence(),
                     seen: now,
                     epoch: *epoch,
+                    is_released: false,
+                });
+            }
+            FleetRecord::LeaseReleased { host, incarnation, fence, epoch } => {
+                self.has_earlier_epochs |= *epoch < position.epoch;
+                self.release_lease(HeldLease {
+                    host: host.clone(),
+                    incarnation: *incarnation,
+                    fence: *fence,
+                    seen: now,
+                    epoch: *epoch,
+                    is_released: true,
                 });
             }
             FleetRecord::Restored { epoch, config, is_settled } if *epoch == position.epoch => {
@@ -132,6 +146,34 @@
         }
     }
 
+    /// Applies a release, unless it is of an older lease, or of another holder than the newest one. In a listing it
+    /// stands in place of the lease.
+    fn release_lease(&mut self, released: HeldLease) {
+        let holder = (&released.host, released.incarnation);
+        let is_due = self.lease.as_ref().is_none_or(|lease| {
+            let is_held = !lease.is_released && (&lease.host, lease.incarnation) == holder;
+            lease.fence < released.fence || lease.fence == released.fence && is_held
+        });
+        if is_due {
+            self.lease = Some(released);
+        }
+    }
+
+    /// The record by which a router gives its lease up, and the end of the topic at which it must be appended. `None`
+    /// unless the newest lease is its own, of the current epoch.
+    pub fn lease_release(
+        &self,
+        host: &HostName,
+        incarnation: Incarnation,
+    ) -> Option<(LogPosition, FleetRecord)> {
+        let lease = self.lease.as_ref().filter(|lease| !lease.is_released)?;
+        if (&lease.host, lease.incarnation, lease.epoch) != (host, incarnation, self.end.epoch) {
+            return None;
+        }
+        let (host, fence, epoch) = (host.clone(), lease.fence, lease.epoch);
+        Some((self.end, FleetRecord::LeaseReleased { host, incarnation, fence, epoch }))
+    }
+
     /// Marks all records before this offset of the current epoch as applied or lost.
     pub fn skip_to(&mut self, end: LogOffset) {
         self.end.offset = self.end.offset.max(end);
@@ -147,7 +189,7 @@
         self.epoch_first_seen.is_some()
     }
 
-    /// The newest lease record read. The lease may have expired.
+    /// The newest lease read. It may have expired, or been released.
     pub fn lease(&self) -> Option<&HeldLease> {
         self.lease.as_ref()
     }
--- a/crates/dispatch/src/lease_keeper.rs
+++ b/crates/dispatch/src/lease_keeper.rs
@@ -46,7 +46,8 @@
 ///
 /// Lease records are appended conditionally: the store rejects one whose writer has not read to the
 /// end of the topic. Leases expire by time, on clocks that keep running during suspension. The
-/// holder counts from when it sent the append, the others from when they read the record.
+/// holder counts from when it sent the append, the others from when they read the record. A holder that stops
+/// drops its lease, and then appends a release on the same condition.
 #[derive(Debug)]
 pub struct LeaseKeeper {
     host: HostName,
@@ -94,6 +95,9 @@
         let earliest = match newest {
             None => Some(work_since),
             // After a restart the last holder may continue: nobody else acted in between.
+            Some(lease) if lease.is_released => {
+                Some(self.earliest_after(lease, fleet_state).max(work_since))
+            }
             Some(lease) if lease.host == self.host => None,
             Some(lease) => {
                 Some(lease.seen.after(self.duration).max(work_since.after(LAST_HOLDER_HEAD_START)))
@@ -108,6 +112,16 @@
         LeaseStep::Append { at: fleet_state.end() }
     }
 
+    /// When this host may try to take a released lease: at once, but for its last holder if there are other hosts. That
+    /// one has been stopped, and holders would take turns.
+    fn earliest_after(&self, released: &HeldLease, fleet_state: &FleetState) -> BootTime {
+        if released.host == self.host && 1 < fleet_state.host_count() {
+            released.seen.after(self.duration)
+        } else {
+            released.seen
+        }
+    }
+
     /// Random delay before this host tries to take the lease, drawn again for each record in the
     /// topic.
     ///
@@ -130,9 +144,9 @@
     }
 
     /// Drops the lease: an engine has seen a higher fencing number, so that another router holds
-    /// it.
-    pub fn drop_lease(&mut self) {
-        self.own = None;
+    /// it; or this router is about to release it. Returns its fencing number.
+    pub fn drop_lease(&mut self) -> Option<FencingNumber> {
+        self.own.take().map(|own| own.fence)
     }
 
     /// The fencing number for an order sent now; `None` without a valid lease. It must be requested
@@ -150,6 +164,6 @@
 
     fn is_newest(&self, newest: Option<&HeldLease>, fence: FencingNumber) -> bool {
         // The own record may not have been read back yet.
-        newest.is_none_or(|lease| lease.fence <= fence)
+        newest.is_none_or(|lease| lease.fence < fence || lease.fence == fence && !lease.is_released)
     }
 }
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -140,8 +140,8 @@
         spawn_until_cancelled(&token, CacheWatcher::new(self.state.clone()).run());
         let scheduler =
             OrderScheduler::new(self.state.clone(), client, fleet_state.clone(), reader);
-        // Cancelled when the shutdown begins, so that another host takes the lease.
-        spawn_until_cancelled(&self.stop.requested, scheduler.run());
+        // Releases the lease when the shutdown begins, so that another host takes it.
+        spawn_until_cancelled(&token, scheduler.run(self.stop.requested.clone()));
         spawn_until_cancelled(&token, run_metrics_upkeep(self.state.clone()));
     }
 
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -12,16 +12,23 @@
 use fulmargate_dispatch::ClaimStage;
 use fulmargate_dispatch::CrashNotice;
 use fulmargate_dispatch::CrashProof;
+use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::GossipMessage;
 use fulmargate_dispatch::ProbeNotice;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
+use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
+use fulmargate_names::Incarnation;
+use fulmargate_names::StoreEpoch;
+use serde::Deserialize;
 
 use super::LENGTH_PREFIX_BYTES;
 use super::decode_gossip;
+use super::decode_record;
 use super::encode_gossip;
+use super::encode_record;
 
 fn gossip(link_kbps: Option<u32>) -> GossipMessage {
     let host = Some(HostName::new("host-1"));
@@ -145,3 +152,33 @@
     let fields = bincode::serde::encode_to_vec((ServerKey(5), false, 3_u32), standard());
     assert_eq!(encoded, fields.expect("encode the fields"));
 }
+
+/// The kinds of records of earlier versions, as far as these tests send them.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code)]
+enum EarlierRecord {
+    Joined,
+    Lease { host: HostName, incarnation: Incarnation, epoch: StoreEpoch },
+    Crash,
+    Restored,
+    Suspects,
+    Limits,
+}
+
+/// Guards against a release that earlier versions misread as another record, and against leases that they cannot read.
+#[test]
+fn earlier_versions_skip_the_release_of_a_lease() {
+    let decode = |record: &FleetRecord| {
+        let bytes = encode_record(record).expect("encode a record");
+        assert_eq!(decode_record(&bytes).expect("decode a record"), *record);
+        bincode::serde::decode_from_slice::<EarlierRecord, _>(&bytes, standard())
+    };
+    let (host, incarnation, epoch) = (HostName::new("host-1"), Incarnation(7), StoreEpoch(2));
+    let lease = FleetRecord::Lease { host: host.clone(), incarnation, epoch };
+    let (read, _) = decode(&lease).expect("an earlier version decodes a lease");
+    assert!(matches!(read, EarlierRecord::Lease { .. }), "{read:?}");
+    let fence = FencingNumber(1 << 40);
+    let release = FleetRecord::LeaseReleased { host, incarnation, fence, epoch };
+    assert!(decode(&release).is_err(), "an earlier version decodes a release");
+    assert_eq!(lease.key(), release.key());
+}
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -25,6 +25,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::control::epoch_tracker::EpochTracker;
 use crate::control::fleet_codec::decode_record;
@@ -49,6 +50,10 @@
 /// Delay after a read that returned records, so that hosts starting together don't wake every long
 /// poll with each of their records.
 const READ_BATCH_DELAY: Duration = Duration::from_millis(400);
+/// Upper bound of that delay, per host in the fleet, while this host waits for another one's lease. A fixed delay would
+/// keep all hosts from reading its release in the same moment.
+const MAX_LEASE_READ_DELAY_PER_HOST: Duration = Duration::from_millis(8);
+const MAX_LEASE_READ_DELAY: Duration = Duration::from_millis(800);
 
 /// The fleet state, shared by the tasks of the control thread.
 pub(crate) type SharedFleetState = Rc<RefCell<FleetState>>;
@@ -66,6 +71,17 @@
     /// The whole topic has to be listed before the next read: at the start, and after the store has
     /// dropped the records that follow.
     needs_listing: Rc<Cell<bool>>,
+    lease_interest: Rc<Cell<LeaseInterest>>,
+}
+
+/// Whether this host has work for the holder of the lease.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum LeaseInterest {
+    /// There is none, or this host has the lease.
+    #[default]
+    None,
+    /// It waits until another host's lease ends.
+    Waiting,
 }
 
 /// Reads the fleet topic in a loop.
@@ -103,7 +119,7 @@
         self.register();
         let write_result = self.publish_records().await;
         if 0 < self.reader.read_next().await? {
-            sleep(READ_BATCH_DELAY).await;
+            sleep(self.reader.batch_delay()).await;
         }
         write_result
     }
@@ -167,7 +183,32 @@
     ) -> FleetReader {
         let epoch = Rc::new(RefCell::new(EpochTracker::new(state.clone(), "fleet")));
         let (own_records, needs_listing) = (SharedOwnRecords::default(), Rc::new(Cell::new(true)));
-        FleetReader { state, source, fleet_state, own_records, epoch, needs_listing }
+        let lease_interest = Rc::default();
+        FleetReader {
+            state,
+            source,
+            fleet_state,
+            own_records,
+            epoch,
+            needs_listing,
+            lease_interest,
+        }
+    }
+
+    pub(crate) fn set_lease_interest(&self, interest: LeaseInterest) {
+        self.lease_interest.set(interest);
+    }
+
+    /// Delay after a read that returned records.
+    fn batch_delay(&self) -> Duration {
+        if self.lease_interest.get() == LeaseInterest::None {
+            return READ_BATCH_DELAY;
+        }
+        let fleet_state = self.fleet_state.borrow();
+        let max_delay = MAX_LEASE_READ_DELAY_PER_HOST * fleet_state.host_count() as u32;
+        let draw = format!("{}/{}", self.state.settings.host, fleet_state.end().offset);
+        let fraction = xxh3_64(draw.as_bytes()) as f64 / u64::MAX as f64;
+        max_delay.min(MAX_LEASE_READ_DELAY).mul_f64(fraction)
     }
 
     /// Reads the newest record of each key.
--- a/crates/entry/src/control/order_scheduler.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -18,16 +18,20 @@
 use fulmargate_dispatch::RolloutPlan;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
+use fulmargate_names::FencingNumber;
 use fulmargate_names::ModelName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::control::fleet_codec::encode_keyed_record;
 use crate::control::fleet_watcher::FleetReader;
+use crate::control::fleet_watcher::LeaseInterest;
 use crate::control::fleet_watcher::SharedFleetState;
+use crate::control::order_task::ORDER_SETTLE_TIME;
 use crate::control::order_task::OrderTask;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -45,6 +49,13 @@
 /// Time for which other engines go before one whose order has failed.
 const FAILURE_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long a stopping holder waits for the answers to its orders. Engines answer within milliseconds; without an
+/// answer the lease is left to expire, since the order may still arrive.
+const ORDER_WAIT: Duration = Duration::from_millis(200);
+const ORDER_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Attempts to append the release. Another one follows when a record of another host came first.
+const MAX_RELEASE_ATTEMPTS: usize = 5;
+
 /// State shared with the order tasks.
 pub(crate) struct SchedulerState {
     pub(crate) lease: RefCell<LeaseKeeper>,
@@ -52,6 +63,17 @@
     pub(crate) in_progress: RefCell<IndexSet<ServerKey>>,
     /// Engines whose last order has failed, and when.
     pub(crate) failures: RefCell<IndexMap<ServerKey, Instant>>,
+    /// Engines that have not answered an order, and when it was sent.
+    pub(crate) unanswered: RefCell<IndexMap<ServerKey, BootTime>>,
+}
+
+impl SchedulerState {
+    /// Records an order that is sent now. Engines that are gone are forgotten.
+    pub(crate) fn record_order(&self, engine: ServerKey, sent: BootTime) {
+        let mut unanswered = self.unanswered.borrow_mut();
+        unanswered.retain(|_, earlier| sent.since(*earlier) < ORDER_SETTLE_TIME);
+        unanswered.insert(engine, sent);
+    }
 }
 
 /// Schedules the orders of a weights rollout.
@@ -87,6 +109,7 @@
             lease: RefCell::new(lease),
             in_progress: RefCell::default(),
             failures: RefCell::default(),
+            unanswered: RefCell::default(),
         };
         OrderScheduler {
             state,
@@ -99,15 +122,22 @@
         }
     }
 
-    /// Looks for pending rollouts in a loop.
-    pub(crate) async fn run(self) {
-        loop {
+    /// Looks for pending rollouts until this router stops, and gives the lease up then.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
             let delay = match self.next_rollout() {
                 Some(rollout) => self.advance(rollout).await,
-                None => POLL_INTERVAL,
+                None => {
+                    self.reader.set_lease_interest(LeaseInterest::None);
+                    POLL_INTERVAL
+                }
             };
-            sleep(delay).await;
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = sleep(delay) => {}
+            }
         }
+        self.release_lease().await;
     }
 
     fn next_rollout(&self) -> Option<PendingRollout> {
@@ -168,6 +198,10 @@
             let fleet_state = self.fleet_state.borrow();
             self.shared.lease.borrow().step(&fleet_state, now.before(rollout.age), link_rank, now)
         };
+        self.reader.set_lease_interest(match step {
+            LeaseStep::Wait(_) => LeaseInterest::Waiting,
+            LeaseStep::Act | LeaseStep::Append { .. } => LeaseInterest::None,
+        });
         match step {
             LeaseStep::Act => {
                 self.start_orders(&rollout);
@@ -244,6 +278,73 @@
         tracing::info!(event = kind.number(), name = kind.name(), %fence);
     }
 
+    /// Ends this router's orders and gives its lease up, so that another host goes on without waiting for the expiry.
+    async fn release_lease(&self) {
+        let dropped = self.shared.lease.borrow_mut().drop_lease();
+        // The answer to its append may have been lost.
+        if dropped.is_none() && self.next_release().is_none() {
+            return;
+        }
+        if !self.have_orders_ended().await {
+            self.log_lease_lost("not released: an engine has not answered an order");
+            return;
+        }
+        for _ in 0..MAX_RELEASE_ATTEMPTS {
+            if self.try_release(dropped).await {
+                return;
+            }
+            if let Err(err) = self.reader.catch_up().await {
+                self.log_lease_lost(&err.to_string());
+            }
+        }
+    }
+
+    /// Waits for the answers to the orders that were sent. No further ones are sent without a lease.
+    async fn have_orders_ended(&self) -> bool {
+        let deadline = Instant::now() + ORDER_WAIT;
+        loop {
+            let now = boot_now();
+            let is_settled = |sent: &BootTime| ORDER_SETTLE_TIME <= now.since(*sent);
+            if self.shared.unanswered.borrow().values().all(is_settled) {
+                return true;
+            }
+            if deadline <= Instant::now() {
+                return false;
+            }
+            sleep(ORDER_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Appends the release of the lease that was dropped. Returns false if the topic must be read before another
+    /// attempt: the lease was not read back yet, the topic's end has moved, or the answer was lost.
+    async fn try_release(&self, dropped: Option<FencingNumber>) -> bool {
+        let newest = self.fleet_state.borrow().lease().map(|lease| lease.fence);
+        if newest < dropped {
+            return false;
+        }
+        // Another host has taken it, or an earlier attempt was accepted.
+        let (Some(fence), Some((at, record))) = (newest, self.next_release()) else { return true };
+        let encoded = match encode_keyed_record(&record) {
+            Ok(encoded) => encoded,
+            Err(err) => {
+                tracing::error!("could not encode a lease record: {err}");
+                return true;
+            }
+        };
+        let result = self.store.append(LogTopic::Fleet, Some(at), &[encoded], APPEND_TIMEOUT).await;
+        if !matches!(result, Ok(AppendResult::Written(_))) {
+            return false;
+        }
+        let kind = EventKind::LeaseReleased;
+        tracing::info!(event = kind.number(), name = kind.name(), %fence);
+        true
+    }
+
+    fn next_release(&self) -> Option<(LogPosition, FleetRecord)> {
+        let (host, incarnation) = (&self.state.settings.host, self.state.incarnation);
+        self.fleet_state.borrow().lease_release(host, incarnation)
+    }
+
     fn log_lease_lost(&self, reason: &str) {
         let kind = EventKind::LeaseLost;
         tracing::info!(event = kind.number(), name = kind.name(), reason);
--- a/crates/entry/src/control/order_task.rs
+++ b/crates/entry/src/control/order_task.rs
@@ -31,6 +31,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout of an order. Engines answer at once; the rest allows for a busy host.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which an order that was not answered is no longer on its way: its connection has ended, and a lost packet
+/// was sent again.
+pub(crate) const ORDER_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 /// Delay between reports; engines don't refresh them faster.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay after an accepted order: the time that an engine takes to load weights.
@@ -56,7 +59,7 @@
 enum OrderOutcome {
     /// The engine has loaded this version or a newer one.
     InPlace(WeightsVersion),
-    /// The engine has accepted an order under a newer lease.
+    /// The engine has accepted an order under a newer lease, or this router has dropped its own.
     NotHolder,
     /// The engine has restarted, or its target or address no longer applies.
     Gone,
@@ -135,6 +138,9 @@
                 sleep(REPORT_INTERVAL).await;
                 continue;
             }
+            if !self.shared.lease.borrow().is_holder() {
+                return OrderOutcome::NotHolder;
+            }
             match self.send_order(&report, target).await {
                 Some(OrderResponse::Holds) => return OrderOutcome::InPlace(target),
                 Some(OrderResponse::Accepted) => sleep(LOAD_WAIT).await,
@@ -176,7 +182,8 @@
         report: &EngineReport,
         version: WeightsVersion,
     ) -> Option<OrderResponse> {
-        let fence = self.shared.lease.borrow().usable_fence(boot_now())?;
+        let sent = boot_now();
+        let fence = self.shared.lease.borrow().usable_fence(sent)?;
         let order = EngineOrder {
             model: self.model.clone(),
             version,
@@ -185,7 +192,11 @@
             orders_before: report.orders,
         };
         let entry = &self.entry;
+        self.shared.record_order(entry.key(), sent);
         let answer = self.engines.order(entry.address, &entry.name, &order, ORDER_TIMEOUT).await;
+        if answer.is_ok() {
+            self.shared.unanswered.borrow_mut().swap_remove(&entry.key());
+        }
         let kind = EventKind::OrderGiven;
         tracing::info!(
             event = kind.number(),
--- a/crates/entry/src/state/status.rs
+++ b/crates/entry/src/state/status.rs
@@ -29,6 +29,7 @@
         version,
         age_ms: weights.target_age(model, now).map(|age| age.as_millis() as u64),
     });
+    let held_lease = fleet.lease.as_ref().filter(|lease| !lease.is_released);
     EntryStatus {
         host: state.settings.host.clone(),
         zone: state.settings.zone.clone(),
@@ -38,7 +39,7 @@
         weights: targets.collect(),
         members: fleet.members.clone(),
         heard: live_peers,
-        lease: fleet.lease.as_ref().map(|lease| lease_status(lease, now)),
+        lease: held_lease.map(|lease| lease_status(lease, now)),
         servers,
     }
 }
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -11,6 +11,7 @@
 mod fleet_topic;
 mod forwarding_rules;
 mod host_connectivity;
+mod lease_releases;
 mod process_lifecycle;
 mod queued_prompts;
 mod quotas;
--- a/crates/entry/tests/daemon/weights_ages.rs
+++ b/crates/entry/tests/daemon/weights_ages.rs
@@ -26,7 +26,7 @@
 const LATE_TIME: Duration = Duration::from_secs(2);
 
 /// Settings with the weights bound of these tests and a lease of this length.
-fn settings(lease: Duration) -> Value {
+pub(crate) fn settings(lease: Duration) -> Value {
     json!({
         "bounds": {
             "key_revoke_ms": 3_000, "stop_grace_s": 8.0, "lease_ms": lease.as_millis() as u64,
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -149,6 +149,8 @@
     WeightsInPlace = 6006,
     /// Another router has told since when weights are wanted.
     WeightsAgeLearned = 6007,
+    /// This router has given its lease up.
+    LeaseReleased = 6010,
 }
 
 /// One row of the catalogue.
@@ -249,6 +251,7 @@
     WeightsNamed => "weights_named",
     WeightsInPlace => "weights_in_place",
     WeightsAgeLearned => "weights_age_learned",
+    LeaseReleased => "lease_released",
 }
 
 impl EventKind {
