--- a/crates/dispatch/tests/support/weights_rollout.rs
+++ b/crates/dispatch/tests/support/weights_rollout.rs
@@ -6,7 +6,6 @@
 use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::RolloutEngine;
 use fulmargate_dispatch::RolloutPlan;
-use fulmargate_dispatch::RolloutTime;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::WeightsProof;
 use fulmargate_dispatch::WeightsTable;
@@ -351,16 +350,17 @@
     clock: BootTime,
 ) -> Vec<ServerKey> {
     let Some(target) = table.target(&model()) else { return Vec::new() };
-    let age = table.target_age(&model(), clock).unwrap_or(Duration::MAX);
     let server = |engine: &ModelEngine| RolloutEngine {
         key: engine.key,
         name: engine.name.clone(),
         zone: engine.zone.clone(),
         version: engine.version,
+        outdated_for: table.outdated_for(&model(), engine.version, clock),
         load: engine.running.len() as u32,
         is_ordered: engine.loading.is_some(),
         is_reachable: true,
+        has_failed: false,
     };
     let servers: Vec<RolloutEngine> = engines.iter().map(server).collect();
-    plan.next(&servers, target, RolloutTime { age, bound })
+    plan.next(&servers, target, bound)
 }
--- a/crates/entry/tests/daemon/weights_ages.rs
+++ b/crates/entry/tests/daemon/weights_ages.rs
@@ -32,7 +32,7 @@
 const FREEZE_TIME: Duration = Duration::from_secs(1);
 
 /// Settings with the weights bound of these tests and a lease of this length.
-fn settings(lease: Duration) -> Value {
+pub(crate) fn settings(lease: Duration) -> Value {
     json!({
         "bounds": {
             "key_revoke_ms": 3_000, "stop_grace_s": 8.0, "lease_ms": lease.as_millis() as u64,
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -151,6 +151,8 @@
     WeightsAgeLearned = 6007,
     /// A prompt was refused since all engines have weights that are too old or of unknown age.
     WeightsRefused = 6008,
+    /// This router has given its lease up.
+    LeaseReleased = 6010,
 }
 
 /// One row of the catalogue.
@@ -252,6 +254,7 @@
     WeightsInPlace => "weights_in_place",
     WeightsAgeLearned => "weights_age_learned",
     WeightsRefused => "weights_refused",
+    LeaseReleased => "lease_released",
 }
 
 impl EventKind {
