A record of how old versions of weights are

Where all hosts are killed after a version was named, nobody is left to say when that was, and hosts that start send nothing to engines on older weights.

FleetRecord::Weights has the proofs of a model as versions with ages, and the end of the servers' topic known to the writer. HeartbeatMark bounds the time from there to a later end by the number of records: each of n servers writes at least once in a heartbeat interval and a tenth, so that D records take at most (D / n + 1) of these. Nothing is estimated in another epoch of the store, without servers, or where an age began before the machine was booted: cut off at the boot it would make old weights young. The kind is the last of the enum, so that earlier versions skip it.

running_proofs tells what has to be kept: versions below the target whose bound runs, with the estimates where there is no proof, so that a second outage of all hosts does not lose what the first left.

--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -14,6 +14,7 @@
 
 use crate::ServerKey;
 use crate::StoredSuspect;
+use crate::WeightsRecord;
 
 /// Number of keys for crash records. A starting host reads all records that are kept, so older
 /// crashes are overwritten; a request that crashes servers is retried within seconds.
@@ -79,6 +80,8 @@
         /// The limits.
         entries: Vec<StoredLimit>,
     },
+    /// Since when versions of a model's weights are outdated. Skipped by earlier versions.
+    Weights(WeightsRecord),
 }
 
 impl FleetRecord {
@@ -91,6 +94,7 @@
             FleetRecord::Restored { .. } => "restored".to_owned(),
             FleetRecord::Suspects { slot, .. } => format!("suspects/{slot}"),
             FleetRecord::Limits { slot, .. } => format!("limits/{slot}"),
+            FleetRecord::Weights(record) => format!("weights/{}", record.model),
         }
     }
 }
--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -128,7 +128,8 @@
             FleetRecord::Restored { .. }
             | FleetRecord::Crash { .. }
             | FleetRecord::Suspects { .. }
-            | FleetRecord::Limits { .. } => {}
+            | FleetRecord::Limits { .. }
+            | FleetRecord::Weights(_) => {}
         }
     }
 
--- a/crates/dispatch/src/weights_series.rs
+++ b/crates/dispatch/src/weights_series.rs
@@ -69,6 +69,22 @@
         &self.proofs.0
     }
 
+    /// Proofs, preceded by the estimates for versions that have none, whose bound is running.
+    pub(crate) fn running_proofs(&self, bound: Duration, now: BootTime) -> Vec<WeightsProof> {
+        let first = self.proofs.0.first();
+        let is_used =
+            |estimate: &&WeightsProof| first.is_none_or(|first| estimate.version < first.version);
+        let estimates = self.estimates.0.iter().filter(is_used).map(|estimate| {
+            // At the time of the first proof a newer version may have been named.
+            let latest = first.map_or(estimate.proven_at, |first| first.proven_at);
+            WeightsProof { proven_at: estimate.proven_at.min(latest), ..*estimate }
+        });
+        let is_running = |proof: &WeightsProof| {
+            proof.version < self.target && now.since(proof.proven_at) < bound
+        };
+        estimates.chain(self.proofs.0.iter().copied()).filter(is_running).collect()
+    }
+
     /// Upper bound of the time since the target was named; `None` if nothing is known.
     pub(crate) fn target_age(&self, now: BootTime) -> Option<Duration> {
         let previous = WeightsVersion(self.target.0.checked_sub(1)?);
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -59,6 +59,18 @@
         self.models.get(model).map_or(&[], WeightsSeries::proofs)
     }
 
+    /// Proofs and estimates for versions that a request may still begin on: older than the target, and outdated for
+    /// less than the bound.
+    pub fn running_proofs(
+        &self,
+        model: &ModelName,
+        bound: Duration,
+        now: BootTime,
+    ) -> Vec<WeightsProof> {
+        let series = self.models.get(model);
+        series.map_or_else(Vec::new, |series| series.running_proofs(bound, now))
+    }
+
     /// Upper bound of the time since the first version newer than this one was named. Zero if there is none;
     /// `Duration::MAX` if nothing is known of it.
     pub fn outdated_for(
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -1,4 +1,4 @@
-//! Compatibility of gossip messages between router versions.
+//! Compatibility of messages and records between router versions.
 
 use bincode::config::standard;
 use fulmargate_admission::BucketKey;
@@ -12,16 +12,26 @@
 use fulmargate_dispatch::ClaimStage;
 use fulmargate_dispatch::CrashNotice;
 use fulmargate_dispatch::CrashProof;
+use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::GossipMessage;
+use fulmargate_dispatch::HeartbeatMark;
 use fulmargate_dispatch::ProbeNotice;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
+use fulmargate_dispatch::WeightsRecord;
 use fulmargate_names::HostName;
+use fulmargate_names::LogOffset;
+use fulmargate_names::ModelName;
+use fulmargate_names::StoreEpoch;
+use fulmargate_names::WeightsVersion;
+use serde::Deserialize;
 
 use super::LENGTH_PREFIX_BYTES;
 use super::decode_gossip;
+use super::decode_record;
 use super::encode_gossip;
+use super::encode_record;
 
 fn gossip(link_kbps: Option<u32>) -> GossipMessage {
     let host = Some(HostName::new("host-1"));
@@ -145,3 +155,54 @@
     let fields = bincode::serde::encode_to_vec((ServerKey(5), false, 3_u32), standard());
     assert_eq!(encoded, fields.expect("encode the fields"));
 }
+
+/// Kinds of records known to routers of earlier versions.
+#[derive(Debug, Deserialize)]
+enum EarlierRecord {
+    Joined,
+    Lease,
+    Crash,
+    Restored,
+    Suspects,
+    Limits,
+}
+
+fn weights_record() -> FleetRecord {
+    FleetRecord::Weights(WeightsRecord {
+        model: ModelName::new("m"),
+        target: WeightsVersion(3),
+        proofs: vec![(WeightsVersion(1), 4_200), (WeightsVersion(3), 40)],
+        mark: HeartbeatMark { epoch: StoreEpoch(1), offset: LogOffset(70_000), servers: 12 },
+    })
+}
+
+#[test]
+fn ages_of_weights_round_trip() {
+    let bytes = encode_record(&weights_record()).expect("encode a record");
+    assert_eq!(decode_record(&bytes).expect("decode a record"), weights_record());
+    assert_eq!(weights_record().key(), "weights/m");
+}
+
+/// Guards against routers of earlier versions that take ages of weights for another kind of record.
+#[test]
+fn earlier_versions_skip_ages_of_weights() {
+    let decode = |record: &FleetRecord| {
+        let bytes = encode_record(record).expect("encode a record");
+        bincode::serde::decode_from_slice(&bytes, standard()).map(|(record, _)| record)
+    };
+    let limits = FleetRecord::Limits { slot: 3, entries: Vec::new() };
+    assert!(matches!(decode(&limits), Ok(EarlierRecord::Limits)));
+    let suspects = FleetRecord::Suspects { slot: 3, entries: Vec::new() };
+    assert!(matches!(decode(&suspects), Ok(EarlierRecord::Suspects)));
+    decode(&weights_record()).expect_err("skipped");
+}
+
+/// Guards against records of earlier versions that can no longer be read.
+#[test]
+fn records_of_earlier_versions_are_read() {
+    // The number of the kind, a slot, and no entries.
+    let limits = decode_record(&[5, 3, 0]).expect("decode limits");
+    assert_eq!(limits, FleetRecord::Limits { slot: 3, entries: Vec::new() });
+    let suspects = decode_record(&[4, 3, 0]).expect("decode suspects");
+    assert_eq!(suspects, FleetRecord::Suspects { slot: 3, entries: Vec::new() });
+}
