Settings: the servers' heartbeat interval

The time since a record in the store is bounded by the heartbeats of servers, for which a host has to know their interval. bounds.heartbeat_ms is 1,200 if left out, refused below 100, and comes from the platform's settings where they name it.

--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -66,6 +66,11 @@
     2_000
 }
 
+/// The heartbeat interval of the platform so far.
+fn default_heartbeat_ms() -> u64 {
+    1_200
+}
+
 /// Long enough that a saved-up burst and some seconds of the rate lie in one span.
 fn default_quota_window_s() -> f64 {
     8.0
@@ -86,6 +91,9 @@
     pub lease_ms: u64,
     /// No request begins on older weights after so long, in milliseconds.
     pub weights_ms: u64,
+    /// Servers write to the server list about once in this time, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// Repeated sends per first send, of all routers together.
     pub repeat_ratio: f64,
     /// Repeated sends in a window beside these.
@@ -138,14 +146,15 @@
         }
         let bounds = &self.bounds;
         let times = [
-            ("bounds.key_revoke_ms", bounds.key_revoke_ms),
-            ("bounds.config_apply_ms", bounds.config_apply_ms),
-            ("bounds.lease_ms", bounds.lease_ms),
-            ("bounds.weights_ms", bounds.weights_ms),
+            ("bounds.key_revoke_ms", bounds.key_revoke_ms, LEAST_BOUND_MS),
+            ("bounds.config_apply_ms", bounds.config_apply_ms, LEAST_BOUND_MS),
+            ("bounds.lease_ms", bounds.lease_ms, LEAST_BOUND_MS),
+            ("bounds.weights_ms", bounds.weights_ms, LEAST_BOUND_MS),
+            ("bounds.heartbeat_ms", bounds.heartbeat_ms, LEAST_HEARTBEAT_MS),
         ];
-        for (key, value) in times {
-            if value < LEAST_BOUND_MS {
-                return refuse(key, format!("{value} is too short; {LEAST_BOUND_MS} or more"));
+        for (key, value, least) in times {
+            if value < least {
+                return refuse(key, format!("{value} is too short; {least} or more"));
             }
         }
         let shares = [
@@ -179,6 +188,8 @@
 const KBIT_PER_MBIT: f64 = 1_000.0;
 /// Shorter bounds than this could not be kept: a read of the store is repeated about once a second.
 const LEAST_BOUND_MS: u64 = 1_500;
+/// A much shorter interval than the servers' own would make old weights seem young.
+const LEAST_HEARTBEAT_MS: u64 = 100;
 /// The balancer needs two questions, a second apart, to see that a daemon is not ready.
 const LEAST_SPAN_S: f64 = 3.0;
 
@@ -208,6 +219,11 @@
         Duration::from_millis(self.weights_ms)
     }
 
+    /// See the field.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
     /// See the field.
     pub fn repeat_window(&self) -> Duration {
         Duration::from_secs_f64(self.repeat_window_s)
--- a/crates/settings/tests/entry.rs
+++ b/crates/settings/tests/entry.rs
@@ -38,6 +38,11 @@
         change: ("\"key_revoke_ms\": 5000", "\"key_revoke_ms\": 500"),
         says: &["`bounds.key_revoke_ms`", "500", "1500 or more"],
     },
+    RefusalCase {
+        name: "a heartbeat interval that is given in seconds",
+        change: ("\"heartbeat_ms\": 1200", "\"heartbeat_ms\": 1"),
+        says: &["`bounds.heartbeat_ms`", "100 or more"],
+    },
     RefusalCase {
         name: "a stop too short for the balancer",
         change: ("\"stop_grace_s\": 8", "\"stop_grace_s\": 1"),
@@ -75,6 +80,14 @@
     assert_eq!(settings.link_kbps(), 1_000_000);
 }
 
+#[test]
+fn the_heartbeat_interval_may_be_left_out() {
+    let text = GOOD.replace("    \"heartbeat_ms\": 1200,\n", "");
+    assert_ne!(text, GOOD);
+    let settings = EntrySettings::parse("entry.json", &text).expect("accepted");
+    assert_eq!(settings.bounds.heartbeat_ms, 1_200);
+}
+
 #[test]
 fn refusals_name_file_key_and_what_is_allowed() {
     for case in REFUSALS {
