Hosts that start alone learn the age of weights from the store

What callers saw: all hosts are killed after a version was named. Those that start list the newest version and know nothing of when it was named, and no other host can tell them, so that no engine on older weights gets a prompt until it has loaded the new ones.

Change: the holder of the lease appends the ages of the versions whose bound is running to the fleet topic, within 25 ms of a new version or of taking the lease, once for each version; a repeated look writes only what the newest record does not tell. A host that starts reads the record with its first listing, and adds estimates as soon as the operators' topic and the server list are read too, in any order. The estimate counts from the send time of the read of the server list that gave the number of heartbeats, not from the time at which it is applied, so that a freeze between the two makes no weights younger. The position that the writer names was read before it determined the ages, which can only add heartbeats. Estimates are kept apart from proofs and used only where there is none; the holder writes them again with the next version.

Why it is enough: each server writes once in an interval, so that the estimate is never younger than the record, except by an outage of the store in between; a store restored from a copy has another epoch, and the record tells nothing.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -27,6 +27,8 @@
 mod server_log;
 mod server_watcher;
 mod store_retry;
+mod stored_weights;
+mod weights_recorder;
 
 pub(crate) use control_thread::ControlListeners;
 pub(crate) use control_thread::ControlThread;
--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -35,6 +35,8 @@
 use crate::control::relay_forwarder::RelayForwarder;
 use crate::control::relay_queue::SharedRelays;
 use crate::control::server_watcher::ServerWatcher;
+use crate::control::stored_weights::StoredWeights;
+use crate::control::weights_recorder::WeightsRecorder;
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
 use crate::state::SharedState;
@@ -118,11 +120,19 @@
                 record_cache.clone(),
             )
         };
-        let operator_watcher = OperatorWatcher::new(self.state.clone(), source());
+        let stored_weights = Rc::new(StoredWeights::new(self.state.clone()));
+        let operator_watcher =
+            OperatorWatcher::new(self.state.clone(), source(), stored_weights.clone());
         spawn_until_cancelled(&token, operator_watcher.run());
-        let server_watcher = ServerWatcher::new(self.state.clone(), source());
+        let server_watcher =
+            ServerWatcher::new(self.state.clone(), source(), stored_weights.clone());
         spawn_until_cancelled(&token, server_watcher.run());
-        let reader = FleetReader::new(self.state.clone(), source(), fleet_state.clone());
+        let reader = FleetReader::new(
+            self.state.clone(),
+            source(),
+            fleet_state.clone(),
+            stored_weights.clone(),
+        );
         spawn_until_cancelled(&token, FleetWatcher::new(reader.clone()).run());
         spawn_until_cancelled(&token, run_fleet_writer(self.state.clone(), client.clone()));
         spawn_until_cancelled(&token, run_binding_writer(self.state.clone(), client.clone()));
@@ -138,13 +148,27 @@
             RelayForwarder::new(self.state.clone(), fleet_state.clone(), relays.clone());
         spawn_until_cancelled(&token, forwarder.run());
         spawn_until_cancelled(&token, CacheWatcher::new(self.state.clone()).run());
-        let scheduler =
-            OrderScheduler::new(self.state.clone(), client, fleet_state.clone(), reader);
-        // Cancelled when the shutdown begins, so that another host takes the lease.
-        spawn_until_cancelled(&self.stop.requested, scheduler.run());
+        self.start_scheduler(client, reader, fleet_state, stored_weights);
         spawn_until_cancelled(&token, run_metrics_upkeep(self.state.clone()));
     }
 
+    /// The tasks of the holder of the lease, cancelled when the shutdown begins, so that another host takes it.
+    fn start_scheduler(
+        &self,
+        client: StoreClient,
+        reader: FleetReader,
+        fleet_state: &SharedFleetState,
+        stored_weights: Rc<StoredWeights>,
+    ) {
+        let (state, token) = (&self.state, &self.stop.requested);
+        let scheduler =
+            OrderScheduler::new(state.clone(), client.clone(), fleet_state.clone(), reader);
+        let recorder =
+            WeightsRecorder::new(state.clone(), client, scheduler.shared(), stored_weights);
+        spawn_until_cancelled(token, recorder.run());
+        spawn_until_cancelled(token, scheduler.run());
+    }
+
     /// Waits for a signal to stop. SIGHUP is handled, as it would otherwise end the process; it
     /// only compares the settings.
     async fn serve_signals(&self) -> Result<(), StartError> {
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -1,4 +1,5 @@
-//! Follows the fleet topic: members, the lease, requests that crash servers, and limits that servers name.
+//! Follows the fleet topic: members, the lease, requests that crash servers, limits that servers name, and ages of
+//! weights.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -33,6 +34,7 @@
 use crate::control::log_source::LogSource;
 use crate::control::own_records::OwnRecords;
 use crate::control::store_retry::StoreRetry;
+use crate::control::stored_weights::StoredWeights;
 use crate::state::FleetView;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -66,6 +68,7 @@
     /// The whole topic has to be listed before the next read: at the start, and after the store has
     /// dropped the records that follow.
     needs_listing: Rc<Cell<bool>>,
+    stored_weights: Rc<StoredWeights>,
 }
 
 /// Reads the fleet topic in a loop.
@@ -164,10 +167,19 @@
         state: Arc<SharedState>,
         source: LogSource,
         fleet_state: SharedFleetState,
+        stored_weights: Rc<StoredWeights>,
     ) -> FleetReader {
         let epoch = Rc::new(RefCell::new(EpochTracker::new(state.clone(), "fleet")));
         let (own_records, needs_listing) = (SharedOwnRecords::default(), Rc::new(Cell::new(true)));
-        FleetReader { state, source, fleet_state, own_records, epoch, needs_listing }
+        FleetReader {
+            state,
+            source,
+            fleet_state,
+            own_records,
+            epoch,
+            needs_listing,
+            stored_weights,
+        }
     }
 
     /// Reads the newest record of each key.
@@ -274,14 +286,19 @@
         };
         self.fleet_state.borrow_mut().apply(offset, &record, boot_now());
         self.apply_suspects(&record);
-        self.apply_limits(record);
+        match record {
+            FleetRecord::Limits { slot, entries } => {
+                self.apply_limits(&StoredLimitSlot { slot, entries });
+            }
+            FleetRecord::Weights(record) => self.stored_weights.record_read(record),
+            _ => {}
+        }
     }
 
-    fn apply_limits(&self, record: FleetRecord) {
-        let FleetRecord::Limits { slot, entries } = record else { return };
+    fn apply_limits(&self, slot: &StoredLimitSlot) {
         let now = Instant::now();
         let mut servers = self.state.servers();
-        servers.read_stored_limits(&StoredLimitSlot { slot, entries }, now);
+        servers.read_stored_limits(slot, now);
         let limits = servers.apply_stored_limits(now);
         drop(servers);
         limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -1,5 +1,6 @@
 //! Follows the operator topic: configuration and weights targets.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::control::log_source::LogSource;
 use crate::control::log_source::SourcePage;
 use crate::control::store_retry::StoreRetry;
+use crate::control::stored_weights::StoredWeights;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
@@ -50,10 +52,15 @@
     admitted_keys: bool,
     /// A record written since the active configuration could not be read. It may have revoked keys.
     has_unreadable_record: bool,
+    stored_weights: Rc<StoredWeights>,
 }
 
 impl OperatorWatcher {
-    pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatcher {
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        source: LogSource,
+        stored_weights: Rc<StoredWeights>,
+    ) -> OperatorWatcher {
         let retry = StoreRetry::new("operator");
         let epoch = EpochTracker::new(state.clone(), "operator");
         OperatorWatcher {
@@ -65,6 +72,7 @@
             written_after: None,
             admitted_keys: false,
             has_unreadable_record: false,
+            stored_weights,
         }
     }
 
@@ -206,6 +214,7 @@
             return;
         }
         self.state.weights.store(Arc::new(weights));
+        self.state.weights_change.notify_one();
         let age = self.written_after.map(|at| boot_now().since(at).as_millis() as u64);
         let kind = EventKind::WeightsNamed;
         tracing::info!(
@@ -216,6 +225,7 @@
             previous,
             age_ms = age,
         );
+        self.stored_weights.apply_pending();
     }
 
     fn log_admission_change(&mut self) {
--- a/crates/entry/src/control/order_scheduler.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// State shared with other tasks.
+    pub(crate) fn shared(&self) -> Rc<SchedulerState> {
+        self.shared.clone()
+    }
+
     /// Looks for pending rollouts in a loop.
     pub(crate) async fn run(self) {
         loop {
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -1,5 +1,6 @@
 //! Follows the list of backend servers.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use fulmargate_consortium::decode_keyed;
 use fulmargate_consortium::decode_server;
 use fulmargate_dispatch::BootTime;
+use fulmargate_dispatch::HeartbeatMark;
 use fulmargate_dispatch::LogPosition;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ServerTable;
@@ -25,6 +27,8 @@
 use crate::control::server_log::RemovalSource;
 use crate::control::server_log::ServerLog;
 use crate::control::store_retry::StoreRetry;
+use crate::control::stored_weights::StoredWeights;
+use crate::state::ServerListEnd;
 use crate::state::SharedState;
 use crate::state::boot_now;
 use crate::telemetry::LimitSource;
@@ -55,10 +59,15 @@
     /// Send time of the newest read that reached the end of the topic.
     complete_as_of: Option<BootTime>,
     epoch: EpochTracker,
+    stored_weights: Rc<StoredWeights>,
 }
 
 impl ServerWatcher {
-    pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> ServerWatcher {
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        source: LogSource,
+        stored_weights: Rc<StoredWeights>,
+    ) -> ServerWatcher {
         let epoch = EpochTracker::new(state.clone(), "servers");
         ServerWatcher {
             state,
@@ -68,6 +77,7 @@
             next: None,
             complete_as_of: None,
             epoch,
+            stored_weights,
         }
     }
 
@@ -82,6 +92,7 @@
                 Ok(is_complete) => {
                     retry.succeeded();
                     self.publish();
+                    self.publish_end();
                     if is_complete {
                         self.expire_during(sleep(READ_INTERVAL)).await;
                     }
@@ -210,6 +221,16 @@
         self.log.log_changes(&self.table);
     }
 
+    /// Publishes up to where the topic is read, and how many servers it lists there.
+    fn publish_end(&self) {
+        let (Some(next), Some(as_of)) = (self.next, self.complete_as_of) else { return };
+        let listed = self.table.entries().filter(|entry| !self.table.is_lapsed(&entry.name));
+        let (epoch, offset, servers) = (next.epoch, next.offset, listed.count() as u64);
+        let end = HeartbeatMark { epoch, offset, servers };
+        self.state.server_list.store(Some(Arc::new(ServerListEnd { end, as_of })));
+        self.stored_weights.apply_pending();
+    }
+
     /// Applies list, versions and stored limits at once, before another thread sends a request to a new server.
     fn apply_list(&mut self) -> Vec<LearnedLimit> {
         let (now, boot_now) = (Instant::now(), boot_now());
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,5 +10,6 @@
 pub(crate) use connect_outcome::record_connect_outcome;
 pub(crate) use loading_registry::LoadingRegistry;
 pub(crate) use shared_state::FleetView;
+pub(crate) use shared_state::ServerListEnd;
 pub(crate) use shared_state::SharedState;
 pub(crate) use status::entry_status;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -13,7 +13,9 @@
 use fulmargate_admission::QuotaTracker;
 use fulmargate_admission::ServerLimits;
 use fulmargate_dispatch::BindingTable;
+use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::ConfigProof;
+use fulmargate_dispatch::HeartbeatMark;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::OwnerCandidate;
 use fulmargate_dispatch::RetryBudget;
@@ -71,6 +73,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// The target weights version of each model.
     pub(crate) weights: ArcSwap<WeightsTable>,
+    /// Up to where the server list is read; none before the first listing.
+    pub(crate) server_list: ArcSwapOption<ServerListEnd>,
     /// Members and lease, shown on the status page.
     pub(crate) fleet: ArcSwap<FleetView>,
     /// Requests whose response has not started.
@@ -79,6 +83,8 @@
     pub(crate) open_connections: AtomicUsize,
     /// Wakes the writer of the fleet topic.
     pub(crate) fleet_record_change: Notify,
+    /// Wakes the writer of the ages of weights.
+    pub(crate) weights_change: Notify,
     /// Wakes the task that tries servers for other hosts.
     pub(crate) suspect_wake: Notify,
     /// Wakes the sender of gossip before its interval is over, as there is new evidence on a crash or a new claim.
@@ -133,6 +139,15 @@
     pub(crate) lease: Option<HeldLease>,
 }
 
+/// Up to where the servers' topic is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerListEnd {
+    /// The end of what was read.
+    pub(crate) end: HeartbeatMark,
+    /// A time at which the topic did not extend beyond that.
+    pub(crate) as_of: BootTime,
+}
+
 impl SharedState {
     /// Creates the state without a configuration, servers or quotas.
     pub(crate) fn new(settings: EntrySettings) -> SharedState {
@@ -158,10 +173,12 @@
             incarnation,
             table: ArcSwapOption::empty(),
             weights: ArcSwap::default(),
+            server_list: ArcSwapOption::empty(),
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             fleet_record_change: Notify::new(),
+            weights_change: Notify::new(),
             suspect_wake: Notify::new(),
             crash_evidence_change: Notify::new(),
             suspect_probed: Notify::new(),
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -27,3 +27,4 @@
 mod unreached_servers;
 mod weight_updates;
 mod weights_ages;
+mod weights_records;
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -147,8 +147,10 @@
     WeightsNamed = 6005,
     /// An engine has the weights wanted.
     WeightsInPlace = 6006,
-    /// Another router has told since when weights are wanted.
+    /// Another router or the store has told since when weights are wanted.
     WeightsAgeLearned = 6007,
+    /// The ages of outdated weights were written to the store.
+    WeightsRecorded = 6009,
 }
 
 /// One row of the catalogue.
@@ -249,6 +251,7 @@
     WeightsNamed => "weights_named",
     WeightsInPlace => "weights_in_place",
     WeightsAgeLearned => "weights_age_learned",
+    WeightsRecorded => "weights_recorded",
 }
 
 impl EventKind {
