--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -27,7 +27,9 @@
 mod server_log;
 mod server_watcher;
 mod store_retry;
+mod stored_weights;
 mod weights_asker;
+mod weights_recorder;
 mod weights_service;
 
 pub(crate) use control_thread::ControlListeners;
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -1,4 +1,4 @@
-//! Compatibility of gossip messages between router versions.
+//! Compatibility of messages and records between router versions.
 
 use std::time::Duration;
 
@@ -17,17 +17,20 @@
 use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::FleetRecord;
 use fulmargate_dispatch::GossipMessage;
+use fulmargate_dispatch::HeartbeatMark;
 use fulmargate_dispatch::ProbeNotice;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
 use fulmargate_dispatch::WeightsAge;
 use fulmargate_dispatch::WeightsProof;
+use fulmargate_dispatch::WeightsRecord;
 use fulmargate_dispatch::WeightsReport;
 use fulmargate_dispatch::WeightsTable;
 use fulmargate_names::FencingNumber;
 use fulmargate_names::HostName;
 use fulmargate_names::Incarnation;
+use fulmargate_names::LogOffset;
 use fulmargate_names::ModelName;
 use fulmargate_names::StoreEpoch;
 use fulmargate_names::WeightsVersion;
@@ -221,3 +224,43 @@
     assert!(decode(&release).is_err(), "an earlier version decodes a release");
     assert_eq!(lease.key(), release.key());
 }
+
+fn weights_record() -> FleetRecord {
+    FleetRecord::Weights(WeightsRecord {
+        model: ModelName::new("m"),
+        target: WeightsVersion(3),
+        proofs: vec![(WeightsVersion(1), 4_200), (WeightsVersion(3), 40)],
+        mark: HeartbeatMark { epoch: StoreEpoch(1), offset: LogOffset(70_000), servers: 12 },
+    })
+}
+
+#[test]
+fn ages_of_weights_round_trip() {
+    let bytes = encode_record(&weights_record()).expect("encode a record");
+    assert_eq!(decode_record(&bytes).expect("decode a record"), weights_record());
+    assert_eq!(weights_record().key(), "weights/m");
+}
+
+/// Guards against routers of earlier versions that take ages of weights for another kind of record.
+#[test]
+fn earlier_versions_skip_ages_of_weights() {
+    let decode = |record: &FleetRecord| {
+        let bytes = encode_record(record).expect("encode a record");
+        bincode::serde::decode_from_slice(&bytes, standard()).map(|(record, _)| record)
+    };
+    let limits = FleetRecord::Limits { slot: 3, entries: Vec::new() };
+    assert!(matches!(decode(&limits), Ok(EarlierRecord::Limits)));
+    let suspects = FleetRecord::Suspects { slot: 3, entries: Vec::new() };
+    assert!(matches!(decode(&suspects), Ok(EarlierRecord::Suspects)));
+    decode(&weights_record()).expect_err("skipped");
+}
+
+/// Guards against records of earlier versions that can no longer be read.
+#[test]
+fn records_of_earlier_versions_are_read() {
+    // The number of the kind, a slot, and no entries.
+    let limits = decode_record(&[5, 3, 0]).expect("decode limits");
+    assert_eq!(limits, FleetRecord::Limits { slot: 3, entries: Vec::new() });
+    let suspects = decode_record(&[4, 3, 0]).expect("decode suspects");
+    assert_eq!(suspects, FleetRecord::Suspects { slot: 3, entries: Vec::new() });
+}
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -1,5 +1,6 @@
 //! Follows the operator topic: configuration and weights targets.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::control::log_source::LogSource;
 use crate::control::log_source::SourcePage;
 use crate::control::store_retry::StoreRetry;
+use crate::control::stored_weights::StoredWeights;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
@@ -49,10 +51,15 @@
     admitted_keys: bool,
     /// A record written since the active configuration could not be read. It may have revoked keys.
     has_unreadable_record: bool,
+    stored_weights: Rc<StoredWeights>,
 }
 
 impl OperatorWatcher {
-    pub(crate) fn new(state: Arc<SharedState>, source: LogSource) -> OperatorWatcher {
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        source: LogSource,
+        stored_weights: Rc<StoredWeights>,
+    ) -> OperatorWatcher {
         let retry = StoreRetry::new("operator");
         let epoch = EpochTracker::new(state.clone(), "operator");
         OperatorWatcher {
@@ -64,6 +71,7 @@
             topic_proof: TopicProof::default(),
             admitted_keys: false,
             has_unreadable_record: false,
+            stored_weights,
         }
     }
 
@@ -221,6 +229,7 @@
             previous = previous.map(|version| version.0),
             age_ms = age,
         );
+        self.stored_weights.apply_pending();
     }
 
     fn log_admission_change(&mut self) {
--- a/crates/entry/src/control/order_scheduler.rs
+++ b/crates/entry/src/control/order_scheduler.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// State shared with other tasks.
+    pub(crate) fn shared(&self) -> Rc<SchedulerState> {
+        self.shared.clone()
+    }
+
     /// Looks for pending rollouts until this router stops, and gives the lease up then.
     pub(crate) async fn run(self, stop: CancellationToken) {
         while !stop.is_cancelled() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,5 +12,6 @@
 pub(crate) use engine_weights::lowest_weights;
 pub(crate) use loading_registry::LoadingRegistry;
 pub(crate) use shared_state::FleetView;
+pub(crate) use shared_state::ServerListEnd;
 pub(crate) use shared_state::SharedState;
 pub(crate) use status::entry_status;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -14,7 +14,9 @@
 use fulmargate_admission::QuotaTracker;
 use fulmargate_admission::ServerLimits;
 use fulmargate_dispatch::BindingTable;
+use fulmargate_dispatch::BootTime;
 use fulmargate_dispatch::ConfigProof;
+use fulmargate_dispatch::HeartbeatMark;
 use fulmargate_dispatch::HeldLease;
 use fulmargate_dispatch::OwnerCandidate;
 use fulmargate_dispatch::RetryBudget;
@@ -73,7 +75,9 @@
     /// The target weights version of each model.
     pub(crate) weights: ArcSwap<WeightsTable>,
     /// Held while the weights table is changed.
-    weights_change: Mutex<()>,
+    weights_lock: Mutex<()>,
+    /// Up to where the server list is read; none before the first listing.
+    pub(crate) server_list: ArcSwapOption<ServerListEnd>,
     /// Members and lease, shown on the status page.
     pub(crate) fleet: ArcSwap<FleetView>,
     /// Requests whose response has not started.
@@ -82,6 +86,8 @@
     pub(crate) open_connections: AtomicUsize,
     /// Wakes the writer of the fleet topic.
     pub(crate) fleet_record_change: Notify,
+    /// Wakes the writer of the ages of weights.
+    pub(crate) weights_change: Notify,
     /// Wakes the task that tries servers for other hosts.
     pub(crate) suspect_wake: Notify,
     /// Wakes the sender of gossip before its interval is over, as there is new evidence on a crash or a new claim.
@@ -136,6 +142,15 @@
     pub(crate) lease: Option<HeldLease>,
 }
 
+/// Up to where the servers' topic is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerListEnd {
+    /// The end of what was read.
+    pub(crate) end: HeartbeatMark,
+    /// A time at which the topic did not extend beyond that.
+    pub(crate) as_of: BootTime,
+}
+
 impl SharedState {
     /// Creates the state without a configuration, servers or quotas.
     pub(crate) fn new(settings: EntrySettings) -> SharedState {
@@ -161,11 +176,13 @@
             incarnation,
             table: ArcSwapOption::empty(),
             weights: ArcSwap::default(),
-            weights_change: Mutex::default(),
+            weights_lock: Mutex::default(),
+            server_list: ArcSwapOption::empty(),
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             fleet_record_change: Notify::new(),
+            weights_change: Notify::new(),
             suspect_wake: Notify::new(),
             crash_evidence_change: Notify::new(),
             suspect_probed: Notify::new(),
@@ -215,10 +232,11 @@
 
     /// Changes a copy of the weights table and publishes it. Changes made at the same time follow each other.
     pub(crate) fn change_weights<T>(&self, change: impl FnOnce(&mut WeightsTable) -> T) -> T {
-        let _change = lock(&self.weights_change);
+        let _change = lock(&self.weights_lock);
         let mut weights = (**self.weights.load()).clone();
         let result = change(&mut weights);
         self.weights.store(Arc::new(weights));
+        self.weights_change.notify_one();
         result
     }
 
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -28,3 +28,4 @@
 mod unreached_servers;
 mod weight_updates;
 mod weights_ages;
+mod weights_records;
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -147,10 +147,12 @@
     WeightsNamed = 6005,
     /// An engine has the weights wanted.
     WeightsInPlace = 6006,
-    /// Another router has told since when weights are wanted.
+    /// Another router or the store has told since when weights are wanted.
     WeightsAgeLearned = 6007,
     /// A prompt was refused since all engines have weights that are too old or of unknown age.
     WeightsRefused = 6008,
+    /// The ages of outdated weights were written to the store.
+    WeightsRecorded = 6009,
     /// This router has given its lease up.
     LeaseReleased = 6010,
 }
@@ -254,6 +256,7 @@
     WeightsInPlace => "weights_in_place",
     WeightsAgeLearned => "weights_age_learned",
     WeightsRefused => "weights_refused",
+    WeightsRecorded => "weights_recorded",
     LeaseReleased => "lease_released",
 }
 
