Soak: series of weights versions, and a judge of the weights that prompts begin on

What callers saw in the incident: prompts on weights two versions old, beyond the bound. No soak named more than single versions, and none looked at what prompts began on.

--weights: two series of versions, beside planned stops of all daemons, kills, kills of all right after a version, pauses, a store that drops its history, and engines that load late. The judge compares the version that each prompt began on with the versions that the store had by then, each from its own acknowledgement (OutdatedWeights). Daemons that were paused or cut off within 3 s do not count; a start excuses nothing. A lower bound on service stands beside it (ServedPrompts): nine tenths of the prompts at calm daemons, and soon after all were killed, which is the aim of the incident's issue.

--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -87,6 +87,7 @@
             SoakFault::ServerLimit(..) | SoakFault::Upgrade(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
+            SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
         }
     }
 }
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -30,6 +30,9 @@
 const SERIES_PAUSE_MS: u64 = 600;
 /// How long a fault lasts.
 const LASTS_MS: std::ops::RangeInclusive<u64> = 200..=3_000;
+/// Bounds where they are not drawn.
+const WEIGHTS_BOUND: Duration = Duration::from_secs(6);
+const LEASE: Duration = Duration::from_secs(3);
 /// Nothing goes wrong before; callers have begun by then.
 const CALM_START_MS: u64 = 500;
 
@@ -122,6 +125,10 @@
     pub routers: usize,
     /// Routers read the store by others if there are more hosts of a zone than this.
     pub few_hosts: usize,
+    /// Time after a version was named for which requests may begin on older weights.
+    pub weights_bound: Duration,
+    /// Length of the lease of order holders.
+    pub lease: Duration,
     /// Faults by their begin.
     pub steps: Vec<FaultStep>,
 }
@@ -146,7 +153,8 @@
             }
         }
         steps.sort_by_key(|step| step.at);
-        FaultPlan { seed, routers, few_hosts, steps }
+        let (weights_bound, lease) = (WEIGHTS_BOUND, LEASE);
+        FaultPlan { seed, routers, few_hosts, weights_bound, lease, steps }
     }
 
     /// Beside all else the store falls silent for one router, and then a key is taken away. Short faults
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -10,6 +10,7 @@
 use fulmargate_consortium_stand::LinkFault;
 use fulmargate_consortium_stand::LinkLoad;
 use fulmargate_consortium_stand::LoopbackProxy;
+use fulmargate_consortium_stand::OrderHandling;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::StoreFault;
 use futures_util::future::join_all;
@@ -131,10 +132,13 @@
         SoakFault::KillServer(number) => world.kill_server(number, step.lasts).await?,
         SoakFault::AddRoute => add_route(world),
         SoakFault::TakeKey => take_key(world),
-        SoakFault::NameWeights => {
-            let mut word = world.word();
-            word.weights += 1;
-            world.store.publish_weights(word.weights);
+        SoakFault::NameWeights => world.name_weights(1),
+        SoakFault::NameVersion(step) => world.name_weights(step),
+        SoakFault::EngineOrders(number, handling) => {
+            let stand = world.server(number).stand;
+            stand.set_order_handling(handling);
+            sleep(step.lasts).await;
+            stand.set_order_handling(OrderHandling::Answered);
         }
     }
     Ok(())
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -5,6 +5,8 @@
 mod crowded_servers;
 mod host_cuts;
 mod versions;
+mod weights;
+mod weights_service;
 
 use std::fmt::Write;
 use std::time::Duration;
@@ -71,6 +73,8 @@
     pub(crate) limits: Vec<SeenLimit>,
     pub(crate) brittle_times: Vec<BrittleTime>,
     pub(crate) word: OperatorWord,
+    /// Time after a version was named for which prompts may begin on older weights.
+    pub(crate) weights_bound: Duration,
     /// From then on nothing was wrong any more, and there was time to recover.
     pub(crate) recovered: Instant,
 }
@@ -119,6 +123,8 @@
         judge.judge_host_cuts();
         judge.judge_crashing_requests();
         judge.judge_versions();
+        judge.judge_weights();
+        judge.judge_weights_service();
         judge.judge_budget();
         judge.judge_recovery();
         (judge.broken, judge.judged)
--- a/crates/soak/src/judged_count.rs
+++ b/crates/soak/src/judged_count.rs
@@ -1,5 +1,7 @@
 //! How much of a run could be judged.
 
+use crate::WeightsCount;
+
 /// What the judge could judge of faults for which a run may leave no time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct JudgedCount {
@@ -19,4 +21,6 @@
     pub went_on: usize,
     /// Streams taken up at any time that were refused.
     pub refused_streams: usize,
+    /// Prompts beside weights versions.
+    pub weights: WeightsCount,
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -71,7 +71,12 @@
     /// before --crashing-requests
     #[argh(switch)]
     versions: bool,
-    /// no router is disturbed while hosts reach no server or servers are brittle, so that all of it is judged
+    /// operators name series of weights versions while routers are stopped and killed, beside the faults of the seed; goes
+    /// before --versions
+    #[argh(switch)]
+    weights: bool,
+    /// no router is disturbed while hosts reach no server or servers are brittle, so that all of it is judged; with
+    /// --weights, no faults of the seed disturb routers or servers
     #[argh(switch)]
     calm: bool,
     /// print what goes wrong in each run
@@ -89,6 +94,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { weights: true, .. } => PlanKind::Weights,
         SoakArgs { versions: true, .. } => PlanKind::Versions,
         SoakArgs { crashing_requests: true, host_cuts: true, .. } => PlanKind::CrashesBesideCuts,
         SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
@@ -130,6 +136,21 @@
          {crashes} crashes, {late_crash_sends} late sends, {} of {} streams taken up went on, {} refused",
         judged.went_on, judged.taken_up, judged.refused_streams
     );
+    let weights = judged.weights;
+    if 0 < weights.prompts {
+        println!(
+            "  weights: {} prompts, {} on older ones, {} late, {} of these by routers in touch, up to {} ms; engines \
+             outdated for up to {} ms more than allowed; served {} calm, {} after all were killed",
+            weights.prompts,
+            weights.on_older,
+            weights.late,
+            weights.late_in_touch,
+            weights.max_excess.as_millis(),
+            weights.max_engine_excess.as_millis(),
+            weights.calm,
+            weights.after_kills,
+        );
+    }
     if with_plan || !broken.is_empty() {
         for step in &plan.steps {
             let (at, lasts) = (step.at.as_millis(), step.lasts.as_millis());
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -45,6 +45,10 @@
     OneVersion,
     /// Streams that are taken up go on.
     TakenUpStreams,
+    /// No prompt begins on weights that are outdated for longer than the bound.
+    OutdatedWeights,
+    /// Prompts are served beside series of weights versions, and soon after all hosts were killed.
+    ServedPrompts,
     /// Repeats stay within the budget.
     RepeatBudget,
     /// All serve again when the faults are over.
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -44,6 +44,8 @@
     pub(crate) host: String,
     pub(crate) store: SocketAddr,
     pub(crate) few_hosts: usize,
+    pub(crate) weights_bound: Duration,
+    pub(crate) lease: Duration,
 }
 
 /// The process. It is killed when the value is dropped.
@@ -120,7 +122,9 @@
             "bounds": {
                 "key_revoke_ms": KEY_REVOKE.as_millis() as u64,
                 "stop_grace_s": STOP_GRACE.as_secs_f64(),
-                "lease_ms": 3_000, "weights_ms": 6_000, "repeat_ratio": REPEAT_RATIO,
+                "lease_ms": self.lease.as_millis() as u64,
+                "weights_ms": self.weights_bound.as_millis() as u64,
+                "repeat_ratio": REPEAT_RATIO,
                 "repeat_slack": REPEAT_SLACK, "repeat_window_s": REPEAT_WINDOW.as_secs_f64(),
             },
         })
--- a/crates/soak/src/served_count.rs
+++ b/crates/soak/src/served_count.rs
@@ -1,15 +1,20 @@
-//! Served requests of hosts that were cut off, beside those of others.
+//! Served requests among those that were sent.
+
+use std::fmt;
 
 /// Requests that may fail at cut hosts, and as a share of all.
 const ALLOWED_FAILURES: f64 = 10.0;
 const ALLOWED_FAILURE_SHARE: f64 = 0.02;
 /// Served share of cut hosts beside that of the others.
 const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
+
 /// Requests and those of them that were served.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ServedCount {
-    pub(crate) served: usize,
-    pub(crate) sent: usize,
+pub struct ServedCount {
+    /// Requests that were served.
+    pub served: usize,
+    /// All of them.
+    pub sent: usize,
 }
 
 impl ServedCount {
@@ -30,3 +35,9 @@
         0 < others.sent && allowed < failed && self.share() < MIN_SERVED_RATIO * others.share()
     }
 }
+
+impl fmt::Display for ServedCount {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} of {}", self.served, self.sent)
+    }
+}
--- a/crates/soak/src/soak_caller.rs
+++ b/crates/soak/src/soak_caller.rs
@@ -29,6 +29,8 @@
 const PATIENCE_MS: std::ops::Range<u64> = 800..2_500;
 /// And for this much longer before it takes the connection for dead.
 const ALLOWANCE: Duration = Duration::from_millis(2_500);
+/// Share of the requests that are prompts where series of weights are played, beside those that are drawn anyway.
+const PROMPT_SHARE: f64 = 0.5;
 /// Share of the requests that their caller leaves early.
 const LEAVE_SHARE: f64 = 0.04;
 /// A connection that cannot be opened is tried again after this time.
@@ -75,6 +77,7 @@
     fn request(&self, rng: &mut StdRng, turn: usize) -> (RequestKind, CallerRequest) {
         let newest = self.world.word().routes.last().map(|(number, _)| *number);
         let kind = match (rng.random_range(0..6), newest) {
+            _ if self.world.has_weights && rng.random_bool(PROMPT_SHARE) => RequestKind::Chat,
             (0 | 1, Some(number)) => RequestKind::NewRoute(number),
             (2, _) => RequestKind::Charge,
             // Streams of several versions have callers of their own.
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -2,6 +2,7 @@
 
 use fulmargate_consortium_stand::LinkCut;
 use fulmargate_consortium_stand::LinkFault;
+use fulmargate_consortium_stand::OrderHandling;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::StoreFault;
 
@@ -72,6 +73,10 @@
     TakeKey,
     /// New weights are named.
     NameWeights,
+    /// A weights version is named that is newer by this number; zero names the newest one again.
+    NameVersion(u64),
+    /// An engine handles orders in this way.
+    EngineOrders(usize, OrderHandling),
 }
 
 impl SoakFault {
@@ -89,6 +94,7 @@
             SoakFault::KillServer(_) | SoakFault::CutHost(..) | SoakFault::Brittle(_) => false,
             SoakFault::CrashingRequest(_) | SoakFault::Upgrade(..) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
+            SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
         }
     }
 
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -25,6 +25,7 @@
 use crate::soak_world::ENGINES;
 use crate::soak_world::SoakWorld;
 use crate::soak_world::VERSION_ENGINES;
+use crate::soak_world::WEIGHTS_ENGINES;
 use crate::soak_world::lock;
 use crate::version_caller::SharedStreams;
 use crate::version_caller::VersionCaller;
@@ -33,6 +34,8 @@
 const CALLERS: usize = 4;
 /// The same where servers are to be crowded.
 const CROWDING_CALLERS: usize = 20;
+/// The same where series of weights are played.
+const WEIGHTS_CALLERS: usize = 8;
 /// Callers of streams of several versions, for each router.
 const VERSION_CALLERS: usize = 6;
 /// Callers begin when the routers have read their configuration.
@@ -94,6 +97,8 @@
     Brittle,
     /// Any faults, and engines of several software versions whose streams are taken up.
     Versions,
+    /// Any faults, and series of weights versions while routers are stopped and killed.
+    Weights,
 }
 
 /// How a run ended.
@@ -132,6 +137,11 @@
             let engines = DESKS..DESKS + ENGINES + VERSION_ENGINES;
             mixed.with_versions(engines, conf.length)
         }
+        PlanKind::Weights => {
+            let engines = DESKS..DESKS + ENGINES + WEIGHTS_ENGINES;
+            let others = if conf.is_calm { mixed.without_disturbances() } else { mixed };
+            others.with_weights(engines, conf.length)
+        }
         PlanKind::FullLink => mixed.with_full_links(routers, &PAUSED, conf.length),
     };
     let plan = if conf.is_calm { plan.with_calm_times() } else { plan };
@@ -143,6 +153,7 @@
     let stop = watch::Sender::new(false);
     let callers_per_router = match conf.kind {
         PlanKind::Brittle => CROWDING_CALLERS,
+        PlanKind::Weights => WEIGHTS_CALLERS,
         _ => CALLERS,
     };
     let callers = start_callers(&world, &records, seed, callers_per_router, &stop);
@@ -150,7 +161,10 @@
     let version_callers = start_version_callers(&world, &streams, seed, &stop);
     // Seeds of the other kinds were found without heartbeats.
     let mut heartbeats = JoinSet::new();
-    if matches!(conf.kind, PlanKind::Departures | PlanKind::ResponseEnds | PlanKind::Versions) {
+    if matches!(
+        conf.kind,
+        PlanKind::Departures | PlanKind::ResponseEnds | PlanKind::Versions | PlanKind::Weights
+    ) {
         heartbeats.spawn(write_heartbeats(world.clone()));
     }
     play(&world, &plan).await?;
@@ -174,6 +188,7 @@
         limits: world.limits(),
         brittle_times: world.brittle_times(),
         word: world.word().clone(),
+        weights_bound: plan.weights_bound,
         recovered,
     };
     let (broken, judged) = SoakJudge::judge(&evidence);
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -40,6 +40,12 @@
 pub(crate) const ENGINES: usize = 3;
 /// Further engines where several software versions are played, so that two servers of each may serve.
 pub(crate) const VERSION_ENGINES: usize = 3;
+/// Further engines where series of weights are played, so that a rollout takes several rounds.
+pub(crate) const WEIGHTS_ENGINES: usize = 3;
+/// Time that engines take to load weights there.
+const LOAD_TIME: Duration = Duration::from_millis(700);
+/// Weights of new engines.
+const FIRST_WEIGHTS: u64 = 1;
 /// Software version of the first servers.
 const FIRST_VERSION: u32 = 1;
 /// A process that should end by itself is given this much more than its grace.
@@ -119,7 +125,17 @@
     /// Routes added, by number, and when the store had them.
     pub(crate) routes: Vec<(u64, Instant)>,
     pub(crate) key_taken: Option<Instant>,
+    /// The newest weights version.
     pub(crate) weights: u64,
+    pub(crate) named: Vec<NamedWeights>,
+}
+
+/// A weights version that operators have named.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NamedWeights {
+    pub(crate) version: u64,
+    /// When the store first had it.
+    pub(crate) at: Instant,
 }
 
 /// All of it.
@@ -135,6 +151,8 @@
     brittle_times: Mutex<Vec<BrittleTime>>,
     /// Whether engines run several software versions, and mark their events with them.
     pub(crate) has_versions: bool,
+    /// Whether operators name series of weights, and engines take time to load them.
+    pub(crate) has_weights: bool,
     /// How the links of each router's host to servers are cut.
     cuts: Mutex<Vec<Option<LinkCut>>>,
     started: AtomicUsize,
@@ -150,7 +168,13 @@
         let store = FakeStore::start().await?;
         let config = first_config();
         store.put_config(&config);
-        let word = OperatorWord { config, routes: Vec::new(), key_taken: None, weights: 1 };
+        let word = OperatorWord {
+            config,
+            routes: Vec::new(),
+            key_taken: None,
+            weights: FIRST_WEIGHTS,
+            named: Vec::new(),
+        };
         let mut routers = Vec::new();
         for number in 0..plan.routers {
             let link = HostLink::default();
@@ -163,6 +187,8 @@
                 host: format!("host-{number}"),
                 store: store_link.address,
                 few_hosts: plan.few_hosts,
+                weights_bound: plan.weights_bound,
+                lease: plan.lease,
             };
             let callers = LoopbackProxy::start(None).await?;
             routers.push(SoakRouter {
@@ -186,13 +212,18 @@
             limits: Mutex::default(),
             brittle_times: Mutex::default(),
             has_versions: plan.has_versions(),
+            has_weights: plan.has_weights(),
             cuts: Mutex::new(vec![None; plan.routers]),
             started: AtomicUsize::new(0),
         };
-        let extra_engines = if world.has_versions { VERSION_ENGINES } else { 0 };
+        let extra_engines = match (world.has_versions, world.has_weights) {
+            (true, _) => VERSION_ENGINES,
+            (_, true) => WEIGHTS_ENGINES,
+            _ => 0,
+        };
         for number in 0..DESKS + ENGINES + extra_engines {
             let service = if number < DESKS { "desk" } else { "engines" };
-            let server = world.start_server(service, number, FIRST_VERSION).await?;
+            let server = world.start_server(service, number, FIRST_VERSION, FIRST_WEIGHTS).await?;
             lock(&world.servers).push(server);
         }
         for router in &world.routers {
@@ -206,6 +237,7 @@
         service: &'static str,
         place: usize,
         version: u32,
+        weights: u64,
     ) -> io::Result<SoakServer> {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let stand = FakeServer::start(&format!("{service}-{number}"), ServerMode::Echo).await?;
@@ -213,6 +245,10 @@
         if self.has_versions {
             stand.set_software(&format!("v{version}"));
         }
+        stand.set_first_weights(weights);
+        if self.has_weights {
+            stand.set_load_time(LOAD_TIME);
+        }
         let mut proxies: Vec<LoopbackProxy> = Vec::new();
         for (number, router) in self.routers.iter().enumerate() {
             let port = proxies.first().map_or(0, |first| first.address.port());
@@ -240,6 +276,9 @@
     /// Writes a server's entry.
     fn list(&self, server: &SoakServer, state: &str) {
         let (name, address) = (&server.stand.name, server.proxies[0].address);
+        if self.has_weights && server.service == "engines" {
+            return self.store.put_engine(name, address, state, server.stand.weights());
+        }
         let version = json!(format!("v{}", server.version));
         self.store.put_server_of(name, server.service, address, state, &version);
     }
@@ -291,7 +330,7 @@
     /// The same with a software version for its successor.
     pub(crate) async fn upgrade_server(&self, number: usize, version: u32) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number, version).await?;
+        let new = self.start_server(old.service, number, version, FIRST_WEIGHTS).await?;
         self.list(&old, "draining");
         old.left = Some(Instant::now());
         lock(&self.servers)[number] = new;
@@ -302,7 +341,7 @@
     /// The server's entry is removed, as of one that leaves without a notice; another takes its place.
     pub(crate) async fn remove_server(&self, number: usize) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number, old.version).await?;
+        let new = self.start_server(old.service, number, old.version, FIRST_WEIGHTS).await?;
         lock(&self.servers)[number] = new;
         // After the exchange, so that no heartbeat of the old server follows its removal.
         self.store.remove_server(&old.stand.name);
@@ -312,10 +351,12 @@
         Ok(())
     }
 
-    /// The server's process is killed, another takes its place, and its entry expires after this time.
+    /// The server's process is killed, another takes its place, and its entry expires after this time. Where engines
+    /// take time to load weights, the other one has the weights of the killed one.
     pub(crate) async fn kill_server(&self, number: usize, expires: Duration) -> io::Result<()> {
         let mut old = self.server(number);
-        let new = self.start_server(old.service, number, old.version).await?;
+        let weights = if self.has_weights { old.stand.weights() } else { FIRST_WEIGHTS };
+        let new = self.start_server(old.service, number, old.version, weights).await?;
         old.proxies.iter().for_each(LoopbackProxy::close);
         old.stand.kill().await;
         old.left = Some(Instant::now());
@@ -339,7 +380,7 @@
         if old.stand.name != name {
             return Ok(None);
         }
-        let new = self.start_server(old.service, place, old.version).await?;
+        let new = self.start_server(old.service, place, old.version, FIRST_WEIGHTS).await?;
         old.left = Some(Instant::now());
         old.is_removed = true;
         lock(&self.servers)[place] = new;
@@ -353,6 +394,17 @@
         servers.iter().for_each(|server| self.list(server, "ready"));
     }
 
+    /// Operators name a version that is newer by this number, or the newest one again.
+    pub(crate) fn name_weights(&self, step: u64) {
+        let mut word = self.word();
+        word.weights += step;
+        let version = word.weights;
+        self.store.publish_weights(version);
+        if 0 < step {
+            word.named.push(NamedWeights { version, at: Instant::now() });
+        }
+    }
+
     /// Operators and servers write again what the store may have lost.
     pub(crate) fn write_again(&self) {
         let word = self.word().clone();
