Soak: a seed in which a lease outlives all daemons, known to be red

Traced by the logs: the holder was paused and then killed, a host that starts counts the lease from its own listing, and the bound of 4 s passes before the engines are ordered. No prompt began late. The check and its bound stay.

--- a/crates/soak/tests/weights_seeds.rs
+++ b/crates/soak/tests/weights_seeds.rs
@@ -34,6 +34,15 @@
     cause: "all routers are killed soon after a version, none knows its age, and engines on older weights get nothing",
 }];
 
+/// Seeds in which the bound passed before a router could order the engines again.
+const WEIGHTS_ORDER_SEEDS: &[SeedCase] = &[SeedCase {
+    seed: 58114,
+    seconds: 10,
+    kind: PlanKind::Weights,
+    is_calm: true,
+    cause: "the paused holder of the lease is killed with all others, and those that start wait for the lease to expire",
+}];
+
 /// Operators name series of weights versions while routers are stopped and killed and engines load late. Guards against
 /// prompts that begin on older weights beyond the bound of any newer version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -47,3 +56,10 @@
 async fn prompts_are_served_after_all_routers_were_killed() {
     check(WEIGHTS_SERVICE_SEEDS, "weights-service").await;
 }
+
+/// The same where the holder of the lease was paused before. Guards against engines that wait for orders until their
+/// bound has passed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn engines_are_ordered_after_a_paused_holder_was_killed() {
+    check(WEIGHTS_ORDER_SEEDS, "weights-orders").await;
+}
