Comments on ages of weights in the usual terms

Words of our own (tell, in vain) in comments of the new code, found by reading the change as a newcomer.

--- a/crates/dispatch/src/heartbeat_mark.rs
+++ b/crates/dispatch/src/heartbeat_mark.rs
@@ -29,7 +29,7 @@
         is_comparable.then_some(later.offset.0)?.checked_sub(self.offset.0)
     }
 
-    /// Upper bound of the time from this mark to a later one; `None` if it can't be told. Each server that was there
+    /// Upper bound of the time from this mark to a later one; `None` if it is unknown. Each server that was there
     /// at both writes at least once in a heartbeat interval, except while the store is out.
     pub fn max_time_until(&self, later: &HeartbeatMark, interval: Duration) -> Option<Duration> {
         let records = self.records_until(later)?;
--- a/crates/dispatch/src/rollout_plan.rs
+++ b/crates/dispatch/src/rollout_plan.rs
@@ -177,7 +177,7 @@
     }
 
     /// Whether it is the only engine of its zone that serves, and another one of the zone will serve soon. Without
-    /// such another one it would wait in vain. The wait ends at the latest when its own weights are too old.
+    /// such another one the wait would have no end. The wait ends at the latest when its own weights are too old.
     fn is_kept_for_zone(&self, server: &RolloutEngine) -> bool {
         if !server.is_serving(self.bound) {
             return false;
--- a/crates/dispatch/src/weights_record.rs
+++ b/crates/dispatch/src/weights_record.rs
@@ -26,7 +26,7 @@
 
 impl WeightsRecord {
     /// The proofs with their estimated times on this router's clock. `now` is a time at which the servers' topic did
-    /// not extend beyond `end`. `None` if the time since the record can't be told.
+    /// not extend beyond `end`. `None` if the time since the record is unknown.
     ///
     /// An age that began before this machine's boot yields no estimate: the boot would be too late a time.
     pub fn estimates(
@@ -44,7 +44,7 @@
         Some(self.proofs.iter().filter_map(estimate).collect())
     }
 
-    /// Whether a later record would tell nothing that this one does not.
+    /// Whether a later record would add nothing to this one.
     pub fn covers(&self, later: &WeightsRecord) -> bool {
         let has_proof = |version| self.proofs.iter().any(|(known, _)| *known == version);
         let mut outdated = later.proofs.iter().filter(|(version, _)| *version < later.target);
--- a/crates/dispatch/src/weights_report.rs
+++ b/crates/dispatch/src/weights_report.rs
@@ -1,4 +1,4 @@
-//! What routers tell each other of since when weights are outdated.
+//! Reports of routers to each other on since when weights are outdated.
 
 use std::time::Duration;
 
--- a/crates/dispatch/src/weights_table.rs
+++ b/crates/dispatch/src/weights_table.rs
@@ -59,7 +59,7 @@
         self.models.get(model).map_or(&[], WeightsSeries::proofs)
     }
 
-    /// Whether a newer version is wanted and no proof tells since when. An estimate does not count as one.
+    /// Whether a newer version is wanted and no proof shows since when. An estimate does not count as one.
     pub fn is_proof_missing(&self, model: &ModelName, version: WeightsVersion) -> bool {
         let is_outdated = self.target(model).is_some_and(|target| version < target);
         is_outdated && !self.proofs(model).iter().any(|proof| proof.version <= version)
--- a/crates/entry/src/control/weights_recorder.rs
+++ b/crates/entry/src/control/weights_recorder.rs
@@ -65,7 +65,7 @@
         loop {
             match self.write_due().await {
                 RecordStep::Current => {
-                    // Not notified of what other hosts have told.
+                    // Not notified of reports of other hosts.
                     let change = self.state.weights_change.notified();
                     let _notified = timeout(MAX_IDLE_TIME, change).await;
                 }
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -147,7 +147,7 @@
     WeightsNamed = 6005,
     /// An engine has the weights wanted.
     WeightsInPlace = 6006,
-    /// Another router or the store has told since when weights are wanted.
+    /// The age of weights was learned from another router or the store.
     WeightsAgeLearned = 6007,
     /// A prompt was refused since all engines have weights that are too old or of unknown age.
     WeightsRefused = 6008,
