Failing tests: a part of a prompt that crashes engines

Five daemons and eight engines; prompts that share one part and are no two alike come at all hosts, sound ones share the first part with them. The stand-in server's crash rule also matches a shared part of the prompt.

--- a/crates/entry/tests/daemon/crash_fleet.rs
+++ b/crates/entry/tests/daemon/crash_fleet.rs
@@ -27,7 +27,7 @@
 /// In this time hosts receive each other's messages, and a crash is judged.
 pub(crate) const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Daemons, a store and the servers of the plain service `desk`, without proxies in between.
+/// Daemons, a store and the servers of one service, without proxies in between.
 pub(crate) struct CrashFleet {
     pub(crate) store: FakeStore,
     pub(crate) desks: Vec<FakeServer>,
@@ -36,6 +36,7 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     rule: CrashRule,
     mode: ServerMode,
+    service: &'static str,
 }
 
 impl CrashFleet {
@@ -46,6 +47,15 @@
 
     /// The same with this rule and number of servers.
     pub(crate) async fn start_with(rule: CrashRule, servers: usize) -> CrashFleet {
+        CrashFleet::start_service(rule, servers, "desk").await
+    }
+
+    /// The same with servers of another service of the initial configuration.
+    pub(crate) async fn start_service(
+        rule: CrashRule,
+        servers: usize,
+        service: &'static str,
+    ) -> CrashFleet {
         let store = FakeStore::start().await.expect("start the store");
         store.put_config(&patient_config(REQUEST_TIMEOUT_MS));
         let mut fleet = CrashFleet {
@@ -55,9 +65,10 @@
             daemons: Vec::new(),
             rule,
             mode: ServerMode::Echo,
+            service,
         };
         for number in 1..=servers {
-            fleet.start_server(&format!("desk-{number}"), ServerMode::Echo).await;
+            fleet.start_server(&format!("{service}-{number}"), ServerMode::Echo).await;
         }
         for _ in 0..HOSTS {
             fleet.start_host(&json!({})).await;
@@ -79,7 +90,7 @@
 
     pub(crate) fn add_server(&mut self, server: FakeServer) {
         server.set_crash(Some(self.rule));
-        self.store.put_server(&server.name, "desk", server.address, "ready");
+        self.store.put_server(&server.name, self.service, server.address, "ready");
         self.desks.push(server);
     }
 
@@ -184,10 +195,14 @@
         checks.map(|line| format!("{} {}", line["server"], line["verdict"])).collect()
     }
 
+    /// All servers, also those that have ended.
+    pub(crate) fn all_servers(&self) -> impl Iterator<Item = &FakeServer> {
+        self.desks.iter().chain(&self.ended)
+    }
+
     /// Servers that have ended under the crashing request.
     pub(crate) fn crash_count(&self) -> usize {
-        let servers = self.desks.iter().chain(&self.ended);
-        servers.filter(|server| server.has_crashed()).count()
+        self.all_servers().filter(|server| server.has_crashed()).count()
     }
 }
 
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod crash_fleet;
 mod crash_suspects;
+mod crashing_parts;
 mod crashing_requests;
 mod cut_fleet;
 mod departures;
