--- a/crates/dispatch/src/call_facts.rs
+++ b/crates/dispatch/src/call_facts.rs
@@ -7,7 +7,9 @@
 use fulmargate_names::ServiceName;
 use fulmargate_names::TeamName;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_128_with_seed;
 
 use crate::RouteRule;
 
@@ -63,6 +65,22 @@
         }
     }
 
+    /// Keys of the parts but the last, against which crashes of servers count. A part crashes servers by its content,
+    /// whoever sends it, so that the team is not in them.
+    pub fn part_keys(&self) -> Arc<[u128]> {
+        let (Some(service), Some(model)) = (self.service(), &self.model) else {
+            return Arc::from([]);
+        };
+        let mut hasher = Xxh3::new();
+        for name in [service.as_str(), model.as_str()] {
+            hasher.update(&(name.len() as u64).to_le_bytes());
+            hasher.update(name.as_bytes());
+        }
+        let seed = hasher.digest();
+        let shared = self.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| xxh3_128_with_seed(&part.hash.to_le_bytes(), seed)).collect()
+    }
+
     /// Length of the whole prompt in tokens.
     pub fn prompt_tokens(&self) -> u32 {
         self.prompt.iter().map(|part| part.tokens).sum()
--- a/crates/dispatch/src/fleet_record.rs
+++ b/crates/dispatch/src/fleet_record.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::ServerKey;
+use crate::StoredPart;
 use crate::StoredSuspect;
 use crate::WeightsRecord;
 
@@ -95,6 +96,13 @@
     },
     /// Since when versions of a model's weights are outdated. Skipped by earlier versions.
     Weights(WeightsRecord),
+    /// Suspected parts of prompts, of all that the writer knows under this key. Skipped by earlier versions.
+    SuspectParts {
+        /// Distinguishes the keys.
+        slot: u8,
+        /// The parts.
+        entries: Vec<StoredPart>,
+    },
 }
 
 impl FleetRecord {
@@ -108,6 +116,7 @@
             FleetRecord::Suspects { slot, .. } => format!("suspects/{slot}"),
             FleetRecord::Limits { slot, .. } => format!("limits/{slot}"),
             FleetRecord::Weights(record) => format!("weights/{}", record.model),
+            FleetRecord::SuspectParts { slot, .. } => format!("suspect-parts/{slot}"),
         }
     }
 }
--- a/crates/dispatch/src/fleet_state.rs
+++ b/crates/dispatch/src/fleet_state.rs
@@ -142,6 +142,7 @@
             FleetRecord::Restored { .. }
             | FleetRecord::Crash { .. }
             | FleetRecord::Suspects { .. }
+            | FleetRecord::SuspectParts { .. }
             | FleetRecord::Limits { .. }
             | FleetRecord::Weights(_) => {}
         }
--- a/crates/dispatch/src/suspect_record.rs
+++ b/crates/dispatch/src/suspect_record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmargate_names::HostName;
+use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::time::Instant;
@@ -12,6 +13,7 @@
 use crate::CrashNotice;
 use crate::CrashProof;
 use crate::ServerKey;
+use crate::StoredPartCrash;
 use crate::StoredSuspect;
 use crate::SuspectConf;
 use crate::SuspectNotice;
@@ -24,11 +26,47 @@
 /// Interval at which an own claim is published.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(400);
 
-/// A crash that counts against a request.
+/// Retention of a part's record once all its crashes are withdrawn, so that late messages do not bring them back.
+const CLEARED_PART_RETENTION: Duration = Duration::from_secs(30);
+/// A part with fewer crashes is published this many times less often, and not stored.
+const FEW_CRASHES_FACTOR: u32 = 10;
+const MIN_STORED_PART_CRASHES: usize = 2;
+
+/// What crashes count against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SuspectKind {
+    /// A part of prompts.
+    Part,
+    /// A request.
+    Request,
+}
+
+/// A crash that counts against a request or a part.
 #[derive(Clone, Copy, Debug)]
 struct Crash {
     at: Instant,
     proof: CrashProof,
+    /// Begin of the latest run of the part there.
+    began: Option<Instant>,
+    /// Weights of that run.
+    weights: Option<WeightsVersion>,
+}
+
+impl Crash {
+    /// Time from the begin of the latest run of the part to the crash.
+    fn run_time(&self) -> Duration {
+        self.began.map_or(Duration::ZERO, |began| self.at.saturating_duration_since(began))
+    }
+}
+
+/// A crash that counts against a part of prompts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PartCrash {
+    pub(crate) server: ServerKey,
+    pub(crate) at: Instant,
+    /// Begin of the latest run of the part there.
+    pub(crate) began: Instant,
+    pub(crate) proof: CrashProof,
 }
 
 /// A host's claim to run a suspected request.
@@ -51,9 +89,10 @@
     pub(crate) moves: u8,
 }
 
-/// Crashes that count against a request, clearances, and who runs it.
+/// Crashes that count against a request or a part, clearances, and who runs it.
 #[derive(Debug)]
 pub(crate) struct SuspectRecord {
+    pub(crate) kind: SuspectKind,
     crashes: IndexMap<ServerKey, Crash>,
     cleared: IndexSet<ServerKey>,
     claims: IndexMap<HostName, PeerClaim>,
@@ -69,8 +108,9 @@
 }
 
 impl SuspectRecord {
-    pub(crate) fn new(now: Instant) -> SuspectRecord {
+    pub(crate) fn new(kind: SuspectKind, now: Instant) -> SuspectRecord {
         SuspectRecord {
+            kind,
             crashes: IndexMap::new(),
             cleared: IndexSet::new(),
             claims: IndexMap::new(),
@@ -87,12 +127,12 @@
         if self.cleared.contains(&server) {
             return false;
         }
-        let known = self.crashes.get(&server).map(|crash| crash.proof);
-        if known.is_some_and(|known| proof <= known) {
+        let known = self.crashes.get(&server).copied();
+        if known.is_some_and(|known| proof <= known.proof) {
             return false;
         }
-        let at = self.crashes.get(&server).map_or(at, |crash| crash.at.min(at));
-        self.crashes.insert(server, Crash { at, proof });
+        let crash = known.unwrap_or(Crash { at, proof, began: None, weights: None });
+        self.crashes.insert(server, Crash { at: crash.at.min(at), proof, ..crash });
         self.last_seen = if known.is_none() { self.last_seen.max(at) } else { self.last_seen };
         if MAX_KEYS < self.crashes.len() {
             self.crashes.shift_remove_index(0);
@@ -100,6 +140,47 @@
         true
     }
 
+    /// Adds a crash under a run of the part. Returns whether this was new.
+    pub(crate) fn add_part_crash(
+        &mut self,
+        crash: PartCrash,
+        weights: Option<WeightsVersion>,
+    ) -> bool {
+        let is_new = self.add_crash(crash.server, crash.at, crash.proof);
+        if let Some(known) = self.crashes.get_mut(&crash.server) {
+            known.began = known.began.max(Some(crash.began));
+            known.weights = known.weights.max(weights);
+        }
+        is_new
+    }
+
+    /// Withdraws the crashes that a sound run on these weights has followed. Returns their number.
+    pub(crate) fn refute(&mut self, began: Instant, weights: Option<WeightsVersion>) -> usize {
+        let is_refuted = |crash: &Crash| crash.at < began && crash.weights <= weights;
+        let refuted: Vec<ServerKey> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| is_refuted(crash))
+            .map(|(server, _)| *server)
+            .collect();
+        for server in &refuted {
+            self.clear(*server);
+        }
+        refuted.len()
+    }
+
+    /// Crashes with at least this proof.
+    pub(crate) fn part_crashes(&self, proof: CrashProof) -> Vec<PartCrash> {
+        let proven = self.crashes.iter().filter(|(_, crash)| proof <= crash.proof);
+        let part_crash = |(server, crash): (&ServerKey, &Crash)| PartCrash {
+            server: *server,
+            at: crash.at,
+            began: crash.began.unwrap_or(crash.at),
+            proof: crash.proof,
+        };
+        proven.map(part_crash).collect()
+    }
+
     /// Clears the request of a crash. Returns whether this was new.
     pub(crate) fn clear(&mut self, server: ServerKey) -> bool {
         self.crashes.shift_remove(&server);
@@ -139,7 +220,10 @@
 
     /// Whether there is anything that the store should keep.
     pub(crate) fn is_worth_storing(&self) -> bool {
-        0 < self.confirmed() || !self.cleared.is_empty()
+        match self.kind {
+            SuspectKind::Request => 0 < self.confirmed() || !self.cleared.is_empty(),
+            SuspectKind::Part => MIN_STORED_PART_CRASHES <= self.confirmed() + self.cleared.len(),
+        }
     }
 
     /// Time of the latest crash or clearance.
@@ -206,6 +290,9 @@
 
     /// Schedules the next publication after one.
     pub(crate) fn mark_published(&mut self, refresh_interval: Duration, now: Instant) {
+        let is_minor = self.kind == SuspectKind::Part && self.possible() < MIN_STORED_PART_CRASHES;
+        let refresh_interval =
+            if is_minor { refresh_interval * FEW_CRASHES_FACTOR } else { refresh_interval };
         let delay = REPEAT_DELAYS.get(self.repeats).copied().unwrap_or(refresh_interval);
         self.repeats += 1;
         let delay = if self.own_claim.is_some() { delay.min(CLAIM_INTERVAL) } else { delay };
@@ -224,14 +311,21 @@
         self.crashes.retain(|_, crash| is_valid(crash));
         self.claims.retain(|_, claim| now < claim.expires);
         let has_evidence = !self.crashes.is_empty() || !self.cleared.is_empty();
-        self.own_claim.is_some() || (has_evidence && self.age(now) < conf.retention)
+        let retention = match self.kind {
+            SuspectKind::Part if self.crashes.is_empty() => CLEARED_PART_RETENTION,
+            _ => conf.retention,
+        };
+        self.own_claim.is_some() || (has_evidence && self.age(now) < retention)
     }
 
     pub(crate) fn notice(&self, fingerprint: u128, now: Instant) -> SuspectNotice {
         let crash_notice = |(server, crash): (&ServerKey, &Crash)| {
             let age = now.saturating_duration_since(crash.at).as_millis();
             let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-            CrashNotice { server: *server, age_ms, proof: crash.proof }
+            let run = crash.run_time();
+            let run_ms = u32::try_from(run.as_millis()).unwrap_or(u32::MAX);
+            let (server, weights) = (*server, crash.weights);
+            CrashNotice { server, age_ms, proof: crash.proof, run_ms, weights }
         };
         SuspectNotice {
             fingerprint,
@@ -260,11 +354,41 @@
         Some(StoredSuspect { fingerprint, crashes, cleared, last_crash_s })
     }
 
+    /// The confirmed crashes, as the store keeps those of a part.
+    pub(crate) fn stored_part_crashes(
+        &self,
+        unix_now: Duration,
+        now: Instant,
+    ) -> Vec<StoredPartCrash> {
+        let confirmed =
+            self.crashes.iter().filter(|(_, crash)| crash.proof == CrashProof::Confirmed);
+        let stored = |(server, crash): (&ServerKey, &Crash)| {
+            let age = now.saturating_duration_since(crash.at);
+            let run = crash.run_time();
+            StoredPartCrash {
+                server: *server,
+                at_ms: unix_now.saturating_sub(age).as_millis() as u64,
+                run_ms: u32::try_from(run.as_millis()).unwrap_or(u32::MAX),
+                weights: crash.weights,
+            }
+        };
+        confirmed.map(stored).collect()
+    }
+
+    /// Clearances, for the store.
+    pub(crate) fn cleared_servers(&self) -> Vec<ServerKey> {
+        self.cleared.iter().copied().collect()
+    }
+
     /// Whether the store's entry has all that is known here.
     pub(crate) fn is_covered_by(&self, stored: &StoredSuspect) -> bool {
-        let knows =
-            |server: &ServerKey| stored.crashes.contains(server) || stored.cleared.contains(server);
-        let mut crashes = self.crashes.keys().filter(|server| self.is_confirmed(**server));
-        crashes.all(knows) && self.cleared.iter().all(|server| stored.cleared.contains(server))
+        self.is_covered(&stored.crashes, &stored.cleared)
+    }
+
+    /// Whether these crashes and clearances are all that is known here.
+    pub(crate) fn is_covered(&self, crashes: &[ServerKey], cleared: &[ServerKey]) -> bool {
+        let knows = |server: &ServerKey| crashes.contains(server) || cleared.contains(server);
+        let mut confirmed = self.crashes.keys().filter(|server| self.is_confirmed(**server));
+        confirmed.all(knows) && self.cleared.iter().all(|server| cleared.contains(server))
     }
 }
--- a/crates/dispatch/src/suspect_report.rs
+++ b/crates/dispatch/src/suspect_report.rs
@@ -1,5 +1,6 @@
 //! What routers exchange about requests that crash servers.
 
+use fulmargate_names::WeightsVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,19 +13,22 @@
     pub suspects: Vec<SuspectNotice>,
     /// Connections that the sender tried to servers which may have crashed.
     pub probes: Vec<ProbeNotice>,
+    /// Suspected parts of prompts, by their keys. Encoded in an extension of its own, as earlier versions do not know it.
+    #[serde(skip)]
+    pub parts: Vec<SuspectNotice>,
 }
 
 impl SuspectReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.probes.is_empty()
+        self.suspects.is_empty() && self.probes.is_empty() && self.parts.is_empty()
     }
 }
 
-/// What the sender knows of one request.
+/// What the sender knows of one request or part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNotice {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request, or key of the part.
     pub fingerprint: u128,
     /// Server incarnations that crashed while they ran it.
     pub crashes: Vec<CrashNotice>,
@@ -43,6 +47,12 @@
     pub age_ms: u32,
     /// Whether the crash is confirmed.
     pub proof: CrashProof,
+    /// Milliseconds from the begin of the latest run of the part there to the crash. Encoded in the extension of parts.
+    #[serde(skip)]
+    pub run_ms: u32,
+    /// Weights of that run. Encoded in the same extension.
+    #[serde(skip)]
+    pub weights: Option<WeightsVersion>,
 }
 
 /// Evidence of a crash.
@@ -125,3 +135,27 @@
     /// Time of the last crash, in seconds since 1970.
     pub last_crash_s: u64,
 }
+
+/// What the store keeps of one suspected part of prompts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredPart {
+    /// Key of the part.
+    pub part: u128,
+    /// Confirmed crashes.
+    pub crashes: Vec<StoredPartCrash>,
+    /// Crashes that it was cleared of.
+    pub cleared: Vec<ServerKey>,
+}
+
+/// A confirmed crash of a suspected part, in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredPartCrash {
+    /// The server incarnation.
+    pub server: ServerKey,
+    /// Time of the crash, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// Milliseconds from the begin of the latest run of the part there to the crash.
+    pub run_ms: u32,
+    /// Weights of that run.
+    pub weights: Option<WeightsVersion>,
+}
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -1,7 +1,9 @@
 //! Requests that crash the servers that run them, as known to one host.
 
 mod checks;
+mod parts;
 mod storage;
+mod stored_parts;
 mod turns;
 
 use std::time::Duration;
@@ -17,16 +19,20 @@
 use crate::ClaimStage;
 use crate::CrashProof;
 use crate::RunEnd;
+use crate::RunSubject;
 use crate::ServerKey;
+use crate::SuspectKind;
+use crate::SuspectNotice;
 use crate::SuspectReport;
 use crate::completed_set::CompletedSet;
+use crate::part_verdicts::PartVerdicts;
 use crate::run_log::RunLog;
 use crate::suspect_record::SuspectRecord;
 
-/// Upper bound on tracked requests. Those with the fewest crashes are dropped first, then the oldest.
-const MAX_TRACKED_REQUESTS: usize = 4_096;
-/// Requests in a report. The others follow in the next ones.
-const MAX_REPORTED_REQUESTS: usize = 64;
+/// Upper bound on tracked requests and parts. Those with the fewest crashes are dropped first, then the oldest.
+const MAX_TRACKED: usize = 4_096;
+/// Requests in a report, and parts. The others follow in the next ones.
+const MAX_REPORTED: usize = 64;
 /// Interval at which a request that has to wait tries again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which a host's claim counts after its last report. Longer than two publications of it are apart.
@@ -70,10 +76,12 @@
     Convicted,
 }
 
-/// A change of the evidence on a request.
+/// A change of the evidence on a request or a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectChange {
-    /// Fingerprint of the request.
+    /// What the crash counts against.
+    pub kind: SuspectKind,
+    /// Fingerprint of the request, or key of the part.
     pub fingerprint: u128,
     /// The server that crashed.
     pub server: ServerKey,
@@ -81,13 +89,13 @@
     pub age: Duration,
     /// Whether the crash is confirmed.
     pub proof: CrashProof,
-    /// Confirmed crashes that count against the request.
+    /// Confirmed crashes that count against it.
     pub crashes: usize,
     /// Whether it is convicted.
     pub is_convicted: bool,
 }
 
-/// Evidence on requests that crash servers, merged from this host's findings, gossip and the store.
+/// Evidence on requests and parts of prompts that crash servers, merged from this host's findings, gossip and the store.
 ///
 /// A request with a crash on record is suspected: it runs once at a time over all hosts, and apart from other suspects.
 /// A host that wants to run it publishes a claim of a server, and waits until the others must have received it.
@@ -101,6 +109,10 @@
     completed: CompletedSet,
     checks: IndexMap<ServerKey, ServerCheck>,
     probes: IndexMap<ServerKey, ProbeRecord>,
+    /// What follows from the records of parts; `None` if these have changed since.
+    verdicts: Option<PartVerdicts>,
+    /// Requests of this host that wait for a trial of a part, or run in one.
+    open_trials: IndexMap<u128, usize>,
     /// Time after which the other hosts have received a published claim.
     settle_time: Duration,
     next_ticket: u64,
@@ -117,6 +129,8 @@
             completed: CompletedSet::default(),
             checks: IndexMap::new(),
             probes: IndexMap::new(),
+            verdicts: None,
+            open_trials: IndexMap::new(),
             settle_time: Duration::ZERO,
             next_ticket: 0,
         }
@@ -150,7 +164,13 @@
         self.records.get(&fingerprint).is_some_and(|record| 0 < record.possible())
     }
 
-    /// Incarnations of servers that count against the request.
+    /// Whether crashes that are not all confirmed hold the request back.
+    pub fn is_held_back(&self, fingerprint: u128) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| self.conf.max_crashes <= record.possible())
+    }
+
+    /// Incarnations of servers that count against the request or the part.
     pub fn crashed_servers(&self, fingerprint: u128) -> Vec<ServerKey> {
         self.records.get(&fingerprint).map_or_else(Vec::new, SuspectRecord::servers)
     }
@@ -164,9 +184,9 @@
         }
     }
 
-    /// Registers a run of a request at a server. Returns its id.
-    pub fn begin_run(&mut self, fingerprint: u128, server: ServerKey) -> u64 {
-        self.runs.begin(fingerprint, server)
+    /// Registers a run at a server. Returns its id.
+    pub fn begin_run(&mut self, subject: RunSubject, server: ServerKey, now: Instant) -> u64 {
+        self.runs.begin(subject, server, now)
     }
 
     /// Registers the end of a run.
@@ -202,29 +222,56 @@
         let refresh_interval = (REFRESH_INTERVAL_PER_HOST * hosts as u32).max(MIN_REFRESH_INTERVAL);
         let conf = self.conf;
         self.records.retain(|_, record| record.retain(&conf, now));
-        let mut due: Vec<(Instant, u128)> = Vec::new();
+        self.verdicts = None;
+        SuspectReport {
+            suspects: self.take_notices(SuspectKind::Request, refresh_interval, now),
+            probes: self.probe_notices(now),
+            parts: self.take_notices(SuspectKind::Part, refresh_interval, now),
+        }
+    }
+
+    /// Notices on the records of this kind that are due, those with the most crashes first.
+    fn take_notices(
+        &mut self,
+        kind: SuspectKind,
+        refresh_interval: Duration,
+        now: Instant,
+    ) -> Vec<SuspectNotice> {
+        let mut due: Vec<(usize, Instant, u128)> = Vec::new();
         for (fingerprint, record) in &self.records {
-            if record.publish_at <= now {
-                due.push((record.publish_at, *fingerprint));
+            if record.kind == kind && record.publish_at <= now {
+                let minor = match kind {
+                    SuspectKind::Part => usize::MAX - record.possible(),
+                    SuspectKind::Request => 0,
+                };
+                due.push((minor, record.publish_at, *fingerprint));
             }
         }
         due.sort_unstable();
-        due.truncate(MAX_REPORTED_REQUESTS);
-        let mut suspects = Vec::new();
-        for (_, fingerprint) in due {
+        due.truncate(MAX_REPORTED);
+        let mut notices = Vec::new();
+        for (.., fingerprint) in due {
+            let running_at = self.running_at(kind, fingerprint, now);
             let Some(record) = self.records.get_mut(&fingerprint) else { continue };
             let mut notice = record.notice(fingerprint, now);
-            let running_at = self.runs.servers_of(fingerprint).next();
             let running_at = running_at.filter(|_| record.possible() != 0);
             if let Some(server) = running_at {
                 notice.claim =
                     Some(ClaimNotice { stage: ClaimStage::Running, server: Some(server) });
             }
             let is_running = running_at.is_some();
-            suspects.push(notice);
+            notices.push(notice);
             record.mark_published(if is_running { CLAIM_TTL / 4 } else { refresh_interval }, now);
         }
-        SuspectReport { suspects, probes: self.probe_notices(now) }
+        notices
+    }
+
+    /// A server at which the request is in flight, or a run with the part may still crash it.
+    fn running_at(&self, kind: SuspectKind, fingerprint: u128, now: Instant) -> Option<ServerKey> {
+        match kind {
+            SuspectKind::Request => self.runs.servers_of(fingerprint).next(),
+            SuspectKind::Part => self.runs.starting_at(fingerprint, now),
+        }
     }
 
     /// Merges the report of another host. Returns what it has changed.
@@ -239,7 +286,7 @@
         for notice in &report.suspects {
             let fingerprint = notice.fingerprint;
             for server in &notice.cleared {
-                self.merge_clearance(fingerprint, *server, now);
+                self.merge_clearance(SuspectKind::Request, fingerprint, *server, now);
             }
             for crash in &notice.crashes {
                 let age = Duration::from_millis(u64::from(crash.age_ms));
@@ -248,18 +295,29 @@
                     changes.extend(change);
                 }
             }
-            let is_running = self.runs.runs(fingerprint);
-            if let Some(record) = self.records.get_mut(&fingerprint) {
-                record.set_claim(from, notice.claim, now + CLAIM_TTL);
-                // The others must not run what is in flight here.
-                if is_running && notice.claim.is_some() {
-                    record.mark_changed(now);
-                }
-            }
+            self.merge_claim(SuspectKind::Request, from, notice, now);
         }
+        self.merge_parts(from, report, now, &mut changes);
         changes
     }
 
+    fn merge_claim(
+        &mut self,
+        kind: SuspectKind,
+        from: &HostName,
+        notice: &SuspectNotice,
+        now: Instant,
+    ) {
+        let is_running = self.running_at(kind, notice.fingerprint, now).is_some();
+        if let Some(record) = self.records.get_mut(&notice.fingerprint) {
+            record.set_claim(from, notice.claim, now + CLAIM_TTL);
+            // The others must not run what is in flight here.
+            if is_running && notice.claim.is_some() {
+                record.mark_changed(now);
+            }
+        }
+    }
+
     /// Adds a crash that another host has found.
     fn merge_crash(
         &mut self,
@@ -279,7 +337,7 @@
         if proof == CrashProof::Suspected {
             self.want_probe(server, now);
         }
-        let record = self.record_mut(fingerprint, now);
+        let record = self.record_mut(SuspectKind::Request, fingerprint, now);
         if !record.add_crash(server, at, proof) {
             return None;
         }
@@ -297,7 +355,7 @@
 
     /// Clears the request of a crash that another host counts against it.
     fn refute_crash(&mut self, fingerprint: u128, server: ServerKey, now: Instant) {
-        let record = self.record_mut(fingerprint, now);
+        let record = self.record_mut(SuspectKind::Request, fingerprint, now);
         if record.clear(server) {
             record.mark_changed(now);
             record.write_at = Some(now);
@@ -311,9 +369,15 @@
         requests
     }
 
-    fn merge_clearance(&mut self, fingerprint: u128, server: ServerKey, now: Instant) {
+    fn merge_clearance(
+        &mut self,
+        kind: SuspectKind,
+        fingerprint: u128,
+        server: ServerKey,
+        now: Instant,
+    ) {
         let repair_at = now + self.repair_delay(fingerprint);
-        let record = self.record_mut(fingerprint, now);
+        let record = self.record_mut(kind, fingerprint, now);
         if record.clear(server) {
             record.write_at.get_or_insert(repair_at);
         }
@@ -328,28 +392,37 @@
     ) -> SuspectChange {
         let crashes = self.records.get(&fingerprint).map_or(0, SuspectRecord::confirmed);
         let is_convicted = self.conf.max_crashes <= crashes;
-        SuspectChange { fingerprint, server, age, proof, crashes, is_convicted }
+        let kind = SuspectKind::Request;
+        SuspectChange { kind, fingerprint, server, age, proof, crashes, is_convicted }
     }
 
     fn has(&self, fingerprint: u128) -> bool {
         self.records.contains_key(&fingerprint)
     }
 
-    /// The record of a request, created if there is none.
-    fn record_mut(&mut self, fingerprint: u128, now: Instant) -> &mut SuspectRecord {
-        if MAX_TRACKED_REQUESTS <= self.records.len() && !self.has(fingerprint) {
+    /// The record of a request or a part, created if there is none.
+    fn record_mut(
+        &mut self,
+        kind: SuspectKind,
+        fingerprint: u128,
+        now: Instant,
+    ) -> &mut SuspectRecord {
+        if MAX_TRACKED <= self.records.len() && !self.has(fingerprint) {
             self.evict_least();
         }
-        self.records.entry(fingerprint).or_insert_with(|| SuspectRecord::new(now))
+        self.records.entry(fingerprint).or_insert_with(|| SuspectRecord::new(kind, now))
     }
 
     fn evict_least(&mut self) {
+        // A crash makes more parts suspected than requests.
         let rank = |record: &SuspectRecord| {
-            (record.own_claim.is_some(), record.confirmed(), record.possible(), record.last_seen())
+            let crashes = (record.confirmed(), record.possible());
+            (record.own_claim.is_some(), crashes, record.kind, record.last_seen())
         };
         let least = self.records.iter().min_by_key(|(_, record)| rank(record));
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.records.swap_remove(&fingerprint);
+            self.verdicts = None;
         }
     }
 }
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -15,6 +15,7 @@
 use crate::ProbeOutcome;
 use crate::ServerKey;
 use crate::SuspectChange;
+use crate::SuspectKind;
 use crate::SuspectReport;
 use crate::SuspectTable;
 
@@ -108,11 +109,14 @@
             if outcome == ProbeOutcome::Reached && !self.is_suspected(fingerprint) {
                 continue;
             }
-            let record = self.record_mut(fingerprint, now);
+            let record = self.record_mut(SuspectKind::Request, fingerprint, now);
             if record.add_crash(server, broken_at, CrashProof::Suspected) {
                 record.mark_changed(now);
             }
         }
+        if outcome != ProbeOutcome::Reached {
+            self.suspect_parts_at(server, broken_at, now);
+        }
     }
 
     /// Records that a connection attempt of a check was inconclusive, so that another one is needed.
@@ -152,6 +156,7 @@
     /// Drops the suspicions that rest on a server which hosts reach. Those of requests with other crashes on record
     /// stay until the check ends: the server may have ended and be back.
     pub fn drop_suspicions(&mut self, server: ServerKey, now: Instant) {
+        self.verdicts = None;
         for record in self.records.values_mut() {
             if record.possible() == 1 && record.drop_suspected(server) {
                 record.mark_changed(now);
@@ -167,6 +172,7 @@
         now: Instant,
     ) -> Vec<SuspectChange> {
         let Some(check) = self.checks.swap_remove(&server) else { return Vec::new() };
+        self.verdicts = None;
         if !matches!(verdict, CheckVerdict::Crashed(_)) {
             for record in self.records.values_mut() {
                 if record.drop_suspected(server) {
@@ -182,13 +188,14 @@
         let age = now.saturating_duration_since(broken_at);
         let mut changes = Vec::new();
         for fingerprint in self.suspects_at(server, broken_at, now) {
-            let record = self.record_mut(fingerprint, now);
+            let record = self.record_mut(SuspectKind::Request, fingerprint, now);
             if record.add_crash(server, broken_at, CrashProof::Confirmed) {
                 record.mark_changed(now);
                 record.write_at = Some(now);
                 changes.push(self.change(fingerprint, server, CrashProof::Confirmed, age));
             }
         }
+        self.confirm_parts_at(server, broken_at, now, &mut changes);
         changes
     }
 
--- a/crates/dispatch/src/suspect_table/storage.rs
+++ b/crates/dispatch/src/suspect_table/storage.rs
@@ -12,6 +12,7 @@
 use crate::FleetRecord;
 use crate::StoredSuspect;
 use crate::SuspectChange;
+use crate::SuspectKind;
 use crate::SuspectTable;
 
 /// Number of keys. A starting host reads them all.
@@ -30,19 +31,22 @@
         let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
         let mut slots: Vec<u8> = Vec::new();
         for (fingerprint, record) in &self.records {
-            if is_due(record.write_at) {
+            if record.kind == SuspectKind::Request && is_due(record.write_at) {
                 slots.push(slot_of(*fingerprint));
             }
         }
         slots.sort_unstable();
         slots.dedup();
-        slots.into_iter().map(|slot| self.take_slot(slot, unix_now, now)).collect()
+        let mut records: Vec<FleetRecord> =
+            slots.into_iter().map(|slot| self.take_slot(slot, unix_now, now)).collect();
+        records.extend(self.take_part_writes(unix_now, now));
+        records
     }
 
     fn take_slot(&mut self, slot: u8, unix_now: Duration, now: Instant) -> FleetRecord {
         let mut entries = Vec::new();
         for (fingerprint, record) in &mut self.records {
-            if slot_of(*fingerprint) == slot {
+            if record.kind == SuspectKind::Request && slot_of(*fingerprint) == slot {
                 record.write_at = None;
                 entries.extend(record.stored(*fingerprint, unix_now, now));
             }
@@ -57,9 +61,13 @@
     /// Writes the requests of these records again later.
     pub fn write_failed(&mut self, records: &[FleetRecord], now: Instant) {
         for record in records {
-            let FleetRecord::Suspects { slot, .. } = record else { continue };
+            let (slot, kind) = match record {
+                FleetRecord::Suspects { slot, .. } => (slot, SuspectKind::Request),
+                FleetRecord::SuspectParts { slot, .. } => (slot, SuspectKind::Part),
+                _ => continue,
+            };
             for (fingerprint, record) in &mut self.records {
-                if slot_of(*fingerprint) == *slot {
+                if record.kind == kind && slot_of(*fingerprint) == *slot {
                     record.write_at = Some(now + WRITE_RETRY_DELAY);
                 }
             }
@@ -95,7 +103,7 @@
             return changes;
         }
         for server in &entry.cleared {
-            self.merge_clearance(entry.fingerprint, *server, now);
+            self.merge_clearance(SuspectKind::Request, entry.fingerprint, *server, now);
         }
         for server in &entry.crashes {
             let (print, proof) = (entry.fingerprint, CrashProof::Confirmed);
@@ -111,13 +119,17 @@
             if !listed_keys.contains(&key.as_str()) {
                 self.reconcile_slot(slot, &[], now);
             }
+            let key = FleetRecord::SuspectParts { slot, entries: Vec::new() }.key();
+            if !listed_keys.contains(&key.as_str()) {
+                self.reconcile_part_slot(slot, &[], now);
+            }
         }
     }
 
     fn reconcile_slot(&mut self, slot: u8, entries: &[StoredSuspect], now: Instant) {
         let own_order = |fingerprint| repair_delay(self.own.as_str(), fingerprint);
         for (fingerprint, record) in &mut self.records {
-            if slot_of(*fingerprint) != slot {
+            if record.kind != SuspectKind::Request || slot_of(*fingerprint) != slot {
                 continue;
             }
             let stored = entries.iter().find(|entry| entry.fingerprint == *fingerprint);
@@ -136,11 +148,11 @@
     }
 }
 
-fn repair_delay(host: &str, fingerprint: u128) -> Duration {
+pub(super) fn repair_delay(host: &str, fingerprint: u128) -> Duration {
     let hash = xxh3_64_with_seed(host.as_bytes(), fingerprint as u64);
     MIN_REPAIR_DELAY + Duration::from_millis(hash % REPAIR_DELAY_RANGE_MS)
 }
 
-fn slot_of(fingerprint: u128) -> u8 {
+pub(super) fn slot_of(fingerprint: u128) -> u8 {
     (fingerprint % KEY_COUNT) as u8
 }
--- a/crates/dispatch/src/suspect_table/turns.rs
+++ b/crates/dispatch/src/suspect_table/turns.rs
@@ -8,6 +8,7 @@
 use crate::ClaimStage;
 use crate::RunStep;
 use crate::ServerKey;
+use crate::SuspectKind;
 use crate::SuspectTable;
 use crate::suspect_record::OwnClaim;
 use crate::suspect_record::SuspectRecord;
@@ -111,6 +112,9 @@
         let conf = self.conf;
         let Some(record) = self.records.get_mut(&fingerprint) else { return Some(RunStep::Run) };
         let is_kept = record.retain(&conf, now);
+        if record.kind == SuspectKind::Part {
+            return (!is_kept || record.possible() == 0).then_some(RunStep::Run);
+        }
         if conf.max_crashes <= record.confirmed() && is_kept {
             return Some(RunStep::Convicted);
         }
@@ -124,9 +128,9 @@
     fn runs_elsewhere(&self, fingerprint: u128, now: Instant) -> bool {
         let own_order = claim_order(fingerprint, &self.own);
         let goes_first = |host: &HostName| claim_order(fingerprint, host) < own_order;
-        let record = self.records.get(&fingerprint);
-        self.runs.runs(fingerprint)
-            || record.is_some_and(|record| record.is_claimed_by_others(goes_first, now))
+        let Some(record) = self.records.get(&fingerprint) else { return false };
+        self.running_at(record.kind, fingerprint, now).is_some()
+            || record.is_claimed_by_others(goes_first, now)
     }
 
     /// Publishes a claim of the best server; none if the request has to wait for one.
@@ -228,7 +232,10 @@
                 continue;
             }
             let mut claims = record.claimed_servers(now);
-            claims.extend(self.runs.servers_of(*other).map(|server| (server, ClaimStage::Running)));
+            if record.kind == SuspectKind::Request {
+                let running = self.runs.servers_of(*other);
+                claims.extend(running.map(|server| (server, ClaimStage::Running)));
+            }
             for (server, stage) in claims {
                 let goes_first = stage == ClaimStage::Running || request_order(*other) < own_order;
                 if scope == ClaimScope::First && !goes_first {
--- a/crates/dispatch/tests/suspect_crowd.rs
+++ b/crates/dispatch/tests/suspect_crowd.rs
@@ -7,6 +7,7 @@
 use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::RunEnd;
 use fulmargate_dispatch::RunStep;
+use fulmargate_dispatch::RunSubject;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectConf;
 use fulmargate_dispatch::SuspectReport;
@@ -229,7 +230,11 @@
     fn begin(&mut self, number: usize, ticket: u64, server: usize) {
         let request = &mut self.requests[number];
         let incarnation = self.servers[server].key;
-        let run = self.tables[request.host].begin_run(request.fingerprint, incarnation);
+        let run = self.tables[request.host].begin_run(
+            RunSubject::plain(request.fingerprint),
+            incarnation,
+            self.now,
+        );
         let time = if request.is_guilty { CRASH_TIME } else { RUN_TIME };
         let until = self.now + time;
         request.state = SendState::Running { ticket, run, server, incarnation, until };
--- a/crates/dispatch/tests/suspect_model.rs
+++ b/crates/dispatch/tests/suspect_model.rs
@@ -7,6 +7,7 @@
 use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::RunEnd;
 use fulmargate_dispatch::RunStep;
+use fulmargate_dispatch::RunSubject;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectConf;
 use fulmargate_dispatch::SuspectReport;
@@ -225,7 +226,7 @@
 
     fn begin(&mut self, at: usize, ticket: u64) -> SendState {
         let server = ServerKey(self.dice.random());
-        let run = self.tables[at].begin_run(PRINT, server);
+        let run = self.tables[at].begin_run(RunSubject::plain(PRINT), server, self.now);
         self.last_send = self.now;
         SendState::Running { ticket, run, server, crashes_at: self.now + CRASH_TIME }
     }
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -16,6 +16,7 @@
 use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::RunEnd;
 use fulmargate_dispatch::RunStep;
+use fulmargate_dispatch::RunSubject;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::StoredSuspect;
 use fulmargate_dispatch::SuspectConf;
@@ -49,7 +50,7 @@
 
 /// The server crashes while this host runs the request there, and the host finds out.
 fn crash(table: &mut SuspectTable, fingerprint: u128, server: ServerKey, now: Instant) {
-    let run = table.begin_run(fingerprint, server);
+    let run = table.begin_run(RunSubject::plain(fingerprint), server, now);
     table.begin_check(server, now);
     table.end_run(run, RunEnd::Unclear, now);
     table.record_probe(server, ProbeOutcome::Failed, now);
@@ -251,7 +252,7 @@
     ];
     for case in cases {
         let (mut table, start) = (table(0), Instant::now());
-        let run = table.begin_run(PRINT, key("a"));
+        let run = table.begin_run(RunSubject::plain(PRINT), key("a"), start);
         table.end_run(run, case.end, start);
         crash(&mut table, 8, key("a"), start + case.age);
         let crashes = table.crash_count(PRINT, start + case.age);
@@ -423,7 +424,7 @@
         cleared: Vec::new(),
         claim: Some(ClaimNotice { stage: ClaimStage::Running, server: Some(key("b")) }),
     };
-    let report = SuspectReport { suspects: vec![claim], probes: Vec::new() };
+    let report = SuspectReport { suspects: vec![claim], probes: Vec::new(), parts: Vec::new() };
     table.merge(&host(1), &report, now);
     let ticket = table.issue_ticket();
     let start = now;
@@ -449,6 +450,7 @@
             reaches_service: true,
             is_question: false,
         }],
+        parts: Vec::new(),
     };
     table.merge(&host(1), &probe(500, true), now);
     table.begin_check(key("a"), now);
@@ -540,11 +542,18 @@
 
 /// Reports of one crash each for these requests.
 fn merge_suspects(table: &mut SuspectTable, fingerprints: std::ops::Range<u128>, now: Instant) {
-    let crash = CrashNotice { server: key("d"), age_ms: 0, proof: CrashProof::Confirmed };
+    let crash = CrashNotice {
+        server: key("d"),
+        age_ms: 0,
+        proof: CrashProof::Confirmed,
+        run_ms: 0,
+        weights: None,
+    };
     for fingerprint in fingerprints {
         let notice =
             SuspectNotice { fingerprint, crashes: vec![crash], cleared: Vec::new(), claim: None };
-        let report = SuspectReport { suspects: vec![notice], probes: Vec::new() };
+        let report =
+            SuspectReport { suspects: vec![notice], probes: Vec::new(), parts: Vec::new() };
         table.merge(&host(1), &report, now);
     }
 }
@@ -577,7 +586,7 @@
 
 /// A host whose connections to a server break, and fail after that.
 fn begin_failed_check(table: &mut SuspectTable, now: Instant) {
-    let run = table.begin_run(PRINT, key("a"));
+    let run = table.begin_run(RunSubject::plain(PRINT), key("a"), now);
     table.begin_check(key("a"), now);
     table.end_run(run, RunEnd::Unclear, now);
     table.record_probe(key("a"), ProbeOutcome::Isolated, now);
--- a/crates/entry/src/control/fleet_codec.rs
+++ b/crates/entry/src/control/fleet_codec.rs
@@ -18,6 +18,7 @@
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectNotice;
 use fulmargate_dispatch::SuspectReport;
+use fulmargate_names::WeightsVersion;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -123,6 +124,45 @@
     mixed_services: Option<Vec<u64>>,
 }
 
+/// Tenth extension.
+#[derive(Serialize, Deserialize)]
+struct PartExtension {
+    parts: Vec<SuspectNotice>,
+    /// Claimed servers, by part.
+    claimed: Vec<Option<ServerKey>>,
+    /// Milliseconds from the begin of the latest run to the crash and the weights of that run, by part and crash.
+    runs: Vec<Vec<(u32, Option<WeightsVersion>)>>,
+}
+
+impl PartExtension {
+    fn of(parts: &[SuspectNotice]) -> PartExtension {
+        let runs = |part: &SuspectNotice| {
+            part.crashes.iter().map(|crash| (crash.run_ms, crash.weights)).collect()
+        };
+        let claimed = |part: &SuspectNotice| part.claim.and_then(|claim| claim.server);
+        PartExtension {
+            parts: parts.to_vec(),
+            claimed: parts.iter().map(claimed).collect(),
+            runs: parts.iter().map(runs).collect(),
+        }
+    }
+
+    fn into_parts(self) -> Vec<SuspectNotice> {
+        let mut parts = self.parts;
+        for (part, server) in parts.iter_mut().zip(self.claimed) {
+            if let Some(claim) = &mut part.claim {
+                claim.server = server;
+            }
+        }
+        for (part, runs) in parts.iter_mut().zip(self.runs) {
+            for (crash, run) in part.crashes.iter_mut().zip(runs) {
+                (crash.run_ms, crash.weights) = run;
+            }
+        }
+        parts
+    }
+}
+
 impl DetailExtension {
     fn of(gossip: &GossipMessage) -> DetailExtension {
         let limits = gossip.limits.as_ref();
@@ -176,6 +216,8 @@
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let extension = VersionExtension { mixed_services: gossip.mixed_services.clone() };
     message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    let extension = PartExtension::of(&gossip.suspects.parts);
+    message.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
     let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&message);
     Ok(bytes)
@@ -213,6 +255,9 @@
     if let Some(extension) = take_extension::<VersionExtension>(&mut rest)? {
         gossip.mixed_services = extension.mixed_services;
     }
+    if let Some(extension) = take_extension::<PartExtension>(&mut rest)? {
+        gossip.suspects.parts = extension.into_parts();
+    }
     Ok(gossip)
 }
 
--- a/crates/entry/src/control/fleet_codec/tests.rs
+++ b/crates/entry/src/control/fleet_codec/tests.rs
@@ -84,7 +84,13 @@
 /// Guards against evidence on crashing requests that is lost in the encoding.
 #[test]
 fn suspect_reports_round_trip() {
-    let crash = CrashNotice { server: ServerKey(5), age_ms: 40, proof: CrashProof::Suspected };
+    let crash = CrashNotice {
+        server: ServerKey(5),
+        age_ms: 40,
+        proof: CrashProof::Suspected,
+        run_ms: 0,
+        weights: None,
+    };
     let notice = SuspectNotice {
         fingerprint: 1 << 100,
         crashes: vec![crash],
@@ -98,7 +104,10 @@
         reaches_service: true,
         is_question: true,
     };
-    let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe] };
+    let run = CrashNotice { run_ms: 70, weights: Some(WeightsVersion(4)), ..crash };
+    let part = SuspectNotice { crashes: vec![run, crash], ..notice.clone() };
+    let parts = vec![part, notice.clone()];
+    let suspects = SuspectReport { suspects: vec![notice], probes: vec![probe], parts };
     let sent = GossipMessage { suspects, ..gossip(None) };
     let message = encode_gossip(&sent).expect("encode message");
     let decoded = decode_gossip(&message[LENGTH_PREFIX_BYTES..]).expect("decode message");
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -338,13 +338,16 @@
         limits.iter().for_each(|limit| log_learned_limit(&self.state, limit, LimitSource::Store));
     }
 
-    /// Applies evidence on requests that crash servers.
+    /// Applies evidence on requests and parts that crash servers.
     fn apply_suspects(&self, record: &FleetRecord) {
         let (now, unix_now) = (Instant::now(), unix_now());
         let changes = match record {
             FleetRecord::Suspects { slot, entries } => {
                 self.state.suspects().apply_stored(*slot, entries, unix_now, now)
             }
+            FleetRecord::SuspectParts { slot, entries } => {
+                self.state.suspects().apply_stored_parts(*slot, entries, unix_now, now)
+            }
             FleetRecord::Crash { print, start, .. } => {
                 let entry = StoredSuspect {
                     fingerprint: *print,
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -10,6 +10,8 @@
 use fulmargate_dispatch::LogTopic;
 use fulmargate_dispatch::ResponseEnd;
 use fulmargate_dispatch::RouteKind;
+use fulmargate_dispatch::SuspectChange;
+use fulmargate_dispatch::SuspectKind;
 use fulmargate_names::TeamName;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -115,9 +117,13 @@
 }
 
 /// Counts a crash that counts against a request, by how this host learned of it.
-pub(crate) fn count_suspect_change(source: &'static str, is_convicted: bool) {
-    let standing = if is_convicted { "convicted" } else { "suspected" };
-    let labels = [("source", source), ("standing", standing)];
+pub(crate) fn count_suspect_change(source: &'static str, change: &SuspectChange) {
+    let standing = if change.is_convicted { "convicted" } else { "suspected" };
+    let unit = match change.kind {
+        SuspectKind::Request => "request",
+        SuspectKind::Part => "part",
+    };
+    let labels = [("source", source), ("standing", standing), ("unit", unit)];
     metrics::counter!("fulmargate_suspect_changes_total", &labels).increment(1);
 }
 
--- a/crates/entry/src/telemetry/suspect_log.rs
+++ b/crates/entry/src/telemetry/suspect_log.rs
@@ -3,6 +3,7 @@
 use fulmargate_dispatch::CrashProof;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectChange;
+use fulmargate_dispatch::SuspectKind;
 use fulmargate_names::EventKind;
 use fulmargate_names::HostName;
 use tokio::time::Instant;
@@ -31,18 +32,20 @@
     }
 }
 
-/// Logs crashes that count against requests.
+/// Logs crashes that count against requests and parts.
 pub(crate) fn log_suspect_changes(
     state: &SharedState,
     changes: &[SuspectChange],
     source: SuspectSource<'_>,
 ) {
     for change in changes {
-        let kind = match change.is_convicted {
-            true => EventKind::RequestConvicted,
-            false => EventKind::RequestSuspected,
+        let kind = match (change.kind, change.is_convicted) {
+            (SuspectKind::Request, true) => EventKind::RequestConvicted,
+            (SuspectKind::Request, false) => EventKind::RequestSuspected,
+            (SuspectKind::Part, true) => EventKind::PartConvicted,
+            (SuspectKind::Part, false) => EventKind::PartSuspected,
         };
-        count_suspect_change(source.label(), change.is_convicted);
+        count_suspect_change(source.label(), change);
         if !state.log_limiter.allows(kind, Instant::now()) {
             continue;
         }
@@ -50,10 +53,12 @@
             SuspectSource::Gossip(host) => Some(host.as_str()),
             SuspectSource::Check | SuspectSource::Store => None,
         };
+        let hex = format!("{:032x}", change.fingerprint);
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
-            print = format!("{:032x}", change.fingerprint),
+            print = (change.kind == SuspectKind::Request).then(|| hex.clone()),
+            part = (change.kind == SuspectKind::Part).then_some(hex),
             server = server_label(state, change.server),
             is_confirmed = change.proof == CrashProof::Confirmed,
             count = change.crashes,
--- a/crates/entry/src/traffic/request_handler.rs
+++ b/crates/entry/src/traffic/request_handler.rs
@@ -6,6 +6,7 @@
 mod forwarding_step;
 mod handled_request;
 mod log;
+mod part_suspicion;
 mod plan;
 mod response_check;
 mod send_checks;
@@ -23,6 +24,7 @@
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::NextStep;
 use fulmargate_dispatch::RouteKind;
+use fulmargate_dispatch::RunSubject;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
@@ -261,7 +263,8 @@
         }
         self.log_suspect_sent(&server);
         let fingerprint = self.facts().fingerprint;
-        self.run = Some(SuspectRun::begin(self.state.clone(), fingerprint, server.key()));
+        let subject = RunSubject { fingerprint, parts: self.facts().part_keys(), weights };
+        self.run = Some(SuspectRun::begin(self.state.clone(), subject, server.key()));
         let error = match connected.send(&self.decoded).await {
             Ok(response) => match self.check_response(&server, response).await {
                 Ok(response) => return Ok(Some(response)),
@@ -340,7 +343,7 @@
         let progress = handler.progress;
         let result = match handler.read_body(response).await {
             Ok(body) => {
-                handler.record_completed(&origin);
+                handler.record_completed(&origin, parts.status);
                 handler.log_ended(EventKind::RequestEnded, parts.status, None);
                 Ok(buffered_response(&parts, framing, body))
             }
--- a/crates/entry/src/traffic/request_handler/end_check.rs
+++ b/crates/entry/src/traffic/request_handler/end_check.rs
@@ -12,6 +12,7 @@
 use fulmargate_dispatch::ServerStage;
 use fulmargate_dispatch::ServerStanding;
 use fulmargate_dispatch::TransportEnd;
+use http::StatusCode;
 use tokio::time::Instant;
 
 use crate::telemetry::count_response_end;
@@ -50,12 +51,16 @@
 
     /// Records that a server has completed the request, which therefore does not crash servers. An end that only a
     /// server on its way out has confirmed does not count.
-    pub(crate) fn record_completed(&mut self, origin: &ResponseOrigin) {
-        if let Some(run) = self.run.take() {
-            run.answered();
-        }
+    pub(crate) fn record_completed(&mut self, origin: &ResponseOrigin, status: StatusCode) {
         let is_proof =
             self.judged_end.is_some_and(|judged| judged.standing != ServerStanding::Leaving);
+        if let Some(mut run) = self.run.take() {
+            // An error may be reported without a look at the prompt.
+            if is_proof && status.is_success() {
+                self.finish_trial(run.record_answering());
+            }
+            run.answered();
+        }
         if is_proof {
             self.clear_suspicion(origin);
         }
--- a/crates/entry/src/traffic/request_handler/send_checks.rs
+++ b/crates/entry/src/traffic/request_handler/send_checks.rs
@@ -1,5 +1,6 @@
 //! Checks before a request is sent: crashes, configuration, retry budget.
 
+use fulmargate_dispatch::PartStanding;
 use fulmargate_names::ErrorKind;
 use tokio::time::Instant;
 
@@ -14,7 +15,8 @@
     pub(super) fn reject_crashing_request(&self) -> Result<(), RequestFailure> {
         let fingerprint = self.facts().fingerprint;
         let is_convicted = self.state.suspects().is_convicted(fingerprint, Instant::now());
-        if is_convicted { Err(self.conviction()) } else { Ok(()) }
+        let has_convicted_part = matches!(self.part_standing(), PartStanding::Convicted(_));
+        if is_convicted || has_convicted_part { Err(self.conviction()) } else { Ok(()) }
     }
 
     pub(super) fn conviction(&self) -> RequestFailure {
@@ -22,10 +24,15 @@
             true => ErrorKind::OutcomeUnknown,
             false => ErrorKind::CrashingRequest,
         };
-        let crashed = self.state.suspects().crashed_servers(self.facts().fingerprint);
+        let (label, key) = match self.part_standing() {
+            PartStanding::Convicted(part) => (format!("part {part:032x}: "), part),
+            _ => (String::new(), self.facts().fingerprint),
+        };
+        let crashed = self.state.suspects().crashed_servers(key);
         let servers: Vec<String> =
             crashed.into_iter().map(|server| server_label(&self.state, server)).collect();
-        let detail = format!("servers that crashed while they ran it: {}", servers.join(" "));
+        let detail =
+            format!("{label}servers that crashed while they ran it: {}", servers.join(" "));
         self.failure(kind).with_detail(detail)
     }
 
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmargate_dispatch::PartStanding;
 use fulmargate_dispatch::RunStep;
 use fulmargate_dispatch::SendOutcome;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
+use fulmargate_dispatch::SuspectKind;
 use fulmargate_names::EventKind;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -27,7 +29,7 @@
     /// Waits while the request is suspected and must not run. Fails if it is convicted, or if its time is over.
     pub(super) async fn wait_for_turn(&mut self) -> Result<(), RequestFailure> {
         loop {
-            let wait = match self.begin_turn() {
+            let wait = match self.begin_turn()? {
                 RunStep::Run => {
                     self.turn_server = None;
                     return Ok(());
@@ -54,10 +56,16 @@
 
     /// Whether the request may be sent on a connection to this server. What was found out since it was planned counts.
     pub(super) fn may_send_now(&mut self, server: &ServerEntry) -> Result<bool, RequestFailure> {
-        let step = match &self.turn {
-            Some(turn) => turn.step_at(server.key()),
-            None if self.is_suspected() => return Ok(false),
-            None => RunStep::Run,
+        let is_suspected = self.is_request_suspected();
+        let step = match (self.part_standing(), &self.turn) {
+            (PartStanding::Convicted(_), _) => RunStep::Convicted,
+            (PartStanding::Tried(part), Some(turn)) if turn.is_of(SuspectKind::Part, part) => {
+                turn.step_at(server.key())
+            }
+            (PartStanding::Tried(_), _) => return Ok(false),
+            (PartStanding::Clear, Some(turn)) if !turn.is_trial() => turn.step_at(server.key()),
+            (PartStanding::Clear, _) if is_suspected => return Ok(false),
+            (PartStanding::Clear, _) => RunStep::Run,
         };
         match step {
             RunStep::Run | RunStep::RunAt(_) => Ok(true),
@@ -78,27 +86,60 @@
         Ok(())
     }
 
-    /// Whether a crash counts against the request.
+    /// Whether a crash counts against the request, or a part of its prompt is tried or convicted.
     pub(super) fn is_suspected(&self) -> bool {
+        self.is_request_suspected() || self.part_standing() != PartStanding::Clear
+    }
+
+    fn is_request_suspected(&self) -> bool {
         self.state.suspects().is_suspected(self.facts().fingerprint)
     }
 
-    fn begin_turn(&mut self) -> RunStep {
-        if self.turn.is_none() && !self.is_suspected() {
-            return RunStep::Run;
-        }
+    /// A trial of a part stands for the turn of the request: all requests with the part take it.
+    fn begin_turn(&mut self) -> Result<RunStep, RequestFailure> {
         let fingerprint = self.facts().fingerprint;
+        let (kind, key) = match self.part_standing() {
+            PartStanding::Convicted(_) => return Ok(RunStep::Convicted),
+            PartStanding::Tried(part) => (SuspectKind::Part, part),
+            PartStanding::Clear if self.is_request_suspected() => {
+                (SuspectKind::Request, fingerprint)
+            }
+            PartStanding::Clear => {
+                self.turn = None;
+                return Ok(RunStep::Run);
+            }
+        };
+        if kind == SuspectKind::Part && self.state.suspects().is_held_back(fingerprint) {
+            return Ok(RunStep::Wait(GIVEN_UP_TURN_DELAY));
+        }
         let mut servers = self.turn_candidates(&self.excluded_servers);
         if servers.is_empty() {
             servers = self.turn_candidates(&[]);
         }
-        let is_new = self.turn.is_none();
-        let new = || SuspectTurn::new(self.state.clone(), fingerprint);
-        let step = self.turn.get_or_insert_with(new).step(&servers);
-        if is_new {
-            self.state.crash_evidence_change.notify_one();
+        if self.turn.as_ref().is_some_and(|turn| turn.is_of(kind, key)) {
+            return Ok(self.turn.as_ref().map_or(RunStep::Run, |turn| turn.step(&servers)));
+        }
+        let turn = match kind {
+            SuspectKind::Request => SuspectTurn::of_request(self.state.clone(), key),
+            SuspectKind::Part => {
+                let turn = SuspectTurn::of_part(self.state.clone(), key);
+                turn.ok_or_else(|| self.too_many_trials())?
+            }
+        };
+        let step = turn.step(&servers);
+        self.turn = Some(turn);
+        self.state.crash_evidence_change.notify_one();
+        Ok(step)
+    }
+
+    fn too_many_trials(&self) -> RequestFailure {
+        let failure = self.failure(self.progress.timeout());
+        let failure = failure
+            .with_detail("too many requests wait for a trial of a part of the prompt".to_owned());
+        match self.progress.may_have_run() {
+            true => failure,
+            false => failure.with_retry_delay(SUSPECT_RETRY_DELAY),
         }
-        step
     }
 
     fn turn_candidates(&self, excluded: &[ServerKey]) -> Vec<ServerKey> {
@@ -111,8 +152,7 @@
         let kind = EventKind::SuspectSent;
         let fingerprint = self.facts().fingerprint;
         let now = Instant::now();
-        let is_suspected = self.state.suspects().is_suspected(fingerprint);
-        if !is_suspected || !self.state.log_limiter.allows(kind, now) {
+        if !self.is_suspected() || !self.state.log_limiter.allows(kind, now) {
             return;
         }
         let (crashes, others) = {
@@ -128,6 +168,7 @@
             server = %server.name,
             crashes,
             others,
+            part = self.tried_part().map(|part| format!("{part:032x}")),
         );
     }
 
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -114,7 +114,7 @@
             let weights = response.weights;
             let (reason, prepared) = match self.relay_attempt(response).await {
                 AttemptEnd::Complete => {
-                    self.handler.record_completed(&origin);
+                    self.handler.record_completed(&origin, status);
                     self.handler.log_ended(EventKind::RequestEnded, status, None);
                     if self.sender.send(StreamPiece::Complete).await.is_err() {
                         tracing::debug!("caller disconnected before its stream was completed");
@@ -189,6 +189,7 @@
                     self.handler.bind(response.stream_origin);
                 }
                 self.handler.timing.record_events(Instant::now());
+                self.handler.record_event();
             }
             if MAX_BYTES_BETWEEN_EVENTS < bytes_since_event {
                 return AttemptEnd::Broken("the server sends bytes without events".to_owned());
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -58,6 +58,12 @@
     SuspectSent = 2020,
     /// A caller takes up a stream that an earlier attempt has begun.
     StreamTakenUp = 2021,
+    /// A crash counts against a part of prompts.
+    PartSuspected = 2022,
+    /// Requests with a part of prompts that crashes backend servers are rejected.
+    PartConvicted = 2023,
+    /// A run with a part of prompts has withdrawn crashes from it.
+    PartCleared = 2024,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -210,6 +216,9 @@
     RequestCleared => "request_cleared",
     SuspectSent => "suspect_sent",
     StreamTakenUp => "stream_taken_up",
+    PartSuspected => "part_suspected",
+    PartConvicted => "part_convicted",
+    PartCleared => "part_cleared",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
