Streams after all hosts were killed: a process does not replace the records of the one before

Cause: each process writes its records of streams under one of eight sets of keys of its host, chosen by the incarnation, which is random: in one of eight starts the set of the process before. Change: a process takes the set that was written last the longest time ago, by a list of the topic before its first write. A write no longer waits for the interval after the one before has passed, so that records of a quiet moment are in the store at once. Measured: the daemon test (all hosts killed nine times) failed in its first round before, passes now.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: configuration, fleet state and gossip.
 
+mod binding_keys;
 mod binding_service;
 mod binding_store;
 mod cache_event_client;
--- a/crates/entry/src/control/binding_store.rs
+++ b/crates/entry/src/control/binding_store.rs
@@ -17,7 +17,9 @@
 use serde::Serialize;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
+use crate::control::binding_keys::BindingKeys;
 use crate::control::fleet_codec::decode_payload;
 use crate::control::fleet_codec::encode_payload;
 use crate::control::fleet_writer::unix_now;
@@ -25,7 +27,7 @@
 use crate::state::boot_now;
 use crate::telemetry::count_binding;
 
-/// Interval between two writes of a host. Streams that began within it are lost if all hosts end.
+/// Shortest time between two writes of a host. Streams that began within it are lost if all hosts end.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before records that the store did not take are written again.
@@ -35,10 +37,6 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(350);
 /// Records in one write: some 180 KB.
 const MAX_NOTICES: usize = 4_000;
-/// Keys of one process, which it writes by turns. They hold the records of some seconds.
-const KEYS_PER_PROCESS: u64 = 32;
-/// Sets of keys of a host. A process that starts must not replace what the one before has written last.
-const KEY_SETS: u64 = 8;
 /// The times of day of two hosts may differ by this much. A record kept for too long does no harm.
 const CLOCK_SLACK: Duration = Duration::from_secs(10);
 
@@ -52,21 +50,21 @@
 
 /// Writes records as they come. Never returns.
 pub(crate) async fn run_binding_writer(state: Arc<SharedState>, client: StoreClient) {
-    let mut turn = 0;
+    let mut keys: Option<BindingKeys> = None;
     loop {
         state.binding_store_change.notified().await;
-        sleep(WRITE_INTERVAL).await;
+        let next_write = Instant::now() + WRITE_INTERVAL;
         let notices = state.bindings().take_unstored(Instant::now());
         for notices in notices.chunks(MAX_NOTICES) {
-            if let Err(err) = write(&state, &client, notices, turn).await {
+            if let Err(err) = write(&state, &client, notices, &mut keys).await {
                 state.bindings().store(notices.iter().map(|notice| notice.key));
                 state.binding_store_change.notify_one();
                 log_failure(&state, &err);
                 sleep(RETRY_DELAY).await;
                 break;
             }
-            turn += 1;
         }
+        sleep_until(next_write).await;
     }
 }
 
@@ -74,11 +72,16 @@
     state: &SharedState,
     client: &StoreClient,
     notices: &[BindingNotice],
-    turn: u64,
+    keys: &mut Option<BindingKeys>,
 ) -> Result<(), StoreError> {
-    let host = &state.settings.host;
-    let set = state.incarnation.0 % KEY_SETS;
-    let key = format!("{host}/{set}/{}", turn % KEYS_PER_PROCESS);
+    let keys = match keys {
+        Some(keys) => keys,
+        None => {
+            let taken = BindingKeys::take(client, &state.settings.host, READ_TIMEOUT).await?;
+            keys.insert(taken)
+        }
+    };
+    let key = keys.next_key();
     let written_ms = unix_now().as_millis() as u64;
     let batch = StoredBatch { written_ms, notices: notices.to_vec() };
     let value = encode_payload(&batch);
--- a/crates/entry/tests/daemon/software_versions.rs
+++ b/crates/entry/tests/daemon/software_versions.rs
@@ -29,6 +29,8 @@
 const STORE_TIME: Duration = Duration::from_millis(600);
 /// Streams of a test. Two versions without any rule mix half of them.
 const STREAMS: usize = 12;
+/// Times that all hosts are killed.
+const KILLS: usize = 9;
 /// Events that a caller has received when it takes up its stream.
 const EVENTS_BEFORE: usize = 3;
 
@@ -227,6 +229,32 @@
     check_streams(&streams);
 }
 
+/// Guards against a process whose records replace those that the one before it on its host has written last.
+#[tokio::test]
+async fn streams_are_known_however_often_all_hosts_are_killed() {
+    let mut fleet = start_fleet(&["v1", "v1", "v2", "v2"]).await;
+    let mut earlier: Vec<CallerStream> = Vec::new();
+    for round in 0..=KILLS {
+        let mut begun = Vec::new();
+        for host in 0..HOSTS {
+            let id = format!("kill-{round}-{host}");
+            let (stream, response) = CallerStream::begin(&fleet, host, &id).await;
+            drop(response);
+            begun.push(stream);
+        }
+        sleep(STORE_TIME).await;
+        for (number, stream) in earlier.iter_mut().enumerate() {
+            stream.take_up(&fleet, (number + 1) % HOSTS, Naming::First).await;
+            assert!(stream.is_complete(), "{}: {:?}", stream.id, stream.tries);
+        }
+        (0..HOSTS).for_each(|host| fleet.kill(host));
+        for host in 0..HOSTS {
+            fleet.restart(host, fleet.engines.len()).await;
+        }
+        earlier = begun;
+    }
+}
+
 /// Guards against a host with an old list, which knows one version and takes all streams for streams of it.
 #[tokio::test]
 async fn a_host_with_an_old_list_does_not_take_a_new_version_for_the_old_one() {
