--- a/crates/entry/src/control/binding_store.rs
+++ b/crates/entry/src/control/binding_store.rs
@@ -28,7 +28,7 @@
 use crate::telemetry::count_binding;
 
 /// Shortest time between two writes of a host. Streams that began within it are lost if all hosts end.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before records that the store did not take are written again.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
