Crowded hosts: callers' connections and requests keep to a share of the memory

Cause: connections and request bodies are taken without a bound on the bytes that they hold; about 75 KB for a connection with a prompt of 18 KB in the debug build. Change: the daemon knows its memory (memory_mb). Connections, requests and bodies as they arrive take from a share of it. A new connection beyond it is closed unread, so that its caller meets another host; a request beyond it is rejected as not run. connection_refused says what ran out.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,6 +3,7 @@
 mod boot_clock;
 mod connect_outcome;
 mod engine_weights;
+mod held_memory;
 mod loading_registry;
 mod shared_state;
 mod status;
@@ -10,6 +11,8 @@
 pub(crate) use boot_clock::boot_now;
 pub(crate) use connect_outcome::record_connect_outcome;
 pub(crate) use engine_weights::lowest_weights;
+pub(crate) use held_memory::HeldBytes;
+pub(crate) use held_memory::HeldMemory;
 pub(crate) use loading_registry::LoadingRegistry;
 pub(crate) use shared_state::FleetView;
 pub(crate) use shared_state::ServerListEnd;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -39,6 +39,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::state::HeldMemory;
 use crate::state::LoadingRegistry;
 use crate::state::boot_now;
 use crate::telemetry::LogRateLimiter;
@@ -84,6 +85,8 @@
     pub(crate) open_requests: AtomicUsize,
     /// Open connections from callers.
     pub(crate) open_connections: AtomicUsize,
+    /// What callers' connections and requests hold.
+    pub(crate) held_memory: HeldMemory,
     /// Wakes the writer of the fleet topic.
     pub(crate) fleet_record_change: Notify,
     /// Wakes the writer of the ages of weights.
@@ -171,6 +174,7 @@
         let quotas = QuotaTracker::new(settings.host.clone(), start_id, quota_conf(&bounds));
         let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
         let suspects = SuspectTable::new(settings.host.clone(), SuspectConf::default());
+        let held_memory = HeldMemory::new(settings.memory_mb);
         SharedState {
             settings,
             incarnation,
@@ -181,6 +185,7 @@
             fleet: ArcSwap::default(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
+            held_memory,
             fleet_record_change: Notify::new(),
             weights_change: Notify::new(),
             suspect_wake: Notify::new(),
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -24,6 +24,7 @@
 pub(crate) use prometheus::count_quota_request;
 pub(crate) use prometheus::count_records_rejected;
 pub(crate) use prometheus::count_records_served;
+pub(crate) use prometheus::count_refused_connection;
 pub(crate) use prometheus::count_response_end;
 pub(crate) use prometheus::count_send;
 pub(crate) use prometheus::count_suspect_change;
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -127,6 +127,11 @@
     metrics::counter!("fulmargate_suspect_changes_total", &labels).increment(1);
 }
 
+/// Counts a caller's connection that was closed unread.
+pub(crate) fn count_refused_connection() {
+    metrics::counter!("fulmargate_refused_connections_total").increment(1);
+}
+
 /// Counts a request that is charged to its team's quota, and the tokens it asks for.
 pub(crate) fn count_quota_request(team: &TeamName, is_admitted: bool, tokens: u64) {
     let outcome = if is_admitted { "admitted" } else { "refused" };
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout_at;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::state::HeldBytes;
 use crate::state::SharedState;
 use crate::traffic::peer_forwarding::ForwardHead;
 use crate::traffic::quota_charge::QuotaCharge;
@@ -33,6 +34,11 @@
 const CONFIG_MAY_BE_STALE: &str =
     "the configuration cannot be proved to be the newest here at the moment";
 
+/// Memory of a request without its body.
+const REQUEST_BYTES: usize = 16 << 10;
+/// Copies of a body in memory: as read, and as written to a server.
+const BODY_COPIES: usize = 2;
+
 /// An admitted request with its body.
 #[derive(Debug)]
 pub(crate) struct DecodedRequest {
@@ -45,6 +51,8 @@
     pub(crate) charge: Option<QuotaCharge>,
     /// The stream that the caller takes up.
     pub(crate) taken_up: TakenUpStream,
+    /// What the request holds of the memory for callers; none for a request of another host.
+    pub(crate) held: Option<HeldBytes>,
 }
 
 /// What a caller states of a stream that an earlier attempt has begun.
@@ -84,11 +92,16 @@
     let route = admitted.route.clone();
     let request_timeout = admitted.head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + request_timeout;
-    let body = read_body(body, admitted.table.limits().body_bytes, deadline).await?;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let mut held =
+        state.held_memory.take(REQUEST_BYTES).ok_or_else(|| memory_failure(time_left))?;
+    let limit = admitted.table.limits().body_bytes;
+    let body = read_body(body, limit, deadline, &mut held).await?;
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
     let taken_up = TakenUpStream::new(&admitted.head);
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up })
+    let held = Some(held);
+    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up, held })
 }
 
 /// Admits a request that another host has admitted and charged, with a configuration that is not newer than this
@@ -109,7 +122,8 @@
     let deadline = received + head.time_left();
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let taken_up = TakenUpStream::new(&admitted.head);
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge: None, taken_up })
+    let table = admitted.table;
+    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up, held: None })
 }
 
 /// When a request arrived, and when it must be answered.
@@ -175,19 +189,39 @@
     body: Incoming,
     limit: usize,
     deadline: Instant,
+    held: &mut HeldBytes,
 ) -> Result<Bytes, RequestFailure> {
     let time_left = deadline.saturating_duration_since(Instant::now());
-    let result = timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    let collected = result.map_err(|_| {
-        RequestFailure::new(ErrorKind::SlowCaller, time_left).with_connection_close()
-    })?;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|err| {
-        let kind = match err.is::<LengthLimitError>() {
-            true => ErrorKind::BodyTooLarge,
-            false => ErrorKind::BadRequest,
-        };
-        RequestFailure::new(kind, time_left).with_detail(err.to_string()).with_connection_close()
-    })
+    let fail = |kind: ErrorKind| RequestFailure::new(kind, time_left).with_connection_close();
+    let mut chunks = Vec::new();
+    let mut limited = Limited::new(body, limit);
+    loop {
+        let frame = timeout_at(deadline, limited.frame()).await;
+        let frame = frame.map_err(|_| fail(ErrorKind::SlowCaller))?;
+        let Some(frame) = frame else { break };
+        let frame = frame.map_err(|err| {
+            let kind = match err.is::<LengthLimitError>() {
+                true => ErrorKind::BodyTooLarge,
+                false => ErrorKind::BadRequest,
+            };
+            fail(kind).with_detail(err.to_string())
+        })?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        if !held.grow(chunk.len() * BODY_COPIES) {
+            return Err(memory_failure(time_left));
+        }
+        chunks.push(chunk);
+    }
+    match chunks.as_slice() {
+        [only] => Ok(only.clone()),
+        _ => Ok(Bytes::from(chunks.concat())),
+    }
+}
+
+/// The memory for callers is used up.
+fn memory_failure(time_left: Duration) -> RequestFailure {
+    let failure = RequestFailure::new(ErrorKind::QueueFull, time_left).with_connection_close();
+    failure.with_detail("the memory for callers' requests is used up".to_owned())
 }
 
 /// Hashes the content of a request. The fingerprint does not depend on the request id or on the router, so
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fulmargate_names::EventKind;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -14,13 +15,17 @@
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
+use crate::sockets::set_reset_on_close;
+use crate::state::HeldBytes;
 use crate::state::SharedState;
+use crate::telemetry::count_refused_connection;
 use crate::traffic::caller_io::CallerIo;
 use crate::traffic::caller_io::ResetSwitch;
 use crate::traffic::crash_check::run_peer_checks;
@@ -35,6 +40,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer of a connection, and thereby the upper bound of a request head. hyper requires at least 8 KB.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Memory of a connection: its buffers, and what has arrived of a request that is not read yet.
+const CONNECTION_BYTES: usize = 16 << 10;
 /// How long data sent to a caller may stay unacknowledged before the connection is dropped.
 const CALLER_TCP_TIMEOUT: PeerTimeout = PeerTimeout {
     unacknowledged: Duration::from_secs(10),
@@ -84,11 +91,7 @@
     async fn accept(&self, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    let state = self.state.clone();
-                    let stop = self.stop.clone();
-                    tokio::task::spawn_local(serve_connection(state, stop, stream));
-                }
+                Ok((stream, _)) => self.admit(stream),
                 Err(err) => {
                     tracing::warn!("cannot accept connection: {err}");
                     sleep(ACCEPT_RETRY_DELAY).await;
@@ -96,9 +99,41 @@
             }
         }
     }
+
+    fn admit(&self, stream: TcpStream) {
+        let Some(held) = self.state.held_memory.take_connection(CONNECTION_BYTES) else {
+            return refuse_connection(&self.state, &stream);
+        };
+        let (state, stop) = (self.state.clone(), self.stop.clone());
+        tokio::task::spawn_local(serve_connection(state, stop, stream, held));
+    }
+}
+
+/// Closes a connection unread, so that its caller tries another host.
+fn refuse_connection(state: &SharedState, stream: &TcpStream) {
+    count_refused_connection();
+    if let Err(err) = set_reset_on_close(stream, true) {
+        tracing::debug!("cannot reset a refused connection: {err}");
+    }
+    let kind = EventKind::ConnectionRefused;
+    if state.log_limiter.allows(kind, Instant::now()) {
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            reason = "memory",
+            held_bytes = state.held_memory.used_bytes(),
+            connections = state.open_connections.load(Ordering::Relaxed),
+            requests = state.open_requests.load(Ordering::Relaxed),
+        );
+    }
 }
 
-async fn serve_connection(state: Arc<SharedState>, stop: ShutdownTokens, stream: TcpStream) {
+async fn serve_connection(
+    state: Arc<SharedState>,
+    stop: ShutdownTokens,
+    stream: TcpStream,
+    _held: HeldBytes,
+) {
     state.open_connections.fetch_add(1, Ordering::Relaxed);
     if let Err(err) = set_peer_timeout(&stream, CALLER_TCP_TIMEOUT) {
         tracing::debug!("cannot set TCP options on caller connection: {err}");
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -64,6 +64,8 @@
     PartConvicted = 2023,
     /// A run with a part of prompts has withdrawn crashes from it.
     PartCleared = 2024,
+    /// A caller's connection was closed unread, since there is no memory for it.
+    ConnectionRefused = 2025,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -219,6 +221,7 @@
     PartSuspected => "part_suspected",
     PartConvicted => "part_convicted",
     PartCleared => "part_cleared",
+    ConnectionRefused => "connection_refused",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -42,6 +42,9 @@
     /// it, so that callers' answers have the rest.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Memory that the daemon may use, in MB. Callers' connections and requests keep to a share of it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Times and shares that the operators have agreed on with their users.
     pub bounds: EntryBounds,
 }
@@ -61,6 +64,11 @@
     1_000.0
 }
 
+/// What control of a host may take, of the capacity page.
+fn default_memory_mb() -> u64 {
+    256
+}
+
 /// What operators have agreed on so far.
 fn default_config_apply_ms() -> u64 {
     2_000
