Crashing parts: what other parts explain together counts, and trials are alone

Cause: a common part was aboard the crashes of two guilty parts, of which neither had its five crashes yet, so that nothing explained its own; and guilty runs that were not suspected yet went to servers at which a common part was tried. Change: a part counts as guilty among those of a request only by crashes that the suspected parts outside the request do not explain, taken together. Prompts go to servers of a trial only if there is no other.

--- a/crates/dispatch/src/part_verdicts.rs
+++ b/crates/dispatch/src/part_verdicts.rs
@@ -16,10 +16,10 @@
 const MIN_CHAIN: usize = 3;
 /// The same from which a part is tried.
 const MIN_TRIED_CHAIN: usize = 2;
-/// Crashes without another part, one after the other, that tell a part from it.
+/// Crashes without other parts, one after the other, that tell a part from these.
 const MIN_SEPARATE_CHAIN: usize = 2;
 /// Parts that are compared with each other, those with the most crashes.
-const MAX_CANDIDATES: usize = 128;
+const MAX_COMPARED: usize = 128;
 
 /// What the crashes on record say of a request, by its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,51 +35,35 @@
 /// What follows from the crashes of all parts.
 #[derive(Debug, Default)]
 pub(crate) struct PartVerdicts {
-    /// Parts that may be guilty, each with those that may be in its place.
-    rivals: IndexMap<u128, Vec<u128>>,
-    /// Parts of which one request runs at a time, with their crashes.
+    /// Parts that have crashed servers one after the other, with all their crashes.
+    suspects: IndexMap<u128, Vec<PartCrash>>,
+    /// Parts of which one request runs at a time, with the number of their crashes.
     tried: IndexMap<u128, usize>,
 }
 
 impl PartVerdicts {
     /// Compares the crashes of these parts.
-    pub(crate) fn of<'a>(
-        records: impl Iterator<Item = (u128, &'a SuspectRecord)> + Clone,
-    ) -> PartVerdicts {
-        let candidates = candidates(records.clone());
-        let mut rivals: IndexMap<u128, Vec<u128>> = IndexMap::new();
-        for (part, crashes) in &candidates {
-            let is_rival = |(other, others): &(&u128, &Vec<PartCrash>)| {
-                *other != part && chain(&without(crashes, others)) < MIN_SEPARATE_CHAIN
-            };
-            let of_part = candidates.iter().filter(is_rival).map(|(other, _)| *other);
-            rivals.insert(*part, of_part.collect());
-        }
+    pub(crate) fn of<'a>(records: impl Iterator<Item = (u128, &'a SuspectRecord)>) -> PartVerdicts {
+        let mut verdicts = PartVerdicts { suspects: suspects(records), tried: IndexMap::new() };
         let mut explained: IndexSet<ServerKey> = IndexSet::new();
-        for (part, crashes) in &candidates {
-            if rivals.get(part).is_some_and(Vec::is_empty) {
+        for (part, crashes) in &verdicts.suspects {
+            if verdicts.is_convicted(*part) {
                 explained.extend(crashes.iter().map(|crash| crash.server));
             }
         }
-        let mut tried = IndexMap::new();
-        for (part, record) in records {
-            let mut crashes = record.part_crashes(CrashProof::Suspected);
+        for (part, crashes) in &verdicts.suspects {
+            let mut crashes = crashes.clone();
             crashes.retain(|crash| !explained.contains(&crash.server));
             if MIN_TRIED_CHAIN <= chain(&crashes) {
-                tried.insert(part, crashes.len());
+                verdicts.tried.insert(*part, crashes.len());
             }
         }
-        PartVerdicts { rivals, tried }
+        verdicts
     }
 
     /// What they say of a request with these parts, in their order.
     pub(crate) fn standing(&self, parts: &[u128]) -> PartStanding {
-        // One of a part and all its rivals is guilty, whichever it is.
-        let holds_all = |part: &&u128| {
-            let rivals = self.rivals.get(*part);
-            rivals.is_some_and(|rivals| rivals.iter().all(|rival| parts.contains(rival)))
-        };
-        if let Some(part) = parts.iter().find(holds_all) {
+        if let Some(part) = parts.iter().find(|part| self.is_guilty_among(**part, parts)) {
             return PartStanding::Convicted(*part);
         }
         // Of parts with equal evidence the last one is shared by the fewest requests.
@@ -90,29 +74,48 @@
 
     /// Whether the part is convicted by itself.
     pub(crate) fn is_convicted(&self, part: u128) -> bool {
-        self.rivals.get(&part).is_some_and(Vec::is_empty)
+        self.is_guilty_among(part, &[part])
+    }
+
+    /// Parts that may be guilty, or were aboard with one.
+    pub(crate) fn suspects(&self) -> Vec<u128> {
+        self.suspects.keys().copied().collect()
     }
 
-    /// Parts that may be guilty.
-    pub(crate) fn candidates(&self) -> Vec<u128> {
-        self.rivals.keys().copied().collect()
+    /// Whether the part has enough crashes, and some that no part outside the request explains. Then it is guilty, or
+    /// another one of the request is.
+    fn is_guilty_among(&self, part: u128, parts: &[u128]) -> bool {
+        let Some(crashes) = self.suspects.get(&part) else { return false };
+        let mut crashes = crashes.clone();
+        crashes.retain(|crash| crash.proof == CrashProof::Confirmed);
+        if crashes.len() < MIN_CRASHES || chain(&crashes) < MIN_CHAIN {
+            return false;
+        }
+        for (other, others) in &self.suspects {
+            if !parts.contains(other) {
+                let is_shared =
+                    |crash: &PartCrash| others.iter().any(|other| other.server == crash.server);
+                crashes.retain(|crash| !is_shared(crash));
+            }
+        }
+        MIN_SEPARATE_CHAIN <= chain(&crashes)
     }
 }
 
-fn candidates<'a>(
+fn suspects<'a>(
     records: impl Iterator<Item = (u128, &'a SuspectRecord)>,
 ) -> IndexMap<u128, Vec<PartCrash>> {
-    let mut candidates: IndexMap<u128, Vec<PartCrash>> = IndexMap::new();
-    for (part, record) in records.filter(|(_, record)| MIN_CRASHES <= record.confirmed()) {
-        let crashes = record.part_crashes(CrashProof::Confirmed);
-        if MIN_CHAIN <= chain(&crashes) {
-            candidates.insert(part, crashes);
+    let mut suspects: IndexMap<u128, Vec<PartCrash>> = IndexMap::new();
+    for (part, record) in records.filter(|(_, record)| MIN_TRIED_CHAIN <= record.possible()) {
+        let crashes = record.part_crashes(CrashProof::Suspected);
+        if MIN_TRIED_CHAIN <= chain(&crashes) {
+            suspects.insert(part, crashes);
         }
     }
-    candidates
+    suspects
         .sort_by(|part, crashes, other, others| (others.len(), part).cmp(&(crashes.len(), other)));
-    candidates.truncate(MAX_CANDIDATES);
-    candidates
+    suspects.truncate(MAX_COMPARED);
+    suspects
 }
 
 /// The longest series of crashes in which each was under a run that began after the one before.
@@ -129,8 +132,3 @@
     }
     count
 }
-
-fn without(crashes: &[PartCrash], others: &[PartCrash]) -> Vec<PartCrash> {
-    let is_shared = |crash: &PartCrash| others.iter().any(|other| other.server == crash.server);
-    crashes.iter().copied().filter(|crash| !is_shared(crash)).collect()
-}
--- a/crates/dispatch/src/suspect_table/parts.rs
+++ b/crates/dispatch/src/suspect_table/parts.rs
@@ -76,19 +76,26 @@
         count
     }
 
+    /// Servers that hosts have claimed to try a part. Others that run there beside it would be suspected with it.
+    pub fn trial_servers(&self, now: Instant) -> Vec<ServerKey> {
+        let parts = self.records.values().filter(|record| record.kind == SuspectKind::Part);
+        let claims = parts.flat_map(|record| record.claimed_servers(now));
+        claims.map(|(server, _)| server).collect()
+    }
+
     /// Confirmed crashes that count against a part.
     pub fn part_crash_count(&self, part: u128) -> usize {
         self.records.get(&part).map_or(0, SuspectRecord::confirmed)
     }
 
-    /// Parts that may be guilty, each with its confirmed crashes and the age of the latest.
+    /// Parts that may be guilty, or were aboard with one, each with its confirmed crashes and the age of the latest.
     pub fn suspected_parts(&mut self, now: Instant) -> Vec<(u128, usize, Duration)> {
-        let candidates = self.verdicts().candidates();
+        let suspects = self.verdicts().suspects();
         let record = |part: u128| {
             let record = self.records.get(&part)?;
             Some((part, record.confirmed(), record.age(now)))
         };
-        candidates.into_iter().filter_map(record).collect()
+        suspects.into_iter().filter_map(record).collect()
     }
 
     fn verdicts(&mut self) -> &PartVerdicts {
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -52,7 +52,7 @@
     /// The stream that the caller takes up.
     pub(crate) taken_up: TakenUpStream,
     /// What the request holds of the memory for callers; none for a request of another host.
-    pub(crate) held: Option<HeldBytes>,
+    pub(crate) _held: Option<HeldBytes>,
 }
 
 /// What a caller states of a stream that an earlier attempt has begun.
@@ -100,8 +100,8 @@
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
     let taken_up = TakenUpStream::new(&admitted.head);
-    let held = Some(held);
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up, held })
+    let _held = Some(held);
+    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up, _held })
 }
 
 /// Admits a request that another host has admitted and charged, with a configuration that is not newer than this
@@ -123,7 +123,7 @@
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let taken_up = TakenUpStream::new(&admitted.head);
     let table = admitted.table;
-    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up, held: None })
+    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up, _held: None })
 }
 
 /// When a request arrived, and when it must be answered.
--- a/crates/entry/src/traffic/request_handler/part_suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/part_suspicion.rs
@@ -1,6 +1,7 @@
 //! Parts of prompts that are suspected of crashing servers.
 
 use fulmargate_dispatch::PartStanding;
+use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
 use tokio::time::Instant;
 
@@ -17,6 +18,13 @@
         suspects.part_standing(&self.facts().part_keys())
     }
 
+    /// Engines that the prompt has been sent to, and those at which parts of others are tried. They are used only if
+    /// there is no other.
+    pub(super) fn excluded_engines(&self) -> Vec<ServerKey> {
+        let trials = self.state.suspects().trial_servers(Instant::now());
+        [&self.excluded_servers[..], &trials].concat()
+    }
+
     /// The part that this request tries.
     pub(super) fn tried_part(&self) -> Option<u128> {
         match self.part_standing() {
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -146,7 +146,7 @@
             model: model.clone(),
             only_weights: point.weights,
             only_origin: self.origin,
-            excluded: self.excluded_servers.clone(),
+            excluded: self.excluded_engines(),
             only_server: self.turn_server,
         };
         let Some(assigned) = self.reserve_engine(placement).await? else { return Ok(None) };
--- a/crates/soak/src/crashing_caller.rs
+++ b/crates/soak/src/crashing_caller.rs
@@ -27,7 +27,7 @@
 /// How often servers are watched.
 const WATCH_INTERVAL: Duration = Duration::from_millis(2);
 /// Time after which another server takes the place of one that has crashed.
-const BACK_TIME: Duration = Duration::from_millis(700);
+pub(crate) const BACK_TIME: Duration = Duration::from_millis(700);
 /// Time after which the entry of a crashed server expires: three heartbeats.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(3_600);
 
@@ -66,8 +66,12 @@
     }
 }
 
-/// Watches one place of the plain service.
-async fn replace_crashed(world: &SoakWorld, place: usize, until: Instant) -> io::Result<()> {
+/// Watches one place, and gives a server that has crashed a successor.
+pub(crate) async fn replace_crashed(
+    world: &SoakWorld,
+    place: usize,
+    until: Instant,
+) -> io::Result<()> {
     let mut expiries = Vec::new();
     while Instant::now() < until {
         let server = world.server(place);
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -102,6 +102,10 @@
 const CRASHING_REQUEST_MS: std::ops::RangeInclusive<u64> = 7_000..=10_000;
 /// Keeps these draws from those of other kinds.
 const CRASHING_REQUEST_DRAWS: u64 = 0x6372_6173;
+/// Crashing parts in a run that is drawn for them.
+const CRASHING_PARTS: u32 = 2;
+/// Keeps these draws from those of other kinds.
+const CRASHING_PART_DRAWS: u64 = 0x7061_7274;
 /// With so many hosts and fewer, each reads the store itself.
 const FEW_HOSTS: usize = 6;
 
@@ -360,6 +364,21 @@
         self
     }
 
+    /// Beside all else callers send prompts with parts that crash engines.
+    pub fn with_crashing_parts(mut self, length: Duration) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ CRASHING_PART_DRAWS);
+        for number in 0..CRASHING_PARTS {
+            let at = rng.random_range(CALM_START_MS..length.as_millis() as u64 / 2);
+            self.steps.push(FaultStep {
+                at: Duration::from_millis(at),
+                lasts: Duration::from_millis(rng.random_range(CRASHING_REQUEST_MS)),
+                fault: SoakFault::CrashingPart(number),
+            });
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// The address of loopback at which a router finds the servers: one of its own where its link may
     /// be full or cut.
     pub(crate) fn servers_at(&self, router: usize) -> Ipv4Addr {
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -25,6 +25,7 @@
 use crate::RouterSignal;
 use crate::SoakFault;
 use crate::crashing_caller::play_crashing_request;
+use crate::crashing_part_caller::play_crashing_part;
 use crate::soak_world::BrittleTime;
 use crate::soak_world::DESKS;
 use crate::soak_world::SeenLimit;
@@ -126,6 +127,9 @@
         SoakFault::CrashingRequest(number) => {
             play_crashing_request(world, number, step.lasts).await?;
         }
+        SoakFault::CrashingPart(number) => {
+            play_crashing_part(world, number, step.lasts).await?;
+        }
         SoakFault::ReplaceServer(number) => world.replace_server(number).await?,
         SoakFault::Upgrade(number, version) => world.upgrade_server(number, version).await?,
         SoakFault::RemoveServer(number) => world.remove_server(number).await?,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -71,6 +71,8 @@
     pub(crate) spans: Vec<FaultSpan>,
     pub(crate) stops: Vec<PlannedStop>,
     pub(crate) limits: Vec<SeenLimit>,
+    /// Prompts that were rejected for a part which they do not hold.
+    pub(crate) refused_sound: Vec<String>,
     pub(crate) brittle_times: Vec<BrittleTime>,
     pub(crate) word: OperatorWord,
     /// Time after a version was named for which prompts may begin on older weights.
@@ -122,6 +124,7 @@
         judge.judge_brittle_times();
         judge.judge_host_cuts();
         judge.judge_crashing_requests();
+        judge.judge_refused_sound();
         judge.judge_versions();
         judge.judge_weights();
         judge.judge_weights_service();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer_loss;
 mod calm_times;
 mod crashing_caller;
+mod crashing_part_caller;
 mod fault_log;
 mod fault_plan;
 mod fault_player;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -67,6 +67,10 @@
     /// --host-cuts
     #[argh(switch)]
     crashing_requests: bool,
+    /// callers send prompts with a part that crashes engines, beside the faults of the seed; goes before
+    /// --crashing-requests, and together with --host-cuts
+    #[argh(switch)]
+    crashing_parts: bool,
     /// engines run several software versions, and callers take up their streams, beside the faults of the seed; goes
     /// before --crashing-requests
     #[argh(switch)]
@@ -96,6 +100,8 @@
         SoakArgs { restores: true, .. } => PlanKind::Restore,
         SoakArgs { weights: true, .. } => PlanKind::Weights,
         SoakArgs { versions: true, .. } => PlanKind::Versions,
+        SoakArgs { crashing_parts: true, host_cuts: true, .. } => PlanKind::PartsBesideCuts,
+        SoakArgs { crashing_parts: true, .. } => PlanKind::CrashingParts,
         SoakArgs { crashing_requests: true, host_cuts: true, .. } => PlanKind::CrashesBesideCuts,
         SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
         SoakArgs { brittle: true, .. } => PlanKind::Brittle,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -65,6 +65,9 @@
     /// Callers send a request that crashes the servers of the plain service, again and again by all routers; others
     /// take the places of the servers.
     CrashingRequest(u32),
+    /// Callers send prompts that share a part which crashes engines, no two alike, beside others that share their first
+    /// part; others take the places of the engines.
+    CrashingPart(u32),
     /// A server leaves as planned, and one with this software version takes its place.
     Upgrade(usize, u32),
     /// A configuration with one more route.
@@ -92,7 +95,8 @@
             SoakFault::Server(..) | SoakFault::ServerLimit(..) => false,
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::KillServer(_) | SoakFault::CutHost(..) | SoakFault::Brittle(_) => false,
-            SoakFault::CrashingRequest(_) | SoakFault::Upgrade(..) => false,
+            SoakFault::CrashingRequest(_) | SoakFault::CrashingPart(_) => false,
+            SoakFault::Upgrade(..) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
             SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
         }
@@ -109,7 +113,7 @@
             SoakFault::Server(_, mode) => *mode != ServerMode::PausedEcho,
             SoakFault::Link(LinkPlace::Server(_), _) | SoakFault::KillServer(_) => true,
             SoakFault::CutHost(..) | SoakFault::Brittle(_) => true,
-            SoakFault::CrashingRequest(_) => true,
+            SoakFault::CrashingRequest(_) | SoakFault::CrashingPart(_) => true,
             _ => false,
         }
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -91,7 +91,11 @@
     HostCuts,
     /// Any faults, and requests that crash the servers which run them.
     CrashingRequests,
-    /// Both of these.
+    /// Any faults, and parts of prompts that crash the engines which run them.
+    CrashingParts,
+    /// These, and hosts that reach no server.
+    PartsBesideCuts,
+    /// Requests that crash servers, and hosts that reach none.
     CrashesBesideCuts,
     /// Any faults, and servers that fall over when they reject too much, under more load.
     Brittle,
@@ -132,6 +136,10 @@
         PlanKind::CrashesBesideCuts => {
             mixed.with_host_cuts(routers, conf.length).with_crashing_requests(conf.length)
         }
+        PlanKind::CrashingParts => mixed.with_crashing_parts(conf.length),
+        PlanKind::PartsBesideCuts => {
+            mixed.with_host_cuts(routers, conf.length).with_crashing_parts(conf.length)
+        }
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
         PlanKind::Versions => {
             let engines = DESKS..DESKS + ENGINES + VERSION_ENGINES;
@@ -186,6 +194,7 @@
         spans: world.log.spans(),
         stops: world.stops(),
         limits: world.limits(),
+        refused_sound: world.refused_sound(),
         brittle_times: world.brittle_times(),
         word: world.word().clone(),
         weights_bound: plan.weights_bound,
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -148,6 +148,8 @@
     word: Mutex<OperatorWord>,
     stops: Mutex<Vec<PlannedStop>>,
     limits: Mutex<Vec<SeenLimit>>,
+    /// Prompts without a crashing part that were rejected for one.
+    refused_sound: Mutex<Vec<String>>,
     brittle_times: Mutex<Vec<BrittleTime>>,
     /// Whether engines run several software versions, and mark their events with them.
     pub(crate) has_versions: bool,
@@ -210,6 +212,7 @@
             word: Mutex::new(word),
             stops: Mutex::default(),
             limits: Mutex::default(),
+            refused_sound: Mutex::default(),
             brittle_times: Mutex::default(),
             has_versions: plan.has_versions(),
             has_weights: plan.has_weights(),
@@ -305,6 +308,16 @@
         lock(&self.limits).push(limit);
     }
 
+    /// Keeps the id of a prompt that was rejected for a part which it does not hold.
+    pub(crate) fn record_refused_sound(&self, id: String) {
+        lock(&self.refused_sound).push(id);
+    }
+
+    /// All of them so far.
+    pub(crate) fn refused_sound(&self) -> Vec<String> {
+        lock(&self.refused_sound).clone()
+    }
+
     /// All limits so far.
     pub(crate) fn limits(&self) -> Vec<SeenLimit> {
         lock(&self.limits).clone()
