--- a/crates/soak/src/crashing_part_caller.rs
+++ b/crates/soak/src/crashing_part_caller.rs
@@ -14,6 +14,7 @@
 use crate::crashing_caller::replace_crashed;
 use crate::soak_world::DESKS;
 use crate::soak_world::ENGINES;
+use crate::soak_world::PART_ENGINES;
 use crate::soak_world::SHARED_KEY;
 use crate::soak_world::SoakWorld;
 
@@ -51,7 +52,7 @@
         .map(|caller| send_until(world, number, caller, PartSource::Guilty, until));
     let sound = (0..SOUND_CALLERS)
         .map(|caller| send_until(world, number, caller, PartSource::Sound, until));
-    let places = DESKS..DESKS + ENGINES;
+    let places = DESKS..DESKS + ENGINES + PART_ENGINES;
     let engines = places.map(|place| replace_crashed(world, place, until + BACK_TIME));
     let (_guilty, _sound, replaced) =
         tokio::join!(join_all(guilty), join_all(sound), join_all(engines));
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -364,6 +364,11 @@
         self
     }
 
+    /// Whether parts of prompts crash engines.
+    pub(crate) fn has_crashing_parts(&self) -> bool {
+        self.steps.iter().any(|step| matches!(step.fault, SoakFault::CrashingPart(_)))
+    }
+
     /// Beside all else callers send prompts with parts that crash engines.
     pub fn with_crashing_parts(mut self, length: Duration) -> FaultPlan {
         let mut rng = StdRng::seed_from_u64(self.seed ^ CRASHING_PART_DRAWS);
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -42,6 +42,8 @@
 pub(crate) const VERSION_ENGINES: usize = 3;
 /// Further engines where series of weights are played, so that a rollout takes several rounds.
 pub(crate) const WEIGHTS_ENGINES: usize = 3;
+/// Further engines where parts of prompts crash them.
+pub(crate) const PART_ENGINES: usize = 6;
 /// Time that engines take to load weights there.
 const LOAD_TIME: Duration = Duration::from_millis(700);
 /// Weights of new engines.
@@ -222,6 +224,7 @@
         let extra_engines = match (world.has_versions, world.has_weights) {
             (true, _) => VERSION_ENGINES,
             (_, true) => WEIGHTS_ENGINES,
+            _ if plan.has_crashing_parts() => PART_ENGINES,
             _ => 0,
         };
         for number in 0..DESKS + ENGINES + extra_engines {
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -244,3 +244,28 @@
 async fn a_full_link_costs_no_answer() {
     check(FULL_LINK_SEEDS, "full-link").await;
 }
+
+/// Seeds with parts of prompts that crash engines.
+const CRASHING_PART_SEEDS: &[SeedCase] = &[
+    SeedCase {
+        seed: 60000,
+        seconds: 10,
+        kind: PlanKind::CrashingParts,
+        is_calm: true,
+        cause: "a common part that was aboard the crashes of two guilty ones was convicted with them",
+    },
+    SeedCase {
+        seed: 60204,
+        seconds: 10,
+        kind: PlanKind::CrashingParts,
+        is_calm: true,
+        cause: "evidence was tied to requests, and 36 engines ended under one part",
+    },
+];
+
+/// Parts of prompts crash the engines that begin to answer them beside other faults. Guards against more engines lost than
+/// five for each, and against prompts that are rejected as they share other parts with them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crashing_parts_reach_no_further_engines() {
+    check(CRASHING_PART_SEEDS, "crashing-parts").await;
+}
