--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -269,3 +269,18 @@
 async fn crashing_parts_reach_no_further_engines() {
     check(CRASHING_PART_SEEDS, "crashing-parts").await;
 }
+
+/// Seeds with such parts while hosts reach no server.
+const PARTS_BESIDE_CUTS_SEEDS: &[SeedCase] = &[SeedCase {
+    seed: 61100,
+    seconds: 10,
+    kind: PlanKind::PartsBesideCuts,
+    is_calm: false,
+    cause: "all hosts were cut off from all servers at once, which was taken for crashes of servers",
+}];
+
+/// Guards against parts that are convicted since all hosts are cut off beside requests that crash servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cuts_of_all_hosts_convict_no_part() {
+    check(PARTS_BESIDE_CUTS_SEEDS, "parts-beside-cuts").await;
+}
