Failing test: a crowded host has a quarter of the room of brittle servers

Cause: a server's slots are divided by the number of hosts, not by demand; what is idle at three hosts is missing at the fourth.

--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -6,6 +6,7 @@
 mod crash_suspects;
 mod crashing_parts;
 mod crashing_requests;
+mod crowded_fleet;
 mod crowded_host;
 mod cut_fleet;
 mod departures;
