Crowded hosts: slots of brittle servers are divided by demand

Cause: each router had an equal part of a server's slots, whatever comes to it. Change: routers report the requests that arrive for a brittle service in the notice of its bound. Once one router has twice its equal part, slots go by demand in steps of a power of two. A router gives slots up at once and takes more after two report delays; the division is equal while the demand of a live router is unknown. Why it works: all parts of one division are the room, and the smallest of the last three counts, so that different views never add up to more than the room.

--- a/crates/admission/src/limit_report.rs
+++ b/crates/admission/src/limit_report.rs
@@ -39,7 +39,8 @@
     pub rate_per_s: Option<f64>,
     /// Milliseconds since a response confirmed this.
     pub age_ms: u32,
-    /// Requests per second for which the sender would choose the server, admitted or not.
+    /// Requests per second for which the sender would choose the server, admitted or not; for a service, those that
+    /// arrive for it at the sender.
     pub attempts_per_s: f32,
     /// Requests that wait at the sender for a token of the server. Encoded in the same extension.
     #[serde(skip)]
--- a/crates/admission/src/limited_server.rs
+++ b/crates/admission/src/limited_server.rs
@@ -13,6 +13,12 @@
 
 /// Averaging period of the requests for which a server is chosen.
 const ATTEMPT_AVERAGING_PERIOD: Duration = Duration::from_secs(1);
+/// Averaging period of the requests that arrive for a service. Longer, so that single requests do not change what
+/// depends on it.
+const DEMAND_AVERAGING_PERIOD: Duration = Duration::from_secs(2);
+/// Requests a second that are reported where there are none. Routers of earlier versions report zero, as they do not
+/// count them.
+const MIN_REPORTED_DEMAND: f64 = 0.001;
 /// How long a lifted limit is reported.
 const LIFT_REPORT_TIME: Duration = Duration::from_secs(10);
 /// How long another router's count of such requests is valid.
@@ -24,6 +30,10 @@
     pub(crate) record: LimitRecord,
     /// Requests for which this router chose the server, admitted or not.
     pub(crate) attempts: DecayingRate,
+    /// Whether the bound is one of a service, for which demand is counted.
+    pub(crate) is_service: bool,
+    /// Requests that arrived for the service.
+    pub(crate) demand: DecayingRate,
     /// The same at the other routers, as last reported.
     peer_attempts: IndexMap<HostName, PeerAttempts>,
     /// The sum of these, as it was lately: demand may return at all routers at once.
@@ -42,11 +52,19 @@
     received: Instant,
 }
 
+impl PeerAttempts {
+    fn is_valid(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.received) < ATTEMPT_TTL
+    }
+}
+
 impl LimitedServer {
     pub(crate) fn new(now: Instant) -> LimitedServer {
         LimitedServer {
             record: LimitRecord::new(now),
             attempts: DecayingRate::new(ATTEMPT_AVERAGING_PERIOD, now),
+            is_service: false,
+            demand: DecayingRate::new(DEMAND_AVERAGING_PERIOD, now),
             held_peer_attempts: HeldRate::new(now),
             peer_attempts: IndexMap::new(),
             change_reports: 0,
@@ -56,12 +74,24 @@
     }
 
     pub(crate) fn peer_attempts(&self, now: Instant) -> f64 {
-        let is_valid = |attempts: &&PeerAttempts| {
-            now.saturating_duration_since(attempts.received) < ATTEMPT_TTL
-        };
+        let is_valid = |attempts: &&PeerAttempts| attempts.is_valid(now);
         self.peer_attempts.values().filter(is_valid).map(|attempts| attempts.per_s).sum()
     }
 
+    /// The same of one router; `None` if it has not reported any lately.
+    pub(crate) fn attempts_of(&self, host: &HostName, now: Instant) -> Option<f64> {
+        let attempts = self.peer_attempts.get(host).filter(|attempts| attempts.is_valid(now))?;
+        (0.0 < attempts.per_s).then_some(attempts.per_s)
+    }
+
+    /// What the attempts in a report are: those at the server, or the demand for the service.
+    pub(crate) fn reported_attempts(&self, now: Instant) -> f64 {
+        match self.is_service {
+            true => self.demand.at(now).max(MIN_REPORTED_DEMAND),
+            false => self.attempts.at(now),
+        }
+    }
+
     /// Records the requests for which another router chose the server.
     pub(crate) fn record_peer_attempts(&mut self, host: &HostName, per_s: f64, now: Instant) {
         self.peer_attempts.insert(host.clone(), PeerAttempts { per_s, received: now });
--- a/crates/admission/src/server_limits.rs
+++ b/crates/admission/src/server_limits.rs
@@ -229,6 +229,25 @@
         self.servers.get(&server)?.record.rate_per_s()
     }
 
+    /// Records a request that arrived for the service of a bound.
+    pub fn record_demand(&mut self, key: u64, now: Instant) {
+        if let Some(limited) = self.servers.get_mut(&key) {
+            limited.demand.add(1.0, now);
+        }
+    }
+
+    /// Requests a second that arrive at this router for the service of a bound. They are reported from now on.
+    pub fn own_demand(&mut self, key: u64, now: Instant) -> f64 {
+        let Some(limited) = self.servers.get_mut(&key) else { return 0.0 };
+        limited.is_service = true;
+        limited.demand.at(now)
+    }
+
+    /// The same at another router, as last reported; `None` if it has not reported any lately.
+    pub fn demand_of(&self, host: &HostName, key: u64, now: Instant) -> Option<f64> {
+        self.servers.get(&key)?.attempts_of(host, now)
+    }
+
     /// The router that these limits belong to.
     pub fn own(&self) -> &HostName {
         &self.own
@@ -381,7 +400,7 @@
             server,
             rate_per_s: limited.record.rate_per_s(),
             age_ms: limited.record.age(now).as_millis() as u32,
-            attempts_per_s: limited.attempts.at(now) as f32,
+            attempts_per_s: limited.reported_attempts(now) as f32,
             wanted: limited.grants.take_wanted(now),
             lapsed: limited.grants.lapsed(now),
         })
--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -7,9 +7,11 @@
 mod isolation;
 mod limits;
 mod reach;
+mod slots;
 mod versions;
 
 pub use self::brittle::RejectionNotice;
+pub use self::slots::DivisionChange;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +19,7 @@
 use fulmargate_admission::LimitGrant;
 use fulmargate_admission::ServerLimits;
 use fulmargate_names::ModelName;
+use fulmargate_names::ServiceName;
 use fulmargate_names::WeightsVersion;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -42,6 +45,7 @@
 use crate::plain_queue::PlainQueue;
 use crate::reach_tracker::ReachTracker;
 use crate::server_state::ROUTER_START_FILL_TIME;
+use crate::slot_shares::SlotShares;
 
 /// How long a server that rejected a request as full is skipped: about the time in which one of its
 /// running requests ends.
@@ -116,6 +120,10 @@
     reach: ReachTracker,
     /// Rejections by brittle servers since the last gossip message.
     pending_rejections: Vec<brittle::PendingRejection>,
+    /// How the slots of brittle servers are divided among the routers, by service.
+    slot_shares: IndexMap<ServiceName, SlotShares>,
+    /// Changes of these divisions since they were last taken.
+    division_changes: Vec<DivisionChange>,
 }
 
 fn limit_keys(entries: &[Arc<ServerEntry>]) -> IndexSet<u64> {
--- a/crates/dispatch/src/server_registry/brittle.rs
+++ b/crates/dispatch/src/server_registry/brittle.rs
@@ -9,7 +9,6 @@
 use fulmargate_admission::LimitChange;
 use fulmargate_admission::LimitWait;
 use fulmargate_admission::NamedLimit;
-use fulmargate_names::HostName;
 use fulmargate_names::ServiceName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -35,7 +34,7 @@
 /// How long a brittle server that rejected a request gets none.
 const REJECTED_BACKOFF: Duration = Duration::from_millis(300);
 /// Time that a gossip message spends on the way and at relays.
-const GOSSIP_TRANSIT: Duration = Duration::from_millis(20);
+pub(super) const GOSSIP_TRANSIT: Duration = Duration::from_millis(20);
 /// Upper bound of the rejections that wait for the next gossip message.
 const MAX_NOTICES: usize = 32;
 
@@ -179,22 +178,6 @@
         state.waiting(now) == 0 && state.open < self.own_slots(state, now)
     }
 
-    /// Number of the server's slots that this router may use. Slots are assigned to the live routers in turn, in an order
-    /// that differs between servers.
-    fn own_slots(&self, state: &ServerState, now: Instant) -> u32 {
-        let Some(limits) = &self.limits else { return u32::MAX };
-        let room = state.room(now) as u32;
-        let routers = self.peers.hosts(now).count() as u32 + 1;
-        let (each, rest) = (room / routers, room % routers);
-        if state.open < each || rest == 0 {
-            return each;
-        }
-        let order = |host: &HostName| xxh3_64_with_seed(host.as_str().as_bytes(), state.key().0);
-        let own = order(limits.own());
-        let position = self.peers.hosts(now).filter(|host| order(host) < own).count() as u32;
-        each + u32::from(position < rest)
-    }
-
     fn in_flight(&self, server: ServerKey, now: Instant) -> u32 {
         let Some(state) = self.servers.get(&server) else { return 0 };
         state.occupancy(now).max(state.open + self.peers.total(server).open)
--- a/crates/dispatch/src/server_registry/limits.rs
+++ b/crates/dispatch/src/server_registry/limits.rs
@@ -21,11 +21,9 @@
 use crate::ServerKey;
 use crate::ServerRegistry;
 use crate::ServerState;
+use crate::server_registry::brittle::GOSSIP_TRANSIT;
 use crate::server_state::LimitHeadroom;
 
-/// Time that a gossip message spends on the way and at relays.
-const GOSSIP_TRANSIT: Duration = Duration::from_millis(20);
-
 /// Minimum time between two updates of the headroom of all limited servers, which may be many.
 const HEADROOM_REFRESH_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -68,6 +66,8 @@
 
     /// Limits and their use since the last call, for the next gossip message.
     pub fn take_limit_report(&mut self, now: Instant) -> Option<LimitReport> {
+        // Routers without requests report their demand as well.
+        self.refresh_slot_shares(now);
         Some(self.limits.as_mut()?.take_report(now))
     }
 
@@ -151,6 +151,7 @@
             return;
         }
         self.headroom_refreshed = Some(now);
+        self.refresh_slot_shares(now);
         let Some(limits) = &mut self.limits else { return };
         for server in limits.servers() {
             let Some(state) = self.servers.get_mut(&ServerKey(server)) else { continue };
--- a/crates/entry/src/control/gossip_sender.rs
+++ b/crates/entry/src/control/gossip_sender.rs
@@ -30,6 +30,7 @@
 use crate::state::SharedState;
 use crate::state::boot_now;
 use crate::state::lowest_weights;
+use crate::telemetry::log_division;
 
 /// Interval of keepalives: messages without updates. Receivers drop a report after 1.2 s.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(400);
@@ -220,6 +221,9 @@
         gossip.weights = self.weights_ages();
         gossip.limits = self.state.servers().take_limit_report(Instant::now());
         gossip.rejections = self.state.servers().take_rejections(Instant::now());
+        for change in self.state.servers().take_division_changes() {
+            log_division(&self.state, &change);
+        }
         let hosts = self.fleet_state.borrow().host_count();
         gossip.suspects = self.state.suspects().take_report(hosts, Instant::now());
         gossip.mixed_services = Some(self.state.versions().mixed_services());
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -10,6 +10,7 @@
 pub(crate) use limit_log::LimitSource;
 pub(crate) use limit_log::log_brittle;
 pub(crate) use limit_log::log_brittle_rejection;
+pub(crate) use limit_log::log_division;
 pub(crate) use limit_log::log_learned_limit;
 pub(crate) use limit_log::log_named_limit;
 pub(crate) use limit_log::log_unreadable_limit;
--- a/crates/entry/src/telemetry/limit_log.rs
+++ b/crates/entry/src/telemetry/limit_log.rs
@@ -2,6 +2,7 @@
 
 use fulmargate_admission::LearnedLimit;
 use fulmargate_admission::LimitChange;
+use fulmargate_dispatch::DivisionChange;
 use fulmargate_dispatch::ServerEntry;
 use fulmargate_dispatch::ServerKey;
 use fulmargate_names::EventKind;
@@ -104,3 +105,19 @@
         age_ms,
     );
 }
+
+/// Logs that the slots of brittle servers are divided by demand from now on, or equally again.
+pub(crate) fn log_division(state: &SharedState, change: &DivisionChange) {
+    let kind = EventKind::SlotsDivided;
+    if state.log_limiter.allows(kind, Instant::now()) {
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            service = %change.service,
+            by_demand = change.is_by_demand,
+            largest_share = change.largest_share,
+            own_rate = change.own_rate,
+            routers = change.routers,
+        );
+    }
+}
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -51,6 +51,9 @@
         point: &ResumePoint,
     ) -> Result<Option<SendPlan>, RequestFailure> {
         let Some(service) = self.service() else { return Ok(None) };
+        if self.progress.sends() == 0 {
+            self.state.servers().record_demand(&service, Instant::now());
+        }
         let is_engine =
             self.decoded.table.service(&service).is_some_and(|rule| rule.engine.is_some());
         let model = self.facts().model.clone().filter(|_| is_engine);
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -105,6 +105,8 @@
     BrittleRejection = 3018,
     /// A service has servers of several software versions.
     ServiceMixed = 3019,
+    /// The slots of a brittle service's servers are divided by demand from now on, or equally again.
+    SlotsDivided = 3020,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -241,6 +243,7 @@
     ServiceBrittle => "service_brittle",
     BrittleRejection => "brittle_rejection",
     ServiceMixed => "service_mixed",
+    SlotsDivided => "slots_divided",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
