Test of a lifted limit: at the only server of the service

Cause: the requests choose between two servers by their latency, and the test looked at one of them. Change: the other server leaves the list before the requests are counted.

--- a/crates/entry/tests/daemon/server_limits.rs
+++ b/crates/entry/tests/daemon/server_limits.rs
@@ -337,6 +337,13 @@
     })
     .await;
     sleep(RAMP_TIME).await;
+    // Alone, so that all requests come to it.
+    fleet.deployment.store.remove_server(&fleet.deployment.plain_servers[1].name);
+    let is_gone = |daemon: &DaemonProcess| !daemon.events("server_gone").is_empty();
+    wait_until("the other server is gone", || {
+        is_gone(&fleet.deployment.daemon) && is_gone(&fleet.daemons[0])
+    })
+    .await;
     server.set_limit(None);
     sleep(SETTLING_TIME).await;
     load.stop().await;
