--- a/crates/entry/tests/daemon/crash_suspects.rs
+++ b/crates/entry/tests/daemon/crash_suspects.rs
@@ -30,6 +30,9 @@
 /// Time in which a host finds out that a server is out of its reach.
 const VERDICT_TIME: Duration = Duration::from_secs(4);
 
+/// Longer than servers of one service end one after the other under a request that crashes them.
+const LAST_CUT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Requests that the hosts reject as crashing servers.
 fn convicted(daemons: &[DaemonProcess]) -> IndexSet<String> {
     let lines = daemons.iter().flat_map(|daemon| daemon.events("request_convicted"));
@@ -149,3 +152,24 @@
         task.await.expect("a finished task");
     }
 }
+
+/// Guards against sound requests that are suspected when the last host that reaches the service loses it as well: the
+/// others were cut off before, and tell nothing of the servers.
+#[tokio::test]
+async fn the_cut_of_the_last_host_counts_as_no_crash() {
+    let fleet = CutFleet::start(&patient_config(REQUEST_TIMEOUT_MS)).await;
+    for host in [1, 2] {
+        fleet.cut_off(host, LinkCut::Reset).await;
+    }
+    sleep(LAST_CUT_PAUSE).await;
+    fleet.set_mode(ServerMode::Wait);
+    let mut request = CallerRequest::prompt("/chat/x", "open");
+    request.patience_ms = REQUEST_TIMEOUT_MS;
+    let open = fleet.begin(0, request).await;
+    fleet.cut_all(0, LinkCut::Reset).await;
+    sleep(VERDICT_TIME).await;
+    let checks = fleet.events(0, "crash_checked");
+    let crashed: Vec<_> = checks.iter().filter(|line| line["verdict"] == "crashed").collect();
+    assert!(crashed.is_empty(), "{crashed:?}");
+    open.abort();
+}
