Crash checks: hosts that were cut off before tell nothing of a server

Cause: no host reaches the service, so its servers count as ended; but the others had lost it seconds before, each by its own cut. Change: each host knows since when another one has reported a service as unreached. Those that did so more than a second before the break neither count as asked nor as failed. Why it works: a whole service that ends takes all hosts' connections within a second; then they count as before (tests of a whole service that ends pass). If too few are left, the list of servers decides.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -201,6 +201,7 @@
 pub use run_log::RunSubject;
 pub use salt_generator::SaltGenerator;
 pub use server_check::CHECK_TIMEOUT;
+pub use server_check::CRASH_SERIES_TIME;
 pub use server_check::CheckInputs;
 pub use server_check::CheckVerdict;
 pub use server_check::CrashReason;
--- a/crates/dispatch/src/peer_load_table.rs
+++ b/crates/dispatch/src/peer_load_table.rs
@@ -86,6 +86,8 @@
     link_kbps: Option<u32>,
     loads: Vec<PeerLoad>,
     reach: Option<ReachReport>,
+    /// Since when each service that the router does not reach has been reported.
+    unreached_since: IndexMap<u64, Instant>,
     binds_streams: bool,
 }
 
@@ -104,7 +106,13 @@
     /// Records a message from a router.
     pub fn record_message(&mut self, host: &HostName, message: &GossipMessage, now: Instant) {
         self.remove_expired(now);
+        let known = self.reports.get(host).map(|report| &report.unreached_since);
+        let since = |service: &u64| {
+            (*service, known.and_then(|known| known.get(service)).copied().unwrap_or(now))
+        };
+        let unreached = message.reach.iter().flat_map(|reach| &reach.unreached);
         let report = PeerReport {
+            unreached_since: unreached.map(since).collect(),
             received_at: now,
             zone: message.zone.clone(),
             link_kbps: message.link_kbps,
@@ -213,6 +221,20 @@
         self.reports.iter().filter(move |(_, report)| reaches(report)).map(|(host, _)| host)
     }
 
+    /// Number of hosts with a current report that have listed the service with this key as unreached since before then.
+    pub(crate) fn hosts_unreached_before(
+        &self,
+        service: u64,
+        before: Instant,
+        now: Instant,
+    ) -> usize {
+        let is_unreached = |report: &&PeerReport| {
+            let is_fresh = now.saturating_duration_since(report.received_at) < MESSAGE_TTL;
+            is_fresh && report.unreached_since.get(&service).is_some_and(|since| *since < before)
+        };
+        self.reports.values().filter(is_unreached).count()
+    }
+
     /// Rank of a link among those of all routers with a current report.
     pub fn link_rank(&self, own_kbps: u32, now: Instant) -> LinkRank {
         let fresh = self
--- a/crates/dispatch/src/server_check.rs
+++ b/crates/dispatch/src/server_check.rs
@@ -8,6 +8,9 @@
 
 /// Time in which other hosts answer whether they reach the server.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Servers of a service that end under one request do so within this time. Hosts that have not reached the service for
+/// longer lost it for another reason.
+pub const CRASH_SERIES_TIME: Duration = Duration::from_secs(1);
 /// Answers of other hosts that settle the question at once.
 const MIN_ANSWERS: usize = 2;
 /// Time after which a single answer does.
@@ -28,6 +31,8 @@
     pub others_failed: usize,
     /// Other hosts that failed and are not known to reach the service. Their failures tell of their own links.
     pub others_isolated: usize,
+    /// Other live hosts that reached no server of the service long before the break. Their failures tell nothing of it.
+    pub others_cut: usize,
     /// Other live hosts.
     pub peers: usize,
     /// All known hosts are in touch.
@@ -122,14 +127,15 @@
         is_confirmed || self.reaches_nobody()
     }
 
-    /// Whether no host reaches the service: all its servers have ended, as all hosts are in touch and all that try have
-    /// failed.
+    /// Whether no host reaches the service any more: all its servers have ended, as all hosts are in touch and all that
+    /// try and reached it before have failed.
     fn reaches_nobody(&self) -> bool {
-        let asked = self.peers.min(MAX_PROBING_HOSTS - 1);
+        let asked = self.peers.saturating_sub(self.others_cut).min(MAX_PROBING_HOSTS - 1);
+        let isolated = self.others_isolated.saturating_sub(self.others_cut);
         self.is_fleet_whole
             && !self.is_control_reached
             && self.others_failed == 0
             && MIN_ANSWERS <= asked
-            && asked <= self.others_isolated
+            && asked <= isolated
     }
 }
--- a/crates/dispatch/src/server_registry/reach.rs
+++ b/crates/dispatch/src/server_registry/reach.rs
@@ -93,6 +93,11 @@
         self.peers.hosts_reaching(service_key(service.as_str()), now).cloned().collect()
     }
 
+    /// Number of live hosts that have not reached the service since before then.
+    pub fn peers_cut_before(&self, service: &ServiceName, before: Instant, now: Instant) -> usize {
+        self.peers.hosts_unreached_before(service_key(service.as_str()), before, now)
+    }
+
     /// Whether servers have to be probed.
     pub fn needs_probes(&self, now: Instant) -> bool {
         self.reach.needs_probes(now)
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -110,6 +110,7 @@
     others_reached: 0,
     others_failed: 0,
     others_isolated: 0,
+    others_cut: 0,
     peers: 5,
     is_fleet_whole: false,
     is_control_reached: false,
@@ -176,6 +177,28 @@
         inputs: CheckInputs { others_isolated: 3, peers: 3, is_fleet_whole: true, ..UNREACHED },
         verdict: CheckVerdict::Crashed(CrashReason::UnreachedByAll),
     },
+    VerdictCase {
+        name: "this host is the last one to be cut off",
+        inputs: CheckInputs {
+            others_isolated: 3,
+            others_cut: 3,
+            peers: 3,
+            is_fleet_whole: true,
+            ..UNREACHED
+        },
+        verdict: CheckVerdict::Undecided,
+    },
+    VerdictCase {
+        name: "one of the hosts was cut off before the service went down",
+        inputs: CheckInputs {
+            others_isolated: 3,
+            others_cut: 1,
+            peers: 3,
+            is_fleet_whole: true,
+            ..UNREACHED
+        },
+        verdict: CheckVerdict::Crashed(CrashReason::UnreachedByAll),
+    },
     VerdictCase {
         name: "this host's attempt took long, and the others were asked a moment ago",
         inputs: CheckInputs { is_control_reached: true, age: LATER, ..UNREACHED },
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fulmargate_dispatch::CHECK_TIMEOUT;
+use fulmargate_dispatch::CRASH_SERIES_TIME;
 use fulmargate_dispatch::CheckInputs;
 use fulmargate_dispatch::CheckVerdict;
 use fulmargate_dispatch::ConnectOutcome;
@@ -148,7 +149,9 @@
         // A list without any entry of the service is no evidence on one server.
         let has_service =
             servers.states().any(|state| state.entry().service == self.server.service);
+        let series_began = now.checked_sub(inputs.age + CRASH_SERIES_TIME).unwrap_or(now);
         CheckInputs {
+            others_cut: servers.peers_cut_before(&self.server.service, series_began, now),
             peers: servers.live_peers(now).len(),
             is_fleet_whole: servers.is_fleet_whole(now),
             is_listed: stage.is_some() || !has_service,
@@ -184,6 +187,7 @@
             others_reached = inputs.others_reached,
             others_failed = inputs.others_failed,
             others_isolated = inputs.others_isolated,
+            others_cut = inputs.others_cut,
             peers = inputs.peers,
             is_fleet_whole = inputs.is_fleet_whole,
             is_control_reached = inputs.is_control_reached,
