Operators see which requests and parts are rejected, and clear them

What callers saw: a wrong conviction lasts ten minutes, and nobody can tell which part it is but by the logs of the time. Change: the status page lists suspects with crashes, age and verdict; DELETE /suspects/KEY on the metrics listener clears one, as a clearance that other hosts and the store learn of by the ways of all evidence. fulmargate-ctl entry prints them, fulmargate-ctl lift clears one. The balancer's listener takes no changes. Measured: daemon test, five hosts: listed at one host, refused at the readiness listener, cleared at the first host, runs again at the third.

--- a/crates/ctl/src/ctl_args.rs
+++ b/crates/ctl/src/ctl_args.rs
@@ -49,6 +49,7 @@
     Undrain(UndrainArgs),
     Status(StatusArgs),
     Entry(EntryArgs),
+    Lift(LiftArgs),
     Explain(ExplainArgs),
 }
 
@@ -155,6 +156,19 @@
     address: String,
 }
 
+/// Clears a request or a part of prompts of the crashes that count against it, at all hosts. `entry` lists them. Needs no
+/// key.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "lift")]
+struct LiftArgs {
+    /// address of a daemon's metrics listener
+    #[argh(positional)]
+    address: String,
+    /// key of the request or the part
+    #[argh(positional)]
+    key: String,
+}
+
 /// Prints what log lines say of one request, in order of time, from the logs of several daemons.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
@@ -174,6 +188,7 @@
         let result = match &self.command {
             CtlCommand::Config(args) => self.execute_config(&args.command, form).await,
             CtlCommand::Entry(args) => entry_command::status(&args.address, form).await,
+            CtlCommand::Lift(args) => entry_command::lift(&args.address, &args.key, form).await,
             CtlCommand::Explain(args) => explain_command::explain(args, form),
             command => self.execute_fleet(command, form).await,
         };
@@ -205,6 +220,7 @@
         match command {
             CtlCommand::Config(args) => Box::pin(self.execute_config(&args.command, form)).await,
             CtlCommand::Entry(args) => entry_command::status(&args.address, form).await,
+            CtlCommand::Lift(args) => entry_command::lift(&args.address, &args.key, form).await,
             CtlCommand::Explain(args) => explain_command::explain(args, form),
             CtlCommand::Hosts(_) => fleet_command::hosts(&client, form).await,
             CtlCommand::Servers(_) => fleet_command::servers(&client, form).await,
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -60,6 +60,14 @@
         /// Why.
         reason: String,
     },
+    /// A daemon knows no crash of this request or part.
+    #[display("{key}: {reason}")]
+    NotSuspected {
+        /// The key that was given.
+        key: String,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
     /// A change that may have been made although no clear answer came.
     #[display("{_0}; it may have been done all the same")]
     InDoubt(#[error(not(source))] Box<CtlError>),
@@ -85,7 +93,7 @@
             CtlError::Invalid(_) => ExitKind::Invalid,
             CtlError::NoAnswer { .. } => ExitKind::Unreachable,
             CtlError::InDoubt(_) | CtlError::PatchUnknown { .. } => ExitKind::Unknown,
-            CtlError::Unreadable { .. } => ExitKind::Refused,
+            CtlError::Unreadable { .. } | CtlError::NotSuspected { .. } => ExitKind::Refused,
             CtlError::PatchRefused { entry } if entry.base != entry.current => ExitKind::Stale,
             CtlError::PatchRefused { .. } => ExitKind::Invalid,
             CtlError::Refused { answer, .. } => exit_of_code(&answer.error.code),
--- a/crates/ctl/src/entry_command.rs
+++ b/crates/ctl/src/entry_command.rs
@@ -4,6 +4,7 @@
 
 use awc::Client;
 use fulmargate_dispatch::EntryStatus;
+use fulmargate_dispatch::SuspectStatus;
 use fulmargate_names::SoftwareVersion;
 
 use crate::CommandEnd;
@@ -31,6 +32,24 @@
     Ok(CommandEnd::done(form.render(&status, human)))
 }
 
+/// Clears a request or a part of prompts of the crashes that count against it.
+pub(crate) async fn lift(
+    address: &str,
+    key: &str,
+    form: OutputForm,
+) -> Result<CommandEnd, CtlError> {
+    let client = Client::builder().timeout(ANSWER_TIMEOUT).finish();
+    let lost =
+        |reason: String| CtlError::NoAnswer { router: address.to_owned(), reason, was_sent: true };
+    let sent = client.delete(format!("http://{address}/suspects/{key}")).send().await;
+    let answer = sent.map_err(|err| lost(err.to_string()))?;
+    match answer.status().as_u16() {
+        204 => Ok(CommandEnd::done(form.render(&key, |key| format!("{key} is cleared")))),
+        400 => Err(CtlError::NotSuspected { key: key.to_owned(), reason: "no hexadecimal number" }),
+        _ => Err(CtlError::NotSuspected { key: key.to_owned(), reason: "no crash is known of it" }),
+    }
+}
+
 fn human(status: &EntryStatus) -> String {
     let age = |ms: Option<u64>| ms.map_or(NONE.to_owned(), |ms| format!("{ms} ms ago"));
     let version = status.config_version.map_or(NONE.to_owned(), |version| version.to_string());
@@ -59,9 +78,16 @@
     });
     lines.push(format!("{} members, {} heard", status.members.len(), status.heard.len()));
     lines.push(servers(status));
+    lines.extend(status.suspects.iter().map(suspect));
     lines.join("\n")
 }
 
+fn suspect(suspect: &SuspectStatus) -> String {
+    let state = if suspect.is_convicted { "rejected" } else { "suspected" };
+    let (kind, key, crashes) = (&suspect.kind, &suspect.key, suspect.crashes);
+    format!("{kind} {key} {state}: {crashes} crashes, the last {} ms ago", suspect.age_ms)
+}
+
 fn servers(status: &EntryStatus) -> String {
     let heads =
         ["server", "service", "zone", "version", "open to use", "requests", "failing", "weights"];
--- a/crates/dispatch/src/entry_status.rs
+++ b/crates/dispatch/src/entry_status.rs
@@ -35,6 +35,24 @@
     pub lease: Option<LeaseStatus>,
     /// Backend servers in use.
     pub servers: Vec<ServerStatus>,
+    /// Requests and parts of prompts that are suspected of crashing servers.
+    #[serde(default)]
+    pub suspects: Vec<SuspectStatus>,
+}
+
+/// A request or a part of prompts that is suspected of crashing servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectStatus {
+    /// Its fingerprint or key, in hexadecimal as in log lines.
+    pub key: String,
+    /// `request` or `part`.
+    pub kind: String,
+    /// Confirmed crashes that count against it.
+    pub crashes: usize,
+    /// Milliseconds since the latest crash.
+    pub age_ms: u64,
+    /// Whether requests are rejected for it. A part that is not may still be together with others of a request.
+    pub is_convicted: bool,
 }
 
 /// Target weights version of a model.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -116,6 +116,7 @@
 pub use entry_status::EntryStatus;
 pub use entry_status::LeaseStatus;
 pub use entry_status::ServerStatus;
+pub use entry_status::SuspectStatus;
 pub use entry_status::WantedWeights;
 pub use event_splitter::EventSplitter;
 pub use fleet_record::FleetRecord;
--- a/crates/dispatch/src/suspect_table.rs
+++ b/crates/dispatch/src/suspect_table.rs
@@ -1,6 +1,7 @@
 //! Requests that crash the servers that run them, as known to one host.
 
 mod checks;
+mod overview;
 mod parts;
 mod reports;
 mod storage;
--- a/crates/dispatch/src/suspect_table/parts.rs
+++ b/crates/dispatch/src/suspect_table/parts.rs
@@ -98,6 +98,11 @@
         suspects.into_iter().filter_map(record).collect()
     }
 
+    /// Whether the part is convicted by itself.
+    pub(super) fn is_part_convicted(&mut self, part: u128) -> bool {
+        self.verdicts().is_convicted(part)
+    }
+
     fn verdicts(&mut self) -> &PartVerdicts {
         let records = &self.records;
         self.verdicts.get_or_insert_with(|| {
--- a/crates/entry/src/control/pages.rs
+++ b/crates/entry/src/control/pages.rs
@@ -1,14 +1,18 @@
 //! HTTP pages: readiness for the load balancer, metrics, and status for operators.
 
 use std::io;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 
 use actix_web::App;
+use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use actix_web::dev::Server;
 use actix_web::web;
+use fulmargate_names::EventKind;
+use tokio::time::Instant;
 
 use crate::daemon::ShutdownTokens;
 use crate::state::SharedState;
@@ -21,6 +25,8 @@
 struct PageState {
     state: Arc<SharedState>,
     stop: ShutdownTokens,
+    /// Address of the metrics listener, the only one that takes changes.
+    operators: SocketAddr,
 }
 
 pub(crate) fn serve_http_pages(
@@ -29,13 +35,15 @@
     readiness: TcpListener,
     metrics: TcpListener,
 ) -> io::Result<Server> {
-    let page = web::Data::new(PageState { state, stop });
+    let operators = metrics.local_addr()?;
+    let page = web::Data::new(PageState { state, stop, operators });
     let server = HttpServer::new(move || {
         App::new()
             .app_data(page.clone())
             .route("/ready", web::get().to(ready))
             .route("/metrics", web::get().to(metrics_page))
             .route("/status", web::get().to(status_page))
+            .route("/suspects/{key}", web::delete().to(lift_suspicion))
     });
     let server = server.workers(1).backlog(MAX_PENDING_CONNECTIONS).disable_signals();
     Ok(server.listen(readiness)?.listen(metrics)?.run())
@@ -60,3 +68,24 @@
 async fn status_page(page: web::Data<PageState>) -> HttpResponse {
     HttpResponse::Ok().json(entry_status(&page.state))
 }
+
+/// Clears a request or a part of prompts of the crashes that count against it.
+async fn lift_suspicion(
+    page: web::Data<PageState>,
+    request: HttpRequest,
+    key: web::Path<String>,
+) -> HttpResponse {
+    let Ok(number) = u128::from_str_radix(&key, 16) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    if request.app_config().local_addr() != page.operators {
+        return HttpResponse::NotFound().finish();
+    }
+    let lifted = page.state.suspects().lift(number, Instant::now());
+    let Some(crashes) = lifted else { return HttpResponse::NotFound().finish() };
+    page.state.fleet_record_change.notify_one();
+    page.state.crash_evidence_change.notify_one();
+    let kind = EventKind::SuspicionLifted;
+    tracing::info!(event = kind.number(), name = kind.name(), key = %key, crashes);
+    HttpResponse::NoContent().finish()
+}
--- a/crates/entry/src/state/status.rs
+++ b/crates/entry/src/state/status.rs
@@ -22,6 +22,7 @@
     let admits_keys = state.admits_keys();
     let live_peers = state.servers().live_peers(Instant::now());
     let servers = server_statuses(state);
+    let suspects = state.suspects().overview(Instant::now());
     let fleet = state.fleet.load();
     let weights = state.weights.load();
     let targets = weights.targets().map(|(model, version)| WantedWeights {
@@ -41,6 +42,7 @@
         heard: live_peers,
         lease: held_lease.map(|lease| lease_status(lease, now)),
         servers,
+        suspects,
     }
 }
 
--- a/crates/entry/tests/daemon/crashing_requests.rs
+++ b/crates/entry/tests/daemon/crashing_requests.rs
@@ -3,6 +3,7 @@
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::CrashEnd;
 use fulmargate_consortium_stand::StoreFault;
+use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -170,3 +171,28 @@
     let crashes = fleet.crash_count();
     assert!(crashes <= MAX_CRASHES, "{crashes} servers ended: {:?}", fleet.verdicts());
 }
+
+/// Guards against a wrong conviction that operators can neither see nor end.
+#[tokio::test]
+async fn an_operator_lifts_a_conviction_at_all_hosts() {
+    let mut fleet = CrashFleet::start(CrashEnd::BeforeHead).await;
+    fleet.begin_crashes().await;
+    sleep(LEARNING_TIME).await;
+    fleet.restart_servers().await;
+    let metrics = fleet.daemons[0].address("metrics").await;
+    let page = CallerRequest::new("/status", "s").send(metrics).await.expect("a response");
+    let status: Value = serde_json::from_str(&page.body).expect("a status");
+    let suspect = &status["suspects"][0];
+    assert_eq!((&suspect["kind"], &suspect["is_convicted"]), (&json!("request"), &json!(true)));
+    let mut lift = CallerRequest::new("/suspects/", "l");
+    lift.method = "DELETE";
+    lift.path += suspect["key"].as_str().expect("a key");
+    let readiness = fleet.daemons[0].address("readiness").await;
+    let refused = lift.send(readiness).await.expect("a response");
+    assert_eq!(refused.status, 404, "the balancer's listener takes no changes");
+    let lifted = lift.send(metrics).await.expect("a response");
+    assert_eq!(lifted.status, 204, "{}", lifted.body);
+    sleep(LEARNING_TIME).await;
+    fleet.send_crashing(&[2], SINGLE_PATH, 1).await;
+    assert_eq!(fleet.crash_count(), SERVERS + 1, "the request runs again, at another host");
+}
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -66,6 +66,8 @@
     PartCleared = 2024,
     /// A caller's connection was closed unread, since there is no memory for it.
     ConnectionRefused = 2025,
+    /// An operator cleared a request or a part of prompts of its crashes.
+    SuspicionLifted = 2026,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -224,6 +226,7 @@
     PartConvicted => "part_convicted",
     PartCleared => "part_cleared",
     ConnectionRefused => "connection_refused",
+    SuspicionLifted => "suspicion_lifted",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
