Suspects: a request's own conviction counts between plan and send

Change: the check before a send rejects convicted requests first, and a request with three crashes that are not all confirmed waits, as at its plan.

--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -56,9 +56,13 @@
 
     /// Whether the request may be sent on a connection to this server. What was found out since it was planned counts.
     pub(super) fn may_send_now(&mut self, server: &ServerEntry) -> Result<bool, RequestFailure> {
+        self.reject_crashing_request()?;
         let is_suspected = self.is_request_suspected();
+        let is_held_back = self.state.suspects().is_held_back(self.facts().fingerprint);
         let step = match (self.part_standing(), &self.turn) {
             (PartStanding::Convicted(_), _) => RunStep::Convicted,
+            // The request's own crashes count beside those of the part that it tries.
+            (PartStanding::Tried(_), _) if is_held_back => return Ok(false),
             (PartStanding::Tried(part), Some(turn)) if turn.is_of(SuspectKind::Part, part) => {
                 turn.step_at(server.key())
             }
