Limited servers: what could not end before its deadline is rejected at once

Cause: the expected wait alone was compared with the deadline, without the time that a server takes. Change: the latency of the service's fastest server is added.

--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -182,6 +182,14 @@
         self.servers.values()
     }
 
+    /// Time in which the fastest server of a service responds; zero while none has.
+    pub fn min_latency(&self, service: &ServiceName, now: Instant) -> Duration {
+        let of_service = |state: &&ServerState| state.entry.service == *service;
+        let observed = self.servers.values().filter(of_service).filter(|state| state.has_latency());
+        let latency_ms = observed.map(|state| state.latency_ms(now)).min_by(f64::total_cmp);
+        Duration::from_secs_f64(latency_ms.unwrap_or_default() / 1_000.0)
+    }
+
     /// Counts a plain call as sent to the server.
     pub fn record_send(&mut self, call: &CallFacts, server: ServerKey, now: Instant) -> SendTicket {
         let tokens = f64::from(call.prompt_tokens());
--- a/crates/entry/src/traffic/request_handler/plan.rs
+++ b/crates/entry/src/traffic/request_handler/plan.rs
@@ -70,7 +70,7 @@
     }
 
     /// Reserves a server of a plain service. Waits while all are at their rate limits, and rejects the request at
-    /// once if that would take until its deadline.
+    /// once if its response could not come before its deadline.
     async fn reserve_plain(
         &mut self,
         service: &ServiceName,
@@ -82,7 +82,8 @@
                 PlainPlacement::NoServer => return Ok(None),
                 PlainPlacement::Limited(wait) => wait,
             };
-            if self.facts().deadline <= Instant::now() + wait {
+            let service_time = self.state.servers().min_latency(service, Instant::now());
+            if self.facts().deadline <= Instant::now() + wait + service_time {
                 count_limit_decision("rejected");
                 return Err(self.limit_failure(wait));
             }
