Soak: a host that takes all new connections

One daemon takes all new connections, one for each request, while servers are brittle; the judge compares the served share of calls that run once with the seconds before.

--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -76,6 +76,7 @@
             SoakFault::Brittle(_) | SoakFault::CrashingRequest(_) => {
                 self.places.iter().any(|place| *place < DESKS)
             }
+            SoakFault::CrowdHost(_) => false,
             SoakFault::CrashingPart(_) => self.places.iter().any(|place| DESKS <= *place),
             SoakFault::Link(LinkPlace::Callers(router), _) => router == self.record.router,
             SoakFault::Link(LinkPlace::Server(place), _) => self.places.contains(&place),
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -96,6 +96,12 @@
 const BRITTLE_RATES: [u32; 4] = [1, 3, 8, 30];
 /// Keeps these draws from those of other kinds.
 const BRITTLE_DRAWS: u64 = 0x6272_6974;
+/// How long one router takes all new connections, and how long after servers became brittle: callers' share before is
+/// compared with that.
+const CROWD_MS: u64 = 7_000;
+const CROWD_AFTER_MS: u64 = 5_000;
+/// Keeps these draws from those of other kinds.
+const CROWD_DRAWS: u64 = 0x6372_6f77;
 /// Crashing requests in a run that is drawn for them.
 const CRASHING_REQUESTS: u32 = 2;
 /// How long they are sent: longer than until routers know them.
@@ -349,6 +355,29 @@
         self
     }
 
+    /// Whether one router takes all new connections for a while.
+    pub(crate) fn has_crowds(&self) -> bool {
+        self.steps.iter().any(|step| matches!(step.fault, SoakFault::CrowdHost(_)))
+    }
+
+    /// Beside all else one router takes all new connections, while the servers of the plain service are brittle.
+    pub fn with_crowded_hosts(mut self, routers: usize, length: Duration) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ CROWD_DRAWS);
+        let at = rng.random_range(CALM_START_MS..length.as_millis() as u64 / 2);
+        let rate = BRITTLE_RATES[rng.random_range(0..BRITTLE_RATES.len())];
+        let steps = [
+            (at, CROWD_AFTER_MS + CROWD_MS, SoakFault::Brittle(rate)),
+            (at + CROWD_AFTER_MS, CROWD_MS, SoakFault::CrowdHost(rng.random_range(0..routers))),
+        ];
+        self.steps.extend(steps.map(|(at, lasts, fault)| FaultStep {
+            at: Duration::from_millis(at),
+            lasts: Duration::from_millis(lasts),
+            fault,
+        }));
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Beside all else callers send requests that crash the servers of the plain service.
     pub fn with_crashing_requests(mut self, length: Duration) -> FaultPlan {
         let mut rng = StdRng::seed_from_u64(self.seed ^ CRASHING_REQUEST_DRAWS);
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -124,6 +124,11 @@
         SoakFault::Brittle(rejections_per_s) => {
             play_brittle(world, rejections_per_s, step.lasts).await;
         }
+        SoakFault::CrowdHost(router) => {
+            world.crowd(Some(router));
+            sleep(step.lasts).await;
+            world.crowd(None);
+        }
         SoakFault::CrashingRequest(number) => {
             play_crashing_request(world, number, step.lasts).await?;
         }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -2,6 +2,7 @@
 
 mod convictions;
 mod crashing_requests;
+mod crowded_hosts;
 mod crowded_servers;
 mod host_cuts;
 mod versions;
@@ -123,6 +124,7 @@
         judge.judge_limits();
         judge.judge_brittle_times();
         judge.judge_host_cuts();
+        judge.judge_crowded_hosts();
         judge.judge_crashing_requests();
         judge.judge_refused_sound();
         judge.judge_versions();
--- a/crates/soak/src/judged_count.rs
+++ b/crates/soak/src/judged_count.rs
@@ -7,6 +7,8 @@
 pub struct JudgedCount {
     /// Requests to hosts that were cut off from all servers.
     pub at_cut_hosts: usize,
+    /// Requests to hosts that take all connections.
+    pub at_crowded_hosts: usize,
     /// Falls of brittle servers, with those that do not count.
     pub falls: usize,
     /// Falls that count.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -63,6 +63,9 @@
     /// servers fall over when they reject too much, beside the faults of the seed; goes before --host-cuts
     #[argh(switch)]
     brittle: bool,
+    /// one host takes all new connections while servers are brittle, beside the faults of the seed; goes before --brittle
+    #[argh(switch)]
+    crowded_hosts: bool,
     /// callers send requests that crash servers, beside the faults of the seed; goes before --brittle, and together with
     /// --host-cuts
     #[argh(switch)]
@@ -104,6 +107,7 @@
         SoakArgs { crashing_parts: true, .. } => PlanKind::CrashingParts,
         SoakArgs { crashing_requests: true, host_cuts: true, .. } => PlanKind::CrashesBesideCuts,
         SoakArgs { crashing_requests: true, .. } => PlanKind::CrashingRequests,
+        SoakArgs { crowded_hosts: true, .. } => PlanKind::CrowdedHosts,
         SoakArgs { brittle: true, .. } => PlanKind::Brittle,
         SoakArgs { host_cuts: true, .. } => PlanKind::HostCuts,
         SoakArgs { response_ends: true, .. } => PlanKind::ResponseEnds,
@@ -142,6 +146,9 @@
          {crashes} crashes, {late_crash_sends} late sends, {} of {} streams taken up went on, {} refused",
         judged.went_on, judged.taken_up, judged.refused_streams
     );
+    if 0 < judged.at_crowded_hosts {
+        println!("  {} requests at crowded hosts", judged.at_crowded_hosts);
+    }
     let weights = judged.weights;
     if 0 < weights.prompts {
         println!(
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -41,6 +41,8 @@
     InnocentRefused,
     /// Hosts that reach no server serve their callers.
     CutHosts,
+    /// A router that takes all new connections serves what it reads.
+    CrowdedHost,
     /// A stream has events of one software version, over all tries of its caller.
     OneVersion,
     /// Streams that are taken up go on.
--- a/crates/soak/src/soak_caller.rs
+++ b/crates/soak/src/soak_caller.rs
@@ -1,5 +1,6 @@
 //! Callers that send on and on.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -39,7 +40,11 @@
 /// All records of a run.
 pub(crate) type SharedRecords = Arc<Mutex<Vec<RequestRecord>>>;
 
-/// One caller, bound to one router. It keeps its connection for as long as that is open.
+/// Connections that a caller leaves open while one router takes all new ones.
+const MAX_IDLE_CONNECTIONS: usize = 3;
+
+/// One caller, bound to one router. It keeps its connection for as long as that is open, but where one router takes all
+/// new connections.
 pub(crate) struct SoakCaller {
     pub(crate) world: Arc<SoakWorld>,
     pub(crate) records: SharedRecords,
@@ -53,14 +58,17 @@
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let mut rng = StdRng::seed_from_u64(self.seed ^ ((self.number as u64 + 1) << 32));
         let mut channel = None;
+        let mut idle = VecDeque::new();
         let mut turn = 0;
         while !*stop.borrow() {
             sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
             let kept = channel.take().filter(|channel: &CallerChannel| !channel.is_closed());
-            let address = self.world.routers[self.router].callers.address;
+            let crowded = self.world.crowded();
+            let router = crowded.unwrap_or(self.router);
+            let address = self.world.routers[router].callers.address;
             let opened = match kept {
-                Some(kept) => Ok(kept),
-                None => CallerChannel::open(address).await,
+                Some(kept) if crowded.is_none() => Ok(kept),
+                _ => CallerChannel::open(address).await,
             };
             let Ok(mut open) = opened else {
                 sleep(OPEN_PAUSE).await;
@@ -68,9 +76,14 @@
             };
             turn += 1;
             let (kind, request) = self.request(&mut rng, turn);
-            if self.exchange(&mut open, kind, &request, &mut rng).await {
-                channel = Some(open);
+            let is_kept = self.exchange(&mut open, router, kind, &request, &mut rng).await;
+            match crowded {
+                Some(_) => idle.push_back(open),
+                None if is_kept => channel = Some(open),
+                None => {}
             }
+            let max_idle = if crowded.is_some() { MAX_IDLE_CONNECTIONS } else { 0 };
+            idle.drain(..idle.len().saturating_sub(max_idle));
         }
     }
 
@@ -84,6 +97,8 @@
             (3 | 4, _) if self.world.has_versions => RequestKind::Look,
             (3, _) => RequestKind::Chat,
             (4, _) => RequestKind::SingleChat,
+            // Slow servers are given up for repeatable requests.
+            _ if self.world.has_crowds && !turn.is_multiple_of(3) => RequestKind::Charge,
             _ => RequestKind::Look,
         };
         let path = match kind {
@@ -111,11 +126,12 @@
     async fn exchange(
         &self,
         channel: &mut CallerChannel,
+        router: usize,
         kind: RequestKind,
         request: &CallerRequest,
         rng: &mut StdRng,
     ) -> bool {
-        let start = self.world.routers[self.router].start();
+        let start = self.world.routers[router].start();
         let patience = Duration::from_millis(request.patience_ms);
         let longest = match rng.random_bool(LEAVE_SHARE) {
             true => Duration::from_millis(rng.random_range(1..100)),
@@ -132,7 +148,7 @@
             id: request.id.clone(),
             kind,
             key: request.key.unwrap_or_default(),
-            router: self.router,
+            router,
             start,
             patience,
             sent,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -41,6 +41,8 @@
     FullLink(usize),
     /// A router's host loses its links to all servers.
     CutHost(usize, LinkCut),
+    /// Callers of all routers open all new connections to this one, one for each request.
+    CrowdHost(usize),
     /// All servers of the plain service fall over at more rejections in a second than this.
     Brittle(u32),
     /// All routers are killed at the same moment.
@@ -96,7 +98,7 @@
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::KillServer(_) | SoakFault::CutHost(..) | SoakFault::Brittle(_) => false,
             SoakFault::CrashingRequest(_) | SoakFault::CrashingPart(_) => false,
-            SoakFault::Upgrade(..) => false,
+            SoakFault::Upgrade(..) | SoakFault::CrowdHost(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
             SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
         }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -34,7 +34,7 @@
 const CALLERS: usize = 4;
 /// The same where servers are to be crowded.
 const CROWDING_CALLERS: usize = 20;
-/// The same where series of weights are played.
+/// The same where series of weights are played, or one router takes all connections.
 const WEIGHTS_CALLERS: usize = 8;
 /// Callers of streams of several versions, for each router.
 const VERSION_CALLERS: usize = 6;
@@ -99,6 +99,8 @@
     CrashesBesideCuts,
     /// Any faults, and servers that fall over when they reject too much, under more load.
     Brittle,
+    /// Any faults, and a host that takes all new connections while servers are brittle.
+    CrowdedHosts,
     /// Any faults, and engines of several software versions whose streams are taken up.
     Versions,
     /// Any faults, and series of weights versions while routers are stopped and killed.
@@ -141,6 +143,10 @@
             mixed.with_host_cuts(routers, conf.length).with_crashing_parts(conf.length)
         }
         PlanKind::Brittle => mixed.with_brittle_servers(conf.length),
+        PlanKind::CrowdedHosts => {
+            let others = if conf.is_calm { mixed.without_disturbances() } else { mixed };
+            others.with_crowded_hosts(routers, conf.length)
+        }
         PlanKind::Versions => {
             let engines = DESKS..DESKS + ENGINES + VERSION_ENGINES;
             mixed.with_versions(engines, conf.length)
@@ -161,7 +167,7 @@
     let stop = watch::Sender::new(false);
     let callers_per_router = match conf.kind {
         PlanKind::Brittle => CROWDING_CALLERS,
-        PlanKind::Weights => WEIGHTS_CALLERS,
+        PlanKind::Weights | PlanKind::CrowdedHosts => WEIGHTS_CALLERS,
         _ => CALLERS,
     };
     let callers = start_callers(&world, &records, seed, callers_per_router, &stop);
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -155,10 +155,14 @@
     brittle_times: Mutex<Vec<BrittleTime>>,
     /// Whether engines run several software versions, and mark their events with them.
     pub(crate) has_versions: bool,
+    /// Whether one router takes all new connections for a while.
+    pub(crate) has_crowds: bool,
     /// Whether operators name series of weights, and engines take time to load them.
     pub(crate) has_weights: bool,
     /// How the links of each router's host to servers are cut.
     cuts: Mutex<Vec<Option<LinkCut>>>,
+    /// The router that all new connections go to, if any.
+    crowded: Mutex<Option<usize>>,
     started: AtomicUsize,
 }
 
@@ -217,8 +221,10 @@
             refused_sound: Mutex::default(),
             brittle_times: Mutex::default(),
             has_versions: plan.has_versions(),
+            has_crowds: plan.has_crowds(),
             has_weights: plan.has_weights(),
             cuts: Mutex::new(vec![None; plan.routers]),
+            crowded: Mutex::default(),
             started: AtomicUsize::new(0),
         };
         let extra_engines = match (world.has_versions, world.has_weights) {
@@ -296,6 +302,16 @@
         servers.iter().for_each(|server| LinkCut::apply(cut, &server.proxies[router]));
     }
 
+    /// New connections go to this router from now on, or to each caller's own again.
+    pub(crate) fn crowd(&self, router: Option<usize>) {
+        *lock(&self.crowded) = router;
+    }
+
+    /// The router that all new connections go to, if any.
+    pub(crate) fn crowded(&self) -> Option<usize> {
+        *lock(&self.crowded)
+    }
+
     /// Keeps how often brittle servers fell.
     pub(crate) fn record_brittle_time(&self, time: BrittleTime) {
         lock(&self.brittle_times).push(time);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -221,6 +221,21 @@
     check(BRITTLE_SEEDS, "brittle").await;
 }
 
+/// Seeds in which one router takes all new connections.
+const CROWD_SEEDS: &[SeedCase] = &[SeedCase {
+    seed: 62000,
+    seconds: 10,
+    kind: PlanKind::CrowdedHosts,
+    is_calm: true,
+    cause: "slots of brittle servers were divided by the number of routers",
+}];
+
+/// Guards against a host that takes all connections and has a part of the servers' room only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crowded_hosts_serve_what_they_read() {
+    check(CROWD_SEEDS, "crowded-hosts").await;
+}
+
 /// Servers leave while routers are cut off from the store or paused. Guards against requests to them after the
 /// routers' return.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
