Crowded hosts: no division by demand without demand

The one that has learned of the bound first reports the smallest demand, the other counts none of its own, takes the first one for crowded and leaves the slots to it; the first divides equally, so that half of them are unused. And a router that had just met another one divided anew only 5 ms later. Change: slots follow the demand from one request a second at all routers on, and a router that meets or loses another one divides at once. Measured: the property, brittle_model (nine cases) pass.

--- a/crates/dispatch/src/server_registry/limits.rs
+++ b/crates/dispatch/src/server_registry/limits.rs
@@ -147,7 +147,7 @@
     /// Updates which limited servers can take a request.
     pub(super) fn refresh_headroom(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < HEADROOM_REFRESH_INTERVAL;
-        if self.headroom_refreshed.is_some_and(is_recent) {
+        if self.headroom_refreshed.is_some_and(is_recent) && !self.lacks_routers(now) {
             return;
         }
         self.headroom_refreshed = Some(now);
--- a/crates/dispatch/src/server_registry/slots.rs
+++ b/crates/dispatch/src/server_registry/slots.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Whether slots are divided among another number of routers than there are.
+    pub(super) fn lacks_routers(&self, now: Instant) -> bool {
+        if self.slot_shares.is_empty() {
+            return false;
+        }
+        let routers = self.peers.hosts(now).count() + 1;
+        self.slot_shares.values().any(|shares| !shares.is_among(routers))
+    }
+
     fn division_change(
         &mut self,
         service: ServiceName,
--- a/crates/dispatch/src/slot_shares.rs
+++ b/crates/dispatch/src/slot_shares.rs
@@ -18,6 +18,8 @@
 const MAX_EQUAL_SHARE: f64 = 0.75;
 /// Slots of a server that the largest share must be worth. Single requests do not move what is worth less.
 const MIN_SKEWED_SLOTS: f64 = 2.0;
+/// Requests a second at all routers from which the division follows the demand.
+const MIN_SKEWED_RATE: f64 = 1.0;
 /// Smallest weight of a router, as a power of two of the mean: its first requests find a slot.
 const MIN_WEIGHT_POWER: f64 = -3.0;
 
@@ -53,8 +55,12 @@
 impl SlotShares {
     /// Whether the last division was a report delay ago, or among another number of routers.
     pub(crate) fn is_due(&self, routers: usize, report_delay: Duration, now: Instant) -> bool {
-        let is_same = |last: &Division| last.routers.len() == routers;
-        !self.is_recent(report_delay, now) || !self.divisions.front().is_some_and(is_same)
+        !self.is_recent(report_delay, now) || !self.is_among(routers)
+    }
+
+    /// Whether the last division was among this number of routers.
+    pub(crate) fn is_among(&self, routers: usize) -> bool {
+        self.divisions.front().is_some_and(|last| last.routers.len() == routers)
     }
 
     fn is_recent(&self, report_delay: Duration, now: Instant) -> bool {
@@ -132,9 +138,12 @@
 
 /// Whether one router has far more than its equal part of the demand, and that is worth some slots.
 fn is_skewed(rates: &[f64], slots: u32) -> bool {
-    let largest = rates.iter().copied().fold(0.0, f64::max) / rates.iter().sum::<f64>();
+    let total: f64 = rates.iter().sum();
+    let largest = rates.iter().copied().fold(0.0, f64::max) / total;
     let equal_share = (SKEWED_PARTS / rates.len() as f64).min(MAX_EQUAL_SHARE);
-    equal_share <= largest && MIN_SKEWED_SLOTS <= largest * f64::from(slots)
+    MIN_SKEWED_RATE <= total
+        && equal_share <= largest
+        && MIN_SKEWED_SLOTS <= largest * f64::from(slots)
 }
 
 fn weights(rates: &[f64]) -> Vec<f64> {
