--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -285,6 +285,21 @@
     check(CRASHING_PART_SEEDS, "crashing-parts").await;
 }
 
+/// Seeds with such parts while routers are killed.
+const KILLED_PART_SEEDS: &[SeedCase] = &[SeedCase {
+    seed: 63110,
+    seconds: 10,
+    kind: PlanKind::CrashingParts,
+    is_calm: false,
+    cause: "crashes of a part that are not confirmed yet did not hold it back, so that it was tried on",
+}];
+
+/// Guards against a part that is tried again and again while the checks of its last crashes take long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unconfirmed_crashes_hold_a_part_back() {
+    check(KILLED_PART_SEEDS, "killed-parts").await;
+}
+
 /// Seeds with such parts while hosts reach no server.
 const PARTS_BESIDE_CUTS_SEEDS: &[SeedCase] = &[SeedCase {
     seed: 61100,
