Review, case 1: a part that crashes replicas is not convicted where answers have no length

Disruption: a part of prompts crashes each replica that begins to answer. Cause, as far as known: the end of the crashed answer is taken for complete, and that withdraws the evidence of earlier crashes.

--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -10,14 +10,20 @@
 use crate::consumer::{ask, Answer};
 use crate::deployment::Deployment;
 use crate::http::{call, BodyEnd};
-use crate::replica::EVENTS;
+use crate::replica::Shape;
 
-const ROUTERS: usize = 3;
+pub const ROUTERS: usize = 3;
+/// Events of a whole stream.
+const EVENTS: u32 = 40;
+/// One answer in 20 has neither a length nor chunks.
+const FEW_UNFRAMED: Shape = Shape { events: EVENTS, unframed_every: 20 };
+/// No answer has a length or chunks.
+const ALL_UNFRAMED: Shape = Shape { events: EVENTS, unframed_every: 1 };
 const STREAMS: u64 = 480;
 /// The streams begin within this time.
 const RAMP: Duration = Duration::from_millis(2_400);
 
-fn has_trouble() -> bool {
+pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
@@ -30,7 +36,8 @@
         let at = begun + RAMP.mul_f64(number as f64 / STREAMS as f64);
         let consumer = move || {
             std::thread::sleep(at.saturating_duration_since(Instant::now()));
-            ask(router, path, &format!("q{number:04}"), number)
+            let prompt = format!("{number:08x}:200,5{number:07x}:100,6{number:07x}:100");
+            ask(router, path, &format!("q{number:04}"), &prompt)
         };
         std::thread::Builder::new().stack_size(256 << 10).spawn(consumer)
     };
@@ -98,7 +105,7 @@
 
 /// Three of twelve replicas crash at once while streams run there.
 pub fn crash_of_three(dir: &str) -> io::Result<bool> {
-    let mut deployment = Deployment::start(ROUTERS)?;
+    let mut deployment = Deployment::start(ROUTERS, FEW_UNFRAMED)?;
     let consumers = start_streams(&deployment, "/tag/2f");
     std::thread::sleep(RAMP + Duration::from_millis(700));
     let mut told = String::new();
@@ -113,9 +120,25 @@
     judge(&deployment, dir, &told, consumers)
 }
 
+/// Three of twelve replicas crash, one at a time, while streams run there.
+pub fn single_crashes(dir: &str) -> io::Result<bool> {
+    let mut deployment = Deployment::start(ROUTERS, ALL_UNFRAMED)?;
+    let consumers = start_streams(&deployment, "/tag/2f");
+    std::thread::sleep(RAMP - Duration::from_millis(400));
+    let mut told = String::new();
+    if has_trouble() {
+        for name in ["i-05", "i-07", "i-11"] {
+            deployment.crash_replica(name)?;
+            std::thread::sleep(Duration::from_millis(600));
+        }
+        told.push_str("i-05, i-07 and i-11 of 12 replicas crashed, 0.6 s apart\n");
+    }
+    judge(&deployment, dir, &told, consumers)
+}
+
 /// A replica reports that it leaves, and exits 2.1 s after the store has accepted that.
 pub fn leaving(dir: &str) -> io::Result<bool> {
-    let mut deployment = Deployment::start(ROUTERS)?;
+    let mut deployment = Deployment::start(ROUTERS, FEW_UNFRAMED)?;
     let consumers = start_streams(&deployment, "/tag/2f");
     std::thread::sleep(RAMP - Duration::from_millis(600));
     let mut told = String::new();
--- a/review/stand/consumer.rs
+++ b/review/stand/consumer.rs
@@ -31,8 +31,8 @@
     }
 }
 
-/// Sends a prompt of two parts. `part` names the shared one.
-pub fn ask(router: SocketAddr, path: &str, id: &str, part: u64) -> Answer {
+/// Sends a prompt with these parts.
+pub fn ask(router: SocketAddr, path: &str, id: &str, prompt: &str) -> Answer {
     let begun = Instant::now();
     let mut answer = Answer {
         id: id.to_owned(),
@@ -42,7 +42,7 @@
         end: BodyEnd::Broken("no answer".to_owned()),
         took: Duration::ZERO,
     };
-    if let Err(err) = exchange(router, path, id, part, &mut answer) {
+    if let Err(err) = exchange(router, path, id, prompt, &mut answer) {
         answer.end = BodyEnd::Broken(err.to_string());
     }
     answer.took = begun.elapsed();
@@ -53,7 +53,7 @@
     router: SocketAddr,
     path: &str,
     id: &str,
-    part: u64,
+    prompt: &str,
     answer: &mut Answer,
 ) -> std::io::Result<()> {
     let mut connection = Connection::open(router, Duration::from_secs(1))?;
@@ -61,8 +61,8 @@
     let body = b"{\"prompt\":\"x\"}";
     let head = format!(
         "POST {path} HTTP/1.1\r\nHost: shop.example\r\nFulmargate-Request-Id: {id}\r\n\
-         Fulmargate-Model-Name: m1\r\nFulmargate-Token-Usage: 300,40\r\n\
-         Fulmargate-Prompt-Prefix: {part:08x}:200,{part:04x}{id}:100\r\n\
+         Fulmargate-Model-Name: m1\r\nFulmargate-Token-Usage: 400,40\r\n\
+         Fulmargate-Prompt-Prefix: {prompt}\r\n\
          Fulmargate-Request-Deadline: 12000\r\nAuthorization: Token {KEY}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
--- a/review/stand/deployment.rs
+++ b/review/stand/deployment.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::call;
+use crate::replica::Shape;
 use crate::store::keyed_record;
 
 pub const REPLICAS: usize = 12;
@@ -22,6 +23,9 @@
     pub name: String,
     pub address: SocketAddr,
     child: Child,
+    /// When another one takes the place of this one, which has ended.
+    replaced_at: Option<Instant>,
+    is_replaced: bool,
 }
 
 pub struct Router {
@@ -37,6 +41,7 @@
     pub store_address: SocketAddr,
     pub replicas: Vec<Replica>,
     pub routers: Vec<Router>,
+    shape: Shape,
     started: usize,
 }
 
@@ -55,14 +60,22 @@
 
 impl Deployment {
     /// Starts everything and waits until all routers are ready and know all replicas.
-    pub fn start(routers: usize) -> io::Result<Deployment> {
+    pub fn start(routers: usize, shape: Shape) -> io::Result<Deployment> {
         let dir = std::env::temp_dir().join(format!("fulmargate-review-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let store_address = free_address()?;
         let store = own_process(&dir, "store", &["store", &store_address.to_string()])?;
         let replicas = Vec::new();
-        let mut deployment =
-            Deployment { dir, store, store_address, replicas, routers: Vec::new(), started: 0 };
+        let routers_started = Vec::new();
+        let mut deployment = Deployment {
+            dir,
+            store,
+            store_address,
+            replicas,
+            routers: routers_started,
+            shape,
+            started: 0,
+        };
         deployment.wait_for("the store", || {
             call(store_address, "GET", "/log-newest?topic=keyed.op&part=0", b"").is_ok()
         })?;
@@ -136,11 +149,28 @@
         let address = free_address()?;
         let zone = ZONES[number % ZONES.len()];
         let (at, store) = (address.to_string(), self.store_address.to_string());
-        let child = own_process(&self.dir, &name, &["replica", &name, &at, zone, &store])?;
-        self.replicas.push(Replica { name, address, child });
+        let (events, every) = (self.shape.events.to_string(), self.shape.unframed_every.to_string());
+        let args = ["replica", &name, &at, zone, &store, &events, &every];
+        let child = own_process(&self.dir, &name, &args)?;
+        self.replicas.push(Replica { name, address, child, replaced_at: None, is_replaced: false });
         Ok(())
     }
 
+    /// Starts another replica in place of each that has ended so long ago.
+    pub fn replace_ended(&mut self, after: Duration) -> io::Result<()> {
+        let now = Instant::now();
+        let mut due = 0;
+        for replica in self.replicas.iter_mut().filter(|replica| !replica.is_replaced) {
+            if replica.child.try_wait()?.is_none() {
+                continue;
+            }
+            let replaced_at = *replica.replaced_at.get_or_insert(now + after);
+            replica.is_replaced = replaced_at <= now;
+            due += usize::from(replica.is_replaced);
+        }
+        (0..due).try_for_each(|_| self.start_replica())
+    }
+
     /// Kills a replica, as a crash does: nothing is written to the store.
     pub fn crash_replica(&mut self, name: &str) -> io::Result<()> {
         let replica = self.replicas.iter_mut().find(|replica| replica.name == name);
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -4,6 +4,7 @@
 mod consumer;
 mod deployment;
 mod http;
+mod poison;
 mod replica;
 mod store;
 
@@ -14,10 +15,17 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let result = match args.as_slice() {
         ["store", address] => store::run(address.parse().unwrap()).map(|()| true),
-        ["replica", name, address, zone, store] => {
-            replica::run(name, address.parse().unwrap(), zone, store.parse().unwrap()).map(|()| true)
+        ["replica", name, address, zone, store, events, every] => {
+            let shape = replica::Shape {
+                events: events.parse().unwrap(),
+                unframed_every: every.parse().unwrap(),
+            };
+            let (address, store) = (address.parse().unwrap(), store.parse().unwrap());
+            replica::run(name, address, zone, store, shape).map(|()| true)
         }
+        ["poisoned-part", dir] => poison::poisoned_part(dir),
         ["crash-of-three", dir] => cases::crash_of_three(dir),
+        ["single-crashes", dir] => cases::single_crashes(dir),
         ["leaving", dir] => cases::leaving(dir),
         _ => Err(std::io::Error::other("unknown case")),
     };
