--- a/review/stand/poison.rs
+++ b/review/stand/poison.rs
@@ -106,6 +106,12 @@
             }
         }
     }
+    record.push_str("all runs at the replicas (ms since 1970, run or its end):\n");
+    for replica in &deployment.replicas {
+        for line in deployment.log(&replica.name).lines() {
+            let _ = writeln!(record, "{} {line}", replica.name);
+        }
+    }
     std::fs::write(Path::new(dir).join("record.txt"), record)?;
     if served == 0 {
         return Err(io::Error::other("no sound prompt was served"));
