--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -56,6 +56,22 @@
 
     /// Starts a daemon with the default test settings and these overrides.
     pub(crate) fn start_with_settings(store: SocketAddr, overrides: &Value) -> DaemonProcess {
+        DaemonProcess::spawn(Command::new("env"), store, overrides)
+    }
+
+    /// The same, with a limit on open descriptors.
+    pub(crate) fn start_with_descriptors(
+        store: SocketAddr,
+        overrides: &Value,
+        max_descriptors: usize,
+    ) -> DaemonProcess {
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &format!("ulimit -n {max_descriptors} && exec \"$@\""), "sh"]);
+        DaemonProcess::spawn(shell, store, overrides)
+    }
+
+    /// Starts a daemon through a command that executes its arguments.
+    fn spawn(mut command: Command, store: SocketAddr, overrides: &Value) -> DaemonProcess {
         let number = DAEMON_COUNT.fetch_add(1, Ordering::Relaxed);
         let directory = std::env::temp_dir().join(format!("entry-{}-{number}", std::process::id()));
         fs::create_dir_all(&directory).expect("create the settings directory");
@@ -74,7 +90,8 @@
             settings[name] = value.clone();
         }
         fs::write(&file, settings.to_string()).expect("write the settings");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fulmargate-entry"))
+        let mut child = command
+            .arg(env!("CARGO_BIN_EXE_fulmargate-entry"))
             .arg("--settings")
             .arg(&file)
             .stdout(Stdio::piped())
@@ -129,6 +146,16 @@
         number.and_then(|number| number.parse().ok()).expect("a size in kilobytes")
     }
 
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Number of open descriptors.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let listing = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        listing.expect("list the open descriptors").count()
+    }
+
     /// Waits for the process to exit and returns its exit code.
     pub(crate) async fn exit_code(&mut self) -> Option<i32> {
         let child = &mut self.child;
