Connections: what makes no progress is closed before newcomers are refused

Callers saw: no ordinary caller answered beside 30 bodies that lack their end, or beside 2,500 idle connections. Cause: memory went to whoever came first, and nobody lost it until the deadline, however little they did. Change: each connection counts what it holds, its phase and its last progress. When there is no room, connections are closed by bytes held x time without progress; what was handed to a server, and complete requests, are never closed. Why it works: whoever holds a lot and does nothing has the highest score, and a request that arrives in one piece is never a candidate.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,6 +13,8 @@
 pub(crate) use engine_weights::lowest_weights;
 pub(crate) use held_memory::HeldBytes;
 pub(crate) use held_memory::HeldMemory;
+pub(crate) use held_memory::MemoryHolder;
+pub(crate) use held_memory::MemoryShortage;
 pub(crate) use loading_registry::LoadingRegistry;
 pub(crate) use shared_state::FleetView;
 pub(crate) use shared_state::ServerListEnd;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -174,7 +174,7 @@
         let quotas = QuotaTracker::new(settings.host.clone(), start_id, quota_conf(&bounds));
         let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
         let suspects = SuspectTable::new(settings.host.clone(), SuspectConf::default());
-        let held_memory = HeldMemory::new(settings.memory_mb);
+        let held_memory = HeldMemory::for_callers(settings.memory_mb);
         SharedState {
             settings,
             incarnation,
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -17,6 +17,7 @@
 pub(crate) use log_rate_limiter::LogRateLimiter;
 pub(crate) use logging::install_logging;
 pub(crate) use prometheus::count_binding;
+pub(crate) use prometheus::count_closed_client;
 pub(crate) use prometheus::count_connect;
 pub(crate) use prometheus::count_crash_check;
 pub(crate) use prometheus::count_forward;
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -132,6 +132,12 @@
     metrics::counter!("fulmargate_refused_connections_total").increment(1);
 }
 
+/// Counts a caller's connection that was closed before its time, by what it was doing.
+pub(crate) fn count_closed_client(reason: &'static str, phase: &'static str) {
+    let labels = [("reason", reason), ("phase", phase)];
+    metrics::counter!("fulmargate_closed_clients_total", &labels).increment(1);
+}
+
 /// Counts a request that is charged to its team's quota, and the tokens it asks for.
 pub(crate) fn count_quota_request(team: &TeamName, is_admitted: bool, tokens: u64) {
     let outcome = if is_admitted { "admitted" } else { "refused" };
@@ -156,6 +162,7 @@
         .set(state.open_requests.load(Ordering::Relaxed) as f64);
     metrics::gauge!("fulmargate_open_connections")
         .set(state.open_connections.load(Ordering::Relaxed) as f64);
+    metrics::gauge!("fulmargate_held_bytes").set(state.held_memory.used_bytes() as f64);
     if let Some(table) = state.table.load_full() {
         metrics::gauge!("fulmargate_config_version").set(table.version().0 as f64);
     }
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -1,7 +1,12 @@
 //! The traffic thread, which proxies callers' requests to backend servers.
 
+mod block_body;
 mod buffered_body;
+mod caller_connection;
 mod caller_io;
+mod caller_response;
+mod client_connection;
+mod client_registry;
 mod crash_check;
 mod in_flight_request;
 mod peer_forwarding;
--- a/crates/entry/src/traffic/caller_io.rs
+++ b/crates/entry/src/traffic/caller_io.rs
@@ -1,7 +1,8 @@
-//! A caller's connection, which can be reset.
+//! A caller's connection, which can be reset, and whose reads are bounded and counted.
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -14,6 +15,8 @@
 use tokio::net::TcpStream;
 
 use crate::sockets::set_reset_on_close;
+use crate::traffic::client_connection::ClientConnection;
+use crate::traffic::client_connection::ClientPhase;
 
 /// Whether closing a caller's connection resets it.
 #[derive(Clone, Debug, Default)]
@@ -32,13 +35,23 @@
 /// any close must be a reset, also by the kernel when this process is killed.
 pub(crate) struct CallerIo {
     stream: TcpStream,
+    client: Rc<ClientConnection>,
     switch: ResetSwitch,
     resets: bool,
 }
 
 impl CallerIo {
-    pub(crate) fn new(stream: TcpStream, switch: ResetSwitch) -> CallerIo {
-        CallerIo { stream, switch, resets: false }
+    pub(crate) fn new(
+        stream: TcpStream,
+        client: Rc<ClientConnection>,
+        switch: ResetSwitch,
+    ) -> CallerIo {
+        CallerIo { stream, client, switch, resets: false }
+    }
+
+    /// The connection itself, without what was held for its reads.
+    pub(crate) fn into_stream(self) -> TcpStream {
+        self.stream
     }
 
     fn apply_switch(&mut self) {
@@ -51,26 +64,44 @@
             tracing::debug!("cannot set how a caller connection is closed: {err}");
         }
     }
+
+    fn record_read(&mut self, bytes: usize) {
+        match self.client.phase() {
+            ClientPhase::Idle if 0 < bytes => {
+                self.client.enter(ClientPhase::Head);
+            }
+            _ => self.client.record_progress(bytes),
+        }
+    }
 }
 
 impl AsyncRead for CallerIo {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let io = self.get_mut();
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut io.stream).poll_read(context, buffer);
+        if polled.is_ready() {
+            io.record_read(buffer.filled().len() - before);
+        }
+        polled
     }
 }
 
 impl AsyncWrite for CallerIo {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.apply_switch();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let io = self.get_mut();
+        io.apply_switch();
+        let polled = Pin::new(&mut io.stream).poll_write(context, bytes);
+        record_written(&io.client, &polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -83,15 +114,24 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.apply_switch();
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let io = self.get_mut();
+        io.apply_switch();
+        let polled = Pin::new(&mut io.stream).poll_write_vectored(context, buffers);
+        record_written(&io.client, &polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 }
+
+fn record_written(client: &ClientConnection, polled: &Poll<io::Result<usize>>) {
+    if let Poll::Ready(Ok(bytes)) = polled {
+        client.record_written(*bytes);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -0,0 +1,256 @@
+//! A caller's connection: what it holds, and whether it makes progress.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::state::HeldBytes;
+use crate::state::MemoryHolder;
+use crate::state::MemoryShortage;
+use crate::traffic::client_registry::ClientRegistry;
+
+/// Less than this is no progress, however little is held.
+const MIN_PROGRESS_BYTES: usize = 16 << 10;
+/// Part of what is held that counts as progress.
+const PROGRESS_DIVISOR: usize = 8;
+/// A connection that has made progress within this time is not closed for want of room.
+const MIN_STALL: Duration = Duration::from_millis(100);
+/// Unwritten bytes of an answer up to here are the normal state of a stream.
+const MIN_UNWRITTEN_BYTES: usize = 16 << 10;
+/// Bytes of the answer by which the memory held for it changes.
+const ANSWER_STEP_BYTES: usize = 8 << 10;
+/// By how much longer an idle connection may stay that has had an admitted request.
+const SERVED_PATIENCE: f64 = 8.0;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ClientPhase {
+    /// Nothing of the next request has arrived.
+    Idle,
+    /// The head of a request has arrived in part.
+    Head,
+    /// The body of a request has arrived in part.
+    Body,
+    /// A request has arrived whole.
+    Handled,
+    /// An answer is being written.
+    Answer,
+}
+
+impl ClientPhase {
+    /// Name in log lines and metric labels.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            ClientPhase::Idle => "idle",
+            ClientPhase::Head => "head",
+            ClientPhase::Body => "body",
+            ClientPhase::Handled => "handled",
+            ClientPhase::Answer => "answer",
+        }
+    }
+}
+
+/// Why a connection is closed before its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// Others need the memory that it holds.
+    Memory,
+}
+
+impl CloseReason {
+    /// Name in log lines and metric labels.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            CloseReason::Memory => "memory",
+        }
+    }
+}
+
+/// What runs out when a connection is looked for that may be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ScarceResource {
+    /// Memory of any holder.
+    Memory,
+    /// Memory of large holders.
+    LargeMemory,
+}
+
+/// One connection of a caller.
+pub(crate) struct ClientConnection {
+    pub(crate) id: u64,
+    registry: Rc<ClientRegistry>,
+    holder: MemoryHolder,
+    phase: Cell<ClientPhase>,
+    /// Last progress.
+    progressed: Cell<Instant>,
+    /// Bytes since then.
+    advance: Cell<usize>,
+    /// Bytes of answers that were not written yet.
+    unwritten: Cell<usize>,
+    /// Memory for them.
+    answer: RefCell<Option<HeldBytes>>,
+    /// Whether a request on it was admitted.
+    has_served: Cell<bool>,
+    reason: Cell<Option<CloseReason>>,
+    closing: CancellationToken,
+    refusing: CancellationToken,
+}
+
+impl ClientConnection {
+    pub(crate) fn new(id: u64, registry: Rc<ClientRegistry>, now: Instant) -> ClientConnection {
+        ClientConnection {
+            id,
+            holder: registry.memory().holder(),
+            registry,
+            phase: Cell::new(ClientPhase::Idle),
+            progressed: Cell::new(now),
+            advance: Cell::new(0),
+            unwritten: Cell::new(0),
+            answer: RefCell::default(),
+            has_served: Cell::new(false),
+            reason: Cell::new(None),
+            closing: CancellationToken::new(),
+            refusing: CancellationToken::new(),
+        }
+    }
+
+    /// What it holds.
+    pub(crate) fn holder(&self) -> &MemoryHolder {
+        &self.holder
+    }
+
+    pub(crate) fn phase(&self) -> ClientPhase {
+        self.phase.get()
+    }
+
+    pub(crate) fn enter(&self, phase: ClientPhase) {
+        let now = Instant::now();
+        self.phase.set(phase);
+        self.progressed.set(now);
+        self.advance.set(0);
+    }
+
+    /// Records that a request on it was admitted.
+    pub(crate) fn record_admitted(&self) {
+        self.has_served.set(true);
+    }
+
+    /// Records bytes that were read or written.
+    pub(crate) fn record_progress(&self, bytes: usize) {
+        let advance = self.advance.get() + bytes;
+        let needed = MIN_PROGRESS_BYTES.max(self.holder.bytes() / PROGRESS_DIVISOR);
+        if advance < needed {
+            self.advance.set(advance);
+            return;
+        }
+        self.advance.set(0);
+        self.progressed.set(Instant::now());
+    }
+
+    /// Records bytes of an answer that are to be written. They exist already, so that others make room for them.
+    pub(crate) fn record_answer(&self, bytes: usize) {
+        let unwritten = self.unwritten.get() + bytes;
+        self.unwritten.set(unwritten);
+        let mut answer = self.answer.borrow_mut();
+        let held_bytes = answer.as_ref().map_or(0, HeldBytes::bytes);
+        let missing = unwritten.saturating_sub(held_bytes + ANSWER_STEP_BYTES);
+        if missing == 0 {
+            return;
+        }
+        let taken = self.registry.take_always(self, missing);
+        match answer.as_mut() {
+            Some(held) => held.merge(taken),
+            None => *answer = Some(taken),
+        }
+    }
+
+    /// Records bytes that were written, of answers or around them.
+    pub(crate) fn record_written(&self, bytes: usize) {
+        let unwritten = self.unwritten.get().saturating_sub(bytes);
+        self.unwritten.set(unwritten);
+        self.record_progress(bytes);
+        let mut answer = self.answer.borrow_mut();
+        if unwritten == 0 {
+            *answer = None;
+        } else if let Some(held) = answer.as_mut()
+            && unwritten + ANSWER_STEP_BYTES <= held.bytes()
+        {
+            held.shrink_to(unwritten);
+        }
+    }
+
+    /// Takes memory at once, closing others for it.
+    pub(crate) fn take_now(&self, bytes: usize) -> Result<HeldBytes, MemoryShortage> {
+        self.registry.take_now(self, bytes)
+    }
+
+    /// Takes memory, waiting for connections that are closed for it.
+    pub(crate) async fn take(&self, bytes: usize) -> Result<HeldBytes, MemoryShortage> {
+        self.registry.take(self, bytes).await
+    }
+
+    /// How much others gain if it is closed, and how little is lost; none if it must not be closed.
+    pub(crate) fn eviction_score(&self, scarce: ScarceResource, now: Instant) -> Option<f64> {
+        if self.is_closing() {
+            return None;
+        }
+        let is_large = self.holder.is_large();
+        let unwritten = self.unwritten.get();
+        let is_idle = self.phase() == ClientPhase::Idle && unwritten < MIN_UNWRITTEN_BYTES;
+        let is_candidate = match (self.phase(), scarce) {
+            (ClientPhase::Handled, _) => false,
+            (_, ScarceResource::LargeMemory) => is_large,
+            (ClientPhase::Answer, _) => MIN_UNWRITTEN_BYTES <= unwritten,
+            _ => true,
+        };
+        let stall = now.saturating_duration_since(self.progressed.get());
+        if !is_candidate || stall < MIN_STALL {
+            return None;
+        }
+        let patience = if is_idle && self.has_served.get() { SERVED_PATIENCE } else { 1.0 };
+        let seconds = stall.as_secs_f64() / patience;
+        Some(self.holder.bytes() as f64 * seconds)
+    }
+
+    /// Has the connection closed, after a refusal if a request has arrived in part.
+    pub(crate) fn close(&self, reason: CloseReason) {
+        if self.is_closing() {
+            return;
+        }
+        self.reason.set(Some(reason));
+        self.registry.log_closed(self, reason);
+        match self.phase() {
+            ClientPhase::Body => self.refusing.cancel(),
+            _ => self.closing.cancel(),
+        }
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.reason.get().is_some()
+    }
+
+    /// Time without progress.
+    pub(crate) fn stall(&self) -> Duration {
+        Instant::now().saturating_duration_since(self.progressed.get())
+    }
+
+    /// Waits until the connection is to be closed without an answer to a request.
+    pub(crate) async fn closed(&self) {
+        self.closing.cancelled().await;
+    }
+
+    /// Waits until the request whose body is read is to be refused.
+    pub(crate) async fn refused(&self) {
+        self.refusing.cancelled().await;
+    }
+}
+
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.registry.remove(self.id);
+    }
+}
--- a/crates/entry/src/traffic/peer_forwarding/forward_service.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_service.rs
@@ -25,6 +25,7 @@
 use crate::daemon::ShutdownTokens;
 use crate::state::SharedState;
 use crate::telemetry::count_forward;
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::peer_forwarding::forward_wire::ForwardHead;
 use crate::traffic::peer_forwarding::forward_wire::ForwardReply;
 use crate::traffic::peer_forwarding::forward_wire::RunCounts;
@@ -121,6 +122,7 @@
             self.log_refused(sender, &failure.detail);
             return HandledRequest::failed(failure, progress);
         }
+        let body = BlockBody::from(body);
         let decoded = match decode_forwarded(&self.state, &head, body, received) {
             Ok(decoded) => decoded,
             Err(failure) => {
--- a/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
+++ b/crates/entry/src/traffic/peer_forwarding/helper_connection.rs
@@ -27,6 +27,7 @@
 
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::peer_forwarding::ForwardBody;
 use crate::traffic::peer_forwarding::ForwardHead;
 use crate::traffic::peer_forwarding::ForwardReply;
@@ -161,7 +162,7 @@
         &self,
         sender: &SenderIdentity,
         head: &ForwardHead,
-        body: &Bytes,
+        body: &BlockBody,
     ) -> Result<(ForwardReply, ForwardBody), ForwardError> {
         let open = self.open_stream();
         let encoded = encode_head(head).map_err(|err| ForwardError::not_sent(&err))?;
@@ -260,10 +261,12 @@
 async fn send_message(
     stream: &mut SendStream<Bytes>,
     head: Bytes,
-    body: &Bytes,
+    body: &BlockBody,
 ) -> Result<(), WireError> {
     send_bytes(stream, head).await?;
-    send_bytes(stream, body.clone()).await?;
+    for block in body.blocks() {
+        send_bytes(stream, block.clone()).await?;
+    }
     Ok(stream.send_data(Bytes::new(), true)?)
 }
 
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -1,9 +1,9 @@
 //! Decodes callers' requests and admits them: authenticates the key, finds the route and charges the quota.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fulmargate_consortium::CallerHead;
 use fulmargate_dispatch::CallFacts;
 use fulmargate_dispatch::RouteRule;
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -22,6 +23,9 @@
 
 use crate::state::HeldBytes;
 use crate::state::SharedState;
+use crate::traffic::block_body::BlockBody;
+use crate::traffic::client_connection::ClientConnection;
+use crate::traffic::client_connection::ClientPhase;
 use crate::traffic::peer_forwarding::ForwardHead;
 use crate::traffic::quota_charge::QuotaCharge;
 use crate::traffic::request_failure::RequestFailure;
@@ -36,23 +40,21 @@
 
 /// Memory of a request without its body.
 const REQUEST_BYTES: usize = 16 << 10;
+
 /// Copies of a body in memory: as read, and as written to a server.
 const BODY_COPIES: usize = 2;
 
 /// An admitted request with its body.
-#[derive(Debug)]
 pub(crate) struct DecodedRequest {
     pub(crate) facts: CallFacts,
     pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: BlockBody,
     /// The configuration that the request was admitted under.
     pub(crate) table: Arc<RouteTable>,
     /// The tokens charged to the team's quota; none for a team without a quota.
     pub(crate) charge: Option<QuotaCharge>,
     /// The stream that the caller takes up.
     pub(crate) taken_up: TakenUpStream,
-    /// What the request holds of the memory for callers; none for a request of another host.
-    pub(crate) _held: Option<HeldBytes>,
 }
 
 /// What a caller states of a stream that an earlier attempt has begun.
@@ -84,24 +86,25 @@
 /// Admits a request, reads its body and charges its team's quota.
 pub(crate) async fn decode_request(
     state: &Arc<SharedState>,
+    client: &Rc<ClientConnection>,
     parts: Parts,
     body: Incoming,
     arrived: Instant,
 ) -> Result<DecodedRequest, RequestFailure> {
     let admitted = admit(state, &parts)?;
+    client.record_admitted();
     let route = admitted.route.clone();
     let request_timeout = admitted.head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + request_timeout;
     let time_left = deadline.saturating_duration_since(Instant::now());
-    let mut held =
-        state.held_memory.take(REQUEST_BYTES).ok_or_else(|| memory_failure(time_left))?;
+    let held = client.take(REQUEST_BYTES).await.map_err(|_| memory_failure(time_left))?;
     let limit = admitted.table.limits().body_bytes;
-    let body = read_body(body, limit, deadline, &mut held).await?;
+    let body = read_body(client, body, limit, deadline, held).await?;
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
     let taken_up = TakenUpStream::new(&admitted.head);
-    let _held = Some(held);
-    Ok(DecodedRequest { facts, parts, body, table: admitted.table, charge, taken_up, _held })
+    let table = admitted.table;
+    Ok(DecodedRequest { facts, parts, body, table, charge, taken_up })
 }
 
 /// Admits a request that another host has admitted and charged, with a configuration that is not newer than this
@@ -109,7 +112,7 @@
 pub(crate) fn decode_forwarded(
     state: &SharedState,
     head: &ForwardHead,
-    body: Bytes,
+    body: BlockBody,
     received: Instant,
 ) -> Result<DecodedRequest, RequestFailure> {
     let unreadable = |err: &dyn ToString| {
@@ -123,7 +126,7 @@
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let taken_up = TakenUpStream::new(&admitted.head);
     let table = admitted.table;
-    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up, _held: None })
+    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up })
 }
 
 /// When a request arrived, and when it must be answered.
@@ -133,7 +136,12 @@
     deadline: Instant,
 }
 
-fn call_facts(admitted: &AdmittedHead, parts: &Parts, body: &[u8], times: CallTimes) -> CallFacts {
+fn call_facts(
+    admitted: &AdmittedHead,
+    parts: &Parts,
+    body: &BlockBody,
+    times: CallTimes,
+) -> CallFacts {
     let team = admitted.team.as_ref();
     let route = admitted.route.clone();
     CallFacts {
@@ -186,36 +194,66 @@
 }
 
 async fn read_body(
+    client: &Rc<ClientConnection>,
     body: Incoming,
     limit: usize,
     deadline: Instant,
-    held: &mut HeldBytes,
-) -> Result<Bytes, RequestFailure> {
+    held: HeldBytes,
+) -> Result<BlockBody, RequestFailure> {
+    if body.is_end_stream() {
+        return Ok(BlockBody::new(Vec::new(), Some(held)));
+    }
     let time_left = deadline.saturating_duration_since(Instant::now());
     let fail = |kind: ErrorKind| RequestFailure::new(kind, time_left).with_connection_close();
-    let mut chunks = Vec::new();
-    let mut limited = Limited::new(body, limit);
-    loop {
-        let frame = timeout_at(deadline, limited.frame()).await;
-        let frame = frame.map_err(|_| fail(ErrorKind::SlowCaller))?;
-        let Some(frame) = frame else { break };
-        let frame = frame.map_err(|err| {
-            let kind = match err.is::<LengthLimitError>() {
-                true => ErrorKind::BodyTooLarge,
-                false => ErrorKind::BadRequest,
-            };
-            fail(kind).with_detail(err.to_string())
-        })?;
-        let Ok(chunk) = frame.into_data() else { continue };
-        if !held.grow(chunk.len() * BODY_COPIES) {
-            return Err(memory_failure(time_left));
+    let stated = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    if stated.is_some_and(|stated| limit < stated) {
+        return Err(fail(ErrorKind::BodyTooLarge));
+    }
+    client.enter(ClientPhase::Body);
+    let reading = read_frames(client, Limited::new(body, limit), held);
+    let read = tokio::select! {
+        biased;
+        () = client.refused() => Ok(Err(BodyFailure::Memory)),
+        read = timeout_at(deadline, reading) => read,
+    };
+    match read {
+        Err(_) => Err(fail(ErrorKind::SlowCaller)),
+        Ok(Err(BodyFailure::Memory)) => Err(memory_failure(time_left)),
+        Ok(Err(BodyFailure::TooLarge)) => Err(fail(ErrorKind::BodyTooLarge)),
+        Ok(Err(BodyFailure::Unreadable(reason))) => {
+            Err(fail(ErrorKind::BadRequest).with_detail(reason))
         }
-        chunks.push(chunk);
+        Ok(Ok(read)) => Ok(read),
     }
-    match chunks.as_slice() {
-        [only] => Ok(only.clone()),
-        _ => Ok(Bytes::from(chunks.concat())),
+}
+
+/// Why a body was not read to its end.
+enum BodyFailure {
+    /// There is no memory for it.
+    Memory,
+    /// It is over the operator's limit.
+    TooLarge,
+    /// It is malformed, or its connection broke.
+    Unreadable(String),
+}
+
+async fn read_frames(
+    client: &ClientConnection,
+    mut body: Limited<Incoming>,
+    mut held: HeldBytes,
+) -> Result<BlockBody, BodyFailure> {
+    let mut blocks = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| match err.is::<LengthLimitError>() {
+            true => BodyFailure::TooLarge,
+            false => BodyFailure::Unreadable(err.to_string()),
+        })?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        let taken = client.take(chunk.len() * BODY_COPIES).await;
+        held.merge(taken.map_err(|_| BodyFailure::Memory)?);
+        blocks.push(chunk);
     }
+    Ok(BlockBody::new(blocks, Some(held)))
 }
 
 /// The memory for callers is used up.
@@ -226,7 +264,7 @@
 
 /// Hashes the content of a request. The fingerprint does not depend on the request id or on the router, so
 /// that retries of a request can be recognized.
-fn fingerprint(admitted: &AdmittedHead, parts: &Parts, body: &[u8]) -> u128 {
+fn fingerprint(admitted: &AdmittedHead, parts: &Parts, body: &BlockBody) -> u128 {
     let mut hasher = Xxh3::new();
     let team = admitted.team.as_ref().map_or("", |team| team.name.as_str());
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
@@ -237,6 +275,8 @@
     for part in &admitted.head.prompt {
         hasher.update(&part.hash.to_le_bytes());
     }
-    hasher.update(body);
+    for block in body.blocks() {
+        hasher.update(block);
+    }
     hasher.digest128()
 }
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -1,6 +1,7 @@
 //! Entry point for callers' HTTP requests.
 
 use std::convert::Infallible;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,6 +19,9 @@
 use crate::daemon::ShutdownTokens;
 use crate::state::SharedState;
 use crate::traffic::caller_io::ResetSwitch;
+use crate::traffic::caller_response::CallerResponse;
+use crate::traffic::client_connection::ClientConnection;
+use crate::traffic::client_connection::ClientPhase;
 use crate::traffic::request_decoder::decode_request;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
@@ -50,19 +54,33 @@
 pub(crate) async fn serve_request(
     state: Arc<SharedState>,
     stop: ShutdownTokens,
+    client: Rc<ClientConnection>,
     request: Request<Incoming>,
     switch: ResetSwitch,
-) -> Result<Response<ResponseBody>, Infallible> {
+) -> Result<Response<CallerResponse>, Infallible> {
+    client.enter(ClientPhase::Handled);
+    let response = respond(&state, &stop, &client, request, switch).await;
+    Ok(response.map(|body| CallerResponse::new(body, client)))
+}
+
+async fn respond(
+    state: &Arc<SharedState>,
+    stop: &ShutdownTokens,
+    client: &Rc<ClientConnection>,
+    request: Request<Incoming>,
+    switch: ResetSwitch,
+) -> Response<ResponseBody> {
     let version = request.version();
     let _open = OpenRequestGuard::new(state.clone());
     // A request accepted now might be cut off by the shutdown timeout. Reject it, so that the caller retries
     // on a connection to another host.
     if stop.draining.is_cancelled() {
-        return Ok(RequestFailure::new(ErrorKind::Stopping, SHUTDOWN_TIME_LEFT)
+        return RequestFailure::new(ErrorKind::Stopping, SHUTDOWN_TIME_LEFT)
             .with_connection_close()
-            .to_response());
+            .to_response();
     }
-    let mut response = match handle_request(&state, request).await {
+    // Boxed, so that an idle connection does not take the memory of a request in progress.
+    let mut response = match Box::pin(handle_request(state, client, request)).await {
         Ok(response) => response,
         Err(failure) => failure.to_response(),
     };
@@ -74,18 +92,22 @@
     if stop.requested.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 async fn handle_request(
     state: &Arc<SharedState>,
+    client: &Rc<ClientConnection>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, RequestFailure> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let id = fulmargate_consortium::request_id(&parts);
-    let decoded = match decode_request(state, parts, body, arrived).await {
-        Ok(decoded) => decoded,
+    let decoded = match decode_request(state, client, parts, body, arrived).await {
+        Ok(decoded) => {
+            client.enter(ClientPhase::Handled);
+            decoded
+        }
         Err(failure) => {
             log_rejected(state, &id, &failure);
             return Err(failure);
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fulmargate_consortium::ResponseHead;
 use fulmargate_consortium::ServerRequestHead;
 use fulmargate_dispatch::BodyFraming;
@@ -16,11 +15,11 @@
 use http::Request;
 use http::Response;
 use http::Uri;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::server_connection::ConnectError;
@@ -124,7 +123,7 @@
 /// server, which is worth waiting for, from one that has failed.
 async fn wait_for_response_head(
     connection: &mut ServerConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<BlockBody>,
     plan: &SendPlan,
 ) -> Result<Response<Incoming>, SendError> {
     let mut sending = std::pin::pin!(connection.send(request));
@@ -200,10 +199,10 @@
 fn encode_request(
     decoded: &DecodedRequest,
     plan: &SendPlan,
-) -> Result<Request<Full<Bytes>>, SendError> {
+) -> Result<Request<BlockBody>, SendError> {
     let path = decoded.parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path.parse().map_err(|err| SendError::new(SendOutcome::NotSent, &err))?;
-    let mut request = Request::new(Full::new(decoded.body.clone()));
+    let mut request = Request::new(decoded.body.clone());
     *request.method_mut() = decoded.parts.method.clone();
     *request.uri_mut() = uri;
     *request.headers_mut() = plan.head.encode(&decoded.parts.headers);
--- a/crates/entry/src/traffic/server_connection.rs
+++ b/crates/entry/src/traffic/server_connection.rs
@@ -5,13 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ServerEntry;
 use http::Request;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,6 +21,7 @@
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
 use crate::state::record_connect_outcome;
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::server_io::ReadProgress;
 use crate::traffic::server_io::ServerIo;
 
@@ -39,7 +38,7 @@
 /// A connection for a single request. Connections are not reused: if a server sends excess bytes or a late
 /// response, the next request on the connection would receive them as its response.
 pub(crate) struct ServerConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<BlockBody>,
     progress: ReadProgress,
     _task: AbortOnDropHandle<()>,
 }
@@ -107,13 +106,14 @@
                 tracing::debug!("connection to backend server failed: {err}");
             }
         });
-        Ok(ServerConnection { sender, progress, _task: AbortOnDropHandle::new(task) })
+        let _task = AbortOnDropHandle::new(task);
+        Ok(ServerConnection { sender, progress, _task })
     }
 
     /// Sends the request. The server may have received it even if this fails.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<BlockBody>,
     ) -> Result<http::Response<Incoming>, hyper::Error> {
         let response = self.sender.send_request(request).await;
         self.progress.record_part();
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -1,15 +1,12 @@
 //! The thread that accepts callers' connections and serves their requests.
 
 use std::net::TcpListener as StdListener;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fulmargate_names::EventKind;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
@@ -20,33 +17,20 @@
 
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
-use crate::sockets::PeerTimeout;
-use crate::sockets::set_peer_timeout;
 use crate::sockets::set_reset_on_close;
-use crate::state::HeldBytes;
 use crate::state::SharedState;
 use crate::telemetry::count_refused_connection;
-use crate::traffic::caller_io::CallerIo;
-use crate::traffic::caller_io::ResetSwitch;
+use crate::traffic::caller_connection::CONNECTION_BYTES;
+use crate::traffic::caller_connection::CallerConnection;
+use crate::traffic::client_connection::CloseReason;
+use crate::traffic::client_registry::ClientRegistry;
 use crate::traffic::crash_check::run_peer_checks;
 use crate::traffic::peer_forwarding::ForwardCall;
 use crate::traffic::peer_forwarding::ForwardService;
 use crate::traffic::prompt_queue::PromptQueue;
 use crate::traffic::reach_prober::run_prober;
-use crate::traffic::request_service::serve_request;
 use crate::traffic::stream_binding::run_binding_publisher;
 
-/// Idle timeout of callers' connections until a configuration is loaded.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Read buffer of a connection, and thereby the upper bound of a request head. hyper requires at least 8 KB.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Memory of a connection: its buffers, and what has arrived of a request that is not read yet.
-const CONNECTION_BYTES: usize = 16 << 10;
-/// How long data sent to a caller may stay unacknowledged before the connection is dropped.
-const CALLER_TCP_TIMEOUT: PeerTimeout = PeerTimeout {
-    unacknowledged: Duration::from_secs(10),
-    probe_interval: Duration::from_secs(10),
-};
 /// Delay after a failed accept, which avoids a busy loop while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -89,9 +73,10 @@
     }
 
     async fn accept(&self, listener: TcpListener) {
+        let registry = Rc::new(ClientRegistry::new(self.state.clone()));
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream),
+                Ok((stream, _)) => self.admit(&registry, stream).await,
                 Err(err) => {
                     tracing::warn!("cannot accept connection: {err}");
                     sleep(ACCEPT_RETRY_DELAY).await;
@@ -100,17 +85,19 @@
         }
     }
 
-    fn admit(&self, stream: TcpStream) {
-        let Some(held) = self.state.held_memory.take_connection(CONNECTION_BYTES) else {
-            return refuse_connection(&self.state, &stream);
+    async fn admit(&self, registry: &Rc<ClientRegistry>, stream: TcpStream) {
+        let client = registry.register();
+        let Ok(held) = registry.take_connection(&client, CONNECTION_BYTES).await else {
+            return refuse_connection(&self.state, &stream, CloseReason::Memory);
         };
         let (state, stop) = (self.state.clone(), self.stop.clone());
-        tokio::task::spawn_local(serve_connection(state, stop, stream, held));
+        let connection = CallerConnection { state, stop, client, _held: held };
+        tokio::task::spawn_local(connection.serve(stream));
     }
 }
 
 /// Closes a connection unread, so that its caller tries another host.
-fn refuse_connection(state: &SharedState, stream: &TcpStream) {
+fn refuse_connection(state: &SharedState, stream: &TcpStream, reason: CloseReason) {
     count_refused_connection();
     if let Err(err) = set_reset_on_close(stream, true) {
         tracing::debug!("cannot reset a refused connection: {err}");
@@ -120,53 +107,10 @@
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
-            reason = "memory",
+            reason = reason.name(),
             held_bytes = state.held_memory.used_bytes(),
             connections = state.open_connections.load(Ordering::Relaxed),
             requests = state.open_requests.load(Ordering::Relaxed),
         );
     }
 }
-
-async fn serve_connection(
-    state: Arc<SharedState>,
-    stop: ShutdownTokens,
-    stream: TcpStream,
-    _held: HeldBytes,
-) {
-    state.open_connections.fetch_add(1, Ordering::Relaxed);
-    if let Err(err) = set_peer_timeout(&stream, CALLER_TCP_TIMEOUT) {
-        tracing::debug!("cannot set TCP options on caller connection: {err}");
-    }
-    let idle = state
-        .table
-        .load()
-        .as_ref()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
-    let (service_state, service_stop) = (state.clone(), stop.clone());
-    let switch = ResetSwitch::default();
-    let io = CallerIo::new(stream, switch.clone());
-    let service = service_fn(move |request| {
-        let (state, stop) = (service_state.clone(), service_stop.clone());
-        serve_request(state, stop, request, switch.clone())
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Also applies to the idle time between requests.
-        .header_read_timeout(idle)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(io), service);
-    let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        () = stop.draining.cancelled() => {
-            // Closes immediately if no request is open, otherwise after the response.
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(err) = result {
-        tracing::debug!("caller connection failed: {err}");
-    }
-    state.open_connections.fetch_sub(1, Ordering::Relaxed);
-}
--- a/crates/entry/tests/clients/client_deployment.rs
+++ b/crates/entry/tests/clients/client_deployment.rs
@@ -88,7 +88,8 @@
         request.body = "a small prompt";
         request.patience_ms = REQUEST_TIMEOUT_MS;
         for _ in 0..TRIES {
-            if request.send(self.callers).await.is_ok_and(|answer| answer.status == 200) {
+            let answer = request.send(self.callers).await;
+            if answer.as_ref().is_ok_and(|answer| answer.status == 200) {
                 return true;
             }
             sleep(RETRY_PAUSE).await;
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -68,6 +68,8 @@
     ConnectionRefused = 2025,
     /// An operator cleared a request or a part of prompts of its crashes.
     SuspicionLifted = 2026,
+    /// A caller's connection was closed before its time.
+    ClientClosed = 2027,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -227,6 +229,7 @@
     PartCleared => "part_cleared",
     ConnectionRefused => "connection_refused",
     SuspicionLifted => "suspicion_lifted",
+    ClientClosed => "client_closed",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
