Bodies: bytes are copied into counted blocks

Callers saw: a process that ended for memory under chunked bodies in chunks of one byte. Cause: each data frame of the HTTP library was kept: a handle of 32 bytes, and a slice that keeps the whole read buffer alive. Two bytes were counted for each byte, some 37 were taken. A body was copied once more when it was sent, as the connection to the server could not write several buffers. Change: frames are copied into blocks of up to 64 KiB, each counted before it is allocated, and dropped. All sends share the blocks; connections to servers write vectored. Why it works: what is allocated is what is counted, a body never moves when it grows, and blocks of one size leave no gaps.

--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -1,6 +1,7 @@
 //! The traffic thread, which proxies callers' requests to backend servers.
 
 mod block_body;
+mod block_buffer;
 mod buffered_body;
 mod caller_connection;
 mod caller_io;
@@ -17,6 +18,7 @@
 mod request_decoder;
 mod request_failure;
 mod request_handler;
+mod request_memory;
 mod request_service;
 mod response_body;
 mod send_attempt;
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -24,11 +24,13 @@
 use crate::state::HeldBytes;
 use crate::state::SharedState;
 use crate::traffic::block_body::BlockBody;
+use crate::traffic::block_buffer::BlockBuffer;
 use crate::traffic::client_connection::ClientConnection;
 use crate::traffic::client_connection::ClientPhase;
 use crate::traffic::peer_forwarding::ForwardHead;
 use crate::traffic::quota_charge::QuotaCharge;
 use crate::traffic::request_failure::RequestFailure;
+use crate::traffic::request_memory::RequestMemory;
 
 /// Error detail for a request with an API key while this host cannot rule out that the key was revoked.
 pub(crate) const KEY_NOT_VERIFIABLE: &str =
@@ -41,9 +43,6 @@
 /// Memory of a request without its body.
 const REQUEST_BYTES: usize = 16 << 10;
 
-/// Copies of a body in memory: as read, and as written to a server.
-const BODY_COPIES: usize = 2;
-
 /// An admitted request with its body.
 pub(crate) struct DecodedRequest {
     pub(crate) facts: CallFacts,
@@ -210,7 +209,12 @@
         return Err(fail(ErrorKind::BodyTooLarge));
     }
     client.enter(ClientPhase::Body);
-    let reading = read_frames(client, Limited::new(body, limit), held);
+    let memory = RequestMemory::Caller(client.clone());
+    let buffer = match stated {
+        Some(stated) => BlockBuffer::new(memory, held, stated).with_known_length(),
+        None => BlockBuffer::new(memory, held, limit),
+    };
+    let reading = read_frames(Limited::new(body, limit), buffer);
     let read = tokio::select! {
         biased;
         () = client.refused() => Ok(Err(BodyFailure::Memory)),
@@ -238,22 +242,18 @@
 }
 
 async fn read_frames(
-    client: &ClientConnection,
     mut body: Limited<Incoming>,
-    mut held: HeldBytes,
+    mut buffer: BlockBuffer,
 ) -> Result<BlockBody, BodyFailure> {
-    let mut blocks = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| match err.is::<LengthLimitError>() {
             true => BodyFailure::TooLarge,
             false => BodyFailure::Unreadable(err.to_string()),
         })?;
         let Ok(chunk) = frame.into_data() else { continue };
-        let taken = client.take(chunk.len() * BODY_COPIES).await;
-        held.merge(taken.map_err(|_| BodyFailure::Memory)?);
-        blocks.push(chunk);
+        buffer.push(&mut &chunk[..]).await.map_err(|_| BodyFailure::Memory)?;
     }
-    Ok(BlockBody::new(blocks, Some(held)))
+    Ok(buffer.finish())
 }
 
 /// The memory for callers is used up.
--- a/crates/entry/src/traffic/server_io.rs
+++ b/crates/entry/src/traffic/server_io.rs
@@ -78,4 +78,17 @@
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
     }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, buffers)
+    }
+
+    // Without this, hyper copies a request's body into a buffer of its own.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
 }
