Connections: a bounded receive buffer, and reads of at most 8 KiB

Callers saw: refusals, and a process beyond its memory, beside connections that send many requests at once. A read takes less than 8 KiB, so that hyper keeps its first buffer. The send buffer is bounded too. Why it works: what may wait unread is counted with its connection.

--- a/crates/entry/src/sockets.rs
+++ b/crates/entry/src/sockets.rs
@@ -42,3 +42,15 @@
     setsockopt(&stream.as_fd(), sockopt::Linger, &option)?;
     Ok(())
 }
+
+/// Bounds what the kernel holds of received bytes that were not read. Linux makes twice as much of it.
+pub(crate) fn set_receive_buffer(socket: &impl AsFd, bytes: usize) -> io::Result<()> {
+    setsockopt(socket, sockopt::RcvBuf, &bytes)?;
+    Ok(())
+}
+
+/// Bounds what the kernel holds of bytes that the other side has not acknowledged. Linux makes twice as much of it.
+pub(crate) fn set_send_buffer(socket: &impl AsFd, bytes: usize) -> io::Result<()> {
+    setsockopt(socket, sockopt::SndBuf, &bytes)?;
+    Ok(())
+}
--- a/crates/entry/src/traffic/caller_io.rs
+++ b/crates/entry/src/traffic/caller_io.rs
@@ -14,10 +14,23 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::sockets::set_receive_buffer;
 use crate::sockets::set_reset_on_close;
+use crate::state::HeldBytes;
 use crate::traffic::client_connection::ClientConnection;
 use crate::traffic::client_connection::ClientPhase;
 
+/// Receive buffer of a caller's connection. Linux makes twice as much of it.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
+/// Receive buffer while a large body is read.
+const LARGE_RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Memory that the larger buffer may take beyond the smaller one.
+const LARGE_RECEIVE_BYTES: usize = 48 << 10;
+/// Read buffer of a connection that is part of the memory of the connection.
+const FIRST_READ_BUFFER_BYTES: usize = 8 << 10;
+/// Most bytes of one read. hyper doubles its buffer after a read that fills it.
+const MAX_READ_BYTES: usize = FIRST_READ_BUFFER_BYTES - 1;
+
 /// Whether closing a caller's connection resets it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ResetSwitch(Arc<AtomicBool>);
@@ -38,6 +51,8 @@
     client: Rc<ClientConnection>,
     switch: ResetSwitch,
     resets: bool,
+    /// Memory of the larger receive buffer.
+    receive: Option<HeldBytes>,
 }
 
 impl CallerIo {
@@ -46,7 +61,7 @@
         client: Rc<ClientConnection>,
         switch: ResetSwitch,
     ) -> CallerIo {
-        CallerIo { stream, client, switch, resets: false }
+        CallerIo { stream, client, switch, resets: false, receive: None }
     }
 
     /// The connection itself, without what was held for its reads.
@@ -73,6 +88,30 @@
             _ => self.client.record_progress(bytes),
         }
     }
+
+    /// Gives the connection a larger receive buffer while it receives a large body, if there is memory for it.
+    fn adapt_receive_buffer(&mut self) {
+        let is_receiving = self.client.is_receiving();
+        if is_receiving == self.receive.is_some() {
+            return;
+        }
+        let bytes = match is_receiving {
+            true => {
+                let Ok(taken) = self.client.take_now(LARGE_RECEIVE_BYTES) else {
+                    return self.client.set_receiving(false);
+                };
+                self.receive = Some(taken);
+                LARGE_RECEIVE_BUFFER_BYTES
+            }
+            false => {
+                self.receive = None;
+                RECEIVE_BUFFER_BYTES
+            }
+        };
+        if let Err(err) = set_receive_buffer(&self.stream, bytes) {
+            tracing::debug!("cannot set the receive buffer of a caller connection: {err}");
+        }
+    }
 }
 
 impl AsyncRead for CallerIo {
@@ -82,11 +121,17 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let io = self.get_mut();
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut io.stream).poll_read(context, buffer);
-        if polled.is_ready() {
-            io.record_read(buffer.filled().len() - before);
+        io.adapt_receive_buffer();
+        let room = buffer.remaining().min(MAX_READ_BYTES);
+        // Not read into the buffer itself, whose memory would have to be initialized for idle connections too.
+        let mut scratch = [0; MAX_READ_BYTES];
+        let mut part = ReadBuf::new(&mut scratch[..room]);
+        let polled = Pin::new(&mut io.stream).poll_read(context, &mut part);
+        if polled.is_pending() {
+            return Poll::Pending;
         }
+        buffer.put_slice(part.filled());
+        io.record_read(part.filled().len());
         polled
     }
 }
--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -95,6 +95,8 @@
     answer: RefCell<Option<HeldBytes>>,
     /// Whether a request on it was admitted.
     has_served: Cell<bool>,
+    /// Whether a body is being read for which the receive buffer may be large.
+    is_receiving: Cell<bool>,
     reason: Cell<Option<CloseReason>>,
     closing: CancellationToken,
     refusing: CancellationToken,
@@ -112,6 +114,7 @@
             unwritten: Cell::new(0),
             answer: RefCell::default(),
             has_served: Cell::new(false),
+            is_receiving: Cell::new(false),
             reason: Cell::new(None),
             closing: CancellationToken::new(),
             refusing: CancellationToken::new(),
@@ -139,6 +142,15 @@
         self.has_served.set(true);
     }
 
+    /// Sets whether the receive buffer may be large.
+    pub(crate) fn set_receiving(&self, is_receiving: bool) {
+        self.is_receiving.set(is_receiving);
+    }
+
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.is_receiving.get()
+    }
+
     /// Records bytes that were read or written.
     pub(crate) fn record_progress(&self, bytes: usize) {
         let advance = self.advance.get() + bytes;
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -42,6 +42,8 @@
 
 /// Memory of a request without its body.
 const REQUEST_BYTES: usize = 16 << 10;
+/// Bodies of which less is missing are read with the receive buffer that each connection has.
+const LARGE_BODY_BYTES: usize = 32 << 10;
 
 /// An admitted request with its body.
 pub(crate) struct DecodedRequest {
@@ -209,6 +211,7 @@
         return Err(fail(ErrorKind::BodyTooLarge));
     }
     client.enter(ClientPhase::Body);
+    client.set_receiving(stated.is_none_or(|stated| LARGE_BODY_BYTES < stated));
     let memory = RequestMemory::Caller(client.clone());
     let buffer = match stated {
         Some(stated) => BlockBuffer::new(memory, held, stated).with_known_length(),
@@ -220,6 +223,7 @@
         () = client.refused() => Ok(Err(BodyFailure::Memory)),
         read = timeout_at(deadline, reading) => read,
     };
+    client.set_receiving(false);
     match read {
         Err(_) => Err(fail(ErrorKind::SlowCaller)),
         Ok(Err(BodyFailure::Memory)) => Err(memory_failure(time_left)),
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -17,11 +17,14 @@
 
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
+use crate::sockets::set_receive_buffer;
 use crate::sockets::set_reset_on_close;
+use crate::sockets::set_send_buffer;
 use crate::state::SharedState;
 use crate::telemetry::count_refused_connection;
 use crate::traffic::caller_connection::CONNECTION_BYTES;
 use crate::traffic::caller_connection::CallerConnection;
+use crate::traffic::caller_io::RECEIVE_BUFFER_BYTES;
 use crate::traffic::client_connection::CloseReason;
 use crate::traffic::client_registry::ClientRegistry;
 use crate::traffic::crash_check::run_peer_checks;
@@ -31,6 +34,8 @@
 use crate::traffic::reach_prober::run_prober;
 use crate::traffic::stream_binding::run_binding_publisher;
 
+/// What the kernel holds of a caller's answers. Linux makes twice as much of it.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
 /// Delay after a failed accept, which avoids a busy loop while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -55,6 +60,7 @@
         };
         let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
         let tasks = LocalSet::new();
+        bound_buffers(&listener);
         runtime.block_on(tasks.run_until(async move {
             let listener = TcpListener::from_std(listener).map_err(failed)?;
             tokio::task::spawn_local(PromptQueue::run(self.state.clone()));
@@ -96,6 +102,15 @@
     }
 }
 
+/// Bounds the kernel's buffers of the connections that are accepted.
+fn bound_buffers(listener: &StdListener) {
+    let bounded = set_receive_buffer(listener, RECEIVE_BUFFER_BYTES)
+        .and_then(|()| set_send_buffer(listener, SEND_BUFFER_BYTES));
+    if let Err(err) = bounded {
+        tracing::warn!("cannot bound the buffers of caller connections: {err}");
+    }
+}
+
 /// Closes a connection unread, so that its caller tries another host.
 fn refuse_connection(state: &SharedState, stream: &TcpStream, reason: CloseReason) {
     count_refused_connection();
