Heads: the operator's limits, and memory as the buffer grows

Callers saw: refusals beside unfinished heads of 31 KB, which took more memory than they were counted with; such heads stayed until the idle timeout. Cause: the limit and the time for heads were read from the configuration and used nowhere; a buffer of up to 32 KiB counted as 8. Change: heads beyond the limit get 431 as before, by the operator's limit; a head that takes too long gets 408 and one that is closed for memory 503, with a close. Buffers beyond the first size are counted before they are read into. The time of a head begins with its first byte; idle time is apart.

--- a/crates/entry/src/traffic/caller_connection.rs
+++ b/crates/entry/src/traffic/caller_connection.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fulmargate_names::ErrorKind;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::daemon::ShutdownTokens;
@@ -21,19 +22,24 @@
 use crate::traffic::caller_io::ResetSwitch;
 use crate::traffic::client_connection::ClientConnection;
 use crate::traffic::client_connection::ClientPhase;
+use crate::traffic::client_connection::CloseReason;
+use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_service::serve_request;
 
 /// Memory of a connection: its task, its first read buffer, and what the kernel may hold of it unread.
 pub(crate) const CONNECTION_BYTES: usize = 24 << 10;
-/// Idle timeout of callers' connections until a configuration is loaded.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Read buffer of a connection, and thereby the upper bound of a request head. hyper requires at least 8 KB.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Limits of a connection until a configuration is loaded.
+const DEFAULT_HEAD_BYTES: usize = 32 << 10;
+/// hyper requires a read buffer of this size at least.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// How long data sent to a caller may stay unacknowledged before the connection is dropped.
 const CALLER_TCP_TIMEOUT: PeerTimeout = PeerTimeout {
     unacknowledged: Duration::from_secs(10),
     probe_interval: Duration::from_secs(10),
 };
+/// Stands for the remaining time of a caller whose head was not read. It only bounds `retry-after`.
+const UNREAD_HEAD_TIME_LEFT: Duration = Duration::from_secs(1);
+
 /// A caller's connection that was accepted.
 pub(crate) struct CallerConnection {
     pub(crate) state: Arc<SharedState>,
@@ -47,7 +53,7 @@
     /// It was served until its caller or a response closed it.
     Served,
     /// It is closed before its time.
-    Closed,
+    Closed(Option<CloseReason>),
 }
 
 struct OpenConnectionGuard(Arc<SharedState>);
@@ -72,11 +78,17 @@
         if let Err(err) = set_peer_timeout(&stream, CALLER_TCP_TIMEOUT) {
             tracing::debug!("cannot set TCP options on caller connection: {err}");
         }
-        let (stream, end) = self.serve_requests(stream).await;
-        match end {
-            ConnectionEnd::Served => {}
-            ConnectionEnd::Closed if self.client.phase() == ClientPhase::Idle => {}
-            ConnectionEnd::Closed => reset(&stream),
+        let (mut stream, end) = self.serve_requests(stream).await;
+        let refusal = match end {
+            ConnectionEnd::Served => return,
+            ConnectionEnd::Closed(reason) => match (self.client.phase(), reason) {
+                (ClientPhase::Head, Some(reason)) => head_refusal(reason),
+                (ClientPhase::Idle, _) => return,
+                _ => return reset(&stream),
+            },
+        };
+        if let Err(err) = stream.write_all(refusal.as_bytes()).await {
+            tracing::debug!("refused caller connection failed: {err}");
         }
     }
 
@@ -84,30 +96,25 @@
     async fn serve_requests(&self, stream: TcpStream) -> (TcpStream, ConnectionEnd) {
         let switch = ResetSwitch::default();
         let (state, client) = (self.state.clone(), self.client.clone());
-        let io = CallerIo::new(stream, client.clone(), switch.clone());
+        let io = CallerIo::new(stream, state.clone(), client.clone(), switch.clone());
         let service_stop = self.stop.clone();
         let service = service_fn(move |request| {
             let (state, stop, client) = (state.clone(), service_stop.clone(), client.clone());
             serve_request(state, stop, client, request, switch.clone())
         });
-        let idle = self
-            .state
-            .table
-            .load()
-            .as_ref()
-            .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits().idle_timeout);
+        let head_bytes = self.max_head_bytes();
         let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            // Also applies to the idle time between requests.
-            .header_read_timeout(idle)
-            .max_buf_size(MAX_HEAD_BYTES)
+            // Idle connections and slow heads are timed where they are read.
+            .header_read_timeout(None)
+            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+            .max_header_size(head_bytes)
             .serve_connection(TokioIo::new(io), service);
         let mut is_draining = false;
         let end = loop {
             tokio::select! {
                 // A connection is chosen for what it is doing; it must not go on to another phase first.
                 biased;
-                () = self.client.closed() => break ConnectionEnd::Closed,
+                reason = self.client.closed() => break ConnectionEnd::Closed(reason),
                 result = &mut connection => break match result {
                     Ok(()) => ConnectionEnd::Served,
                     Err(err) => {
@@ -124,6 +131,22 @@
         };
         (connection.into_parts().io.into_inner().into_stream(), end)
     }
+
+    /// Upper bound of a head.
+    fn max_head_bytes(&self) -> usize {
+        let table = self.state.table.load();
+        table.as_ref().map_or(DEFAULT_HEAD_BYTES, |table| table.limits().header_bytes)
+    }
+}
+
+/// The answer to a head that is not read to its end.
+fn head_refusal(reason: CloseReason) -> String {
+    let kind = match reason {
+        CloseReason::HeadTimeout | CloseReason::IdleTimeout => ErrorKind::SlowCaller,
+        CloseReason::Memory => ErrorKind::QueueFull,
+    };
+    let failure = RequestFailure::new(kind, UNREAD_HEAD_TIME_LEFT).with_connection_close();
+    failure.to_text()
 }
 
 fn reset(stream: &TcpStream) {
--- a/crates/entry/src/traffic/caller_io.rs
+++ b/crates/entry/src/traffic/caller_io.rs
@@ -8,17 +8,23 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
 
 use crate::sockets::set_receive_buffer;
 use crate::sockets::set_reset_on_close;
 use crate::state::HeldBytes;
+use crate::state::SharedState;
 use crate::traffic::client_connection::ClientConnection;
 use crate::traffic::client_connection::ClientPhase;
+use crate::traffic::client_connection::CloseReason;
 
 /// Receive buffer of a caller's connection. Linux makes twice as much of it.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
@@ -30,6 +36,9 @@
 const FIRST_READ_BUFFER_BYTES: usize = 8 << 10;
 /// Most bytes of one read. hyper doubles its buffer after a read that fills it.
 const MAX_READ_BYTES: usize = FIRST_READ_BUFFER_BYTES - 1;
+/// Limits of a connection until a configuration is loaded.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Whether closing a caller's connection resets it.
 #[derive(Clone, Debug, Default)]
@@ -48,20 +57,41 @@
 /// any close must be a reset, also by the kernel when this process is killed.
 pub(crate) struct CallerIo {
     stream: TcpStream,
+    state: Arc<SharedState>,
     client: Rc<ClientConnection>,
     switch: ResetSwitch,
     resets: bool,
+    /// Bytes read of the current head.
+    head_bytes: usize,
+    /// Memory of the read buffer beyond its first size.
+    head: Option<HeldBytes>,
     /// Memory of the larger receive buffer.
     receive: Option<HeldBytes>,
+    /// Ends the wait for a head, or for the rest of it.
+    timer: Option<Pin<Box<Sleep>>>,
+    /// When the phase began for which the timer was set.
+    timed_phase: Option<Instant>,
 }
 
 impl CallerIo {
     pub(crate) fn new(
         stream: TcpStream,
+        state: Arc<SharedState>,
         client: Rc<ClientConnection>,
         switch: ResetSwitch,
     ) -> CallerIo {
-        CallerIo { stream, client, switch, resets: false, receive: None }
+        CallerIo {
+            stream,
+            state,
+            client,
+            switch,
+            resets: false,
+            head_bytes: 0,
+            head: None,
+            receive: None,
+            timer: None,
+            timed_phase: None,
+        }
     }
 
     /// The connection itself, without what was held for its reads.
@@ -80,10 +110,36 @@
         }
     }
 
+    /// Takes memory for a read buffer that has this much room beside the head that was read so far. Returns whether
+    /// there is any.
+    fn hold_head(&mut self, room: usize) -> bool {
+        if self.client.phase() != ClientPhase::Head {
+            return true;
+        }
+        let buffer_bytes = self.head_bytes + room;
+        let held_bytes = self.head.as_ref().map_or(0, HeldBytes::bytes);
+        let missing = buffer_bytes.saturating_sub(FIRST_READ_BUFFER_BYTES + held_bytes);
+        if missing == 0 {
+            return true;
+        }
+        let Ok(taken) = self.client.take_now(missing) else { return false };
+        match &mut self.head {
+            Some(head) => head.merge(taken),
+            None => self.head = Some(taken),
+        }
+        true
+    }
+
     fn record_read(&mut self, bytes: usize) {
         match self.client.phase() {
             ClientPhase::Idle if 0 < bytes => {
                 self.client.enter(ClientPhase::Head);
+                self.head_bytes = bytes;
+                self.head = None;
+            }
+            ClientPhase::Head => {
+                self.head_bytes += bytes;
+                self.client.record_progress(bytes);
             }
             _ => self.client.record_progress(bytes),
         }
@@ -112,6 +168,39 @@
             tracing::debug!("cannot set the receive buffer of a caller connection: {err}");
         }
     }
+
+    /// Closes the connection if it has waited for a head, or for the rest of one, for too long.
+    fn poll_timer(&mut self, context: &mut Context<'_>) {
+        let reason = match self.client.phase() {
+            ClientPhase::Idle => CloseReason::IdleTimeout,
+            ClientPhase::Head => CloseReason::HeadTimeout,
+            _ => return,
+        };
+        let began = self.client.began();
+        if self.timed_phase != Some(began) {
+            self.timed_phase = Some(began);
+            let deadline = began + self.head_timeout(reason);
+            match &mut self.timer {
+                Some(timer) => timer.as_mut().reset(deadline),
+                None => self.timer = Some(Box::pin(sleep_until(deadline))),
+            }
+        }
+        let Some(timer) = &mut self.timer else { return };
+        if timer.as_mut().poll(context).is_ready() {
+            self.client.close(reason);
+        }
+    }
+
+    fn head_timeout(&self, reason: CloseReason) -> Duration {
+        let table = self.state.table.load();
+        let limits = table.as_ref().map(|table| table.limits());
+        match reason {
+            CloseReason::HeadTimeout => {
+                limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_timeout)
+            }
+            _ => limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout),
+        }
+    }
 }
 
 impl AsyncRead for CallerIo {
@@ -121,6 +210,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let io = self.get_mut();
+        if !io.hold_head(buffer.remaining()) {
+            io.client.close(CloseReason::Memory);
+            return Poll::Pending;
+        }
         io.adapt_receive_buffer();
         let room = buffer.remaining().min(MAX_READ_BYTES);
         // Not read into the buffer itself, whose memory would have to be initialized for idle connections too.
@@ -128,6 +221,7 @@
         let mut part = ReadBuf::new(&mut scratch[..room]);
         let polled = Pin::new(&mut io.stream).poll_read(context, &mut part);
         if polled.is_pending() {
+            io.poll_timer(context);
             return Poll::Pending;
         }
         buffer.put_slice(part.filled());
--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -59,6 +59,10 @@
 pub(crate) enum CloseReason {
     /// Others need the memory that it holds.
     Memory,
+    /// Its head took longer than the operator allows.
+    HeadTimeout,
+    /// It was idle for longer than the operator allows.
+    IdleTimeout,
 }
 
 impl CloseReason {
@@ -66,6 +70,8 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             CloseReason::Memory => "memory",
+            CloseReason::HeadTimeout => "head_timeout",
+            CloseReason::IdleTimeout => "idle_timeout",
         }
     }
 }
@@ -85,6 +91,8 @@
     registry: Rc<ClientRegistry>,
     holder: MemoryHolder,
     phase: Cell<ClientPhase>,
+    /// When the phase began.
+    began: Cell<Instant>,
     /// Last progress.
     progressed: Cell<Instant>,
     /// Bytes since then.
@@ -109,6 +117,7 @@
             holder: registry.memory().holder(),
             registry,
             phase: Cell::new(ClientPhase::Idle),
+            began: Cell::new(now),
             progressed: Cell::new(now),
             advance: Cell::new(0),
             unwritten: Cell::new(0),
@@ -130,9 +139,15 @@
         self.phase.get()
     }
 
+    /// When the current phase began.
+    pub(crate) fn began(&self) -> Instant {
+        self.began.get()
+    }
+
     pub(crate) fn enter(&self, phase: ClientPhase) {
         let now = Instant::now();
         self.phase.set(phase);
+        self.began.set(now);
         self.progressed.set(now);
         self.advance.set(0);
     }
@@ -251,8 +266,9 @@
     }
 
     /// Waits until the connection is to be closed without an answer to a request.
-    pub(crate) async fn closed(&self) {
+    pub(crate) async fn closed(&self) -> Option<CloseReason> {
         self.closing.cancelled().await;
+        self.reason.get()
     }
 
     /// Waits until the request whose body is read is to be refused.
--- a/crates/entry/src/traffic/client_registry.rs
+++ b/crates/entry/src/traffic/client_registry.rs
@@ -203,7 +203,10 @@
         let phase = client.phase().name();
         count_closed_client(reason.name(), phase);
         let kind = EventKind::ClientClosed;
-        if !self.state.log_limiter.allows(kind, Instant::now()) {
+        // An idle connection is closed without harm to its caller.
+        if reason == CloseReason::IdleTimeout
+            || !self.state.log_limiter.allows(kind, Instant::now())
+        {
             return;
         }
         tracing::info!(
--- a/crates/entry/src/traffic/request_failure.rs
+++ b/crates/entry/src/traffic/request_failure.rs
@@ -6,6 +6,7 @@
 use fulmargate_consortium::refusal_headers;
 use fulmargate_names::Disposition;
 use fulmargate_names::ErrorKind;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
@@ -91,15 +92,34 @@
     }
 
     pub(crate) fn to_response(&self) -> Response<ResponseBody> {
-        let row = self.kind.row();
-        let body = format!("{{\"error\":\"{}\",\"detail\":{:?}}}\n", row.code, self.detail);
-        let mut response = Response::new(ResponseBody::buffered(Bytes::from(body)));
+        let mut response = Response::new(ResponseBody::buffered(Bytes::from(self.body())));
         *response.status_mut() = self.status();
-        *response.headers_mut() = refusal_headers(self.retry_after());
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        *response.headers_mut() = self.headers();
+        response
+    }
+
+    /// The whole response as it is sent, for a connection whose request was not read to its end.
+    pub(crate) fn to_text(&self) -> String {
+        let body = self.body();
+        let mut text = format!("HTTP/1.1 {}\r\ncontent-length: {}\r\n", self.status(), body.len());
+        for (name, value) in &self.headers() {
+            text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap_or_default()));
+        }
+        text.push_str("\r\n");
+        text.push_str(&body);
+        text
+    }
+
+    fn body(&self) -> String {
+        format!("{{\"error\":\"{}\",\"detail\":{:?}}}\n", self.kind.row().code, self.detail)
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let mut headers = refusal_headers(self.retry_after());
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if self.closes_connection {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        headers
     }
 }
