Descriptors: callers leave a quarter to servers, the store and routers

Callers saw: time-outs beside many idle connections. Cause: connections were bounded by memory alone, beyond the descriptors of the process on hosts with more memory. Change: callers' connections end at three quarters of the descriptors that are left after those for files. The limit is the setting max_fds, or the system's for the process if that is lower. For a newcomer beyond it the connections that do nothing longest are closed, those that never had an admitted request first.

--- a/crates/entry/src/sockets.rs
+++ b/crates/entry/src/sockets.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use nix::libc::linger;
+use nix::sys::resource::Resource;
+use nix::sys::resource::getrlimit;
 use nix::sys::socket::setsockopt;
 use nix::sys::socket::sockopt;
 use tokio::net::TcpStream;
@@ -54,3 +56,23 @@
     setsockopt(socket, sockopt::SndBuf, &bytes)?;
     Ok(())
 }
+
+/// Descriptors that are left for files, or a quarter of fewer.
+const FILE_DESCRIPTORS: usize = 200;
+/// Part of the other descriptors that is left for servers, the store, other routers, readiness and metrics.
+const OWN_DESCRIPTOR_DIVISOR: usize = 4;
+
+/// How many connections of callers may be open, so that there are descriptors for all else: by the setting, or the
+/// system's limit for this process if that is lower.
+pub(crate) fn max_client_connections(max_fds: Option<usize>) -> usize {
+    let system_limit = match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX),
+        Err(err) => {
+            tracing::warn!("cannot read the limit on descriptors: {err}");
+            usize::MAX
+        }
+    };
+    let limit = max_fds.unwrap_or(usize::MAX).min(system_limit);
+    let sockets = limit - FILE_DESCRIPTORS.min(limit / OWN_DESCRIPTOR_DIVISOR);
+    sockets - sockets / OWN_DESCRIPTOR_DIVISOR
+}
--- a/crates/entry/src/traffic/caller_connection.rs
+++ b/crates/entry/src/traffic/caller_connection.rs
@@ -143,7 +143,7 @@
 fn head_refusal(reason: CloseReason) -> String {
     let kind = match reason {
         CloseReason::HeadTimeout | CloseReason::IdleTimeout => ErrorKind::SlowCaller,
-        CloseReason::Memory => ErrorKind::QueueFull,
+        CloseReason::Memory | CloseReason::Descriptors => ErrorKind::QueueFull,
     };
     let failure = RequestFailure::new(kind, UNREAD_HEAD_TIME_LEFT).with_connection_close();
     failure.to_text()
--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -59,6 +59,8 @@
 pub(crate) enum CloseReason {
     /// Others need the memory that it holds.
     Memory,
+    /// Others need its descriptor.
+    Descriptors,
     /// Its head took longer than the operator allows.
     HeadTimeout,
     /// It was idle for longer than the operator allows.
@@ -70,6 +72,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             CloseReason::Memory => "memory",
+            CloseReason::Descriptors => "descriptors",
             CloseReason::HeadTimeout => "head_timeout",
             CloseReason::IdleTimeout => "idle_timeout",
         }
@@ -83,6 +86,8 @@
     Memory,
     /// Memory of large holders.
     LargeMemory,
+    /// Descriptors.
+    Descriptors,
 }
 
 /// One connection of a caller.
@@ -231,6 +236,7 @@
         let is_candidate = match (self.phase(), scarce) {
             (ClientPhase::Handled, _) => false,
             (_, ScarceResource::LargeMemory) => is_large,
+            (ClientPhase::Answer, ScarceResource::Descriptors) => false,
             (ClientPhase::Answer, _) => MIN_UNWRITTEN_BYTES <= unwritten,
             _ => true,
         };
@@ -240,7 +246,10 @@
         }
         let patience = if is_idle && self.has_served.get() { SERVED_PATIENCE } else { 1.0 };
         let seconds = stall.as_secs_f64() / patience;
-        Some(self.holder.bytes() as f64 * seconds)
+        Some(match scarce {
+            ScarceResource::Descriptors => seconds,
+            _ => self.holder.bytes() as f64 * seconds,
+        })
     }
 
     /// Has the connection closed, after a refusal if a request has arrived in part.
--- a/crates/entry/src/traffic/client_registry.rs
+++ b/crates/entry/src/traffic/client_registry.rs
@@ -40,17 +40,20 @@
     /// Those that are being closed and have not given back what they hold.
     closing: RefCell<IndexMap<u64, Weak<ClientConnection>>>,
     next_id: Cell<u64>,
+    max_clients: usize,
     /// No look at all connections before this time.
     next_look: Cell<Option<Instant>>,
 }
 
 impl ClientRegistry {
-    pub(crate) fn new(state: Arc<SharedState>) -> ClientRegistry {
+    /// For this number of connections at most.
+    pub(crate) fn new(state: Arc<SharedState>, max_clients: usize) -> ClientRegistry {
         ClientRegistry {
             state,
             clients: RefCell::default(),
             closing: RefCell::default(),
             next_id: Cell::new(0),
+            max_clients,
             next_look: Cell::new(None),
         }
     }
@@ -78,6 +81,26 @@
         self.closing.borrow_mut().swap_remove(&id);
     }
 
+    /// Waits for a descriptor for a new connection, closing others for it. Returns whether there is one.
+    pub(crate) async fn has_descriptor(&self) -> bool {
+        for _ in 0..MAX_RELEASE_POLLS {
+            if self.clients.borrow().len() < self.max_clients {
+                return true;
+            }
+            if !self.is_closing_any() && !self.free_descriptors() {
+                return false;
+            }
+            sleep(RELEASE_POLL_INTERVAL).await;
+        }
+        false
+    }
+
+    /// Closes connections that use descriptors and do nothing. Returns whether there were any.
+    pub(crate) fn free_descriptors(&self) -> bool {
+        let needed = 1 + self.max_clients / BATCH_DIVISOR;
+        self.close_worst(ScarceResource::Descriptors, needed, None) != 0
+    }
+
     /// Takes memory for a connection that was just accepted.
     pub(crate) async fn take_connection(
         &self,
@@ -173,13 +196,20 @@
             }
         }
         candidates.sort_unstable_by(|one, other| other.0.total_cmp(&one.0));
+        let reason = match scarce {
+            ScarceResource::Descriptors => CloseReason::Descriptors,
+            ScarceResource::Memory | ScarceResource::LargeMemory => CloseReason::Memory,
+        };
         let mut freed = 0;
         for (_, client) in &candidates {
             if needed <= freed {
                 break;
             }
-            freed += client.holder().bytes();
-            client.close(CloseReason::Memory);
+            freed += match scarce {
+                ScarceResource::Descriptors => 1,
+                _ => client.holder().bytes(),
+            };
+            client.close(reason);
             self.closing.borrow_mut().insert(client.id, Rc::downgrade(client));
         }
         if freed == 0 {
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -17,6 +17,7 @@
 
 use crate::daemon::ShutdownTokens;
 use crate::daemon::StartError;
+use crate::sockets::max_client_connections;
 use crate::sockets::set_receive_buffer;
 use crate::sockets::set_reset_on_close;
 use crate::sockets::set_send_buffer;
@@ -61,6 +62,7 @@
         let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
         let tasks = LocalSet::new();
         bound_buffers(&listener);
+        let max_clients = max_client_connections(self.state.settings.max_fds);
         runtime.block_on(tasks.run_until(async move {
             let listener = TcpListener::from_std(listener).map_err(failed)?;
             tokio::task::spawn_local(PromptQueue::run(self.state.clone()));
@@ -72,14 +74,14 @@
             let ended = self.stop.complete.clone();
             tokio::select! {
                 () = ended.cancelled() => {}
-                () = self.accept(listener) => {}
+                () = self.accept(listener, max_clients) => {}
             }
             Ok(())
         }))
     }
 
-    async fn accept(&self, listener: TcpListener) {
-        let registry = Rc::new(ClientRegistry::new(self.state.clone()));
+    async fn accept(&self, listener: TcpListener, max_clients: usize) {
+        let registry = Rc::new(ClientRegistry::new(self.state.clone(), max_clients));
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(&registry, stream).await,
@@ -92,6 +94,9 @@
     }
 
     async fn admit(&self, registry: &Rc<ClientRegistry>, stream: TcpStream) {
+        if !registry.has_descriptor().await {
+            return refuse_connection(&self.state, &stream, CloseReason::Descriptors);
+        }
         let client = registry.register();
         let Ok(held) = registry.take_connection(&client, CONNECTION_BYTES).await else {
             return refuse_connection(&self.state, &stream, CloseReason::Memory);
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -45,6 +45,9 @@
     /// Memory that the daemon may use, in MB. Callers' connections and requests keep to a share of it.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u64,
+    /// Descriptors that the daemon may open; by the system's limit if there is none, or a lower one.
+    #[serde(default)]
+    pub max_fds: Option<usize>,
     /// Times and shares that the operators have agreed on with their users.
     pub bounds: EntryBounds,
 }
@@ -152,6 +155,9 @@
         if !self.link_mbps.is_finite() || self.link_mbps <= 0.0 {
             return refuse("link_mbps", format!("{} is not allowed; above 0", self.link_mbps));
         }
+        if self.max_fds.is_some_and(|max_fds| max_fds < LEAST_FDS) {
+            return refuse("max_fds", format!("is too low; {LEAST_FDS} or more"));
+        }
         let bounds = &self.bounds;
         let times = [
             ("bounds.key_revoke_ms", bounds.key_revoke_ms, LEAST_BOUND_MS),
@@ -190,6 +196,8 @@
     }
 }
 
+/// Fewer descriptors than this leave no room for callers beside servers, the store and other routers.
+const LEAST_FDS: usize = 128;
 /// A million bits.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// A million bits in thousands.
