Answers: memory is held until they are written

Callers saw: a process beyond its memory beside callers who do not read their answers. Cause: the memory of a response was given back when it was read whole, while it still waited for its caller; pieces of streams were not counted, nor what waits unread on connections to servers. Change: answers are read into counted blocks, which are held until the last copy is written. The bound of 8 MiB for all that are being read stays.

--- a/crates/entry/src/state/held_memory.rs
+++ b/crates/entry/src/state/held_memory.rs
@@ -14,6 +14,8 @@
 const LARGE_SHARE: f64 = 0.5;
 /// What one holder has up to here does not count as large.
 const SMALL_HOLDER_BYTES: usize = 96 << 10;
+/// Response bodies that are being read, beyond the first bytes of each.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Why there is no memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +57,21 @@
         HeldMemory { used: Arc::default(), large: Arc::default(), max_bytes, max_large_bytes }
     }
 
+    /// Without a bound.
+    pub(crate) fn unbounded() -> HeldMemory {
+        HeldMemory::without_large_part(usize::MAX)
+    }
+
+    /// For response bodies that are read whole before they are sent.
+    pub(crate) fn for_answers() -> HeldMemory {
+        HeldMemory::without_large_part(MAX_ANSWER_BYTES)
+    }
+
+    fn without_large_part(max_bytes: usize) -> HeldMemory {
+        let max_large_bytes = max_bytes;
+        HeldMemory { used: Arc::default(), large: Arc::default(), max_bytes, max_large_bytes }
+    }
+
     /// A holder that has nothing yet.
     pub(crate) fn holder(&self) -> MemoryHolder {
         MemoryHolder { memory: self.clone(), bytes: Arc::default() }
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -87,6 +87,10 @@
     pub(crate) open_connections: AtomicUsize,
     /// What callers' connections and requests hold.
     pub(crate) held_memory: HeldMemory,
+    /// What response bodies hold that are being read whole.
+    pub(crate) answer_memory: HeldMemory,
+    /// What requests of other hosts hold.
+    pub(crate) forward_memory: HeldMemory,
     /// Wakes the writer of the fleet topic.
     pub(crate) fleet_record_change: Notify,
     /// Wakes the writer of the ages of weights.
@@ -105,8 +109,6 @@
     pub(crate) helpers: HelperPool,
     /// Requests of other hosts in progress.
     pub(crate) forwarded_requests: AtomicUsize,
-    /// Bytes of response bodies that are read whole, beyond the first of each.
-    pub(crate) buffered_bytes: AtomicUsize,
     /// Number of times that a service came into reach or went out of it.
     pub(crate) reach_changes: watch::Sender<u64>,
     /// Wakes the prober when connections have failed.
@@ -175,6 +177,7 @@
         let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
         let suspects = SuspectTable::new(settings.host.clone(), SuspectConf::default());
         let held_memory = HeldMemory::for_callers(settings.memory_mb);
+        let forward_memory = HeldMemory::unbounded();
         SharedState {
             settings,
             incarnation,
@@ -186,6 +189,8 @@
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             held_memory,
+            answer_memory: HeldMemory::for_answers(),
+            forward_memory,
             fleet_record_change: Notify::new(),
             weights_change: Notify::new(),
             suspect_wake: Notify::new(),
@@ -195,7 +200,6 @@
             prompt_queue: PromptQueue::default(),
             helpers: HelperPool::default(),
             forwarded_requests: AtomicUsize::new(0),
-            buffered_bytes: AtomicUsize::new(0),
             reach_changes: watch::Sender::default(),
             prober_wake: Notify::new(),
             binding_change: Notify::new(),
--- a/crates/entry/src/traffic/block_buffer.rs
+++ b/crates/entry/src/traffic/block_buffer.rs
@@ -25,6 +25,8 @@
     /// Length of the whole body if it is known, otherwise its upper bound.
     max_bytes: usize,
     is_length_known: bool,
+    /// Bytes that `held` has room for.
+    free_bytes: usize,
 }
 
 impl BlockBuffer {
@@ -38,6 +40,7 @@
             allocated: 0,
             max_bytes,
             is_length_known: false,
+            free_bytes: 0,
         }
     }
 
@@ -47,6 +50,18 @@
         self
     }
 
+    /// Leaves the first bytes uncounted, as `held` has room for them.
+    pub(crate) fn with_free_bytes(mut self, free_bytes: usize) -> BlockBuffer {
+        self.free_bytes = free_bytes;
+        self
+    }
+
+    /// Adds to what is held, which has room for as many bytes more.
+    pub(crate) fn hold(&mut self, held: HeldBytes) {
+        self.free_bytes += held.bytes();
+        self.held.merge(held);
+    }
+
     /// Copies bytes into blocks, so that what they are a part of can be dropped. If there is no memory for all, `bytes`
     /// is left with the rest.
     pub(crate) async fn push(&mut self, bytes: &mut &[u8]) -> Result<(), MemoryShortage> {
@@ -75,7 +90,9 @@
         };
         let left = self.max_bytes.saturating_sub(self.allocated);
         let block_bytes = growth.min(left.max(1));
-        let taken = self.memory.take(block_bytes).await?;
+        let uncounted = self.free_bytes.min(block_bytes);
+        let taken = self.memory.take(block_bytes - uncounted).await?;
+        self.free_bytes -= uncounted;
         self.held.merge(taken);
         self.allocated += block_bytes;
         self.seal_block();
--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -225,6 +225,11 @@
         self.registry.take(self, bytes).await
     }
 
+    /// Takes memory that is in use already, closing others for it.
+    pub(crate) fn take_always(&self, bytes: usize) -> HeldBytes {
+        self.registry.take_always(self, bytes)
+    }
+
     /// How much others gain if it is closed, and how little is lost; none if it must not be closed.
     pub(crate) fn eviction_score(&self, scarce: ScarceResource, now: Instant) -> Option<f64> {
         if self.is_closing() {
--- a/crates/entry/src/traffic/peer_forwarding/forward_service.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_service.rs
@@ -39,6 +39,7 @@
 use crate::traffic::request_handler::HandledRequest;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::request_handler::ResumePoint;
+use crate::traffic::request_memory::RequestMemory;
 use crate::traffic::stream_binding::resolve_origin;
 
 /// Requests of other hosts in progress. Bounds the memory that they take here.
@@ -123,7 +124,8 @@
             return HandledRequest::failed(failure, progress);
         }
         let body = BlockBody::from(body);
-        let decoded = match decode_forwarded(&self.state, &head, body, received) {
+        let memory = RequestMemory::Forwarded(self.state.forward_memory.holder());
+        let decoded = match decode_forwarded(&self.state, &head, body, memory, received) {
             Ok(decoded) => decoded,
             Err(failure) => {
                 self.log_refused(sender, &failure.detail);
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -56,6 +56,8 @@
     pub(crate) charge: Option<QuotaCharge>,
     /// The stream that the caller takes up.
     pub(crate) taken_up: TakenUpStream,
+    /// Where memory for the request is taken from.
+    pub(crate) memory: RequestMemory,
 }
 
 /// What a caller states of a stream that an earlier attempt has begun.
@@ -105,7 +107,8 @@
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
     let taken_up = TakenUpStream::new(&admitted.head);
     let table = admitted.table;
-    Ok(DecodedRequest { facts, parts, body, table, charge, taken_up })
+    let memory = RequestMemory::Caller(client.clone());
+    Ok(DecodedRequest { facts, parts, body, table, charge, taken_up, memory })
 }
 
 /// Admits a request that another host has admitted and charged, with a configuration that is not newer than this
@@ -114,6 +117,7 @@
     state: &SharedState,
     head: &ForwardHead,
     body: BlockBody,
+    memory: RequestMemory,
     received: Instant,
 ) -> Result<DecodedRequest, RequestFailure> {
     let unreadable = |err: &dyn ToString| {
@@ -127,7 +131,7 @@
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let taken_up = TakenUpStream::new(&admitted.head);
     let table = admitted.table;
-    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up })
+    Ok(DecodedRequest { facts, parts, body, table, charge: None, taken_up, memory })
 }
 
 /// When a request arrived, and when it must be answered.
--- a/crates/entry/src/traffic/request_handler/end_check.rs
+++ b/crates/entry/src/traffic/request_handler/end_check.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ContentEnd;
 use fulmargate_dispatch::EndVerdict;
@@ -16,6 +15,8 @@
 use tokio::time::Instant;
 
 use crate::telemetry::count_response_end;
+use crate::traffic::block_body::BlockBody;
+use crate::traffic::buffered_body::BodyMemory;
 use crate::traffic::crash_check::is_refusal_of_server;
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::send_attempt::SendError;
@@ -70,8 +71,11 @@
     pub(super) async fn read_body(
         &mut self,
         mut response: UpstreamResponse,
-    ) -> Result<Bytes, SendError> {
-        let result = response.read_body(&self.state, self.facts().deadline).await;
+    ) -> Result<BlockBody, SendError> {
+        let request = self.decoded.memory.clone();
+        let reading = self.state.answer_memory.holder();
+        let memory = BodyMemory { request, reading };
+        let result = response.read_body(memory, self.facts().deadline).await;
         let transport = match &result {
             Ok(_) => TransportEnd::Finished,
             Err(_) => TransportEnd::Failed,
--- a/crates/entry/src/traffic/request_handler/forwarding.rs
+++ b/crates/entry/src/traffic/request_handler/forwarding.rs
@@ -1,12 +1,12 @@
 //! Responses of servers on their way to the caller.
 
-use bytes::Bytes;
 use fulmargate_consortium::ResponseHead;
 use fulmargate_dispatch::BodyFraming;
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::response_body::ResponseBody;
 
 /// Copies what is forwarded of a response head.
@@ -21,9 +21,9 @@
 pub(super) fn buffered_response(
     parts: &Parts,
     framing: BodyFraming,
-    body: Bytes,
+    body: BlockBody,
 ) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(body));
+    let mut response = Response::new(ResponseBody::Buffered(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = ResponseHead::forwarded_headers(parts);
     if framing != BodyFraming::NoBody {
--- a/crates/entry/src/traffic/response_body.rs
+++ b/crates/entry/src/traffic/response_body.rs
@@ -10,13 +10,13 @@
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::traffic::block_body::BlockBody;
 use crate::traffic::caller_io::ResetSwitch;
 
 /// Aborts a streamed response whose relay has ended without completing it: the connection is closed without the final
@@ -37,7 +37,7 @@
 /// A buffered body, or a stream that is relayed by a task.
 pub(crate) enum ResponseBody {
     /// A body that was read completely before it is sent.
-    Buffered(Full<Bytes>),
+    Buffered(BlockBody),
     /// A body relayed chunk by chunk. The body is dropped when the caller disconnects, which aborts the
     /// task.
     Streamed {
@@ -50,7 +50,7 @@
 
 impl ResponseBody {
     pub(crate) fn buffered(bytes: Bytes) -> ResponseBody {
-        ResponseBody::Buffered(Full::new(bytes))
+        ResponseBody::Buffered(BlockBody::from(bytes))
     }
 
     /// A streamed body of which an early end resets the connection.
@@ -72,10 +72,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
         match self.get_mut() {
-            ResponseBody::Buffered(body) => {
-                let frame = Pin::new(body).poll_frame(context);
-                frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
-            }
+            ResponseBody::Buffered(body) => Pin::new(body).poll_frame(context),
             ResponseBody::Streamed { pieces, reset, .. } => {
                 let piece = pieces.poll_recv(context);
                 piece.map(|piece| match piece {
--- a/crates/entry/src/traffic/server_connection.rs
+++ b/crates/entry/src/traffic/server_connection.rs
@@ -13,12 +13,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
+use crate::state::HeldBytes;
 use crate::state::SharedState;
 use crate::state::record_connect_outcome;
 use crate::traffic::block_body::BlockBody;
@@ -32,6 +33,12 @@
 const SERVER_TCP_TIMEOUT: PeerTimeout =
     PeerTimeout { unacknowledged: Duration::from_secs(3), probe_interval: Duration::from_secs(1) };
 
+/// Receive buffer of a connection. Linux makes twice as much of it.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+/// Memory of a connection that is in use: its task and its read buffer.
+pub(crate) const SERVER_CONNECTION_BYTES: usize = 8 << 10;
+/// What the kernel may hold of it unread while nothing is read.
+pub(crate) const UNREAD_RESPONSE_BYTES: usize = 24 << 10;
 /// Upper bound of a response head, and of the bytes that are read ahead.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -40,6 +47,8 @@
 pub(crate) struct ServerConnection {
     sender: http1::SendRequest<BlockBody>,
     progress: ReadProgress,
+    /// What the request holds for the connection.
+    held: Option<HeldBytes>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -93,7 +102,10 @@
     /// Opens a connection. Dropping it makes the server cancel the request.
     pub(crate) async fn connect(address: SocketAddr) -> Result<ServerConnection, ConnectError> {
         let failed = |reason: String| ConnectError::Failed { reason };
-        let result = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let socket = TcpSocket::new_v4().map_err(|err| ConnectError::new(&err))?;
+        let bounded = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        bounded.map_err(|err| ConnectError::new(&err))?;
+        let result = timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
         let stream =
             result.map_err(|_| ConnectError::TimedOut)?.map_err(|err| ConnectError::new(&err))?;
         set_peer_timeout(&stream, SERVER_TCP_TIMEOUT).map_err(|err| ConnectError::new(&err))?;
@@ -107,7 +119,7 @@
             }
         });
         let _task = AbortOnDropHandle::new(task);
-        Ok(ServerConnection { sender, progress, _task })
+        Ok(ServerConnection { sender, progress, held: None, _task })
     }
 
     /// Sends the request. The server may have received it even if this fails.
@@ -120,6 +132,11 @@
         response
     }
 
+    /// Keeps what a request holds for the connection until it is closed.
+    pub(crate) fn keep(&mut self, held: HeldBytes) {
+        self.held = Some(held);
+    }
+
     /// Records that bytes of the response's body have arrived.
     pub(crate) fn record_part(&self) {
         self.progress.record_part();
--- a/crates/entry/src/traffic/server_io.rs
+++ b/crates/entry/src/traffic/server_io.rs
@@ -17,6 +17,9 @@
 /// Bytes in a row that make up no part of a response: a head or a framing without an end. Fits four read buffers.
 const MAX_UNUSED_BYTES: usize = 256 * 1024;
 
+/// Most bytes of one read. hyper doubles its buffer of 8 KiB after a read that fills it.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// Counts the bytes that were read since the last part of a response.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReadProgress(Arc<AtomicUsize>);
@@ -51,9 +54,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let io = self.get_mut();
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut io.stream).poll_read(context, buffer))?;
-        let unused = io.progress.add(buffer.filled().len() - before);
+        let mut scratch = [0; MAX_READ_BYTES];
+        let room = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(&mut scratch[..room]);
+        ready!(Pin::new(&mut io.stream).poll_read(context, &mut part))?;
+        buffer.put_slice(part.filled());
+        let unused = io.progress.add(part.filled().len());
         if MAX_UNUSED_BYTES < unused {
             let reason = "the server sends bytes without an end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -20,11 +20,13 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::channel;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::state::HeldBytes;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::Failover;
 use crate::traffic::request_handler::PreparedSend;
@@ -32,6 +34,7 @@
 use crate::traffic::request_handler::ResumePoint;
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::response_body::StreamPiece;
+use crate::traffic::server_connection::UNREAD_RESPONSE_BYTES;
 use crate::traffic::upstream_response::BodyError;
 use crate::traffic::upstream_response::UpstreamResponse;
 
@@ -42,6 +45,21 @@
 /// A server that sends nothing for this many times the longest gap that the route allows is probed.
 const PROBE_GAP_FACTOR: u32 = 2;
 
+/// Smaller pieces are counted with their request.
+const COUNTED_PIECE_BYTES: usize = 4 << 10;
+
+/// A large piece of a stream, and what is held for it until it is written.
+struct HeldPiece {
+    bytes: Vec<u8>,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for HeldPiece {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Starts a task that relays the stream, and returns the response to the caller. `point` is where the stream goes on if
 /// another host has begun it.
 pub(crate) fn relay_stream(
@@ -258,7 +276,24 @@
     }
 
     async fn forward(&self, bytes: Vec<u8>) -> bool {
-        bytes.is_empty() || self.sender.send(StreamPiece::Bytes(Bytes::from(bytes))).await.is_ok()
+        if bytes.is_empty() {
+            return true;
+        }
+        let bytes = match bytes.len() < COUNTED_PIECE_BYTES {
+            true => Bytes::from(bytes),
+            false => {
+                let held = self.handler.decoded.memory.take_always(bytes.capacity());
+                Bytes::from_owner(HeldPiece { bytes, _held: held })
+            }
+        };
+        let piece = match self.sender.try_send(StreamPiece::Bytes(bytes)) {
+            Ok(()) => return true,
+            Err(TrySendError::Closed(_)) => return false,
+            Err(TrySendError::Full(piece)) => piece,
+        };
+        // Nothing is read from the server until the caller has taken some of what waits for it.
+        let _unread = self.handler.decoded.memory.take_always(UNREAD_RESPONSE_BYTES);
+        self.sender.send(piece).await.is_ok()
     }
 
     fn silence_timeout(&self) -> Duration {
--- a/crates/entry/src/traffic/upstream_response.rs
+++ b/crates/entry/src/traffic/upstream_response.rs
@@ -23,7 +23,8 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::state::SharedState;
+use crate::traffic::block_body::BlockBody;
+use crate::traffic::buffered_body::BodyMemory;
 use crate::traffic::buffered_body::BufferedBody;
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::peer_forwarding::ForwardBody;
@@ -92,17 +93,18 @@
     /// Reads the body to its end on the connection, which does not show that it is complete.
     pub(crate) async fn read_body(
         &mut self,
-        state: &Arc<SharedState>,
+        memory: BodyMemory,
         deadline: Instant,
-    ) -> Result<Bytes, SendError> {
-        let mut body = BufferedBody::new(state.clone());
+    ) -> Result<BlockBody, SendError> {
+        let stated = self.body.stated_length();
+        let mut body = BufferedBody::begin(memory, stated, deadline).await?;
         loop {
             let frame = timeout_at(deadline, self.body.frame()).await.map_err(|_| {
                 SendError::new(SendOutcome::TimedOut, &"the answer did not end in time")
             })?;
             let Some(frame) = frame else { return Ok(body.take()) };
             let frame = frame.map_err(|err| SendError::new(SendOutcome::Broken, &err))?;
-            body.push(&frame.into_data().unwrap_or_default())?;
+            body.push(&frame.into_data().unwrap_or_default(), deadline).await?;
         }
     }
 
@@ -115,6 +117,18 @@
     }
 }
 
+impl UpstreamBody {
+    /// The length that the response states.
+    fn stated_length(&self) -> Option<usize> {
+        match self {
+            UpstreamBody::Server { body, .. } => {
+                body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok())
+            }
+            UpstreamBody::Helper(_) => None,
+        }
+    }
+}
+
 impl Body for UpstreamBody {
     type Data = Bytes;
     type Error = BodyError;
