Refusals: the rest of a request is discarded before the connection is closed

Callers saw: a reset in place of the answer, when the request was refused while its body was being sent. Cause: a connection that is closed with unread bytes is reset, and the reset overtakes the answer. A 401 or 404 with a body said nothing of the close. Refusals of requests that were not read whole say Connection: close.

--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -39,6 +39,8 @@
     Handled,
     /// An answer is being written.
     Answer,
+    /// A refusal was written, and what the caller still sends is discarded.
+    Lingering,
 }
 
 impl ClientPhase {
@@ -50,6 +52,7 @@
             ClientPhase::Body => "body",
             ClientPhase::Handled => "handled",
             ClientPhase::Answer => "answer",
+            ClientPhase::Lingering => "lingering",
         }
     }
 }
@@ -108,11 +111,14 @@
     answer: RefCell<Option<HeldBytes>>,
     /// Whether a request on it was admitted.
     has_served: Cell<bool>,
+    /// Whether a part of the last request's body was not read.
+    has_unread_body: Cell<bool>,
     /// Whether a body is being read for which the receive buffer may be large.
     is_receiving: Cell<bool>,
     reason: Cell<Option<CloseReason>>,
     closing: CancellationToken,
     refusing: CancellationToken,
+    ending: CancellationToken,
 }
 
 impl ClientConnection {
@@ -128,10 +134,12 @@
             unwritten: Cell::new(0),
             answer: RefCell::default(),
             has_served: Cell::new(false),
+            has_unread_body: Cell::new(false),
             is_receiving: Cell::new(false),
             reason: Cell::new(None),
             closing: CancellationToken::new(),
             refusing: CancellationToken::new(),
+            ending: CancellationToken::new(),
         }
     }
 
@@ -162,6 +170,15 @@
         self.has_served.set(true);
     }
 
+    /// Records whether a part of a request's body was left unread.
+    pub(crate) fn set_unread_body(&self, has_unread_body: bool) {
+        self.has_unread_body.set(has_unread_body);
+    }
+
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.has_unread_body.get()
+    }
+
     /// Sets whether the receive buffer may be large.
     pub(crate) fn set_receiving(&self, is_receiving: bool) {
         self.is_receiving.set(is_receiving);
@@ -266,6 +283,7 @@
         self.registry.log_closed(self, reason);
         match self.phase() {
             ClientPhase::Body => self.refusing.cancel(),
+            ClientPhase::Lingering => self.ending.cancel(),
             _ => self.closing.cancel(),
         }
     }
@@ -285,6 +303,18 @@
         self.reason.get()
     }
 
+    /// Discards what the caller still sends from now on. The connection may be closed again for want of room.
+    pub(crate) fn begin_lingering(&self) {
+        self.enter(ClientPhase::Lingering);
+        self.reason.set(None);
+        self.registry.record_closed(self.id);
+    }
+
+    /// Waits until the connection is to be closed although its caller still sends.
+    pub(crate) async fn ended(&self) {
+        self.ending.cancelled().await;
+    }
+
     /// Waits until the request whose body is read is to be refused.
     pub(crate) async fn refused(&self) {
         self.refusing.cancelled().await;
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -94,6 +94,7 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<DecodedRequest, RequestFailure> {
+    client.set_unread_body(!body.is_end_stream());
     let admitted = admit(state, &parts)?;
     client.record_admitted();
     let route = admitted.route.clone();
@@ -103,6 +104,7 @@
     let held = client.take(REQUEST_BYTES).await.map_err(|_| memory_failure(time_left))?;
     let limit = admitted.table.limits().body_bytes;
     let body = read_body(client, body, limit, deadline, held).await?;
+    client.set_unread_body(false);
     let facts = call_facts(&admitted, &parts, &body, CallTimes { arrived, deadline });
     let charge = QuotaCharge::reserve(state, admitted.team.as_ref(), &facts)?;
     let taken_up = TakenUpStream::new(&admitted.head);
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -82,6 +82,8 @@
     // Boxed, so that an idle connection does not take the memory of a request in progress.
     let mut response = match Box::pin(handle_request(state, client, request)).await {
         Ok(response) => response,
+        // The rest of the body is not read, so that nothing can follow it.
+        Err(failure) if client.has_unread_body() => failure.with_connection_close().to_response(),
         Err(failure) => failure.to_response(),
     };
     // Without chunks, only a reset tells an aborted stream from a complete one.
--- a/crates/entry/src/traffic/traffic_thread.rs
+++ b/crates/entry/src/traffic/traffic_thread.rs
@@ -102,7 +102,7 @@
             return refuse_connection(&self.state, &stream, CloseReason::Memory);
         };
         let (state, stop) = (self.state.clone(), self.stop.clone());
-        let connection = CallerConnection { state, stop, client, _held: held };
+        let connection = CallerConnection { state, stop, client, held };
         tokio::task::spawn_local(connection.serve(stream));
     }
 }
