Forwarded requests: a bound in bytes

Found by reading, without a test of its own: bodies that other hosts forward were bounded in number (512) and not in bytes, and were read before the number was looked at. Change: they are read into counted blocks, with a bound of 0.14 of the memory; beyond it the host refuses as "not run", so that the sender asks another. Why it is enough: what is outside of the callers' account has a bound too, and the sum fits (docs/design/clients.md).

--- a/crates/entry/src/state/held_memory.rs
+++ b/crates/entry/src/state/held_memory.rs
@@ -14,6 +14,8 @@
 const LARGE_SHARE: f64 = 0.5;
 /// What one holder has up to here does not count as large.
 const SMALL_HOLDER_BYTES: usize = 96 << 10;
+/// Share of the daemon's memory for requests of other hosts.
+const FORWARD_SHARE: f64 = 0.14;
 /// Response bodies that are being read, beyond the first bytes of each.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -57,9 +59,9 @@
         HeldMemory { used: Arc::default(), large: Arc::default(), max_bytes, max_large_bytes }
     }
 
-    /// Without a bound.
-    pub(crate) fn unbounded() -> HeldMemory {
-        HeldMemory::without_large_part(usize::MAX)
+    /// For the requests of other hosts.
+    pub(crate) fn for_forwards(memory_mb: u64) -> HeldMemory {
+        HeldMemory::without_large_part(share_bytes(memory_mb, FORWARD_SHARE))
     }
 
     /// For response bodies that are read whole before they are sent.
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -177,7 +177,7 @@
         let limits = ServerLimits::new(settings.host.clone(), start_id, limit_conf());
         let suspects = SuspectTable::new(settings.host.clone(), SuspectConf::default());
         let held_memory = HeldMemory::for_callers(settings.memory_mb);
-        let forward_memory = HeldMemory::unbounded();
+        let forward_memory = HeldMemory::for_forwards(settings.memory_mb);
         SharedState {
             settings,
             incarnation,
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -163,6 +163,7 @@
     metrics::gauge!("fulmargate_open_connections")
         .set(state.open_connections.load(Ordering::Relaxed) as f64);
     metrics::gauge!("fulmargate_held_bytes").set(state.held_memory.used_bytes() as f64);
+    metrics::gauge!("fulmargate_forwarded_bytes").set(state.forward_memory.used_bytes() as f64);
     if let Some(table) = state.table.load_full() {
         metrics::gauge!("fulmargate_config_version").set(table.version().0 as f64);
     }
--- a/crates/entry/src/traffic/peer_forwarding/forward_service.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_service.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use fulmargate_dispatch::CallProgress;
 use fulmargate_dispatch::StreamOrigin;
 use fulmargate_names::ErrorKind;
@@ -26,6 +25,7 @@
 use crate::state::SharedState;
 use crate::telemetry::count_forward;
 use crate::traffic::block_body::BlockBody;
+use crate::traffic::block_buffer::BlockBuffer;
 use crate::traffic::peer_forwarding::forward_wire::ForwardHead;
 use crate::traffic::peer_forwarding::forward_wire::ForwardReply;
 use crate::traffic::peer_forwarding::forward_wire::RunCounts;
@@ -47,6 +47,11 @@
 /// A request that has not arrived whole within this time is dropped. The forwarding host has it whole.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Memory of a request without its body.
+const REQUEST_BYTES: usize = 16 << 10;
+/// Error detail for a request that this host has no memory for.
+const MEMORY_USED_UP: &str = "the helper's memory for forwarded requests is used up";
+
 /// A forwarded request whose sender is a known host.
 pub(crate) struct ForwardCall {
     pub(crate) sender: HostName,
@@ -78,12 +83,22 @@
     }
 }
 
-/// A request that was read whole.
+/// A request that was read.
 struct ReceivedForward {
     head: ForwardHead,
     /// When the head arrived, from which the time left counts.
     received: Instant,
-    body: Bytes,
+    body: ReceivedBody,
+}
+
+/// The body of a forwarded request.
+enum ReceivedBody {
+    Whole {
+        body: BlockBody,
+        memory: RequestMemory,
+    },
+    /// It was not read to its end, as this host has no memory for it.
+    Unread,
 }
 
 impl ForwardService {
@@ -100,7 +115,7 @@
         let _guard = ForwardGuard::new(self.state.clone());
         let ForwardCall { sender, request, mut respond } = call;
         let mut body = request.into_body();
-        let received = match timeout(READ_TIMEOUT, read_request(&mut body)).await {
+        let received = match timeout(READ_TIMEOUT, self.read_request(&mut body)).await {
             Ok(Ok(received)) => received,
             Ok(Err(err)) => return self.log_refused(&sender, &err.to_string()),
             Err(_) => return self.log_refused(&sender, "the request did not arrive in time"),
@@ -116,6 +131,30 @@
         }
     }
 
+    /// Reads a request as far as there is memory for it.
+    async fn read_request(&self, stream: &mut RecvStream) -> Result<ReceivedForward, WireError> {
+        let (head, first) = read_head(stream).await?;
+        let received = Instant::now();
+        let unread = || ReceivedBody::Unread;
+        let memory = RequestMemory::Forwarded(self.state.forward_memory.holder());
+        let Ok(held) = memory.take(REQUEST_BYTES).await else {
+            return Ok(ReceivedForward { head, received, body: unread() });
+        };
+        let mut buffer = BlockBuffer::new(memory.clone(), held, usize::MAX);
+        if buffer.push(&mut &first[..]).await.is_err() {
+            return Ok(ReceivedForward { head, received, body: unread() });
+        }
+        while let Some(chunk) = stream.data().await {
+            let chunk = chunk?;
+            stream.flow_control().release_capacity(chunk.len())?;
+            if buffer.push(&mut &chunk[..]).await.is_err() {
+                return Ok(ReceivedForward { head, received, body: unread() });
+            }
+        }
+        let body = ReceivedBody::Whole { body: buffer.finish(), memory };
+        Ok(ReceivedForward { head, received, body })
+    }
+
     async fn handle(&self, sender: &HostName, received: ReceivedForward) -> HandledRequest {
         let ReceivedForward { head, received, body } = received;
         let progress = CallProgress::resumed(head.runs.arrivals, head.runs.possible_runs);
@@ -123,8 +162,12 @@
             self.log_refused(sender, &failure.detail);
             return HandledRequest::failed(failure, progress);
         }
-        let body = BlockBody::from(body);
-        let memory = RequestMemory::Forwarded(self.state.forward_memory.holder());
+        let ReceivedBody::Whole { body, memory } = body else {
+            let failure = RequestFailure::new(ErrorKind::QueueFull, head.time_left());
+            let failure = failure.with_detail(MEMORY_USED_UP.to_owned());
+            self.log_refused(sender, &failure.detail);
+            return HandledRequest::failed(failure, progress);
+        };
         let decoded = match decode_forwarded(&self.state, &head, body, memory, received) {
             Ok(decoded) => decoded,
             Err(failure) => {
@@ -207,18 +250,6 @@
     }
 }
 
-async fn read_request(stream: &mut RecvStream) -> Result<ReceivedForward, WireError> {
-    let (head, first) = read_head(stream).await?;
-    let received = Instant::now();
-    let mut body = BytesMut::from(first);
-    while let Some(chunk) = stream.data().await {
-        let chunk = chunk?;
-        stream.flow_control().release_capacity(chunk.len())?;
-        body.extend_from_slice(&chunk);
-    }
-    Ok(ReceivedForward { head, received, body: body.freeze() })
-}
-
 /// Sends the reply and the response's body, as the forwarding host takes it. The stream is reset if the body breaks off.
 async fn send_reply(
     respond: &mut SendResponse<Bytes>,
