Descriptors: a server is not blamed for want of one

Found by reading, without a test of its own: a connection to a server that failed as this process had no descriptor left was recorded as a time-out of the server, from which the host concludes that it is out of reach. Change: it has an error of its own and is not recorded; the request was not sent.

--- a/crates/entry/src/traffic/server_connection.rs
+++ b/crates/entry/src/traffic/server_connection.rs
@@ -13,6 +13,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use nix::libc::EMFILE;
+use nix::libc::ENFILE;
 use tokio::net::TcpSocket;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
@@ -63,11 +65,17 @@
     Failed { reason: String },
     #[display("no connection in time")]
     TimedOut,
+    /// This process may open no further descriptor. It tells nothing of the server.
+    #[display("no descriptor for a connection")]
+    NoDescriptor,
 }
 
 impl ConnectError {
     fn new(err: &io::Error) -> ConnectError {
         let reason = err.to_string();
+        if matches!(err.raw_os_error(), Some(EMFILE | ENFILE)) {
+            return ConnectError::NoDescriptor;
+        }
         match err.kind() {
             io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
                 ConnectError::Refused { reason }
@@ -81,7 +89,9 @@
     pub(crate) fn outcome(&self) -> ConnectOutcome {
         match self {
             ConnectError::Refused { .. } => ConnectOutcome::Refused,
-            ConnectError::Failed { .. } | ConnectError::TimedOut => ConnectOutcome::TimedOut,
+            ConnectError::Failed { .. } | ConnectError::TimedOut | ConnectError::NoDescriptor => {
+                ConnectOutcome::TimedOut
+            }
         }
     }
 }
@@ -93,6 +103,9 @@
         server: &ServerEntry,
     ) -> Result<ServerConnection, ConnectError> {
         let result = ServerConnection::connect(server.address).await;
+        if matches!(result, Err(ConnectError::NoDescriptor)) {
+            return result;
+        }
         let outcome =
             result.as_ref().map_or_else(ConnectError::outcome, |_| ConnectOutcome::Reached);
         record_connect_outcome(state, server.key(), outcome);
