Scarce memory: connections are closed after their answers

Callers saw: refusals while connections with many requests sent ahead take each piece of memory that comes free. Cause: the next of these requests is at hand when an answer is written, and a newcomer's is not. Change: while more than seven eighths of the memory is held, answers say Connection: close, and what was sent ahead is discarded.

--- a/crates/entry/src/state/held_memory.rs
+++ b/crates/entry/src/state/held_memory.rs
@@ -18,6 +18,8 @@
 const FORWARD_SHARE: f64 = 0.14;
 /// Response bodies that are being read, beyond the first bytes of each.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Part of the memory above which it is scarce.
+const SCARCE_SHARE: f64 = 0.875;
 
 /// Why there is no memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,6 +86,11 @@
         self.used.load(Ordering::Relaxed)
     }
 
+    /// Whether next to all of it is held.
+    pub(crate) fn is_scarce(&self) -> bool {
+        (self.max_bytes as f64 * SCARCE_SHARE) as usize <= self.used_bytes()
+    }
+
     /// Upper bound of the bytes held.
     pub(crate) fn max_bytes(&self) -> usize {
         self.max_bytes
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -90,8 +90,13 @@
     if version < Version::HTTP_11 {
         response = response.map(|body| body.resetting(switch));
     }
+    // What was sent ahead on the connection is left to other callers' requests while memory is scarce.
+    let is_scarce = state.held_memory.is_scarce();
+    if is_scarce {
+        client.set_unread_body(true);
+    }
     // During shutdown, callers must not reuse connections that are about to be closed.
-    if stop.requested.is_cancelled() {
+    if is_scarce || stop.requested.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
