Soak of clients that do not keep to the protocol; a property of bodies in any framing

Soak: crowds of six kinds at random routers with 64 MB, beside the faults of the seed; new promise Memory. Property: 150 drawn requests in any chunks, splits and ends reach the server as sent, once, or not at all.

--- a/crates/entry/tests/clients/main.rs
+++ b/crates/entry/tests/clients/main.rs
@@ -4,6 +4,7 @@
 mod chunked_bodies;
 mod client_deployment;
 mod disturbances;
+mod framing;
 mod idle_connections;
 mod process_usage;
 mod refusals;
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -5,6 +5,7 @@
 mod crowded_hosts;
 mod crowded_servers;
 mod host_cuts;
+mod memory;
 mod versions;
 mod weights;
 mod weights_service;
@@ -26,6 +27,7 @@
 use crate::request_record::RequestEnd;
 use crate::request_record::RequestKind;
 use crate::request_record::RequestRecord;
+use crate::rough_clients::MemoryExcess;
 use crate::router_process::KEY_REVOKE;
 use crate::router_process::REPEAT_RATIO;
 use crate::router_process::REPEAT_SLACK;
@@ -75,6 +77,7 @@
     /// Prompts that were rejected for a part which they do not hold.
     pub(crate) refused_sound: Vec<String>,
     pub(crate) brittle_times: Vec<BrittleTime>,
+    pub(crate) excesses: Vec<MemoryExcess>,
     pub(crate) word: OperatorWord,
     /// Time after a version was named for which prompts may begin on older weights.
     pub(crate) weights_bound: Duration,
@@ -125,6 +128,7 @@
         judge.judge_brittle_times();
         judge.judge_host_cuts();
         judge.judge_crowded_hosts();
+        judge.judge_memory();
         judge.judge_crashing_requests();
         judge.judge_refused_sound();
         judge.judge_versions();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,6 +18,7 @@
 mod judged_count;
 mod promise;
 mod request_record;
+mod rough_clients;
 mod router_process;
 mod served_count;
 mod shape_draw;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -78,6 +78,10 @@
     /// before --crashing-requests
     #[argh(switch)]
     versions: bool,
+    /// clients do not keep to the protocol, and routers have little memory, beside the faults of the seed; goes before
+    /// --weights
+    #[argh(switch)]
+    rough_clients: bool,
     /// operators name series of weights versions while routers are stopped and killed, beside the faults of the seed; goes
     /// before --versions
     #[argh(switch)]
@@ -101,6 +105,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { rough_clients: true, .. } => PlanKind::RoughClients,
         SoakArgs { weights: true, .. } => PlanKind::Weights,
         SoakArgs { versions: true, .. } => PlanKind::Versions,
         SoakArgs { crashing_parts: true, host_cuts: true, .. } => PlanKind::PartsBesideCuts,
--- a/crates/soak/src/promise.rs
+++ b/crates/soak/src/promise.rs
@@ -51,6 +51,8 @@
     OutdatedWeights,
     /// Prompts are served beside series of weights versions, and soon after all hosts were killed.
     ServedPrompts,
+    /// A router keeps to its memory, whatever its clients send.
+    Memory,
     /// Repeats stay within the budget.
     RepeatBudget,
     /// All serve again when the faults are over.
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -27,6 +27,9 @@
 const LOOK_PACE: Duration = Duration::from_millis(10);
 /// A daemon listens within some 10 ms of its start; the rest is for a busy machine.
 const LONGEST_START: Duration = Duration::from_secs(20);
+const KB_PER_MB: u64 = 1_024;
+/// Memory of a router if its clients keep to the protocol: the daemon's default.
+pub(crate) const ROUTER_MEMORY_MB: u64 = 256;
 /// Bounds of the daemon's settings, as judged.
 pub(crate) const KEY_REVOKE: Duration = Duration::from_millis(3_000);
 /// How long a planned stop may take.
@@ -44,6 +47,7 @@
     pub(crate) host: String,
     pub(crate) store: SocketAddr,
     pub(crate) few_hosts: usize,
+    pub(crate) memory_mb: u64,
     pub(crate) weights_bound: Duration,
     pub(crate) lease: Duration,
 }
@@ -83,6 +87,15 @@
         kill(Pid::from_raw(child.id() as i32), signal).map_err(io::Error::from)
     }
 
+    /// Resident memory; 0 once it has ended.
+    pub(crate) fn resident_mb(&self) -> u64 {
+        let id = lock(&self.child).id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse::<u64>().ok()).unwrap_or_default() / KB_PER_MB
+    }
+
     /// Waits until it has ended; none if it does not within the time.
     pub(crate) async fn ended(&self, longest: Duration) -> Option<ExitStatus> {
         let waiting = async {
@@ -118,6 +131,7 @@
         let free = "127.0.0.1:0";
         json!({
             "host": self.host, "zone": "north", "store": self.store, "few_hosts": self.few_hosts,
+            "memory_mb": self.memory_mb,
             "callers": free, "readiness": free, "metrics": free, "peers": free,
             "bounds": {
                 "key_revoke_ms": KEY_REVOKE.as_millis() as u64,
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -19,6 +19,10 @@
 use crate::fault_player::play;
 use crate::judge::RunEvidence;
 use crate::judge::SoakJudge;
+use crate::rough_clients;
+use crate::rough_clients::play_rough_clients;
+use crate::rough_clients::watch_memory;
+use crate::router_process::ROUTER_MEMORY_MB;
 use crate::soak_caller::SharedRecords;
 use crate::soak_caller::SoakCaller;
 use crate::soak_world::DESKS;
@@ -103,6 +107,8 @@
     CrowdedHosts,
     /// Any faults, and engines of several software versions whose streams are taken up.
     Versions,
+    /// Any faults, and clients that do not keep to the protocol, beside routers with little memory.
+    RoughClients,
     /// Any faults, and series of weights versions while routers are stopped and killed.
     Weights,
 }
@@ -127,7 +133,7 @@
     let routers = conf.routers;
     let mixed = FaultPlan::draw(seed, routers, DESKS + ENGINES, conf.length);
     let plan = match conf.kind {
-        PlanKind::Mixed => mixed,
+        PlanKind::Mixed | PlanKind::RoughClients => mixed,
         PlanKind::CutOff => mixed.with_cut_off(routers),
         PlanKind::Restore => mixed.with_restores(routers, conf.length),
         PlanKind::Departures => mixed.with_departures(routers, DESKS + ENGINES, conf.length),
@@ -161,7 +167,12 @@
     let plan = if conf.is_calm { plan.with_calm_times() } else { plan };
     let folder = conf.folder.join(format!("seed-{seed}"));
     fs::create_dir_all(&folder)?;
-    let world = Arc::new(SoakWorld::start(&plan, &conf.program, folder.clone()).await?);
+    let memory_mb = match conf.kind {
+        PlanKind::RoughClients => rough_clients::ROUTER_MEMORY_MB,
+        _ => ROUTER_MEMORY_MB,
+    };
+    let world = SoakWorld::start(&plan, &conf.program, folder.clone(), memory_mb).await?;
+    let world = Arc::new(world);
     sleep(START_PAUSE).await;
     let records = SharedRecords::default();
     let stop = watch::Sender::new(false);
@@ -181,7 +192,14 @@
     ) {
         heartbeats.spawn(write_heartbeats(world.clone()));
     }
+    let mut crowds = JoinSet::new();
+    let mut memory = JoinSet::new();
+    if conf.kind == PlanKind::RoughClients {
+        crowds.spawn(play_rough_clients(world.clone(), seed));
+        memory.spawn(watch_memory(world.clone()));
+    }
     play(&world, &plan).await?;
+    crowds.shutdown().await;
     sleep(SETTLE_TIME).await;
     let recovered = Instant::now();
     sleep(CALM_TIME).await;
@@ -189,6 +207,7 @@
     join_all(callers).await;
     join_all(version_callers).await;
     heartbeats.shutdown().await;
+    memory.shutdown().await;
     let records = std::mem::take(&mut *lock(&records));
     let served = records.iter().filter(|record| record.is_served()).count();
     let requests = records.len();
@@ -202,6 +221,7 @@
         limits: world.limits(),
         refused_sound: world.refused_sound(),
         brittle_times: world.brittle_times(),
+        excesses: world.excesses(),
         word: world.word().clone(),
         weights_bound: plan.weights_bound,
         recovered,
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -30,6 +30,7 @@
 use crate::FaultPlan;
 use crate::crashing_caller::CRASH_RULE;
 use crate::fault_log::FaultLog;
+use crate::rough_clients::MemoryExcess;
 use crate::router_process::RouterProcess;
 use crate::router_process::RouterSpec;
 use crate::router_process::STOP_GRACE;
@@ -153,6 +154,7 @@
     /// Prompts without a crashing part that were rejected for one.
     refused_sound: Mutex<Vec<String>>,
     brittle_times: Mutex<Vec<BrittleTime>>,
+    excesses: Mutex<Vec<MemoryExcess>>,
     /// Whether engines run several software versions, and mark their events with them.
     pub(crate) has_versions: bool,
     /// Whether one router takes all new connections for a while.
@@ -172,6 +174,7 @@
         plan: &FaultPlan,
         program: &Path,
         folder: PathBuf,
+        memory_mb: u64,
     ) -> io::Result<SoakWorld> {
         let store = FakeStore::start().await?;
         let config = first_config();
@@ -195,6 +198,7 @@
                 host: format!("host-{number}"),
                 store: store_link.address,
                 few_hosts: plan.few_hosts,
+                memory_mb,
                 weights_bound: plan.weights_bound,
                 lease: plan.lease,
             };
@@ -220,6 +224,7 @@
             limits: Mutex::default(),
             refused_sound: Mutex::default(),
             brittle_times: Mutex::default(),
+            excesses: Mutex::default(),
             has_versions: plan.has_versions(),
             has_crowds: plan.has_crowds(),
             has_weights: plan.has_weights(),
@@ -322,6 +327,16 @@
         lock(&self.brittle_times).clone()
     }
 
+    /// Keeps that a router took more memory than it may.
+    pub(crate) fn record_excess(&self, excess: MemoryExcess) {
+        lock(&self.excesses).push(excess);
+    }
+
+    /// All of these times.
+    pub(crate) fn excesses(&self) -> Vec<MemoryExcess> {
+        lock(&self.excesses).clone()
+    }
+
     /// Keeps what came to a server that named a limit.
     pub(crate) fn record_limit(&self, limit: SeenLimit) {
         lock(&self.limits).push(limit);
@@ -512,6 +527,11 @@
         Ok(())
     }
 
+    /// The process that runs, if any.
+    pub(crate) fn process(&self) -> Option<Arc<RouterProcess>> {
+        lock(&self.process).clone()
+    }
+
     fn take_process(&self) -> Option<Arc<RouterProcess>> {
         lock(&self.process).take()
     }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -236,6 +236,22 @@
     check(CROWD_SEEDS, "crowded-hosts").await;
 }
 
+/// Seeds with clients that do not keep to the protocol.
+const ROUGH_CLIENT_SEEDS: &[SeedCase] = &[SeedCase {
+    seed: 66002,
+    seconds: 8,
+    kind: PlanKind::RoughClients,
+    is_calm: false,
+    cause: "bodies in chunks of one byte took many times the memory that was counted",
+}];
+
+/// Clients hold connections, heads, bodies and requests sent ahead beside other faults. Guards against routers that
+/// take more memory than they may, and against ordinary callers who are not served afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn rough_clients_end_no_router() {
+    check(ROUGH_CLIENT_SEEDS, "rough-clients").await;
+}
+
 /// Servers leave while routers are cut off from the store or paused. Guards against requests to them after the
 /// routers' return.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
