Router: a bound for the bodies of all requests together

Change: bytes beyond the first 64 KiB of each body count towards callers.body_memory_bytes (256 MiB); beyond it 503 queue_full, not run, and the rest is discarded as after a body that is too large. What is held is given back with the last copy of the body. Why it is enough: small requests never count, so that they are served beside a crowd of large ones; operators' patches are not affected. Result: edges::body_crowds, 4 or more of 6 bodies refused and a small request served. The test cannot be built on the code before, which has no such setting. There is no order of closing as in the entry daemon.

--- a/crates/router/src/caller/body_reader.rs
+++ b/crates/router/src/caller/body_reader.rs
@@ -13,6 +13,8 @@
 use tokio::time::timeout_at;
 
 use crate::caller::RequestError;
+use crate::state::BodyMemory;
+use crate::state::HeldBody;
 
 /// Upper bound of the bytes that are read beyond the limit and discarded. A connection that is closed
 /// with unread bytes is reset, and a caller that is still sending would see the reset, not the response.
@@ -32,25 +34,44 @@
     headers: &HeaderMap,
     mut payload: Payload,
     bounds: BodyBounds,
+    memory: &BodyMemory,
 ) -> Result<Bytes, RequestError> {
     let deadline = Instant::now() + bounds.patience;
     let read = match stated_bytes(headers) {
         Some(bytes) if bounds.most_bytes < bytes => Err(too_large(bounds.most_bytes)),
         _ => {
-            let reading = read_within(&mut payload, bounds.most_bytes);
+            let reading = read_within(&mut payload, bounds.most_bytes, memory.body());
             let Ok(read) = timeout_at(deadline, reading).await else {
                 return Err(RequestError::new(ErrorKind::SlowCaller));
             };
             read
         }
     };
-    if read.as_ref().is_err_and(|err| err.kind == ErrorKind::BodyTooLarge) {
+    let is_refused =
+        |err: &RequestError| matches!(err.kind, ErrorKind::BodyTooLarge | ErrorKind::QueueFull);
+    if read.as_ref().is_err_and(is_refused) {
         let _answered_either_way = timeout_at(deadline, throw_away(&mut payload)).await;
     }
     read
 }
 
-async fn read_within(payload: &mut Payload, most_bytes: usize) -> Result<Bytes, RequestError> {
+/// A body, and what is held for it until the last copy is dropped.
+struct CountedBody {
+    bytes: Bytes,
+    _held: HeldBody,
+}
+
+impl AsRef<[u8]> for CountedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+async fn read_within(
+    payload: &mut Payload,
+    most_bytes: usize,
+    mut held: HeldBody,
+) -> Result<Bytes, RequestError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|err| {
@@ -59,9 +80,13 @@
         if most_bytes < body.len() + chunk.len() {
             return Err(too_large(most_bytes));
         }
+        if !held.grow(chunk.len()) {
+            let detail = "The memory for bodies is used up.".to_owned();
+            return Err(RequestError::new(ErrorKind::QueueFull).detail(detail));
+        }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok(Bytes::from_owner(CountedBody { bytes: body.freeze(), _held: held }))
 }
 
 fn stated_bytes(headers: &HeaderMap) -> Option<usize> {
--- a/crates/router/src/caller/engine_handler.rs
+++ b/crates/router/src/caller/engine_handler.rs
@@ -55,7 +55,8 @@
 ) -> HttpResponse {
     let id = request_id(&request);
     let guard = context.state.open.enter();
-    let served = match read_body(request.headers(), payload, context.body_bounds()).await {
+    let (bounds, memory) = (context.body_bounds(), &context.state.body_memory);
+    let served = match read_body(request.headers(), payload, bounds, memory).await {
         Ok(body) => serve(&request, body, &context, id.clone(), guard).await,
         Err(err) => Err(err),
     };
--- a/crates/router/src/operator/config_handler.rs
+++ b/crates/router/src/operator/config_handler.rs
@@ -20,6 +20,7 @@
 use crate::operator::operator_answer::refuse;
 use crate::operator::operator_answer::refuse_without_key;
 use crate::operator::operator_answer::submitted;
+use crate::state::BodyMemory;
 
 /// Who made a patch, for the history.
 const AUTHOR: &str = "x-author";
@@ -70,7 +71,9 @@
     if let Some(response) = refuse_without_key(&request, &context) {
         return response;
     }
-    let body = match read_body(request.headers(), payload, PATCH_BOUNDS).await {
+    // Only operators come so far; crowds of callers must not keep them out.
+    let memory = BodyMemory::new(PATCH_BOUNDS.most_bytes);
+    let body = match read_body(request.headers(), payload, PATCH_BOUNDS, &memory).await {
         Ok(body) => body,
         Err(err) => return refuse(err.kind, err.detail),
     };
--- a/crates/router/src/state/mod.rs
+++ b/crates/router/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! What traffic threads share with the control thread.
 
+mod body_memory;
 mod class_route;
 mod model_route;
 mod open_count;
@@ -8,6 +9,8 @@
 mod router_state;
 mod server_route;
 
+pub(crate) use body_memory::BodyMemory;
+pub(crate) use body_memory::HeldBody;
 pub(crate) use class_route::ClassRoute;
 pub(crate) use model_route::ModelRoute;
 pub(crate) use open_count::OpenCount;
--- a/crates/router/src/state/router_state.rs
+++ b/crates/router/src/state/router_state.rs
@@ -35,6 +35,7 @@
 use crate::control::HealthTold;
 use crate::control::ServerLife;
 use crate::control::ServerTrouble;
+use crate::state::BodyMemory;
 use crate::state::OpenCount;
 use crate::state::PhaseCell;
 use crate::state::RouteTable;
@@ -53,6 +54,7 @@
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) phase: PhaseCell,
     pub(crate) open: OpenCount,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) budget: RetryBudget,
     pub(crate) limiter: TeamLimiter,
     pub(crate) health: HealthRegistry,
@@ -86,6 +88,7 @@
             routes: ArcSwapOption::empty(),
             phase: PhaseCell::default(),
             open: OpenCount::default(),
+            body_memory: BodyMemory::new(settings.callers.body_memory_bytes),
             budget: RetryBudget::new(RetryConf::default()),
             health: HealthRegistry::new(HealthConf::default()),
             limiter: TeamLimiter::new(settings.host.clone(), LimiterConf::default()),
--- a/crates/router/tests/edges/main.rs
+++ b/crates/router/tests/edges/main.rs
@@ -2,6 +2,7 @@
 //! replica of a plain service, on loopback.
 
 mod bad_input;
+mod body_crowds;
 mod hang_ups;
 mod operators;
 mod raw_call;
--- a/crates/settings/src/router_settings.rs
+++ b/crates/settings/src/router_settings.rs
@@ -58,6 +58,9 @@
     /// Largest body in bytes.
     #[serde(default = "default_body_limit_bytes")]
     pub body_limit_bytes: usize,
+    /// Bytes of the bodies of all requests together, beyond the first 64 KiB of each.
+    #[serde(default = "default_body_memory_bytes")]
+    pub body_memory_bytes: usize,
     /// How long a caller may take to send a request, in milliseconds.
     #[serde(default = "default_request_timeout_ms")]
     pub request_timeout_ms: u64,
@@ -128,6 +131,10 @@
     4 * 1024 * 1024
 }
 
+fn default_body_memory_bytes() -> usize {
+    256 * 1024 * 1024
+}
+
 fn default_request_timeout_ms() -> u64 {
     10_000
 }
@@ -166,6 +173,13 @@
             1024,
             1 << 30,
         )?;
+        check_range(
+            file,
+            "callers.body_memory_bytes",
+            self.callers.body_memory_bytes as u64,
+            self.callers.body_limit_bytes as u64,
+            1 << 40,
+        )?;
         check_range(
             file,
             "callers.request_timeout_ms",
