--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -27,6 +27,7 @@
 mod store_proxy;
 mod store_restore;
 mod streams;
+#[allow(dead_code, reason = "shared with the tests of clients")]
 mod support;
 mod unreached_servers;
 mod weight_updates;
