Tests of clients: heads of the platform's requests are written in its folder

The names of the platform's headers stood in two test files outside of platform/. The heads are the same but for the request's id; crowds and bounds are unchanged.

--- a/crates/entry/tests/clients/client_deployment.rs
+++ b/crates/entry/tests/clients/client_deployment.rs
@@ -122,10 +122,7 @@
 
 /// Head of a request with this framing of its body.
 pub(crate) fn body_head(framing: &str) -> String {
-    format!(
-        "POST /read/x HTTP/1.1\r\nHost: shop.example\r\nFulmargate-Request-Id: crowd\r\n\
-         Fulmargate-Request-Deadline: {REQUEST_TIMEOUT_MS}\r\nAuthorization: Token k-red\r\n{framing}\r\n\r\n"
-    )
+    fulmargate_consortium_stand::body_head("/read/x", "k-red", REQUEST_TIMEOUT_MS, framing)
 }
 
 /// A request with a chunked body of chunks of one size, without the last chunk.
--- a/crates/soak/src/rough_clients.rs
+++ b/crates/soak/src/rough_clients.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use fulmargate_consortium_stand::ClientCrowd;
+use fulmargate_consortium_stand::body_head;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -84,11 +85,11 @@
 /// Path of those that do, which no server runs: what runs is judged by callers' records.
 const UNKNOWN: &str = "/none/rough";
 
+/// Deadline of the requests, longer than their crowd stays.
+const DEADLINE_MS: u64 = 5_000;
+
 fn head(path: &str, framing: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nFulmargate-Request-Id: rough\r\n\
-         Fulmargate-Request-Deadline: 5000\r\nAuthorization: Token {SHARED_KEY}\r\n{framing}\r\n\r\n"
-    )
+    body_head(path, SHARED_KEY, DEADLINE_MS, framing)
 }
 
 /// Opens crowds at random routers until it is dropped.
