Held memory: nothing can be taken while all is held

Callers saw: while a host held more than its account, every answer from a server waited for two seconds and was then broken off with "there is no memory for the body", small ones too.

Cause: an answer takes memory for what it states beyond its first 16 KiB. For a small answer that is nothing, and taking nothing failed like any other amount once the account was beyond its bound.

Evidence: metrics of the daemon beside 3,000 requests that waited at a server which then answered: 499 requests stayed open, and the bytes held rose from 51.6 to 63.9 MB, 24 KiB for each answer that waited.

Change: taking no bytes succeeds. It adds nothing to the account, so the bound is as before. The unit test fails without it.

--- a/crates/entry/src/state/held_memory.rs
+++ b/crates/entry/src/state/held_memory.rs
@@ -1,5 +1,8 @@
 //! Memory that connections and requests hold.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -139,6 +142,9 @@
         max_bytes: usize,
         slack: usize,
     ) -> Result<HeldBytes, MemoryShortage> {
+        if bytes == 0 {
+            return Ok(self.take_always(0));
+        }
         let memory = &self.memory;
         if max_bytes < memory.used_bytes() + bytes {
             return Err(MemoryShortage::Total);
