Requests: the connection to a server is counted with its request

Callers saw: a host that ends for memory while many small requests wait at its servers.

Cause: a request in progress counted 16 KiB and its connection to a server 8 KiB. A heap profile of 200 requests of 100 bytes (release): 19.6 KiB for a request (9.5 its future, 8 a second read buffer of its connection, the rest headers) besides 11 KiB of its caller's connection that an idle one does not touch, and 29.5 KiB for a connection to a server (8.5 its queue, 8 and 8 its buffers, the rest task and headers). And what a request took for its connection was taken after it was admitted, beyond the bound if need be.

Change: a request takes 60 KiB when it is admitted, the connection to its server among them; one that another host forwards 46 KiB. A request that finds no room is refused or waits as before, and nothing is taken beyond the bound afterwards.

--- a/crates/entry/src/traffic/peer_forwarding/forward_service.rs
+++ b/crates/entry/src/traffic/peer_forwarding/forward_service.rs
@@ -40,6 +40,7 @@
 use crate::traffic::request_handler::RequestHandler;
 use crate::traffic::request_handler::ResumePoint;
 use crate::traffic::request_memory::RequestMemory;
+use crate::traffic::server_connection::SERVER_CONNECTION_BYTES;
 use crate::traffic::stream_binding::resolve_origin;
 
 /// Requests of other hosts in progress. Bounds the memory that they take here.
@@ -47,8 +48,8 @@
 /// A request that has not arrived whole within this time is dropped. The forwarding host has it whole.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Memory of a request without its body.
-const REQUEST_BYTES: usize = 16 << 10;
+/// Memory of a request without its body, with the connection to its server.
+const REQUEST_BYTES: usize = (16 << 10) + SERVER_CONNECTION_BYTES;
 /// Error detail for a request that this host has no memory for.
 const MEMORY_USED_UP: &str = "the helper's memory for forwarded requests is used up";
 
--- a/crates/entry/src/traffic/request_decoder.rs
+++ b/crates/entry/src/traffic/request_decoder.rs
@@ -31,6 +31,7 @@
 use crate::traffic::quota_charge::QuotaCharge;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_memory::RequestMemory;
+use crate::traffic::server_connection::SERVER_CONNECTION_BYTES;
 
 /// Error detail for a request with an API key while this host cannot rule out that the key was revoked.
 pub(crate) const KEY_NOT_VERIFIABLE: &str =
@@ -40,8 +41,8 @@
 const CONFIG_MAY_BE_STALE: &str =
     "the configuration cannot be proved to be the newest here at the moment";
 
-/// Memory of a request without its body.
-const REQUEST_BYTES: usize = 16 << 10;
+/// Memory of a request without its body, with the connection to its server.
+const REQUEST_BYTES: usize = (30 << 10) + SERVER_CONNECTION_BYTES;
 /// Bodies of which less is missing are read with the receive buffer that each connection has.
 const LARGE_BODY_BYTES: usize = 32 << 10;
 
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -23,7 +23,6 @@
 use crate::traffic::in_flight_request::InFlightRequest;
 use crate::traffic::request_decoder::DecodedRequest;
 use crate::traffic::server_connection::ConnectError;
-use crate::traffic::server_connection::SERVER_CONNECTION_BYTES;
 use crate::traffic::server_connection::ServerConnection;
 use crate::traffic::upstream_response::ResponseOrigin;
 use crate::traffic::upstream_response::UpstreamBody;
@@ -97,7 +96,6 @@
     ) -> Result<UpstreamResponse, SendError> {
         let ConnectedSend { mut plan, mut connection } = self;
         let request = encode_request(decoded, &plan)?;
-        connection.keep(decoded.memory.take_always(SERVER_CONNECTION_BYTES));
         plan.in_flight.record_sent();
         let response = wait_for_response_head(&mut connection, request, &plan).await?;
         let (parts, body) = response.into_parts();
--- a/crates/entry/src/traffic/server_connection.rs
+++ b/crates/entry/src/traffic/server_connection.rs
@@ -21,7 +21,6 @@
 
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
-use crate::state::HeldBytes;
 use crate::state::SharedState;
 use crate::state::record_connect_outcome;
 use crate::traffic::block_body::BlockBody;
@@ -37,8 +36,8 @@
 
 /// Receive buffer of a connection. Linux makes twice as much of it.
 const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
-/// Memory of a connection that is in use: its task and its read buffer.
-pub(crate) const SERVER_CONNECTION_BYTES: usize = 8 << 10;
+/// Memory of a connection that is in use: its task, its queue and its buffers.
+pub(crate) const SERVER_CONNECTION_BYTES: usize = 30 << 10;
 /// What the kernel may hold of it unread while nothing is read.
 pub(crate) const UNREAD_RESPONSE_BYTES: usize = 24 << 10;
 /// Upper bound of a response head, and of the bytes that are read ahead.
@@ -49,8 +48,6 @@
 pub(crate) struct ServerConnection {
     sender: http1::SendRequest<BlockBody>,
     progress: ReadProgress,
-    /// What the request holds for the connection.
-    held: Option<HeldBytes>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -132,7 +129,7 @@
             }
         });
         let _task = AbortOnDropHandle::new(task);
-        Ok(ServerConnection { sender, progress, held: None, _task })
+        Ok(ServerConnection { sender, progress, _task })
     }
 
     /// Sends the request. The server may have received it even if this fails.
@@ -145,11 +142,6 @@
         response
     }
 
-    /// Keeps what a request holds for the connection until it is closed.
-    pub(crate) fn keep(&mut self, held: HeldBytes) {
-        self.held = Some(held);
-    }
-
     /// Records that bytes of the response's body have arrived.
     pub(crate) fn record_part(&self) {
         self.progress.record_part();
--- a/crates/entry/tests/clients/main.rs
+++ b/crates/entry/tests/clients/main.rs
@@ -12,6 +12,7 @@
 mod unfinished_bodies;
 mod unread_answers;
 mod unread_requests;
+mod waiting_requests;
 
 #[path = "../daemon/support.rs"]
 #[allow(dead_code, reason = "shared with the daemon tests")]
