Answers: only those that their callers do not take are closed for memory

Callers saw: a stream broken off in the middle while other callers sent large bodies, although its events were read as they came.

Cause: an answer counted as stalled when less than 16 KiB of it, or an eighth of what its connection held, had been written for 100 ms, which is the normal state of a stream of small events. While memory for large holders was short, any such stream with a request beyond 96 KiB could be chosen. And the rule for all others, 16 KiB unwritten, missed streams that wait with less than that in the response's own queue.

Evidence: the new test, a stream of four events 1.2 s apart on a request of 1 MiB beside 30 unfinished bodies: "broken after id: 1" before.

Change: an answer is a candidate only while the system takes no more of its bytes, told by a write that could not be done, and its stall is counted from there. What the system's buffer takes is progress.

Measured: the test passes; the tests of unread answers as before.

--- a/crates/entry/src/traffic/caller_io.rs
+++ b/crates/entry/src/traffic/caller_io.rs
@@ -270,7 +270,9 @@
 }
 
 fn record_written(client: &ClientConnection, polled: &Poll<io::Result<usize>>) {
-    if let Poll::Ready(Ok(bytes)) = polled {
-        client.record_written(*bytes);
+    match polled {
+        Poll::Ready(Ok(bytes)) => client.record_written(*bytes),
+        Poll::Ready(Err(_)) => {}
+        Poll::Pending => client.record_blocked(),
     }
 }
--- a/crates/entry/src/traffic/client_connection.rs
+++ b/crates/entry/src/traffic/client_connection.rs
@@ -19,8 +19,6 @@
 const PROGRESS_DIVISOR: usize = 8;
 /// A connection that has made progress within this time is not closed for want of room.
 const MIN_STALL: Duration = Duration::from_millis(100);
-/// Unwritten bytes of an answer up to here are the normal state of a stream.
-const MIN_UNWRITTEN_BYTES: usize = 16 << 10;
 /// Bytes of the answer by which the memory held for it changes.
 const ANSWER_STEP_BYTES: usize = 8 << 10;
 /// By how much longer an idle connection may stay that has had an admitted request.
@@ -107,6 +105,8 @@
     advance: Cell<usize>,
     /// Bytes of answers that were not written yet.
     unwritten: Cell<usize>,
+    /// Since when the system has taken none of them; none if nothing waits to be written.
+    blocked: Cell<Option<Instant>>,
     /// Memory for them.
     answer: RefCell<Option<HeldBytes>>,
     /// Whether a request on it was admitted.
@@ -132,6 +132,7 @@
             progressed: Cell::new(now),
             advance: Cell::new(0),
             unwritten: Cell::new(0),
+            blocked: Cell::new(None),
             answer: RefCell::default(),
             has_served: Cell::new(false),
             has_unread_body: Cell::new(false),
@@ -221,6 +222,7 @@
     pub(crate) fn record_written(&self, bytes: usize) {
         let unwritten = self.unwritten.get().saturating_sub(bytes);
         self.unwritten.set(unwritten);
+        self.blocked.set(None);
         self.record_progress(bytes);
         let mut answer = self.answer.borrow_mut();
         if unwritten == 0 {
@@ -232,6 +234,13 @@
         }
     }
 
+    /// Records that bytes cannot be written until the caller reads.
+    pub(crate) fn record_blocked(&self) {
+        if self.blocked.get().is_none() {
+            self.blocked.set(Some(Instant::now()));
+        }
+    }
+
     /// Takes memory at once, closing others for it.
     pub(crate) fn take_now(&self, bytes: usize) -> Result<HeldBytes, MemoryShortage> {
         self.registry.take_now(self, bytes)
@@ -252,18 +261,16 @@
         if self.is_closing() {
             return None;
         }
-        let is_large = self.holder.is_large();
-        let unwritten = self.unwritten.get();
-        let is_idle = self.phase() == ClientPhase::Idle && unwritten < MIN_UNWRITTEN_BYTES;
-        let is_candidate = match (self.phase(), scarce) {
-            (ClientPhase::Handled, _) => false,
-            (_, ScarceResource::LargeMemory) => is_large,
-            (ClientPhase::Answer, ScarceResource::Descriptors) => false,
-            (ClientPhase::Answer, _) => MIN_UNWRITTEN_BYTES <= unwritten,
+        let blocked = self.blocked.get();
+        let is_idle = self.phase() == ClientPhase::Idle && blocked.is_none();
+        let holds_it = scarce != ScarceResource::LargeMemory || self.holder.is_large();
+        let may_close = match self.phase() {
+            ClientPhase::Handled => false,
+            ClientPhase::Answer => scarce != ScarceResource::Descriptors && blocked.is_some(),
             _ => true,
         };
-        let stall = now.saturating_duration_since(self.progressed.get());
-        if !is_candidate || stall < MIN_STALL {
+        let stall = now.saturating_duration_since(self.stalled_since());
+        if !holds_it || !may_close || stall < MIN_STALL {
             return None;
         }
         let patience = if is_idle && self.has_served.get() { SERVED_PATIENCE } else { 1.0 };
@@ -294,7 +301,11 @@
 
     /// Time without progress.
     pub(crate) fn stall(&self) -> Duration {
-        Instant::now().saturating_duration_since(self.progressed.get())
+        Instant::now().saturating_duration_since(self.stalled_since())
+    }
+
+    fn stalled_since(&self) -> Instant {
+        self.blocked.get().unwrap_or(self.progressed.get())
     }
 
     /// Waits until the connection is to be closed without an answer to a request.
--- a/crates/entry/tests/clients/main.rs
+++ b/crates/entry/tests/clients/main.rs
@@ -12,6 +12,7 @@
 mod unfinished_bodies;
 mod unread_answers;
 mod unread_requests;
+mod unread_streams;
 mod waiting_requests;
 
 #[path = "../daemon/support.rs"]
