Streams: what waits for a caller is bounded in bytes

Callers saw: a host that grows with each caller who does not read a stream of large events.

Cause: up to four pieces of a stream wait for its caller whatever their size, beside what the connection has taken; a piece keeps the capacity with which it grew. Pieces below 4 KiB were not counted.

Change: pieces of 1 KiB and more are counted, without spare capacity, and at most 16 KiB of them, or a single larger one, are unwritten. The relay reads no more of the server until there is room.

--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream to its caller, resuming it at another server if necessary.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,8 @@
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::channel;
 use tokio::sync::mpsc::error::TrySendError;
@@ -46,12 +49,16 @@
 const PROBE_GAP_FACTOR: u32 = 2;
 
 /// Smaller pieces are counted with their request.
-const COUNTED_PIECE_BYTES: usize = 4 << 10;
+const COUNTED_PIECE_BYTES: usize = 1 << 10;
+
+/// Large pieces of a stream that are not written yet, except for a single one that is larger.
+const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 
 /// A large piece of a stream, and what is held for it until it is written.
 struct HeldPiece {
     bytes: Vec<u8>,
     _held: HeldBytes,
+    _room: Option<OwnedSemaphorePermit>,
 }
 
 impl AsRef<[u8]> for HeldPiece {
@@ -72,8 +79,9 @@
     // The length is unknown in advance, because another server may resume the stream.
     headers.remove(CONTENT_LENGTH);
     let status = upstream.parts.status;
-    let relay =
-        StreamRelay { handler, sender, splitter: EventSplitter::resuming(point.last_event) };
+    let splitter = EventSplitter::resuming(point.last_event);
+    let room = Arc::new(Semaphore::new(MAX_UNWRITTEN_BYTES));
+    let relay = StreamRelay { handler, sender, room, splitter };
     let task = AbortOnDropHandle::new(tokio::task::spawn_local(relay.run(upstream)));
     let mut response = Response::new(ResponseBody::Streamed { pieces, _task: task, reset: None });
     *response.status_mut() = status;
@@ -84,6 +92,8 @@
 struct StreamRelay {
     handler: RequestHandler,
     sender: Sender<StreamPiece>,
+    /// Bytes that large pieces may have unwritten.
+    room: Arc<Semaphore>,
     splitter: EventSplitter,
 }
 
@@ -281,10 +291,7 @@
         }
         let bytes = match bytes.len() < COUNTED_PIECE_BYTES {
             true => Bytes::from(bytes),
-            false => {
-                let held = self.handler.decoded.memory.take_always(bytes.capacity());
-                Bytes::from_owner(HeldPiece { bytes, _held: held })
-            }
+            false => self.hold_piece(bytes).await,
         };
         let piece = match self.sender.try_send(StreamPiece::Bytes(bytes)) {
             Ok(()) => return true,
@@ -296,6 +303,22 @@
         self.sender.send(piece).await.is_ok()
     }
 
+    /// Counts a large piece, and waits until there is room for it.
+    async fn hold_piece(&self, mut bytes: Vec<u8>) -> Bytes {
+        bytes.shrink_to_fit();
+        let held = self.handler.decoded.memory.take_always(bytes.len());
+        let room = self.room.clone();
+        let needed = bytes.len().min(MAX_UNWRITTEN_BYTES) as u32;
+        let acquired = match room.clone().try_acquire_many_owned(needed) {
+            Ok(acquired) => Ok(acquired),
+            Err(_) => {
+                let _unread = self.handler.decoded.memory.take_always(UNREAD_RESPONSE_BYTES);
+                room.acquire_many_owned(needed).await
+            }
+        };
+        Bytes::from_owner(HeldPiece { bytes, _held: held, _room: acquired.ok() })
+    }
+
     fn silence_timeout(&self) -> Duration {
         match self.handler.facts().route.kind {
             RouteKind::Stream(rule) => rule.max_gap * PROBE_GAP_FACTOR,
--- a/crates/entry/tests/clients/unread_streams.rs
+++ b/crates/entry/tests/clients/unread_streams.rs
@@ -1,8 +1,10 @@
-//! Streams beside crowds.
+//! Streams that are not read, and streams beside crowds.
 
+use bytes::Bytes;
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ClientCrowd;
 use fulmargate_consortium_stand::FakeServer;
+use fulmargate_consortium_stand::RawHead;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::open_stream;
 
@@ -12,11 +14,31 @@
 use crate::support::REQUEST_TIMEOUT_MS;
 use crate::support::wait_until;
 
+const CONNECTIONS: usize = 600;
+/// A stream's bytes, more than the system's buffers take.
+const STREAM_BYTES: usize = 4 << 20;
 const SLOW_EVENTS: u32 = 4;
 /// Body of a stream's request, more than a small holder has.
 const LARGE_BODY_BYTES: usize = 1 << 20;
 /// Unfinished bodies that need more than there is for large ones.
 const LARGE_BODIES: usize = 30;
+const STREAM_HEAD: RawHead = RawHead {
+    prompt: Some("5c1e:800,91bd:410,e440:250"),
+    ..RawHead::of(
+        "POST /chat/x",
+        &["Fulmargate-Model-Name: m", "Fulmargate-Token-Usage: 1460,80", "Content-Length: 0"],
+    )
+};
+
+struct StreamCase {
+    name: &'static str,
+    event_bytes: usize,
+}
+
+const CASES: &[StreamCase] = &[
+    StreamCase { name: "small events", event_bytes: 2 << 10 },
+    StreamCase { name: "large events", event_bytes: 16 << 10 },
+];
 
 /// Starts an engine and waits until the daemon lists it.
 async fn start_engine(deployment: &ClientDeployment, mode: ServerMode) -> FakeServer {
@@ -27,6 +49,22 @@
     engine
 }
 
+/// Guards against streams whose events wait for callers who do not read, beyond the memory for them.
+#[tokio::test]
+async fn unread_streams_keep_to_the_memory() {
+    for case in CASES {
+        let mut deployment = ClientDeployment::start().await;
+        let events = (STREAM_BYTES / case.event_bytes) as u32;
+        let mode = ServerMode::StreamBytes(events, case.event_bytes);
+        let engine = start_engine(&deployment, mode).await;
+        let request = Bytes::from(STREAM_HEAD.text());
+        let crowd = ClientCrowd::open(deployment.callers, CONNECTIONS, &request);
+        deployment.settle(&crowd).await;
+        deployment.check(case.name).await;
+        assert_ne!(engine.seen().len(), 0, "{}: no stream has begun", case.name);
+    }
+}
+
 /// Guards against a stream that is closed for memory because its request was large and its events are few.
 #[tokio::test]
 async fn a_stream_of_a_large_request_is_not_closed_for_memory() {
