Tests of clients: the head of a prompt is written in the platform's folder

Nothing that callers see. A test of streams that are not read named headers of the platform outside `platform/`, which is to hold them all.

Change: the stand-ins make the head; the bytes sent are the same, and so are crowd and bounds.

--- a/crates/entry/tests/clients/unread_streams.rs
+++ b/crates/entry/tests/clients/unread_streams.rs
@@ -22,13 +22,6 @@
 const LARGE_BODY_BYTES: usize = 1 << 20;
 /// Unfinished bodies that need more than there is for large ones.
 const LARGE_BODIES: usize = 30;
-const STREAM_HEAD: RawHead = RawHead {
-    prompt: Some("5c1e:800,91bd:410,e440:250"),
-    ..RawHead::of(
-        "POST /chat/x",
-        &["Fulmargate-Model-Name: m", "Fulmargate-Token-Usage: 1460,80", "Content-Length: 0"],
-    )
-};
 
 struct StreamCase {
     name: &'static str,
@@ -57,7 +50,7 @@
         let events = (STREAM_BYTES / case.event_bytes) as u32;
         let mode = ServerMode::StreamBytes(events, case.event_bytes);
         let engine = start_engine(&deployment, mode).await;
-        let request = Bytes::from(STREAM_HEAD.text());
+        let request = Bytes::from(RawHead::of_prompt("POST /chat/x").text());
         let crowd = ClientCrowd::open(deployment.callers, CONNECTIONS, &request);
         deployment.settle(&crowd).await;
         deployment.check(case.name).await;
