--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and clients of the second review's cases. Only the standard library.
 
+mod case_leaving;
 mod case_parts;
 mod daemon;
 mod http;
@@ -25,6 +26,7 @@
             let conf = server_conf(name, address, model, events, pause_ms, framing, log);
             conf.and_then(server::serve).map(|()| true)
         }
+        ["leaving", folder] => case_leaving::run(folder.as_ref()),
         ["parts", folder] => case_parts::run(folder.as_ref()),
         _ => Err(io::Error::other("unknown case")),
     };
