--- a/review/stand-2/case_leaving.rs
+++ b/review/stand-2/case_leaving.rs
@@ -1,14 +1,9 @@
 //! A replica announces its departure and exits later than `drainTimeoutMs` after that, while streams without a length run
 //! there.
 
-use std::env;
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -16,10 +11,11 @@
 use crate::daemon::Daemon;
 use crate::daemon::SIGTERM;
 use crate::daemon::free_address;
-use crate::daemon::send_signal;
 use crate::http::Answer;
 use crate::http::AnswerEnd;
 use crate::http::call;
+use crate::replica::Answers;
+use crate::replica::Replica;
 use crate::server::whole_body;
 use crate::store::ServerText;
 use crate::store::Store;
@@ -30,7 +26,7 @@
 use crate::world::request;
 
 const EVENTS: u32 = 45;
-const EVENT_PAUSE_MS: u32 = 100;
+const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// Streams of each kind that begin before the departure.
 const STREAMS: usize = 8;
 /// Time limit of the streams, and of their route.
@@ -40,32 +36,6 @@
 const NOTICE: Duration = Duration::from_millis(2_500);
 const ENGINES: usize = 2;
 
-/// A replica in a process of its own; killed on drop.
-struct Replica {
-    name: String,
-    child: Child,
-}
-
-impl Drop for Replica {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _killed = self.child.kill();
-        let _ended = self.child.wait();
-    }
-}
-
-impl Replica {
-    fn start(name: &str, address: SocketAddr, log: &Path) -> io::Result<Replica> {
-        let child = Command::new(env::current_exe()?)
-            .args(["server", name, &address.to_string(), "m", &EVENTS.to_string()])
-            .args([&EVENT_PAUSE_MS.to_string(), "unframed"])
-            .arg(log)
-            .stdin(Stdio::null())
-            .spawn()?;
-        Ok(Replica { name: name.to_owned(), child })
-    }
-}
-
 /// Plays the case. Returns whether the rule held.
 pub fn run(folder: &Path) -> io::Result<bool> {
     let record = Arc::new(Record::create(&folder.join("record.txt"))?);
@@ -76,7 +46,8 @@
     let mut replicas = Vec::new();
     for number in 0..ENGINES {
         let (name, address) = (format!("engine-{number}"), free_address()?);
-        replicas.push(Replica::start(&name, address, &log)?);
+        let answers = Answers { model: "m", pieces: EVENTS, pause: EVENT_PAUSE, framing: "unframed" };
+        replicas.push(Replica::start(&name, address, answers, &log)?);
         let text = ServerText {
             service: "engines".to_owned(),
             address,
@@ -113,8 +84,8 @@
         store.drain_server(&leaving.name);
         record.both(&format!("{} writes that it is draining, and serves on", leaving.name));
         thread::sleep(NOTICE);
-        send_signal(&leaving.child, SIGTERM);
-        let status = leaving.child.wait()?;
+        leaving.signal(SIGTERM);
+        let status = leaving.wait()?;
         store.remove_server(&leaving.name);
         record.both(&format!("{} exits: {status}", leaving.name));
     }
--- a/review/stand-2/daemon.rs
+++ b/review/stand-2/daemon.rs
@@ -20,6 +20,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 /// Sends a signal to a process that this program has started.
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,9 +1,11 @@
 //! Stand-ins and clients of the second review's cases. Only the standard library.
 
+mod case_crash;
 mod case_leaving;
 mod case_parts;
 mod daemon;
 mod http;
+mod replica;
 mod server;
 mod store;
 mod world;
@@ -26,6 +28,7 @@
             let conf = server_conf(name, address, model, events, pause_ms, framing, log);
             conf.and_then(server::serve).map(|()| true)
         }
+        ["crash", folder] => case_crash::run(folder.as_ref()),
         ["leaving", folder] => case_leaving::run(folder.as_ref()),
         ["parts", folder] => case_parts::run(folder.as_ref()),
         _ => Err(io::Error::other("unknown case")),
