--- a/review/stand-2/daemon.rs
+++ b/review/stand-2/daemon.rs
@@ -47,8 +47,12 @@
 impl Daemon {
     /// Starts a daemon with the settings that the deploy file's template makes of the sheet of a small deployment.
     pub fn start(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Daemon> {
+        // All are held until the last one is found, so that they differ.
+        let listeners: Vec<TcpListener> =
+            (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
         let addresses: Vec<SocketAddr> =
-            (0..4).map(|_| free_address()).collect::<io::Result<_>>()?;
+            listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+        drop(listeners);
         let [callers, readiness, metrics, peers] = addresses[..] else {
             return Err(io::Error::other("four addresses are needed"));
         };
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,9 +2,11 @@
 
 mod case_crash;
 mod case_leaving;
+mod case_members;
 mod case_parts;
 mod daemon;
 mod http;
+mod link;
 mod replica;
 mod server;
 mod store;
@@ -30,6 +32,7 @@
         }
         ["crash", folder] => case_crash::run(folder.as_ref()),
         ["leaving", folder] => case_leaving::run(folder.as_ref()),
+        ["members", folder] => case_members::run(folder.as_ref()),
         ["parts", folder] => case_parts::run(folder.as_ref()),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -76,7 +76,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
+                thread::spawn(move || store.serve(stream, false));
             }
         });
         let beating = store.clone();
@@ -89,6 +89,32 @@
         Ok(store)
     }
 
+    /// Another address of the store, for a host whose way to the servers leads over links of its own: their addresses are
+    /// told there with the IP address 127.0.0.2 in place of 127.0.0.1.
+    pub fn start_view(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = store.clone();
+                thread::spawn(move || store.serve(stream, true));
+            }
+        });
+        Ok(address)
+    }
+
+    /// Keys of a topic.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let topics = self.inner.topics.lock().unwrap();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let key = |record: &Vec<u8>| {
+            let (length, rest) = record.split_first()?;
+            rest.get(..usize::from(*length)).map(|key| String::from_utf8_lossy(key).into_owned())
+        };
+        records.iter().filter_map(key).collect()
+    }
+
     /// Publishes a configuration.
     pub fn put_config(&self, json: &str) {
         self.put(OPERATOR_TOPIC, "config", json.as_bytes());
@@ -156,11 +182,11 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, is_view: bool) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = self.answer(&request, is_view);
             let headers = [("store-era", "1"), ("content-type", "application/json")];
             if respond(&mut writer, status, &headers, &body).is_err() {
                 return;
@@ -168,12 +194,13 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (&'static str, Vec<u8>) {
+    fn answer(&self, request: &Message, is_view: bool) -> (&'static str, Vec<u8>) {
         let topic = request.query("topic").unwrap_or_default();
+        let linked = is_view && topic == SERVER_TOPIC;
         match request.path() {
             "/log-append" => self.append(&topic, request),
-            "/log-read" => self.read(&topic, request),
-            "/log-newest" => self.newest(&topic, request),
+            "/log-read" => self.read(&topic, request, linked),
+            "/log-newest" => self.newest(&topic, request, linked),
             _ => ("404 Not Found", Vec::new()),
         }
     }
@@ -203,7 +230,7 @@
         ("200 OK", body.into_bytes())
     }
 
-    fn read(&self, topic: &str, request: &Message) -> (&'static str, Vec<u8>) {
+    fn read(&self, topic: &str, request: &Message, linked: bool) -> (&'static str, Vec<u8>) {
         let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
         let from = number("from").unwrap_or_default() as usize;
         let max_bytes = number("maxKb").unwrap_or(1_024) as usize * 1_024;
@@ -215,12 +242,12 @@
             if from < records.len() || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&0_u64.to_be_bytes());
-                for record in records.iter().skip(from) {
+                for record in records.iter().skip(from).map(|record| seen_from(record, linked)) {
                     if max_bytes < body.len() + record.len() {
                         break;
                     }
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
-                    body.extend_from_slice(record);
+                    body.extend_from_slice(&record);
                 }
                 return ("200 OK", body);
             }
@@ -228,7 +255,7 @@
         }
     }
 
-    fn newest(&self, topic: &str, request: &Message) -> (&'static str, Vec<u8>) {
+    fn newest(&self, topic: &str, request: &Message, linked: bool) -> (&'static str, Vec<u8>) {
         let topics = self.inner.topics.lock().unwrap();
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
         let mut newest: BTreeMap<String, (usize, Vec<u8>)> = BTreeMap::new();
@@ -245,7 +272,7 @@
         let listed = newest.iter().filter(|(key, _)| after.as_ref().is_none_or(|after| after < key));
         let items: Vec<String> = listed
             .map(|(key, (offset, value))| {
-                let value = base64(value);
+                let value = base64(&seen_from(value, linked));
                 format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
             })
             .collect();
@@ -267,3 +294,16 @@
     }
     text
 }
+
+/// A record as a host with links of its own sees it.
+fn seen_from(record: &[u8], linked: bool) -> Vec<u8> {
+    const PLAIN: &[u8] = b"\"127.0.0.1:";
+    const LINKED: &[u8] = b"\"127.0.0.2:";
+    let mut seen = record.to_vec();
+    if let Some(start) = seen.windows(PLAIN.len()).position(|bytes| bytes == PLAIN)
+        && linked
+    {
+        seen[start..start + PLAIN.len()].copy_from_slice(LINKED);
+    }
+    seen
+}
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Time since the play began.
+    pub fn now_ms(&self) -> u128 {
+        self.began.elapsed().as_millis()
+    }
+
     pub fn both(&self, text: &str) {
         println!("{text}");
         self.line(text);
