--- a/review/stand-2/case_crash.rs
+++ b/review/stand-2/case_crash.rs
@@ -56,8 +56,8 @@
         store.put_server(&name, text);
     }
     let daemons = [
-        Daemon::start("host-1", store.address, &work.0)?,
-        Daemon::start("host-2", store.address, &work.0)?,
+        Daemon::start("host-1", "north", store.address, &work.0)?,
+        Daemon::start("host-2", "north", store.address, &work.0)?,
     ];
     for daemon in &daemons {
         if !daemon.wait_until_ready(Duration::from_secs(20)) {
--- a/review/stand-2/case_leaving.rs
+++ b/review/stand-2/case_leaving.rs
@@ -59,7 +59,7 @@
         };
         store.put_server(&name, text);
     }
-    let daemon = Daemon::start("host-1", store.address, &work.0)?;
+    let daemon = Daemon::start("host-1", "north", store.address, &work.0)?;
     if !daemon.wait_until_ready(Duration::from_secs(20)) {
         return Err(io::Error::other("the daemon did not become ready"));
     }
--- a/review/stand-2/case_members.rs
+++ b/review/stand-2/case_members.rs
@@ -27,11 +27,14 @@
 use crate::world::has_trouble;
 use crate::world::request;
 
+/// Zones of the shop's sheet.
+const ZONES: [&str; 3] = ["milano-nord", "brescia-est", "pavia-sud"];
 /// Hosts that were replaced, one after the other.
-const REPLACED: usize = 300;
+const REPLACED: usize = 1_500;
 /// How many of them run at the same time, to keep the play short.
-const BATCH: usize = 15;
-const HOSTS: usize = 3;
+const BATCH: usize = 60;
+/// Hosts of the sheet.
+const HOSTS: usize = 6;
 const REPLICAS: usize = 3;
 const PIECES: u32 = 2;
 /// Time for the hosts to find each other.
@@ -80,9 +83,10 @@
 
     let view = store.start_view()?;
     let mut daemons = Vec::new();
-    for host in 1..=HOSTS {
-        let store_address = if host == 1 { view } else { store.address };
-        daemons.push(Daemon::start(&format!("host-{host}"), store_address, &work.0)?);
+    for host in 0..HOSTS {
+        let store_address = if host == 0 { view } else { store.address };
+        let (name, zone) = host_name(REPLACED + host);
+        daemons.push(Daemon::start(&name, zone, store_address, &work.0)?);
     }
     for daemon in &daemons {
         if !daemon.wait_until_ready(Duration::from_secs(20)) {
@@ -120,31 +124,35 @@
     Ok(holds)
 }
 
+/// Name and zone of a host, in the order in which they came: numbered in each zone.
+fn host_name(number: usize) -> (String, &'static str) {
+    let zone = ZONES[number % ZONES.len()];
+    (format!("front-{zone}-{}", number / ZONES.len() + 1), zone)
+}
+
 /// Hosts start, register themselves, and are killed.
 fn play_replaced_hosts(store: &Store, folder: &Path) -> io::Result<()> {
     for first in (0..REPLACED).step_by(BATCH) {
-        let names: Vec<String> =
-            (first..(first + BATCH).min(REPLACED)).map(|number| format!("old-{number}")).collect();
+        let numbers = first..(first + BATCH).min(REPLACED);
+        let names: Vec<(String, &str)> = numbers.map(host_name).collect();
         let mut hosts: Vec<Daemon> = names
             .iter()
-            .map(|name| Daemon::start(name, store.address, folder))
+            .map(|(name, zone)| Daemon::start(name, zone, store.address, folder))
             .collect::<io::Result<_>>()?;
         let deadline = Instant::now() + Duration::from_secs(10);
         loop {
             let keys = store.keys("keyed.fulmargate");
-            let is_known = |name: &String| {
-                keys.iter().any(|key| key.strip_suffix(name.as_str()).is_some_and(|rest| !rest.ends_with(char::is_alphanumeric)))
-            };
-            if names.iter().all(is_known) {
+            let is_known = |name: &String| keys.iter().any(|key| *key == format!("host/{name}"));
+            if names.iter().all(|(name, _)| is_known(name)) {
                 break;
             }
             if deadline <= Instant::now() {
                 return Err(io::Error::other("a host did not register itself"));
             }
             // One of its ports was taken meanwhile by another process.
-            for host in &mut hosts {
+            for (host, (name, zone)) in hosts.iter_mut().zip(&names) {
                 if !host.runs() {
-                    *host = Daemon::start(&host.name.clone(), store.address, folder)?;
+                    *host = Daemon::start(name, zone, store.address, folder)?;
                 }
             }
             thread::sleep(Duration::from_millis(20));
--- a/review/stand-2/daemon.rs
+++ b/review/stand-2/daemon.rs
@@ -46,7 +46,12 @@
 
 impl Daemon {
     /// Starts a daemon with the settings that the deploy file's template makes of the sheet of a small deployment.
-    pub fn start(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Daemon> {
+    pub fn start(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> io::Result<Daemon> {
         // All are held until the last one is found, so that they differ.
         let listeners: Vec<TcpListener> =
             (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
@@ -57,7 +62,7 @@
             return Err(io::Error::other("four addresses are needed"));
         };
         let json = format!(
-            "{{\"host\":\"{name}\",\"zone\":\"north\",\"callers\":\"{callers}\",\"readiness\":\"{readiness}\",\
+            "{{\"host\":\"{name}\",\"zone\":\"{zone}\",\"callers\":\"{callers}\",\"readiness\":\"{readiness}\",\
              \"metrics\":\"{metrics}\",\"peers\":\"{peers}\",\"store\":\"{store}\",\"link_mbps\":1000.0,\
              \"max_fds\":4100,\"memory_mb\":110,\"bounds\":{{\"key_revoke_ms\":5000,\"config_apply_ms\":2000,\
              \"stop_grace_s\":8,\"lease_ms\":3000,\"weights_ms\":6000,\"heartbeat_ms\":1200,\"repeat_ratio\":0.2,\
