Listings of topics: progress and end are logged

What was missing in the record of the incident: a listing that is under way wrote no line, so that one that makes no progress, one that begins again and one that ends with a useless list looked alike.

No logic changes.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -15,6 +15,7 @@
 mod fleet_writer;
 mod gossip_receiver;
 mod gossip_sender;
+mod listing_log;
 mod log_source;
 mod operator_watcher;
 mod order_scheduler;
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -13,6 +13,7 @@
 use derive_more::Error;
 use derive_more::From;
 use fulmargate_consortium::ListedRecord;
+use fulmargate_consortium::NewestPage;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::BootTime;
@@ -41,6 +42,7 @@
 use crate::control::fleet_codec::decode_payload;
 use crate::control::fleet_codec::encode_payload;
 use crate::control::fleet_watcher::SharedFleetState;
+use crate::control::listing_log::ListingLog;
 use crate::control::record_cache::RecordCache;
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
@@ -183,11 +185,12 @@
     /// Reads the newest record of each key from the store.
     pub(crate) async fn read_newest(&self, topic: LogTopic) -> Result<NewestRecords, StoreError> {
         let sent = boot_now();
-        let first = self.client.newest(topic, None, PAGE_TIMEOUT).await?;
+        let mut log = ListingLog::new(topic);
+        let first = self.read_page(topic, None, &mut log).await?;
         let (end, mut next, mut records) = (first.end, first.next, first.records);
         self.state.record_epoch(end.epoch);
         while let Some(after) = next {
-            let page = self.client.newest(topic, Some(&after), PAGE_TIMEOUT).await?;
+            let page = self.read_page(topic, Some(&after), &mut log).await?;
             if page.end.epoch != end.epoch {
                 return Err(StoreError::Restored { epoch: page.end.epoch });
             }
@@ -197,6 +200,20 @@
         Ok(NewestRecords { records, end, sent })
     }
 
+    async fn read_page(
+        &self,
+        topic: LogTopic,
+        after: Option<&str>,
+        log: &mut ListingLog,
+    ) -> Result<NewestPage, StoreError> {
+        let result = self.client.newest(topic, after, PAGE_TIMEOUT).await;
+        match &result {
+            Ok(page) => log.record_page(page),
+            Err(err) => log.record_failure(err),
+        }
+        result
+    }
+
     /// Whether this host reads the store itself.
     pub(crate) fn is_reader(&self) -> bool {
         matches!(self.record_source(), RecordSource::Store)
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -22,6 +22,7 @@
 pub(crate) use prometheus::count_crash_check;
 pub(crate) use prometheus::count_forward;
 pub(crate) use prometheus::count_limit_decision;
+pub(crate) use prometheus::count_listed_page;
 pub(crate) use prometheus::count_local_network_suspicion;
 pub(crate) use prometheus::count_quota_request;
 pub(crate) use prometheus::count_records_rejected;
--- a/crates/entry/src/telemetry/prometheus.rs
+++ b/crates/entry/src/telemetry/prometheus.rs
@@ -78,6 +78,12 @@
         .increment(1);
 }
 
+/// Counts pages of listings of a topic: `read`, `failed`.
+pub(crate) fn count_listed_page(topic: LogTopic, outcome: &'static str) {
+    let labels = [("topic", topic_label(topic)), ("outcome", outcome)];
+    metrics::counter!("fulmargate_listed_pages_total", &labels).increment(1);
+}
+
 /// Returns the topic's name in metric labels and log lines.
 pub(crate) fn topic_label(topic: LogTopic) -> &'static str {
     match topic {
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -133,6 +133,12 @@
     HandOnRefused = 4104,
     /// The store has come back from a copy; what was written since is lost.
     StoreRestored = 4105,
+    /// A listing of a topic is in progress for long.
+    ListingContinues = 4106,
+    /// A topic was listed to its end.
+    TopicListed = 4107,
+    /// A listing of a topic was given up, since its pages do not go forward.
+    ListingStalled = 4108,
     /// A claim was lost to an earlier one.
     ClaimLost = 4201,
     /// A peer was met.
@@ -261,6 +267,9 @@
     LogTruncated => "log_truncated",
     HandOnRefused => "hand_on_refused",
     StoreRestored => "store_restored",
+    ListingContinues => "listing_continues",
+    TopicListed => "topic_listed",
+    ListingStalled => "listing_stalled",
     ClaimLost => "claim_lost",
     PeerUp => "peer_up",
     PeerSuspected => "peer_suspected",
