Tests: starts beside foreign entries fail

A start among 600 entries whose keys need encoding, among 115 MB of entries, among 400 entries of no server, and with servers whose version is out of range.

--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod endless_responses;
 mod fleet_topic;
+mod foreign_entries;
 mod forwarding_rules;
 mod host_connectivity;
 mod lease_releases;
--- a/crates/entry/tests/daemon/support.rs
+++ b/crates/entry/tests/daemon/support.rs
@@ -139,9 +139,18 @@
 
     /// Resident memory, in kilobytes.
     pub(crate) fn resident_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
+    /// The most memory that was resident at any time, in kilobytes.
+    pub(crate) fn peak_resident_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+
+    fn status_kb(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("read the process status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         let number = line.and_then(|line| line.split_whitespace().next());
         number.and_then(|number| number.parse().ok()).expect("a size in kilobytes")
     }
