Listings: pages are applied as they come, and new records read meanwhile

Callers saw: hosts that started beside large or odd entries served nothing until the whole list had been read, or were killed for memory.

Cause: a listing collected all pages and handed over nothing before the last; a page that failed began it anew; nothing noticed a page that did not go forward.

Each reader applies what it has and drops what is no record of its own. The list of servers is followed from the end of the first page on, while the listing goes on; servers are removed only when it has ended, or, if it cannot be completed, three heartbeats later.

Why it works: a start now needs from the list what a running process needs, the next heartbeat of each server; the listing only spares the wait. Memory is that of one page and of what is kept.

--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -244,6 +244,11 @@
         self.servers.values()
     }
 
+    /// Whether there is an entry of this server.
+    pub fn contains(&self, name: &ServerName) -> bool {
+        self.servers.contains_key(name)
+    }
+
     /// Whether an entry is kept although the list no longer contains it.
     pub fn is_lapsed(&self, name: &ServerName) -> bool {
         self.lapsed.contains_key(name)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -30,6 +30,7 @@
 mod server_watcher;
 mod store_retry;
 mod stored_weights;
+mod topic_listing;
 mod weights_asker;
 mod weights_recorder;
 mod weights_service;
--- a/crates/entry/src/control/binding_keys.rs
+++ b/crates/entry/src/control/binding_keys.rs
@@ -1,13 +1,14 @@
 //! Keys under which a process writes records of streams.
 
-use std::time::Duration;
-
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::LogTopic;
 use fulmargate_names::HostName;
 use fulmargate_names::LogOffset;
 
+use crate::control::topic_listing::ListingState;
+use crate::control::topic_listing::TopicListing;
+
 /// Keys of one process, which it writes by turns. They hold the records of some seconds.
 const KEYS_PER_PROCESS: u64 = 32;
 /// Sets of keys of a host, one for each process.
@@ -27,20 +28,18 @@
     pub(crate) async fn take(
         client: &StoreClient,
         host: &HostName,
-        timeout: Duration,
     ) -> Result<BindingKeys, StoreError> {
         let mut written: [Option<LogOffset>; KEY_SETS as usize] = Default::default();
-        let mut after: Option<String> = None;
+        let mut listing = TopicListing::new(LogTopic::Streams);
         loop {
-            let page = client.newest(LogTopic::Streams, after.as_deref(), timeout).await?;
+            let page = listing.next_page(client).await?;
             for listed in &page.records {
                 let set = set_of(&listed.record.key, host);
                 if let Some(last) = set.and_then(|set| written.get_mut(set)) {
                     *last = (*last).max(Some(listed.offset));
                 }
             }
-            after = page.next;
-            if after.is_none() {
+            if page.state != ListingState::Continues {
                 break;
             }
         }
--- a/crates/entry/src/control/binding_store.rs
+++ b/crates/entry/src/control/binding_store.rs
@@ -23,6 +23,8 @@
 use crate::control::fleet_codec::decode_payload;
 use crate::control::fleet_codec::encode_payload;
 use crate::control::fleet_writer::unix_now;
+use crate::control::topic_listing::ListingState;
+use crate::control::topic_listing::TopicListing;
 use crate::state::SharedState;
 use crate::state::boot_now;
 use crate::telemetry::count_binding;
@@ -77,7 +79,7 @@
     let keys = match keys {
         Some(keys) => keys,
         None => {
-            let taken = BindingKeys::take(client, &state.settings.host, READ_TIMEOUT).await?;
+            let taken = BindingKeys::take(client, &state.settings.host).await?;
             keys.insert(taken)
         }
     };
@@ -135,13 +137,13 @@
     }
 
     async fn read_all(&self) -> Result<LogPosition, StoreError> {
-        let topic = LogTopic::Streams;
-        let mut page = self.client.newest(topic, None, READ_TIMEOUT).await?;
-        let end = page.end;
+        let mut listing = TopicListing::new(LogTopic::Streams);
         loop {
+            let page = listing.next_page(&self.client).await?;
             page.records.iter().for_each(|listed| self.apply(&listed.record));
-            let Some(after) = page.next else { return Ok(end) };
-            page = self.client.newest(topic, Some(&after), READ_TIMEOUT).await?;
+            if page.state != ListingState::Continues {
+                return Ok(page.start.end);
+            }
         }
     }
 
--- a/crates/entry/src/control/fleet_watcher.rs
+++ b/crates/entry/src/control/fleet_watcher.rs
@@ -36,6 +36,9 @@
 use crate::control::own_records::OwnRecords;
 use crate::control::store_retry::StoreRetry;
 use crate::control::stored_weights::StoredWeights;
+use crate::control::topic_listing::ListingStart;
+use crate::control::topic_listing::ListingState;
+use crate::control::topic_listing::TopicListing;
 use crate::state::FleetView;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -73,10 +76,33 @@
     /// The whole topic has to be listed before the next read: at the start, and after the store has
     /// dropped the records that follow.
     needs_listing: Rc<Cell<bool>>,
+    /// The listing in progress, if a page of it failed.
+    listing: Rc<Cell<Option<FleetListing>>>,
     lease_interest: Rc<Cell<LeaseInterest>>,
     stored_weights: Rc<StoredWeights>,
 }
 
+/// A listing of the fleet topic in progress.
+struct FleetListing {
+    pages: TopicListing,
+    records: Vec<ListedFleetRecord>,
+}
+
+impl Default for FleetListing {
+    fn default() -> FleetListing {
+        FleetListing { pages: TopicListing::new(LogTopic::Fleet), records: Vec::new() }
+    }
+}
+
+/// A record of a router, as listed.
+struct ListedFleetRecord {
+    offset: LogOffset,
+    key: String,
+    record: FleetRecord,
+    /// Encoded with the key, as stored in the topic.
+    bytes: Vec<u8>,
+}
+
 /// Whether this host has work for the holder of the lease.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum LeaseInterest {
@@ -106,6 +132,7 @@
                 Ok(()) => self.retry.succeeded(),
                 Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
                     self.reader.needs_listing.set(true);
+                    self.reader.listing.take();
                     self.retry.back_off_relisting(&err, max_delay).await;
                 }
                 Err(err) => self.retry.back_off(&err, max_delay).await,
@@ -195,6 +222,7 @@
             own_records,
             epoch,
             needs_listing,
+            listing: Rc::default(),
             stored_weights,
             lease_interest,
         }
@@ -216,26 +244,29 @@
         max_delay.min(MAX_LEASE_READ_DELAY).mul_f64(fraction)
     }
 
-    /// Reads the newest record of each key.
+    /// Reads the newest record of each key. After an error, the next call goes on with the page that failed.
     async fn relist(&self) -> Result<(), StoreError> {
-        let newest = self.source.read_newest(LogTopic::Fleet).await?;
-        let end = newest.end;
+        let mut listing = self.listing.take().unwrap_or_default();
+        let result = self.read_listing(&mut listing).await;
+        if !matches!(result, Ok(_) | Err(StoreError::Restored { .. })) {
+            self.listing.set(Some(listing));
+            return result.map(|_| ());
+        }
+        let end = result?.end;
         self.epoch.borrow_mut().record_listing(end.epoch)?;
         self.fleet_state.borrow_mut().begin_epoch(end.epoch, boot_now());
-        let mut records = newest.records;
+        let mut records = listing.records;
         // Records written during paging are read next, from the end of the first page.
-        records.retain(|listed| listed.offset < end.offset);
-        records.sort_by_key(|listed| listed.offset);
-        let mut by_key = IndexMap::new();
-        let listed_keys: Vec<&str> =
-            records.iter().map(|listed| listed.record.key.as_str()).collect();
+        records.retain(|record| record.offset < end.offset);
+        records.sort_by_key(|record| record.offset);
+        let listed_keys: Vec<&str> = records.iter().map(|record| record.key.as_str()).collect();
         self.state.suspects().reconcile_stored(&listed_keys, Instant::now());
         let is_stored = |slot| listed_keys.contains(&limits_key(slot).as_str());
         self.state.servers().retain_stored_limits(is_stored);
-        for ListedRecord { offset, record } in records {
-            self.apply(offset, &record);
-            let bytes = encode_keyed(&record.key, record.value.as_deref().unwrap_or_default())?;
-            by_key.insert(record.key, bytes);
+        let mut by_key = IndexMap::new();
+        for ListedFleetRecord { offset, key, record, bytes } in records {
+            self.apply_record(offset, record);
+            by_key.insert(key, bytes);
         }
         self.fleet_state.borrow_mut().skip_to(end.offset);
         self.own_records.borrow_mut().reconcile(&by_key);
@@ -244,6 +275,26 @@
         Ok(())
     }
 
+    /// Reads all pages that are left. What is no record of a router is dropped at once.
+    async fn read_listing(&self, listing: &mut FleetListing) -> Result<ListingStart, StoreError> {
+        loop {
+            let page = self.source.next_page(&mut listing.pages).await?;
+            for ListedRecord { offset, record: KeyedRecord { key, value } } in page.records {
+                let value = value.unwrap_or_default();
+                match decode_record(&value) {
+                    Ok(record) => {
+                        let bytes = encode_keyed(&key, &value)?;
+                        listing.records.push(ListedFleetRecord { offset, key, record, bytes });
+                    }
+                    Err(err) => self.log_unreadable(offset, &err.to_string()),
+                }
+            }
+            if page.state != ListingState::Continues {
+                return Ok(page.start);
+            }
+        }
+    }
+
     /// Waits for records and applies them. Returns their number.
     async fn read_next(&self) -> Result<usize, StoreError> {
         let from = self.fleet_state.borrow().end();
@@ -311,13 +362,16 @@
         if offset < self.fleet_state.borrow().end().offset {
             return;
         }
-        let record = match decode_record(keyed.value.as_deref().unwrap_or_default()) {
-            Ok(record) => record,
-            Err(err) => {
-                self.skip_unreadable(offset, &err.to_string());
-                return;
-            }
-        };
+        match decode_record(keyed.value.as_deref().unwrap_or_default()) {
+            Ok(record) => self.apply_record(offset, record),
+            Err(err) => self.skip_unreadable(offset, &err.to_string()),
+        }
+    }
+
+    fn apply_record(&self, offset: LogOffset, record: FleetRecord) {
+        if offset < self.fleet_state.borrow().end().offset {
+            return;
+        }
         self.fleet_state.borrow_mut().apply(offset, &record, boot_now());
         self.apply_suspects(&record);
         match record {
@@ -364,10 +418,17 @@
 
     /// Skips a record that can't be decoded.
     fn skip_unreadable(&self, offset: LogOffset, reason: &str) {
-        let kind = EventKind::PeerUnreadable;
-        tracing::warn!(event = kind.number(), name = kind.name(), %offset, reason);
+        self.log_unreadable(offset, reason);
         self.fleet_state.borrow_mut().skip_to(LogOffset(offset.0 + 1));
     }
+
+    /// Rate-limited, since anybody may append any number of records.
+    fn log_unreadable(&self, offset: LogOffset, reason: &str) {
+        let kind = EventKind::PeerUnreadable;
+        if self.state.log_limiter.allows(kind, Instant::now()) {
+            tracing::warn!(event = kind.number(), name = kind.name(), %offset, reason);
+        }
+    }
 }
 
 fn limits_key(slot: u8) -> String {
--- a/crates/entry/src/control/listing_log.rs
+++ b/crates/entry/src/control/listing_log.rs
@@ -8,6 +8,7 @@
 use fulmargate_names::EventKind;
 use tokio::time::Instant;
 
+use crate::control::topic_listing::ListingState;
 use crate::telemetry::count_listed_page;
 use crate::telemetry::topic_label;
 
@@ -22,6 +23,7 @@
     last_line: Instant,
     pages: u64,
     records: u64,
+    unreadable: u64,
     bytes: u64,
     failures: u64,
 }
@@ -29,18 +31,28 @@
 impl ListingLog {
     pub(crate) fn new(topic: LogTopic) -> ListingLog {
         let began = Instant::now();
-        ListingLog { topic, began, last_line: began, pages: 0, records: 0, bytes: 0, failures: 0 }
+        ListingLog {
+            topic,
+            began,
+            last_line: began,
+            pages: 0,
+            records: 0,
+            unreadable: 0,
+            bytes: 0,
+            failures: 0,
+        }
     }
 
     /// Records a page.
-    pub(crate) fn record_page(&mut self, page: &NewestPage) {
+    pub(crate) fn record_page(&mut self, page: &NewestPage, state: ListingState) {
         self.pages += 1;
         self.records += page.records.len() as u64;
+        self.unreadable += page.unreadable as u64;
         let sizes =
             page.records.iter().map(|listed| listed.record.value.as_ref().map_or(0, Vec::len));
         self.bytes += sizes.sum::<usize>() as u64;
         count_listed_page(self.topic, "read");
-        self.log_progress(page.next.as_deref());
+        self.log_progress(page.next.as_deref(), state);
     }
 
     /// Records that a page could not be read.
@@ -51,21 +63,21 @@
     }
 
     /// Logs the end of the listing, or that it goes on after the key `next`.
-    fn log_progress(&mut self, next: Option<&str>) {
-        if next.is_some() && self.last_line.elapsed() < PROGRESS_INTERVAL {
-            return;
-        }
-        self.last_line = Instant::now();
-        let kind = match next {
-            Some(_) => EventKind::ListingContinues,
-            None => EventKind::TopicListed,
+    fn log_progress(&mut self, next: Option<&str>, state: ListingState) {
+        let kind = match state {
+            ListingState::Continues if self.last_line.elapsed() < PROGRESS_INTERVAL => return,
+            ListingState::Continues => EventKind::ListingContinues,
+            ListingState::Complete => EventKind::TopicListed,
+            ListingState::Stalled => EventKind::ListingStalled,
         };
+        self.last_line = Instant::now();
         tracing::info!(
             event = kind.number(),
             name = kind.name(),
             topic = topic_label(self.topic),
             pages = self.pages,
             records = self.records,
+            unreadable = self.unreadable,
             bytes = self.bytes,
             failures = self.failures,
             after = next,
--- a/crates/entry/src/control/log_source.rs
+++ b/crates/entry/src/control/log_source.rs
@@ -12,8 +12,6 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
-use fulmargate_consortium::ListedRecord;
-use fulmargate_consortium::NewestPage;
 use fulmargate_consortium::StoreClient;
 use fulmargate_consortium::StoreError;
 use fulmargate_dispatch::BootTime;
@@ -42,8 +40,9 @@
 use crate::control::fleet_codec::decode_payload;
 use crate::control::fleet_codec::encode_payload;
 use crate::control::fleet_watcher::SharedFleetState;
-use crate::control::listing_log::ListingLog;
 use crate::control::record_cache::RecordCache;
+use crate::control::topic_listing::ListedPage;
+use crate::control::topic_listing::TopicListing;
 use crate::sockets::PeerTimeout;
 use crate::sockets::set_peer_timeout;
 use crate::state::SharedState;
@@ -54,8 +53,6 @@
 const READER_POLL_GRACE: Duration = Duration::from_millis(250);
 /// Added to the wait for the response timeout of a router in the same zone.
 const REQUEST_GRACE: Duration = Duration::from_millis(300);
-/// Timeout for a page of the newest records, which doesn't wait.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum retry delay of hosts that read the store themselves. At most ten of them call three topics four
 /// times a second then, well below the rates of the store.
 const READER_MAX_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -85,16 +82,6 @@
     pub(crate) unchanged_until: Option<BootTime>,
 }
 
-/// The newest record of each key of a topic.
-pub(crate) struct NewestRecords {
-    pub(crate) records: Vec<ListedRecord>,
-    /// Position to continue from: the end of the topic at the first page, as the pages aren't a
-    /// snapshot.
-    pub(crate) end: LogPosition,
-    /// Send time of the request for the first page.
-    pub(crate) sent: BootTime,
-}
-
 /// Why another router returned no records.
 #[derive(Debug, Display, Error, From)]
 enum RequestError {
@@ -182,36 +169,14 @@
         record_source(&own, &peers, settings.few_hosts)
     }
 
-    /// Reads the newest record of each key from the store.
-    pub(crate) async fn read_newest(&self, topic: LogTopic) -> Result<NewestRecords, StoreError> {
-        let sent = boot_now();
-        let mut log = ListingLog::new(topic);
-        let first = self.read_page(topic, None, &mut log).await?;
-        let (end, mut next, mut records) = (first.end, first.next, first.records);
-        self.state.record_epoch(end.epoch);
-        while let Some(after) = next {
-            let page = self.read_page(topic, Some(&after), &mut log).await?;
-            if page.end.epoch != end.epoch {
-                return Err(StoreError::Restored { epoch: page.end.epoch });
-            }
-            records.extend(page.records);
-            next = page.next;
-        }
-        Ok(NewestRecords { records, end, sent })
-    }
-
-    async fn read_page(
+    /// Reads the next page of a listing from the store.
+    pub(crate) async fn next_page(
         &self,
-        topic: LogTopic,
-        after: Option<&str>,
-        log: &mut ListingLog,
-    ) -> Result<NewestPage, StoreError> {
-        let result = self.client.newest(topic, after, PAGE_TIMEOUT).await;
-        match &result {
-            Ok(page) => log.record_page(page),
-            Err(err) => log.record_failure(err),
-        }
-        result
+        listing: &mut TopicListing,
+    ) -> Result<ListedPage, StoreError> {
+        let page = listing.next_page(&self.client).await?;
+        self.state.record_epoch(page.start.end.epoch);
+        Ok(page)
     }
 
     /// Whether this host reads the store itself.
--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -27,6 +27,8 @@
 use crate::control::log_source::SourcePage;
 use crate::control::store_retry::StoreRetry;
 use crate::control::stored_weights::StoredWeights;
+use crate::control::topic_listing::ListingState;
+use crate::control::topic_listing::TopicListing;
 use crate::state::SharedState;
 use crate::state::boot_now;
 
@@ -44,6 +46,8 @@
     retry: StoreRetry,
     /// Position of the next read; `None` if the topic has to be listed.
     next: Option<LogPosition>,
+    /// The listing in progress, if any.
+    listing: Option<TopicListing>,
     epoch: EpochTracker,
     /// Bounds the write time of the next records.
     topic_proof: TopicProof,
@@ -67,6 +71,7 @@
             source,
             retry,
             next: None,
+            listing: None,
             epoch,
             topic_proof: TopicProof::default(),
             admitted_keys: false,
@@ -89,6 +94,7 @@
                     let kind = EventKind::LogTruncated;
                     tracing::warn!(event = kind.number(), name = kind.name(), topic = "operator", reason = %err);
                     self.next = None;
+                    self.listing = None;
                     self.retry.back_off_relisting(&err, self.source.max_retry_delay()).await;
                 }
                 Err(err) => {
@@ -115,17 +121,28 @@
         Ok(())
     }
 
+    /// Reads the topic's listing. After an error, the next call goes on with the page that failed.
     async fn read_listing(&mut self) -> Result<(), StoreError> {
-        let newest = self.source.read_newest(LogTopic::Operator).await?;
-        self.epoch.record_listing(newest.end.epoch)?;
-        let read = TopicRead { sent: newest.sent, received: boot_now() };
-        for listed in &newest.records {
-            self.apply(&listed.record, read);
+        loop {
+            let listing = self.listing.get_or_insert_with(|| TopicListing::new(LogTopic::Operator));
+            let page = self.source.next_page(listing).await?;
+            self.epoch.record_listing(page.start.end.epoch)?;
+            let sent = page.start.sent;
+            let read = TopicRead { sent, received: boot_now() };
+            for listed in &page.records {
+                self.apply(&listed.record, read);
+            }
+            if page.state == ListingState::Continues {
+                continue;
+            }
+            self.listing = None;
+            self.next = Some(page.start.end);
+            // Weights may be missing after a listing that stalled.
+            let complete_until = Some(sent).filter(|_| page.state == ListingState::Complete);
+            self.topic_proof.record_read(read, self.if_readable(complete_until));
+            self.renew_proof(sent);
+            return Ok(());
         }
-        self.next = Some(newest.end);
-        self.topic_proof.record_read(read, self.if_readable(Some(newest.sent)));
-        self.renew_proof(newest.sent);
-        Ok(())
     }
 
     /// Records that the topic was read to its end by a read sent at this time. Has no effect if a
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -22,12 +22,14 @@
 
 use crate::control::epoch_tracker::EpochTracker;
 use crate::control::log_source::LogSource;
-use crate::control::log_source::NewestRecords;
 use crate::control::log_source::SourcePage;
 use crate::control::server_log::RemovalSource;
 use crate::control::server_log::ServerLog;
 use crate::control::store_retry::StoreRetry;
 use crate::control::stored_weights::StoredWeights;
+use crate::control::topic_listing::ListedPage;
+use crate::control::topic_listing::ListingState;
+use crate::control::topic_listing::TopicListing;
 use crate::state::ServerListEnd;
 use crate::state::SharedState;
 use crate::state::boot_now;
@@ -40,13 +42,24 @@
 /// receiving requests.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Servers write their entries again within so many heartbeats, if they are alive.
+const FOUND_WITHIN_HEARTBEATS: u32 = 3;
 
-/// What a read returned.
-enum ServerPage {
-    /// The newest entry of each server.
-    Listing(NewestRecords),
-    /// Records from a position on.
-    Next { from: LogPosition, page: SourcePage },
+/// A listing in progress. What is written meanwhile is read as well, so that a long listing, or one that cannot be
+/// completed, delays the use of no server by more than its next heartbeat.
+struct ServerListing {
+    pages: TopicListing,
+    /// Servers of the table that were listed, or have been written since the listing began.
+    found: IndexSet<ServerName>,
+    /// When a listing that stalled ends: all live servers have been written again by then.
+    ends_at: Option<BootTime>,
+}
+
+impl ServerListing {
+    fn new() -> ServerListing {
+        let pages = TopicListing::new(LogTopic::Servers);
+        ServerListing { pages, found: IndexSet::new(), ends_at: None }
+    }
 }
 
 /// Maintains the server table and publishes it to the shared state.
@@ -55,7 +68,9 @@
     source: LogSource,
     table: ServerTable,
     log: ServerLog,
+    /// Position of the next read; `None` until the first page of a listing has told the end of the topic.
     next: Option<LogPosition>,
+    listing: Option<ServerListing>,
     /// Send time of the newest read that reached the end of the topic.
     complete_as_of: Option<BootTime>,
     epoch: EpochTracker,
@@ -75,6 +90,7 @@
             table: ServerTable::default(),
             log: ServerLog::default(),
             next: None,
+            listing: Some(ServerListing::new()),
             complete_as_of: None,
             epoch,
             stored_weights,
@@ -87,18 +103,16 @@
         let source = self.source.clone();
         loop {
             let sent = boot_now();
-            let page = self.expire_during(read_page(&source, self.next)).await;
-            match page.and_then(|page| self.apply_page(page)) {
+            match self.read_once().await {
                 Ok(is_complete) => {
                     retry.succeeded();
-                    self.publish();
-                    self.publish_end();
                     if is_complete {
                         self.expire_during(sleep(READ_INTERVAL)).await;
                     }
                 }
                 Err(err @ (StoreError::Deleted { .. } | StoreError::Restored { .. })) => {
                     self.next = None;
+                    self.listing = Some(ServerListing::new());
                     let back_off = retry.back_off_relisting(&err, source.max_retry_delay());
                     self.expire_during(back_off).await;
                 }
@@ -110,6 +124,38 @@
         }
     }
 
+    /// Reads a page of the listing in progress, if any, and what was written since it began. Returns whether all was
+    /// read.
+    async fn read_once(&mut self) -> Result<bool, StoreError> {
+        let listed = self.read_listing_page().await;
+        self.publish();
+        let Some(from) = self.next else { return listed.map(|()| false) };
+        let source = self.source.clone();
+        let read = source.read(LogTopic::Servers, from, Duration::ZERO, READ_TIMEOUT);
+        let page = self.expire_during(read).await?;
+        let is_complete = self.apply_next(from, &page);
+        self.publish();
+        self.publish_end();
+        listed?;
+        let is_listing = self.listing.as_ref().is_some_and(|listing| listing.ends_at.is_none());
+        Ok(is_complete && !is_listing)
+    }
+
+    async fn read_listing_page(&mut self) -> Result<(), StoreError> {
+        let Some(mut listing) = self.listing.take() else { return Ok(()) };
+        if let Some(ends_at) = listing.ends_at {
+            self.listing = Some(listing);
+            if ends_at <= boot_now() {
+                self.end_listing();
+            }
+            return Ok(());
+        }
+        let source = self.source.clone();
+        let result = self.expire_during(source.next_page(&mut listing.pages)).await;
+        self.listing = Some(listing);
+        self.apply_listed_page(result?)
+    }
+
     /// Runs `work` and drops lapsed entries meanwhile: a slow read must not prolong their use.
     async fn expire_during<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = std::pin::pin!(work);
@@ -125,13 +171,6 @@
     }
 
     /// Returns whether all records were read.
-    fn apply_page(&mut self, page: ServerPage) -> Result<bool, StoreError> {
-        match page {
-            ServerPage::Listing(newest) => self.apply_listing(&newest).map(|()| true),
-            ServerPage::Next { from, page } => Ok(self.apply_next(from, &page)),
-        }
-    }
-
     fn apply_next(&mut self, from: LogPosition, page: &SourcePage) -> bool {
         self.record_response(page.complete_as_of.unwrap_or_else(boot_now));
         for record in &page.records {
@@ -141,28 +180,53 @@
             }
         }
         self.next = Some(from.after(page.records.len()));
-        self.complete_as_of = page.complete_as_of.or(self.complete_as_of);
+        if self.listing.is_none() {
+            self.complete_as_of = page.complete_as_of.or(self.complete_as_of);
+        }
         page.complete_as_of.is_some()
     }
 
-    fn apply_listing(&mut self, newest: &NewestRecords) -> Result<(), StoreError> {
-        self.record_response(newest.sent);
-        if self.epoch.record_listing(newest.end.epoch)? {
-            self.table.restored(boot_now());
+    fn apply_listed_page(&mut self, page: ListedPage) -> Result<(), StoreError> {
+        self.record_response(page.sent);
+        if self.next.is_none() {
+            if self.epoch.record_listing(page.start.end.epoch)? {
+                self.table.restored(boot_now());
+            }
+            self.next = Some(page.start.end);
         }
-        let names = newest.records.iter().map(|listed| ServerName::new(&listed.record.key));
-        let listed: IndexSet<ServerName> = names.collect();
-        for listed in &newest.records {
+        for listed in &page.records {
             self.apply_listed(&listed.record);
         }
-        for (name, removal) in self.table.retain_listed(&listed, boot_now()) {
-            self.log.record_removal(&name, removal, RemovalSource::List);
+        match page.state {
+            ListingState::Continues => {}
+            ListingState::Complete => {
+                self.end_listing();
+                self.complete_as_of = Some(page.start.sent);
+            }
+            ListingState::Stalled => {
+                let heartbeats = self.state.settings.bounds.heartbeat() * FOUND_WITHIN_HEARTBEATS;
+                if let Some(listing) = &mut self.listing {
+                    listing.ends_at = Some(boot_now().after(heartbeats));
+                }
+            }
         }
-        self.next = Some(newest.end);
-        self.complete_as_of = Some(newest.sent);
         Ok(())
     }
 
+    /// Removes the servers that were neither listed nor written since the listing began.
+    fn end_listing(&mut self) {
+        let Some(listing) = self.listing.take() else { return };
+        for (name, removal) in self.table.retain_listed(&listing.found, boot_now()) {
+            self.log.record_removal(&name, removal, RemovalSource::List);
+        }
+    }
+
+    fn record_found(&mut self, name: &ServerName) {
+        if let Some(listing) = &mut self.listing {
+            listing.found.insert(name.clone());
+        }
+    }
+
     /// Records a response of the store or a zone reader, and logs the end of an outage.
     fn record_response(&mut self, sent: BootTime) {
         if self.table.record_response(sent, boot_now()) {
@@ -179,7 +243,9 @@
         };
         match decode_server(&record.key, value) {
             Ok(entry) => {
-                if !self.table.put(entry) {
+                if self.table.put(entry) {
+                    self.record_found(&name);
+                } else {
                     self.log_unusable_entry(&format!(
                         "entry from an earlier incarnation of {name}"
                     ));
@@ -191,9 +257,9 @@
 
     fn apply_listed(&mut self, record: &KeyedRecord) {
         let Some(value) = &record.value else { return };
+        let name = ServerName::new(&record.key);
         match decode_server(&record.key, value) {
             Ok(entry) => {
-                let name = entry.name.clone();
                 if !self.table.put_listed(entry, boot_now()) {
                     self.log_unusable_entry(&format!(
                         "{name} was removed, or the entry is from an earlier incarnation"
@@ -202,6 +268,10 @@
             }
             Err(err) => self.log_unusable_entry(&err.to_string()),
         }
+        // An entry that cannot be read leaves the one before in force.
+        if self.table.contains(&name) {
+            self.record_found(&name);
+        }
     }
 
     /// Rate-limited, since any number of invalid entries may be appended.
@@ -252,15 +322,3 @@
         limits
     }
 }
-
-async fn read_page(
-    source: &LogSource,
-    next: Option<LogPosition>,
-) -> Result<ServerPage, StoreError> {
-    let topic = LogTopic::Servers;
-    let Some(from) = next else {
-        return source.read_newest(topic).await.map(ServerPage::Listing);
-    };
-    let page = source.read(topic, from, Duration::ZERO, READ_TIMEOUT).await?;
-    Ok(ServerPage::Next { from, page })
-}
