Server table: entries that nobody writes any more get no requests

Callers saw: 503 and 504 for as long as a host needs to learn each of the servers that do not answer, after each start.

Cause: an entry in the list stands for a server for as long as it is there. The platform removes the entry of a server that has been silent for three heartbeats; a foreign entry stays, and a host that starts knows nothing that tells it from a sound one.

Evidence: foreign_entries::a_start_serves_beside_entries_of_no_server, 400 entries of a server that accepts and answers nothing: a call not served 6 s after the start.

Change: a router counts the time in contact with the store since each entry was last written. After four heartbeats without a write an entry is not used while another one of its service is written unchanged, as heartbeats do. Time without reads (outage, suspension) does not count.

Why it works: a live server writes within one heartbeat, also in the first seconds after a start. Where nobody writes, all entries are used as before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -68,6 +68,7 @@
 mod server_state;
 mod server_table;
 mod service_rule;
+mod silence_tracker;
 mod slot_shares;
 mod store_access;
 mod stream_key;
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -5,6 +5,7 @@
 
 use fulmargate_names::Incarnation;
 use fulmargate_names::ServerName;
+use fulmargate_names::ServiceName;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -15,6 +16,7 @@
 use crate::outage_tracker::LapseExtent;
 use crate::outage_tracker::OutageTracker;
 use crate::server_entry::SharedEntry;
+use crate::silence_tracker::SilenceTracker;
 
 /// How long after a restore from backup the list may contain servers that have left. Their entries expire
 /// after three heartbeats of 1.2 s; the rest allows for a busy store.
@@ -91,6 +93,7 @@
     /// Servers whose entries were removed, with their incarnations.
     departed: IndexMap<ServerName, Option<Incarnation>>,
     outages: OutageTracker,
+    silence: SilenceTracker,
     /// When the store was last restored from a backup.
     restored_at: Option<BootTime>,
 }
@@ -99,6 +102,7 @@
     /// Records a response of the store to a read sent at `sent`, before the records of that read are applied.
     /// Returns whether this ended an outage.
     pub fn record_response(&mut self, sent: BootTime, now: BootTime) -> bool {
+        self.silence.record_contact(now);
         self.outages.record_response(sent, now)
     }
 
@@ -116,6 +120,7 @@
         }
         if !is_lapsed && before.as_ref() == self.servers.get(&name) {
             self.heartbeats.record_heartbeat(&name);
+            self.silence.record_heartbeat(&name);
         }
         true
     }
@@ -142,6 +147,7 @@
         self.departed.swap_remove(&entry.name);
         self.lapsed.swap_remove(&entry.name);
         self.heartbeats.record_change(&entry.name);
+        self.silence.record_write(&entry.name);
         self.servers.insert(entry.name.clone(), Arc::new(entry));
         true
     }
@@ -233,10 +239,21 @@
         self.outages.grace_end(extent)
     }
 
-    /// Servers that may receive requests.
+    /// Servers that may receive requests: the ready ones. Entries that nobody writes any more belong to no server, if
+    /// servers of their service write theirs.
     pub fn usable(&self) -> Vec<Arc<ServerEntry>> {
-        let ready = self.servers.values().filter(|entry| entry.stage == ServerStage::Ready);
-        ready.cloned().collect()
+        let ready = || self.servers.values().filter(|entry| entry.stage == ServerStage::Ready);
+        let beating = ready().filter(|entry| self.silence.is_beating(&entry.name));
+        let services: IndexSet<&ServiceName> = beating.map(|entry| &entry.service).collect();
+        let is_usable = |entry: &&SharedEntry| {
+            !self.is_silent(&entry.name) || !services.contains(&entry.service)
+        };
+        ready().filter(is_usable).cloned().collect()
+    }
+
+    /// Whether an entry has not been written for longer than the platform keeps that of a server.
+    pub fn is_silent(&self, name: &ServerName) -> bool {
+        self.silence.is_silent(name)
     }
 
     /// All entries, including those of draining servers.
@@ -266,6 +283,7 @@
     fn drop_server(&mut self, name: &ServerName) {
         self.lapsed.swap_remove(name);
         self.heartbeats.remove(name);
+        self.silence.remove(name);
         let Some(entry) = self.servers.swap_remove(name) else { return };
         self.departed.insert(name.clone(), entry.incarnation);
         if MAX_STARTS < self.departed.len() {
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -47,6 +47,49 @@
 use ServerStage::*;
 
 const CASES: &[ListCase] = &[
+    ListCase {
+        name: "an entry that nobody writes is not used beside servers that write theirs",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("nobody", Ready),
+            Put("a", Ready),
+            Contact { sent: 2_100, now: 2_105 },
+            Heartbeats(&["a"], 1),
+            Contact { sent: 3_200, now: 3_205 },
+            Contact { sent: 4_300, now: 4_305 },
+            Contact { sent: 5_400, now: 5_405 },
+            Heartbeats(&["a"], 1),
+            Contact { sent: 6_500, now: 6_505 },
+        ],
+        usable: &["a"],
+    },
+    ListCase {
+        name: "entries are kept while nobody writes any",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 2_100, now: 2_105 },
+            Contact { sent: 3_200, now: 3_205 },
+            Contact { sent: 4_300, now: 4_305 },
+            Contact { sent: 5_400, now: 5_405 },
+            Contact { sent: 6_500, now: 6_505 },
+        ],
+        usable: &["a", "b"],
+    },
+    ListCase {
+        name: "a router that was suspended has missed no heartbeats meanwhile",
+        steps: &[
+            Contact { sent: 1_000, now: 1_005 },
+            Put("a", Ready),
+            Put("b", Ready),
+            Contact { sent: 2_100, now: 2_105 },
+            Heartbeats(&["a", "b"], 1),
+            Contact { sent: 30_000, now: 30_005 },
+            Heartbeats(&["a"], 1),
+        ],
+        usable: &["a", "b"],
+    },
     ListCase {
         name: "a removed entry is dropped at once",
         steps: &[
--- a/crates/entry/src/control/server_log.rs
+++ b/crates/entry/src/control/server_log.rs
@@ -27,6 +27,7 @@
 struct KnownServer {
     stage: ServerStage,
     incarnation: Option<Incarnation>,
+    is_silent: bool,
 }
 
 /// The server list as last logged.
@@ -75,11 +76,16 @@
     pub(crate) fn log_changes(&mut self, table: &ServerTable) {
         let mut known = IndexMap::new();
         for entry in table.entries() {
-            let server = KnownServer { stage: entry.stage, incarnation: entry.incarnation };
-            known.insert(entry.name.clone(), server);
-            if let Some(kind) = change_kind(self.known.get(&entry.name), entry) {
+            let is_silent = table.is_silent(&entry.name);
+            let (stage, incarnation) = (entry.stage, entry.incarnation);
+            known.insert(entry.name.clone(), KnownServer { stage, incarnation, is_silent });
+            let previous = self.known.get(&entry.name);
+            if let Some(kind) = change_kind(previous, entry) {
                 log_entry(kind, entry);
             }
+            if is_silent && previous.is_some_and(|previous| !previous.is_silent) {
+                log_entry(EventKind::ServerSilent, entry);
+            }
         }
         for server in self.known.keys().filter(|name| !known.contains_key(*name)) {
             let kind = EventKind::ServerGone;
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -294,7 +294,8 @@
     /// Publishes up to where the topic is read, and how many servers it lists there.
     fn publish_end(&self) {
         let (Some(next), Some(as_of)) = (self.next, self.complete_as_of) else { return };
-        let listed = self.table.entries().filter(|entry| !self.table.is_lapsed(&entry.name));
+        let is_live = |name| !self.table.is_lapsed(name) && !self.table.is_silent(name);
+        let listed = self.table.entries().filter(|entry| is_live(&entry.name));
         let (epoch, offset, servers) = (next.epoch, next.offset, listed.count() as u64);
         let end = HeartbeatMark { epoch, offset, servers };
         self.state.server_list.store(Some(Arc::new(ServerListEnd { end, as_of })));
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -111,6 +111,8 @@
     ServiceMixed = 3019,
     /// The slots of a brittle service's servers are divided by demand from now on, or equally again.
     SlotsDivided = 3020,
+    /// An entry of the platform's list is not written any more, while others of its service are.
+    ServerSilent = 3021,
     /// A configuration came into force.
     ConfigAccepted = 4001,
     /// A patch was refused.
@@ -256,6 +258,7 @@
     BrittleRejection => "brittle_rejection",
     ServiceMixed => "service_mixed",
     SlotsDivided => "slots_divided",
+    ServerSilent => "server_silent",
     ConfigAccepted => "config_accepted",
     PatchRefused => "patch_refused",
     ConfigUnreadable => "config_unreadable",
