--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -153,7 +153,7 @@
         let source = self.source.clone();
         let result = self.expire_during(source.next_page(&mut listing.pages)).await;
         self.listing = Some(listing);
-        self.apply_listed_page(result?)
+        self.apply_listed_page(&result?)
     }
 
     /// Runs `work` and drops lapsed entries meanwhile: a slow read must not prolong their use.
@@ -186,7 +186,7 @@
         page.complete_as_of.is_some()
     }
 
-    fn apply_listed_page(&mut self, page: ListedPage) -> Result<(), StoreError> {
+    fn apply_listed_page(&mut self, page: &ListedPage) -> Result<(), StoreError> {
         self.record_response(page.sent);
         if self.next.is_none() {
             if self.epoch.record_listing(page.start.end.epoch)? {
