Responses: one without framing is complete only if its request was taken

Callers saw: 200 with a part of the body, as a complete answer, when a server answered a long upload at once, ended its sending side and closed with bytes of the upload unread.

Cause: without framing, the orderly end of the server's sending side was the end of the body. The reset that tells that the request was not read comes after that end, when the connection had been dropped.

Evidence: early_responses::an_answer_to_a_request_that_was_not_taken_ never_looks_complete, on the code before: 200 and half of the body for the first request, an upload of 8 MiB.

Change: at the end of what a server sends, the connection of a request with a body goes on writing, for 2 s at most, and then waits 30 ms for a reset, unless the response states where it ends. An end without a taken request is an error of the connection.

Why it works: a success without framing now rests on a request that was written whole and on a connection that was not reset. Sound answers without framing are passed on, also those of servers that answer first and read on (a test); they end 30 ms later.

Not shown: a server that resets later than 30 ms after a request that the buffers of the connection took.

--- a/crates/entry/src/traffic/server_connection.rs
+++ b/crates/entry/src/traffic/server_connection.rs
@@ -7,9 +7,11 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use fulmargate_dispatch::BodyFraming;
 use fulmargate_dispatch::ConnectOutcome;
 use fulmargate_dispatch::ServerEntry;
 use http::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -24,7 +26,7 @@
 use crate::state::SharedState;
 use crate::state::record_connect_outcome;
 use crate::traffic::block_body::BlockBody;
-use crate::traffic::server_io::ReadProgress;
+use crate::traffic::server_io::ExchangeProgress;
 use crate::traffic::server_io::ServerIo;
 
 /// Shorter than the one second after which TCP retransmits a lost SYN: trying another server is faster. Must agree
@@ -47,7 +49,7 @@
 /// response, the next request on the connection would receive them as its response.
 pub(crate) struct ServerConnection {
     sender: http1::SendRequest<BlockBody>,
-    progress: ReadProgress,
+    progress: ExchangeProgress,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -119,7 +121,7 @@
         let stream =
             result.map_err(|_| ConnectError::TimedOut)?.map_err(|err| ConnectError::new(&err))?;
         set_peer_timeout(&stream, SERVER_TCP_TIMEOUT).map_err(|err| ConnectError::new(&err))?;
-        let progress = ReadProgress::default();
+        let progress = ExchangeProgress::default();
         let io = TokioIo::new(ServerIo::new(stream, progress.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(|err| failed(err.to_string()))?;
@@ -137,8 +139,17 @@
         &mut self,
         request: Request<BlockBody>,
     ) -> Result<http::Response<Incoming>, hyper::Error> {
+        let method = request.method().clone();
+        let bytes = request.body().size_hint().exact().unwrap_or_default();
+        self.progress.record_request(usize::try_from(bytes).unwrap_or(usize::MAX));
         let response = self.sender.send_request(request).await;
         self.progress.record_part();
+        if let Ok(response) = &response
+            && BodyFraming::of_response(&method, response.status(), response.headers())
+                != BodyFraming::UntilClose
+        {
+            self.progress.record_framing();
+        }
         response
     }
 
--- a/crates/entry/tests/daemon/main.rs
+++ b/crates/entry/tests/daemon/main.rs
@@ -10,6 +10,7 @@
 mod crowded_host;
 mod cut_fleet;
 mod departures;
+mod early_responses;
 mod endless_responses;
 mod fleet_topic;
 mod foreign_entries;
