Responses: a status of no class is no answer

A status from 600 on, or 101, was passed on as the server's answer; 000, 099, 1000 and malformed ones were rejected before (502). All are broken responses now. early_responses::a_status_that_is_none_is_no_answer failed before for 600 and passes.

--- a/crates/entry/src/traffic/request_handler/response_check.rs
+++ b/crates/entry/src/traffic/request_handler/response_check.rs
@@ -22,6 +22,9 @@
     ) -> Result<UpstreamResponse, SendError> {
         let reject = |outcome, reason: &str| Err(SendError { outcome, reason: reason.to_owned() });
         let status = response.parts.status;
+        if is_invalid(status) {
+            return reject(SendOutcome::Broken, "the status is none");
+        }
         if response.head.is_misdirected {
             return Err(misdirected_error(server, &response));
         }
@@ -67,6 +70,11 @@
     }
 }
 
+/// Whether a status code belongs to no class, or cannot end a request.
+fn is_invalid(status: StatusCode) -> bool {
+    status.is_informational() || 600 <= status.as_u16()
+}
+
 /// Distinguishes a misdirected request at the intended server, which has other weights, from one that reached
 /// a different server.
 fn misdirected_error(server: &ServerEntry, response: &UpstreamResponse) -> SendError {
