Streams: parts of events that are kept are bounded over all streams

Callers saw: requests ended with their host, which ran out of memory, while faulty servers sent events without an end.

Cause: up to 256 KiB of an open event is kept for each stream, so that another server can go on after the last whole event, and nothing bounds the sum.

Change: what an open event holds beyond 16 KiB is counted with the response bodies that are being read (8 MiB). A stream that finds no room passes on what it has, as one with an event of more than 256 KiB does.

Why it works: kept parts take 8 MiB and 16 KiB a stream; what is passed on is bounded with the rest of what waits for a caller.

--- a/crates/dispatch/src/event_splitter.rs
+++ b/crates/dispatch/src/event_splitter.rs
@@ -84,13 +84,23 @@
             }
         }
         if complete_len == 0 && MAX_EVENT_BYTES < self.buffer.len() {
-            self.event.is_returned = true;
-            return std::mem::take(&mut self.buffer);
+            return self.release();
         }
         let partial = self.buffer.split_off(complete_len);
         std::mem::replace(&mut self.buffer, partial)
     }
 
+    /// Returns the buffered bytes of the open event, if any. No other response can go on in its middle.
+    pub fn release(&mut self) -> Vec<u8> {
+        self.event.is_returned |= !self.buffer.is_empty();
+        std::mem::take(&mut self.buffer)
+    }
+
+    /// Memory of the buffered bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns the buffered bytes after the stream turned out to be complete.
     pub fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.buffer)
--- a/crates/entry/src/state/held_memory.rs
+++ b/crates/entry/src/state/held_memory.rs
@@ -19,7 +19,7 @@
 const SMALL_HOLDER_BYTES: usize = 140 << 10;
 /// Share of the daemon's memory for requests of other hosts.
 const FORWARD_SHARE: f64 = 0.14;
-/// Response bodies that are being read, beyond the first bytes of each.
+/// Response bodies that are being read and open events of streams, beyond the first bytes of each.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Part of the memory above which it is scarce.
 const SCARCE_SHARE: f64 = 0.875;
--- a/crates/entry/src/traffic/stream_relay.rs
+++ b/crates/entry/src/traffic/stream_relay.rs
@@ -30,6 +30,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::state::HeldBytes;
+use crate::state::MemoryHolder;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::Failover;
 use crate::traffic::request_handler::PreparedSend;
@@ -45,6 +46,8 @@
 const MAX_BUFFERED_CHUNKS: usize = 4;
 /// Bytes of a stream without the end of an event. Fits any event and the comments between two.
 const MAX_BYTES_BETWEEN_EVENTS: usize = 1 << 20;
+/// Memory of an open event that is not counted.
+const FREE_EVENT_BYTES: usize = 16 << 10;
 /// A server that sends nothing for this many times the longest gap that the route allows is probed.
 const PROBE_GAP_FACTOR: u32 = 2;
 
@@ -81,7 +84,9 @@
     let status = upstream.parts.status;
     let splitter = EventSplitter::resuming(point.last_event);
     let room = Arc::new(Semaphore::new(MAX_UNWRITTEN_BYTES));
-    let relay = StreamRelay { handler, sender, room, splitter };
+    let event_memory = handler.state.answer_memory.holder();
+    let open_event = event_memory.take_always(0);
+    let relay = StreamRelay { handler, sender, room, splitter, event_memory, open_event };
     let task = AbortOnDropHandle::new(tokio::task::spawn_local(relay.run(upstream)));
     let mut response = Response::new(ResponseBody::Streamed { pieces, _task: task, reset: None });
     *response.status_mut() = status;
@@ -95,6 +100,9 @@
     /// Bytes that large pieces may have unwritten.
     room: Arc<Semaphore>,
     splitter: EventSplitter,
+    /// Memory for open events of all streams, and what this one holds of it.
+    event_memory: MemoryHolder,
+    open_event: HeldBytes,
 }
 
 /// How an attempt ended.
@@ -225,7 +233,30 @@
             if !self.forward(complete).await {
                 return AttemptEnd::CallerGone;
             }
+            if !self.hold_open_event() {
+                let released = self.splitter.release();
+                if !self.forward(released).await {
+                    return AttemptEnd::CallerGone;
+                }
+            }
+        }
+    }
+
+    /// Counts the buffered part of an event. Returns false if there is no memory for it: then it must not stay.
+    fn hold_open_event(&mut self) -> bool {
+        let needed = self.splitter.held_bytes().saturating_sub(FREE_EVENT_BYTES);
+        let held = self.open_event.bytes();
+        if needed <= held {
+            self.open_event.shrink_to(needed);
+            return true;
+        }
+        let taken = self.event_memory.take(needed - held, 0);
+        let is_taken = taken.is_ok();
+        match taken {
+            Ok(more) => self.open_event.merge(more),
+            Err(_) => self.open_event.shrink_to(0),
         }
+        is_taken
     }
 
     /// Ends the attempt at the end of the body, which failed if there is an error.
--- a/crates/entry/tests/daemon/endless_responses.rs
+++ b/crates/entry/tests/daemon/endless_responses.rs
@@ -7,9 +7,11 @@
 use fulmargate_consortium_stand::EndlessPart;
 use fulmargate_consortium_stand::EndlessServer;
 use fulmargate_consortium_stand::ServerMode;
+use serde_json::Value;
 use serde_json::json;
 use tokio::task::JoinHandle;
 
+use crate::support::DaemonProcess;
 use crate::support::REQUEST_TIMEOUT_MS;
 use crate::support::TestDeployment;
 use crate::support::initial_config;
@@ -194,3 +196,56 @@
         assert!(bytes <= MAX_ANSWER_BYTES, "{:?}: left after {bytes} bytes", case.part);
     }
 }
+
+/// Streams at the same time, each with a part of an event. The parts take 84 MB together.
+const OPEN_STREAMS: usize = 350;
+/// Engines that they are spread over.
+const OPEN_ENGINES: usize = 60;
+/// Memory of an entry host.
+const HOST_MEMORY_MB: u64 = 110;
+
+/// Guards against parts of events that are kept without a bound on their sum: the host runs out of memory, and the
+/// requests of all others end with it.
+#[tokio::test]
+async fn open_events_of_many_streams_keep_to_the_memory() {
+    let mut deployment = TestDeployment::start(ServerMode::Echo).await;
+    deployment.daemon = DaemonProcess::start_with_settings(
+        deployment.store.address,
+        &json!({"memory_mb": HOST_MEMORY_MB}),
+    );
+    deployment.callers = deployment.daemon.address("callers").await;
+    let pause = Some(Duration::from_millis(200));
+    let endless =
+        EndlessServer::start(EndlessPart::OpenEvent, pause).await.expect("start a server");
+    for engine in &deployment.engines {
+        deployment.store.remove_server(&engine.name);
+    }
+    for number in 0..OPEN_ENGINES {
+        let name = format!("open-{number}");
+        deployment.store.put_server(&name, "engines", endless.address, "ready");
+    }
+    let listed = || deployment.daemon.events("server_listed");
+    let is_open =
+        |line: &Value| line["server"].as_str().is_some_and(|name| name.starts_with("open"));
+    wait_until("the open engines are listed", || {
+        listed().iter().filter(|line| is_open(line)).count() == OPEN_ENGINES
+    })
+    .await;
+    let mut streams = Vec::new();
+    for number in 0..OPEN_STREAMS {
+        let mut request = CallerRequest::prompt("/non-resumable/x", &format!("open-{number}"));
+        request.patience_ms = REQUEST_TIMEOUT_MS;
+        let callers = deployment.callers;
+        streams.push(tokio::spawn(async move { request.send(callers).await }));
+    }
+    wait_until("most streams are open", || OPEN_STREAMS / 2 < endless.open()).await;
+    for number in 0..50 {
+        let call = CallerRequest::new("/read/x", &format!("beside-{number}"));
+        assert_eq!(deployment.send(&call).await.status, 200, "call {number}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let peak = deployment.daemon.peak_resident_kb();
+    println!("{} streams open, {peak} KB resident at the most", endless.open());
+    assert!(peak < HOST_MEMORY_MB * 1024, "{peak} KB were resident");
+    streams.iter().for_each(tokio::task::JoinHandle::abort);
+}
