Planned stop: a host takes only what it can complete, and answers the rest

Callers saw: calls that came late in a planned stop were passed on and cut at its end without an answer, among them such as may run only once.

Cause: requests were taken until 2.6 s after the signal, whatever time was left for them, and at the end connections were closed.

Change: once a stop is requested, a request is taken if it must be answered, or by the longest response of its route in the last 10 to 20 s and a quarter can be expected, before the end; else it is refused at once as not run, and its connection closed. At the end, requests without a response get 504 within 200 ms before connections are closed.

Why it works: what is taken has the time that others of its route took; what takes longer all the same gets a true answer.

A grace under 3 s is refused by the settings, so that the subtraction which would panic was not reached; it is gone.

--- a/crates/entry/src/control/control_thread.rs
+++ b/crates/entry/src/control/control_thread.rs
@@ -14,7 +14,10 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 use crate::control::binding_store::run_binding_reader;
@@ -49,6 +52,8 @@
 const READINESS_DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// Time left before the shutdown deadline, so that the process exits before it is killed.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
+/// Time before that end in which requests without a response are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Interval at which the shutdown checks for open connections.
 const CONNECTION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which recorded samples are drained into histogram buckets, which bounds their
@@ -210,13 +215,19 @@
         let kind = EventKind::StopBegun;
         let open = self.state.open_requests.load(Ordering::Relaxed);
         tracing::info!(event = kind.number(), name = kind.name(), open);
+        let grace = self.state.settings.bounds.stop_grace();
+        let requested = Instant::now();
+        let end = requested + grace.saturating_sub(SHUTDOWN_MARGIN);
+        let last_answers = requested + grace.saturating_sub(SHUTDOWN_MARGIN + ANSWER_TIME);
+        self.state.stop_end.get_or_init(|| last_answers);
         self.stop.requested.cancel();
-        sleep(READINESS_DRAIN_DELAY).await;
+        sleep_until(last_answers.min(requested + READINESS_DRAIN_DELAY)).await;
         self.stop.draining.cancel();
-        let remaining = self.state.settings.bounds.stop_grace() - READINESS_DRAIN_DELAY;
-        let drain_timeout = remaining.saturating_sub(SHUTDOWN_MARGIN);
-        let all_ended =
-            tokio::time::timeout(drain_timeout, self.wait_for_connections()).await.is_ok();
+        let all_ended = timeout_at(last_answers, self.wait_for_connections()).await.is_ok();
+        self.stop.ending.cancel();
+        if timeout_at(end, self.wait_for_connections()).await.is_err() {
+            tracing::debug!("connections are cut");
+        }
         let kind = EventKind::StopEnded;
         tracing::info!(event = kind.number(), name = kind.name(), all_ended);
         self.stop.complete.cancel();
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -86,6 +86,8 @@
     /// The load balancer has had time to remove this host: idle connections are closed, and new
     /// requests are rejected.
     pub(crate) draining: CancellationToken,
+    /// The shutdown timeout is about to elapse: requests without a response are answered.
+    pub(crate) ending: CancellationToken,
     /// All requests have completed, or the shutdown timeout has elapsed.
     pub(crate) complete: CancellationToken,
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,6 +5,7 @@
 mod engine_weights;
 mod held_memory;
 mod loading_registry;
+mod route_durations;
 mod shared_state;
 mod status;
 
@@ -16,6 +17,7 @@
 pub(crate) use held_memory::MemoryHolder;
 pub(crate) use held_memory::MemoryShortage;
 pub(crate) use loading_registry::LoadingRegistry;
+pub(crate) use route_durations::RouteDurations;
 pub(crate) use shared_state::FleetView;
 pub(crate) use shared_state::ServerListEnd;
 pub(crate) use shared_state::SharedState;
--- a/crates/entry/src/state/shared_state.rs
+++ b/crates/entry/src/state/shared_state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
@@ -41,6 +42,7 @@
 
 use crate::state::HeldMemory;
 use crate::state::LoadingRegistry;
+use crate::state::RouteDurations;
 use crate::state::boot_now;
 use crate::telemetry::LogRateLimiter;
 use crate::traffic::HelperPool;
@@ -81,6 +83,8 @@
     pub(crate) server_list: ArcSwapOption<ServerListEnd>,
     /// Members and lease, shown on the status page.
     pub(crate) fleet: ArcSwap<FleetView>,
+    /// When a planned stop ends the requests in progress; set once it was requested.
+    pub(crate) stop_end: OnceLock<Instant>,
     /// Requests whose response has not started.
     pub(crate) open_requests: AtomicUsize,
     /// Open connections from callers.
@@ -126,6 +130,7 @@
     proof: Mutex<ConfigProof>,
     servers: Mutex<ServerRegistry>,
     retry_budget: Mutex<RetryBudget>,
+    durations: Mutex<RouteDurations>,
     quotas: Mutex<QuotaTracker>,
     suspects: Mutex<SuspectTable>,
     /// Locked before `servers` where both are.
@@ -186,6 +191,7 @@
             weights_lock: Mutex::default(),
             server_list: ArcSwapOption::empty(),
             fleet: ArcSwap::default(),
+            stop_end: OnceLock::new(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             held_memory,
@@ -210,6 +216,7 @@
             log_limiter: LogRateLimiter::default(),
             proof: Mutex::new(proof),
             servers: Mutex::new(ServerRegistry::with_limits(limits)),
+            durations: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::new(retry_conf, Instant::now())),
             quotas: Mutex::new(quotas),
             suspects: Mutex::new(suspects),
@@ -325,6 +332,19 @@
         lock(&self.retry_budget)
     }
 
+    /// How long requests of each route take.
+    pub(crate) fn durations(&self) -> MutexGuard<'_, RouteDurations> {
+        lock(&self.durations)
+    }
+
+    /// Whether a request that is to be answered by `deadline` can be completed here: always, unless this host stops.
+    pub(crate) fn can_complete(&self, route: &str, deadline: Instant) -> bool {
+        let Some(end) = self.stop_end.get() else { return true };
+        let now = Instant::now();
+        let expected = self.durations().expected(route, now);
+        expected.map_or(deadline, |took| deadline.min(now + took)) <= *end
+    }
+
     /// The teams' quotas.
     pub(crate) fn quotas(&self) -> MutexGuard<'_, QuotaTracker> {
         lock(&self.quotas)
--- a/crates/entry/src/traffic/request_handler/log.rs
+++ b/crates/entry/src/traffic/request_handler/log.rs
@@ -184,7 +184,11 @@
     ) {
         self.end_is_logged.set(true);
         let facts = self.facts();
-        record_response(facts, status.as_u16(), facts.arrived.elapsed());
+        let took = facts.arrived.elapsed();
+        record_response(facts, status.as_u16(), took);
+        if kind == EventKind::RequestEnded && status.is_success() {
+            self.state.durations().record(&facts.route.name, took, Instant::now());
+        }
         if !self.state.log_limiter.allows(kind, Instant::now()) {
             return;
         }
--- a/crates/entry/src/traffic/request_service.rs
+++ b/crates/entry/src/traffic/request_service.rs
@@ -80,7 +80,16 @@
             .to_response();
     }
     // Boxed, so that an idle connection does not take the memory of a request in progress.
-    let mut response = match Box::pin(handle_request(state, client, request)).await {
+    let handling = Box::pin(handle_request(state, client, request));
+    let result = tokio::select! {
+        biased;
+        result = handling => result,
+        // A server may have run the request.
+        () = stop.ending.cancelled() => Err(RequestFailure::new(ErrorKind::ServerTimeout, SHUTDOWN_TIME_LEFT)
+            .with_detail("this host stops".to_owned())
+            .with_connection_close()),
+    };
+    let mut response = match result {
         Ok(response) => response,
         // The rest of the body is not read, so that nothing can follow it.
         Err(failure) if client.has_unread_body() => failure.with_connection_close().to_response(),
@@ -120,6 +129,12 @@
             return Err(failure);
         }
     };
+    if !state.can_complete(&decoded.facts.route.name, decoded.facts.deadline) {
+        let time_left = decoded.facts.deadline.saturating_duration_since(Instant::now());
+        let failure = RequestFailure::new(ErrorKind::Stopping, time_left).with_connection_close();
+        log_rejected(state, &id, &failure);
+        return Err(failure);
+    }
     let stream = match resolve_origin(state, &decoded).await {
         Ok(stream) => stream,
         Err(failure) => {
