Suspected streams: turns only at servers that may go on with the stream

Callers saw: streams that they took up again after a crash, beside a release, got nothing until their time was over, while servers of their software version took new streams.

Cause: a request that is suspected of crashing servers waits for a turn at one of them, and all servers of the service were candidates. A stream that has begun may go on at its own version only; a turn at another was given up, and the next one waited for, again and again. No line told it.

Evidence: by the new lines suspect_waits and turn_given_up; software_versions::a_suspected_stream_goes_on_at_its_version_at_once, two engines of one version, 24 of another: turns at engines of the other version were given up.

Change: candidates for a turn are the servers of the stream's version.

--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -10,9 +10,11 @@
 use fulmargate_dispatch::ServerKey;
 use fulmargate_dispatch::SuspectKind;
 use fulmargate_names::EventKind;
+use fulmargate_names::SoftwareVersion;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::state::boot_now;
 use crate::traffic::crash_check::check_server;
 use crate::traffic::request_failure::RequestFailure;
 use crate::traffic::request_handler::RequestHandler;
@@ -28,6 +30,7 @@
 impl RequestHandler {
     /// Waits while the request is suspected and must not run. Fails if it is convicted, or if its time is over.
     pub(super) async fn wait_for_turn(&mut self) -> Result<(), RequestFailure> {
+        let mut is_waiting = false;
         loop {
             let wait = match self.begin_turn()? {
                 RunStep::Run => {
@@ -49,6 +52,9 @@
                     false => failure.with_retry_delay(SUSPECT_RETRY_DELAY),
                 });
             }
+            if !std::mem::replace(&mut is_waiting, true) {
+                self.log_suspect_waits();
+            }
             sleep(wait).await;
             self.readmit()?;
         }
@@ -80,6 +86,7 @@
 
     /// Ends a turn at a server that can't take the request. Fails if there is no other.
     pub(super) async fn give_up_turn(&mut self, server: ServerKey) -> Result<(), RequestFailure> {
+        self.log_turn_given_up(server);
         self.turn = None;
         self.turn_server = None;
         self.excluded_servers.push(server);
@@ -146,9 +153,43 @@
         }
     }
 
+    /// Servers that the request may be sent to. A stream that has begun goes on at its software version only.
     fn turn_candidates(&self, excluded: &[ServerKey]) -> Vec<ServerKey> {
         let Some(service) = self.service() else { return Vec::new() };
-        self.state.servers().run_candidates(&service, excluded, Instant::now())
+        let servers = self.state.servers();
+        let of_other_versions =
+            servers.excluded_by_version(&service, self.facts(), self.origin, boot_now());
+        let excluded = [excluded, &of_other_versions].concat();
+        servers.run_candidates(&service, &excluded, Instant::now())
+    }
+
+    fn log_suspect_waits(&self) {
+        let kind = EventKind::SuspectWaits;
+        if !self.state.log_limiter.allows(kind, Instant::now()) {
+            return;
+        }
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            part = self.tried_part().map(|part| format!("{part:032x}")),
+            candidates = self.turn_candidates(&self.excluded_servers).len(),
+        );
+    }
+
+    fn log_turn_given_up(&self, server: ServerKey) {
+        let kind = EventKind::TurnGivenUp;
+        if !self.state.log_limiter.allows(kind, Instant::now()) {
+            return;
+        }
+        let entry = self.state.servers().state(server).map(|state| state.entry().clone());
+        tracing::info!(
+            event = kind.number(),
+            name = kind.name(),
+            id = %self.facts().id,
+            server = entry.as_ref().map(|entry| entry.name.as_str()),
+            version = entry.as_ref().and_then(|entry| entry.version.as_ref()).map(SoftwareVersion::as_str),
+        );
     }
 
     /// Logs that a suspected request goes to a server.
--- a/crates/entry/tests/daemon/software_versions.rs
+++ b/crates/entry/tests/daemon/software_versions.rs
@@ -4,16 +4,21 @@
 
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::ConfigText;
+use fulmargate_consortium_stand::CrashEnd;
+use fulmargate_consortium_stand::CrashRule;
 use fulmargate_consortium_stand::ECHO_EVENTS;
+use fulmargate_consortium_stand::FakeServer;
 use fulmargate_consortium_stand::JoinedStream;
 use fulmargate_consortium_stand::LinkCut;
 use fulmargate_consortium_stand::OpenResponse;
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::StoreFault;
 use fulmargate_consortium_stand::open_stream;
+use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::crash_fleet::CrashFleet;
 use crate::cut_fleet::CutFleet;
 use crate::cut_fleet::HOSTS;
 use crate::cut_fleet::LinkedServer;
@@ -370,3 +375,62 @@
     }
     check_streams(&streams);
 }
+
+/// Servers of the version that did not begin the stream.
+const OTHER_ENGINES: usize = 24;
+/// Patience of the caller. Long enough for some turns, and not for one at each server.
+const SUSPECT_PATIENCE_MS: u64 = 4_000;
+
+/// Guards against a stream whose server crashed and that waits for a turn at each server of another version, where it
+/// may not go on, while one of its own serves.
+#[tokio::test]
+async fn a_suspected_stream_goes_on_at_its_version_at_once() {
+    let rule = CrashRule { marker: "never", delay: Duration::ZERO, end: CrashEnd::BeforeHead };
+    let mut fleet = CrashFleet::start_service(rule, 2, "engines").await;
+    fleet.desks.iter().for_each(|engine| engine.set_software("v1"));
+    let callers = fleet.daemons[0].address("callers").await;
+    for number in 0..8 {
+        let prompt = CallerRequest::prompt("/chat/budget", &format!("budget-{number}"));
+        assert_eq!(fleet.send(0, &prompt).await, 200);
+    }
+    fleet.set_mode(ServerMode::PausedEcho);
+    let mut request = CallerRequest::prompt("/chat/x", "suspected");
+    request.patience_ms = SUSPECT_PATIENCE_MS;
+    let mut response = open_stream(&request, callers).await.expect("the stream begins");
+    assert!(response.read_events(EVENTS_BEFORE).await, "the stream breaks off early");
+    let mut others = Vec::new();
+    for number in 0..OTHER_ENGINES {
+        let name = format!("other-{number}");
+        let other = FakeServer::start(&name, ServerMode::Echo).await.expect("start an engine");
+        other.set_software("v2");
+        fleet.store.put_server_of(&name, "engines", other.address, "ready", &json!("v2"));
+        others.push(other);
+    }
+    let listed = || fleet.daemons[0].events("server_listed").len();
+    wait_until("the other version is listed", || listed() == 2 + OTHER_ENGINES).await;
+    let runs = |engine: &&FakeServer| engine.seen().iter().any(|seen| seen.id() == "suspected");
+    let first = fleet.desks.iter().find(runs).expect("an engine runs the stream").clone();
+    // The stream does not go on before its caller takes it up.
+    let others_of_version = fleet.desks.iter().filter(|engine| engine.name != first.name);
+    others_of_version.for_each(|engine| engine.set_mode(ServerMode::Hang));
+    first.kill().await;
+    let crashed = || fleet.daemons[0].events("server_crashed").len();
+    wait_until("the crash counts against the stream", || crashed() == 1).await;
+    let mut joined = JoinedStream::default();
+    joined.add(response.body());
+    drop(response);
+    fleet.set_mode(ServerMode::Echo);
+    let mut next = CallerRequest::prompt("/chat/x", "suspected-2")
+        .taking_up(joined.last_event(), Some("suspected"));
+    next.patience_ms = SUSPECT_PATIENCE_MS;
+    let answer = next.send(callers).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    joined.add(&answer.body);
+    assert_eq!(joined.marks(), ["v1"]);
+    assert_eq!((joined.last_event(), joined.is_in_order()), (ECHO_EVENTS, true));
+    let waits = fleet.daemons.iter().flat_map(|daemon| daemon.events("suspect_waits"));
+    assert!(0 < waits.count(), "the stream is suspected");
+    let given_up = fleet.daemons.iter().flat_map(|daemon| daemon.events("turn_given_up"));
+    let of_others: Vec<Value> = given_up.filter(|line| line["version"] == "v2").collect();
+    assert!(of_others.is_empty(), "turns at other versions: {of_others:?}");
+}
--- a/crates/names/src/event_kind.rs
+++ b/crates/names/src/event_kind.rs
@@ -70,6 +70,10 @@
     SuspicionLifted = 2026,
     /// A caller's connection was closed before its time.
     ClientClosed = 2027,
+    /// A request waits for its turn, since it or a part of its prompt is suspected of crashing backend servers.
+    SuspectWaits = 2028,
+    /// A suspected request has given up its turn at a backend server that cannot take it.
+    TurnGivenUp = 2029,
     /// A backend server was taken out of use for its failures.
     ServerEjected = 3001,
     /// A backend server is in use again.
@@ -238,6 +242,8 @@
     ConnectionRefused => "connection_refused",
     SuspicionLifted => "suspicion_lifted",
     ClientClosed => "client_closed",
+    SuspectWaits => "suspect_waits",
+    TurnGivenUp => "turn_given_up",
     ServerEjected => "server_ejected",
     ServerRestored => "server_restored",
     ServerLeaving => "server_leaving",
