Crash checks: an answer after the break shows that the server survived

Cause: connections to servers were reset, and the servers, which went on serving, left the list within the next seconds in a release. The end of an entry during a check is taken for a crash, since a process that has started again takes connections too. Streams that were broken by a crash before had two crashes on record then, and such requests run one at a server, at half of the servers at most: most waited until their time was over.

Change: each request names the incarnation that it is for. A response to one that was sent after the break comes from the process that broke the connection, so the check ends as reached, whatever the list and others say later.

Unit tests of the verdict and the table.

--- a/crates/dispatch/src/server_check.rs
+++ b/crates/dispatch/src/server_check.rs
@@ -43,6 +43,8 @@
     pub is_listed: bool,
     /// Another host has confirmed the crash.
     pub is_confirmed: bool,
+    /// The process that broke off requests has answered one that was sent after the break.
+    pub has_survived: bool,
     /// Time since the break.
     pub age: Duration,
     /// Time since the other hosts were asked; `None` if they were not.
@@ -90,6 +92,9 @@
     /// The verdict, which is final unless it is `Undecided` or a connection was opened: a server that has started again
     /// takes connections before the list says so.
     pub fn verdict(&self) -> CheckVerdict {
+        if self.has_survived {
+            return CheckVerdict::Reached;
+        }
         if self.is_confirmed {
             return CheckVerdict::Crashed(CrashReason::Confirmed);
         }
--- a/crates/dispatch/src/suspect_table/checks.rs
+++ b/crates/dispatch/src/suspect_table/checks.rs
@@ -43,6 +43,15 @@
     /// When the other hosts were asked.
     asked: Option<Instant>,
     needs_probe: bool,
+    /// When the latest request was sent that the server has answered.
+    answered: Option<Instant>,
+}
+
+impl ServerCheck {
+    /// Whether this process of the server has answered a request that was sent later.
+    fn has_answered_since(&self, at: Instant) -> bool {
+        self.answered.is_some_and(|sent| at < sent)
+    }
 }
 
 /// Latest connection attempts of all hosts to a server.
@@ -78,11 +87,19 @@
             outcome: None,
             asked: None,
             needs_probe: true,
+            answered: None,
         };
         self.checks.insert(server, check);
         true
     }
 
+    /// Records that a server has answered a request that was sent at `sent` to this process of it.
+    pub fn record_answer(&mut self, server: ServerKey, sent: Instant) {
+        if let Some(check) = self.checks.get_mut(&server) {
+            check.answered = check.answered.max(Some(sent));
+        }
+    }
+
     /// Whether the next connection attempt of a check has not ended.
     pub fn awaits_probe(&self, server: ServerKey) -> bool {
         self.checks.get(&server).is_some_and(|check| check.outcome.is_none())
@@ -147,6 +164,7 @@
             others_isolated: count(ProbeOutcome::Isolated),
             is_control_reached: check.outcome == Some(ProbeOutcome::Failed),
             is_confirmed: self.records.values().any(|record| record.is_confirmed(server)),
+            has_survived: check.has_answered_since(check.broken_at),
             age: now.saturating_duration_since(check.broken_at),
             asked: check.asked.map(|asked| now.saturating_duration_since(asked)),
             ..CheckInputs::default()
@@ -182,7 +200,11 @@
             return Vec::new();
         }
         let broken_at = match verdict {
-            CheckVerdict::Crashed(CrashReason::Unlisted) => check.first_broken_at,
+            CheckVerdict::Crashed(CrashReason::Unlisted)
+                if !check.has_answered_since(check.first_broken_at) =>
+            {
+                check.first_broken_at
+            }
             _ => check.broken_at,
         };
         let age = now.saturating_duration_since(broken_at);
--- a/crates/dispatch/tests/suspects.rs
+++ b/crates/dispatch/tests/suspects.rs
@@ -116,12 +116,23 @@
     is_control_reached: false,
     is_listed: true,
     is_confirmed: false,
+    has_survived: false,
     age: Duration::from_millis(30),
     asked: Some(Duration::from_millis(30)),
 };
 const LATER: Duration = Duration::from_millis(1_500);
 
 const VERDICTS: &[VerdictCase] = &[
+    VerdictCase {
+        name: "the process has answered since, and its entry is removed later",
+        inputs: CheckInputs { is_listed: false, has_survived: true, ..UNREACHED },
+        verdict: CheckVerdict::Reached,
+    },
+    VerdictCase {
+        name: "another host takes the end of the entry for a crash",
+        inputs: CheckInputs { is_confirmed: true, has_survived: true, ..UNREACHED },
+        verdict: CheckVerdict::Reached,
+    },
     VerdictCase {
         name: "the whole service is down, and no other host reaches it",
         inputs: CheckInputs { others_failed: 3, ..UNREACHED },
@@ -644,3 +655,22 @@
         assert!(table.has_wanted_probes(), "host {number} tries the server");
     }
 }
+
+/// Guards against a reset connection that counts as a crash, because the server leaves the list later for another
+/// reason.
+#[test]
+fn an_answer_after_the_break_shows_that_the_server_survived() {
+    for (answered_after, has_survived) in [(true, true), (false, false)] {
+        let now = Instant::now();
+        let mut table = table(0);
+        let run = table.begin_run(RunSubject::plain(PRINT), key("a"), now);
+        let before = now;
+        let broken = now + STEP;
+        table.begin_check(key("a"), broken);
+        table.end_run(run, RunEnd::Unclear, broken);
+        table.record_probe(key("a"), ProbeOutcome::Reached, broken);
+        table.record_answer(key("a"), if answered_after { broken + STEP } else { before });
+        let inputs = table.check_inputs(key("a"), broken + STEP * 2);
+        assert_eq!(inputs.has_survived, has_survived);
+    }
+}
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -75,7 +75,7 @@
             if matches!(verdict, CheckVerdict::Crashed(_)) || CHECK_TIMEOUT <= inputs.age {
                 break (verdict, inputs);
             }
-            if self.is_leaving {
+            if self.is_leaving || inputs.has_survived {
                 break (CheckVerdict::Reached, inputs);
             }
             let is_open = verdict == CheckVerdict::Undecided;
@@ -192,6 +192,7 @@
             is_fleet_whole = inputs.is_fleet_whole,
             is_control_reached = inputs.is_control_reached,
             is_listed = inputs.is_listed,
+            has_survived = inputs.has_survived,
             suspects,
             age_ms = inputs.age.as_millis() as u64,
             asked_ms = inputs.asked.map(|asked| asked.as_millis() as u64),
--- a/crates/entry/src/traffic/in_flight_request.rs
+++ b/crates/entry/src/traffic/in_flight_request.rs
@@ -64,6 +64,11 @@
         self.state.servers().record_sent(&mut self.ticket, Instant::now());
     }
 
+    /// Records that the server has answered the request, which was sent at `sent` and names its incarnation.
+    pub(crate) fn record_answer(&self, sent: Instant) {
+        self.state.suspects().record_answer(self.ticket.server, sent);
+    }
+
     /// Returns how to proceed while the server sends no response.
     pub(crate) fn next_probe_step(&self) -> ProbeStep {
         self.state.servers().next_probe_step(self.ticket.server, Instant::now())
--- a/crates/entry/src/traffic/send_attempt.rs
+++ b/crates/entry/src/traffic/send_attempt.rs
@@ -97,6 +97,7 @@
         let ConnectedSend { mut plan, mut connection } = self;
         let request = encode_request(decoded, &plan)?;
         plan.in_flight.record_sent();
+        let sent = Instant::now();
         let response = wait_for_response_head(&mut connection, request, &plan).await?;
         let (parts, body) = response.into_parts();
         let head = ResponseHead::decode(&parts);
@@ -109,6 +110,9 @@
         if !matches_request && !head.is_misdirected {
             return Err(SendError::new(SendOutcome::Broken, &"the answer names another request"));
         }
+        if !head.is_misdirected {
+            plan.in_flight.record_answer(sent);
+        }
         let SendPlan { server, weights, in_flight, .. } = plan;
         let method = &decoded.parts.method;
         let framing = BodyFraming::of_response(method, parts.status, &parts.headers);
