Crash checks: a server that served on after its entry was removed was leaving

Cause: some servers leave without a word of it: their entry is removed, they serve on for a while and exit. A stream that such an exit cuts was evidence of a crash, since the server was no longer listed.

Change: if the entry was removed before the break, and an event of the stream came within half a second before it, the server was leaving. A crashed one sends nothing, and its entry is removed later.

--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -33,6 +33,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Servers that a host tries, to tell a crash from a cut of its own links.
 const MAX_CONTROL_SERVERS: usize = 2;
+/// A server was serving if an event of it has come within this time before the break.
+const SERVING_TIME: Duration = Duration::from_millis(500);
 /// Time that a request waits for the first connection attempt of a check before it is sent again.
 const FIRST_PROBE_TIME: Duration = Duration::from_millis(50);
 
@@ -47,15 +49,19 @@
 }
 
 /// Starts a check, unless one is under way, and waits for its first connection attempt. If that fails, the request is
-/// suspected from now on.
+/// suspected from now on. `heard` is when the request had its last event.
 pub(crate) async fn check_server(
     state: &Arc<SharedState>,
     id: &RequestId,
     server: &Arc<ServerEntry>,
+    heard: Option<Instant>,
 ) {
     if state.suspects().begin_check(server.key(), Instant::now()) {
+        // One that served on after its entry was removed was leaving. The entry of a crashed one is removed later.
+        let was_serving = heard.is_some_and(|heard| heard.elapsed() < SERVING_TIME);
+        let is_leaving = was_serving && state.servers().state(server.key()).is_none();
         let (state, id, server) = (state.clone(), id.clone(), server.clone());
-        let check = CrashCheck { state, id, server, is_leaving: false };
+        let check = CrashCheck { state, id, server, is_leaving };
         tokio::task::spawn_local(check.run());
     }
     let probed = state.suspect_probed.notified();
@@ -67,6 +73,11 @@
 impl CrashCheck {
     /// Checks the server until there is a verdict. A crash is evidence against the requests that ran there.
     async fn run(mut self) {
+        if self.is_leaving {
+            let inputs = self.inputs();
+            self.log_verdict(CheckVerdict::Reached, inputs, 0);
+            return self.finish(CheckVerdict::Reached);
+        }
         let mut reported = CheckVerdict::Undecided;
         let (verdict, inputs) = loop {
             self.probe_if_needed().await;
--- a/crates/entry/src/traffic/request_handler/suspicion.rs
+++ b/crates/entry/src/traffic/request_handler/suspicion.rs
@@ -240,7 +240,7 @@
             SendOutcome::NotSent | SendOutcome::Broken | SendOutcome::Unreachable => {}
         }
         drop(run);
-        check_server(&self.state, &self.facts().id, server).await;
+        check_server(&self.state, &self.facts().id, server, self.timing.last_event).await;
         if let Some(turn) = &self.turn {
             turn.release();
         }
--- a/crates/entry/tests/daemon/crash_suspects.rs
+++ b/crates/entry/tests/daemon/crash_suspects.rs
@@ -5,8 +5,12 @@
 use fulmargate_consortium_stand::CallerRequest;
 use fulmargate_consortium_stand::CrashEnd;
 use fulmargate_consortium_stand::CrashRule;
+use fulmargate_consortium_stand::FakeServer;
 use fulmargate_consortium_stand::LinkCut;
+use fulmargate_consortium_stand::ResponseShape;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ShapeFraming;
+use fulmargate_consortium_stand::open_stream;
 use indexmap::IndexSet;
 use tokio::time::sleep;
 
@@ -173,3 +177,33 @@
     assert!(crashed.is_empty(), "{crashed:?}");
     open.abort();
 }
+
+/// Events of a stream come this far apart.
+const EVENT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Guards against a planned exit that counts as a crash under the streams it cuts, since the entry of the server was
+/// removed without a word of its leaving.
+#[tokio::test]
+async fn an_exit_after_the_entry_was_removed_is_no_crash() {
+    let rule = CrashRule { marker: "never", delay: Duration::ZERO, end: CrashEnd::BeforeHead };
+    let mut fleet = CrashFleet::start_service(rule, 2, "engines").await;
+    let shape = ResponseShape::whole(ShapeFraming::Chunked);
+    fleet.set_mode(ServerMode::Shaped(ResponseShape { pause: EVENT_PAUSE, ..shape }));
+    let callers = fleet.daemons[0].address("callers").await;
+    let mut request = CallerRequest::prompt("/non-resumable/x", "cut");
+    request.patience_ms = REQUEST_TIMEOUT_MS;
+    let mut response = open_stream(&request, callers).await.expect("the stream begins");
+    assert!(response.read_events(1).await, "the stream breaks off early");
+    let runs = |engine: &&FakeServer| engine.seen().iter().any(|seen| seen.id() == "cut");
+    let engine = fleet.desks.iter().find(runs).expect("an engine runs the stream").clone();
+    fleet.store.remove_server(&engine.name);
+    let gone = || fleet.daemons[0].events("server_gone").len();
+    wait_until("the entry is gone", || gone() == 1).await;
+    engine.kill().await;
+    let answer = response.read_rest().await.expect("a part of the answer");
+    assert!(!answer.is_whole, "the stream was cut: {:?}", answer.body);
+    sleep(VERDICT_TIME).await;
+    let crashes: Vec<_> =
+        fleet.daemons.iter().flat_map(|daemon| daemon.events("server_crashed")).collect();
+    assert!(crashes.is_empty(), "{crashes:?}");
+}
