Crash checks: a server that is listed as draining has not crashed

Cause: only servers that get requests are in the registry which a check asks for a server's stage. One that announces its exit during a check was no longer there, and counted as crashed; the code that was to take it for leaving never ran.

Change: the registry knows which servers are listed as draining.

--- a/crates/dispatch/src/server_registry.rs
+++ b/crates/dispatch/src/server_registry.rs
@@ -104,6 +104,8 @@
     pending_cache_updates: PendingUpdates,
     /// Servers whose address now belongs to another server. Ignored until the list drops them.
     replaced: IndexSet<ServerKey>,
+    /// Listed servers that are draining. They are not among `servers`.
+    draining: IndexSet<ServerKey>,
     /// Rate limits that servers name; `None` where no other router shares them.
     limits: Option<ServerLimits>,
     /// Whether any server was ever listed.
@@ -135,6 +137,16 @@
 }
 
 impl ServerRegistry {
+    /// Replaces the servers that are listed as draining.
+    pub fn set_draining(&mut self, draining: IndexSet<ServerKey>) {
+        self.draining = draining;
+    }
+
+    /// Whether a server is listed as draining.
+    pub fn is_draining(&self, server: ServerKey) -> bool {
+        self.draining.contains(&server)
+    }
+
     /// Adds and updates the servers of the list, and removes all others.
     pub fn sync(&mut self, entries: &[Arc<ServerEntry>], now: Instant) {
         let listed_keys: IndexSet<ServerKey> = entries.iter().map(|entry| entry.key()).collect();
--- a/crates/dispatch/src/server_table.rs
+++ b/crates/dispatch/src/server_table.rs
@@ -11,6 +11,7 @@
 
 use crate::BootTime;
 use crate::ServerEntry;
+use crate::ServerKey;
 use crate::ServerStage;
 use crate::heartbeat_clock::HeartbeatClock;
 use crate::outage_tracker::LapseExtent;
@@ -251,6 +252,12 @@
         ready().filter(is_usable).cloned().collect()
     }
 
+    /// Listed servers that are draining.
+    pub fn draining(&self) -> IndexSet<ServerKey> {
+        let draining = self.servers.values().filter(|entry| entry.stage == ServerStage::Draining);
+        draining.map(|entry| entry.key()).collect()
+    }
+
     /// Whether an entry has not been written for longer than the platform keeps that of a server.
     pub fn is_silent(&self, name: &ServerName) -> bool {
         self.silence.is_silent(name)
--- a/crates/entry/src/control/server_watcher.rs
+++ b/crates/entry/src/control/server_watcher.rs
@@ -312,6 +312,7 @@
         let mixed = versions.mixed_services();
         let mut servers = self.state.servers();
         servers.sync(&self.table.usable(), now);
+        servers.set_draining(self.table.draining());
         servers.apply_versions(&versions, boot_now);
         let limits = servers.apply_stored_limits(now);
         drop(servers);
--- a/crates/entry/src/traffic/crash_check.rs
+++ b/crates/entry/src/traffic/crash_check.rs
@@ -11,7 +11,6 @@
 use fulmargate_dispatch::CrashReason;
 use fulmargate_dispatch::ProbeOutcome;
 use fulmargate_dispatch::ServerEntry;
-use fulmargate_dispatch::ServerStage;
 use fulmargate_names::EventKind;
 use fulmargate_names::RequestId;
 use futures_util::future::select_ok;
@@ -155,8 +154,8 @@
         let now = Instant::now();
         let inputs = self.state.suspects().check_inputs(self.server.key(), now);
         let mut servers = self.state.servers();
-        let stage = servers.state(self.server.key()).map(|state| state.entry().stage);
-        self.is_leaving |= stage.is_some_and(|stage| stage != ServerStage::Ready);
+        let is_ready = servers.state(self.server.key()).is_some();
+        self.is_leaving |= servers.is_draining(self.server.key());
         // A list without any entry of the service is no evidence on one server.
         let has_service =
             servers.states().any(|state| state.entry().service == self.server.service);
@@ -165,7 +164,7 @@
             others_cut: servers.peers_cut_before(&self.server.service, series_began, now),
             peers: servers.live_peers(now).len(),
             is_fleet_whole: servers.is_fleet_whole(now),
-            is_listed: stage.is_some() || !has_service,
+            is_listed: is_ready || self.is_leaving || !has_service,
             ..inputs
         }
     }
--- a/crates/entry/tests/daemon/crash_suspects.rs
+++ b/crates/entry/tests/daemon/crash_suspects.rs
@@ -9,6 +9,8 @@
 use fulmargate_consortium_stand::LinkCut;
 use fulmargate_consortium_stand::ResponseShape;
 use fulmargate_consortium_stand::ServerMode;
+use fulmargate_consortium_stand::ShapeContent;
+use fulmargate_consortium_stand::ShapeEnd;
 use fulmargate_consortium_stand::ShapeFraming;
 use fulmargate_consortium_stand::open_stream;
 use indexmap::IndexSet;
@@ -207,3 +209,28 @@
         fleet.daemons.iter().flat_map(|daemon| daemon.events("server_crashed")).collect();
     assert!(crashes.is_empty(), "{crashes:?}");
 }
+
+/// Guards against a reset connection that counts as a crash, since its server announces a planned exit soon after: a
+/// draining server is no longer among those that get requests.
+#[tokio::test]
+async fn a_reset_before_a_departure_is_no_crash() {
+    let rule = CrashRule { marker: "never", delay: Duration::ZERO, end: CrashEnd::BeforeHead };
+    let mut fleet = CrashFleet::start_service(rule, 2, "engines").await;
+    let callers = fleet.daemons[0].address("callers").await;
+    let shape = ResponseShape::whole(ShapeFraming::Chunked);
+    let reset = shape.ending(ShapeContent::CutBetweenEvents(3), ShapeEnd::Reset);
+    fleet.set_mode(ServerMode::Shaped(ResponseShape { pause: EVENT_PAUSE, ..reset }));
+    let mut request = CallerRequest::prompt("/non-resumable/x", "reset");
+    request.patience_ms = REQUEST_TIMEOUT_MS;
+    let answer = request.send(callers).await.expect("a part of the answer");
+    assert!(!answer.is_whole, "the stream was reset: {:?}", answer.body);
+    for engine in &fleet.desks {
+        fleet.store.put_server(&engine.name, "engines", engine.address, "draining");
+    }
+    let other = FakeServer::start("engines-3", ServerMode::Echo).await.expect("start an engine");
+    fleet.store.put_server(&other.name, "engines", other.address, "ready");
+    sleep(VERDICT_TIME).await;
+    let crashes: Vec<_> =
+        fleet.daemons.iter().flat_map(|daemon| daemon.events("server_crashed")).collect();
+    assert!(crashes.is_empty(), "{crashes:?}");
+}
