--- a/crates/soak/src/answer_loss.rs
+++ b/crates/soak/src/answer_loss.rs
@@ -90,6 +90,7 @@
             SoakFault::ReplaceServer(_) | SoakFault::RemoveServer(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
             SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
+            SoakFault::ForeignEntries(..) => false,
         }
     }
 }
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -26,6 +26,7 @@
 use crate::SoakFault;
 use crate::crashing_caller::play_crashing_request;
 use crate::crashing_part_caller::play_crashing_part;
+use crate::foreign_plan::write_foreign_entries;
 use crate::soak_world::BrittleTime;
 use crate::soak_world::DESKS;
 use crate::soak_world::SeenLimit;
@@ -143,6 +144,7 @@
         SoakFault::TakeKey => take_key(world),
         SoakFault::NameWeights => world.name_weights(1),
         SoakFault::NameVersion(step) => world.name_weights(step),
+        SoakFault::ForeignEntries(number, shape) => write_foreign_entries(world, number, shape),
         SoakFault::EngineOrders(number, handling) => {
             let stand = world.server(number).stand;
             stand.set_order_handling(handling);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod fault_plan;
 mod fault_player;
 mod fault_source;
+mod foreign_plan;
 mod judge;
 mod judged_count;
 mod promise;
@@ -33,6 +34,7 @@
 
 pub use fault_plan::FaultPlan;
 pub use fault_plan::FaultStep;
+pub use foreign_plan::ForeignShape;
 pub use judge::BrokenPromise;
 pub use judged_count::JudgedCount;
 pub use promise::Promise;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -82,6 +82,10 @@
     /// --weights
     #[argh(switch)]
     rough_clients: bool,
+    /// entries that no server has written come into the list of servers before all routers are killed, beside the faults of
+    /// the seed; goes before --rough-clients
+    #[argh(switch)]
+    foreign_entries: bool,
     /// operators name series of weights versions while routers are stopped and killed, beside the faults of the seed; goes
     /// before --versions
     #[argh(switch)]
@@ -105,6 +109,7 @@
     let length = Duration::from_secs(args.seconds);
     let kind = match &args {
         SoakArgs { restores: true, .. } => PlanKind::Restore,
+        SoakArgs { foreign_entries: true, .. } => PlanKind::ForeignEntries,
         SoakArgs { rough_clients: true, .. } => PlanKind::RoughClients,
         SoakArgs { weights: true, .. } => PlanKind::Weights,
         SoakArgs { versions: true, .. } => PlanKind::Versions,
--- a/crates/soak/src/soak_fault.rs
+++ b/crates/soak/src/soak_fault.rs
@@ -6,6 +6,8 @@
 use fulmargate_consortium_stand::ServerMode;
 use fulmargate_consortium_stand::StoreFault;
 
+use crate::ForeignShape;
+
 /// Which connections a proxy stands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkPlace {
@@ -80,6 +82,8 @@
     NameWeights,
     /// A weights version is named that is newer by this number; zero names the newest one again.
     NameVersion(u64),
+    /// Entries that no server has written, the first ones of such a number, are in the list of servers from now on.
+    ForeignEntries(usize, ForeignShape),
     /// An engine handles orders in this way.
     EngineOrders(usize, OrderHandling),
 }
@@ -101,6 +105,7 @@
             SoakFault::Upgrade(..) | SoakFault::CrowdHost(_) => false,
             SoakFault::AddRoute | SoakFault::TakeKey | SoakFault::NameWeights => false,
             SoakFault::NameVersion(_) | SoakFault::EngineOrders(..) => false,
+            SoakFault::ForeignEntries(..) => false,
         }
     }
 
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -109,6 +109,8 @@
     Versions,
     /// Any faults, and clients that do not keep to the protocol, beside routers with little memory.
     RoughClients,
+    /// Any faults, and entries that no server has written, before all routers are killed.
+    ForeignEntries,
     /// Any faults, and series of weights versions while routers are stopped and killed.
     Weights,
 }
@@ -162,6 +164,7 @@
             let others = if conf.is_calm { mixed.without_disturbances() } else { mixed };
             others.with_weights(engines, conf.length)
         }
+        PlanKind::ForeignEntries => mixed.with_foreign_entries(conf.length),
         PlanKind::FullLink => mixed.with_full_links(routers, &PAUSED, conf.length),
     };
     let plan = if conf.is_calm { plan.with_calm_times() } else { plan };
@@ -188,7 +191,11 @@
     let mut heartbeats = JoinSet::new();
     if matches!(
         conf.kind,
-        PlanKind::Departures | PlanKind::ResponseEnds | PlanKind::Versions | PlanKind::Weights
+        PlanKind::Departures
+            | PlanKind::ResponseEnds
+            | PlanKind::Versions
+            | PlanKind::Weights
+            | PlanKind::ForeignEntries
     ) {
         heartbeats.spawn(write_heartbeats(world.clone()));
     }
