Operators' topic: a listing that stalled proves a configuration only if it had one

A listing that is given up may have left out the newest configuration. It proved the active one all the same. Now it does so only if it had a configuration that is no older; else requests with a key are refused until one is written.

--- a/crates/entry/src/control/operator_watcher.rs
+++ b/crates/entry/src/control/operator_watcher.rs
@@ -48,6 +48,8 @@
     next: Option<LogPosition>,
     /// The listing in progress, if any.
     listing: Option<TopicListing>,
+    /// Whether that listing has had a configuration which is no older than the active one.
+    has_listed_config: bool,
     epoch: EpochTracker,
     /// Bounds the write time of the next records.
     topic_proof: TopicProof,
@@ -72,6 +74,7 @@
             retry,
             next: None,
             listing: None,
+            has_listed_config: false,
             epoch,
             topic_proof: TopicProof::default(),
             admitted_keys: false,
@@ -95,6 +98,7 @@
                     tracing::warn!(event = kind.number(), name = kind.name(), topic = "operator", reason = %err);
                     self.next = None;
                     self.listing = None;
+                    self.has_listed_config = false;
                     self.retry.back_off_relisting(&err, self.source.max_retry_delay()).await;
                 }
                 Err(err) => {
@@ -130,12 +134,15 @@
             let sent = page.start.sent;
             let read = TopicRead { sent, received: boot_now() };
             for listed in &page.records {
-                self.apply(&listed.record, read);
+                self.has_listed_config |= self.apply(&listed.record, read);
             }
             if page.state == ListingState::Continues {
                 continue;
             }
             self.listing = None;
+            let has_config = std::mem::take(&mut self.has_listed_config);
+            // The configuration may be among what a listing that stalled has left out.
+            self.has_unreadable_record |= page.state == ListingState::Stalled && !has_config;
             self.next = Some(page.start.end);
             // Weights may be missing after a listing that stalled.
             let complete_until = Some(sent).filter(|_| page.state == ListingState::Complete);
