--- a/crates/entry/tests/clients/client_deployment.rs
+++ b/crates/entry/tests/clients/client_deployment.rs
@@ -92,6 +92,7 @@
             if answer.as_ref().is_ok_and(|answer| answer.status == 200) {
                 return true;
             }
+            println!("an ordinary caller is not served: {answer:?}");
             sleep(RETRY_PAUSE).await;
         }
         false
